Lay out the workspace: core, protocol, daemon, command line, lab

Cause: nothing existed; parts have to be written beside each other. Change: crates, shared names, message types and the seams of the daemon. Ruled out: one crate with features, since the core must not see tokio.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! What became of a request: its outcome, and the assembly of its answer from numbered chunks.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! When to try again: budget, backoff and the time to come back.
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,54 @@
+//! Points in time as the core sees them: microseconds since an origin that the driver chooses.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use speedy::{Readable, Writable};
+
+/// A point on the driver's monotonic clock, in microseconds since the driver's origin.
+///
+/// Timestamps of different nodes can't be compared: each driver has its own origin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The driver's origin.
+    pub const ORIGIN: Self = Self(0);
+
+    /// A timestamp `microseconds` after the origin.
+    pub const fn from_micros(microseconds: u64) -> Self {
+        Self(microseconds)
+    }
+
+    /// A timestamp `milliseconds` after the origin.
+    pub const fn from_millis(milliseconds: u64) -> Self {
+        Self(milliseconds * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// The time from `earlier` to `self`, zero where `earlier` is later.
+    pub fn saturating_since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let microseconds = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(microseconds))
+    }
+}
+
+impl Sub for Timestamp {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.saturating_since(earlier)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cluster.rs
@@ -0,0 +1,56 @@
+//! The members of the cluster as this node sees them.
+
+use std::net::SocketAddr;
+
+use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What a node does besides membership.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Roles {
+    /// Serves callers.
+    pub gateway: bool,
+    /// Can own shards of control work.
+    pub coordinator: bool,
+    /// Keeps replicas of logs and claims on its disk.
+    pub store: bool,
+}
+
+/// One member that is believed alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its roles.
+    pub roles: Roles,
+    /// Where it answers its peers, over TCP for requests and over UDP for membership.
+    pub peer_address: SocketAddr,
+}
+
+/// Members believed alive, this node included. Replaced as a whole, never changed in place.
+#[derive(Clone, Debug, Default)]
+pub struct ClusterView {
+    /// The members, by node id.
+    pub members: Vec<Member>,
+}
+
+impl ClusterView {
+    /// The coordinator that should own a shard: the highest rendezvous weight among live coordinators.
+    pub fn owner_of(&self, shard: &ShardId) -> Option<&Member> {
+        let coordinators = self.members.iter().filter(|member| member.roles.coordinator);
+        coordinators.max_by_key(|member| (rendezvous_weight(&member.node, shard), member.node.clone()))
+    }
+
+    /// The member with this id.
+    pub fn member(&self, node: &NodeId) -> Option<&Member> {
+        self.members.iter().find(|member| &member.node == node)
+    }
+}
+
+/// The weight of a node for a shard, the same on every node (highest random weight hashing, Thaler and
+/// Ravishankar 1998).
+pub fn rendezvous_weight(node: &NodeId, shard: &ShardId) -> u64 {
+    xxh3_64(format!("{node}\n{shard}").as_bytes())
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,46 @@
+//! What every part of a node can reach.
+//!
+//! Traffic threads read the snapshots here without a lock; the control thread replaces them.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use lichenpulley_core::identity::{NodeId, ZoneName};
+use tokio_util::sync::CancellationToken;
+
+use crate::cluster::ClusterView;
+use crate::configuration::ConfigurationView;
+use crate::decisions::DecisionLog;
+use crate::directory::ReplicaDirectory;
+use crate::metrics::Metrics;
+use crate::peers::PeerClients;
+use crate::settings::Settings;
+
+/// One node's shared state.
+pub struct NodeContext {
+    /// This node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// The checked settings file with flags over it.
+    pub settings: Settings,
+    /// Decisions, as they are made.
+    pub decisions: DecisionLog,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Live members. Written by `membership` only.
+    pub cluster: ArcSwap<ClusterView>,
+    /// Replicas of each pool. Written by `configuration` only.
+    pub directory: ArcSwap<ReplicaDirectory>,
+    /// The settings tree in force. Written by `configuration` only.
+    pub configuration: ArcSwap<ConfigurationView>,
+    /// Connections to other nodes.
+    pub peers: PeerClients,
+    /// Cancelled when a planned stop begins: refuse new work, finish what runs.
+    pub draining: CancellationToken,
+    /// Cancelled when what ran has finished: end background work.
+    pub stopped: CancellationToken,
+}
+
+/// A node's context, shared by its parts.
+pub type Context = Arc<NodeContext>;
--- /dev/null
+++ b/crates/daemon/src/coordinator/mod.rs
@@ -0,0 +1,1 @@
+//! Owns shards of control work: rollout jobs and weight waves.
--- /dev/null
+++ b/crates/daemon/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP servers and clients, by `hyper`.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! `lichenpulleyd`: sockets, files and timers round the core.
+//!
+//! A library too, so that a demonstration or a test can start whole nodes inside one process with
+//! [`node::Node::start`].
+
+pub mod cluster;
+pub mod configuration;
+pub mod context;
+pub mod coordinator;
+pub mod decisions;
+pub mod directory;
+pub mod gateway;
+pub mod http;
+pub mod membership;
+pub mod metrics;
+pub mod node;
+pub mod operators;
+pub mod peers;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/crates/daemon/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Drives membership over UDP and publishes the cluster view.
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,1 @@
+//! Puts the parts of a node together.
--- /dev/null
+++ b/crates/daemon/src/operators/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' interface over HTTP.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! The stand-ins, the load generator, experiments and simulations.
--- /dev/null
+++ b/crates/protocol/src/operator.rs
@@ -0,0 +1,115 @@
+//! The operators' interface, on a port of its own.
+//!
+//! | method and path | body | answer |
+//! |---|---|---|
+//! | `GET /healthz` | | 200 while the process runs |
+//! | `GET /readyz` | | 200 while it takes work, else 503 with the reason |
+//! | `GET /metrics` | | Prometheus text |
+//! | `GET /v1/config` | | [`ConfigurationDocument`] |
+//! | `GET /v1/config/effective?path={path}&key={key}` | | [`EffectiveSetting`] |
+//! | `PUT /v1/config` | [`ChangeConfiguration`] | [`ConfigurationChanged`]; 409 with the current revision |
+//! | `GET /v1/pools` | | a list of [`PoolStatus`] |
+//! | `POST /v1/replicas/{replica}/drain` | | [`crate::engine::OrderAccepted`] |
+//! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
+
+use lichenpulley_core::decision::Decision;
+use lichenpulley_core::identity::{NodeId, PoolName, ReplicaId, Revision, WeightVersion, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// A decision with where and when it was made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DecisionEvent {
+    /// The node that decided.
+    pub node: NodeId,
+    /// Number on that node since it started; a jump means that the reader was too slow and lost some.
+    pub sequence: u64,
+    /// Milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+    /// The decision.
+    #[serde(flatten)]
+    pub decision: Decision,
+}
+
+/// The settings tree: values by level path and key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationDocument {
+    /// Its revision.
+    pub revision: Revision,
+    /// Values that are set, each at its level.
+    pub settings: Vec<SettingValue>,
+}
+
+/// A value set at one level.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SettingValue {
+    /// The level's path, from the organisation down: `/`, `/ramsaran`, `/ramsaran/bench-assistant`.
+    pub path: String,
+    /// The setting's key.
+    pub key: String,
+    /// Its value.
+    pub value: serde_json::Value,
+}
+
+/// An effective value and where it came from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EffectiveSetting {
+    /// The path asked for.
+    pub path: String,
+    /// The key asked for.
+    pub key: String,
+    /// The value in force there.
+    pub value: serde_json::Value,
+    /// The level that set it; `None` where it is the built-in default.
+    pub source: Option<String>,
+    /// The revision in force on the answering node.
+    pub revision: Revision,
+}
+
+/// Changes a setting.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeConfiguration {
+    /// The revision the change was based on; a race loses.
+    pub base_revision: Revision,
+    /// Names the change, so that a repeat after a lost answer takes effect once.
+    pub change_id: String,
+    /// The level.
+    pub path: String,
+    /// The key.
+    pub key: String,
+    /// The new value; `None` removes it, so that the level inherits again.
+    pub value: Option<serde_json::Value>,
+}
+
+/// The change is accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationChanged {
+    /// The revision that holds it.
+    pub revision: Revision,
+}
+
+/// A pool as one node sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// The pool.
+    pub pool: PoolName,
+    /// Its replicas.
+    pub replicas: Vec<ReplicaStatus>,
+}
+
+/// A replica as one node sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaStatus {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether this node sends it new work, and why not.
+    pub eligibility: String,
+    /// Requests that this node has there now.
+    pub in_flight: u32,
+    /// How many this node would send at once.
+    pub concurrency_limit: u32,
+    /// The weights it last reported.
+    pub weight_version: Option<WeightVersion>,
+}
--- /dev/null
+++ b/crates/protocol/src/transport.rs
@@ -0,0 +1,1 @@
+//! The `tarpc` transport: `speedy` bodies in length-delimited frames with a limit.
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,1 @@
+//! A seeded network of state machines on a virtual clock.
