Add the seam of membership: start, leave, announced revisions

Cause: the shell, the configuration and the coordinator need a cluster view and a way to spread document revisions before the protocol is whole. Ruled out: reading seeds from Settings here, which the shell is still shaping; start takes the node's own member and its seeds instead. Conclusion: a thin version that shows only this node; the protocol follows behind the same functions.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -12,6 +12,7 @@
 use crate::configuration::ConfigurationView;
 use crate::decisions::DecisionLog;
 use crate::directory::ReplicaDirectory;
+use crate::membership::MembershipHandle;
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
 use crate::settings::Settings;
@@ -30,6 +31,8 @@
     pub metrics: Metrics,
     /// Live members. Written by `membership` only.
     pub cluster: ArcSwap<ClusterView>,
+    /// The way to the membership task; use the functions of [`crate::membership`].
+    pub membership: MembershipHandle,
     /// Replicas of each pool. Written by `configuration` only.
     pub directory: ArcSwap<ReplicaDirectory>,
     /// The settings tree in force. Written by `configuration` only.
