Add the small HTTP server of the stand-ins

Cause: every stand-in needs the same server: bound address, JSON in and out, and a way to lose a reply after it has taken effect. Ruled out: one hand-made loop in each stand-in. Before and after: none stood before. Conclusion: `lab::http::serve` with a handler that answers or hangs up.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! The stand-ins, the load generator, experiments and simulations.
+
+pub mod http;
