Add lichenpulley-lab with a table of commands

Cause: each stand-in and experiment needs a process of its own, with the same options for addresses, help and exit codes. Ruled out: one binary for each stand-in (ten link steps for small programs). Conclusion: one binary, one table; each part adds its module and one line.

--- /dev/null
+++ b/crates/lab/src/arguments.rs
@@ -0,0 +1,121 @@
+//! The command line that the stand-ins share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use getopts::{Matches, Options};
+
+use crate::addresses::write_addresses_file;
+use crate::error::LabError;
+
+const LOOPBACK_EPHEMERAL: &str = "127.0.0.1:0";
+
+/// Options of a stand-in: its own, and `--address`, `--faults-address`, `--addresses-file` and `--help`.
+pub fn stand_in_options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "address", "listen here; port 0 takes a free one (default 127.0.0.1:0)", "IP:PORT");
+    options.optopt("", "faults-address", "take fault orders here (default 127.0.0.1:0)", "IP:PORT");
+    options.optopt("", "addresses-file", "write the bound addresses here as JSON", "FILE");
+    options.optflag("h", "help", "print this help and end");
+    options
+}
+
+/// What every stand-in is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StandInArguments {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Where it takes fault orders.
+    pub faults_address: SocketAddr,
+    /// Where it writes its bound addresses.
+    pub addresses_file: Option<PathBuf>,
+}
+
+impl StandInArguments {
+    /// Reads the shared options.
+    ///
+    /// # Errors
+    /// [`LabError::Usage`] where an address is not an IP number and a port.
+    pub fn from_matches(matches: &Matches) -> Result<Self, LabError> {
+        Ok(Self {
+            address: value_or(matches, "address", LOOPBACK_EPHEMERAL)?,
+            faults_address: value_or(matches, "faults-address", LOOPBACK_EPHEMERAL)?,
+            addresses_file: matches.opt_str("addresses-file").map(PathBuf::from),
+        })
+    }
+
+    /// Writes the addresses that were bound, if a file was asked for.
+    ///
+    /// # Errors
+    /// When the file can't be written.
+    pub fn announce(&self, http: SocketAddr, faults: SocketAddr) -> Result<(), LabError> {
+        let Some(path) = &self.addresses_file else { return Ok(()) };
+        let addresses = BTreeMap::from([("http".to_owned(), http), ("faults".to_owned(), faults)]);
+        write_addresses_file(path, &addresses)
+    }
+}
+
+/// Parses a command line. `Ok(None)` says that help was asked for and printed.
+///
+/// # Errors
+/// [`LabError::Usage`] where an option is unknown or lacks its value, or where a free argument is given.
+pub fn parse(command: &str, options: &Options, arguments: &[String]) -> Result<Option<Matches>, LabError> {
+    let matches = options.parse(arguments).map_err(|error| LabError::Usage(format!("{command}: {error}")))?;
+    if matches.opt_present("help") {
+        let brief = format!("usage: lichenpulley-lab {command} [options]");
+        println!("{}", options.usage(&brief));
+        return Ok(None);
+    }
+    if let Some(surplus) = matches.free.first() {
+        return Err(LabError::Usage(format!("{command}: unexpected argument `{surplus}`")));
+    }
+    Ok(Some(matches))
+}
+
+/// An option's value, or its default.
+///
+/// # Errors
+/// [`LabError::Usage`] where the value does not parse.
+pub fn value_or<T>(matches: &Matches, name: &str, default: &str) -> Result<T, LabError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let text = matches.opt_str(name).unwrap_or_else(|| default.to_owned());
+    text.parse().map_err(|error| LabError::Usage(format!("--{name} `{text}`: {error}")))
+}
+
+/// The value of an option that must be given.
+///
+/// # Errors
+/// [`LabError::Usage`] where it is absent or does not parse.
+pub fn required<T>(matches: &Matches, name: &str) -> Result<T, LabError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let text = matches.opt_str(name).ok_or_else(|| LabError::Usage(format!("--{name} is missing")))?;
+    text.parse().map_err(|error| LabError::Usage(format!("--{name} `{text}`: {error}")))
+}
+
+/// Ends when the process is told to stop, by SIGTERM or SIGINT.
+///
+/// # Errors
+/// When the signals can't be watched.
+pub async fn stop_signal() -> Result<(), LabError> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let unwatched = |source| LabError::Io {
+        action: "watch SIGTERM and SIGINT".to_owned(),
+        remedy: "start the process where signals can be handled",
+        source,
+    };
+    let mut terminate = signal(SignalKind::terminate()).map_err(unwatched)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(unwatched)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/commands.rs
@@ -0,0 +1,40 @@
+//! The commands of `lichenpulley-lab`.
+
+use futures::future::BoxFuture;
+
+use crate::error::LabError;
+
+/// What runs a command: takes the arguments after its name.
+pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
+
+/// One command.
+pub struct Command {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// One line of help.
+    pub help: &'static str,
+    /// What runs it.
+    pub entry: Entry,
+}
+
+/// Every command, in the order in which help lists them. An entry reads
+/// `Command { name: "engine", help: "…", entry: |arguments| Box::pin(engine::run(arguments)) }`.
+pub const COMMANDS: &[Command] = &[];
+
+/// The command with this name.
+pub fn find(name: &str) -> Option<&'static Command> {
+    COMMANDS.iter().find(|command| command.name == name)
+}
+
+/// The text of `lichenpulley-lab --help`.
+pub fn help() -> String {
+    let mut text = "usage: lichenpulley-lab COMMAND [options]\n\n\
+                    Stand-ins for what surrounds lichenpulley, and experiments.\n\nCommands:\n"
+        .to_owned();
+    let width = COMMANDS.iter().map(|command| command.name.len()).max().unwrap_or(0);
+    for command in COMMANDS {
+        text.push_str(&format!("  {:width$}  {}\n", command.name, command.help));
+    }
+    text.push_str("\n`lichenpulley-lab COMMAND --help` lists a command's options.");
+    text
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,3 +1,10 @@
 //! The stand-ins, the load generator, experiments and simulations.
+//!
+//! Each stand-in or experiment is one module with `pub async fn run(arguments: &[String]) -> Result<(), LabError>`
+//! and one line in [`commands::COMMANDS`].
 
+pub mod addresses;
+pub mod arguments;
+pub mod commands;
+pub mod error;
 pub mod http;
