--- /dev/null
+++ b/crates/core/src/rollout/ledger.rs
@@ -0,0 +1,270 @@
+//! What a job's log amounts to.
+
+use std::collections::BTreeMap;
+
+use speedy::{Readable, Writable};
+
+use crate::identity::WeightVersion;
+
+use super::delivery::{Batch, Delivery, PullRefusal, PullRequest};
+use super::record::{JobRecord, RecordError};
+use super::sample::Sample;
+use super::slot::{Slot, SlotPhase, SlotState};
+use super::span::{SpanError, check_coverage};
+use super::specification::JobSpecification;
+use super::staleness::StalenessBound;
+
+/// The state of a job: the result of applying its records in order. Two owners that apply the same records hold
+/// the same ledger.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct JobLedger {
+    specification: JobSpecification,
+    /// The first step that is not closed. Slots of earlier steps are all saved, and forgotten.
+    step: u32,
+    /// Slots that have left the initial state. Absent means open, in generation 0.
+    slots: BTreeMap<Slot, SlotState>,
+    delivery: Delivery,
+    reopened: u64,
+}
+
+/// A record does not fit the records before it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LedgerError {
+    /// The first record is not `Submitted`, or a later one is.
+    #[error("the log does not begin with the job's specification; submit the job again under another name")]
+    NoSpecification,
+    /// The slot is not in the phase that the record needs, or the record names another generation.
+    #[error("slot {slot} is not {needed} in generation {generation}; discard this record's cause")]
+    WrongPhase {
+        /// The slot.
+        slot: Slot,
+        /// The phase that it should be in.
+        needed: &'static str,
+        /// The generation that the record names.
+        generation: u32,
+    },
+    /// The slot is no slot of the job, or of a step that is closed.
+    #[error("slot {slot} is not open for decisions in this job; discard the attempt")]
+    NoSuchSlot {
+        /// The slot.
+        slot: Slot,
+    },
+    /// The sample's spans do not cover its tokens.
+    #[error(transparent)]
+    Spans(#[from] SpanError),
+    /// The cursor or the version does not fit.
+    #[error(transparent)]
+    Pull(#[from] PullRefusal),
+    /// A batch was made while one was unsaved, or none was there to be voided.
+    #[error(
+        "a batch can only be made when none is unsaved, and voided when one is; take the shard over again"
+    )]
+    WrongBatch,
+}
+
+impl JobLedger {
+    /// A job of which nothing but the specification is known.
+    pub fn new(specification: JobSpecification) -> Self {
+        Self { specification, step: 0, slots: BTreeMap::new(), delivery: Delivery::default(), reopened: 0 }
+    }
+
+    /// A ledger from the bytes of [`Self::snapshot`].
+    ///
+    /// # Errors
+    /// When the bytes are no ledger.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, RecordError> {
+        Ok(Self::read_from_buffer(bytes)?)
+    }
+
+    /// The ledger as bytes, standing for all records applied so far.
+    ///
+    /// # Errors
+    /// When the codec fails.
+    pub fn snapshot(&self) -> Result<Vec<u8>, RecordError> {
+        Ok(self.write_to_vec()?)
+    }
+
+    /// Applies the next record. A record that does not fit changes nothing.
+    ///
+    /// # Errors
+    /// Says what does not fit.
+    pub fn apply(&mut self, record: &JobRecord) -> Result<(), LedgerError> {
+        match record {
+            JobRecord::Submitted(_) => Err(LedgerError::NoSpecification),
+            JobRecord::Decided { generation, sample } => self.decide(*generation, sample),
+            JobRecord::CursorMoved { cursor, trainer_version } => self.move_cursor(*cursor, *trainer_version),
+            JobRecord::HandedOver { slots } => self.hand_over(slots),
+            JobRecord::BatchVoided => self.void_batch(),
+            JobRecord::Reopened { slot, generation } => self.reopen(*slot, *generation),
+        }
+    }
+
+    /// The job's specification.
+    pub fn specification(&self) -> &JobSpecification {
+        &self.specification
+    }
+
+    /// The bound on staleness.
+    pub fn staleness_bound(&self) -> StalenessBound {
+        StalenessBound(self.specification.staleness_bound)
+    }
+
+    /// The first step that is not closed; the number of steps once the job is finished.
+    pub fn step(&self) -> u32 {
+        self.step
+    }
+
+    /// Whether the trainer has saved every sample.
+    pub fn is_finished(&self) -> bool {
+        self.step >= self.specification.steps
+    }
+
+    /// The highest version that the trainer stated.
+    pub fn trainer_version(&self) -> WeightVersion {
+        self.delivery.trainer_version
+    }
+
+    /// The cursor that the trainer stated last.
+    pub fn saved_cursor(&self) -> u64 {
+        self.delivery.saved
+    }
+
+    /// Samples handed over and not voided.
+    pub fn delivered(&self) -> u64 {
+        self.delivery.delivered()
+    }
+
+    /// How often a slot was reopened because its sample had grown too old.
+    pub fn reopened(&self) -> u64 {
+        self.reopened
+    }
+
+    /// The generation of a slot, if it can be decided now.
+    pub fn open_generation(&self, slot: Slot) -> Option<u32> {
+        if slot.step < self.step || !slot.belongs_to(&self.specification) {
+            return None;
+        }
+        match self.slots.get(&slot) {
+            None => Some(0),
+            Some(SlotState { generation, phase: SlotPhase::Open }) => Some(*generation),
+            Some(_) => None,
+        }
+    }
+
+    /// Samples of the current step that wait to be handed over, in the order of their slots.
+    pub fn ready(&self) -> impl Iterator<Item = &Sample> {
+        let states = self.slots.iter().take_while(|(slot, _)| slot.step == self.step);
+        states.filter_map(|(_, state)| match &state.phase {
+            SlotPhase::Ready(sample) => Some(sample),
+            _ => None,
+        })
+    }
+
+    /// The position and the samples of the unsaved batch, in the order of their positions.
+    pub fn unsaved_batch(&self) -> Option<(u64, Vec<&Sample>)> {
+        let batch = self.delivery.batch.as_ref()?;
+        let sample = |slot: &Slot| match &self.slots.get(slot)?.phase {
+            SlotPhase::HandedOver(sample) => Some(sample),
+            _ => None,
+        };
+        Some((batch.start, batch.slots.iter().filter_map(sample).collect()))
+    }
+
+    /// Whether a pull fits what the trainer stated before.
+    ///
+    /// # Errors
+    /// Says what does not fit.
+    pub fn check_pull(&self, request: &PullRequest) -> Result<(), PullRefusal> {
+        self.delivery.check(request.cursor, request.trainer_version)
+    }
+
+    /// Each slot and generation is decided at most once.
+    fn decide(&mut self, generation: u32, sample: &Sample) -> Result<(), LedgerError> {
+        let slot = sample.slot;
+        check_coverage(&sample.spans, sample.tokens.len())?;
+        if self.open_generation(slot).ok_or(LedgerError::NoSuchSlot { slot })? != generation {
+            return Err(LedgerError::WrongPhase { slot, needed: "open", generation });
+        }
+        let state = self.slots.entry(slot).or_default();
+        state.phase = SlotPhase::Ready(sample.clone());
+        Ok(())
+    }
+
+    fn move_cursor(&mut self, cursor: u64, trainer_version: WeightVersion) -> Result<(), LedgerError> {
+        self.delivery.check(cursor, trainer_version)?;
+        self.delivery.trainer_version = trainer_version;
+        for slot in self.delivery.move_cursor(cursor) {
+            self.slots.entry(slot).or_default().phase = SlotPhase::Saved;
+        }
+        self.close_step();
+        Ok(())
+    }
+
+    /// A step closes once the trainer has saved each of its slots; its states are dropped.
+    fn close_step(&mut self) {
+        let of_step = self.slots.iter().take_while(|(slot, _)| slot.step == self.step);
+        let saved = of_step.filter(|(_, state)| state.phase == SlotPhase::Saved).count();
+        if saved < self.specification.slots_per_step() {
+            return;
+        }
+        self.step += 1;
+        let first_kept = Slot { step: self.step, prompt: 0, index: 0 };
+        self.slots = self.slots.split_off(&first_kept);
+    }
+
+    fn hand_over(&mut self, slots: &[Slot]) -> Result<(), LedgerError> {
+        if self.delivery.batch.is_some() || slots.is_empty() {
+            return Err(LedgerError::WrongBatch);
+        }
+        for slot in slots {
+            let is_ready =
+                self.slots.get(slot).is_some_and(|state| matches!(state.phase, SlotPhase::Ready(_)));
+            if !is_ready || slot.step != self.step {
+                return Err(LedgerError::WrongPhase { slot: *slot, needed: "ready", generation: 0 });
+            }
+        }
+        for slot in slots {
+            self.change_phase(*slot, |phase| match phase {
+                SlotPhase::Ready(sample) => SlotPhase::HandedOver(sample),
+                other => other,
+            });
+        }
+        let batch = Batch { start: self.delivery.next_position, slots: slots.to_vec() };
+        self.delivery.next_position = batch.end();
+        self.delivery.batch = Some(batch);
+        Ok(())
+    }
+
+    fn void_batch(&mut self) -> Result<(), LedgerError> {
+        let batch = self.delivery.batch.take().ok_or(LedgerError::WrongBatch)?;
+        for slot in batch.slots {
+            self.change_phase(slot, |phase| match phase {
+                SlotPhase::HandedOver(sample) => SlotPhase::Ready(sample),
+                other => other,
+            });
+        }
+        Ok(())
+    }
+
+    /// A handed-over slot can't be reopened: its batch must be voided first.
+    fn reopen(&mut self, slot: Slot, generation: u32) -> Result<(), LedgerError> {
+        let state = self.slots.get_mut(&slot).ok_or(LedgerError::NoSuchSlot { slot })?;
+        if !matches!(state.phase, SlotPhase::Ready(_)) || generation != state.generation + 1 {
+            return Err(LedgerError::WrongPhase { slot, needed: "ready", generation });
+        }
+        *state = SlotState { generation, phase: SlotPhase::Open };
+        self.reopened += 1;
+        Ok(())
+    }
+
+    fn change_phase(&mut self, slot: Slot, change: impl FnOnce(SlotPhase) -> SlotPhase) {
+        if let Some(state) = self.slots.get_mut(&slot) {
+            state.phase = change(std::mem::take(&mut state.phase));
+        }
+    }
+
+    /// How often a slot has been reopened.
+    pub(super) fn generation_of(&self, slot: Slot) -> u32 {
+        self.slots.get(&slot).map_or(0, |state| state.generation)
+    }
+}
