Add checked settings, HTTP parts and the peer transport

Cause: every part of the daemon waits for typed settings, an HTTP server and client, and calls between nodes.

Ruled out: serde for the settings file, since it stops at the first wrong value; a reader that takes keys one by one reports all of them, and what is left over is unknown.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use lichenpulley_core::identity::{NodeId, ZoneName};
+use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
 use crate::cluster::ClusterView;
@@ -47,3 +48,24 @@
 
 /// A node's context, shared by its parts.
 pub type Context = Arc<NodeContext>;
+
+impl NodeContext {
+    /// The context of a node whose control runtime is `control`: no members, replicas or configuration yet.
+    pub fn new(settings: Settings, control: Handle) -> Context {
+        let metrics = Metrics::new();
+        Arc::new(Self {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            decisions: DecisionLog::new(settings.node.clone(), metrics.clone()),
+            metrics,
+            cluster: ArcSwap::default(),
+            membership: MembershipHandle::new(),
+            directory: ArcSwap::default(),
+            configuration: ArcSwap::default(),
+            peers: PeerClients::new(control, settings.peers.clone()),
+            draining: CancellationToken::new(),
+            stopped: CancellationToken::new(),
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/client.rs
@@ -0,0 +1,349 @@
+//! A pooled HTTP/1 client whose errors tell apart a request of which nothing was sent from one that may have
+//! arrived.
+
+use std::error::Error as StdError;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
+use hyper_util::client::legacy::{self, Client};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::Instant;
+
+use super::events::EventReader;
+
+/// Longest body that is read whole, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Idle connections kept for each address.
+const IDLE_CONNECTIONS: usize = 32;
+/// An idle connection is closed after this.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a call gave no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// Nothing of the request was written: it did not run there.
+    #[error("{address}: nothing was sent: {reason}; check that the service listens there")]
+    NotSent {
+        /// Where it should have gone.
+        address: SocketAddr,
+        /// What stood in the way.
+        reason: String,
+    },
+    /// Some of the request may have been written and no whole answer came: it may have run.
+    #[error("{address}: sent, but no whole answer came: {reason}; ask again what became of it")]
+    NoAnswer {
+        /// Where it went.
+        address: SocketAddr,
+        /// What broke.
+        reason: String,
+    },
+    /// The answer's status says that the request failed.
+    #[error("{address}: answered {status}: {}", String::from_utf8_lossy(.body))]
+    Status {
+        /// Who answered.
+        address: SocketAddr,
+        /// The status.
+        status: StatusCode,
+        /// The body, often a typed error.
+        body: Bytes,
+    },
+    /// A successful answer whose body is not of the expected form.
+    #[error("{address}: the answer can't be read: {reason}; check that both sides run the same release")]
+    BadAnswer {
+        /// Who answered.
+        address: SocketAddr,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The path or body can't be sent at all.
+    #[error("the request can't be built: {reason}; mend the path or the body")]
+    BadRequest {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl ClientError {
+    /// Whether it is proved that no byte of the request was written (brief point 5).
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, Self::NotSent { .. } | Self::BadRequest { .. })
+    }
+
+    /// The status, where there was an answer.
+    pub fn status(&self) -> Option<StatusCode> {
+        match self {
+            Self::Status { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// The body of a failed answer, where it is of this form.
+    pub fn body<T: DeserializeOwned>(&self) -> Option<T> {
+        match self {
+            Self::Status { body, .. } => serde_json::from_slice(body).ok(),
+            _ => None,
+        }
+    }
+}
+
+/// A client with its pool of connections. Cheap to clone.
+///
+/// Connections are driven by the runtime that opened them, so control and traffic each have a client of their own.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client that gives up a connection which is not made within `connect_timeout`.
+    pub fn new(connect_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let inner = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Reads JSON.
+    ///
+    /// # Errors
+    /// When no successful answer of the expected form comes within `deadline`.
+    pub async fn get_json<Answer: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        let request = build(Method::GET, address, path, Bytes::new())?;
+        self.call_json(address, request, deadline).await
+    }
+
+    /// Posts JSON and reads JSON.
+    ///
+    /// # Errors
+    /// When no successful answer of the expected form comes within `deadline`.
+    pub async fn post_json<Question: Serialize, Answer: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Question,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        let request = build(Method::POST, address, path, encode(question)?)?;
+        self.call_json(address, request, deadline).await
+    }
+
+    /// Puts JSON and reads JSON.
+    ///
+    /// # Errors
+    /// When no successful answer of the expected form comes within `deadline`.
+    pub async fn put_json<Question: Serialize, Answer: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Question,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        let request = build(Method::PUT, address, path, encode(question)?)?;
+        self.call_json(address, request, deadline).await
+    }
+
+    /// Deletes; the answer's body is dropped.
+    ///
+    /// # Errors
+    /// When no successful answer comes within `deadline`.
+    pub async fn delete(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Duration,
+    ) -> Result<(), ClientError> {
+        let request = build(Method::DELETE, address, path, Bytes::new())?;
+        let limit = Instant::now() + deadline;
+        let response = self.send(address, request, limit).await?;
+        successful(address, response, limit).await.map(drop)
+    }
+
+    /// Reads a whole body as it stands.
+    ///
+    /// # Errors
+    /// When no whole successful answer comes within `deadline`.
+    pub async fn get_bytes(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Duration,
+    ) -> Result<Bytes, ClientError> {
+        let request = build(Method::GET, address, path, Bytes::new())?;
+        let limit = Instant::now() + deadline;
+        let response = self.send(address, request, limit).await?;
+        let response = successful(address, response, limit).await?;
+        read_whole(address, response, limit).await
+    }
+
+    /// Opens a stream of events by `GET`. `deadline` is for the head of the answer; the events may take longer.
+    ///
+    /// # Errors
+    /// When no successful head comes within `deadline`.
+    pub async fn get_events(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Duration,
+    ) -> Result<EventReader, ClientError> {
+        let request = build(Method::GET, address, path, Bytes::new())?;
+        self.open_events(address, request, deadline).await
+    }
+
+    /// Opens a stream of events by `POST`. `deadline` is for the head of the answer; the events may take longer.
+    ///
+    /// # Errors
+    /// When no successful head comes within `deadline`.
+    pub async fn post_events<Question: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Question,
+        deadline: Duration,
+    ) -> Result<EventReader, ClientError> {
+        let request = build(Method::POST, address, path, encode(question)?)?;
+        self.open_events(address, request, deadline).await
+    }
+
+    async fn open_events(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+    ) -> Result<EventReader, ClientError> {
+        let limit = Instant::now() + deadline;
+        let response = self.send(address, request, limit).await?;
+        let response = successful(address, response, limit).await?;
+        Ok(EventReader::new(response.into_body()))
+    }
+
+    async fn call_json<Answer: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        let limit = Instant::now() + deadline;
+        let response = self.send(address, request, limit).await?;
+        let response = successful(address, response, limit).await?;
+        let bytes = read_whole(address, response, limit).await?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| ClientError::BadAnswer { address, reason: error.to_string() })
+    }
+
+    /// Sends a request and waits for the head of the answer, whatever its status.
+    ///
+    /// # Errors
+    /// When no head comes by `limit`.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        limit: Instant,
+    ) -> Result<Response<Incoming>, ClientError> {
+        // Invariant (brief point 5): `NotSent` only where no connection was handed this request, or where `hyper`
+        // gave the request back unstarted.
+        let connection = capture_connection(&mut request);
+        let answered = tokio::time::timeout_at(limit, self.inner.request(request)).await;
+        match answered {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if is_unsent(&error) => {
+                Err(ClientError::NotSent { address, reason: describe(&error) })
+            }
+            Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: describe(&error) }),
+            Err(_) if connection.connection_metadata().is_none() => {
+                Err(ClientError::NotSent { address, reason: "no connection by the deadline".to_owned() })
+            }
+            Err(_) => Err(ClientError::NoAnswer { address, reason: "no answer by the deadline".to_owned() }),
+        }
+    }
+}
+
+/// Builds a request to `address`; an empty body is sent without a content type.
+///
+/// # Errors
+/// When the path is no valid path.
+pub fn build(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, ClientError> {
+    let mut builder = Request::builder().method(method).uri(format!("http://{address}{path}"));
+    if !body.is_empty() {
+        builder = builder.header(CONTENT_TYPE, "application/json");
+    }
+    builder.body(Full::new(body)).map_err(|error| ClientError::BadRequest { reason: error.to_string() })
+}
+
+fn encode<Question: Serialize>(question: &Question) -> Result<Bytes, ClientError> {
+    let bytes = serde_json::to_vec(question);
+    bytes.map(Bytes::from).map_err(|error| ClientError::BadRequest { reason: error.to_string() })
+}
+
+async fn successful(
+    address: SocketAddr,
+    response: Response<Incoming>,
+    limit: Instant,
+) -> Result<Response<Incoming>, ClientError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let body = read_whole(address, response, limit).await?;
+    Err(ClientError::Status { address, status, body })
+}
+
+async fn read_whole(
+    address: SocketAddr,
+    response: Response<Incoming>,
+    limit: Instant,
+) -> Result<Bytes, ClientError> {
+    let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect();
+    match tokio::time::timeout_at(limit, body).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: error.to_string() }),
+        Err(_) => Err(ClientError::NoAnswer {
+            address,
+            reason: "the answer was not whole by the deadline".to_owned(),
+        }),
+    }
+}
+
+/// Whether no byte of the request was written: the connection was never made, or `hyper` handed the request back
+/// before it began to write it.
+fn is_unsent(error: &legacy::Error) -> bool {
+    let unstarted = |source: &(dyn StdError + 'static)| {
+        source.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled)
+    };
+    error.is_connect() || error.source().is_some_and(unstarted)
+}
+
+/// An error with its causes, since `hyper`'s own text names the kind only.
+fn describe(error: &legacy::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/peers/connection.rs
@@ -0,0 +1,194 @@
+//! One peer's connection: opened on first use, opened again with backoff after it broke.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use lichenpulley_protocol::internal::PeerClient;
+use lichenpulley_protocol::transport;
+use tarpc::client::RpcError;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use super::PeerError;
+use crate::settings::PeerSettings;
+
+/// Pause after the first failure to connect; doubled after each further one.
+const BACKOFF_START: Duration = Duration::from_millis(50);
+/// Longest pause between two tries.
+const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
+
+/// A peer's connection, or the intention to make one.
+pub(super) struct Connection {
+    address: SocketAddr,
+    runtime: Handle,
+    settings: PeerSettings,
+    created: Instant,
+    client: Arc<ArcSwapOption<PeerClient>>,
+    /// Held by whoever connects; callers that find it open never wait here.
+    connecting: Mutex<Backoff>,
+    /// Milliseconds after `created`.
+    last_used_ms: AtomicU64,
+}
+
+/// When the next try to connect may be made.
+#[derive(Default)]
+struct Backoff {
+    pause: Duration,
+    next_try: Option<Instant>,
+    last_failure: String,
+}
+
+/// A call on an open connection.
+pub(super) struct Call {
+    address: SocketAddr,
+    client: Arc<PeerClient>,
+    limit: Instant,
+}
+
+impl Connection {
+    pub(super) fn new(address: SocketAddr, runtime: Handle, settings: PeerSettings) -> Self {
+        Self {
+            address,
+            runtime,
+            settings,
+            created: Instant::now(),
+            client: Arc::default(),
+            connecting: Mutex::default(),
+            last_used_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether a connection is open now.
+    pub(super) fn is_open(&self) -> bool {
+        self.client.load().is_some()
+    }
+
+    /// Gets a call ready, connecting first where that is needed.
+    pub(super) async fn begin(&self, limit: Instant) -> Result<Call, PeerError> {
+        self.last_used_ms.store(self.age_ms(), Ordering::Relaxed);
+        let connected = tokio::time::timeout_at(limit, self.open()).await;
+        let client = connected.unwrap_or_else(|_| Err(self.not_sent("no connection by the deadline")))?;
+        Ok(Call { address: self.address, client, limit })
+    }
+
+    /// Closes the connection where it has not been used for a while; tells whether it was idle. A call that runs
+    /// still ends well.
+    pub(super) fn close_if_idle(&self) -> bool {
+        let idle_ms = self.age_ms().saturating_sub(self.last_used_ms.load(Ordering::Relaxed));
+        let idle = Duration::from_millis(idle_ms) >= self.settings.idle;
+        if idle {
+            self.client.store(None);
+        }
+        idle
+    }
+
+    async fn open(&self) -> Result<Arc<PeerClient>, PeerError> {
+        if let Some(client) = self.client.load_full() {
+            return Ok(client);
+        }
+        let mut backoff = self.connecting.lock().await;
+        if let Some(client) = self.client.load_full() {
+            return Ok(client);
+        }
+        if backoff.next_try.is_some_and(|next_try| Instant::now() < next_try) {
+            let reason = format!("waiting to connect again after: {}", backoff.last_failure);
+            return Err(self.not_sent(&reason));
+        }
+        match self.connect().await {
+            Ok(client) => {
+                *backoff = Backoff::default();
+                Ok(client)
+            }
+            Err(reason) => {
+                let error = self.not_sent(&reason);
+                backoff.failed(reason);
+                Err(error)
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<Arc<PeerClient>, String> {
+        let (address, timeout) = (self.address, self.settings.connect_timeout);
+        // On the control runtime, which drives the connection from then on.
+        let connecting = self.runtime.spawn(async move {
+            let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+            let stream = stream.map_err(|_| "the connection took too long".to_owned())?;
+            let stream = stream.map_err(|error| error.to_string())?;
+            stream.set_nodelay(true).map_err(|error| error.to_string())?;
+            Ok::<_, String>(stream)
+        });
+        let stream = connecting.await.map_err(|_| "the node is stopping".to_owned())??;
+        let framed = transport::client(stream);
+        let client = PeerClient::new(tarpc::client::Config::default(), framed);
+        let stub = Arc::new(client.client);
+        self.client.store(Some(Arc::clone(&stub)));
+        let slot = Arc::clone(&self.client);
+        let opened = Arc::downgrade(&stub);
+        let dispatch = client.dispatch;
+        self.runtime.spawn(async move {
+            if let Err(error) = dispatch.await {
+                log::info!(target: "peers", "The connection to {address} ended: {error}.");
+            }
+            forget(&slot, &opened);
+        });
+        Ok(stub)
+    }
+
+    fn age_ms(&self) -> u64 {
+        u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn not_sent(&self, reason: &str) -> PeerError {
+        PeerError::NotSent { address: self.address, reason: reason.to_owned() }
+    }
+}
+
+impl Backoff {
+    fn failed(&mut self, reason: String) {
+        self.pause = (self.pause * 2).clamp(BACKOFF_START, BACKOFF_LIMIT);
+        self.next_try = Some(Instant::now() + self.pause);
+        self.last_failure = reason;
+    }
+}
+
+impl Call {
+    pub(super) fn client(&self) -> &PeerClient {
+        &self.client
+    }
+
+    /// The deadline travels with the request, as time remaining.
+    pub(super) fn context(&self) -> tarpc::context::Context {
+        let mut context = tarpc::context::current();
+        context.deadline = self.limit.into_std();
+        context
+    }
+
+    /// Waits for the answer.
+    pub(super) async fn finish<Answer>(
+        &self,
+        call: impl Future<Output = Result<Answer, RpcError>>,
+    ) -> Result<Answer, PeerError> {
+        let answered = tokio::time::timeout_at(self.limit, call).await;
+        let reason = match answered {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no answer by the deadline".to_owned(),
+        };
+        Err(PeerError::NoAnswer { address: self.address, reason })
+    }
+}
+
+/// Empties the slot after a connection ended, unless a newer connection is in it.
+fn forget(slot: &ArcSwapOption<PeerClient>, ended: &std::sync::Weak<PeerClient>) {
+    let current = slot.load();
+    let is_ended = current.as_ref().is_some_and(|client| Arc::as_ptr(client) == ended.as_ptr());
+    if is_ended {
+        slot.compare_and_swap(&current, None);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,164 @@
+//! Connections to other nodes, opened when first used and closed when idle.
+
+mod connection;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use lichenpulley_protocol::internal::{
+    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
+    StoreResponse,
+};
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+
+use crate::settings::PeerSettings;
+use connection::Connection;
+
+/// Why a call to a peer gave no answer.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum PeerError {
+    /// Nothing of the request was written.
+    #[error("peer {address}: nothing was sent: {reason}; ask another node, or come back")]
+    NotSent {
+        /// The peer.
+        address: SocketAddr,
+        /// What stood in the way.
+        reason: String,
+    },
+    /// The request may have arrived and may have taken effect.
+    #[error("peer {address}: no answer: {reason}; ask again what became of it")]
+    NoAnswer {
+        /// The peer.
+        address: SocketAddr,
+        /// What broke.
+        reason: String,
+    },
+}
+
+impl PeerError {
+    /// Whether it is proved that no byte of the request was written.
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, Self::NotSent { .. })
+    }
+}
+
+/// Connections by peer address. Cheap to clone; usable from any runtime.
+///
+/// Connections are driven by the control runtime. Callers on traffic threads look the connection up in a snapshot
+/// and hand the request over a channel, so that no lock is shared with control.
+#[derive(Clone)]
+pub struct PeerClients {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    runtime: Handle,
+    settings: PeerSettings,
+    connections: ArcSwap<HashMap<SocketAddr, Arc<Connection>>>,
+}
+
+impl PeerClients {
+    /// No connections yet; they will be driven by `runtime`.
+    pub fn new(runtime: Handle, settings: PeerSettings) -> Self {
+        let shared = Arc::new(Shared { runtime, settings, connections: ArcSwap::default() });
+        shared.runtime.spawn(close_idle_connections(Arc::downgrade(&shared)));
+        Self { shared }
+    }
+
+    /// Asks a node with the store role.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn store(
+        &self,
+        address: SocketAddr,
+        request: StoreRequest,
+        deadline: Duration,
+    ) -> Result<StoreResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().store(call.context(), request)).await
+    }
+
+    /// Asks the owner of a shard.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn coordinator(
+        &self,
+        address: SocketAddr,
+        request: CoordinatorRequest,
+        deadline: Duration,
+    ) -> Result<CoordinatorResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().coordinator(call.context(), request)).await
+    }
+
+    /// Asks for a revision of the documents that every node holds.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn configuration(
+        &self,
+        address: SocketAddr,
+        request: ConfigurationRequest,
+        deadline: Duration,
+    ) -> Result<ConfigurationResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().configuration(call.context(), request)).await
+    }
+
+    /// How many peers have an open connection.
+    pub fn open_connections(&self) -> usize {
+        let connections = self.shared.connections.load();
+        connections.values().filter(|connection| connection.is_open()).count()
+    }
+
+    fn connection(&self, address: SocketAddr) -> Arc<Connection> {
+        if let Some(connection) = self.shared.connections.load().get(&address) {
+            return Arc::clone(connection);
+        }
+        let fresh =
+            Arc::new(Connection::new(address, self.shared.runtime.clone(), self.shared.settings.clone()));
+        // Another thread may have been first: the one that is in the map is used.
+        self.shared.connections.rcu(|connections| {
+            let mut connections = HashMap::clone(connections);
+            connections.entry(address).or_insert_with(|| Arc::clone(&fresh));
+            connections
+        });
+        let connections = self.shared.connections.load();
+        connections.get(&address).map_or(fresh, Arc::clone)
+    }
+}
+
+/// Closes connections that nobody used for a while, so that many nodes don't keep all-to-all connections.
+async fn close_idle_connections(shared: std::sync::Weak<Shared>) {
+    loop {
+        let Some(idle) = shared.upgrade().map(|shared| shared.settings.idle) else { return };
+        tokio::time::sleep(idle / 2).await;
+        let Some(shared) = shared.upgrade() else { return };
+        let forgotten = |connection: &Arc<Connection>| connection.close_if_idle();
+        let idle_peers: Vec<SocketAddr> = {
+            let connections = shared.connections.load();
+            connections
+                .iter()
+                .filter(|(_, connection)| forgotten(connection))
+                .map(|(peer, _)| *peer)
+                .collect()
+        };
+        if idle_peers.is_empty() {
+            continue;
+        }
+        shared.connections.rcu(|connections| {
+            let mut connections = HashMap::clone(connections);
+            connections.retain(|peer, _| !idle_peers.contains(peer));
+            connections
+        });
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! The settings file: parsed once into checked values.
-
-/// Checked settings.
-#[derive(Clone, Debug, Default)]
-pub struct Settings {}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,204 @@
+//! The settings file with flags over it: parsed once into checked values.
+//!
+//! Every problem of a file is reported at once, each with its key and its remedy.
+
+mod parts;
+mod problem;
+mod reader;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use lichenpulley_core::identity::{NodeId, ZoneName};
+
+use crate::cluster::Roles;
+pub use parts::{
+    ConfigurationSettings, CoordinatorSettings, GatewaySettings, MembershipSettings, PeerSettings,
+    StopSettings, StoreSettings,
+};
+pub use problem::{SettingsError, SettingsProblem};
+pub use reader::{Bounds, SettingsReader};
+
+/// Checked settings of one node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This node's name, unique in the cluster.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// What it does; any mix.
+    pub roles: Roles,
+    /// Where it listens.
+    pub addresses: ListenAddresses,
+    /// The folder for bulk data; set wherever the store role is on.
+    pub data_folder: Option<PathBuf>,
+    /// The platform's services.
+    pub platform: PlatformAddresses,
+    /// Connections to other nodes, and where the first of them are found.
+    pub peers: PeerSettings,
+    /// Callers' requests.
+    pub gateway: GatewaySettings,
+    /// Liveness of nodes.
+    pub membership: MembershipSettings,
+    /// The settings tree and the replica directory.
+    pub configuration: ConfigurationSettings,
+    /// Shards of control work.
+    pub coordinator: CoordinatorSettings,
+    /// Logs and claims on disk.
+    pub store: StoreSettings,
+    /// Planned stop.
+    pub stop: StopSettings,
+}
+
+/// Where a node listens. Port 0 lets the system choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// Callers, over HTTP.
+    pub callers: SocketAddr,
+    /// Operators, over HTTP.
+    pub operators: SocketAddr,
+    /// Other nodes, over TCP for requests and over UDP for membership.
+    pub peers: SocketAddr,
+}
+
+/// The platform's services. A node without one of them does without what it gives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlatformAddresses {
+    /// The object API.
+    pub object_api: Option<SocketAddr>,
+    /// The machine list.
+    pub machine_list: Option<SocketAddr>,
+    /// The weight store.
+    pub weight_store: Option<SocketAddr>,
+    /// The scorer of answers.
+    pub scorer: Option<SocketAddr>,
+}
+
+impl Settings {
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    /// When the text is not TOML, or with every problem of its values.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let table = text.parse::<toml::Table>()?;
+        Self::from_table(table)
+    }
+
+    /// Checks a parsed file, over which flags may have been laid.
+    ///
+    /// # Errors
+    /// With every problem of its values.
+    pub fn from_table(table: toml::Table) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader::new(table);
+        let settings = Self::read(&mut reader);
+        settings.check(&mut reader);
+        reader.finish()?;
+        Ok(settings)
+    }
+
+    /// Settings for a node inside a test or a demonstration: every role that needs no disk, loopback, free ports.
+    pub fn on_loopback(node: &str, zone: &str) -> Self {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut reader = SettingsReader::new(toml::Table::new());
+        let mut settings = Self::read(&mut reader);
+        settings.node = NodeId::new(node);
+        settings.zone = ZoneName::new(zone);
+        settings.roles = Roles { gateway: true, coordinator: true, store: false };
+        settings.addresses = ListenAddresses { callers: loopback, operators: loopback, peers: loopback };
+        settings
+    }
+
+    fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            node: NodeId::new(reader.name("node")),
+            zone: ZoneName::new(reader.name("zone")),
+            roles: read_roles(reader),
+            addresses: ListenAddresses {
+                callers: reader.listen_address("addresses.callers"),
+                operators: reader.listen_address("addresses.operators"),
+                peers: reader.listen_address("addresses.peers"),
+            },
+            data_folder: reader.optional_text("data_folder").map(PathBuf::from),
+            platform: PlatformAddresses {
+                object_api: reader.service_address("platform.object_api"),
+                machine_list: reader.service_address("platform.machine_list"),
+                weight_store: reader.service_address("platform.weight_store"),
+                scorer: reader.service_address("platform.scorer"),
+            },
+            peers: PeerSettings::read(reader),
+            gateway: GatewaySettings::read(reader),
+            membership: MembershipSettings::read(reader),
+            configuration: ConfigurationSettings::read(reader),
+            coordinator: CoordinatorSettings::read(reader),
+            store: StoreSettings::read(reader),
+            stop: StopSettings::read(reader),
+        }
+    }
+
+    /// What no single key can tell.
+    fn check(&self, reader: &mut SettingsReader) {
+        if self.roles.store && self.data_folder.is_none() {
+            reader.problem(
+                "data_folder",
+                "the store role keeps logs on disk, and no folder is named",
+                "name a folder on the machine's disk, or take \"store\" out of `roles`",
+            );
+        }
+        if !self.roles.store && self.data_folder.is_some() {
+            reader.problem(
+                "data_folder",
+                "a folder is named, and no role uses it",
+                "add \"store\" to `roles`, or remove the key",
+            );
+        }
+        if self.membership.probe_timeout >= self.membership.probe_interval {
+            reader.problem(
+                "membership.probe_timeout_ms",
+                "a probe must end before the next one starts",
+                "make it shorter than `membership.probe_interval_ms`",
+            );
+        }
+        self.check_distinct_addresses(reader);
+    }
+
+    fn check_distinct_addresses(&self, reader: &mut SettingsReader) {
+        let named = [
+            ("addresses.callers", self.addresses.callers),
+            ("addresses.operators", self.addresses.operators),
+            ("addresses.peers", self.addresses.peers),
+        ];
+        for (position, (key, address)) in named.iter().enumerate() {
+            let earlier = named[..position].iter().find(|(_, other)| other == address);
+            let Some((other_key, _)) = earlier else { continue };
+            if address.port() != 0 {
+                let message = format!("{address} is taken by `{other_key}` already");
+                reader.problem(key, message, "give each address a port of its own, or port 0 for a free one");
+            }
+        }
+    }
+}
+
+fn read_roles(reader: &mut SettingsReader) -> Roles {
+    let mut roles = Roles::default();
+    let names = reader.text_list("roles");
+    if names.is_empty() && !reader.has_problem("roles") {
+        reader.problem(
+            "roles",
+            "no role is named",
+            "name one or more of \"gateway\", \"coordinator\", \"store\"",
+        );
+    }
+    for name in names {
+        match name.as_str() {
+            "gateway" => roles.gateway = true,
+            "coordinator" => roles.coordinator = true,
+            "store" => roles.store = true,
+            other => reader.problem(
+                "roles",
+                format!("\"{other}\" is no role"),
+                "use \"gateway\", \"coordinator\" or \"store\"",
+            ),
+        }
+    }
+    roles
+}
--- /dev/null
+++ b/crates/daemon/src/settings/parts.rs
@@ -0,0 +1,153 @@
+//! Settings of each part, each key with its unit, default and bounds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::reader::{Bounds, SettingsReader};
+
+/// `[peers]`: connections to other nodes.
+#[derive(Clone, Debug)]
+pub struct PeerSettings {
+    /// Nodes asked first when this one joins; the machine list adds to them.
+    pub seeds: Vec<SocketAddr>,
+    /// A connection unused for so long is closed.
+    pub idle: Duration,
+    /// A connection that is not made by then is given up.
+    pub connect_timeout: Duration,
+}
+
+impl PeerSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            seeds: reader.address_list("peers.seeds"),
+            idle: reader.milliseconds("peers.idle_ms", 60_000, 1_000..=3_600_000),
+            connect_timeout: reader.milliseconds("peers.connect_timeout_ms", 500, 10..=10_000),
+        }
+    }
+}
+
+/// `[gateway]`: callers' requests.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// A replica that has not confirmed itself for so long gets no new work (brief point 7).
+    pub eligibility: Duration,
+    /// The deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// A connection to an engine that is not made by then is given up.
+    pub connect_timeout: Duration,
+    /// Largest request body, in bytes.
+    pub body_limit_bytes: usize,
+    /// Threads that carry traffic; 0 for one for each processor.
+    pub traffic_threads: usize,
+}
+
+impl GatewaySettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        let body_limit = Bounds { default: 4 << 20, accepted: 1_024..=(64 << 20) };
+        let threads = Bounds { default: 0, accepted: 0..=1_024 };
+        Self {
+            eligibility: reader.milliseconds("gateway.eligibility_ms", 3_000, 200..=10_000),
+            default_deadline: reader.milliseconds("gateway.default_deadline_ms", 120_000, 100..=3_600_000),
+            connect_timeout: reader.milliseconds("gateway.connect_timeout_ms", 500, 10..=10_000),
+            body_limit_bytes: to_usize(reader.number("gateway.body_limit_bytes", &body_limit)),
+            traffic_threads: to_usize(reader.number("gateway.traffic_threads", &threads)),
+        }
+    }
+}
+
+/// `[membership]`: liveness of nodes.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// One member is probed in each interval.
+    pub probe_interval: Duration,
+    /// A probe unanswered for so long is tried through others.
+    pub probe_timeout: Duration,
+    /// A suspected member that has not refuted it by then is taken as dead.
+    pub suspicion: Duration,
+}
+
+impl MembershipSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            probe_interval: reader.milliseconds("membership.probe_interval_ms", 1_000, 20..=60_000),
+            probe_timeout: reader.milliseconds("membership.probe_timeout_ms", 300, 5..=30_000),
+            suspicion: reader.milliseconds("membership.suspicion_ms", 4_000, 50..=300_000),
+        }
+    }
+}
+
+/// `[configuration]`: the settings tree and the replica directory.
+#[derive(Clone, Debug)]
+pub struct ConfigurationSettings {
+    /// How often a reader asks the machine list.
+    pub poll_interval: Duration,
+    /// A call of the platform unanswered for so long is given up.
+    pub platform_timeout: Duration,
+    /// How long a watch of the object API is held open.
+    pub watch_hold: Duration,
+}
+
+impl ConfigurationSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            poll_interval: reader.milliseconds("configuration.poll_interval_ms", 1_000, 20..=60_000),
+            platform_timeout: reader.milliseconds("configuration.platform_timeout_ms", 2_000, 20..=60_000),
+            watch_hold: reader.milliseconds("configuration.watch_hold_ms", 20_000, 100..=300_000),
+        }
+    }
+}
+
+/// `[coordinator]`: shards of control work.
+#[derive(Clone, Debug)]
+pub struct CoordinatorSettings {
+    /// How often ownership of shards is looked at again.
+    pub tick_interval: Duration,
+    /// An order to an engine or a call of the scorer unanswered for so long is given up.
+    pub call_timeout: Duration,
+}
+
+impl CoordinatorSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            tick_interval: reader.milliseconds("coordinator.tick_interval_ms", 200, 10..=60_000),
+            call_timeout: reader.milliseconds("coordinator.call_timeout_ms", 2_000, 20..=60_000),
+        }
+    }
+}
+
+/// `[store]`: logs and claims on disk.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Bytes that may be used under the data folder.
+    pub capacity_bytes: u64,
+    /// A store replica that has not answered by then counts as missing.
+    pub call_timeout: Duration,
+}
+
+impl StoreSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        let capacity = Bounds { default: 1 << 30, accepted: (1 << 20)..=(1 << 44) };
+        Self {
+            capacity_bytes: reader.number("store.capacity_bytes", &capacity),
+            call_timeout: reader.milliseconds("store.call_timeout_ms", 1_000, 20..=60_000),
+        }
+    }
+}
+
+/// `[stop]`: planned stop (brief point 8).
+#[derive(Clone, Debug)]
+pub struct StopSettings {
+    /// New work is still refused by word, not by a closed port, for at least so long after the notice, so that
+    /// load balancers see `readyz` fail before connections do.
+    pub notice: Duration,
+}
+
+impl StopSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self { notice: reader.milliseconds("stop.notice_ms", 3_000, 0..=600_000) }
+    }
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
