--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -7,9 +7,10 @@
 //! | `GET /objects/{key}` | | [`Object`]; 404 where there is none |
 //! | `PUT /objects/{key}` | [`PutObject`] | [`Object`]; [`Conflict`] with 409 where the base version is not current |
 //! | `GET /objects?prefix={prefix}` | | [`ObjectList`] |
-//! | `GET /watch?prefix={prefix}&after={revision}` | | held until something changed, then [`ObjectList`] |
+//! | `GET /watch?prefix={prefix}&after={revision}&hold_ms={ms}` | | held until something changed, then [`ObjectList`] |
 //!
-//! Machine list: `GET /machines` gives [`MachineList`]; `PUT /machines/{id}` with [`Machine`] changes it.
+//! Machine list: `GET /machines` gives [`MachineList`]; `PUT /machines/{id}` with [`Machine`] changes it,
+//! `DELETE /machines/{id}` takes it out.
 //! Weight store: `GET /weights/{pool}/{version}` gives the bytes at its rate.
 //! Scorer: `POST /score` with [`ScoreRequest`] gives [`ScoreResponse`].
 //! Each stand-in has a second port for faults: `PUT /faults` with its own fault body, `GET /faults`.
