Add stand-ins for the object API and the machine list

Cause: tests and the demonstration need the platform's versions, watches, lag and faults: down, slow, and a reply lost after taking effect. Ruled out: state mixed with sockets; the store and the register are pure, so that simulations on a virtual clock use the same code. Conclusion: both start inside a process or as a command of the lab.

--- a/crates/lab/src/arguments.rs
+++ b/crates/lab/src/arguments.rs
@@ -119,15 +119,3 @@
     }
     Ok(())
 }
-
-/// The value of an option that may be absent.
-///
-/// # Errors
-/// [`LabError::Usage`] where it does not parse.
-pub fn optional<T>(matches: &Matches, name: &str) -> Result<Option<T>, LabError>
-where
-    T: FromStr,
-    T::Err: std::fmt::Display,
-{
-    if matches.opt_present(name) { required(matches, name).map(Some) } else { Ok(None) }
-}
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,6 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
+use crate::{machine_list, object_api};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -19,11 +20,18 @@
 
 /// Every command, in the order in which help lists them. An entry reads
 /// `Command { name: "engine", help: "…", entry: |arguments| Box::pin(engine::run(arguments)) }`.
-pub const COMMANDS: &[Command] = &[Command {
-    name: "engine",
-    help: "run a stand-in model engine",
-    entry: |arguments| Box::pin(crate::engine::run(arguments)),
-}];
+pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "object-api",
+        help: "stand-in for the platform's object API",
+        entry: |arguments| Box::pin(object_api::run(arguments)),
+    },
+    Command {
+        name: "machine-list",
+        help: "stand-in for the platform's machine list",
+        entry: |arguments| Box::pin(machine_list::run(arguments)),
+    },
+];
 
 /// The command with this name.
 pub fn find(name: &str) -> Option<&'static Command> {
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -1,5 +1,6 @@
 //! The small HTTP server that every stand-in is built on.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,11 +19,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use crate::error::LabError;
+
 /// Bodies longer than this are refused.
 const MAXIMUM_BODY_BYTES: usize = 64 * 1024 * 1024;
 
-/// A response's body: whole or streamed. An error breaks the connection in the middle of the body.
-pub type Body = BoxBody<Bytes, std::io::Error>;
+/// A response's body: whole or streamed.
+pub type Body = BoxBody<Bytes, Infallible>;
 
 /// A server that runs until this is dropped; its open connections are closed then, as if the process had died.
 #[derive(Debug)]
@@ -51,18 +54,27 @@
 ///
 /// # Errors
 /// When the address can't be bound.
-pub async fn serve<Handler, Answer>(address: SocketAddr, handler: Handler) -> std::io::Result<Server>
+pub async fn serve<Handler, Answer>(address: SocketAddr, handler: Handler) -> Result<Server, LabError>
 where
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
     Answer: Future<Output = Reply> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
-    let address = listener.local_addr()?;
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.map_err(|source| bind_error(address, source))?;
+    let address = listener.local_addr().map_err(|source| bind_error(address, source))?;
     let stop = CancellationToken::new();
     tokio::spawn(accept(listener, Arc::new(handler), stop.clone()));
     Ok(Server { address, _stop: stop.drop_guard() })
 }
 
+fn bind_error(address: SocketAddr, source: std::io::Error) -> LabError {
+    LabError::Io {
+        action: format!("listen on {address}"),
+        remedy: "choose a free address of this machine",
+        source,
+    }
+}
+
 async fn accept<Handler, Answer>(listener: TcpListener, handler: Arc<Handler>, stop: CancellationToken)
 where
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
@@ -122,15 +134,10 @@
     serde_json::from_slice(&whole.to_bytes()).map_err(|error| bad_request(&error.to_string()))
 }
 
-/// A body that is sent as a whole.
-fn whole(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
-}
-
 /// A JSON answer.
 pub fn json<Value: Serialize>(status: StatusCode, value: &Value) -> Response<Body> {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(whole(body));
+    let mut response = Response::new(Full::from(body).boxed());
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     response
@@ -138,7 +145,7 @@
 
 /// An answer without a body.
 pub fn empty(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(whole(Bytes::new()));
+    let mut response = Response::new(Full::new(Bytes::new()).boxed());
     *response.status_mut() = status;
     response
 }
@@ -153,36 +160,3 @@
     let message = format!("nothing answers {path}");
     json(StatusCode::NOT_FOUND, &ErrorBody::new("not_found", message, "check the method and the path"))
 }
-
-/// The value of a query parameter, with `%xx` escapes decoded.
-pub fn query_parameter<Content>(request: &Request<Content>, name: &str) -> Option<String> {
-    let query = request.uri().query()?;
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.filter(|(key, _)| *key == name).map(|(_, value)| percent_decode(value)).next()
-}
-
-/// Decodes `%xx` escapes; what is not an escape stays as it is.
-pub fn percent_decode(text: &str) -> String {
-    let bytes = text.as_bytes();
-    let mut decoded = Vec::with_capacity(bytes.len());
-    let mut position = 0;
-    while position < bytes.len() {
-        match escaped_byte(&bytes[position..]) {
-            Some(byte) => {
-                decoded.push(byte);
-                position += 3;
-            }
-            None => {
-                decoded.push(bytes[position]);
-                position += 1;
-            }
-        }
-    }
-    String::from_utf8_lossy(&decoded).into_owned()
-}
-
-fn escaped_byte(bytes: &[u8]) -> Option<u8> {
-    let [b'%', high, low, ..] = bytes else { return None };
-    let digits = [*high, *low];
-    u8::from_str_radix(std::str::from_utf8(&digits).ok()?, 16).ok()
-}
--- /dev/null
+++ b/crates/lab/src/object_api/requests.rs
@@ -0,0 +1,135 @@
+//! Answers requests for objects under the faults in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::identity::Revision;
+use lichenpulley_daemon::http::request::{percent_decode, query_parameter};
+use lichenpulley_protocol::error::ErrorBody;
+use lichenpulley_protocol::platform::{ObjectList, PutObject};
+
+use super::State;
+use crate::http::{self, Body, Reply};
+
+/// A watch without changes ends after this where it does not say `hold_ms`.
+const WATCH_HOLD: Duration = Duration::from_secs(20);
+/// The longest hold that a watch may ask for.
+const MAXIMUM_WATCH_HOLD: Duration = Duration::from_secs(300);
+const OBJECTS: &str = "/objects/";
+
+/// Answers one request, or closes its connection where a fault asks for that.
+pub(super) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Reply {
+    let slow = Duration::from_millis(state.lock().faults.faults().slow_ms);
+    if !slow.is_zero() {
+        tokio::time::sleep(slow).await;
+    }
+    if is_down(&state) {
+        state.lock().counters.refused_down += 1;
+        return Reply::Hang;
+    }
+    let path = request.uri().path().to_owned();
+    match (request.method().clone(), path.strip_prefix(OBJECTS)) {
+        (Method::GET, Some(key)) => read(&state, &percent_decode(key)).into(),
+        (Method::PUT, Some(key)) => write(&state, &percent_decode(key), request).await,
+        (Method::GET, None) if path == "/objects" => list(&state, &request).into(),
+        (Method::GET, None) if path == "/watch" => watch(&state, &request).await,
+        _ => http::not_found(&path).into(),
+    }
+}
+
+fn is_down(state: &State) -> bool {
+    state.lock().faults.faults().down
+}
+
+fn read(state: &State, key: &str) -> Response<Body> {
+    let mut inner = state.lock();
+    inner.counters.reads += 1;
+    match inner.store.get(key) {
+        Some(object) => http::json(StatusCode::OK, object),
+        None => {
+            let message = format!("there is no object {key}");
+            let error = ErrorBody::new("no_such_object", message, "create it with base_version null");
+            http::json(StatusCode::NOT_FOUND, &error)
+        }
+    }
+}
+
+async fn write(state: &State, key: &str, request: Request<Incoming>) -> Reply {
+    let change = match http::read_json::<PutObject>(request).await {
+        Ok(change) => change,
+        Err(response) => return response.into(),
+    };
+    let mut inner = state.lock();
+    inner.counters.writes += 1;
+    match inner.store.put(key, change) {
+        Ok(object) => {
+            let lost = inner.faults.loses_reply();
+            inner.counters.lost_replies += u64::from(lost);
+            drop(inner);
+            state.changed.send_replace(());
+            if lost { Reply::Hang } else { http::json(StatusCode::OK, &object).into() }
+        }
+        Err(conflict) => {
+            inner.counters.conflicts += 1;
+            http::json(StatusCode::CONFLICT, &conflict).into()
+        }
+    }
+}
+
+fn list(state: &State, request: &Request<Incoming>) -> Response<Body> {
+    let prefix = query_parameter(request, "prefix").unwrap_or_default();
+    let mut inner = state.lock();
+    inner.counters.lists += 1;
+    http::json(StatusCode::OK, &inner.store.list(&prefix))
+}
+
+async fn watch(state: &State, request: &Request<Incoming>) -> Reply {
+    let prefix = query_parameter(request, "prefix").unwrap_or_default();
+    let after = query_parameter(request, "after");
+    let Ok(after) = after.as_deref().unwrap_or("0").parse().map(Revision) else {
+        return http::bad_request("`after` must be a revision: a whole number").into();
+    };
+    let hold = query_parameter(request, "hold_ms").and_then(|hold| hold.parse().ok());
+    let hold = hold.map_or(WATCH_HOLD, Duration::from_millis).min(MAXIMUM_WATCH_HOLD);
+    let _open = OpenWatch::begin(state);
+    let mut changed = state.changed.subscribe();
+    let deadline = tokio::time::Instant::now() + hold;
+    loop {
+        if is_down(state) {
+            return Reply::Hang;
+        }
+        let found = state.lock().store.changed_after(&prefix, after);
+        if !found.objects.is_empty() {
+            return http::json(StatusCode::OK, &found).into();
+        }
+        if tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
+            let nothing = ObjectList { objects: Vec::new(), revision: found.revision };
+            return http::json(StatusCode::OK, &nothing).into();
+        }
+    }
+}
+
+/// Counts a watch while it is open, also when its client goes away.
+struct OpenWatch<'state> {
+    state: &'state State,
+}
+
+impl<'state> OpenWatch<'state> {
+    fn begin(state: &'state State) -> Self {
+        let mut inner = state.lock();
+        let counters = &mut inner.counters;
+        counters.watches += 1;
+        counters.open_watches += 1;
+        counters.peak_open_watches = counters.peak_open_watches.max(counters.open_watches);
+        drop(inner);
+        Self { state }
+    }
+}
+
+impl Drop for OpenWatch<'_> {
+    fn drop(&mut self) {
+        self.state.lock().counters.open_watches -= 1;
+    }
+}
