--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -19,7 +19,7 @@
 /// A connection whose request head is not whole by then is closed.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause after the system refused a connection, for instance because no file descriptor is free.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// When a server leaves.
 #[derive(Clone, Debug, Default)]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! A library too, so that a demonstration or a test can start whole nodes inside one process with
 //! [`node::Node::start`].
 
+pub mod arguments;
 pub mod cluster;
 pub mod configuration;
 pub mod context;
--- a/crates/daemon/src/node.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Puts the parts of a node together.
--- /dev/null
+++ b/crates/daemon/src/node/control.rs
@@ -0,0 +1,165 @@
+//! The control thread: starts every part and waits until the node ends.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lichenpulley_protocol::error::ErrorBody;
+use lichenpulley_protocol::internal::{
+    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
+    StoreResponse,
+};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use super::listeners::Listeners;
+use super::peer_service::{self, PeerService};
+use super::{NodeAddresses, StartError, Started, stop};
+use crate::cluster::Member;
+use crate::context::{Context, NodeContext};
+use crate::http::server::{self, ServerStop};
+use crate::http::{Body, response};
+use crate::membership::{self, StartMembership};
+use crate::operators::Operators;
+use crate::settings::Settings;
+
+/// The parts that answer requests. Cheap to clone.
+#[derive(Clone)]
+pub(super) struct Parts {
+    #[expect(dead_code, reason = "the parts read it once they are wired")]
+    context: Context,
+}
+
+impl Parts {
+    pub(super) async fn answer_store(&self, _request: StoreRequest) -> StoreResponse {
+        StoreResponse::NotAStore
+    }
+
+    pub(super) async fn answer_coordinator(&self, _request: CoordinatorRequest) -> CoordinatorResponse {
+        CoordinatorResponse::NotOwner(None)
+    }
+
+    pub(super) fn answer_configuration(&self, _request: ConfigurationRequest) -> ConfigurationResponse {
+        ConfigurationResponse::Current
+    }
+}
+
+/// Runs a node on this thread until it has stopped or `abort` is cancelled.
+pub(super) fn run(
+    settings: Settings,
+    listeners: Listeners,
+    started: oneshot::Sender<Result<Started, StartError>>,
+    abort: &CancellationToken,
+) {
+    let runtimes = build_runtimes(&settings);
+    let (control, traffic) = match runtimes {
+        Ok(runtimes) => runtimes,
+        Err(error) => {
+            drop(started.send(Err(StartError::Thread(error))));
+            return;
+        }
+    };
+    control.block_on(async {
+        let context = NodeContext::new(settings, Handle::current());
+        tokio::select! {
+            () = run_parts(&context, listeners, started, traffic.handle()) => {}
+            () = abort.cancelled() => {}
+        }
+    });
+    // Tasks end here, at their next wait; whatever had to be finished has been.
+    traffic.shutdown_background();
+    control.shutdown_background();
+}
+
+fn build_runtimes(settings: &Settings) -> std::io::Result<(Runtime, Runtime)> {
+    let control = Builder::new_current_thread().enable_all().build()?;
+    let mut traffic = Builder::new_multi_thread();
+    traffic.enable_all().thread_name("traffic");
+    if settings.gateway.traffic_threads > 0 {
+        traffic.worker_threads(settings.gateway.traffic_threads);
+    }
+    Ok((control, traffic.build()?))
+}
+
+async fn run_parts(
+    context: &Context,
+    listeners: Listeners,
+    started: oneshot::Sender<Result<Started, StartError>>,
+    traffic: &Handle,
+) {
+    let addresses = listeners.addresses;
+    match start_parts(context, listeners, traffic) {
+        Ok(servers) => {
+            log::info!(
+                target: "node",
+                "{} listens: callers {}, operators {}, peers {}.",
+                context.node, addresses.callers, addresses.operators, addresses.peers
+            );
+            let news = Started { addresses, context: Arc::clone(context) };
+            if started.send(Ok(news)).is_err() {
+                return;
+            }
+            stop::when_told(context, servers).await;
+        }
+        Err(error) => drop(started.send(Err(error))),
+    }
+}
+
+fn start_parts(
+    context: &Context,
+    listeners: Listeners,
+    traffic: &Handle,
+) -> Result<stop::Servers, StartError> {
+    let Listeners { callers, operators, peers, membership, addresses } = listeners;
+    let membership = UdpSocket::from_std(membership).map_err(StartError::Thread)?;
+    start_membership(context, membership, addresses);
+
+    let parts = Parts { context: Arc::clone(context) };
+    let stop = stop::StopSignals::new(context);
+    let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
+    let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
+
+    let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
+    let answers = Operators::new(Arc::clone(context));
+    let answer = move |request| {
+        let answers = answers.clone();
+        async move { answers.handle(request).await }
+    };
+    let operators = tokio::spawn(server::serve(operators, stop.operators.clone(), answer));
+
+    let callers = spawn_callers(callers, traffic, stop.callers.clone())?;
+    Ok(stop::Servers { callers, operators, peers, stop })
+}
+
+fn start_membership(context: &Context, socket: UdpSocket, addresses: NodeAddresses) {
+    let member = Member {
+        node: context.node.clone(),
+        zone: context.zone.clone(),
+        roles: context.settings.roles,
+        peer_address: addresses.peers,
+    };
+    let seeds = context.settings.peers.seeds.clone();
+    membership::start(Arc::clone(context), socket, StartMembership { member, seeds });
+}
+
+fn spawn_callers(
+    listener: std::net::TcpListener,
+    traffic: &Handle,
+    stop: ServerStop,
+) -> Result<tokio::task::JoinHandle<()>, StartError> {
+    let entered = traffic.enter();
+    let listener = TcpListener::from_std(listener).map_err(StartError::Thread)?;
+    drop(entered);
+    Ok(traffic.spawn(server::serve(listener, stop, no_gateway)))
+}
+
+async fn no_gateway(_request: Request<Incoming>) -> Response<Body> {
+    let body = ErrorBody::new(
+        "no_gateway",
+        "this node has no gateway role",
+        "ask a node whose `roles` hold \"gateway\"",
+    );
+    response::error(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
--- /dev/null
+++ b/crates/daemon/src/node/peer_service.rs
@@ -0,0 +1,94 @@
+//! Answers other nodes.
+
+use futures::StreamExt;
+use lichenpulley_protocol::internal::{
+    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, Peer, StoreRequest,
+    StoreResponse,
+};
+use lichenpulley_protocol::transport;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::control::Parts;
+
+/// Answers peers' requests from the parts of this node.
+#[derive(Clone)]
+pub(super) struct PeerService {
+    parts: Parts,
+}
+
+impl PeerService {
+    pub(super) fn new(parts: Parts) -> Self {
+        Self { parts }
+    }
+}
+
+impl Peer for PeerService {
+    async fn store(self, _: tarpc::context::Context, request: StoreRequest) -> StoreResponse {
+        self.parts.answer_store(request).await
+    }
+
+    async fn coordinator(
+        self,
+        _: tarpc::context::Context,
+        request: CoordinatorRequest,
+    ) -> CoordinatorResponse {
+        self.parts.answer_coordinator(request).await
+    }
+
+    async fn configuration(
+        self,
+        _: tarpc::context::Context,
+        request: ConfigurationRequest,
+    ) -> ConfigurationResponse {
+        self.parts.answer_configuration(request)
+    }
+}
+
+/// Serves peers until `closing` is cancelled.
+pub(super) async fn serve(listener: TcpListener, service: PeerService, closing: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
+            }
+            Err(error) => {
+                log::warn!(target: "peers", "A connection was not accepted: {error}.");
+                tokio::time::sleep(crate::http::server::ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection. Whatever is wrong with it ends this connection and nothing else.
+async fn serve_connection(stream: TcpStream, service: PeerService, closing: CancellationToken) {
+    let peer = stream.peer_addr().map_or_else(|_| "a lost peer".to_owned(), |address| address.to_string());
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: "peers", "The connection of {peer} was lost before it began: {error}.");
+        return;
+    }
+    let channel = BaseChannel::with_defaults(transport::server(stream));
+    let requests = channel.requests();
+    tokio::pin!(requests);
+    loop {
+        let next = tokio::select! {
+            next = requests.next() => next,
+            () = closing.cancelled() => return,
+        };
+        match next {
+            Some(Ok(request)) => {
+                tokio::spawn(request.execute(service.clone().serve()));
+            }
+            Some(Err(error)) => {
+                log::warn!(target: "peers", "The connection of {peer} is closed: {}.", transport::describe(&error));
+                return;
+            }
+            None => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/health.rs
@@ -0,0 +1,41 @@
+//! Health, readiness and metrics.
+
+use hyper::{Response, StatusCode};
+use lichenpulley_protocol::error::ErrorBody;
+
+use crate::context::Context;
+use crate::http::{Body, response};
+
+/// The process runs.
+pub(super) fn alive() -> Response<Body> {
+    response::text(StatusCode::OK, "alive\n")
+}
+
+/// Whether the node takes new work.
+pub(super) fn ready(context: &Context) -> Response<Body> {
+    if context.draining.is_cancelled() {
+        let body = ErrorBody::new(
+            "stopping",
+            format!("{} finishes what runs and takes nothing new", context.node),
+            "send new work to another node",
+        );
+        return response::error(StatusCode::SERVICE_UNAVAILABLE, &body);
+    }
+    response::text(StatusCode::OK, "ready\n")
+}
+
+/// Metrics in the Prometheus text form.
+pub(super) fn metrics(context: &Context) -> Response<Body> {
+    match context.metrics.encode() {
+        Ok(text) => response::text(StatusCode::OK, text),
+        Err(error) => {
+            log::error!(target: "operators", "The metrics can't be written: {error}.");
+            let body = ErrorBody::new(
+                "metrics_failed",
+                format!("the metrics can't be written: {error}"),
+                "restart the node and report this as a fault",
+            );
+            response::error(StatusCode::INTERNAL_SERVER_ERROR, &body)
+        }
+    }
+}
--- a/crates/protocol/src/transport.rs
+++ b/crates/protocol/src/transport.rs
@@ -237,3 +237,15 @@
     }
     Ok(message)
 }
+
+/// An error with its causes in one line, since `tarpc`'s own text names the step that failed only.
+pub fn describe(error: &(dyn std::error::Error + 'static)) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
