--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,7 @@
+//! One module for each group of commands.
+
+pub mod config;
+pub mod drain;
+pub mod job;
+pub mod pool;
+pub mod watch;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,39 @@
-//! The operators' command.
+//! The operators' command: settings, jobs, pools, drains and the stream of decisions.
+//!
+//! A library too, so that tests can run a command inside their process with [`run`].
+
+pub mod arguments;
+pub mod client;
+pub mod commands;
+pub mod error;
+pub mod event_stream;
+pub mod output;
+pub mod sequence;
+pub mod table;
+
+use arguments::{Command, Invocation};
+use client::{Client, Interface};
+use error::CliError;
+use output::Output;
+
+/// Runs one command.
+///
+/// # Errors
+/// [`CliError`], with a remedy in its message and its exit code.
+pub async fn run(invocation: Invocation, output: &mut Output<'_>) -> Result<(), CliError> {
+    let options = &invocation.options;
+    let operators = || Client::new(Interface::Operators, &options.operators, options.timeout);
+    let callers = || Client::new(Interface::Callers, &options.callers, options.timeout);
+    match invocation.command {
+        Command::Help(text) => output.line(&text),
+        Command::Version => output.line(concat!("lichenpulley ", env!("CARGO_PKG_VERSION"))),
+        Command::ConfigGet(selection) => commands::config::get(&operators()?, &selection, output).await,
+        Command::ConfigSet(change) => commands::config::set(&operators()?, &change, output).await,
+        Command::ConfigExplain(setting) => commands::config::explain(&operators()?, &setting, output).await,
+        Command::JobSubmit(specification) => commands::job::submit(&callers()?, &specification, output).await,
+        Command::JobStatus(job) => commands::job::status(&callers()?, &job, output).await,
+        Command::PoolList(pool) => commands::pool::list(&operators()?, pool.as_ref(), output).await,
+        Command::Drain(replica) => commands::drain::drain(&operators()?, &replica, output).await,
+        Command::Watch(watch) => commands::watch::watch(&operators()?, &watch, output).await,
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,128 @@
+//! Jobs, pools, drains, addresses and exit codes against a scripted node.
+
+mod support;
+
+use serde_json::json;
+use support::{Answer, Server, run};
+
+fn job_status() -> Answer {
+    let status = json!({
+        "job": "j", "step": 1, "steps": 4, "ready": 3, "delivered": 32, "reopened": 1, "in_flight": 5,
+        "finished": false
+    });
+    Answer::Json(200, status)
+}
+
+#[tokio::test]
+async fn job_status_is_a_table() {
+    let server = Server::start(|_, _| job_status()).await;
+    let run = run(&["job", "status", "j", "-c", &server.address.to_string()]).await;
+    run.result.expect("success");
+    let expected = "JOB  STEP  STEPS  READY  DELIVERED  REOPENED  IN FLIGHT  FINISHED\n\
+                    j    1     4      3      32         1         5          no\n";
+    assert_eq!(run.results, expected);
+    assert_eq!(server.seen()[0].path, "/v1/jobs/j");
+}
+
+#[tokio::test]
+async fn job_submit_sends_the_file() {
+    let server = Server::start(|_, _| job_status()).await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("job.json");
+    let specification = json!({
+        "job": "j", "pool": "p", "prompts": ["a"], "samples_per_prompt": 2, "steps": 4, "max_tokens": 8,
+        "staleness_bound": 1, "idle_weight_percent": 20
+    });
+    std::fs::write(&path, specification.to_string()).expect("written");
+    let line = ["job", "submit", path.to_str().expect("text"), "-c", &server.address.to_string()];
+    run(&line).await.result.expect("success");
+    let seen = server.seen();
+    assert_eq!((seen[0].method.as_str(), seen[0].path.as_str()), ("POST", "/v1/jobs"));
+    assert_eq!(seen[0].body, specification);
+}
+
+#[tokio::test]
+async fn a_job_file_with_an_unknown_key_is_refused_before_anything_is_sent() {
+    let server = Server::start(|_, _| job_status()).await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("job.json");
+    std::fs::write(&path, "{\"job\": \"j\", \"step\": 4}").expect("written");
+    let run = run(&["job", "submit", path.to_str().expect("text"), "-c", &server.address.to_string()]).await;
+    let error = run.result.expect_err("refused");
+    assert_eq!((error.kind(), error.exit_code()), ("file", 2));
+    assert!(error.to_string().contains("unknown field `step`"), "{error}");
+    assert!(server.seen().is_empty());
+}
+
+#[tokio::test]
+async fn pool_list_shows_one_pool() {
+    let replica = |name: &str, version: Option<u64>| {
+        json!({
+            "replica": name, "zone": "z1", "eligibility": "eligible", "in_flight": 2, "concurrency_limit": 16,
+            "weight_version": version
+        })
+    };
+    let pools = json!([
+        {"pool": "bench", "replicas": [replica("bench-1", Some(3)), replica("bench-2", None)]},
+        {"pool": "counter", "replicas": [replica("counter-1", Some(1))]}
+    ]);
+    let server = Server::start(move |_, _| Answer::Json(200, pools.clone())).await;
+    let run = run(&["pool", "list", "bench", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    let expected = "POOL   REPLICA  ZONE  ELIGIBILITY  IN FLIGHT  LIMIT  WEIGHTS\n\
+                    bench  bench-1  z1    eligible     2          16     3\n\
+                    bench  bench-2  z1    eligible     2          16     -\n";
+    assert_eq!(run.results, expected);
+}
+
+#[tokio::test]
+async fn drain_orders_the_replica() {
+    let load = json!({
+        "role": "draining", "running": 4, "queued": 1, "capacity": 8, "tokens_per_second": 0,
+        "weight_version": 1, "incarnation": 1, "age_ms": 0
+    });
+    let accepted = json!({"replica": "bench/1", "load": load});
+    let server = Server::start(move |_, _| Answer::Json(200, accepted.clone())).await;
+    let run = run(&["drain", "bench/1", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    assert_eq!(run.results, "bench/1 takes no new work; 4 requests run and 1 wait there\n");
+    let seen = server.seen();
+    assert_eq!((seen[0].method.as_str(), seen[0].path.as_str()), ("POST", "/v1/replicas/bench%2F1/drain"));
+}
+
+#[tokio::test]
+async fn the_next_address_is_asked_where_one_takes_no_connection() {
+    let server = Server::start(|_, _| job_status()).await;
+    let closed = closed_address().await;
+    let both = format!("{closed},{}", server.address);
+    run(&["job", "status", "j", "-c", &both]).await.result.expect("success");
+}
+
+#[tokio::test]
+async fn no_connection_is_told_with_every_address() {
+    let closed = closed_address().await;
+    let error = run(&["job", "status", "j", "-c", &closed]).await.result.expect_err("nobody listens");
+    assert_eq!((error.kind(), error.exit_code()), ("unreachable", 1));
+    assert!(error.to_string().contains(&closed), "{error}");
+}
+
+#[tokio::test]
+async fn a_command_without_its_address_names_flag_and_variable() {
+    let error = run(&["pool", "list"]).await.result.expect_err("no address");
+    assert_eq!(error.exit_code(), 2);
+    assert_eq!(error.remedy(), "give --operators IP:PORT or set LICHENPULLEY_OPERATORS");
+}
+
+#[tokio::test]
+async fn errors_are_json_where_json_was_asked_for() {
+    let error = run(&["pool", "list"]).await.result.expect_err("no address");
+    let body: serde_json::Value = serde_json::from_str(&error.describe(true)).expect("JSON");
+    assert_eq!(body["kind"], "no_address");
+    assert!(error.describe(false).contains("\n  remedy: give --operators"));
+}
+
+/// An address where nobody listens: it was bound and is closed again.
+async fn closed_address() -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
