Restore the engine stand-in; add weight store, scorer and trainer

Restored as it was, on the shared HTTP server as it is now (typed bind error, the daemon's query decoding). New: the stand-in weight store (one rate for all readers), scorer and trainer. The trainer saves its cursor together with the samples taken, in one file moved into place; its report is worked out from the saved state alone, so a crash before saving can hide nothing. Ruled out: counting samples as they arrive: a pull repeated after a crash would count as doubled. After: each of four crash points trains each of 24 samples once; a test shows that the report does find doubled, lost, stale and unversioned samples when a gateway hands them out.

--- a/crates/lab/src/arguments.rs
+++ b/crates/lab/src/arguments.rs
@@ -119,3 +119,29 @@
     }
     Ok(())
 }
+
+/// The value of an option that may be absent.
+///
+/// # Errors
+/// [`LabError::Usage`] where it does not parse.
+pub fn optional<T>(matches: &Matches, name: &str) -> Result<Option<T>, LabError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    if matches.opt_present(name) { required(matches, name).map(Some) } else { Ok(None) }
+}
+
+/// The values of an option that may be repeated.
+///
+/// # Errors
+/// [`LabError::Usage`] where one does not parse.
+pub fn each<T>(matches: &Matches, name: &str) -> Result<Vec<T>, LabError>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let parse =
+        |text: String| text.parse().map_err(|error| LabError::Usage(format!("--{name} `{text}`: {error}")));
+    matches.opt_strs(name).into_iter().map(parse).collect()
+}
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{machine_list, object_api};
+use crate::{engine, machine_list, object_api, scorer, trainer, weight_store};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -31,6 +31,26 @@
         help: "stand-in for the platform's machine list",
         entry: |arguments| Box::pin(machine_list::run(arguments)),
     },
+    Command {
+        name: "engine",
+        help: "stand-in for a model engine",
+        entry: |arguments| Box::pin(engine::run(arguments)),
+    },
+    Command {
+        name: "weight-store",
+        help: "stand-in for the platform's weight store",
+        entry: |arguments| Box::pin(weight_store::run(arguments)),
+    },
+    Command {
+        name: "scorer",
+        help: "stand-in for the service that scores answers",
+        entry: |arguments| Box::pin(scorer::run(arguments)),
+    },
+    Command {
+        name: "trainer",
+        help: "stand-in for a trainer",
+        entry: |arguments| Box::pin(trainer::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -1,6 +1,5 @@
 //! The small HTTP server that every stand-in is built on.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,8 +23,8 @@
 /// Bodies longer than this are refused.
 const MAXIMUM_BODY_BYTES: usize = 64 * 1024 * 1024;
 
-/// A response's body: whole or streamed.
-pub type Body = BoxBody<Bytes, Infallible>;
+/// A response's body: whole or streamed. An error breaks the connection in the middle of the body.
+pub type Body = BoxBody<Bytes, std::io::Error>;
 
 /// A server that runs until this is dropped; its open connections are closed then, as if the process had died.
 #[derive(Debug)]
@@ -134,10 +133,15 @@
     serde_json::from_slice(&whole.to_bytes()).map_err(|error| bad_request(&error.to_string()))
 }
 
+/// A body that is sent as a whole.
+fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
+}
+
 /// A JSON answer.
 pub fn json<Value: Serialize>(status: StatusCode, value: &Value) -> Response<Body> {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Full::from(body).boxed());
+    let mut response = Response::new(whole(body));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     response
@@ -145,7 +149,7 @@
 
 /// An answer without a body.
 pub fn empty(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(Full::new(Bytes::new()).boxed());
+    let mut response = Response::new(whole(Bytes::new()));
     *response.status_mut() = status;
     response
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,8 +5,13 @@
 
 pub mod addresses;
 pub mod arguments;
+pub mod client;
 pub mod commands;
+pub mod engine;
 pub mod error;
 pub mod http;
 pub mod machine_list;
 pub mod object_api;
+pub mod scorer;
+pub mod trainer;
+pub mod weight_store;
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -11,6 +11,7 @@
 
 use lichenpulley_core::identity::{AttemptId, Epoch, ReplicaId, ShardId, WeightVersion};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::caller::{FinishReason, Priority};
 
@@ -184,3 +185,19 @@
     /// The highest epoch seen for the shard.
     pub highest_epoch: Epoch,
 }
+
+/// Bytes of prompt in one block of an engine's prefix cache.
+pub const PREFIX_BLOCK_BYTES: usize = 64;
+
+/// The hashes by which engines name a prompt's cached prefixes: one for each whole block, covering everything from
+/// the start of the prompt to the end of that block.
+pub fn prefix_hashes(prompt: &str) -> impl Iterator<Item = u64> {
+    let bytes = prompt.as_bytes();
+    let whole_blocks = bytes.len() / PREFIX_BLOCK_BYTES;
+    let mut hasher = Xxh3::new();
+    (0..whole_blocks).map(move |block| {
+        let start = block * PREFIX_BLOCK_BYTES;
+        hasher.update(&bytes[start..start + PREFIX_BLOCK_BYTES]);
+        hasher.digest()
+    })
+}
