Add weight waves as a state machine

Cause: new weights have to reach every replica under the weight store's rate, and a new owner has to go on where the old one stopped. Ruled out: keeping the orders in the owner's memory only, since a new owner would order a second wave while the first still fetches. Conclusion: a replica is recorded as ordered before its order is sent.

--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -1,1 +1,82 @@
 //! Waves of fenced orders that bring a weight version to all replicas of a pool.
+//!
+//! The owner of a pool's weights drives a [`WeightsController`]. The log holds the published version, which
+//! replicas have been ordered and which have confirmed it, so that a new owner goes on where the old one stopped
+//! and the weight store never serves more fetches at once than allowed, across owners too.
+
+mod controller;
+mod ledger;
+mod replica;
+
+pub use controller::{Action, Event, OrderCommand, WaveProgress, WeightsController};
+pub use ledger::{WeightsLedger, WeightsRecord, WeightsRecordError};
+pub use replica::{OrderResult, Report};
+
+use std::time::Duration;
+
+/// Settings of an owner of a pool's weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaveConfig {
+    /// Replicas that fetch from the weight store at once. The store's rate divided by this is each one's share.
+    pub max_concurrent_loads: usize,
+    /// The greatest part of a pool that is loading at once, in percent; one replica may always load.
+    pub max_loading_percent: usize,
+    /// After this time without a confirmation the order is sent again.
+    pub load_timeout: Duration,
+    /// How often a loading replica is asked for its report.
+    pub poll_interval: Duration,
+    /// How often a replica that has confirmed is asked again, to find one that restarted with older weights.
+    pub sweep_interval: Duration,
+}
+
+impl Default for WaveConfig {
+    fn default() -> Self {
+        Self {
+            max_concurrent_loads: 32,
+            max_loading_percent: 50,
+            load_timeout: Duration::from_secs(30),
+            poll_interval: Duration::from_millis(500),
+            sweep_interval: Duration::from_secs(60),
+        }
+    }
+}
+
+/// A setting that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field} is out of its range; give {allowed}")]
+pub struct WaveConfigError {
+    /// The field.
+    pub field: &'static str,
+    /// What it may be.
+    pub allowed: &'static str,
+}
+
+impl WaveConfig {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// Names the first field that can't be used.
+    pub fn validate(&self) -> Result<(), WaveConfigError> {
+        if self.max_concurrent_loads == 0 {
+            return Err(WaveConfigError { field: "max_concurrent_loads", allowed: "at least 1" });
+        }
+        if self.max_loading_percent == 0 || self.max_loading_percent > 100 {
+            return Err(WaveConfigError { field: "max_loading_percent", allowed: "1 to 100" });
+        }
+        let durations = [
+            ("load_timeout", self.load_timeout),
+            ("poll_interval", self.poll_interval),
+            ("sweep_interval", self.sweep_interval),
+        ];
+        match durations.into_iter().find(|(_, duration)| duration.is_zero()) {
+            Some((field, _)) => Err(WaveConfigError { field, allowed: "more than nothing" }),
+            None => Ok(()),
+        }
+    }
+
+    /// How many of `replicas` may load at once.
+    pub fn loading_limit(&self, replicas: usize) -> usize {
+        let part_of_pool = (replicas * self.max_loading_percent / 100).max(1);
+        part_of_pool.min(self.max_concurrent_loads)
+    }
+}
