Let the dispatcher hold back attempts on weights too old for their slot

Cause: the owner kept a report of the pool's version that could itself be late and held a whole job because of one old replica. Ruled out: the oldest version of the pool as the test at admission. Conclusion: each attempt names the oldest weights it may run on; the choice of replica tests that.

--- a/crates/core/src/rollout/controller.rs
+++ b/crates/core/src/rollout/controller.rs
@@ -26,8 +26,8 @@
     pub retry_delay: Duration,
     /// After this time without a result an attempt is given up and its slot tried anew.
     pub attempt_timeout: Duration,
-    /// How long a report of the pool's weight version counts; after it the version is taken as unknown.
-    pub pool_version_validity: Duration,
+    /// A batch for the trainer ends before it grows beyond this many tokens, one sample at least.
+    pub max_batch_tokens: usize,
 }
 
 impl Default for ControllerConfig {
@@ -36,7 +36,7 @@
             max_in_flight: 256,
             retry_delay: Duration::from_millis(200),
             attempt_timeout: Duration::from_secs(600),
-            pool_version_validity: Duration::from_secs(5),
+            max_batch_tokens: 1 << 20,
         }
     }
 }
@@ -60,8 +60,6 @@
         /// How.
         outcome: AttemptOutcome,
     },
-    /// The oldest weight version among the pool's replicas that take work.
-    PoolVersion(WeightVersion),
     /// A trainer pulls; the answer names the ticket.
     Pull {
         /// Chosen by the driver.
@@ -105,6 +103,8 @@
     pub slot: Slot,
     /// The seed of sampling; the same for each attempt at this generation of the slot.
     pub seed: u64,
+    /// Replicas with older weights are to be passed over: their sample would be too old at hand-over.
+    pub minimum_version: WeightVersion,
 }
 
 /// What the driver is to do, in this order.
@@ -181,8 +181,6 @@
     opened_steps: u32,
     running: BTreeMap<AttemptId, RunningAttempt>,
     attempts_started: u64,
-    pool_version: Option<(WeightVersion, Timestamp)>,
-    holding: bool,
     proposed: Vec<JobRecord>,
     proposed_count: u64,
     appending_count: Option<u64>,
@@ -245,8 +243,6 @@
             queue: SlotQueue::default(),
             running: BTreeMap::new(),
             attempts_started: 0,
-            pool_version: None,
-            holding: false,
             proposed: Vec::new(),
             proposed_count: 0,
             appending_count: None,
@@ -265,7 +261,6 @@
                 self.handle_progress(&attempt, weight_version, token_count);
             }
             Event::AttemptEnded { attempt, outcome } => self.handle_end(&attempt, outcome, now),
-            Event::PoolVersion(version) => self.pool_version = Some((version, now)),
             Event::Pull { ticket, request } => self.handle_pull(ticket, &request),
             Event::Appended => self.handle_appended(),
             Event::WakeUp => {}
@@ -282,11 +277,7 @@
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let timeout = |attempt: &RunningAttempt| attempt.started_at + self.config.attempt_timeout;
         let first_timeout = self.running.values().map(timeout).min();
-        let hold_ends = match self.pool_version {
-            Some((_, reported_at)) if self.holding => Some(reported_at + self.config.pool_version_validity),
-            _ => None,
-        };
-        [first_timeout, hold_ends, self.queue.next_due()].into_iter().flatten().min()
+        [first_timeout, self.queue.next_due()].into_iter().flatten().min()
     }
 
     /// The state that the log amounts to.
@@ -344,27 +335,12 @@
     }
 
     fn start_attempts(&mut self, now: Timestamp) {
-        self.holding = false;
         while self.running.len() < self.config.max_in_flight {
-            let Some(slot) = self.queue.first() else { return };
+            let Some(slot) = self.queue.pop() else { return };
             if let Some(generation) = self.ledger.open_generation(slot) {
-                if self.would_be_too_old(slot, now) {
-                    self.holding = true;
-                    return;
-                }
                 self.start_attempt(slot, generation, now);
             }
-            self.queue.pop();
-        }
-    }
-
-    /// The staleness test at admission: what the pool would make now can only be thrown away later.
-    fn would_be_too_old(&mut self, slot: Slot, now: Timestamp) -> bool {
-        let Some((pool_version, reported_at)) = self.pool_version else { return false };
-        if now.saturating_since(reported_at) >= self.config.pool_version_validity {
-            return false;
         }
-        self.ledger.staleness_bound().check(pool_version, self.expected_trainer_version(slot)).is_err()
     }
 
     /// The version at which the trainer is expected to pull a slot, at one version a step.
@@ -373,6 +349,12 @@
         WeightVersion(self.ledger.trainer_version().0 + u64::from(steps_ahead))
     }
 
+    /// The staleness test at admission: what older weights would make can only be thrown away later.
+    fn minimum_version(&self, slot: Slot) -> WeightVersion {
+        let expected = self.expected_trainer_version(slot);
+        WeightVersion(expected.0.saturating_sub(self.ledger.staleness_bound().0))
+    }
+
     fn start_attempt(&mut self, slot: Slot, generation: u32, now: Timestamp) {
         self.attempts_started += 1;
         let job = &self.ledger.specification().job;
@@ -380,7 +362,8 @@
         let seed = xxhash_rust::xxh3::xxh3_64(format!("{job} {slot} {generation}").as_bytes());
         let running = RunningAttempt { slot, generation, started_at: now, token_count: 0 };
         self.running.insert(attempt.clone(), running);
-        self.actions.push_back(Action::Start(AttemptStart { attempt, slot, seed }));
+        let minimum_version = self.minimum_version(slot);
+        self.actions.push_back(Action::Start(AttemptStart { attempt, slot, seed, minimum_version }));
     }
 
     fn give_up_late_attempts(&mut self, now: Timestamp) {
@@ -544,8 +527,13 @@
         if self.ledger.unsaved_batch().is_some() {
             return;
         }
-        let slots: Vec<Slot> =
-            self.ledger.ready().take(max_samples as usize).map(|sample| sample.slot).collect();
+        let mut tokens = 0;
+        let fits = |sample: &&Sample| {
+            tokens += sample.tokens.len();
+            tokens <= self.config.max_batch_tokens.max(sample.tokens.len())
+        };
+        let ready = self.ledger.ready().take(max_samples as usize);
+        let slots: Vec<Slot> = ready.take_while(fits).map(|sample| sample.slot).collect();
         if !slots.is_empty() {
             self.propose_fitting(JobRecord::HandedOver { slots });
         }
--- a/crates/core/src/rollout/queue.rs
+++ b/crates/core/src/rollout/queue.rs
@@ -35,12 +35,7 @@
         }
     }
 
-    /// The slot to start next, if one is due.
-    pub(super) fn first(&self) -> Option<Slot> {
-        self.due.first().copied()
-    }
-
-    /// Takes the slot that [`Self::first`] gave.
+    /// Takes the slot to start next, if one is due.
     pub(super) fn pop(&mut self) -> Option<Slot> {
         self.due.pop_first()
     }
--- a/crates/protocol/src/caller.rs
+++ b/crates/protocol/src/caller.rs
@@ -7,6 +7,7 @@
 //! | `GET /v1/jobs/{job}` | | [`JobStatus`] |
 //! | `POST /v1/jobs/{job}/pull` | [`PullRequest`] | [`PullResponse`] |
 //! | `POST /v1/pools/{pool}/weights` | [`PublishWeights`] | [`PublishWeights`] |
+//! | `GET /v1/pools/{pool}/weights` | | [`WeightsStatus`] |
 
 use lichenpulley_core::identity::{PoolName, RequestId, WeightVersion};
 pub use lichenpulley_core::request::answer::{FinishReason, Priority, VersionSpan};
@@ -104,3 +105,16 @@
     /// The new version; a version at or below the current one changes nothing.
     pub weight_version: WeightVersion,
 }
+
+/// How far a pool's weights have come.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Readable, Writable)]
+pub struct WeightsStatus {
+    /// The version that all replicas are to have; `None` before the first was published.
+    pub target: Option<WeightVersion>,
+    /// Replicas of the pool.
+    pub replicas: u32,
+    /// Replicas that have been ordered to load it and have not reported it.
+    pub loading: u32,
+    /// Replicas that have reported it.
+    pub confirmed: u32,
+}
