Run shards of control work on the node that the cluster view names

Cause: jobs and weights need an owner that replays the shard's log, acts under its epoch and stops when the ownership moves. Ruled out: appending inside the owner's loop, which would hold up everything else of the shard for the time of a majority write. Before and after: no coordinator; now submit, status, pull and publish reach the owner from any node, locally or over peers.

--- a/crates/core/src/rollout/controller.rs
+++ b/crates/core/src/rollout/controller.rs
@@ -181,6 +181,8 @@
     opened_steps: u32,
     running: BTreeMap<AttemptId, RunningAttempt>,
     attempts_started: u64,
+    /// Whether the log held the specification when this owner began.
+    is_recovered: bool,
     proposed: Vec<JobRecord>,
     proposed_count: u64,
     appending_count: Option<u64>,
@@ -202,6 +204,7 @@
         let mut controller = Self::with_ledger(JobLedger::new(specification.clone()), epoch, config);
         controller.proposed.push(JobRecord::Submitted(specification));
         controller.proposed_count = 1;
+        controller.is_recovered = false;
         controller.advance(now);
         controller
     }
@@ -243,6 +246,7 @@
             queue: SlotQueue::default(),
             running: BTreeMap::new(),
             attempts_started: 0,
+            is_recovered: true,
             proposed: Vec::new(),
             proposed_count: 0,
             appending_count: None,
@@ -290,9 +294,14 @@
         self.tokens
     }
 
-    /// Whether all records proposed so far are kept by a majority.
-    pub fn is_settled(&self) -> bool {
-        self.appended_count == self.proposed_count
+    /// The settings.
+    pub fn config(&self) -> &ControllerConfig {
+        &self.config
+    }
+
+    /// Whether the job's specification is kept by a majority.
+    pub fn is_created(&self) -> bool {
+        self.is_recovered || self.appended_count > 0
     }
 
     /// How the job stands.
--- /dev/null
+++ b/crates/daemon/src/coordinator/attempt.rs
@@ -0,0 +1,77 @@
+//! Runs one attempt at a slot: generates through the dispatcher, then asks the scorer.
+
+use std::time::Duration;
+
+use lichenpulley_core::identity::RequestId;
+use lichenpulley_core::request::answer::{Answer, Priority};
+use lichenpulley_core::request::outcome::Outcome;
+use lichenpulley_core::rollout::{AttemptOutcome, AttemptStart, JobSpecification};
+use lichenpulley_protocol::platform::{ScoreRequest, ScoreResponse};
+
+use crate::context::Context;
+use crate::gateway::{Dispatcher, Generation, Repetition};
+use crate::http::client::HttpClient;
+
+/// Pause after the first failure to score; doubled after each further one.
+const SCORE_RETRY_START: Duration = Duration::from_millis(200);
+/// Longest pause between two tries to score.
+const SCORE_RETRY_LIMIT: Duration = Duration::from_secs(5);
+
+/// What every attempt of a job needs.
+#[derive(Clone)]
+pub(super) struct AttemptRunner {
+    pub(super) context: Context,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) http: HttpClient,
+    pub(super) specification: JobSpecification,
+    /// An attempt that takes longer is given up.
+    pub(super) timeout: Duration,
+}
+
+impl AttemptRunner {
+    /// Runs an attempt to its end. Dropping the future stops it at the engine.
+    pub(super) async fn run(&self, start: &AttemptStart) -> AttemptOutcome {
+        let generation = Generation {
+            request: RequestId::new(start.attempt.as_str()),
+            pool: self.specification.pool.clone(),
+            prompt: self.specification.prompts[start.slot.prompt as usize].clone(),
+            max_tokens: self.specification.max_tokens,
+            priority: Priority::Rollout,
+            seed: start.seed,
+            deadline: self.timeout,
+            repetition: Repetition::Repeatable,
+            minimum_version: Some(start.minimum_version),
+        };
+        let prompt = generation.prompt.clone();
+        match self.dispatcher.generate(generation).await {
+            Outcome::Completed { answer, .. } => self.score(start, prompt, answer).await,
+            Outcome::NotRun { reason, retry_after, .. } => {
+                AttemptOutcome::Failed { reason: reason.as_str().to_owned(), retry_after }
+            }
+            Outcome::Unknown { reason, retry_after, .. } => {
+                AttemptOutcome::Failed { reason: reason.as_str().to_owned(), retry_after }
+            }
+        }
+    }
+
+    /// Scoring changes nothing at the scorer, so it is repeated until it succeeds; the owner's timeout ends it.
+    async fn score(&self, start: &AttemptStart, prompt: String, answer: Answer) -> AttemptOutcome {
+        let Some(scorer) = self.context.settings.platform.scorer else {
+            return AttemptOutcome::Failed { reason: "no_scorer".to_owned(), retry_after: None };
+        };
+        let question = ScoreRequest { prompt, tokens: answer.tokens.clone() };
+        let deadline = self.context.settings.coordinator.call_timeout;
+        let mut pause = SCORE_RETRY_START;
+        loop {
+            let scored = self.http.post_json::<_, ScoreResponse>(scorer, "/score", &question, deadline).await;
+            match scored {
+                Ok(ScoreResponse { reward }) => {
+                    return AttemptOutcome::Completed { tokens: answer.tokens, spans: answer.spans, reward };
+                }
+                Err(error) => log::warn!(target: "rollout", "{}: not scored yet: {error}.", start.attempt),
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(SCORE_RETRY_LIMIT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinator/engines.rs
@@ -0,0 +1,57 @@
+//! Orders to engines and questions about their state, over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use lichenpulley_core::identity::{Epoch, ShardId};
+use lichenpulley_core::weights::{OrderCommand, OrderResult, Report};
+use lichenpulley_protocol::engine::{Command, EngineRole, LoadReport, Order, OrderAccepted, OrderRefused};
+
+use crate::http::client::{ClientError, HttpClient};
+
+/// Sends fenced orders under one owner's epoch.
+#[derive(Clone)]
+pub(super) struct EngineClient {
+    pub(super) http: HttpClient,
+    pub(super) shard: ShardId,
+    pub(super) epoch: Epoch,
+    /// A call unanswered for so long is given up.
+    pub(super) deadline: Duration,
+}
+
+impl EngineClient {
+    /// Sends an order.
+    pub(super) async fn order(&self, address: SocketAddr, command: OrderCommand) -> OrderResult {
+        let command = match command {
+            OrderCommand::LoadWeights(weight_version) => Command::LoadWeights { weight_version },
+            OrderCommand::ChangeRole { draining: true } => Command::ChangeRole { role: EngineRole::Draining },
+            OrderCommand::ChangeRole { draining: false } => Command::ChangeRole { role: EngineRole::Serving },
+        };
+        let order = Order { shard: self.shard.clone(), epoch: self.epoch, command };
+        let answered = self.http.post_json(address, "/v1/orders", &order, self.deadline).await;
+        match answered {
+            Ok(OrderAccepted { load, .. }) => OrderResult::Accepted(report(&load)),
+            Err(error) => refused(&error).unwrap_or(OrderResult::NoAnswer),
+        }
+    }
+
+    /// Asks for an engine's state.
+    pub(super) async fn ask(&self, address: SocketAddr) -> Option<Report> {
+        let load: Result<LoadReport, ClientError> =
+            self.http.get_json(address, "/v1/load", self.deadline).await;
+        load.ok().map(|load| report(&load))
+    }
+}
+
+fn refused(error: &ClientError) -> Option<OrderResult> {
+    if error.status() != Some(StatusCode::CONFLICT) {
+        return None;
+    }
+    let OrderRefused { highest_epoch } = error.body()?;
+    Some(OrderResult::Refused { highest_epoch })
+}
+
+fn report(load: &LoadReport) -> Report {
+    Report { weight_version: load.weight_version, draining: load.role == EngineRole::Draining }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinator/forward.rs
@@ -0,0 +1,90 @@
+//! Brings a request to the owner of its shard, wherever that is.
+
+use std::time::Duration;
+
+use lichenpulley_core::identity::{NodeId, ShardId};
+use lichenpulley_protocol::internal::{CoordinatorRequest, CoordinatorResponse};
+use tokio::time::Instant;
+
+use super::Coordinator;
+use crate::cluster::Member;
+use crate::context::Context;
+
+/// How long a request looks for its owner.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// How long one node is given to answer; above the time of a take-over.
+const ANSWER_DEADLINE: Duration = Duration::from_secs(5);
+/// Pause before the owner is looked up again.
+const PAUSE: Duration = Duration::from_millis(100);
+/// When a caller should come back where no owner was found, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// The member that should own a shard, as this node sees it.
+pub(super) fn owner(context: &Context, shard: &ShardId) -> Option<Member> {
+    context.cluster.load().owner_of(shard).cloned()
+}
+
+/// Asks the owner of a shard and waits for its answer, also while the ownership moves. Every coordinator request
+/// can be repeated without harm, so a lost answer is asked for again.
+pub async fn ask_owner(
+    context: &Context,
+    coordinator: &Coordinator,
+    request: CoordinatorRequest,
+) -> CoordinatorResponse {
+    let limit = Instant::now() + PATIENCE;
+    let shard = request.shard();
+    let mut named = None;
+    loop {
+        let asked = match named.take() {
+            Some(node) => member(context, &node),
+            None => owner(context, &shard),
+        };
+        if let Some(member) = asked {
+            match ask(context, coordinator, &member, request.clone()).await {
+                Some(CoordinatorResponse::NotOwner(other)) => {
+                    named = other.filter(|node| node != &member.node);
+                }
+                Some(response) => return response,
+                None => {}
+            }
+        }
+        if Instant::now() >= limit {
+            return no_owner(&shard);
+        }
+        if named.is_none() {
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+fn member(context: &Context, node: &NodeId) -> Option<Member> {
+    context.cluster.load().member(node).cloned()
+}
+
+async fn ask(
+    context: &Context,
+    coordinator: &Coordinator,
+    member: &Member,
+    request: CoordinatorRequest,
+) -> Option<CoordinatorResponse> {
+    if member.node == context.node {
+        return tokio::time::timeout(ANSWER_DEADLINE, coordinator.answer(request)).await.ok();
+    }
+    let answered = context.peers.coordinator(member.peer_address, request, ANSWER_DEADLINE).await;
+    match answered {
+        Ok(response) => Some(response),
+        Err(error) => {
+            log::info!(target: "coordinator", "{error}.");
+            None
+        }
+    }
+}
+
+fn no_owner(shard: &ShardId) -> CoordinatorResponse {
+    CoordinatorResponse::Refused {
+        kind: "no_owner".to_owned(),
+        message: format!("no node answers for shard {shard} now"),
+        remedy: "ask again: repeating the request does no harm".to_owned(),
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinator/http.rs
@@ -0,0 +1,113 @@
+//! The callers' interface to rollout jobs and weights.
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::identity::{JobId, PoolName};
+use lichenpulley_protocol::caller::{JobSpecification, PublishWeights, PullRequest};
+use lichenpulley_protocol::error::ErrorBody;
+use lichenpulley_protocol::internal::{CoordinatorRequest, CoordinatorResponse};
+
+use super::{Coordinator, ask_owner};
+use crate::context::Context;
+use crate::http::Body;
+use crate::http::request::{BadRequest, percent_decode, read_json};
+use crate::http::response;
+
+/// Whether a path of the callers' interface is answered here.
+pub fn serves(path: &str) -> bool {
+    path == "/v1/jobs" || path.starts_with("/v1/jobs/") || path.starts_with("/v1/pools/")
+}
+
+/// Answers a request about jobs or weights.
+pub async fn handle(
+    context: &Context,
+    coordinator: &Coordinator,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    let question = match read(context, request, &path).await {
+        Ok(Some(question)) => question,
+        Ok(None) => return response::not_found(&path),
+        Err(bad) => return bad.into(),
+    };
+    if let CoordinatorRequest::SubmitJob(specification) = &question
+        && let Some(refusal) = refuse_submission(context, specification)
+    {
+        return response::error(StatusCode::BAD_REQUEST, &refusal);
+    }
+    answer(ask_owner(context, coordinator, question).await)
+}
+
+async fn read(
+    context: &Context,
+    request: Request<Incoming>,
+    path: &str,
+) -> Result<Option<CoordinatorRequest>, BadRequest> {
+    let limit = context.settings.gateway.body_limit_bytes;
+    let method = request.method().clone();
+    let segments: Vec<String> = path.split('/').skip(2).map(percent_decode).collect();
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    let question = match (method, segments.as_slice()) {
+        (Method::POST, ["jobs"]) => {
+            let specification: JobSpecification = read_json(request, limit).await?;
+            CoordinatorRequest::SubmitJob(specification)
+        }
+        (Method::GET, ["jobs", job]) => CoordinatorRequest::JobStatus(JobId::new(*job)),
+        (Method::POST, ["jobs", job, "pull"]) => {
+            let pull: PullRequest = read_json(request, limit).await?;
+            CoordinatorRequest::Pull(JobId::new(*job), pull)
+        }
+        (Method::POST, ["pools", pool, "weights"]) => {
+            let publish: PublishWeights = read_json(request, limit).await?;
+            CoordinatorRequest::PublishWeights(PoolName::new(*pool), publish)
+        }
+        (Method::GET, ["pools", pool, "weights"]) => CoordinatorRequest::WeightsStatus(PoolName::new(*pool)),
+        _ => return Ok(None),
+    };
+    Ok(Some(question))
+}
+
+/// What can be refused before the owner is asked.
+fn refuse_submission(context: &Context, specification: &JobSpecification) -> Option<ErrorBody> {
+    if let Err(error) = specification.validate() {
+        let remedy = "mend the specification and submit it again";
+        return Some(ErrorBody::new("bad_specification", error.to_string(), remedy));
+    }
+    if context.settings.platform.scorer.is_none() {
+        let message = "this node knows no scorer, so no sample could be finished";
+        return Some(ErrorBody::new("no_scorer", message, "set `platform.scorer` on every coordinator"));
+    }
+    None
+}
+
+fn answer(answered: CoordinatorResponse) -> Response<Body> {
+    match answered {
+        CoordinatorResponse::Job(status) => response::json(StatusCode::OK, &status),
+        CoordinatorResponse::Samples(samples) => response::json(StatusCode::OK, &samples),
+        CoordinatorResponse::Weights(published) => response::json(StatusCode::OK, &published),
+        CoordinatorResponse::WeightsStatus(status) => response::json(StatusCode::OK, &status),
+        CoordinatorResponse::RoleChanged => response::empty(StatusCode::NO_CONTENT),
+        CoordinatorResponse::NotOwner(_) => refusal("no_owner", "no owner answered", "ask again", 1_000),
+        CoordinatorResponse::Refused { kind, message, remedy, retry_after_ms } => {
+            refusal(&kind, &message, &remedy, retry_after_ms)
+        }
+    }
+}
+
+fn refusal(kind: &str, message: &str, remedy: &str, retry_after_ms: u64) -> Response<Body> {
+    let mut body = ErrorBody::new(kind, message, remedy);
+    if retry_after_ms > 0 {
+        body.retry_after_ms = Some(retry_after_ms);
+    }
+    response::error(status_of(kind, retry_after_ms), &body)
+}
+
+fn status_of(kind: &str, retry_after_ms: u64) -> StatusCode {
+    match kind {
+        _ if retry_after_ms > 0 => StatusCode::SERVICE_UNAVAILABLE,
+        "unknown_job" | "unknown_replica" => StatusCode::NOT_FOUND,
+        "bad_specification" => StatusCode::BAD_REQUEST,
+        "log_unusable" => StatusCode::INTERNAL_SERVER_ERROR,
+        _ => StatusCode::CONFLICT,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/coordinator/supervisor.rs
@@ -0,0 +1,155 @@
+//! Decides which shards run on this node, and brings requests to them.
+
+use std::collections::HashMap;
+
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::{JobId, NodeId, PoolName, ShardId};
+use lichenpulley_protocol::internal::CoordinatorResponse;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::discovery::Discovery;
+use super::job_shard::JobShard;
+use super::shard::ShardCommand;
+use super::weights_shard::WeightsShard;
+use super::{COMMAND_BACKLOG, forward};
+use crate::context::Context;
+use crate::gateway::Dispatcher;
+
+/// A shard's task on this node.
+struct RunningShard {
+    commands: mpsc::Sender<ShardCommand>,
+    stop: CancellationToken,
+}
+
+impl Drop for RunningShard {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// Which state machine a shard runs.
+enum ShardKind {
+    Job(JobId),
+    Weights(PoolName),
+}
+
+impl ShardKind {
+    fn of(shard: &ShardId) -> Option<Self> {
+        let (kind, name) = shard.as_str().split_once('/')?;
+        match kind {
+            "job" => Some(Self::Job(JobId::new(name))),
+            "weights" => Some(Self::Weights(PoolName::new(name))),
+            _ => None,
+        }
+    }
+}
+
+/// Runs until the node has stopped.
+pub(super) async fn run(
+    context: Context,
+    dispatcher: Dispatcher,
+    mut commands: mpsc::Receiver<ShardCommand>,
+) {
+    let stopped = context.stopped.clone();
+    let mut ticks = tokio::time::interval(context.settings.coordinator.tick_interval);
+    let mut discovery = Discovery::start(context.clone());
+    let mut supervisor = Supervisor { context, dispatcher, shards: HashMap::new() };
+    loop {
+        tokio::select! {
+            () = stopped.cancelled() => return,
+            command = commands.recv() => match command {
+                Some(command) => supervisor.handle(command),
+                None => return,
+            },
+            shards = discovery.next() => supervisor.start_owned(shards),
+            _ = ticks.tick() => supervisor.stop_lost(),
+        }
+    }
+}
+
+struct Supervisor {
+    context: Context,
+    dispatcher: Dispatcher,
+    shards: HashMap<ShardId, RunningShard>,
+}
+
+impl Supervisor {
+    fn handle(&mut self, command: ShardCommand) {
+        let shard = command.request.shard();
+        if !self.is_owned(&shard) {
+            return command.answer(CoordinatorResponse::NotOwner(self.owner(&shard)));
+        }
+        self.ensure_running(&shard);
+        let Some(running) = self.shards.get(&shard) else {
+            return command.answer(CoordinatorResponse::NotOwner(None));
+        };
+        if let Err(error) = running.commands.try_send(command) {
+            // The task has ended or is overrun; the sender comes back.
+            error.into_inner().answer(CoordinatorResponse::NotOwner(None));
+        }
+    }
+
+    fn owner(&self, shard: &ShardId) -> Option<NodeId> {
+        forward::owner(&self.context, shard).map(|member| member.node)
+    }
+
+    /// A node that is leaving owns nothing.
+    fn is_owned(&self, shard: &ShardId) -> bool {
+        let is_leaving = self.context.draining.is_cancelled();
+        !is_leaving && self.owner(shard).as_ref() == Some(&self.context.node)
+    }
+
+    fn start_owned(&mut self, shards: Vec<ShardId>) {
+        for shard in shards {
+            if self.is_owned(&shard) {
+                self.ensure_running(&shard);
+            }
+        }
+    }
+
+    /// Stops shards that the cluster view gives to another node, and forgets those whose task has ended.
+    fn stop_lost(&mut self) {
+        let lost: Vec<ShardId> = self
+            .shards
+            .iter()
+            .filter(|(shard, running)| running.commands.is_closed() || !self.is_owned(shard))
+            .map(|(shard, _)| shard.clone())
+            .collect();
+        for shard in lost {
+            let was_running = self.shards.remove(&shard).is_some_and(|shard| !shard.commands.is_closed());
+            if was_running {
+                self.record(&shard, "released", "owner_changed");
+            }
+        }
+    }
+
+    fn ensure_running(&mut self, shard: &ShardId) {
+        if self.shards.get(shard).is_some_and(|running| !running.commands.is_closed()) {
+            return;
+        }
+        let Some(kind) = ShardKind::of(shard) else { return };
+        let (sender, commands) = mpsc::channel(COMMAND_BACKLOG);
+        let stop = CancellationToken::new();
+        let context = self.context.clone();
+        match kind {
+            ShardKind::Job(job) => {
+                let dispatcher = self.dispatcher.clone();
+                let (shard, stop) = (shard.clone(), stop.clone());
+                tokio::spawn(JobShard { context, dispatcher, shard, job, commands, stop }.run());
+            }
+            ShardKind::Weights(pool) => {
+                let (shard, stop) = (shard.clone(), stop.clone());
+                tokio::spawn(WeightsShard { context, shard, pool, commands, stop }.run());
+            }
+        }
+        self.record(shard, "taking_over", "owner_by_cluster_view");
+        self.shards.insert(shard.clone(), RunningShard { commands: sender, stop });
+    }
+
+    fn record(&self, shard: &ShardId, action: &str, reason: &str) {
+        let component =
+            if shard.as_str().starts_with("job/") { Component::Rollout } else { Component::Weights };
+        self.context.decisions.record(Decision::new(component, action, reason, shard));
+    }
+}
