--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -85,9 +85,7 @@
                 tokio::spawn(request.execute(service.clone().serve()));
             }
             Some(Err(error)) => {
-                let reason = transport::describe(&error);
-                log::warn!(target: "peers", "The connection of {peer} is closed: {reason}.");
-                service.parts.count_closed(&error);
+                log::warn!(target: "peers", "The connection of {peer} is closed: {}.", transport::describe(&error));
                 return;
             }
             None => return,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod addresses;
 pub mod arguments;
+pub mod client;
 pub mod commands;
 pub mod engine;
 pub mod error;
