Add the demonstration of three zones in one process

Cause: the README's first command has to show the main job at work, and fail where something is lost, doubled, too old or wrong. Ruled out: separate processes (a newcomer would have to build and clean up more; the end-to-end test covers them).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arguments;
 pub mod client;
 pub mod commands;
+pub mod demo;
 pub mod engine;
 pub mod error;
 pub mod http;
