--- /dev/null
+++ b/crates/core/src/configuration/dissemination/mod.rs
@@ -0,0 +1,97 @@
+//! Brings each revision of a document from the platform to every node.
+//!
+//! A few nodes read the platform: two in each region, chosen by rendezvous over the live members. A revision that
+//! one of them reads, or that a node has written itself, is first offered to a small quorum set and put in force
+//! once a majority of it holds it. From then on its number rides on the membership's heartbeats, and whoever is
+//! behind pulls the changes from a member that has them.
+//!
+//! A node that starts with nothing asks the quorum set before it puts anything in force, so that it does not fall
+//! back to a revision lower than the one it had before it was restarted, also while the platform is down.
+
+mod bootstrap;
+mod disseminator;
+mod placement;
+
+use std::time::Duration;
+
+use speedy::{Readable, Writable};
+
+use super::document::Update;
+use crate::identity::Revision;
+
+pub use disseminator::{Action, Confirmation, Disseminator};
+pub use placement::{Peer, Placement, region_of};
+
+/// How a document is spread.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Nodes in each region that read the platform.
+    pub readers_per_region: usize,
+    /// Members of the quorum set; a majority of them holds a revision before it is put in force.
+    pub quorum_size: usize,
+    /// A node begins to read the platform once it has been among the readers for so long, so that a view that is
+    /// still filling up makes no crowd of readers.
+    pub settle: Duration,
+    /// A message without an answer is sent again after this.
+    pub retry: Duration,
+    /// A member that holds an offered revision takes over gathering its majority after this, where the node that
+    /// offered it has not finished.
+    pub takeover: Duration,
+    /// Mechanisms switched off. Only for proofs that need them.
+    pub ablation: Ablation,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            readers_per_region: 2,
+            quorum_size: 5,
+            settle: Duration::from_secs(1),
+            retry: Duration::from_millis(300),
+            takeover: Duration::from_secs(2),
+            ablation: Ablation::default(),
+        }
+    }
+}
+
+/// Mechanisms that a proof switches off to show that it would find their absence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ablation {
+    /// Takes in whatever arrives, also a lower revision.
+    pub without_monotone_guard: bool,
+    /// Puts a revision in force as soon as it arrives, and starts without asking the quorum set.
+    pub without_quorum: bool,
+}
+
+/// What nodes say to each other about one document.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Message {
+    /// A starting node asks a member of the quorum set what it holds.
+    Query,
+    /// What the sender holds, in force or not yet.
+    Holds {
+        /// The highest revision; `None` where it holds nothing.
+        revision: Option<Revision>,
+        /// Whether the sender has a revision in force, so that its word counts for a starting node.
+        settled: bool,
+    },
+    /// The sender holds a revision that is not in force yet and asks the receiver to hold it too.
+    Offer {
+        /// The revision.
+        revision: Revision,
+    },
+    /// Asks for what follows a revision.
+    Pull {
+        /// The revision that the asker holds; `None` where it holds nothing or wants the whole document.
+        after: Option<Revision>,
+        /// Whether a revision that is not in force yet is wanted too.
+        offered: bool,
+    },
+    /// Answers a pull of an asker that is behind.
+    Update {
+        /// What brings it up to date.
+        update: Update,
+        /// Whether the revision is in force on the sender.
+        in_force: bool,
+    },
+}
--- /dev/null
+++ b/crates/core/src/configuration/dissemination/placement.rs
@@ -0,0 +1,79 @@
+//! Who reads the platform and who is in the quorum set, computed alike by all from the live members.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::identity::{NodeId, ZoneName};
+
+/// A live member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// The node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+/// The region of a zone: what stands before the first `/` of its name, as in `west/sando-hall`. Zones without a
+/// `/` share one region.
+pub fn region_of(zone: &ZoneName) -> &str {
+    zone.as_str().split_once('/').map_or("", |(region, _)| region)
+}
+
+/// The part that each member plays for one document, as this node's view of the members gives it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Highest rendezvous weight first (highest random weight hashing, Thaler and Ravishankar 1998).
+    ranked: Vec<Peer>,
+    quorum: usize,
+}
+
+impl Placement {
+    /// Ranks the live members for a document.
+    pub fn new(document: &str, members: &[Peer], quorum_size: usize) -> Self {
+        let mut ranked = members.to_vec();
+        ranked.sort_by_cached_key(|peer| {
+            let weight = xxh3_64(format!("{}\n{document}", peer.node).as_bytes());
+            Reverse((weight, peer.node.clone()))
+        });
+        let quorum = quorum_size.min(ranked.len());
+        Self { ranked, quorum }
+    }
+
+    /// Whether a node is among the readers of its region.
+    pub fn is_reader(&self, node: &NodeId, readers_per_region: usize) -> bool {
+        let Some(own) = self.ranked.iter().find(|peer| &peer.node == node) else { return false };
+        let region = region_of(&own.zone);
+        let in_region = self.ranked.iter().filter(|peer| region_of(&peer.zone) == region);
+        in_region.take(readers_per_region).any(|peer| &peer.node == node)
+    }
+
+    /// The quorum set.
+    pub fn quorum_set(&self) -> impl Iterator<Item = &NodeId> {
+        self.ranked.iter().take(self.quorum).map(|peer| &peer.node)
+    }
+
+    /// Whether a node is a live member.
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.ranked.iter().any(|peer| &peer.node == node)
+    }
+
+    /// Whether a node is in the quorum set.
+    pub fn in_quorum_set(&self, node: &NodeId) -> bool {
+        self.quorum_set().any(|member| member == node)
+    }
+
+    /// Members of the quorum set that must hold a revision before it is put in force.
+    pub fn write_quorum(&self) -> usize {
+        self.quorum / 2 + 1
+    }
+
+    /// Other members of the quorum set that a starting node must hear.
+    ///
+    /// Invariant: of the `n` members at least `w` held what was in force, the starting node perhaps among them. Of
+    /// the other `n - 1`, at least `w - 1` still do, so any `n - w + 1` of them include one.
+    pub fn read_quorum(&self) -> usize {
+        self.quorum + 1 - self.write_quorum().min(self.quorum)
+    }
+}
