Bring configuration and directory to each node and take changes

Cause: nothing filled the view of the configuration or of the replicas, and operators had no way to change a setting. Ruled out: every node reading the platform. Two in a region do, the others pull from peers once the heartbeats tell them a revision. Conclusion: GET and PUT of /v1/config, the effective value with its source, 409 with the current revision, 503 and in-doubt errors with a remedy. A node is not ready before it knows what is in force.

--- /dev/null
+++ b/crates/daemon/src/configuration/change.rs
@@ -0,0 +1,174 @@
+//! Settles an operator's change of the settings tree.
+
+use std::time::{Duration, Instant};
+
+use lichenpulley_core::configuration::register::{Change, ChangeRefused, OBJECT_KEY, Register};
+use lichenpulley_core::configuration::writer::{
+    Action, ChangeWriter, Config, Outcome, StoredRegister, WriteReply,
+};
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::Revision;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::configuration::DocumentName;
+
+use super::handle::Event;
+use super::platform::{ObjectClient, WriteError};
+use super::source::register_of;
+use crate::context::Context;
+
+/// How long an accepted change may take until a majority of the quorum set holds it.
+const SPREAD_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Why a change was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ChangeError {
+    /// It is wrong, or it lost a race. Nothing was written.
+    #[error(transparent)]
+    Refused(#[from] ChangeRefused),
+    /// Proved: nothing was written.
+    #[error(
+        "the object API gives no answer and nothing was written; what is in force stays, try again later"
+    )]
+    Unavailable,
+    /// The settings of this node name no object API.
+    #[error(
+        "this node knows no object API; set `platform.object_api` in its settings file, or ask another node"
+    )]
+    NoObjectApi,
+    /// Whether it was written is not known.
+    #[error(
+        "the object API did not tell whether change `{change_id}` took effect; repeat it with the same change id, \
+         which takes effect at most once"
+    )]
+    InDoubt {
+        /// The change's id.
+        change_id: String,
+    },
+    /// It is written, and too few nodes hold it yet.
+    #[error(
+        "change `{change_id}` is written as revision {revision}, but too few nodes have confirmed it; repeat it with \
+         the same change id to learn when it is in force"
+    )]
+    NotYetInForce {
+        /// The change's id.
+        change_id: String,
+        /// Its revision.
+        revision: Revision,
+    },
+}
+
+impl ChangeError {
+    /// A stable word for programs, the error's kind and the decision's reason.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Refused(ChangeRefused::Conflict { .. }) => "conflict",
+            Self::Refused(ChangeRefused::ChangeIdReused { .. }) => "change_id_reused",
+            Self::Refused(ChangeRefused::ChangeIdLength { .. } | ChangeRefused::Schema(_)) => "bad_setting",
+            Self::Unavailable => "platform_unavailable",
+            Self::NoObjectApi => "no_object_api",
+            Self::InDoubt { .. } => "in_doubt",
+            Self::NotYetInForce { .. } => "not_yet_in_force",
+        }
+    }
+}
+
+/// Writes a change and waits until it is in force on this node. The answer is the revision that the change made.
+///
+/// # Errors
+/// When the change is refused, can't be written, or is in doubt.
+pub async fn change(context: &Context, change: Change) -> Result<Revision, ChangeError> {
+    let subject = format!("{} {}", change.path, change.key);
+    let change_id = change.change_id.clone();
+    let result = settle(context, change).await;
+    let (action, reason) = match &result {
+        Ok(_) => ("change_accepted", "proved_by_reply"),
+        Err(error) => ("change_not_accepted", error.kind()),
+    };
+    let decision = Decision::new(Component::Configuration, action, reason, subject);
+    context.decisions.record(decision.with("change_id", change_id));
+    result
+}
+
+async fn settle(context: &Context, change: Change) -> Result<Revision, ChangeError> {
+    change.check()?;
+    let client = ObjectClient::from_settings(&context.settings).ok_or(ChangeError::NoObjectApi)?;
+    let change_id = change.change_id.clone();
+    match write(&client, change).await {
+        Outcome::Accepted { revision, register } => {
+            let event = Event::FromPlatform(register.document().clone());
+            context.documents.send(DocumentName::Configuration, event);
+            let in_force = context.documents.wait_for(DocumentName::Configuration, revision, SPREAD_PATIENCE);
+            if in_force.await {
+                Ok(revision)
+            } else {
+                Err(ChangeError::NotYetInForce { change_id, revision })
+            }
+        }
+        Outcome::Refused(refused) => Err(refused.into()),
+        Outcome::Unavailable => Err(ChangeError::Unavailable),
+        Outcome::InDoubt => Err(ChangeError::InDoubt { change_id }),
+    }
+}
+
+async fn write(client: &ObjectClient, change: Change) -> Outcome {
+    let started = Instant::now();
+    let now = || Timestamp::ORIGIN + started.elapsed();
+    let mut writer = ChangeWriter::new(change, Config::default(), now());
+    loop {
+        match writer.poll(now()) {
+            Some(Action::Read) => {
+                let stored = read_register(client).await;
+                writer.read_finished(stored, now());
+            }
+            Some(Action::Write { base_version, register }) => {
+                let reply = write_register(client, base_version, &register).await;
+                writer.write_finished(reply, now());
+            }
+            Some(Action::Wait(until)) => tokio::time::sleep(until.saturating_since(now())).await,
+            Some(Action::Finish(outcome)) => return outcome,
+            // Every call has been finished above, so there is always something to do.
+            None => return Outcome::InDoubt,
+        }
+    }
+}
+
+async fn read_register(client: &ObjectClient) -> Option<StoredRegister> {
+    let object = match client.read(OBJECT_KEY).await {
+        Ok(object) => object,
+        Err(error) => {
+            log::warn!(target: "configuration", "The settings tree can't be read: {error}.");
+            return None;
+        }
+    };
+    let Some(object) = object else {
+        return Some(StoredRegister { version: None, register: Register::default() });
+    };
+    let version = Some(object.version);
+    match register_of(object) {
+        Ok(register) => Some(StoredRegister { version, register }),
+        Err(error) => {
+            log::error!(target: "configuration", "{OBJECT_KEY} is not a settings tree: {error}.");
+            None
+        }
+    }
+}
+
+async fn write_register(
+    client: &ObjectClient,
+    base_version: Option<Revision>,
+    register: &Register,
+) -> WriteReply {
+    let Ok(value) = serde_json::to_value(register) else { return WriteReply::NotWritten };
+    match client.write(OBJECT_KEY, base_version, value).await {
+        Ok(_) => WriteReply::Written,
+        Err(WriteError::Conflict { .. }) => WriteReply::Conflict,
+        Err(WriteError::NotWritten(error)) => {
+            log::warn!(target: "configuration", "The settings tree was not written: {error}.");
+            WriteReply::NotWritten
+        }
+        Err(WriteError::InDoubt(error)) => {
+            log::warn!(target: "configuration", "The settings tree may have been written: {error}.");
+            WriteReply::NoReply
+        }
+    }
+}
--- a/crates/daemon/src/configuration/mod.rs
+++ b/crates/daemon/src/configuration/mod.rs
@@ -1,13 +1,32 @@
-//! Reads the platform where this node is one of its few readers, pulls from peers elsewhere, and publishes the
-//! configuration and the replica directory.
+//! Brings the settings tree and the directory of machines to this node, and takes operators' changes.
+//!
+//! [`spread`] drives the core's dissemination for each of the two documents, [`source`] reads the platform where
+//! this node is one of its few readers, and [`change`] settles an operator's change.
 
+pub mod change;
+mod handle;
 pub mod platform;
+mod source;
+mod spread;
+mod view;
 
-use lichenpulley_core::identity::Revision;
+use lichenpulley_protocol::internal::configuration::DocumentName;
+use lichenpulley_protocol::internal::{ConfigurationRequest, ConfigurationResponse};
 
-/// The settings tree in force on this node.
-#[derive(Clone, Debug, Default)]
-pub struct ConfigurationView {
-    /// Its revision; never goes back.
-    pub revision: Revision,
+pub use handle::ConfigurationHandle;
+pub use view::ConfigurationView;
+
+use crate::context::Context;
+
+/// Starts both documents on the current runtime, the one of the control thread.
+pub fn start(context: &Context) {
+    for document in DocumentName::ALL {
+        spread::start(context, document);
+    }
+}
+
+/// Answers a peer.
+pub async fn answer(context: &Context, request: ConfigurationRequest) -> ConfigurationResponse {
+    let replies = context.documents.receive(request.document, request.from, request.message).await;
+    ConfigurationResponse { replies }
 }
--- /dev/null
+++ b/crates/daemon/src/configuration/spread.rs
@@ -0,0 +1,247 @@
+//! The task that spreads one document: sockets, timers and the platform round the core's disseminator.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::configuration::dissemination::{
+    Action, Config, Confirmation, Disseminator, Message, Peer,
+};
+use lichenpulley_core::configuration::document::Document;
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::ConfigurationRequest;
+use lichenpulley_protocol::internal::configuration::DocumentName;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::handle::Event;
+use super::source::Source;
+use super::view::ConfigurationView;
+use crate::cluster::ClusterView;
+use crate::context::Context;
+use crate::directory::ReplicaDirectory;
+use crate::membership::{self, HeardRevisions};
+
+/// How often the live members are looked at.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
+/// A message to a peer is given up after this; the disseminator sends it again.
+const MESSAGE_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Starts the task of a document; a second start is ignored.
+pub(super) fn start(context: &Context, document: DocumentName) {
+    let Some(events) = context.documents.take_events(document) else {
+        log::error!(target: "configuration", "The task of {} was started twice; the second start is ignored.", document.as_str());
+        return;
+    };
+    let task = Spread::new(Arc::clone(context), document);
+    let stopped = context.stopped.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stopped.cancelled() => {}
+            () = task.run(events) => {}
+        }
+    });
+}
+
+struct Spread {
+    context: Context,
+    document: DocumentName,
+    disseminator: Disseminator,
+    started: Instant,
+    source: Source,
+    /// The highest document held, for the reader of the platform.
+    latest: watch::Sender<Option<Arc<Document>>>,
+    members: Arc<ClusterView>,
+    reader: Option<JoinHandle<()>>,
+    /// Whether a single read is under way.
+    reads_once: bool,
+}
+
+impl Drop for Spread {
+    fn drop(&mut self) {
+        self.stop_reading();
+    }
+}
+
+impl Spread {
+    fn new(context: Context, document: DocumentName) -> Self {
+        let mut config = Config::default();
+        if context.settings.peers.seeds.is_empty() {
+            // Nobody to wait for: the view is whole from the start.
+            config.settle = Duration::ZERO;
+        }
+        Self {
+            disseminator: Disseminator::new(context.node.clone(), document.as_str(), config),
+            source: Source::new(&context.settings, document),
+            context,
+            document,
+            started: Instant::now(),
+            latest: watch::Sender::new(None),
+            members: Arc::default(),
+            reader: None,
+            reads_once: false,
+        }
+    }
+
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        let mut heard = membership::watch_revisions(&self.context);
+        let mut members = tokio::time::interval(MEMBERS_INTERVAL);
+        loop {
+            let wake = self.next_wake();
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.take_event(event),
+                    None => return,
+                },
+                _ = members.tick() => self.look_at_members(),
+                Ok(()) = heard.changed() => {
+                    let revisions = heard.borrow_and_update().clone();
+                    self.take_heard(&revisions);
+                }
+                () = tokio::time::sleep_until(wake) => {
+                    let now = self.now();
+                    self.disseminator.wake(now);
+                }
+            }
+            self.act(None);
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.started.elapsed()
+    }
+
+    fn next_wake(&self) -> Instant {
+        let wake = self.disseminator.next_wake();
+        let wake = wake.map(|wake| self.started + wake.saturating_since(Timestamp::ORIGIN));
+        wake.unwrap_or_else(|| Instant::now() + MEMBERS_INTERVAL)
+    }
+
+    fn take_event(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Received { from, message, replies } => {
+                self.disseminator.receive(from.clone(), message, now);
+                let answer = self.act(Some(&from));
+                // An error only says that the peer has gone.
+                let _ = replies.send(answer);
+            }
+            Event::Answered { from, messages } => {
+                for message in messages {
+                    self.disseminator.receive(from.clone(), message, now);
+                }
+            }
+            Event::FromPlatform(document) => self.disseminator.read_from_platform(document, now),
+            Event::ReadEnded => self.reads_once = false,
+        }
+    }
+
+    fn take_heard(&mut self, revisions: &HeardRevisions) {
+        let Some(announced) = revisions.get(self.document.as_str()) else { return };
+        let now = self.now();
+        self.disseminator.heard(announced.revision, announced.holder.node.clone(), now);
+    }
+
+    fn look_at_members(&mut self) {
+        let members = self.context.cluster.load_full();
+        if Arc::ptr_eq(&members, &self.members) {
+            return;
+        }
+        let peers = members.members.iter();
+        let peers = peers.map(|member| Peer { node: member.node.clone(), zone: member.zone.clone() });
+        let peers: Vec<Peer> = peers.collect();
+        self.members = members;
+        let now = self.now();
+        self.disseminator.members_changed(&peers, now);
+    }
+
+    /// Does what the disseminator asks for; messages to `answered` are returned instead of being sent.
+    fn act(&mut self, answered: Option<&NodeId>) -> Vec<Message> {
+        let mut replies = Vec::new();
+        while let Some(action) = self.disseminator.poll_action() {
+            match action {
+                Action::Send { to, message } if Some(&to) == answered => replies.push(message),
+                Action::Send { to, message } => self.send(to, message),
+                Action::PutInForce { document, confirmation } => self.put_in_force(&document, confirmation),
+                Action::ReadOnce => self.read_once(),
+                Action::StartReading => self.start_reading(),
+                Action::StopReading => self.stop_reading(),
+            }
+        }
+        self.latest.send_replace(self.disseminator.latest().cloned());
+        replies
+    }
+
+    fn send(&self, to: NodeId, message: Message) {
+        let Some(address) = self.members.member(&to).map(|member| member.peer_address) else { return };
+        let context = Arc::clone(&self.context);
+        let document = self.document;
+        tokio::spawn(async move {
+            let request = ConfigurationRequest { document, from: context.node.clone(), message };
+            match context.peers.configuration(address, request, MESSAGE_DEADLINE).await {
+                Ok(response) if response.replies.is_empty() => {}
+                Ok(response) => {
+                    let answered = Event::Answered { from: to, messages: response.replies };
+                    context.documents.send(document, answered);
+                }
+                Err(error) => log::debug!(target: "configuration", "{to} gave no answer: {error}."),
+            }
+        });
+    }
+
+    fn put_in_force(&self, document: &Arc<Document>, confirmation: Confirmation) {
+        let revision = document.revision();
+        match self.document {
+            DocumentName::Configuration => {
+                self.context.configuration.store(Arc::new(ConfigurationView::new(document)));
+            }
+            DocumentName::Directory => {
+                self.context.directory.store(Arc::new(ReplicaDirectory::from_document(document)));
+            }
+        }
+        self.context.documents.publish(self.document, Arc::clone(document));
+        membership::announce_revision(&self.context, self.document.as_str(), revision);
+        self.record("put_in_force", confirmation.as_str(), &revision.to_string());
+        log::info!(target: "configuration", "Revision {revision} of {} is in force.", self.document.as_str());
+    }
+
+    fn read_once(&mut self) {
+        if std::mem::replace(&mut self.reads_once, true) {
+            return;
+        }
+        let (context, document, source) = (Arc::clone(&self.context), self.document, self.source.clone());
+        let latest = self.latest.borrow().clone();
+        tokio::spawn(async move {
+            match source.read(latest).await {
+                Ok(read) => context.documents.send(document, Event::FromPlatform(read)),
+                Err(error) => log::warn!(target: "configuration", "{error}."),
+            }
+            context.documents.send(document, Event::ReadEnded);
+        });
+    }
+
+    fn start_reading(&mut self) {
+        self.stop_reading();
+        self.record("reading_started", "chosen_reader", self.context.zone.as_str());
+        let (context, document, source) = (Arc::clone(&self.context), self.document, self.source.clone());
+        let latest = self.latest.subscribe();
+        self.reader = Some(tokio::spawn(async move {
+            let hand_over = |read| context.documents.send(document, Event::FromPlatform(read));
+            source.follow(|| latest.borrow().clone(), hand_over).await;
+        }));
+    }
+
+    fn stop_reading(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.abort();
+            self.record("reading_stopped", "another_reader_chosen", self.context.zone.as_str());
+        }
+    }
+
+    fn record(&self, action: &str, reason: &str, detail: &str) {
+        let decision = Decision::new(Component::Configuration, action, reason, self.document.as_str());
+        self.context.decisions.record(decision.with("detail", detail));
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cluster::ClusterView;
-use crate::configuration::ConfigurationView;
+use crate::configuration::{ConfigurationHandle, ConfigurationView};
 use crate::decisions::DecisionLog;
 use crate::directory::ReplicaDirectory;
 use crate::membership::MembershipHandle;
@@ -38,6 +38,8 @@
     pub directory: ArcSwap<ReplicaDirectory>,
     /// The settings tree in force. Written by `configuration` only.
     pub configuration: ArcSwap<ConfigurationView>,
+    /// The way to the tasks that spread the configuration and the directory.
+    pub documents: ConfigurationHandle,
     /// Connections to other nodes.
     pub peers: PeerClients,
     /// Cancelled when a planned stop begins: refuse new work, finish what runs.
@@ -62,6 +64,7 @@
             membership: MembershipHandle::new(),
             directory: ArcSwap::default(),
             configuration: ArcSwap::default(),
+            documents: ConfigurationHandle::new(),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -18,9 +18,8 @@
 use super::peer_service::{self, PeerService};
 use super::{NodeAddresses, StartError, Started, stop};
 use crate::cluster::Member;
+use crate::configuration;
 use crate::context::{Context, NodeContext};
-use crate::coordinator::{self, Coordinator};
-use crate::gateway::Dispatcher;
 use crate::http::server::{self, ServerStop};
 use crate::http::{Body, response};
 use crate::membership::{self, StartMembership};
@@ -30,9 +29,7 @@
 /// The parts that answer requests. Cheap to clone.
 #[derive(Clone)]
 pub(super) struct Parts {
-    #[expect(dead_code, reason = "the parts read it once they are wired")]
     context: Context,
-    coordinator: Coordinator,
 }
 
 impl Parts {
@@ -40,12 +37,12 @@
         StoreResponse::NotAStore
     }
 
-    pub(super) async fn answer_coordinator(&self, request: CoordinatorRequest) -> CoordinatorResponse {
-        self.coordinator.answer(request).await
+    pub(super) async fn answer_coordinator(&self, _request: CoordinatorRequest) -> CoordinatorResponse {
+        CoordinatorResponse::NotOwner(None)
     }
 
-    pub(super) fn answer_configuration(&self, _request: ConfigurationRequest) -> ConfigurationResponse {
-        ConfigurationResponse::Current
+    pub(super) async fn answer_configuration(&self, request: ConfigurationRequest) -> ConfigurationResponse {
+        configuration::answer(&self.context, request).await
     }
 }
 
@@ -118,16 +115,15 @@
     let Listeners { callers, operators, peers, membership, addresses } = listeners;
     let membership = UdpSocket::from_std(membership).map_err(StartError::Thread)?;
     start_membership(context, membership, addresses);
+    configuration::start(context);
 
-    let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
-    let coordinator = coordinator::start(Arc::clone(context), dispatcher);
-    let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone() };
+    let parts = Parts { context: Arc::clone(context) };
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
     let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
-    let answers = Operators::new(Arc::clone(context), coordinator.clone());
+    let answers = Operators::new(Arc::clone(context));
     let answer = move |request| {
         let answers = answers.clone();
         async move { answers.handle(request).await }
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -42,7 +42,7 @@
         _: tarpc::context::Context,
         request: ConfigurationRequest,
     ) -> ConfigurationResponse {
-        self.parts.answer_configuration(request)
+        self.parts.answer_configuration(request).await
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/operators/config.rs
@@ -0,0 +1,109 @@
+//! The settings tree: read it, explain a value, change a value.
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lichenpulley_core::configuration::path::LevelPath;
+use lichenpulley_core::configuration::register::{Change, ChangeRefused};
+use lichenpulley_core::configuration::schema::SchemaError;
+use lichenpulley_protocol::error::{ErrorBody, Execution};
+use lichenpulley_protocol::operator::{
+    ChangeConfiguration, ConfigurationChanged, ConfigurationDocument, EffectiveSetting, SettingValue,
+};
+
+use crate::configuration::change::{self, ChangeError};
+use crate::context::Context;
+use crate::http::request::{query_parameter, read_json};
+use crate::http::{Body, response};
+
+/// Longest body of a change, in bytes.
+const CHANGE_LIMIT_BYTES: usize = 64 * 1024;
+/// When an operator may try again after the object API gave no answer, in milliseconds.
+const RETRY_AFTER_MS: u64 = 5_000;
+
+/// Every value that is set.
+pub(super) fn whole(context: &Context) -> Response<Body> {
+    let view = context.configuration.load();
+    let settings = view.tree.values().map(|(path, key, value)| SettingValue {
+        path: path.to_string(),
+        key: key.to_owned(),
+        value: value.clone(),
+    });
+    let document = ConfigurationDocument { revision: view.revision, settings: settings.collect() };
+    response::json(StatusCode::OK, &document)
+}
+
+/// The value in force at a level, with the level that it comes from.
+pub(super) fn effective(context: &Context, request: &Request<Incoming>) -> Response<Body> {
+    let path = query_parameter(request, "path").unwrap_or_else(|| "/".to_owned());
+    let Some(key) = query_parameter(request, "key") else {
+        let body = ErrorBody::new("bad_request", "no `key` is given", "ask with ?path={path}&key={key}");
+        return response::error(StatusCode::BAD_REQUEST, &body);
+    };
+    match explain(context, &path, &key) {
+        Ok(effective) => response::json(StatusCode::OK, &effective),
+        Err(error) => response::error(StatusCode::BAD_REQUEST, &bad_setting(&error.to_string())),
+    }
+}
+
+/// Changes a value.
+pub(super) async fn change(context: &Context, request: Request<Incoming>) -> Response<Body> {
+    let asked = match read_json::<ChangeConfiguration>(request, CHANGE_LIMIT_BYTES).await {
+        Ok(asked) => asked,
+        Err(error) => return error.into(),
+    };
+    let ChangeConfiguration { base_revision, change_id, path, key, value } = asked;
+    match change::change(context, Change { change_id, base_revision, path, key, value }).await {
+        Ok(revision) => response::json(StatusCode::OK, &ConfigurationChanged { revision }),
+        Err(error) => response::error(status(&error), &body(&error)),
+    }
+}
+
+fn explain(context: &Context, path: &str, key: &str) -> Result<EffectiveSetting, SchemaError> {
+    let view = context.configuration.load();
+    let path = LevelPath::parse(path)?;
+    let explanation = view.tree.explain(&path, key)?;
+    Ok(EffectiveSetting {
+        path: path.to_string(),
+        key: key.to_owned(),
+        value: explanation.value,
+        source: explanation.source.map(|source| source.to_string()),
+        revision: view.revision,
+    })
+}
+
+fn status(error: &ChangeError) -> StatusCode {
+    match error {
+        ChangeError::Refused(ChangeRefused::Conflict { .. } | ChangeRefused::ChangeIdReused { .. }) => {
+            StatusCode::CONFLICT
+        }
+        ChangeError::Refused(_) => StatusCode::BAD_REQUEST,
+        ChangeError::Unavailable | ChangeError::NoObjectApi => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeError::InDoubt { .. } | ChangeError::NotYetInForce { .. } => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn body(error: &ChangeError) -> ErrorBody {
+    let mut body = split_remedy(error.kind(), &error.to_string());
+    body.current_revision = match error {
+        ChangeError::Refused(ChangeRefused::Conflict { current, .. }) => Some(*current),
+        _ => None,
+    };
+    body.execution = Some(match error {
+        ChangeError::InDoubt { .. } | ChangeError::NotYetInForce { .. } => Execution::Unknown,
+        ChangeError::Refused(_) | ChangeError::Unavailable | ChangeError::NoObjectApi => Execution::NotRun,
+    });
+    if matches!(error, ChangeError::Unavailable) {
+        body.retry_after_ms = Some(RETRY_AFTER_MS);
+    }
+    body
+}
+
+fn bad_setting(message: &str) -> ErrorBody {
+    split_remedy("bad_setting", message)
+}
+
+/// Our errors end with their remedy after the last semicolon.
+fn split_remedy(kind: &str, text: &str) -> ErrorBody {
+    let (message, remedy) = text.rsplit_once("; ").unwrap_or((text, "correct the request"));
+    ErrorBody::new(kind, message, remedy)
+}
--- a/crates/daemon/src/operators/health.rs
+++ b/crates/daemon/src/operators/health.rs
@@ -21,6 +21,14 @@
         );
         return response::error(StatusCode::SERVICE_UNAVAILABLE, &body);
     }
+    if !context.configuration.load().known {
+        let body = ErrorBody::new(
+            "configuration_unknown",
+            format!("{} has not learnt yet which configuration is in force", context.node),
+            "wait; if it lasts, bring up the object API or a node that has been running",
+        );
+        return response::error(StatusCode::SERVICE_UNAVAILABLE, &body);
+    }
     response::text(StatusCode::OK, "ready\n")
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod arguments;
 pub mod client;
 pub mod commands;
-pub mod demo;
 pub mod engine;
 pub mod error;
 pub mod http;
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -1,5 +1,6 @@
 //! The error body that every HTTP interface of ours answers with.
 
+use lichenpulley_core::identity::Revision;
 use serde::{Deserialize, Serialize};
 
 /// A typed error as JSON: what kind, what happened, and what to do about it.
@@ -18,6 +19,9 @@
     /// When to come back, in milliseconds; also sent as `Retry-After` in whole seconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// The current revision of the configuration, where a change lost a race.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current_revision: Option<Revision>,
 }
 
 /// What is known about whether a failed request ran (brief point 5).
@@ -39,6 +43,7 @@
             remedy: remedy.into(),
             execution: None,
             retry_after_ms: None,
+            current_revision: None,
         }
     }
 }
--- a/crates/protocol/src/internal/configuration.rs
+++ b/crates/protocol/src/internal/configuration.rs
@@ -1,30 +1,45 @@
-//! Requests for revisions of the documents that every node holds.
+//! What nodes say to each other about the documents that every node holds.
 
-use lichenpulley_core::identity::Revision;
+use lichenpulley_core::configuration::dissemination::Message;
+use lichenpulley_core::identity::NodeId;
 use speedy::{Readable, Writable};
 
-/// A request about the configuration or the replica directory.
-#[derive(Clone, Debug, Readable, Writable)]
-pub enum ConfigurationRequest {
-    /// Asks for what follows a revision of a document.
-    Pull {
-        /// Which document, such as `configuration` or `directory`.
-        document: String,
-        /// The revision that the asker holds; 0 where it holds none.
-        after: Revision,
-    },
+/// A document that every node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub enum DocumentName {
+    /// The settings tree.
+    Configuration,
+    /// The machines, as the platform's list gives them.
+    Directory,
+}
+
+impl DocumentName {
+    /// Every document.
+    pub const ALL: [Self; 2] = [Self::Configuration, Self::Directory];
+
+    /// The name under which its revision rides on the heartbeats.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Directory => "directory",
+        }
+    }
 }
 
-/// Its answer.
+/// A message about a document.
 #[derive(Clone, Debug, Readable, Writable)]
-pub enum ConfigurationResponse {
-    /// The asker is not behind.
-    Current,
-    /// A whole document as JSON, for an asker too far behind.
-    Snapshot {
-        /// Its revision.
-        revision: Revision,
-        /// Its JSON body.
-        body: Vec<u8>,
-    },
+pub struct ConfigurationRequest {
+    /// Which document.
+    pub document: DocumentName,
+    /// The sender.
+    pub from: NodeId,
+    /// What it says.
+    pub message: Message,
+}
+
+/// What the receiver has to say to the sender at once.
+#[derive(Clone, Debug, Default, Readable, Writable)]
+pub struct ConfigurationResponse {
+    /// Its messages, in order.
+    pub replies: Vec<Message>,
 }
