--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,6 +8,7 @@
 pub struct Metrics {
     registry: Registry,
     decisions: IntCounterVec,
+    closed_connections: IntCounterVec,
 }
 
 impl Metrics {
@@ -17,11 +18,19 @@
     /// Never: the names are constants that Prometheus accepts, each registered once.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let options = Opts::new("lichenpulley_decisions_total", "Decisions by component, action and reason");
-        let decisions =
-            IntCounterVec::new(options, &["component", "action", "reason"]).expect("a valid name");
-        registry.register(Box::new(decisions.clone())).expect("registered once");
-        Self { registry, decisions }
+        let decisions = counters(
+            &registry,
+            "lichenpulley_decisions_total",
+            "Decisions by component, action and reason",
+            &["component", "action", "reason"],
+        );
+        let closed_connections = counters(
+            &registry,
+            "lichenpulley_peer_connections_closed_total",
+            "Peers' connections closed for what arrived on them, by reason",
+            &["reason"],
+        );
+        Self { registry, decisions, closed_connections }
     }
 
     /// The registry, for parts that add their own metrics.
@@ -35,6 +44,11 @@
         self.decisions.with_label_values(&labels).inc();
     }
 
+    /// Counts a peer's connection that was closed for what arrived on it.
+    pub fn count_closed_connection(&self, reason: &str) {
+        self.closed_connections.with_label_values(&[reason]).inc();
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
@@ -49,3 +63,9 @@
         Self::new()
     }
 }
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
+    registry.register(Box::new(counters.clone())).expect("registered once");
+    counters
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -9,6 +9,8 @@
     ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
     StoreResponse,
 };
+use lichenpulley_protocol::transport::TransportError;
+use tarpc::ChannelError;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::oneshot;
@@ -33,6 +35,16 @@
 }
 
 impl Parts {
+    /// Counts a peer's connection that is closed for what arrived on it.
+    pub(super) fn count_closed(&self, error: &ChannelError<TransportError>) {
+        let (ChannelError::Read(cause)
+        | ChannelError::Ready(cause)
+        | ChannelError::Write(cause)
+        | ChannelError::Flush(cause)
+        | ChannelError::Close(cause)) = error;
+        self.context.metrics.count_closed_connection(cause.label());
+    }
+
     pub(super) async fn answer_store(&self, _request: StoreRequest) -> StoreResponse {
         StoreResponse::NotAStore
     }
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -85,7 +85,9 @@
                 tokio::spawn(request.execute(service.clone().serve()));
             }
             Some(Err(error)) => {
-                log::warn!(target: "peers", "The connection of {peer} is closed: {}.", transport::describe(&error));
+                let reason = transport::describe(&error);
+                log::warn!(target: "peers", "The connection of {peer} is closed: {reason}.");
+                service.parts.count_closed(&error);
                 return;
             }
             None => return,
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,122 @@
+//! Settings files and command lines: what is taken, what is refused, and with which words.
+
+use std::time::Duration;
+
+use lichenpulley_daemon::arguments::{self, Invocation};
+use lichenpulley_daemon::settings::{Settings, SettingsError};
+
+const GOOD: &str = r#"
+node = "sando-1"
+zone = "sando-hall"
+roles = ["gateway", "store"]
+data_folder = "/var/lib/lichenpulley"
+
+[addresses]
+callers = "127.0.0.1:7000"
+operators = "127.0.0.1:7001"
+peers = "127.0.0.1:7002"
+
+[peers]
+seeds = ["127.0.0.1:8002"]
+
+[platform]
+object_api = "http://127.0.0.1:9000/"
+
+[membership]
+probe_interval_ms = 500
+"#;
+
+/// The keys of the problems of a text, in the order of reporting.
+fn refused_keys(text: &str) -> Vec<String> {
+    match Settings::parse(text) {
+        Err(SettingsError::Values(problems)) => problems.into_iter().map(|problem| problem.key).collect(),
+        other => panic!("expected refused values, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_good_file_is_taken_with_defaults_for_the_rest() {
+    let settings = Settings::parse(GOOD).expect("a good file");
+    assert_eq!(settings.node.as_str(), "sando-1");
+    assert!(settings.roles.gateway && settings.roles.store && !settings.roles.coordinator);
+    assert_eq!(settings.platform.object_api, Some("127.0.0.1:9000".parse().expect("an address")));
+    assert_eq!(settings.membership.probe_interval, Duration::from_millis(500));
+    assert_eq!(settings.gateway.eligibility, Duration::from_secs(3));
+}
+
+#[test]
+fn every_problem_is_reported_at_once() {
+    let text = r#"
+        zone = 7
+        roles = ["gateway", "stoer", "store"]
+        nodes = "a"
+        [addresses]
+        callers = "example.org:80"
+        operators = "127.0.0.1:7001"
+        peers = "127.0.0.1:7001"
+        [membership]
+        probe_interval = 5
+        suspicion_ms = 1
+    "#;
+    let keys = refused_keys(text);
+    for key in [
+        "node",
+        "zone",
+        "roles",
+        "addresses.callers",
+        "addresses.peers",
+        "data_folder",
+        "nodes",
+        "membership.probe_interval",
+        "membership.suspicion_ms",
+    ] {
+        assert!(keys.iter().any(|found| found == key), "{key} is not among {keys:?}");
+    }
+}
+
+#[test]
+fn an_unknown_key_names_the_one_that_was_meant() {
+    let text = GOOD.replace("probe_interval_ms", "probe_intervall_ms");
+    let error = Settings::parse(&text).expect_err("an unknown key").to_string();
+    assert!(error.contains("did you mean `membership.probe_interval_ms`?"), "{error}");
+}
+
+#[test]
+fn a_store_without_a_folder_is_refused_and_so_is_a_folder_without_a_store() {
+    let without_folder = GOOD.replace("data_folder = \"/var/lib/lichenpulley\"", "");
+    assert_eq!(refused_keys(&without_folder), ["data_folder"]);
+    let without_store = GOOD.replace("[\"gateway\", \"store\"]", "[\"gateway\"]");
+    assert_eq!(refused_keys(&without_store), ["data_folder"]);
+}
+
+#[test]
+fn every_problem_has_a_remedy() {
+    let Err(SettingsError::Values(problems)) = Settings::parse("roles = 3\n[peers]\nseeds = [\"x\", 3]")
+    else {
+        panic!("expected refused values");
+    };
+    assert!(problems.iter().all(|problem| !problem.remedy.is_empty()));
+    assert_eq!(problems.iter().filter(|problem| problem.key == "peers.seeds").count(), 2);
+}
+
+#[test]
+fn flags_go_over_the_file() {
+    let line =
+        ["--node", "other", "--seed", "127.0.0.1:1", "--seed", "127.0.0.1:2", "--set", "stop.notice_ms=7"];
+    let line: Vec<String> = line.iter().map(|&word| word.to_owned()).collect();
+    let Ok(Invocation::Run(arguments)) = arguments::parse(&line) else { panic!("a good line") };
+    let file = GOOD.parse::<toml::Table>().expect("TOML");
+    let settings = Settings::from_table(arguments.lay_over(file)).expect("good settings");
+    assert_eq!(settings.node.as_str(), "other");
+    assert_eq!(settings.peers.seeds.len(), 2);
+    assert_eq!(settings.stop.notice, Duration::from_millis(7));
+    assert_eq!(settings.membership.probe_interval, Duration::from_millis(500));
+}
+
+#[test]
+fn unknown_flags_and_loose_words_are_refused() {
+    for line in [vec!["--nope"], vec!["loose"], vec!["--set", "no-assignment"], vec!["--node"]] {
+        let line: Vec<String> = line.into_iter().map(str::to_owned).collect();
+        assert!(arguments::parse(&line).is_err(), "{line:?} was taken");
+    }
+}
--- a/crates/lab/src/engine/api.rs
+++ b/crates/lab/src/engine/api.rs
@@ -41,8 +41,8 @@
     match (request.method(), request.uri().path()) {
         (&Method::PUT, "/faults") => match read_json::<EngineFault>(request).await {
             Ok(fault) => {
-                shared.inject(fault).await;
-                empty(StatusCode::NO_CONTENT).into()
+                shared.inject(fault.clone()).await;
+                json(StatusCode::OK, &fault).into()
             }
             Err(response) => response.into(),
         },
--- a/crates/lab/src/engine/registration.rs
+++ b/crates/lab/src/engine/registration.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lichenpulley_daemon::http::client::HttpClient;
 use lichenpulley_protocol::platform::{Machine, MachineKind, MachineState};
 
 use super::EngineOptions;
-use crate::client::Client;
 
+/// How long the machine list has to answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the engine waits before it tries again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Registers the engine at the machine list, and tries until that has worked.
@@ -22,8 +25,11 @@
         state: MachineState::Live,
     };
     let path = format!("/machines/{}", machine.id);
-    let client = Client::new();
-    while let Err(error) = client.put_json(machine_list, &path, &machine).await {
+    let client = HttpClient::new(CALL_TIMEOUT);
+    loop {
+        let registered = client.put_json(machine_list, &path, &machine, CALL_TIMEOUT).await;
+        let registered: Result<Machine, _> = registered;
+        let Err(error) = registered else { return };
         log::warn!(target: "engine", "{}: not registered yet: {error}.", machine.id);
         tokio::time::sleep(RETRY_DELAY).await;
     }
--- a/crates/lab/src/engine/service.rs
+++ b/crates/lab/src/engine/service.rs
@@ -5,6 +5,7 @@
 
 use lichenpulley_core::identity::{AttemptId, ReplicaId, WeightVersion};
 use lichenpulley_core::time::Timestamp;
+use lichenpulley_daemon::http::client::HttpClient;
 use lichenpulley_protocol::engine::{
     CacheEvents, LoadReport, Order, OrderAccepted, OrderRefused, StreamRequest,
 };
@@ -15,11 +16,13 @@
 use super::faults::{EngineCounters, EngineFault, WireFaults};
 use super::model::{EngineModel, Submission, SubmitError};
 use super::stream::Slice;
-use crate::client::Client;
 
 /// How long the engine waits before it asks the weight store again.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The longest that one fetch may take; the store's rate is shared by every engine.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// What the handlers, the connections and the timers of one engine share.
 pub struct Shared {
     options: EngineOptions,
@@ -28,7 +31,7 @@
     steps: watch::Sender<u64>,
     thaw_at: watch::Sender<Option<tokio::time::Instant>>,
     wake: Notify,
-    client: Client,
+    client: HttpClient,
 }
 
 struct State {
@@ -59,7 +62,7 @@
             steps: watch::Sender::new(0),
             thaw_at: watch::Sender::new(None),
             wake: Notify::new(),
-            client: Client::new(),
+            client: HttpClient::new(FETCH_TIMEOUT),
         }
     }
 
@@ -241,7 +244,7 @@
             return true;
         };
         let path = format!("/weights/{}/{version}", self.options.pool);
-        match self.client.get_bytes(store, &path).await {
+        match self.client.get_bytes(store, &path, FETCH_TIMEOUT).await {
             Ok(_) => true,
             Err(error) => {
                 log::warn!(target: "engine", "{}: weights {version} not fetched: {error}.", self.replica());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod addresses;
 pub mod arguments;
-pub mod client;
 pub mod commands;
 pub mod engine;
 pub mod error;
--- a/crates/lab/src/scorer.rs
+++ b/crates/lab/src/scorer.rs
@@ -12,7 +12,7 @@
 
 use crate::arguments::{self, StandInArguments};
 use crate::error::LabError;
-use crate::http::{self, Reply, Server, empty, json, not_found, read_json};
+use crate::http::{self, Reply, Server, json, not_found, read_json};
 
 /// Faults of the scorer, as `PUT /faults` takes them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,7 +95,7 @@
         (&Method::PUT, "/faults") => match read_json(request).await {
             Ok(ordered) => {
                 *lock(&faults) = ordered;
-                empty(StatusCode::NO_CONTENT).into()
+                json(StatusCode::OK, &*lock(&faults)).into()
             }
             Err(response) => response.into(),
         },
--- a/crates/lab/src/trainer/mod.rs
+++ b/crates/lab/src/trainer/mod.rs
@@ -20,7 +20,7 @@
 use self::training::Training;
 use crate::arguments::{self, StandInArguments};
 use crate::error::LabError;
-use crate::http::{self, Reply, Server, empty, json, not_found, read_json};
+use crate::http::{self, Reply, Server, json, not_found, read_json};
 
 pub use self::faults::{CrashPoint, TrainerFault};
 pub use self::report::TrainerReport;
@@ -133,7 +133,7 @@
         (&Method::PUT, "/faults") => match read_json(request).await {
             Ok(fault) => {
                 training.inject(fault);
-                empty(StatusCode::NO_CONTENT).into()
+                json(StatusCode::OK, &fault).into()
             }
             Err(response) => response.into(),
         },
--- a/crates/lab/src/trainer/training.rs
+++ b/crates/lab/src/trainer/training.rs
@@ -5,6 +5,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use lichenpulley_core::identity::WeightVersion;
+use lichenpulley_daemon::http::client::HttpClient;
 use lichenpulley_protocol::caller::{PublishWeights, PullRequest, PullResponse};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -13,7 +15,6 @@
 use super::faults::{CrashPoint, TrainerFault};
 use super::report::{Clock, TrainerReport, report};
 use super::state::{TakenSample, TrainedStep, TrainerState};
-use crate::client::Client;
 use crate::error::LabError;
 
 /// The longest that one call may take.
@@ -24,7 +25,7 @@
 /// A trainer's work.
 pub(super) struct Training {
     options: TrainerOptions,
-    client: Client,
+    client: HttpClient,
     gateway: AtomicUsize,
     saved: Mutex<TrainerState>,
     clock: Mutex<Clock>,
@@ -55,7 +56,7 @@
         let saved = options.state.load()?.unwrap_or(TrainerState::new(options.weight_version));
         Ok(Self {
             options,
-            client: Client::new(),
+            client: HttpClient::new(CALL_TIMEOUT),
             gateway: AtomicUsize::new(0),
             saved: Mutex::new(saved),
             clock: Mutex::default(),
@@ -190,16 +191,23 @@
         let version = state.version;
         if let Some(store) = self.options.weight_store {
             let path = format!("/weights/{pool}/{version}");
-            while let Err(error) = self.client.put_json(store, &path, &version).await {
-                log::warn!(target: "trainer", "Weights {version} not stored yet: {error}.");
-                tokio::time::sleep(PULL_DELAY).await;
-            }
+            self.put_until_stored(store, &path, version).await;
         }
         let request = PublishWeights { weight_version: version };
         let path = format!("/v1/pools/{pool}/weights");
         let _: PublishWeights = self.post_until_answered(&path, &request).await;
     }
 
+    async fn put_until_stored(&self, store: SocketAddr, path: &str, version: WeightVersion) {
+        loop {
+            let stored = self.client.put_json(store, path, &version, CALL_TIMEOUT).await;
+            let stored: Result<WeightVersion, _> = stored;
+            let Err(error) = stored else { return };
+            log::warn!(target: "trainer", "Weights {version} not stored yet: {error}.");
+            tokio::time::sleep(PULL_DELAY).await;
+        }
+    }
+
     async fn post_until_answered<Request, Answer>(&self, path: &str, request: &Request) -> Answer
     where
         Request: Serialize + Sync,
@@ -207,11 +215,9 @@
     {
         loop {
             let gateway = self.present_gateway();
-            let call = self.client.post_json(gateway, path, request);
-            match tokio::time::timeout(CALL_TIMEOUT, call).await {
-                Ok(Ok(answer)) => return answer,
-                Ok(Err(error)) => log::warn!(target: "trainer", "{path}: {error}."),
-                Err(_) => log::warn!(target: "trainer", "{path}: {gateway} did not answer in time."),
+            match self.client.post_json(gateway, path, request, CALL_TIMEOUT).await {
+                Ok(answer) => return answer,
+                Err(error) => log::warn!(target: "trainer", "{path}: {error}."),
             }
             self.gateway.fetch_add(1, Ordering::Relaxed);
             tokio::time::sleep(PULL_DELAY).await;
--- a/crates/lab/src/weight_store.rs
+++ b/crates/lab/src/weight_store.rs
@@ -19,7 +19,7 @@
 
 use crate::arguments::{self, StandInArguments};
 use crate::error::LabError;
-use crate::http::{self, Reply, Server, empty, json, not_found, read_json};
+use crate::http::{self, Reply, Server, bad_request, json, not_found, read_json};
 
 /// Bytes that are sent at once, and the unit in which the rate is kept.
 const CHUNK_BYTES: u32 = 64 * 1024;
@@ -157,15 +157,21 @@
         return not_found(&path).into();
     };
     match *request.method() {
-        Method::PUT => {
-            store.lock().versions.insert(version.to_owned());
-            empty(StatusCode::NO_CONTENT).into()
-        }
+        Method::PUT => store_version(&store, version).into(),
         Method::GET if store.lock().versions.contains(version) => send_weights(store).into(),
         _ => not_found(&path).into(),
     }
 }
 
+fn store_version(store: &Store, path: &str) -> Response<http::Body> {
+    let version = path.rsplit('/').next().and_then(|version| version.parse::<u64>().ok());
+    let Some(version) = version else {
+        return bad_request("the path is not /weights/{pool}/{version} with a number for the version");
+    };
+    store.lock().versions.insert(path.to_owned());
+    json(StatusCode::OK, &version)
+}
+
 fn send_weights(store: Arc<Store>) -> Response<http::Body> {
     store.lock().counters.reads += 1;
     let left = store.weight_bytes;
@@ -185,7 +191,7 @@
         (&Method::PUT, "/faults") => match read_json(request).await {
             Ok(faults) => {
                 store.lock().faults = faults;
-                empty(StatusCode::NO_CONTENT).into()
+                json(StatusCode::OK, &store.lock().faults).into()
             }
             Err(response) => response.into(),
         },
--- a/crates/lab/tests/engine_http.rs
+++ b/crates/lab/tests/engine_http.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use lichenpulley_core::identity::{AttemptId, PoolName, WeightVersion, ZoneName};
-use lichenpulley_lab::client::Client;
+use lichenpulley_daemon::http::client::{ClientError, HttpClient};
+use lichenpulley_daemon::http::events::EventReader;
 use lichenpulley_lab::engine::answer::is_whole_answer;
 use lichenpulley_lab::engine::faults::{EngineCounters, EngineFault, WireFaults};
 use lichenpulley_lab::engine::{Engine, EngineOptions, start};
 use lichenpulley_protocol::caller::Priority;
-use lichenpulley_protocol::engine::{LoadReport, StreamEvent, StreamRequest};
+use lichenpulley_protocol::engine::{LoadReport, Refusal, RefusalReason, StreamEvent, StreamRequest};
 
+const DEADLINE: Duration = Duration::from_secs(30);
 const MAX_TOKENS: u32 = 48;
 const SEED: u64 = 3;
 
@@ -61,40 +61,36 @@
     }
 }
 
-async fn read_events(response: hyper::Response<hyper::body::Incoming>) -> Events {
-    let mut body = response.into_body();
-    let mut text = Vec::new();
-    let mut whole = true;
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Err(_) => whole = false,
+async fn read_events(opened: Result<EventReader, ClientError>) -> Events {
+    let mut reader = opened.expect("a stream");
+    let mut events = Vec::new();
+    loop {
+        match reader.next().await {
+            Ok(Some(event)) => events.push(event.json().expect("an event of the engine")),
+            Ok(None) => return Events { events, whole: true },
+            Err(_) => return Events { events, whole: false },
         }
     }
-    let text = String::from_utf8(text).expect("JSON is UTF-8");
-    let events = text.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
-    let events = events.map(|event| serde_json::from_str(event).expect("a whole event")).collect();
-    Events { events, whole }
 }
 
-async fn open(client: &Client, engine: &Engine, request: &StreamRequest) -> Events {
-    let body = Bytes::from(serde_json::to_vec(request).expect("encodes"));
-    let response = client.send(Method::POST, engine.address(), "/v1/streams", body).await;
-    let response = response.expect("an answer");
-    assert_eq!(response.status(), StatusCode::OK);
-    read_events(response).await
+fn client() -> HttpClient {
+    HttpClient::new(DEADLINE)
 }
 
-async fn resume(client: &Client, engine: &Engine, attempt: &str, from: u32) -> Events {
+async fn open(engine: &Engine, request: &StreamRequest) -> Events {
+    let opened = client().post_events(engine.address(), "/v1/streams", request, DEADLINE).await;
+    read_events(opened).await
+}
+
+async fn resume(engine: &Engine, attempt: &str, from: u32) -> Events {
     let path = format!("/v1/streams/{attempt}?from={from}");
-    let response = client.send(Method::GET, engine.address(), &path, Bytes::new()).await;
-    read_events(response.expect("an answer")).await
+    read_events(client().get_events(engine.address(), &path, DEADLINE).await).await
 }
 
 #[tokio::test]
 async fn a_stream_is_admitted_first_and_comes_whole() {
     let engine = engine().await;
-    let events = open(&Client::new(), &engine, &request("a")).await;
+    let events = open(&engine, &request("a")).await;
     assert!(matches!(events.events.first(), Some(StreamEvent::Admitted { .. })));
     assert!(matches!(events.events.last(), Some(StreamEvent::Finished { .. })));
     assert!(is_whole_answer("a", SEED, MAX_TOKENS, &events.tokens()));
@@ -105,12 +101,11 @@
     let engine = engine().await;
     let faults = WireFaults { drop_after_tokens: Some(5), ..WireFaults::default() };
     engine.inject(EngineFault::Wire(faults)).await;
-    let client = Client::new();
-    let mut part = open(&client, &engine, &request("a")).await;
+    let mut part = open(&engine, &request("a")).await;
     let mut tokens = part.tokens();
     assert!(!part.whole);
     while !part.whole {
-        part = resume(&client, &engine, "a", tokens.len() as u32).await;
+        part = resume(&engine, "a", tokens.len() as u32).await;
         tokens.extend(part.tokens());
     }
     assert!(is_whole_answer("a", SEED, MAX_TOKENS, &tokens));
@@ -122,7 +117,7 @@
     let engine = engine().await;
     let faults = WireFaults { duplicate_every: 3, reorder_every: 4, ..WireFaults::default() };
     engine.inject(EngineFault::Wire(faults)).await;
-    let events = open(&Client::new(), &engine, &request("a")).await;
+    let events = open(&engine, &request("a")).await;
     let numbers = events.first_tokens();
     assert!(numbers.windows(2).any(|pair| pair[0] == pair[1]), "none doubled: {numbers:?}");
     assert!(numbers.windows(2).any(|pair| pair[0] > pair[1]), "none out of order: {numbers:?}");
@@ -133,25 +128,22 @@
 async fn a_lost_admission_ran_all_the_same() {
     let engine = engine().await;
     engine.inject(EngineFault::Wire(WireFaults { drop_admissions: 1, ..WireFaults::default() })).await;
-    let client = Client::new();
-    let body = Bytes::from(serde_json::to_vec(&request("a")).expect("encodes"));
-    let lost = client.send(Method::POST, engine.address(), "/v1/streams", body).await;
-    assert!(lost.is_err());
-    let counters: EngineCounters =
-        client.get_json(engine.faults_address(), "/faults/counters").await.expect("counters");
+    let lost = client().post_events(engine.address(), "/v1/streams", &request("a"), DEADLINE).await;
+    assert!(matches!(lost, Err(ClientError::NoAnswer { .. })));
+    let counters = client().get_json(engine.faults_address(), "/faults/counters", DEADLINE).await;
+    let counters: EngineCounters = counters.expect("counters");
     assert_eq!(counters.by_attempt[&AttemptId::new("a")], 1);
-    let events = resume(&client, &engine, "a", 0).await;
+    let events = resume(&engine, "a", 0).await;
     assert!(is_whole_answer("a", SEED, MAX_TOKENS, &events.tokens()));
 }
 
 #[tokio::test]
 async fn a_crash_breaks_streams_and_starts_the_next_incarnation() {
     let engine = engine().await;
-    let client = Client::new();
     let slow = EngineFault::SlowSteps { percent: 100_000 };
     engine.inject(slow).await;
     let running = request("a");
-    let stream = open(&client, &engine, &running);
+    let stream = open(&engine, &running);
     let crash = async {
         while engine.counters().streams_admitted == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
@@ -160,21 +152,23 @@
     };
     let (events, ()) = tokio::join!(stream, crash);
     assert!(!events.whole);
-    let load: LoadReport = client.get_json(engine.address(), "/v1/load").await.expect("it is back");
+    let load = client().get_json(engine.address(), "/v1/load", DEADLINE).await;
+    let load: LoadReport = load.expect("it is back");
     assert_eq!((load.incarnation, load.weight_version), (2, Some(WeightVersion(9))));
-    let gone = client.send(Method::GET, engine.address(), "/v1/streams/a", Bytes::new()).await;
-    assert_eq!(gone.expect("an answer").status(), StatusCode::NOT_FOUND);
+    let gone = client().get_events(engine.address(), "/v1/streams/a", DEADLINE).await;
+    assert_eq!(gone.expect_err("forgotten").status(), Some(StatusCode::NOT_FOUND));
 }
 
 #[tokio::test]
 async fn a_refusal_is_said_before_admission_and_counted() {
     let engine = engine().await;
-    let client = Client::new();
     let refuse = EngineFault::RefuseAll { refuse: true };
-    client.put_json(engine.faults_address(), "/faults", &refuse).await.expect("taken");
-    let body = Bytes::from(serde_json::to_vec(&request("a")).expect("encodes"));
-    let response = client.send(Method::POST, engine.address(), "/v1/streams", body).await.expect("an answer");
-    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let taken = client().put_json(engine.faults_address(), "/faults", &refuse, DEADLINE).await;
+    assert_eq!(taken.ok(), Some(refuse));
+    let refused = client().post_events(engine.address(), "/v1/streams", &request("a"), DEADLINE).await;
+    let refused = refused.expect_err("refused");
+    assert_eq!(refused.status(), Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(refused.body::<Refusal>().map(|refusal| refusal.reason), Some(RefusalReason::Overloaded));
     let counters = engine.counters();
     assert_eq!((counters.refused, counters.streams_admitted), (1, 0));
 }
--- a/crates/lab/tests/trainer.rs
+++ b/crates/lab/tests/trainer.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use lichenpulley_core::identity::{JobId, PoolName, WeightVersion};
-use lichenpulley_lab::client::Client;
+use lichenpulley_daemon::http::client::HttpClient;
 use lichenpulley_lab::http::{self, Reply, Server, json, not_found, read_json};
 use lichenpulley_lab::trainer::{
     CrashPoint, StateFile, Trainer, TrainerFault, TrainerOptions, TrainerReport, start,
@@ -14,6 +14,7 @@
 use lichenpulley_lab::weight_store::{self, WeightStoreOptions};
 use lichenpulley_protocol::caller::{PublishWeights, PullRequest, PullResponse, Sample, Slot, VersionSpan};
 
+const DEADLINE: Duration = Duration::from_secs(30);
 const SAMPLES: u64 = 24;
 const SAMPLES_PER_STEP: u32 = 8;
 
@@ -89,7 +90,7 @@
 }
 
 async fn finish(trainer: &Trainer) -> TrainerReport {
-    tokio::time::timeout(Duration::from_secs(30), trainer.finished()).await.expect("the job ends");
+    tokio::time::timeout(DEADLINE, trainer.finished()).await.expect("the job ends");
     trainer.report()
 }
 
@@ -150,10 +151,11 @@
 #[tokio::test]
 async fn weights_are_read_at_the_stores_rate_once_they_exist() {
     let store = weight_store::start(WeightStoreOptions::default()).await.expect("loopback ports are free");
-    let client = Client::new();
-    assert!(client.get_bytes(store.address(), "/weights/pool/2").await.is_err());
-    client.put_json(store.address(), "/weights/pool/2", &2).await.expect("taken");
-    let bytes = client.get_bytes(store.address(), "/weights/pool/2").await.expect("given");
+    let client = HttpClient::new(DEADLINE);
+    assert!(client.get_bytes(store.address(), "/weights/pool/2", DEADLINE).await.is_err());
+    let stored: Result<u64, _> = client.put_json(store.address(), "/weights/pool/2", &2, DEADLINE).await;
+    assert_eq!(stored.expect("taken"), 2);
+    let bytes = client.get_bytes(store.address(), "/weights/pool/2", DEADLINE).await.expect("given");
     assert_eq!(bytes.len(), 1024 * 1024);
     assert_eq!(store.counters().reads, 1);
 }
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -4,7 +4,7 @@
 pub mod coordinator;
 pub mod store;
 
-pub use configuration::{ConfigurationRequest, ConfigurationResponse};
+pub use configuration::{ConfigurationRequest, ConfigurationResponse, DocumentName};
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
 pub use store::{StoreRequest, StoreResponse};
 
--- a/crates/protocol/src/transport.rs
+++ b/crates/protocol/src/transport.rs
@@ -36,6 +36,18 @@
     Socket(io::Error),
 }
 
+impl TransportError {
+    /// The kind as a metrics label.
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::FrameTooLong => "frame_too_long",
+            Self::Undecodable(_) => "undecodable",
+            Self::Unencodable(_) => "unencodable",
+            Self::Socket(_) => "socket",
+        }
+    }
+}
+
 impl From<io::Error> for TransportError {
     fn from(error: io::Error) -> Self {
         let too_long = error.get_ref().is_some_and(|source| source.is::<LengthDelimitedCodecError>());
@@ -162,6 +174,7 @@
                 Ok(Self::Request(Request { context, id, message }))
             }
             ClientFrame::Cancel { id } => {
+                expect_end(body)?;
                 let trace_context = tarpc::trace::Context::default();
                 Ok(Self::Cancel { trace_context, request_id: id })
             }
@@ -194,6 +207,7 @@
         match head {
             ServerFrame::Answer { id } => Ok(Self { request_id: id, message: Ok(read_whole(body)?) }),
             ServerFrame::Failure { id, detail } => {
+                expect_end(body)?;
                 let error = ServerError::new(io::ErrorKind::Other, detail);
                 Ok(Self { request_id: id, message: Err(error) })
             }
@@ -232,12 +246,17 @@
 fn read_whole<T: for<'a> Readable<'a, LittleEndian>>(body: &[u8]) -> Result<T, TransportError> {
     let (message, length) = T::read_with_length_from_buffer(body);
     let message = message.map_err(TransportError::Undecodable)?;
-    if length != body.len() {
-        return Err(TransportError::Undecodable(speedy::Error::custom("bytes follow the message")));
-    }
+    expect_end(body.get(length..).unwrap_or_default())?;
     Ok(message)
 }
 
+fn expect_end(rest: &[u8]) -> Result<(), TransportError> {
+    if rest.is_empty() {
+        return Ok(());
+    }
+    Err(TransportError::Undecodable(speedy::Error::custom("bytes follow the message")))
+}
+
 /// An error with its causes in one line, since `tarpc`'s own text names the step that failed only.
 pub fn describe(error: &(dyn std::error::Error + 'static)) -> String {
     let mut text = error.to_string();
