--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -33,7 +33,7 @@
     /// An engine may have run all or part of it, and there is no whole answer.
     Unknown {
         /// What was left in doubt.
-        doubt: MayHaveRun,
+        doubt: Doubt,
         /// Why it was given up.
         reason: GiveUpReason,
         /// When to come back; `None` where coming back does not help.
@@ -65,15 +65,6 @@
     /// This node is stopping.
     #[error("this node is draining for a planned stop")]
     NodeDraining,
-    /// The request's id has been claimed by another attempt.
-    #[error("the request id has been used for another attempt")]
-    AlreadyClaimed,
-    /// The request's id was issued longer ago than claims are kept.
-    #[error("the request id is older than claims are kept")]
-    ClaimExpired,
-    /// No majority of the store answered the claim, so this node has sent nothing.
-    #[error("the claim on the request id was answered by no majority of store replicas")]
-    ClaimUnavailable,
 }
 
 impl RefusalReason {
@@ -87,11 +78,23 @@
             Self::EnginesRefused => "engines_refused",
             Self::DeadlineTooNear => "deadline_too_near",
             Self::NodeDraining => "node_draining",
-            Self::AlreadyClaimed => "already_claimed",
-            Self::ClaimExpired => "claim_expired",
-            Self::ClaimUnavailable => "claim_unavailable",
         }
     }
+
+    /// Whether the same request can succeed later.
+    pub const fn is_worth_repeating(self) -> bool {
+        !matches!(self, Self::UnknownPool)
+    }
+}
+
+/// Why nobody can say that a request did not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// An attempt of this node may have been admitted.
+    Attempt(MayHaveRun),
+    /// This node sent nothing, but does not hold the claim on the request's id: an earlier submission of the same
+    /// id may have run elsewhere.
+    EarlierSubmission,
 }
 
 /// Why a request that may have run was given up.
@@ -112,6 +115,18 @@
     /// The engine's chunks contradict each other or name no version.
     #[error("the engine's answer could not be made whole")]
     AnswerNotWhole,
+    /// The request's id has been claimed by another submission.
+    #[error("the request id has been used before")]
+    AlreadyClaimed,
+    /// The request's id was issued longer ago than claims are kept.
+    #[error("the request id is older than claims are kept")]
+    ClaimExpired,
+    /// No majority of the store answered the claim, so this node has sent nothing.
+    #[error("the claim on the request id was answered by no majority of store replicas")]
+    ClaimUnavailable,
+    /// Refused before the request's id was claimed, so this node has sent nothing.
+    #[error("the request id was not claimed: {0}")]
+    Unclaimed(RefusalReason),
 }
 
 impl GiveUpReason {
@@ -123,6 +138,22 @@
             Self::NoEligibleReplica => "no_eligible_replica",
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::AnswerNotWhole => "answer_not_whole",
+            Self::AlreadyClaimed => "already_claimed",
+            Self::ClaimExpired => "claim_expired",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::Unclaimed(reason) => reason.as_str(),
+        }
+    }
+
+    /// Whether the same request, with the same id, can succeed later.
+    pub const fn is_worth_repeating(self) -> bool {
+        match self {
+            Self::RetryBudgetExhausted
+            | Self::NoEligibleReplica
+            | Self::DeadlineExceeded
+            | Self::ClaimUnavailable => true,
+            Self::NotRepeatable | Self::AnswerNotWhole | Self::AlreadyClaimed | Self::ClaimExpired => false,
+            Self::Unclaimed(reason) => reason.is_worth_repeating(),
         }
     }
 }
@@ -140,15 +171,32 @@
     }
 }
 
+/// A majority has granted the claim on a request's id to this execution.
+#[derive(Debug)]
+pub struct ClaimGranted(());
+
+impl ClaimGranted {
+    /// To be made only from a majority's grant.
+    pub const fn by_majority() -> Self {
+        Self(())
+    }
+}
+
 /// A request that no engine has admitted so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct NotRunLedger {
     engine_refusals: u32,
 }
 
 impl NotRunLedger {
-    /// A request that has been sent nowhere.
-    pub const fn new() -> Self {
+    /// A repeatable request that has been sent nowhere.
+    pub const fn repeatable() -> Self {
+        Self { engine_refusals: 0 }
+    }
+
+    /// A request that may run at most once, whose id this execution has claimed: no other submission of the id
+    /// has run or can.
+    pub const fn claimed(_claim: ClaimGranted) -> Self {
         Self { engine_refusals: 0 }
     }
 
@@ -212,3 +260,108 @@
         &self.first_attempt
     }
 }
+
+/// What is known so far about where a request may have run.
+#[derive(Debug)]
+pub enum Ledger {
+    /// Nowhere by this execution; the id of a request that may run at most once is not claimed yet.
+    Unclaimed,
+    /// Nowhere.
+    NotRun(NotRunLedger),
+    /// One attempt is out, unanswered, and none before it was admitted.
+    Dispatched(Dispatched),
+    /// Somewhere, perhaps.
+    MayHaveRun(MayHaveRun),
+}
+
+/// What the ledger shows at the end.
+#[derive(Debug)]
+pub enum Evidence {
+    /// No engine admitted the request.
+    NotRun(NotRunProof),
+    /// An engine may have.
+    InDoubt(Doubt),
+}
+
+impl Ledger {
+    /// The ledger of a request that has been sent nowhere.
+    pub const fn new(repeatable: bool) -> Self {
+        if repeatable { Self::NotRun(NotRunLedger::repeatable()) } else { Self::Unclaimed }
+    }
+
+    /// Whether no engine can have admitted the request.
+    pub const fn is_not_run(&self) -> bool {
+        matches!(self, Self::Unclaimed | Self::NotRun(_))
+    }
+
+    /// The claim was granted.
+    pub fn claimed(&mut self, claim: ClaimGranted) {
+        if matches!(self, Self::Unclaimed) {
+            *self = Self::NotRun(NotRunLedger::claimed(claim));
+        }
+    }
+
+    /// See [`NotRunLedger::dispatch`]. An attempt that is still out becomes doubtful.
+    pub fn dispatch(&mut self, attempt: AttemptId) {
+        self.update(|ledger| match ledger {
+            Self::NotRun(ledger) => Self::Dispatched(ledger.dispatch(attempt)),
+            Self::Dispatched(dispatched) => Self::MayHaveRun(dispatched.in_doubt()),
+            Self::Unclaimed => Self::MayHaveRun(MayHaveRun { first_attempt: attempt }),
+            doubtful @ Self::MayHaveRun(_) => doubtful,
+        });
+    }
+
+    /// See [`Dispatched::refused`].
+    pub fn refused(&mut self, refusal: &EngineRefusal) {
+        self.update(|ledger| match ledger {
+            Self::Dispatched(dispatched) => match dispatched.refused(refusal) {
+                Ok(ledger) => Self::NotRun(ledger),
+                Err(doubt) => Self::MayHaveRun(doubt),
+            },
+            other => other,
+        });
+    }
+
+    /// See [`Dispatched::nothing_written`].
+    pub fn nothing_written(&mut self) {
+        self.update(|ledger| match ledger {
+            Self::Dispatched(dispatched) => Self::NotRun(dispatched.nothing_written()),
+            other => other,
+        });
+    }
+
+    /// See [`Dispatched::in_doubt`].
+    pub fn in_doubt(&mut self) {
+        self.update(|ledger| match ledger {
+            Self::Dispatched(dispatched) => Self::MayHaveRun(dispatched.in_doubt()),
+            other => other,
+        });
+    }
+
+    /// What is known at the end. An attempt that is still out is in doubt.
+    pub fn into_evidence(self) -> Evidence {
+        match self {
+            Self::Unclaimed => Evidence::InDoubt(Doubt::EarlierSubmission),
+            Self::NotRun(ledger) => Evidence::NotRun(ledger.prove()),
+            Self::Dispatched(dispatched) => Evidence::InDoubt(Doubt::Attempt(dispatched.in_doubt())),
+            Self::MayHaveRun(doubt) => Evidence::InDoubt(Doubt::Attempt(doubt)),
+        }
+    }
+
+    /// While the change runs, the ledger stands as in doubt.
+    fn update(&mut self, change: impl FnOnce(Self) -> Self) {
+        let in_doubt = Self::MayHaveRun(MayHaveRun { first_attempt: AttemptId::new("") });
+        let ledger = std::mem::replace(self, in_doubt);
+        *self = change(ledger);
+    }
+}
+
+/// The outcome of a request that is refused before anything was done for it.
+pub fn refuse_at_once(repeatable: bool, reason: RefusalReason, retry_after: Option<Duration>) -> Outcome {
+    match Ledger::new(repeatable).into_evidence() {
+        Evidence::NotRun(proof) => Outcome::NotRun { proof, reason, retry_after },
+        Evidence::InDoubt(doubt) => {
+            Outcome::Unknown { doubt, reason: GiveUpReason::Unclaimed(reason), retry_after }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/budget.rs
@@ -0,0 +1,119 @@
+//! A token bucket that bounds the retries of a pool by its requests, so that retries can't multiply the load on
+//! engines that are failing already.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// How many retries a pool may make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetConfig {
+    /// Retries that each request pays in: 0.1 allows one retry for ten requests.
+    pub deposit_ratio: f64,
+    /// Retries a second that are allowed however few requests there are.
+    pub minimum_per_second: f64,
+    /// How long what was paid in can be used.
+    pub window: Duration,
+    /// The most retries that can be saved up.
+    pub most_saved: f64,
+}
+
+impl Default for BudgetConfig {
+    fn default() -> Self {
+        Self {
+            deposit_ratio: 0.1,
+            minimum_per_second: 1.0,
+            window: Duration::from_secs(10),
+            most_saved: 100.0,
+        }
+    }
+}
+
+/// A setting of the budget that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub enum BudgetConfigError {
+    /// The ratio is out of bounds.
+    #[error("deposit_ratio is {0}; set it from 0.0 to 1.0")]
+    DepositRatio(f64),
+    /// The minimum is out of bounds.
+    #[error("minimum_per_second is {0}; set it from 0.0 to 1000.0")]
+    MinimumPerSecond(f64),
+    /// The window is zero.
+    #[error("window is zero; set it to a second or more")]
+    Window,
+    /// The bucket holds less than one retry.
+    #[error("most_saved is {0}; set it to 1.0 or more")]
+    MostSaved(f64),
+}
+
+impl BudgetConfig {
+    /// Checks each field.
+    ///
+    /// # Errors
+    /// Names the first field that can't be used, and its bounds.
+    pub fn validate(&self) -> Result<(), BudgetConfigError> {
+        if !(0.0..=1.0).contains(&self.deposit_ratio) {
+            return Err(BudgetConfigError::DepositRatio(self.deposit_ratio));
+        }
+        if !(0.0..=1_000.0).contains(&self.minimum_per_second) {
+            return Err(BudgetConfigError::MinimumPerSecond(self.minimum_per_second));
+        }
+        if self.window.is_zero() {
+            return Err(BudgetConfigError::Window);
+        }
+        if self.most_saved.is_nan() || self.most_saved < 1.0 {
+            return Err(BudgetConfigError::MostSaved(self.most_saved));
+        }
+        Ok(())
+    }
+}
+
+/// The retries that a pool has left.
+///
+/// Invariant: retries over any time `t` are at most `most_saved + deposit_ratio * requests + minimum * t`.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    config: BudgetConfig,
+    balance: f64,
+    refilled_at: Timestamp,
+}
+
+impl RetryBudget {
+    /// A budget with what the minimum gives in one window.
+    pub fn new(config: BudgetConfig, now: Timestamp) -> Self {
+        let balance = (config.minimum_per_second * config.window.as_secs_f64()).min(config.most_saved);
+        Self { config, balance, refilled_at: now }
+    }
+
+    /// Pays in for one request, not for its retries.
+    pub fn deposit(&mut self, now: Timestamp) {
+        self.refill(now);
+        self.balance = (self.balance + self.config.deposit_ratio).min(self.config.most_saved);
+    }
+
+    /// Takes out one retry, if there is one.
+    pub fn withdraw(&mut self, now: Timestamp) -> bool {
+        self.refill(now);
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+
+    /// Retries left.
+    pub const fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    /// Adds the minimum for the time that passed, and lets what is older than the window decay.
+    fn refill(&mut self, now: Timestamp) {
+        let elapsed = now.saturating_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        let floor = self.config.minimum_per_second * self.config.window.as_secs_f64();
+        let excess = (self.balance - floor).max(0.0);
+        let kept = excess * (-elapsed / self.config.window.as_secs_f64()).exp();
+        let base = self.balance.min(floor) + self.config.minimum_per_second * elapsed;
+        self.balance = (base.min(floor) + kept).min(self.config.most_saved);
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/concurrency.rs
@@ -0,0 +1,149 @@
+//! How many requests one node keeps at one replica: additive increase while the replica answers in good time,
+//! multiplicative decrease when it is slow to start or refuses (Chiu and Jain 1989).
+
+use std::time::Duration;
+
+use crate::request::answer::Priority;
+use crate::time::Timestamp;
+
+/// Bounds and pace of a concurrency limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ConcurrencyConfig {
+    /// Requests allowed before anything is known.
+    pub initial: u32,
+    /// The limit never goes below this.
+    pub minimum: u32,
+    /// The limit never goes above this.
+    pub maximum: u32,
+    /// Share of the limit, in percent, that only live requests may use.
+    pub live_reserve_percent: u8,
+    /// A first token that takes longer than this many times the best seen is congestion.
+    pub congestion_ratio: f64,
+    /// A first token within this time is never congestion.
+    pub tolerated_start: Duration,
+}
+
+impl Default for ConcurrencyConfig {
+    fn default() -> Self {
+        Self {
+            initial: 16,
+            minimum: 1,
+            maximum: 512,
+            live_reserve_percent: 20,
+            congestion_ratio: 4.0,
+            tolerated_start: Duration::from_millis(250),
+        }
+    }
+}
+
+/// A setting of the limit that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub enum ConcurrencyConfigError {
+    /// The bounds are in the wrong order.
+    #[error(
+        "minimum is {minimum}, initial {initial}, maximum {maximum}; set 1 <= minimum <= initial <= maximum"
+    )]
+    Bounds {
+        /// The minimum.
+        minimum: u32,
+        /// The initial limit.
+        initial: u32,
+        /// The maximum.
+        maximum: u32,
+    },
+    /// The reserve leaves nothing to rollouts, or is no share.
+    #[error("live_reserve_percent is {0}; set it from 0 to 90")]
+    LiveReserve(u8),
+    /// The ratio is too low.
+    #[error("congestion_ratio is {0}; set it above 1.0")]
+    CongestionRatio(f64),
+}
+
+impl ConcurrencyConfig {
+    /// Checks each field.
+    ///
+    /// # Errors
+    /// Names the first field that can't be used, and its bounds.
+    pub fn validate(&self) -> Result<(), ConcurrencyConfigError> {
+        let Self { initial, minimum, maximum, .. } = *self;
+        if minimum == 0 || initial < minimum || maximum < initial {
+            return Err(ConcurrencyConfigError::Bounds { minimum, initial, maximum });
+        }
+        if self.live_reserve_percent > 90 {
+            return Err(ConcurrencyConfigError::LiveReserve(self.live_reserve_percent));
+        }
+        if self.congestion_ratio.is_nan() || self.congestion_ratio <= 1.0 {
+            return Err(ConcurrencyConfigError::CongestionRatio(self.congestion_ratio));
+        }
+        Ok(())
+    }
+}
+
+/// Share of the limit that is kept at a decrease.
+const DECREASE: f64 = 0.8;
+/// At most one decrease in this time: one congestion shows in many requests.
+const DECREASE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The limit for one replica.
+#[derive(Clone, Debug)]
+pub struct ConcurrencyLimit {
+    config: ConcurrencyConfig,
+    limit: f64,
+    best_start: Option<Duration>,
+    decreased_at: Option<Timestamp>,
+}
+
+impl ConcurrencyLimit {
+    /// A limit about which nothing is known.
+    pub fn new(config: ConcurrencyConfig) -> Self {
+        Self { limit: f64::from(config.initial), config, best_start: None, decreased_at: None }
+    }
+
+    /// Requests allowed at once.
+    pub fn limit(&self) -> u32 {
+        // The limit lies between two `u32` bounds, so the cast only cuts the fraction off.
+        self.limit as u32
+    }
+
+    /// Requests of this priority allowed at once, counting all that run. Live requests go before rollouts: a
+    /// share of the limit is theirs alone.
+    pub fn limit_for(&self, priority: Priority) -> u32 {
+        let limit = self.limit();
+        match priority {
+            Priority::Live => limit,
+            Priority::Rollout => {
+                let reserved = (limit * u32::from(self.config.live_reserve_percent)).div_ceil(100);
+                limit - reserved.min(limit - 1)
+            }
+        }
+    }
+
+    /// Notes how long a request took to its first token while `in_flight` ran.
+    pub fn started(&mut self, took: Duration, in_flight: u32, now: Timestamp) {
+        let best = self.best_start.map_or(took, |best| best.min(took));
+        self.best_start = Some(best);
+        let tolerated = best.mul_f64(self.config.congestion_ratio).max(self.config.tolerated_start);
+        if took > tolerated {
+            self.decrease(now);
+        } else if in_flight * 2 >= self.limit() {
+            self.increase();
+        }
+    }
+
+    /// Notes that the replica refused for load, or failed.
+    pub fn refused(&mut self, now: Timestamp) {
+        self.decrease(now);
+    }
+
+    fn increase(&mut self) {
+        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.config.maximum));
+    }
+
+    fn decrease(&mut self, now: Timestamp) {
+        if self.decreased_at.is_some_and(|at| now < at + DECREASE_PAUSE) {
+            return;
+        }
+        self.decreased_at = Some(now);
+        self.limit = (self.limit * DECREASE).max(f64::from(self.config.minimum));
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/pool.rs
@@ -0,0 +1,282 @@
+//! The replicas of one pool as one node sees them, with the pool's retry budget and drain rate.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::identity::{ReplicaId, WeightVersion, ZoneName};
+use crate::request::answer::Priority;
+use crate::retry::backoff::BackoffConfig;
+use crate::retry::budget::{BudgetConfig, RetryBudget};
+use crate::retry::drain_rate::DrainRate;
+use crate::routing::balancer::{self, BalancerConfig, Choice};
+use crate::routing::concurrency::ConcurrencyConfig;
+use crate::routing::eligibility::{DEFAULT_CONFIRMATION_HOLDS, Eligibility};
+use crate::routing::load::LoadReport;
+use crate::routing::replica::Replica;
+use crate::time::Timestamp;
+
+/// Replicas asked for their role at once when none is confirmed.
+const PROBES_AT_ONCE: usize = 4;
+/// An unanswered probe is not repeated sooner than this.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+
+/// How a pool is routed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PoolConfig {
+    /// How long a replica's confirmation that it takes work holds.
+    pub confirmation_holds: Duration,
+    /// How replicas are weighed.
+    pub balancer: BalancerConfig,
+    /// How many requests are kept at a replica.
+    pub concurrency: ConcurrencyConfig,
+    /// How many retries are made.
+    pub budget: BudgetConfig,
+    /// How long to wait before a retry.
+    pub backoff: BackoffConfig,
+}
+
+impl Default for PoolConfig {
+    fn default() -> Self {
+        Self {
+            confirmation_holds: DEFAULT_CONFIRMATION_HOLDS,
+            balancer: BalancerConfig::default(),
+            concurrency: ConcurrencyConfig::default(),
+            budget: BudgetConfig::default(),
+            backoff: BackoffConfig::default(),
+        }
+    }
+}
+
+/// A replica as the machine list gives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedReplica {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether the list says that it leaves.
+    pub leaving: bool,
+}
+
+/// What to route.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The prompt's prefix group.
+    pub prefix_group: u64,
+    /// Who waits.
+    pub priority: Priority,
+    /// Replicas that are passed over: they have refused this request.
+    pub refused_by: &'a [ReplicaId],
+    /// Replicas that are passed over while there is another: they have failed this request.
+    pub failed_at: &'a [ReplicaId],
+    /// Replicas that report older weights are passed over.
+    pub minimum_version: Option<WeightVersion>,
+}
+
+/// Why no replica was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteRefusal {
+    /// None has confirmed lately; these are to be asked, or have been and not answered yet where it is empty.
+    Unconfirmed {
+        /// The replicas to probe.
+        probe: Vec<ReplicaId>,
+    },
+    /// None takes work.
+    NoneEligible,
+    /// Each that takes work has refused this request.
+    AllRefused,
+    /// Each that takes work is at its limit.
+    AtLimit,
+}
+
+/// The last question for a replica's role.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    asked_at: Timestamp,
+    answered: bool,
+}
+
+/// The replicas of one pool.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    config: PoolConfig,
+    replicas: BTreeMap<ReplicaId, Replica>,
+    probes: BTreeMap<ReplicaId, Probe>,
+    budget: RetryBudget,
+    drain_rate: DrainRate,
+}
+
+impl Pool {
+    /// A pool without replicas.
+    pub fn new(config: PoolConfig, now: Timestamp) -> Self {
+        Self {
+            config,
+            replicas: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            budget: RetryBudget::new(config.budget, now),
+            drain_rate: DrainRate::new(now),
+        }
+    }
+
+    /// How the pool is routed.
+    pub const fn config(&self) -> &PoolConfig {
+        &self.config
+    }
+
+    /// The replicas.
+    pub const fn replicas(&self) -> &BTreeMap<ReplicaId, Replica> {
+        &self.replicas
+    }
+
+    /// The retries left.
+    pub const fn budget(&mut self) -> &mut RetryBudget {
+        &mut self.budget
+    }
+
+    /// Takes the machine list as it stands.
+    pub fn list(&mut self, listed: impl IntoIterator<Item = ListedReplica>) {
+        for replica in self.replicas.values_mut() {
+            replica.listed = false;
+        }
+        for entry in listed {
+            let concurrency = self.config.concurrency;
+            let replica =
+                self.replicas.entry(entry.replica).or_insert_with(|| Replica::new(entry.zone, concurrency));
+            replica.listed = true;
+            replica.confirmation.listed(entry.leaving);
+        }
+        self.replicas.retain(|_, replica| replica.listed || replica.load.in_flight() > 0);
+        self.probes.retain(|id, _| self.replicas.contains_key(id));
+    }
+
+    /// Chooses a replica and counts the request there until [`Pool::release`].
+    ///
+    /// # Errors
+    /// When no replica may take the request now.
+    pub fn reserve<R: Rng>(
+        &mut self,
+        query: &RouteQuery<'_>,
+        random: &mut R,
+        now: Timestamp,
+    ) -> Result<Choice, RouteRefusal> {
+        let eligible = self.eligible(query, now);
+        if eligible.is_empty() {
+            return Err(self.none_eligible(now));
+        }
+        let willing: Vec<_> = eligible.into_iter().filter(|(id, _)| !query.refused_by.contains(id)).collect();
+        if willing.is_empty() {
+            return Err(RouteRefusal::AllRefused);
+        }
+        let with_room: Vec<_> =
+            willing.into_iter().filter(|(_, replica)| replica.has_room(query.priority)).collect();
+        let fresh: Vec<_> =
+            with_room.iter().filter(|(id, _)| !query.failed_at.contains(id)).copied().collect();
+        let candidates = if fresh.is_empty() { &with_room } else { &fresh };
+        let choice = balancer::choose(&self.config.balancer, candidates, query.prefix_group, random);
+        let choice = choice.ok_or(RouteRefusal::AtLimit)?;
+        if let Some(replica) = self.replicas.get_mut(&choice.replica) {
+            replica.load.sent(now);
+            replica.prefixes.insert(query.prefix_group);
+        }
+        Ok(choice)
+    }
+
+    /// Ends what [`Pool::reserve`] began.
+    pub fn release(&mut self, id: &ReplicaId, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.load.finished(now);
+        }
+    }
+
+    /// Takes a load report that came in the answer to a question sent at `asked_at`.
+    pub fn observe(&mut self, id: &ReplicaId, asked_at: Timestamp, report: LoadReport, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.observe(asked_at, report, now);
+        }
+        self.probe_answered(id);
+    }
+
+    /// Notes the time to the first token of a request.
+    pub fn started(&mut self, id: &ReplicaId, took: Duration, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            let in_flight = replica.load.in_flight();
+            replica.concurrency.started(took, in_flight, now);
+        }
+    }
+
+    /// Notes that a request came to its end.
+    pub fn completed(&mut self, now: Timestamp) {
+        self.drain_rate.completed(now);
+    }
+
+    /// Notes that a replica refused for load.
+    pub fn overloaded(&mut self, id: &ReplicaId, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.concurrency.refused(now);
+        }
+    }
+
+    /// Notes that a replica could not be reached or broke off: it has to confirm anew.
+    pub fn failed(&mut self, id: &ReplicaId, now: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.concurrency.refused(now);
+            replica.confirmation.failed();
+        }
+        self.probe_answered(id);
+    }
+
+    /// Notes that a replica did not answer a probe.
+    pub fn probe_failed(&mut self, id: &ReplicaId) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.confirmation.failed();
+        }
+        self.probe_answered(id);
+    }
+
+    /// When a refused caller should come back, from the rate at which requests drain.
+    pub fn retry_after(&self, now: Timestamp) -> Duration {
+        let ahead = self.replicas.values().map(|replica| replica.load.in_flight()).sum();
+        self.drain_rate.retry_after(now, ahead)
+    }
+
+    /// Replicas whose confirmation runs out soon, each at most once in a while.
+    pub fn due_probes(&mut self, now: Timestamp, most: usize) -> Vec<ReplicaId> {
+        let holds = self.config.confirmation_holds;
+        let wanting =
+            self.replicas.iter().filter(|(_, replica)| replica.confirmation.wants_probe(now, holds));
+        let due = wanting
+            .filter(|(id, _)| self.probes.get(*id).is_none_or(|probe| now >= probe.asked_at + PROBE_PAUSE));
+        let due: Vec<ReplicaId> = due.map(|(id, _)| id.clone()).take(most).collect();
+        for id in &due {
+            self.probes.insert(id.clone(), Probe { asked_at: now, answered: false });
+        }
+        due
+    }
+
+    fn eligible(&self, query: &RouteQuery<'_>, now: Timestamp) -> Vec<(&ReplicaId, &Replica)> {
+        let holds = self.config.confirmation_holds;
+        let eligible = self.replicas.iter().filter(|(_, replica)| {
+            replica.confirmation.eligibility(now, holds) == Eligibility::Eligible
+                && !replica.is_older_than(query.minimum_version)
+        });
+        eligible.collect()
+    }
+
+    fn none_eligible(&mut self, now: Timestamp) -> RouteRefusal {
+        let probe = self.due_probes(now, PROBES_AT_ONCE);
+        let unanswered =
+            self.probes.values().any(|probe| !probe.answered && now < probe.asked_at + PROBE_PAUSE);
+        if probe.is_empty() && !unanswered {
+            return RouteRefusal::NoneEligible;
+        }
+        RouteRefusal::Unconfirmed { probe }
+    }
+
+    fn probe_answered(&mut self, id: &ReplicaId) {
+        if let Some(probe) = self.probes.get_mut(id) {
+            probe.answered = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/prefix.rs
@@ -0,0 +1,54 @@
+//! Which prompt prefixes a replica probably has in its cache. A hint, never a promise: cache events come late and
+//! with gaps, and the engine evicts as it likes.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes of a prompt that make its prefix group.
+pub const PREFIX_GROUP_BYTES: usize = 256;
+/// Prefix groups remembered for each replica.
+const REMEMBERED: usize = 512;
+
+/// The group of prompts that share their first [`PREFIX_GROUP_BYTES`].
+pub fn prefix_group(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    xxh3_64(&bytes[..bytes.len().min(PREFIX_GROUP_BYTES)])
+}
+
+/// The groups that a replica was sent or reported of late.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixHints {
+    uses: BTreeMap<u64, u64>,
+    order: VecDeque<(u64, u64)>,
+    clock: u64,
+}
+
+impl PrefixHints {
+    /// Notes that the replica has, or will have, this group.
+    pub fn insert(&mut self, group: u64) {
+        self.clock += 1;
+        self.uses.insert(group, self.clock);
+        self.order.push_back((group, self.clock));
+        while self.uses.len() > REMEMBERED || self.order.len() > 2 * REMEMBERED {
+            self.forget_oldest();
+        }
+    }
+
+    /// Notes that the replica has evicted this group.
+    pub fn remove(&mut self, group: u64) {
+        self.uses.remove(&group);
+    }
+
+    /// Whether the replica probably has this group.
+    pub fn contains(&self, group: u64) -> bool {
+        self.uses.contains_key(&group)
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((group, used)) = self.order.pop_front() else { return };
+        if self.uses.get(&group) == Some(&used) {
+            self.uses.remove(&group);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/completions.rs
@@ -0,0 +1,267 @@
+//! `POST /v1/completions`, answered whole or as server-sent events.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use lichenpulley_core::identity::RequestId;
+use lichenpulley_core::request::answer::{Answer, FinishReason};
+use lichenpulley_core::request::assembly::Chunk;
+use lichenpulley_core::request::outcome::{Outcome, RefusalReason};
+use lichenpulley_protocol::caller::{
+    CompletionChunk, CompletionRequest, CompletionResponse, IDEMPOTENCY_KEY_HEADER,
+};
+use lichenpulley_protocol::error::ErrorBody;
+use tokio::sync::mpsc;
+
+use super::dispatcher::{Dispatcher, Generation, Repetition};
+use super::refusal;
+use crate::http::events::{EventSender, event_stream};
+use crate::http::request::read_json;
+use crate::http::{Body, response};
+
+/// Most tokens that may be asked for.
+const MOST_TOKENS: u32 = 1 << 20;
+/// Shortest and longest deadline, in milliseconds.
+const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=3_600_000;
+/// Chunks that a slow reader may fall behind before its stream is held up.
+const STREAM_BACKLOG: usize = 64;
+
+/// Answers one request.
+pub async fn handle(dispatcher: &Dispatcher, request: Request<Incoming>) -> Response<Body> {
+    let settings = &dispatcher.shared.context.settings.gateway;
+    let headers = request.headers().clone();
+    let completion = match read_json::<CompletionRequest>(request, settings.body_limit_bytes).await {
+        Ok(completion) => completion,
+        Err(bad) => return bad.into(),
+    };
+    let stream = completion.stream;
+    let generation = match check(completion, &headers, settings.default_deadline, dispatcher) {
+        Ok(generation) => generation,
+        Err(body) => return response::error(StatusCode::BAD_REQUEST, &body),
+    };
+    if dispatcher.shared.context.draining.is_cancelled() {
+        return failure(&dispatcher.refuse(&generation, RefusalReason::NodeDraining));
+    }
+    if stream {
+        answer_stream(dispatcher, generation).await
+    } else {
+        answer_whole(dispatcher, generation).await
+    }
+}
+
+/// Turns a body into a generation.
+fn check(
+    completion: CompletionRequest,
+    headers: &HeaderMap,
+    default_deadline: Duration,
+    dispatcher: &Dispatcher,
+) -> Result<Generation, ErrorBody> {
+    let named = request_id(&completion, headers)?;
+    let deadline = deadline(completion.deadline_ms, default_deadline)?;
+    if !(1..=MOST_TOKENS).contains(&completion.max_tokens) {
+        return Err(bad_field("max_tokens", &format!("set it from 1 to {MOST_TOKENS}")));
+    }
+    let repetition = match (completion.repeatable, &named, completion.issued_at_unix_ms) {
+        (true, _, _) => Repetition::Repeatable,
+        (false, Some(_), Some(issued_at_unix_ms)) => Repetition::AtMostOnce { issued_at_unix_ms },
+        (false, None, _) => {
+            return Err(bad_field("request_id", "a request that is not repeatable needs an id of its own"));
+        }
+        (false, _, None) => {
+            return Err(bad_field(
+                "issued_at_unix_ms",
+                "a request that is not repeatable needs the time at which its id was first issued",
+            ));
+        }
+    };
+    Ok(Generation {
+        request: named.unwrap_or_else(|| RequestId::new(dispatcher.shared.next_execution())),
+        pool: completion.pool,
+        prompt: completion.prompt,
+        max_tokens: completion.max_tokens,
+        priority: completion.priority,
+        seed: completion.seed,
+        deadline,
+        repetition,
+        minimum_version: None,
+    })
+}
+
+/// The id that the caller gave, in the body or in the header.
+fn request_id(completion: &CompletionRequest, headers: &HeaderMap) -> Result<Option<RequestId>, ErrorBody> {
+    let header = match headers.get(IDEMPOTENCY_KEY_HEADER) {
+        None => None,
+        Some(value) => match value.to_str() {
+            Ok(text) if !text.is_empty() => Some(RequestId::new(text)),
+            _ => return Err(bad_field(IDEMPOTENCY_KEY_HEADER, "send visible ASCII characters")),
+        },
+    };
+    match (&completion.request_id, header) {
+        (Some(body), Some(header)) if *body != header => {
+            Err(bad_field("request_id", "send the same id in the body and in the idempotency-key header"))
+        }
+        (Some(body), _) => Ok(Some(body.clone())),
+        (None, header) => Ok(header),
+    }
+}
+
+fn deadline(asked_ms: Option<u64>, default: Duration) -> Result<Duration, ErrorBody> {
+    match asked_ms {
+        None => Ok(default),
+        Some(asked) if DEADLINE_MS.contains(&asked) => Ok(Duration::from_millis(asked)),
+        Some(_) => {
+            let (least, most) = (DEADLINE_MS.start(), DEADLINE_MS.end());
+            Err(bad_field("deadline_ms", &format!("set it from {least} to {most}")))
+        }
+    }
+}
+
+fn bad_field(field: &str, remedy: &str) -> ErrorBody {
+    ErrorBody::new("bad_field", format!("`{field}` can't be used as it was sent"), remedy)
+}
+
+async fn answer_whole(dispatcher: &Dispatcher, generation: Generation) -> Response<Body> {
+    let request_id = generation.request.clone();
+    match dispatcher.generate(generation).await {
+        Outcome::Completed { answer, attempts } => {
+            response::json(StatusCode::OK, &whole(request_id, answer, attempts))
+        }
+        failed => failure(&failed),
+    }
+}
+
+fn whole(request_id: RequestId, answer: Answer, attempts: u32) -> CompletionResponse {
+    CompletionResponse {
+        request_id,
+        text: text_of(&answer.tokens),
+        tokens: answer.tokens,
+        spans: answer.spans,
+        finish_reason: answer.finish_reason,
+        attempts,
+    }
+}
+
+fn failure(outcome: &Outcome) -> Response<Body> {
+    let (status, body) = error_of(outcome);
+    response::error(status, &body)
+}
+
+fn error_of(outcome: &Outcome) -> (StatusCode, ErrorBody) {
+    match outcome {
+        Outcome::NotRun { reason, retry_after, .. } => refusal::not_run(*reason, *retry_after),
+        Outcome::Unknown { reason, retry_after, .. } => refusal::unknown(*reason, *retry_after),
+        Outcome::Completed { .. } => {
+            let body = ErrorBody::new("already_answered", "the answer is whole", "read the answer");
+            (StatusCode::INTERNAL_SERVER_ERROR, body)
+        }
+    }
+}
+
+/// Waits for the first tokens, so that a refusal keeps its own status, then streams.
+async fn answer_stream(dispatcher: &Dispatcher, generation: Generation) -> Response<Body> {
+    let request_id = generation.request.clone();
+    let (sender, mut chunks) = mpsc::channel(STREAM_BACKLOG);
+    let dispatcher = dispatcher.clone();
+    let mut run = Box::pin(async move { dispatcher.generate_stream(generation, sender).await });
+    let first = tokio::select! {
+        biased;
+        first = chunks.recv() => first,
+        outcome = &mut run => match (chunks.recv().await, outcome) {
+            (Some(first), outcome) => return stream_rest(request_id, first, chunks, outcome),
+            (None, outcome) => return empty_or_failed(request_id, outcome),
+        },
+    };
+    let Some(first) = first else { return empty_or_failed(request_id, run.await) };
+    let (events, response) = event_stream(STREAM_BACKLOG);
+    tokio::spawn(async move {
+        let sending = async {
+            if send_chunk(&events, &request_id, first).await.is_none() {
+                return;
+            }
+            while let Some(chunk) = chunks.recv().await {
+                if send_chunk(&events, &request_id, chunk).await.is_none() {
+                    return;
+                }
+            }
+        };
+        let finish = async {
+            let ((), outcome) = tokio::join!(sending, run);
+            send_end(&events, &request_id, outcome).await;
+        };
+        tokio::select! {
+            () = finish => {}
+            () = events.closed() => {}
+        }
+    });
+    response
+}
+
+/// An answer that ended before its first chunk was read.
+fn stream_rest(
+    request_id: RequestId,
+    first: Chunk,
+    mut chunks: mpsc::Receiver<Chunk>,
+    outcome: Outcome,
+) -> Response<Body> {
+    let (events, response) = event_stream(STREAM_BACKLOG);
+    tokio::spawn(async move {
+        let mut next = Some(first);
+        while let Some(chunk) = next {
+            if send_chunk(&events, &request_id, chunk).await.is_none() {
+                return;
+            }
+            next = chunks.recv().await;
+        }
+        send_end(&events, &request_id, outcome).await;
+    });
+    response
+}
+
+/// An answer without tokens, or none at all.
+fn empty_or_failed(request_id: RequestId, outcome: Outcome) -> Response<Body> {
+    if !matches!(outcome, Outcome::Completed { .. }) {
+        return failure(&outcome);
+    }
+    let (events, response) = event_stream(STREAM_BACKLOG);
+    tokio::spawn(async move { send_end(&events, &request_id, outcome).await });
+    response
+}
+
+async fn send_chunk(events: &EventSender, request_id: &RequestId, chunk: Chunk) -> Option<()> {
+    events.send(&event_of(request_id, chunk, None)).await.ok()
+}
+
+/// The last event: how the answer ended, or why it could not be made whole.
+async fn send_end(events: &EventSender, request_id: &RequestId, outcome: Outcome) {
+    // An error only says that the caller has gone.
+    let _ = match outcome {
+        Outcome::Completed { answer, .. } => {
+            let last = answer.spans.last();
+            let end = Chunk {
+                first_token: u32::try_from(answer.tokens.len()).unwrap_or(u32::MAX),
+                tokens: Vec::new(),
+                weight_version: last.map(|span| span.weight_version).unwrap_or_default(),
+            };
+            events.send(&event_of(request_id, end, Some(answer.finish_reason))).await
+        }
+        failed => events.send_named("error", &error_of(&failed).1).await,
+    };
+}
+
+fn event_of(request_id: &RequestId, chunk: Chunk, finish_reason: Option<FinishReason>) -> CompletionChunk {
+    CompletionChunk {
+        request_id: request_id.clone(),
+        first_token: chunk.first_token,
+        text: text_of(&chunk.tokens),
+        tokens: chunk.tokens,
+        weight_version: chunk.weight_version,
+        finish_reason,
+    }
+}
+
+/// The text of tokens. The engines speak tokens only, so each is written as its number, followed by a space; the
+/// texts of chunks put together are the text of the whole.
+fn text_of(tokens: &[u32]) -> String {
+    tokens.iter().map(|token| format!("{token} ")).collect()
+}
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -1,5 +1,45 @@
 //! Serves callers: takes a request, picks a replica, brings the whole answer back.
 
+mod clock;
+mod completions;
 pub mod dispatcher;
+mod engine_client;
+mod pools;
+mod refusal;
+mod runner;
 
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use crate::context::Context;
+use crate::coordinator::{self, Coordinator};
+use crate::http::{Body, response};
 pub use dispatcher::{Dispatcher, Generation, Repetition};
+
+/// Answers callers. Cheap to clone.
+#[derive(Clone)]
+pub struct Gateway {
+    context: Context,
+    dispatcher: Dispatcher,
+    coordinator: Coordinator,
+}
+
+impl Gateway {
+    /// A gateway that runs its generations through the node's dispatcher, and hands jobs and weights to the owners
+    /// of their shards.
+    pub const fn new(context: Context, dispatcher: Dispatcher, coordinator: Coordinator) -> Self {
+        Self { context, dispatcher, coordinator }
+    }
+
+    /// Answers one request on the callers' port.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if path == "/v1/completions" && request.method() == Method::POST {
+            return completions::handle(&self.dispatcher, request).await;
+        }
+        if coordinator::http::serves(&path) {
+            return coordinator::http::handle(&self.context, &self.coordinator, request).await;
+        }
+        response::not_found(&path)
+    }
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -22,6 +22,8 @@
 use crate::cluster::Member;
 use crate::configuration;
 use crate::context::{Context, NodeContext};
+use crate::coordinator::{self, Coordinator};
+use crate::gateway::Dispatcher;
 use crate::http::server::{self, ServerStop};
 use crate::http::{Body, response};
 use crate::membership::{self, StartMembership};
@@ -32,6 +34,7 @@
 #[derive(Clone)]
 pub(super) struct Parts {
     context: Context,
+    coordinator: Coordinator,
 }
 
 impl Parts {
@@ -49,8 +52,8 @@
         StoreResponse::NotAStore
     }
 
-    pub(super) async fn answer_coordinator(&self, _request: CoordinatorRequest) -> CoordinatorResponse {
-        CoordinatorResponse::NotOwner(None)
+    pub(super) async fn answer_coordinator(&self, request: CoordinatorRequest) -> CoordinatorResponse {
+        self.coordinator.answer(request).await
     }
 
     pub(super) async fn answer_configuration(&self, request: ConfigurationRequest) -> ConfigurationResponse {
@@ -129,13 +132,15 @@
     start_membership(context, membership, addresses);
     configuration::start(context);
 
-    let parts = Parts { context: Arc::clone(context) };
+    let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
+    let coordinator = coordinator::start(Arc::clone(context), dispatcher);
+    let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone() };
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
     let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
-    let answers = Operators::new(Arc::clone(context));
+    let answers = Operators::new(Arc::clone(context), coordinator.clone());
     let answer = move |request| {
         let answers = answers.clone();
         async move { answers.handle(request).await }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -2,24 +2,32 @@
 
 mod config;
 mod decisions;
+mod drain;
 mod health;
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
+use lichenpulley_core::identity::ReplicaId;
 
 use crate::context::Context;
+use crate::coordinator::Coordinator;
+use crate::http::client::HttpClient;
+use crate::http::request::percent_decode;
 use crate::http::{Body, response};
 
 /// Answers operators. Cheap to clone.
 #[derive(Clone)]
 pub struct Operators {
     context: Context,
+    coordinator: Coordinator,
+    client: HttpClient,
 }
 
 impl Operators {
     /// For one node.
-    pub fn new(context: Context) -> Self {
-        Self { context }
+    pub fn new(context: Context, coordinator: Coordinator) -> Self {
+        let client = HttpClient::new(context.settings.gateway.connect_timeout);
+        Self { context, coordinator, client }
     }
 
     /// Answers one request.
@@ -31,6 +39,10 @@
             (&Method::GET, ["readyz"]) => health::ready(&self.context),
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
+            (&Method::POST, ["v1", "replicas", replica, "drain"]) => {
+                let replica = ReplicaId::new(percent_decode(replica));
+                self.drain(&replica).await
+            }
             (&Method::GET, ["v1", "config"]) => config::whole(&self.context),
             (&Method::GET, ["v1", "config", "effective"]) => config::effective(&self.context, &request),
             (&Method::PUT, ["v1", "config"]) => config::change(&self.context, request).await,
--- a/crates/lab/src/arguments.rs
+++ b/crates/lab/src/arguments.rs
@@ -22,6 +22,13 @@
     options
 }
 
+/// Options of a command that has none but `--help`.
+pub fn help_option() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help and end");
+    options
+}
+
 /// What every stand-in is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StandInArguments {
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{engine, machine_list, object_api, scorer, trainer, weight_store};
+use crate::{demo, engine, machine_list, object_api, scorer, trainer, weight_store};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -21,6 +21,11 @@
 /// Every command, in the order in which help lists them. An entry reads
 /// `Command { name: "engine", help: "…", entry: |arguments| Box::pin(engine::run(arguments)) }`.
 pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "demo",
+        help: "three zones, live requests and a rollout job in one process, ending in a summary",
+        entry: |arguments| Box::pin(demo::run(arguments)),
+    },
     Command {
         name: "object-api",
         help: "stand-in for the platform's object API",
--- /dev/null
+++ b/crates/lab/src/demo/mod.rs
@@ -0,0 +1,120 @@
+//! `lichenpulley-lab demo`: three zones inside one process, live requests beside a rollout job whose trainer
+//! publishes new weights after each step, ending in a summary.
+
+mod decision_tally;
+mod job;
+mod live;
+mod summary;
+mod system;
+
+use std::time::Duration;
+
+use lichenpulley_core::identity::{JobId, PoolName, WeightVersion, ZoneName};
+use lichenpulley_protocol::caller::JobSpecification;
+
+use crate::arguments;
+use crate::error::LabError;
+use crate::trainer::{self, StateFile, TrainerOptions};
+use decision_tally::DecisionTally;
+use live::LiveLoad;
+pub use live::LiveSummary;
+pub use summary::DemoSummary;
+pub use system::{PoolPlan, System, SystemPlan};
+
+/// The job must be done by then, or the demonstration fails.
+const JOB_LIMIT: Duration = Duration::from_secs(45);
+
+const TRAINED_POOL: &str = "diagnosis";
+const LOOKUP_POOL: &str = "lookup";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+/// A live request is sent to each pool at this interval.
+const LIVE_INTERVAL: Duration = Duration::from_millis(20);
+
+const TRAIN_TIME: Duration = Duration::from_millis(500);
+const FIRST_VERSION: WeightVersion = WeightVersion(1);
+
+/// Runs the demonstration and prints its summary.
+///
+/// # Errors
+/// When the command line is wrong, a part does not start, or what must hold does not.
+pub async fn run(arguments: &[String]) -> Result<(), LabError> {
+    let mut options = arguments::help_option();
+    options.optflag("", "json", "print the summary as JSON");
+    let Some(matches) = arguments::parse("demo", &options, arguments)? else { return Ok(()) };
+    let summary = demonstrate().await?;
+    if matches.opt_present("json") {
+        println!("{}", serde_json::to_string_pretty(&summary).unwrap_or_default());
+    } else {
+        println!("{summary}");
+    }
+    summary.check()
+}
+
+/// Runs the system, the live load and the job, and sums up.
+///
+/// # Errors
+/// When a part does not start.
+pub async fn demonstrate() -> Result<DemoSummary, LabError> {
+    let plan = plan();
+    let system = System::start(&plan).await?;
+    let decisions = DecisionTally::watch(&system.nodes);
+    let specification = specification();
+    let gateways = system.gateways();
+    job::submit(&gateways, &specification).await?;
+    let trainer = trainer::start(trainer_options(&system, &specification)).await?;
+    let load = |pool| LiveLoad::start(gateways.clone(), PoolName::from(pool), LIVE_INTERVAL);
+    let (trained, lookup) = (load(TRAINED_POOL)?, load(LOOKUP_POOL)?);
+    let in_time = tokio::time::timeout(JOB_LIMIT, trainer.finished()).await.is_ok();
+    let live = vec![trained.finish().await, lookup.finish().await];
+    let status = job::status(&system.gateways(), &specification.job).await.ok();
+    Ok(DemoSummary {
+        specification,
+        in_time,
+        trainer: trainer.report(),
+        status,
+        live,
+        decisions: decisions.counts(),
+    })
+}
+
+fn plan() -> SystemPlan {
+    SystemPlan {
+        zones: ZONES.map(ZoneName::from).to_vec(),
+        pools: vec![
+            PoolPlan { pool: PoolName::from(TRAINED_POOL), replicas_per_zone: 2 },
+            PoolPlan { pool: PoolName::from(LOOKUP_POOL), replicas_per_zone: 1 },
+        ],
+    }
+}
+
+fn specification() -> JobSpecification {
+    JobSpecification {
+        job: JobId::from("diagnosis-round"),
+        pool: PoolName::from(TRAINED_POOL),
+        prompts: (1..=8).map(|ticket| format!("Ticket {ticket}: the phone does not charge.")).collect(),
+        samples_per_prompt: 8,
+        steps: 6,
+        max_tokens: 256,
+        staleness_bound: 1,
+        idle_weight_percent: 50,
+    }
+}
+
+fn trainer_options(system: &System, specification: &JobSpecification) -> TrainerOptions {
+    let any_port = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let samples_per_step = job::samples_per_step(specification);
+    TrainerOptions {
+        address: any_port,
+        faults_address: any_port,
+        gateways: system.gateways(),
+        weight_store: Some(system.weight_store.address()),
+        job: specification.job.clone(),
+        pool: specification.pool.clone(),
+        samples_per_step,
+        expected_samples: u64::from(samples_per_step) * u64::from(specification.steps),
+        staleness_bound: specification.staleness_bound,
+        weight_version: FIRST_VERSION,
+        train_time: TRAIN_TIME,
+        state: StateFile::in_memory(),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod addresses;
 pub mod arguments;
 pub mod commands;
+pub mod demo;
 pub mod engine;
 pub mod error;
 pub mod http;
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -10,6 +10,7 @@
 //! | `POST /v1/orders` | [`Order`] | [`OrderAccepted`], or [`OrderRefused`] with 409 |
 
 use lichenpulley_core::identity::{AttemptId, Epoch, ReplicaId, ShardId, WeightVersion};
+pub use lichenpulley_core::routing::load::{EngineRole, LoadReport};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -93,38 +94,6 @@
     NoWeights,
 }
 
-/// What an engine does.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EngineRole {
-    /// Takes new streams.
-    #[default]
-    Serving,
-    /// Finishes what runs and takes nothing new.
-    Draining,
-}
-
-/// An engine's load, some time ago.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// What the engine does.
-    pub role: EngineRole,
-    /// Streams generating now.
-    pub running: u32,
-    /// Streams waiting.
-    pub queued: u32,
-    /// Streams that it can run at once.
-    pub capacity: u32,
-    /// Tokens generated in the last second.
-    pub tokens_per_second: u32,
-    /// The loaded weights; `None` while a swap runs or after one failed partway.
-    pub weight_version: Option<WeightVersion>,
-    /// Goes up each time the engine starts; streams of an earlier incarnation are gone.
-    pub incarnation: u64,
-    /// Age of the figures, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// Cache events after a sequence number. Late, and with gaps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvents {
