--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -71,6 +71,33 @@
 /// The retries that a pool has left.
 ///
 /// Invariant: retries over any time `t` are at most `most_saved + deposit_ratio * requests + minimum * t`.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use lichenpulley_core::retry::budget::{BudgetConfig, RetryBudget};
+/// use lichenpulley_core::time::Timestamp;
+///
+/// let config = BudgetConfig { deposit_ratio: 0.1, minimum_per_second: 0.0, ..BudgetConfig::default() };
+/// config.validate()?;
+/// let now = Timestamp::ORIGIN;
+/// let mut budget = RetryBudget::new(config, now);
+/// assert!(!budget.withdraw(now), "nothing was paid in");
+///
+/// // Twenty requests pay for two retries, in whatever time they come.
+/// for _ in 0..21 {
+///     budget.deposit(now);
+/// }
+/// assert!(budget.withdraw(now) && budget.withdraw(now));
+/// assert!(!budget.withdraw(now));
+///
+/// // What was paid in is lost again with time.
+/// for _ in 0..21 {
+///     budget.deposit(now);
+/// }
+/// assert!(!budget.withdraw(now + Duration::from_secs(60)));
+/// # Ok::<(), lichenpulley_core::retry::budget::BudgetConfigError>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     config: BudgetConfig,
