--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{demo, engine, machine_list, object_api, scorer, trainer, weight_store};
+use crate::{demo, engine, load, machine_list, object_api, scorer, trainer, weight_store};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -56,6 +56,11 @@
         help: "stand-in for a trainer",
         entry: |arguments| Box::pin(trainer::run(arguments)),
     },
+    Command {
+        name: "load",
+        help: "send live requests and verify each answer",
+        entry: |arguments| Box::pin(load::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod error;
 pub mod http;
+pub mod load;
 pub mod machine_list;
 pub mod object_api;
 pub mod scorer;
