Wire the gateway and the list of pools into the node

Cause: the callers' port answered that there is no gateway. Nodes without the gateway role still say so.

--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use lichenpulley_protocol::error::ErrorBody;
 use lichenpulley_protocol::internal::{
     ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
@@ -23,7 +22,7 @@
 use crate::configuration;
 use crate::context::{Context, NodeContext};
 use crate::coordinator::{self, Coordinator};
-use crate::gateway::Dispatcher;
+use crate::gateway::{Dispatcher, Gateway};
 use crate::http::server::{self, ServerStop};
 use crate::http::{Body, response};
 use crate::membership::{self, StartMembership};
@@ -133,21 +132,23 @@
     configuration::start(context);
 
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
-    let coordinator = coordinator::start(Arc::clone(context), dispatcher);
+    let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone());
     let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone() };
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
     let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
-    let answers = Operators::new(Arc::clone(context), coordinator.clone());
+    let answers = Operators::new(Arc::clone(context), dispatcher.clone(), coordinator.clone());
     let answer = move |request| {
         let answers = answers.clone();
         async move { answers.handle(request).await }
     };
     let operators = tokio::spawn(server::serve(operators, stop.operators.clone(), answer));
 
-    let callers = spawn_callers(callers, traffic, stop.callers.clone())?;
+    let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
+    let gateway = context.settings.roles.gateway.then_some(gateway);
+    let callers = spawn_callers(callers, traffic, stop.callers.clone(), gateway)?;
     Ok(stop::Servers { callers, operators, peers, stop })
 }
 
@@ -166,14 +167,24 @@
     listener: std::net::TcpListener,
     traffic: &Handle,
     stop: ServerStop,
+    gateway: Option<Gateway>,
 ) -> Result<tokio::task::JoinHandle<()>, StartError> {
     let entered = traffic.enter();
     let listener = TcpListener::from_std(listener).map_err(StartError::Thread)?;
     drop(entered);
-    Ok(traffic.spawn(server::serve(listener, stop, no_gateway)))
+    let answer = move |request| {
+        let gateway = gateway.clone();
+        async move {
+            match gateway {
+                Some(gateway) => gateway.handle(request).await,
+                None => no_gateway(),
+            }
+        }
+    };
+    Ok(traffic.spawn(server::serve(listener, stop, answer)))
 }
 
-async fn no_gateway(_request: Request<Incoming>) -> Response<Body> {
+fn no_gateway() -> Response<Body> {
     let body = ErrorBody::new(
         "no_gateway",
         "this node has no gateway role",
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -6,11 +6,12 @@
 mod health;
 
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::{Method, Request, Response, StatusCode};
 use lichenpulley_core::identity::ReplicaId;
 
 use crate::context::Context;
 use crate::coordinator::Coordinator;
+use crate::gateway::Dispatcher;
 use crate::http::client::HttpClient;
 use crate::http::request::percent_decode;
 use crate::http::{Body, response};
@@ -19,15 +20,16 @@
 #[derive(Clone)]
 pub struct Operators {
     context: Context,
+    dispatcher: Dispatcher,
     coordinator: Coordinator,
     client: HttpClient,
 }
 
 impl Operators {
     /// For one node.
-    pub fn new(context: Context, coordinator: Coordinator) -> Self {
+    pub fn new(context: Context, dispatcher: Dispatcher, coordinator: Coordinator) -> Self {
         let client = HttpClient::new(context.settings.gateway.connect_timeout);
-        Self { context, coordinator, client }
+        Self { context, dispatcher, coordinator, client }
     }
 
     /// Answers one request.
@@ -39,6 +41,7 @@
             (&Method::GET, ["readyz"]) => health::ready(&self.context),
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
+            (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
             (&Method::POST, ["v1", "replicas", replica, "drain"]) => {
                 let replica = ReplicaId::new(percent_decode(replica));
                 self.drain(&replica).await
