--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -27,9 +27,6 @@
 const TRAINED_POOL: &str = "diagnosis";
 const LOOKUP_POOL: &str = "lookup";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-/// A live request is sent to each pool at this interval.
-const LIVE_INTERVAL: Duration = Duration::from_millis(20);
-
 const TRAIN_TIME: Duration = Duration::from_millis(500);
 const FIRST_VERSION: WeightVersion = WeightVersion(1);
 
@@ -62,10 +59,10 @@
     let gateways = system.gateways();
     job::submit(&gateways, &specification).await?;
     let trainer = trainer::start(trainer_options(&system, &specification)).await?;
-    let load = |pool| LiveLoad::start(gateways.clone(), PoolName::from(pool), LIVE_INTERVAL);
-    let (trained, lookup) = (load(TRAINED_POOL)?, load(LOOKUP_POOL)?);
+    let load = |pool| LiveLoad::start(&gateways, PoolName::from(pool), JOB_LIMIT);
+    let (trained, lookup) = (load(TRAINED_POOL), load(LOOKUP_POOL));
     let in_time = tokio::time::timeout(JOB_LIMIT, trainer.finished()).await.is_ok();
-    let live = vec![trained.finish().await, lookup.finish().await];
+    let live = vec![trained.finish().await?, lookup.finish().await?];
     let status = job::status(&system.gateways(), &specification.job).await.ok();
     Ok(DemoSummary {
         specification,
--- a/crates/lab/src/demo/summary.rs
+++ b/crates/lab/src/demo/summary.rs
@@ -11,8 +11,11 @@
 use super::job::samples_per_step;
 use super::live::LiveSummary;
 use crate::error::LabError;
+use crate::load::Outcome;
 use crate::trainer::TrainerReport;
 
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// The summary.
 #[derive(Clone, Debug, Serialize)]
 pub struct DemoSummary {
@@ -49,18 +52,17 @@
         if !self.in_time {
             problems.push("the job was not done in time".to_owned());
         }
-        let wrong_answers: u64 = self.live.iter().map(|pool| pool.wrong).sum();
-        let completed: u64 = self.live.iter().map(|pool| pool.completed).sum();
+        let live = |outcome| self.live.iter().map(|pool| pool.report.count(outcome)).sum::<u64>();
         let counts = [
             (trainer.lost, "samples were lost"),
             (trainer.doubled, "samples were doubled"),
             (trainer.stale, "samples were older than the bound"),
             (trainer.without_versions, "samples did not name the weights of every token"),
-            (wrong_answers, "live answers were wrong or cut short"),
+            (live(Outcome::Wrong), "live answers were wrong or cut short"),
         ];
         let failed = counts.iter().filter(|(count, _)| *count > 0);
         problems.extend(failed.map(|(count, what)| format!("{count} {what}")));
-        if completed == 0 {
+        if live(Outcome::Completed) == 0 {
             problems.push("no live request was answered".to_owned());
         }
         problems
@@ -130,14 +132,20 @@
     fn write_live(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(formatter, "Live requests")?;
         for pool in &self.live {
+            let report = &pool.report;
+            let outcomes: Vec<String> = report
+                .outcomes
+                .iter()
+                .map(|(outcome, count)| format!("{} {count}", name(*outcome)))
+                .collect();
             writeln!(
                 formatter,
-                "  pool {:10} completed {}   not run {}   unknown {}   wrong {}   p50 {:.0} ms   p99 {:.0} ms",
-                pool.pool, pool.completed, pool.not_run, pool.unknown, pool.wrong, pool.p50_ms, pool.p99_ms
+                "  pool {:10} {}   p50 {} ms   p99 {} ms",
+                pool.pool.as_str(),
+                outcomes.join("   "),
+                report.whole.p50_us / MICROS_PER_MILLI,
+                report.whole.p99_us / MICROS_PER_MILLI
             )?;
-            if let Some(failure) = &pool.first_failure {
-                writeln!(formatter, "    the first failure: {failure}")?;
-            }
         }
         writeln!(formatter)
     }
@@ -158,6 +166,17 @@
     }
 }
 
+const fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Completed => "completed",
+        Outcome::Wrong => "wrong",
+        Outcome::NotRun => "not run",
+        Outcome::Unknown => "unknown",
+        Outcome::Failed => "failed",
+        Outcome::NoAnswer => "unanswered",
+    }
+}
+
 fn describe(example: &Decision) -> String {
     let inputs: Vec<String> =
         example.inputs.iter().map(|input| format!("{}={}", input.name, input.value)).collect();
