--- a/crates/core/src/configuration/tree.rs
+++ b/crates/core/src/configuration/tree.rs
@@ -13,6 +13,32 @@
 const SEPARATOR: char = '#';
 
 /// Values set at their levels. A child overrides only what it names and inherits the rest.
+///
+/// ```
+/// use std::collections::BTreeMap;
+///
+/// use lichenpulley_core::configuration::document::Document;
+/// use lichenpulley_core::configuration::path::LevelPath;
+/// use lichenpulley_core::configuration::schema::{RETRY_BUDGET_PERCENT, STALENESS_BOUND};
+/// use lichenpulley_core::configuration::tree::SettingsTree;
+/// use lichenpulley_core::identity::Revision;
+///
+/// let site = LevelPath::parse("/ramsaran")?;
+/// let pool = site.child("bench-assistant")?;
+/// let set = |path, key, value: &str| (SettingsTree::entry_key(path, key), value.to_owned());
+/// let entries = BTreeMap::from([
+///     set(&site, "staleness_bound", "2"),
+///     set(&site, "retry_budget_percent", "20"),
+///     set(&pool, "staleness_bound", "1"),
+/// ]);
+/// let tree = SettingsTree::from_document(&Document::new(Revision(7), entries));
+///
+/// assert_eq!(tree.integer(&pool, &STALENESS_BOUND), 1, "set at the pool");
+/// assert_eq!(tree.integer(&pool, &RETRY_BUDGET_PERCENT), 20, "inherited from the site");
+/// let explanation = tree.explain(&pool, "retry_budget_percent")?;
+/// assert_eq!(explanation.source, Some(site));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SettingsTree {
     levels: BTreeMap<LevelPath, BTreeMap<String, Value>>,
--- a/crates/daemon/src/configuration/mod.rs
+++ b/crates/daemon/src/configuration/mod.rs
@@ -1,7 +1,7 @@
 //! Brings the settings tree and the directory of machines to this node, and takes operators' changes.
 //!
-//! [`spread`] drives the core's dissemination for each of the two documents, [`source`] reads the platform where
-//! this node is one of its few readers, and [`change`] settles an operator's change.
+//! `spread` drives the core's dissemination for each of the two documents, `source` reads the platform where
+//! this node is one of its few readers, and `change` settles an operator's change.
 
 pub mod change;
 mod handle;
