Add the replicated log and claims as state machines

Ruled out: a lease object in the platform alone (stops with it), and a consensus group over fixed machines (none is set aside). The acceptor keeps nothing outside its storage, so a restart is a reopening.

--- /dev/null
+++ b/crates/core/src/replication/acceptor.rs
@@ -0,0 +1,387 @@
+//! A store replica: promises, accepts, votes and hands out what it has.
+//!
+//! It keeps nothing outside its [`ShardStorage`], so a restart is a reopening of the disk. Invariants:
+//! a promised ballot never goes back, an entry is accepted only under the highest ballot promised, and a replica
+//! that is sealed or not yet installed changes nothing in a generation that it takes no part in.
+
+use super::ballot::Ballot;
+use super::claims::{self, ClaimWindow};
+use super::entry::{Entry, IndexedEntry, LogIndex};
+use super::group::{AcceptedRun, GroupPhase, GroupRecord};
+use super::message::{Accept, Claim, Operation, Outcome, Read, Refusal, ReplicaRequest, ReplicaResponse};
+use super::replica_set::{Generation, ReplicaSet, StoreId};
+use super::storage::ShardStorage;
+use super::transfer::{self, PAGE_BYTES};
+use crate::identity::ShardId;
+
+/// Mechanisms of an acceptor. All on in service; proofs switch one off to show that it is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AcceptorChecks {
+    /// Refuse ballots below the promised one.
+    pub refuse_lower_ballots: bool,
+    /// Refuse to take part under another store's id.
+    pub check_store: bool,
+    /// Refuse to take part once sealed.
+    pub refuse_when_sealed: bool,
+    /// Refuse ids whose claims may have been forgotten.
+    pub refuse_forgotten_claims: bool,
+}
+
+impl Default for AcceptorChecks {
+    fn default() -> Self {
+        Self {
+            refuse_lower_ballots: true,
+            check_store: true,
+            refuse_when_sealed: true,
+            refuse_forgotten_claims: true,
+        }
+    }
+}
+
+/// One store's acceptor, for all its shards.
+#[derive(Clone, Debug)]
+pub struct Acceptor {
+    store: StoreId,
+    window: ClaimWindow,
+    checks: AcceptorChecks,
+}
+
+impl Acceptor {
+    /// The acceptor of a store.
+    pub fn new(store: StoreId, window: ClaimWindow) -> Self {
+        Self { store, window, checks: AcceptorChecks::default() }
+    }
+
+    /// The same with some mechanisms switched off, for proofs that they are needed.
+    #[must_use]
+    pub fn with_checks(mut self, checks: AcceptorChecks) -> Self {
+        self.checks = checks;
+        self
+    }
+
+    /// The store it speaks for.
+    pub fn store(&self) -> &StoreId {
+        &self.store
+    }
+
+    /// Answers a request inside one transaction. The answer may be sent only after the transaction is on disk.
+    ///
+    /// # Errors
+    /// When the disk can't be used; the transaction must then be dropped.
+    pub fn answer<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        now_unix_ms: u64,
+        request: ReplicaRequest,
+    ) -> Result<ReplicaResponse, S::Error> {
+        let ReplicaRequest { shard, generation, store, operation } = request;
+        let outcome = if self.checks.check_store && store != self.store {
+            Outcome::Refused(Refusal::WrongStore { store: self.store.clone() })
+        } else {
+            self.operate(storage, now_unix_ms, &shard, generation, operation)?
+        };
+        Ok(ReplicaResponse { shard, generation, store: self.store.clone(), outcome })
+    }
+
+    /// Drops claims that are past their retention.
+    ///
+    /// # Errors
+    /// When the disk can't be used; the transaction must then be dropped.
+    pub fn forget_expired_claims<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        now_unix_ms: u64,
+        shard: &ShardId,
+    ) -> Result<(), S::Error> {
+        let Some(mut record) = storage.group(shard)? else { return Ok(()) };
+        let horizon = self.window.horizon_unix_ms(now_unix_ms);
+        // A sealed replica is copied page by page: its claims stay as they are.
+        if record.phase != GroupPhase::Active || horizon <= record.position.claims_forgotten_before_unix_ms {
+            return Ok(());
+        }
+        if self.checks.refuse_forgotten_claims {
+            record.position.claims_forgotten_before_unix_ms = horizon;
+            storage.put_group(shard, &record)?;
+        }
+        storage.remove_claims_issued_before(shard, horizon)
+    }
+
+    /// Adds entries that another replica of the generation named as decided, where they follow what is known to be
+    /// decided here. Gives the last position known to be decided.
+    ///
+    /// # Errors
+    /// When the disk can't be used; the transaction must then be dropped.
+    pub fn repair<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        shard: &ShardId,
+        generation: Generation,
+        entries: Vec<IndexedEntry>,
+    ) -> Result<LogIndex, S::Error> {
+        let record = storage.group(shard)?;
+        match self.participant(record, generation) {
+            Ok(record) if record.phase == GroupPhase::Active => repair(storage, shard, record, entries),
+            _ => Ok(LogIndex::ZERO),
+        }
+    }
+
+    fn operate<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        now_unix_ms: u64,
+        shard: &ShardId,
+        generation: Generation,
+        operation: Operation,
+    ) -> Result<Outcome, S::Error> {
+        let record = storage.group(shard)?;
+        match operation {
+            Operation::Begin(set) => return begin(storage, shard, record, set),
+            Operation::Copy(page) => return transfer::copy(storage, shard, record, page),
+            Operation::Install(install) => {
+                return transfer::install(storage, shard, &self.store, record, install);
+            }
+            _ => {}
+        }
+        let record = match self.participant(record, generation) {
+            Ok(record) => record,
+            Err(refusal) => return Ok(Outcome::Refused(refusal)),
+        };
+        match operation {
+            Operation::Seal(next) => transfer::seal(storage, shard, record, next),
+            Operation::ReadState(from) => transfer::read_state(storage, shard, &record.position, from),
+            Operation::ReadDecided(from) => read_decided(storage, shard, &record, from),
+            operation => match self.active(&record) {
+                Err(refusal) => Ok(Outcome::Refused(refusal)),
+                Ok(()) => self.operate_active(storage, now_unix_ms, shard, record, operation),
+            },
+        }
+    }
+
+    fn operate_active<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        now_unix_ms: u64,
+        shard: &ShardId,
+        record: GroupRecord,
+        operation: Operation,
+    ) -> Result<Outcome, S::Error> {
+        match operation {
+            Operation::Prepare(ballot) => self.prepare(storage, shard, record, ballot),
+            Operation::Read(read) => self.read(storage, shard, &record, &read),
+            Operation::Accept(accept) => self.accept(storage, shard, record, accept),
+            Operation::Claim(claim) => self.claim(storage, now_unix_ms, shard, &record, claim),
+            _ => Ok(Outcome::Refused(Refusal::OutOfOrder)),
+        }
+    }
+
+    /// The record, where the store has a part in this generation.
+    fn participant(
+        &self,
+        record: Option<GroupRecord>,
+        generation: Generation,
+    ) -> Result<GroupRecord, Refusal> {
+        let record = record.filter(|record| record.phase != GroupPhase::Joining);
+        let Some(record) = record else { return Err(Refusal::NotInstalled) };
+        if record.set.generation > generation {
+            return Err(Refusal::NewerGeneration { current: record.set });
+        }
+        if record.set.generation < generation {
+            return Err(Refusal::NotInstalled);
+        }
+        Ok(record)
+    }
+
+    fn active(&self, record: &GroupRecord) -> Result<(), Refusal> {
+        match &record.phase {
+            GroupPhase::Sealed { next } if self.checks.refuse_when_sealed => {
+                Err(Refusal::SealedFor { next: next.clone() })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Invariant: the promised ballot never goes back.
+    fn admit(&self, record: &mut GroupRecord, ballot: &Ballot) -> Result<(), Refusal> {
+        let promised = &record.position.promised;
+        if self.checks.refuse_lower_ballots && !promised.admits(ballot) {
+            return Err(Refusal::HigherBallot { promised: promised.clone() });
+        }
+        if promised != ballot {
+            record.position.promised = ballot.clone();
+            record.run = AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO };
+        }
+        Ok(())
+    }
+
+    fn prepare<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        shard: &ShardId,
+        mut record: GroupRecord,
+        ballot: Ballot,
+    ) -> Result<Outcome, S::Error> {
+        if let Err(refusal) = self.admit(&mut record, &ballot) {
+            return Ok(Outcome::Refused(refusal));
+        }
+        storage.put_group(shard, &record)?;
+        let last = storage.last_index(shard)?;
+        Ok(Outcome::Promised { ballot, position: record.position, last, free_bytes: storage.free_bytes() })
+    }
+
+    fn read<S: ShardStorage>(
+        &self,
+        storage: &S,
+        shard: &ShardId,
+        record: &GroupRecord,
+        read: &Read,
+    ) -> Result<Outcome, S::Error> {
+        if record.position.promised != read.ballot {
+            let promised = record.position.promised.clone();
+            return Ok(Outcome::Refused(Refusal::HigherBallot { promised }));
+        }
+        let entries = storage.entries_from(shard, read.from, PAGE_BYTES)?;
+        let last = storage.last_index(shard)?;
+        let through = entries.last().map_or(last, |entry| entry.index);
+        Ok(Outcome::Entries { ballot: read.ballot.clone(), from: read.from, through, entries })
+    }
+
+    fn accept<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        shard: &ShardId,
+        mut record: GroupRecord,
+        accept: Accept,
+    ) -> Result<Outcome, S::Error> {
+        if let Err(refusal) = self.admit(&mut record, &accept.ballot) {
+            return Ok(Outcome::Refused(refusal));
+        }
+        let through = accept.through();
+        let Accept { ballot, from, payloads, decided_through, truncate_before } = accept;
+        let entries = payloads.into_iter().map(|payload| Entry { epoch: ballot.epoch, payload });
+        let entries: Vec<Entry> = entries.collect();
+        let bytes: usize = entries.iter().map(Entry::cost).sum();
+        if !entries.is_empty() && !storage.has_room(bytes as u64) {
+            return Ok(Outcome::Refused(Refusal::DiskFull));
+        }
+        let first = record.position.first();
+        let numbered = (from.0..).map(LogIndex).zip(&entries);
+        for (index, entry) in numbered.filter(|(index, _)| *index >= first) {
+            storage.put_entry(shard, index, entry)?;
+        }
+        extend_run(&mut record.run, from, through);
+        learn_decided(&mut record, decided_through);
+        truncate(storage, shard, &mut record, truncate_before)?;
+        storage.put_group(shard, &record)?;
+        let (base, free_bytes) = (record.position.base, storage.free_bytes());
+        Ok(Outcome::Accepted { ballot, from, through, base, free_bytes })
+    }
+
+    fn claim<S: ShardStorage>(
+        &self,
+        storage: &mut S,
+        now_unix_ms: u64,
+        shard: &ShardId,
+        record: &GroupRecord,
+        claim: Claim,
+    ) -> Result<Outcome, S::Error> {
+        let vote = claims::vote(storage, shard, &record.position, &claim, &self.window, now_unix_ms)?;
+        Ok(Outcome::Voted { request: claim.request, attempt: claim.attempt, vote })
+    }
+}
+
+/// Begins as a member that has not taken part in this generation before.
+///
+/// In the first generation there is nothing to have. In a later one the sender knows that a majority has been
+/// installed: every quorum then contains a member with all that was decided before, so one that never took part
+/// may begin with what it has, and is repaired later.
+fn begin<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    record: Option<GroupRecord>,
+    set: ReplicaSet,
+) -> Result<Outcome, S::Error> {
+    let Some(mut record) = record else {
+        storage.put_group(shard, &GroupRecord::first(set))?;
+        return Ok(Outcome::Begun);
+    };
+    if record.set == set && record.phase == GroupPhase::Active {
+        return Ok(Outcome::Begun);
+    }
+    let waits =
+        record.set.generation < set.generation || (record.set == set && record.phase == GroupPhase::Joining);
+    if !waits {
+        return Ok(Outcome::Refused(Refusal::OutOfOrder));
+    }
+    record.set = set;
+    record.phase = GroupPhase::Active;
+    record.copying = None;
+    storage.put_group(shard, &record)?;
+    Ok(Outcome::Begun)
+}
+
+/// Adds accepted positions to the run, or begins a new one where they don't follow it.
+fn extend_run(run: &mut AcceptedRun, from: LogIndex, through: LogIndex) {
+    if through < from {
+        return;
+    }
+    let touches = from <= run.through.next() && through.next() >= run.from && run.through >= run.from;
+    if touches {
+        run.from = run.from.min(from);
+        run.through = run.through.max(through);
+    } else {
+        *run = AcceptedRun { from, through };
+    }
+}
+
+/// Invariant: `decided_through` covers only positions whose decided entry is here. A position of the run holds
+/// what the present owner proposed, so it is decided once the owner says so.
+fn learn_decided(record: &mut GroupRecord, decided_through: LogIndex) {
+    let known = record.position.decided_through;
+    if record.run.from <= known.next() {
+        record.position.decided_through = known.max(decided_through.min(record.run.through));
+    }
+}
+
+fn truncate<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    record: &mut GroupRecord,
+    before: LogIndex,
+) -> Result<(), S::Error> {
+    if before <= record.position.first() {
+        return Ok(());
+    }
+    record.position.base = before;
+    record.position.decided_through = record.position.decided_through.max(before.previous());
+    storage.remove_entries_before(shard, before)
+}
+
+fn read_decided<S: ShardStorage>(
+    storage: &S,
+    shard: &ShardId,
+    record: &GroupRecord,
+    from: LogIndex,
+) -> Result<Outcome, S::Error> {
+    let decided_through = record.position.decided_through;
+    let from = from.max(record.position.first());
+    let mut entries = storage.entries_from(shard, from, PAGE_BYTES)?;
+    entries.retain(|entry| entry.index <= decided_through);
+    Ok(Outcome::Decided { from, entries, base: record.position.base, decided_through })
+}
+
+/// Adds decided entries that follow what is known to be decided here.
+fn repair<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    mut record: GroupRecord,
+    entries: Vec<IndexedEntry>,
+) -> Result<LogIndex, S::Error> {
+    for IndexedEntry { index, entry } in entries {
+        if index == record.position.decided_through.next() {
+            storage.put_entry(shard, index, &entry)?;
+            record.position.decided_through = index;
+        }
+    }
+    storage.put_group(shard, &record)?;
+    Ok(record.position.decided_through)
+}
--- /dev/null
+++ b/crates/core/src/replication/log.rs
@@ -0,0 +1,78 @@
+//! From entries to what an owner recovers, and from a snapshot to entries.
+
+use super::entry::Payload;
+
+/// What an owner finds when it takes a shard over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecoveredLog {
+    /// The last snapshot, which stands for all records before `records`.
+    pub snapshot: Option<Vec<u8>>,
+    /// Records after the snapshot, in order. Each may have been acknowledged; none that was is missing.
+    pub records: Vec<Vec<u8>>,
+}
+
+/// Puts a log together from its entries in order. A snapshot of which a part is missing counts for nothing: its
+/// owner was superseded while writing it, and nothing was dropped for it.
+pub fn assemble(payloads: impl IntoIterator<Item = Payload>) -> RecoveredLog {
+    let mut recovered = RecoveredLog::default();
+    let mut parts = PartialSnapshot::default();
+    for payload in payloads {
+        match payload {
+            Payload::Noop => parts.discard(),
+            Payload::Record(bytes) => {
+                parts.discard();
+                recovered.records.push(bytes);
+            }
+            Payload::SnapshotPart { number, count, bytes } => {
+                if let Some(snapshot) = parts.add(number, count, &bytes) {
+                    recovered.snapshot = Some(snapshot);
+                    recovered.records.clear();
+                }
+            }
+        }
+    }
+    recovered
+}
+
+/// Cuts a snapshot into parts of at most `part_bytes`; an empty snapshot is one empty part.
+pub fn split_snapshot(snapshot: &[u8], part_bytes: usize) -> Vec<Payload> {
+    if snapshot.is_empty() {
+        return vec![Payload::SnapshotPart { number: 0, count: 1, bytes: Vec::new() }];
+    }
+    let chunks = snapshot.chunks(part_bytes.max(1));
+    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+    let numbered = (0..count).zip(chunks);
+    numbered.map(|(number, bytes)| Payload::SnapshotPart { number, count, bytes: bytes.to_vec() }).collect()
+}
+
+/// Parts of a snapshot read so far, without a gap.
+#[derive(Default)]
+struct PartialSnapshot {
+    next: u32,
+    bytes: Vec<u8>,
+}
+
+impl PartialSnapshot {
+    fn discard(&mut self) {
+        self.next = 0;
+        self.bytes.clear();
+    }
+
+    /// Adds a part; gives the snapshot once it is whole.
+    fn add(&mut self, number: u32, count: u32, bytes: &[u8]) -> Option<Vec<u8>> {
+        if number == 0 {
+            self.discard();
+        }
+        if number != self.next {
+            self.discard();
+            return None;
+        }
+        self.bytes.extend_from_slice(bytes);
+        self.next += 1;
+        if self.next < count {
+            return None;
+        }
+        self.next = 0;
+        Some(std::mem::take(&mut self.bytes))
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -0,0 +1,272 @@
+//! Replaces a shard's replica set by the next generation: seal a majority, copy it, install a majority.
+//!
+//! Invariant: at no time can two generations decide. A majority of the old set is sealed before anything is
+//! installed, so the old one decides nothing any more; the next one decides nothing before a majority of it is
+//! installed, each with all that the old one may have decided. Whoever meets a sealed replica can run this again
+//! from the start: nothing in it needs the platform, and every step may be repeated. A member that is late is
+//! copied to from one that is installed: since it has not taken part yet, it may begin with anything that
+//! the others once had.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::copy_target::CopyTarget;
+use super::group::LogPosition;
+use super::message::{
+    InstallBasis, Operation, Outcome, PagePosition, Refusal, ReplicaRequest, ReplicaResponse, StatePage,
+    TransferId,
+};
+use super::proposer::Transmit;
+use super::quorum::VoteCount;
+use super::replica_set::{Generation, ReplicaSet, StoreId};
+use crate::time::Timestamp;
+
+/// Mechanisms of a reconfigurer. All on in service; proofs switch one off to show that it is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReconfigurerChecks {
+    /// Seal a majority of the old set before copying.
+    pub seal_majority: bool,
+    /// Copy before installing.
+    pub copy: bool,
+}
+
+impl Default for ReconfigurerChecks {
+    fn default() -> Self {
+        Self { seal_majority: true, copy: true }
+    }
+}
+
+/// How far a change of replica set has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReconfigurerEvent {
+    /// A majority of the next set takes part in it. Copying to the others goes on.
+    Installed,
+    /// All of the next set takes part in it.
+    Complete,
+    /// A still later set is known: this change was finished before.
+    Overtaken(ReplicaSet),
+}
+
+/// One run of a change of replica set.
+pub struct Reconfigurer {
+    checks: ReconfigurerChecks,
+    retransmit_after: Duration,
+    old: ReplicaSet,
+    next: ReplicaSet,
+    transfer: TransferId,
+    sealing: BTreeMap<StoreId, Option<Timestamp>>,
+    sealed: VoteCount,
+    sources: Option<Sources>,
+    targets: BTreeMap<StoreId, CopyTarget>,
+    installed: VoteCount,
+    events: VecDeque<ReconfigurerEvent>,
+    ended: bool,
+}
+
+/// Whose state is copied.
+pub(super) struct Sources {
+    pub(super) basis: InstallBasis,
+    pub(super) generation: Generation,
+    pub(super) stores: Vec<StoreId>,
+    pub(super) positions: BTreeMap<StoreId, LogPosition>,
+}
+
+impl Sources {
+    /// The later of each mark of the sources.
+    pub(super) fn position(&self) -> LogPosition {
+        self.positions.values().cloned().fold(LogPosition::default(), LogPosition::merged)
+    }
+}
+
+impl Reconfigurer {
+    /// Begins to replace `old` by `next`, which must be the pending set of the shard. `transfer` must be unique.
+    pub fn new(old: ReplicaSet, next: ReplicaSet, transfer: TransferId, retransmit_after: Duration) -> Self {
+        let sealing = old.members.iter().map(|member| (member.store.clone(), None)).collect();
+        let targets = next.members.iter().map(|member| (member.store.clone(), CopyTarget::default()));
+        Self {
+            checks: ReconfigurerChecks::default(),
+            retransmit_after,
+            targets: targets.collect(),
+            old,
+            next,
+            transfer,
+            sealing,
+            sealed: VoteCount::default(),
+            sources: None,
+            installed: VoteCount::default(),
+            events: VecDeque::new(),
+            ended: false,
+        }
+    }
+
+    /// Begins to bring in members of `set` that have not been installed while the others have.
+    pub fn catch_up(set: ReplicaSet, transfer: TransferId, retransmit_after: Duration) -> Self {
+        let before = Generation(set.generation.0.saturating_sub(1));
+        // No member takes part in the generation before: those that answer are installed.
+        let old = ReplicaSet { generation: before, ..set.clone() };
+        Self::new(old, set, transfer, retransmit_after)
+    }
+
+    /// The same with some mechanisms switched off, for proofs that they are needed.
+    #[must_use]
+    pub fn with_checks(mut self, checks: ReconfigurerChecks) -> Self {
+        self.checks = checks;
+        self
+    }
+
+    /// What happened since the last call.
+    pub fn poll_event(&mut self) -> Option<ReconfigurerEvent> {
+        self.events.pop_front()
+    }
+
+    /// When [`Self::poll_transmit`] has something to send again.
+    pub fn poll_timeout(&self) -> Option<Timestamp> {
+        let sealing = self.sealing.values().filter_map(|retry_at| *retry_at);
+        let copying = self.targets.values().filter_map(|target| target.retry_at);
+        sealing.chain(copying).min()
+    }
+
+    /// The next request to send.
+    pub fn poll_transmit(&mut self, now: Timestamp) -> Option<Transmit> {
+        if self.ended {
+            return None;
+        }
+        self.poll_seal(now).or_else(|| self.poll_copy(now))
+    }
+
+    /// Takes an answer.
+    pub fn step(&mut self, response: ReplicaResponse) {
+        if self.ended || response.shard != self.old.shard {
+            return;
+        }
+        let store = response.store;
+        match response.outcome {
+            Outcome::Sealed { next } if next == self.next => self.after_seal(&store),
+            Outcome::StatePage { from, page } => self.page_read(&store, response.generation, &from, &page),
+            Outcome::Copied { transfer, source, next } if transfer == self.transfer => {
+                self.copied(&store, &source, next);
+            }
+            Outcome::Installed(generation) if generation == self.next.generation => {
+                self.after_install(&store);
+            }
+            Outcome::Refused(refusal) => self.refused(&store, refusal),
+            _ => {}
+        }
+    }
+
+    fn poll_seal(&mut self, now: Timestamp) -> Option<Transmit> {
+        let due = self.sealing.iter_mut().find(|(_, retry_at)| retry_at.is_none_or(|at| at <= now))?;
+        *due.1 = Some(now + self.retransmit_after);
+        let to = due.0.clone();
+        let operation = Operation::Seal(self.next.clone());
+        Some(self.request(to, self.old.generation, operation))
+    }
+
+    fn poll_copy(&mut self, now: Timestamp) -> Option<Transmit> {
+        let sources = self.sources.as_ref()?;
+        let retry_at = now + self.retransmit_after;
+        let (next, transfer) = (&self.next, &self.transfer);
+        let found = self.targets.iter_mut().find_map(|(store, target)| {
+            if !target.is_due(now) {
+                return None;
+            }
+            let (to, generation, operation) = target.wanted(store, sources, next, transfer)?;
+            target.retry_at = Some(retry_at);
+            Some((to, generation, operation))
+        });
+        let (to, generation, operation) = found?;
+        Some(self.request(to, generation, operation))
+    }
+
+    fn request(&self, to: StoreId, generation: Generation, operation: Operation) -> Transmit {
+        let shard = self.old.shard.clone();
+        Transmit { to: to.clone(), request: ReplicaRequest { shard, generation, store: to, operation } }
+    }
+
+    fn after_seal(&mut self, store: &StoreId) {
+        if self.sealing.remove(store).is_none() {
+            return;
+        }
+        self.sealed.add(store);
+        let needed = if self.checks.seal_majority { self.old.majority() } else { 1 };
+        if self.sources.is_none() && self.sealed.len() >= needed {
+            let members = self.old.members.iter().map(|member| &member.store);
+            let stores = members.filter(|store| self.sealed.contains(store)).cloned().collect();
+            self.copy_from(InstallBasis::SealedMajority, self.old.generation, stores);
+        }
+    }
+
+    fn copy_from(&mut self, basis: InstallBasis, generation: Generation, stores: Vec<StoreId>) {
+        self.sources = Some(Sources { basis, generation, stores, positions: BTreeMap::new() });
+        for target in self.targets.values_mut() {
+            target.restart(None);
+            target.skip_copying(!self.checks.copy);
+        }
+    }
+
+    fn page_read(&mut self, store: &StoreId, generation: Generation, from: &PagePosition, page: &StatePage) {
+        let Some(sources) = &mut self.sources else { return };
+        if generation != sources.generation || !sources.stores.contains(store) {
+            return;
+        }
+        sources.positions.insert(store.clone(), page.position.clone());
+        for target in self.targets.values_mut() {
+            target.page_read(sources, store, from, page);
+        }
+    }
+
+    fn copied(&mut self, store: &StoreId, source: &StoreId, next: u64) {
+        let target = self.targets.get_mut(store);
+        if let (Some(sources), Some(target)) = (&self.sources, target) {
+            target.copied(sources, source, next);
+        }
+    }
+
+    fn after_install(&mut self, store: &StoreId) {
+        if self.next.member(store).is_none() {
+            return;
+        }
+        if self.targets.remove(store).is_none() {
+            return;
+        }
+        self.installed.add(store);
+        if self.installed.len() == self.next.majority() {
+            self.events.push_back(ReconfigurerEvent::Installed);
+        }
+        if self.targets.is_empty() {
+            self.end(ReconfigurerEvent::Complete);
+        }
+    }
+
+    fn refused(&mut self, store: &StoreId, refusal: Refusal) {
+        match refusal {
+            Refusal::NewerGeneration { current } if current == self.next => self.found_installed(store),
+            Refusal::NewerGeneration { current } if current.generation > self.next.generation => {
+                self.end(ReconfigurerEvent::Overtaken(current));
+            }
+            Refusal::OutOfOrder => {
+                if let Some(target) = self.targets.get_mut(store) {
+                    target.restart(target.retry_at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// This run or another got this far: the installed member has all there is to copy.
+    fn found_installed(&mut self, store: &StoreId) {
+        self.sealing.remove(store);
+        self.after_install(store);
+        let sources = self.sources.as_ref();
+        let copies_sealed = sources.is_none_or(|sources| sources.basis == InstallBasis::SealedMajority);
+        if copies_sealed && !self.ended {
+            let generation = self.next.generation;
+            self.copy_from(InstallBasis::InstalledMember, generation, vec![store.clone()]);
+        }
+    }
+
+    fn end(&mut self, event: ReconfigurerEvent) {
+        self.ended = true;
+        self.events.push_back(event);
+    }
+}
--- /dev/null
+++ b/crates/core/src/replication/transfer.rs
@@ -0,0 +1,189 @@
+//! A replica's side of changing the replica set: seal, hand out pages, take pages, install.
+
+use super::claims;
+use super::entry::{IndexedEntry, LogIndex};
+use super::group::{AcceptedRun, CopyProgress, GroupPhase, GroupRecord, LogPosition, SourceProgress};
+use super::message::{
+    CopiedSource, CopyPage, Install, InstallBasis, Outcome, PagePosition, Refusal, StatePage, TransferId,
+};
+use super::quorum::majority;
+use super::replica_set::{ReplicaSet, StoreId};
+use super::storage::ShardStorage;
+use crate::identity::ShardId;
+
+/// Bytes of log entries in a page; one larger entry makes a page of its own.
+pub(super) const PAGE_BYTES: usize = 1 << 20;
+/// Claims in a page.
+const PAGE_CLAIMS: usize = 4_096;
+
+/// Stops the replica in its generation, for good.
+pub(super) fn seal<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    mut record: GroupRecord,
+    next: ReplicaSet,
+) -> Result<Outcome, S::Error> {
+    if next.generation != record.set.generation.next() {
+        return Ok(Outcome::Refused(Refusal::OutOfOrder));
+    }
+    if record.phase == GroupPhase::Active {
+        record.phase = GroupPhase::Sealed { next };
+        storage.put_group(shard, &record)?;
+    }
+    Ok(match record.phase {
+        GroupPhase::Sealed { next } => Outcome::Sealed { next },
+        GroupPhase::Active | GroupPhase::Joining => Outcome::Refused(Refusal::NotInstalled),
+    })
+}
+
+/// Hands out a page of a replica's state: first its log, then its claims.
+pub(super) fn read_state<S: ShardStorage>(
+    storage: &S,
+    shard: &ShardId,
+    position: &LogPosition,
+    from: PagePosition,
+) -> Result<Outcome, S::Error> {
+    let position = position.clone();
+    let page = match &from {
+        PagePosition::Entries(first) => {
+            let entries = storage.entries_from(shard, *first, PAGE_BYTES)?;
+            let after = entries.last().map(|last| PagePosition::Entries(last.index.next()));
+            let next = Some(after.unwrap_or(PagePosition::Claims(None)));
+            StatePage { position, entries, claims: Vec::new(), next }
+        }
+        PagePosition::Claims(after) => {
+            let claims = storage.claims_after(shard, after.as_ref(), PAGE_CLAIMS)?;
+            let next = claims.last().map(|last| PagePosition::Claims(Some(last.request.clone())));
+            StatePage { position, entries: Vec::new(), claims, next }
+        }
+    };
+    Ok(Outcome::StatePage { from, page })
+}
+
+/// Takes a page into a member of the next generation that doesn't take part in it yet.
+///
+/// Entries of the sealed generation are only added to, and only by others accepted in it under a higher epoch, so
+/// a copying that stops halfway leaves a state that can itself be copied from.
+pub(super) fn copy<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    record: Option<GroupRecord>,
+    copy: CopyPage,
+) -> Result<Outcome, S::Error> {
+    let mut record = match joining_record(record, &copy.set) {
+        Ok(record) => record,
+        Err(outcome) => return Ok(*outcome),
+    };
+    let progress = progress_of(&mut record, &copy.transfer, &copy.source);
+    if copy.number > progress.next {
+        return Ok(Outcome::Refused(Refusal::OutOfOrder));
+    }
+    if copy.number == progress.next {
+        progress.next += 1;
+        store_page(storage, shard, &copy.page)?;
+    }
+    let next = progress.next;
+    storage.put_group(shard, &record)?;
+    Ok(Outcome::Copied { transfer: copy.transfer, source: copy.source, next })
+}
+
+/// Makes the member take part in the next generation, if it has every page from a majority of the last one.
+pub(super) fn install<S: ShardStorage>(
+    storage: &mut S,
+    shard: &ShardId,
+    store: &StoreId,
+    record: Option<GroupRecord>,
+    install: Install,
+) -> Result<Outcome, S::Error> {
+    let mut record = match joining_record(record, &install.set) {
+        Ok(record) => record,
+        Err(outcome) => return Ok(*outcome),
+    };
+    if !has_all_pages(&record, store, &install) {
+        return Ok(Outcome::Refused(Refusal::OutOfOrder));
+    }
+    let generation = install.set.generation;
+    record.position = record.position.merged(install.position);
+    record.set = install.set;
+    record.phase = GroupPhase::Active;
+    record.run = AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO };
+    record.copying = None;
+    storage.remove_entries_before(shard, record.position.first())?;
+    storage.remove_claims_issued_before(shard, record.position.claims_forgotten_before_unix_ms)?;
+    storage.put_group(shard, &record)?;
+    Ok(Outcome::Installed(generation))
+}
+
+/// The record into which state of a later generation may be copied. That generation `n` is pending says that `n - 1`
+/// was installed, so that every earlier one is sealed for good; and its state is copied only once a majority of
+/// `n - 1` is sealed. So a replica that missed its sealing may make up for it here.
+fn joining_record(record: Option<GroupRecord>, set: &ReplicaSet) -> Result<GroupRecord, Box<Outcome>> {
+    let Some(mut record) = record else {
+        return Ok(GroupRecord::joining(set.clone()));
+    };
+    if record.set.generation > set.generation {
+        return Err(Box::new(Outcome::Refused(Refusal::NewerGeneration { current: record.set })));
+    }
+    if &record.set == set {
+        return match record.phase {
+            GroupPhase::Joining => Ok(record),
+            GroupPhase::Active | GroupPhase::Sealed { .. } => {
+                Err(Box::new(Outcome::Installed(set.generation)))
+            }
+        };
+    }
+    let takes_part_until_now =
+        record.set.generation.next() == set.generation && record.phase != GroupPhase::Joining;
+    if takes_part_until_now {
+        record.phase = GroupPhase::Sealed { next: set.clone() };
+    } else {
+        record.set = set.clone();
+        record.phase = GroupPhase::Joining;
+    }
+    Ok(record)
+}
+
+fn progress_of<'a>(
+    record: &'a mut GroupRecord,
+    transfer: &TransferId,
+    source: &StoreId,
+) -> &'a mut SourceProgress {
+    let copying = record.copying.take().filter(|copying| &copying.transfer == transfer);
+    let fresh = || CopyProgress { transfer: transfer.clone(), sources: Vec::new() };
+    let copying = record.copying.insert(copying.unwrap_or_else(fresh));
+    let known = copying.sources.iter().position(|progress| &progress.store == source);
+    let position = known.unwrap_or_else(|| {
+        copying.sources.push(SourceProgress { store: source.clone(), next: 0 });
+        copying.sources.len() - 1
+    });
+    &mut copying.sources[position]
+}
+
+fn store_page<S: ShardStorage>(storage: &mut S, shard: &ShardId, page: &StatePage) -> Result<(), S::Error> {
+    for IndexedEntry { index, entry } in &page.entries {
+        let present = storage.entry(shard, *index)?;
+        if present.is_none_or(|present| present.epoch < entry.epoch) {
+            storage.put_entry(shard, *index, entry)?;
+        }
+    }
+    for claimed in &page.claims {
+        claims::copy(storage, shard, &claimed.request, &claimed.record)?;
+    }
+    Ok(())
+}
+
+/// Whether everything that was to be copied is here. A sealed replica has its own pages.
+fn has_all_pages(record: &GroupRecord, store: &StoreId, install: &Install) -> bool {
+    let arrived = |source: &CopiedSource| {
+        let copying = record.copying.as_ref().filter(|copying| copying.transfer == install.transfer);
+        let mut pages = copying.into_iter().flat_map(|copying| &copying.sources);
+        pages.any(|progress| progress.store == source.store && progress.next >= source.pages)
+    };
+    let is_self = |source: &CopiedSource| &source.store == store && record.phase != GroupPhase::Joining;
+    let complete = install.sources.iter().all(|source| is_self(source) || arrived(source));
+    let needed = match install.basis {
+        InstallBasis::SealedMajority => majority(install.set.members.len()),
+        InstallBasis::InstalledMember => 1,
+    };
+    complete && install.sources.len() >= needed
+}
