--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
 use crate::settings::Settings;
+use crate::store::replica_sets::ReplicaSetCache;
 
 /// One node's shared state.
 pub struct NodeContext {
@@ -40,6 +41,8 @@
     pub configuration: ArcSwap<ConfigurationView>,
     /// The way to the tasks that spread the configuration and the directory.
     pub documents: ConfigurationHandle,
+    /// Store replicas of shards, as far as this node has met them.
+    pub replica_sets: ReplicaSetCache,
     /// Connections to other nodes.
     pub peers: PeerClients,
     /// Cancelled when a planned stop begins: refuse new work, finish what runs.
@@ -65,6 +68,7 @@
             directory: ArcSwap::default(),
             configuration: ArcSwap::default(),
             documents: ConfigurationHandle::new(),
+            replica_sets: ReplicaSetCache::default(),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -28,12 +28,15 @@
 use crate::membership::{self, StartMembership};
 use crate::operators::Operators;
 use crate::settings::Settings;
+use crate::store::{self, Store};
 
 /// The parts that answer requests. Cheap to clone.
 #[derive(Clone)]
 pub(super) struct Parts {
     context: Context,
     coordinator: Coordinator,
+    /// Where the node has the store role.
+    store: Option<Store>,
 }
 
 impl Parts {
@@ -47,8 +50,11 @@
         self.context.metrics.count_closed_connection(cause.label());
     }
 
-    pub(super) async fn answer_store(&self, _request: StoreRequest) -> StoreResponse {
-        StoreResponse::NotAStore
+    pub(super) async fn answer_store(&self, request: StoreRequest) -> StoreResponse {
+        match &self.store {
+            Some(store) => store.answer(request).await,
+            None => StoreResponse::NotAStore,
+        }
     }
 
     pub(super) async fn answer_coordinator(&self, request: CoordinatorRequest) -> CoordinatorResponse {
@@ -131,9 +137,10 @@
     start_membership(context, membership, addresses);
     configuration::start(context);
 
+    let store = start_store(context)?;
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
     let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone());
-    let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone() };
+    let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone(), store };
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
     let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
@@ -152,6 +159,14 @@
     Ok(stop::Servers { callers, operators, peers, stop })
 }
 
+fn start_store(context: &Context) -> Result<Option<Store>, StartError> {
+    let Some(folder) = context.settings.data_folder.as_ref().filter(|_| context.settings.roles.store) else {
+        return Ok(None);
+    };
+    let store = store::start(Arc::clone(context), folder);
+    store.map(Some).map_err(|error| StartError::Store(error.to_string()))
+}
+
 fn start_membership(context: &Context, socket: UdpSocket, addresses: NodeAddresses) {
     let member = Member {
         node: context.node.clone(),
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lichenpulley_core::replication::claims::ClaimWindow;
+
 use super::reader::{Bounds, SettingsReader};
 
 /// `[peers]`: connections to other nodes.
@@ -122,6 +124,10 @@
     pub capacity_bytes: u64,
     /// A store replica that has not answered by then counts as missing.
     pub call_timeout: Duration,
+    /// How long claims on request ids are kept.
+    pub claim_window: ClaimWindow,
+    /// A member of a replica set that has not been seen for so long is replaced.
+    pub replace_after: Duration,
 }
 
 impl StoreSettings {
@@ -130,6 +136,11 @@
         Self {
             capacity_bytes: reader.number("store.capacity_bytes", &capacity),
             call_timeout: reader.milliseconds("store.call_timeout_ms", 1_000, 20..=60_000),
+            claim_window: ClaimWindow {
+                retention: reader.milliseconds("store.claim_retention_ms", 900_000, 1_000..=86_400_000),
+                maximum_clock_skew: reader.milliseconds("store.maximum_clock_skew_ms", 30_000, 0..=600_000),
+            },
+            replace_after: reader.milliseconds("store.replace_after_ms", 600_000, 1_000..=86_400_000),
         }
     }
 }
--- a/crates/daemon/src/store/claims.rs
+++ b/crates/daemon/src/store/claims.rs
@@ -1,9 +1,29 @@
 //! Write-once claims on the ids of requests that may run at most once (brief point 6).
 
-use lichenpulley_core::identity::{AttemptId, RequestId};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::{AttemptId, RequestId, ShardId};
+use lichenpulley_core::replication::claim_tally::{ClaimTally, ClaimVerdict};
+use lichenpulley_core::replication::message::{Claim, Operation, Outcome, Refusal, ReplicaRequest};
+use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, StoreId};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::exchange::{Answer, Exchange};
+use super::{reconfiguration, replica_sets};
 use crate::context::Context;
 
+/// Shards over which request ids are spread.
+pub const CLAIM_SHARDS: u64 = 16;
+/// What the names of claim shards begin with.
+const CLAIM_SHARD_PREFIX: &str = "claims/";
+/// Pause before a replica that gave no vote is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How many call timeouts a claim may last.
+const PATIENCE: u32 = 2;
+
 /// What became of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimOutcome {
@@ -11,18 +31,135 @@
     Granted,
     /// Another attempt holds the id, or may: this one must not send.
     Held,
-    /// The id is older than claims are kept: refused, since an earlier claim may have been forgotten.
+    /// The id's issue time is outside the window in which claims are kept: refused, since an earlier claim may have
+    /// been forgotten, or one now might never be.
     Expired,
     /// No majority answered. This attempt must not send, and nobody else can be sure either.
     NoMajority,
 }
 
+impl ClaimOutcome {
+    const fn reason(&self) -> &'static str {
+        match self {
+            Self::Granted => "majority_granted",
+            Self::Held => "held_by_another_attempt",
+            Self::Expired => "outside_claim_window",
+            Self::NoMajority => "no_majority",
+        }
+    }
+}
+
 /// Claims a request id for one attempt. Only `Granted` allows a dispatch.
 pub async fn claim(
-    _context: &Context,
-    _request: &RequestId,
-    _issued_at_unix_ms: u64,
-    _attempt: &AttemptId,
+    context: &Context,
+    request: &RequestId,
+    issued_at_unix_ms: u64,
+    attempt: &AttemptId,
 ) -> ClaimOutcome {
-    ClaimOutcome::NoMajority
+    let shard = claim_shard(request);
+    let claim = Claim { request: request.clone(), issued_at_unix_ms, attempt: attempt.clone() };
+    let deadline = Instant::now() + context.settings.store.call_timeout * PATIENCE;
+    let outcome = tokio::time::timeout_at(deadline, claim_on(context, &shard, &claim)).await;
+    let outcome = outcome.unwrap_or(ClaimOutcome::NoMajority);
+    if outcome == ClaimOutcome::NoMajority {
+        context.replica_sets.forget(&shard);
+    }
+    let action = if outcome == ClaimOutcome::Granted { "claim_granted" } else { "claim_refused" };
+    let decision = Decision::new(Component::Replication, action, outcome.reason(), request);
+    context.decisions.record(decision.with("shard", &shard).with("attempt", attempt));
+    outcome
+}
+
+/// The shard that keeps the claim on a request.
+pub fn claim_shard(request: &RequestId) -> ShardId {
+    let bucket = xxh3_64(request.as_str().as_bytes()) % CLAIM_SHARDS;
+    ShardId::new(format!("{CLAIM_SHARD_PREFIX}{bucket}"))
+}
+
+/// Claims in one generation after the other, until one decides or the caller's time is up.
+async fn claim_on(context: &Context, shard: &ShardId, claim: &Claim) -> ClaimOutcome {
+    loop {
+        let set = match replica_sets::find(context, shard).await {
+            Ok(set) => set,
+            Err(error) => {
+                log::warn!(target: "store", "Request {}: shard {shard} has no replica set: {error}.", claim.request);
+                return ClaimOutcome::NoMajority;
+            }
+        };
+        match collect_votes(context, &set, claim).await {
+            Votes::Decided(outcome) => return outcome,
+            Votes::Replaced(next) => {
+                if reconfiguration::complete(context, &set, &next).await.is_err() {
+                    return ClaimOutcome::NoMajority;
+                }
+            }
+        }
+    }
+}
+
+/// How one generation voted.
+enum Votes {
+    Decided(ClaimOutcome),
+    Replaced(ReplicaSet),
+}
+
+async fn collect_votes(context: &Context, set: &ReplicaSet, claim: &Claim) -> Votes {
+    let mut exchange = Exchange::new(context.clone());
+    let mut tally = ClaimTally::new(set);
+    let mut operations = BTreeMap::new();
+    for member in &set.members {
+        operations.insert(member.store.clone(), Operation::Claim(claim.clone()));
+        send(&exchange, set, &member.store, &operations);
+    }
+    loop {
+        let Some(Answer { store, response }) = exchange.next().await else {
+            return Votes::Decided(ClaimOutcome::NoMajority);
+        };
+        match response.map(|response| response.outcome) {
+            Some(Outcome::Voted { vote, .. }) => tally.add(&store, &vote),
+            Some(Outcome::Begun) => {
+                operations.insert(store.clone(), Operation::Claim(claim.clone()));
+                send(&exchange, set, &store, &operations);
+            }
+            Some(Outcome::Refused(Refusal::SealedFor { next })) => return Votes::Replaced(next),
+            Some(Outcome::Refused(Refusal::NewerGeneration { current })) => return Votes::Replaced(current),
+            Some(Outcome::Refused(Refusal::NotInstalled)) if may_begin(set, &tally) => {
+                operations.insert(store.clone(), Operation::Begin(set.clone()));
+                send(&exchange, set, &store, &operations);
+            }
+            _ => send_after(RETRY_PAUSE, &exchange, set, &store, &operations),
+        }
+        match tally.verdict() {
+            ClaimVerdict::Granted => return Votes::Decided(ClaimOutcome::Granted),
+            ClaimVerdict::Held => return Votes::Decided(ClaimOutcome::Held),
+            ClaimVerdict::OutsideWindow => return Votes::Decided(ClaimOutcome::Expired),
+            ClaimVerdict::Open => {}
+        }
+    }
+}
+
+/// Members of a later generation may begin only once a majority takes part in it.
+fn may_begin(set: &ReplicaSet, tally: &ClaimTally) -> bool {
+    set.generation == Generation::FIRST || tally.answered() >= set.majority()
+}
+
+fn send(exchange: &Exchange, set: &ReplicaSet, to: &StoreId, operations: &BTreeMap<StoreId, Operation>) {
+    send_after(Duration::ZERO, exchange, set, to, operations);
+}
+
+fn send_after(
+    pause: Duration,
+    exchange: &Exchange,
+    set: &ReplicaSet,
+    to: &StoreId,
+    operations: &BTreeMap<StoreId, Operation>,
+) {
+    let Some(operation) = operations.get(to) else { return };
+    let request = ReplicaRequest {
+        shard: set.shard.clone(),
+        generation: set.generation,
+        store: to.clone(),
+        operation: operation.clone(),
+    };
+    exchange.send_after(pause, &[set], to, request);
 }
--- /dev/null
+++ b/crates/daemon/src/store/disk.rs
@@ -0,0 +1,144 @@
+//! The store's file: opens it, knows whose it is, and runs transactions on it.
+//!
+//! `redb` keeps the file consistent: a transaction is there whole or not at all after a crash, and pages carry
+//! checksums. A store that finds no file draws a new id: it is a new store, whatever was there before.
+
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
+
+use lichenpulley_core::replication::replica_set::StoreId;
+use redb::{Database, DatabaseError, Durability, StorageError, TableDefinition};
+
+use super::error::{DiskError, StoreError};
+use super::transaction::Transaction;
+
+/// The store's file under its data folder.
+pub const FILE_NAME: &str = "replicas.redb";
+/// The format that this release writes.
+const FORMAT: u64 = 1;
+/// Memory for pages read from the file, in bytes.
+const CACHE_BYTES: usize = 16 << 20;
+/// What a file system puts into an empty volume.
+const VOLUME_FOLDER: &str = "lost+found";
+
+const NUMBERS: TableDefinition<&str, u64> = TableDefinition::new("numbers");
+const NAMES: TableDefinition<&str, &str> = TableDefinition::new("names");
+const FORMAT_KEY: &str = "format";
+const STORE_KEY: &str = "store";
+
+/// An open store file.
+pub(super) struct Disk {
+    path: PathBuf,
+    database: Database,
+    store: StoreId,
+    capacity_bytes: u64,
+}
+
+impl Disk {
+    /// Opens the store in a folder, or makes one where the folder is empty.
+    pub(super) fn open(folder: &Path, capacity_bytes: u64) -> Result<Self, StoreError> {
+        let folder_error = |source| StoreError::Folder { folder: folder.to_owned(), source };
+        fs::create_dir_all(folder).map_err(folder_error)?;
+        let path = folder.join(FILE_NAME);
+        let is_new = !path.try_exists().map_err(folder_error)?;
+        if is_new {
+            refuse_foreign_files(folder)?;
+        }
+        let database = open_database(&path, is_new).map_err(|error| open_error(folder, error))?;
+        let damaged =
+            |error: DiskError| StoreError::Damaged { folder: folder.to_owned(), reason: error.to_string() };
+        if is_new {
+            write_identity(&database).map_err(damaged)?;
+            // The file's name must last as long as its content.
+            File::open(folder).and_then(|folder| folder.sync_all()).map_err(folder_error)?;
+        }
+        let (format, store) = read_identity(&database).map_err(damaged)?;
+        if format != FORMAT {
+            return Err(StoreError::Format { folder: folder.to_owned(), found: format, readable: FORMAT });
+        }
+        Ok(Self { path, database, store, capacity_bytes })
+    }
+
+    /// The store that the file belongs to.
+    pub(super) fn store(&self) -> &StoreId {
+        &self.store
+    }
+
+    /// Runs `work` in a transaction. When it returns well, everything it wrote is on disk; otherwise nothing is.
+    pub(super) fn transact<T>(
+        &self,
+        work: impl FnOnce(&mut Transaction<'_>) -> Result<T, DiskError>,
+    ) -> Result<T, DiskError> {
+        let mut write = self.database.begin_write()?;
+        write.set_durability(Durability::Immediate);
+        let mut transaction = Transaction::open(&write, self.capacity_bytes)?;
+        let result = work(&mut transaction)?;
+        let changed = transaction.finish()?;
+        if changed {
+            write.commit()?;
+        } else {
+            write.abort()?;
+        }
+        Ok(result)
+    }
+
+    /// Opens the file again after the disk failed: the library refuses to go on with what it had in memory.
+    pub(super) fn reopen(self) -> Result<Self, StoreError> {
+        let Self { path, database, store, capacity_bytes } = self;
+        drop(database);
+        let folder = path.parent().unwrap_or(&path).to_owned();
+        let database = open_database(&path, false).map_err(|error| open_error(&folder, error))?;
+        Ok(Self { path, database, store, capacity_bytes })
+    }
+}
+
+fn open_database(path: &Path, is_new: bool) -> Result<Database, DatabaseError> {
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE_BYTES);
+    if is_new { builder.create(path) } else { builder.open(path) }
+}
+
+fn open_error(folder: &Path, error: DatabaseError) -> StoreError {
+    let folder = folder.to_owned();
+    match error {
+        DatabaseError::DatabaseAlreadyOpen => StoreError::InUse { folder },
+        DatabaseError::Storage(StorageError::Io(source))
+            if source.kind() != std::io::ErrorKind::InvalidData
+                && source.kind() != std::io::ErrorKind::UnexpectedEof =>
+        {
+            StoreError::Folder { folder, source }
+        }
+        other => StoreError::Damaged { folder, reason: other.to_string() },
+    }
+}
+
+fn refuse_foreign_files(folder: &Path) -> Result<(), StoreError> {
+    let folder_error = |source| StoreError::Folder { folder: folder.to_owned(), source };
+    for entry in fs::read_dir(folder).map_err(folder_error)? {
+        let name = entry.map_err(folder_error)?.file_name();
+        if name != VOLUME_FOLDER {
+            let found = name.to_string_lossy().into_owned();
+            return Err(StoreError::Foreign { folder: folder.to_owned(), found });
+        }
+    }
+    Ok(())
+}
+
+fn write_identity(database: &Database) -> Result<(), DiskError> {
+    let write = database.begin_write()?;
+    {
+        let store = format!("{:032x}", rand::random::<u128>());
+        write.open_table(NUMBERS)?.insert(FORMAT_KEY, FORMAT)?;
+        write.open_table(NAMES)?.insert(STORE_KEY, store.as_str())?;
+        Transaction::create_tables(&write)?;
+    }
+    Ok(write.commit()?)
+}
+
+fn read_identity(database: &Database) -> Result<(u64, StoreId), DiskError> {
+    let read = database.begin_read()?;
+    let missing = || DiskError::Damaged("the store's identity is missing".to_owned());
+    let format = read.open_table(NUMBERS)?.get(FORMAT_KEY)?.ok_or_else(missing)?.value();
+    let store = read.open_table(NAMES)?.get(STORE_KEY)?.ok_or_else(missing)?.value().to_owned();
+    Ok((format, StoreId::new(store)))
+}
--- /dev/null
+++ b/crates/daemon/src/store/exchange.rs
@@ -0,0 +1,97 @@
+//! Carries requests to store replicas and their answers back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lichenpulley_core::replication::message::{ReplicaRequest, ReplicaResponse};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
+use tokio::sync::mpsc;
+
+use crate::context::Context;
+
+/// Answers that may wait to be taken.
+const ANSWERS_LIMIT: usize = 64;
+
+/// Where a member answers: where the cluster sees its node, or else where it was when the set was made.
+pub(super) fn address_of(context: &Context, member: &SetMember) -> Option<SocketAddr> {
+    let cluster = context.cluster.load();
+    let seen = cluster.member(&member.node).map(|seen| seen.peer_address);
+    seen.or_else(|| member.address.parse().ok())
+}
+
+/// Asks one replica. `None` where no answer came in time.
+pub(super) async fn ask(
+    context: &Context,
+    member: &SetMember,
+    request: ReplicaRequest,
+    deadline: Duration,
+) -> Option<ReplicaResponse> {
+    let address = address_of(context, member)?;
+    match context.peers.store(address, StoreRequest::Replica(Box::new(request)), deadline).await {
+        Ok(StoreResponse::Replica(response)) => Some(*response),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!(target: "store", "No answer from store {}: {error}.", member.store);
+            None
+        }
+    }
+}
+
+/// An answer, or that there was none.
+pub(super) struct Answer {
+    /// Who was asked.
+    pub(super) store: StoreId,
+    /// What it answered.
+    pub(super) response: Option<ReplicaResponse>,
+}
+
+/// Requests on their way, each in a task of its own, so that a slow replica holds up no other.
+pub(super) struct Exchange {
+    context: Context,
+    deadline: Duration,
+    sender: mpsc::Sender<Answer>,
+    answers: mpsc::Receiver<Answer>,
+}
+
+impl Exchange {
+    pub(super) fn new(context: Context) -> Self {
+        let (sender, answers) = mpsc::channel(ANSWERS_LIMIT);
+        let deadline = context.settings.store.call_timeout;
+        Self { context, deadline, sender, answers }
+    }
+
+    /// Sends a request to a member of any of the sets.
+    pub(super) fn send(&self, sets: &[&ReplicaSet], to: &StoreId, request: ReplicaRequest) {
+        self.send_after(Duration::ZERO, sets, to, request);
+    }
+
+    /// Sends a request after a pause.
+    pub(super) fn send_after(
+        &self,
+        pause: Duration,
+        sets: &[&ReplicaSet],
+        to: &StoreId,
+        request: ReplicaRequest,
+    ) {
+        let member = sets.iter().find_map(|set| set.member(to)).cloned();
+        let (context, sender, deadline) = (self.context.clone(), self.sender.clone(), self.deadline);
+        let store = to.clone();
+        tokio::spawn(async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            let response = match member {
+                Some(member) => ask(&context, &member, request, deadline).await,
+                None => None,
+            };
+            // An error only says that the asker has gone.
+            let _ = sender.send(Answer { store, response }).await;
+        });
+    }
+
+    /// The next answer.
+    pub(super) async fn next(&mut self) -> Option<Answer> {
+        self.answers.recv().await
+    }
+}
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -1,4 +1,109 @@
 //! Keeps replicas of logs and claims on disk, and gives owners a log kept by a majority.
+//!
+//! - [`Store`] answers for this node's replicas; its thread owns the disk.
+//! - [`shard_log`] and [`claims`] are used by owners and gateways; they need no store role.
+//! - [`replica_sets`] finds the store replicas of a shard.
 
 pub mod claims;
+mod disk;
+pub mod error;
+mod exchange;
+mod metrics;
+pub mod reconfiguration;
+mod record;
+mod repair;
+pub mod replica_sets;
 pub mod shard_log;
+mod transaction;
+mod worker;
+
+use std::path::Path;
+
+use lichenpulley_core::replication::acceptor::Acceptor;
+use lichenpulley_core::replication::claims::ClaimWindow;
+use lichenpulley_core::replication::replica_set::StoreId;
+use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::context::Context;
+use disk::Disk;
+pub use error::StoreError;
+use metrics::StoreMetrics;
+use worker::{Done, Job, Work, Worker};
+
+/// Requests that wait for the store's thread before callers are made to wait.
+const QUEUE_LIMIT: usize = 1_024;
+
+/// This node's store. Cheap to clone.
+#[derive(Clone)]
+pub struct Store {
+    id: StoreId,
+    jobs: mpsc::Sender<Job>,
+    metrics: StoreMetrics,
+}
+
+/// Opens the store in a folder and begins to serve.
+///
+/// # Errors
+/// When the folder is not usable, not ours, in use or damaged; each names its remedy.
+pub fn start(context: Context, data_folder: &Path) -> Result<Store, StoreError> {
+    let settings = &context.settings.store;
+    let window = settings.claim_window.clone();
+    let metrics = StoreMetrics::new(context.metrics.registry())
+        .map_err(|error| StoreError::Damaged { folder: data_folder.to_owned(), reason: error.to_string() })?;
+    let store = Store::open(data_folder, settings.capacity_bytes, window, metrics)?;
+    log::info!(target: "store", "Store {} is open in {}.", store.id, data_folder.display());
+    repair::spawn(context, store.clone());
+    Ok(store)
+}
+
+impl Store {
+    fn open(
+        data_folder: &Path,
+        capacity_bytes: u64,
+        window: ClaimWindow,
+        metrics: StoreMetrics,
+    ) -> Result<Self, StoreError> {
+        window.validate()?;
+        let disk = Disk::open(data_folder, capacity_bytes)?;
+        let id = disk.store().clone();
+        let acceptor = Acceptor::new(id.clone(), window);
+        let (jobs, receiver) = mpsc::channel(QUEUE_LIMIT);
+        let worker = Worker::new(disk, acceptor, metrics.clone());
+        let thread = std::thread::Builder::new().name("store".to_owned());
+        thread.spawn(move || worker.run(receiver)).map_err(StoreError::Thread)?;
+        Ok(Self { id, jobs, metrics })
+    }
+
+    /// The store's id: new whenever it finds its folder empty.
+    pub fn id(&self) -> &StoreId {
+        &self.id
+    }
+
+    /// Transactions synced to the disk so far.
+    pub fn syncs(&self) -> u64 {
+        self.metrics.syncs()
+    }
+
+    /// Answers a peer. What the answer speaks of is on disk.
+    pub async fn answer(&self, request: StoreRequest) -> StoreResponse {
+        let work = match request {
+            StoreRequest::Probe => return StoreResponse::Ready,
+            StoreRequest::Identity => return StoreResponse::Identity(self.id.clone()),
+            StoreRequest::KnownSet(shard) => Work::KnownSet(shard),
+            StoreRequest::Replica(request) => Work::Replica(request),
+        };
+        match self.work(work).await {
+            Done::Response(response) => response,
+            _ => StoreResponse::Unavailable,
+        }
+    }
+
+    async fn work(&self, work: Work) -> Done {
+        let (reply, result) = oneshot::channel();
+        if self.jobs.send(Job { work, reply }).await.is_err() {
+            return Done::Failed;
+        }
+        result.await.unwrap_or(Done::Failed)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -0,0 +1,210 @@
+//! Replaces a member of a shard's replica set.
+
+use std::time::Duration;
+
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::replication::message::TransferId;
+use lichenpulley_core::replication::placement::best_addition;
+use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerEvent};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember, StoreId};
+use lichenpulley_core::time::Timestamp;
+use tokio::time::Instant;
+
+use super::exchange::Exchange;
+use super::replica_sets::{self, ReplicaSetError, StoredDocument};
+use crate::configuration::platform::ObjectClient;
+use crate::context::Context;
+
+/// How many call timeouts a change may last before it is given up; it can be taken up again.
+const PATIENCE: u32 = 30;
+/// Above the call timeout, so that a request is not sent again while its call still runs.
+const RETRANSMIT_MARGIN: Duration = Duration::from_millis(50);
+
+/// Why a member was not replaced.
+#[derive(Debug, thiserror::Error)]
+pub enum ReconfigurationError {
+    /// The shard's document could not be read or written.
+    #[error(transparent)]
+    Document(#[from] ReplicaSetError),
+    /// The shard has no replica set.
+    #[error("shard {0} has no replica set; nothing is to be replaced")]
+    UnknownShard(ShardId),
+    /// The store is no member.
+    #[error("store {0} is no member of the replica set; read the set again")]
+    NotAMember(StoreId),
+    /// No other store can take the place.
+    #[error("no other store answers; start another node with the store role")]
+    NoCandidate,
+    /// Too few members answered; what was begun can be finished later.
+    #[error("the change of replica set is not finished; restore a majority of the old members")]
+    Unfinished,
+}
+
+/// Finishes a change of replica set that was begun: `next` is the pending set or a later one. Needs no platform.
+///
+/// # Errors
+/// When too few members answer.
+pub async fn complete(
+    context: &Context,
+    old: &ReplicaSet,
+    next: &ReplicaSet,
+) -> Result<(), ReconfigurationError> {
+    let installed = run(context, old, next, Extent::Majority).await?;
+    context.replica_sets.put(&installed);
+    let decision = Decision::new(Component::Replication, "replaced_set", "installed", &old.shard);
+    let decision = decision.with("from", old.generation).with("to", installed.generation);
+    context.decisions.record(decision);
+    let context = context.clone();
+    tokio::spawn(async move {
+        catch_up(&context, &installed).await;
+        if let Err(error) = settle(&context, &installed).await {
+            log::info!(target: "store", "Shard {}: the document is settled later: {error}.", installed.shard);
+        }
+    });
+    Ok(())
+}
+
+/// Replaces a member of a shard's replica set by another store, chosen among the live ones.
+///
+/// # Errors
+/// When the document can't be written, no store is free, or too few members answer.
+pub async fn replace(
+    context: &Context,
+    shard: &ShardId,
+    leaving: &StoreId,
+) -> Result<ReplicaSet, ReconfigurationError> {
+    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    let stored = replica_sets::read(&client, shard).await?;
+    let stored = stored.ok_or_else(|| ReconfigurationError::UnknownShard(shard.clone()))?;
+    let stored = finish_pending(context, &client, stored).await?;
+    let current = stored.document.current;
+    if current.member(leaving).is_none() {
+        return Err(ReconfigurationError::NotAMember(leaving.clone()));
+    }
+    let next = choose_next(context, &current, leaving).await?;
+    let document = ReplicaSetDocument { current: current.clone(), pending: Some(next.clone()) };
+    replica_sets::write(&client, shard, Some(stored.version), &document).await?;
+    let decision = Decision::new(Component::Replication, "replacing", "member_gone", shard);
+    context.decisions.record(decision.with("leaving", leaving).with("generation", next.generation));
+    let installed = run(context, &current, &next, Extent::All).await?;
+    context.replica_sets.put(&installed);
+    settle(context, &installed).await?;
+    Ok(installed)
+}
+
+/// Brings in members of a set that have not been installed while the others have.
+pub(super) async fn catch_up(context: &Context, set: &ReplicaSet) {
+    let reconfigurer = Reconfigurer::catch_up(set.clone(), new_transfer(context), retransmit_after(context));
+    if let Err(error) = drive(context, reconfigurer, &[set], Extent::All).await {
+        log::info!(target: "store", "Shard {}: some members are not installed yet: {error}.", set.shard);
+    }
+}
+
+async fn choose_next(
+    context: &Context,
+    current: &ReplicaSet,
+    leaving: &StoreId,
+) -> Result<ReplicaSet, ReconfigurationError> {
+    let staying: Vec<SetMember> =
+        current.members.iter().filter(|member| &member.store != leaving).cloned().collect();
+    let mut candidates = replica_sets::candidates(context).await;
+    candidates.retain(|candidate| &candidate.store != leaving);
+    let joining = best_addition(&current.shard, &staying, &candidates);
+    let joining = joining.ok_or(ReconfigurationError::NoCandidate)?;
+    current.with_replaced(leaving, joining).ok_or(ReconfigurationError::NoCandidate)
+}
+
+/// A change that is pending goes first: a pending set is never withdrawn.
+async fn finish_pending(
+    context: &Context,
+    client: &ObjectClient,
+    stored: StoredDocument,
+) -> Result<StoredDocument, ReconfigurationError> {
+    let Some(pending) = &stored.document.pending else { return Ok(stored) };
+    let installed = run(context, &stored.document.current, pending, Extent::All).await?;
+    settle(context, &installed).await?;
+    let stored = replica_sets::read(client, &installed.shard).await?;
+    stored.ok_or_else(|| ReconfigurationError::UnknownShard(installed.shard))
+}
+
+/// Writes that a set is current, once it is installed.
+async fn settle(context: &Context, installed: &ReplicaSet) -> Result<(), ReconfigurationError> {
+    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    let Some(stored) = replica_sets::read(&client, &installed.shard).await? else { return Ok(()) };
+    if stored.document.pending.as_ref() != Some(installed) {
+        return Ok(());
+    }
+    let settled = stored.document.completed();
+    Ok(replica_sets::write(&client, &installed.shard, Some(stored.version), &settled).await?)
+}
+
+/// How many members of the next set must be installed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Extent {
+    /// Enough for it to decide.
+    Majority,
+    /// All, as far as they answer.
+    All,
+}
+
+/// Runs a change; gives the set that is in force in the end.
+async fn run(
+    context: &Context,
+    old: &ReplicaSet,
+    next: &ReplicaSet,
+    extent: Extent,
+) -> Result<ReplicaSet, ReconfigurationError> {
+    if next.generation > old.generation.next() {
+        // Several changes behind: the later set is in force already.
+        return Ok(next.clone());
+    }
+    let transfer = new_transfer(context);
+    let reconfigurer = Reconfigurer::new(old.clone(), next.clone(), transfer, retransmit_after(context));
+    let later = drive(context, reconfigurer, &[old, next], extent).await?;
+    Ok(later.unwrap_or_else(|| next.clone()))
+}
+
+fn new_transfer(context: &Context) -> TransferId {
+    TransferId(format!("{}/{:016x}", context.node, rand::random::<u64>()))
+}
+
+fn retransmit_after(context: &Context) -> Duration {
+    context.settings.store.call_timeout + RETRANSMIT_MARGIN
+}
+
+/// Exchanges messages until enough members are installed; gives a later set where one was met.
+async fn drive(
+    context: &Context,
+    mut reconfigurer: Reconfigurer,
+    sets: &[&ReplicaSet],
+    extent: Extent,
+) -> Result<Option<ReplicaSet>, ReconfigurationError> {
+    let origin = Instant::now();
+    let deadline = origin + context.settings.store.call_timeout * PATIENCE;
+    let mut exchange = Exchange::new(context.clone());
+    let mut has_majority = false;
+    loop {
+        match reconfigurer.poll_event() {
+            Some(ReconfigurerEvent::Installed) if extent == Extent::Majority => return Ok(None),
+            Some(ReconfigurerEvent::Installed) => has_majority = true,
+            Some(ReconfigurerEvent::Complete) => return Ok(None),
+            Some(ReconfigurerEvent::Overtaken(later)) => return Ok(Some(later)),
+            None => {}
+        }
+        let now = Timestamp::ORIGIN + origin.elapsed();
+        while let Some(transmit) = reconfigurer.poll_transmit(now) {
+            exchange.send(sets, &transmit.to, transmit.request);
+        }
+        if Instant::now() >= deadline {
+            let unfinished = ReconfigurationError::Unfinished;
+            return if has_majority { Ok(None) } else { Err(unfinished) };
+        }
+        let retry = reconfigurer.poll_timeout().map(|at| origin + Duration::from_micros(at.as_micros()));
+        let until = retry.map_or(deadline, |retry| retry.min(deadline));
+        let answer = tokio::time::timeout_at(until, exchange.next()).await;
+        if let Ok(Some(response)) = answer.map(|answer| answer.and_then(|answer| answer.response)) {
+            reconfigurer.step(response);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store/repair.rs
@@ -0,0 +1,85 @@
+//! Fills gaps: a replica that missed appends copies what is decided from another one.
+
+use std::time::Duration;
+
+use lichenpulley_core::replication::group::{GroupPhase, GroupRecord};
+use lichenpulley_core::replication::message::{Operation, Outcome, Refusal, ReplicaRequest};
+use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, SetMember};
+use rand::seq::IndexedRandom;
+
+use super::exchange::ask;
+use super::worker::{Done, Work};
+use super::{Store, reconfiguration};
+use crate::context::Context;
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_secs(5);
+
+/// Repairs the store's logs and drops expired claims until the node stops.
+pub(super) fn spawn(context: Context, store: Store) {
+    tokio::spawn(async move {
+        while !context.stopped.is_cancelled() {
+            tokio::select! {
+                () = context.stopped.cancelled() => return,
+                () = tokio::time::sleep(ROUND) => round(&context, &store).await,
+            }
+        }
+    });
+}
+
+async fn round(context: &Context, store: &Store) {
+    store.work(Work::ForgetExpiredClaims).await;
+    let Done::Groups(groups) = store.work(Work::Groups).await else { return };
+    for group in groups {
+        match &group.phase {
+            GroupPhase::Active => repair(context, store, &group).await,
+            GroupPhase::Joining => reconfiguration::catch_up(context, &group.set).await,
+            GroupPhase::Sealed { next } => finish_change(context, store, &group, next).await,
+        }
+    }
+}
+
+/// Finishes a change of replica set that stopped halfway. A store that has left the set waits for others to do so.
+async fn finish_change(context: &Context, store: &Store, group: &GroupRecord, next: &ReplicaSet) {
+    if next.member(&store.id).is_none() {
+        return;
+    }
+    if let Err(error) = reconfiguration::complete(context, &group.set, next).await {
+        log::info!(target: "store", "Shard {}: {error}.", group.set.shard);
+    }
+}
+
+async fn repair(context: &Context, store: &Store, group: &GroupRecord) {
+    let members = group.set.members.iter().filter(|member| member.store != store.id);
+    let members: Vec<&SetMember> = members.collect();
+    let Some(source) = members.choose(&mut rand::rng()) else { return };
+    let mut known = group.position.decided_through;
+    loop {
+        let request = ReplicaRequest {
+            shard: group.set.shard.clone(),
+            generation: group.set.generation,
+            store: source.store.clone(),
+            operation: Operation::ReadDecided(known.next()),
+        };
+        let response = ask(context, source, request, context.settings.store.call_timeout).await;
+        let entries = match response.map(|response| response.outcome) {
+            Some(Outcome::Decided { entries, .. }) => entries,
+            Some(Outcome::Refused(Refusal::NotInstalled)) if group.set.generation > Generation::FIRST => {
+                return reconfiguration::catch_up(context, &group.set).await;
+            }
+            _ => return,
+        };
+        if entries.is_empty() {
+            return;
+        }
+        let (shard, generation) = (group.set.shard.clone(), group.set.generation);
+        let Done::Repaired(through) = store.work(Work::Repair { shard, generation, entries }).await else {
+            return;
+        };
+        if through <= known {
+            return;
+        }
+        log::info!(target: "store", "Shard {}: repaired through {through}.", group.set.shard);
+        known = through;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -0,0 +1,192 @@
+//! Finds the store replicas of a shard, and chooses the first ones.
+//!
+//! A set that is out of date does no harm: its members are sealed, refuse, and name their successor. So any source
+//! will do, and the ones that need no platform are asked first.
+
+use std::collections::HashMap;
+
+use arc_swap::ArcSwap;
+use futures::future::join_all;
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::{Revision, ShardId};
+use lichenpulley_core::replication::placement::{REPLICAS, first_set};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember};
+use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
+
+use crate::cluster::Member;
+use crate::configuration::platform::{ObjectClient, PlatformError, WriteError};
+use crate::context::Context;
+
+/// Where the object API holds the replica sets of shards.
+const KEY_PREFIX: &str = "replica-sets/";
+
+/// Replica sets that this node has met.
+#[derive(Debug, Default)]
+pub struct ReplicaSetCache {
+    sets: ArcSwap<HashMap<ShardId, ReplicaSet>>,
+}
+
+impl ReplicaSetCache {
+    /// The set last met for a shard.
+    pub fn get(&self, shard: &ShardId) -> Option<ReplicaSet> {
+        self.sets.load().get(shard).cloned()
+    }
+
+    /// Keeps a set, unless a later one is kept.
+    pub fn put(&self, set: &ReplicaSet) {
+        self.sets.rcu(|sets| {
+            let mut sets = HashMap::clone(sets);
+            let known = sets.get(&set.shard);
+            if known.is_none_or(|known| known.generation < set.generation) {
+                sets.insert(set.shard.clone(), set.clone());
+            }
+            sets
+        });
+    }
+
+    /// Forgets a set that led nowhere, so that it is looked for again.
+    pub fn forget(&self, shard: &ShardId) {
+        self.sets.rcu(|sets| {
+            let mut sets = HashMap::clone(sets);
+            sets.remove(shard);
+            sets
+        });
+    }
+}
+
+/// Why no replica set is known.
+#[derive(Debug, thiserror::Error)]
+pub enum ReplicaSetError {
+    /// No object API is named in the settings, and no store knows the shard.
+    #[error("no store knows the shard and no object API is set; set platform.object_api")]
+    NoObjectApi,
+    /// The object API gave no answer, and no store knows the shard.
+    #[error("no store knows the shard: {0}")]
+    Platform(#[from] PlatformError),
+    /// The object API may have kept the set or not.
+    #[error("the first replica set is in doubt: {0}")]
+    Write(#[from] WriteError),
+    /// The object holds something else.
+    #[error("the object {key} is no replica set: {source}; mend or delete it")]
+    Unreadable {
+        /// The object's key.
+        key: String,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+    /// There are fewer stores than a shard needs.
+    #[error("{live} stores answer and {REPLICAS} are needed; start more nodes with the store role")]
+    TooFewStores {
+        /// How many answer.
+        live: usize,
+    },
+}
+
+/// The replica set of a shard; chosen now where it has none.
+///
+/// # Errors
+/// When no store knows the shard and the platform doesn't help.
+pub async fn find(context: &Context, shard: &ShardId) -> Result<ReplicaSet, ReplicaSetError> {
+    if let Some(set) = context.replica_sets.get(shard) {
+        return Ok(set);
+    }
+    let set = match ask_stores(context, shard).await {
+        Some(set) => set,
+        None => read_or_create(context, shard).await?,
+    };
+    context.replica_sets.put(&set);
+    Ok(set)
+}
+
+/// A replica set document and the version under which the object API holds it.
+#[derive(Clone, Debug)]
+pub(super) struct StoredDocument {
+    pub(super) document: ReplicaSetDocument,
+    pub(super) version: Revision,
+}
+
+/// Reads a shard's document.
+pub(super) async fn read(
+    client: &ObjectClient,
+    shard: &ShardId,
+) -> Result<Option<StoredDocument>, ReplicaSetError> {
+    let key = document_key(shard);
+    let Some(object) = client.read(&key).await? else { return Ok(None) };
+    let document = serde_json::from_value(object.value);
+    let document = document.map_err(|source| ReplicaSetError::Unreadable { key, source })?;
+    Ok(Some(StoredDocument { document, version: object.version }))
+}
+
+/// Writes a shard's document if its version is still `base`.
+pub(super) async fn write(
+    client: &ObjectClient,
+    shard: &ShardId,
+    base: Option<Revision>,
+    document: &ReplicaSetDocument,
+) -> Result<(), ReplicaSetError> {
+    let key = document_key(shard);
+    let value = serde_json::to_value(document);
+    let value = value.map_err(|source| ReplicaSetError::Unreadable { key: key.clone(), source })?;
+    client.write(&key, base, value).await?;
+    Ok(())
+}
+
+/// Live stores that could be members of a set.
+pub(super) async fn candidates(context: &Context) -> Vec<SetMember> {
+    let asked = store_nodes(context);
+    let answers = asked.iter().map(|member| candidate(context, member));
+    join_all(answers).await.into_iter().flatten().collect()
+}
+
+fn document_key(shard: &ShardId) -> String {
+    format!("{KEY_PREFIX}{shard}")
+}
+
+fn store_nodes(context: &Context) -> Vec<Member> {
+    let cluster = context.cluster.load();
+    cluster.members.iter().filter(|member| member.roles.store).cloned().collect()
+}
+
+async fn candidate(context: &Context, member: &Member) -> Option<SetMember> {
+    let deadline = context.settings.store.call_timeout;
+    let answer = context.peers.store(member.peer_address, StoreRequest::Identity, deadline).await;
+    let Ok(StoreResponse::Identity(store)) = answer else { return None };
+    let (node, zone) = (member.node.clone(), member.zone.clone());
+    Some(SetMember { store, node, zone, address: member.peer_address.to_string() })
+}
+
+/// The latest set that any live store knows.
+async fn ask_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+    let deadline = context.settings.store.call_timeout;
+    let nodes = store_nodes(context);
+    let answers = nodes.iter().map(|member| {
+        context.peers.store(member.peer_address, StoreRequest::KnownSet(shard.clone()), deadline)
+    });
+    let known = join_all(answers).await.into_iter().filter_map(|answer| match answer {
+        Ok(StoreResponse::KnownSet(known)) => known.map(|known| known.set),
+        _ => None,
+    });
+    known.max_by_key(|set| set.generation)
+}
+
+async fn read_or_create(context: &Context, shard: &ShardId) -> Result<ReplicaSet, ReplicaSetError> {
+    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    if let Some(stored) = read(&client, shard).await? {
+        return Ok(stored.document.current);
+    }
+    let candidates = candidates(context).await;
+    let set = first_set(shard, &candidates);
+    let set = set.ok_or(ReplicaSetError::TooFewStores { live: candidates.len() })?;
+    let written = write(&client, shard, None, &ReplicaSetDocument::settled(set.clone())).await;
+    // Whoever was first, or whatever became of a lost reply: what the object API holds now is the set.
+    let stored = read(&client, shard).await?;
+    let Some(stored) = stored else {
+        written?;
+        return Err(ReplicaSetError::TooFewStores { live: candidates.len() });
+    };
+    let set = stored.document.current;
+    let decision = Decision::new(Component::Replication, "placed", "first_replica_set", shard);
+    let nodes: Vec<&str> = set.members.iter().map(|member| member.node.as_str()).collect();
+    context.decisions.record(decision.with("nodes", nodes.join(" ")));
+    Ok(set)
+}
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -1,18 +1,30 @@
 //! A shard's log as its owner uses it: every record is on disk at a majority of the shard's store replicas
 //! before `append` returns, and an owner that has been superseded can append nothing.
 
+use std::time::Duration;
+
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{Epoch, ShardId};
+use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::entry::LogIndex;
+pub use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::replication::proposer::{
+    AppendRefusal, EndReason, Proposer, ProposerConfig, ProposerEvent,
+};
+use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::time::Timestamp;
+use tokio::time::Instant;
 
+use super::exchange::Exchange;
+use super::{reconfiguration, replica_sets};
 use crate::context::Context;
 
-/// What an owner finds when it takes a shard over.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RecoveredLog {
-    /// The last snapshot, which stands for all records before `records`.
-    pub snapshot: Option<Vec<u8>>,
-    /// Records after the snapshot, in order. Each may have been acknowledged; none that was is missing.
-    pub records: Vec<Vec<u8>>,
-}
+/// Pause before a replica that could not be reached is tried again.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// How many call timeouts a take-over or an append may last.
+const PATIENCE: u32 = 4;
+/// Above the call timeout, so that a request is not sent again while its call still runs.
+const RETRANSMIT_MARGIN: Duration = Duration::from_millis(50);
 
 /// Why the log could not be used.
 #[derive(Debug, thiserror::Error)]
@@ -47,26 +59,40 @@
 
 /// An owner's handle on a shard's log.
 pub struct ShardLog {
+    context: Context,
     shard: ShardId,
-    epoch: Epoch,
+    proposer: Proposer,
+    exchange: Exchange,
+    origin: Instant,
+    replaced_by: Option<ReplicaSet>,
 }
 
 impl ShardLog {
     /// Raises the shard's epoch at a majority of its store replicas, finishes what an earlier owner may have
-    /// decided, and returns all of it. Needs no platform.
+    /// decided, and returns all of it. Needs no platform once the shard has replicas.
     ///
     /// # Errors
     /// When another owner is ahead or no majority answers.
     pub async fn take_over(
-        _context: &Context,
+        context: &Context,
         shard: &ShardId,
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
-        Err(ShardLogError::NoMajority { shard: shard.clone(), answered: 0, replicas: 0 })
+        let deadline = Instant::now() + context.settings.store.call_timeout * PATIENCE;
+        loop {
+            let mut log = Self::begin(context, shard, deadline).await?;
+            match log.recover(deadline).await {
+                Ok(recovered) => {
+                    log.record_taken_over(&recovered);
+                    return Ok((log, recovered));
+                }
+                Err(error) => log.follow_replacement(deadline).await.ok_or(error)?,
+            }
+        }
     }
 
     /// The epoch under which this owner acts; every order it sends carries it.
     pub fn epoch(&self) -> Epoch {
-        self.epoch
+        self.proposer.epoch()
     }
 
     /// Appends records, all or none acknowledged. After an error other than `DiskFull` the owner must take the
@@ -74,15 +100,163 @@
     ///
     /// # Errors
     /// When superseded, without a majority, or without room.
-    pub async fn append(&mut self, _records: Vec<Vec<u8>>) -> Result<(), ShardLogError> {
-        Err(ShardLogError::NoMajority { shard: self.shard.clone(), answered: 0, replicas: 0 })
+    pub async fn append(&mut self, records: Vec<Vec<u8>>) -> Result<(), ShardLogError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        let through = self.proposer.append(records).map_err(|refusal| self.refused(refusal))?;
+        self.decide(through).await
     }
 
     /// Replaces all records appended so far by a snapshot of what they amount to.
     ///
     /// # Errors
     /// As for `append`.
-    pub async fn compact(&mut self, _snapshot: Vec<u8>) -> Result<(), ShardLogError> {
-        Err(ShardLogError::NoMajority { shard: self.shard.clone(), answered: 0, replicas: 0 })
+    pub async fn compact(&mut self, snapshot: Vec<u8>) -> Result<(), ShardLogError> {
+        let through = self.proposer.compact(&snapshot).map_err(|refusal| self.refused(refusal))?;
+        self.decide(through).await
+    }
+
+    async fn begin(context: &Context, shard: &ShardId, deadline: Instant) -> Result<Self, ShardLogError> {
+        let found = tokio::time::timeout_at(deadline, replica_sets::find(context, shard)).await;
+        let set = match found {
+            Ok(Ok(set)) => set,
+            Ok(Err(error)) => {
+                log::warn!(target: "store", "Shard {shard} has no replica set: {error}.");
+                return Err(ShardLogError::NoMajority { shard: shard.clone(), answered: 0, replicas: 0 });
+            }
+            Err(_) => {
+                return Err(ShardLogError::NoMajority { shard: shard.clone(), answered: 0, replicas: 0 });
+            }
+        };
+        let proposer = ProposerId::new(format!("{}/{:016x}", context.node, rand::random::<u64>()));
+        let config = ProposerConfig {
+            retransmit_after: context.settings.store.call_timeout + RETRANSMIT_MARGIN,
+            ..ProposerConfig::default()
+        };
+        Ok(Self {
+            context: context.clone(),
+            shard: shard.clone(),
+            proposer: Proposer::new(set, proposer, Epoch(1), config),
+            exchange: Exchange::new(context.clone()),
+            origin: Instant::now(),
+            replaced_by: None,
+        })
+    }
+
+    async fn recover(&mut self, deadline: Instant) -> Result<RecoveredLog, ShardLogError> {
+        loop {
+            if let ProposerEvent::Recovered(recovered) = self.next_event(deadline).await? {
+                return Ok(recovered);
+            }
+        }
+    }
+
+    /// Finishes a change of the replica set that stopped this take-over. `None` where there was none.
+    async fn follow_replacement(&mut self, deadline: Instant) -> Option<()> {
+        let next = self.replaced_by.take()?;
+        let change = reconfiguration::complete(&self.context, self.proposer.set(), &next);
+        tokio::time::timeout_at(deadline, change).await.ok()?.ok()
+    }
+
+    async fn decide(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
+        let deadline = Instant::now() + self.context.settings.store.call_timeout * PATIENCE;
+        while self.proposer.decided_through() < through {
+            self.next_event(deadline).await?;
+        }
+        Ok(())
+    }
+
+    /// Exchanges messages until the proposer has something to report.
+    async fn next_event(&mut self, deadline: Instant) -> Result<ProposerEvent, ShardLogError> {
+        loop {
+            match self.proposer.poll_event() {
+                Some(ProposerEvent::Ended(reason)) => return Err(self.ended(reason)),
+                Some(event) => return Ok(event),
+                None => {}
+            }
+            self.transmit();
+            if Instant::now() >= deadline {
+                self.proposer.stop();
+                return Err(self.no_majority());
+            }
+            self.wait(deadline).await;
+        }
+    }
+
+    fn transmit(&mut self) {
+        let now = self.now();
+        while let Some(transmit) = self.proposer.poll_transmit(now) {
+            self.exchange.send(&[self.proposer.set()], &transmit.to, transmit.request);
+        }
+    }
+
+    /// Waits for an answer or for the time to send again.
+    async fn wait(&mut self, deadline: Instant) {
+        let retry =
+            self.proposer.poll_timeout().map(|at| self.origin + Duration::from_micros(at.as_micros()));
+        let until = retry.map_or(deadline, |retry| retry.min(deadline));
+        let Ok(Some(answer)) = tokio::time::timeout_at(until, self.exchange.next()).await else { return };
+        let now = self.now();
+        match answer.response {
+            Some(response) => self.proposer.step(now, response),
+            None => self.proposer.unreachable(now, &answer.store, RETRY_AFTER),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
+    fn refused(&self, refusal: AppendRefusal) -> ShardLogError {
+        match refusal {
+            AppendRefusal::DiskFull => {
+                let decision =
+                    Decision::new(Component::Replication, "append_refused", "disk_full", &self.shard);
+                self.context.decisions.record(decision.with("epoch", self.epoch()));
+                ShardLogError::DiskFull { shard: self.shard.clone() }
+            }
+            AppendRefusal::NotLeading => self.no_majority(),
+        }
+    }
+
+    fn no_majority(&self) -> ShardLogError {
+        self.context.replica_sets.forget(&self.shard);
+        ShardLogError::NoMajority {
+            shard: self.shard.clone(),
+            answered: self.proposer.answered(),
+            replicas: self.proposer.set().members.len(),
+        }
+    }
+
+    fn ended(&mut self, reason: EndReason) -> ShardLogError {
+        match reason {
+            EndReason::Superseded { highest } => {
+                let decision =
+                    Decision::new(Component::Replication, "superseded", "higher_epoch", &self.shard);
+                let decision = decision.with("epoch", self.epoch()).with("highest", highest);
+                self.context.decisions.record(decision);
+                ShardLogError::Superseded { shard: self.shard.clone(), highest }
+            }
+            EndReason::Replaced { next } => {
+                log::info!(target: "store", "Shard {}: generation {} follows.", self.shard, next.generation);
+                self.replaced_by = Some(next);
+                self.no_majority()
+            }
+            EndReason::Damaged { store } => {
+                log::error!(target: "store", "Shard {}: store {store} lacks decided entries.", self.shard);
+                self.no_majority()
+            }
+        }
+    }
+
+    fn record_taken_over(&self, recovered: &RecoveredLog) {
+        let decision = Decision::new(Component::Replication, "taken_over", "majority_promised", &self.shard);
+        let decision = decision
+            .with("epoch", self.epoch())
+            .with("generation", self.proposer.set().generation)
+            .with("records", recovered.records.len())
+            .with("milliseconds", self.origin.elapsed().as_millis());
+        self.context.decisions.record(decision);
     }
 }
--- a/crates/protocol/src/internal/store.rs
+++ b/crates/protocol/src/internal/store.rs
@@ -1,5 +1,8 @@
 //! Requests to a store replica.
 
+use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::replication::message::{ReplicaRequest, ReplicaResponse};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
 use speedy::{Readable, Writable};
 
 /// A request to a store replica.
@@ -7,6 +10,12 @@
 pub enum StoreRequest {
     /// Asks whether the node keeps a store.
     Probe,
+    /// Asks which store the node keeps.
+    Identity,
+    /// Asks for the latest replica set of a shard that the store knows of.
+    KnownSet(ShardId),
+    /// Asks one replica of one shard.
+    Replica(Box<ReplicaRequest>),
 }
 
 /// Its answer.
@@ -16,4 +25,21 @@
     Ready,
     /// The node has no store role.
     NotAStore,
+    /// The store that the node keeps.
+    Identity(StoreId),
+    /// The latest replica set of the shard that the store knows of.
+    KnownSet(Option<KnownSet>),
+    /// The replica's answer.
+    Replica(Box<ReplicaResponse>),
+    /// The store can't be used; its log says why.
+    Unavailable,
+}
+
+/// A replica set as a store knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct KnownSet {
+    /// The set that the store has or had a part in.
+    pub set: ReplicaSet,
+    /// The set that is taking its place, where the store is sealed.
+    pub next: Option<ReplicaSet>,
 }
