Test logs, claims and replacement on real nodes and disks

Five tests with real nodes, files and the object API's stand-in: owners that supersede each other, a take-over without the platform and with one store down, all stores restarted, a claim across two lost disks, and every member replaced in turn.

--- /dev/null
+++ b/crates/lab/tests/replication.rs
@@ -0,0 +1,218 @@
+//! Logs and claims kept by real nodes on real disks, with a stand-in for the object API.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::identity::{AttemptId, RequestId, ShardId};
+use lichenpulley_daemon::cluster::{ClusterView, Member, Roles};
+use lichenpulley_daemon::context::Context;
+use lichenpulley_daemon::decisions::unix_milliseconds;
+use lichenpulley_daemon::node::Node;
+use lichenpulley_daemon::settings::Settings;
+use lichenpulley_daemon::store::claims::{ClaimOutcome, claim};
+use lichenpulley_daemon::store::reconfiguration;
+use lichenpulley_daemon::store::shard_log::{ShardLog, ShardLogError};
+use lichenpulley_lab::object_api::{self, ObjectApi};
+use tempfile::TempDir;
+
+const ZONES: [&str; 3] = ["sando-hall", "couva-room", "pointe-rack"];
+
+/// Nodes with the store role, each with a folder of its own.
+struct Cluster {
+    api: Option<ObjectApi>,
+    nodes: Vec<Option<Node>>,
+    settings: Vec<Settings>,
+    folders: Vec<TempDir>,
+}
+
+impl Cluster {
+    async fn start(size: usize) -> Self {
+        let api = object_api::start(object_api::Options::loopback()).await.expect("an object API");
+        let mut cluster = Self { nodes: Vec::new(), settings: Vec::new(), folders: Vec::new(), api: None };
+        for number in 0..size {
+            let folder = TempDir::new().expect("a folder");
+            let mut settings = Settings::on_loopback(&format!("node-{number}"), ZONES[number % ZONES.len()]);
+            settings.roles = Roles { gateway: false, coordinator: true, store: true };
+            settings.data_folder = Some(folder.path().join("store"));
+            settings.platform.object_api = Some(api.address);
+            settings.store.call_timeout = Duration::from_secs(2);
+            cluster.nodes.push(Some(Node::start(settings.clone()).await.expect("a node")));
+            cluster.settings.push(settings);
+            cluster.folders.push(folder);
+        }
+        cluster.api = Some(api);
+        cluster.publish_members();
+        cluster
+    }
+
+    /// Lets every node see all living nodes.
+    fn publish_members(&self) {
+        let living = self.nodes.iter().flatten();
+        let members = living.map(|node| Member {
+            node: node.context().node.clone(),
+            zone: node.context().zone.clone(),
+            roles: node.context().settings.roles,
+            peer_address: node.addresses().peers,
+        });
+        let view = Arc::new(ClusterView { members: members.collect() });
+        for node in self.nodes.iter().flatten() {
+            node.context().cluster.store(Arc::clone(&view));
+        }
+    }
+
+    fn context(&self, number: usize) -> &Context {
+        self.nodes[number].as_ref().expect("a living node").context()
+    }
+
+    async fn kill(&mut self, number: usize) {
+        let node = self.nodes[number].take().expect("a living node");
+        node.kill();
+        node.stopped().await;
+        self.publish_members();
+    }
+
+    async fn restart(&mut self, number: usize) {
+        let settings = self.settings[number].clone();
+        self.nodes[number] = Some(start_when_free(settings).await);
+        self.publish_members();
+    }
+
+    async fn replace_disk(&mut self, number: usize) {
+        self.kill(number).await;
+        let folder = TempDir::new().expect("a folder");
+        self.settings[number].data_folder = Some(folder.path().join("store"));
+        self.folders.push(folder);
+        self.restart(number).await;
+    }
+}
+
+/// The killed node's thread may hold the file a moment longer.
+async fn start_when_free(settings: Settings) -> Node {
+    for _ in 0..500 {
+        if let Ok(node) = Node::start(settings.clone()).await {
+            return node;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the folder stays in use");
+}
+
+fn records(texts: &[&str]) -> Vec<Vec<u8>> {
+    texts.iter().map(|text| text.as_bytes().to_vec()).collect()
+}
+
+#[tokio::test]
+async fn what_was_appended_survives_its_owner() {
+    let cluster = Cluster::start(3).await;
+    let shard = ShardId::new("job/pricing");
+    let (mut first, recovered) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
+    assert!(recovered.records.is_empty());
+    first.append(records(&["a", "b"])).await.expect("appended");
+
+    let (mut second, recovered) = ShardLog::take_over(cluster.context(1), &shard).await.expect("taken over");
+    assert_eq!(recovered.records, records(&["a", "b"]));
+    assert!(second.epoch() > first.epoch());
+    let refused = first.append(records(&["late"])).await;
+    assert!(matches!(refused, Err(ShardLogError::Superseded { .. })), "{refused:?}");
+    second.append(records(&["c"])).await.expect("appended");
+
+    second.compact(b"a+b+c".to_vec()).await.expect("compacted");
+    second.append(records(&["d"])).await.expect("appended");
+    let (_, recovered) = ShardLog::take_over(cluster.context(2), &shard).await.expect("taken over");
+    assert_eq!(recovered.snapshot.as_deref(), Some(b"a+b+c".as_slice()));
+    assert_eq!(recovered.records, records(&["d"]));
+}
+
+#[tokio::test]
+async fn a_take_over_needs_no_platform_and_only_a_majority() {
+    let mut cluster = Cluster::start(4).await;
+    let shard = ShardId::new("job/pricing");
+    let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
+    log.append(records(&["kept"])).await.expect("appended");
+    cluster.api = None;
+    let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
+    let is_member = |number: usize| {
+        let node = &cluster.settings[number].node;
+        set.members.iter().any(|member| &member.node == node)
+    };
+    let members: Vec<usize> = (0..4).filter(|number| is_member(*number)).collect();
+    let outsider = (0..4).find(|number| !is_member(*number)).expect("one node is no member");
+    cluster.kill(members[0]).await;
+
+    // A node that never met the shard finds its replicas through the stores.
+    let (_, recovered) = ShardLog::take_over(cluster.context(outsider), &shard).await.expect("taken over");
+    assert_eq!(recovered.records, records(&["kept"]));
+}
+
+#[tokio::test]
+async fn a_store_comes_back_with_what_it_had() {
+    let mut cluster = Cluster::start(3).await;
+    let shard = ShardId::new("job/pricing");
+    let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
+    log.append(records(&["kept"])).await.expect("appended");
+    for number in 0..3 {
+        cluster.kill(number).await;
+    }
+    for number in 0..3 {
+        cluster.restart(number).await;
+    }
+    let (_, recovered) = ShardLog::take_over(cluster.context(1), &shard).await.expect("taken over");
+    assert_eq!(recovered.records, records(&["kept"]));
+}
+
+#[tokio::test]
+async fn a_claim_is_granted_to_one_attempt() {
+    let mut cluster = Cluster::start(3).await;
+    let request = RequestId::new("ticket-7");
+    let issued_at = unix_milliseconds();
+    let (one, other) = (AttemptId::new("one"), AttemptId::new("other"));
+    let granted = claim(cluster.context(0), &request, issued_at, &one).await;
+    assert_eq!(granted, ClaimOutcome::Granted);
+    assert_eq!(claim(cluster.context(0), &request, issued_at, &one).await, ClaimOutcome::Granted);
+    assert_eq!(claim(cluster.context(1), &request, issued_at, &other).await, ClaimOutcome::Held);
+    let old = claim(cluster.context(1), &RequestId::new("ticket-1"), 1_000, &other).await;
+    assert_eq!(old, ClaimOutcome::Expired);
+
+    // Every disk but one is lost, one after the other, and replaced by way of the replica set.
+    for number in [1, 2] {
+        cluster.replace_disk(number).await;
+        let shard = lichenpulley_daemon::store::claims::claim_shard(&request);
+        let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
+        let lost = set.members.iter().find(|member| member.node == cluster.settings[number].node);
+        let lost = lost.expect("a member").store.clone();
+        reconfiguration::replace(cluster.context(0), &shard, &lost).await.expect("replaced");
+        assert_eq!(claim(cluster.context(number), &request, issued_at, &other).await, ClaimOutcome::Held);
+    }
+    assert_eq!(claim(cluster.context(2), &request, issued_at, &one).await, ClaimOutcome::Granted);
+}
+
+#[tokio::test]
+async fn a_replaced_store_keeps_the_log() {
+    let mut cluster = Cluster::start(4).await;
+    let shard = ShardId::new("job/pricing");
+    let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
+    log.append(records(&["kept"])).await.expect("appended");
+    let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
+    for leaving in &set.members {
+        let next = reconfiguration::replace(cluster.context(0), &shard, &leaving.store).await;
+        let next = next.expect("replaced");
+        assert!(next.member(&leaving.store).is_none());
+        // The owner that worked with the old set is told, and takes over in the next one.
+        let refused = log.append(records(&["not now"])).await;
+        assert!(refused.is_err());
+        let (again, recovered) = ShardLog::take_over(cluster.context(1), &shard).await.expect("taken over");
+        assert_eq!(recovered.records, records(&["kept"]));
+        log = again;
+    }
+    let numbers: Vec<usize> = (0..4).collect();
+    for number in numbers {
+        let node = cluster.settings[number].node.clone();
+        let set = cluster.context(1).replica_sets.get(&shard).expect("a replica set");
+        if set.members.iter().any(|member| member.node == node) && number != 1 {
+            cluster.kill(number).await;
+            break;
+        }
+    }
+    let (_, recovered) = ShardLog::take_over(cluster.context(1), &shard).await.expect("taken over");
+    assert_eq!(recovered.records, records(&["kept"]));
+}
