--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -30,6 +30,9 @@
 const TRAIN_TIME: Duration = Duration::from_millis(500);
 const FIRST_VERSION: WeightVersion = WeightVersion(1);
 
+/// How long live requests go on at most where the system is held open.
+const HOLD_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Runs the demonstration and prints its summary.
 ///
 /// # Errors
@@ -37,33 +40,42 @@
 pub async fn run(arguments: &[String]) -> Result<(), LabError> {
     let mut options = arguments::help_option();
     options.optflag("", "json", "print the summary as JSON");
+    options.optflag("", "hold", "print the nodes' addresses, and go on with live requests until Ctrl-C");
     let Some(matches) = arguments::parse("demo", &options, arguments)? else { return Ok(()) };
-    let summary = demonstrate().await?;
+    let hold = matches.opt_present("hold");
+    let system = System::start(&plan()).await?;
+    if hold {
+        println!("{}", system.describe_addresses());
+    }
+    let summary = demonstrate(&system).await?;
     if matches.opt_present("json") {
         println!("{}", serde_json::to_string_pretty(&summary).unwrap_or_default());
     } else {
         println!("{summary}");
     }
+    if hold {
+        hold_open(&system).await?;
+    }
     summary.check()
 }
 
-/// Runs the system, the live load and the job, and sums up.
+/// Runs the job and live requests on a system, and sums up.
 ///
 /// # Errors
-/// When a part does not start.
-pub async fn demonstrate() -> Result<DemoSummary, LabError> {
-    let plan = plan();
-    let system = System::start(&plan).await?;
+/// When the job is not taken, or a part breaks down.
+pub async fn demonstrate(system: &System) -> Result<DemoSummary, LabError> {
     let decisions = DecisionTally::watch(&system.nodes);
     let specification = specification();
     let gateways = system.gateways();
     job::submit(&gateways, &specification).await?;
-    let trainer = trainer::start(trainer_options(&system, &specification)).await?;
-    let load = |pool| LiveLoad::start(&gateways, PoolName::from(pool), JOB_LIMIT);
-    let (trained, lookup) = (load(TRAINED_POOL), load(LOOKUP_POOL));
+    let trainer = trainer::start(trainer_options(system, &specification)).await?;
+    let load = start_live_load(system, JOB_LIMIT);
     let in_time = tokio::time::timeout(JOB_LIMIT, trainer.finished()).await.is_ok();
-    let live = vec![trained.finish().await?, lookup.finish().await?];
-    let status = job::status(&system.gateways(), &specification.job).await.ok();
+    let mut live = Vec::new();
+    for pool in load {
+        live.push(pool.finish().await?);
+    }
+    let status = job::status(&gateways, &specification.job).await.ok();
     Ok(DemoSummary {
         specification,
         in_time,
@@ -74,6 +86,21 @@
     })
 }
 
+fn start_live_load(system: &System, longest: Duration) -> Vec<LiveLoad> {
+    let gateways = system.gateways();
+    let pools = [TRAINED_POOL, LOOKUP_POOL].map(PoolName::from);
+    pools.into_iter().map(|pool| LiveLoad::start(&gateways, pool, longest)).collect()
+}
+
+/// Goes on with live requests until the process is told to stop.
+async fn hold_open(system: &System) -> Result<(), LabError> {
+    println!("\nLive requests go on until Ctrl-C.");
+    let load = start_live_load(system, HOLD_LIMIT);
+    arguments::stop_signal().await?;
+    drop(load);
+    Ok(())
+}
+
 fn plan() -> SystemPlan {
     SystemPlan {
         zones: ZONES.map(ZoneName::from).to_vec(),
--- a/crates/lab/src/demo/system.rs
+++ b/crates/lab/src/demo/system.rs
@@ -100,6 +100,16 @@
         self.nodes.iter().map(|node| node.addresses().callers).collect()
     }
 
+    /// The addresses of all nodes, one node a line.
+    pub fn describe_addresses(&self) -> String {
+        let lines = self.nodes.iter().map(|node| {
+            let addresses = node.addresses();
+            let name = node.context().node.as_str();
+            format!("  {name:12} callers {}   operators {}", addresses.callers, addresses.operators)
+        });
+        format!("Nodes\n{}\n", lines.collect::<Vec<_>>().join("\n"))
+    }
+
     async fn wait_until_ready(&self, plan: &SystemPlan) -> Result<(), LabError> {
         let begin = Instant::now();
         loop {
