Find members by probing, and spread news and revisions on the probes

Cause: every node showed only itself; ownership of shards, takeovers and the spread of configuration need the live members of 410 nodes within 1 KB/s. Ruled out: a heartbeat of each node to each other (grows with the square of the nodes); the machine list alone (it lags, and is down with the platform). After: SWIM with refutation, indirect probes, digests of whole tables and retries of failed members, as a state machine without I/O, and its UDP driver. Also: membership.suspicion_ms becomes membership.suspicion_multiplier, since the time must grow with the cluster's size; the refused value in the settings test follows.

--- /dev/null
+++ b/crates/core/src/membership/documents.rs
@@ -0,0 +1,80 @@
+//! Revisions of the documents that every node holds, as members announce them.
+
+use std::collections::BTreeMap;
+
+use super::event::HeardRevision;
+use super::message::DocumentRevision;
+use crate::identity::{NodeId, Revision};
+
+/// Documents that are remembered; more come only from a broken or hostile sender.
+const MAXIMUM_DOCUMENTS: usize = 8;
+
+/// The longest document name, in bytes.
+const MAXIMUM_DOCUMENT_NAME_BYTES: usize = 32;
+
+/// What this node holds and what it heard.
+///
+/// A member announces only what it holds itself, so whoever is named as holder can be pulled from.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Documents {
+    held: BTreeMap<String, Revision>,
+    heard: BTreeMap<String, HeardRevision>,
+}
+
+impl Documents {
+    /// Announces a revision from now on. A lower one than before changes nothing.
+    pub(super) fn announce(&mut self, document: &str, revision: Revision) {
+        let held = self.held.entry(document.to_owned()).or_default();
+        *held = revision.max(*held);
+    }
+
+    /// What rides on every message.
+    pub(super) fn announcements(&self) -> Vec<DocumentRevision> {
+        let announcements = self.held.iter().take(MAXIMUM_DOCUMENTS);
+        announcements
+            .map(|(document, revision)| DocumentRevision { document: document.clone(), revision: *revision })
+            .collect()
+    }
+
+    /// Takes in what a member announced. Returns whether a holder or a revision changed.
+    pub(super) fn hear(
+        &mut self,
+        sender: &NodeId,
+        announced: &[DocumentRevision],
+        is_live: impl Fn(&NodeId) -> bool,
+    ) -> bool {
+        let mut changed = false;
+        for DocumentRevision { document, revision } in announced {
+            changed |= self.hear_one(sender, document, *revision, &is_live);
+        }
+        changed
+    }
+
+    fn hear_one(
+        &mut self,
+        sender: &NodeId,
+        document: &str,
+        revision: Revision,
+        is_live: impl Fn(&NodeId) -> bool,
+    ) -> bool {
+        let Some(known) = self.heard.get(document) else {
+            return self.remember(sender, document, revision);
+        };
+        let is_news = revision > known.revision || (revision == known.revision && !is_live(&known.holder));
+        is_news && self.remember(sender, document, revision)
+    }
+
+    fn remember(&mut self, sender: &NodeId, document: &str, revision: Revision) -> bool {
+        let is_new = !self.heard.contains_key(document);
+        let has_room = self.heard.len() < MAXIMUM_DOCUMENTS && document.len() <= MAXIMUM_DOCUMENT_NAME_BYTES;
+        if is_new && !has_room {
+            return false;
+        }
+        self.heard.insert(document.to_owned(), HeardRevision { revision, holder: sender.clone() });
+        true
+    }
+
+    pub(super) fn heard(&self) -> &BTreeMap<String, HeardRevision> {
+        &self.heard
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/message.rs
@@ -0,0 +1,223 @@
+//! The datagrams of the protocol, encoded by `speedy`.
+
+use speedy::{LittleEndian, Readable, Writable};
+
+use super::config::MAXIMUM_NAME_BYTES;
+use super::member::{Claim, Incarnation, MemberInfo, Standing, WireAddress};
+use crate::identity::{NodeId, Revision, ZoneName};
+
+/// The first byte of every datagram; goes up when the encoding changes.
+const PROTOCOL_VERSION: u8 = 1;
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Message {
+    version: u8,
+    /// Who sends it.
+    pub sender: NodeId,
+    /// Names an exchange; an answer carries the number of its question.
+    pub sequence: u32,
+    /// What it is for.
+    pub body: Body,
+    /// News about members.
+    #[speedy(length_type = u16)]
+    pub updates: Vec<Update>,
+    /// Revisions that the sender holds.
+    #[speedy(length_type = u8)]
+    pub documents: Vec<DocumentRevision>,
+}
+
+/// What a datagram is for.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum Body {
+    /// Asks a member whether it lives. Names it, since its address may have passed to another.
+    Ping {
+        /// Who should answer.
+        target: NodeId,
+    },
+    /// Answers a ping.
+    Acknowledge,
+    /// Asks to ping a member in the sender's place.
+    PingRequest {
+        /// Whom to ping.
+        target: NodeId,
+        /// Where.
+        address: WireAddress,
+    },
+    /// Says that the target of a [`Body::PingRequest`] answered.
+    ForwardedAcknowledge,
+    /// Asks for the live members that follow one in the order of ids.
+    ListRequest {
+        /// The last member of the page before.
+        after: Option<NodeId>,
+    },
+    /// A page of live members.
+    ListPage {
+        /// The members.
+        #[speedy(length_type = u16)]
+        entries: Vec<Update>,
+        /// Ask for the next page after this member; `None` on the last page.
+        next: Option<NodeId>,
+    },
+    /// A digest of the sender's live members, by bucket.
+    Digest {
+        /// One for each bucket.
+        #[speedy(length_type = u16)]
+        buckets: Vec<u32>,
+    },
+    /// Every member that the sender knows in a bucket that differs.
+    Bucket {
+        /// Which bucket.
+        index: u16,
+        /// Its members.
+        #[speedy(length_type = u16)]
+        entries: Vec<Update>,
+        /// Whether the receiver should send back what it knows better.
+        exchange: bool,
+    },
+    /// Carries updates only.
+    Notice,
+}
+
+/// News about one member.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Update {
+    /// The member.
+    pub node: NodeId,
+    /// The incarnation that the news is about.
+    pub incarnation: Incarnation,
+    /// How it stands.
+    pub news: News,
+}
+
+/// How a member stands, with what is needed to reach it where it lives.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[speedy(tag_type = u8)]
+pub enum News {
+    /// It lives.
+    Alive {
+        /// Its zone.
+        zone: ZoneName,
+        /// Where it receives datagrams.
+        address: WireAddress,
+        /// The embedder's bits.
+        attributes: u8,
+    },
+    /// It is suspected.
+    Suspect,
+    /// It is declared failed.
+    Failed,
+    /// It left.
+    Left,
+}
+
+/// A revision of a document that the sender of a datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct DocumentRevision {
+    /// The document.
+    #[speedy(length_type = u8)]
+    pub document: String,
+    /// The revision.
+    pub revision: Revision,
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DecodeError {
+    /// It does not follow the encoding.
+    #[error("the datagram can't be decoded; check that only nodes of this cluster send to this port")]
+    Malformed,
+    /// It was encoded by another version of the protocol.
+    #[error("the datagram has another protocol version; run one version of lichenpulleyd on all nodes")]
+    OtherVersion,
+}
+
+impl Message {
+    /// A message without updates.
+    pub fn new(sender: NodeId, sequence: u32, body: Body, documents: Vec<DocumentRevision>) -> Self {
+        Self { version: PROTOCOL_VERSION, sender, sequence, body, updates: Vec::new(), documents }
+    }
+
+    /// The datagram's payload.
+    pub fn encode(&self) -> Vec<u8> {
+        // Writing into memory fails only where a length does not fit its type; names and counts are bounded by
+        // `Config::validate` and the payload limit.
+        self.write_to_vec_with_ctx(LittleEndian::default()).unwrap_or_default()
+    }
+
+    /// Reads a payload.
+    ///
+    /// # Errors
+    /// When it is not a message of this protocol version.
+    pub fn decode(payload: &[u8]) -> Result<Self, DecodeError> {
+        if payload.first().is_some_and(|version| *version != PROTOCOL_VERSION) {
+            return Err(DecodeError::OtherVersion);
+        }
+        let message = Self::read_from_buffer_with_ctx(LittleEndian::default(), payload)
+            .map_err(|_| DecodeError::Malformed)?;
+        if message.sender.as_str().len() > MAXIMUM_NAME_BYTES {
+            return Err(DecodeError::Malformed);
+        }
+        Ok(message)
+    }
+
+    /// The bytes of the payload.
+    pub fn encoded_bytes(&self) -> usize {
+        encoded_bytes(self)
+    }
+}
+
+impl Update {
+    /// News that a member lives.
+    pub fn alive(info: &MemberInfo, incarnation: Incarnation) -> Self {
+        let news = News::Alive {
+            zone: info.zone.clone(),
+            address: info.address.into(),
+            attributes: info.attributes,
+        };
+        Self { node: info.node.clone(), incarnation, news }
+    }
+
+    /// The claim about a member as news.
+    pub fn from_claim(info: &MemberInfo, claim: Claim) -> Self {
+        let news = match claim.standing {
+            Standing::Alive => return Self::alive(info, claim.incarnation),
+            Standing::Suspect => News::Suspect,
+            Standing::Failed => News::Failed,
+            Standing::Left => News::Left,
+        };
+        Self { node: info.node.clone(), incarnation: claim.incarnation, news }
+    }
+
+    /// The claim that the news makes.
+    pub fn claim(&self) -> Claim {
+        let standing = match self.news {
+            News::Alive { .. } => Standing::Alive,
+            News::Suspect => Standing::Suspect,
+            News::Failed => Standing::Failed,
+            News::Left => Standing::Left,
+        };
+        Claim { incarnation: self.incarnation, standing }
+    }
+
+    /// What the member says of itself, where the news carries it.
+    pub fn info(&self) -> Option<MemberInfo> {
+        let News::Alive { zone, address, attributes } = &self.news else { return None };
+        Some(MemberInfo {
+            node: self.node.clone(),
+            zone: zone.clone(),
+            address: (*address).into(),
+            attributes: *attributes,
+        })
+    }
+
+    /// Its bytes inside a payload.
+    pub fn encoded_bytes(&self) -> usize {
+        encoded_bytes(self)
+    }
+}
+
+fn encoded_bytes<T: Writable<LittleEndian>>(value: &T) -> usize {
+    value.bytes_needed().unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/core/src/membership/receive.rs
@@ -0,0 +1,89 @@
+//! What each kind of datagram leads to.
+
+use std::net::SocketAddr;
+
+use super::event::Cause;
+use super::machine::Membership;
+use super::member::Standing;
+use super::message::{Body, Message, News, Update};
+use crate::identity::NodeId;
+use crate::time::Timestamp;
+
+/// Corrections sent in answer to one message; the rest follows when the doubts are heard again.
+const MAXIMUM_CORRECTIONS: usize = 8;
+
+impl Membership {
+    /// Takes in a decoded message.
+    pub(super) fn receive(&mut self, now: Timestamp, from: SocketAddr, message: Message) {
+        if message.sender == self.own {
+            return;
+        }
+        if self.leaving {
+            return self.send_left(now, from, &message.sender);
+        }
+        self.hear_documents(&message);
+        let mut corrections = Vec::new();
+        for update in &message.updates {
+            let cause = if update.node == message.sender { Cause::Itself } else { Cause::Members };
+            self.apply(now, update, cause);
+            corrections.extend(self.correction_of(update));
+        }
+        if !corrections.is_empty() {
+            self.send_corrections(now, from, &message.sender, corrections);
+        }
+        self.receive_body(now, from, message);
+    }
+
+    /// What to tell a sender that doubts a member which has refuted, this node itself included.
+    ///
+    /// Without it a node that hears of a suspicion after the refutation has been sent often enough would never
+    /// hear of the refutation.
+    fn correction_of(&self, update: &Update) -> Option<Update> {
+        let known = self.table.get(&update.node)?;
+        let is_doubt = matches!(update.news, News::Suspect | News::Failed);
+        let is_refuted = known.claim.standing == Standing::Alive && known.claim > update.claim();
+        (is_doubt && is_refuted).then(|| Update::from_claim(&known.info, known.claim))
+    }
+
+    fn send_corrections(
+        &mut self,
+        now: Timestamp,
+        to: SocketAddr,
+        receiver: &NodeId,
+        corrections: Vec<Update>,
+    ) {
+        let sequence = self.next_sequence();
+        let corrections = corrections.into_iter().take(MAXIMUM_CORRECTIONS);
+        self.send(now, to, Some(receiver), sequence, Body::Notice, corrections);
+    }
+
+    fn receive_body(&mut self, now: Timestamp, from: SocketAddr, message: Message) {
+        let Message { sender, sequence, body, .. } = message;
+        match body {
+            Body::Ping { target } if target == self.own => {
+                self.send(now, from, Some(&sender), sequence, Body::Acknowledge, None);
+            }
+            // The address has passed from another node to this one.
+            Body::Ping { .. } | Body::Notice => {}
+            Body::Acknowledge => self.receive_acknowledge(now, &sender, sequence),
+            Body::PingRequest { target, address } => {
+                self.relay_probe(now, (sender, from, sequence), target, address.into());
+            }
+            Body::ForwardedAcknowledge => self.receive_forwarded(sequence),
+            Body::ListRequest { after } => self.send_page(now, from, &sender, sequence, after.as_ref()),
+            Body::ListPage { entries, next } => self.receive_page(now, from, sequence, &entries, next),
+            Body::Digest { buckets } => self.receive_digest(now, from, &sender, &buckets),
+            Body::Bucket { index, entries, exchange } => {
+                self.receive_bucket(now, from, &sender, (index, exchange), &entries);
+            }
+        }
+    }
+
+    fn hear_documents(&mut self, message: &Message) {
+        let table = &self.table;
+        let is_live = |node: &_| table.get(node).is_some_and(|record| record.claim.standing.is_live());
+        if self.documents.hear(&message.sender, &message.documents, is_live) {
+            self.documents_version += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/repair.rs
@@ -0,0 +1,282 @@
+//! Joining through seeds, comparing whole tables, and trying failed members again.
+
+use std::net::SocketAddr;
+
+use rand::RngExt;
+use rand::seq::{IteratorRandom, SliceRandom};
+
+use super::event::Cause;
+use super::machine::Membership;
+use super::member::{MemberRecord, Standing};
+use super::message::{Body, News, Update};
+use super::table::DIGEST_BUCKETS;
+use crate::identity::NodeId;
+use crate::time::Timestamp;
+
+/// Room left in a page for what every message carries besides its entries, in bytes.
+const PAGE_OVERHEAD_BYTES: usize = 300;
+
+/// Of so many comparisons one goes to a seed that is not a live member.
+const SEED_SYNC_PERIOD: u64 = 4;
+
+/// How far the join has come.
+#[derive(Clone, Debug)]
+pub(super) struct Join {
+    /// The last member of the last page; the next page follows it.
+    after: Option<NodeId>,
+    /// The question that waits for its page.
+    sequence: Option<u32>,
+    /// When to ask the next seed.
+    retry_at: Timestamp,
+    next_seed: usize,
+    finished: bool,
+}
+
+impl Join {
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self { after: None, sequence: None, retry_at: now, next_seed: 0, finished: false }
+    }
+}
+
+impl Membership {
+    /// When to ask a seed; `None` where the list is whole or there is no seed.
+    pub(super) fn join_due(&self) -> Option<Timestamp> {
+        let is_alone = self.table.live_count() <= 1;
+        let is_wanted = is_alone || !self.join.finished;
+        (is_wanted && !self.seeds.is_empty()).then_some(self.join.retry_at)
+    }
+
+    pub(super) fn advance_join(&mut self, now: Timestamp) {
+        if self.join_due().is_none_or(|due| due > now) {
+            return;
+        }
+        let seed = self.seeds[self.join.next_seed % self.seeds.len()];
+        self.join.next_seed += 1;
+        self.request_page(now, seed);
+    }
+
+    fn request_page(&mut self, now: Timestamp, address: SocketAddr) {
+        let sequence = self.next_sequence();
+        self.join.sequence = Some(sequence);
+        self.join.retry_at = now + self.config.join_retry;
+        let body = Body::ListRequest { after: self.join.after.clone() };
+        let introduction = self.own_update();
+        self.send(now, address, None, sequence, body, introduction);
+    }
+
+    /// Sends the live members that follow `after`, as many as one datagram holds.
+    pub(super) fn send_page(
+        &mut self,
+        now: Timestamp,
+        to: SocketAddr,
+        receiver: &NodeId,
+        sequence: u32,
+        after: Option<&NodeId>,
+    ) {
+        let mut room = self.page_room();
+        let mut entries = Vec::new();
+        let mut next = None;
+        for record in self.table.live_after(after) {
+            let entry = Update::alive(&record.info, record.claim.incarnation);
+            let bytes = entry.encoded_bytes();
+            if bytes > room {
+                next = entries.last().map(|entry: &Update| entry.node.clone());
+                break;
+            }
+            room -= bytes;
+            entries.push(entry);
+        }
+        self.send(now, to, Some(receiver), sequence, Body::ListPage { entries, next }, None);
+    }
+
+    pub(super) fn receive_page(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        sequence: u32,
+        entries: &[Update],
+        next: Option<NodeId>,
+    ) {
+        for entry in entries {
+            self.apply(now, entry, Cause::Members);
+        }
+        if self.join.sequence != Some(sequence) {
+            return;
+        }
+        self.join.sequence = None;
+        self.join.finished = next.is_none();
+        self.join.after = next;
+        if !self.join.finished {
+            self.request_page(now, from);
+        }
+    }
+
+    /// When to compare tables or to try a failed member.
+    pub(super) fn repair_due(&self) -> Option<Timestamp> {
+        let due = self.next_sync_at.min(self.next_reconnect_at);
+        self.config.mechanisms.anti_entropy.then_some(due)
+    }
+
+    pub(super) fn advance_repair(&mut self, now: Timestamp) {
+        if !self.config.mechanisms.anti_entropy {
+            return;
+        }
+        if self.next_sync_at <= now {
+            self.start_sync(now);
+        }
+        if self.next_reconnect_at <= now {
+            self.next_reconnect_at = now + self.config.reconnect_interval;
+            self.try_failed_member(now);
+        }
+    }
+
+    fn start_sync(&mut self, now: Timestamp) {
+        let spread = self.random.random_range(0.5..1.5);
+        self.next_sync_at = now + self.config.sync_interval.mul_f64(spread);
+        self.syncs += 1;
+        self.table.forget(now, self.config.forget_failed_after, self.config.forget_left_after);
+        let body = Body::Digest { buckets: self.table.digest() };
+        let sequence = self.next_sequence();
+        if self.syncs.is_multiple_of(SEED_SYNC_PERIOD)
+            && let Some(seed) = self.silent_seed()
+        {
+            let introduction = self.own_update();
+            return self.send(now, seed, None, sequence, body, introduction);
+        }
+        if let Some((peer, address)) = self.random_peers(1).pop() {
+            self.send(now, address, Some(&peer), sequence, body, None);
+        }
+    }
+
+    /// A seed at whose address no live member is known.
+    fn silent_seed(&mut self) -> Option<SocketAddr> {
+        let table = &self.table;
+        let is_silent = |seed: &&SocketAddr| table.live().all(|record| record.info.address != **seed);
+        self.seeds.iter().filter(is_silent).choose(&mut self.random).copied()
+    }
+
+    fn try_failed_member(&mut self, now: Timestamp) {
+        let failed = self.table.with_standing(Standing::Failed).choose(&mut self.random);
+        let Some((node, address)) = failed.map(|record| (record.info.node.clone(), record.info.address))
+        else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        let introduction = self.own_update();
+        let body = Body::Ping { target: node.clone() };
+        self.send(now, address, Some(&node), sequence, body, introduction);
+    }
+
+    /// Sends some of the buckets in which the tables differ, at random, so that a few rounds cover all.
+    pub(super) fn receive_digest(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        sender: &NodeId,
+        theirs: &[u32],
+    ) {
+        let ours = self.table.digest();
+        if theirs.len() != DIGEST_BUCKETS {
+            return;
+        }
+        let mut differing: Vec<usize> =
+            (0..DIGEST_BUCKETS).filter(|index| theirs[*index] != ours[*index]).collect();
+        differing.shuffle(&mut self.random);
+        differing.truncate(self.config.sync_buckets);
+        for index in differing {
+            let entries = self.table.bucket(index).map(bucket_entry).collect();
+            self.send_bucket(now, from, sender, (index, true), entries);
+        }
+    }
+
+    pub(super) fn receive_bucket(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        sender: &NodeId,
+        (index, exchange): (u16, bool),
+        theirs: &[Update],
+    ) {
+        let index = usize::from(index);
+        let better = self.better_than(index, theirs);
+        for entry in theirs {
+            self.apply_entry(now, entry);
+        }
+        if exchange && !better.is_empty() {
+            self.send_bucket(now, from, sender, (index, false), better);
+        }
+    }
+
+    /// What this node knows in a bucket and the other does not.
+    fn better_than(&self, index: usize, theirs: &[Update]) -> Vec<Update> {
+        let their_claim = |record: &MemberRecord| {
+            theirs.iter().find(|entry| entry.node == record.info.node).map(Update::claim)
+        };
+        let is_better = |record: &&MemberRecord| match their_claim(record) {
+            Some(claim) => bucket_entry(record).claim() > claim,
+            None => record.claim.standing.is_live(),
+        };
+        self.table.bucket(index).filter(is_better).map(bucket_entry).collect()
+    }
+
+    /// A failure that is known elsewhere only is looked into rather than believed: after a partition each side
+    /// holds the other's members for failed.
+    fn apply_entry(&mut self, now: Timestamp, entry: &Update) {
+        let known = self.table.get(&entry.node).map(|record| record.claim);
+        let claims_failure = entry.news == News::Failed;
+        if claims_failure && entry.node != self.own {
+            let contradicts = known.is_some_and(|known| known.standing.is_live() && entry.claim() > known);
+            if contradicts {
+                self.order.hint(&entry.node, Some(entry.clone()));
+            }
+            return;
+        }
+        self.apply(now, entry, Cause::Members);
+    }
+
+    fn send_bucket(
+        &mut self,
+        now: Timestamp,
+        to: SocketAddr,
+        receiver: &NodeId,
+        (index, exchange): (usize, bool),
+        entries: Vec<Update>,
+    ) {
+        let Ok(index) = u16::try_from(index) else { return };
+        for entries in pages(entries, self.page_room()) {
+            let sequence = self.next_sequence();
+            self.send(now, to, Some(receiver), sequence, Body::Bucket { index, entries, exchange }, None);
+        }
+    }
+
+    fn page_room(&self) -> usize {
+        self.config.maximum_payload_bytes.saturating_sub(PAGE_OVERHEAD_BYTES)
+    }
+}
+
+/// A member as it goes into a comparison: suspicions stay out of it.
+fn bucket_entry(record: &MemberRecord) -> Update {
+    let mut claim = record.claim;
+    if claim.standing == Standing::Suspect {
+        claim.standing = Standing::Alive;
+    }
+    Update::from_claim(&record.info, claim)
+}
+
+/// Splits entries into pages of at most `room` bytes; at least one page, which may be empty.
+fn pages(entries: Vec<Update>, room: usize) -> Vec<Vec<Update>> {
+    let mut pages = vec![Vec::new()];
+    let mut used = 0;
+    for entry in entries {
+        let bytes = entry.encoded_bytes();
+        if used + bytes > room && used > 0 {
+            pages.push(Vec::new());
+            used = 0;
+        }
+        used += bytes;
+        if let Some(page) = pages.last_mut() {
+            page.push(entry);
+        }
+    }
+    pages
+}
--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -16,6 +16,36 @@
     pub store: bool,
 }
 
+const GATEWAY_BIT: u8 = 1;
+const COORDINATOR_BIT: u8 = 1 << 1;
+const STORE_BIT: u8 = 1 << 2;
+
+impl Roles {
+    /// The roles as they go over the wire. Bits that this version does not know are left to later ones.
+    pub const fn to_bits(self) -> u8 {
+        let mut bits = 0;
+        if self.gateway {
+            bits |= GATEWAY_BIT;
+        }
+        if self.coordinator {
+            bits |= COORDINATOR_BIT;
+        }
+        if self.store {
+            bits |= STORE_BIT;
+        }
+        bits
+    }
+
+    /// The roles that [`Self::to_bits`] gave.
+    pub const fn from_bits(bits: u8) -> Self {
+        Self {
+            gateway: bits & GATEWAY_BIT != 0,
+            coordinator: bits & COORDINATOR_BIT != 0,
+            store: bits & STORE_BIT != 0,
+        }
+    }
+}
+
 /// One member that is believed alive.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
--- /dev/null
+++ b/crates/daemon/src/membership/driver.rs
@@ -0,0 +1,195 @@
+//! Moves datagrams, timers and commands between the runtime and the protocol's state machine.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::membership::{Event, MemberInfo, Membership};
+use lichenpulley_core::time::Timestamp;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use super::handle::{AnnouncedRevision, Command};
+use super::meter::Meter;
+use super::report;
+use crate::cluster::{ClusterView, Member, Roles};
+use crate::context::Context;
+
+/// The largest datagram that a UDP socket can hand over, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 65_535;
+
+/// Datagrams taken in before timers and commands get their turn.
+const RECEIVE_BATCH: usize = 256;
+
+/// How long to wait for a wake-up where the protocol asks for none.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+
+/// The membership task of one node.
+pub(super) struct Driver {
+    context: Context,
+    socket: UdpSocket,
+    membership: Membership,
+    commands: mpsc::UnboundedReceiver<Command>,
+    meter: Meter,
+    origin: Instant,
+    published_view: Option<u64>,
+    published_documents: Option<u64>,
+    buffer: Vec<u8>,
+}
+
+impl Driver {
+    pub(super) fn new(
+        context: Context,
+        socket: UdpSocket,
+        membership: Membership,
+        commands: mpsc::UnboundedReceiver<Command>,
+        meter: Meter,
+        origin: Instant,
+    ) -> Self {
+        Self {
+            context,
+            socket,
+            membership,
+            commands,
+            meter,
+            origin,
+            published_view: None,
+            published_documents: None,
+            buffer: vec![0; RECEIVE_BUFFER_BYTES],
+        }
+    }
+
+    /// Runs until the node has stopped.
+    pub(super) async fn run(mut self) {
+        self.publish();
+        while self.step().await {
+            self.flush().await;
+            self.publish();
+        }
+    }
+
+    /// Waits for the next thing to happen and does it. Returns whether to go on.
+    async fn step(&mut self) -> bool {
+        let wake_at = self.wake_at();
+        // Datagrams first: after a pause of this process the answers that wait in the socket must be read before
+        // the timers that wait for them run out.
+        tokio::select! {
+            biased;
+            () = self.context.stopped.cancelled() => false,
+            received = self.socket.recv_from(&mut self.buffer) => {
+                self.receive(received);
+                true
+            }
+            command = self.commands.recv() => match command {
+                Some(command) => {
+                    self.obey(command).await;
+                    true
+                }
+                None => false,
+            },
+            () = tokio::time::sleep_until(wake_at) => {
+                let now = self.now();
+                self.membership.handle_timeout(now);
+                true
+            }
+        }
+    }
+
+    /// Takes in one datagram and those that wait behind it.
+    fn receive(&mut self, received: std::io::Result<(usize, SocketAddr)>) {
+        let mut received = received;
+        for _ in 0..RECEIVE_BATCH {
+            match received {
+                Ok((length, from)) => {
+                    let now = self.now();
+                    self.membership.handle_datagram(now, from, &self.buffer[..length]);
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                // Such as an ICMP answer to an earlier datagram; the protocol finds out by itself.
+                Err(error) => log::debug!(target: "membership", "Receiving failed: {error}."),
+            }
+            received = self.socket.try_recv_from(&mut self.buffer);
+        }
+    }
+
+    async fn obey(&mut self, command: Command) {
+        match command {
+            Command::Announce { document, revision } => self.membership.announce(&document, revision),
+            Command::Leave { done } => self.leave(done).await,
+        }
+    }
+
+    async fn leave(&mut self, done: oneshot::Sender<()>) {
+        let now = self.now();
+        self.membership.leave(now);
+        self.flush().await;
+        // An error only says that nobody waits any more.
+        let _ = done.send(());
+    }
+
+    /// Sends what waits and records what happened.
+    async fn flush(&mut self) {
+        while let Some(transmit) = self.membership.poll_transmit() {
+            if let Err(error) = self.socket.send_to(&transmit.payload, transmit.destination).await {
+                let destination = transmit.destination;
+                log::debug!(target: "membership", "Sending to {destination} failed: {error}.");
+            }
+        }
+        while let Some(event) = self.membership.poll_event() {
+            self.record(&event);
+        }
+        self.meter.record(self.membership.counters(), self.membership.live_count());
+    }
+
+    fn record(&self, event: &Event) {
+        report::log(event);
+        self.context.decisions.record(report::decision(event));
+    }
+
+    /// Publishes the view and the heard revisions where they have changed.
+    fn publish(&mut self) {
+        let view_version = Some(self.membership.view_version());
+        let view_changed = self.published_view != view_version;
+        if view_changed {
+            self.published_view = view_version;
+            let members = self.membership.live_members().map(member).collect();
+            self.context.cluster.store(Arc::new(ClusterView { members }));
+        }
+        let documents_version = Some(self.membership.documents_version());
+        if view_changed || self.published_documents != documents_version {
+            self.published_documents = documents_version;
+            self.context.membership.publish_heard(self.heard_revisions());
+        }
+    }
+
+    fn heard_revisions(&self) -> BTreeMap<String, AnnouncedRevision> {
+        let heard = self.membership.heard_revisions().iter();
+        let reachable = heard.filter_map(|(document, heard)| {
+            let record = self.membership.member(&heard.holder)?;
+            let holder = member(&record.info);
+            Some((document.clone(), AnnouncedRevision { revision: heard.revision, holder }))
+        });
+        reachable.collect()
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
+    fn wake_at(&self) -> Instant {
+        let now = self.now();
+        let wait = self.membership.poll_timeout().map_or(IDLE_WAIT, |due| due.saturating_since(now));
+        Instant::now() + wait
+    }
+}
+
+fn member(info: &MemberInfo) -> Member {
+    Member {
+        node: info.node.clone(),
+        zone: info.zone.clone(),
+        roles: Roles::from_bits(info.attributes),
+        peer_address: info.address,
+    }
+}
--- a/crates/daemon/src/membership/handle.rs
+++ b/crates/daemon/src/membership/handle.rs
@@ -66,6 +66,17 @@
         self.heard.subscribe()
     }
 
+    /// Tells whoever watches, where something has changed.
+    pub(super) fn publish_heard(&self, heard: BTreeMap<String, AnnouncedRevision>) {
+        self.heard.send_if_modified(|published| {
+            let changed = **published != heard;
+            if changed {
+                *published = Arc::new(heard);
+            }
+            changed
+        });
+    }
+
     pub(super) async fn leave(&self) {
         let (done, sent) = oneshot::channel();
         if self.commands.send(Command::Leave { done }).is_ok() {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -151,11 +151,11 @@
                 "add \"store\" to `roles`, or remove the key",
             );
         }
-        if self.membership.probe_timeout >= self.membership.probe_interval {
+        if self.membership.probe_timeout * 2 > self.membership.probe_interval {
             reader.problem(
                 "membership.probe_timeout_ms",
-                "a probe must end before the next one starts",
-                "make it shorter than `membership.probe_interval_ms`",
+                "a probe must leave time to try it through others before the next one starts",
+                "make it at most half of `membership.probe_interval_ms`",
             );
         }
         self.check_distinct_addresses(reader);
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -64,16 +64,19 @@
     pub probe_interval: Duration,
     /// A probe unanswered for so long is tried through others.
     pub probe_timeout: Duration,
-    /// A suspected member that has not refuted it by then is taken as dead.
-    pub suspicion: Duration,
+    /// A suspected member that has not refuted it after so many probe intervals, times the decimal logarithm of the
+    /// cluster's size, is taken as failed.
+    pub suspicion_multiplier: u32,
 }
 
 impl MembershipSettings {
     pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        let multiplier = Bounds { default: 5, accepted: 1..=100 };
+        let multiplier = reader.number("membership.suspicion_multiplier", &multiplier);
         Self {
-            probe_interval: reader.milliseconds("membership.probe_interval_ms", 1_000, 20..=60_000),
-            probe_timeout: reader.milliseconds("membership.probe_timeout_ms", 300, 5..=30_000),
-            suspicion: reader.milliseconds("membership.suspicion_ms", 4_000, 50..=300_000),
+            probe_interval: reader.milliseconds("membership.probe_interval_ms", 500, 20..=60_000),
+            probe_timeout: reader.milliseconds("membership.probe_timeout_ms", 150, 5..=30_000),
+            suspicion_multiplier: u32::try_from(multiplier).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -56,7 +56,7 @@
         peers = "127.0.0.1:7001"
         [membership]
         probe_interval = 5
-        suspicion_ms = 1
+        suspicion_multiplier = 0
     "#;
     let keys = refused_keys(text);
     for key in [
@@ -68,7 +68,7 @@
         "data_folder",
         "nodes",
         "membership.probe_interval",
-        "membership.suspicion_ms",
+        "membership.suspicion_multiplier",
     ] {
         assert!(keys.iter().any(|found| found == key), "{key} is not among {keys:?}");
     }
