Simulate requests under faults, with each mechanism on and off

Cause: nothing showed that the request path keeps its promises when engines, gateways, claim replicas and the network fail together. Chosen: the stand-in engine's model, the gateway's own state machines and claim replicas on the seeded network; a connection carries one request, as over TCP. Checked at every schedule: whole answers with covered versions, 'not run' only where nothing was admitted, at most one admission for requests that may not be repeated, no new work to a replica that ceased to take it three seconds before, and an outcome for each request.

--- a/crates/core/src/request/execution.rs
+++ b/crates/core/src/request/execution.rs
@@ -343,6 +343,11 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// The attempt that is out, if one is.
+    pub fn current_attempt(&self) -> Option<&AttemptId> {
+        self.current.as_ref().map(|current| &current.attempt)
+    }
+
     /// How many attempts have been sent to engines.
     pub const fn attempts(&self) -> u32 {
         self.attempts
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{demo, engine, load, machine_list, object_api, scorer, trainer, weight_store};
+use crate::{demo, engine, load, machine_list, object_api, requests, scorer, trainer, weight_store};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -61,6 +61,11 @@
         help: "send live requests and verify each answer",
         entry: |arguments| Box::pin(load::run(arguments)),
     },
+    Command {
+        name: "simulate-requests",
+        help: "requests under faults on a virtual clock, checked at every schedule",
+        entry: |arguments| Box::pin(requests::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod machine_list;
 pub mod object_api;
+pub mod requests;
 pub mod scorer;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/crates/lab/src/requests/gateway.rs
@@ -0,0 +1,453 @@
+//! A gateway as a simulated process: drives [`Execution`]s as the daemon's runner does.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use lichenpulley_core::identity::{AttemptId, ReplicaId, RequestId};
+use lichenpulley_core::request::assembly::Chunk;
+use lichenpulley_core::request::execution::{
+    ANSWER_TIMEOUT, ClaimVerdict, EngineEvent, Execution, ExecutionSpec, Step,
+};
+use lichenpulley_core::request::outcome::{EngineRefusal, Outcome};
+use lichenpulley_core::routing::pool::ListedReplica;
+use lichenpulley_core::routing::{Pool, PoolConfig};
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::engine::StreamRequest;
+use lichenpulley_simulation::{Outbox, ProcessId};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::message::Message;
+
+/// How long a connection may take to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a claim may take.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between rounds of probes.
+const PROBE_ROUND: Duration = Duration::from_millis(250);
+/// Most replicas probed in one round.
+const PROBES_IN_ROUND: usize = 8;
+
+/// Mechanisms that a schedule can switch off, to show that its checks find what they are there for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// Only a proof makes "not run"; off: a dispatch that is not answered counts as one that was not sent.
+    pub proof_of_not_run: bool,
+    /// Ids are claimed at a majority; off: the gateway remembers by itself what it has sent.
+    pub claims: bool,
+    /// Chunks are put together by number; off: in the order in which they come.
+    pub numbering: bool,
+    /// A confirmation stands for the time of its question; off: for the time of its arrival, and holds for ever.
+    pub expiring_confirmations: bool,
+}
+
+impl Mechanisms {
+    /// All of them.
+    pub const ON: Self =
+        Self { proof_of_not_run: true, claims: true, numbering: true, expiring_confirmations: true };
+}
+
+/// A caller's request as a gateway gets it.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Which submission of the schedule this is.
+    pub number: usize,
+    /// The request as it goes to an engine.
+    pub stream: StreamRequest,
+    /// Its id.
+    pub request: RequestId,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// When the answer is of no use any more.
+    pub deadline: Timestamp,
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Which submission.
+    pub number: usize,
+    /// The outcome.
+    pub outcome: Rc<Outcome>,
+    /// Chunks as they were streamed.
+    pub streamed: Vec<u32>,
+}
+
+/// New work sent to a replica.
+#[derive(Clone, Debug)]
+pub struct SentWork {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// When.
+    pub at: Timestamp,
+}
+
+#[derive(Debug)]
+enum Waiting {
+    Connecting { attempt: AttemptId, prior_tokens: Vec<u32>, replica: ReplicaId },
+    Claiming { attempt: AttemptId, votes: BTreeSet<ProcessId>, granted: usize },
+    Event,
+    Time,
+}
+
+struct Run {
+    submission: Submission,
+    execution: Execution,
+    waiting: Waiting,
+    wake_at: Timestamp,
+    streamed: Vec<u32>,
+}
+
+/// One gateway.
+pub struct GatewayProcess {
+    name: String,
+    life: u32,
+    engines: BTreeMap<ReplicaId, ProcessId>,
+    claim_replicas: Vec<ProcessId>,
+    mechanisms: Mechanisms,
+    pool: Pool,
+    random: Pcg64Mcg,
+    runs: BTreeMap<usize, Run>,
+    probes: BTreeMap<u64, (ReplicaId, Timestamp)>,
+    next_probe: u64,
+    next_round: Timestamp,
+    /// Ids sent by this life, for gateways without claims.
+    sent_ids: BTreeSet<RequestId>,
+    /// What callers were told.
+    pub told: Vec<Told>,
+    /// New work sent, in all lives.
+    pub sent: Vec<SentWork>,
+}
+
+impl GatewayProcess {
+    /// A gateway before these engines and claim replicas.
+    pub fn new(
+        name: String,
+        engines: BTreeMap<ReplicaId, ProcessId>,
+        claim_replicas: Vec<ProcessId>,
+        mechanisms: Mechanisms,
+        seed: u64,
+    ) -> Self {
+        let mut config = PoolConfig::default();
+        if !mechanisms.expiring_confirmations {
+            config.confirmation_holds = Duration::from_secs(1_000_000);
+        }
+        let mut pool = Pool::new(config, Timestamp::ORIGIN);
+        pool.list(engines.keys().map(|replica| ListedReplica {
+            replica: replica.clone(),
+            zone: "zone".into(),
+            leaving: false,
+        }));
+        Self {
+            name,
+            life: 0,
+            engines,
+            claim_replicas,
+            mechanisms,
+            pool,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            runs: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            next_probe: 0,
+            next_round: Timestamp::ORIGIN,
+            sent_ids: BTreeSet::new(),
+            told: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// The gateway after a crash: its runs are gone and it has told nobody more.
+    pub fn restarted(&self) -> Self {
+        let seed = u64::from(self.life) + 1;
+        let mut next = Self::new(
+            self.name.clone(),
+            self.engines.clone(),
+            self.claim_replicas.clone(),
+            self.mechanisms,
+            seed,
+        );
+        next.life = self.life + 1;
+        next.told = self.told.clone();
+        next.sent = self.sent.clone();
+        next
+    }
+
+    /// Takes a request.
+    pub fn submit(&mut self, submission: Submission, now: Timestamp, outbox: &mut Outbox<Message>) {
+        let spec = ExecutionSpec {
+            request: submission.request.clone(),
+            execution: format!("{}-{}-{}", self.name, self.life, submission.number),
+            prefix_group: submission.number as u64 % 7,
+            priority: submission.stream.priority,
+            max_tokens: submission.stream.max_tokens,
+            deadline: submission.deadline,
+            repeatable: submission.repeatable,
+            minimum_version: None,
+        };
+        let execution = Execution::new(spec, &mut self.pool, now);
+        let number = submission.number;
+        let run = Run { submission, execution, waiting: Waiting::Time, wake_at: now, streamed: Vec::new() };
+        self.runs.insert(number, run);
+        self.drive(number, now, outbox);
+    }
+
+    /// Requests that are not over.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        now: Timestamp,
+        from: ProcessId,
+        message: Message,
+        outbox: &mut Outbox<Message>,
+    ) {
+        match message {
+            Message::Connected(attempt, connection) => self.connected(&attempt, connection, now, outbox),
+            Message::Refused(attempt, cause) => {
+                self.with_attempt(&attempt, now, outbox, |run, pool, random| {
+                    let refusal = EngineRefusal { attempt: attempt.clone() };
+                    run.execution.refused(&refusal, cause, now, pool, random);
+                });
+            }
+            Message::Broken(attempt) => {
+                self.with_attempt(&attempt, now, outbox, |run, pool, random| {
+                    run.execution.broken(now, pool, random);
+                });
+            }
+            Message::UnknownStream(attempt) => {
+                self.with_attempt(&attempt, now, outbox, |run, pool, random| {
+                    run.execution.resume_unknown(now, pool, random);
+                });
+            }
+            Message::Event(attempt, event) => self.event(&attempt, event, now, outbox),
+            Message::Load(number, report) => {
+                if let Some((replica, asked_at)) = self.probes.remove(&number) {
+                    let stands_for = if self.mechanisms.expiring_confirmations { asked_at } else { now };
+                    self.pool.observe(&replica, stands_for, report, now);
+                    self.wake_choosers(now, outbox);
+                }
+            }
+            Message::Vote(request, voted) => self.vote(from, &request, &voted, now, outbox),
+            _ => {}
+        }
+    }
+
+    pub(super) fn wake(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        if now >= self.next_round {
+            self.next_round = now + PROBE_ROUND;
+            for replica in self.pool.due_probes(now, PROBES_IN_ROUND) {
+                self.probe(replica, now, outbox);
+            }
+        }
+        let due: Vec<usize> =
+            self.runs.iter().filter(|(_, run)| run.wake_at <= now).map(|(number, _)| *number).collect();
+        for number in due {
+            self.timed_out(number, now);
+            self.drive(number, now, outbox);
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        self.runs.values().map(|run| run.wake_at).chain([self.next_round]).min()
+    }
+
+    fn timed_out(&mut self, number: usize, now: Timestamp) {
+        let Some(run) = self.runs.get_mut(&number) else { return };
+        match run.waiting {
+            Waiting::Connecting { .. } => {
+                run.execution.nothing_written(now, &mut self.pool, &mut self.random);
+            }
+            Waiting::Claiming { .. } => run.execution.claimed(ClaimVerdict::NoMajority, now),
+            Waiting::Event if !self.mechanisms.proof_of_not_run => {
+                run.execution.nothing_written(now, &mut self.pool, &mut self.random);
+                run.execution.stalled(now, &mut self.pool, &mut self.random);
+            }
+            Waiting::Event => run.execution.stalled(now, &mut self.pool, &mut self.random),
+            Waiting::Time => {}
+        }
+    }
+
+    /// Does the steps of a run until it has to wait.
+    fn drive(&mut self, number: usize, now: Timestamp, outbox: &mut Outbox<Message>) {
+        let Some(mut run) = self.runs.remove(&number) else { return };
+        loop {
+            let step = run.execution.next(now, &mut self.pool, &mut self.random);
+            for (replica, attempt) in run.execution.take_cancellations() {
+                outbox.send(self.engines[&replica], Message::Cancel(attempt));
+            }
+            run.execution.take_decisions();
+            match step {
+                Step::Claim { attempt } if self.mechanisms.claims => {
+                    for replica in &self.claim_replicas {
+                        outbox
+                            .send(*replica, Message::Claim(run.submission.request.clone(), attempt.clone()));
+                    }
+                    run.waiting = Waiting::Claiming { attempt, votes: BTreeSet::new(), granted: 0 };
+                    run.wake_at = now + CLAIM_TIMEOUT;
+                    break;
+                }
+                Step::Claim { .. } => {
+                    let is_new = self.sent_ids.insert(run.submission.request.clone());
+                    let verdict = if is_new { ClaimVerdict::Granted } else { ClaimVerdict::Held };
+                    run.execution.claimed(verdict, now);
+                }
+                Step::Probe { replicas, until } => {
+                    for replica in replicas {
+                        self.probe(replica, now, outbox);
+                    }
+                    (run.waiting, run.wake_at) = (Waiting::Time, until);
+                    break;
+                }
+                Step::Dispatch { replica, attempt, prior_tokens } => {
+                    self.sent.push(SentWork { replica: replica.clone(), at: now });
+                    outbox.send(self.engines[&replica], Message::Connect(attempt.clone()));
+                    run.waiting = Waiting::Connecting { attempt, prior_tokens, replica };
+                    run.wake_at = now + CONNECT_TIMEOUT;
+                    break;
+                }
+                Step::Resume { replica, attempt, from } => {
+                    outbox.send(self.engines[&replica], Message::Resume(attempt, from));
+                }
+                Step::Receive { until } => {
+                    (run.waiting, run.wake_at) = (Waiting::Event, until);
+                    break;
+                }
+                Step::Wait { until } => {
+                    (run.waiting, run.wake_at) = (Waiting::Time, until);
+                    break;
+                }
+                Step::Finish(outcome) => {
+                    self.told.push(Told { number, outcome: Rc::from(outcome), streamed: run.streamed });
+                    return;
+                }
+            }
+        }
+        self.runs.insert(number, run);
+    }
+
+    fn connected(
+        &mut self,
+        attempt: &AttemptId,
+        connection: u64,
+        now: Timestamp,
+        outbox: &mut Outbox<Message>,
+    ) {
+        let Some(number) = self.find(attempt) else { return };
+        let Some(run) = self.runs.get_mut(&number) else { return };
+        let Waiting::Connecting { attempt: expected, prior_tokens, replica } = &run.waiting else { return };
+        if expected != attempt {
+            return;
+        }
+        let request = StreamRequest {
+            attempt: attempt.clone(),
+            prior_tokens: prior_tokens.clone(),
+            ..run.submission.stream.clone()
+        };
+        outbox.send(self.engines[replica], Message::Dispatch(connection, request));
+        (run.waiting, run.wake_at) = (Waiting::Event, now + ANSWER_TIMEOUT);
+    }
+
+    fn event(
+        &mut self,
+        attempt: &AttemptId,
+        event: EngineEvent,
+        now: Timestamp,
+        outbox: &mut Outbox<Message>,
+    ) {
+        let numbering = self.mechanisms.numbering;
+        self.with_attempt(attempt, now, outbox, |run, pool, random| {
+            let event = if numbering { event } else { renumbered(event, run.streamed.len()) };
+            run.execution.received(attempt, event, now, pool, random);
+            let fresh = run.execution.take_new();
+            run.streamed.extend(fresh.into_iter().flat_map(|chunk| chunk.tokens));
+        });
+    }
+
+    fn vote(
+        &mut self,
+        from: ProcessId,
+        request: &RequestId,
+        voted: &AttemptId,
+        now: Timestamp,
+        outbox: &mut Outbox<Message>,
+    ) {
+        let majority = self.claim_replicas.len() / 2 + 1;
+        let claiming: Vec<usize> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.submission.request == *request)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in claiming {
+            let Some(run) = self.runs.get_mut(&number) else { continue };
+            let Waiting::Claiming { attempt, votes, granted } = &mut run.waiting else { continue };
+            if votes.insert(from) && voted == attempt {
+                *granted += 1;
+            }
+            let against = votes.len() - *granted;
+            if *granted >= majority {
+                run.execution.claimed(ClaimVerdict::Granted, now);
+            } else if against >= majority {
+                run.execution.claimed(ClaimVerdict::Held, now);
+            } else {
+                continue;
+            }
+            self.drive(number, now, outbox);
+        }
+    }
+
+    /// Hands something to the run that has this attempt, unless it is still connecting.
+    fn with_attempt(
+        &mut self,
+        attempt: &AttemptId,
+        now: Timestamp,
+        outbox: &mut Outbox<Message>,
+        act: impl FnOnce(&mut Run, &mut Pool, &mut Pcg64Mcg),
+    ) {
+        let Some(number) = self.find(attempt) else { return };
+        let Some(run) = self.runs.get_mut(&number) else { return };
+        let is_current = run.execution.current_attempt() == Some(attempt);
+        if !is_current || !matches!(run.waiting, Waiting::Event) {
+            return;
+        }
+        act(run, &mut self.pool, &mut self.random);
+        self.drive(number, now, outbox);
+    }
+
+    /// The run of an attempt, by the name that this gateway gave it.
+    fn find(&self, attempt: &AttemptId) -> Option<usize> {
+        let prefix = format!("{}-{}-", self.name, self.life);
+        let rest = attempt.as_str().strip_prefix(&prefix)?;
+        rest.split('.').next()?.parse().ok()
+    }
+
+    fn wake_choosers(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        let choosing = |run: &Run| matches!(run.waiting, Waiting::Time);
+        let waiting: Vec<usize> =
+            self.runs.iter().filter(|(_, run)| choosing(run)).map(|(number, _)| *number).collect();
+        for number in waiting {
+            self.drive(number, now, outbox);
+        }
+    }
+
+    fn probe(&mut self, replica: ReplicaId, now: Timestamp, outbox: &mut Outbox<Message>) {
+        self.next_probe += 1;
+        outbox.send(self.engines[&replica], Message::AskLoad(self.next_probe));
+        self.probes.insert(self.next_probe, (replica, now));
+    }
+}
+
+/// What a gateway without numbering makes of a chunk: the tokens that come next.
+fn renumbered(event: EngineEvent, next: usize) -> EngineEvent {
+    let next = u32::try_from(next).unwrap_or(u32::MAX);
+    match event {
+        EngineEvent::Tokens(chunk) => EngineEvent::Tokens(Chunk { first_token: next, ..chunk }),
+        EngineEvent::Finished { finish_reason, load, .. } => {
+            EngineEvent::Finished { token_count: next, finish_reason, load }
+        }
+        other => other,
+    }
+}
