--- /dev/null
+++ b/crates/core/tests/drain_rate.rs
@@ -0,0 +1,67 @@
+//! When refused callers are asked back: after what is ahead of them has drained, also when a pool has just begun.
+
+use std::time::Duration;
+
+use lichenpulley_core::retry::drain_rate::DrainRate;
+use lichenpulley_core::time::Timestamp;
+
+/// Completions at a steady rate, from `begin` on.
+fn complete(rate: &mut DrainRate, begin: Timestamp, per_second: u64, seconds: u64) -> Timestamp {
+    let gap = Duration::from_micros(1_000_000 / per_second);
+    let mut now = begin;
+    for _ in 0..per_second * seconds {
+        now = now + gap;
+        rate.completed(now);
+    }
+    now
+}
+
+fn assert_near(actual: f64, expected: f64) {
+    assert!((actual - expected).abs() < expected * 0.1, "{actual} is not near {expected}");
+}
+
+#[test]
+fn a_steady_rate_is_found_within_a_second_and_kept() {
+    let mut rate = DrainRate::new(Timestamp::ORIGIN);
+    let begin = Timestamp::from_millis(60_000);
+    let now = complete(&mut rate, begin, 100, 1);
+    assert_near(rate.per_second(now), 100.0);
+    let now = complete(&mut rate, now, 100, 60);
+    assert_near(rate.per_second(now), 100.0);
+}
+
+#[test]
+fn the_first_completions_of_a_pool_do_not_send_callers_away_for_long() {
+    let mut rate = DrainRate::new(Timestamp::ORIGIN);
+    let mut now = Timestamp::from_millis(60_000);
+    // The first of a batch complete every five milliseconds, with 64 more ahead.
+    for completion in 1..=50 {
+        rate.completed(now);
+        let wait = rate.retry_after(now, 64);
+        assert!(wait < Duration::from_secs(3), "{wait:?} after {completion}");
+        now = now + Duration::from_millis(5);
+    }
+}
+
+#[test]
+fn a_pause_is_forgotten_once_work_begins_again() {
+    let mut rate = DrainRate::new(Timestamp::ORIGIN);
+    let now = complete(&mut rate, Timestamp::ORIGIN, 100, 20);
+    let after_pause = complete(&mut rate, now + Duration::from_secs(600), 100, 1);
+    assert_near(rate.per_second(after_pause), 100.0);
+}
+
+#[test]
+fn a_rate_that_falls_is_followed() {
+    let mut rate = DrainRate::new(Timestamp::ORIGIN);
+    let now = complete(&mut rate, Timestamp::ORIGIN, 100, 60);
+    let now = complete(&mut rate, now, 10, 60);
+    assert_near(rate.per_second(now), 10.0);
+    assert_eq!(rate.retry_after(now, 10_000), Duration::from_secs(30), "no later than this");
+}
+
+#[test]
+fn where_nothing_was_seen_callers_come_back_after_a_second() {
+    let rate = DrainRate::new(Timestamp::ORIGIN);
+    assert_eq!(rate.retry_after(Timestamp::ORIGIN, 500), Duration::from_secs(1));
+}
