List every setting on a page that a test keeps complete

Cause: keys, defaults and bounds stood in code only. The page is compared with the keys that the reader asks for. A claim window that can't work is now refused with the other problems of the file, before the store opens. tarpc logged every call at the default level; it no longer does.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -9,11 +9,13 @@
 use lichenpulley_daemon::settings::Settings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// What is logged where `RUST_LOG` is not set; `tarpc` would log every call.
+const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn";
 /// The command line or the settings are wrong.
 const USAGE_FAILURE: u8 = 2;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER)).init();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments::parse(&arguments) {
         Ok(Invocation::Help(text)) => print(&text),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -17,7 +17,7 @@
     StopSettings, StoreSettings,
 };
 pub use problem::{SettingsError, SettingsProblem};
-pub use reader::{Bounds, SettingsReader};
+pub use reader::{Bounds, KnownKey, SettingsReader};
 
 /// Checked settings of one node.
 #[derive(Clone, Debug)]
@@ -108,6 +108,13 @@
         settings
     }
 
+    /// Every key that a settings file may hold.
+    pub fn known_keys() -> Vec<KnownKey> {
+        let mut reader = SettingsReader::new(toml::Table::new());
+        Self::read(&mut reader);
+        reader.known_keys().to_vec()
+    }
+
     fn read(reader: &mut SettingsReader) -> Self {
         Self {
             node: NodeId::new(reader.name("node")),
@@ -158,6 +165,10 @@
                 "make it at most half of `membership.probe_interval_ms`",
             );
         }
+        if let Err(error) = self.store.claim_window.validate() {
+            let remedy = "raise it above twice `store.maximum_clock_skew_ms`";
+            reader.problem("store.claim_retention_ms", error.to_string(), remedy);
+        }
         self.check_distinct_addresses(reader);
     }
 
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -9,7 +9,7 @@
 use super::problem::{SettingsError, SettingsProblem};
 
 /// A number's default and the range that it is refused outside of.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// Where the key is absent.
     pub default: u64,
@@ -17,12 +17,21 @@
     pub accepted: RangeInclusive<u64>,
 }
 
+/// A key that was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownKey {
+    /// The key, with its table.
+    pub key: String,
+    /// The default and the bounds of a number.
+    pub bounds: Option<Bounds>,
+}
+
 /// Takes values out of a table by key; what is left at the end is unknown.
 ///
 /// A wrong value is noted as a problem and stands as its default, so that reading goes on to the next one.
 pub struct SettingsReader {
     table: Table,
-    known: Vec<String>,
+    known: Vec<KnownKey>,
     problems: Vec<SettingsProblem>,
 }
 
@@ -124,7 +133,11 @@
 
     /// A whole number within bounds.
     pub fn number(&mut self, key: &str, bounds: &Bounds) -> u64 {
-        let Some(value) = self.take(key) else { return bounds.default };
+        let value = self.take(key);
+        if let Some(known) = self.known.last_mut() {
+            known.bounds = Some(bounds.clone());
+        }
+        let Some(value) = value else { return bounds.default };
         let Value::Integer(number) = value else {
             self.wrong_type(key, &value, "a whole number");
             return bounds.default;
@@ -142,6 +155,11 @@
         Duration::from_millis(self.number(key, &Bounds { default, accepted }))
     }
 
+    /// Every key asked for so far.
+    pub fn known_keys(&self) -> &[KnownKey] {
+        &self.known
+    }
+
     /// Refuses whatever was not asked for, and gives all problems at once.
     ///
     /// # Errors
@@ -160,7 +178,7 @@
     }
 
     fn take(&mut self, key: &str) -> Option<Value> {
-        self.known.push(key.to_owned());
+        self.known.push(KnownKey { key: key.to_owned(), bounds: None });
         match key.split_once('.') {
             None => self.table.remove(key),
             Some((table, inner)) => self.table.get_mut(table)?.as_table_mut()?.remove(inner),
@@ -190,14 +208,14 @@
         Some(address)
     }
 
-    fn nearest_known(&self, key: &str) -> Option<&String> {
+    fn nearest_known(&self, key: &str) -> Option<&str> {
         let last = |key: &str| key.rsplit('.').next().unwrap_or_default().to_owned();
         let wanted = last(key);
-        let similar = |known: &&String| {
+        let similar = |known: &&str| {
             let known = last(known);
             known.starts_with(&wanted) || wanted.starts_with(&known) || differs_by_one(&known, &wanted)
         };
-        self.known.iter().find(similar)
+        self.known.iter().map(|known| known.key.as_str()).find(similar)
     }
 }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -120,3 +120,22 @@
         assert!(arguments::parse(&line).is_err(), "{line:?} was taken");
     }
 }
+
+/// The operators' page lists every key with its default and bounds, as a table row.
+#[test]
+fn every_key_is_on_the_operators_page() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators/settings.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+    let missing: Vec<String> = Settings::known_keys()
+        .into_iter()
+        .map(|known| match known.bounds {
+            Some(bounds) => {
+                let (low, high) = (bounds.accepted.start(), bounds.accepted.end());
+                format!("| `{}` | {} | {low} to {high} |", known.key, bounds.default)
+            }
+            None => format!("| `{}` |", known.key),
+        })
+        .filter(|row| !page.contains(row))
+        .collect();
+    assert!(missing.is_empty(), "add to docs/operators/settings.md:\n{}", missing.join("\n"));
+}
