Add a benchmark of the gateway against callers straight at engines

Chosen: engines, a whole node and the callers in one process, each with threads of its own, over loopback; direct, streamed and whole runs in turn in each round with the same prompts and arrivals, medians over the rounds, so that other load on the machine meets all alike. Ruled out: a run of each after the other: on a machine that others use, the load changes between them.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{demo, engine, load, machine_list, object_api, requests, scorer, trainer, weight_store};
+use crate::{bench, demo, engine, load, machine_list, object_api, requests, scorer, trainer, weight_store};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -66,6 +66,11 @@
         help: "requests under faults on a virtual clock, checked at every schedule",
         entry: |arguments| Box::pin(requests::run(arguments)),
     },
+    Command {
+        name: "bench",
+        help: "measure what a gateway costs against callers straight at engines",
+        entry: |arguments| Box::pin(bench::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/engine/service.rs
+++ b/crates/lab/src/engine/service.rs
@@ -216,6 +216,10 @@
             return self.wake.notified().await;
         };
         let wake = self.origin + Duration::from_micros(wake.as_micros());
+        if wake <= Instant::now() {
+            // The timer would round up to its next millisecond.
+            return tokio::task::yield_now().await;
+        }
         tokio::select! {
             () = tokio::time::sleep_until(wake.into()) => {}
             () = self.wake.notified() => {}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod addresses;
 pub mod arguments;
+pub mod bench;
 pub mod commands;
 pub mod demo;
 pub mod engine;
--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -224,6 +224,7 @@
 }
 
 fn outcome_of(error: &ClientError) -> Outcome {
+    log::debug!(target: "load", "{error}.");
     if error.nothing_sent() {
         return Outcome::NotRun;
     }
