--- a/crates/daemon/src/coordinator/http.rs
+++ b/crates/daemon/src/coordinator/http.rs
@@ -80,7 +80,8 @@
     None
 }
 
-fn answer(answered: CoordinatorResponse) -> Response<Body> {
+/// An owner's answer as HTTP.
+pub(crate) fn answer(answered: CoordinatorResponse) -> Response<Body> {
     match answered {
         CoordinatorResponse::Job(status) => response::json(StatusCode::OK, &status),
         CoordinatorResponse::Samples(samples) => response::json(StatusCode::OK, &samples),
--- a/crates/daemon/src/coordinator/weights_shard.rs
+++ b/crates/daemon/src/coordinator/weights_shard.rs
@@ -111,6 +111,8 @@
 impl WeightsOwner {
     async fn run(mut self, commands: &mut mpsc::Receiver<ShardCommand>, stop: &CancellationToken) {
         let mut refresh = tokio::time::interval(self.context.settings.coordinator.tick_interval);
+        // The first command may be for a replica: it must be known by then.
+        self.refresh_replicas();
         while self.end.is_none() {
             let wakeup = self.controller.next_wakeup();
             tokio::select! {
--- a/crates/daemon/src/operators/drain.rs
+++ b/crates/daemon/src/operators/drain.rs
@@ -23,12 +23,7 @@
                 self.record_drain(&pool, replica);
                 self.accepted(entry).await
             }
-            CoordinatorResponse::Refused { kind, message, remedy, retry_after_ms } => {
-                let mut body = ErrorBody::new(&kind, message, remedy);
-                body.retry_after_ms = Some(retry_after_ms).filter(|&milliseconds| milliseconds > 0);
-                response::error(StatusCode::SERVICE_UNAVAILABLE, &body)
-            }
-            _ => no_owner(&pool),
+            refusal => coordinator::http::answer(refusal),
         }
     }
 
@@ -75,12 +70,3 @@
     );
     response::error(StatusCode::NOT_FOUND, &body)
 }
-
-fn no_owner(pool: &PoolName) -> Response<Body> {
-    let body = ErrorBody::new(
-        "no_owner",
-        format!("no owner of the weights of {pool} answered"),
-        "ask again: repeating the order changes nothing",
-    );
-    response::error(StatusCode::SERVICE_UNAVAILABLE, &body)
-}
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -5,7 +5,7 @@
 mod job;
 mod live;
 mod summary;
-mod system;
+pub mod system;
 
 use std::time::Duration;
 
