--- a/crates/core/src/rollout/ledger.rs
+++ b/crates/core/src/rollout/ledger.rs
@@ -25,6 +25,9 @@
     slots: BTreeMap<Slot, SlotState>,
     delivery: Delivery,
     reopened: u64,
+    /// Decide only a slot that is open. Always on in service; proofs switch it off.
+    #[speedy(skip)]
+    decide_once: bool,
 }
 
 /// A record does not fit the records before it.
@@ -63,17 +66,25 @@
 }
 
 impl JobLedger {
-    /// A job of which nothing but the specification is known.
-    pub fn new(specification: JobSpecification) -> Self {
-        Self { specification, step: 0, slots: BTreeMap::new(), delivery: Delivery::default(), reopened: 0 }
+    /// A job of which nothing but the specification is known. `decide_once` is on in service.
+    pub fn new(specification: JobSpecification, decide_once: bool) -> Self {
+        Self {
+            specification,
+            step: 0,
+            slots: BTreeMap::new(),
+            delivery: Delivery::default(),
+            reopened: 0,
+            decide_once,
+        }
     }
 
     /// A ledger from the bytes of [`Self::snapshot`].
     ///
     /// # Errors
     /// When the bytes are no ledger.
-    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, RecordError> {
-        Ok(Self::read_from_buffer(bytes)?)
+    pub fn from_snapshot(bytes: &[u8], decide_once: bool) -> Result<Self, RecordError> {
+        let ledger = Self::read_from_buffer(bytes)?;
+        Ok(Self { decide_once, ..ledger })
     }
 
     /// The ledger as bytes, standing for all records applied so far.
@@ -182,7 +193,10 @@
     fn decide(&mut self, generation: u32, sample: &Sample) -> Result<(), LedgerError> {
         let slot = sample.slot;
         check_coverage(&sample.spans, sample.tokens.len())?;
-        if self.open_generation(slot).ok_or(LedgerError::NoSuchSlot { slot })? != generation {
+        if slot.step < self.step || !slot.belongs_to(&self.specification) {
+            return Err(LedgerError::NoSuchSlot { slot });
+        }
+        if self.decide_once && self.open_generation(slot) != Some(generation) {
             return Err(LedgerError::WrongPhase { slot, needed: "open", generation });
         }
         let state = self.slots.entry(slot).or_default();
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -17,7 +17,8 @@
 mod staleness;
 
 pub use controller::{
-    Action, AttemptOutcome, AttemptStart, ControllerConfig, Event, JobController, RecoverError,
+    Action, AttemptOutcome, AttemptStart, ControllerChecks, ControllerConfig, Event, JobController,
+    RecoverError, TokenCounts,
 };
 pub use delivery::{PullRefusal, PullRequest, PullResponse};
 pub use ledger::{JobLedger, LedgerError};
