--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,7 +3,10 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
-use crate::{bench, demo, engine, load, machine_list, object_api, requests, scorer, trainer, weight_store};
+use crate::{
+    bench, demo, engine, load, machine_list, object_api, requests, rollout_simulation, scorer, trainer,
+    weight_store,
+};
 
 /// What runs a command: takes the arguments after its name.
 pub type Entry = for<'a> fn(&'a [String]) -> BoxFuture<'a, Result<(), LabError>>;
@@ -71,6 +74,11 @@
         help: "measure what a gateway costs against callers straight at engines",
         entry: |arguments| Box::pin(bench::run(arguments)),
     },
+    Command {
+        name: "simulate-rollout",
+        help: "rollout jobs under seeded faults on a virtual clock",
+        entry: |arguments| Box::pin(rollout_simulation::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod machine_list;
 pub mod object_api;
 pub mod requests;
+pub mod rollout_simulation;
 pub mod scorer;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/crates/lab/src/rollout_simulation/world.rs
@@ -0,0 +1,212 @@
+//! One run: a world, its faults, and what the checks found.
+
+use std::time::Duration;
+
+use lichenpulley_core::identity::{JobId, PoolName};
+use lichenpulley_core::rollout::{ControllerChecks, ControllerConfig, JobSpecification, Slot, TokenCounts};
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_simulation::{FaultPlan, FaultRates, LinkQuality, ProcessId, Simulation};
+
+use super::engine::Engine;
+use super::message::{ENGINES, OWNERS, STORES, TRAINER};
+use super::owner::{Owner, OwnerSetup};
+use super::process::WorldProcess;
+use super::store::Store;
+use super::trainer::Trainer;
+use super::violation::Violation;
+
+/// Faults fall during this time.
+const FAULTY: Duration = Duration::from_secs(8);
+/// A job that has not finished so long after the last fault never will.
+const RECOVERY: Duration = Duration::from_secs(120);
+/// Attempts of the job at once.
+const MAX_IN_FLIGHT: usize = 6;
+
+/// Mechanisms of the world. All on in service; proofs switch one off to show that it is needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// Those of the job's owner.
+    pub owner: ControllerChecks,
+    /// Stores refuse an owner that has been superseded.
+    pub fencing: bool,
+    /// Versions are taken from each chunk, not from the first one.
+    pub versions_by_chunk: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self { owner: ControllerChecks::default(), fencing: true, versions_by_chunk: true }
+    }
+}
+
+/// How hard a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Schedule {
+    /// The mean time between two faults.
+    pub mean_fault_interval: Duration,
+    /// The longest outage, freeze or cut.
+    pub longest_outage: Duration,
+    /// The links while faults fall.
+    pub link: LinkQuality,
+    /// The job's staleness bound, in versions.
+    pub staleness_bound: u64,
+}
+
+impl Default for Schedule {
+    fn default() -> Self {
+        Self {
+            mean_fault_interval: Duration::from_millis(250),
+            longest_outage: Duration::from_millis(700),
+            link: LinkQuality::POOR,
+            staleness_bound: 1,
+        }
+    }
+}
+
+/// What one run showed.
+#[derive(Clone, Debug, Default)]
+pub struct RunReport {
+    /// Broken invariants.
+    pub violations: Vec<Violation>,
+    /// Faults that fell.
+    pub faults: usize,
+    /// Messages delivered.
+    pub messages: u64,
+    /// Slots that the trainer saved.
+    pub saved: usize,
+    /// Times that an owner began to take the job over.
+    pub takeovers: u64,
+    /// Times that an owner found itself superseded.
+    pub superseded: u64,
+    /// Batches voided at hand-over.
+    pub voided: u64,
+    /// Slots reopened at hand-over.
+    pub reopened: u64,
+    /// What became of the tokens.
+    pub tokens: TokenCounts,
+    /// When the job was finished, on the virtual clock.
+    pub ended_at: Timestamp,
+}
+
+impl RunReport {
+    /// Adds the counts of another run; violations and times are left as they are.
+    pub fn add(&mut self, other: &Self) {
+        self.faults += other.faults;
+        self.messages += other.messages;
+        self.saved += other.saved;
+        self.takeovers += other.takeovers;
+        self.superseded += other.superseded;
+        self.voided += other.voided;
+        self.reopened += other.reopened;
+        self.tokens.add(&other.tokens);
+    }
+}
+
+/// Runs one schedule to its end.
+pub fn run_seed(seed: u64, schedule: &Schedule, mechanisms: Mechanisms) -> RunReport {
+    let specification = specification(schedule.staleness_bound);
+    let mut world = build(seed, schedule, mechanisms, &specification);
+    let targets: Vec<ProcessId> = world.ids().collect();
+    let rates =
+        FaultRates { mean_interval: schedule.mean_fault_interval, longest_outage: schedule.longest_outage };
+    let plan = FaultPlan::draw(seed, &targets, FAULTY, rates);
+    for (at, fault) in plan.faults() {
+        world.run_until(*at);
+        world.apply(fault, WorldProcess::restarted);
+    }
+    world.heal();
+    world.set_link(LinkQuality::GOOD);
+    settle(&mut world);
+    let deadline = world.now() + RECOVERY;
+    world.run_until_condition(deadline, |world| trainer(world).is_some_and(Trainer::is_finished));
+    report(&world, &specification, plan.faults().len())
+}
+
+fn specification(staleness_bound: u64) -> JobSpecification {
+    JobSpecification {
+        job: JobId::new("simulated"),
+        pool: PoolName::new("pool"),
+        prompts: (0..4).map(|number| format!("prompt {number}")).collect(),
+        samples_per_prompt: 2,
+        steps: 4,
+        max_tokens: 200,
+        staleness_bound,
+        idle_weight_percent: 50,
+    }
+}
+
+fn build(
+    seed: u64,
+    schedule: &Schedule,
+    mechanisms: Mechanisms,
+    specification: &JobSpecification,
+) -> Simulation<WorldProcess> {
+    let config = ControllerConfig {
+        max_in_flight: MAX_IN_FLIGHT,
+        retry_delay: Duration::from_millis(30),
+        attempt_timeout: Duration::from_secs(3),
+        checks: mechanisms.owner,
+        ..ControllerConfig::default()
+    };
+    let setup = OwnerSetup {
+        specification: specification.clone(),
+        config,
+        versions_by_chunk: mechanisms.versions_by_chunk,
+    };
+    let mut world = Simulation::new(seed, schedule.link);
+    for number in 0..STORES {
+        world.add(WorldProcess::Store(Box::new(Store::new(number, mechanisms.fencing))));
+    }
+    for number in 0..OWNERS {
+        world.add(WorldProcess::Owner(Box::new(Owner::new(number, setup.clone()))));
+    }
+    for number in 0..ENGINES as u64 {
+        world.add(WorldProcess::Engine(Engine::new(seed.wrapping_mul(31).wrapping_add(number))));
+    }
+    world.add(WorldProcess::Trainer(Box::new(Trainer::new(seed, schedule.staleness_bound))));
+    world
+}
+
+fn settle(world: &mut Simulation<WorldProcess>) {
+    let mut settled = false;
+    while !settled {
+        settled = world
+            .interact(TRAINER, |process, _, _| {
+                if let WorldProcess::Trainer(trainer) = process {
+                    trainer.settle();
+                }
+            })
+            .is_some();
+        if !settled {
+            world.run_for(Duration::from_millis(50));
+        }
+    }
+}
+
+fn trainer(world: &Simulation<WorldProcess>) -> Option<&Trainer> {
+    match world.process(TRAINER) {
+        WorldProcess::Trainer(trainer) => Some(trainer),
+        _ => None,
+    }
+}
+
+fn report(world: &Simulation<WorldProcess>, specification: &JobSpecification, faults: usize) -> RunReport {
+    let mut report =
+        RunReport { faults, messages: world.delivered(), ended_at: world.now(), ..RunReport::default() };
+    for id in world.ids() {
+        let WorldProcess::Owner(owner) = world.process(id) else { continue };
+        let counts = owner.counts();
+        report.takeovers += counts.takeovers;
+        report.superseded += counts.superseded;
+        report.voided += counts.voided;
+        report.reopened += counts.reopened;
+        report.tokens.add(&counts.tokens);
+    }
+    let Some(trainer) = trainer(world) else { return report };
+    report.saved = trainer.saved_slots().len();
+    report.violations = trainer.violations().to_vec();
+    let slots = (0..specification.steps).flat_map(|step| Slot::of_step(specification, step));
+    let lost = slots.filter(|slot| !trainer.saved_slots().contains(slot));
+    report.violations.extend(lost.map(|slot| Violation::Lost(slot.to_string())));
+    report
+}
