Refuse a pull only after a barrier in the log

A trainer may take a refusal as final. Ruled out: asking the replicas by a read; the log's append does it already. Conclusion: everything that a trainer acts on rests on a kept record.

--- a/crates/core/src/rollout/controller/hand_over.rs
+++ b/crates/core/src/rollout/controller/hand_over.rs
@@ -13,6 +13,9 @@
 impl JobController {
     pub(super) fn handle_pull(&mut self, ticket: u64, request: &PullRequest) {
         let answer = self.pull(request);
+        if answer.is_err() && self.config.checks.confirm_refusals {
+            self.propose_fitting(JobRecord::Barrier);
+        }
         let held = HeldAnswer { after_record: self.proposed_count, ticket, answer };
         self.held_answers.push_back(held);
         self.release_answers();
--- a/crates/core/src/rollout/ledger.rs
+++ b/crates/core/src/rollout/ledger.rs
@@ -106,6 +106,7 @@
             JobRecord::CursorMoved { cursor, trainer_version } => self.move_cursor(*cursor, *trainer_version),
             JobRecord::HandedOver { slots } => self.hand_over(slots),
             JobRecord::BatchVoided => self.void_batch(),
+            JobRecord::Barrier => Ok(()),
             JobRecord::Reopened { slot, generation } => self.reopen(*slot, *generation),
         }
     }
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -41,6 +41,8 @@
         /// Its generation from now on.
         generation: u32,
     },
+    /// Changes nothing. That it is kept shows that its owner had not been superseded.
+    Barrier,
 }
 
 /// A record could not be read.
--- a/crates/lab/tests/rollout_simulation.rs
+++ b/crates/lab/tests/rollout_simulation.rs
@@ -87,6 +87,15 @@
     assert!(is_broken(mechanisms, is_not_exactly_once));
 }
 
+#[test]
+fn a_trainer_is_refused_wrongly_by_a_superseded_owner_without_a_barrier() {
+    let mechanisms = without(|checks| {
+        checks.confirm_refusals = false;
+        checks.staleness_before_hand_over = false;
+    });
+    assert!(is_broken(mechanisms, |violation| matches!(violation, Violation::Refused(_))));
+}
+
 fn is_not_exactly_once(violation: &Violation) -> bool {
     matches!(violation, Violation::Doubled(_) | Violation::Lost(_) | Violation::OtherBytes(_))
 }
