Spread revisions at once and trust no cut-off minority at a start

Ruled out: refusing to spread in a minority. Regions lose each other for an hour, and each side must go on; only the word given to a starting node is withheld while a node sees less than a majority of the members of the last 10 minutes. A starting node that gets no answer for 5 s reads the platform. Also a node tells three members at once when it has a revision, and a pull that gets no answer turns to the members of the quorum set. Conclusion: the disseminator is cut into files for gathering, pulling, starting and duties.

--- a/crates/core/src/configuration/dissemination/bootstrap.rs
+++ b/crates/core/src/configuration/dissemination/bootstrap.rs
@@ -1,9 +1,13 @@
 //! A starting node's question to the quorum set: which revision may have been in force before?
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
+use super::Message;
+use super::disseminator::{Action, Disseminator};
 use super::placement::Placement;
 use crate::identity::{NodeId, Revision};
+use crate::time::Timestamp;
 
 /// The answers heard so far.
 ///
@@ -47,3 +51,40 @@
         Some((*highest.1, highest.0.clone()))
     }
 }
+
+impl Disseminator {
+    /// A starting node goes on once a read quorum has answered: it pulls the highest revision heard, and makes sure
+    /// that a majority holds it before it puts it in force.
+    pub(super) fn finish_bootstrap(&mut self, now: Timestamp) {
+        if self.in_force.is_some() || self.config.ablation.without_quorum {
+            return;
+        }
+        let Some((floor, holder)) = self.bootstrap.floor(&self.placement, &self.node) else { return };
+        match &self.staged {
+            Some(staged) if staged.document.revision() >= floor => {
+                if staged.holders.is_none() {
+                    let document = Arc::clone(&staged.document);
+                    self.gather(document, now);
+                }
+            }
+            _ => self.pull(holder, floor),
+        }
+    }
+
+    pub(super) fn ask_quorum_set(&mut self, now: Timestamp) {
+        let unheard = self.bootstrap.unheard(&self.placement, &self.node);
+        let queries = unheard.into_iter().map(|to| Action::Send { to: to.clone(), message: Message::Query });
+        let queries: Vec<Action> = queries.collect();
+        self.actions.extend(queries);
+        if self.may_read_once(now) {
+            self.actions.push_back(Action::ReadOnce);
+        }
+    }
+
+    /// Members of the quorum set read the platform themselves while they start, so that a cluster which starts as a
+    /// whole finds its way; any other node only where the quorum set has not answered for a while.
+    fn may_read_once(&self, now: Timestamp) -> bool {
+        let waited = self.started.is_some_and(|since| now.saturating_since(since) >= self.config.patience);
+        waited || self.duties.in_quorum_set(self.config.settle, now)
+    }
+}
--- a/crates/core/src/configuration/dissemination/mod.rs
+++ b/crates/core/src/configuration/dissemination/mod.rs
@@ -2,15 +2,18 @@
 //!
 //! A few nodes read the platform: two in each region, chosen by rendezvous over the live members. A revision that
 //! one of them reads, or that a node has written itself, is first offered to a small quorum set and put in force
-//! once a majority of it holds it. From then on its number rides on the membership's heartbeats, and whoever is
-//! behind pulls the changes from a member that has them.
+//! once a majority of it holds it. A node that has put it in force tells a few random members at once, and its
+//! number rides on the membership's heartbeats; whoever is behind pulls the changes from a member that has them.
 //!
 //! A node that starts with nothing asks the quorum set before it puts anything in force, so that it does not fall
 //! back to a revision lower than the one it had before it was restarted, also while the platform is down.
 
 mod bootstrap;
 mod disseminator;
+mod duties;
+mod gather;
 mod placement;
+mod pull;
 
 use std::time::Duration;
 
@@ -19,7 +22,8 @@
 use super::document::Update;
 use crate::identity::Revision;
 
-pub use disseminator::{Action, Confirmation, Disseminator};
+pub use disseminator::{Action, Disseminator};
+pub use gather::Confirmation;
 pub use placement::{Peer, Placement, region_of};
 
 /// How a document is spread.
@@ -37,6 +41,12 @@
     /// A member that holds an offered revision takes over gathering its majority after this, where the node that
     /// offered it has not finished.
     pub takeover: Duration,
+    /// A starting node that the quorum set has not answered for so long reads the platform once itself.
+    pub patience: Duration,
+    /// Members that have been gone for so long are taken to be gone for good.
+    pub member_memory: Duration,
+    /// Members that a node tells at once when it has put a revision in force, besides the heartbeats.
+    pub fanout: usize,
     /// Mechanisms switched off. Only for proofs that need them.
     pub ablation: Ablation,
 }
@@ -49,6 +59,9 @@
             settle: Duration::from_secs(1),
             retry: Duration::from_millis(300),
             takeover: Duration::from_secs(2),
+            patience: Duration::from_secs(5),
+            member_memory: Duration::from_secs(600),
+            fanout: 3,
             ablation: Ablation::default(),
         }
     }
@@ -80,6 +93,11 @@
         /// The revision.
         revision: Revision,
     },
+    /// The revision is in force on the sender.
+    Announce {
+        /// The revision.
+        revision: Revision,
+    },
     /// Asks for what follows a revision.
     Pull {
         /// The revision that the asker holds; `None` where it holds nothing or wants the whole document.
--- a/crates/core/src/configuration/dissemination/placement.rs
+++ b/crates/core/src/configuration/dissemination/placement.rs
@@ -2,6 +2,9 @@
 
 use std::cmp::Reverse;
 
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_pcg::Pcg64Mcg;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::identity::{NodeId, ZoneName};
@@ -54,6 +57,16 @@
         self.ranked.iter().take(self.quorum).map(|peer| &peer.node)
     }
 
+    /// How many live members there are.
+    pub fn len(&self) -> usize {
+        self.ranked.len()
+    }
+
+    /// Whether no member is known, not even this node.
+    pub fn is_empty(&self) -> bool {
+        self.ranked.is_empty()
+    }
+
     /// Whether a node is a live member.
     pub fn contains(&self, node: &NodeId) -> bool {
         self.ranked.iter().any(|peer| &peer.node == node)
@@ -64,6 +77,13 @@
         self.quorum_set().any(|member| member == node)
     }
 
+    /// Some other members, drawn from a seed.
+    pub fn sample(&self, own: &NodeId, seed: u64, count: usize) -> impl Iterator<Item = &NodeId> {
+        let others = self.ranked.iter().map(|peer| &peer.node).filter(move |node| *node != own);
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        others.sample(&mut random, count).into_iter()
+    }
+
     /// Members of the quorum set that must hold a revision before it is put in force.
     pub fn write_quorum(&self) -> usize {
         self.quorum / 2 + 1
--- a/crates/daemon/src/configuration/spread.rs
+++ b/crates/daemon/src/configuration/spread.rs
@@ -26,6 +26,8 @@
 
 /// How often the live members are looked at.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a single read of the platform that gave no answer.
+const READ_ONCE_PAUSE: Duration = Duration::from_secs(1);
 /// A message to a peer is given up after this; the disseminator sends it again.
 const MESSAGE_DEADLINE: Duration = Duration::from_secs(2);
 
@@ -216,7 +218,10 @@
         tokio::spawn(async move {
             match source.read(latest).await {
                 Ok(read) => context.documents.send(document, Event::FromPlatform(read)),
-                Err(error) => log::warn!(target: "configuration", "{error}."),
+                Err(error) => {
+                    log::warn!(target: "configuration", "{error}.");
+                    tokio::time::sleep(READ_ONCE_PAUSE).await;
+                }
             }
             context.documents.send(document, Event::ReadEnded);
         });
