Simulate the configuration under seeded faults on a virtual clock

Ruled out: a model of its own for the nodes; they run the daemon's state machines, and the platform runs the stand-in's own store.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -34,6 +34,11 @@
         help: "stand-in for the platform's object API",
         entry: |arguments| Box::pin(object_api::run(arguments)),
     },
+    Command {
+        name: "simulate-configuration",
+        help: "run the configuration under seeded faults on a virtual clock",
+        entry: |arguments| Box::pin(crate::configuration_simulation::run(arguments)),
+    },
     Command {
         name: "machine-list",
         help: "stand-in for the platform's machine list",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arguments;
 pub mod bench;
 pub mod commands;
+pub mod configuration_simulation;
 pub mod demo;
 pub mod engine;
 pub mod error;
