--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use lichenpulley_core::identity::{NodeId, ZoneName};
 
@@ -19,6 +20,9 @@
 pub use problem::{SettingsError, SettingsProblem};
 pub use reader::{Bounds, KnownKey, SettingsReader};
 
+/// The notice of a planned stop where nothing outside the process watches.
+const LOOPBACK_NOTICE: Duration = Duration::from_millis(200);
+
 /// Checked settings of one node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -96,7 +100,8 @@
         Ok(settings)
     }
 
-    /// Settings for a node inside a test or a demonstration: every role that needs no disk, loopback, free ports.
+    /// Settings for a node inside a test or a demonstration: every role that needs no disk, loopback, free ports, and
+    /// a short notice, since no load balancer has to see it.
     pub fn on_loopback(node: &str, zone: &str) -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut reader = SettingsReader::new(toml::Table::new());
@@ -105,6 +110,7 @@
         settings.zone = ZoneName::new(zone);
         settings.roles = Roles { gateway: true, coordinator: true, store: false };
         settings.addresses = ListenAddresses { callers: loopback, operators: loopback, peers: loopback };
+        settings.stop.notice = LOOPBACK_NOTICE;
         settings
     }
 
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -14,10 +14,12 @@
 mod repair;
 pub mod replica_sets;
 pub mod shard_log;
+mod thread;
 mod transaction;
 mod worker;
 
 use std::path::Path;
+use std::sync::Arc;
 
 use lichenpulley_core::replication::acceptor::Acceptor;
 use lichenpulley_core::replication::claims::ClaimWindow;
@@ -29,6 +31,7 @@
 use disk::Disk;
 pub use error::StoreError;
 use metrics::StoreMetrics;
+use thread::StoreThread;
 use worker::{Done, Job, Work, Worker};
 
 /// Requests that wait for the store's thread before callers are made to wait.
@@ -40,6 +43,8 @@
     id: StoreId,
     jobs: mpsc::Sender<Job>,
     metrics: StoreMetrics,
+    /// After `jobs`, so that the last clone closes the queue before it waits for the thread.
+    _thread: Arc<StoreThread>,
 }
 
 /// Opens the store in a folder and begins to serve.
@@ -70,9 +75,8 @@
         let acceptor = Acceptor::new(id.clone(), window);
         let (jobs, receiver) = mpsc::channel(QUEUE_LIMIT);
         let worker = Worker::new(disk, acceptor, metrics.clone());
-        let thread = std::thread::Builder::new().name("store".to_owned());
-        thread.spawn(move || worker.run(receiver)).map_err(StoreError::Thread)?;
-        Ok(Self { id, jobs, metrics })
+        let thread = StoreThread::start(move || worker.run(receiver))?;
+        Ok(Self { id, jobs, metrics, _thread: Arc::new(thread) })
     }
 
     /// The store's id: new whenever it finds its folder empty.
