--- /dev/null
+++ b/crates/core/tests/request_retry.rs
@@ -0,0 +1,69 @@
+//! The retry budget's bound, the backoff's bounds, and the time to come back.
+
+use std::time::Duration;
+
+use lichenpulley_core::retry::backoff::BackoffConfig;
+use lichenpulley_core::retry::budget::{BudgetConfig, BudgetConfigError, RetryBudget};
+use lichenpulley_core::retry::drain_rate::DrainRate;
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+proptest! {
+    #[test]
+    fn retries_stay_within_what_requests_paid_in(
+        steps in prop::collection::vec((0_u64..2_000, any::<bool>()), 1..400),
+    ) {
+        let config = BudgetConfig::default();
+        let mut budget = RetryBudget::new(config, Timestamp::ORIGIN);
+        let saved = budget.balance();
+        let mut now = Timestamp::ORIGIN;
+        let (mut requests, mut retries) = (0.0, 0.0);
+        for (pause_ms, is_request) in steps {
+            now = now + Duration::from_millis(pause_ms);
+            if is_request {
+                budget.deposit(now);
+                requests += 1.0;
+            }
+            if budget.withdraw(now) {
+                retries += 1.0;
+            }
+        }
+        let elapsed = now.saturating_since(Timestamp::ORIGIN).as_secs_f64();
+        let bound = saved + config.deposit_ratio * requests + config.minimum_per_second * elapsed;
+        prop_assert!(retries <= bound + 1e-6, "{} retries, bound {}", retries, bound);
+    }
+
+    #[test]
+    fn backoff_grows_to_its_most_and_not_beyond(retry in 1_u32..100, seed in any::<u64>()) {
+        let config = BackoffConfig::default();
+        let wait = config.wait(retry, &mut Pcg64Mcg::seed_from_u64(seed));
+        prop_assert!(wait <= config.most);
+        prop_assert!(wait <= config.base * 2_u32.pow(retry.min(16) - 1));
+    }
+}
+
+#[test]
+fn the_time_to_come_back_follows_the_drain_rate() {
+    let mut rate = DrainRate::new(Timestamp::ORIGIN);
+    let mut now = Timestamp::ORIGIN;
+    for _ in 0..1_000 {
+        now = now + Duration::from_millis(100);
+        rate.completed(now);
+    }
+    let soon = rate.retry_after(now, 9);
+    assert!(soon > Duration::from_millis(800) && soon < Duration::from_millis(1_200), "{soon:?}");
+    assert!(rate.retry_after(now, 99) > soon);
+    let later = now + Duration::from_secs(20);
+    assert!(rate.retry_after(later, 9) > soon, "a pool that has stopped draining asks callers back later");
+}
+
+#[test]
+fn settings_out_of_bounds_are_named() {
+    let config = BudgetConfig { deposit_ratio: 1.5, ..BudgetConfig::default() };
+    assert_eq!(config.validate(), Err(BudgetConfigError::DepositRatio(1.5)));
+    let config = BudgetConfig { window: Duration::ZERO, ..BudgetConfig::default() };
+    assert_eq!(config.validate(), Err(BudgetConfigError::Window));
+    assert_eq!(BudgetConfig::default().validate(), Ok(()));
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,196 @@
+//! Eligibility, load under lag, concurrency limits, affinity, and the choice of a replica.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use lichenpulley_core::identity::{ReplicaId, WeightVersion};
+use lichenpulley_core::request::answer::Priority;
+use lichenpulley_core::routing::concurrency::{ConcurrencyConfig, ConcurrencyLimit};
+use lichenpulley_core::routing::eligibility::{Confirmation, Eligibility};
+use lichenpulley_core::routing::load::{EngineRole, LoadEstimate, LoadReport};
+use lichenpulley_core::routing::pool::ListedReplica;
+use lichenpulley_core::routing::{Pool, PoolConfig, RouteQuery, RouteRefusal};
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const HOLDS: Duration = Duration::from_secs(3);
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn report(running: u32) -> LoadReport {
+    LoadReport { running, capacity: 8, weight_version: Some(WeightVersion(1)), ..LoadReport::default() }
+}
+
+fn pool(replicas: usize, now: Timestamp) -> Pool {
+    let mut pool = Pool::new(PoolConfig::default(), now);
+    let ids: Vec<ReplicaId> =
+        (0..replicas).map(|number| ReplicaId::new(format!("replica-{number}"))).collect();
+    pool.list(ids.iter().map(|replica| ListedReplica {
+        replica: replica.clone(),
+        zone: "zone".into(),
+        leaving: false,
+    }));
+    for replica in &ids {
+        pool.observe(replica, now, report(0), now);
+    }
+    pool
+}
+
+fn query(prefix_group: u64, priority: Priority) -> RouteQuery<'static> {
+    RouteQuery { prefix_group, priority, refused_by: &[], failed_at: &[], minimum_version: None }
+}
+
+#[test]
+fn a_confirmation_stands_for_the_time_of_its_question() {
+    let mut confirmation = Confirmation::default();
+    assert_eq!(confirmation.eligibility(at(0), HOLDS), Eligibility::Unconfirmed);
+    // Asked at 1 s, answered at 9 s by figures that were 200 ms old.
+    confirmation.observe(at(1_000), Duration::from_millis(200), EngineRole::Serving, at(9_000));
+    assert_eq!(confirmation.eligibility(at(3_799), HOLDS), Eligibility::Eligible);
+    assert_eq!(confirmation.eligibility(at(9_000), HOLDS), Eligibility::Unconfirmed);
+}
+
+#[test]
+fn draining_counts_at_once_and_an_older_answer_does_not_end_it() {
+    let mut confirmation = Confirmation::default();
+    confirmation.observe(at(1_000), Duration::ZERO, EngineRole::Serving, at(1_001));
+    confirmation.observe(at(1_500), Duration::ZERO, EngineRole::Draining, at(1_501));
+    assert_eq!(confirmation.eligibility(at(1_502), HOLDS), Eligibility::Leaving);
+    confirmation.observe(at(1_400), Duration::ZERO, EngineRole::Serving, at(1_600));
+    assert_eq!(confirmation.eligibility(at(1_601), HOLDS), Eligibility::Leaving);
+    confirmation.observe(at(1_700), Duration::ZERO, EngineRole::Serving, at(1_701));
+    assert_eq!(confirmation.eligibility(at(1_702), HOLDS), Eligibility::Eligible);
+}
+
+#[test]
+fn the_machine_list_can_only_take_eligibility_away() {
+    let mut confirmation = Confirmation::default();
+    confirmation.listed(false);
+    assert_eq!(confirmation.eligibility(at(0), HOLDS), Eligibility::Unconfirmed);
+    confirmation.observe(at(10), Duration::ZERO, EngineRole::Serving, at(11));
+    confirmation.listed(true);
+    assert_eq!(confirmation.eligibility(at(12), HOLDS), Eligibility::Leaving);
+}
+
+#[test]
+fn a_node_that_hears_nothing_stops_sending_and_asks() {
+    let mut pool = pool(3, at(0));
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    assert!(pool.reserve(&query(1, Priority::Live), &mut random, at(2_999)).is_ok());
+    let refusal = pool.reserve(&query(1, Priority::Live), &mut random, at(3_000));
+    let Err(RouteRefusal::Unconfirmed { probe }) = refusal else { panic!("{refusal:?}") };
+    assert_eq!(probe.len(), 3);
+    let again = pool.reserve(&query(1, Priority::Live), &mut random, at(3_001));
+    assert_eq!(
+        again,
+        Err(RouteRefusal::Unconfirmed { probe: Vec::new() }),
+        "asked once, not by each request"
+    );
+}
+
+#[test]
+fn own_requests_correct_a_lagging_report() {
+    let mut load = LoadEstimate::default();
+    load.sent(at(100));
+    load.observe(at(500), report(5));
+    assert_eq!(load.streams(), 5, "the report counts what was sent before it");
+    load.sent(at(600));
+    load.sent(at(700));
+    assert_eq!(load.streams(), 7);
+    load.finished(at(800));
+    assert_eq!(load.streams(), 6);
+    load.observe(at(650), report(4));
+    assert_eq!(load.streams(), 4, "one sent and one finished since the report");
+    load.observe(at(400), report(50));
+    assert_eq!(load.streams(), 4, "an older report is dropped");
+}
+
+#[test]
+fn live_requests_keep_a_share_that_rollouts_cannot_take() {
+    let mut pool = pool(1, at(0));
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let mut rollouts = 0;
+    while pool.reserve(&query(rollouts, Priority::Rollout), &mut random, at(1)).is_ok() {
+        rollouts += 1;
+    }
+    assert_eq!(pool.reserve(&query(0, Priority::Rollout), &mut random, at(1)), Err(RouteRefusal::AtLimit));
+    assert!(rollouts < u64::from(ConcurrencyConfig::default().initial));
+    assert!(pool.reserve(&query(0, Priority::Live), &mut random, at(1)).is_ok());
+}
+
+#[test]
+fn a_limit_falls_once_for_one_congestion_and_climbs_back() {
+    let mut limit = ConcurrencyLimit::new(ConcurrencyConfig::default());
+    let before = limit.limit();
+    limit.started(Duration::from_millis(20), before, at(0));
+    for millisecond in 0..10 {
+        limit.started(Duration::from_secs(2), before, at(100 + millisecond));
+    }
+    let fallen = limit.limit();
+    assert!(fallen < before && fallen >= before * 3 / 4, "{before} to {fallen}");
+    for millisecond in 0..1_000 {
+        limit.started(Duration::from_millis(20), fallen, at(1_000 + millisecond));
+    }
+    assert!(limit.limit() > fallen);
+}
+
+#[test]
+fn prompts_that_share_a_prefix_meet_at_few_replicas() {
+    let mut pool = pool(40, at(0));
+    let mut random = Pcg64Mcg::seed_from_u64(3);
+    let mut used = BTreeSet::new();
+    for _ in 0..30 {
+        let choice = pool.reserve(&query(77, Priority::Live), &mut random, at(1)).expect("room");
+        pool.release(&choice.replica, at(1));
+        used.insert(choice.replica);
+    }
+    assert!(used.len() <= 3, "{used:?}");
+}
+
+#[test]
+fn replicas_with_weights_that_are_too_old_are_passed_over() {
+    let mut pool = pool(2, at(0));
+    let newer = LoadReport { weight_version: Some(WeightVersion(2)), ..report(7) };
+    pool.observe(&ReplicaId::new("replica-1"), at(1), newer, at(1));
+    let mut random = Pcg64Mcg::seed_from_u64(3);
+    let query = RouteQuery { minimum_version: Some(WeightVersion(2)), ..query(1, Priority::Rollout) };
+    let choice = pool.reserve(&query, &mut random, at(2)).expect("one replica is new enough");
+    assert_eq!(choice.replica.as_str(), "replica-1");
+}
+
+proptest! {
+    #[test]
+    fn the_same_seed_and_events_give_the_same_choices(
+        seed in any::<u64>(),
+        groups in prop::collection::vec(0_u64..9, 1..60),
+    ) {
+        let run = || -> Vec<_> {
+            let mut pool = pool(12, at(0));
+            let mut random = Pcg64Mcg::seed_from_u64(seed);
+            let reserve = |group: &u64| pool.reserve(&query(*group, Priority::Live), &mut random, at(1));
+            groups.iter().map(reserve).collect()
+        };
+        prop_assert_eq!(run(), run());
+    }
+
+    #[test]
+    fn never_more_in_flight_than_the_limit(releases in prop::collection::vec(any::<bool>(), 1..200)) {
+        let mut pool = pool(3, at(0));
+        let mut random = Pcg64Mcg::seed_from_u64(9);
+        let mut held = Vec::new();
+        for release in releases {
+            if release && let Some(replica) = held.pop() {
+                pool.release(&replica, at(1));
+            } else if let Ok(choice) = pool.reserve(&query(1, Priority::Live), &mut random, at(1)) {
+                held.push(choice.replica);
+            }
+            for replica in pool.replicas().values() {
+                prop_assert!(replica.load.in_flight() <= replica.concurrency.limit());
+            }
+        }
+    }
+}
