Compare resume with restart, and retries with and without a budget

Cause: the choice to resume streams, and the bounds on retries, had no figures. Also: a gap is fetched again after 300 ms and not only at the end of the answer, a begun stream is asked after when it is silent for 1.5 s, and an engine that answers a resume is not left, however long it swaps weights.

--- a/crates/core/src/request/execution.rs
+++ b/crates/core/src/request/execution.rs
@@ -20,14 +20,19 @@
 
 /// How long an engine may take to answer a dispatch or a resume with its first event.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
-/// A stream without an event for this long is taken as broken and resumed.
-pub const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// A stream that waits for its first token is asked after when no event came for this long.
+pub const START_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// A stream that has begun is asked after when no event came for this long. To ask costs one small exchange, and an
+/// engine that still has the stream keeps it.
+pub const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A gap that is not filled within this time is fetched again.
+pub const GAP_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a request waits for replicas to confirm that they take work, when none has lately.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(600);
 /// Pause between looks for such a confirmation.
 const CONFIRMATION_PAUSE: Duration = Duration::from_millis(5);
 /// Resumes without a new token after which a repeatable request goes on elsewhere.
-const RESUMES_BEFORE_MOVING: u32 = 2;
+const RESUMES_BEFORE_MOVING: u32 = 1;
 /// Resumes without a new token after which a request that can't go elsewhere is given up.
 const RESUMES_BEFORE_GIVING_UP: u32 = 6;
 
@@ -148,7 +153,10 @@
     attempt: AttemptId,
     asked_at: Timestamp,
     dispatched_at: Timestamp,
+    /// Whether a token has come.
     has_started: bool,
+    /// Whether the engine has answered the last dispatch or resume with an event.
+    has_answered: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -182,6 +190,8 @@
     retries: u32,
     resumes_without_progress: u32,
     choosing_since: Option<Timestamp>,
+    /// Since when tokens have been missing before others that came.
+    gap_since: Option<Timestamp>,
     refused_by: Vec<ReplicaId>,
     failed_at: Vec<ReplicaId>,
     cancellations: Vec<(ReplicaId, AttemptId)>,
@@ -202,6 +212,7 @@
             retries: 0,
             resumes_without_progress: 0,
             choosing_since: None,
+            gap_since: None,
             refused_by: Vec::new(),
             failed_at: Vec::new(),
             cancellations: Vec::new(),
@@ -219,7 +230,7 @@
             State::Interrupted(not_before) if now < not_before => Step::Wait { until: not_before },
             State::Interrupted(_) => self.resume(now),
             State::Asked => Step::Receive { until: self.bounded(now + ANSWER_TIMEOUT) },
-            State::Receiving => Step::Receive { until: self.bounded(now + STALL_TIMEOUT) },
+            State::Receiving => Step::Receive { until: self.receive_until(now) },
             State::Claiming => Step::Wait { until: self.spec.deadline },
             State::Refused(_) | State::GivenUp(_) | State::Whole | State::Over => self.finish(now, pool),
         }
@@ -288,7 +299,12 @@
             return;
         }
         self.ledger.in_doubt();
-        self.interrupted("stream_stalled", now, pool, random);
+        let reason = if self.gap_since.is_some() { "gap" } else { "stream_stalled" };
+        // An engine that answered the last resume has the stream: it is slow, or swaps weights, and is not left.
+        if self.current.as_ref().is_some_and(|current| current.has_answered) {
+            self.resumes_without_progress = 0;
+        }
+        self.interrupted(reason, now, pool, random);
     }
 
     /// The engine does not know the stream that was to be resumed.
@@ -317,6 +333,9 @@
         }
         self.ledger.in_doubt();
         self.state = State::Receiving;
+        if let Some(current) = &mut self.current {
+            current.has_answered = true;
+        }
         match event {
             EngineEvent::Admitted(load) => pool.observe(&current.replica, current.asked_at, load, now),
             EngineEvent::Tokens(chunk) => self.take(&current, chunk, now, pool, random),
@@ -409,6 +428,7 @@
     fn dispatch(&mut self, replica: ReplicaId, now: Timestamp) -> Step {
         self.attempts += 1;
         self.choosing_since = None;
+        self.gap_since = None;
         let attempt = AttemptId::new(format!("{}.{}", self.spec.execution, self.attempts));
         self.ledger.dispatch(attempt.clone());
         self.assembly.begin(attempt.clone());
@@ -418,6 +438,7 @@
             asked_at: now,
             dispatched_at: now,
             has_started: false,
+            has_answered: false,
         });
         self.state = State::Asked;
         Step::Dispatch { replica, attempt, prior_tokens: self.assembly.tokens().to_vec() }
@@ -429,6 +450,7 @@
             return Step::Wait { until: now };
         };
         current.asked_at = now;
+        current.has_answered = false;
         self.state = State::Asked;
         let from = self.assembly.next_token();
         Step::Resume { replica: current.replica.clone(), attempt: current.attempt.clone(), from }
@@ -442,7 +464,9 @@
         pool: &mut Pool,
         random: &mut R,
     ) {
-        match self.assembly.accept(&current.attempt, chunk) {
+        let acceptance = self.assembly.accept(&current.attempt, chunk);
+        let has_advanced = acceptance == Ok(Acceptance::Advanced);
+        match acceptance {
             Ok(Acceptance::Advanced) => {
                 self.resumes_without_progress = 0;
                 self.note_start(current, now, pool);
@@ -454,6 +478,9 @@
         if self.assembly.is_whole() {
             self.state = State::Whole;
         }
+        let has_gap = self.state == State::Receiving && self.assembly.has_gap();
+        let known_since = self.gap_since.filter(|_| !has_advanced).unwrap_or(now);
+        self.gap_since = has_gap.then_some(known_since);
     }
 
     fn ended<R: Rng>(
@@ -487,6 +514,7 @@
     /// The stream stopped, and its engine may still have it: resume there, unless that has been tried enough.
     fn interrupted<R: Rng>(&mut self, reason: &str, now: Timestamp, pool: &mut Pool, random: &mut R) {
         self.resumes_without_progress += 1;
+        self.gap_since = None;
         let tries = if self.spec.repeatable { RESUMES_BEFORE_MOVING } else { RESUMES_BEFORE_GIVING_UP };
         if self.resumes_without_progress > tries {
             self.lost(reason, now, pool, random);
@@ -542,6 +570,13 @@
         }
     }
 
+    fn receive_until(&self, now: Timestamp) -> Timestamp {
+        let has_started = self.current.as_ref().is_some_and(|current| current.has_started);
+        let stalled_at = now + if has_started { STALL_TIMEOUT } else { START_STALL_TIMEOUT };
+        let gap_is_old_at = self.gap_since.map_or(stalled_at, |since| since + GAP_TIMEOUT);
+        self.bounded(stalled_at.min(gap_is_old_at))
+    }
+
     fn bounded(&self, until: Timestamp) -> Timestamp {
         until.min(self.spec.deadline)
     }
--- a/crates/lab/src/requests/mod.rs
+++ b/crates/lab/src/requests/mod.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod claims;
+mod comparison;
 mod engine;
 mod gateway;
 mod message;
@@ -9,8 +10,9 @@
 mod schedule;
 
 pub use checks::{Tally, Violation};
+pub use comparison::compare;
 pub use gateway::Mechanisms;
-pub use schedule::{Report, Schedule};
+pub use schedule::{Cost, Report, Schedule};
 
 use crate::arguments;
 use crate::error::LabError;
