Run as many attempts of a job as the pool takes

Ruled out: a shorter rest for each slot, which only asks more often. Conclusion: a refusal closes the window at what runs, a completion opens it.

--- a/crates/core/src/rollout/controller/attempts.rs
+++ b/crates/core/src/rollout/controller/attempts.rs
@@ -38,7 +38,8 @@
     }
 
     pub(super) fn start_attempts(&mut self, now: Timestamp) {
-        while self.running.len() < self.config.max_in_flight {
+        self.window.advance(now);
+        while self.window.allows(self.running.len()) {
             let Some(slot) = self.queue.pop() else { return };
             if let Some(generation) = self.ledger.open_generation(slot) {
                 self.start_attempt(slot, generation, now);
@@ -126,6 +127,14 @@
     pub(super) fn handle_end(&mut self, attempt: &AttemptId, outcome: AttemptOutcome, now: Timestamp) {
         let Some(running) = self.end_attempt(attempt) else { return };
         match outcome {
+            AttemptOutcome::Refused { reason, retry_after } => {
+                self.queue.push(running.slot);
+                self.window.refused(self.running.len(), retry_after, now);
+                let decision = Decision::new(Component::Rollout, "held_back", &reason, attempt)
+                    .with("slot", running.slot)
+                    .with("window", self.window.size());
+                self.actions.push_back(Action::Decide(decision));
+            }
             AttemptOutcome::Failed { reason, retry_after } => {
                 let delay = retry_after.unwrap_or(self.config.retry_delay);
                 self.queue.push_delayed(running.slot, now + delay);
@@ -135,6 +144,7 @@
                 self.actions.push_back(Action::Decide(decision));
             }
             AttemptOutcome::Completed { tokens, spans, reward } => {
+                self.window.completed();
                 let prompt = self.ledger.specification().prompts[running.slot.prompt as usize].clone();
                 let sample = Sample { slot: running.slot, prompt, tokens, spans, reward };
                 self.decide(attempt, &running, sample, now);
--- a/crates/core/src/rollout/controller/event.rs
+++ b/crates/core/src/rollout/controller/event.rs
@@ -54,6 +54,13 @@
         /// The scorer's reward.
         reward: f64,
     },
+    /// Nothing ran: the pool has no place now, or no replica whose weights are new enough.
+    Refused {
+        /// Why; a metrics label.
+        reason: String,
+        /// When to come back, where it is known.
+        retry_after: Option<Duration>,
+    },
     /// No usable answer.
     Failed {
         /// Why; a metrics label.
--- a/crates/core/src/rollout/controller/mod.rs
+++ b/crates/core/src/rollout/controller/mod.rs
@@ -5,6 +5,7 @@
 mod event;
 mod hand_over;
 mod proposals;
+mod window;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -20,6 +21,7 @@
 pub use config::{ControllerChecks, ControllerConfig};
 pub use event::{Action, AttemptOutcome, AttemptStart, Event};
 use proposals::HeldAnswer;
+use window::DispatchWindow;
 
 /// A log can't be taken over.
 #[derive(Debug, thiserror::Error)]
@@ -68,6 +70,7 @@
     /// Steps below this one have been put into the queue.
     opened_steps: u32,
     running: BTreeMap<AttemptId, RunningAttempt>,
+    window: DispatchWindow,
     attempts_started: u64,
     /// Whether the log held the specification when this owner began.
     is_recovered: bool,
@@ -139,6 +142,7 @@
             ledger,
             queue: SlotQueue::default(),
             running: BTreeMap::new(),
+            window: DispatchWindow::new(config.max_in_flight),
             attempts_started: 0,
             is_recovered: true,
             proposed: Vec::new(),
@@ -175,7 +179,8 @@
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let timeout = |attempt: &RunningAttempt| attempt.started_at + self.config.attempt_timeout;
         let first_timeout = self.running.values().map(timeout).min();
-        [first_timeout, self.queue.next_due()].into_iter().flatten().min()
+        let hold_ends = self.window.hold_ends().filter(|_| !self.queue.is_empty());
+        [first_timeout, self.queue.next_due(), hold_ends].into_iter().flatten().min()
     }
 
     /// The state that the log amounts to.
--- a/crates/core/src/rollout/queue.rs
+++ b/crates/core/src/rollout/queue.rs
@@ -40,6 +40,11 @@
         self.due.pop_first()
     }
 
+    /// Whether no slot is due.
+    pub(super) fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
     /// When the next delayed slot becomes due.
     pub(super) fn next_due(&self) -> Option<Timestamp> {
         self.delayed.first().map(|(due_at, _)| *due_at)
--- a/crates/daemon/src/coordinator/attempt.rs
+++ b/crates/daemon/src/coordinator/attempt.rs
@@ -46,7 +46,7 @@
         match self.dispatcher.generate(generation).await {
             Outcome::Completed { answer, .. } => self.score(start, prompt, answer).await,
             Outcome::NotRun { reason, retry_after, .. } => {
-                AttemptOutcome::Failed { reason: reason.as_str().to_owned(), retry_after }
+                AttemptOutcome::Refused { reason: reason.as_str().to_owned(), retry_after }
             }
             Outcome::Unknown { reason, retry_after, .. } => {
                 AttemptOutcome::Failed { reason: reason.as_str().to_owned(), retry_after }
--- a/crates/lab/src/rollout_simulation/owner.rs
+++ b/crates/lab/src/rollout_simulation/owner.rs
@@ -260,7 +260,7 @@
     fn handle_refused(&mut self, now: Timestamp, attempt: AttemptId) {
         let Some(Term { controller: Some(controller), streams, .. }) = &mut self.term else { return };
         if streams.remove(&attempt).is_some() {
-            let outcome = AttemptOutcome::Failed { reason: "refused".to_owned(), retry_after: None };
+            let outcome = AttemptOutcome::Refused { reason: "refused".to_owned(), retry_after: None };
             controller.handle(Event::AttemptEnded { attempt, outcome }, now);
         }
     }
