Let store replicas tell owners which shards there are

Cause: a shard whose owner died ran again only once somebody asked for it, so a weight wave could stand still until the next publication. Ruled out: owners asking all stores, which grows with nodes times stores. An owner of an empty log keeps its epoch instead of taking the shard over again at each word.

--- a/crates/daemon/src/coordinator/forward.rs
+++ b/crates/daemon/src/coordinator/forward.rs
@@ -61,7 +61,8 @@
     context.cluster.load().member(node).cloned()
 }
 
-async fn ask(
+/// Asks one member; `None` where it gave no answer.
+pub(super) async fn ask(
     context: &Context,
     coordinator: &Coordinator,
     member: &Member,
--- a/crates/daemon/src/coordinator/http.rs
+++ b/crates/daemon/src/coordinator/http.rs
@@ -87,7 +87,9 @@
         CoordinatorResponse::Samples(samples) => response::json(StatusCode::OK, &samples),
         CoordinatorResponse::Weights(published) => response::json(StatusCode::OK, &published),
         CoordinatorResponse::WeightsStatus(status) => response::json(StatusCode::OK, &status),
-        CoordinatorResponse::RoleChanged => response::empty(StatusCode::NO_CONTENT),
+        CoordinatorResponse::RoleChanged | CoordinatorResponse::Owned => {
+            response::empty(StatusCode::NO_CONTENT)
+        }
         CoordinatorResponse::NotOwner(_) => refusal("no_owner", "no owner answered", "ask again", 1_000),
         CoordinatorResponse::Refused { kind, message, remedy, retry_after_ms } => {
             refusal(&kind, &message, &remedy, retry_after_ms)
--- a/crates/daemon/src/coordinator/job_shard.rs
+++ b/crates/daemon/src/coordinator/job_shard.rs
@@ -44,7 +44,7 @@
         };
         let clock = ShardClock::new();
         let epoch = log.epoch();
-        let Some(found) = self.find_job(&recovered, epoch, clock) else { return };
+        let Some(found) = self.find_job(&recovered, epoch, clock).await else { return };
         log::info!(target: "rollout", "Job {} is owned here under epoch {epoch}.", self.job);
         let mut owner = JobOwner::new(self.context.clone(), self.dispatcher, found.controller, log, clock);
         if let Some(submission) = found.submission {
@@ -54,12 +54,17 @@
         log::info!(target: "rollout", "Job {} is no longer owned here.", self.job);
     }
 
-    fn find_job(&mut self, recovered: &RecoveredLog, epoch: Epoch, clock: ShardClock) -> Option<FoundJob> {
+    async fn find_job(
+        &mut self,
+        recovered: &RecoveredLog,
+        epoch: Epoch,
+        clock: ShardClock,
+    ) -> Option<FoundJob> {
         let config = ControllerConfig::default();
         let snapshot = recovered.snapshot.as_deref();
         match JobController::recover(snapshot, &recovered.records, epoch, config, clock.now()) {
             Ok(Some(controller)) => Some(FoundJob { controller, submission: None }),
-            Ok(None) => self.first_submission(epoch, config, clock),
+            Ok(None) => self.first_submission(epoch, config, clock).await,
             Err(error) => {
                 log::error!(target: "rollout", "Job {}: its log can't be used: {error}.", self.job);
                 self.refuse_all("log_unusable", &error.to_string());
@@ -68,14 +73,19 @@
         }
     }
 
-    /// The log is empty: only a submission that waits can make the job.
-    fn first_submission(
+    /// The log is empty: only a submission can make the job. Until one comes the epoch is held, so that the shard is
+    /// not taken over again and again.
+    async fn first_submission(
         &mut self,
         epoch: Epoch,
         config: ControllerConfig,
         clock: ShardClock,
     ) -> Option<FoundJob> {
-        while let Ok(command) = self.commands.try_recv() {
+        loop {
+            let command = tokio::select! {
+                command = self.commands.recv() => command?,
+                () = self.stop.cancelled() => return None,
+            };
             let CoordinatorRequest::SubmitJob(specification) = &command.request else {
                 command.answer(unknown_job(&self.job));
                 continue;
@@ -87,7 +97,6 @@
             let controller = JobController::create(specification.clone(), epoch, config, clock.now());
             return Some(FoundJob { controller, submission: Some(command) });
         }
-        None
     }
 
     fn refuse_all(&mut self, kind: &str, message: &str) {
--- a/crates/daemon/src/coordinator/mod.rs
+++ b/crates/daemon/src/coordinator/mod.rs
@@ -17,11 +17,14 @@
 mod supervisor;
 mod weights_shard;
 
+use std::sync::Arc;
+
 use lichenpulley_protocol::internal::{CoordinatorRequest, CoordinatorResponse};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::context::Context;
 use crate::gateway::Dispatcher;
+use crate::store::Store;
 pub use forward::ask_owner;
 use shard::ShardCommand;
 
@@ -34,11 +37,15 @@
     commands: mpsc::Sender<ShardCommand>,
 }
 
-/// Starts the coordinator on the current runtime.
-pub fn start(context: Context, dispatcher: Dispatcher) -> Coordinator {
+/// Starts the coordinator on the current runtime. A node with a store tells the owners of the shards that it holds.
+pub fn start(context: Context, dispatcher: Dispatcher, store: Option<Store>) -> Coordinator {
     let (commands, received) = mpsc::channel(COMMAND_BACKLOG);
-    tokio::spawn(supervisor::run(context, dispatcher, received));
-    Coordinator { commands }
+    tokio::spawn(supervisor::run(Arc::clone(&context), dispatcher, received));
+    let coordinator = Coordinator { commands };
+    if let Some(store) = store {
+        tokio::spawn(discovery::run(context, coordinator.clone(), store));
+    }
+    coordinator
 }
 
 impl Coordinator {
--- a/crates/daemon/src/coordinator/supervisor.rs
+++ b/crates/daemon/src/coordinator/supervisor.rs
@@ -4,11 +4,10 @@
 
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{JobId, NodeId, PoolName, ShardId};
-use lichenpulley_protocol::internal::CoordinatorResponse;
+use lichenpulley_protocol::internal::{CoordinatorRequest, CoordinatorResponse};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::discovery::Discovery;
 use super::job_shard::JobShard;
 use super::shard::ShardCommand;
 use super::weights_shard::WeightsShard;
@@ -45,6 +44,11 @@
     }
 }
 
+/// Whether a shard is run by a coordinator.
+pub(super) fn is_control_shard(shard: &ShardId) -> bool {
+    ShardKind::of(shard).is_some()
+}
+
 /// Runs until the node has stopped.
 pub(super) async fn run(
     context: Context,
@@ -53,7 +57,6 @@
 ) {
     let stopped = context.stopped.clone();
     let mut ticks = tokio::time::interval(context.settings.coordinator.tick_interval);
-    let mut discovery = Discovery::start(context.clone());
     let mut supervisor = Supervisor { context, dispatcher, shards: HashMap::new() };
     loop {
         tokio::select! {
@@ -62,7 +65,6 @@
                 Some(command) => supervisor.handle(command),
                 None => return,
             },
-            shards = discovery.next() => supervisor.start_owned(shards),
             _ = ticks.tick() => supervisor.stop_lost(),
         }
     }
@@ -81,6 +83,9 @@
             return command.answer(CoordinatorResponse::NotOwner(self.owner(&shard)));
         }
         self.ensure_running(&shard);
+        if matches!(command.request, CoordinatorRequest::Own(_)) {
+            return command.answer(CoordinatorResponse::Owned);
+        }
         let Some(running) = self.shards.get(&shard) else {
             return command.answer(CoordinatorResponse::NotOwner(None));
         };
@@ -100,14 +105,6 @@
         !is_leaving && self.owner(shard).as_ref() == Some(&self.context.node)
     }
 
-    fn start_owned(&mut self, shards: Vec<ShardId>) {
-        for shard in shards {
-            if self.is_owned(&shard) {
-                self.ensure_running(&shard);
-            }
-        }
-    }
-
     /// Stops shards that the cluster view gives to another node, and forgets those whose task has ended.
     fn stop_lost(&mut self) {
         let lost: Vec<ShardId> = self
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -139,7 +139,7 @@
 
     let store = start_store(context)?;
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
-    let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone());
+    let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone(), store.clone());
     let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone(), store };
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -23,7 +23,7 @@
 
 use lichenpulley_core::replication::acceptor::Acceptor;
 use lichenpulley_core::replication::claims::ClaimWindow;
-use lichenpulley_core::replication::replica_set::StoreId;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 use tokio::sync::{mpsc, oneshot};
 
@@ -103,6 +103,14 @@
         }
     }
 
+    /// The replica set of each shard that the store has a part in; empty where the disk can't be read.
+    pub async fn replica_sets(&self) -> Vec<ReplicaSet> {
+        match self.work(Work::Groups).await {
+            Done::Groups(groups) => groups.into_iter().map(|group| group.set).collect(),
+            _ => Vec::new(),
+        }
+    }
+
     async fn work(&self, work: Work) -> Done {
         let (reply, result) = oneshot::channel();
         if self.jobs.send(Job { work, reply }).await.is_err() {
--- a/crates/lab/tests/gateway.rs
+++ b/crates/lab/tests/gateway.rs
@@ -49,7 +49,7 @@
         let context = NodeContext::new(Settings::on_loopback("node", "sando-hall"), Handle::current());
         context.directory.store(Arc::new(directory(&engines)));
         let dispatcher = Dispatcher::new(Arc::clone(&context), Handle::current());
-        let coordinator = coordinator::start(Arc::clone(&context), dispatcher.clone());
+        let coordinator = coordinator::start(Arc::clone(&context), dispatcher.clone(), None);
         let gateway = Gateway::new(Arc::clone(&context), dispatcher, coordinator);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
         let address = listener.local_addr().expect("a bound listener has an address");
--- a/crates/protocol/src/internal/coordinator.rs
+++ b/crates/protocol/src/internal/coordinator.rs
@@ -8,6 +8,8 @@
 /// A request to a shard's owner.
 #[derive(Clone, Debug, Readable, Writable)]
 pub enum CoordinatorRequest {
+    /// A store replica that holds this shard asks its owner to run it.
+    Own(ShardId),
     /// Creates a job; repeating the same specification changes nothing.
     SubmitJob(JobSpecification),
     /// Asks how a job stands.
@@ -33,6 +35,7 @@
     /// The shard whose owner answers.
     pub fn shard(&self) -> ShardId {
         match self {
+            Self::Own(shard) => shard.clone(),
             Self::SubmitJob(specification) => job_shard(&specification.job),
             Self::JobStatus(job) | Self::Pull(job, _) => job_shard(job),
             Self::PublishWeights(pool, _) | Self::WeightsStatus(pool) | Self::ChangeRole { pool, .. } => {
@@ -55,6 +58,8 @@
 /// Its answer.
 #[derive(Clone, Debug, Readable, Writable)]
 pub enum CoordinatorResponse {
+    /// The shard runs on the node that answers, or is being taken over there.
+    Owned,
     /// How the job stands.
     Job(JobStatus),
     /// Samples.
