Add the routing experiment on the engine model and a virtual clock

Ruled out: one gateway for all: it would know its own load exactly, and the herd that lagging reports cause could not show.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -4,8 +4,8 @@
 
 use crate::error::LabError;
 use crate::{
-    bench, demo, engine, load, machine_list, object_api, requests, rollout_simulation, scorer, trainer,
-    weight_store,
+    bench, demo, engine, experiment, load, machine_list, object_api, requests, rollout_simulation, scorer,
+    trainer, weight_store,
 };
 
 /// What runs a command: takes the arguments after its name.
@@ -89,6 +89,11 @@
         help: "rollout jobs under seeded faults on a virtual clock",
         entry: |arguments| Box::pin(rollout_simulation::run(arguments)),
     },
+    Command {
+        name: "experiment",
+        help: "run an experiment on a virtual clock",
+        entry: |arguments| Box::pin(experiment::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/engine/cache.rs
+++ b/crates/lab/src/engine/cache.rs
@@ -30,13 +30,13 @@
     }
 }
 
-/// The blocks of one prompt, as the cache saw them.
+/// Blocks of one prompt, or of many, as the cache saw them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Lookup {
-    /// Blocks of the prompt.
-    pub blocks: u32,
+    /// Blocks looked up.
+    pub blocks: u64,
     /// Leading blocks that were cached.
-    pub cached: u32,
+    pub cached: u64,
 }
 
 /// A prefix cache.
@@ -46,13 +46,14 @@
     blocks: LruCache<u64, ()>,
     events: VecDeque<(Timestamp, CacheEvent)>,
     next_sequence: u64,
+    lookups: Lookup,
 }
 
 impl PrefixCache {
     /// An empty cache.
     pub fn new(config: CacheConfig) -> Self {
         let blocks = LruCache::new(config.blocks);
-        Self { config, blocks, events: VecDeque::new(), next_sequence: 1 }
+        Self { config, blocks, events: VecDeque::new(), next_sequence: 1, lookups: Lookup::default() }
     }
 
     /// Looks the prompt's blocks up and then caches all of them.
@@ -65,9 +66,16 @@
                 lookup.cached += 1;
             }
         }
+        self.lookups.blocks += lookup.blocks;
+        self.lookups.cached += lookup.cached;
         lookup
     }
 
+    /// All lookups so far.
+    pub const fn lookups(&self) -> Lookup {
+        self.lookups
+    }
+
     /// Marks a block as used; true where it was cached.
     fn touch(&mut self, now: Timestamp, prefix: u64) -> bool {
         if self.blocks.get(&prefix).is_some() {
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -30,7 +30,7 @@
 use crate::error::LabError;
 use crate::http::{self, Server};
 
-pub use self::cache::CacheConfig;
+pub use self::cache::{CacheConfig, Lookup};
 pub use self::stream::{End, Slice, TokenRun};
 
 /// How an engine is started.
--- a/crates/lab/src/engine/model.rs
+++ b/crates/lab/src/engine/model.rs
@@ -243,6 +243,11 @@
         self.cache.events(now, after)
     }
 
+    /// Prompt blocks looked up in the prefix cache so far, and how many were there.
+    pub const fn cache_lookups(&self) -> Lookup {
+        self.cache.lookups()
+    }
+
     /// The present incarnation.
     pub const fn incarnation(&self) -> u64 {
         self.incarnation
@@ -284,8 +289,9 @@
 
     fn prefill_steps(&self, lookup: Lookup, prior_tokens: u32) -> u32 {
         let prior_blocks = prior_tokens.div_ceil(PRIOR_TOKENS_PER_BLOCK);
-        let missing = lookup.blocks - lookup.cached + prior_blocks;
-        missing.div_ceil(self.config.prefill_blocks_per_step.max(1))
+        let missing = lookup.blocks - lookup.cached + u64::from(prior_blocks);
+        let steps = missing.div_ceil(u64::from(self.config.prefill_blocks_per_step.max(1)));
+        u32::try_from(steps).unwrap_or(u32::MAX)
     }
 
     /// One step of the batch: each running stream prefills or generates one token.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod demo;
 pub mod engine;
 pub mod error;
+pub mod experiment;
 pub mod http;
 pub mod load;
 pub mod machine_list;
