Let the replication tests wait for real membership

Cause: the tests wrote each node's view of the cluster by hand. Ruled out: a pause after the restart. Conclusion: a test waits until every living node sees all living nodes and no other.

--- a/crates/lab/tests/replication.rs
+++ b/crates/lab/tests/replication.rs
@@ -1,10 +1,11 @@
 //! Logs and claims kept by real nodes on real disks, with a stand-in for the object API.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use lichenpulley_core::identity::{AttemptId, RequestId, ShardId};
-use lichenpulley_daemon::cluster::{ClusterView, Member, Roles};
+use lichenpulley_core::identity::{AttemptId, NodeId, RequestId, ShardId};
+use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::context::Context;
 use lichenpulley_daemon::decisions::unix_milliseconds;
 use lichenpulley_daemon::node::Node;
@@ -15,6 +16,8 @@
 use lichenpulley_lab::object_api::{self, ObjectApi};
 use tempfile::TempDir;
 
+/// Bounds a test that would fail anyway.
+const PATIENCE: Duration = Duration::from_secs(60);
 const ZONES: [&str; 3] = ["sando-hall", "couva-room", "pointe-rack"];
 
 /// Nodes with the store role, each with a folder of its own.
@@ -36,28 +39,37 @@
             settings.data_folder = Some(folder.path().join("store"));
             settings.platform.object_api = Some(api.address);
             settings.store.call_timeout = Duration::from_secs(2);
+            settings.membership.probe_interval = Duration::from_millis(200);
+            settings.membership.probe_timeout = Duration::from_millis(100);
+            settings.peers.seeds = cluster.seeds();
             cluster.nodes.push(Some(Node::start(settings.clone()).await.expect("a node")));
             cluster.settings.push(settings);
             cluster.folders.push(folder);
         }
         cluster.api = Some(api);
-        cluster.publish_members();
+        cluster.members_agree().await;
         cluster
     }
 
-    /// Lets every node see all living nodes.
-    fn publish_members(&self) {
-        let living = self.nodes.iter().flatten();
-        let members = living.map(|node| Member {
-            node: node.context().node.clone(),
-            zone: node.context().zone.clone(),
-            roles: node.context().settings.roles,
-            peer_address: node.addresses().peers,
-        });
-        let view = Arc::new(ClusterView { members: members.collect() });
-        for node in self.nodes.iter().flatten() {
-            node.context().cluster.store(Arc::clone(&view));
-        }
+    /// Where a node finds the others: at any that lives.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().flatten().map(|node| node.addresses().peers).take(1).collect()
+    }
+
+    /// Waits until every living node sees all living nodes and no other.
+    async fn members_agree(&self) {
+        let living: BTreeSet<NodeId> =
+            self.nodes.iter().flatten().map(|node| node.context().node.clone()).collect();
+        let agrees = |node: &Node| {
+            let view = node.context().cluster.load();
+            living == view.members.iter().map(|member| member.node.clone()).collect()
+        };
+        let all_agree = async {
+            while !self.nodes.iter().flatten().all(agrees) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, all_agree).await.expect("the members agree");
     }
 
     fn context(&self, number: usize) -> &Context {
@@ -68,13 +80,14 @@
         let node = self.nodes[number].take().expect("a living node");
         node.kill();
         node.stopped().await;
-        self.publish_members();
+        self.members_agree().await;
     }
 
     async fn restart(&mut self, number: usize) {
-        let settings = self.settings[number].clone();
+        let mut settings = self.settings[number].clone();
+        settings.peers.seeds = self.seeds();
         self.nodes[number] = Some(start_when_free(settings).await);
-        self.publish_members();
+        self.members_agree().await;
     }
 
     async fn replace_disk(&mut self, number: usize) {
