Give up callers that stopped reading, so that a planned stop ends

Cause: a planned stop waits for every answer that had begun. A caller that stopped reading, or whose machine vanished, held it up for ever; so did one that never finished its body.

Ruled out: a limit on the stop itself, since it would cut streams that are merely long. The limit is on progress: TCP_USER_TIMEOUT for data that waits, keep-alive for connections on which nothing is sent, and 30 s for a body.

Before and after: with the limit an hour away the server of a stuck reader still runs when the one with a limit of 1 s has ended.

Conclusion: gateway.stall_timeout_ms, 30 s by default. The peers' service took over the small struct of parts that it alone used.

--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod request;
 pub mod response;
 pub mod server;
+pub mod socket;
 
 use std::convert::Infallible;
 
--- a/crates/daemon/src/http/request.rs
+++ b/crates/daemon/src/http/request.rs
@@ -1,5 +1,7 @@
 //! Reads what callers send.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -7,6 +9,9 @@
 use lichenpulley_protocol::error::ErrorBody;
 use serde::de::DeserializeOwned;
 
+/// A body that is not whole by then is given up; a caller that never finishes it would hold up a planned stop.
+const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A request that can't be taken as it was sent.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("{body}")]
@@ -41,7 +46,14 @@
 /// # Errors
 /// When the body is too long or breaks off.
 pub async fn read_bytes(request: Request<Incoming>, limit_bytes: usize) -> Result<Bytes, BadRequest> {
-    let collected = Limited::new(request.into_body(), limit_bytes).collect().await;
+    let body = Limited::new(request.into_body(), limit_bytes).collect();
+    let Ok(collected) = tokio::time::timeout(BODY_READ_TIMEOUT, body).await else {
+        let message = format!("the body was not whole after {} s", BODY_READ_TIMEOUT.as_secs());
+        return Err(BadRequest {
+            status: StatusCode::REQUEST_TIMEOUT,
+            body: ErrorBody::new("slow_body", message, "send the body at once"),
+        });
+    };
     collected.map(http_body_util::Collected::to_bytes).map_err(|error| {
         if error.is::<LengthLimitError>() {
             return BadRequest {
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Body;
+use super::socket::{self, SocketLimits};
 
 /// A connection whose request head is not whole by then is closed.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
@@ -36,6 +37,19 @@
 where
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_within(listener, stop, SocketLimits::default(), handler).await;
+}
+
+/// Like [`serve`], with limits of its own.
+pub async fn serve_within<Handler, Answer>(
+    listener: TcpListener,
+    stop: ServerStop,
+    limits: SocketLimits,
+    handler: Handler,
+) where
+    Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    Answer: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
     loop {
@@ -44,7 +58,12 @@
             () = stop.closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &graceful, &stop, handler.clone()),
+            Ok((stream, _)) => match socket::prepare(&stream, limits) {
+                Ok(()) => spawn_connection(stream, &graceful, &stop, handler.clone()),
+                Err(error) => {
+                    log::debug!(target: "http", "A connection was lost before it began: {error}.");
+                }
+            },
             Err(error) => {
                 log::warn!(target: "http", "A connection was not accepted: {error}.");
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
@@ -64,11 +83,6 @@
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    // Small events must not wait for more bytes to fill a segment.
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(target: "http", "A connection was lost before it began: {error}.");
-        return;
-    }
     let draining = stop.draining.clone();
     let service = service_fn(move |request| {
         let draining = draining.clone();
--- /dev/null
+++ b/crates/daemon/src/http/socket.rs
@@ -0,0 +1,41 @@
+//! Options of a server's connections.
+
+use std::io;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// The system counts keep-alive in whole seconds.
+const SHORTEST_KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// When a connection is given up although neither side closed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SocketLimits {
+    /// A peer that acknowledges or takes nothing for so long is taken as gone. Without this limit a caller that
+    /// stopped reading could hold up a planned stop for ever.
+    pub stall: Duration,
+}
+
+impl Default for SocketLimits {
+    fn default() -> Self {
+        Self { stall: Duration::from_secs(30) }
+    }
+}
+
+/// Sets the options of an accepted connection.
+///
+/// # Errors
+/// When the connection is lost already.
+pub(super) fn prepare(stream: &TcpStream, limits: SocketLimits) -> io::Result<()> {
+    // Small events must not wait for more bytes to fill a segment.
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    // Covers data that is sent and not acknowledged, and data that waits for a peer to make room.
+    socket.set_tcp_user_timeout(Some(limits.stall))?;
+    // Covers a connection on which nothing is sent, such as one that waits for its answer.
+    let interval = (limits.stall / 3).max(SHORTEST_KEEPALIVE);
+    let time = limits.stall.max(SHORTEST_KEEPALIVE);
+    let keepalive = TcpKeepalive::new().with_time(time).with_interval(interval);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -4,12 +4,6 @@
 
 use hyper::{Response, StatusCode};
 use lichenpulley_protocol::error::ErrorBody;
-use lichenpulley_protocol::internal::{
-    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
-    StoreResponse,
-};
-use lichenpulley_protocol::transport::TransportError;
-use tarpc::ChannelError;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::oneshot;
@@ -21,51 +15,16 @@
 use crate::cluster::Member;
 use crate::configuration;
 use crate::context::{Context, NodeContext};
-use crate::coordinator::{self, Coordinator};
+use crate::coordinator;
 use crate::gateway::{Dispatcher, Gateway};
 use crate::http::server::{self, ServerStop};
+use crate::http::socket::SocketLimits;
 use crate::http::{Body, response};
 use crate::membership::{self, StartMembership};
 use crate::operators::Operators;
 use crate::settings::Settings;
 use crate::store::{self, Store};
 
-/// The parts that answer requests. Cheap to clone.
-#[derive(Clone)]
-pub(super) struct Parts {
-    context: Context,
-    coordinator: Coordinator,
-    /// Where the node has the store role.
-    store: Option<Store>,
-}
-
-impl Parts {
-    /// Counts a peer's connection that is closed for what arrived on it.
-    pub(super) fn count_closed(&self, error: &ChannelError<TransportError>) {
-        let (ChannelError::Read(cause)
-        | ChannelError::Ready(cause)
-        | ChannelError::Write(cause)
-        | ChannelError::Flush(cause)
-        | ChannelError::Close(cause)) = error;
-        self.context.metrics.count_closed_connection(cause.label());
-    }
-
-    pub(super) async fn answer_store(&self, request: StoreRequest) -> StoreResponse {
-        match &self.store {
-            Some(store) => store.answer(request).await,
-            None => StoreResponse::NotAStore,
-        }
-    }
-
-    pub(super) async fn answer_coordinator(&self, request: CoordinatorRequest) -> CoordinatorResponse {
-        self.coordinator.answer(request).await
-    }
-
-    pub(super) async fn answer_configuration(&self, request: ConfigurationRequest) -> ConfigurationResponse {
-        configuration::answer(&self.context, request).await
-    }
-}
-
 /// Runs a node on this thread until it has stopped or `abort` is cancelled.
 pub(super) fn run(
     settings: Settings,
@@ -140,10 +99,10 @@
     let store = start_store(context)?;
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
     let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone(), store.clone());
-    let parts = Parts { context: Arc::clone(context), coordinator: coordinator.clone(), store };
+    let service = PeerService::new(Arc::clone(context), coordinator.clone(), store);
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
-    let peers = tokio::spawn(peer_service::serve(peers, PeerService::new(parts), stop.peers.clone()));
+    let peers = tokio::spawn(peer_service::serve(peers, service, stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
     let answers = Operators::new(Arc::clone(context), dispatcher.clone(), coordinator.clone());
@@ -155,7 +114,8 @@
 
     let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
     let gateway = context.settings.roles.gateway.then_some(gateway);
-    let callers = spawn_callers(callers, traffic, stop.callers.clone(), gateway)?;
+    let limits = SocketLimits { stall: context.settings.gateway.stall_timeout };
+    let callers = spawn_callers(callers, traffic, stop.callers.clone(), limits, gateway)?;
     Ok(stop::Servers { callers, operators, peers, stop })
 }
 
@@ -182,6 +142,7 @@
     listener: std::net::TcpListener,
     traffic: &Handle,
     stop: ServerStop,
+    limits: SocketLimits,
     gateway: Option<Gateway>,
 ) -> Result<tokio::task::JoinHandle<()>, StartError> {
     let entered = traffic.enter();
@@ -196,7 +157,7 @@
             }
         }
     };
-    Ok(traffic.spawn(server::serve(listener, stop, answer)))
+    Ok(traffic.spawn(server::serve_within(listener, stop, limits, answer)))
 }
 
 fn no_gateway() -> Response<Body> {
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -5,28 +5,48 @@
     ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, Peer, StoreRequest,
     StoreResponse,
 };
-use lichenpulley_protocol::transport;
+use lichenpulley_protocol::transport::{self, TransportError};
+use tarpc::ChannelError;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::control::Parts;
+use crate::configuration;
+use crate::context::Context;
+use crate::coordinator::Coordinator;
+use crate::store::Store;
 
 /// Answers peers' requests from the parts of this node.
 #[derive(Clone)]
 pub(super) struct PeerService {
-    parts: Parts,
+    context: Context,
+    coordinator: Coordinator,
+    /// Where the node has the store role.
+    store: Option<Store>,
 }
 
 impl PeerService {
-    pub(super) fn new(parts: Parts) -> Self {
-        Self { parts }
+    pub(super) const fn new(context: Context, coordinator: Coordinator, store: Option<Store>) -> Self {
+        Self { context, coordinator, store }
+    }
+
+    /// Counts a connection that is closed for what arrived on it.
+    fn count_closed(&self, error: &ChannelError<TransportError>) {
+        let (ChannelError::Read(cause)
+        | ChannelError::Ready(cause)
+        | ChannelError::Write(cause)
+        | ChannelError::Flush(cause)
+        | ChannelError::Close(cause)) = error;
+        self.context.metrics.count_closed_connection(cause.label());
     }
 }
 
 impl Peer for PeerService {
     async fn store(self, _: tarpc::context::Context, request: StoreRequest) -> StoreResponse {
-        self.parts.answer_store(request).await
+        match &self.store {
+            Some(store) => store.answer(request).await,
+            None => StoreResponse::NotAStore,
+        }
     }
 
     async fn coordinator(
@@ -34,7 +54,7 @@
         _: tarpc::context::Context,
         request: CoordinatorRequest,
     ) -> CoordinatorResponse {
-        self.parts.answer_coordinator(request).await
+        self.coordinator.answer(request).await
     }
 
     async fn configuration(
@@ -42,7 +62,7 @@
         _: tarpc::context::Context,
         request: ConfigurationRequest,
     ) -> ConfigurationResponse {
-        self.parts.answer_configuration(request).await
+        configuration::answer(&self.context, request).await
     }
 }
 
@@ -87,7 +107,7 @@
             Some(Err(error)) => {
                 let reason = transport::describe(&error);
                 log::warn!(target: "peers", "The connection of {peer} is closed: {reason}.");
-                service.parts.count_closed(&error);
+                service.count_closed(&error);
                 return;
             }
             None => return,
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -37,6 +37,8 @@
     pub default_deadline: Duration,
     /// A connection to an engine that is not made by then is given up.
     pub connect_timeout: Duration,
+    /// A caller that takes nothing of its answer for so long is given up.
+    pub stall_timeout: Duration,
     /// Largest request body, in bytes.
     pub body_limit_bytes: usize,
     /// Threads that carry traffic; 0 for one for each processor.
@@ -51,6 +53,7 @@
             eligibility: reader.milliseconds("gateway.eligibility_ms", 3_000, 200..=10_000),
             default_deadline: reader.milliseconds("gateway.default_deadline_ms", 120_000, 100..=3_600_000),
             connect_timeout: reader.milliseconds("gateway.connect_timeout_ms", 500, 10..=10_000),
+            stall_timeout: reader.milliseconds("gateway.stall_timeout_ms", 30_000, 1_000..=600_000),
             body_limit_bytes: to_usize(reader.number("gateway.body_limit_bytes", &body_limit)),
             traffic_threads: to_usize(reader.number("gateway.traffic_threads", &threads)),
         }
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -8,7 +8,8 @@
 use lichenpulley_daemon::http::client::{ClientError, HttpClient};
 use lichenpulley_daemon::http::events::{EventStreamError, event_stream};
 use lichenpulley_daemon::http::request::{percent_decode, percent_encode, read_json};
-use lichenpulley_daemon::http::server::{ServerStop, serve};
+use lichenpulley_daemon::http::server::{ServerStop, serve, serve_within};
+use lichenpulley_daemon::http::socket::SocketLimits;
 use lichenpulley_daemon::http::{Body, response};
 use lichenpulley_protocol::error::ErrorBody;
 use proptest::prelude::*;
@@ -198,6 +199,34 @@
     tokio::time::timeout(PATIENCE, server).await.expect("the server ends").expect("without a panic");
 }
 
+/// A server whose one stream never ends and whose reader never reads; gives the server and the reader.
+async fn start_stuck(stall: Duration) -> (tokio::task::JoinHandle<()>, TcpStream) {
+    let (listener, address) = listen().await;
+    let stop = ServerStop::default();
+    let answer = |_: Request<Incoming>| async {
+        let (sender, response) = event_stream(1);
+        let large = "x".repeat(64 * 1024);
+        tokio::spawn(async move { while sender.send(&large).await.is_ok() {} });
+        response
+    };
+    let server = tokio::spawn(serve_within(listener, stop.clone(), SocketLimits { stall }, answer));
+    let mut reader = TcpStream::connect(address).await.expect("a connection");
+    reader.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("written");
+    reader.read_u8().await.expect("the answer begins");
+    stop.closing.cancel();
+    (server, reader)
+}
+
+/// A caller that stopped reading must not hold up a planned stop; with the limit far away, it does.
+#[tokio::test]
+async fn a_reader_that_stopped_reading_is_given_up() {
+    let (endless, _other_reader) = start_stuck(Duration::from_secs(3_600)).await;
+    let (limited, _reader) = start_stuck(Duration::from_secs(1)).await;
+    tokio::time::timeout(PATIENCE, limited).await.expect("the server ends").expect("without a panic");
+    assert!(!endless.is_finished(), "the limit is not what ended the stream");
+    endless.abort();
+}
+
 proptest! {
     #[test]
     fn any_text_survives_percent_encoding(text in ".*") {
