Answer requests that are on their way when a port closes

Cause: under load one live request of 194 ended without an answer while nodes were restarted as planned. Its connection waited in the system's queue, or had been accepted and not yet read, when the listener closed: the queue is dropped with the listener, and hyper closes a connection on which nothing has been read at once.

Ruled out: loosening the test. The server now empties the queue before it closes the port, and lets connections without a request linger for 0.5 s, so that what is on its way is answered, and closed by that answer.

Conclusion: what is left is the instant between the last accept and the close of the port, and idle connections used in the instant of their closing.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -2,17 +2,19 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
+use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::Body;
 use super::socket::{self, SocketLimits};
@@ -22,6 +24,10 @@
 /// Pause after the system refused a connection, for instance because no file descriptor is free.
 pub(crate) const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a connection without a request is kept after the port has closed: a request that is on its way by then is
+/// still answered, and its connection is closed by that answer.
+const CLOSING_LINGER: Duration = Duration::from_millis(500);
+
 /// When a server leaves.
 #[derive(Clone, Debug, Default)]
 pub struct ServerStop {
@@ -51,39 +57,40 @@
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
+    let begin = |stream: TcpStream| match socket::prepare(&stream, limits) {
+        Ok(()) => drop(connections.spawn(serve_connection(stream, stop.clone(), handler.clone()))),
+        Err(error) => log::debug!(target: "http", "A connection was lost before it began: {error}."),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => match socket::prepare(&stream, limits) {
-                Ok(()) => spawn_connection(stream, &graceful, &stop, handler.clone()),
-                Err(error) => {
-                    log::debug!(target: "http", "A connection was lost before it began: {error}.");
-                }
-            },
+            Ok((stream, _)) => begin(stream),
             Err(error) => {
                 log::warn!(target: "http", "A connection was not accepted: {error}.");
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
             }
         }
     }
+    // Callers whose connections wait in the system's queue may have sent their requests already: closing the
+    // listener would leave them without an answer.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        begin(stream);
+    }
     drop(listener);
-    graceful.shutdown().await;
+    connections.close();
+    connections.wait().await;
 }
 
-fn spawn_connection<Handler, Answer>(
-    stream: TcpStream,
-    graceful: &GracefulShutdown,
-    stop: &ServerStop,
-    handler: Handler,
-) where
+async fn serve_connection<Handler, Answer>(stream: TcpStream, stop: ServerStop, handler: Handler)
+where
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    let draining = stop.draining.clone();
+    let draining = stop.draining;
     let service = service_fn(move |request| {
         let draining = draining.clone();
         let answer = handler(request);
@@ -99,10 +106,19 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(target: "http", "A connection ended early: {error}.");
+    let mut connection = pin!(connection);
+    let leaving = async {
+        stop.closing.cancelled().await;
+        tokio::time::sleep(CLOSING_LINGER).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = leaving => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
-    });
+    };
+    if let Err(error) = ended {
+        log::debug!(target: "http", "A connection ended early: {error}.");
+    }
 }
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -199,6 +199,47 @@
     tokio::time::timeout(PATIENCE, server).await.expect("the server ends").expect("without a panic");
 }
 
+/// Connections that the system has accepted and the server has not: their requests are on the way when it closes.
+#[tokio::test]
+async fn a_request_in_the_queue_of_a_closing_port_is_answered() {
+    let (listener, address) = listen().await;
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        caller
+            .write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n[1]")
+            .await
+            .expect("written");
+        callers.push(caller);
+    }
+    let stop = ServerStop::default();
+    stop.draining.cancel();
+    stop.closing.cancel();
+    let server = tokio::spawn(serve(listener, stop, echo));
+    for mut caller in callers {
+        let mut answer = String::new();
+        let read = tokio::time::timeout(PATIENCE, caller.read_to_string(&mut answer)).await;
+        read.expect("the connection ends").expect("the answer is whole");
+        assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    }
+    tokio::time::timeout(PATIENCE, server).await.expect("the server ends").expect("without a panic");
+}
+
+/// A kept connection on which a request arrives just after the port has closed.
+#[tokio::test]
+async fn a_request_on_a_kept_connection_of_a_closing_port_is_answered() {
+    let (address, stop) = start_echo().await;
+    let client = client();
+    let first: Vec<u32> = client.post_json(address, "/", &[1], PATIENCE).await.expect("an answer");
+    stop.draining.cancel();
+    stop.closing.cancel();
+    let closed = async { while TcpStream::connect(address).await.is_ok() {} };
+    tokio::time::timeout(PATIENCE, closed).await.expect("the port closes");
+    let second: Vec<u32> = client.post_json(address, "/", &[2], PATIENCE).await.expect("an answer");
+    assert_eq!((first, second), (vec![1], vec![2]));
+}
+
 /// A server whose one stream never ends and whose reader never reads; gives the server and the reader.
 async fn start_stuck(stall: Duration) -> (tokio::task::JoinHandle<()>, TcpStream) {
     let (listener, address) = listen().await;
