--- a/crates/lab/src/configuration_simulation/node.rs
+++ b/crates/lab/src/configuration_simulation/node.rs
@@ -68,7 +68,8 @@
     watch_after: Option<Revision>,
     changes: Changes,
     in_force_log: Vec<(Timestamp, Revision)>,
-    sent_bytes: u64,
+    message_bytes: u64,
+    heartbeat_bytes: u64,
     life: u64,
 }
 
@@ -103,7 +104,8 @@
             follow_at: None,
             watch_after: None,
             in_force_log: Vec::new(),
-            sent_bytes: 0,
+            message_bytes: 0,
+            heartbeat_bytes: 0,
             life,
         }
     }
@@ -138,9 +140,14 @@
         self.reading
     }
 
-    /// Bytes sent for the dissemination in this life, heartbeats only for what the revision adds to them.
-    pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes
+    /// Bytes of dissemination messages sent in this life, with their headers.
+    pub fn message_bytes(&self) -> u64 {
+        self.message_bytes
+    }
+
+    /// Bytes that the revision added to the heartbeats sent in this life.
+    pub fn heartbeat_bytes(&self) -> u64 {
+        self.heartbeat_bytes
     }
 
     /// The live members changed.
@@ -227,14 +234,14 @@
     }
 
     fn send_heartbeat(&mut self, to: ProcessId, packet: Packet, outbox: &mut Outbox<Packet>) {
-        self.sent_bytes += REVISION_BYTES;
+        self.heartbeat_bytes += REVISION_BYTES;
         outbox.send(to, packet);
     }
 
     fn send_message(&mut self, to: &NodeId, message: Message, outbox: &mut Outbox<Packet>) {
         let Some(process) = process_of(to) else { return };
         let length = message.write_to_vec().map_or(0, |bytes| bytes.len());
-        self.sent_bytes += u64::try_from(length).unwrap_or_default() + MESSAGE_OVERHEAD_BYTES;
+        self.message_bytes += u64::try_from(length).unwrap_or_default() + MESSAGE_OVERHEAD_BYTES;
         outbox.send(process, Packet::Spread(message));
     }
 
