--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,262 @@
+//! The settings tree, its documents, and the writer of a change.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichenpulley_core::configuration::document::{Document, EntryChange, REMEMBERED_CHANGES, Update};
+use lichenpulley_core::configuration::path::{Level, LevelPath};
+use lichenpulley_core::configuration::register::{Change, ChangeRefused, Register};
+use lichenpulley_core::configuration::schema::{self, STALENESS_BOUND};
+use lichenpulley_core::configuration::tree::SettingsTree;
+use lichenpulley_core::configuration::writer::{
+    Action, ChangeWriter, Config, Outcome, StoredRegister, WriteReply,
+};
+use lichenpulley_core::identity::{JobId, PoolName, Revision};
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn path(text: &str) -> LevelPath {
+    LevelPath::parse(text).expect("a path")
+}
+
+fn change(base: u64, id: &str, path: &str, key: &str, value: Option<Value>) -> Change {
+    Change {
+        change_id: id.to_owned(),
+        base_revision: Revision(base),
+        path: path.to_owned(),
+        key: key.to_owned(),
+        value,
+    }
+}
+
+fn register(changes: &[(&str, &str, Value)]) -> Register {
+    changes.iter().enumerate().fold(Register::default(), |register, (base, (path, key, value))| {
+        let id = format!("change-{base}");
+        register.apply(&change(base as u64, &id, path, key, Some(value.clone()))).expect("applies")
+    })
+}
+
+#[test]
+fn a_child_overrides_only_what_it_names() {
+    let register = register(&[
+        ("/", "staleness_bound", json!(2)),
+        ("/ramsaran", "retry_budget_percent", json!(20)),
+        ("/ramsaran/bench", "staleness_bound", json!(5)),
+    ]);
+    let tree = SettingsTree::from_document(register.document());
+    let explain = |at: &str, key: &str| {
+        let explanation = tree.explain(&path(at), key).expect("a setting");
+        (explanation.value, explanation.source.map(|source| source.to_string()))
+    };
+    assert_eq!(
+        explain("/ramsaran/bench/job", "staleness_bound"),
+        (json!(5), Some("/ramsaran/bench".to_owned()))
+    );
+    assert_eq!(explain("/ramsaran/counter", "staleness_bound"), (json!(2), Some("/".to_owned())));
+    assert_eq!(explain("/ramsaran/bench", "retry_budget_percent"), (json!(20), Some("/ramsaran".to_owned())));
+    assert_eq!(explain("/pasar-tani", "retry_budget_percent"), (json!(10), None));
+    assert_eq!(tree.pool_path(&PoolName::new("bench")), path("/ramsaran/bench"));
+    assert_eq!(tree.job_path(&PoolName::new("bench"), &JobId::new("repair")), path("/ramsaran/bench/repair"));
+    assert_eq!(tree.pool_path(&PoolName::new("unknown")), LevelPath::root());
+}
+
+#[test]
+fn a_removed_value_is_inherited_again() {
+    let set = register(&[("/", "staleness_bound", json!(2)), ("/ramsaran", "staleness_bound", json!(5))]);
+    let removed = set.apply(&change(2, "remove", "/ramsaran", "staleness_bound", None)).expect("applies");
+    let tree = SettingsTree::from_document(removed.document());
+    assert_eq!(tree.integer(&path("/ramsaran"), &STALENESS_BOUND), 2);
+}
+
+#[test]
+fn paths_name_levels_and_wrong_ones_are_refused() {
+    let levels = ["/", "/s", "/s/p", "/s/p/j", "/s/p/j/y"].map(|text| path(text).level());
+    assert_eq!(levels, Level::ALL);
+    for wrong in ["", "s", "/s/", "//", "/s p", "/a/b/c/d/e", "/s#x"] {
+        assert!(LevelPath::parse(wrong).is_err(), "{wrong}");
+    }
+}
+
+#[test]
+fn every_default_is_allowed_by_its_own_schema() {
+    for setting in schema::ALL {
+        let levels = setting.levels();
+        let at = ["/", "/s", "/s/p", "/s/p/j", "/s/p/j/y"].map(path);
+        let first = at.iter().find(|path| path.level() == *levels.start()).expect("a level");
+        assert_eq!(schema::check(first, setting.key(), &setting.default_value()), Ok(()));
+    }
+}
+
+#[test]
+fn a_bad_change_names_its_path_and_the_remedy() {
+    let cases = [
+        (
+            change(0, "c", "/r", "staleness_bound", Some(json!(1001))),
+            "/r: `staleness_bound` can't be 1001; give",
+        ),
+        (change(0, "c", "/r/p/j", "retry_budget_percent", Some(json!(1))), "set it on a level from"),
+        (change(0, "c", "/r", "no_such_key", Some(json!(1))), "/r: there is no setting `no_such_key`"),
+        (change(0, "c", "/r", "no_such_key", None), "the settings are staleness_bound"),
+        (change(0, "", "/r", "staleness_bound", Some(json!(1))), "choose one of 1 to 128"),
+    ];
+    for (change, expected) in cases {
+        let refused = change.check().expect_err("is refused").to_string();
+        assert!(refused.contains(expected), "{refused}");
+    }
+}
+
+#[test]
+fn an_id_used_again_for_another_change_is_refused() {
+    let register = register(&[("/", "staleness_bound", json!(2))]);
+    let same = change(0, "change-0", "/", "staleness_bound", Some(json!(2)));
+    assert_eq!(register.find(&same), Ok(Some(Revision(1))));
+    let other = change(0, "change-0", "/", "staleness_bound", Some(json!(3)));
+    assert!(matches!(register.find(&other), Err(ChangeRefused::ChangeIdReused { .. })));
+}
+
+#[test]
+fn an_entry_of_a_newer_release_is_left_out_of_the_tree() {
+    let entries = [("/#staleness_bound", "3"), ("/#key_of_tomorrow", "1"), ("no path", "1")];
+    let entries = entries.map(|(key, value)| (key.to_owned(), value.to_owned()));
+    let tree = SettingsTree::from_document(&Document::new(Revision(1), BTreeMap::from(entries)));
+    assert_eq!(tree.values().count(), 1);
+}
+
+#[test]
+fn a_copy_too_far_behind_gets_a_snapshot_and_others_a_delta() {
+    let mut document = Document::default();
+    for revision in 1..=REMEMBERED_CHANGES as u64 + 10 {
+        let entry = EntryChange { key: "key".to_owned(), value: Some(revision.to_string()) };
+        document = document.changed(Revision(revision), vec![entry]);
+    }
+    assert!(matches!(document.update_after(Revision(9)), Some(Update::Snapshot(_))));
+    assert!(matches!(document.update_after(Revision(10)), Some(Update::Delta { .. })));
+    assert_eq!(document.update_after(document.revision()), None);
+}
+
+#[test]
+fn a_delta_on_a_different_copy_is_refused() {
+    let sender = Document::new(Revision(1), BTreeMap::from([("a".to_owned(), "1".to_owned())]));
+    let entry = EntryChange { key: "b".to_owned(), value: Some("2".to_owned()) };
+    let update = sender.changed(Revision(2), vec![entry]).update_after(Revision(1)).expect("behind");
+    let other = Document::new(Revision(1), BTreeMap::from([("a".to_owned(), "9".to_owned())]));
+    assert!(other.updated(update.clone()).is_err());
+    assert!(Document::default().updated(update.clone()).is_err());
+    assert!(sender.updated(update).is_ok());
+}
+
+proptest! {
+    /// Whatever changes fall between two revisions, the older copy comes to the same entries.
+    #[test]
+    fn an_update_brings_any_older_copy_to_the_same_entries(
+        changes in prop::collection::vec((0_u8..6, prop::option::of(0_u8..4)), 1..100),
+        at in 0_usize..100,
+    ) {
+        let mut versions = vec![Document::default()];
+        for (revision, (key, value)) in (1..).zip(changes) {
+            let entry = EntryChange { key: key.to_string(), value: value.map(|value| value.to_string()) };
+            let next = versions.last().expect("one").changed(Revision(revision), vec![entry]);
+            versions.push(next);
+        }
+        let newest = versions.last().expect("one");
+        let copy = &versions[at % versions.len()];
+        if let Some(update) = copy.update_after(newest.revision()) {
+            prop_assert!(false, "an older copy has nothing for a newer one: {update:?}");
+        }
+        let Some(update) = newest.update_after(copy.revision()) else {
+            prop_assert_eq!(copy.revision(), newest.revision());
+            return Ok(());
+        };
+        let updated = copy.updated(update).expect("fits");
+        prop_assert_eq!(updated.entries(), newest.entries());
+        prop_assert_eq!(updated.digest(), newest.digest());
+    }
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn writer() -> ChangeWriter {
+    let change = change(0, "mine", "/", "staleness_bound", Some(json!(2)));
+    ChangeWriter::new(change, Config::default(), at(0))
+}
+
+fn stored(version: Option<u64>, register: Register) -> Option<StoredRegister> {
+    Some(StoredRegister { version: version.map(Revision), register })
+}
+
+/// Reads an empty register and begins to write; gives what is written.
+fn begin_write(writer: &mut ChangeWriter) -> Register {
+    assert_eq!(writer.poll(at(0)), Some(Action::Read));
+    writer.read_finished(stored(None, Register::default()), at(1));
+    match writer.poll(at(1)) {
+        Some(Action::Write { base_version: None, register }) => register,
+        other => panic!("not a write: {other:?}"),
+    }
+}
+
+#[test]
+fn a_write_without_a_reply_that_took_effect_is_accepted_by_the_next_read() {
+    let mut writer = writer();
+    let written = begin_write(&mut writer);
+    writer.write_finished(WriteReply::NoReply, at(2));
+    assert_eq!(writer.poll(at(1_000)), Some(Action::Read));
+    writer.read_finished(stored(Some(1), written.clone()), at(1_001));
+    let accepted = Outcome::Accepted { revision: Revision(1), register: written };
+    assert_eq!(writer.poll(at(1_001)), Some(Action::Finish(accepted)));
+}
+
+#[test]
+fn a_write_without_a_reply_that_was_overtaken_is_refused() {
+    let mut writer = writer();
+    begin_write(&mut writer);
+    writer.write_finished(WriteReply::NoReply, at(2));
+    assert_eq!(writer.poll(at(1_000)), Some(Action::Read));
+    let other = register(&[("/", "staleness_bound", json!(9))]);
+    writer.read_finished(stored(Some(1), other), at(1_001));
+    let conflict = ChangeRefused::Conflict { base: Revision(0), current: Revision(1) };
+    assert_eq!(writer.poll(at(1_001)), Some(Action::Finish(Outcome::Refused(conflict))));
+}
+
+#[test]
+fn a_write_without_a_reply_stays_in_doubt_while_nothing_answers() {
+    let mut writer = writer();
+    begin_write(&mut writer);
+    writer.write_finished(WriteReply::NoReply, at(2));
+    assert_eq!(writer.poll(at(4_000)), Some(Action::Read));
+    writer.read_finished(None, at(4_000));
+    assert!(matches!(writer.poll(at(4_000)), Some(Action::Wait(_))), "settling takes longer than reaching");
+    assert_eq!(writer.poll(at(9_000)), Some(Action::Read));
+    writer.read_finished(None, at(9_000));
+    assert_eq!(writer.poll(at(9_000)), Some(Action::Finish(Outcome::InDoubt)));
+}
+
+#[test]
+fn while_nothing_was_written_silence_ends_as_unavailable() {
+    let mut writer = writer();
+    assert_eq!(writer.poll(at(0)), Some(Action::Read));
+    writer.read_finished(None, at(1));
+    assert_eq!(writer.poll(at(2)), Some(Action::Wait(at(1) + Duration::from_millis(200))));
+    assert_eq!(writer.poll(at(3_500)), Some(Action::Read));
+    writer.read_finished(None, at(3_501));
+    assert_eq!(writer.poll(at(3_501)), Some(Action::Finish(Outcome::Unavailable)));
+}
+
+#[test]
+fn a_lost_write_that_may_still_arrive_is_repeated_on_the_same_version() {
+    let mut writer = writer();
+    let first = begin_write(&mut writer);
+    writer.write_finished(WriteReply::NoReply, at(2));
+    assert_eq!(writer.poll(at(1_000)), Some(Action::Read));
+    writer.read_finished(stored(None, Register::default()), at(1_001));
+    let again = writer.poll(at(1_001));
+    assert_eq!(again, Some(Action::Write { base_version: None, register: first.clone() }));
+    // The first one arrives after all, so this one conflicts; only a read tells that the conflict is with itself.
+    writer.write_finished(WriteReply::Conflict, at(1_002));
+    assert_eq!(writer.poll(at(1_002)), Some(Action::Read));
+    writer.read_finished(stored(Some(1), first.clone()), at(1_003));
+    let accepted = Outcome::Accepted { revision: Revision(1), register: first };
+    assert_eq!(writer.poll(at(1_003)), Some(Action::Finish(accepted)));
+}
