Give up vanished peers and engines, and export the process's figures

Cause: a machine that vanishes without a word left its TCP connection open for a quarter of an hour; each call on it ended at its deadline and the next used the same connection. Peers get peers.stall_timeout_ms (10 s), the HTTP client 15 s of TCP_USER_TIMEOUT and keep-alive.

Before and after: against a peer that takes nothing, the connection with the limit is given up and the one with a limit of an hour stays.

Conclusion: the metrics also carry process_cpu_seconds_total and process_resident_memory_bytes, by which the budget of control is watched.

--- a/crates/daemon/src/http/client.rs
+++ b/crates/daemon/src/http/client.rs
@@ -23,6 +23,8 @@
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 /// Idle connections kept for each address.
 const IDLE_CONNECTIONS: usize = 32;
+/// A machine that acknowledges nothing for so long is taken as gone.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// An idle connection is closed after this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -108,6 +110,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
+        // A machine that vanished without a word must not hold a stream until its deadline.
+        connector.set_keepalive(Some(STALL_TIMEOUT));
+        connector.set_keepalive_interval(Some(STALL_TIMEOUT / 3));
+        #[cfg(target_os = "linux")]
+        connector.set_tcp_user_timeout(Some(STALL_TIMEOUT));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -1,4 +1,4 @@
-//! Options of a server's connections.
+//! Options of TCP connections.
 
 use std::io;
 use std::time::Duration;
@@ -23,15 +23,16 @@
     }
 }
 
-/// Sets the options of an accepted connection.
+/// Sets the options of a connection.
 ///
 /// # Errors
 /// When the connection is lost already.
-pub(super) fn prepare(stream: &TcpStream, limits: SocketLimits) -> io::Result<()> {
+pub(crate) fn prepare(stream: &TcpStream, limits: SocketLimits) -> io::Result<()> {
     // Small events must not wait for more bytes to fill a segment.
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     // Covers data that is sent and not acknowledged, and data that waits for a peer to make room.
+    #[cfg(target_os = "linux")]
     socket.set_tcp_user_timeout(Some(limits.stall))?;
     // Covers a connection on which nothing is sent, such as one that waits for its answer.
     let interval = (limits.stall / 3).max(SHORTEST_KEEPALIVE);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,7 @@
             "Peers' connections closed for what arrived on them, by reason",
             &["reason"],
         );
+        register_process(&registry);
         Self { registry, decisions, closed_connections }
     }
 
@@ -64,6 +65,17 @@
     }
 }
 
+/// Processor time, memory and open files of the process, under the names that every Prometheus client uses. The
+/// budget of control (docs/CAPACITY.md) is watched by them.
+#[cfg(target_os = "linux")]
+fn register_process(registry: &Registry) {
+    let process = prometheus::process_collector::ProcessCollector::for_self();
+    registry.register(Box::new(process)).expect("registered once");
+}
+
+#[cfg(not(target_os = "linux"))]
+fn register_process(_registry: &Registry) {}
+
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
     registry.register(Box::new(counters.clone())).expect("registered once");
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -14,6 +14,7 @@
 use crate::configuration;
 use crate::context::Context;
 use crate::coordinator::Coordinator;
+use crate::http::socket::{self, SocketLimits};
 use crate::store::Store;
 
 /// Answers peers' requests from the parts of this node.
@@ -88,7 +89,8 @@
 /// Serves one connection. Whatever is wrong with it ends this connection and nothing else.
 async fn serve_connection(stream: TcpStream, service: PeerService, closing: CancellationToken) {
     let peer = stream.peer_addr().map_or_else(|_| "a lost peer".to_owned(), |address| address.to_string());
-    if let Err(error) = stream.set_nodelay(true) {
+    let limits = SocketLimits { stall: service.context.settings.peers.stall_timeout };
+    if let Err(error) = socket::prepare(&stream, limits) {
         log::debug!(target: "peers", "The connection of {peer} was lost before it began: {error}.");
         return;
     }
--- a/crates/daemon/src/peers/connection.rs
+++ b/crates/daemon/src/peers/connection.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::PeerError;
+use crate::http::socket::{self, SocketLimits};
 use crate::settings::PeerSettings;
 
 /// Pause after the first failure to connect; doubled after each further one.
@@ -115,12 +116,13 @@
 
     async fn connect(&self) -> Result<Arc<PeerClient>, String> {
         let (address, timeout) = (self.address, self.settings.connect_timeout);
+        let limits = SocketLimits { stall: self.settings.stall_timeout };
         // On the control runtime, which drives the connection from then on.
         let connecting = self.runtime.spawn(async move {
             let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
             let stream = stream.map_err(|_| "the connection took too long".to_owned())?;
             let stream = stream.map_err(|error| error.to_string())?;
-            stream.set_nodelay(true).map_err(|error| error.to_string())?;
+            socket::prepare(&stream, limits).map_err(|error| error.to_string())?;
             Ok::<_, String>(stream)
         });
         let stream = connecting.await.map_err(|_| "the node is stopping".to_owned())??;
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -16,6 +16,8 @@
     pub idle: Duration,
     /// A connection that is not made by then is given up.
     pub connect_timeout: Duration,
+    /// A peer that takes or acknowledges nothing for so long is given up, and the connection made anew.
+    pub stall_timeout: Duration,
 }
 
 impl PeerSettings {
@@ -24,6 +26,7 @@
             seeds: reader.address_list("peers.seeds"),
             idle: reader.milliseconds("peers.idle_ms", 60_000, 1_000..=3_600_000),
             connect_timeout: reader.milliseconds("peers.connect_timeout_ms", 500, 10..=10_000),
+            stall_timeout: reader.milliseconds("peers.stall_timeout_ms", 10_000, 1_000..=600_000),
         }
     }
 }
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use lichenpulley_core::configuration::dissemination::Message;
-use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::identity::{JobId, NodeId};
 use lichenpulley_daemon::node::Node;
 use lichenpulley_daemon::peers::{PeerClients, PeerError};
 use lichenpulley_daemon::settings::Settings;
 use lichenpulley_protocol::internal::{
-    ConfigurationRequest, ConfigurationResponse, DocumentName, StoreRequest,
+    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, DocumentName, StoreRequest,
 };
 use lichenpulley_protocol::transport::FRAME_LIMIT_BYTES;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -143,3 +143,33 @@
     tokio::time::timeout(PATIENCE, closed).await.expect("the idle connection is closed");
     ask(&clients, node.addresses().peers).await.expect("an answer over a new connection");
 }
+
+/// A peer whose machine has vanished takes nothing: the connection to it is given up, so that the next call makes a
+/// new one. With the limit far away it stays.
+#[tokio::test]
+async fn a_connection_to_a_peer_that_takes_nothing_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stuck = |stall| {
+        let mut settings = Settings::on_loopback("asker", "zone-a").peers;
+        settings.stall_timeout = stall;
+        PeerClients::new(Handle::current(), settings)
+    };
+    let (limited, endless) = (stuck(Duration::from_secs(1)), stuck(Duration::from_secs(3_600)));
+    for clients in [&limited, &endless] {
+        // More than the buffers of both sides hold.
+        for _ in 0..4 {
+            let job = JobId::new("x".repeat(FRAME_LIMIT_BYTES / 2));
+            let asked =
+                clients.coordinator(address, CoordinatorRequest::JobStatus(job), Duration::from_millis(50));
+            asked.await.expect_err("nobody answers");
+        }
+    }
+    let given_up = async {
+        while limited.open_connections() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, given_up).await.expect("the connection is given up");
+    assert_eq!(endless.open_connections(), 1, "the limit is not what ended the connection");
+}
