--- a/crates/daemon/src/http/client.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -1,7 +1,8 @@
 //! A pooled HTTP/1 client whose errors tell apart a request of which nothing was sent from one that may have
 //! arrived.
 
-use std::error::Error as StdError;
+mod error;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,15 +10,17 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
-use hyper_util::client::legacy::{self, Client};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use super::events::EventReader;
+pub use error::ClientError;
+use error::{describe, is_unsent};
 
 /// Longest body that is read whole, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
@@ -28,74 +31,6 @@
 /// An idle connection is closed after this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Why a call gave no usable answer.
-#[derive(Debug, thiserror::Error)]
-pub enum ClientError {
-    /// Nothing of the request was written: it did not run there.
-    #[error("{address}: nothing was sent: {reason}; check that the service listens there")]
-    NotSent {
-        /// Where it should have gone.
-        address: SocketAddr,
-        /// What stood in the way.
-        reason: String,
-    },
-    /// Some of the request may have been written and no whole answer came: it may have run.
-    #[error("{address}: sent, but no whole answer came: {reason}; ask again what became of it")]
-    NoAnswer {
-        /// Where it went.
-        address: SocketAddr,
-        /// What broke.
-        reason: String,
-    },
-    /// The answer's status says that the request failed.
-    #[error("{address}: answered {status}: {}", String::from_utf8_lossy(.body))]
-    Status {
-        /// Who answered.
-        address: SocketAddr,
-        /// The status.
-        status: StatusCode,
-        /// The body, often a typed error.
-        body: Bytes,
-    },
-    /// A successful answer whose body is not of the expected form.
-    #[error("{address}: the answer can't be read: {reason}; check that both sides run the same release")]
-    BadAnswer {
-        /// Who answered.
-        address: SocketAddr,
-        /// What is wrong with it.
-        reason: String,
-    },
-    /// The path or body can't be sent at all.
-    #[error("the request can't be built: {reason}; mend the path or the body")]
-    BadRequest {
-        /// What is wrong with it.
-        reason: String,
-    },
-}
-
-impl ClientError {
-    /// Whether it is proved that no byte of the request was written (brief point 5).
-    pub fn nothing_sent(&self) -> bool {
-        matches!(self, Self::NotSent { .. } | Self::BadRequest { .. })
-    }
-
-    /// The status, where there was an answer.
-    pub fn status(&self) -> Option<StatusCode> {
-        match self {
-            Self::Status { status, .. } => Some(*status),
-            _ => None,
-        }
-    }
-
-    /// The body of a failed answer, where it is of this form.
-    pub fn body<T: DeserializeOwned>(&self) -> Option<T> {
-        match self {
-            Self::Status { body, .. } => serde_json::from_slice(body).ok(),
-            _ => None,
-        }
-    }
-}
-
 /// A client with its pool of connections. Cheap to clone.
 ///
 /// Connections are driven by the runtime that opened them, so control and traffic each have a client of their own.
@@ -333,24 +268,3 @@
         }),
     }
 }
-
-/// Whether no byte of the request was written: the connection was never made, or `hyper` handed the request back
-/// before it began to write it.
-fn is_unsent(error: &legacy::Error) -> bool {
-    let unstarted = |source: &(dyn StdError + 'static)| {
-        source.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled)
-    };
-    error.is_connect() || error.source().is_some_and(unstarted)
-}
-
-/// An error with its causes, since `hyper`'s own text names the kind only.
-fn describe(error: &legacy::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
