Prove changes of the replica set, and mend what that showed

Tests bring the moments about: a record on two of three stores of which one is lost, a change stopped after every exchange, a disk replaced under the same address, an old set left with two members, a clock that goes back. Each mechanism off gives the loss; on, none. Found and mended: a proposer sent empty appends without end after a take-over (base 0 and 1 mean the same), a due time-out with nothing to send never went away, and a member that had never been asked could not be sealed.

--- a/crates/core/src/replication/acceptor.rs
+++ b/crates/core/src/replication/acceptor.rs
@@ -5,7 +5,7 @@
 //! that is sealed or not yet installed changes nothing in a generation that it takes no part in.
 
 use super::ballot::Ballot;
-use super::claims::{self, ClaimWindow};
+use super::claims::{self, ClaimVote, ClaimWindow};
 use super::entry::{Entry, IndexedEntry, LogIndex};
 use super::group::{AcceptedRun, GroupPhase, GroupRecord};
 use super::message::{Accept, Claim, Operation, Outcome, Read, Refusal, ReplicaRequest, ReplicaResponse};
@@ -23,6 +23,8 @@
     pub check_store: bool,
     /// Refuse to take part once sealed.
     pub refuse_when_sealed: bool,
+    /// Refuse to be installed without all pages from a majority of the sealed set.
+    pub check_copied: bool,
     /// Refuse ids whose claims may have been forgotten.
     pub refuse_forgotten_claims: bool,
 }
@@ -33,6 +35,7 @@
             refuse_lower_ballots: true,
             check_store: true,
             refuse_when_sealed: true,
+            check_copied: true,
             refuse_forgotten_claims: true,
         }
     }
@@ -75,12 +78,13 @@
         request: ReplicaRequest,
     ) -> Result<ReplicaResponse, S::Error> {
         let ReplicaRequest { shard, generation, store, operation } = request;
+        let answers_as = if self.checks.check_store { self.store.clone() } else { store.clone() };
         let outcome = if self.checks.check_store && store != self.store {
             Outcome::Refused(Refusal::WrongStore { store: self.store.clone() })
         } else {
             self.operate(storage, now_unix_ms, &shard, generation, operation)?
         };
-        Ok(ReplicaResponse { shard, generation, store: self.store.clone(), outcome })
+        Ok(ReplicaResponse { shard, generation, store: answers_as, outcome })
     }
 
     /// Drops claims that are past their retention.
@@ -99,10 +103,8 @@
         if record.phase != GroupPhase::Active || horizon <= record.position.claims_forgotten_before_unix_ms {
             return Ok(());
         }
-        if self.checks.refuse_forgotten_claims {
-            record.position.claims_forgotten_before_unix_ms = horizon;
-            storage.put_group(shard, &record)?;
-        }
+        record.position.claims_forgotten_before_unix_ms = horizon;
+        storage.put_group(shard, &record)?;
         storage.remove_claims_issued_before(shard, horizon)
     }
 
@@ -138,7 +140,8 @@
             Operation::Begin(set) => return begin(storage, shard, record, set),
             Operation::Copy(page) => return transfer::copy(storage, shard, record, page),
             Operation::Install(install) => {
-                return transfer::install(storage, shard, &self.store, record, install);
+                let check = self.checks.check_copied;
+                return transfer::install(storage, shard, &self.store, record, install, check);
             }
             _ => {}
         }
@@ -284,7 +287,15 @@
         record: &GroupRecord,
         claim: Claim,
     ) -> Result<Outcome, S::Error> {
-        let vote = claims::vote(storage, shard, &record.position, &claim, &self.window, now_unix_ms)?;
+        let horizon = self.window.horizon_unix_ms(now_unix_ms);
+        let horizon = horizon.max(record.position.claims_forgotten_before_unix_ms);
+        let vote = if self.checks.refuse_forgotten_claims && claim.issued_at_unix_ms < horizon {
+            ClaimVote::Expired
+        } else if claim.issued_at_unix_ms > self.window.latest_unix_ms(now_unix_ms) {
+            ClaimVote::TooFarAhead
+        } else {
+            claims::vote(storage, shard, &claim)?
+        };
         Ok(Outcome::Voted { request: claim.request, attempt: claim.attempt, vote })
     }
 }
--- a/crates/core/src/replication/claims.rs
+++ b/crates/core/src/replication/claims.rs
@@ -9,7 +9,6 @@
 
 use speedy::{Readable, Writable};
 
-use super::group::LogPosition;
 use super::message::Claim;
 use super::storage::ShardStorage;
 use crate::identity::{AttemptId, RequestId, ShardId};
@@ -96,25 +95,15 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Votes on a claim, and keeps the vote.
+/// Votes on a claim whose issue time is within the window, and keeps the vote.
 ///
 /// # Errors
 /// When the disk can't be used.
 pub(super) fn vote<S: ShardStorage>(
     storage: &mut S,
     shard: &ShardId,
-    position: &LogPosition,
     claim: &Claim,
-    window: &ClaimWindow,
-    now_unix_ms: u64,
 ) -> Result<ClaimVote, S::Error> {
-    let horizon = window.horizon_unix_ms(now_unix_ms).max(position.claims_forgotten_before_unix_ms);
-    if claim.issued_at_unix_ms < horizon {
-        return Ok(ClaimVote::Expired);
-    }
-    if claim.issued_at_unix_ms > window.latest_unix_ms(now_unix_ms) {
-        return Ok(ClaimVote::TooFarAhead);
-    }
     let Some(record) = storage.claim(shard, &claim.request)? else {
         let holder = Some(claim.attempt.clone());
         let record = ClaimRecord { issued_at_unix_ms: claim.issued_at_unix_ms, holder };
--- a/crates/core/src/replication/member_progress.rs
+++ b/crates/core/src/replication/member_progress.rs
@@ -43,6 +43,10 @@
         self.retry_at = None;
     }
 
+    pub(super) fn idle(&mut self) {
+        self.retry_at = None;
+    }
+
     pub(super) fn has_answered(&self) -> bool {
         self.answered
     }
@@ -108,6 +112,6 @@
     }
 
     pub(super) fn must_truncate(&self, before: LogIndex) -> bool {
-        self.base < before
+        self.base.max(LogIndex::FIRST) < before
     }
 }
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -14,6 +14,7 @@
 pub mod group;
 pub mod log;
 mod member_progress;
+pub mod memory_storage;
 pub mod message;
 pub mod placement;
 pub mod proposer;
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -201,11 +201,7 @@
 
     /// The next request to send.
     pub fn poll_transmit(&mut self, now: Timestamp) -> Option<Transmit> {
-        let idle = self.members.iter().filter(|(_, member)| member.may_send(now));
-        let (to, operation) = idle.into_iter().find_map(|(store, member)| {
-            let operation = self.wanted(store, member)?;
-            Some((store.clone(), operation))
-        })?;
+        let (to, operation) = self.next_operation(now)?;
         let retry_at = now + self.config.retransmit_after;
         if let Some(member) = self.members.get_mut(&to) {
             member.sent(retry_at);
@@ -215,6 +211,20 @@
         Some(Transmit { to, request })
     }
 
+    /// What to ask whom. A member that is due and of whom nothing is wanted has no time-out any more.
+    fn next_operation(&mut self, now: Timestamp) -> Option<(StoreId, Operation)> {
+        let due = self.members.iter().filter(|(_, member)| member.may_send(now));
+        let due: Vec<StoreId> = due.map(|(store, _)| store.clone()).collect();
+        for store in due {
+            let wanted = self.members.get(&store).and_then(|member| self.wanted(&store, member));
+            match wanted {
+                Some(operation) => return Some((store, operation)),
+                None => self.member(&store, MemberProgress::idle),
+            }
+        }
+        None
+    }
+
     /// A request could not be delivered: it is sent again after `retry_after`.
     pub fn unreachable(&mut self, now: Timestamp, store: &StoreId, retry_after: Duration) {
         if let Some(member) = self.members.get_mut(store) {
--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -54,7 +54,10 @@
     old: ReplicaSet,
     next: ReplicaSet,
     transfer: TransferId,
-    sealing: BTreeMap<StoreId, Option<Timestamp>>,
+    sealing: BTreeMap<StoreId, Sealing>,
+    /// Whether members of the old set that never took part may begin, to be sealed: a change is only begun once a
+    /// majority of the old set has been installed.
+    may_begin_old: bool,
     sealed: VoteCount,
     sources: Option<Sources>,
     targets: BTreeMap<StoreId, CopyTarget>,
@@ -63,6 +66,13 @@
     ended: bool,
 }
 
+/// A member of the old set that is not sealed yet.
+#[derive(Default)]
+struct Sealing {
+    retry_at: Option<Timestamp>,
+    must_begin: bool,
+}
+
 /// Whose state is copied.
 pub(super) struct Sources {
     pub(super) basis: InstallBasis,
@@ -81,7 +91,7 @@
 impl Reconfigurer {
     /// Begins to replace `old` by `next`, which must be the pending set of the shard. `transfer` must be unique.
     pub fn new(old: ReplicaSet, next: ReplicaSet, transfer: TransferId, retransmit_after: Duration) -> Self {
-        let sealing = old.members.iter().map(|member| (member.store.clone(), None)).collect();
+        let sealing = old.members.iter().map(|member| (member.store.clone(), Sealing::default())).collect();
         let targets = next.members.iter().map(|member| (member.store.clone(), CopyTarget::default()));
         Self {
             checks: ReconfigurerChecks::default(),
@@ -91,6 +101,7 @@
             next,
             transfer,
             sealing,
+            may_begin_old: true,
             sealed: VoteCount::default(),
             sources: None,
             installed: VoteCount::default(),
@@ -104,7 +115,8 @@
         let before = Generation(set.generation.0.saturating_sub(1));
         // No member takes part in the generation before: those that answer are installed.
         let old = ReplicaSet { generation: before, ..set.clone() };
-        Self::new(old, set, transfer, retransmit_after)
+        let catch_up = Self::new(old, set, transfer, retransmit_after);
+        Self { may_begin_old: false, ..catch_up }
     }
 
     /// The same with some mechanisms switched off, for proofs that they are needed.
@@ -121,7 +133,7 @@
 
     /// When [`Self::poll_transmit`] has something to send again.
     pub fn poll_timeout(&self) -> Option<Timestamp> {
-        let sealing = self.sealing.values().filter_map(|retry_at| *retry_at);
+        let sealing = self.sealing.values().filter_map(|sealing| sealing.retry_at);
         let copying = self.targets.values().filter_map(|target| target.retry_at);
         sealing.chain(copying).min()
     }
@@ -142,6 +154,7 @@
         let store = response.store;
         match response.outcome {
             Outcome::Sealed { next } if next == self.next => self.after_seal(&store),
+            Outcome::Begun => self.begun(&store),
             Outcome::StatePage { from, page } => self.page_read(&store, response.generation, &from, &page),
             Outcome::Copied { transfer, source, next } if transfer == self.transfer => {
                 self.copied(&store, &source, next);
@@ -155,10 +168,12 @@
     }
 
     fn poll_seal(&mut self, now: Timestamp) -> Option<Transmit> {
-        let due = self.sealing.iter_mut().find(|(_, retry_at)| retry_at.is_none_or(|at| at <= now))?;
-        *due.1 = Some(now + self.retransmit_after);
-        let to = due.0.clone();
-        let operation = Operation::Seal(self.next.clone());
+        let is_due = |sealing: &Sealing| sealing.retry_at.is_none_or(|at| at <= now);
+        let (to, sealing) = self.sealing.iter_mut().find(|(_, sealing)| is_due(sealing))?;
+        sealing.retry_at = Some(now + self.retransmit_after);
+        let (to, must_begin) = (to.clone(), sealing.must_begin);
+        let begin = || Operation::Begin(self.old.clone());
+        let operation = if must_begin { begin() } else { Operation::Seal(self.next.clone()) };
         Some(self.request(to, self.old.generation, operation))
     }
 
@@ -183,6 +198,18 @@
         Transmit { to: to.clone(), request: ReplicaRequest { shard, generation, store: to, operation } }
     }
 
+    fn begun(&mut self, store: &StoreId) {
+        if let Some(sealing) = self.sealing.get_mut(store) {
+            *sealing = Sealing::default();
+        }
+    }
+
+    fn not_installed(&mut self, store: &StoreId) {
+        if let Some(sealing) = self.sealing.get_mut(store).filter(|sealing| !sealing.must_begin) {
+            *sealing = Sealing { retry_at: None, must_begin: true };
+        }
+    }
+
     fn after_seal(&mut self, store: &StoreId) {
         if self.sealing.remove(store).is_none() {
             return;
@@ -244,6 +271,7 @@
             Refusal::NewerGeneration { current } if current.generation > self.next.generation => {
                 self.end(ReconfigurerEvent::Overtaken(current));
             }
+            Refusal::NotInstalled if self.may_begin_old => self.not_installed(store),
             Refusal::OutOfOrder => {
                 if let Some(target) = self.targets.get_mut(store) {
                     target.restart(target.retry_at);
--- a/crates/core/src/replication/transfer.rs
+++ b/crates/core/src/replication/transfer.rs
@@ -94,12 +94,13 @@
     store: &StoreId,
     record: Option<GroupRecord>,
     install: Install,
+    check_copied: bool,
 ) -> Result<Outcome, S::Error> {
     let mut record = match joining_record(record, &install.set) {
         Ok(record) => record,
         Err(outcome) => return Ok(*outcome),
     };
-    if !has_all_pages(&record, store, &install) {
+    if check_copied && !has_all_pages(&record, store, &install) {
         return Ok(Outcome::Refused(Refusal::OutOfOrder));
     }
     let generation = install.set.generation;
--- /dev/null
+++ b/crates/core/tests/replication_reconfiguration.rs
@@ -0,0 +1,280 @@
+//! Changes of a replica set at the moments that matter, with each mechanism on and off.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichenpulley_core::identity::{AttemptId, Epoch, NodeId, RequestId, ShardId, ZoneName};
+use lichenpulley_core::replication::acceptor::{Acceptor, AcceptorChecks};
+use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::claims::{ClaimVote, ClaimWindow};
+use lichenpulley_core::replication::memory_storage::MemoryStorage;
+use lichenpulley_core::replication::message::{
+    Claim, Operation, Outcome, Refusal, ReplicaRequest, ReplicaResponse, TransferId,
+};
+use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig, ProposerEvent};
+use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerChecks, ReconfigurerEvent};
+use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, SetMember, StoreId};
+use lichenpulley_core::time::Timestamp;
+
+const NOW_UNIX_MS: u64 = 1_000_000;
+
+/// Stores that answer at once, as far as they can be reached.
+struct Stores {
+    acceptors: BTreeMap<StoreId, (Acceptor, MemoryStorage)>,
+    reachable: Vec<StoreId>,
+    now_unix_ms: u64,
+}
+
+impl Stores {
+    fn new(names: &[&str]) -> Self {
+        let stores = names.iter().map(|name| {
+            let acceptor = Acceptor::new(StoreId::new(*name), ClaimWindow::default());
+            (StoreId::new(*name), (acceptor, MemoryStorage::default()))
+        });
+        let mut all = Self { acceptors: stores.collect(), reachable: Vec::new(), now_unix_ms: NOW_UNIX_MS };
+        all.reach(names);
+        all
+    }
+
+    fn reach(&mut self, names: &[&str]) {
+        self.reachable = names.iter().map(|name| StoreId::new(*name)).collect();
+    }
+
+    fn answer(&mut self, request: ReplicaRequest) -> Option<ReplicaResponse> {
+        if !self.reachable.contains(&request.store) {
+            return None;
+        }
+        let (acceptor, storage) = self.acceptors.get_mut(&request.store)?;
+        let Ok(response) = acceptor.answer(storage, self.now_unix_ms, request);
+        Some(response)
+    }
+
+    /// Takes the shard over and appends; gives what was found, or nothing where it did not get that far.
+    fn own(&mut self, set: &ReplicaSet, owner: &str, records: &[&[u8]]) -> Option<Vec<Vec<u8>>> {
+        let config = ProposerConfig { maximum_raises: 10, ..ProposerConfig::default() };
+        let mut proposer = Proposer::new(set.clone(), ProposerId::new(owner), Epoch(1), config);
+        let mut found = None;
+        while let Some(transmit) = proposer.poll_transmit(Timestamp::ORIGIN) {
+            if let Some(response) = self.answer(transmit.request) {
+                proposer.step(Timestamp::ORIGIN, response);
+            }
+            while let Some(event) = proposer.poll_event() {
+                if let ProposerEvent::Recovered(log) = event {
+                    found = Some(log.records);
+                    let appended = proposer.append(records.iter().map(|record| record.to_vec()).collect());
+                    appended.expect("it leads");
+                }
+            }
+        }
+        found
+    }
+
+    fn change(&mut self, old: &ReplicaSet, next: &ReplicaSet, checks: ReconfigurerChecks) -> bool {
+        let transfer = TransferId(format!("to {}", next.generation));
+        let mut change = Reconfigurer::new(old.clone(), next.clone(), transfer, Duration::from_secs(1));
+        change = change.with_checks(checks);
+        let mut installed = false;
+        while let Some(transmit) = change.poll_transmit(Timestamp::ORIGIN) {
+            if let Some(response) = self.answer(transmit.request) {
+                change.step(response);
+            }
+            while let Some(event) = change.poll_event() {
+                installed |= event == ReconfigurerEvent::Installed;
+            }
+        }
+        installed
+    }
+
+    fn claim(&mut self, set: &ReplicaSet, store: &str, attempt: &str, issued_at_unix_ms: u64) -> Outcome {
+        let claim = Claim {
+            request: RequestId::new("ticket-7"),
+            issued_at_unix_ms,
+            attempt: AttemptId::new(attempt),
+        };
+        self.ask(set, store, Operation::Claim(claim))
+    }
+
+    fn ask(&mut self, set: &ReplicaSet, store: &str, operation: Operation) -> Outcome {
+        let (shard, generation, store) = (set.shard.clone(), set.generation, StoreId::new(store));
+        let request = ReplicaRequest { shard, generation, store, operation };
+        self.answer(request).expect("a reachable store").outcome
+    }
+}
+
+fn member(name: &str) -> SetMember {
+    SetMember {
+        store: StoreId::new(name),
+        node: NodeId::new(name),
+        zone: ZoneName::new(name),
+        address: String::new(),
+    }
+}
+
+fn first_set() -> ReplicaSet {
+    let members = ["a", "b", "c"].map(member).to_vec();
+    ReplicaSet { shard: ShardId::new("job/pricing"), generation: Generation::FIRST, members }
+}
+
+fn without_c(set: &ReplicaSet) -> ReplicaSet {
+    set.with_replaced(&StoreId::new("c"), member("d")).expect("c is a member and d is not")
+}
+
+/// A record is decided by `b` and `c` alone, then `c` is lost and replaced by `d`; what do `a` and `d` find?
+fn found_after_losing_c(checks: ReconfigurerChecks, check_copied: bool) -> Option<Vec<Vec<u8>>> {
+    let mut stores = Stores::new(&["a", "b", "c", "d"]);
+    for (acceptor, _) in stores.acceptors.values_mut() {
+        let checks = AcceptorChecks { check_copied, ..AcceptorChecks::default() };
+        *acceptor = acceptor.clone().with_checks(checks);
+    }
+    let old = first_set();
+    let next = without_c(&old);
+    stores.reach(&["b", "c"]);
+    stores.own(&old, "first", &[b"kept"]).expect("taken over");
+    stores.reach(&["a", "b", "d"]);
+    assert!(stores.change(&old, &next, checks));
+    stores.reach(&["a", "d"]);
+    stores.own(&next, "second", &[])
+}
+
+#[test]
+fn a_lost_member_takes_nothing_with_it() {
+    let found = found_after_losing_c(ReconfigurerChecks::default(), true);
+    assert_eq!(found, Some(vec![b"kept".to_vec()]));
+}
+
+#[test]
+fn without_copying_the_next_set_forgets() {
+    let checks = ReconfigurerChecks { copy: false, ..ReconfigurerChecks::default() };
+    let found = found_after_losing_c(checks, false);
+    assert_eq!(found, Some(Vec::new()));
+}
+
+#[test]
+fn without_sealing_a_majority_the_old_set_decides_what_is_not_copied() {
+    let checks = ReconfigurerChecks { seal_majority: false, ..ReconfigurerChecks::default() };
+    let found = found_after_losing_c(checks, false);
+    assert_eq!(found, Some(Vec::new()));
+}
+
+/// `b` loses its disk after it and `c` alone decided a record; do `a` and the empty `b` pass for a majority?
+fn found_with_an_empty_disk(check_store: bool) -> Option<Vec<Vec<u8>>> {
+    let mut stores = Stores::new(&["a", "b", "c"]);
+    let set = first_set();
+    stores.reach(&["b", "c"]);
+    stores.own(&set, "first", &[b"kept"]).expect("taken over");
+    let checks = AcceptorChecks { check_store, ..AcceptorChecks::default() };
+    let empty = Acceptor::new(StoreId::new("b again"), ClaimWindow::default()).with_checks(checks);
+    stores.acceptors.insert(StoreId::new("b"), (empty, MemoryStorage::default()));
+    stores.reach(&["a", "b"]);
+    stores.own(&set, "second", &[])
+}
+
+#[test]
+fn an_empty_disk_is_no_member() {
+    assert_eq!(found_with_an_empty_disk(true), None);
+}
+
+#[test]
+fn without_the_store_id_an_empty_disk_helps_to_forget() {
+    assert_eq!(found_with_an_empty_disk(false), Some(Vec::new()));
+}
+
+/// `c` is replaced while `b` can't be reached; do `b` and `c` go on by themselves?
+fn old_set_decides(refuse_when_sealed: bool) -> bool {
+    let mut stores = Stores::new(&["a", "b", "c", "d"]);
+    let checks = AcceptorChecks { refuse_when_sealed, ..AcceptorChecks::default() };
+    for (acceptor, _) in stores.acceptors.values_mut() {
+        *acceptor = acceptor.clone().with_checks(checks);
+    }
+    let old = first_set();
+    let next = without_c(&old);
+    stores.own(&old, "first", &[b"kept"]).expect("taken over");
+    stores.reach(&["a", "c", "d"]);
+    assert!(stores.change(&old, &next, ReconfigurerChecks::default()));
+    assert!(stores.own(&next, "next", &[]).is_some());
+    stores.reach(&["b", "c"]);
+    stores.own(&old, "old", &[]).is_some()
+}
+
+#[test]
+fn a_sealed_set_decides_nothing() {
+    assert!(!old_set_decides(true));
+}
+
+#[test]
+fn without_refusing_when_sealed_two_sets_decide() {
+    assert!(old_set_decides(false));
+}
+
+#[test]
+fn a_change_that_stops_after_any_step_leaves_one_set_that_can_decide() {
+    let exchanges = 40;
+    for stop_after in 0..exchanges {
+        let mut stores = Stores::new(&["a", "b", "c", "d"]);
+        let old = first_set();
+        let next = without_c(&old);
+        stores.own(&old, "first", &[b"kept"]).expect("taken over");
+        let transfer = TransferId("stopped".to_owned());
+        let mut change = Reconfigurer::new(old.clone(), next.clone(), transfer, Duration::from_secs(1));
+        for _ in 0..stop_after {
+            let Some(transmit) = change.poll_transmit(Timestamp::ORIGIN) else { break };
+            if let Some(response) = stores.answer(transmit.request) {
+                change.step(response);
+            }
+        }
+        let by_old = stores.own(&old, "old", &[]);
+        let by_next = stores.own(&next, "next", &[]);
+        assert!(by_old.is_none() || by_next.is_none(), "both sets decide after {stop_after} exchanges");
+        // Whoever goes on from here loses nothing, also with `c` gone.
+        stores.reach(&["a", "b", "d"]);
+        assert!(stores.change(&old, &next, ReconfigurerChecks::default()), "after {stop_after} exchanges");
+        assert_eq!(stores.own(&old, "old again", &[]), None);
+        assert_eq!(stores.own(&next, "next again", &[]), Some(vec![b"kept".to_vec()]));
+    }
+}
+
+#[test]
+fn an_old_member_refuses_and_names_its_successor() {
+    let mut stores = Stores::new(&["a", "b", "c", "d"]);
+    let old = first_set();
+    let next = without_c(&old);
+    stores.own(&old, "first", &[b"kept"]).expect("taken over");
+    assert!(stores.change(&old, &next, ReconfigurerChecks::default()));
+    let by_c = stores.claim(&old, "c", "one", NOW_UNIX_MS);
+    assert_eq!(by_c, Outcome::Refused(Refusal::SealedFor { next: next.clone() }));
+    let by_a = stores.claim(&old, "a", "one", NOW_UNIX_MS);
+    assert_eq!(by_a, Outcome::Refused(Refusal::NewerGeneration { current: next }));
+}
+
+#[test]
+fn a_store_with_another_id_takes_no_part() {
+    let mut stores = Stores::new(&["a", "b", "c"]);
+    let set = first_set();
+    stores.own(&set, "first", &[b"kept"]).expect("taken over");
+    let empty = Acceptor::new(StoreId::new("a again"), ClaimWindow::default());
+    stores.acceptors.insert(StoreId::new("a"), (empty, MemoryStorage::default()));
+    let refused = stores.ask(&set, "a", Operation::Begin(set.clone()));
+    assert_eq!(refused, Outcome::Refused(Refusal::WrongStore { store: StoreId::new("a again") }));
+}
+
+#[test]
+fn an_id_whose_claim_was_forgotten_is_refused_though_the_clock_goes_back() {
+    let mut stores = Stores::new(&["a", "b", "c"]);
+    let set = first_set();
+    stores.ask(&set, "a", Operation::Begin(set.clone()));
+    let vote = |outcome| match outcome {
+        Outcome::Voted { vote, .. } => vote,
+        other => panic!("no vote: {other:?}"),
+    };
+    assert_eq!(vote(stores.claim(&set, "a", "one", NOW_UNIX_MS)), ClaimVote::Granted);
+    assert_eq!(vote(stores.claim(&set, "a", "one", NOW_UNIX_MS)), ClaimVote::Granted);
+    assert_eq!(vote(stores.claim(&set, "a", "other", NOW_UNIX_MS)), ClaimVote::Held);
+    let far_ahead = NOW_UNIX_MS + 60_000;
+    assert_eq!(vote(stores.claim(&set, "a", "one", far_ahead)), ClaimVote::TooFarAhead);
+
+    let later = NOW_UNIX_MS + 3_600_000;
+    let (acceptor, storage) = stores.acceptors.get_mut(&StoreId::new("a")).expect("a store");
+    let Ok(()) = acceptor.forget_expired_claims(storage, later, &set.shard);
+    // The clock is back where it was, and the claim is gone: granting now would be granting twice.
+    assert_eq!(vote(stores.claim(&set, "a", "other", NOW_UNIX_MS)), ClaimVote::Expired);
+}
