Try the replicated log and claims under seeded faults

Three owners, three gateways and two operators on five stores, with loss, doubles, kills, freezes, cuts, lost disks, leaving stores, clocks that jump and platform outages with lost replies.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -5,7 +5,7 @@
 use crate::error::LabError;
 use crate::{
     bench, demo, engine, experiment, load, machine_list, object_api, requests, rollout_simulation, scorer,
-    trainer, weight_store,
+    simulate_replication, trainer, weight_store,
 };
 
 /// What runs a command: takes the arguments after its name.
@@ -99,6 +99,11 @@
         help: "run an experiment on a virtual clock",
         entry: |arguments| Box::pin(experiment::run(arguments)),
     },
+    Command {
+        name: "simulate-replication",
+        help: "try seeded schedules of faults on logs, claims and replica sets",
+        entry: |arguments| Box::pin(simulate_replication::run(arguments)),
+    },
 ];
 
 /// The command with this name.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod requests;
 pub mod rollout_simulation;
 pub mod scorer;
+pub mod simulate_replication;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/crates/lab/src/simulate_replication/mod.rs
@@ -0,0 +1,188 @@
+//! Replicated logs and claims on a virtual clock: several owners, gateways and operators at once, kills, freezes,
+//! cuts, lost and doubled messages, lost disks, clocks that jump, and a platform that is down.
+
+mod change;
+mod check;
+mod claimant;
+mod message;
+mod operator;
+mod owner;
+mod platform;
+mod store;
+mod world;
+
+use std::time::Duration;
+
+use lichenpulley_core::replication::acceptor::AcceptorChecks;
+use lichenpulley_core::replication::claims::ClaimWindow;
+use lichenpulley_core::replication::proposer::{ProposerChecks, Transmit};
+use lichenpulley_core::replication::reconfigurer::ReconfigurerChecks;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
+use lichenpulley_simulation::{Outbox, ProcessId};
+
+pub use claimant::ClaimRun;
+pub use owner::{Observation, ObservationKind};
+
+use crate::arguments::{help_option, parse, value_or};
+use crate::error::LabError;
+use message::Message;
+use world::World;
+
+/// The platform's process.
+const PLATFORM: ProcessId = ProcessId(0);
+/// A request without an answer is sent again after this time.
+const RETRANSMIT_AFTER: Duration = Duration::from_millis(100);
+
+/// The mechanisms under proof. All on in service.
+#[derive(Clone, Copy, Debug)]
+pub struct Mechanisms {
+    /// Those of the store replicas.
+    pub acceptor: AcceptorChecks,
+    /// Those of the owners.
+    pub proposer: ProposerChecks,
+    /// Those of changes of the replica set.
+    pub reconfigurer: ReconfigurerChecks,
+    /// What a store answers is on its disk.
+    pub sync_before_reply: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self {
+            acceptor: AcceptorChecks::default(),
+            proposer: ProposerChecks::default(),
+            reconfigurer: ReconfigurerChecks::default(),
+            sync_before_reply: true,
+        }
+    }
+}
+
+impl Mechanisms {
+    /// Short enough that claims are forgotten during a run.
+    const fn window(self) -> ClaimWindow {
+        ClaimWindow { retention: Duration::from_secs(3), maximum_clock_skew: Duration::from_millis(500) }
+    }
+}
+
+/// What one run showed.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// What must hold and did not.
+    pub violations: Vec<String>,
+    /// Whether the log could be taken over once all faults had ended.
+    pub came_back: bool,
+    /// Records that were acknowledged.
+    pub acknowledged: usize,
+    /// Take-overs that succeeded.
+    pub take_overs: usize,
+    /// Claims that were granted.
+    pub granted: usize,
+    /// Claims that were not.
+    pub refused: usize,
+    /// Replica sets that were replaced.
+    pub replacements: u64,
+    /// Messages delivered.
+    pub messages: u64,
+    /// What owners saw, with the process of each, in the order of time.
+    pub observations: Vec<(usize, Observation)>,
+    /// Claims, in the order of their ends.
+    pub claims: Vec<ClaimRun>,
+}
+
+/// Runs one schedule.
+pub fn simulate(seed: u64, mechanisms: Mechanisms) -> Report {
+    let run = World::new(seed, mechanisms).run(seed);
+    let mut violations = run.violations;
+    violations.extend(check::check_log(&run.observations));
+    violations.extend(check::check_claims(&run.claims));
+    let kinds = || run.observations.iter().map(|(_, observation)| &observation.kind);
+    let acknowledged = kinds().map(|kind| match kind {
+        ObservationKind::Acknowledged { records, .. } => records.len(),
+        _ => 0,
+    });
+    let granted = run.claims.iter().filter(|claim| claim.granted).count();
+    Report {
+        violations,
+        came_back: run.came_back,
+        acknowledged: acknowledged.sum(),
+        take_overs: kinds().filter(|kind| matches!(kind, ObservationKind::Recovered(_))).count(),
+        granted,
+        refused: run.claims.len() - granted,
+        replacements: run.generations.saturating_sub(2),
+        messages: run.messages,
+        observations: run.observations,
+        claims: run.claims,
+    }
+}
+
+/// Runs many schedules and prints what they amount to.
+///
+/// # Errors
+/// When the arguments can't be read or a violation is found.
+pub async fn run(arguments: &[String]) -> Result<(), LabError> {
+    let mut options = help_option();
+    options.optopt("", "seeds", "schedules to try (default 200)", "N");
+    options.optopt("", "first-seed", "the first seed (default 0)", "SEED");
+    let Some(matches) = parse("simulate-replication", &options, arguments)? else { return Ok(()) };
+    let seeds: u64 = value_or(&matches, "seeds", "200")?;
+    let first: u64 = value_or(&matches, "first-seed", "0")?;
+    let mut totals = Totals::default();
+    for seed in first..first + seeds {
+        totals.add(seed, &simulate(seed, Mechanisms::default()));
+    }
+    totals.print(seeds);
+    if totals.violations == 0 {
+        Ok(())
+    } else {
+        Err(LabError::CheckFailed(format!("{} violations", totals.violations)))
+    }
+}
+
+#[derive(Default)]
+struct Totals {
+    violations: usize,
+    acknowledged: usize,
+    take_overs: usize,
+    granted: usize,
+    refused: usize,
+    replacements: u64,
+    messages: u64,
+}
+
+impl Totals {
+    fn add(&mut self, seed: u64, report: &Report) {
+        for violation in &report.violations {
+            println!("seed {seed}: {violation}");
+        }
+        if !report.came_back {
+            println!("seed {seed}: no owner could take the log over after all faults had ended");
+        }
+        self.violations += report.violations.len() + usize::from(!report.came_back);
+        self.acknowledged += report.acknowledged;
+        self.take_overs += report.take_overs;
+        self.granted += report.granted;
+        self.refused += report.refused;
+        self.replacements += report.replacements;
+        self.messages += report.messages;
+    }
+
+    fn print(&self, seeds: u64) {
+        println!("schedules tried: {seeds}, violations: {}", self.violations);
+        println!("records acknowledged: {}, take-overs: {}", self.acknowledged, self.take_overs);
+        println!("claims granted: {}, not granted: {}", self.granted, self.refused);
+        println!("replica sets replaced: {}, messages delivered: {}", self.replacements, self.messages);
+    }
+}
+
+/// Sends a request to a member of one of the sets.
+fn transmit(sets: &[ReplicaSet], request: Transmit, outbox: &mut Outbox<Message>) {
+    let member = sets.iter().find_map(|set| set.member(&request.to));
+    if let Some(member) = member {
+        outbox.send(process_of(member), Message::Request(request.request));
+    }
+}
+
+/// The process that runs a store: its address is its number.
+fn process_of(member: &SetMember) -> ProcessId {
+    ProcessId(member.address.parse().unwrap_or(usize::MAX))
+}
--- /dev/null
+++ b/crates/lab/src/simulate_replication/owner.rs
@@ -0,0 +1,326 @@
+//! An owner of the log: takes it over, appends, compacts, is superseded, and takes it over again.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use lichenpulley_core::identity::{Epoch, ShardId};
+use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::replication::proposer::{
+    EndReason, Proposer, ProposerChecks, ProposerConfig, ProposerEvent,
+};
+use lichenpulley_core::replication::reconfigurer::ReconfigurerChecks;
+use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_simulation::Outbox;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::change::{Change, ChangeEnd};
+use super::message::Message;
+use super::{PLATFORM, RETRANSMIT_AFTER, transmit};
+
+/// A take-over or an append that gets nowhere is given up after this time.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Time between two appends.
+const APPEND_INTERVAL: Duration = Duration::from_millis(40);
+/// Appends between two snapshots.
+const APPENDS_PER_SNAPSHOT: u64 = 12;
+/// Bytes of one record.
+const RECORD_BYTES: usize = 8;
+
+/// What an owner saw, for the check afterwards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// When.
+    pub at: Timestamp,
+    /// Which epoch.
+    pub epoch: Epoch,
+    /// What.
+    pub kind: ObservationKind,
+}
+
+/// A step in an owner's life.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ObservationKind {
+    /// It began to take the log over.
+    Began,
+    /// It took the log over and found these records.
+    Recovered(Vec<u64>),
+    /// It asked for this record to be appended.
+    Appending(u64),
+    /// This many records, with these at the end, are acknowledged.
+    Acknowledged {
+        /// How many there are in all.
+        length: usize,
+        /// The last of them.
+        records: Vec<u64>,
+    },
+}
+
+/// Mechanisms of an owner.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnerChecks {
+    pub(super) proposer: ProposerChecks,
+    pub(super) reconfigurer: ReconfigurerChecks,
+}
+
+enum Activity {
+    Waiting { until: Timestamp },
+    Proposing { proposer: Box<Proposer>, deadline: Timestamp },
+    Changing(Box<Change>),
+}
+
+/// An owner process.
+pub(super) struct Owner {
+    name: String,
+    shard: ShardId,
+    checks: OwnerChecks,
+    random: Pcg64Mcg,
+    set: ReplicaSet,
+    activity: Activity,
+    /// Records that are decided, as far as this owner knows.
+    decided: Vec<u64>,
+    /// Records that are on their way, with the position of each.
+    pending: VecDeque<(LogIndex, u64)>,
+    next_append: Timestamp,
+    appends: u64,
+    lives: u64,
+    /// Whether it begins new take-overs and appends.
+    pub(super) active: bool,
+    pub(super) observations: Vec<Observation>,
+}
+
+impl Owner {
+    pub(super) fn new(name: String, seed: u64, set: ReplicaSet, checks: OwnerChecks) -> Self {
+        Self {
+            name,
+            shard: set.shard.clone(),
+            checks,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            set,
+            activity: Activity::Waiting { until: Timestamp::ORIGIN },
+            decided: Vec::new(),
+            pending: VecDeque::new(),
+            next_append: Timestamp::ORIGIN,
+            appends: 0,
+            lives: 0,
+            active: true,
+            observations: Vec::new(),
+        }
+    }
+
+    /// The owner after a crash: it knows nothing but where it once found the shard.
+    pub(super) fn after_crash(&self) -> Self {
+        let mut random = self.random.clone();
+        let seed = random.random();
+        let mut owner = Self::new(self.name.clone(), seed, self.set.clone(), self.checks);
+        owner.lives = self.lives;
+        owner.appends = self.appends;
+        owner.active = self.active;
+        owner.observations.clone_from(&self.observations);
+        owner
+    }
+
+    /// Whether a take-over succeeded since a time.
+    pub(super) fn recovered_since(&self, since: Timestamp) -> bool {
+        let later = self.observations.iter().rev().take_while(|observation| observation.at >= since);
+        later.into_iter().any(|observation| matches!(observation.kind, ObservationKind::Recovered(_)))
+    }
+
+    /// Gives up what it does, and takes the log over anew.
+    pub(super) fn start_over(&mut self, now: Timestamp) {
+        self.active = true;
+        self.activity = Activity::Waiting { until: now };
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        match &self.activity {
+            Activity::Waiting { until } => self.active.then_some(*until),
+            Activity::Proposing { proposer, deadline } => {
+                let due = proposer.poll_timeout().map_or(*deadline, |at| at.min(*deadline));
+                Some(if self.active { due.min(self.next_append.max(Timestamp::ORIGIN)) } else { due })
+            }
+            Activity::Changing(change) => Some(change.next_wake()),
+        }
+    }
+
+    pub(super) fn receive(&mut self, now: Timestamp, message: Message, outbox: &mut Outbox<Message>) {
+        match message {
+            Message::Response(response) => match &mut self.activity {
+                Activity::Proposing { proposer, .. } => proposer.step(now, response),
+                Activity::Changing(change) => change.step(response),
+                Activity::Waiting { .. } => {}
+            },
+            Message::Document { document, .. }
+                if document.current.shard == self.shard
+                    && document.current.generation > self.set.generation =>
+            {
+                self.set = document.current;
+            }
+            _ => {}
+        }
+        self.advance(now, outbox);
+    }
+
+    pub(super) fn advance(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        self.begin_if_due(now, outbox);
+        self.append_if_due(now);
+        self.take_events(now);
+        self.advance_change(now, outbox);
+        self.give_up_if_late(now);
+        if let Activity::Proposing { proposer, .. } = &mut self.activity {
+            while let Some(request) = proposer.poll_transmit(now) {
+                transmit(std::slice::from_ref(&self.set), request, outbox);
+            }
+        }
+    }
+
+    fn begin_if_due(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        let Activity::Waiting { until } = self.activity else { return };
+        if now < until || !self.active {
+            return;
+        }
+        outbox.send(PLATFORM, Message::Read(self.shard.clone()));
+        self.lives += 1;
+        let id = ProposerId::new(format!("{}/{}", self.name, self.lives));
+        let config = ProposerConfig {
+            retransmit_after: RETRANSMIT_AFTER,
+            maximum_batch_bytes: 300,
+            window_bytes: 2_000,
+            ..ProposerConfig::default()
+        };
+        let proposer = Proposer::new(self.set.clone(), id, Epoch(1), config);
+        let proposer = Box::new(proposer.with_checks(self.checks.proposer));
+        self.observe(now, proposer.epoch(), ObservationKind::Began);
+        self.pending.clear();
+        self.activity = Activity::Proposing { proposer, deadline: now + PATIENCE };
+        self.next_append = now + PATIENCE;
+    }
+
+    fn advance_change(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        let Activity::Changing(change) = &mut self.activity else { return };
+        match change.advance(now, false, outbox) {
+            Some(ChangeEnd::InForce(set)) => {
+                self.set = set;
+                self.wait(now);
+            }
+            Some(ChangeEnd::GivenUp) => self.wait(now),
+            None => {}
+        }
+    }
+
+    fn append_if_due(&mut self, now: Timestamp) {
+        let Activity::Proposing { proposer, deadline } = &mut self.activity else { return };
+        if now < self.next_append || !self.active {
+            return;
+        }
+        self.next_append = now + APPEND_INTERVAL;
+        if !self.pending.is_empty() {
+            return;
+        }
+        self.appends += 1;
+        if self.appends.is_multiple_of(APPENDS_PER_SNAPSHOT) {
+            // A refusal says that it does not lead yet.
+            let _ = proposer.compact(&encode(&self.decided));
+            return;
+        }
+        let count = self.random.random_range(1..=3_u64);
+        let record = |number| (self.lives << 40) + (self.appends << 8) + number + name_bits(&self.name);
+        let records: Vec<u64> = (0..count).map(record).collect();
+        let Ok(last) = proposer.append(records.iter().map(|record| encode(&[*record])).collect()) else {
+            return;
+        };
+        *deadline = now + PATIENCE;
+        let epoch = proposer.epoch();
+        let first = last.0 + 1 - count;
+        for (index, record) in (first..).map(LogIndex).zip(records) {
+            self.pending.push_back((index, record));
+            self.observe(now, epoch, ObservationKind::Appending(record));
+        }
+    }
+
+    fn take_events(&mut self, now: Timestamp) {
+        while let Activity::Proposing { proposer, deadline } = &mut self.activity {
+            let epoch = proposer.epoch();
+            match proposer.poll_event() {
+                Some(ProposerEvent::Recovered(recovered)) => {
+                    self.decided = decode_log(&recovered);
+                    self.next_append = now;
+                    *deadline = now + PATIENCE * 1_000;
+                    self.observe(now, epoch, ObservationKind::Recovered(self.decided.clone()));
+                }
+                Some(ProposerEvent::Decided(through)) => self.acknowledge(now, epoch, through),
+                Some(ProposerEvent::Ended(reason)) => self.ended(now, reason),
+                None => return,
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, now: Timestamp, epoch: Epoch, through: LogIndex) {
+        let mut records = Vec::new();
+        while self.pending.front().is_some_and(|(index, _)| *index <= through) {
+            records.extend(self.pending.pop_front().map(|(_, record)| record));
+        }
+        if records.is_empty() {
+            return;
+        }
+        self.decided.extend_from_slice(&records);
+        if self.pending.is_empty()
+            && let Activity::Proposing { deadline, .. } = &mut self.activity
+        {
+            *deadline = now + PATIENCE * 1_000;
+        }
+        let length = self.decided.len();
+        self.observe(now, epoch, ObservationKind::Acknowledged { length, records });
+    }
+
+    fn ended(&mut self, now: Timestamp, reason: EndReason) {
+        let EndReason::Replaced { next } = reason else { return self.wait(now) };
+        if next.generation > self.set.generation.next() {
+            self.set = next;
+            return self.wait(now);
+        }
+        let transfer = format!("{}/{}", self.name, self.lives);
+        let change = Change::new(&self.set, &next, transfer, self.checks.reconfigurer, now);
+        self.activity = Activity::Changing(Box::new(change));
+    }
+
+    fn give_up_if_late(&mut self, now: Timestamp) {
+        if let Activity::Proposing { deadline, .. } = &self.activity
+            && now >= *deadline
+        {
+            self.wait(now);
+        }
+    }
+
+    fn wait(&mut self, now: Timestamp) {
+        let pause = self.random.random_range(Duration::from_millis(20)..Duration::from_millis(600));
+        self.activity = Activity::Waiting { until: now + pause };
+    }
+
+    fn observe(&mut self, at: Timestamp, epoch: Epoch, kind: ObservationKind) {
+        self.observations.push(Observation { at, epoch, kind });
+    }
+}
+
+/// Tells the records of owners apart.
+fn name_bits(name: &str) -> u64 {
+    name.bytes().last().map_or(0, |byte| u64::from(byte) << 56)
+}
+
+fn encode(records: &[u64]) -> Vec<u8> {
+    records.iter().flat_map(|record| record.to_le_bytes()).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<u64> {
+    let (records, _) = bytes.as_chunks::<RECORD_BYTES>();
+    records.iter().map(|record| u64::from_le_bytes(*record)).collect()
+}
+
+fn decode_log(recovered: &RecoveredLog) -> Vec<u64> {
+    let snapshot = recovered.snapshot.as_deref().map(decode).unwrap_or_default();
+    let records = recovered.records.iter().flat_map(|record| decode(record));
+    snapshot.into_iter().chain(records).collect()
+}
--- /dev/null
+++ b/crates/lab/src/simulate_replication/world.rs
@@ -0,0 +1,366 @@
+//! The processes of a run and its schedule of faults.
+
+use std::time::Duration;
+
+use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
+use lichenpulley_core::replication::group::GroupPhase;
+use lichenpulley_core::replication::placement::first_set;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_simulation::{
+    Fault, FaultPlan, FaultRates, LinkQuality, Outbox, Process, ProcessId, Simulation,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::claimant::{ClaimRun, Claimant};
+use super::message::Message;
+use super::operator::Operator;
+use super::owner::{Observation, Owner, OwnerChecks};
+use super::platform::Platform;
+use super::store::{Store, StoreConfig};
+use super::{Mechanisms, PLATFORM};
+
+const STORES: usize = 5;
+const OPERATORS: usize = 2;
+const OWNERS: usize = 3;
+const CLAIMANTS: usize = 3;
+const FIRST_STORE: usize = 1;
+const FIRST_OPERATOR: usize = FIRST_STORE + STORES;
+const FIRST_OWNER: usize = FIRST_OPERATOR + OPERATORS;
+const FIRST_CLAIMANT: usize = FIRST_OWNER + OWNERS;
+const ZONES: [&str; 3] = ["sando-hall", "couva-room", "pointe-rack"];
+
+/// How long faults fall.
+const FAULTY_TIME: Duration = Duration::from_secs(12);
+/// How long the system has to come back afterwards.
+const CALM_TIME: Duration = Duration::from_secs(20);
+/// Time between two draws of faults that the plan does not know.
+const DRAW_INTERVAL: Duration = Duration::from_millis(100);
+/// Most that a store's clock is off, in milliseconds.
+const CLOCK_OFFSET_MS: i64 = 3_000;
+
+/// A process of the run.
+pub(super) enum Member {
+    Platform(Platform),
+    Store(Box<Store>),
+    Operator(Box<Operator>),
+    Owner(Box<Owner>),
+    Claimant(Box<Claimant>),
+}
+
+impl Process for Member {
+    type Message = Message;
+
+    fn start(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        if let Self::Owner(owner) = self {
+            owner.advance(now, outbox);
+        }
+    }
+
+    fn receive(&mut self, now: Timestamp, from: ProcessId, message: Message, outbox: &mut Outbox<Message>) {
+        match self {
+            Self::Platform(platform) => platform.receive(from, message, outbox),
+            Self::Store(store) => store.receive(now, from, message, outbox),
+            Self::Operator(operator) => operator.receive(now, message, outbox),
+            Self::Owner(owner) => owner.receive(now, message, outbox),
+            Self::Claimant(claimant) => claimant.receive(now, message, outbox),
+        }
+    }
+
+    fn wake(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
+        match self {
+            Self::Platform(_) => {}
+            Self::Store(store) => store.wake(now, outbox),
+            Self::Operator(operator) => operator.advance(now, outbox),
+            Self::Owner(owner) => owner.advance(now, outbox),
+            Self::Claimant(claimant) => claimant.advance(now, outbox),
+        }
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        match self {
+            Self::Platform(_) => None,
+            Self::Store(store) => Some(store.next_wake()),
+            Self::Operator(operator) => Some(operator.next_wake()),
+            Self::Owner(owner) => owner.next_wake(),
+            Self::Claimant(claimant) => Some(claimant.next_wake()),
+        }
+    }
+}
+
+/// What a run left behind.
+pub(super) struct Run {
+    pub(super) observations: Vec<(usize, Observation)>,
+    pub(super) claims: Vec<ClaimRun>,
+    pub(super) violations: Vec<String>,
+    pub(super) came_back: bool,
+    pub(super) generations: u64,
+    pub(super) messages: u64,
+}
+
+/// One run under one seed.
+pub(super) struct World {
+    simulation: Simulation<Member>,
+    random: Pcg64Mcg,
+    mechanisms: Mechanisms,
+    log_shard: ShardId,
+    claim_shard: ShardId,
+    disks: u64,
+    /// A store whose machine is to be taken away: operators replace it while it still answers.
+    leaving: Option<usize>,
+}
+
+impl World {
+    pub(super) fn new(seed: u64, mechanisms: Mechanisms) -> Self {
+        let (log_shard, claim_shard) = (ShardId::new("job/pricing"), ShardId::new("claims/0"));
+        let stores: Vec<SetMember> = (0..STORES).map(|number| member(number, 0)).collect();
+        let sets: Vec<ReplicaSet> =
+            [&log_shard, &claim_shard].into_iter().filter_map(|shard| first_set(shard, &stores)).collect();
+        let mut simulation = Simulation::new(seed, LinkQuality::POOR);
+        simulation.add(Member::Platform(Platform::new(&sets)));
+        let config = mechanisms.store_config();
+        for store in &stores {
+            let store = Store::new(store.store.clone(), config.clone(), Timestamp::ORIGIN);
+            simulation.add(Member::Store(Box::new(store)));
+        }
+        for number in 0..OPERATORS {
+            let shards = vec![log_shard.clone(), claim_shard.clone()];
+            let name = format!("operator-{number}");
+            let operator_seed = seed.wrapping_mul(31).wrapping_add(number as u64);
+            let operator =
+                Operator::new(name, operator_seed, shards, stores.clone(), mechanisms.reconfigurer);
+            simulation.add(Member::Operator(Box::new(operator)));
+        }
+        let checks = OwnerChecks { proposer: mechanisms.proposer, reconfigurer: mechanisms.reconfigurer };
+        for number in 0..OWNERS {
+            let owner_seed = seed.wrapping_mul(37).wrapping_add(number as u64);
+            let owner = Owner::new(format!("owner-{number}"), owner_seed, sets[0].clone(), checks);
+            simulation.add(Member::Owner(Box::new(owner)));
+        }
+        for number in 0..CLAIMANTS {
+            let name = format!("gateway-{number}");
+            let claimant_seed = seed.wrapping_mul(41).wrapping_add(number as u64);
+            let claimant = Claimant::new(name, claimant_seed, sets[1].clone(), mechanisms.reconfigurer);
+            simulation.add(Member::Claimant(Box::new(claimant)));
+        }
+        let random = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
+        Self { simulation, random, mechanisms, log_shard, claim_shard, disks: 0, leaving: None }
+    }
+
+    /// Runs the schedule to its end.
+    pub(super) fn run(mut self, seed: u64) -> Run {
+        self.run_faults(seed);
+        self.run_calm();
+        self.finish()
+    }
+
+    fn run_faults(&mut self, seed: u64) {
+        let targets: Vec<ProcessId> = self.simulation.ids().filter(|id| *id != PLATFORM).collect();
+        let rates = FaultRates {
+            mean_interval: Duration::from_millis(120),
+            longest_outage: Duration::from_millis(1_500),
+        };
+        let plan = FaultPlan::draw(seed.wrapping_add(1), &targets, FAULTY_TIME, rates);
+        let mut faults = plan.faults().iter().peekable();
+        let mut at = Timestamp::ORIGIN;
+        while at < Timestamp::ORIGIN + FAULTY_TIME {
+            at = at + DRAW_INTERVAL;
+            while let Some((due, fault)) = faults.next_if(|(due, _)| *due <= at) {
+                self.simulation.run_until(*due);
+                self.apply(fault);
+            }
+            self.simulation.run_until(at);
+            self.draw_other_faults();
+        }
+    }
+
+    /// Heals everything, and lets one owner take the log over last.
+    fn run_calm(&mut self) {
+        self.simulation.heal();
+        self.simulation.set_link(LinkQuality::GOOD);
+        for id in self.simulation.ids().collect::<Vec<_>>() {
+            self.apply(&Fault::Restart(id));
+        }
+        self.set_platform(false, false);
+        self.tell_operators();
+        self.simulation.run_for(CALM_TIME / 2);
+        for owner in FIRST_OWNER..FIRST_CLAIMANT {
+            let last = owner == FIRST_OWNER;
+            self.simulation.interact(ProcessId(owner), |process, now, _| {
+                if let Member::Owner(owner) = process {
+                    owner.active = false;
+                    if last {
+                        owner.start_over(now);
+                    }
+                }
+            });
+        }
+        self.simulation.run_for(CALM_TIME / 2);
+    }
+
+    fn finish(self) -> Run {
+        let mut violations = Vec::new();
+        let mut observations = Vec::new();
+        let mut claims = Vec::new();
+        for id in self.simulation.ids() {
+            match self.simulation.process(id) {
+                Member::Store(store) => violations.extend(store.violations.iter().cloned()),
+                Member::Owner(owner) => {
+                    let seen = owner.observations.iter().cloned();
+                    observations.extend(seen.map(|observation| (id.0, observation)));
+                }
+                Member::Claimant(claimant) => claims.extend(claimant.runs.iter().cloned()),
+                Member::Platform(_) | Member::Operator(_) => {}
+            }
+        }
+        observations.sort_by_key(|(_, observation)| observation.at);
+        claims.sort_by_key(|run| run.ended);
+        let came_back = self.came_back();
+        let messages = self.simulation.delivered();
+        Run { observations, claims, violations, came_back, generations: self.generations(), messages }
+    }
+
+    /// Whether the last take-over succeeded after the calm began.
+    fn came_back(&self) -> bool {
+        let calm_since = Timestamp::ORIGIN + FAULTY_TIME + CALM_TIME / 2;
+        match self.simulation.process(ProcessId(FIRST_OWNER)) {
+            Member::Owner(owner) => owner.recovered_since(calm_since),
+            _ => false,
+        }
+    }
+
+    fn generations(&self) -> u64 {
+        let Member::Platform(platform) = self.simulation.process(PLATFORM) else { return 0 };
+        let shards = [&self.log_shard, &self.claim_shard].into_iter();
+        shards
+            .filter_map(|shard| platform.document(shard))
+            .map(|document| document.current.generation.0)
+            .sum()
+    }
+
+    fn apply(&mut self, fault: &Fault) {
+        let now = self.simulation.now();
+        self.simulation.apply(fault, |dead| match dead {
+            Member::Store(store) => Member::Store(Box::new(store.after_crash(now))),
+            Member::Operator(operator) => Member::Operator(Box::new(operator.after_crash())),
+            Member::Owner(owner) => Member::Owner(Box::new(owner.after_crash())),
+            Member::Claimant(claimant) => Member::Claimant(Box::new(claimant.after_crash())),
+            Member::Platform(_) => Member::Platform(Platform::new(&[])),
+        });
+    }
+
+    /// Platform outages, lost replies, clocks that jump, and disks that are lost.
+    fn draw_other_faults(&mut self) {
+        self.tell_operators();
+        match self.random.random_range(0..30) {
+            0 => self.set_platform(true, false),
+            1 => self.set_platform(false, true),
+            2..=7 => self.set_platform(false, false),
+            8 => self.move_a_clock(),
+            9..=12 => self.take_a_store(),
+            _ => {}
+        }
+    }
+
+    fn set_platform(&mut self, down: bool, lose_replies: bool) {
+        self.simulation.interact(PLATFORM, |process, _, _| {
+            if let Member::Platform(platform) = process {
+                platform.set_faults(down, lose_replies);
+            }
+        });
+    }
+
+    fn move_a_clock(&mut self) {
+        let number = self.random.random_range(0..STORES);
+        let offset = self.random.random_range(-CLOCK_OFFSET_MS..=CLOCK_OFFSET_MS);
+        self.simulation.interact(ProcessId(FIRST_STORE + number), |process, _, _| {
+            if let Member::Store(store) = process {
+                store.set_clock_offset(offset);
+            }
+        });
+    }
+
+    /// Takes a store away, where no other change is under way: with its machine still up, or with its disk lost and
+    /// replaced by an empty one.
+    fn take_a_store(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        let number = self.random.random_range(0..STORES);
+        if self.random.random_bool(0.5) {
+            self.leaving = Some(number);
+            return;
+        }
+        let id = ProcessId(FIRST_STORE + number);
+        self.disks += 1;
+        let store = member(number, self.disks).store;
+        let config = self.mechanisms.store_config();
+        let now = self.simulation.now();
+        self.simulation.kill(id);
+        self.simulation.restart(id, |_| Member::Store(Box::new(Store::new(store, config, now))));
+    }
+
+    /// Tells operators which stores there are; those that are down or frozen learn it later.
+    fn tell_operators(&mut self) {
+        let stores = self.stores();
+        for operator in FIRST_OPERATOR..FIRST_OWNER {
+            let stores = stores.clone();
+            self.simulation.interact(ProcessId(operator), |process, _, _| {
+                if let Member::Operator(operator) = process {
+                    operator.set_stores(stores);
+                }
+            });
+        }
+    }
+
+    /// Whether every member of every current set takes part in it.
+    fn is_settled(&self) -> bool {
+        let Member::Platform(platform) = self.simulation.process(PLATFORM) else { return false };
+        [&self.log_shard, &self.claim_shard].into_iter().all(|shard| {
+            let settled = platform.document(shard).filter(|document| document.pending.is_none());
+            settled.is_some_and(|document| {
+                document.current.members.iter().all(|member| self.takes_part(&document.current, member))
+            })
+        })
+    }
+
+    fn takes_part(&self, set: &ReplicaSet, member: &SetMember) -> bool {
+        let Member::Store(store) = self.simulation.process(super::process_of(member)) else { return false };
+        let group = store.group(&set.shard);
+        // A member of the first generation that was never asked has nothing to lose.
+        let fresh = set.generation.0 == 1 && group.is_none();
+        let active = group.is_some_and(|group| &group.set == set && group.phase == GroupPhase::Active);
+        store.id() == &member.store && (fresh || active)
+    }
+
+    fn stores(&self) -> Vec<SetMember> {
+        let numbers = (0..STORES).filter(|number| Some(*number) != self.leaving);
+        let stores =
+            numbers.filter_map(|number| match self.simulation.process(ProcessId(FIRST_STORE + number)) {
+                Member::Store(store) => Some(SetMember { store: store.id().clone(), ..member(number, 0) }),
+                _ => None,
+            });
+        stores.collect()
+    }
+}
+
+/// Store `number` with its disk of the given life.
+fn member(number: usize, life: u64) -> SetMember {
+    SetMember {
+        store: StoreId::new(format!("disk-{number}-{life}")),
+        node: NodeId::new(format!("store-{number}")),
+        zone: ZoneName::new(ZONES[number % ZONES.len()]),
+        address: (FIRST_STORE + number).to_string(),
+    }
+}
+
+impl Mechanisms {
+    fn store_config(self) -> StoreConfig {
+        StoreConfig {
+            window: self.window(),
+            checks: self.acceptor,
+            sync_before_reply: self.sync_before_reply,
+        }
+    }
+}
