Keep only settings that have an effect, and hold jobs to the tree

Cause: five keys of the schema were read by nothing, so a change of them was accepted and did nothing. Ruled out: keeping them for later; a key comes with what reads it. Before and after: a job above the tree's staleness bound, or for a pool with rollouts switched off, was taken; it is now refused with its path and the remedy (test a_job_beyond_what_the_tree_allows_is_refused). Conclusion: six settings, each with an effect. The simulation's operators change other keys accordingly.

--- a/crates/core/src/configuration/schema.rs
+++ b/crates/core/src/configuration/schema.rs
@@ -45,46 +45,17 @@
     Boolean(&'static BooleanSetting),
 }
 
-/// Oldest weights in a sample, counted back from the version that its trainer is about to train (brief point 2).
+/// The highest staleness bound that a job may be submitted with: the oldest weights in a sample, counted back from
+/// the version that its trainer is about to train (brief point 2).
 pub static STALENESS_BOUND: IntegerSetting = IntegerSetting {
     key: "staleness_bound",
-    description: "a sample with older weights than this is not handed over",
+    description: "a job with a higher staleness bound than this is refused",
     unit: "weight versions",
-    default: 4,
+    default: 1_000,
     bounds: 0..=1_000,
     levels: Level::Organisation..=Level::Job,
 };
 
-/// How long samples that hold up a step are weighed.
-pub static IDLE_WEIGHT_PERCENT: IntegerSetting = IntegerSetting {
-    key: "idle_weight_percent",
-    description: "0 weighs staleness only, 100 trainer idle time only",
-    unit: "percent",
-    default: 50,
-    bounds: 0..=100,
-    levels: Level::Organisation..=Level::Job,
-};
-
-/// Samples that a job may have running at once.
-pub static MAXIMUM_ATTEMPTS_IN_FLIGHT: IntegerSetting = IntegerSetting {
-    key: "maximum_attempts_in_flight",
-    description: "samples that a job may have running at once",
-    unit: "attempts",
-    default: 256,
-    bounds: 1..=100_000,
-    levels: Level::Organisation..=Level::Job,
-};
-
-/// Tokens of an answer where the request names none.
-pub static MAXIMUM_TOKENS: IntegerSetting = IntegerSetting {
-    key: "maximum_tokens",
-    description: "an answer is cut at this length",
-    unit: "tokens",
-    default: 4_096,
-    bounds: 1..=1_000_000,
-    levels: Level::Organisation..=Level::Policy,
-};
-
 /// Retries in proportion to first attempts.
 pub static RETRY_BUDGET_PERCENT: IntegerSetting = IntegerSetting {
     key: "retry_budget_percent",
@@ -115,26 +86,6 @@
     levels: Level::Organisation..=Level::Pool,
 };
 
-/// Requests that wait in a gateway for a replica.
-pub static MAXIMUM_QUEUED: IntegerSetting = IntegerSetting {
-    key: "maximum_queued",
-    description: "requests that may wait for a replica in one gateway; more are refused",
-    unit: "requests",
-    default: 256,
-    bounds: 0..=100_000,
-    levels: Level::Organisation..=Level::Pool,
-};
-
-/// Replicas that load new weights at once.
-pub static WEIGHT_WAVE_REPLICAS: IntegerSetting = IntegerSetting {
-    key: "weight_wave_replicas",
-    description: "replicas of a pool that load new weights at once",
-    unit: "replicas",
-    default: 8,
-    bounds: 1..=10_000,
-    levels: Level::Organisation..=Level::Pool,
-};
-
 /// Puts a pool under its site, or a job under its pool, where nothing else is set there.
 pub static ATTACHED: BooleanSetting = BooleanSetting {
     key: "attached",
@@ -146,22 +97,17 @@
 /// Whether a pool takes rollouts.
 pub static ROLLOUTS_ENABLED: BooleanSetting = BooleanSetting {
     key: "rollouts_enabled",
-    description: "whether rollout jobs may use the pool",
+    description: "whether new rollout jobs may use the pool",
     default: true,
     levels: Level::Organisation..=Level::Pool,
 };
 
 /// Every setting, by kind.
-pub const ALL: [Setting; 11] = [
+pub const ALL: [Setting; 6] = [
     Setting::Integer(&STALENESS_BOUND),
-    Setting::Integer(&IDLE_WEIGHT_PERCENT),
-    Setting::Integer(&MAXIMUM_ATTEMPTS_IN_FLIGHT),
-    Setting::Integer(&MAXIMUM_TOKENS),
     Setting::Integer(&RETRY_BUDGET_PERCENT),
     Setting::Integer(&LIVE_RESERVED_PERCENT),
     Setting::Integer(&REQUEST_DEADLINE_MS),
-    Setting::Integer(&MAXIMUM_QUEUED),
-    Setting::Integer(&WEIGHT_WAVE_REPLICAS),
     Setting::Boolean(&ATTACHED),
     Setting::Boolean(&ROLLOUTS_ENABLED),
 ];
--- a/crates/daemon/src/coordinator/http.rs
+++ b/crates/daemon/src/coordinator/http.rs
@@ -2,6 +2,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::configuration::schema::{ROLLOUTS_ENABLED, STALENESS_BOUND};
 use lichenpulley_core::identity::{JobId, PoolName};
 use lichenpulley_protocol::caller::{JobSpecification, PublishWeights, PullRequest};
 use lichenpulley_protocol::error::ErrorBody;
@@ -77,6 +78,26 @@
         let message = "this node knows no scorer, so no sample could be finished";
         return Some(ErrorBody::new("no_scorer", message, "set `platform.scorer` on every coordinator"));
     }
+    refuse_by_configuration(context, specification)
+}
+
+/// What the operators' settings tree does not allow.
+fn refuse_by_configuration(context: &Context, specification: &JobSpecification) -> Option<ErrorBody> {
+    let JobSpecification { job, pool, staleness_bound, .. } = specification;
+    let configuration = context.configuration.load();
+    let path = configuration.tree.job_path(pool, job);
+    let highest = configuration.integer(&path, &STALENESS_BOUND);
+    if *staleness_bound > highest {
+        let message =
+            format!("the staleness bound is {staleness_bound}, and {path} allows {highest} at most");
+        let remedy = "lower it, or have an operator raise `staleness_bound` there";
+        return Some(ErrorBody::new("staleness_bound_too_high", message, remedy));
+    }
+    if !configuration.boolean(&configuration.tree.pool_path(pool), &ROLLOUTS_ENABLED) {
+        let message = format!("rollouts are switched off for pool {pool}");
+        let remedy = "choose another pool, or have an operator set `rollouts_enabled`";
+        return Some(ErrorBody::new("rollouts_disabled", message, remedy));
+    }
     None
 }
 
--- a/crates/lab/src/configuration_simulation/operator.rs
+++ b/crates/lab/src/configuration_simulation/operator.rs
@@ -22,7 +22,7 @@
 /// Settings that operators change.
 const SETTINGS: [(&str, &str); 5] = [
     ("/", "staleness_bound"),
-    ("/", "idle_weight_percent"),
+    ("/", "live_reserved_percent"),
     ("/ramsaran", "staleness_bound"),
     ("/ramsaran/bench-assistant", "retry_budget_percent"),
     ("/pasar-tani/pricing-helper", "live_reserved_percent"),
--- a/crates/lab/tests/configuration_node.rs
+++ b/crates/lab/tests/configuration_node.rs
@@ -39,6 +39,8 @@
         let mut settings = Settings::on_loopback(name, "sando-hall");
         settings.platform.object_api = Some(self.object_api.address);
         settings.platform.machine_list = Some(self.machine_list.address);
+        // Never called here: submissions are refused before anything is generated.
+        settings.platform.scorer = Some(self.object_api.address);
         let node = Node::start(settings).await.expect("starts");
         until(|| node.context().configuration.load().known).await;
         node
@@ -193,3 +195,23 @@
     until(|| reader.context().configuration.load().revision == Revision(1)).await;
     assert_eq!(reader.context().configuration.load().integer(&LevelPath::root(), &STALENESS_BOUND), 2);
 }
+
+#[tokio::test]
+async fn a_job_beyond_what_the_tree_allows_is_refused() {
+    let system = System::start().await;
+    let node = system.node("a").await;
+    let submit = async |staleness_bound: u64| {
+        let job = json!({
+            "job": "repair-steps", "pool": "bench-assistant", "prompts": ["p"], "samples_per_prompt": 1, "steps": 1,
+            "max_tokens": 8, "staleness_bound": staleness_bound,
+        });
+        let submitted =
+            system.http.post_json::<_, Value>(node.addresses().callers, "/v1/jobs", &job, PATIENCE);
+        submitted.await.expect_err("is refused").body::<ErrorBody>().expect("a typed error").kind
+    };
+    system.put(&node, &change(0, "c1", "/", "staleness_bound", json!(1))).await.expect("accepted");
+    assert_eq!(submit(2).await, "staleness_bound_too_high");
+    let off = change(1, "c2", "/ramsaran/bench-assistant", "rollouts_enabled", json!(false));
+    system.put(&node, &off).await.expect("accepted");
+    assert_eq!(submit(1).await, "rollouts_disabled");
+}
