Use a subset of a large pool, follow the settings tree, shed rollouts first

Cause: 410 nodes that each use 870 replicas mean 357,000 connections and more questions than control may spend; retry_budget_percent, live_reserved_percent and request_deadline_ms had no effect; rollouts that waited behind live requests lowered the limit of live requests too. Chosen: 32 replicas by rendezvous hash of the node's own name. Rollouts have a limit of their own, which falls first. A load report counts from its arrival as a hint, from its question for eligibility.

--- a/crates/core/src/request/execution.rs
+++ b/crates/core/src/request/execution.rs
@@ -508,7 +508,8 @@
         if let Some(current) = &mut self.current {
             current.has_started = true;
         }
-        pool.started(&current.replica, now.saturating_since(current.dispatched_at), now);
+        let took = now.saturating_since(current.dispatched_at);
+        pool.started(&current.replica, self.spec.priority, took, now);
     }
 
     /// The stream stopped, and its engine may still have it: resume there, unless that has been tried enough.
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -112,6 +112,12 @@
         Self { config, balance, refilled_at: now }
     }
 
+    /// Changes what is paid in from now on; what is saved stays, up to the new most.
+    pub fn reconfigure(&mut self, config: BudgetConfig) {
+        self.config = config;
+        self.balance = self.balance.min(config.most_saved);
+    }
+
     /// Pays in for one request, not for its retries.
     pub fn deposit(&mut self, now: Timestamp) {
         self.refill(now);
--- a/crates/core/src/routing/concurrency.rs
+++ b/crates/core/src/routing/concurrency.rs
@@ -6,6 +6,9 @@
 use crate::request::answer::Priority;
 use crate::time::Timestamp;
 
+/// The largest share of a limit that live requests may keep to themselves: rollouts must not starve.
+pub const MOST_RESERVED_PERCENT: u8 = 90;
+
 /// Bounds and pace of a concurrency limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ConcurrencyConfig {
@@ -69,7 +72,7 @@
         if minimum == 0 || initial < minimum || maximum < initial {
             return Err(ConcurrencyConfigError::Bounds { minimum, initial, maximum });
         }
-        if self.live_reserve_percent > 90 {
+        if self.live_reserve_percent > MOST_RESERVED_PERCENT {
             return Err(ConcurrencyConfigError::LiveReserve(self.live_reserve_percent));
         }
         if self.congestion_ratio.is_nan() || self.congestion_ratio <= 1.0 {
@@ -84,19 +87,41 @@
 /// At most one decrease in this time: one congestion shows in many requests.
 const DECREASE_PAUSE: Duration = Duration::from_millis(500);
 
-/// The limit for one replica.
+/// The limit for one replica: one for all requests, and a lower one for rollouts.
+///
+/// Rollouts are shed first. Congestion lowers their limit, whoever meets it; the limit for all falls only when live
+/// requests meet congestion while rollouts are at the minimum already. Rollouts that wait long behind live requests
+/// are as the engine's priorities mean it, and say nothing about live requests.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimit {
     config: ConcurrencyConfig,
     limit: f64,
+    rollout_limit: f64,
     best_start: Option<Duration>,
+    best_rollout_start: Option<Duration>,
     decreased_at: Option<Timestamp>,
 }
 
 impl ConcurrencyLimit {
     /// A limit about which nothing is known.
     pub fn new(config: ConcurrencyConfig) -> Self {
-        Self { limit: f64::from(config.initial), config, best_start: None, decreased_at: None }
+        let limit = f64::from(config.initial);
+        Self {
+            config,
+            limit,
+            rollout_limit: limit,
+            best_start: None,
+            best_rollout_start: None,
+            decreased_at: None,
+        }
+    }
+
+    /// Changes the bounds; the limits stay where they are within them.
+    pub fn reconfigure(&mut self, config: ConcurrencyConfig) {
+        self.config = config;
+        let (minimum, maximum) = (f64::from(config.minimum), f64::from(config.maximum));
+        self.limit = self.limit.clamp(minimum, maximum);
+        self.rollout_limit = self.rollout_limit.clamp(minimum, maximum);
     }
 
     /// Requests allowed at once.
@@ -113,37 +138,69 @@
             Priority::Live => limit,
             Priority::Rollout => {
                 let reserved = (limit * u32::from(self.config.live_reserve_percent)).div_ceil(100);
-                limit - reserved.min(limit - 1)
+                let unreserved = limit - reserved.min(limit - 1);
+                unreserved.min(self.rollout_limit as u32)
             }
         }
     }
 
     /// Notes how long a request took to its first token while `in_flight` ran.
-    pub fn started(&mut self, took: Duration, in_flight: u32, now: Timestamp) {
-        let best = self.best_start.map_or(took, |best| best.min(took));
-        self.best_start = Some(best);
+    pub fn started(&mut self, priority: Priority, took: Duration, in_flight: u32, now: Timestamp) {
+        let best = match priority {
+            Priority::Live => &mut self.best_start,
+            Priority::Rollout => &mut self.best_rollout_start,
+        };
+        let best = *best.insert(best.map_or(took, |best| best.min(took)));
         let tolerated = best.mul_f64(self.config.congestion_ratio).max(self.config.tolerated_start);
         if took > tolerated {
-            self.decrease(now);
-        } else if in_flight * 2 >= self.limit() {
-            self.increase();
+            self.congested(priority, now);
+        } else if in_flight * 2 >= self.limit_for(priority) {
+            self.increase(priority);
         }
     }
 
     /// Notes that the replica refused for load, or failed.
     pub fn refused(&mut self, now: Timestamp) {
-        self.decrease(now);
+        if self.may_decrease(now) {
+            self.limit = self.decreased(self.limit);
+            self.rollout_limit = self.decreased(self.rollout_limit);
+        }
+    }
+
+    fn congested(&mut self, priority: Priority, now: Timestamp) {
+        if !self.may_decrease(now) {
+            return;
+        }
+        let rollouts_are_shed = self.rollout_limit <= f64::from(self.config.minimum);
+        self.rollout_limit = self.decreased(self.rollout_limit);
+        if priority == Priority::Live && rollouts_are_shed {
+            self.limit = self.decreased(self.limit);
+        }
     }
 
-    fn increase(&mut self) {
-        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.config.maximum));
+    fn increase(&mut self, priority: Priority) {
+        let maximum = f64::from(self.config.maximum);
+        match priority {
+            Priority::Live => self.limit = (self.limit + 1.0 / self.limit).min(maximum),
+            Priority::Rollout => {
+                self.rollout_limit = (self.rollout_limit + 1.0 / self.rollout_limit).min(maximum);
+                // Rollouts alone can show that the replica bears more.
+                if self.limit_for(Priority::Rollout) < self.rollout_limit as u32 {
+                    self.limit = (self.limit + 1.0 / self.limit).min(maximum);
+                }
+            }
+        }
+    }
+
+    fn decreased(&self, limit: f64) -> f64 {
+        (limit * DECREASE).max(f64::from(self.config.minimum))
     }
 
-    fn decrease(&mut self, now: Timestamp) {
+    fn may_decrease(&mut self, now: Timestamp) -> bool {
         if self.decreased_at.is_some_and(|at| now < at + DECREASE_PAUSE) {
-            return;
+            return false;
         }
         self.decreased_at = Some(now);
-        self.limit = (self.limit * DECREASE).max(f64::from(self.config.minimum));
+        true
     }
 }
--- a/crates/core/src/routing/eligibility.rs
+++ b/crates/core/src/routing/eligibility.rs
@@ -72,6 +72,11 @@
         self.listed_leaving = leaving;
     }
 
+    /// Whether the machine list says that it leaves.
+    pub const fn is_listed_leaving(&self) -> bool {
+        self.listed_leaving
+    }
+
     /// Whether new work may be sent now.
     pub fn eligibility(&self, now: Timestamp, holds: Duration) -> Eligibility {
         if self.listed_leaving || self.draining_since.is_some() {
@@ -85,7 +90,7 @@
 
     /// Whether the replica should be asked for its role: it is not confirmed, or will soon not be.
     pub fn wants_probe(&self, now: Timestamp, holds: Duration) -> bool {
-        let refresh_after = holds / 2;
+        let refresh_after = holds * 2 / 3;
         self.confirmed_at.is_none_or(|confirmed_at| now >= confirmed_at + refresh_after)
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod replica;
+pub mod subset;
 
 pub use load::{EngineRole, LoadReport};
 pub use pool::{Pool, PoolConfig, RouteQuery, RouteRefusal};
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -1,11 +1,11 @@
 //! The replicas of one pool as one node sees them, with the pool's retry budget and drain rate.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::Rng;
 
-use crate::identity::{ReplicaId, WeightVersion, ZoneName};
+use crate::identity::{NodeId, ReplicaId, WeightVersion, ZoneName};
 use crate::request::answer::Priority;
 use crate::retry::backoff::BackoffConfig;
 use crate::retry::budget::{BudgetConfig, RetryBudget};
@@ -15,6 +15,7 @@
 use crate::routing::eligibility::{DEFAULT_CONFIRMATION_HOLDS, Eligibility};
 use crate::routing::load::LoadReport;
 use crate::routing::replica::Replica;
+use crate::routing::subset;
 use crate::time::Timestamp;
 
 /// Replicas asked for their role at once when none is confirmed.
@@ -22,11 +23,16 @@
 /// An unanswered probe is not repeated sooner than this.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Replicas that one node uses; docs/decisions/routing.md holds the measurement.
+pub const DEFAULT_SUBSET_SIZE: usize = 32;
+
 /// How a pool is routed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolConfig {
     /// How long a replica's confirmation that it takes work holds.
     pub confirmation_holds: Duration,
+    /// Replicas that one node uses at most; see [`crate::routing::subset`].
+    pub subset_size: usize,
     /// How replicas are weighed.
     pub balancer: BalancerConfig,
     /// How many requests are kept at a replica.
@@ -41,6 +47,7 @@
     fn default() -> Self {
         Self {
             confirmation_holds: DEFAULT_CONFIRMATION_HOLDS,
+            subset_size: DEFAULT_SUBSET_SIZE,
             balancer: BalancerConfig::default(),
             concurrency: ConcurrencyConfig::default(),
             budget: BudgetConfig::default(),
@@ -101,6 +108,7 @@
 /// The replicas of one pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
+    node: NodeId,
     config: PoolConfig,
     replicas: BTreeMap<ReplicaId, Replica>,
     probes: BTreeMap<ReplicaId, Probe>,
@@ -109,9 +117,10 @@
 }
 
 impl Pool {
-    /// A pool without replicas.
-    pub fn new(config: PoolConfig, now: Timestamp) -> Self {
+    /// A pool without replicas, as `node` uses it.
+    pub fn new(node: NodeId, config: PoolConfig, now: Timestamp) -> Self {
         Self {
+            node,
             config,
             replicas: BTreeMap::new(),
             probes: BTreeMap::new(),
@@ -148,9 +157,23 @@
             replica.confirmation.listed(entry.leaving);
         }
         self.replicas.retain(|_, replica| replica.listed || replica.load.in_flight() > 0);
+        self.choose_subset();
         self.probes.retain(|id, _| self.replicas.contains_key(id));
     }
 
+    /// Changes how the pool is routed. Limits and budgets keep where they stand.
+    pub fn reconfigure(&mut self, config: PoolConfig) {
+        if config == self.config {
+            return;
+        }
+        self.config = config;
+        self.budget.reconfigure(config.budget);
+        for replica in self.replicas.values_mut() {
+            replica.concurrency.reconfigure(config.concurrency);
+        }
+        self.choose_subset();
+    }
+
     /// Chooses a replica and counts the request there until [`Pool::release`].
     ///
     /// # Errors
@@ -199,10 +222,10 @@
     }
 
     /// Notes the time to the first token of a request.
-    pub fn started(&mut self, id: &ReplicaId, took: Duration, now: Timestamp) {
+    pub fn started(&mut self, id: &ReplicaId, priority: Priority, took: Duration, now: Timestamp) {
         if let Some(replica) = self.replicas.get_mut(id) {
             let in_flight = replica.load.in_flight();
-            replica.concurrency.started(took, in_flight, now);
+            replica.concurrency.started(priority, took, in_flight, now);
         }
     }
 
@@ -244,8 +267,8 @@
     /// Replicas whose confirmation runs out soon, each at most once in a while.
     pub fn due_probes(&mut self, now: Timestamp, most: usize) -> Vec<ReplicaId> {
         let holds = self.config.confirmation_holds;
-        let wanting =
-            self.replicas.iter().filter(|(_, replica)| replica.confirmation.wants_probe(now, holds));
+        let used = self.replicas.iter().filter(|(_, replica)| replica.in_subset);
+        let wanting = used.filter(|(_, replica)| replica.confirmation.wants_probe(now, holds));
         let due = wanting
             .filter(|(id, _)| self.probes.get(*id).is_none_or(|probe| now >= probe.asked_at + PROBE_PAUSE));
         let due: Vec<ReplicaId> = due.map(|(id, _)| id.clone()).take(most).collect();
@@ -255,10 +278,22 @@
         due
     }
 
+    /// Draws the subset anew among the replicas that are listed and not listed as leaving.
+    fn choose_subset(&mut self) {
+        let staying = self.replicas.iter().filter(|(_, replica)| replica.may_be_used());
+        let ids = staying.map(|(id, _)| id);
+        let chosen: BTreeSet<ReplicaId> =
+            subset::choose(&self.node, ids, self.config.subset_size).into_iter().cloned().collect();
+        for (id, replica) in &mut self.replicas {
+            replica.in_subset = chosen.contains(id);
+        }
+    }
+
     fn eligible(&self, query: &RouteQuery<'_>, now: Timestamp) -> Vec<(&ReplicaId, &Replica)> {
         let holds = self.config.confirmation_holds;
         let eligible = self.replicas.iter().filter(|(_, replica)| {
-            replica.confirmation.eligibility(now, holds) == Eligibility::Eligible
+            replica.in_subset
+                && replica.confirmation.eligibility(now, holds) == Eligibility::Eligible
                 && !replica.is_older_than(query.minimum_version)
         });
         eligible.collect()
--- a/crates/core/src/routing/replica.rs
+++ b/crates/core/src/routing/replica.rs
@@ -25,6 +25,8 @@
     pub prefixes: PrefixHints,
     /// Whether it is in the machine list; kept after that while requests run there.
     pub listed: bool,
+    /// Whether this node uses it; see [`crate::routing::subset`].
+    pub in_subset: bool,
 }
 
 impl Replica {
@@ -37,14 +39,23 @@
             concurrency: ConcurrencyLimit::new(concurrency),
             prefixes: PrefixHints::default(),
             listed: true,
+            in_subset: false,
         }
     }
 
     /// Takes a report that came in the answer to a question sent at `asked_at`.
+    ///
+    /// For eligibility it stands for the time of the question; for the load, which is a hint, for its arrival, so
+    /// that the report at the end of a long stream is of use.
     pub fn observe(&mut self, asked_at: Timestamp, report: LoadReport, now: Timestamp) {
         let age = report.age();
         self.confirmation.observe(asked_at, age, report.role, now);
-        self.load.observe(earlier(asked_at, age), report);
+        self.load.observe(earlier(now, age), report);
+    }
+
+    /// Whether it is in the machine list and not listed as leaving.
+    pub fn may_be_used(&self) -> bool {
+        self.listed && !self.confirmation.is_listed_leaving()
     }
 
     /// Whether one more request of this priority may run there.
--- a/crates/daemon/src/gateway/completions.rs
+++ b/crates/daemon/src/gateway/completions.rs
@@ -4,7 +4,8 @@
 
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use lichenpulley_core::identity::RequestId;
+use lichenpulley_core::configuration::schema::REQUEST_DEADLINE_MS;
+use lichenpulley_core::identity::{PoolName, RequestId};
 use lichenpulley_core::request::answer::{Answer, FinishReason};
 use lichenpulley_core::request::assembly::Chunk;
 use lichenpulley_core::request::outcome::{Outcome, RefusalReason};
@@ -36,7 +37,7 @@
         Err(bad) => return bad.into(),
     };
     let stream = completion.stream;
-    let generation = match check(completion, &headers, settings.default_deadline, dispatcher) {
+    let generation = match check(completion, &headers, dispatcher) {
         Ok(generation) => generation,
         Err(body) => return response::error(StatusCode::BAD_REQUEST, &body),
     };
@@ -54,11 +55,10 @@
 fn check(
     completion: CompletionRequest,
     headers: &HeaderMap,
-    default_deadline: Duration,
     dispatcher: &Dispatcher,
 ) -> Result<Generation, ErrorBody> {
     let named = request_id(&completion, headers)?;
-    let deadline = deadline(completion.deadline_ms, default_deadline)?;
+    let deadline = deadline(completion.deadline_ms, default_deadline(dispatcher, &completion.pool))?;
     if !(1..=MOST_TOKENS).contains(&completion.max_tokens) {
         return Err(bad_field("max_tokens", &format!("set it from 1 to {MOST_TOKENS}")));
     }
@@ -106,6 +106,16 @@
     }
 }
 
+/// The pool's deadline for requests that name none; the node's own while it knows no settings tree.
+fn default_deadline(dispatcher: &Dispatcher, pool: &PoolName) -> Duration {
+    let context = &dispatcher.shared.context;
+    let configuration = context.configuration.load();
+    if !configuration.known {
+        return context.settings.gateway.default_deadline;
+    }
+    Duration::from_millis(configuration.for_pool(pool, &REQUEST_DEADLINE_MS))
+}
+
 fn deadline(asked_ms: Option<u64>, default: Duration) -> Result<Duration, ErrorBody> {
     match asked_ms {
         None => Ok(default),
--- a/crates/daemon/src/gateway/dispatcher.rs
+++ b/crates/daemon/src/gateway/dispatcher.rs
@@ -9,7 +9,6 @@
 use lichenpulley_core::request::answer::Priority;
 use lichenpulley_core::request::assembly::Chunk;
 use lichenpulley_core::request::outcome::{Doubt, GiveUpReason, Outcome, RefusalReason, refuse_at_once};
-use lichenpulley_core::routing::PoolConfig;
 use lichenpulley_protocol::operator::PoolStatus;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -175,12 +174,7 @@
     }
 
     fn follow_directory(&self) {
-        let directory = self.context.directory.load_full();
-        self.pools.follow(directory, self.pool_config(), self.clock.now());
-    }
-
-    fn pool_config(&self) -> PoolConfig {
-        PoolConfig { confirmation_holds: self.context.settings.gateway.eligibility, ..PoolConfig::default() }
+        self.pools.follow(&self.context, self.clock.now());
     }
 }
 
--- a/crates/daemon/src/gateway/pools.rs
+++ b/crates/daemon/src/gateway/pools.rs
@@ -5,7 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use lichenpulley_core::identity::{PoolName, ReplicaId};
+use lichenpulley_core::configuration::schema::{LIVE_RESERVED_PERCENT, RETRY_BUDGET_PERCENT};
+use lichenpulley_core::identity::{NodeId, PoolName, ReplicaId};
+use lichenpulley_core::retry::budget::BudgetConfig;
+use lichenpulley_core::routing::concurrency::{ConcurrencyConfig, MOST_RESERVED_PERCENT};
 use lichenpulley_core::routing::eligibility::Eligibility;
 use lichenpulley_core::routing::pool::ListedReplica;
 use lichenpulley_core::routing::{Pool, PoolConfig};
@@ -13,7 +16,9 @@
 use lichenpulley_protocol::operator::{PoolStatus, ReplicaStatus};
 use tokio::sync::Notify;
 
-use crate::directory::ReplicaDirectory;
+use crate::configuration::ConfigurationView;
+use crate::context::NodeContext;
+use crate::directory::{ReplicaDirectory, ReplicaEntry};
 
 /// One pool, shared by the requests that run on it. Its lock is held for single steps only, never across a wait.
 #[derive(Debug)]
@@ -30,9 +35,24 @@
     used_at: Option<Timestamp>,
 }
 
+impl PoolState {
+    fn take(&mut self, entries: &[ReplicaEntry], config: PoolConfig) {
+        self.pool.reconfigure(config);
+        self.addresses.extend(entries.iter().map(|entry| (entry.replica.clone(), entry.address)));
+        self.pool.list(entries.iter().map(|entry| ListedReplica {
+            replica: entry.replica.clone(),
+            zone: entry.zone.clone(),
+            leaving: entry.leaving,
+        }));
+        let replicas = self.pool.replicas();
+        self.addresses.retain(|replica, _| replicas.contains_key(replica));
+    }
+}
+
 impl SharedPool {
-    fn new(config: PoolConfig, now: Timestamp) -> Self {
-        let state = PoolState { pool: Pool::new(config, now), addresses: HashMap::new(), used_at: None };
+    fn new(node: NodeId, config: PoolConfig, now: Timestamp) -> Self {
+        let state =
+            PoolState { pool: Pool::new(node, config, now), addresses: HashMap::new(), used_at: None };
         Self { state: Mutex::new(state), probed: Notify::new() }
     }
 
@@ -69,36 +89,35 @@
 
 #[derive(Debug, Default)]
 struct PoolsState {
-    directory: Option<Arc<ReplicaDirectory>>,
+    /// What the pools were last made from.
+    follows: Option<(Arc<ReplicaDirectory>, Arc<ConfigurationView>)>,
     pools: HashMap<PoolName, Arc<SharedPool>>,
 }
 
 impl Pools {
-    /// Takes the directory over where it has changed.
-    pub fn follow(&self, directory: Arc<ReplicaDirectory>, config: PoolConfig, now: Timestamp) {
+    /// Takes over the directory and the settings tree where they have changed.
+    pub fn follow(&self, context: &NodeContext, now: Timestamp) {
+        let directory = context.directory.load_full();
+        let configuration = context.configuration.load_full();
         let mut state = self.lock();
-        if state.directory.as_ref().is_some_and(|known| Arc::ptr_eq(known, &directory)) {
+        let is_known = state.follows.as_ref().is_some_and(|(known_directory, known_configuration)| {
+            Arc::ptr_eq(known_directory, &directory) && Arc::ptr_eq(known_configuration, &configuration)
+        });
+        if is_known {
             return;
         }
         for (name, entries) in &directory.pools {
-            let pool =
-                state.pools.entry(name.clone()).or_insert_with(|| Arc::new(SharedPool::new(config, now)));
-            let mut pool = pool.lock();
-            pool.addresses.extend(entries.iter().map(|entry| (entry.replica.clone(), entry.address)));
-            pool.pool.list(entries.iter().map(|entry| ListedReplica {
-                replica: entry.replica.clone(),
-                zone: entry.zone.clone(),
-                leaving: entry.leaving,
-            }));
-            let PoolState { pool, addresses, .. } = &mut *pool;
-            addresses.retain(|replica, _| pool.replicas().contains_key(replica));
+            let config = pool_config(context, &configuration, name);
+            let new_pool = || Arc::new(SharedPool::new(context.node.clone(), config, now));
+            let pool = state.pools.entry(name.clone()).or_insert_with(new_pool);
+            pool.lock().take(entries, config);
         }
         for (name, pool) in &state.pools {
             if !directory.pools.contains_key(name) {
                 pool.lock().pool.list([]);
             }
         }
-        state.directory = Some(directory);
+        state.follows = Some((directory, configuration));
     }
 
     /// The pool of this name, if the directory has ever named it.
@@ -128,6 +147,31 @@
     }
 }
 
+/// How a pool is routed: the node's settings file for what the machine decides, the settings tree for the rest.
+fn pool_config(context: &NodeContext, configuration: &ConfigurationView, pool: &PoolName) -> PoolConfig {
+    let defaults = PoolConfig::default();
+    let retry_percent = configuration.for_pool(pool, &RETRY_BUDGET_PERCENT);
+    let live_percent = configuration.for_pool(pool, &LIVE_RESERVED_PERCENT);
+    PoolConfig {
+        confirmation_holds: context.settings.gateway.eligibility,
+        budget: BudgetConfig { deposit_ratio: retry_percent as f64 / 100.0, ..defaults.budget },
+        concurrency: ConcurrencyConfig {
+            live_reserve_percent: u8::try_from(live_percent).unwrap_or(u8::MAX).min(MOST_RESERVED_PERCENT),
+            ..defaults.concurrency
+        },
+        ..defaults
+    }
+}
+
+/// What operators read of a replica: other nodes may use it though this one does not.
+const fn shown(eligibility: Eligibility, in_subset: bool) -> &'static str {
+    match eligibility {
+        Eligibility::Leaving => eligibility.as_str(),
+        _ if !in_subset => "outside_subset",
+        _ => eligibility.as_str(),
+    }
+}
+
 fn replicas(pool: &Pool, now: Timestamp) -> Vec<ReplicaStatus> {
     let holds = pool.config().confirmation_holds;
     let listed = pool.replicas().iter().map(|(id, replica)| {
@@ -135,7 +179,7 @@
         ReplicaStatus {
             replica: id.clone(),
             zone: replica.zone.clone(),
-            eligibility: eligibility.as_str().to_owned(),
+            eligibility: shown(eligibility, replica.in_subset).to_owned(),
             in_flight: replica.load.in_flight(),
             concurrency_limit: replica.concurrency.limit(),
             weight_version: replica.load.report().and_then(|report| report.weight_version),
--- a/crates/lab/src/experiment/routing/world.rs
+++ b/crates/lab/src/experiment/routing/world.rs
@@ -318,7 +318,8 @@
         match news {
             News::Admitted(load) => policy.observe(request.replica, request.asked_at, load, self.now),
             News::FirstToken => {
-                policy.started(request.replica, self.now.saturating_since(request.asked_at), self.now);
+                let start = self.now.saturating_since(request.asked_at);
+                policy.started(request.replica, request.priority, start, self.now);
                 if counted {
                     record(&mut self.outcome.live_first, took);
                 }
--- a/crates/lab/src/requests/gateway.rs
+++ b/crates/lab/src/requests/gateway.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lichenpulley_core::identity::{AttemptId, ReplicaId, RequestId};
+use lichenpulley_core::identity::{AttemptId, NodeId, ReplicaId, RequestId};
 use lichenpulley_core::request::assembly::Chunk;
 use lichenpulley_core::request::execution::{
     ANSWER_TIMEOUT, ClaimVerdict, EngineEvent, Execution, ExecutionSpec, Step,
@@ -167,7 +167,7 @@
         mechanisms: Mechanisms,
         seed: u64,
     ) -> Self {
-        let mut pool = Pool::new(mechanisms.pool_config(), Timestamp::ORIGIN);
+        let mut pool = Pool::new(NodeId::new(&name), mechanisms.pool_config(), Timestamp::ORIGIN);
         pool.list(engines.keys().map(|replica| ListedReplica {
             replica: replica.clone(),
             zone: "zone".into(),
