Take a drain back, and answer it only once the engine has taken it

Cause: a drain by mistake could not be undone, and a drain was answered when the order was in the owner's log, which is before the engine has it: the answer could say that a replica takes no new work while it still did.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -70,6 +70,8 @@
     PoolList(Option<PoolName>),
     /// `drain REPLICA`
     Drain(ReplicaId),
+    /// `undrain REPLICA`
+    Undrain(ReplicaId),
     /// `watch`
     Watch(WatchOptions),
 }
@@ -142,6 +144,13 @@
         add_options: no_options,
         read: |matches| Ok(Command::Drain(ReplicaId::new(one_argument(matches, "REPLICA")?))),
     },
+    Syntax {
+        words: &["undrain"],
+        arguments: "REPLICA",
+        help: "order a drained replica to take work again",
+        add_options: no_options,
+        read: |matches| Ok(Command::Undrain(ReplicaId::new(one_argument(matches, "REPLICA")?))),
+    },
     Syntax {
         words: &["watch"],
         arguments: "",
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -1,4 +1,4 @@
-//! `drain`.
+//! `drain` and `undrain`.
 
 use hyper::Method;
 use lichenpulley_core::identity::ReplicaId;
@@ -13,8 +13,7 @@
 /// # Errors
 /// See [`CliError`].
 pub async fn drain(client: &Client, replica: &ReplicaId, output: &mut Output<'_>) -> Result<(), CliError> {
-    let path = format!("/v1/replicas/{}/drain", percent_encode(replica.as_str()));
-    let accepted: OrderAccepted = client.send(Method::POST, &path, &serde_json::json!({})).await?;
+    let accepted = order(client, replica, "drain").await?;
     output.result(&accepted, || {
         let load = &accepted.load;
         format!(
@@ -23,3 +22,17 @@
         )
     })
 }
+
+/// Orders a drained replica to take work again. Repeating it changes nothing.
+///
+/// # Errors
+/// See [`CliError`].
+pub async fn undrain(client: &Client, replica: &ReplicaId, output: &mut Output<'_>) -> Result<(), CliError> {
+    let accepted = order(client, replica, "undrain").await?;
+    output.result(&accepted, || format!("{} takes work again", accepted.replica))
+}
+
+async fn order(client: &Client, replica: &ReplicaId, order: &str) -> Result<OrderAccepted, CliError> {
+    let path = format!("/v1/replicas/{}/{order}", percent_encode(replica.as_str()));
+    client.send(Method::POST, &path, &serde_json::json!({})).await
+}
--- a/crates/cli/tests/arguments.rs
+++ b/crates/cli/tests/arguments.rs
@@ -64,6 +64,7 @@
         "job status",
         "job status a b",
         "drain",
+        "undrain",
         "watch now",
         "watch --count many",
         "pool list --nothing",
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -90,6 +90,21 @@
     assert_eq!((seen[0].method.as_str(), seen[0].path.as_str()), ("POST", "/v1/replicas/bench%2F1/drain"));
 }
 
+#[tokio::test]
+async fn undrain_takes_the_order_back() {
+    let load = json!({
+        "role": "serving", "running": 4, "queued": 1, "capacity": 8, "tokens_per_second": 0,
+        "weight_version": 1, "incarnation": 1, "age_ms": 0
+    });
+    let accepted = json!({"replica": "bench/1", "load": load});
+    let server = Server::start(move |_, _| Answer::Json(200, accepted.clone())).await;
+    let run = run(&["undrain", "bench/1", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    assert_eq!(run.results, "bench/1 takes work again\n");
+    let seen = server.seen();
+    assert_eq!((seen[0].method.as_str(), seen[0].path.as_str()), ("POST", "/v1/replicas/bench%2F1/undrain"));
+}
+
 #[tokio::test]
 async fn the_next_address_is_asked_where_one_takes_no_connection() {
     let server = Server::start(|_, _| job_status()).await;
--- a/crates/daemon/src/operators/drain.rs
+++ b/crates/daemon/src/operators/drain.rs
@@ -1,27 +1,73 @@
-//! Draining a replica: a fenced order, given by the owner of its pool's weights.
+//! Draining a replica, and taking that back: a fenced order, given by the owner of its pool's weights.
+
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use hyper::{Response, StatusCode};
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{PoolName, ReplicaId};
-use lichenpulley_protocol::engine::{LoadReport, OrderAccepted};
+use lichenpulley_protocol::engine::{EngineRole, LoadReport, OrderAccepted};
 use lichenpulley_protocol::error::ErrorBody;
 use lichenpulley_protocol::internal::{CoordinatorRequest, CoordinatorResponse};
+use tokio::time::{sleep, timeout};
 
 use super::Operators;
 use crate::coordinator;
 use crate::directory::ReplicaEntry;
 use crate::http::{Body, response};
 
+/// Pause before an engine is asked again whether it has taken an order.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(50);
+
+/// What an operator wants of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DrainOrder {
+    /// Finish what runs and take nothing new.
+    Drain,
+    /// Take work again.
+    Undrain,
+}
+
+impl DrainOrder {
+    /// The order in the path of a request.
+    pub(super) fn from_path(segment: &str) -> Option<Self> {
+        match segment {
+            "drain" => Some(Self::Drain),
+            "undrain" => Some(Self::Undrain),
+            _ => None,
+        }
+    }
+
+    /// The role that the engine then reports.
+    const fn role(self) -> EngineRole {
+        match self {
+            Self::Drain => EngineRole::Draining,
+            Self::Undrain => EngineRole::Serving,
+        }
+    }
+
+    /// The order as a decision's action.
+    const fn action(self) -> &'static str {
+        match self {
+            Self::Drain => "drained",
+            Self::Undrain => "undrained",
+        }
+    }
+}
+
 impl Operators {
-    /// Orders a replica to finish what runs and to take nothing new.
-    pub(super) async fn drain(&self, replica: &ReplicaId) -> Response<Body> {
+    /// Gives a replica an order. Repeating it changes nothing.
+    pub(super) async fn order(&self, replica: &ReplicaId, order: DrainOrder) -> Response<Body> {
         let Some((pool, entry)) = self.find(replica) else { return unknown_replica(replica) };
-        let request =
-            CoordinatorRequest::ChangeRole { pool: pool.clone(), replica: replica.clone(), draining: true };
+        let request = CoordinatorRequest::ChangeRole {
+            pool: pool.clone(),
+            replica: replica.clone(),
+            draining: order == DrainOrder::Drain,
+        };
         match coordinator::ask_owner(&self.context, &self.coordinator, request).await {
             CoordinatorResponse::RoleChanged => {
-                self.record_drain(&pool, replica);
-                self.accepted(entry).await
+                self.record_order(&pool, replica, order);
+                self.confirmed(entry, order).await
             }
             refusal => coordinator::http::answer(refusal),
         }
@@ -35,33 +81,45 @@
         found.map(|(pool, entry)| (pool.clone(), entry.clone()))
     }
 
-    fn record_drain(&self, pool: &PoolName, replica: &ReplicaId) {
+    fn record_order(&self, pool: &PoolName, replica: &ReplicaId, order: DrainOrder) {
         let decision =
-            Decision::new(Component::Drain, "drained", "operator_asked", replica).with("pool", pool);
+            Decision::new(Component::Drain, order.action(), "operator_asked", replica).with("pool", pool);
         self.context.decisions.record(decision);
     }
 
-    /// The order was taken; the engine itself says what still runs there.
-    async fn accepted(&self, entry: ReplicaEntry) -> Response<Body> {
-        let timeout = self.context.settings.coordinator.call_timeout;
-        let load: Result<LoadReport, _> = self.client.get_json(entry.address, "/v1/load", timeout).await;
-        match load {
-            Ok(load) => {
-                let accepted = OrderAccepted { replica: entry.replica, load };
-                response::json(StatusCode::OK, &accepted)
-            }
-            Err(error) => {
-                let body = ErrorBody::new(
-                    "load_unknown",
-                    format!("{} drains, but its load can't be read: {error}", entry.replica),
-                    "the order stands; look at `lichenpulley pool list` for what still runs there",
-                );
-                response::error(StatusCode::BAD_GATEWAY, &body)
+    /// The order is in the shard's log and is sent until the engine takes it. Waits for the engine's own word, so
+    /// that the answer never says more than what holds there.
+    async fn confirmed(&self, entry: ReplicaEntry, order: DrainOrder) -> Response<Body> {
+        let patience = self.context.settings.coordinator.call_timeout;
+        match timeout(patience, self.role_taken(entry.address, order.role(), patience)).await {
+            Ok(load) => response::json(StatusCode::OK, &OrderAccepted { replica: entry.replica, load }),
+            Err(_) => not_confirmed(&entry.replica),
+        }
+    }
+
+    /// Asks the engine until it reports the role.
+    async fn role_taken(&self, engine: SocketAddr, role: EngineRole, deadline: Duration) -> LoadReport {
+        loop {
+            let load: Result<LoadReport, _> = self.client.get_json(engine, "/v1/load", deadline).await;
+            match load {
+                Ok(load) if load.role == role => return load,
+                Ok(_) => {}
+                Err(error) => log::info!(target: "operators", "A drain is not confirmed yet: {error}."),
             }
+            sleep(CONFIRMATION_PAUSE).await;
         }
     }
 }
 
+fn not_confirmed(replica: &ReplicaId) -> Response<Body> {
+    let body = ErrorBody::new(
+        "not_confirmed",
+        format!("the order stands, but {replica} has not confirmed it yet"),
+        "it is sent until the replica takes it; `lichenpulley pool list` shows when it has",
+    );
+    response::error(StatusCode::GATEWAY_TIMEOUT, &body)
+}
+
 fn unknown_replica(replica: &ReplicaId) -> Response<Body> {
     let body = ErrorBody::new(
         "unknown_replica",
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -15,6 +15,7 @@
 use crate::http::client::HttpClient;
 use crate::http::request::percent_decode;
 use crate::http::{Body, response};
+use drain::DrainOrder;
 
 /// Answers operators. Cheap to clone.
 #[derive(Clone)]
@@ -42,10 +43,10 @@
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
             (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
-            (&Method::POST, ["v1", "replicas", replica, "drain"]) => {
-                let replica = ReplicaId::new(percent_decode(replica));
-                self.drain(&replica).await
-            }
+            (&Method::POST, ["v1", "replicas", replica, order]) => match DrainOrder::from_path(order) {
+                Some(order) => self.order(&ReplicaId::new(percent_decode(replica)), order).await,
+                None => response::not_found(&path),
+            },
             (&Method::GET, ["v1", "config"]) => config::whole(&self.context),
             (&Method::GET, ["v1", "config", "effective"]) => config::effective(&self.context, &request),
             (&Method::PUT, ["v1", "config"]) => config::change(&self.context, request).await,
--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -9,6 +9,7 @@
 use lichenpulley_daemon::http::client::{ClientError, HttpClient};
 use lichenpulley_daemon::node::Node;
 use lichenpulley_lab::demo::system::{PoolPlan, System, SystemPlan};
+use lichenpulley_lab::engine::faults::EngineFault;
 use lichenpulley_protocol::caller::{JobSpecification, JobStatus, PullRequest, PullResponse, Slot};
 use lichenpulley_protocol::engine::{EngineRole, LoadReport, OrderAccepted};
 use lichenpulley_protocol::error::ErrorBody;
@@ -30,10 +31,20 @@
 }
 
 async fn drain(node: &Node, replica: &str) -> Result<OrderAccepted, ClientError> {
-    let path = format!("/v1/replicas/{replica}/drain");
+    order(node, replica, "drain").await
+}
+
+async fn order(node: &Node, replica: &str, order: &str) -> Result<OrderAccepted, ClientError> {
+    let path = format!("/v1/replicas/{replica}/{order}");
     client().post_json(node.addresses().operators, &path, &(), PATIENCE).await
 }
 
+async fn role(system: &System, engine: usize) -> EngineRole {
+    let address = system.engines[engine].address();
+    let load: LoadReport = client().get_json(address, "/v1/load", PATIENCE).await.expect("a load report");
+    load.role
+}
+
 #[tokio::test]
 async fn any_node_drains_a_replica_by_a_fenced_order() {
     let system = start_system().await;
@@ -43,10 +54,10 @@
 
     let accepted = drain(&system.nodes[0], &replica).await.expect("the order is taken");
     assert_eq!(accepted.replica, ReplicaId::new(replica.as_str()));
-    let load: LoadReport =
-        client().get_json(system.engines[1].address(), "/v1/load", PATIENCE).await.expect("a load report");
-    assert_eq!(load.role, EngineRole::Draining);
+    assert_eq!(role(&system, 1).await, EngineRole::Draining);
     drain(&system.nodes[2], &replica).await.expect("repeating it through another node changes nothing");
+    order(&system.nodes[1], &replica, "undrain").await.expect("the order is taken back");
+    assert_eq!(role(&system, 1).await, EngineRole::Serving);
 
     let told = async {
         while let Some(event) = decisions.next().await.expect("the stream holds") {
@@ -68,6 +79,17 @@
     assert_eq!(error.body::<ErrorBody>().expect("a typed error").kind, "unknown_replica");
 }
 
+/// The answer must not say that a replica drains before the replica itself says so.
+#[tokio::test]
+async fn a_drain_that_the_engine_has_not_taken_is_not_told_as_done() {
+    let system = start_system().await;
+    let replica = format!("{POOL}-{}-1", ZONES[1]);
+    system.engines[1].inject(EngineFault::Freeze { for_ms: 600_000 }).await;
+    let error = drain(&system.nodes[0], &replica).await.expect_err("the engine answers nothing");
+    assert_eq!(error.status(), Some(StatusCode::GATEWAY_TIMEOUT));
+    assert_eq!(error.body::<ErrorBody>().expect("a typed error").kind, "not_confirmed");
+}
+
 #[tokio::test]
 async fn pools_and_unknown_paths_are_answered() {
     let system = start_system().await;
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -10,6 +10,7 @@
 //! | `PUT /v1/config` | [`ChangeConfiguration`] | [`ConfigurationChanged`]; 409 with the current revision |
 //! | `GET /v1/pools` | | a list of [`PoolStatus`] |
 //! | `POST /v1/replicas/{replica}/drain` | | [`crate::engine::OrderAccepted`] |
+//! | `POST /v1/replicas/{replica}/undrain` | | [`crate::engine::OrderAccepted`] |
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
 
 use lichenpulley_core::decision::Decision;
