Account the benchmark's processor time to callers, gateway and engines

Cause: on a machine that other work keeps busy, latencies and even ratios of throughput move by half between rounds; it could not be told whether a change to the gateway helps. Chosen: the system's own account of each thread, by part, for each completed request. Tried with it and not kept: taking every event of an engine's stream that has come already before handing tokens on.

--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! What a gateway costs: throughput and latency through it, against a caller straight at the engines, in one run and
 //! in turn, so that other load on the machine meets both.
 
+mod processor;
 mod rig;
 
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
+use self::processor::ProcessorTime;
 use self::rig::{POOL, Rig, RigOptions};
 use crate::arguments;
 use crate::error::LabError;
@@ -28,13 +30,20 @@
     max_tokens: u32,
     rounds: u32,
     round_time: Duration,
+    rate: Option<f64>,
 }
 
 /// One round: direct, streamed through the gateway, whole through the gateway.
 struct Round {
-    direct: LoadReport,
-    streamed: LoadReport,
-    whole: LoadReport,
+    direct: Measured,
+    streamed: Measured,
+    whole: Measured,
+}
+
+/// One run: what the callers saw, and the processor time of each request in microseconds.
+struct Measured {
+    load: LoadReport,
+    processor: ProcessorTime,
 }
 
 /// The figures.
@@ -55,6 +64,10 @@
     streamed_ratio: f64,
     whole_ratio: f64,
     streamed_ratio_by_round: Vec<f64>,
+    /// Processor time of each request in microseconds, the median of the rounds.
+    direct_processor_us: ProcessorTime,
+    streamed_processor_us: ProcessorTime,
+    whole_processor_us: ProcessorTime,
     not_completed: u64,
 }
 
@@ -89,8 +102,8 @@
     let rig = Rig::start(options.rig).await?;
     warm_up(&rig, &options).await?;
     let saturated = rounds(&rig, &options, Pacing::Closed { callers: options.callers }).await;
-    let direct_rate = median(saturated.iter().map(|round| round.direct.completed_per_second));
-    let half_rate = direct_rate * HALF;
+    let direct_rate = median(saturated.iter().map(|round| round.direct.load.completed_per_second));
+    let half_rate = options.rate.unwrap_or(direct_rate * HALF);
     let half = rounds(&rig, &options, Pacing::Open { per_second: half_rate }).await;
     let report = BenchReport { saturated: saturation(&saturated), half_load: half_load(half_rate, &half) };
     println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
@@ -120,7 +133,10 @@
     for number in 1..=u64::from(options.rounds) {
         let run = async |targets: Vec<Target>| {
             let load = load_options(options, targets, pacing, options.round_time, number);
-            generate(load, &CancellationToken::new()).await
+            let before = ProcessorTime::now();
+            let load = generate(load, &CancellationToken::new()).await;
+            let processor = ProcessorTime::now().microseconds_each(before, load.count(Outcome::Completed));
+            Measured { load, processor }
         };
         let direct = run(engines.clone()).await;
         let streamed = run(vec![Target::GatewayStream(rig.gateway())]).await;
@@ -155,7 +171,7 @@
 
 impl Round {
     fn reports(&self) -> [&LoadReport; 3] {
-        [&self.direct, &self.streamed, &self.whole]
+        [&self.direct.load, &self.streamed.load, &self.whole.load]
     }
 
     fn not_completed(&self) -> u64 {
@@ -166,25 +182,39 @@
 
 fn saturation(rounds: &[Round]) -> Saturated {
     let ratio = |of: fn(&Round) -> &LoadReport| {
-        let ratios =
-            rounds.iter().map(|round| of(round).completed_per_second / round.direct.completed_per_second);
+        let ratios = rounds
+            .iter()
+            .map(|round| of(round).completed_per_second / round.direct.load.completed_per_second);
         ratios.collect::<Vec<f64>>()
     };
     let rate =
         |of: fn(&Round) -> &LoadReport| median(rounds.iter().map(|round| of(round).completed_per_second));
-    let streamed = ratio(|round| &round.streamed);
+    let streamed = ratio(|round| &round.streamed.load);
     Saturated {
-        direct_per_second: rate(|round| &round.direct),
-        streamed_per_second: rate(|round| &round.streamed),
-        whole_per_second: rate(|round| &round.whole),
-        direct_tokens_per_second: median(rounds.iter().map(|round| round.direct.tokens_per_second)),
+        direct_per_second: rate(|round| &round.direct.load),
+        streamed_per_second: rate(|round| &round.streamed.load),
+        whole_per_second: rate(|round| &round.whole.load),
+        direct_tokens_per_second: median(rounds.iter().map(|round| round.direct.load.tokens_per_second)),
         streamed_ratio: median(streamed.iter().copied()),
-        whole_ratio: median(ratio(|round| &round.whole)),
+        whole_ratio: median(ratio(|round| &round.whole.load)),
         streamed_ratio_by_round: streamed,
+        direct_processor_us: processor_time(rounds, |round| &round.direct),
+        streamed_processor_us: processor_time(rounds, |round| &round.streamed),
+        whole_processor_us: processor_time(rounds, |round| &round.whole),
         not_completed: rounds.iter().map(Round::not_completed).sum(),
     }
 }
 
+fn processor_time(rounds: &[Round], of: fn(&Round) -> &Measured) -> ProcessorTime {
+    let part =
+        |pick: fn(&ProcessorTime) -> f64| median(rounds.iter().map(|round| pick(&of(round).processor)));
+    ProcessorTime {
+        callers: part(|time| time.callers),
+        gateway: part(|time| time.gateway),
+        engines: part(|time| time.engines),
+    }
+}
+
 fn half_load(requests_per_second: f64, rounds: &[Round]) -> HalfLoad {
     HalfLoad {
         requests_per_second,
@@ -196,10 +226,11 @@
 
 fn added(rounds: &[Round], quantiles: fn(&LoadReport) -> (u64, u64)) -> Added {
     let of = |pick: fn((u64, u64)) -> u64, report: &LoadReport| pick(quantiles(report)) as f64;
-    let direct = |pick| rounds.iter().map(move |round| of(pick, &round.direct));
-    let gateway = |pick| rounds.iter().map(move |round| of(pick, &round.streamed));
+    let direct = |pick| rounds.iter().map(move |round| of(pick, &round.direct.load));
+    let gateway = |pick| rounds.iter().map(move |round| of(pick, &round.streamed.load));
     let difference = |pick| {
-        let pairs = rounds.iter().map(move |round| of(pick, &round.streamed) - of(pick, &round.direct));
+        let pairs =
+            rounds.iter().map(move |round| of(pick, &round.streamed.load) - of(pick, &round.direct.load));
         pairs.collect::<Vec<f64>>()
     };
     let added_p99 = difference(|(_, p99)| p99);
@@ -232,6 +263,7 @@
     flags.optopt("", "max-tokens", "longest answer (default 32)", "TOKENS");
     flags.optopt("", "rounds", "rounds of direct and gateway in turn (default 5)", "COUNT");
     flags.optopt("", "round-ms", "time of each run (default 2000)", "MILLISECONDS");
+    flags.optopt("", "rate", "requests a second where latency is measured (default: half)", "PER_SECOND");
     flags.optflag("h", "help", "print this help and end");
     let Some(matches) = arguments::parse("bench", &flags, arguments)? else {
         return Ok(None);
@@ -248,5 +280,6 @@
         max_tokens: arguments::value_or(&matches, "max-tokens", "32")?,
         rounds: arguments::value_or(&matches, "rounds", "5")?,
         round_time: Duration::from_millis(arguments::value_or(&matches, "round-ms", "2000")?),
+        rate: arguments::optional(&matches, "rate")?,
     }))
 }
