Compare tables again soon while they differ, several buckets to a datagram

Cause: 410 hollow nodes started one after another had one view incomplete after 180 s: the news of 410 joins fills the byte budget for minutes, and tables were compared every 30 s only. After: a comparison that found a difference is followed by the next after two seconds.

--- a/crates/core/src/membership/config.rs
+++ b/crates/core/src/membership/config.rs
@@ -32,8 +32,8 @@
     pub update_burst_bytes: u32,
     /// Time from one comparison of whole member tables with a random member to the next.
     pub sync_interval: Duration,
-    /// Buckets of members sent in answer to one comparison.
-    pub sync_buckets: usize,
+    /// Datagrams of members sent in answer to one comparison.
+    pub sync_pages: usize,
     /// Time from one attempt to reach a failed member to the next.
     pub reconnect_interval: Duration,
     /// Time until a seed that did not answer is asked again.
@@ -77,7 +77,7 @@
             update_bytes_per_second: 1_000,
             update_burst_bytes: 16_000,
             sync_interval: Duration::from_secs(30),
-            sync_buckets: 4,
+            sync_pages: 2,
             reconnect_interval: Duration::from_secs(5),
             join_retry: Duration::from_secs(1),
             forget_failed_after: Duration::from_secs(6 * 3_600),
@@ -168,7 +168,7 @@
             self.sync_interval,
             "set at least `probe_interval`",
         )?;
-        check(self.sync_buckets >= 1, "sync_buckets", self.sync_buckets, "set at least 1")?;
+        check(self.sync_pages >= 1, "sync_pages", self.sync_pages, "set at least 1")?;
         check(
             self.reconnect_interval >= self.probe_interval,
             "reconnect_interval",
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -66,11 +66,12 @@
         #[speedy(length_type = u16)]
         buckets: Vec<u32>,
     },
-    /// Every member that the sender knows in a bucket that differs.
-    Bucket {
-        /// Which bucket.
-        index: u16,
-        /// Its members.
+    /// Every member that the sender knows in some buckets that differ.
+    Buckets {
+        /// Which buckets.
+        #[speedy(length_type = u8)]
+        indexes: Vec<u8>,
+        /// Their members.
         #[speedy(length_type = u16)]
         entries: Vec<Update>,
         /// Whether the receiver should send back what it knows better.
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -73,8 +73,8 @@
             Body::ListRequest { after } => self.send_page(now, from, &sender, sequence, after.as_ref()),
             Body::ListPage { entries, next } => self.receive_page(now, from, sequence, &entries, next),
             Body::Digest { buckets } => self.receive_digest(now, from, &sender, &buckets),
-            Body::Bucket { index, entries, exchange } => {
-                self.receive_bucket(now, from, &sender, (index, exchange), &entries);
+            Body::Buckets { indexes, entries, exchange } => {
+                self.receive_buckets(now, from, &sender, &indexes, &entries, exchange);
             }
         }
     }
--- a/crates/core/src/membership/repair.rs
+++ b/crates/core/src/membership/repair.rs
@@ -19,6 +19,16 @@
 /// Of so many comparisons one goes to a seed that is not a live member.
 const SEED_SYNC_PERIOD: u64 = 4;
 
+/// While comparisons find differences, the next follows after so many probe intervals on average.
+const BUSY_SYNC_PROBES: u32 = 4;
+
+/// Members of some buckets.
+#[derive(Clone, Debug, Default)]
+struct BucketPage {
+    indexes: Vec<u8>,
+    entries: Vec<Update>,
+}
+
 /// How far the join has come.
 #[derive(Clone, Debug)]
 pub(super) struct Join {
@@ -106,7 +116,9 @@
         self.join.sequence = None;
         self.join.finished = next.is_none();
         self.join.after = next;
-        if !self.join.finished {
+        if self.join.finished {
+            self.sync_soon(now);
+        } else {
             self.request_page(now, from);
         }
     }
@@ -148,6 +160,13 @@
         }
     }
 
+    /// One difference is a sign of more, as after a start of the whole cluster or a healed partition.
+    pub(super) fn sync_soon(&mut self, now: Timestamp) {
+        let spread = self.random.random_range(0.5..1.5);
+        let soon = now + (self.config.probe_interval * BUSY_SYNC_PROBES).mul_f64(spread);
+        self.next_sync_at = self.next_sync_at.min(soon);
+    }
+
     /// A seed at whose address no live member is known.
     fn silent_seed(&mut self) -> Option<SocketAddr> {
         let table = &self.table;
@@ -176,39 +195,43 @@
         theirs: &[u32],
     ) {
         let ours = self.table.digest();
-        if theirs.len() != DIGEST_BUCKETS {
+        if theirs.len() != ours.len() {
             return;
         }
-        let mut differing: Vec<usize> =
-            (0..DIGEST_BUCKETS).filter(|index| theirs[*index] != ours[*index]).collect();
+        let indexes =
+            (0..DIGEST_BUCKETS).filter(|index| theirs[usize::from(*index)] != ours[usize::from(*index)]);
+        let mut differing: Vec<u8> = indexes.collect();
         differing.shuffle(&mut self.random);
-        differing.truncate(self.config.sync_buckets);
-        for index in differing {
-            let entries = self.table.bucket(index).map(bucket_entry).collect();
-            self.send_bucket(now, from, sender, (index, true), entries);
+        for page in self.bucket_pages(&differing) {
+            self.send_buckets(now, from, sender, page, true);
         }
     }
 
-    pub(super) fn receive_bucket(
+    pub(super) fn receive_buckets(
         &mut self,
         now: Timestamp,
         from: SocketAddr,
         sender: &NodeId,
-        (index, exchange): (u16, bool),
+        indexes: &[u8],
         theirs: &[Update],
+        exchange: bool,
     ) {
-        let index = usize::from(index);
-        let better = self.better_than(index, theirs);
+        let better = self.better_than(indexes, theirs);
+        let known = self.view_version;
         for entry in theirs {
             self.apply_entry(now, entry);
         }
+        if self.view_version != known {
+            self.sync_soon(now);
+        }
         if exchange && !better.is_empty() {
-            self.send_bucket(now, from, sender, (index, false), better);
+            let page = BucketPage { indexes: indexes.to_vec(), entries: better };
+            self.send_buckets(now, from, sender, page, false);
         }
     }
 
-    /// What this node knows in a bucket and the other does not.
-    fn better_than(&self, index: usize, theirs: &[Update]) -> Vec<Update> {
+    /// What this node knows in some buckets and the other does not.
+    fn better_than(&self, indexes: &[u8], theirs: &[Update]) -> Vec<Update> {
         let their_claim = |record: &MemberRecord| {
             theirs.iter().find(|entry| entry.node == record.info.node).map(Update::claim)
         };
@@ -216,7 +239,32 @@
             Some(claim) => bucket_entry(record).claim() > claim,
             None => record.claim.standing.is_live(),
         };
-        self.table.bucket(index).filter(is_better).map(bucket_entry).collect()
+        let records = indexes.iter().flat_map(|index| self.table.bucket(*index));
+        records.filter(is_better).map(bucket_entry).collect()
+    }
+
+    /// The members of some buckets in as many pages as one comparison may take, the first buckets first.
+    fn bucket_pages(&self, indexes: &[u8]) -> Vec<BucketPage> {
+        let room = self.page_room();
+        let mut pages: Vec<BucketPage> = Vec::new();
+        let mut used = room;
+        for index in indexes {
+            let entries: Vec<Update> = self.table.bucket(*index).map(bucket_entry).collect();
+            let bytes: usize = entries.iter().map(Update::encoded_bytes).sum();
+            if used + bytes > room {
+                if pages.len() >= self.config.sync_pages {
+                    break;
+                }
+                pages.push(BucketPage::default());
+                used = 0;
+            }
+            used += bytes;
+            if let Some(page) = pages.last_mut() {
+                page.indexes.push(*index);
+                page.entries.extend(entries);
+            }
+        }
+        pages
     }
 
     /// A failure that is known elsewhere only is looked into rather than believed: after a partition each side
@@ -234,18 +282,19 @@
         self.apply(now, entry, Cause::Members);
     }
 
-    fn send_bucket(
+    /// Sends a page in one datagram, or in more where a bucket has outgrown it.
+    fn send_buckets(
         &mut self,
         now: Timestamp,
         to: SocketAddr,
         receiver: &NodeId,
-        (index, exchange): (usize, bool),
-        entries: Vec<Update>,
+        page: BucketPage,
+        exchange: bool,
     ) {
-        let Ok(index) = u16::try_from(index) else { return };
-        for entries in pages(entries, self.page_room()) {
+        for entries in pages(page.entries, self.page_room()) {
             let sequence = self.next_sequence();
-            self.send(now, to, Some(receiver), sequence, Body::Bucket { index, entries, exchange }, None);
+            let body = Body::Buckets { indexes: page.indexes.clone(), entries, exchange };
+            self.send(now, to, Some(receiver), sequence, body, None);
         }
     }
 
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -12,7 +12,7 @@
 use crate::time::Timestamp;
 
 /// Buckets that a table is compared by.
-pub const DIGEST_BUCKETS: usize = 64;
+pub const DIGEST_BUCKETS: u8 = 64;
 
 /// Members by id.
 #[derive(Clone, Debug, Default)]
@@ -116,15 +116,16 @@
     /// One digest for each bucket, over ids and incarnations of live members. Suspicions come and go too fast to
     /// be compared, and what has failed is forgotten at different times on different nodes.
     pub(super) fn digest(&self) -> Vec<u32> {
-        let mut buckets = vec![0; DIGEST_BUCKETS];
+        let mut buckets = vec![0; usize::from(DIGEST_BUCKETS)];
         for record in self.live() {
-            buckets[bucket_of(&record.info.node)] ^= fingerprint(&record.info.node, record.claim);
+            buckets[usize::from(bucket_of(&record.info.node))] ^=
+                fingerprint(&record.info.node, record.claim);
         }
         buckets
     }
 
     /// Every member of a bucket, the failed ones too.
-    pub(super) fn bucket(&self, index: usize) -> impl Iterator<Item = &MemberRecord> {
+    pub(super) fn bucket(&self, index: u8) -> impl Iterator<Item = &MemberRecord> {
         self.records.values().filter(move |record| bucket_of(&record.info.node) == index)
     }
 
@@ -133,9 +134,9 @@
     }
 }
 
-fn bucket_of(node: &NodeId) -> usize {
-    let hash = xxh3_64(node.as_str().as_bytes()) % (DIGEST_BUCKETS as u64);
-    usize::try_from(hash).unwrap_or_default()
+fn bucket_of(node: &NodeId) -> u8 {
+    let hash = xxh3_64(node.as_str().as_bytes()) % u64::from(DIGEST_BUCKETS);
+    u8::try_from(hash).unwrap_or_default()
 }
 
 fn fingerprint(node: &NodeId, claim: Claim) -> u32 {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -32,7 +32,7 @@
     assert_eq!(refused_field(|config| config.update_bytes_per_second = 1), "update_bytes_per_second");
     assert_eq!(refused_field(|config| config.update_burst_bytes = 1), "update_burst_bytes");
     assert_eq!(refused_field(|config| config.sync_interval = Duration::ZERO), "sync_interval");
-    assert_eq!(refused_field(|config| config.sync_buckets = 0), "sync_buckets");
+    assert_eq!(refused_field(|config| config.sync_pages = 0), "sync_pages");
     assert_eq!(refused_field(|config| config.reconnect_interval = Duration::ZERO), "reconnect_interval");
     assert_eq!(refused_field(|config| config.join_retry = Duration::ZERO), "join_retry");
     assert_eq!(refused_field(|config| config.forget_left_after = Duration::ZERO), "forget_left_after");
