Count the frames and bytes between nodes

Ruled out: tokio-util's InspectReader, which needs another feature of a crate that everything depends on; the transport's codec knows each frame already. After: lichenpulley_peer_frames_total and lichenpulley_peer_bytes_total, by direction, counted where a request is answered, so that a sum over all nodes counts each frame once.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters in the Prometheus text form.
 
+use std::sync::Arc;
+
 use lichenpulley_core::decision::Decision;
-use prometheus::{IntCounterVec, Opts, Registry, TextEncoder};
+use lichenpulley_protocol::transport::{Direction, FrameMeter};
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
 
 /// A node's metrics. Cheap to clone.
 #[derive(Clone)]
@@ -9,6 +12,8 @@
     registry: Registry,
     decisions: IntCounterVec,
     closed_connections: IntCounterVec,
+    peer_frames: IntCounterVec,
+    peer_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -31,7 +36,19 @@
             &["reason"],
         );
         register_process(&registry);
-        Self { registry, decisions, closed_connections }
+        let peer_frames = counters(
+            &registry,
+            "lichenpulley_peer_frames_total",
+            "Frames on connections that peers made to this node, by direction",
+            &["direction"],
+        );
+        let peer_bytes = counters(
+            &registry,
+            "lichenpulley_peer_bytes_total",
+            "Bytes of these frames, without TCP and IP headers, by direction",
+            &["direction"],
+        );
+        Self { registry, decisions, closed_connections, peer_frames, peer_bytes }
     }
 
     /// The registry, for parts that add their own metrics.
@@ -50,6 +67,16 @@
         self.closed_connections.with_label_values(&[reason]).inc();
     }
 
+    /// What counts the frames of one connection that a peer made.
+    pub fn frame_meter(&self) -> FrameMeter {
+        let received = FrameCounters::new(self, "received");
+        let sent = FrameCounters::new(self, "sent");
+        Arc::new(move |direction, bytes| match direction {
+            Direction::Received => received.count(bytes),
+            Direction::Sent => sent.count(bytes),
+        })
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
@@ -76,6 +103,26 @@
 #[cfg(not(target_os = "linux"))]
 fn register_process(_registry: &Registry) {}
 
+/// Counters of one direction, looked up once for each connection.
+struct FrameCounters {
+    frames: IntCounter,
+    bytes: IntCounter,
+}
+
+impl FrameCounters {
+    fn new(metrics: &Metrics, direction: &str) -> Self {
+        Self {
+            frames: metrics.peer_frames.with_label_values(&[direction]),
+            bytes: metrics.peer_bytes.with_label_values(&[direction]),
+        }
+    }
+
+    fn count(&self, bytes: usize) {
+        self.frames.inc();
+        self.bytes.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+}
+
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
     registry.register(Box::new(counters.clone())).expect("registered once");
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -94,7 +94,8 @@
         log::debug!(target: "peers", "The connection of {peer} was lost before it began: {error}.");
         return;
     }
-    let channel = BaseChannel::with_defaults(transport::server(stream));
+    let channel =
+        BaseChannel::with_defaults(transport::metered_server(stream, service.context.metrics.frame_meter()));
     let requests = channel.requests();
     tokio::pin!(requests);
     loop {
--- a/crates/protocol/src/transport.rs
+++ b/crates/protocol/src/transport.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::marker::PhantomData;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -70,9 +71,30 @@
     Framed::new(stream, MessageCodec::new())
 }
 
+/// Frames a server's connection, and tells `meter` of each frame.
+pub fn metered_server<S: AsyncRead + AsyncWrite>(stream: S, meter: FrameMeter) -> ServerTransport<S> {
+    Framed::new(stream, MessageCodec { meter: Some(meter), ..MessageCodec::new() })
+}
+
+/// Which way a frame went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// It arrived.
+    Received,
+    /// It was sent.
+    Sent,
+}
+
+/// Told of each frame's direction and its bytes, the length field included.
+pub type FrameMeter = Arc<dyn Fn(Direction, usize) + Send + Sync>;
+
+/// Bytes of the length field before each frame.
+const LENGTH_FIELD_BYTES: usize = 4;
+
 /// Encodes and decodes whole messages, one to a frame.
 pub struct MessageCodec<Incoming, Outgoing> {
     frames: LengthDelimitedCodec,
+    meter: Option<FrameMeter>,
     directions: PhantomData<fn(Outgoing) -> Incoming>,
 }
 
@@ -83,7 +105,13 @@
             .length_field_type::<u32>()
             .max_frame_length(FRAME_LIMIT_BYTES)
             .new_codec();
-        Self { frames, directions: PhantomData }
+        Self { frames, meter: None, directions: PhantomData }
+    }
+
+    fn measure(&self, direction: Direction, body_bytes: usize) {
+        if let Some(meter) = &self.meter {
+            meter(direction, body_bytes + LENGTH_FIELD_BYTES);
+        }
     }
 }
 
@@ -99,7 +127,10 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Incoming>, TransportError> {
         match self.frames.decode(buffer)? {
-            Some(frame) => Incoming::from_frame(&frame).map(Some),
+            Some(frame) => {
+                self.measure(Direction::Received, frame.len());
+                Incoming::from_frame(&frame).map(Some)
+            }
             None => Ok(None),
         }
     }
@@ -110,6 +141,7 @@
 
     fn encode(&mut self, message: Outgoing, buffer: &mut BytesMut) -> Result<(), TransportError> {
         let body = message.to_frame()?;
+        self.measure(Direction::Sent, body.len());
         Ok(self.frames.encode(Bytes::from(body), buffer)?)
     }
 }
