Measure the control of hollow nodes that share one process

Cause: docs/CAPACITY.md must rest on slopes that a command measures. Ruled out: hollow nodes with membership alone, which would leave out what configuration, coordinator and ports cost.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -94,6 +94,11 @@
         help: "measure what a gateway costs against callers straight at engines",
         entry: |arguments| Box::pin(bench::run(arguments)),
     },
+    Command {
+        name: "hollow",
+        help: "measure what a node spends on control, with whole nodes that share this process",
+        entry: |arguments| Box::pin(crate::hollow::run(arguments)),
+    },
     Command {
         name: "simulate-rollout",
         help: "rollout jobs under seeded faults on a virtual clock",
