Drop doubled questions of operators in the simulation

The simulated network had doubled the operator's question; the node ran it twice, one run ended in doubt and the other as not written, and the latter's answer came first. Ruled out: a fault of the writer. Operators speak TCP, which doubles nothing. Conclusion: the check stays as strict; the model drops the double.

--- a/crates/lab/src/configuration_simulation/changes.rs
+++ b/crates/lab/src/configuration_simulation/changes.rs
@@ -41,6 +41,8 @@
 pub(super) struct Changes {
     running: BTreeMap<u64, Running>,
     next_number: u64,
+    /// The newest question of each operator.
+    newest_questions: BTreeMap<ProcessId, u64>,
     forgets_change_ids: bool,
 }
 
@@ -58,8 +60,13 @@
         Self { forgets_change_ids, ..Self::default() }
     }
 
-    /// Takes a change from an operator.
+    /// Takes a change from an operator. A doubled question is dropped, as TCP does between an operator and a node.
     pub(super) fn begin(&mut self, operator: ProcessId, question: u64, change: Change, now: Timestamp) {
+        let newest = self.newest_questions.entry(operator).or_default();
+        if question <= *newest {
+            return;
+        }
+        *newest = question;
         let writer = ChangeWriter::new(change, Config::default(), now);
         self.next_number += 1;
         let running = Running { operator, question, writer, state: State::Poll(now) };
