--- /dev/null
+++ b/crates/core/src/request/execution/ending.rs
@@ -0,0 +1,63 @@
+//! How a request ends, and what is told of it.
+
+use std::time::Duration;
+
+use super::{Execution, Leaving, State, Step};
+use crate::request::assembly::Assembly;
+use crate::request::outcome::{Doubt, Evidence, GiveUpReason, Ledger, Outcome, RefusalReason};
+use crate::routing::pool::Pool;
+use crate::time::Timestamp;
+
+impl Execution {
+    pub(super) fn finish(&mut self, now: Timestamp, pool: &mut Pool) -> Step {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        let leaving = if state == State::Whole { Leaving::Whole } else { Leaving::Abandoned };
+        self.leave(now, pool, leaving);
+        pool.completed(now);
+        let retry_after = Some(pool.retry_after(now));
+        let ledger = std::mem::replace(&mut self.ledger, Ledger::Unclaimed);
+        let assembly = std::mem::replace(&mut self.assembly, Assembly::new(0));
+        let outcome = match (state, assembly.into_answer()) {
+            (State::Whole, Ok(answer)) => Outcome::Completed { answer, attempts: self.attempts },
+            (State::Refused(reason), _) => self.refusal(ledger, reason, retry_after),
+            (State::GivenUp(reason), _) => self.failure(ledger, reason, retry_after),
+            _ => self.failure(ledger, GiveUpReason::AnswerNotWhole, retry_after),
+        };
+        Step::Finish(Box::new(outcome))
+    }
+
+    pub(super) fn refusal(
+        &mut self,
+        ledger: Ledger,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) -> Outcome {
+        let retry_after = retry_after.filter(|_| reason.is_worth_repeating());
+        self.decide("refused", reason.as_str(), |decision| {
+            decision.with("retry_after_ms", retry_after.map_or(0, |wait| wait.as_millis()))
+        });
+        match ledger.into_evidence() {
+            Evidence::NotRun(proof) => Outcome::NotRun { proof, reason, retry_after },
+            Evidence::InDoubt(doubt) => {
+                Outcome::Unknown { doubt, reason: GiveUpReason::Unclaimed(reason), retry_after }
+            }
+        }
+    }
+
+    /// A request that is given up is never called not run, whatever the ledger shows.
+    pub(super) fn failure(
+        &mut self,
+        ledger: Ledger,
+        reason: GiveUpReason,
+        retry_after: Option<Duration>,
+    ) -> Outcome {
+        let attempts = self.attempts;
+        self.decide("given_up", reason.as_str(), |decision| decision.with("attempts", attempts));
+        let doubt = match ledger.into_evidence() {
+            Evidence::InDoubt(doubt) => doubt,
+            Evidence::NotRun(_) => Doubt::EarlierSubmission,
+        };
+        let retry_after = retry_after.filter(|_| reason.is_worth_repeating());
+        Outcome::Unknown { doubt, reason, retry_after }
+    }
+}
