--- a/crates/lab/src/experiment/routing/mod.rs
+++ b/crates/lab/src/experiment/routing/mod.rs
@@ -49,6 +49,7 @@
         "a first token within this time is no congestion (default: the core's)",
         "MILLISECONDS",
     );
+    flags.optopt("", "pool", "one pool only (default: all)", "NAME");
     flags.optopt("", "output", "folder for the results (default: docs/measures)", "FOLDER");
     flags.optflag("h", "help", "print this help and end");
     let Some(matches) = arguments::parse("experiment routing", &flags, arguments)? else {
@@ -60,10 +61,12 @@
     if let Some(milliseconds) = arguments::optional(&matches, "tolerated-start-ms")? {
         config.concurrency.tolerated_start = Duration::from_millis(milliseconds);
     }
+    let pool: Option<String> = arguments::optional(&matches, "pool")?;
+    let wanted = |scenario: &Scenario| pool.as_ref().is_none_or(|pool| scenario.pool == pool);
     let output: PathBuf = arguments::value_or(&matches, "output", "docs/measures")?;
     std::fs::create_dir_all(&output).map_err(|source| not_written(&output, source))?;
     let mut table = header();
-    for scenario in Scenario::all() {
+    for scenario in Scenario::all().into_iter().filter(wanted) {
         let results = PolicyKind::ALL.map(|kind| repeat(&scenario, kind, config, seeds, measured));
         for result in &results {
             write_row(&mut table, &scenario, result);
