--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -4,6 +4,62 @@
 //! owner: phase 1 raises the epoch at a majority ([`proposer`], [`acceptor`]), phase 2 appends. Claims
 //! ([`claims`]) are write-once registers by majority vote. The store replicas of a shard form a versioned
 //! [`replica_set`], changed one member at a time by a [`reconfigurer`].
+//!
+//! One replica as an epoch register: it promises an epoch to one owner, and refuses an owner that was superseded,
+//! however late it wakes.
+//!
+//! ```
+//! use lichenpulley_core::identity::{Epoch, ShardId};
+//! use lichenpulley_core::replication::acceptor::Acceptor;
+//! use lichenpulley_core::replication::ballot::{Ballot, ProposerId};
+//! use lichenpulley_core::replication::claims::ClaimWindow;
+//! use lichenpulley_core::replication::entry::{LogIndex, Payload};
+//! use lichenpulley_core::replication::memory_storage::MemoryStorage;
+//! use lichenpulley_core::replication::message::{Accept, Operation, Outcome, Refusal, ReplicaRequest};
+//! use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, SetMember, StoreId};
+//!
+//! let shard = ShardId::new("job/pricing");
+//! let store = StoreId::new("disk-1");
+//! let member = SetMember {
+//!     store: store.clone(),
+//!     node: "node-1".into(),
+//!     zone: "kajang".into(),
+//!     address: "10.0.0.1:7002".to_owned(),
+//! };
+//! let set = ReplicaSet { shard: shard.clone(), generation: Generation::FIRST, members: vec![member] };
+//!
+//! let acceptor = Acceptor::new(store.clone(), ClaimWindow::default());
+//! let mut disk = MemoryStorage::default();
+//! let mut ask = |operation| {
+//!     let request = ReplicaRequest {
+//!         shard: shard.clone(),
+//!         generation: Generation::FIRST,
+//!         store: store.clone(),
+//!         operation,
+//!     };
+//!     let Ok(response) = acceptor.answer(&mut disk, 0, request);
+//!     response.outcome
+//! };
+//! let ballot = |epoch, owner: &str| Ballot { epoch: Epoch(epoch), proposer: ProposerId::new(owner) };
+//! let append = |ballot| {
+//!     Operation::Accept(Accept {
+//!         ballot,
+//!         from: LogIndex::FIRST,
+//!         payloads: vec![Payload::Record(b"slot 0.1.2".to_vec())],
+//!         decided_through: LogIndex::ZERO,
+//!         truncate_before: LogIndex::FIRST,
+//!     })
+//! };
+//!
+//! assert_eq!(ask(Operation::Begin(set)), Outcome::Begun);
+//! assert!(matches!(ask(Operation::Prepare(ballot(1, "first"))), Outcome::Promised { .. }));
+//! assert!(matches!(ask(Operation::Prepare(ballot(2, "second"))), Outcome::Promised { .. }));
+//!
+//! // The first owner was paused, wakes, and still believes that it owns the shard.
+//! let promised = ballot(2, "second");
+//! assert_eq!(ask(append(ballot(1, "first"))), Outcome::Refused(Refusal::HigherBallot { promised }));
+//! assert!(matches!(ask(append(ballot(2, "second"))), Outcome::Accepted { .. }));
+//! ```
 
 pub mod acceptor;
 pub mod ballot;
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -2,6 +2,7 @@
 //! publishes new weights after each step, ending in a summary.
 
 mod decision_tally;
+mod disturbance;
 mod job;
 mod live;
 mod summary;
@@ -40,6 +41,7 @@
 pub async fn run(arguments: &[String]) -> Result<(), LabError> {
     let mut options = arguments::help_option();
     options.optflag("", "json", "print the summary as JSON");
+    options.optflag("", "faults", "crash an engine, and kill the node that owns the job, while it runs");
     options.optflag("", "hold", "print the nodes' addresses, and go on with live requests until Ctrl-C");
     let Some(matches) = arguments::parse("demo", &options, arguments)? else { return Ok(()) };
     let hold = matches.opt_present("hold");
@@ -47,7 +49,7 @@
     if hold {
         println!("{}", system.describe_addresses());
     }
-    let summary = demonstrate(&system).await?;
+    let summary = demonstrate(&system, matches.opt_present("faults")).await?;
     if matches.opt_present("json") {
         println!("{}", serde_json::to_string_pretty(&summary).unwrap_or_default());
     } else {
@@ -59,18 +61,25 @@
     summary.check()
 }
 
-/// Runs the job and live requests on a system, and sums up.
+/// Runs the job and live requests on a system, with faults where wanted, and sums up.
 ///
 /// # Errors
 /// When the job is not taken, or a part breaks down.
-pub async fn demonstrate(system: &System) -> Result<DemoSummary, LabError> {
+pub async fn demonstrate(system: &System, faults: bool) -> Result<DemoSummary, LabError> {
     let decisions = DecisionTally::watch(&system.nodes);
     let specification = specification();
     let gateways = system.gateways();
     job::submit(&gateways, &specification).await?;
     let trainer = trainer::start(trainer_options(system, &specification)).await?;
     let load = start_live_load(system, JOB_LIMIT);
-    let in_time = tokio::time::timeout(JOB_LIMIT, trainer.finished()).await.is_ok();
+    let disturbance = async {
+        if faults {
+            let samples_per_step = job::samples_per_step(&specification);
+            disturbance::disturb(system, &trainer, &specification.job, samples_per_step).await;
+        }
+    };
+    let job = async { tokio::join!(trainer.finished(), disturbance) };
+    let in_time = tokio::time::timeout(JOB_LIMIT, job).await.is_ok();
     let mut live = Vec::new();
     for pool in load {
         live.push(pool.finish().await?);
@@ -101,7 +110,8 @@
     Ok(())
 }
 
-fn plan() -> SystemPlan {
+/// Three zones; two replicas of the trained pool and one of the other in each.
+pub fn plan() -> SystemPlan {
     SystemPlan {
         zones: ZONES.map(ZoneName::from).to_vec(),
         pools: vec![
