Test the store's file under crashes, damage and a full disk

A file in memory loses what was not synced, or keeps half a write, at every fifth operation; what was acknowledged must be found again. Also: a cut file, a changed byte, a foreign folder, a folder in use, a disk without room. Mended on the way: a first start that stopped between making the file and writing its identity was refused as damaged; it is now begun again.

--- a/crates/daemon/src/store/disk.rs
+++ b/crates/daemon/src/store/disk.rs
@@ -14,6 +14,8 @@
 
 /// The store's file under its data folder.
 pub const FILE_NAME: &str = "replicas.redb";
+/// The file's name until it is whole.
+const UNFINISHED_NAME: &str = "replicas.redb.new";
 /// The format that this release writes.
 const FORMAT: u64 = 1;
 /// Memory for pages read from the file, in bytes.
@@ -43,15 +45,18 @@
         let is_new = !path.try_exists().map_err(folder_error)?;
         if is_new {
             refuse_foreign_files(folder)?;
+            create_file(folder, &path)?;
         }
-        let database = open_database(&path, is_new).map_err(|error| open_error(folder, error))?;
+        let database = Database::builder().set_cache_size(CACHE_BYTES).open(&path);
+        let database = database.map_err(|error| open_error(folder, error))?;
+        Self::from_database(database, path, capacity_bytes)
+    }
+
+    /// Takes an open file that has its identity.
+    fn from_database(database: Database, path: PathBuf, capacity_bytes: u64) -> Result<Self, StoreError> {
+        let folder = path.parent().unwrap_or(&path);
         let damaged =
             |error: DiskError| StoreError::Damaged { folder: folder.to_owned(), reason: error.to_string() };
-        if is_new {
-            write_identity(&database).map_err(damaged)?;
-            // The file's name must last as long as its content.
-            File::open(folder).and_then(|folder| folder.sync_all()).map_err(folder_error)?;
-        }
         let (format, store) = read_identity(&database).map_err(damaged)?;
         if format != FORMAT {
             return Err(StoreError::Format { folder: folder.to_owned(), found: format, readable: FORMAT });
@@ -87,15 +92,27 @@
         let Self { path, database, store, capacity_bytes } = self;
         drop(database);
         let folder = path.parent().unwrap_or(&path).to_owned();
-        let database = open_database(&path, false).map_err(|error| open_error(&folder, error))?;
+        let database = Database::builder().set_cache_size(CACHE_BYTES).open(&path);
+        let database = database.map_err(|error| open_error(&folder, error))?;
         Ok(Self { path, database, store, capacity_bytes })
     }
 }
 
-fn open_database(path: &Path, is_new: bool) -> Result<Database, DatabaseError> {
-    let mut builder = Database::builder();
-    builder.set_cache_size(CACHE_BYTES);
-    if is_new { builder.create(path) } else { builder.open(path) }
+/// Makes the store's file under another name and renames it once it is whole, so that a first start that stopped
+/// halfway is simply begun again.
+fn create_file(folder: &Path, path: &Path) -> Result<(), StoreError> {
+    let folder_error = |source| StoreError::Folder { folder: folder.to_owned(), source };
+    let unfinished = folder.join(UNFINISHED_NAME);
+    if unfinished.try_exists().map_err(folder_error)? {
+        fs::remove_file(&unfinished).map_err(folder_error)?;
+    }
+    let database = Database::builder().create(&unfinished).map_err(|error| open_error(folder, error))?;
+    let written = write_identity(&database);
+    written.map_err(|error| StoreError::Damaged { folder: folder.to_owned(), reason: error.to_string() })?;
+    drop(database);
+    fs::rename(&unfinished, path).map_err(folder_error)?;
+    // The file's name must last as long as its content.
+    File::open(folder).and_then(|folder| folder.sync_all()).map_err(folder_error)
 }
 
 fn open_error(folder: &Path, error: DatabaseError) -> StoreError {
@@ -116,7 +133,7 @@
     let folder_error = |source| StoreError::Folder { folder: folder.to_owned(), source };
     for entry in fs::read_dir(folder).map_err(folder_error)? {
         let name = entry.map_err(folder_error)?.file_name();
-        if name != VOLUME_FOLDER {
+        if name != VOLUME_FOLDER && name != UNFINISHED_NAME {
             let found = name.to_string_lossy().into_owned();
             return Err(StoreError::Foreign { folder: folder.to_owned(), found });
         }
@@ -142,3 +159,6 @@
     let store = read.open_table(NAMES)?.get(STORE_KEY)?.ok_or_else(missing)?.value().to_owned();
     Ok((format, StoreId::new(store)))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daemon/src/store/disk/tests.rs
@@ -0,0 +1,253 @@
+//! The store's file under crashes at every write, torn tails, damage and full disks.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use lichenpulley_core::identity::{Epoch, ShardId};
+use lichenpulley_core::replication::entry::{Entry, LogIndex, Payload};
+use lichenpulley_core::replication::storage::ShardStorage;
+use redb::StorageBackend;
+use tempfile::TempDir;
+
+use super::*;
+
+const CAPACITY_BYTES: u64 = 1 << 20;
+const ENTRIES: u64 = 4;
+
+/// A file whose cached writes are lost at a crash, the last of them halfway.
+#[derive(Clone, Debug, Default)]
+struct FragileFile {
+    state: Arc<Mutex<FileState>>,
+}
+
+#[derive(Debug, Default)]
+struct FileState {
+    cached: Vec<u8>,
+    synced: Vec<u8>,
+    operations: u64,
+    /// The operation that the crash falls on.
+    crash_at: Option<u64>,
+    /// Bytes that the disk holds at most.
+    room: Option<u64>,
+}
+
+impl FileState {
+    /// Counts an operation; fails from the crash on.
+    fn operation(&mut self) -> io::Result<()> {
+        self.operations += 1;
+        match self.crash_at {
+            Some(crash_at) if self.operations >= crash_at => Err(io::Error::other("crashed")),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl StorageBackend for FragileFile {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.state.lock().expect("no panic inside").cached.len() as u64)
+    }
+
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        let state = self.state.lock().expect("no panic inside");
+        let start = usize::try_from(offset).expect("a small file");
+        state
+            .cached
+            .get(start..start + len)
+            .map(<[u8]>::to_vec)
+            .ok_or_else(|| io::Error::other("past the end"))
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let mut state = self.state.lock().expect("no panic inside");
+        state.operation()?;
+        if state.room.is_some_and(|room| len > room) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        state.cached.resize(usize::try_from(len).expect("a small file"), 0);
+        Ok(())
+    }
+
+    fn sync_data(&self, _eventual: bool) -> io::Result<()> {
+        let mut state = self.state.lock().expect("no panic inside");
+        state.operation()?;
+        state.synced = state.cached.clone();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut state = self.state.lock().expect("no panic inside");
+        let start = usize::try_from(offset).expect("a small file");
+        let written = match state.operation() {
+            Ok(()) => data.len(),
+            Err(_) => data.len() / 2,
+        };
+        state.cached[start..start + written].copy_from_slice(&data[..written]);
+        if written < data.len() { Err(io::Error::other("crashed")) } else { Ok(()) }
+    }
+}
+
+fn shard() -> ShardId {
+    ShardId::new("job/pricing")
+}
+
+fn entry(index: u64) -> Entry {
+    Entry { epoch: Epoch(1), payload: Payload::Record(vec![index as u8; 300]) }
+}
+
+fn open(file: &FragileFile, is_new: bool) -> Result<Disk, StoreError> {
+    let database = Database::builder().create_with_backend(file.clone());
+    let database = database.map_err(|error| open_error(Path::new("memory"), error))?;
+    if is_new {
+        write_identity(&database).expect("room");
+    }
+    Disk::from_database(database, PathBuf::from("memory"), CAPACITY_BYTES)
+}
+
+fn put(disk: &Disk, index: u64) -> Result<(), DiskError> {
+    disk.transact(|transaction| transaction.put_entry(&shard(), LogIndex(index), &entry(index)))
+}
+
+fn last_index(disk: &Disk) -> u64 {
+    let last = disk.transact(|transaction| transaction.last_index(&shard()));
+    last.expect("readable").0
+}
+
+/// Writes entries until a crash falls on an operation; gives how many were acknowledged, and the file.
+fn write_until_crash(crash_after: u64) -> (u64, FragileFile) {
+    let file = FragileFile::default();
+    let disk = open(&file, true).expect("a new file");
+    {
+        let mut state = file.state.lock().expect("no panic inside");
+        state.crash_at = Some(state.operations + crash_after);
+    }
+    let acknowledged = (1..=ENTRIES).take_while(|index| put(&disk, *index).is_ok()).count();
+    drop(disk);
+    (acknowledged as u64, file)
+}
+
+#[test]
+fn what_was_acknowledged_survives_a_crash_at_every_operation() {
+    let mut crashed = 0;
+    for crash_after in (1..80).step_by(5) {
+        let (acknowledged, file) = write_until_crash(crash_after);
+        // The crash loses what was not synced, or keeps some of it: both must open.
+        for keeps_cached in [false, true] {
+            let mut state = FileState::default();
+            {
+                let old = file.state.lock().expect("no panic inside");
+                state.cached = if keeps_cached { old.cached.clone() } else { old.synced.clone() };
+                state.synced = state.cached.clone();
+            }
+            let disk = open(&FragileFile { state: Arc::new(Mutex::new(state)) }, false).expect("opens");
+            let found = last_index(&disk);
+            assert!(found >= acknowledged, "{found} of {acknowledged} after operation {crash_after}");
+            assert!(found <= acknowledged + 1);
+        }
+        crashed += u64::from(acknowledged < ENTRIES);
+    }
+    assert!(crashed > 0, "the crashes must fall into the writes");
+}
+
+#[test]
+fn a_disk_without_room_refuses_and_keeps_what_it_has() {
+    let file = FragileFile::default();
+    let disk = open(&file, true).expect("a new file");
+    put(&disk, 1).expect("room");
+    {
+        let mut state = file.state.lock().expect("no panic inside");
+        state.room = Some(state.cached.len() as u64);
+    }
+    let mut index = 2;
+    let error = loop {
+        match put(&disk, index) {
+            Ok(()) => index += 1,
+            Err(error) => break error,
+        }
+        assert!(index < 100_000, "the disk never filled up");
+    };
+    assert!(matches!(error, DiskError::Full), "{error:?}");
+    drop(disk);
+    let disk = open(&file, false).expect("opens again");
+    assert_eq!(last_index(&disk), index - 1);
+}
+
+#[test]
+fn a_file_that_is_cut_short_is_refused() {
+    let folder = TempDir::new().expect("a folder");
+    let disk = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store");
+    put(&disk, 1).expect("room");
+    drop(disk);
+    let path = folder.path().join(FILE_NAME);
+    let file = File::options().write(true).open(&path).expect("the file");
+    file.set_len(100).expect("cut");
+    let refused = Disk::open(folder.path(), CAPACITY_BYTES);
+    assert!(matches!(refused, Err(StoreError::Damaged { .. })), "{:?}", refused.err());
+}
+
+#[test]
+fn a_record_that_changed_on_the_disk_is_not_believed() {
+    let folder = TempDir::new().expect("a folder");
+    let disk = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store");
+    put(&disk, 7).expect("room");
+    drop(disk);
+    let path = folder.path().join(FILE_NAME);
+    let mut bytes = fs::read(&path).expect("the file");
+    let body = bytes.windows(200).position(|window| window.iter().all(|byte| *byte == 7)).expect("the body");
+    bytes[body + 50] ^= 1;
+    fs::write(&path, bytes).expect("written");
+    let read =
+        Disk::open(folder.path(), CAPACITY_BYTES).map_err(|error| DiskError::Damaged(error.to_string()));
+    let read = read.and_then(|disk| disk.transact(|transaction| transaction.entry(&shard(), LogIndex(7))));
+    assert!(matches!(read, Err(DiskError::Damaged(_))), "{read:?}");
+}
+
+#[test]
+fn a_folder_of_something_else_is_refused() {
+    let folder = TempDir::new().expect("a folder");
+    fs::write(folder.path().join("photos.zip"), b"...").expect("written");
+    let refused = Disk::open(folder.path(), CAPACITY_BYTES);
+    assert!(matches!(refused, Err(StoreError::Foreign { .. })), "{:?}", refused.err());
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let folder = TempDir::new().expect("a folder");
+    let _disk = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store");
+    let refused = Disk::open(folder.path(), CAPACITY_BYTES);
+    assert!(matches!(refused, Err(StoreError::InUse { .. })), "{:?}", refused.err());
+}
+
+#[test]
+fn a_store_keeps_its_id_and_an_empty_folder_draws_a_new_one() {
+    let folder = TempDir::new().expect("a folder");
+    let first = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store").store().clone();
+    let again = Disk::open(folder.path(), CAPACITY_BYTES).expect("the same store").store().clone();
+    assert_eq!(first, again);
+    fs::remove_file(folder.path().join(FILE_NAME)).expect("removed");
+    let other = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store").store().clone();
+    assert_ne!(first, other);
+}
+
+#[test]
+fn a_first_start_that_stopped_halfway_is_begun_again() {
+    let folder = TempDir::new().expect("a folder");
+    fs::write(folder.path().join(UNFINISHED_NAME), b"half a file").expect("written");
+    let disk = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store");
+    put(&disk, 1).expect("room");
+}
+
+#[test]
+fn limits_count_what_is_kept() {
+    let folder = TempDir::new().expect("a folder");
+    let disk = Disk::open(folder.path(), 4_000).expect("a new store");
+    let (free, has_room) =
+        disk.transact(|disk| Ok((disk.free_bytes(), disk.has_room(4_000)))).expect("readable");
+    assert_eq!((free, has_room), (3_000, true));
+    put(&disk, 1).expect("room");
+    let used = entry(1).cost() as u64;
+    let (free, has_room) =
+        disk.transact(|disk| Ok((disk.free_bytes(), disk.has_room(4_000)))).expect("readable");
+    assert_eq!((free, has_room), (3_000 - used, false));
+    disk.transact(|disk| disk.remove_entries_before(&shard(), LogIndex(2))).expect("removed");
+    assert_eq!(disk.transact(|disk| Ok(disk.free_bytes())).expect("readable"), 3_000);
+}
