Replace members of replica sets that are gone by themselves

The first member that is seen looks after its sets: a node that answers with another store lost its disk and is replaced at once, one that was not seen for store.replace_after_ms or leaves by the machine list is replaced too. Result: a test that loses a disk and waits; the log is found afterwards with one of the old members down.

--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -12,6 +12,7 @@
 pub mod reconfiguration;
 mod record;
 mod repair;
+mod replacement;
 pub mod replica_sets;
 pub mod shard_log;
 mod thread;
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -65,7 +65,8 @@
     Ok(())
 }
 
-/// Replaces a member of a shard's replica set by another store, chosen among the live ones.
+/// Replaces a member of a shard's replica set by another store, chosen among the live ones. `reason` is shown with
+/// the decision.
 ///
 /// # Errors
 /// When the document can't be written, no store is free, or too few members answer.
@@ -73,6 +74,7 @@
     context: &Context,
     shard: &ShardId,
     leaving: &StoreId,
+    reason: &str,
 ) -> Result<ReplicaSet, ReconfigurationError> {
     let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
     let stored = replica_sets::read(&client, shard).await?;
@@ -85,7 +87,7 @@
     let next = choose_next(context, &current, leaving).await?;
     let document = ReplicaSetDocument { current: current.clone(), pending: Some(next.clone()) };
     replica_sets::write(&client, shard, Some(stored.version), &document).await?;
-    let decision = Decision::new(Component::Replication, "replacing", "member_gone", shard);
+    let decision = Decision::new(Component::Replication, "replacing", reason, shard);
     context.decisions.record(decision.with("leaving", leaving).with("generation", next.generation));
     let installed = run(context, &current, &next, Extent::All).await?;
     context.replica_sets.put(&installed);
--- a/crates/daemon/src/store/repair.rs
+++ b/crates/daemon/src/store/repair.rs
@@ -1,4 +1,5 @@
-//! Fills gaps: a replica that missed appends copies what is decided from another one.
+//! Looks after the store's replicas: fills gaps of a replica that missed appends, finishes changes of replica sets that
+//! stopped halfway, has members that are gone replaced, and drops expired claims.
 
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use rand::seq::IndexedRandom;
 
 use super::exchange::ask;
+use super::replacement::Replacements;
 use super::worker::{Done, Work};
 use super::{Store, reconfiguration};
 use crate::context::Context;
@@ -18,18 +20,20 @@
 /// Repairs the store's logs and drops expired claims until the node stops.
 pub(super) fn spawn(context: Context, store: Store) {
     tokio::spawn(async move {
+        let mut replacements = Replacements::default();
         while !context.stopped.is_cancelled() {
             tokio::select! {
                 () = context.stopped.cancelled() => return,
-                () = tokio::time::sleep(ROUND) => round(&context, &store).await,
+                () = tokio::time::sleep(ROUND) => round(&context, &store, &mut replacements).await,
             }
         }
     });
 }
 
-async fn round(context: &Context, store: &Store) {
+async fn round(context: &Context, store: &Store, replacements: &mut Replacements) {
     store.work(Work::ForgetExpiredClaims).await;
     let Done::Groups(groups) = store.work(Work::Groups).await else { return };
+    replacements.round(context, &store.id, &groups).await;
     for group in groups {
         match &group.phase {
             GroupPhase::Active => repair(context, store, &group).await,
--- /dev/null
+++ b/crates/daemon/src/store/replacement.rs
@@ -0,0 +1,122 @@
+//! Replaces members of replica sets that are gone: the disk was replaced, the node has not been seen for long, or
+//! the machine list says that it leaves.
+
+use std::collections::{HashMap, HashSet};
+
+use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::replication::group::{GroupPhase, GroupRecord};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
+use lichenpulley_protocol::platform::MachineState;
+use tokio::time::Instant;
+
+use super::reconfiguration;
+use crate::configuration::platform::MachineListClient;
+use crate::context::Context;
+
+/// Rounds between two readings of the machine list, which bears few readers.
+const ROUNDS_PER_READING: u64 = 12;
+
+/// Why a member is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    /// Its node answers with another store: the disk was lost.
+    DiskReplaced,
+    /// Its node has not been seen for as long as the settings allow.
+    NotSeen,
+    /// The machine list says that its machine leaves.
+    MachineLeaves,
+}
+
+impl Reason {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::DiskReplaced => "disk_replaced",
+            Self::NotSeen => "not_seen",
+            Self::MachineLeaves => "machine_leaves",
+        }
+    }
+}
+
+/// What is remembered from round to round.
+#[derive(Default)]
+pub(super) struct Replacements {
+    rounds: u64,
+    missing_since: HashMap<NodeId, Instant>,
+    leaving: HashSet<NodeId>,
+}
+
+impl Replacements {
+    /// Looks at every set of which this store is the responsible member.
+    pub(super) async fn round(&mut self, context: &Context, store: &StoreId, groups: &[GroupRecord]) {
+        self.read_machine_list(context).await;
+        let active = groups.iter().filter(|group| group.phase == GroupPhase::Active);
+        for group in active {
+            self.note_missing(context, &group.set);
+            if responsible(context, &group.set) == Some(store) {
+                self.replace_gone(context, &group.set).await;
+            }
+        }
+        self.rounds += 1;
+    }
+
+    async fn read_machine_list(&mut self, context: &Context) {
+        if !self.rounds.is_multiple_of(ROUNDS_PER_READING) {
+            return;
+        }
+        let Some(client) = MachineListClient::from_settings(&context.settings) else { return };
+        let Ok(list) = client.read().await else { return };
+        let leaving = list.machines.into_iter().filter(|machine| machine.state == MachineState::Leaving);
+        self.leaving = leaving.map(|machine| NodeId::new(machine.id)).collect();
+    }
+
+    fn note_missing(&mut self, context: &Context, set: &ReplicaSet) {
+        let cluster = context.cluster.load();
+        for member in &set.members {
+            if cluster.member(&member.node).is_some() {
+                self.missing_since.remove(&member.node);
+            } else {
+                self.missing_since.entry(member.node.clone()).or_insert_with(Instant::now);
+            }
+        }
+    }
+
+    /// One member a round: the next one waits until the set is whole again.
+    async fn replace_gone(&self, context: &Context, set: &ReplicaSet) {
+        for member in &set.members {
+            let Some(reason) = self.gone(context, member).await else { continue };
+            log::info!(
+                target: "store",
+                "Shard {}: replacing store {} of {}: {}.", set.shard, member.store, member.node, reason.as_str()
+            );
+            if let Err(error) =
+                reconfiguration::replace(context, &set.shard, &member.store, reason.as_str()).await
+            {
+                log::warn!(target: "store", "Shard {}: not replaced yet: {error}.", set.shard);
+            }
+            return;
+        }
+    }
+
+    async fn gone(&self, context: &Context, member: &SetMember) -> Option<Reason> {
+        let address = context.cluster.load().member(&member.node).map(|seen| seen.peer_address);
+        let Some(address) = address else {
+            let missing_for = self.missing_since.get(&member.node)?.elapsed();
+            return (missing_for >= context.settings.store.replace_after).then_some(Reason::NotSeen);
+        };
+        if self.leaving.contains(&member.node) {
+            return Some(Reason::MachineLeaves);
+        }
+        let deadline = context.settings.store.call_timeout;
+        let answer = context.peers.store(address, StoreRequest::Identity, deadline).await;
+        let other = matches!(answer, Ok(StoreResponse::Identity(store)) if store != member.store);
+        other.then_some(Reason::DiskReplaced)
+    }
+}
+
+/// The member that looks after the set: the first one, by store id, whose node is seen.
+fn responsible<'a>(context: &Context, set: &'a ReplicaSet) -> Option<&'a StoreId> {
+    let cluster = context.cluster.load();
+    let seen = set.members.iter().filter(|member| cluster.member(&member.node).is_some());
+    seen.map(|member| &member.store).min()
+}
--- a/crates/lab/tests/replication.rs
+++ b/crates/lab/tests/replication.rs
@@ -193,7 +193,7 @@
         let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
         let lost = set.members.iter().find(|member| member.node == cluster.settings[number].node);
         let lost = lost.expect("a member").store.clone();
-        reconfiguration::replace(cluster.context(0), &shard, &lost).await.expect("replaced");
+        reconfiguration::replace(cluster.context(0), &shard, &lost, "test").await.expect("replaced");
         assert_eq!(claim(cluster.context(number), &request, issued_at, &other).await, ClaimOutcome::Held);
     }
     assert_eq!(claim(cluster.context(2), &request, issued_at, &one).await, ClaimOutcome::Granted);
@@ -207,7 +207,7 @@
     log.append(records(&["kept"])).await.expect("appended");
     let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
     for leaving in &set.members {
-        let next = reconfiguration::replace(cluster.context(0), &shard, &leaving.store).await;
+        let next = reconfiguration::replace(cluster.context(0), &shard, &leaving.store, "test").await;
         let next = next.expect("replaced");
         assert!(next.member(&leaving.store).is_none());
         // The owner that worked with the old set is told, and takes over in the next one.
@@ -229,3 +229,29 @@
     let (_, recovered) = ShardLog::take_over(cluster.context(1), &shard).await.expect("taken over");
     assert_eq!(recovered.records, records(&["kept"]));
 }
+
+#[tokio::test]
+async fn a_store_that_lost_its_disk_is_replaced_without_an_operator() {
+    let mut cluster = Cluster::start(3).await;
+    let shard = ShardId::new("job/pricing");
+    let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
+    log.append(records(&["kept"])).await.expect("appended");
+    cluster.replace_disk(2).await;
+    let document = || {
+        let objects = cluster.api.as_ref().expect("an object API").objects();
+        objects.get("replica-sets/job/pricing").map(|object| object.value.clone())
+    };
+    let is_replaced = || {
+        let document = document().expect("a replica set");
+        document["current"]["generation"] == 2 && document.get("pending").is_none()
+    };
+    let replaced = async {
+        while !is_replaced() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, replaced).await.expect("the member is replaced");
+    cluster.kill(1).await;
+    let (_, recovered) = ShardLog::take_over(cluster.context(2), &shard).await.expect("taken over");
+    assert_eq!(recovered.records, records(&["kept"]));
+}
