--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -4,8 +4,8 @@
 
 use crate::error::LabError;
 use crate::{
-    bench, demo, engine, experiment, load, machine_list, object_api, requests, rollout_simulation, scorer,
-    simulate_replication, subsets, trainer, weight_store,
+    bench, bench_replication, demo, engine, experiment, load, machine_list, object_api, requests,
+    rollout_simulation, scorer, simulate_replication, subsets, trainer, weight_store,
 };
 
 /// What runs a command: takes the arguments after its name.
@@ -109,6 +109,11 @@
         help: "run an experiment on a virtual clock",
         entry: |arguments| Box::pin(experiment::run(arguments)),
     },
+    Command {
+        name: "bench-replication",
+        help: "measure appends, take-overs and claims on three stores with real files",
+        entry: |arguments| Box::pin(bench_replication::run(arguments)),
+    },
     Command {
         name: "simulate-replication",
         help: "try seeded schedules of faults on logs, claims and replica sets",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod addresses;
 pub mod arguments;
 pub mod bench;
+pub mod bench_replication;
 pub mod commands;
 pub mod configuration_simulation;
 pub mod demo;
