Break a stream off where its sender goes before the end

Ruled out: easing those tests; they are right. Now only EventSender::finish ends a stream well-formed; anything else is an error of the body, on which hyper closes the connection without its end. Before and after: a_sender_that_is_dropped_before_the_end_breaks_the_stream_off fails with the error taken out of the body and passes with it.

--- a/crates/daemon/src/gateway/completions.rs
+++ b/crates/daemon/src/gateway/completions.rs
@@ -195,14 +195,15 @@
                 }
             }
         };
-        let finish = async {
+        let running = async {
             let ((), outcome) = tokio::join!(sending, run);
-            send_end(&events, &request_id, outcome).await;
+            outcome
         };
-        tokio::select! {
-            () = finish => {}
-            () = events.closed() => {}
-        }
+        let outcome = tokio::select! {
+            outcome = running => outcome,
+            () = events.closed() => return,
+        };
+        send_end(events, request_id, outcome).await;
     });
     response
 }
@@ -223,7 +224,7 @@
             }
             next = chunks.recv().await;
         }
-        send_end(&events, &request_id, outcome).await;
+        send_end(events, request_id, outcome).await;
     });
     response
 }
@@ -234,7 +235,7 @@
         return failure(&outcome);
     }
     let (events, response) = event_stream(STREAM_BACKLOG);
-    tokio::spawn(async move { send_end(&events, &request_id, outcome).await });
+    tokio::spawn(send_end(events, request_id, outcome));
     response
 }
 
@@ -243,9 +244,8 @@
 }
 
 /// The last event: how the answer ended, or why it could not be made whole.
-async fn send_end(events: &EventSender, request_id: &RequestId, outcome: Outcome) {
-    // An error only says that the caller has gone.
-    let _ = match outcome {
+async fn send_end(events: EventSender, request_id: RequestId, outcome: Outcome) {
+    let sent = match outcome {
         Outcome::Completed { answer, .. } => {
             let last = answer.spans.last();
             let end = Chunk {
@@ -253,10 +253,14 @@
                 tokens: Vec::new(),
                 weight_version: last.map(|span| span.weight_version).unwrap_or_default(),
             };
-            events.send(&event_of(request_id, end, Some(answer.finish_reason))).await
+            events.send(&event_of(&request_id, end, Some(answer.finish_reason))).await
         }
         failed => events.send_named("error", &error_of(&failed).1).await,
     };
+    // An error only says that the caller has gone.
+    if sent.is_ok() {
+        let _ = events.finish().await;
+    }
 }
 
 fn event_of(request_id: &RequestId, chunk: Chunk, finish_reason: Option<FinishReason>) -> CompletionChunk {
--- a/crates/daemon/src/http/events.rs
+++ b/crates/daemon/src/http/events.rs
@@ -1,9 +1,9 @@
 //! Server-sent events, written and read.
 
-use std::convert::Infallible;
+use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures::StreamExt;
+use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
@@ -11,7 +11,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::ReceiverStream;
 
 use super::Body;
 
@@ -25,12 +24,23 @@
 #[error("the reader of the events has gone; stop sending")]
 pub struct ReaderGone;
 
+/// What a sender hands to the body of its stream.
+#[derive(Debug)]
+enum Piece {
+    /// One event.
+    Event(Bytes),
+    /// Nothing follows.
+    End,
+}
+
 /// Writes events to one reader.
 ///
-/// Dropping it ends the stream well-formed, so an answer that is not whole must be marked by an event.
-#[derive(Clone, Debug)]
+/// Invariant: only [`EventSender::finish`] ends the stream well-formed. A sender that is dropped before, because its
+/// task panicked or the node was killed, breaks the connection off, so a reader never takes a part for the whole
+/// (brief point 4).
+#[derive(Debug)]
 pub struct EventSender {
-    sender: mpsc::Sender<Bytes>,
+    sender: mpsc::Sender<Piece>,
 }
 
 impl EventSender {
@@ -50,20 +60,28 @@
         self.send_bytes(encode(Some(name), value)).await
     }
 
+    /// Ends the stream well-formed, after all events sent before.
+    ///
+    /// # Errors
+    /// When the reader has gone.
+    pub async fn finish(self) -> Result<(), ReaderGone> {
+        self.sender.send(Piece::End).await.map_err(|_| ReaderGone)
+    }
+
     /// Resolves when the reader has gone.
     pub async fn closed(&self) {
         self.sender.closed().await;
     }
 
     async fn send_bytes(&self, bytes: Bytes) -> Result<(), ReaderGone> {
-        self.sender.send(bytes).await.map_err(|_| ReaderGone)
+        self.sender.send(Piece::Event(bytes)).await.map_err(|_| ReaderGone)
     }
 }
 
 /// An answer that streams events, and the sender for them.
 pub fn event_stream(capacity: usize) -> (EventSender, Response<Body>) {
     let (sender, receiver) = mpsc::channel(capacity.max(1));
-    let frames = ReceiverStream::new(receiver).map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)));
+    let frames = stream::unfold(Some(receiver), next_frame);
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -71,6 +89,22 @@
     (EventSender { sender }, response)
 }
 
+/// The next frame of a stream and what is left of it; an error where the sender went before the end.
+async fn next_frame(
+    pieces: Option<mpsc::Receiver<Piece>>,
+) -> Option<(io::Result<Frame<Bytes>>, Option<mpsc::Receiver<Piece>>)> {
+    let mut pieces = pieces?;
+    match pieces.recv().await {
+        Some(Piece::Event(bytes)) => Some((Ok(Frame::data(bytes)), Some(pieces))),
+        Some(Piece::End) => None,
+        None => {
+            let broken =
+                io::Error::new(io::ErrorKind::UnexpectedEof, "the events broke off before their end");
+            Some((Err(broken), None))
+        }
+    }
+}
+
 fn encode<T: Serialize>(name: Option<&str>, value: &T) -> Bytes {
     let mut text = Vec::new();
     if let Some(name) = name {
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -7,10 +7,10 @@
 pub mod server;
 pub mod socket;
 
-use std::convert::Infallible;
+use std::io;
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 
-/// The body of a response of ours.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+/// The body of a response of ours. An error breaks the connection off, so that the reader sees that it is not whole.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
--- a/crates/daemon/src/http/response.rs
+++ b/crates/daemon/src/http/response.rs
@@ -15,7 +15,7 @@
 
 /// A whole body.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// An answer with a JSON body.
--- a/crates/daemon/src/operators/decisions.rs
+++ b/crates/daemon/src/operators/decisions.rs
@@ -22,7 +22,7 @@
                 biased;
                 next = decisions.recv() => next,
                 () = sender.closed() => return,
-                () = stopped.cancelled() => return,
+                () = stopped.cancelled() => break,
             };
             match next {
                 Ok(event) => {
@@ -34,9 +34,11 @@
                 Err(RecvError::Lagged(lost)) => {
                     log::debug!(target: "operators", "A watcher was too slow and lost {lost} decisions.");
                 }
-                Err(RecvError::Closed) => return,
+                Err(RecvError::Closed) => break,
             }
         }
+        // An error only says that the watcher has gone.
+        let _ = sender.finish().await;
     });
     response
 }
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -140,6 +140,7 @@
                 sender.send(&number).await.expect("the reader is there");
             }
             sender.send_named("last", &"end").await.expect("the reader is there");
+            sender.finish().await.expect("the reader is there");
         });
         response
     };
@@ -164,6 +165,28 @@
     assert!(matches!(error, EventStreamError::Broken(_)), "{error}");
 }
 
+/// As when the task that produces an answer panics, or the node dies under it.
+#[tokio::test]
+async fn a_sender_that_is_dropped_before_the_end_breaks_the_stream_off() {
+    let (listener, address) = listen().await;
+    let answer = |_: Request<Incoming>| async {
+        let (sender, response) = event_stream(4);
+        tokio::spawn(async move { sender.send(&1).await.expect("the reader is there") });
+        response
+    };
+    tokio::spawn(serve(listener, ServerStop::default(), answer));
+    let mut events = client().get_events(address, "/", PATIENCE).await.expect("a stream");
+    // The server may give up the connection before it has written the event.
+    let error = loop {
+        match events.next().await {
+            Ok(Some(_)) => {}
+            Ok(None) => panic!("a part was taken for the whole"),
+            Err(error) => break error,
+        }
+    };
+    assert!(matches!(error, EventStreamError::Broken(_)), "{error}");
+}
+
 #[tokio::test]
 async fn a_closing_server_finishes_the_stream_it_has_begun() {
     let (listener, address) = listen().await;
@@ -177,6 +200,7 @@
                 sender.send(&1).await.expect("the reader is there");
                 released.wait_for(|released| *released).await.expect("released");
                 sender.send(&2).await.expect("the reader is there");
+                sender.finish().await.expect("the reader is there");
             });
             response
         }
