Let no coordinator take over the shards of bench-replication

Cause: its shards were named as jobs, so the coordinators of its own nodes took them over and the command ended as superseded.

--- a/crates/lab/src/bench_replication.rs
+++ b/crates/lab/src/bench_replication.rs
@@ -76,7 +76,8 @@
     Ok(Rig { nodes, _folders: folders, _api: api })
 }
 
-/// A step of every trainer, each through its own shard and owner, all at once.
+/// A step of every trainer, each through its own shard and owner, all at once. The shards are no jobs, so that no
+/// coordinator takes them over.
 async fn measure_appends(rig: &Rig, sample_bytes: usize) -> Result<(), LabError> {
     let before = syncs(rig);
     let began = Instant::now();
@@ -99,7 +100,7 @@
 }
 
 async fn append_step(rig: &Rig, trainer: usize, sample_bytes: usize) -> Result<(), LabError> {
-    let shard = ShardId::new(format!("job/trainer-{trainer}"));
+    let shard = ShardId::new(format!("bench/trainer-{trainer}"));
     let context = rig.nodes[trainer % rig.nodes.len()].context();
     let (mut log, _) = ShardLog::take_over(context, &shard).await.map_err(failed)?;
     for batch in 0..SAMPLES_PER_STEP / SAMPLES_PER_APPEND {
@@ -122,7 +123,7 @@
 
 /// Owners that take over a log of a quarter of a step from each other.
 async fn measure_take_overs(rig: &Rig) -> Result<(), LabError> {
-    let shard = ShardId::new("job/take-over");
+    let shard = ShardId::new("bench/take-over");
     let records = vec![vec![7; 8_192]; SAMPLES_PER_SNAPSHOT];
     let (mut log, _) = ShardLog::take_over(rig.nodes[0].context(), &shard).await.map_err(failed)?;
     log.append(records).await.map_err(failed)?;
