--- a/crates/core/src/rollout/controller/event.rs
+++ b/crates/core/src/rollout/controller/event.rs
@@ -38,7 +38,7 @@
     },
     /// The records of the last [`Action::Append`] are kept by a majority.
     Appended,
-    /// The time of [`JobController::next_wakeup`] has come.
+    /// The time of [`JobController::next_wakeup`](super::JobController::next_wakeup) has come.
     WakeUp,
 }
 
--- a/crates/lab/src/configuration_simulation/scale.rs
+++ b/crates/lab/src/configuration_simulation/scale.rs
@@ -101,7 +101,7 @@
     );
 }
 
-/// Measures one size. With a cut, half of the nodes are cut off for [`CUT`] in the middle of the run.
+/// Measures one size. With a cut, half of the nodes are cut off for `CUT` in the middle of the run.
 pub fn measure(seed: u64, nodes: usize, link: LinkQuality, fanout: usize, cut: bool) -> Measurement {
     let options = WorldOptions {
         nodes,
