Skip records that a later owner overtook before they were decided

An owner left a record at one store; the next owner, whose majority had not seen it, appended its own before that position; the third read both and adopted both, as Paxos allows for each position. An old owner's record then followed a newer owner's, though it had been made from an older state.

Before and after: each entry keeps the epoch of the owner that made it, and a take-over leaves out what follows a later owner's. Conclusion: a decided record always lies before the first record of the next owner, so nothing that was acknowledged is left out.

--- a/crates/core/src/replication/entry.rs
+++ b/crates/core/src/replication/entry.rs
@@ -40,10 +40,17 @@
 pub enum Payload {
     /// Fills a position that an earlier owner left open.
     Noop,
-    /// A record of the owner's.
-    Record(Vec<u8>),
+    /// A record of an owner's.
+    Record {
+        /// The epoch of the owner that made it; stays when a later owner has it accepted again.
+        origin: Epoch,
+        /// Its bytes.
+        bytes: Vec<u8>,
+    },
     /// A part of a snapshot, which stands for all entries before its first part.
     SnapshotPart {
+        /// The epoch of the owner that made it; stays when a later owner has it accepted again.
+        origin: Epoch,
         /// Which part this is; the first is 0.
         number: u32,
         /// How many parts there are.
@@ -58,7 +65,15 @@
     pub const fn len(&self) -> usize {
         match self {
             Self::Noop => 0,
-            Self::Record(bytes) | Self::SnapshotPart { bytes, .. } => bytes.len(),
+            Self::Record { bytes, .. } | Self::SnapshotPart { bytes, .. } => bytes.len(),
+        }
+    }
+
+    /// The epoch of the owner that made it; `None` for a filled gap.
+    pub const fn origin(&self) -> Option<Epoch> {
+        match self {
+            Self::Noop => None,
+            Self::Record { origin, .. } | Self::SnapshotPart { origin, .. } => Some(*origin),
         }
     }
 
--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -1,6 +1,7 @@
 //! From entries to what an owner recovers, and from a snapshot to entries.
 
 use super::entry::Payload;
+use crate::identity::Epoch;
 
 /// What an owner finds when it takes a shard over.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -13,17 +14,29 @@
 
 /// Puts a log together from its entries in order. A snapshot of which a part is missing counts for nothing: its
 /// owner was superseded while writing it, and nothing was dropped for it.
-pub fn assemble(payloads: impl IntoIterator<Item = Payload>) -> RecoveredLog {
+///
+/// A position can come to hold what an owner left at a minority, after positions of a later owner that knew nothing
+/// of it. Such a record was never acknowledged: had it been decided, the later owner would have found it, and its
+/// own records would lie behind it. With `skip_overtaken` it is left out, so that no record follows one of a later
+/// owner.
+pub fn assemble(payloads: impl IntoIterator<Item = Payload>, skip_overtaken: bool) -> RecoveredLog {
     let mut recovered = RecoveredLog::default();
     let mut parts = PartialSnapshot::default();
+    let mut latest_origin = Epoch::default();
     for payload in payloads {
+        let origin = payload.origin().unwrap_or(latest_origin);
+        if skip_overtaken && origin < latest_origin {
+            parts.discard();
+            continue;
+        }
+        latest_origin = origin.max(latest_origin);
         match payload {
             Payload::Noop => parts.discard(),
-            Payload::Record(bytes) => {
+            Payload::Record { bytes, .. } => {
                 parts.discard();
                 recovered.records.push(bytes);
             }
-            Payload::SnapshotPart { number, count, bytes } => {
+            Payload::SnapshotPart { number, count, bytes, .. } => {
                 if let Some(snapshot) = parts.add(number, count, &bytes) {
                     recovered.snapshot = Some(snapshot);
                     recovered.records.clear();
@@ -35,14 +48,20 @@
 }
 
 /// Cuts a snapshot into parts of at most `part_bytes`; an empty snapshot is one empty part.
-pub fn split_snapshot(snapshot: &[u8], part_bytes: usize) -> Vec<Payload> {
+pub fn split_snapshot(snapshot: &[u8], part_bytes: usize, origin: Epoch) -> Vec<Payload> {
     if snapshot.is_empty() {
-        return vec![Payload::SnapshotPart { number: 0, count: 1, bytes: Vec::new() }];
+        return vec![Payload::SnapshotPart { origin, number: 0, count: 1, bytes: Vec::new() }];
     }
     let chunks = snapshot.chunks(part_bytes.max(1));
     let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
     let numbered = (0..count).zip(chunks);
-    numbered.map(|(number, bytes)| Payload::SnapshotPart { number, count, bytes: bytes.to_vec() }).collect()
+    let part = |(number, bytes): (u32, &[u8])| Payload::SnapshotPart {
+        origin,
+        number,
+        count,
+        bytes: bytes.to_vec(),
+    };
+    numbered.map(part).collect()
 }
 
 /// Parts of a snapshot read so far, without a gap.
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -45,7 +45,7 @@
 //!     Operation::Accept(Accept {
 //!         ballot,
 //!         from: LogIndex::FIRST,
-//!         payloads: vec![Payload::Record(b"slot 0.1.2".to_vec())],
+//!         payloads: vec![Payload::Record { origin: Epoch(1), bytes: b"slot 0.1.2".to_vec() }],
 //!         decided_through: LogIndex::ZERO,
 //!         truncate_before: LogIndex::FIRST,
 //!     })
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -53,11 +53,13 @@
     pub recover: bool,
     /// Call a position decided only once a majority has it.
     pub wait_for_majority: bool,
+    /// Leave out records that a later owner overtook before they were decided.
+    pub skip_overtaken: bool,
 }
 
 impl Default for ProposerChecks {
     fn default() -> Self {
-        Self { recover: true, wait_for_majority: true }
+        Self { recover: true, wait_for_majority: true, skip_overtaken: true }
     }
 }
 
@@ -278,7 +280,7 @@
             return Err(AppendRefusal::DiskFull);
         }
         for record in records {
-            self.window.push(Payload::Record(record));
+            self.window.push(Payload::Record { origin: self.ballot.epoch, bytes: record });
         }
         Ok(self.window.last())
     }
@@ -290,7 +292,7 @@
     pub fn compact(&mut self, snapshot: &[u8]) -> Result<LogIndex, AppendRefusal> {
         self.check_leading()?;
         let first = self.window.last().next();
-        for part in split_snapshot(snapshot, self.config.maximum_batch_bytes) {
+        for part in split_snapshot(snapshot, self.config.maximum_batch_bytes, self.ballot.epoch) {
             self.window.push(part);
         }
         self.truncation.pending = Some((first, self.window.last()));
@@ -395,7 +397,7 @@
         for member in self.members.values_mut() {
             member.start_from(log.decided_through);
         }
-        let recovered = assemble(log.decided.into_iter().chain(log.undecided));
+        let recovered = assemble(log.decided.into_iter().chain(log.undecided), self.checks.skip_overtaken);
         self.phase = Phase::Confirming { through: self.window.last(), recovered };
         self.finish_confirming();
     }
--- a/crates/daemon/src/store/disk/tests.rs
+++ b/crates/daemon/src/store/disk/tests.rs
@@ -91,7 +91,7 @@
 }
 
 fn entry(index: u64) -> Entry {
-    Entry { epoch: Epoch(1), payload: Payload::Record(vec![index as u8; 300]) }
+    Entry { epoch: Epoch(1), payload: Payload::Record { origin: Epoch(1), bytes: vec![index as u8; 300] } }
 }
 
 fn open(file: &FragileFile, is_new: bool) -> Result<Disk, StoreError> {
--- a/crates/lab/src/rollout_simulation/owner.rs
+++ b/crates/lab/src/rollout_simulation/owner.rs
@@ -7,7 +7,7 @@
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::log::RecoveredLog;
-use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig, ProposerEvent};
+use lichenpulley_core::replication::proposer::{Proposer, ProposerChecks, ProposerConfig, ProposerEvent};
 use lichenpulley_core::rollout::{
     Action, AttemptOutcome, AttemptStart, ControllerConfig, Event, JobController, JobRecord,
     JobSpecification, TokenCounts,
@@ -30,6 +30,7 @@
     pub(super) specification: JobSpecification,
     pub(super) config: ControllerConfig,
     pub(super) versions_by_chunk: bool,
+    pub(super) log: ProposerChecks,
 }
 
 /// Counts over all lives of one owner.
@@ -99,7 +100,8 @@
         let proposer = ProposerId::new(format!("owner-{}-{}", self.number, self.terms));
         self.term = Some(Term {
             number: self.terms,
-            proposer: Proposer::new(store::replica_set(), proposer, Epoch(1), config),
+            proposer: Proposer::new(store::replica_set(), proposer, Epoch(1), config)
+                .with_checks(self.setup.log),
             controller: None,
             appends: VecDeque::new(),
             streams: BTreeMap::new(),
--- a/crates/lab/src/rollout_simulation/world.rs
+++ b/crates/lab/src/rollout_simulation/world.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::identity::{JobId, PoolName};
+use lichenpulley_core::replication::proposer::ProposerChecks;
 use lichenpulley_core::rollout::{ControllerChecks, ControllerConfig, JobSpecification, Slot, TokenCounts};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_simulation::{FaultPlan, FaultRates, LinkQuality, ProcessId, Simulation};
@@ -27,6 +28,8 @@
 pub struct Mechanisms {
     /// Those of the job's owner.
     pub owner: ControllerChecks,
+    /// Those of the log's proposer.
+    pub log: ProposerChecks,
     /// Stores refuse an owner that has been superseded.
     pub fencing: bool,
     /// Versions are taken from each chunk, not from the first one.
@@ -35,7 +38,12 @@
 
 impl Default for Mechanisms {
     fn default() -> Self {
-        Self { owner: ControllerChecks::default(), fencing: true, versions_by_chunk: true }
+        Self {
+            owner: ControllerChecks::default(),
+            log: ProposerChecks::default(),
+            fencing: true,
+            versions_by_chunk: true,
+        }
     }
 }
 
@@ -152,6 +160,7 @@
         specification: specification.clone(),
         config,
         versions_by_chunk: mechanisms.versions_by_chunk,
+        log: mechanisms.log,
     };
     let mut world = Simulation::new(seed, schedule.link);
     for number in 0..STORES {
