--- a/crates/core/src/weights/controller.rs
+++ b/crates/core/src/weights/controller.rs
@@ -123,6 +123,7 @@
     /// Actions that rest on the records being appended.
     appending: Option<Vec<Action>>,
     records_since_snapshot: u64,
+    next_barrier: Timestamp,
     actions: VecDeque<Action>,
 }
 
@@ -156,6 +157,7 @@
             held: Vec::new(),
             appending: None,
             records_since_snapshot: records.len() as u64,
+            next_barrier: now + config.barrier_interval,
             actions: VecDeque::new(),
         })
     }
@@ -181,7 +183,9 @@
 
     /// When to hand in [`Event::WakeUp`] at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.replicas.iter().filter_map(|(replica, state)| self.next_ask(replica, state)).min()
+        let asks = self.replicas.iter().filter_map(|(replica, state)| self.next_ask(replica, state));
+        let barrier = self.appending.is_none().then_some(self.next_barrier);
+        asks.chain(barrier).min()
     }
 
     /// How far the wave has come.
@@ -209,14 +213,24 @@
     fn advance(&mut self, now: Timestamp) {
         self.expire_orders(now);
         self.order_roles();
+        self.repeat_orders(now);
         self.order_next_wave(now);
         self.ask_due(now);
-        self.append_proposed();
+        if self.next_barrier <= now && self.proposed.is_empty() {
+            self.propose(WeightsRecord::Barrier);
+        }
+        self.append_proposed(now);
     }
 
     fn publish(&mut self, ticket: u64, weight_version: WeightVersion) {
         if self.ledger.target.is_none_or(|target| target < weight_version) {
             self.propose(WeightsRecord::Published(weight_version));
+            // Those that were loading the version before are to load this one instead, in the same place.
+            for replica in &self.ledger.ordered {
+                if let Some(state) = self.replicas.get_mut(replica) {
+                    state.last_order_at = None;
+                }
+            }
             let decision = Decision::new(Component::Weights, "published", "by_trainer", &self.pool)
                 .with("weight_version", weight_version);
             self.actions.push_back(Action::Decide(decision));
@@ -276,20 +290,6 @@
             self.propose(WeightsRecord::Forgotten(vec![replica.clone()]));
             self.decide("reordered", "lost_version", replica);
         }
-        if report.weight_version.is_some() && !has_target {
-            self.end_order_of_earlier_version(replica);
-        }
-    }
-
-    /// A replica that was fetching an earlier version when a later one was published, and has it now.
-    fn end_order_of_earlier_version(&mut self, replica: &ReplicaId) {
-        let Some(state) = self.replicas.get_mut(replica) else { return };
-        if state.ordered_version.is_some_and(|version| Some(version) == self.ledger.target) {
-            return;
-        }
-        if self.ledger.ordered.contains(replica) {
-            self.propose(WeightsRecord::Forgotten(vec![replica.clone()]));
-        }
     }
 
     fn handle_order_end(&mut self, replica: &ReplicaId, result: OrderResult, now: Timestamp) {
@@ -327,6 +327,39 @@
         self.propose(WeightsRecord::Forgotten(expired));
     }
 
+    /// Orders again what has been ordered and not confirmed: at once after a take-over or a publication, else now and
+    /// then. The replica keeps its place, so the number of fetches stays at the limit.
+    fn repeat_orders(&mut self, now: Timestamp) {
+        let Some(target) = self.ledger.target else { return };
+        let interval = self.config.order_interval;
+        let mut due = Vec::new();
+        for replica in &self.ledger.ordered {
+            let Some(state) = self.replicas.get_mut(replica) else { continue };
+            if state.last_order_at.is_some_and(|at| now.saturating_since(at) < interval) {
+                continue;
+            }
+            if state.last_order_at.is_none() {
+                state.ordered_at = Some(now);
+            }
+            state.last_order_at = Some(now);
+            due.push(replica.clone());
+        }
+        for replica in due {
+            self.send_after_record(replica, OrderCommand::LoadWeights(target));
+        }
+        self.release_when_settled();
+    }
+
+    /// Sends an order once everything proposed so far is kept.
+    fn send_after_record(&mut self, replica: ReplicaId, command: OrderCommand) {
+        let order = Action::Order { replica, command };
+        if self.config.keep_before_order {
+            self.held.push(order);
+        } else {
+            self.actions.push_back(order);
+        }
+    }
+
     fn order_next_wave(&mut self, now: Timestamp) {
         let Some(target) = self.ledger.target else { return };
         let limit = self.config.loading_limit(self.replicas.len());
@@ -350,11 +383,10 @@
         for replica in &wave {
             if let Some(state) = self.replicas.get_mut(replica) {
                 state.ordered_at = Some(now);
-                state.ordered_version = Some(target);
+                state.last_order_at = Some(now);
                 state.asked_at = Some(now);
             }
-            let command = OrderCommand::LoadWeights(target);
-            self.held.push(Action::Order { replica: replica.clone(), command });
+            self.send_after_record(replica.clone(), OrderCommand::LoadWeights(target));
             self.decide("ordered", "wave", replica);
         }
         self.propose(WeightsRecord::Ordered(wave));
@@ -408,10 +440,11 @@
         self.proposed.push(record);
     }
 
-    fn append_proposed(&mut self) {
+    fn append_proposed(&mut self, now: Timestamp) {
         if self.appending.is_some() || self.proposed.is_empty() {
             return;
         }
+        self.next_barrier = now + self.config.barrier_interval;
         let records = std::mem::take(&mut self.proposed);
         self.records_since_snapshot += records.len() as u64;
         self.appending = Some(std::mem::take(&mut self.held));
--- a/crates/core/src/weights/ledger.rs
+++ b/crates/core/src/weights/ledger.rs
@@ -24,6 +24,8 @@
         /// Whether it drains.
         draining: bool,
     },
+    /// Changes nothing. That it is kept shows that its owner had not been superseded.
+    Barrier,
 }
 
 /// A record could not be read.
@@ -96,6 +98,7 @@
             WeightsRecord::Ordered(replicas) => self.ordered.extend(replicas.iter().cloned()),
             WeightsRecord::Confirmed(replicas) => self.confirm(replicas),
             WeightsRecord::Forgotten(replicas) => self.forget(replicas),
+            WeightsRecord::Barrier => {}
             WeightsRecord::RoleChanged { replica, draining: true } => {
                 self.draining.insert(replica.clone());
             }
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -25,18 +25,29 @@
     pub load_timeout: Duration,
     /// How often a loading replica is asked for its report.
     pub poll_interval: Duration,
+    /// How often a replica that has not confirmed is ordered again. An engine that is loading the version takes no
+    /// notice; one whose swap failed partway, or that restarted, begins anew.
+    pub order_interval: Duration,
     /// How often a replica that has confirmed is asked again, to find one that restarted with older weights.
     pub sweep_interval: Duration,
+    /// An owner with nothing to record for so long appends a barrier, to find out whether it has been superseded: it
+    /// may have missed a publication that another owner took.
+    pub barrier_interval: Duration,
+    /// Keep the record of an order before it is sent. Always on in service; proofs switch it off.
+    pub keep_before_order: bool,
 }
 
 impl Default for WaveConfig {
     fn default() -> Self {
         Self {
-            max_concurrent_loads: 32,
+            max_concurrent_loads: 256,
             max_loading_percent: 50,
             load_timeout: Duration::from_secs(30),
             poll_interval: Duration::from_millis(500),
+            order_interval: Duration::from_secs(2),
             sweep_interval: Duration::from_secs(60),
+            barrier_interval: Duration::from_secs(5),
+            keep_before_order: true,
         }
     }
 }
@@ -66,7 +77,9 @@
         let durations = [
             ("load_timeout", self.load_timeout),
             ("poll_interval", self.poll_interval),
+            ("order_interval", self.order_interval),
             ("sweep_interval", self.sweep_interval),
+            ("barrier_interval", self.barrier_interval),
         ];
         match durations.into_iter().find(|(_, duration)| duration.is_zero()) {
             Some((field, _)) => Err(WaveConfigError { field, allowed: "more than nothing" }),
--- a/crates/core/src/weights/replica.rs
+++ b/crates/core/src/weights/replica.rs
@@ -31,10 +31,10 @@
 pub(super) struct ReplicaState {
     /// When it was last asked or ordered.
     pub(super) asked_at: Option<Timestamp>,
-    /// When the last order to load was sent by this owner; for an earlier owner's, when this one began.
+    /// When the first order to load the published version was sent; for an earlier owner's, when this one began.
     pub(super) ordered_at: Option<Timestamp>,
-    /// The version that this owner ordered last.
-    pub(super) ordered_version: Option<WeightVersion>,
+    /// When the order was last sent by this owner; `None` where it is to be sent at once.
+    pub(super) last_order_at: Option<Timestamp>,
     /// Orders in a row that were not confirmed in time.
     pub(super) failures: u32,
     /// Its last report.
--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -3,6 +3,7 @@
 use futures::future::BoxFuture;
 
 use crate::error::LabError;
+use crate::weights_simulation;
 use crate::{
     bench, bench_replication, demo, engine, experiment, load, machine_list, object_api, requests,
     rollout_simulation, scorer, simulate_replication, subsets, trainer, weight_store,
@@ -104,6 +105,11 @@
         help: "rollout jobs under seeded faults on a virtual clock",
         entry: |arguments| Box::pin(rollout_simulation::run(arguments)),
     },
+    Command {
+        name: "simulate-weights",
+        help: "weight waves under seeded faults, or timed over hollow replicas",
+        entry: |arguments| Box::pin(weights_simulation::run(arguments)),
+    },
     Command {
         name: "experiment",
         help: "run an experiment on a virtual clock",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod subsets;
 pub mod trainer;
 pub mod weight_store;
+pub mod weights_simulation;
