Own the shards of the replication test by the test alone

Cause: the test takes job/pricing over by itself on nodes that are coordinators. Ruled out: nodes without the coordinator role, which changes more than the name. Conclusion: its shard is of a kind that no coordinator runs. What it checks is unchanged.

--- a/crates/lab/tests/replication.rs
+++ b/crates/lab/tests/replication.rs
@@ -18,6 +18,8 @@
 
 /// Bounds a test that would fail anyway.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Of no kind that coordinators run: the test itself owns it, and no node is to take it over.
+const SHARD: &str = "test/pricing";
 const ZONES: [&str; 3] = ["sando-hall", "couva-room", "pointe-rack"];
 
 /// Nodes with the store role, each with a folder of its own.
@@ -117,7 +119,7 @@
 #[tokio::test]
 async fn what_was_appended_survives_its_owner() {
     let cluster = Cluster::start(3).await;
-    let shard = ShardId::new("job/pricing");
+    let shard = ShardId::new(SHARD);
     let (mut first, recovered) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
     assert!(recovered.records.is_empty());
     first.append(records(&["a", "b"])).await.expect("appended");
@@ -139,7 +141,7 @@
 #[tokio::test]
 async fn a_take_over_needs_no_platform_and_only_a_majority() {
     let mut cluster = Cluster::start(4).await;
-    let shard = ShardId::new("job/pricing");
+    let shard = ShardId::new(SHARD);
     let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
     log.append(records(&["kept"])).await.expect("appended");
     cluster.api = None;
@@ -160,7 +162,7 @@
 #[tokio::test]
 async fn a_store_comes_back_with_what_it_had() {
     let mut cluster = Cluster::start(3).await;
-    let shard = ShardId::new("job/pricing");
+    let shard = ShardId::new(SHARD);
     let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
     log.append(records(&["kept"])).await.expect("appended");
     for number in 0..3 {
@@ -202,7 +204,7 @@
 #[tokio::test]
 async fn a_replaced_store_keeps_the_log() {
     let mut cluster = Cluster::start(4).await;
-    let shard = ShardId::new("job/pricing");
+    let shard = ShardId::new(SHARD);
     let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
     log.append(records(&["kept"])).await.expect("appended");
     let set = cluster.context(0).replica_sets.get(&shard).expect("a replica set");
@@ -233,13 +235,13 @@
 #[tokio::test]
 async fn a_store_that_lost_its_disk_is_replaced_without_an_operator() {
     let mut cluster = Cluster::start(3).await;
-    let shard = ShardId::new("job/pricing");
+    let shard = ShardId::new(SHARD);
     let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("taken over");
     log.append(records(&["kept"])).await.expect("appended");
     cluster.replace_disk(2).await;
     let document = || {
         let objects = cluster.api.as_ref().expect("an object API").objects();
-        objects.get("replica-sets/job/pricing").map(|object| object.value.clone())
+        objects.get(&format!("replica-sets/{SHARD}")).map(|object| object.value.clone())
     };
     let is_replaced = || {
         let document = document().expect("a replica set");
