--- a/crates/lab/src/rollout_simulation/command.rs
+++ b/crates/lab/src/rollout_simulation/command.rs
@@ -25,6 +25,7 @@
     options.optopt("", "first-seed", "the first schedule's seed (default 0)", "NUMBER");
     options.optopt("", "threads", "threads to use (default 2)", "NUMBER");
     options.optflag("", "only-at-hand-over", "test staleness at hand-over only, not earlier");
+    options.optflag("", "calm", "no faults, and one version a step");
     options.optflag("h", "help", "print this help and end");
     let matches = options.parse(arguments).map_err(|error| LabError::Usage(error.to_string()))?;
     if matches.opt_present("help") {
@@ -36,7 +37,8 @@
     let threads = number(&matches, "threads", DEFAULT_THREADS)?.max(1);
     let mut mechanisms = Mechanisms::default();
     mechanisms.owner.staleness_before_hand_over = !matches.opt_present("only-at-hand-over");
-    let summary = run_all(&seeds, threads, mechanisms);
+    let schedule = Schedule { calm: matches.opt_present("calm"), ..Schedule::default() };
+    let summary = run_all(&seeds, threads, schedule, mechanisms);
     summary.print();
     match summary.broken.len() {
         0 => Ok(()),
@@ -49,12 +51,12 @@
     text.parse().map_err(|_| LabError::Usage(format!("--{name} takes a whole number, not `{text}`")))
 }
 
-fn run_all(seeds: &Range<u64>, threads: u64, mechanisms: Mechanisms) -> Summary {
+fn run_all(seeds: &Range<u64>, threads: u64, schedule: Schedule, mechanisms: Mechanisms) -> Summary {
     thread::scope(|scope| {
         let part = |thread: u64| {
             let seeds = seeds.clone().skip(usize::try_from(thread).unwrap_or(0));
             let seeds = seeds.step_by(usize::try_from(threads).unwrap_or(1));
-            scope.spawn(move || Summary::of(seeds, mechanisms))
+            scope.spawn(move || Summary::of(seeds, schedule, mechanisms))
         };
         let parts: Vec<_> = (0..threads).map(part).collect();
         let joined = parts.into_iter().filter_map(|part| part.join().ok());
@@ -71,10 +73,10 @@
 }
 
 impl Summary {
-    fn of(seeds: impl Iterator<Item = u64>, mechanisms: Mechanisms) -> Self {
+    fn of(seeds: impl Iterator<Item = u64>, schedule: Schedule, mechanisms: Mechanisms) -> Self {
         let mut summary = Self::default();
         for seed in seeds {
-            let report = run_seed(seed, &Schedule::default(), mechanisms);
+            let report = run_seed(seed, &schedule, mechanisms);
             summary.schedules += 1;
             summary.totals.add(&report);
             if !report.violations.is_empty() {
--- a/crates/lab/src/rollout_simulation/world.rs
+++ b/crates/lab/src/rollout_simulation/world.rs
@@ -58,6 +58,8 @@
     pub link: LinkQuality,
     /// The job's staleness bound, in versions.
     pub staleness_bound: u64,
+    /// No faults, good links, and one version a step.
+    pub calm: bool,
 }
 
 impl Default for Schedule {
@@ -67,6 +69,7 @@
             longest_outage: Duration::from_millis(700),
             link: LinkQuality::POOR,
             staleness_bound: 1,
+            calm: false,
         }
     }
 }
@@ -117,7 +120,8 @@
     let targets: Vec<ProcessId> = world.ids().collect();
     let rates =
         FaultRates { mean_interval: schedule.mean_fault_interval, longest_outage: schedule.longest_outage };
-    let plan = FaultPlan::draw(seed, &targets, FAULTY, rates);
+    let plan =
+        if schedule.calm { FaultPlan::default() } else { FaultPlan::draw(seed, &targets, FAULTY, rates) };
     for (at, fault) in plan.faults() {
         world.run_until(*at);
         world.apply(fault, WorldProcess::restarted);
@@ -162,7 +166,8 @@
         versions_by_chunk: mechanisms.versions_by_chunk,
         log: mechanisms.log,
     };
-    let mut world = Simulation::new(seed, schedule.link);
+    let link = if schedule.calm { LinkQuality::GOOD } else { schedule.link };
+    let mut world = Simulation::new(seed, link);
     for number in 0..STORES {
         world.add(WorldProcess::Store(Box::new(Store::new(number, mechanisms.fencing))));
     }
@@ -172,7 +177,12 @@
     for number in 0..ENGINES as u64 {
         world.add(WorldProcess::Engine(Engine::new(seed.wrapping_mul(31).wrapping_add(number))));
     }
-    world.add(WorldProcess::Trainer(Box::new(Trainer::new(seed, schedule.staleness_bound))));
+    let trainer = if schedule.calm {
+        Trainer::calm(seed, schedule.staleness_bound, specification.slots_per_step())
+    } else {
+        Trainer::new(seed, schedule.staleness_bound)
+    };
+    world.add(WorldProcess::Trainer(Box::new(trainer)));
     world
 }
 
