Let a member that lost its disk not look after itself

Cause: the member that replaces others was the first by store id whose node is seen. Conclusion: each member is looked after by the first of the others.

--- a/crates/daemon/src/store/replacement.rs
+++ b/crates/daemon/src/store/replacement.rs
@@ -47,15 +47,13 @@
 }
 
 impl Replacements {
-    /// Looks at every set of which this store is the responsible member.
+    /// Looks at every member that this store is to look after.
     pub(super) async fn round(&mut self, context: &Context, store: &StoreId, groups: &[GroupRecord]) {
         self.read_machine_list(context).await;
         let active = groups.iter().filter(|group| group.phase == GroupPhase::Active);
         for group in active {
             self.note_missing(context, &group.set);
-            if responsible(context, &group.set) == Some(store) {
-                self.replace_gone(context, &group.set).await;
-            }
+            self.replace_gone(context, store, &group.set).await;
         }
         self.rounds += 1;
     }
@@ -82,8 +80,9 @@
     }
 
     /// One member a round: the next one waits until the set is whole again.
-    async fn replace_gone(&self, context: &Context, set: &ReplicaSet) {
-        for member in &set.members {
+    async fn replace_gone(&self, context: &Context, store: &StoreId, set: &ReplicaSet) {
+        let looked_after = |member: &&SetMember| responsible(context, set, member) == Some(store);
+        for member in set.members.iter().filter(looked_after) {
             let Some(reason) = self.gone(context, member).await else { continue };
             log::info!(
                 target: "store",
@@ -114,9 +113,11 @@
     }
 }
 
-/// The member that looks after the set: the first one, by store id, whose node is seen.
-fn responsible<'a>(context: &Context, set: &'a ReplicaSet) -> Option<&'a StoreId> {
+/// The member that looks after another: the first of the others, by store id, whose node is seen. Never itself: a
+/// node that lost its disk is seen, and its old store looks after nobody any more.
+fn responsible<'a>(context: &Context, set: &'a ReplicaSet, after: &SetMember) -> Option<&'a StoreId> {
     let cluster = context.cluster.load();
-    let seen = set.members.iter().filter(|member| cluster.member(&member.node).is_some());
+    let others = set.members.iter().filter(|member| member.store != after.store);
+    let seen = others.filter(|member| cluster.member(&member.node).is_some());
     seen.map(|member| &member.store).min()
 }
