--- a/crates/core/src/rollout/specification.rs
+++ b/crates/core/src/rollout/specification.rs
@@ -28,6 +28,7 @@
     /// (brief point 2).
     pub staleness_bound: u64,
     /// What to weigh more when long samples hold up a step: 0 is staleness only, 100 is idle time only.
+    /// Checked and kept; nothing acts on it yet.
     #[serde(default = "default_idle_weight")]
     pub idle_weight_percent: u8,
 }
