--- /dev/null
+++ b/crates/core/src/batch/job.rs
@@ -0,0 +1,85 @@
+//! A batch job as it was handed in, and what comes of its items.
+
+use speedy::{Readable, Writable};
+
+use crate::identity::BatchId;
+
+/// One request of a batch job.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct BatchItem {
+    /// Its id, unique within the job.
+    pub id: String,
+    /// The path at the replica.
+    pub path: String,
+    /// Header fields that go with it.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Tokens of memory that it may need.
+    pub tokens: u64,
+    /// The caller's estimate of tokens to come.
+    pub expected_tokens: Option<u64>,
+    /// The group that is worth something only as a whole.
+    pub group: Option<String>,
+    /// The model it is for.
+    pub model: Option<String>,
+}
+
+/// A batch job.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct BatchJob {
+    /// Its id.
+    pub id: BatchId,
+    /// The route under which it came.
+    pub route: String,
+    /// The host under which it came.
+    pub host: String,
+    /// The trainer's step.
+    pub step: Option<u64>,
+    /// The oldest version of the weights allowed to make its tokens.
+    pub min_version: u64,
+    /// How many whole groups the trainer waits for.
+    pub desired_groups: Option<u64>,
+    /// Its items.
+    pub items: Vec<BatchItem>,
+}
+
+/// One event of an item's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct KeptEvent {
+    /// Its number.
+    pub number: u64,
+    /// The version of the weights that made it.
+    pub version: u64,
+    /// Its data.
+    pub data: String,
+}
+
+/// What came of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ItemResult {
+    /// The item's position in the job.
+    pub item: u32,
+    /// Whether the text is the item's whole output.
+    pub is_complete: bool,
+    /// The data of all events in order, separated by line feeds.
+    pub text: String,
+    /// Every version that made an event of the text, in rising order.
+    pub versions: Vec<u64>,
+}
+
+impl ItemResult {
+    /// The result of an item that came whole.
+    pub fn complete(item: u32, events: &[KeptEvent]) -> Self {
+        let mut versions: Vec<u64> = events.iter().map(|event| event.version).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let data: Vec<&str> = events.iter().map(|event| event.data.as_str()).collect();
+        Self { item, is_complete: true, text: data.join("\n"), versions }
+    }
+
+    /// The result of an item that was given up.
+    pub const fn faulted(item: u32) -> Self {
+        Self { item, is_complete: false, text: String::new(), versions: Vec::new() }
+    }
+}
--- /dev/null
+++ b/crates/core/src/batch/ledger.rs
@@ -0,0 +1,196 @@
+//! What the records of a batch shard amount to.
+//!
+//! Invariants: an item is listed once, and keeps its position; a job that was ended stays ended; events of an item
+//! are kept without a gap and each once. Applying a record a second time changes nothing.
+
+use std::collections::{BTreeMap, HashMap};
+
+use speedy::{Readable, Writable};
+
+use super::job::{BatchJob, ItemResult, KeptEvent};
+use super::record::Record;
+use crate::identity::BatchId;
+
+/// What is kept of one item.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ItemState {
+    /// Events that have come.
+    pub events: Vec<KeptEvent>,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Whether it stands in the job's list.
+    pub is_listed: bool,
+}
+
+impl ItemState {
+    /// The number of the last event that is kept.
+    pub fn last_event(&self) -> Option<u64> {
+        self.events.last().map(|event| event.number)
+    }
+}
+
+/// What is kept of one job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobState {
+    /// The job as it was handed in.
+    pub job: BatchJob,
+    /// The shard's clock when it was taken, in milliseconds.
+    pub accepted_at_ms: u64,
+    /// Results in the order in which they were listed.
+    pub results: Vec<ItemResult>,
+    /// What is kept of each item.
+    pub items: Vec<ItemState>,
+    /// Whether its caller ended it.
+    pub is_ended: bool,
+    /// Items by id.
+    pub positions: HashMap<String, u32>,
+}
+
+impl JobState {
+    fn new(job: BatchJob, accepted_at_ms: u64) -> Self {
+        let positions = job.items.iter().zip(0..).map(|(item, position)| (item.id.clone(), position));
+        let positions = positions.collect();
+        let items = vec![ItemState::default(); job.items.len()];
+        Self { job, accepted_at_ms, results: Vec::new(), items, is_ended: false, positions }
+    }
+
+    /// Whether an item may still run.
+    pub fn is_open(&self, item: u32) -> bool {
+        !self.is_ended && self.items.get(item as usize).is_some_and(|state| !state.is_listed)
+    }
+}
+
+/// All jobs of a shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    jobs: BTreeMap<BatchId, JobState>,
+    clock_ms: u64,
+}
+
+/// A snapshot: records that amount to the same ledger.
+#[derive(Debug, Readable, Writable)]
+struct Snapshot {
+    records: Vec<Record>,
+}
+
+impl Ledger {
+    /// The jobs.
+    pub const fn jobs(&self) -> &BTreeMap<BatchId, JobState> {
+        &self.jobs
+    }
+
+    /// One job.
+    pub fn job(&self, batch: &BatchId) -> Option<&JobState> {
+        self.jobs.get(batch)
+    }
+
+    /// The shard's clock, in milliseconds.
+    pub const fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// Applies a record.
+    pub fn apply(&mut self, record: Record) {
+        match record {
+            Record::Accepted(job) => {
+                let accepted_at_ms = self.clock_ms;
+                self.jobs.entry(job.id.clone()).or_insert_with(|| JobState::new(job, accepted_at_ms));
+            }
+            Record::Progress { batch, item, events } => {
+                if let Some(state) = self.item(&batch, item) {
+                    append_events(state, events);
+                }
+            }
+            Record::Failed { batch, item, failures } => {
+                if let Some(state) = self.item(&batch, item) {
+                    state.failures = state.failures.max(failures);
+                }
+            }
+            Record::Listed { batch, result } => self.list(&batch, result),
+            Record::Ended(batch) => {
+                if let Some(job) = self.jobs.get_mut(&batch) {
+                    job.is_ended = true;
+                }
+            }
+            Record::Dropped(batch) => {
+                self.jobs.remove(&batch);
+            }
+            Record::Clock(milliseconds) => self.clock_ms = self.clock_ms.max(milliseconds),
+        }
+    }
+
+    fn item(&mut self, batch: &BatchId, item: u32) -> Option<&mut ItemState> {
+        self.jobs.get_mut(batch)?.items.get_mut(item as usize)
+    }
+
+    fn list(&mut self, batch: &BatchId, result: ItemResult) {
+        let Some(job) = self.jobs.get_mut(batch) else { return };
+        let Some(state) = job.items.get_mut(result.item as usize) else { return };
+        if state.is_listed {
+            return;
+        }
+        state.is_listed = true;
+        state.events = Vec::new();
+        job.results.push(result);
+    }
+
+    /// The ledger as a snapshot.
+    ///
+    /// # Errors
+    /// When it is too long for the codec.
+    pub fn to_snapshot(&self) -> Result<Vec<u8>, speedy::Error> {
+        let mut records = Vec::new();
+        let mut by_age: Vec<&JobState> = self.jobs.values().collect();
+        by_age.sort_by_key(|job| job.accepted_at_ms);
+        for job in by_age {
+            records.push(Record::Clock(job.accepted_at_ms));
+            job_records(job, &mut records);
+        }
+        records.push(Record::Clock(self.clock_ms));
+        Snapshot { records }.write_to_vec()
+    }
+
+    /// The ledger that a snapshot and the records after it amount to.
+    ///
+    /// # Errors
+    /// When the bytes are none of ours.
+    pub fn recover(snapshot: Option<&[u8]>, records: &[Vec<u8>]) -> Result<Self, speedy::Error> {
+        let mut ledger = Self::default();
+        if let Some(bytes) = snapshot {
+            let snapshot = Snapshot::read_from_buffer(bytes)?;
+            snapshot.records.into_iter().for_each(|record| ledger.apply(record));
+        }
+        for bytes in records {
+            ledger.apply(Record::decode(bytes)?);
+        }
+        Ok(ledger)
+    }
+}
+
+fn append_events(state: &mut ItemState, events: Vec<KeptEvent>) {
+    for event in events {
+        let next = state.last_event().map_or(event.number, |last| last + 1);
+        if !state.is_listed && event.number == next {
+            state.events.push(event);
+        }
+    }
+}
+
+fn job_records(job: &JobState, records: &mut Vec<Record>) {
+    let batch = &job.job.id;
+    records.push(Record::Accepted(job.job.clone()));
+    for result in &job.results {
+        records.push(Record::Listed { batch: batch.clone(), result: result.clone() });
+    }
+    for (state, item) in job.items.iter().zip(0..) {
+        if state.failures > 0 {
+            records.push(Record::Failed { batch: batch.clone(), item, failures: state.failures });
+        }
+        if !state.events.is_empty() {
+            records.push(Record::Progress { batch: batch.clone(), item, events: state.events.clone() });
+        }
+    }
+    if job.is_ended {
+        records.push(Record::Ended(batch.clone()));
+    }
+}
--- /dev/null
+++ b/crates/core/src/batch/record.rs
@@ -0,0 +1,62 @@
+//! Records of a batch shard's log.
+
+use speedy::{Readable, Writable};
+
+use super::job::{BatchJob, ItemResult, KeptEvent};
+use crate::identity::BatchId;
+
+/// What the owner writes down before it acts on it or shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Record {
+    /// A job is taken.
+    Accepted(BatchJob),
+    /// Part of an item's answer has come.
+    Progress {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// Events that follow those kept before.
+        events: Vec<KeptEvent>,
+    },
+    /// A run of an item failed.
+    Failed {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// Failed runs so far.
+        failures: u32,
+    },
+    /// An item is listed, at the next free position of its job.
+    Listed {
+        /// The job.
+        batch: BatchId,
+        /// The result.
+        result: ItemResult,
+    },
+    /// A job is ended by its caller: nothing of it runs any more.
+    Ended(BatchId),
+    /// A job is past its retention and dropped.
+    Dropped(BatchId),
+    /// The owner is alive. The shard's clock: milliseconds that owners have counted so far.
+    Clock(u64),
+}
+
+impl Record {
+    /// The bytes of a record.
+    ///
+    /// # Errors
+    /// When it is too long for the codec.
+    pub fn encode(&self) -> Result<Vec<u8>, speedy::Error> {
+        self.write_to_vec()
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    /// When the bytes are none.
+    pub fn decode(bytes: &[u8]) -> Result<Self, speedy::Error> {
+        Self::read_from_buffer(bytes)
+    }
+}
--- /dev/null
+++ b/crates/core/src/batch/schedule.rs
@@ -0,0 +1,140 @@
+//! Which waiting item goes to which replica.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ingress::replicas::ReplicaRecord;
+use crate::time::Timestamp;
+
+/// The pause between two events that is taken for a replica that has not been measured.
+const UNMEASURED_GAP: Duration = Duration::from_millis(40);
+/// Weight of the newest pause in the running mean.
+const GAP_WEIGHT: f64 = 0.1;
+/// How much slower a full replica is taken to be than an empty one.
+const FULL_SLOWDOWN: f64 = 0.5;
+/// A replica that left a run broken gets nothing new for so long.
+pub(super) const SUSPECT_AFTER_BREAK: Duration = Duration::from_millis(600);
+/// A replica that refused gets nothing new for so long.
+pub(super) const PAUSE_AFTER_REJECTION: Duration = Duration::from_millis(60);
+
+/// A replica as the owner sees it: what the platform lists, corrected by what the owner sent and saw since.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaState {
+    pub(super) record: ReplicaRecord,
+    /// Runs of this owner there.
+    pub(super) running: u32,
+    /// Tokens of memory that these runs are expected to need.
+    pub(super) tokens: u64,
+    /// Nothing new before this time.
+    pub(super) avoid_until: Timestamp,
+    /// The model that it is loading, and which version.
+    pub(super) loading: Option<(String, u64)>,
+    /// The highest version of each model that a report or an answer showed.
+    pub(super) seen_versions: BTreeMap<String, u64>,
+    gap_ms: Option<f64>,
+}
+
+impl ReplicaState {
+    pub(super) fn new(record: ReplicaRecord) -> Self {
+        Self {
+            record,
+            running: 0,
+            tokens: 0,
+            avoid_until: Timestamp::ORIGIN,
+            loading: None,
+            seen_versions: BTreeMap::new(),
+            gap_ms: None,
+        }
+    }
+
+    /// The version of a model there, as far as is known. A version never goes back within a replica's life.
+    pub(super) fn version(&self, model: &str) -> Option<u64> {
+        let listed = self.record.models.get(model).copied();
+        let seen = self.seen_versions.get(model).copied();
+        listed.max(seen)
+    }
+
+    pub(super) fn saw_version(&mut self, model: &str, version: u64) {
+        let seen = self.seen_versions.entry(model.to_owned()).or_default();
+        *seen = version.max(*seen);
+    }
+
+    pub(super) fn saw_gap(&mut self, gap: Duration) {
+        let gap_ms = gap.as_secs_f64() * 1_000.0;
+        let mean = self.gap_ms.unwrap_or(gap_ms);
+        self.gap_ms = Some(mean + GAP_WEIGHT * (gap_ms - mean));
+    }
+
+    /// The mean pause between events of one run.
+    pub(super) fn gap(&self) -> Duration {
+        let gap = self.gap_ms.map(|gap| Duration::from_secs_f64(gap / 1_000.0));
+        gap.unwrap_or(UNMEASURED_GAP)
+    }
+
+    /// How long one more run would take here, relative to others.
+    fn expected_pace(&self) -> f64 {
+        let load = f64::from(self.running) / f64::from(self.record.slots.max(1));
+        self.gap().as_secs_f64() * (1.0 + FULL_SLOWDOWN * load)
+    }
+}
+
+/// What an item needs of a replica.
+#[derive(Clone, Debug)]
+pub(super) struct Need<'a> {
+    pub(super) services: &'a [&'a str],
+    pub(super) model: Option<&'a str>,
+    pub(super) min_version: u64,
+    /// Only this version, where the item's kept events must not be mixed.
+    pub(super) exact_version: Option<u64>,
+    pub(super) tokens: u64,
+    pub(super) memory_tokens: Option<u64>,
+    /// Not this replica, where another can be had.
+    pub(super) avoid: Option<&'a str>,
+}
+
+impl Need<'_> {
+    fn is_met_by(&self, replica: &ReplicaState, now: Timestamp) -> bool {
+        let record = &replica.record;
+        let takes_work = !record.is_draining && replica.avoid_until <= now && replica.running < record.slots;
+        takes_work
+            && self.services.contains(&record.service.as_str())
+            && self.has_version(replica)
+            && self.has_room(replica)
+    }
+
+    fn has_version(&self, replica: &ReplicaState) -> bool {
+        let Some(model) = self.model else { return true };
+        // Until a load is done, the replica refuses what it concerns.
+        if replica.loading.as_ref().is_some_and(|(loading, _)| loading == model) {
+            return false;
+        }
+        match (replica.version(model), self.exact_version) {
+            (Some(version), Some(exact)) => version == exact,
+            (Some(version), None) => version >= self.min_version,
+            (None, _) => false,
+        }
+    }
+
+    fn has_room(&self, replica: &ReplicaState) -> bool {
+        let Some(memory) = self.memory_tokens else { return true };
+        replica.running == 0 || replica.tokens + self.tokens <= memory
+    }
+}
+
+/// The replica on which an item would be done first.
+pub(super) fn choose(
+    replicas: &BTreeMap<String, ReplicaState>,
+    need: &Need<'_>,
+    now: Timestamp,
+) -> Option<String> {
+    let fitting = replicas.values().filter(|replica| need.is_met_by(replica, now));
+    let key = |replica: &ReplicaState| {
+        let is_avoided = need.avoid == Some(replica.record.id.as_str());
+        (is_avoided, replica.expected_pace())
+    };
+    let best = fitting.min_by(|left, right| {
+        let (left, right) = (key(left), key(right));
+        left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
+    });
+    best.map(|replica| replica.record.id.clone())
+}
--- /dev/null
+++ b/crates/core/src/batch/weights.rs
@@ -0,0 +1,147 @@
+//! Which replica loads which version of which model.
+//!
+//! Where a service has several models, each replica has one home model and loads only its versions: bringing every
+//! replica to every version of every model would take more loads than the replicas can do at a time.
+
+use std::collections::BTreeMap;
+
+use super::schedule::ReplicaState;
+
+/// Loads of one service that are under way at a time; more wait their turn at the platform and block their replicas.
+const LOADS_AT_ONCE: usize = 2;
+/// Replicas for each model below which none is given a home.
+const LEAST_REPLICAS_FOR_HOMES: usize = 2;
+/// Weight of the newest job in the running mean of a model's demand.
+const DEMAND_WEIGHT: f64 = 0.3;
+
+/// A load that should begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The replica.
+    pub replica: String,
+    /// The model.
+    pub model: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// Named versions, home models, and demand for each model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LoadPlan {
+    named: BTreeMap<String, u64>,
+    homes: BTreeMap<String, String>,
+    demand: BTreeMap<String, f64>,
+}
+
+impl LoadPlan {
+    /// Trainers have named these versions. A version never goes back.
+    pub(super) fn name(&mut self, versions: &BTreeMap<String, u64>) {
+        for (model, version) in versions {
+            let named = self.named.entry(model.clone()).or_default();
+            *named = (*named).max(*version);
+        }
+    }
+
+    /// A job with so many tokens to come was taken.
+    pub(super) fn add_demand(&mut self, model: &str, tokens: u64) {
+        let tokens = tokens as f64;
+        let mean = self.demand.entry(model.to_owned()).or_insert(tokens);
+        *mean += DEMAND_WEIGHT * (tokens - *mean);
+    }
+
+    /// Loads to begin now in one service, those that are furthest behind first.
+    pub(super) fn next(&mut self, service: &str, replicas: &BTreeMap<String, ReplicaState>) -> Vec<Load> {
+        let members: Vec<&ReplicaState> = replicas
+            .values()
+            .filter(|replica| replica.record.service == service && !replica.record.models.is_empty())
+            .collect();
+        self.settle_homes(&members);
+        let under_way = members.iter().filter(|replica| replica.loading.is_some()).count();
+        let free = LOADS_AT_ONCE.saturating_sub(under_way);
+        let mut wanted: Vec<(u64, u32, Load)> =
+            members.iter().filter_map(|replica| self.wanted(replica)).collect();
+        wanted.sort_by(|left, right| {
+            right.0.cmp(&left.0).then(left.1.cmp(&right.1)).then_with(|| left.2.replica.cmp(&right.2.replica))
+        });
+        wanted.into_iter().take(free).map(|(_, _, load)| load).collect()
+    }
+
+    /// The load that a replica needs, with how far it is behind and how much runs there.
+    fn wanted(&self, replica: &ReplicaState) -> Option<(u64, u32, Load)> {
+        if replica.loading.is_some() || replica.record.is_draining {
+            return None;
+        }
+        let home = self.homes.get(&replica.record.id);
+        let behind = replica.record.models.keys().filter_map(|model| {
+            if home.is_some_and(|home| home != model) {
+                return None;
+            }
+            let named = self.named.get(model).copied()?;
+            let lag = named.checked_sub(replica.version(model)?)?;
+            (lag > 0).then(|| (lag, model.clone(), named))
+        });
+        let (lag, model, version) = behind.max()?;
+        let load = Load { replica: replica.record.id.clone(), model, version };
+        Some((lag, replica.running, load))
+    }
+
+    /// Gives each replica a home model, in proportion to demand, and moves as few as possible.
+    fn settle_homes(&mut self, members: &[&ReplicaState]) {
+        let mut models: Vec<&String> =
+            members.iter().flat_map(|replica| replica.record.models.keys()).collect();
+        models.sort_unstable();
+        models.dedup();
+        self.homes.retain(|id, _| members.iter().any(|replica| &replica.record.id == id));
+        if models.len() < 2 || members.len() < models.len() * LEAST_REPLICAS_FOR_HOMES {
+            self.homes.clear();
+            return;
+        }
+        let shares = self.shares(&models, members.len());
+        for replica in members {
+            if !self.homes.contains_key(&replica.record.id) {
+                let model = self.neediest(&shares);
+                self.homes.insert(replica.record.id.clone(), model);
+            }
+        }
+        self.move_one(&shares);
+    }
+
+    /// How many replicas each model should have; at least one.
+    fn shares(&self, models: &[&String], replicas: usize) -> BTreeMap<String, f64> {
+        let known: Vec<f64> = models.iter().filter_map(|model| self.demand.get(*model).copied()).collect();
+        let mean = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
+        let demand = |model: &String| self.demand.get(model).copied().unwrap_or(mean).max(1.0);
+        let total: f64 = models.iter().map(|model| demand(model)).sum();
+        let share = |model: &String| (demand(model) / total * replicas as f64).max(1.0);
+        models.iter().map(|model| ((*model).clone(), share(model))).collect()
+    }
+
+    fn surplus(&self, model: &str, share: f64) -> f64 {
+        let count = self.homes.values().filter(|home| home.as_str() == model).count();
+        count as f64 - share
+    }
+
+    fn neediest(&self, shares: &BTreeMap<String, f64>) -> String {
+        let least = shares
+            .iter()
+            .min_by(|left, right| self.surplus(left.0, *left.1).total_cmp(&self.surplus(right.0, *right.1)));
+        least.map(|(model, _)| model.clone()).unwrap_or_default()
+    }
+
+    /// Moves one replica from the model with most too many, where that brings both nearer to their share.
+    fn move_one(&mut self, shares: &BTreeMap<String, f64>) {
+        let to = self.neediest(shares);
+        let most = shares
+            .iter()
+            .max_by(|left, right| self.surplus(left.0, *left.1).total_cmp(&self.surplus(right.0, *right.1)));
+        let Some((from, share)) = most else { return };
+        let is_worth_it = self.surplus(from, *share) >= 0.75
+            && self.surplus(&to, shares.get(&to).copied().unwrap_or(0.0)) <= -0.75;
+        if !is_worth_it {
+            return;
+        }
+        if let Some(home) = self.homes.values_mut().find(|home| *home == from) {
+            *home = to;
+        }
+    }
+}
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -90,6 +90,10 @@
     /// A rollout job.
     JobId
 );
+name_type!(
+    /// A batch job: a set of requests taken together and run afterwards.
+    BatchId
+);
 name_type!(
     /// A shard of control work: `job/<job>`, `weights/<pool>` or `claims/<bucket>`.
     ShardId
--- /dev/null
+++ b/crates/core/src/ingress/attempts.rs
@@ -0,0 +1,93 @@
+//! What to do after a request was sent to a replica: hand its answer on, try another, or give up.
+
+use std::time::Duration;
+
+/// How one send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// No byte of the request was written.
+    NotSent,
+    /// The replica stated that it did not run the request.
+    Rejected,
+    /// A whole answer that says success or a failure of the request itself.
+    Answered,
+    /// A whole answer that says that the replica failed.
+    Failed,
+    /// No whole answer: the request may have run.
+    Broken,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Hand the answer on.
+    Answer,
+    /// Send the request to another replica.
+    TryAnother,
+    /// Give up with the proof that the request has not run.
+    GiveUpNotRun,
+    /// Give up; the request may have run.
+    GiveUpUnknown,
+}
+
+/// One attempt of a client and what became of it so far.
+///
+/// Invariant: a request that is not repeatable is sent again only while every send before ended in
+/// [`SendOutcome::NotSent`] or [`SendOutcome::Rejected`]; and "not run" is said only where that holds for all sends.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    is_repeatable: bool,
+    max_sends: u32,
+    sends: u32,
+    unsent: u32,
+    may_have_run: bool,
+}
+
+/// Replicas that may be found unreachable before a request is given up.
+const MAX_UNSENT: u32 = 4;
+/// The least time in which another replica can still answer.
+const LEAST_REMAINING: Duration = Duration::from_millis(20);
+
+impl Attempts {
+    /// A request that has not been sent.
+    pub const fn new(is_repeatable: bool, max_sends: u32) -> Self {
+        Self { is_repeatable, max_sends, sends: 0, unsent: 0, may_have_run: false }
+    }
+
+    /// Whether a replica may have begun to run the request.
+    pub const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Whether the next send is the last that is allowed.
+    pub const fn is_last(&self) -> bool {
+        self.sends + 1 >= self.max_sends
+    }
+
+    /// Takes the outcome of a send.
+    pub fn after(&mut self, outcome: SendOutcome, remaining: Duration) -> Next {
+        match outcome {
+            SendOutcome::Answered => return Next::Answer,
+            SendOutcome::NotSent => self.unsent += 1,
+            SendOutcome::Rejected => self.sends += 1,
+            SendOutcome::Failed | SendOutcome::Broken => {
+                self.sends += 1;
+                self.may_have_run = true;
+            }
+        }
+        let has_time = remaining >= LEAST_REMAINING;
+        let has_sends = self.sends < self.max_sends && self.unsent < MAX_UNSENT;
+        if has_time && has_sends && (self.is_repeatable || !self.may_have_run) {
+            return Next::TryAnother;
+        }
+        if outcome == SendOutcome::Failed {
+            return Next::Answer;
+        }
+        self.give_up()
+    }
+
+    /// Gives up where no further replica can be tried.
+    pub const fn give_up(&self) -> Next {
+        if self.may_have_run { Next::GiveUpUnknown } else { Next::GiveUpNotRun }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ingress/replicas.rs
@@ -0,0 +1,154 @@
+//! Replicas as the platform lists them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// One life of one replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRecord {
+    /// The id of this life; a restart has another.
+    pub id: String,
+    /// The service it serves.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it will leave and takes nothing new.
+    pub is_draining: bool,
+    /// The version of each model that it serves.
+    pub models: BTreeMap<String, u64>,
+}
+
+/// All replicas, by id.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaTable {
+    /// The records.
+    pub records: BTreeMap<String, ReplicaRecord>,
+}
+
+impl ReplicaTable {
+    /// Replicas of a service that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaRecord> {
+        self.records.values().filter(move |record| record.service == service && !record.is_draining)
+    }
+}
+
+/// Weight of the newest time to answer in the running mean.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// The time to answer that is taken for a replica that has not been measured, in milliseconds.
+const UNMEASURED_LATENCY_MS: f64 = 20.0;
+/// A replica's own word of its load counts for so long.
+const REPORTED_LOAD_FOR: Duration = Duration::from_millis(400);
+/// A replica that gave no answer gets nothing new for so long, doubled with each further time in a row.
+const SUSPECT_START: Duration = Duration::from_millis(500);
+/// The longest time that a replica gets nothing new.
+const SUSPECT_LIMIT: Duration = Duration::from_secs(4);
+
+/// What this node has seen of one replica.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    in_flight: u32,
+    latency_ms: Option<f64>,
+    reported: Option<(Timestamp, u32)>,
+    suspect_until: Timestamp,
+    failures_in_row: u32,
+}
+
+/// How a request to a replica went, as far as its choice is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Experience {
+    /// It answered after this time.
+    Answered(Duration),
+    /// It was too full.
+    Full,
+    /// It gave no whole answer.
+    Silent,
+    /// The caller left, or another way was found.
+    Abandoned,
+}
+
+/// What this node has seen of replicas; chooses where the next request goes.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaChooser {
+    seen: BTreeMap<String, Seen>,
+}
+
+impl ReplicaChooser {
+    /// The replica of `service` that should answer first, none of `tried` where another can be had. Among equals,
+    /// `random` decides.
+    pub fn choose<'a>(
+        &self,
+        table: &'a ReplicaTable,
+        service: &'a str,
+        tried: &[String],
+        now: Timestamp,
+        random: u64,
+    ) -> Option<&'a ReplicaRecord> {
+        let untried = table.ready(service).filter(|record| !tried.contains(&record.id));
+        let mut candidates: Vec<&ReplicaRecord> = untried.collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        let shift = (random as usize) % candidates.len();
+        candidates.rotate_left(shift);
+        let key = |record: &&ReplicaRecord| self.cost(record, now);
+        candidates.into_iter().min_by(|left, right| {
+            let (left, right) = (key(left), key(right));
+            left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
+        })
+    }
+
+    /// Whether the replica is suspected, and its expected time to answer in milliseconds.
+    fn cost(&self, record: &ReplicaRecord, now: Timestamp) -> (bool, f64) {
+        let Some(seen) = self.seen.get(&record.id) else { return (false, UNMEASURED_LATENCY_MS) };
+        let reported = seen.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_FOR);
+        let busy = seen.in_flight.max(reported.map_or(0, |(_, busy)| busy));
+        let slots = f64::from(record.slots.max(1));
+        let load = f64::from(busy) / slots;
+        let latency = seen.latency_ms.unwrap_or(UNMEASURED_LATENCY_MS);
+        (seen.suspect_until > now, latency * (1.0 + load))
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self, replica: &str) {
+        self.seen.entry(replica.to_owned()).or_default().in_flight += 1;
+    }
+
+    /// A request has ended.
+    pub fn ended(&mut self, replica: &str, experience: Experience, now: Timestamp) {
+        let seen = self.seen.entry(replica.to_owned()).or_default();
+        seen.in_flight = seen.in_flight.saturating_sub(1);
+        match experience {
+            Experience::Answered(took) => {
+                let took_ms = took.as_secs_f64() * 1_000.0;
+                let mean = seen.latency_ms.unwrap_or(took_ms);
+                seen.latency_ms = Some(mean + LATENCY_WEIGHT * (took_ms - mean));
+                seen.failures_in_row = 0;
+                seen.suspect_until = Timestamp::ORIGIN;
+            }
+            Experience::Silent => {
+                let pause = SUSPECT_START * 2_u32.saturating_pow(seen.failures_in_row.min(6));
+                seen.failures_in_row += 1;
+                seen.suspect_until = now + pause.min(SUSPECT_LIMIT);
+            }
+            Experience::Full => seen.reported = Some((now, u32::MAX / 2)),
+            Experience::Abandoned => {}
+        }
+    }
+
+    /// A replica said how many requests it runs and how many wait there.
+    pub fn reported(&mut self, replica: &str, busy: u32, now: Timestamp) {
+        self.seen.entry(replica.to_owned()).or_default().reported = Some((now, busy));
+    }
+
+    /// Forgets replicas that are not listed any more and serve nothing of ours.
+    pub fn retain_listed(&mut self, table: &ReplicaTable) {
+        self.seen.retain(|id, seen| seen.in_flight > 0 || table.records.contains_key(id));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,9 +5,11 @@
 //! the time of the next wake-up. The same events in the same order give the same actions, so each part
 //! can be driven by a simulation on a virtual clock as well as by the daemon.
 
+pub mod batch;
 pub mod configuration;
 pub mod decision;
 pub mod identity;
+pub mod ingress;
 pub mod membership;
 pub mod replication;
 pub mod request;
--- a/crates/core/src/replication/ballot.rs
+++ b/crates/core/src/replication/ballot.rs
@@ -11,6 +11,11 @@
 pub struct ProposerId(String);
 
 impl ProposerId {
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
     /// Wraps an id as it stands. Two take-overs must never share one.
     pub fn new(id: impl Into<String>) -> Self {
         Self(id.into())
--- /dev/null
+++ b/crates/daemon/src/batch/candidate.rs
@@ -0,0 +1,195 @@
+//! A candidate for the ownership of the batch jobs: looks whether the owner still appends, and takes over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::replication::quorum::majority;
+use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use super::owner::Owner;
+use super::{Command, shard};
+use crate::cluster::rendezvous_weight;
+use crate::context::Context;
+use crate::ingress::pool::ReplicaPool;
+use crate::store::shard_log::ShardLog;
+
+/// Time between two looks at the stores.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// A store that has not answered by then counts as missing.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Store replicas of the shard.
+const STORES: usize = lichenpulley_core::replication::placement::REPLICAS;
+/// How long a successor may take to answer that it was told.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What the stores say of who leads.
+pub(super) struct StoresSay {
+    answers: Vec<Option<LeaderSeen>>,
+    /// The owner under the highest epoch.
+    pub(super) owner: Option<NodeId>,
+}
+
+/// Asks every live store.
+pub(super) async fn ask_stores(context: &Context) -> StoresSay {
+    let addresses: Vec<_> = {
+        let cluster = context.cluster.load();
+        let stores = cluster.members.iter().filter(|member| member.roles.store);
+        stores.map(|member| member.peer_address).collect()
+    };
+    let ask = |address| context.peers.store(address, StoreRequest::Leadership(shard()), STORE_TIMEOUT);
+    let answers = join_all(addresses.into_iter().map(ask)).await;
+    let answers = answers.into_iter().filter_map(|answer| match answer {
+        Ok(StoreResponse::Leadership(seen)) => Some(seen.map(|seen| LeaderSeen {
+            epoch: seen.epoch,
+            owner: node_of(seen.proposer.as_str()),
+            idle: Duration::from_millis(seen.idle_ms),
+        })),
+        _ => None,
+    });
+    let answers: Vec<Option<LeaderSeen>> = answers.collect();
+    let latest = answers.iter().flatten().max_by_key(|seen| seen.epoch);
+    let owner = latest.map(|seen| seen.owner.clone());
+    StoresSay { answers, owner }
+}
+
+/// A proposer's id is its node's name, a slash, and a random number.
+fn node_of(proposer: &str) -> NodeId {
+    NodeId::new(proposer.split('/').next().unwrap_or_default())
+}
+
+/// Runs until the node has stopped.
+pub(super) async fn run(
+    context: Context,
+    pool: ReplicaPool,
+    traffic: Handle,
+    commands: mpsc::Receiver<Command>,
+) {
+    let stopped = context.stopped.clone();
+    let mut candidate = Candidate { context, pool, traffic, commands };
+    tokio::select! {
+        () = stopped.cancelled() => {}
+        () = candidate.run() => {}
+    }
+}
+
+struct Candidate {
+    context: Context,
+    pool: ReplicaPool,
+    traffic: Handle,
+    commands: mpsc::Receiver<Command>,
+}
+
+impl Candidate {
+    async fn run(&mut self) {
+        loop {
+            let was_told = self.wait().await;
+            if self.context.draining.is_cancelled() {
+                continue;
+            }
+            if let Some(idle) = self.look(was_told).await {
+                self.own(idle).await;
+            }
+        }
+    }
+
+    /// Waits for the next look; answers commands with who owns meanwhile. Tells whether the owner handed over.
+    async fn wait(&mut self) -> bool {
+        let next = tokio::time::sleep(LOOK_INTERVAL);
+        tokio::pin!(next);
+        loop {
+            tokio::select! {
+                () = &mut next => return false,
+                Some(command) = self.commands.recv() => {
+                    if matches!(command.request, BatchRequest::TakeOver) {
+                        command.answer(BatchResponse::Ended);
+                        return true;
+                    }
+                    let owner = self.context.batch_owner.load_full();
+                    let owner = owner.filter(|owner| **owner != self.context.node);
+                    command.answer(BatchResponse::NotOwner(owner.map(|owner| NodeId::clone(&owner))));
+                }
+            }
+        }
+    }
+
+    /// Whether to take over now, and how long the owner before has been silent.
+    async fn look(&self, was_told: bool) -> Option<Duration> {
+        let rank = self.rank();
+        if rank >= CANDIDATES && !was_told {
+            return None;
+        }
+        let say = ask_stores(&self.context).await;
+        if let Some(owner) = &say.owner {
+            self.context.batch_owner.store(Some(Arc::new(owner.clone())));
+        }
+        if was_told {
+            return Some(Duration::ZERO);
+        }
+        let takeover_after = self.context.settings.batch.takeover_after;
+        let verdict =
+            election::judge(&self.context.node, rank, &say.answers, majority(STORES), takeover_after);
+        match verdict {
+            Verdict::Wait(_) => None,
+            Verdict::TakeOver(None) => Some(self.context.settings.batch.order_lease),
+            Verdict::TakeOver(Some(idle)) => Some(idle),
+        }
+    }
+
+    /// This node's place among the candidates.
+    fn rank(&self) -> usize {
+        let shard = shard();
+        let own = (rendezvous_weight(&self.context.node, &shard), &self.context.node);
+        let cluster = self.context.cluster.load();
+        let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
+        coordinators.filter(|member| (rendezvous_weight(&member.node, &shard), &member.node) > own).count()
+    }
+
+    async fn own(&mut self, idle: Duration) {
+        let decision = Decision::new(Component::Rollout, "taking_over", "owner_silent", shard());
+        self.context.decisions.record(decision.with("idle_ms", idle.as_millis()));
+        let taken = ShardLog::take_over(&self.context, &shard()).await;
+        let (log, recovered) = match taken {
+            Ok(taken) => taken,
+            Err(error) => {
+                ::log::warn!(target: "batch", "The batch jobs are not taken over: {error}.");
+                return;
+            }
+        };
+        self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
+        let owner =
+            Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), log, &recovered, idle);
+        match owner {
+            Ok(owner) => owner.run(&mut self.commands).await,
+            Err(error) => ::log::error!(target: "batch", "The log of the batch jobs can't be read: {error}."),
+        }
+        self.context.batch_owner.store(None);
+        if self.context.draining.is_cancelled() {
+            self.hand_over().await;
+        }
+    }
+
+    /// Tells the next candidate that this node leaves.
+    async fn hand_over(&self) {
+        let shard = shard();
+        let successor = {
+            let cluster = self.context.cluster.load();
+            let others = cluster
+                .members
+                .iter()
+                .filter(|member| member.roles.coordinator && member.node != self.context.node);
+            others.max_by_key(|member| rendezvous_weight(&member.node, &shard)).cloned()
+        };
+        let Some(successor) = successor else { return };
+        let told =
+            self.context.peers.batch(successor.peer_address, BatchRequest::TakeOver, HAND_OVER_TIMEOUT);
+        if let Err(error) = told.await {
+            ::log::info!(target: "batch", "{} was not told to take over: {error}.", successor.node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/load.rs
@@ -0,0 +1,154 @@
+//! Orders to replicas to load a version.
+//!
+//! An order that got no answer may be carried out later, so that only the replica's report is believed. Every order
+//! names the replica, the number of orders taken before it, and the owner's epoch as its fencing token.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use lichenpulley_core::batch::weights::Load;
+use lichenpulley_core::identity::Epoch;
+use lichenpulley_core::ingress::replicas::ReplicaRecord;
+use lichenpulley_platform::headers;
+use lichenpulley_platform::replica::{LoadMode, LoadOrder, ORDER_PATH, REPORT_PATH, Report};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::owner::CONFIRMED_FOR;
+use crate::context::Context;
+use crate::http::client::{self, HttpClient};
+
+/// A call of a replica unanswered for so long is given up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between two readings of a report while a load is under way.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// A load that is not done by then is left to the next order.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a load that failed, before the replica can be chosen again.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// How a load ended.
+pub(super) struct LoadEnded {
+    pub(super) replica: String,
+    /// What the replica reports, where it answered.
+    pub(super) versions: Option<BTreeMap<String, u64>>,
+}
+
+/// Gives orders under one epoch.
+pub(super) struct LoadOrders {
+    context: Context,
+    http: HttpClient,
+    epoch: Epoch,
+    ends: mpsc::UnboundedSender<LoadEnded>,
+}
+
+impl LoadOrders {
+    pub(super) fn new(context: Context, epoch: Epoch, ends: mpsc::UnboundedSender<LoadEnded>) -> Self {
+        let http = HttpClient::new(context.settings.gateway.connect_timeout);
+        Self { context, http, epoch, ends }
+    }
+
+    /// Begins a load; the order goes out only while the authority confirmed at `confirmed_at` holds.
+    pub(super) fn begin(&self, load: Load, confirmed_at: Instant) {
+        let record = self.context.metadata.replicas.load().records.get(&load.replica).cloned();
+        let order = Order {
+            http: self.http.clone(),
+            holder: self.context.node.to_string(),
+            epoch: self.epoch,
+            confirmed_at,
+            load,
+        };
+        let ends = self.ends.clone();
+        tokio::spawn(async move {
+            let versions = match &record {
+                Some(record) => order.run(record).await,
+                None => None,
+            };
+            if versions.is_none() {
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+            // An error only says that the owner has ended.
+            let _ = ends.send(LoadEnded { replica: order.load.replica, versions });
+        });
+    }
+}
+
+struct Order {
+    http: HttpClient,
+    holder: String,
+    epoch: Epoch,
+    confirmed_at: Instant,
+    load: Load,
+}
+
+impl Order {
+    /// Orders, and waits until the replica reports the version. `None` where the order was not taken.
+    async fn run(&self, replica: &ReplicaRecord) -> Option<BTreeMap<String, u64>> {
+        let before = self.report(replica).await?;
+        if self.is_done(&before) {
+            return Some(before.versions());
+        }
+        if before.num_busy || self.confirmed_at.elapsed() >= CONFIRMED_FOR {
+            return None;
+        }
+        let was_taken = self.order(replica, before.seq).await;
+        if !was_taken {
+            return None;
+        }
+        let deadline = Instant::now() + LOAD_TIMEOUT;
+        while Instant::now() < deadline {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            if let Some(report) = self.report(replica).await.filter(|report| self.is_done(report)) {
+                return Some(report.versions());
+            }
+        }
+        None
+    }
+
+    fn is_done(&self, report: &Report) -> bool {
+        report.versions().get(&self.load.model).is_some_and(|version| *version >= self.load.version)
+    }
+
+    async fn report(&self, replica: &ReplicaRecord) -> Option<Report> {
+        let request = client::build(Method::GET, replica.address, REPORT_PATH, bytes::Bytes::new()).ok()?;
+        self.call(replica, request).await.ok()
+    }
+
+    /// Whether the order is under way or in force, or may be.
+    async fn order(&self, replica: &ReplicaRecord, orders_before: u64) -> bool {
+        let load = &self.load;
+        let mode = LoadMode::Keep;
+        let order =
+            LoadOrder::new(&load.model, load.version, mode, &self.holder, self.epoch.0, orders_before);
+        let Ok(body) = serde_json::to_vec(&order) else { return false };
+        let Ok(mut request) = client::build(Method::POST, replica.address, ORDER_PATH, body.into()) else {
+            return false;
+        };
+        if let Ok(id) = replica.id.parse() {
+            request.headers_mut().insert(headers::EXPECT_REPLICA, id);
+        }
+        let limit = Instant::now() + CALL_TIMEOUT;
+        match self.http.send(replica.address, request, limit).await {
+            Ok(answer) => {
+                let status = answer.status();
+                if status != StatusCode::OK && status != StatusCode::ACCEPTED {
+                    ::log::info!(target: "batch", "Replica {} refused an order: {status}.", replica.id);
+                }
+                status == StatusCode::OK || status == StatusCode::ACCEPTED
+            }
+            Err(error) => !error.nothing_sent(),
+        }
+    }
+
+    async fn call(
+        &self,
+        replica: &ReplicaRecord,
+        mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> Result<Report, client::ClientError> {
+        if let Ok(id) = replica.id.parse() {
+            request.headers_mut().insert(headers::EXPECT_REPLICA, id);
+        }
+        self.http.request_json(replica.address, request, CALL_TIMEOUT).await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/log.rs
@@ -0,0 +1,128 @@
+//! Appends to the log of the batch jobs in a task of its own. Records that wait go into one append.
+
+use lichenpulley_core::batch::record::Record;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::store::shard_log::{ShardLog, ShardLogError};
+
+/// Records of which the log is compacted once it holds so many bytes.
+const COMPACT_BYTES: usize = 48 << 20;
+
+enum Write {
+    Append(Vec<Record>),
+    Compact(Vec<u8>),
+}
+
+/// What came of writes.
+pub(super) enum Written {
+    /// So many appends are kept by a majority; the first of them was begun at `began`.
+    Appended {
+        appends: usize,
+        began: Instant,
+        /// Whether the log should be compacted.
+        is_long: bool,
+    },
+    /// The log can't be used any more; nothing further is written.
+    Failed(ShardLogError),
+}
+
+/// Writes in the order in which it is told to; ends when dropped or at the first failure.
+pub(super) struct LogWriter {
+    writes: mpsc::UnboundedSender<Write>,
+    written: mpsc::UnboundedReceiver<Written>,
+}
+
+impl LogWriter {
+    /// Starts to write to a log that has been taken over and holds so many bytes.
+    pub(super) fn start(log: ShardLog, held_bytes: usize) -> Self {
+        let (writes, received) = mpsc::unbounded_channel();
+        let (sender, written) = mpsc::unbounded_channel();
+        tokio::spawn(Task { log, received, sender, held_bytes }.run());
+        Self { writes, written }
+    }
+
+    pub(super) fn append(&self, records: Vec<Record>) {
+        // An error says that a write failed before; `next` has told so.
+        let _ = self.writes.send(Write::Append(records));
+    }
+
+    pub(super) fn compact(&self, snapshot: Vec<u8>) {
+        let _ = self.writes.send(Write::Compact(snapshot));
+    }
+
+    /// What came of the next writes. Safe to drop before it returns.
+    pub(super) async fn next(&mut self) -> Written {
+        match self.written.recv().await {
+            Some(written) => written,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+struct Task {
+    log: ShardLog,
+    received: mpsc::UnboundedReceiver<Write>,
+    sender: mpsc::UnboundedSender<Written>,
+    held_bytes: usize,
+}
+
+impl Task {
+    async fn run(mut self) {
+        let mut waiting = None;
+        loop {
+            let first = match waiting.take() {
+                Some(write) => write,
+                None => match self.received.recv().await {
+                    Some(write) => write,
+                    None => return,
+                },
+            };
+            let result = match first {
+                Write::Append(records) => {
+                    let mut appends = vec![records];
+                    while let Ok(write) = self.received.try_recv() {
+                        match write {
+                            Write::Append(records) => appends.push(records),
+                            Write::Compact(_) => {
+                                waiting = Some(write);
+                                break;
+                            }
+                        }
+                    }
+                    self.append(appends).await
+                }
+                Write::Compact(snapshot) => self.compact(snapshot).await,
+            };
+            if let Err(error) = result {
+                let _ = self.sender.send(Written::Failed(error));
+                return;
+            }
+        }
+    }
+
+    async fn append(&mut self, appends: Vec<Vec<Record>>) -> Result<(), ShardLogError> {
+        let began = Instant::now();
+        let records = appends.iter().flatten().filter_map(|record| match record.encode() {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                ::log::error!(target: "batch", "A record can't be written: {error}.");
+                None
+            }
+        });
+        let records: Vec<Vec<u8>> = records.collect();
+        self.held_bytes += records.iter().map(Vec::len).sum::<usize>();
+        self.log.append(records).await?;
+        let is_long = self.held_bytes >= COMPACT_BYTES;
+        if is_long {
+            self.held_bytes = 0;
+        }
+        let _ = self.sender.send(Written::Appended { appends: appends.len(), began, is_long });
+        Ok(())
+    }
+
+    async fn compact(&mut self, snapshot: Vec<u8>) -> Result<(), ShardLogError> {
+        self.held_bytes = snapshot.len();
+        self.log.compact(snapshot).await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/owner.rs
@@ -0,0 +1,339 @@
+//! Drives the state machine of the batch jobs that this node owns.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use lichenpulley_core::batch::controller::{
+    Action, Controller, ControllerConfig, RunEvent, RunId, Submission,
+};
+use lichenpulley_core::batch::job::BatchJob;
+use lichenpulley_core::batch::ledger::{JobState, Ledger};
+use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::load::{LoadEnded, LoadOrders};
+use super::log::{LogWriter, Written};
+use super::{Command, run};
+use crate::context::Context;
+use crate::ingress::pool::ReplicaPool;
+use crate::store::shard_log::{ShardLog, ShardLogError};
+
+/// What was read under a confirmation may be shown for so long: any later owner began after it.
+pub(super) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
+/// Events of runs that wait for the owner.
+const EVENT_BACKLOG: usize = 4_096;
+/// Longest answer with results, in bytes of text.
+const RESULTS_BYTES: usize = 700 << 10;
+/// Margin above the order lease.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// A reader that waits for a result.
+struct Reader {
+    batch: BatchId,
+    from: u64,
+    until: Instant,
+    command: Command,
+}
+
+/// The owner of all batch jobs.
+pub(super) struct Owner {
+    context: Context,
+    pool: ReplicaPool,
+    traffic: Handle,
+    controller: Controller,
+    origin: Instant,
+    log: LogWriter,
+    /// When the last append that is known to be decided was begun.
+    confirmed_at: Instant,
+    runs: HashMap<RunId, AbortHandle>,
+    run_events: mpsc::Receiver<(RunId, RunEvent)>,
+    run_sender: mpsc::Sender<(RunId, RunEvent)>,
+    loads: LoadOrders,
+    load_ends: mpsc::UnboundedReceiver<LoadEnded>,
+    submissions: Vec<(BatchId, Command)>,
+    ends: Vec<(BatchId, Command)>,
+    readers: Vec<Reader>,
+    failure: Option<ShardLogError>,
+}
+
+impl Owner {
+    /// The owner after it has taken the log over; the owner before has been silent for `idle`.
+    pub(super) fn new(
+        context: Context,
+        pool: ReplicaPool,
+        traffic: Handle,
+        log: ShardLog,
+        recovered: &RecoveredLog,
+        idle: Duration,
+    ) -> Result<Self, speedy::Error> {
+        let ledger = Ledger::recover(recovered.snapshot.as_deref(), &recovered.records)?;
+        let held_bytes = recovered.records.iter().map(Vec::len).sum();
+        let lease = context.settings.batch.order_lease + LEASE_MARGIN;
+        let may_load_from = Timestamp::ORIGIN + lease.saturating_sub(idle);
+        let controller =
+            Controller::new(ControllerConfig::default(), ledger, Timestamp::ORIGIN, may_load_from);
+        let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
+        let (load_sender, load_ends) = mpsc::unbounded_channel();
+        let epoch = log.epoch();
+        let now = Instant::now();
+        Ok(Self {
+            loads: LoadOrders::new(context.clone(), epoch, load_sender),
+            context,
+            pool,
+            traffic,
+            controller,
+            origin: now,
+            log: LogWriter::start(log, held_bytes),
+            confirmed_at: now,
+            runs: HashMap::new(),
+            run_events,
+            run_sender,
+            load_ends,
+            submissions: Vec::new(),
+            ends: Vec::new(),
+            readers: Vec::new(),
+            failure: None,
+        })
+    }
+
+    /// Owns until the node drains or the log fails.
+    pub(super) async fn run(mut self, commands: &mut mpsc::Receiver<Command>) {
+        let mut metadata = self.context.metadata.watch();
+        let mut ticks = tokio::time::interval(self.context.settings.batch.tick_interval);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let draining = self.context.draining.clone();
+        self.update();
+        while self.failure.is_none() {
+            tokio::select! {
+                () = draining.cancelled() => break,
+                Some(command) = commands.recv() => self.handle_command(command),
+                written = self.log.next() => self.handle_written(written),
+                Some((run, event)) = self.run_events.recv() => self.handle_run(run, event),
+                Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
+                Ok(()) = metadata.changed() => self.update(),
+                _ = ticks.tick() => self.tick(),
+            }
+            self.act();
+        }
+        self.finish();
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
+    /// Invariant: nothing is shown, started or ordered on an authority that was not confirmed lately.
+    fn is_confirmed(&self) -> bool {
+        self.confirmed_at.elapsed() < CONFIRMED_FOR
+    }
+
+    fn update(&mut self) {
+        let now = self.now();
+        let metadata = &self.context.metadata;
+        let routes = metadata.routes.load_full();
+        let (replicas, versions) = (metadata.replicas.load_full(), metadata.versions.load_full());
+        self.controller.update(now, routes, &replicas, &versions);
+    }
+
+    fn tick(&mut self) {
+        self.controller.set_confirmed(self.is_confirmed());
+        self.controller.tick(self.now());
+        self.answer_readers();
+    }
+
+    fn handle_run(&mut self, run: RunId, event: RunEvent) {
+        self.controller.set_confirmed(self.is_confirmed());
+        let now = self.now();
+        self.controller.run_event(now, run, event);
+        // A burst is taken in at once.
+        while let Ok((run, event)) = self.run_events.try_recv() {
+            self.controller.run_event(now, run, event);
+        }
+    }
+
+    fn handle_load(&mut self, ended: &LoadEnded) {
+        let now = self.now();
+        self.controller.set_confirmed(self.is_confirmed());
+        self.controller.load_ended(now, &ended.replica, ended.versions.as_ref());
+    }
+
+    fn handle_written(&mut self, written: Written) {
+        match written {
+            Written::Appended { appends, began, is_long } => {
+                self.confirmed_at = self.confirmed_at.max(began);
+                self.controller.set_confirmed(self.is_confirmed());
+                let now = self.now();
+                for _ in 0..appends {
+                    self.controller.appended(now);
+                }
+                self.answer_writers();
+                self.answer_readers();
+                if is_long {
+                    self.compact();
+                }
+            }
+            Written::Failed(error) => self.failure = Some(error),
+        }
+    }
+
+    fn compact(&mut self) {
+        match self.controller.snapshot() {
+            Ok(Some(snapshot)) => self.log.compact(snapshot),
+            // Records are on their way: the next append tries again.
+            Ok(None) => {}
+            Err(error) => ::log::error!(target: "batch", "The log can't be compacted: {error}."),
+        }
+    }
+
+    fn handle_command(&mut self, command: Command) {
+        if !self.is_confirmed() {
+            return command.answer(BatchResponse::Unavailable);
+        }
+        match &command.request {
+            BatchRequest::Submit(job) => {
+                let job = job.clone();
+                self.submit(job, command);
+            }
+            BatchRequest::Read { batch, from, wait_ms } => {
+                let until = Instant::now() + Duration::from_millis(*wait_ms);
+                let reader = Reader { batch: batch.clone(), from: *from, until, command };
+                self.readers.push(reader);
+                self.answer_readers();
+            }
+            BatchRequest::ItemBody { batch, item } => {
+                let response = self.item_body(batch, item);
+                command.answer(response);
+            }
+            BatchRequest::End(batch) => {
+                let batch = batch.clone();
+                self.end(batch, command);
+            }
+            // It is owned already.
+            BatchRequest::TakeOver => command.answer(BatchResponse::Ended),
+        }
+    }
+
+    fn submit(&mut self, job: BatchJob, command: Command) {
+        let batch = job.id.clone();
+        match self.controller.submit(self.now(), job) {
+            Submission::Kept => command.answer(BatchResponse::Taken),
+            Submission::Pending => self.submissions.push((batch, command)),
+            Submission::Full => command.answer(BatchResponse::Full),
+        }
+    }
+
+    fn end(&mut self, batch: BatchId, command: Command) {
+        match self.controller.end(self.now(), &batch) {
+            Some(true) => command.answer(BatchResponse::Ended),
+            Some(false) => self.ends.push((batch, command)),
+            None => command.answer(BatchResponse::Unknown),
+        }
+    }
+
+    fn item_body(&self, batch: &BatchId, item: &str) -> BatchResponse {
+        let body = || {
+            let job = self.controller.ledger().job(batch)?;
+            let position = *job.positions.get(item)?;
+            Some(job.job.items.get(position as usize)?.body.clone())
+        };
+        body().map_or(BatchResponse::Unknown, BatchResponse::Body)
+    }
+
+    fn answer_writers(&mut self) {
+        let ledger = self.controller.ledger();
+        for (batch, command) in std::mem::take(&mut self.submissions) {
+            match ledger.job(&batch) {
+                Some(_) => command.answer(BatchResponse::Taken),
+                None => self.submissions.push((batch, command)),
+            }
+        }
+        for (batch, command) in std::mem::take(&mut self.ends) {
+            match ledger.job(&batch) {
+                Some(job) if job.is_ended => command.answer(BatchResponse::Ended),
+                _ => self.ends.push((batch, command)),
+            }
+        }
+    }
+
+    /// Answers readers whose results are there, and those who have waited long enough.
+    fn answer_readers(&mut self) {
+        if self.readers.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let is_confirmed = self.is_confirmed();
+        for reader in std::mem::take(&mut self.readers) {
+            if !is_confirmed {
+                reader.command.answer(BatchResponse::Unavailable);
+                continue;
+            }
+            match self.controller.ledger().job(&reader.batch) {
+                None => reader.command.answer(BatchResponse::Unknown),
+                Some(job) if (job.results.len() as u64) <= reader.from && now < reader.until => {
+                    self.readers.push(reader);
+                }
+                Some(job) => reader.command.answer(results(job, reader.from)),
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        while let Some(action) = self.controller.poll_action() {
+            match action {
+                Action::Append(records) => self.log.append(records),
+                Action::Start(start) => {
+                    let run = start.run;
+                    let task =
+                        run::run(self.context.clone(), self.pool.clone(), *start, self.run_sender.clone());
+                    let handle = self.traffic.spawn(task).abort_handle();
+                    self.runs.insert(run, handle);
+                }
+                Action::Stop(run) => {
+                    if let Some(handle) = self.runs.remove(&run) {
+                        handle.abort();
+                    }
+                }
+                Action::Load(load) => self.loads.begin(load, self.confirmed_at),
+                Action::Decide(decision) => self.context.decisions.record(decision),
+            }
+        }
+    }
+
+    fn finish(mut self) {
+        if let Some(error) = &self.failure {
+            ::log::warn!(target: "batch", "The batch jobs are given up: {error}.");
+        }
+        for (_, handle) in self.runs.drain() {
+            handle.abort();
+        }
+        let waiting = self.submissions.drain(..).chain(self.ends.drain(..));
+        for (_, command) in waiting {
+            command.answer(BatchResponse::InDoubt);
+        }
+        for reader in self.readers.drain(..) {
+            reader.command.answer(BatchResponse::Unavailable);
+        }
+    }
+}
+
+/// Results from a position on, as many as fit an answer.
+fn results(job: &JobState, from: u64) -> BatchResponse {
+    let mut bytes = 0;
+    let mut results = Vec::new();
+    let first = usize::try_from(from).unwrap_or(usize::MAX);
+    for result in job.results.iter().skip(first) {
+        bytes += result.text.len();
+        if bytes > RESULTS_BYTES && !results.is_empty() {
+            break;
+        }
+        let item = job.job.items.get(result.item as usize).map(|item| item.id.clone()).unwrap_or_default();
+        results.push(ListedResult { item, result: result.clone() });
+    }
+    BatchResponse::Results { total: job.job.items.len() as u64, results }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/run.rs
@@ -0,0 +1,137 @@
+//! Runs one item of a batch job at one replica.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response};
+use lichenpulley_core::batch::controller::{RunEnd, RunEvent, RunId, RunStart};
+use lichenpulley_core::batch::job::KeptEvent;
+use lichenpulley_platform::headers;
+use tokio::sync::mpsc;
+
+use crate::context::Context;
+use crate::ingress::pool::{Exchange, ReplicaPool};
+use crate::ingress::sse::EventSplitter;
+
+/// A connection to a replica that is not made by then is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Runs an item and tells the owner of its events. Dropping it closes the connection, by which the replica drops the
+/// item.
+pub(super) async fn run(
+    context: Context,
+    pool: ReplicaPool,
+    start: RunStart,
+    events: mpsc::Sender<(RunId, RunEvent)>,
+) {
+    let run = start.run;
+    let end = match send(&pool, &start).await {
+        Some(exchange) => read(&pool, &start, exchange, &events).await,
+        None => RunEnd::Broken,
+    };
+    if end == RunEnd::Broken {
+        ::log::debug!(target: "batch", "{}: the run of {} at {} broke off.", context.node, start.item.id, start.replica.id);
+    }
+    // An error only says that the owner has ended.
+    let _ = events.send((run, RunEvent::Ended(end))).await;
+}
+
+async fn send(pool: &ReplicaPool, start: &RunStart) -> Option<Exchange> {
+    let request = build(start)?;
+    pool.send(start.replica.address, request, false, CONNECT_TIMEOUT).await.ok()
+}
+
+fn build(start: &RunStart) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(Bytes::from(start.item.body.clone())));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = start.item.path.parse().ok()?;
+    let fields = request.headers_mut();
+    for (name, value) in &start.item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        fields.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    fields.insert(HOST, start.host.parse().ok()?);
+    fields.insert(headers::REQUEST_ID, start.item.id.parse().ok()?);
+    fields.insert(headers::EXPECT_REPLICA, start.replica.id.parse().ok()?);
+    if let Some(number) = start.last_event {
+        fields.insert(headers::LAST_EVENT_ID, HeaderValue::from(number));
+    }
+    if start.urgency != NEUTRAL_URGENCY {
+        fields.insert(headers::URGENCY, HeaderValue::from(u16::from(start.urgency)));
+    }
+    Some(request)
+}
+
+/// The urgency that a replica takes where none is named.
+const NEUTRAL_URGENCY: u8 = 5;
+
+async fn read(
+    pool: &ReplicaPool,
+    start: &RunStart,
+    exchange: Exchange,
+    events: &mpsc::Sender<(RunId, RunEvent)>,
+) -> RunEnd {
+    let Exchange { response, connection } = exchange;
+    if let Some(end) = end_by_head(&response, &start.item.id) {
+        return end;
+    }
+    let (head, mut body) = response.into_parts();
+    let version = head.headers.get(headers::WEIGHT_VERSION).and_then(|version| version.to_str().ok());
+    let mut version: u64 = version.and_then(|version| version.trim().parse().ok()).unwrap_or(0);
+    let mut splitter = EventSplitter::default();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return RunEnd::Broken };
+        let Ok(bytes) = frame.into_data() else { continue };
+        splitter.push(&bytes);
+        loop {
+            let event = match splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => return RunEnd::Broken,
+            };
+            version = event.version.unwrap_or(version);
+            let Some(number) = event.number else { continue };
+            let kept = KeptEvent { number, version, data: event.data };
+            if events.send((start.run, RunEvent::Event(kept))).await.is_err() {
+                return RunEnd::Broken;
+            }
+        }
+    }
+    if splitter.has_rest() || !is_framed(&head.headers) {
+        return RunEnd::Broken;
+    }
+    pool.give_back(connection, &head.headers);
+    RunEnd::Complete
+}
+
+/// The end of a run whose answer's head says it all; `None` where events follow.
+fn end_by_head(response: &Response<Incoming>, item: &str) -> Option<RunEnd> {
+    let fields = response.headers();
+    let status = response.status();
+    let is_own = fields.get(headers::REQUEST_ID).is_some_and(|id| id.as_bytes() == item.as_bytes());
+    if !is_own {
+        return Some(RunEnd::Broken);
+    }
+    if status.as_u16() == headers::STATUS_OTHER_REPLICA {
+        return Some(RunEnd::OtherReplica);
+    }
+    if fields.contains_key(headers::NOT_RUN) {
+        return Some(RunEnd::Rejected);
+    }
+    let is_signed = fields.contains_key(headers::SIGNATURE);
+    match status.as_u16() {
+        200..=299 if is_signed => None,
+        headers::STATUS_NEVER if is_signed => Some(RunEnd::Never),
+        500 if is_signed => Some(RunEnd::Failed),
+        _ => Some(RunEnd::Broken),
+    }
+}
+
+/// Whether the end of the body can be told from a connection that broke.
+fn is_framed(fields: &hyper::HeaderMap) -> bool {
+    fields.contains_key(hyper::header::CONTENT_LENGTH)
+        || fields.contains_key(hyper::header::TRANSFER_ENCODING)
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use lichenpulley_core::identity::{NodeId, ZoneName};
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
@@ -14,6 +14,7 @@
 use crate::decisions::DecisionLog;
 use crate::directory::ReplicaDirectory;
 use crate::membership::MembershipHandle;
+use crate::metadata::MetadataHandle;
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
 use crate::settings::Settings;
@@ -43,6 +44,10 @@
     pub documents: ConfigurationHandle,
     /// Store replicas of shards, as far as this node has met them.
     pub replica_sets: ReplicaSetCache,
+    /// The platform's metadata. Written by `metadata` only.
+    pub metadata: MetadataHandle,
+    /// Who owns the batch jobs, as far as this node has heard.
+    pub batch_owner: ArcSwapOption<NodeId>,
     /// Connections to other nodes.
     pub peers: PeerClients,
     /// Cancelled when a planned stop begins: refuse new work, finish what runs.
@@ -69,6 +74,8 @@
             configuration: ArcSwap::default(),
             documents: ConfigurationHandle::new(),
             replica_sets: ReplicaSetCache::default(),
+            metadata: MetadataHandle::default(),
+            batch_owner: ArcSwapOption::empty(),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- a/crates/daemon/src/http/client/mod.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -176,6 +176,19 @@
         Ok(EventReader::new(response.into_body()))
     }
 
+    /// Sends a request that was built elsewhere and reads JSON.
+    ///
+    /// # Errors
+    /// When no successful answer of the expected form comes within `deadline`.
+    pub async fn request_json<Answer: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        self.call_json(address, request, deadline).await
+    }
+
     async fn call_json<Answer: DeserializeOwned>(
         &self,
         address: SocketAddr,
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -20,7 +20,13 @@
 use super::socket::{self, SocketLimits};
 
 /// A connection whose request head is not whole by then is closed.
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// The longest request head, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+/// The least that the library takes as the longest head, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+/// The most fields of a request head.
+const HEAD_FIELDS: usize = 256;
 /// Pause after the system refused a connection, for instance because no file descriptor is free.
 pub(crate) const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -37,6 +43,21 @@
     pub closing: CancellationToken,
 }
 
+/// What a connection may send before its request is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// A connection whose next request head is not whole by then is closed, also one that rests.
+    pub timeout: Duration,
+    /// A longer head is refused.
+    pub bytes: usize,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        Self { timeout: HEAD_TIMEOUT, bytes: HEAD_BYTES }
+    }
+}
+
 /// Answers each request with `handler`, each connection in a task of its own. Returns when `closing` is cancelled
 /// and every answer that had begun has been written whole, however long that takes (brief point 8).
 pub async fn serve<Handler, Answer>(listener: TcpListener, stop: ServerStop, handler: Handler)
@@ -44,22 +65,26 @@
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_within(listener, stop, SocketLimits::default(), handler).await;
+    serve_within(listener, stop, SocketLimits::default(), HeadLimits::default, handler).await;
 }
 
-/// Like [`serve`], with limits of its own.
-pub async fn serve_within<Handler, Answer>(
+/// Like [`serve`], with limits of its own; those of heads are read for each connection anew.
+pub async fn serve_within<Heads, Handler, Answer>(
     listener: TcpListener,
     stop: ServerStop,
     limits: SocketLimits,
+    head_limits: Heads,
     handler: Handler,
 ) where
+    Heads: Fn() -> HeadLimits,
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
     let begin = |stream: TcpStream| match socket::prepare(&stream, limits) {
-        Ok(()) => drop(connections.spawn(serve_connection(stream, stop.clone(), handler.clone()))),
+        Ok(()) => {
+            drop(connections.spawn(serve_connection(stream, stop.clone(), head_limits(), handler.clone())))
+        }
         Err(error) => log::debug!(target: "http", "A connection was lost before it began: {error}."),
     };
     loop {
@@ -85,8 +110,12 @@
     connections.wait().await;
 }
 
-async fn serve_connection<Handler, Answer>(stream: TcpStream, stop: ServerStop, handler: Handler)
-where
+async fn serve_connection<Handler, Answer>(
+    stream: TcpStream,
+    stop: ServerStop,
+    heads: HeadLimits,
+    handler: Handler,
+) where
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -104,7 +133,9 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .header_read_timeout(heads.timeout)
+        .max_buf_size(heads.bytes.max(LEAST_HEAD_BYTES))
+        .max_headers(HEAD_FIELDS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let leaving = async {
--- /dev/null
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -0,0 +1,147 @@
+//! Callers' calls for batch jobs, brought to their owner.
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::ingress::routes::{Route, RouteTable};
+use lichenpulley_platform::{batch, headers as names};
+use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
+use std::time::Duration;
+use tokio::time::Instant;
+
+use super::forward::read_body;
+use super::refusal::Refusal;
+use super::{Ingress, headers};
+use crate::http::{Body, request, response};
+
+/// A job that is not whole by then is given up.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The longest that a reader is held.
+const LONGEST_WAIT_MS: u64 = 5_000;
+
+/// Whether a path is a call for a batch job that was taken.
+pub(super) fn is_call(path: &str) -> bool {
+    path.starts_with(batch::JOB_PREFIX) || path.starts_with(batch::ITEM_PREFIX)
+}
+
+/// Takes a job.
+pub(super) async fn submit(
+    ingress: &Ingress,
+    table: &RouteTable,
+    route: &Route,
+    host: &str,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let Some(id) = headers::text(request.headers(), names::REQUEST_ID).map(str::to_owned) else {
+        return Refusal::Incomplete.respond(&ingress.context, &request);
+    };
+    let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, Some(&id));
+    let limit = Instant::now() + BODY_TIMEOUT;
+    let body = match read_body(request.into_body(), table.limits.body_bytes, limit).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(refusal),
+    };
+    let job = match batch::read_job(BatchId::new(id.clone()), host, &route.name, &body) {
+        Ok(job) => job,
+        Err(error) => {
+            ::log::info!(target: "batch", "Batch job {id} is refused: {error}.");
+            return refuse(Refusal::BadBody);
+        }
+    };
+    match ingress.batch.ask(BatchRequest::Submit(job)).await {
+        BatchResponse::Taken => answer_empty(StatusCode::ACCEPTED, &id),
+        BatchResponse::Full => refuse(Refusal::Full),
+        BatchResponse::Unavailable => refuse(Refusal::NoOwner),
+        _ => refuse(Refusal::InDoubt),
+    }
+}
+
+/// Answers a call for a job that was taken.
+pub(super) async fn handle(ingress: &Ingress, call: Request<Incoming>) -> Response<Body> {
+    let path = call.uri().path().to_owned();
+    let method = call.method().clone();
+    if let Some(id) = path.strip_prefix(batch::JOB_PREFIX) {
+        let id = BatchId::new(id);
+        return match method {
+            Method::GET => read(ingress, id, &call).await,
+            Method::DELETE => end(ingress, id).await,
+            _ => Refusal::NoRoute.respond(&ingress.context, &call),
+        };
+    }
+    let item = request::query_parameter(&call, batch::ITEM_PARAMETER);
+    match (path.strip_prefix(batch::ITEM_PREFIX), item) {
+        (Some(id), Some(item)) if method == Method::GET => item_body(ingress, BatchId::new(id), item).await,
+        (Some(_), None) => Refusal::Incomplete.respond(&ingress.context, &call),
+        _ => Refusal::NoRoute.respond(&ingress.context, &call),
+    }
+}
+
+async fn read(ingress: &Ingress, batch: BatchId, call: &Request<Incoming>) -> Response<Body> {
+    let from = request::query_parameter(call, batch::FROM_PARAMETER);
+    let Ok(from) = from.map_or(Ok(0), |from| from.parse::<u64>()) else {
+        return Refusal::Incomplete.respond(&ingress.context, call);
+    };
+    let wait_ms = headers::text(call.headers(), names::WAIT_MS).and_then(|wait| wait.trim().parse().ok());
+    let wait_ms = wait_ms.unwrap_or(0).min(LONGEST_WAIT_MS);
+    let subject = batch.to_string();
+    match ingress.batch.ask(BatchRequest::Read { batch, from, wait_ms }).await {
+        BatchResponse::Results { total, results } => write_results(ingress, &subject, total, from, results),
+        other => refuse(ingress, &subject, &other),
+    }
+}
+
+fn write_results(
+    ingress: &Ingress,
+    subject: &str,
+    total: u64,
+    from: u64,
+    results: Vec<ListedResult>,
+) -> Response<Body> {
+    let results: Vec<_> = results.into_iter().map(|listed| (listed.item, listed.result)).collect();
+    let total = usize::try_from(total).unwrap_or(usize::MAX);
+    match batch::write_results(total, from, &results) {
+        Ok(body) => {
+            let mut answer = Response::new(response::full(body));
+            answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            answer
+        }
+        Err(error) => {
+            ::log::error!(target: "batch", "Results can't be written: {error}.");
+            Refusal::NoOwner.respond_to(&ingress.context, Some(subject))
+        }
+    }
+}
+
+async fn end(ingress: &Ingress, batch: BatchId) -> Response<Body> {
+    let subject = batch.to_string();
+    match ingress.batch.ask(BatchRequest::End(batch)).await {
+        BatchResponse::Ended => answer_empty(StatusCode::OK, &subject),
+        other => refuse(ingress, &subject, &other),
+    }
+}
+
+async fn item_body(ingress: &Ingress, batch: BatchId, item: String) -> Response<Body> {
+    let subject = item.clone();
+    match ingress.batch.ask(BatchRequest::ItemBody { batch, item }).await {
+        BatchResponse::Body(body) => Response::new(response::full(body)),
+        other => refuse(ingress, &subject, &other),
+    }
+}
+
+/// Reading and ending can always be repeated: whoever can't be sure says "come back".
+fn refuse(ingress: &Ingress, subject: &str, response: &BatchResponse) -> Response<Body> {
+    let refusal = match response {
+        BatchResponse::Unknown => Refusal::UnknownBatch,
+        _ => Refusal::NoOwner,
+    };
+    refusal.respond_to(&ingress.context, Some(subject))
+}
+
+fn answer_empty(status: StatusCode, id: &str) -> Response<Body> {
+    let mut answer = response::empty(status);
+    if let Ok(id) = HeaderValue::from_str(id) {
+        answer.headers_mut().insert(names::REQUEST_ID, id);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/forward.rs
@@ -0,0 +1,229 @@
+//! Passes plain requests on whole, and their answers back whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
+use lichenpulley_core::ingress::routes::{Route, RouteTable};
+use lichenpulley_platform::headers as names;
+use tokio::time::Instant;
+
+use super::pool::{Exchange, SendError};
+use super::refusal::Refusal;
+use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
+use crate::http::{Body, response};
+
+/// How long a request without a deadline or a time-out is held.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest answer that is passed back, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// The part of the remaining time that one replica is given while others may still be tried.
+const PATIENCE_SHARE: f64 = 0.35;
+/// The least time that one replica is given.
+const LEAST_PATIENCE: Duration = Duration::from_millis(300);
+
+/// A caller's request, read whole.
+pub(super) struct Call {
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
+    pub(super) request_id: Option<String>,
+    /// When the caller or the route gives it up.
+    pub(super) limit: Instant,
+    pub(super) service: String,
+}
+
+impl Call {
+    /// Reads a request whole and picks the service that it goes to.
+    pub(super) async fn read(
+        ingress: &Ingress,
+        table: &RouteTable,
+        route: &Route,
+        request: Request<Incoming>,
+    ) -> Result<Self, Response<Body>> {
+        let began = Instant::now();
+        let (parts, body) = request.into_parts();
+        let request_id = headers::text(&parts.headers, names::REQUEST_ID).map(str::to_owned);
+        let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, request_id.as_deref());
+        let wanted = headers::deadline(&parts.headers).unwrap_or(DEFAULT_DEADLINE);
+        let limit = began + route.timeout.map_or(wanted, |timeout| timeout.min(wanted));
+        let body = read_body(body, table.limits.body_bytes, limit).await.map_err(refuse)?;
+        let Some(service) = route.service_at(rand::random()).map(str::to_owned) else {
+            return Err(refuse(Refusal::NoReplica));
+        };
+        Ok(Self { parts, body, request_id, limit, service })
+    }
+
+    pub(super) fn remaining(&self) -> Duration {
+        self.limit.saturating_duration_since(Instant::now())
+    }
+
+    /// The request for one replica; `last_event` makes it begin after that event.
+    pub(super) fn build(&self, replica: &str, last_event: Option<&str>) -> Request<Full<Bytes>> {
+        let mut fields = headers::end_to_end(&self.parts.headers);
+        headers::address_to(&mut fields, replica, self.remaining());
+        if let Some(number) = last_event.and_then(|number| number.parse().ok()) {
+            fields.insert(names::LAST_EVENT_ID, number);
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = origin_form(&self.parts.uri);
+        *request.headers_mut() = fields;
+        request
+    }
+
+    pub(super) fn refuse(&self, ingress: &Ingress, refusal: Refusal) -> Response<Body> {
+        refusal.respond_to(&ingress.context, self.request_id.as_deref())
+    }
+}
+
+/// Path and query alone, as a server that is asked directly expects them.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+pub(super) async fn read_body(body: Incoming, limit_bytes: usize, limit: Instant) -> Result<Bytes, Refusal> {
+    match tokio::time::timeout_at(limit, Limited::new(body, limit_bytes).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
+        Ok(Err(_)) => Err(Refusal::BadBody),
+        Err(_) => Err(Refusal::BodyTooSlow),
+    }
+}
+
+/// An answer of a replica, read whole.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Answers one request.
+pub(super) async fn handle(
+    ingress: &Ingress,
+    table: &RouteTable,
+    route: &Route,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let call = match Call::read(ingress, table, route, request).await {
+        Ok(call) => call,
+        Err(refusal) => return refusal,
+    };
+    let mut attempts = Attempts::new(route.is_repeatable(), route.max_attempts);
+    let mut tried = Vec::new();
+    loop {
+        let Some(mut visit) = ingress.visit(&call.service, &tried) else {
+            let nowhere = tried.is_empty();
+            let refusal = if nowhere { Refusal::NoReplica } else { given_up(attempts.give_up(), &call) };
+            return call.refuse(ingress, refusal);
+        };
+        tried.push(visit.replica.id.clone());
+        let patience = patience(&call, &attempts, route);
+        let sent = send(ingress, &call, &mut visit, !route.is_repeatable(), patience).await;
+        let (outcome, answer) = sent;
+        match (attempts.after(outcome, call.remaining()), answer) {
+            (Next::Answer, Some(answer)) => return pass_back(answer),
+            (Next::TryAnother, _) => {}
+            (next, _) => return call.refuse(ingress, given_up(next, &call)),
+        }
+    }
+}
+
+fn given_up(next: Next, call: &Call) -> Refusal {
+    match next {
+        Next::GiveUpNotRun => Refusal::NotRun,
+        _ if call.remaining().is_zero() => Refusal::TimedOut,
+        _ => Refusal::Unknown,
+    }
+}
+
+/// How long one replica may take: all that is left, unless another can still be tried.
+fn patience(call: &Call, attempts: &Attempts, route: &Route) -> Duration {
+    let remaining = call.remaining();
+    if !route.is_repeatable() || attempts.is_last() {
+        return remaining;
+    }
+    remaining.mul_f64(PATIENCE_SHARE).max(LEAST_PATIENCE).min(remaining)
+}
+
+async fn send(
+    ingress: &Ingress,
+    call: &Call,
+    visit: &mut Visit,
+    needs_fresh: bool,
+    patience: Duration,
+) -> (SendOutcome, Option<WholeAnswer>) {
+    let limit = Instant::now() + patience;
+    let request = call.build(&visit.replica.id, None);
+    let connect_timeout = CONNECT_TIMEOUT.min(patience);
+    let sent = ingress.pool.send(visit.replica.address, request, needs_fresh, connect_timeout);
+    let exchange = match tokio::time::timeout_at(limit, sent).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(error)) => {
+            visit.was_silent();
+            let outcome = match error {
+                SendError::NotSent => SendOutcome::NotSent,
+                SendError::Broken => SendOutcome::Broken,
+            };
+            return (outcome, None);
+        }
+        Err(_) => {
+            visit.was_silent();
+            return (SendOutcome::Broken, None);
+        }
+    };
+    read_answer(ingress, call, visit, exchange, limit).await
+}
+
+async fn read_answer(
+    ingress: &Ingress,
+    call: &Call,
+    visit: &mut Visit,
+    exchange: Exchange,
+    limit: Instant,
+) -> (SendOutcome, Option<WholeAnswer>) {
+    let Exchange { response, connection } = exchange;
+    let (head, body) = response.into_parts();
+    if let Some(busy) = headers::reported_busy(&head.headers) {
+        ingress.reported(&visit.replica.id, busy);
+    }
+    let is_own = headers::echoes(&head.headers, call.request_id.as_deref());
+    let body = tokio::time::timeout_at(limit, Limited::new(body, ANSWER_LIMIT_BYTES).collect()).await;
+    let Ok(Ok(body)) = body else {
+        visit.was_silent();
+        return (SendOutcome::Broken, None);
+    };
+    if !is_own {
+        return (SendOutcome::Broken, None);
+    }
+    ingress.pool.give_back(connection, &head.headers);
+    let outcome = judge(head.status, &head.headers);
+    match outcome {
+        SendOutcome::Rejected => visit.was_full(),
+        _ => visit.answered(),
+    }
+    let answer = WholeAnswer { status: head.status, headers: head.headers, body: body.to_bytes() };
+    (outcome, Some(answer))
+}
+
+/// What a whole answer says. Only the replica's own word proves that it did not run the request.
+pub(super) fn judge(status: StatusCode, fields: &HeaderMap) -> SendOutcome {
+    if fields.contains_key(names::NOT_RUN) || status.as_u16() == names::STATUS_OTHER_REPLICA {
+        return SendOutcome::Rejected;
+    }
+    if !headers::is_signed(fields) {
+        return SendOutcome::Broken;
+    }
+    if status.is_server_error() { SendOutcome::Failed } else { SendOutcome::Answered }
+}
+
+fn pass_back(answer: WholeAnswer) -> Response<Body> {
+    let mut passed = Response::new(response::full(answer.body));
+    *passed.status_mut() = answer.status;
+    *passed.headers_mut() = headers::end_to_end(&answer.headers);
+    passed
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/mod.rs
@@ -0,0 +1,125 @@
+//! Callers in the platform's own form: plain requests are passed on whole, batch jobs go to their owner.
+
+mod batch_calls;
+mod forward;
+mod headers;
+pub mod pool;
+pub mod readiness;
+mod refusal;
+pub mod sse;
+mod stream;
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
+use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
+use lichenpulley_core::time::Timestamp;
+use tokio::time::Instant;
+
+use crate::batch::BatchJobs;
+use crate::context::Context;
+use crate::http::Body;
+use pool::ReplicaPool;
+use refusal::Refusal;
+
+/// Serves callers. Cheap to clone.
+#[derive(Clone)]
+pub struct Ingress {
+    context: Context,
+    pool: ReplicaPool,
+    batch: BatchJobs,
+    chooser: Arc<Mutex<ReplicaChooser>>,
+    origin: Instant,
+}
+
+impl Ingress {
+    /// An ingress that sends to replicas through `pool`, and batch jobs to their owner through `batch`.
+    pub fn new(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
+        Self { context, pool, batch, chooser: Arc::default(), origin: Instant::now() }
+    }
+
+    /// Answers one request on the callers' port.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let Some(table) = self.context.metadata.routes.load_full() else {
+            return Refusal::NoConfiguration.respond(&self.context, &request);
+        };
+        if batch_calls::is_call(request.uri().path()) {
+            return batch_calls::handle(self, request).await;
+        }
+        let host = headers::host(&request);
+        let Some(route) = table.find(&host, request.uri().path()).cloned() else {
+            return Refusal::NoRoute.respond(&self.context, &request);
+        };
+        match route.kind {
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                forward::handle(self, &table, &route, request).await
+            }
+            RouteKind::Streaming => stream::handle(self, &table, &route, request).await,
+            RouteKind::Batch => batch_calls::submit(self, &table, &route, &host, request).await,
+        }
+    }
+
+    /// The limits in force for new connections.
+    pub fn limits(&self) -> Option<Limits> {
+        self.context.metadata.routes.load().as_ref().map(|table: &Arc<RouteTable>| table.limits)
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
+    /// Chooses a replica and counts a request there until the returned visit is dropped.
+    fn visit(&self, service: &str, tried: &[String]) -> Option<Visit> {
+        let table = self.context.metadata.replicas.load();
+        let mut chooser = self.chooser.lock().unwrap_or_else(PoisonError::into_inner);
+        chooser.retain_listed(&table);
+        let replica = chooser.choose(&table, service, tried, self.now(), rand::random())?.clone();
+        chooser.sent(&replica.id);
+        Some(Visit {
+            ingress: self.clone(),
+            replica,
+            began: Instant::now(),
+            experience: Experience::Abandoned,
+        })
+    }
+
+    fn reported(&self, replica: &str, busy: u32) {
+        let mut chooser = self.chooser.lock().unwrap_or_else(PoisonError::into_inner);
+        chooser.reported(replica, busy, self.now());
+    }
+}
+
+/// A request at a replica.
+struct Visit {
+    ingress: Ingress,
+    replica: ReplicaRecord,
+    began: Instant,
+    experience: Experience,
+}
+
+impl Visit {
+    fn answered(&mut self) {
+        self.experience = Experience::Answered(self.began.elapsed());
+    }
+
+    fn was_full(&mut self) {
+        self.experience = Experience::Full;
+    }
+
+    fn was_silent(&mut self) {
+        self.experience = Experience::Silent;
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        let mut chooser = self.ingress.chooser.lock().unwrap_or_else(PoisonError::into_inner);
+        chooser.ended(&self.replica.id, self.experience, self.ingress.now());
+    }
+}
+
+/// A connection to a replica that is not made by then is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/daemon/src/ingress/pool.rs
@@ -0,0 +1,163 @@
+//! Connections to replicas: one request at a time on each, kept for the next one where the replica allows it.
+//!
+//! Invariant: a connection goes back to the pool only after a whole answer to the request sent on it, and is closed
+//! when anything arrives on it that nobody asked for. Dropping a connection closes it, by which the replica learns that
+//! its answer is not wanted any more.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::CONNECTION;
+use hyper::{HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// How long a connection is kept where the replica does not say how long it keeps it.
+const DEFAULT_IDLE: Duration = Duration::from_secs(2);
+/// The longest that a connection is kept.
+const LONGEST_IDLE: Duration = Duration::from_secs(20);
+/// A connection is given up so long before the replica closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
+/// Connections kept for each replica.
+const IDLE_CONNECTIONS: usize = 24;
+/// A replica that acknowledges nothing for so long is taken as gone.
+const STALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Idle connections by replica address. Cheap to clone.
+#[derive(Clone, Default)]
+pub struct ReplicaPool {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+struct IdleConnection {
+    connection: Connection,
+    expires_at: Instant,
+}
+
+/// An open connection; dropping it closes it.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Why a request got no answer's head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of it was written.
+    NotSent,
+    /// It may have arrived.
+    Broken,
+}
+
+/// An answer whose body is still to come, with the connection that it comes on.
+pub struct Exchange {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// Its connection.
+    pub connection: Connection,
+}
+
+impl ReplicaPool {
+    /// Sends a request and waits for the head of its answer. `needs_fresh` asks for a connection of its own, which the
+    /// replica can't be closing just now.
+    ///
+    /// # Errors
+    /// Tells apart whether anything was written.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        needs_fresh: bool,
+        connect_timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        let idle = if needs_fresh { None } else { self.take(address) };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => connect(address, connect_timeout).await?,
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(Exchange { response, connection }),
+            Err(error) if error.message().is_some() => Err(SendError::NotSent),
+            Err(_) => Err(SendError::Broken),
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(candidate) = kept.pop() {
+            if candidate.expires_at > now && candidate.connection.sender.is_ready() {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request, after the whole answer with these headers came on it.
+    pub fn give_back(&self, connection: Connection, headers: &HeaderMap) {
+        let Some(idle_for) = idle_time(headers) else { return };
+        if connection.sender.is_closed() {
+            return;
+        }
+        let expires_at = Instant::now() + idle_for;
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(connection.address).or_default();
+        kept.retain(|kept| kept.expires_at > Instant::now() && !kept.connection.sender.is_closed());
+        if kept.len() < IDLE_CONNECTIONS {
+            kept.push(IdleConnection { connection, expires_at });
+        }
+    }
+}
+
+/// How long a connection may be kept; `None` where it is to be closed.
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let says = |value: &hyper::header::HeaderValue, word: &str| {
+        value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains(word))
+    };
+    if headers.get_all(CONNECTION).iter().any(|value| says(value, "close")) {
+        return None;
+    }
+    let Some(keep_alive) = headers.get("keep-alive").and_then(|value| value.to_str().ok()) else {
+        return Some(DEFAULT_IDLE);
+    };
+    let parts = keep_alive.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds = parts.filter_map(|seconds| seconds.trim().parse().ok()).next();
+    let timeout = seconds.map_or(DEFAULT_IDLE, Duration::from_secs).min(LONGEST_IDLE);
+    timeout.checked_sub(IDLE_MARGIN).filter(|left| !left.is_zero())
+}
+
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, SendError> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = stream else { return Err(SendError::NotSent) };
+    if stream.set_nodelay(true).is_err() {
+        return Err(SendError::NotSent);
+    }
+    #[cfg(target_os = "linux")]
+    if SockRef::from(&stream).set_tcp_user_timeout(Some(STALL_TIMEOUT)).is_err() {
+        return Err(SendError::NotSent);
+    }
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let Ok((sender, driver)) = handshake else { return Err(SendError::NotSent) };
+    let task = tokio::spawn(async move {
+        // How it ended is told by whoever waits on it.
+        let _ = driver.await;
+    });
+    Ok(Connection { address, sender, task: task.abort_handle() })
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -0,0 +1,135 @@
+//! Answers of our own to requests that no replica answered.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_platform::headers;
+use lichenpulley_protocol::error::ErrorBody;
+
+use crate::context::Context;
+use crate::http::{Body, response};
+
+/// Why a request got no answer of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// This node knows no configuration yet.
+    NoConfiguration,
+    /// No route fits the host and path.
+    NoRoute,
+    /// No replica of the service takes work.
+    NoReplica,
+    /// Every replica that was tried stated that it did not run the request.
+    NotRun,
+    /// A replica may have run the request, and no whole answer came.
+    Unknown,
+    /// The time is over, and a replica may have run the request.
+    TimedOut,
+    /// The body is longer than the configuration allows.
+    BodyTooLong,
+    /// The body did not come whole in time.
+    BodyTooSlow,
+    /// The body can't be read.
+    BadBody,
+    /// A field or parameter that the call needs is absent.
+    Incomplete,
+    /// There is no such batch job or item.
+    UnknownBatch,
+    /// The batch jobs' owner can't be asked now, and nothing was begun.
+    NoOwner,
+    /// There is no room for a batch job.
+    Full,
+    /// The batch job may have been taken, or not.
+    InDoubt,
+}
+
+/// When to come back after a replica could not be had.
+const RETRY_SOON: Duration = Duration::from_millis(100);
+/// When to come back after the owner or the configuration could not be had.
+const RETRY_LATER: Duration = Duration::from_millis(400);
+
+impl Refusal {
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration | Self::NoReplica | Self::NotRun | Self::NoOwner => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoRoute | Self::UnknownBatch => StatusCode::NOT_FOUND,
+            Self::Unknown | Self::InDoubt => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::BadBody | Self::Incomplete => StatusCode::BAD_REQUEST,
+            Self::Full => StatusCode::TOO_MANY_REQUESTS,
+        }
+    }
+
+    const fn kind(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoReplica => "no_replica",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::TimedOut => "timed_out",
+            Self::BodyTooLong => "body_too_long",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::BadBody => "bad_body",
+            Self::Incomplete => "incomplete",
+            Self::UnknownBatch => "unknown_batch",
+            Self::NoOwner => "no_owner",
+            Self::Full => "full",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+
+    const fn remedy(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "come back once this node has read the configuration",
+            Self::NoRoute => "check the host and the path, or add a route",
+            Self::NoReplica | Self::NotRun | Self::NoOwner | Self::Full => "send it again, it has not run",
+            Self::Unknown | Self::TimedOut => "it may have run; send it again only if it may run twice",
+            Self::BodyTooLong => "send a shorter body, or raise the configuration's limit",
+            Self::BodyTooSlow => "send the body at once",
+            Self::BadBody => "mend the body",
+            Self::Incomplete => "add the field or parameter that the call needs",
+            Self::UnknownBatch => "check the id",
+            Self::InDoubt => "send the same batch job again: it is taken once",
+        }
+    }
+
+    const fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoReplica | Self::NotRun => Some(RETRY_SOON),
+            Self::NoConfiguration | Self::NoOwner | Self::Full => Some(RETRY_LATER),
+            _ => None,
+        }
+    }
+
+    /// The answer, with a decision and a line in the log that name the request.
+    pub(super) fn respond<B>(self, context: &Context, request: &Request<B>) -> Response<Body> {
+        let id = request.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
+        self.respond_to(context, id)
+    }
+
+    /// The same, for the request with this id.
+    pub(super) fn respond_to(self, context: &Context, request_id: Option<&str>) -> Response<Body> {
+        let subject = request_id.unwrap_or("-");
+        context.decisions.record(Decision::new(Component::Request, "refused", self.kind(), subject));
+        ::log::info!(target: "request", "{subject} is refused: {}.", self.kind());
+        let body =
+            ErrorBody::new(self.kind(), format!("the request was refused: {}", self.kind()), self.remedy());
+        let mut answer = response::json(self.status(), &body);
+        if let Some(id) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
+            answer.headers_mut().insert(headers::REQUEST_ID, id);
+        }
+        if let Some(after) = self.retry_after() {
+            let seconds = format!("{:.1}", after.as_secs_f64());
+            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                answer.headers_mut().insert(RETRY_AFTER, seconds);
+            }
+        }
+        answer
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`node::Node::start`].
 
 pub mod arguments;
+pub mod batch;
 pub mod cluster;
 pub mod configuration;
 pub mod context;
@@ -12,7 +13,9 @@
 pub mod directory;
 pub mod gateway;
 pub mod http;
+pub mod ingress;
 pub mod membership;
+pub mod metadata;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- /dev/null
+++ b/crates/daemon/src/metadata/client.rs
@@ -0,0 +1,137 @@
+//! Calls of the platform's metadata store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use lichenpulley_platform::objects::{self, Events, List, Object};
+use serde_json::Value;
+
+use crate::configuration::platform::{PlatformError, WriteError};
+use crate::http::client::{ClientError, HttpClient};
+use crate::settings::Settings;
+
+/// A client of the metadata store. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct MetadataClient {
+    http: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+    watch_hold: Duration,
+}
+
+/// What a watch gave.
+#[derive(Debug)]
+pub enum Watched {
+    /// Changes; maybe none.
+    Events(Events),
+    /// The history from there on is gone: list again.
+    HistoryGone,
+}
+
+impl MetadataClient {
+    /// A client by the settings of this node; `None` where no metadata store is named there.
+    pub fn from_settings(settings: &Settings) -> Option<Self> {
+        let address = settings.platform.metadata_store?;
+        let http = HttpClient::new(settings.peers.connect_timeout);
+        let timeout = settings.configuration.platform_timeout;
+        let watch_hold = settings.configuration.watch_hold;
+        Some(Self { http, address, timeout, watch_hold })
+    }
+
+    /// Reads all objects of a kind; the revision is one that all of them are at least of.
+    ///
+    /// # Errors
+    /// When no answer comes in time.
+    pub async fn list(&self, kind: &str) -> Result<List, PlatformError> {
+        let mut all: Option<List> = None;
+        loop {
+            let after = all.as_ref().and_then(|list| list.items.last());
+            let path = objects::list_path(kind, after.map(|object| object.metadata.name.as_str()));
+            let page: List = self.http.get_json(self.address, &path, self.timeout).await?;
+            let is_last = !page.has_more || page.items.is_empty();
+            match &mut all {
+                Some(list) => list.items.extend(page.items),
+                None => all = Some(page),
+            }
+            if let Some(list) = all.take_if(|_| is_last) {
+                return Ok(list);
+            }
+        }
+    }
+
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    /// When the watch breaks off.
+    pub async fn watch(&self, kind: &str, after: u64) -> Result<Watched, PlatformError> {
+        let path = objects::watch_path(kind, after, self.watch_hold.as_millis());
+        let deadline = self.watch_hold + self.timeout;
+        match self.http.get_json(self.address, &path, deadline).await {
+            Ok(events) => Ok(Watched::Events(events)),
+            Err(error) if error.status() == Some(StatusCode::GONE) => Ok(Watched::HistoryGone),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Reads an object; `None` where there is none.
+    ///
+    /// # Errors
+    /// When no answer comes in time.
+    pub async fn read(&self, kind: &str, name: &str) -> Result<Option<Object>, PlatformError> {
+        let path = objects::object_path(kind, name);
+        match self.http.get_json(self.address, &path, self.timeout).await {
+            Ok(object) => Ok(Some(object)),
+            Err(error) if error.status() == Some(StatusCode::NOT_FOUND) => Ok(None),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Writes an object if its revision is still `base`; `None` creates it.
+    ///
+    /// # Errors
+    /// Tells apart what was refused, what was not written, and what may have been written.
+    pub async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        base: Option<u64>,
+        spec: Value,
+    ) -> Result<(), WriteError> {
+        let body = objects::write_body(name, base, spec);
+        let written: Result<Value, ClientError> = match base {
+            None => {
+                self.http.post_json(self.address, &objects::list_path(kind, None), &body, self.timeout).await
+            }
+            Some(_) => {
+                self.http.put_json(self.address, &objects::object_path(kind, name), &body, self.timeout).await
+            }
+        };
+        written.map(drop).map_err(classify)
+    }
+
+    /// Replaces an object's status.
+    ///
+    /// # Errors
+    /// As for [`Self::write`].
+    pub async fn write_status(&self, object: &Object, kind: &str, status: Value) -> Result<(), WriteError> {
+        let mut body = object.clone();
+        body.status = status;
+        let path = objects::status_path(kind, &object.metadata.name);
+        let written: Result<Value, ClientError> =
+            self.http.put_json(self.address, &path, &body, self.timeout).await;
+        written.map(drop).map_err(classify)
+    }
+}
+
+/// Invariant: `NotWritten` only where no byte was sent or the platform itself said so.
+fn classify(error: ClientError) -> WriteError {
+    match error.status() {
+        Some(StatusCode::CONFLICT) => WriteError::Conflict { current: None },
+        Some(status) if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+            WriteError::NotWritten(error)
+        }
+        _ if error.nothing_sent() => WriteError::NotWritten(error),
+        _ => WriteError::InDoubt(error),
+    }
+}
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -12,15 +12,19 @@
 use super::listeners::Listeners;
 use super::peer_service::{self, PeerService};
 use super::{NodeAddresses, StartError, Started, stop};
+use crate::batch;
 use crate::cluster::Member;
 use crate::configuration;
 use crate::context::{Context, NodeContext};
 use crate::coordinator;
 use crate::gateway::{Dispatcher, Gateway};
-use crate::http::server::{self, ServerStop};
+use crate::http::server::{self, HeadLimits, ServerStop};
 use crate::http::socket::SocketLimits;
 use crate::http::{Body, response};
+use crate::ingress::pool::ReplicaPool;
+use crate::ingress::{Ingress, readiness};
 use crate::membership::{self, StartMembership};
+use crate::metadata;
 use crate::operators::Operators;
 use crate::settings::Settings;
 use crate::store::{self, Store};
@@ -91,15 +95,18 @@
     listeners: Listeners,
     traffic: &Handle,
 ) -> Result<stop::Servers, StartError> {
-    let Listeners { callers, operators, peers, membership, addresses } = listeners;
+    let Listeners { callers, operators, readiness, peers, membership, addresses } = listeners;
     let membership = UdpSocket::from_std(membership).map_err(StartError::Thread)?;
     start_membership(context, membership, addresses);
     configuration::start(context);
+    metadata::start(context);
 
     let store = start_store(context)?;
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
     let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone(), store.clone());
-    let service = PeerService::new(Arc::clone(context), coordinator.clone(), store);
+    let pool = ReplicaPool::default();
+    let batch = batch::start(context, pool.clone(), traffic.clone());
+    let service = PeerService::new(Arc::clone(context), coordinator.clone(), batch.clone(), store);
     let stop = stop::StopSignals::new(context);
     let peers = TcpListener::from_std(peers).map_err(StartError::Thread)?;
     let peers = tokio::spawn(peer_service::serve(peers, service, stop.peers.clone()));
@@ -112,10 +119,19 @@
     };
     let operators = tokio::spawn(server::serve(operators, stop.operators.clone(), answer));
 
-    let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
-    let gateway = context.settings.roles.gateway.then_some(gateway);
     let limits = SocketLimits { stall: context.settings.gateway.stall_timeout };
-    let callers = spawn_callers(callers, traffic, stop.callers.clone(), limits, gateway)?;
+    let callers_stop = stop.callers.clone();
+    let callers = if context.settings.platform.metadata_store.is_some() {
+        let ingress = Ingress::new(Arc::clone(context), pool, batch);
+        spawn_ingress(callers, traffic, callers_stop, limits, ingress)?
+    } else {
+        let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
+        let gateway = context.settings.roles.gateway.then_some(gateway);
+        spawn_callers(callers, traffic, callers_stop, limits, gateway)?
+    };
+    if let Some(readiness) = readiness {
+        spawn_readiness(context, readiness, stop.operators.clone())?;
+    }
     Ok(stop::Servers { callers, operators, peers, stop })
 }
 
@@ -157,7 +173,50 @@
             }
         }
     };
-    Ok(traffic.spawn(server::serve_within(listener, stop, limits, answer)))
+    Ok(traffic.spawn(server::serve_within(listener, stop, limits, HeadLimits::default, answer)))
+}
+
+/// Callers in the platform's form.
+fn spawn_ingress(
+    listener: std::net::TcpListener,
+    traffic: &Handle,
+    stop: ServerStop,
+    limits: SocketLimits,
+    ingress: Ingress,
+) -> Result<tokio::task::JoinHandle<()>, StartError> {
+    let entered = traffic.enter();
+    let listener = TcpListener::from_std(listener).map_err(StartError::Thread)?;
+    drop(entered);
+    let limits_of = ingress.clone();
+    let head_limits = move || {
+        let configured = limits_of.limits();
+        configured.map_or_else(HeadLimits::default, |limits| HeadLimits {
+            // The library counts the time of a resting connection as well.
+            timeout: limits.idle_timeout.max(limits.header_timeout),
+            bytes: limits.header_bytes,
+        })
+    };
+    let answer = move |request| {
+        let ingress = ingress.clone();
+        async move { ingress.handle(request).await }
+    };
+    Ok(traffic.spawn(server::serve_within(listener, stop, limits, head_limits, answer)))
+}
+
+/// Load balancers that ask whether the node is ready.
+fn spawn_readiness(
+    context: &Context,
+    listener: std::net::TcpListener,
+    stop: ServerStop,
+) -> Result<(), StartError> {
+    let listener = TcpListener::from_std(listener).map_err(StartError::Thread)?;
+    let context = Arc::clone(context);
+    let answer = move |_| {
+        let answer = readiness::answer(&context);
+        async move { answer }
+    };
+    tokio::spawn(server::serve(listener, stop, answer));
+    Ok(())
 }
 
 fn no_gateway() -> Response<Body> {
--- a/crates/daemon/src/node/listeners.rs
+++ b/crates/daemon/src/node/listeners.rs
@@ -13,22 +13,24 @@
 pub(super) struct Listeners {
     pub(super) callers: TcpListener,
     pub(super) operators: TcpListener,
+    pub(super) readiness: Option<TcpListener>,
     pub(super) peers: TcpListener,
     pub(super) membership: UdpSocket,
     pub(super) addresses: NodeAddresses,
 }
 
 impl Listeners {
-    pub(super) fn bind(wanted: &ListenAddresses) -> Result<Self, StartError> {
+    pub(super) fn bind(wanted: &ListenAddresses, readiness: Option<SocketAddr>) -> Result<Self, StartError> {
         let callers = listen("addresses.callers", wanted.callers)?;
         let operators = listen("addresses.operators", wanted.operators)?;
+        let readiness = readiness.map(|address| listen("addresses.readiness", address)).transpose()?;
         let (peers, membership) = listen_pair("addresses.peers", wanted.peers)?;
         let addresses = NodeAddresses {
             callers: bound("addresses.callers", &callers, wanted.callers)?,
             operators: bound("addresses.operators", &operators, wanted.operators)?,
             peers: bound("addresses.peers", &peers, wanted.peers)?,
         };
-        Ok(Self { callers, operators, peers, membership, addresses })
+        Ok(Self { callers, operators, readiness, peers, membership, addresses })
     }
 }
 
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -73,7 +73,7 @@
     /// # Errors
     /// When an address, a thread or the data folder can't be had.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
-        let listeners = Listeners::bind(&settings.addresses)?;
+        let listeners = Listeners::bind(&settings.addresses, settings.readiness)?;
         let abort = CancellationToken::new();
         let (started_sender, started) = oneshot::channel();
         let (ended_sender, ended) = watch::channel(false);
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -2,8 +2,8 @@
 
 use futures::StreamExt;
 use lichenpulley_protocol::internal::{
-    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, Peer, StoreRequest,
-    StoreResponse,
+    BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
+    CoordinatorResponse, MetadataRequest, MetadataResponse, Peer, StoreRequest, StoreResponse,
 };
 use lichenpulley_protocol::transport::{self, TransportError};
 use tarpc::ChannelError;
@@ -11,10 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::batch::BatchJobs;
 use crate::configuration;
 use crate::context::Context;
 use crate::coordinator::Coordinator;
 use crate::http::socket::{self, SocketLimits};
+use crate::metadata;
 use crate::store::Store;
 
 /// Answers peers' requests from the parts of this node.
@@ -22,13 +24,19 @@
 pub(super) struct PeerService {
     context: Context,
     coordinator: Coordinator,
+    batch: BatchJobs,
     /// Where the node has the store role.
     store: Option<Store>,
 }
 
 impl PeerService {
-    pub(super) const fn new(context: Context, coordinator: Coordinator, store: Option<Store>) -> Self {
-        Self { context, coordinator, store }
+    pub(super) const fn new(
+        context: Context,
+        coordinator: Coordinator,
+        batch: BatchJobs,
+        store: Option<Store>,
+    ) -> Self {
+        Self { context, coordinator, batch, store }
     }
 
     /// Counts a connection that is closed for what arrived on it.
@@ -65,6 +73,14 @@
     ) -> ConfigurationResponse {
         configuration::answer(&self.context, request).await
     }
+
+    async fn batch(self, _: tarpc::context::Context, request: BatchRequest) -> BatchResponse {
+        self.batch.answer(request).await
+    }
+
+    async fn metadata(self, _: tarpc::context::Context, request: MetadataRequest) -> MetadataResponse {
+        metadata::answer(&self.context, &request)
+    }
 }
 
 /// Serves peers until `closing` is cancelled.
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -9,8 +9,8 @@
 
 use arc_swap::ArcSwap;
 use lichenpulley_protocol::internal::{
-    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, CoordinatorResponse, StoreRequest,
-    StoreResponse,
+    BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
+    CoordinatorResponse, MetadataRequest, MetadataResponse, StoreRequest, StoreResponse,
 };
 use tokio::runtime::Handle;
 use tokio::time::Instant;
@@ -114,6 +114,36 @@
         call.finish(call.client().configuration(call.context(), request)).await
     }
 
+    /// Asks the owner of the batch jobs.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn batch(
+        &self,
+        address: SocketAddr,
+        request: BatchRequest,
+        deadline: Duration,
+    ) -> Result<BatchResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().batch(call.context(), request)).await
+    }
+
+    /// Asks for a copy of the platform's metadata.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn metadata(
+        &self,
+        address: SocketAddr,
+        request: MetadataRequest,
+        deadline: Duration,
+    ) -> Result<MetadataResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().metadata(call.context(), request)).await
+    }
+
     /// How many peers have an open connection.
     pub fn open_connections(&self) -> usize {
         let connections = self.shared.connections.load();
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::cluster::Roles;
 pub use parts::{
-    ConfigurationSettings, CoordinatorSettings, GatewaySettings, MembershipSettings, PeerSettings,
-    StopSettings, StoreSettings,
+    BatchSettings, ConfigurationSettings, CoordinatorSettings, GatewaySettings, MembershipSettings,
+    PeerSettings, StopSettings, StoreSettings,
 };
 pub use problem::{SettingsError, SettingsProblem};
 pub use reader::{Bounds, KnownKey, SettingsReader};
@@ -34,6 +34,8 @@
     pub roles: Roles,
     /// Where it listens.
     pub addresses: ListenAddresses,
+    /// Where load balancers ask whether the node is ready, beside the operators' address.
+    pub readiness: Option<SocketAddr>,
     /// The folder for bulk data; set wherever the store role is on.
     pub data_folder: Option<PathBuf>,
     /// The platform's services.
@@ -48,6 +50,8 @@
     pub configuration: ConfigurationSettings,
     /// Shards of control work.
     pub coordinator: CoordinatorSettings,
+    /// Batch jobs.
+    pub batch: BatchSettings,
     /// Logs and claims on disk.
     pub store: StoreSettings,
     /// Planned stop.
@@ -76,6 +80,8 @@
     pub weight_store: Option<SocketAddr>,
     /// The scorer of answers.
     pub scorer: Option<SocketAddr>,
+    /// The platform's metadata store. Where it is set, callers and replicas are met in the platform's own form.
+    pub metadata_store: Option<SocketAddr>,
 }
 
 impl Settings {
@@ -131,18 +137,21 @@
                 operators: reader.listen_address("addresses.operators"),
                 peers: reader.listen_address("addresses.peers"),
             },
+            readiness: reader.service_address("addresses.readiness"),
             data_folder: reader.optional_text("data_folder").map(PathBuf::from),
             platform: PlatformAddresses {
                 object_api: reader.service_address("platform.object_api"),
                 machine_list: reader.service_address("platform.machine_list"),
                 weight_store: reader.service_address("platform.weight_store"),
                 scorer: reader.service_address("platform.scorer"),
+                metadata_store: reader.service_address("platform.metadata_store"),
             },
             peers: PeerSettings::read(reader),
             gateway: GatewaySettings::read(reader),
             membership: MembershipSettings::read(reader),
             configuration: ConfigurationSettings::read(reader),
             coordinator: CoordinatorSettings::read(reader),
+            batch: BatchSettings::read(reader),
             store: StoreSettings::read(reader),
             stop: StopSettings::read(reader),
         }
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -126,6 +126,27 @@
     }
 }
 
+/// `[batch]`: batch jobs.
+#[derive(Clone, Debug)]
+pub struct BatchSettings {
+    /// An owner that has not appended for so long is taken over from.
+    pub takeover_after: Duration,
+    /// A new owner gives no orders to replicas for so long after the one before was last heard of.
+    pub order_lease: Duration,
+    /// How often the owner looks at what is due.
+    pub tick_interval: Duration,
+}
+
+impl BatchSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            takeover_after: reader.milliseconds("batch.takeover_after_ms", 1_000, 200..=60_000),
+            order_lease: reader.milliseconds("batch.order_lease_ms", 3_000, 0..=600_000),
+            tick_interval: reader.milliseconds("batch.tick_interval_ms", 50, 5..=1_000),
+        }
+    }
+}
+
 /// `[store]`: logs and claims on disk.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -96,6 +96,7 @@
             StoreRequest::Probe => return StoreResponse::Ready,
             StoreRequest::Identity => return StoreResponse::Identity(self.id.clone()),
             StoreRequest::KnownSet(shard) => Work::KnownSet(shard),
+            StoreRequest::Leadership(shard) => Work::Leadership(shard),
             StoreRequest::Replica(request) => Work::Replica(request),
         };
         match self.work(work).await {
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -12,8 +12,7 @@
 use tokio::time::Instant;
 
 use super::exchange::Exchange;
-use super::replica_sets::{self, ReplicaSetError, StoredDocument};
-use crate::configuration::platform::ObjectClient;
+use super::replica_sets::{self, DocumentClient, ReplicaSetError, StoredDocument};
 use crate::context::Context;
 
 /// How many call timeouts a change may last before it is given up; it can be taken up again.
@@ -76,7 +75,7 @@
     leaving: &StoreId,
     reason: &str,
 ) -> Result<ReplicaSet, ReconfigurationError> {
-    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    let client = DocumentClient::from_settings(&context.settings)?;
     let stored = replica_sets::read(&client, shard).await?;
     let stored = stored.ok_or_else(|| ReconfigurationError::UnknownShard(shard.clone()))?;
     let stored = finish_pending(context, &client, stored).await?;
@@ -120,7 +119,7 @@
 /// A change that is pending goes first: a pending set is never withdrawn.
 async fn finish_pending(
     context: &Context,
-    client: &ObjectClient,
+    client: &DocumentClient,
     stored: StoredDocument,
 ) -> Result<StoredDocument, ReconfigurationError> {
     let Some(pending) = &stored.document.pending else { return Ok(stored) };
@@ -132,7 +131,7 @@
 
 /// Writes that a set is current, once it is installed.
 async fn settle(context: &Context, installed: &ReplicaSet) -> Result<(), ReconfigurationError> {
-    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    let client = DocumentClient::from_settings(&context.settings)?;
     let Some(stored) = replica_sets::read(&client, &installed.shard).await? else { return Ok(()) };
     if stored.document.pending.as_ref() != Some(installed) {
         return Ok(());
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -16,9 +16,58 @@
 use crate::cluster::Member;
 use crate::configuration::platform::{ObjectClient, PlatformError, WriteError};
 use crate::context::Context;
+use crate::metadata::client::MetadataClient;
+use crate::settings::Settings;
 
-/// Where the object API holds the replica sets of shards.
-const KEY_PREFIX: &str = "replica-sets/";
+/// Where the object API holds the replica sets of shards; also the kind under which a metadata store holds them.
+const KIND: &str = "replica-sets";
+
+/// What keeps the documents of replica sets: the object API, or the platform's metadata store where one is named.
+#[derive(Clone, Debug)]
+pub(super) enum DocumentClient {
+    Objects(ObjectClient),
+    Metadata(MetadataClient),
+}
+
+impl DocumentClient {
+    /// A client by the settings of this node.
+    pub(super) fn from_settings(settings: &Settings) -> Result<Self, ReplicaSetError> {
+        if let Some(client) = MetadataClient::from_settings(settings) {
+            return Ok(Self::Metadata(client));
+        }
+        let client = ObjectClient::from_settings(settings).ok_or(ReplicaSetError::NoObjectApi)?;
+        Ok(Self::Objects(client))
+    }
+
+    async fn read(&self, shard: &ShardId) -> Result<Option<(serde_json::Value, Revision)>, PlatformError> {
+        match self {
+            Self::Objects(client) => {
+                let object = client.read(&document_key(shard)).await?;
+                Ok(object.map(|object| (object.value, object.version)))
+            }
+            Self::Metadata(client) => {
+                let object = client.read(KIND, &document_name(shard)).await?;
+                let object = object.map(|object| (object.spec, object.metadata.rev.unwrap_or_default()));
+                Ok(object.map(|(value, revision)| (value, Revision(revision))))
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        shard: &ShardId,
+        base: Option<Revision>,
+        value: serde_json::Value,
+    ) -> Result<(), WriteError> {
+        match self {
+            Self::Objects(client) => client.write(&document_key(shard), base, value).await.map(drop),
+            Self::Metadata(client) => {
+                let base = base.map(|revision| revision.0);
+                client.write(KIND, &document_name(shard), base, value).await
+            }
+        }
+    }
+}
 
 /// Replica sets that this node has met.
 #[derive(Debug, Default)]
@@ -107,19 +156,19 @@
 
 /// Reads a shard's document.
 pub(super) async fn read(
-    client: &ObjectClient,
+    client: &DocumentClient,
     shard: &ShardId,
 ) -> Result<Option<StoredDocument>, ReplicaSetError> {
     let key = document_key(shard);
-    let Some(object) = client.read(&key).await? else { return Ok(None) };
-    let document = serde_json::from_value(object.value);
+    let Some((value, version)) = client.read(shard).await? else { return Ok(None) };
+    let document = serde_json::from_value(value);
     let document = document.map_err(|source| ReplicaSetError::Unreadable { key, source })?;
-    Ok(Some(StoredDocument { document, version: object.version }))
+    Ok(Some(StoredDocument { document, version }))
 }
 
 /// Writes a shard's document if its version is still `base`.
 pub(super) async fn write(
-    client: &ObjectClient,
+    client: &DocumentClient,
     shard: &ShardId,
     base: Option<Revision>,
     document: &ReplicaSetDocument,
@@ -127,7 +176,7 @@
     let key = document_key(shard);
     let value = serde_json::to_value(document);
     let value = value.map_err(|source| ReplicaSetError::Unreadable { key: key.clone(), source })?;
-    client.write(&key, base, value).await?;
+    client.write(shard, base, value).await?;
     Ok(())
 }
 
@@ -139,7 +188,12 @@
 }
 
 fn document_key(shard: &ShardId) -> String {
-    format!("{KEY_PREFIX}{shard}")
+    format!("{KIND}/{shard}")
+}
+
+/// A name within a kind holds no slash.
+fn document_name(shard: &ShardId) -> String {
+    shard.as_str().replace('/', ".")
 }
 
 fn store_nodes(context: &Context) -> Vec<Member> {
@@ -170,7 +224,7 @@
 }
 
 async fn read_or_create(context: &Context, shard: &ShardId) -> Result<ReplicaSet, ReplicaSetError> {
-    let client = ObjectClient::from_settings(&context.settings).ok_or(ReplicaSetError::NoObjectApi)?;
+    let client = DocumentClient::from_settings(&context.settings)?;
     if let Some(stored) = read(&client, shard).await? {
         return Ok(stored.document.current);
     }
--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -3,17 +3,19 @@
 //! Requests that wait are done in one transaction, so that one sync of the disk serves them all. No answer leaves
 //! before the transaction is on disk.
 
-use std::time::Duration;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
-use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::identity::{Epoch, ShardId};
 use lichenpulley_core::replication::acceptor::Acceptor;
+use lichenpulley_core::replication::ballot::Ballot;
 use lichenpulley_core::replication::entry::{IndexedEntry, LogIndex};
 use lichenpulley_core::replication::group::{GroupPhase, GroupRecord};
 use lichenpulley_core::replication::message::{Outcome, Refusal, ReplicaRequest, ReplicaResponse};
 use lichenpulley_core::replication::replica_set::Generation;
 use lichenpulley_core::replication::storage::ShardStorage;
 use lichenpulley_protocol::internal::StoreResponse;
-use lichenpulley_protocol::internal::store::KnownSet;
+use lichenpulley_protocol::internal::store::{KnownSet, Leadership};
 use tokio::sync::{mpsc, oneshot};
 
 use super::disk::Disk;
@@ -34,6 +36,8 @@
     Replica(Box<ReplicaRequest>),
     /// Which replica set of a shard is known here.
     KnownSet(ShardId),
+    /// Who leads a shard.
+    Leadership(ShardId),
     /// The store's part in each of its shards.
     Groups,
     /// Adds decided entries.
@@ -63,11 +67,49 @@
     disk: Option<Disk>,
     acceptor: Acceptor,
     metrics: StoreMetrics,
+    leaders: Leaders,
+}
+
+/// Who leads each shard, and when it last appended here. Kept in memory, so that asking needs no disk.
+struct Leaders {
+    started_at: Instant,
+    known: HashMap<ShardId, Leader>,
+}
+
+struct Leader {
+    ballot: Ballot,
+    appended_at: Instant,
+}
+
+impl Leaders {
+    fn new() -> Self {
+        Self { started_at: Instant::now(), known: HashMap::new() }
+    }
+
+    /// Learns from what was answered to a proposer.
+    fn learn(&mut self, done: &Done) {
+        let Done::Response(StoreResponse::Replica(response)) = done else { return };
+        let (Outcome::Promised { ballot, .. } | Outcome::Accepted { ballot, .. }) = &response.outcome else {
+            return;
+        };
+        let leader = Leader { ballot: ballot.clone(), appended_at: Instant::now() };
+        self.known.insert(response.shard.clone(), leader);
+    }
+
+    fn get(&self, shard: &ShardId) -> Option<Leadership> {
+        let leader = self.known.get(shard)?;
+        Some(leadership(&leader.ballot, leader.appended_at))
+    }
+}
+
+fn leadership(ballot: &Ballot, since: Instant) -> Leadership {
+    let idle_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+    Leadership { epoch: ballot.epoch, proposer: ballot.proposer.clone(), idle_ms }
 }
 
 impl Worker {
     pub(super) fn new(disk: Disk, acceptor: Acceptor, metrics: StoreMetrics) -> Self {
-        Self { disk: Some(disk), acceptor, metrics }
+        Self { disk: Some(disk), acceptor, metrics, leaders: Leaders::new() }
     }
 
     /// Works until every sender is gone.
@@ -78,10 +120,33 @@
                 let Ok(job) = jobs.try_recv() else { break };
                 batch.push(job);
             }
-            self.run_batch(batch);
+            self.answer_from_memory(&mut batch);
+            if !batch.is_empty() {
+                self.run_batch(batch);
+            }
         }
     }
 
+    /// Answers what needs no disk.
+    fn answer_from_memory(&self, batch: &mut Vec<Job>) {
+        let mut remaining = Vec::with_capacity(batch.len());
+        for job in batch.drain(..) {
+            let known = match &job.work {
+                Work::Leadership(shard) => self.leaders.get(shard),
+                _ => None,
+            };
+            match known {
+                Some(known) => {
+                    let done = Done::Response(StoreResponse::Leadership(Some(known)));
+                    // An error only says that the peer has stopped waiting.
+                    let _ = job.reply.send(done);
+                }
+                None => remaining.push(job),
+            }
+        }
+        *batch = remaining;
+    }
+
     fn run_batch(&mut self, batch: Vec<Job>) {
         let work: Vec<Work> = batch.iter().map(|job| job.work.clone()).collect();
         let results = match self.transact(&work) {
@@ -91,6 +156,7 @@
             Err(error) => work.iter().map(|work| self.failed(work, &error)).collect(),
         };
         for (job, done) in batch.into_iter().zip(results) {
+            self.leaders.learn(&done);
             // An error only says that the peer has stopped waiting.
             let _ = job.reply.send(done);
         }
@@ -106,8 +172,9 @@
     fn transact(&mut self, work: &[Work]) -> Result<Vec<Done>, DiskError> {
         let Some(disk) = &self.disk else { return Err(DiskError::Failed("the file is closed".to_owned())) };
         let acceptor = &self.acceptor;
+        let started_at = self.leaders.started_at;
         let result = disk.transact(|transaction| {
-            let done = work.iter().map(|work| perform(acceptor, transaction, work));
+            let done = work.iter().map(|work| perform(acceptor, transaction, work, started_at));
             let done = done.collect::<Result<Vec<Done>, DiskError>>()?;
             Ok((done, transaction.used_bytes(), transaction.is_changed()))
         });
@@ -151,7 +218,12 @@
     }
 }
 
-fn perform(acceptor: &Acceptor, transaction: &mut Transaction<'_>, work: &Work) -> Result<Done, DiskError> {
+fn perform(
+    acceptor: &Acceptor,
+    transaction: &mut Transaction<'_>,
+    work: &Work,
+    started_at: Instant,
+) -> Result<Done, DiskError> {
     let now_unix_ms = unix_milliseconds();
     match work {
         Work::Replica(request) => {
@@ -162,6 +234,12 @@
             let known = transaction.group(shard)?.map(known_set);
             Ok(Done::Response(StoreResponse::KnownSet(known)))
         }
+        Work::Leadership(shard) => {
+            let promised = transaction.group(shard)?.map(|group| group.position.promised);
+            let promised = promised.filter(|promised| promised.epoch > Epoch::default());
+            let known = promised.map(|promised| leadership(&promised, started_at));
+            Ok(Done::Response(StoreResponse::Leadership(known)))
+        }
         Work::Groups => {
             let shards = transaction.shards()?;
             let groups = shards.iter().map(|shard| transaction.group(shard));
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -8,7 +8,7 @@
 use lichenpulley_daemon::http::client::{ClientError, HttpClient};
 use lichenpulley_daemon::http::events::{EventStreamError, event_stream};
 use lichenpulley_daemon::http::request::{percent_decode, percent_encode, read_json};
-use lichenpulley_daemon::http::server::{ServerStop, serve, serve_within};
+use lichenpulley_daemon::http::server::{HeadLimits, ServerStop, serve, serve_within};
 use lichenpulley_daemon::http::socket::SocketLimits;
 use lichenpulley_daemon::http::{Body, response};
 use lichenpulley_protocol::error::ErrorBody;
@@ -274,7 +274,13 @@
         tokio::spawn(async move { while sender.send(&large).await.is_ok() {} });
         response
     };
-    let server = tokio::spawn(serve_within(listener, stop.clone(), SocketLimits { stall }, answer));
+    let server = tokio::spawn(serve_within(
+        listener,
+        stop.clone(),
+        SocketLimits { stall },
+        HeadLimits::default,
+        answer,
+    ));
     let mut reader = TcpStream::connect(address).await.expect("a connection");
     reader.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("written");
     reader.read_u8().await.expect("the answer begins");
--- a/crates/lab/src/demo/system.rs
+++ b/crates/lab/src/demo/system.rs
@@ -75,6 +75,7 @@
         let weight_store = weight_store::start(WeightStoreOptions::default()).await?;
         let scorer = scorer::start(any_port, any_port).await?;
         let platform = PlatformAddresses {
+            metadata_store: None,
             object_api: Some(object_api.address),
             machine_list: Some(machine_list.address),
             weight_store: Some(weight_store.address()),
--- /dev/null
+++ b/crates/protocol/src/internal/batch.rs
@@ -0,0 +1,69 @@
+//! Requests to the owner of the batch jobs.
+
+use lichenpulley_core::batch::job::{BatchJob, ItemResult};
+use lichenpulley_core::identity::{BatchId, NodeId};
+use speedy::{Readable, Writable};
+
+/// A request to the owner of the batch jobs. Each can be repeated without harm.
+#[derive(Clone, Debug, Readable, Writable)]
+pub enum BatchRequest {
+    /// Takes a job.
+    Submit(BatchJob),
+    /// Reads results from a position on; waits for one where there is none.
+    Read {
+        /// The job.
+        batch: BatchId,
+        /// The first position wanted.
+        from: u64,
+        /// How long to wait, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Reads the body of an item that is not listed.
+    ItemBody {
+        /// The job.
+        batch: BatchId,
+        /// The item's id.
+        item: String,
+    },
+    /// Ends a job.
+    End(BatchId),
+    /// The owner leaves: the receiver should take over now.
+    TakeOver,
+}
+
+/// A result and the id of its item.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ListedResult {
+    /// The item's id.
+    pub item: String,
+    /// What came of it.
+    pub result: ItemResult,
+}
+
+/// The owner's answer.
+#[derive(Clone, Debug, Readable, Writable)]
+pub enum BatchResponse {
+    /// The job is kept by a majority of stores.
+    Taken,
+    /// There is no room; nothing of the job runs.
+    Full,
+    /// Results.
+    Results {
+        /// How many items the job has.
+        total: u64,
+        /// The results, at the positions asked for.
+        results: Vec<ListedResult>,
+    },
+    /// The body of an item.
+    Body(Vec<u8>),
+    /// The job is ended.
+    Ended,
+    /// There is no such job or item.
+    Unknown,
+    /// The receiver does not own the jobs; it knows who may.
+    NotOwner(Option<NodeId>),
+    /// The owner can't be sure now. Nothing was begun.
+    Unavailable,
+    /// The log failed while the request was on its way to the stores: it may be kept or not.
+    InDoubt,
+}
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -1,11 +1,15 @@
 //! Requests between our own processes. One `tarpc` service, one request type for each part.
 
+pub mod batch;
 pub mod configuration;
 pub mod coordinator;
+pub mod metadata;
 pub mod store;
 
+pub use batch::{BatchRequest, BatchResponse, ListedResult};
 pub use configuration::{ConfigurationRequest, ConfigurationResponse, DocumentName};
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
+pub use metadata::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse};
 pub use store::{StoreRequest, StoreResponse};
 
 /// What every node answers to its peers.
@@ -17,4 +21,8 @@
     async fn coordinator(request: CoordinatorRequest) -> CoordinatorResponse;
     /// Revisions of the configuration and of the replica directory, answered by every node.
     async fn configuration(request: ConfigurationRequest) -> ConfigurationResponse;
+    /// Batch jobs, answered by their owner.
+    async fn batch(request: BatchRequest) -> BatchResponse;
+    /// The platform's metadata as this node knows it, answered by every node.
+    async fn metadata(request: MetadataRequest) -> MetadataResponse;
 }
--- a/crates/protocol/src/internal/store.rs
+++ b/crates/protocol/src/internal/store.rs
@@ -1,6 +1,7 @@
 //! Requests to a store replica.
 
-use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::identity::{Epoch, ShardId};
+use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::message::{ReplicaRequest, ReplicaResponse};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
 use speedy::{Readable, Writable};
@@ -14,6 +15,8 @@
     Identity,
     /// Asks for the latest replica set of a shard that the store knows of.
     KnownSet(ShardId),
+    /// Asks who leads a shard, as far as the store knows.
+    Leadership(ShardId),
     /// Asks one replica of one shard.
     Replica(Box<ReplicaRequest>),
 }
@@ -29,6 +32,8 @@
     Identity(StoreId),
     /// The latest replica set of the shard that the store knows of.
     KnownSet(Option<KnownSet>),
+    /// Who leads the shard, where anybody ever did.
+    Leadership(Option<Leadership>),
     /// The replica's answer.
     Replica(Box<ReplicaResponse>),
     /// The store can't be used; its log says why.
@@ -43,3 +48,14 @@
     /// The set that is taking its place, where the store is sealed.
     pub next: Option<ReplicaSet>,
 }
+
+/// Who leads a shard, as one store knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Leadership {
+    /// The highest epoch promised.
+    pub epoch: Epoch,
+    /// To whom.
+    pub proposer: ProposerId,
+    /// Milliseconds since it last appended here, or since the store started.
+    pub idle_ms: u64,
+}
