--- a/crates/core/src/replication/acceptor.rs
+++ b/crates/core/src/replication/acceptor.rs
@@ -325,7 +325,7 @@
     }
     record.set = set;
     record.phase = GroupPhase::Active;
-    record.copying = None;
+    record.copying.clear();
     storage.put_group(shard, &record)?;
     Ok(Outcome::Begun)
 }
--- a/crates/core/src/replication/copy_target.rs
+++ b/crates/core/src/replication/copy_target.rs
@@ -19,6 +19,8 @@
 }
 
 enum Step {
+    /// Reading of the present source is to begin.
+    Begin,
     /// A page is to be read at this position.
     Read(PagePosition),
     /// A page is to be stored.
@@ -30,7 +32,7 @@
         Self {
             retry_at: None,
             source: 0,
-            step: Step::Read(PagePosition::START),
+            step: Step::Begin,
             number: 0,
             done: Vec::new(),
             skip_copying: false,
@@ -65,7 +67,11 @@
             let install = self.install(sources, set, transfer);
             return Some((own.clone(), set.generation, Operation::Install(install)));
         };
+        if matches!(self.step, Step::Begin) {
+            self.step = Step::Read(sources.start(self.source, own));
+        }
         match &self.step {
+            Step::Begin => None,
             Step::Read(from) => {
                 Some((source.clone(), sources.generation, Operation::ReadState(from.clone())))
             }
@@ -117,7 +123,7 @@
         self.done.push(CopiedSource { store: source.clone(), pages: self.number });
         self.source += 1;
         self.number = 0;
-        self.step = Step::Read(PagePosition::START);
+        self.step = Step::Begin;
     }
 
     /// A sealed replica that stays has its own state already.
--- a/crates/core/src/replication/entry.rs
+++ b/crates/core/src/replication/entry.rs
@@ -4,6 +4,7 @@
 
 use speedy::{Readable, Writable};
 
+use super::replica_set::ReplicaSet;
 use crate::identity::Epoch;
 
 /// A position in a shard's log; the first entry has 1.
@@ -47,6 +48,13 @@
         /// Its bytes.
         bytes: Vec<u8>,
     },
+    /// The members that follow: once it is decided, the next generation is this set and no other.
+    NextSet {
+        /// The epoch of the owner that made it; stays when a later owner has it accepted again.
+        origin: Epoch,
+        /// The next generation.
+        set: ReplicaSet,
+    },
     /// A part of a snapshot, which stands for all entries before its first part.
     SnapshotPart {
         /// The epoch of the owner that made it; stays when a later owner has it accepted again.
@@ -64,7 +72,7 @@
     /// Bytes of the body.
     pub const fn len(&self) -> usize {
         match self {
-            Self::Noop => 0,
+            Self::Noop | Self::NextSet { .. } => 0,
             Self::Record { bytes, .. } | Self::SnapshotPart { bytes, .. } => bytes.len(),
         }
     }
@@ -73,7 +81,9 @@
     pub const fn origin(&self) -> Option<Epoch> {
         match self {
             Self::Noop => None,
-            Self::Record { origin, .. } | Self::SnapshotPart { origin, .. } => Some(*origin),
+            Self::Record { origin, .. }
+            | Self::NextSet { origin, .. }
+            | Self::SnapshotPart { origin, .. } => Some(*origin),
         }
     }
 
--- a/crates/core/src/replication/group.rs
+++ b/crates/core/src/replication/group.rs
@@ -18,8 +18,8 @@
     pub position: LogPosition,
     /// The run of positions accepted under the promised ballot.
     pub run: AcceptedRun,
-    /// Copying into the next generation, where it is under way.
-    pub copying: Option<CopyProgress>,
+    /// Copyings into the next generation that are under way.
+    pub copying: Vec<CopyProgress>,
 }
 
 /// Whether a store takes part in its replica set.
@@ -115,7 +115,7 @@
             phase,
             position: LogPosition::default(),
             run: AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO },
-            copying: None,
+            copying: Vec::new(),
         }
     }
 }
--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -1,6 +1,7 @@
 //! From entries to what an owner recovers, and from a snapshot to entries.
 
 use super::entry::Payload;
+use super::replica_set::ReplicaSet;
 use crate::identity::Epoch;
 
 /// What an owner finds when it takes a shard over.
@@ -10,6 +11,10 @@
     pub snapshot: Option<Vec<u8>>,
     /// Records after the snapshot, in order. Each may have been acknowledged; none that was is missing.
     pub records: Vec<Vec<u8>>,
+    /// The last set that an owner chose to follow; it is in force already where its generation is not a later one.
+    pub next_set: Option<ReplicaSet>,
+    /// The epoch of the last owner that appended.
+    pub latest_origin: Epoch,
 }
 
 /// Puts a log together from its entries in order. A snapshot of which a part is missing counts for nothing: its
@@ -30,12 +35,17 @@
             continue;
         }
         latest_origin = origin.max(latest_origin);
+        recovered.latest_origin = latest_origin;
         match payload {
             Payload::Noop => parts.discard(),
             Payload::Record { bytes, .. } => {
                 parts.discard();
                 recovered.records.push(bytes);
             }
+            Payload::NextSet { set, .. } => {
+                parts.discard();
+                recovered.next_set = Some(set);
+            }
             Payload::SnapshotPart { number, count, bytes, .. } => {
                 if let Some(snapshot) = parts.add(number, count, &bytes) {
                     recovered.snapshot = Some(snapshot);
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -257,6 +257,8 @@
     Sealed {
         /// The next generation.
         next: ReplicaSet,
+        /// The replica's marks, which don't change any more.
+        position: LogPosition,
     },
     /// A page of the replica's state.
     StatePage {
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -285,6 +285,17 @@
         Ok(self.window.last())
     }
 
+    /// Appends the members that are to follow. Once that is decided, this set and no other is the next generation, and
+    /// the change may begin; the owner appends nothing after it.
+    ///
+    /// # Errors
+    /// When the proposer does not lead.
+    pub fn append_next_set(&mut self, set: ReplicaSet) -> Result<LogIndex, AppendRefusal> {
+        self.check_leading()?;
+        self.window.push(Payload::NextSet { origin: self.ballot.epoch, set });
+        Ok(self.window.last())
+    }
+
     /// Appends a snapshot that stands for everything appended before, which is dropped once it is decided.
     ///
     /// # Errors
--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::copy_target::CopyTarget;
+use super::entry::LogIndex;
 use super::group::LogPosition;
 use super::message::{
     InstallBasis, Operation, Outcome, PagePosition, Refusal, ReplicaRequest, ReplicaResponse, StatePage,
@@ -59,6 +60,8 @@
     /// majority of the old set has been installed.
     may_begin_old: bool,
     sealed: VoteCount,
+    /// Marks of the members that are sealed.
+    sealed_positions: BTreeMap<StoreId, LogPosition>,
     sources: Option<Sources>,
     targets: BTreeMap<StoreId, CopyTarget>,
     installed: VoteCount,
@@ -82,6 +85,19 @@
 }
 
 impl Sources {
+    /// Where copying of a source begins for a target: after what is known to be decided there already, be it the
+    /// target's own or copied from the sources before. Decided entries are the same everywhere.
+    pub(super) fn start(&self, source: usize, target: &StoreId) -> PagePosition {
+        let before = self.stores.iter().take(source).chain(std::iter::once(target));
+        let decided =
+            before.filter_map(|store| self.positions.get(store)).map(|position| position.decided_through);
+        let decided = decided.max().unwrap_or_default();
+        if self.basis == InstallBasis::InstalledMember || decided == LogIndex::ZERO {
+            return PagePosition::START;
+        }
+        PagePosition::Entries(decided.next())
+    }
+
     /// The later of each mark of the sources.
     pub(super) fn position(&self) -> LogPosition {
         self.positions.values().cloned().fold(LogPosition::default(), LogPosition::merged)
@@ -103,6 +119,7 @@
             sealing,
             may_begin_old: true,
             sealed: VoteCount::default(),
+            sealed_positions: BTreeMap::new(),
             sources: None,
             installed: VoteCount::default(),
             events: VecDeque::new(),
@@ -153,7 +170,7 @@
         }
         let store = response.store;
         match response.outcome {
-            Outcome::Sealed { next } if next == self.next => self.after_seal(&store),
+            Outcome::Sealed { next, position } if next == self.next => self.after_seal(&store, position),
             Outcome::Begun => self.begun(&store),
             Outcome::StatePage { from, page } => self.page_read(&store, response.generation, &from, &page),
             Outcome::Copied { transfer, source, next } if transfer == self.transfer => {
@@ -210,21 +227,29 @@
         }
     }
 
-    fn after_seal(&mut self, store: &StoreId) {
+    fn after_seal(&mut self, store: &StoreId, position: LogPosition) {
         if self.sealing.remove(store).is_none() {
             return;
         }
         self.sealed.add(store);
+        self.sealed_positions.insert(store.clone(), position);
         let needed = if self.checks.seal_majority { self.old.majority() } else { 1 };
         if self.sources.is_none() && self.sealed.len() >= needed {
-            let members = self.old.members.iter().map(|member| &member.store);
-            let stores = members.filter(|store| self.sealed.contains(store)).cloned().collect();
+            let mut stores: Vec<StoreId> = self.sealed_positions.keys().cloned().collect();
+            // What is known to be decided is copied from the one that has most of it.
+            stores.sort_by_key(|store| {
+                std::cmp::Reverse(self.sealed_positions.get(store).map(|position| position.decided_through))
+            });
             self.copy_from(InstallBasis::SealedMajority, self.old.generation, stores);
         }
     }
 
     fn copy_from(&mut self, basis: InstallBasis, generation: Generation, stores: Vec<StoreId>) {
-        self.sources = Some(Sources { basis, generation, stores, positions: BTreeMap::new() });
+        let positions = match basis {
+            InstallBasis::SealedMajority => self.sealed_positions.clone(),
+            InstallBasis::InstalledMember => BTreeMap::new(),
+        };
+        self.sources = Some(Sources { basis, generation, stores, positions });
         for target in self.targets.values_mut() {
             target.restart(None);
             target.skip_copying(!self.checks.copy);
--- a/crates/core/src/replication/transfer.rs
+++ b/crates/core/src/replication/transfer.rs
@@ -15,6 +15,8 @@
 pub(super) const PAGE_BYTES: usize = 1 << 20;
 /// Claims in a page.
 const PAGE_CLAIMS: usize = 4_096;
+/// Copyings of which a member remembers how far they have come.
+const MAXIMUM_COPYINGS: usize = 8;
 
 /// Stops the replica in its generation, for good.
 pub(super) fn seal<S: ShardStorage>(
@@ -31,7 +33,7 @@
         storage.put_group(shard, &record)?;
     }
     Ok(match record.phase {
-        GroupPhase::Sealed { next } => Outcome::Sealed { next },
+        GroupPhase::Sealed { next } => Outcome::Sealed { next, position: record.position },
         GroupPhase::Active | GroupPhase::Joining => Outcome::Refused(Refusal::NotInstalled),
     })
 }
@@ -108,7 +110,7 @@
     record.set = install.set;
     record.phase = GroupPhase::Active;
     record.run = AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO };
-    record.copying = None;
+    record.copying.clear();
     storage.remove_entries_before(shard, record.position.first())?;
     storage.remove_claims_issued_before(shard, record.position.claims_forgotten_before_unix_ms)?;
     storage.put_group(shard, &record)?;
@@ -149,9 +151,16 @@
     transfer: &TransferId,
     source: &StoreId,
 ) -> &'a mut SourceProgress {
-    let copying = record.copying.take().filter(|copying| &copying.transfer == transfer);
-    let fresh = || CopyProgress { transfer: transfer.clone(), sources: Vec::new() };
-    let copying = record.copying.insert(copying.unwrap_or_else(fresh));
+    let known = record.copying.iter().position(|copying| &copying.transfer == transfer);
+    let position = known.unwrap_or_else(|| {
+        // Several may copy at a time, each all that there is: none undoes what another has brought.
+        if record.copying.len() >= MAXIMUM_COPYINGS {
+            record.copying.remove(0);
+        }
+        record.copying.push(CopyProgress { transfer: transfer.clone(), sources: Vec::new() });
+        record.copying.len() - 1
+    });
+    let copying = &mut record.copying[position];
     let known = copying.sources.iter().position(|progress| &progress.store == source);
     let position = known.unwrap_or_else(|| {
         copying.sources.push(SourceProgress { store: source.clone(), next: 0 });
@@ -176,8 +185,8 @@
 /// Whether everything that was to be copied is here. A sealed replica has its own pages.
 fn has_all_pages(record: &GroupRecord, store: &StoreId, install: &Install) -> bool {
     let arrived = |source: &CopiedSource| {
-        let copying = record.copying.as_ref().filter(|copying| copying.transfer == install.transfer);
-        let mut pages = copying.into_iter().flat_map(|copying| &copying.sources);
+        let copying = record.copying.iter().filter(|copying| copying.transfer == install.transfer);
+        let mut pages = copying.flat_map(|copying| &copying.sources);
         pages.any(|progress| progress.store == source.store && progress.next >= source.pages)
     };
     let is_self = |source: &CopiedSource| &source.store == store && record.phase != GroupPhase::Joining;
--- /dev/null
+++ b/crates/core/tests/batch_controller.rs
@@ -0,0 +1,386 @@
+//! The owner of batch jobs: what it starts, lists, resumes and gives up.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::batch::controller::{
+    Action, Controller, ControllerConfig, RunEnd, RunEvent, RunId, RunStart, Submission,
+};
+use lichenpulley_core::batch::job::{BatchItem, BatchJob, KeptEvent};
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
+use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
+use lichenpulley_core::time::Timestamp;
+
+const MODEL: &str = "pricing";
+
+fn replica(id: &str, version: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "engines".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "kajang".to_owned(),
+        slots: 2,
+        is_draining: false,
+        models: BTreeMap::from([(MODEL.to_owned(), version)]),
+    }
+}
+
+fn table(replicas: &[ReplicaRecord]) -> ReplicaTable {
+    let records = replicas.iter().map(|record| (record.id.clone(), record.clone()));
+    ReplicaTable { records: records.collect() }
+}
+
+fn routes(needs_single_version: bool) -> Arc<RouteTable> {
+    let route = Route {
+        name: "rollouts".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/r/".to_owned(),
+        kind: RouteKind::Batch,
+        timeout: None,
+        target: Duration::from_millis(400),
+        services: vec![WeightedService { service: "engines".to_owned(), weight: 1 }],
+        max_attempts: 3,
+        is_resumable: true,
+        max_queue: Duration::from_secs(40),
+        due: Duration::from_secs(8),
+        needs_single_version,
+    };
+    let service = Service { slots: 2, memory_tokens: Some(10_000), models: vec![MODEL.to_owned()] };
+    let limits = Limits {
+        header_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = BTreeMap::from([("engines".to_owned(), service)]);
+    Arc::new(RouteTable { version: 1, routes: vec![route], services, limits })
+}
+
+fn job(id: &str, items: usize, min_version: u64) -> BatchJob {
+    let item = |number: usize| BatchItem {
+        id: format!("{id}-{number}"),
+        path: "/r/x".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        tokens: 100,
+        expected_tokens: Some(50),
+        group: Some("g".to_owned()),
+        model: Some(MODEL.to_owned()),
+    };
+    BatchJob {
+        id: BatchId::new(id),
+        route: "rollouts".to_owned(),
+        host: "host".to_owned(),
+        step: Some(0),
+        min_version,
+        desired_groups: Some(1),
+        items: (0..items).map(item).collect(),
+    }
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+/// An owner and what it asked for, with its appends decided only when the test says so.
+struct Bench {
+    controller: Controller,
+    appends: usize,
+    started: Vec<RunStart>,
+    stopped: Vec<RunId>,
+    records: Vec<Record>,
+    loads: Vec<(String, u64)>,
+}
+
+impl Bench {
+    fn new(ledger: Ledger, needs_single_version: bool, replicas: &[ReplicaRecord]) -> Self {
+        let mut controller = Controller::new(ControllerConfig::default(), ledger, at(0), at(0));
+        controller.update(at(0), Some(routes(needs_single_version)), &table(replicas), &BTreeMap::new());
+        let mut bench = Self {
+            controller,
+            appends: 0,
+            started: Vec::new(),
+            stopped: Vec::new(),
+            records: Vec::new(),
+            loads: Vec::new(),
+        };
+        bench.take();
+        bench
+    }
+
+    fn take(&mut self) {
+        while let Some(action) = self.controller.poll_action() {
+            match action {
+                Action::Append(records) => {
+                    self.appends += 1;
+                    self.records.extend(records);
+                }
+                Action::Start(start) => self.started.push(*start),
+                Action::Stop(run) => self.stopped.push(run),
+                Action::Load(load) => self.loads.push((load.replica, load.version)),
+                Action::Decide(_) => {}
+            }
+        }
+    }
+
+    /// All appends so far are kept by a majority.
+    fn decide(&mut self, now: Timestamp) {
+        self.take();
+        while self.appends > 0 {
+            self.appends -= 1;
+            self.controller.appended(now);
+            self.take();
+        }
+    }
+
+    fn submit(&mut self, now: Timestamp, job: BatchJob) {
+        assert_eq!(self.controller.submit(now, job), Submission::Pending);
+        self.decide(now);
+    }
+
+    fn event(&mut self, now: Timestamp, run: RunId, number: u64, version: u64) {
+        let kept = KeptEvent { number, version, data: format!("d{number}") };
+        self.controller.run_event(now, run, RunEvent::Event(kept));
+        self.take();
+    }
+
+    fn end(&mut self, now: Timestamp, run: RunId, end: RunEnd) {
+        self.controller.run_event(now, run, RunEvent::Ended(end));
+        self.take();
+    }
+
+    fn results(&self, id: &str) -> usize {
+        self.controller.ledger().job(&BatchId::new(id)).map_or(0, |job| job.results.len())
+    }
+
+    fn ledger_of_records(&self) -> Ledger {
+        let mut ledger = Ledger::default();
+        self.records.iter().cloned().for_each(|record| ledger.apply(record));
+        ledger
+    }
+}
+
+#[test]
+fn nothing_runs_before_the_job_is_kept_and_nothing_is_listed_before_its_record_is() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    assert_eq!(bench.controller.submit(at(1), job("j", 1, 0)), Submission::Pending);
+    bench.take();
+    assert!(bench.started.is_empty(), "the record is not decided yet");
+    bench.decide(at(5));
+    let run = bench.started[0].run;
+    bench.event(at(10), run, 0, 1);
+    bench.end(at(20), run, RunEnd::Complete);
+    assert_eq!(bench.results("j"), 0, "the result is not decided yet");
+    bench.decide(at(25));
+    assert_eq!(bench.results("j"), 1);
+    let result = &bench.controller.ledger().job(&BatchId::new("j")).expect("the job").results[0];
+    assert_eq!((result.text.as_str(), result.versions.as_slice()), ("d0", [1].as_slice()));
+}
+
+#[test]
+fn a_job_that_comes_twice_is_taken_once() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    assert_eq!(bench.controller.submit(at(1), job("j", 1, 0)), Submission::Pending);
+    assert_eq!(bench.controller.submit(at(2), job("j", 1, 0)), Submission::Pending);
+    bench.decide(at(5));
+    assert_eq!(bench.controller.submit(at(6), job("j", 1, 0)), Submission::Kept);
+    let accepted = bench.records.iter().filter(|record| matches!(record, Record::Accepted(_))).count();
+    assert_eq!((accepted, bench.started.len()), (1, 1));
+}
+
+#[test]
+fn a_broken_run_is_resumed_after_its_last_event_at_another_replica() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1), replica("b", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let first = bench.started[0].clone();
+    bench.event(at(10), first.run, 0, 1);
+    bench.event(at(20), first.run, 1, 1);
+    bench.end(at(30), first.run, RunEnd::Broken);
+    let second = bench.started[1].clone();
+    assert_eq!(second.last_event, Some(1));
+    assert_ne!(second.replica.id, first.replica.id);
+    bench.event(at(40), first.run, 2, 1);
+    bench.event(at(50), second.run, 2, 2);
+    bench.end(at(60), second.run, RunEnd::Complete);
+    bench.decide(at(70));
+    let job = bench.controller.ledger().job(&BatchId::new("j")).expect("the job");
+    assert_eq!(job.results[0].text, "d0\nd1\nd2", "what a run gave after it was stopped is not taken");
+    assert_eq!(job.results[0].versions, [1, 2]);
+}
+
+#[test]
+fn an_event_that_is_missing_is_never_passed_over() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1), replica("b", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let first = bench.started[0].run;
+    bench.event(at(10), first, 0, 1);
+    bench.event(at(20), first, 2, 1);
+    assert!(bench.stopped.contains(&first));
+    assert_eq!(bench.started[1].last_event, Some(0));
+}
+
+#[test]
+fn an_ended_job_is_stopped_at_once_and_starts_nothing_more() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 5, 0));
+    assert_eq!(bench.started.len(), 2, "as many as there are slots");
+    assert_eq!(bench.controller.end(at(10), &BatchId::new("j")), Some(false));
+    bench.take();
+    assert_eq!(bench.stopped.len(), 2);
+    bench.decide(at(20));
+    bench.controller.tick(at(500));
+    bench.decide(at(500));
+    assert_eq!(bench.started.len(), 2);
+    assert_eq!(bench.controller.end(at(600), &BatchId::new("j")), Some(true));
+    assert_eq!(bench.controller.end(at(600), &BatchId::new("other")), None);
+}
+
+#[test]
+fn a_replica_with_too_old_weights_runs_nothing_and_its_events_are_not_kept() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 2));
+    assert!(bench.started.is_empty());
+    bench.controller.update(at(2), None, &table(&[replica("a", 2)]), &BTreeMap::new());
+    bench.take();
+    let run = bench.started[0].run;
+    bench.event(at(10), run, 0, 1);
+    assert!(bench.stopped.contains(&run), "the replica says that it has the old weights after all");
+    bench.decide(at(20));
+    assert_eq!(bench.results("j"), 0);
+}
+
+#[test]
+fn a_text_of_a_single_version_route_is_begun_anew_when_the_version_changes() {
+    let mut bench = Bench::new(Ledger::default(), true, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let first = bench.started[0].run;
+    bench.event(at(10), first, 0, 1);
+    bench.event(at(20), first, 1, 2);
+    assert!(bench.stopped.contains(&first));
+    assert_eq!(bench.started[1].last_event, None);
+    let second = bench.started[1].run;
+    bench.event(at(30), second, 0, 2);
+    bench.end(at(40), second, RunEnd::Complete);
+    bench.decide(at(50));
+    let job = bench.controller.ledger().job(&BatchId::new("j")).expect("the job");
+    assert_eq!((job.results[0].text.as_str(), job.results[0].versions.as_slice()), ("d0", [2].as_slice()));
+}
+
+#[test]
+fn an_item_is_given_up_after_as_many_failures_as_the_route_allows_also_across_owners() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    bench.end(at(10), bench.started[0].run, RunEnd::Failed);
+    bench.end(at(20), bench.started[1].run, RunEnd::Failed);
+    bench.decide(at(30));
+    assert_eq!(bench.results("j"), 0);
+    let mut next = Bench::new(bench.ledger_of_records(), false, &[replica("a", 1)]);
+    assert_eq!(next.started.len(), 1);
+    next.end(at(10), next.started[0].run, RunEnd::Failed);
+    next.decide(at(20));
+    let job = next.controller.ledger().job(&BatchId::new("j")).expect("the job");
+    assert!(!job.results[0].is_complete);
+    assert_eq!(next.started.len(), 1, "it runs no more");
+}
+
+#[test]
+fn an_item_that_can_never_be_done_is_given_up_at_once() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    bench.end(at(10), bench.started[0].run, RunEnd::Never);
+    bench.decide(at(20));
+    assert_eq!((bench.results("j"), bench.started.len()), (1, 1));
+}
+
+#[test]
+fn an_item_is_given_up_for_its_age_no_sooner_than_the_route_allows() {
+    let mut bench = Bench::new(Ledger::default(), false, &[]);
+    bench.submit(at(1), job("j", 1, 0));
+    bench.controller.tick(at(40_000));
+    bench.decide(at(40_000));
+    assert_eq!(bench.results("j"), 0);
+    bench.controller.tick(at(41_000));
+    bench.decide(at(41_000));
+    assert_eq!(bench.results("j"), 1);
+}
+
+#[test]
+fn without_a_confirmed_authority_nothing_is_started_or_ordered() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.controller.set_confirmed(false);
+    bench.submit(at(1), job("j", 1, 0));
+    let named = BTreeMap::from([(MODEL.to_owned(), 2)]);
+    bench.controller.update(at(2), None, &table(&[replica("a", 1)]), &named);
+    bench.take();
+    assert!(bench.started.is_empty() && bench.loads.is_empty());
+    bench.controller.set_confirmed(true);
+    bench.controller.tick(at(50));
+    bench.take();
+    assert_eq!(bench.loads, [("a".to_owned(), 2)]);
+}
+
+#[test]
+fn a_stalled_run_is_taken_up_elsewhere() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1), replica("b", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let first = bench.started[0].clone();
+    bench.event(at(10), first.run, 0, 1);
+    bench.controller.tick(at(800));
+    bench.take();
+    assert!(bench.stopped.is_empty());
+    bench.controller.tick(at(1_000));
+    bench.take();
+    assert_eq!(bench.stopped, [first.run]);
+    assert_ne!(bench.started[1].replica.id, first.replica.id);
+}
+
+#[test]
+fn a_new_owner_resumes_from_the_progress_that_was_kept() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let run = bench.started[0].run;
+    for number in 0..100 {
+        bench.event(at(10 + 40 * number), run, number, 1);
+    }
+    bench.decide(at(5_000));
+    let next = Bench::new(bench.ledger_of_records(), false, &[replica("a", 1)]);
+    let resumed = next.started[0].last_event.expect("progress");
+    assert!((60..100).contains(&resumed), "{resumed}");
+}
+
+#[test]
+fn at_most_two_replicas_of_a_service_load_at_a_time() {
+    let replicas: Vec<ReplicaRecord> = ["a", "b", "c", "d"].map(|id| replica(id, 1)).to_vec();
+    let mut bench = Bench::new(Ledger::default(), false, &replicas);
+    let named = BTreeMap::from([(MODEL.to_owned(), 2)]);
+    bench.controller.update(at(1), None, &table(&replicas), &named);
+    bench.take();
+    assert_eq!(bench.loads.len(), 2);
+    let loaded = bench.loads[0].0.clone();
+    bench.controller.load_ended(at(900), &loaded, Some(&named));
+    bench.take();
+    assert_eq!(bench.loads.len(), 3);
+}
+
+#[test]
+fn a_ledger_is_the_same_from_its_records_from_its_snapshot_and_from_records_applied_twice() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 3, 0));
+    bench.event(at(10), bench.started[0].run, 0, 1);
+    bench.end(at(20), bench.started[0].run, RunEnd::Complete);
+    bench.decide(at(30));
+    bench.end(at(40), bench.started[1].run, RunEnd::Failed);
+    bench.controller.end(at(50), &BatchId::new("j"));
+    bench.decide(at(60));
+    let ledger = bench.controller.ledger().clone();
+    assert_eq!(bench.ledger_of_records(), ledger);
+    let mut twice = ledger.clone();
+    bench.records.iter().cloned().for_each(|record| twice.apply(record));
+    assert_eq!(twice, ledger);
+    let snapshot = ledger.to_snapshot().expect("a snapshot");
+    assert_eq!(Ledger::recover(Some(&snapshot), &[]).expect("a ledger"), ledger);
+}
--- /dev/null
+++ b/crates/core/tests/ingress.rs
@@ -0,0 +1,147 @@
+//! Routes, attempts and the choice of a replica for plain requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
+use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord, ReplicaTable};
+use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, WeightedService};
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+
+const LONG: Duration = Duration::from_secs(1);
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: None,
+        target: Duration::from_millis(100),
+        services: vec![
+            WeightedService { service: "a".to_owned(), weight: 90 },
+            WeightedService { service: "b".to_owned(), weight: 10 },
+        ],
+        max_attempts: 2,
+        is_resumable: false,
+        max_queue: LONG,
+        due: LONG,
+        needs_single_version: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let limits = Limits { header_bytes: 1, body_bytes: 1, header_timeout: LONG, idle_timeout: LONG };
+    let routes =
+        vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/b/c/")];
+    let table = RouteTable { version: 1, routes, services: BTreeMap::new(), limits };
+    let found = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("h", "/a/b/c/d"), Some("long"));
+    assert_eq!(found("h", "/a/x"), Some("short"));
+    assert_eq!(found("h", "/a"), None);
+    assert_eq!(found("j", "/a/b/"), None);
+}
+
+#[test]
+fn each_service_gets_its_share_by_weight() {
+    let route = route("r", "h", "/");
+    let to_b = (0..1_000).filter(|number| route.service_at(*number) == Some("b")).count();
+    assert_eq!(to_b, 100);
+}
+
+fn outcome() -> impl Strategy<Value = SendOutcome> {
+    prop_oneof![
+        Just(SendOutcome::NotSent),
+        Just(SendOutcome::Rejected),
+        Just(SendOutcome::Failed),
+        Just(SendOutcome::Broken),
+    ]
+}
+
+proptest! {
+    /// A request that is not repeatable runs at most once, and "not run" is said only where it is proved.
+    #[test]
+    fn attempts_keep_their_promises(
+        outcomes in prop::collection::vec(outcome(), 1..12),
+        is_repeatable: bool,
+        max_sends in 1_u32..5,
+    ) {
+        let mut attempts = Attempts::new(is_repeatable, max_sends);
+        let (mut sends, mut may_have_run) = (0, 0);
+        for outcome in outcomes {
+            sends += u32::from(outcome != SendOutcome::NotSent);
+            may_have_run += u32::from(matches!(outcome, SendOutcome::Failed | SendOutcome::Broken));
+            prop_assert!(sends <= max_sends);
+            prop_assert!(is_repeatable || may_have_run <= 1);
+            match attempts.after(outcome, LONG) {
+                Next::TryAnother => continue,
+                Next::GiveUpNotRun => prop_assert_eq!(may_have_run, 0),
+                Next::GiveUpUnknown => prop_assert!(may_have_run > 0),
+                Next::Answer => prop_assert_eq!(outcome, SendOutcome::Failed),
+            }
+            break;
+        }
+    }
+}
+
+#[test]
+fn nothing_is_tried_again_without_time() {
+    let mut attempts = Attempts::new(true, 3);
+    assert_eq!(attempts.after(SendOutcome::Rejected, Duration::from_millis(1)), Next::GiveUpNotRun);
+}
+
+fn replica(id: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "a".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "z".to_owned(),
+        slots: 4,
+        is_draining: false,
+        models: BTreeMap::new(),
+    }
+}
+
+fn replicas(records: Vec<ReplicaRecord>) -> ReplicaTable {
+    ReplicaTable { records: records.into_iter().map(|record| (record.id.clone(), record)).collect() }
+}
+
+#[test]
+fn a_draining_a_silent_or_a_slow_replica_gets_nothing_while_another_can_be_had() {
+    let mut leaving = replica("leaving");
+    leaving.is_draining = true;
+    let table = replicas(vec![replica("silent"), replica("slow"), replica("good"), leaving]);
+    let now = Timestamp::from_millis(1_000);
+    let mut chooser = ReplicaChooser::default();
+    for (id, experience) in [
+        ("silent", Experience::Silent),
+        ("slow", Experience::Answered(Duration::from_millis(200))),
+        ("good", Experience::Answered(Duration::from_millis(20))),
+    ] {
+        chooser.sent(id);
+        chooser.ended(id, experience, now);
+    }
+    for random in 0..16 {
+        let chosen = chooser.choose(&table, "a", &[], now, random).expect("a replica");
+        assert_eq!(chosen.id, "good");
+    }
+    let tried = ["good".to_owned(), "slow".to_owned()];
+    let last = chooser.choose(&table, "a", &tried, now, 0).expect("a replica");
+    assert_eq!(last.id, "silent", "better than none");
+    let later = now + Duration::from_secs(10);
+    let chosen = chooser.choose(&table, "a", &tried, later, 0);
+    assert_eq!(chosen.map(|chosen| chosen.id.as_str()), Some("silent"));
+}
+
+#[test]
+fn a_replica_that_reports_a_queue_is_left_alone() {
+    let table = replicas(vec![replica("full"), replica("free")]);
+    let now = Timestamp::from_millis(1_000);
+    let mut chooser = ReplicaChooser::default();
+    chooser.reported("full", 12, now);
+    for random in 0..8 {
+        assert_eq!(chooser.choose(&table, "a", &[], now, random).expect("a replica").id, "free");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/batch/keeper.rs
@@ -0,0 +1,163 @@
+//! Looks after the stores that keep the log of the batch jobs: has a member replaced whose disk is gone, which has not
+//! been seen for long, or whose machine the operator wants emptied.
+//!
+//! Needs no platform: which set follows is decided by the log itself.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::replication::placement::best_addition;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::log::Replacement;
+use crate::context::Context;
+use crate::metadata::retirements::Retirements;
+use crate::store::replica_sets;
+
+/// Time between two looks at the stores.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+/// The node answers with another store: the disk was lost.
+const REASON_DISK: &str = "disk_replaced";
+/// The store has not answered for long.
+const REASON_SILENT: &str = "not_seen";
+/// The operator wants the machine emptied.
+const REASON_RETIRED: &str = "machine_leaves";
+
+/// The keeper's task, as the owner sees it.
+pub(super) struct StoreKeeper {
+    sets: watch::Sender<ReplicaSet>,
+    replacements: mpsc::UnboundedReceiver<Replacement>,
+    task: AbortHandle,
+}
+
+impl Drop for StoreKeeper {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl StoreKeeper {
+    /// Begins to look after a set.
+    pub(super) fn start(context: Context, set: ReplicaSet) -> Self {
+        let (sets, followed) = watch::channel(set);
+        let (sender, replacements) = mpsc::unbounded_channel();
+        let task = tokio::spawn(Task::new(context, followed, sender).run());
+        Self { sets, replacements, task: task.abort_handle() }
+    }
+
+    /// The next member to replace. Nothing more comes until [`Self::follow`] names the set that resulted.
+    pub(super) async fn next(&mut self) -> Replacement {
+        match self.replacements.recv().await {
+            Some(replacement) => replacement,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Looks after another set from now on.
+    pub(super) fn follow(&self, set: ReplicaSet) {
+        self.sets.send_replace(set);
+    }
+}
+
+struct Task {
+    context: Context,
+    sets: watch::Receiver<ReplicaSet>,
+    sender: mpsc::UnboundedSender<Replacement>,
+    retirements: Retirements,
+    answered_at: HashMap<StoreId, Instant>,
+    began: Instant,
+}
+
+impl Task {
+    fn new(
+        context: Context,
+        sets: watch::Receiver<ReplicaSet>,
+        sender: mpsc::UnboundedSender<Replacement>,
+    ) -> Self {
+        let retirements = Retirements::start(&context);
+        Self { context, sets, sender, retirements, answered_at: HashMap::new(), began: Instant::now() }
+    }
+
+    async fn run(mut self) {
+        loop {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+            let set = self.sets.borrow_and_update().clone();
+            let stores = replica_sets::candidates(&self.context).await;
+            self.note(&set, &stores);
+            self.finish_retirements(&set, &stores);
+            let Some(replacement) = self.replacement(&set, &stores) else { continue };
+            if self.sender.send(replacement).is_err() || self.sets.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn note(&mut self, set: &ReplicaSet, stores: &[SetMember]) {
+        let now = Instant::now();
+        for store in stores {
+            self.answered_at.insert(store.store.clone(), now);
+        }
+        self.answered_at.retain(|store, _| set.member(store).is_some());
+    }
+
+    fn replacement(&self, set: &ReplicaSet, stores: &[SetMember]) -> Option<Replacement> {
+        let retired = self.retirements.nodes();
+        let (leaving, reason) = self.leaving(set, stores, &retired)?;
+        let staying: Vec<SetMember> =
+            set.members.iter().filter(|member| member.store != leaving.store).cloned().collect();
+        let free: Vec<SetMember> =
+            stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
+        let joining = best_addition(&set.shard, &staying, &free)?;
+        if joining.store == leaving.store {
+            return None;
+        }
+        Some(Replacement { leaving: leaving.store.clone(), joining, reason })
+    }
+
+    /// The member that should go first, where all others answer: one change at a time, and none that leaves too few.
+    fn leaving<'a>(
+        &self,
+        set: &'a ReplicaSet,
+        stores: &[SetMember],
+        retired: &BTreeSet<NodeId>,
+    ) -> Option<(&'a SetMember, &'static str)> {
+        let answers = |member: &SetMember| stores.iter().any(|store| store.store == member.store);
+        let missing: Vec<&SetMember> = set.members.iter().filter(|member| !answers(member)).collect();
+        if set.members.len() - missing.len() < set.majority() {
+            return None;
+        }
+        let has_other_store = |member: &&&SetMember| {
+            stores.iter().any(|store| store.node == member.node && store.store != member.store)
+        };
+        if let Some(member) = missing.iter().find(has_other_store) {
+            return Some((member, REASON_DISK));
+        }
+        let patience = self.context.settings.store.replace_after;
+        let silent_for =
+            |member: &SetMember| self.answered_at.get(&member.store).unwrap_or(&self.began).elapsed();
+        if let Some(member) = missing.iter().find(|member| silent_for(member) >= patience) {
+            return Some((member, REASON_SILENT));
+        }
+        if !missing.is_empty() {
+            return None;
+        }
+        let leaving = set.members.iter().find(|member| retired.contains(&member.node));
+        leaving.map(|member| (member, REASON_RETIRED))
+    }
+
+    /// A machine is empty once none of its stores is a member and every member answers.
+    fn finish_retirements(&self, set: &ReplicaSet, stores: &[SetMember]) {
+        let is_whole =
+            set.members.iter().all(|member| stores.iter().any(|store| store.store == member.store));
+        let is_member = |node: &NodeId| set.members.iter().any(|member| &member.node == node);
+        for node in self.retirements.nodes() {
+            if is_whole && !is_member(&node) {
+                self.retirements.complete(&node);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/batch/log.rs
+++ b/crates/daemon/src/batch/log.rs
@@ -1,6 +1,8 @@
 //! Appends to the log of the batch jobs in a task of its own. Records that wait go into one append.
 
 use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::identity::Epoch;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -9,9 +11,17 @@
 /// Records of which the log is compacted once it holds so many bytes.
 const COMPACT_BYTES: usize = 48 << 20;
 
+/// A member of the stores that is to be replaced.
+pub(super) struct Replacement {
+    pub(super) leaving: StoreId,
+    pub(super) joining: SetMember,
+    pub(super) reason: &'static str,
+}
+
 enum Write {
     Append(Vec<Record>),
     Compact(Vec<u8>),
+    Replace(Replacement),
 }
 
 /// What came of writes.
@@ -23,6 +33,8 @@
         /// Whether the log should be compacted.
         is_long: bool,
     },
+    /// The log goes on under another set of stores and a higher epoch.
+    Replaced { epoch: Epoch, set: ReplicaSet },
     /// The log can't be used any more; nothing further is written.
     Failed(ShardLogError),
 }
@@ -51,6 +63,11 @@
         let _ = self.writes.send(Write::Compact(snapshot));
     }
 
+    /// Replaces a member of the stores that keep the log.
+    pub(super) fn replace(&self, replacement: Replacement) {
+        let _ = self.writes.send(Write::Replace(replacement));
+    }
+
     /// What came of the next writes. Safe to drop before it returns.
     pub(super) async fn next(&mut self) -> Written {
         match self.written.recv().await {
@@ -81,18 +98,20 @@
             let result = match first {
                 Write::Append(records) => {
                     let mut appends = vec![records];
-                    while let Ok(write) = self.received.try_recv() {
-                        match write {
-                            Write::Append(records) => appends.push(records),
-                            Write::Compact(_) => {
-                                waiting = Some(write);
-                                break;
-                            }
-                        }
-                    }
+                    waiting = self.take_appends(&mut appends);
                     self.append(appends).await
                 }
                 Write::Compact(snapshot) => self.compact(snapshot).await,
+                Write::Replace(replacement) => match self.replace(replacement).await {
+                    Ok(replaced) => {
+                        self = replaced;
+                        Ok(())
+                    }
+                    Err((sender, error)) => {
+                        let _ = sender.send(Written::Failed(error));
+                        return;
+                    }
+                },
             };
             if let Err(error) = result {
                 let _ = self.sender.send(Written::Failed(error));
@@ -101,6 +120,43 @@
         }
     }
 
+    /// Takes the appends that wait; gives a write of another kind that stands behind them.
+    fn take_appends(&mut self, appends: &mut Vec<Vec<Record>>) -> Option<Write> {
+        while let Ok(write) = self.received.try_recv() {
+            match write {
+                Write::Append(records) => appends.push(records),
+                Write::Compact(_) | Write::Replace(_) => return Some(write),
+            }
+        }
+        None
+    }
+
+    /// Invariant: the log goes on only if nobody else has appended to it meanwhile, so that what the owner believes is
+    /// still all that the log says.
+    async fn replace(
+        self,
+        replacement: Replacement,
+    ) -> Result<Self, (mpsc::UnboundedSender<Written>, ShardLogError)> {
+        let Self { log, received, sender, held_bytes } = self;
+        let epoch = log.epoch();
+        let Replacement { leaving, joining, reason } = replacement;
+        ::log::info!(target: "batch", "Store {leaving} is replaced by {} of {}: {reason}.", joining.store, joining.node);
+        match log.replace_member(&leaving, joining, reason).await {
+            Ok((log, recovered)) if recovered.latest_origin <= epoch => {
+                let (epoch, set) = (log.epoch(), log.set().clone());
+                ::log::info!(target: "batch", "Generation {} of the stores is in force.", set.generation);
+                let _ = sender.send(Written::Replaced { epoch, set });
+                Ok(Self { log, received, sender, held_bytes })
+            }
+            Ok((_, recovered)) => {
+                let error =
+                    ShardLogError::Superseded { shard: super::shard(), highest: recovered.latest_origin };
+                Err((sender, error))
+            }
+            Err(error) => Err((sender, error)),
+        }
+    }
+
     async fn append(&mut self, appends: Vec<Vec<Record>>) -> Result<(), ShardLogError> {
         let began = Instant::now();
         let records = appends.iter().flatten().filter_map(|record| match record.encode() {
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! still appends.
 
 mod candidate;
+mod keeper;
 mod load;
 mod log;
 mod owner;
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::keeper::StoreKeeper;
 use super::load::{LoadEnded, LoadOrders};
 use super::log::{LogWriter, Written};
 use super::{Command, run};
@@ -55,6 +56,7 @@
     run_events: mpsc::Receiver<(RunId, RunEvent)>,
     run_sender: mpsc::Sender<(RunId, RunEvent)>,
     loads: LoadOrders,
+    keeper: StoreKeeper,
     load_ends: mpsc::UnboundedReceiver<LoadEnded>,
     submissions: Vec<(BatchId, Command)>,
     ends: Vec<(BatchId, Command)>,
@@ -84,6 +86,7 @@
         let now = Instant::now();
         Ok(Self {
             loads: LoadOrders::new(context.clone(), epoch, load_sender),
+            keeper: StoreKeeper::start(context.clone(), log.set().clone()),
             context,
             pool,
             traffic,
@@ -116,6 +119,7 @@
                 written = self.log.next() => self.handle_written(written),
                 Some((run, event)) = self.run_events.recv() => self.handle_run(run, event),
                 Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
+                replacement = self.keeper.next() => self.log.replace(replacement),
                 Ok(()) = metadata.changed() => self.update(),
                 _ = ticks.tick() => self.tick(),
             }
@@ -178,6 +182,10 @@
                     self.compact();
                 }
             }
+            Written::Replaced { epoch, set } => {
+                self.loads.set_epoch(epoch);
+                self.keeper.follow(set);
+            }
             Written::Failed(error) => self.failure = Some(error),
         }
     }
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 mod copy;
+pub mod retirements;
 mod watcher;
 
 use std::collections::BTreeMap;
--- a/crates/daemon/src/peers/connection.rs
+++ b/crates/daemon/src/peers/connection.rs
@@ -49,7 +49,6 @@
 pub(super) struct Call {
     address: SocketAddr,
     client: Arc<PeerClient>,
-    slot: Arc<ArcSwapOption<PeerClient>>,
     limit: Instant,
 }
 
@@ -76,7 +75,7 @@
         self.last_used_ms.store(self.age_ms(), Ordering::Relaxed);
         let connected = tokio::time::timeout_at(limit, self.open()).await;
         let client = connected.unwrap_or_else(|_| Err(self.not_sent("no connection by the deadline")))?;
-        Ok(Call { address: self.address, client, slot: Arc::clone(&self.client), limit })
+        Ok(Call { address: self.address, client, limit })
     }
 
     /// Closes the connection where it has not been used for a while; tells whether it was idle. A call that runs
@@ -181,11 +180,7 @@
         let reason = match answered {
             Ok(Ok(answer)) => return Ok(answer),
             Ok(Err(error)) => error.to_string(),
-            Err(_) => {
-                // The machine may be gone without a word: the next call tries a connection of its own.
-                forget(&self.slot, &Arc::downgrade(&self.client));
-                "no answer by the deadline".to_owned()
-            }
+            Err(_) => "no answer by the deadline".to_owned(),
         };
         Err(PeerError::NoAnswer { address: self.address, reason })
     }
--- a/crates/daemon/src/store/disk.rs
+++ b/crates/daemon/src/store/disk.rs
@@ -17,7 +17,7 @@
 /// The file's name until it is whole.
 const UNFINISHED_NAME: &str = "replicas.redb.new";
 /// The format that this release writes.
-const FORMAT: u64 = 1;
+const FORMAT: u64 = 2;
 /// Memory for pages read from the file, in bytes.
 const CACHE_BYTES: usize = 16 << 20;
 /// What a file system puts into an empty volume.
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -64,6 +64,24 @@
     Ok(())
 }
 
+/// Finishes a change of replica set up to a majority of the next set. The others begin when the shard's owner first
+/// appends to them, and are repaired by their own nodes.
+///
+/// # Errors
+/// When too few members answer.
+pub async fn install_majority(
+    context: &Context,
+    old: &ReplicaSet,
+    next: &ReplicaSet,
+) -> Result<(), ReconfigurationError> {
+    let installed = run(context, old, next, Extent::Majority).await?;
+    context.replica_sets.put(&installed);
+    let decision = Decision::new(Component::Replication, "replaced_set", "installed", &old.shard);
+    let decision = decision.with("from", old.generation).with("to", installed.generation);
+    context.decisions.record(decision);
+    Ok(())
+}
+
 /// Replaces a member of a shard's replica set by another store, chosen among the live ones. `reason` is shown with
 /// the decision.
 ///
--- a/crates/daemon/src/store/repair.rs
+++ b/crates/daemon/src/store/repair.rs
@@ -15,7 +15,7 @@
 use crate::context::Context;
 
 /// Time between two rounds.
-const ROUND: Duration = Duration::from_secs(5);
+const ROUND: Duration = Duration::from_secs(2);
 
 /// Repairs the store's logs and drops expired claims until the node stops.
 pub(super) fn spawn(context: Context, store: Store) {
@@ -33,7 +33,10 @@
 async fn round(context: &Context, store: &Store, replacements: &mut Replacements) {
     store.work(Work::ForgetExpiredClaims).await;
     let Done::Groups(groups) = store.work(Work::Groups).await else { return };
-    replacements.round(context, &store.id, &groups).await;
+    // Where a metadata store is named, the owner of the shard replaces members, through its log.
+    if context.settings.platform.metadata_store.is_none() {
+        replacements.round(context, &store.id, &groups).await;
+    }
     for group in groups {
         match &group.phase {
             GroupPhase::Active => repair(context, store, &group).await,
--- a/crates/daemon/src/store/replacement.rs
+++ b/crates/daemon/src/store/replacement.rs
@@ -15,7 +15,7 @@
 use crate::context::Context;
 
 /// Rounds between two readings of the machine list, which bears few readers.
-const ROUNDS_PER_READING: u64 = 12;
+const ROUNDS_PER_READING: u64 = 30;
 
 /// Why a member is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -181,7 +181,7 @@
 }
 
 /// Live stores that could be members of a set.
-pub(super) async fn candidates(context: &Context) -> Vec<SetMember> {
+pub(crate) async fn candidates(context: &Context) -> Vec<SetMember> {
     let asked = store_nodes(context);
     let answers = asked.iter().map(|member| candidate(context, member));
     join_all(answers).await.into_iter().flatten().collect()
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -11,7 +11,7 @@
 use lichenpulley_core::replication::proposer::{
     AppendRefusal, EndReason, Proposer, ProposerConfig, ProposerEvent,
 };
-use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use lichenpulley_core::time::Timestamp;
 use tokio::time::Instant;
 
@@ -23,6 +23,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 /// How many call timeouts a take-over or an append may last.
 const PATIENCE: u32 = 4;
+/// How many call timeouts a change of the replica set may last.
+const CHANGE_PATIENCE: u32 = 12;
 /// Above the call timeout, so that a request is not sent again while its call still runs.
 const RETRANSMIT_MARGIN: Duration = Duration::from_millis(50);
 
@@ -83,7 +85,13 @@
             match log.recover(deadline).await {
                 Ok(recovered) => {
                     log.record_taken_over(&recovered);
-                    return Ok((log, recovered));
+                    let chosen = recovered.next_set.as_ref();
+                    let open = chosen.filter(|next| next.generation > log.proposer.set().generation);
+                    match open {
+                        // An owner before chose the next set and did not bring it into force.
+                        Some(next) => log.install(next).await?,
+                        None => return Ok((log, recovered)),
+                    }
                 }
                 Err(error) => log.follow_replacement(deadline).await.ok_or(error)?,
             }
@@ -108,6 +116,54 @@
         self.decide(through).await
     }
 
+    /// Replaces a member of the shard's replica set by another store, without the platform: the log itself decides which
+    /// set follows. The owner takes the shard over again under the next set; gives the log's latest records as they then
+    /// stand.
+    ///
+    /// # Errors
+    /// When superseded or without a majority. The change may then be finished by a later owner.
+    pub async fn replace_member(
+        self,
+        leaving: &StoreId,
+        joining: SetMember,
+        reason: &str,
+    ) -> Result<(Self, RecoveredLog), ShardLogError> {
+        let Some(next) = self.proposer.set().with_replaced(leaving, joining) else {
+            return Err(self.no_majority());
+        };
+        self.change_set(next, reason).await
+    }
+
+    async fn change_set(
+        mut self,
+        next: ReplicaSet,
+        reason: &str,
+    ) -> Result<(Self, RecoveredLog), ShardLogError> {
+        let decision = Decision::new(Component::Replication, "replacing", reason, &self.shard);
+        self.context.decisions.record(decision.with("generation", next.generation));
+        let through = self.proposer.append_next_set(next.clone()).map_err(|refusal| self.refused(refusal))?;
+        self.decide(through).await?;
+        self.install(&next).await?;
+        Self::take_over(&self.context, &self.shard).await
+    }
+
+    /// Brings the set that the log chose into force.
+    async fn install(&self, next: &ReplicaSet) -> Result<(), ShardLogError> {
+        let change = reconfiguration::install_majority(&self.context, self.proposer.set(), next);
+        let deadline = Instant::now() + self.context.settings.store.call_timeout * CHANGE_PATIENCE;
+        let changed = tokio::time::timeout_at(deadline, change).await;
+        if let Ok(Ok(())) = changed {
+            return Ok(());
+        }
+        log::warn!(target: "store", "Shard {}: generation {} is not in force yet.", self.shard, next.generation);
+        Err(self.no_majority())
+    }
+
+    /// The replica set in use.
+    pub fn set(&self) -> &ReplicaSet {
+        self.proposer.set()
+    }
+
     /// Replaces all records appended so far by a snapshot of what they amount to.
     ///
     /// # Errors
@@ -155,7 +211,7 @@
     /// Finishes a change of the replica set that stopped this take-over. `None` where there was none.
     async fn follow_replacement(&mut self, deadline: Instant) -> Option<()> {
         let next = self.replaced_by.take()?;
-        let change = reconfiguration::complete(&self.context, self.proposer.set(), &next);
+        let change = reconfiguration::install_majority(&self.context, self.proposer.set(), &next);
         tokio::time::timeout_at(deadline, change).await.ok()?.ok()
     }
 
