Write structured logs, survive SIGHUP, and show each decision on requests and items

Change: daemon/logging (JSON lines through env_logger, a bounded queue that drops and counts, never blocks), decisions as lines with their inputs, SIGHUP reads and checks the settings file again.

--- a/crates/core/src/batch/controller.rs
+++ b/crates/core/src/batch/controller.rs
@@ -87,6 +87,20 @@
     Broken,
 }
 
+impl RunEnd {
+    /// The name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Rejected => "rejected",
+            Self::OtherReplica => "other_replica",
+            Self::Failed => "failed",
+            Self::Never => "never",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// What a run gives while it goes on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEvent {
@@ -448,18 +462,9 @@
                 RunEnd::Complete | RunEnd::Failed | RunEnd::Never => {}
             }
         }
-        if end != RunEnd::Complete {
-            let reason = match end {
-                RunEnd::Rejected => "rejected",
-                RunEnd::OtherReplica => "other_replica",
-                RunEnd::Failed => "failed",
-                RunEnd::Never => "never",
-                RunEnd::Complete | RunEnd::Broken => "broken",
-            };
-            let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
-            let decision = Decision::new(Component::Rollout, "run_ended", reason, subject);
-            self.decide(decision.with("batch", &batch).with("replica", &replica));
-        }
+        let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
+        let decision = Decision::new(Component::Rollout, "run_ended", end.as_str(), subject);
+        self.decide(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
         let max_attempts = self.route(&batch).map_or(1, |route| route.max_attempts);
         let Some(live) = self.items.get_mut(&key) else { return };
         match end {
@@ -714,6 +719,12 @@
         let started =
             Run { batch: batch.clone(), item, replica: chosen, tokens, started_at: now, last_event_at: None };
         self.runs.insert(run, started);
+        let decision = Decision::new(Component::Rollout, "run_started", "chosen", &request.id)
+            .with("batch", batch)
+            .with("replica", &replica.id)
+            .with("run", run.0)
+            .with("after_event", last_event.map_or_else(|| "none".to_owned(), |number| number.to_string()));
+        self.decide(decision);
         let start = RunStart { run, replica, host, item: request, last_event, urgency: DEFAULT_URGENCY };
         self.actions.push_back(Action::Start(Box::new(start)));
     }
--- a/crates/core/src/ingress/attempts.rs
+++ b/crates/core/src/ingress/attempts.rs
@@ -17,6 +17,19 @@
     Broken,
 }
 
+impl SendOutcome {
+    /// The name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::Rejected => "rejected",
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/crates/daemon/src/decisions.rs
+++ b/crates/daemon/src/decisions.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use lichenpulley_core::decision::Decision;
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_protocol::operator::DecisionEvent;
+use log::kv::{Key, Value, VisitSource};
 use tokio::sync::broadcast;
 
 use crate::metrics::Metrics;
@@ -33,10 +34,7 @@
     /// Counts a decision and sends it to whoever watches.
     pub fn record(&self, decision: Decision) {
         self.metrics.count_decision(&decision);
-        log::debug!(
-            target: decision.component.as_str(),
-            "{} {}: {}.", decision.action, decision.subject, decision.reason
-        );
+        log_decision(&decision);
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let event =
             DecisionEvent { node: self.node.clone(), sequence, unix_ms: unix_milliseconds(), decision };
@@ -50,6 +48,43 @@
     }
 }
 
+/// One line for each decision, with what it was about and its inputs as fields.
+fn log_decision(decision: &Decision) {
+    let target = decision.component.as_str();
+    let level = level_of(decision);
+    if log::log_enabled!(target: target, level) {
+        log::logger().log(
+            &log::Record::builder()
+                .level(level)
+                .target(target)
+                .key_values(&DecisionFields(decision))
+                .args(format_args!("{}", decision.action))
+                .build(),
+        );
+    }
+}
+
+/// Routine steps that each request takes are for those who look closer; all else is always written.
+fn level_of(decision: &Decision) -> log::Level {
+    match (decision.component, decision.action.as_str()) {
+        (Component::Routing | Component::Membership, _) => log::Level::Debug,
+        _ => log::Level::Info,
+    }
+}
+
+struct DecisionFields<'a>(&'a Decision);
+
+impl log::kv::Source for DecisionFields<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), log::kv::Error> {
+        visitor.visit_pair(Key::from("id"), Value::from(self.0.subject.as_str()))?;
+        visitor.visit_pair(Key::from("reason"), Value::from(self.0.reason.as_str()))?;
+        for input in &self.0.inputs {
+            visitor.visit_pair(Key::from_str(&input.name), Value::from(input.value.as_str()))?;
+        }
+        Ok(())
+    }
+}
+
 /// Milliseconds since the Unix epoch.
 pub fn unix_milliseconds() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_platform::headers as names;
@@ -34,6 +35,8 @@
     /// When the caller or the route gives it up.
     pub(super) limit: Instant,
     pub(super) service: String,
+    /// The version of the configuration by which it was routed.
+    configuration: u64,
 }
 
 impl Call {
@@ -54,7 +57,7 @@
         let Some(service) = route.service_at(rand::random()).map(str::to_owned) else {
             return Err(refuse(Refusal::NoReplica));
         };
-        Ok(Self { parts, body, request_id, limit, service })
+        Ok(Self { parts, body, request_id, limit, service, configuration: table.version })
     }
 
     pub(super) fn remaining(&self) -> Duration {
@@ -75,6 +78,19 @@
         request
     }
 
+    /// Shows a decision about this request, with what it rests on.
+    pub(super) fn record(&self, ingress: &Ingress, visit: &Visit, action: &str, reason: &str, sends: usize) {
+        let subject = self.request_id.as_deref().unwrap_or("-");
+        let decision = Decision::new(Component::Request, action, reason, subject)
+            .with("replica", &visit.replica.id)
+            .with("service", &self.service)
+            .with("sends", sends)
+            .with("milliseconds", visit.began.elapsed().as_millis())
+            .with("remaining_ms", self.remaining().as_millis())
+            .with("configuration", self.configuration);
+        ingress.context.decisions.record(decision);
+    }
+
     pub(super) fn refuse(&self, ingress: &Ingress, refusal: Refusal) -> Response<Body> {
         refusal.respond_to(&ingress.context, self.request_id.as_deref())
     }
@@ -126,9 +142,17 @@
         let sent = send(ingress, &call, &mut visit, !route.is_repeatable(), patience).await;
         let (outcome, answer) = sent;
         match (attempts.after(outcome, call.remaining()), answer) {
-            (Next::Answer, Some(answer)) => return pass_back(answer),
-            (Next::TryAnother, _) => {}
-            (next, _) => return call.refuse(ingress, given_up(next, &call)),
+            (Next::Answer, Some(answer)) => {
+                call.record(ingress, &visit, "answered", answer.status.as_str(), tried.len());
+                return pass_back(answer);
+            }
+            (Next::TryAnother, _) => {
+                call.record(ingress, &visit, "tried_another", outcome.as_str(), tried.len())
+            }
+            (next, _) => {
+                call.record(ingress, &visit, "given_up", outcome.as_str(), tried.len());
+                return call.refuse(ingress, given_up(next, &call));
+            }
         }
     }
 }
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -117,7 +117,6 @@
     pub(super) fn respond_to(self, context: &Context, request_id: Option<&str>) -> Response<Body> {
         let subject = request_id.unwrap_or("-");
         context.decisions.record(Decision::new(Component::Request, "refused", self.kind(), subject));
-        ::log::info!(target: "request", "{subject} is refused: {}.", self.kind());
         let body =
             ErrorBody::new(self.kind(), format!("the request was refused: {}", self.kind()), self.remedy());
         let mut answer = response::json(self.status(), &body);
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -74,12 +74,15 @@
         let (outcome, exchange) = open(ingress, &call, &mut visit, last_event.as_deref()).await;
         match (attempts.after(outcome, call.remaining()), exchange) {
             (Next::Answer, Some(exchange)) if exchange.response.status().is_success() => {
+                call.record(ingress, &visit, "stream_begun", "answered", tried.len());
                 let is_resumable = route.is_resumable;
                 let stream = Stream { call, is_resumable, attempts, tried, visit, exchange };
                 return begin(ingress, stream, last_event.as_deref());
             }
             (Next::Answer, Some(exchange)) => return pass_failure(exchange, &call).await,
-            (Next::TryAnother, _) => {}
+            (Next::TryAnother, _) => {
+                call.record(ingress, &visit, "tried_another", outcome.as_str(), tried.len())
+            }
             (next, _) => return call.refuse(ingress, refusal(next)),
         }
     }
@@ -226,6 +229,8 @@
         let (opened, exchange) = open(ingress, &stream.call, &mut visit, last_event.as_deref()).await;
         match exchange {
             Some(exchange) if opened == SendOutcome::Answered && exchange.response.status().is_success() => {
+                let sends = stream.tried.len();
+                stream.call.record(ingress, &visit, "stream_resumed", "broken", sends);
                 stream.visit = visit;
                 stream.exchange = exchange;
                 return true;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod http;
 pub mod ingress;
+pub mod logging;
 pub mod membership;
 pub mod metadata;
 pub mod metrics;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,17 +5,18 @@
 use std::process::ExitCode;
 
 use lichenpulley_daemon::arguments::{self, Arguments, Invocation};
+use lichenpulley_daemon::logging;
 use lichenpulley_daemon::node::{Node, NodeAddresses};
 use lichenpulley_daemon::settings::Settings;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// What is logged where `RUST_LOG` is not set; `tarpc` would log every call.
-const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn";
 /// The command line or the settings are wrong.
 const USAGE_FAILURE: u8 = 2;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER)).init();
+    if let Err(error) = logging::start() {
+        return fail(&format!("logs can't be written: {error}; raise the limit of threads"));
+    }
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments::parse(&arguments) {
         Ok(Invocation::Help(text)) => print(&text),
@@ -68,28 +69,58 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("no thread can be started: {error}; raise the limit of threads")),
     };
-    match runtime.block_on(run_node(settings, arguments)) {
+    let ended = runtime.block_on(run_node(settings, arguments));
+    let code = match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => fail(&problem),
-    }
+    };
+    logging::finish();
+    code
 }
 
 async fn run_node(settings: Settings, arguments: &Arguments) -> Result<(), String> {
-    let mut signals = StopRequests::listen()?;
+    let mut signals = Signals::listen()?;
     let node = Node::start(settings).await.map_err(|error| error.to_string())?;
     if let Some(path) = &arguments.addresses_file {
         write_addresses(path, &node.addresses())?;
     }
-    tokio::select! {
-        () = signals.next() => node.begin_drain(),
-        () = node.stopped() => return Err("the node ended by itself; its log names the cause".to_owned()),
-    }
-    tokio::select! {
-        () = node.stopped() => Ok(()),
-        () = signals.next() => Err("asked twice to stop: ended with requests in flight".to_owned()),
+    let mut in_force = arguments.settings_file.as_ref().and_then(|path| read_file(path).ok());
+    let mut is_stopping = false;
+    loop {
+        let request = tokio::select! {
+            request = signals.next() => request,
+            () = node.stopped(), if is_stopping => return Ok(()),
+            () = node.stopped(), if !is_stopping => return Err("the node ended by itself; its log names the cause".to_owned()),
+        };
+        match request {
+            Request::Reload => in_force = reload(arguments, in_force),
+            Request::Stop if is_stopping => {
+                return Err("asked twice to stop: ended with requests in flight".to_owned());
+            }
+            Request::Stop => {
+                is_stopping = true;
+                node.begin_drain();
+            }
+        }
     }
 }
 
+/// Reads the settings file again and tells what changed; a node takes settings into force when it starts.
+fn reload(arguments: &Arguments, in_force: Option<String>) -> Option<String> {
+    let path = arguments.settings_file.as_ref()?;
+    let text = match load(arguments).and_then(|_| read_file(path)) {
+        Ok(text) => text,
+        Err(problem) => {
+            log::warn!(target: "node", problem = problem; "The settings file was changed to one that can't be used; what is in force stays.");
+            return in_force;
+        }
+    };
+    let before = in_force.as_deref().unwrap_or_default();
+    let changed: Vec<&str> = text.lines().filter(|line| !before.lines().any(|old| old == *line)).collect();
+    log::info!(target: "node", changed = changed.join("; "); "The settings file was read again; changes take effect at the next start.");
+    Some(text)
+}
+
 /// Writes a file beside it and renames, so that a reader never sees half of it.
 fn write_addresses(path: &Path, addresses: &NodeAddresses) -> Result<(), String> {
     let problem =
@@ -100,22 +131,36 @@
     std::fs::rename(&unfinished, path).map_err(problem)
 }
 
-/// SIGTERM and SIGINT: the first begins a planned stop, the second ends the process.
-struct StopRequests {
+/// What a signal asks for.
+enum Request {
+    /// SIGTERM and SIGINT: the first begins a planned stop, the second ends the process.
+    Stop,
+    /// SIGHUP: the settings file changed.
+    Reload,
+}
+
+/// The signals that a node listens to.
+struct Signals {
+    hangup: Signal,
     terminate: Signal,
     interrupt: Signal,
 }
 
-impl StopRequests {
+impl Signals {
     fn listen() -> Result<Self, String> {
         let listen = |kind| signal(kind).map_err(|error| format!("signals can't be heard: {error}"));
-        Ok(Self { terminate: listen(SignalKind::terminate())?, interrupt: listen(SignalKind::interrupt())? })
+        Ok(Self {
+            hangup: listen(SignalKind::hangup())?,
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
     }
 
-    async fn next(&mut self) {
+    async fn next(&mut self) -> Request {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Request::Stop,
+            _ = self.interrupt.recv() => Request::Stop,
+            _ = self.hangup.recv() => Request::Reload,
         }
     }
 }
