Load versions behind the burst, order lost loads again, let runs leave slow replicas

Change: loads wait 300 ms after a version is named and take the fullest replica first; the report is read when the load should be done; an order of which the report shows nothing is given again under the same expected count; a run moves to a replica that is 1.6 times faster and has a free slot, stopped there first.

--- a/crates/core/src/batch/controller.rs
+++ b/crates/core/src/batch/controller.rs
@@ -277,7 +277,7 @@
         if routes.is_some() {
             self.routes = routes;
         }
-        self.loads.name(versions);
+        self.loads.name(versions, now);
         for record in replicas.records.values() {
             match self.replicas.get_mut(&record.id) {
                 Some(state) => state.record = record.clone(),
@@ -523,6 +523,7 @@
     /// Does what is due by now. To be called at least every [`ControllerConfig::heartbeat_interval`].
     pub fn tick(&mut self, now: Timestamp) {
         self.stop_stalled(now);
+        self.move_slow(now);
         self.give_up_old(now);
         self.drop_old(now);
         if self.appending.is_empty()
@@ -546,6 +547,47 @@
         }
     }
 
+    /// Runs at a replica that is much slower than one with a free slot are resumed there. Each is stopped first, so that
+    /// no item runs twice at a time.
+    fn move_slow(&mut self, now: Timestamp) {
+        if !self.is_confirmed {
+            return;
+        }
+        let mut moves = 0;
+        let runs: Vec<RunId> = self.runs.keys().copied().collect();
+        for id in runs {
+            if moves >= MOVES_PER_TICK || !self.should_move(now, id) {
+                continue;
+            }
+            moves += 1;
+            let Some(run) = self.runs.get(&id) else { continue };
+            let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
+            let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
+            let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
+            self.decide(decision.with("replica", &replica).with("run", id.0));
+            self.stop(id);
+            if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
+                live.avoid = Some(replica);
+            }
+            self.start_item(now, &batch, item);
+        }
+    }
+
+    fn should_move(&self, now: Timestamp, id: RunId) -> bool {
+        let Some(run) = self.runs.get(&id) else { return false };
+        if now.saturating_since(run.started_at) < LEAST_STAY || run.last_event_at.is_none() {
+            return false;
+        }
+        let Some(state) = self.replicas.get(&run.replica) else { return false };
+        let Some(need) = self.need(&run.batch, run.item) else { return false };
+        let others = Need { avoid: Some(&run.replica), ..need };
+        let Some(other) = schedule::choose(&self.replicas, &others, now) else { return false };
+        let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
+            return false;
+        };
+        other.expected_pace() * MOVE_GAIN < state.gap().as_secs_f64()
+    }
+
     fn give_up_old(&mut self, now: Timestamp) {
         let clock_ms = self.clock_ms(now);
         let mut old = Vec::new();
@@ -624,7 +666,7 @@
         }
         let Some(routes) = self.routes.clone() else { return };
         for service in routes.services.keys() {
-            for load in self.loads.next(service, &self.replicas) {
+            for load in self.loads.next(service, &self.replicas, now) {
                 if let Some(state) = self.replicas.get_mut(&load.replica) {
                     state.loading = Some((load.model.clone(), load.version));
                 }
@@ -673,27 +715,32 @@
         waiting.into_iter().map(|(_, batch, item)| (batch, item)).collect()
     }
 
-    fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
-        let Some(job) = self.ledger.job(batch) else { return };
-        let Some(routes) = &self.routes else { return };
-        let Some(route) = routes.by_name(&job.job.route) else { return };
-        let Some(request) = job.job.items.get(item as usize) else { return };
-        let Some(live) = self.items.get(&(batch.clone(), item)) else { return };
-        let services: Vec<&str> = route.services.iter().map(|part| part.service.as_str()).collect();
-        let memory = services.first().and_then(|service| routes.services.get(*service));
-        let mut need = Need {
-            services: &services,
+    /// What an item needs of a replica; none where its route is gone.
+    fn need(&self, batch: &BatchId, item: u32) -> Option<Need<'_>> {
+        let job = self.ledger.job(batch)?;
+        let routes = self.routes.as_ref()?;
+        let route = routes.by_name(&job.job.route)?;
+        let request = job.job.items.get(item as usize)?;
+        let live = self.items.get(&(batch.clone(), item))?;
+        let first_service = route.services.first().and_then(|part| routes.services.get(&part.service));
+        let first_event = live.events.first().filter(|_| route.needs_single_version);
+        Some(Need {
+            services: &route.services,
             model: request.model.as_deref(),
             min_version: job.job.min_version,
-            exact_version: None,
+            exact_version: first_event.map(|event| event.version),
             tokens: expected_tokens(request),
-            memory_tokens: memory.and_then(|service| service.memory_tokens),
+            memory_tokens: first_service.and_then(|service| service.memory_tokens),
             avoid: live.avoid.as_deref(),
-        };
+        })
+    }
+
+    fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
+        let Some(mut need) = self.need(batch, item) else { return };
+        let Some(job) = self.ledger.job(batch) else { return };
+        let Some(request) = self.item(batch, item) else { return };
+        let Some(live) = self.items.get(&(batch.clone(), item)) else { return };
         let mut last_event = live.events.last().map(|event| event.number);
-        if route.needs_single_version && last_event.is_some() {
-            need.exact_version = live.events.first().map(|event| event.version);
-        }
         let mut chosen = schedule::choose(&self.replicas, &need, now);
         let mut starts_anew = false;
         if chosen.is_none() && need.exact_version.is_some() {
@@ -753,6 +800,13 @@
     }
 }
 
+/// How much faster another replica must be before a run is moved there.
+const MOVE_GAIN: f64 = 1.6;
+/// Runs moved in one tick at most: each makes the other replica slower.
+const MOVES_PER_TICK: usize = 8;
+/// A run stays at least so long where it is.
+const LEAST_STAY: Duration = Duration::from_millis(500);
+
 /// Urgency of items where nothing speaks for another.
 const DEFAULT_URGENCY: u8 = 5;
 
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ingress::replicas::ReplicaRecord;
+use crate::ingress::routes::WeightedService;
 use crate::time::Timestamp;
 
 /// The pause between two events that is taken for a replica that has not been measured.
@@ -72,7 +73,7 @@
     }
 
     /// How long one more run would take here, relative to others.
-    fn expected_pace(&self) -> f64 {
+    pub(super) fn expected_pace(&self) -> f64 {
         let load = f64::from(self.running) / f64::from(self.record.slots.max(1));
         self.gap().as_secs_f64() * (1.0 + FULL_SLOWDOWN * load)
     }
@@ -81,7 +82,7 @@
 /// What an item needs of a replica.
 #[derive(Clone, Debug)]
 pub(super) struct Need<'a> {
-    pub(super) services: &'a [&'a str],
+    pub(super) services: &'a [WeightedService],
     pub(super) model: Option<&'a str>,
     pub(super) min_version: u64,
     /// Only this version, where the item's kept events must not be mixed.
@@ -97,7 +98,7 @@
         let record = &replica.record;
         let takes_work = !record.is_draining && replica.avoid_until <= now && replica.running < record.slots;
         takes_work
-            && self.services.contains(&record.service.as_str())
+            && self.services.iter().any(|part| part.service == record.service)
             && self.has_version(replica)
             && self.has_room(replica)
     }
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -4,13 +4,18 @@
 //! replica to every version of every model would take more loads than the replicas can do at a time.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::schedule::ReplicaState;
+use crate::time::Timestamp;
 
 /// Loads of one service that are under way at a time; more wait their turn at the platform and block their replicas.
 const LOADS_AT_ONCE: usize = 2;
 /// Replicas for each model below which none is given a home.
 const LEAST_REPLICAS_FOR_HOMES: usize = 2;
+/// Loads of a version wait so long after it was named: the step that was asked for with it fills the slots first, and a
+/// replica whose slots are full loses nothing while it loads, since its runs go on.
+const LOAD_DELAY: Duration = Duration::from_millis(300);
 /// Weight of the newest job in the running mean of a model's demand.
 const DEMAND_WEIGHT: f64 = 0.3;
 
@@ -25,20 +30,29 @@
     pub version: u64,
 }
 
+/// The newest version of a model that its trainer named.
+#[derive(Clone, Copy, Debug, Default)]
+struct Named {
+    version: u64,
+    at: Timestamp,
+}
+
 /// Named versions, home models, and demand for each model.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LoadPlan {
-    named: BTreeMap<String, u64>,
+    named: BTreeMap<String, Named>,
     homes: BTreeMap<String, String>,
     demand: BTreeMap<String, f64>,
 }
 
 impl LoadPlan {
     /// Trainers have named these versions. A version never goes back.
-    pub(super) fn name(&mut self, versions: &BTreeMap<String, u64>) {
+    pub(super) fn name(&mut self, versions: &BTreeMap<String, u64>, now: Timestamp) {
         for (model, version) in versions {
             let named = self.named.entry(model.clone()).or_default();
-            *named = (*named).max(*version);
+            if *version > named.version {
+                *named = Named { version: *version, at: now };
+            }
         }
     }
 
@@ -49,8 +63,13 @@
         *mean += DEMAND_WEIGHT * (tokens - *mean);
     }
 
-    /// Loads to begin now in one service, those that are furthest behind first.
-    pub(super) fn next(&mut self, service: &str, replicas: &BTreeMap<String, ReplicaState>) -> Vec<Load> {
+    /// Loads to begin now in one service: those that are furthest behind first, among them the fullest.
+    pub(super) fn next(
+        &mut self,
+        service: &str,
+        replicas: &BTreeMap<String, ReplicaState>,
+        now: Timestamp,
+    ) -> Vec<Load> {
         let members: Vec<&ReplicaState> = replicas
             .values()
             .filter(|replica| replica.record.service == service && !replica.record.models.is_empty())
@@ -59,15 +78,15 @@
         let under_way = members.iter().filter(|replica| replica.loading.is_some()).count();
         let free = LOADS_AT_ONCE.saturating_sub(under_way);
         let mut wanted: Vec<(u64, u32, Load)> =
-            members.iter().filter_map(|replica| self.wanted(replica)).collect();
+            members.iter().filter_map(|replica| self.wanted(replica, now)).collect();
         wanted.sort_by(|left, right| {
-            right.0.cmp(&left.0).then(left.1.cmp(&right.1)).then_with(|| left.2.replica.cmp(&right.2.replica))
+            right.0.cmp(&left.0).then(right.1.cmp(&left.1)).then_with(|| left.2.replica.cmp(&right.2.replica))
         });
         wanted.into_iter().take(free).map(|(_, _, load)| load).collect()
     }
 
     /// The load that a replica needs, with how far it is behind and how much runs there.
-    fn wanted(&self, replica: &ReplicaState) -> Option<(u64, u32, Load)> {
+    fn wanted(&self, replica: &ReplicaState, now: Timestamp) -> Option<(u64, u32, Load)> {
         if replica.loading.is_some() || replica.record.is_draining {
             return None;
         }
@@ -76,9 +95,10 @@
             if home.is_some_and(|home| home != model) {
                 return None;
             }
-            let named = self.named.get(model).copied()?;
-            let lag = named.checked_sub(replica.version(model)?)?;
-            (lag > 0).then(|| (lag, model.clone(), named))
+            let named = self.named.get(model)?;
+            let lag = named.version.checked_sub(replica.version(model)?)?;
+            let is_due = lag > 1 || now >= named.at + LOAD_DELAY;
+            (lag > 0 && is_due).then(|| (lag, model.clone(), named.version))
         });
         let (lag, model, version) = behind.max()?;
         let load = Load { replica: replica.record.id.clone(), model, version };
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -4,6 +4,8 @@
 //! names the replica, the number of orders taken before it, and the owner's epoch as its fencing token.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
@@ -21,8 +23,16 @@
 
 /// A call of a replica unanswered for so long is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between two readings of a report while a load is under way.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two readings of a report once a load should be done.
+const REPORT_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between two readings of a report before that.
+const EARLY_INTERVAL: Duration = Duration::from_millis(400);
+/// The part of the usual time of a load after which it may be done.
+const USUAL_SHARE: f64 = 0.9;
+/// An order of which the report shows nothing by then was lost.
+const LOST_AFTER: Duration = Duration::from_millis(450);
+/// How often an order that was not taken is given again.
+const ORDER_TRIES: u32 = 4;
 /// A load that is not done by then is left to the next order.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a load that failed, before the replica can be chosen again.
@@ -41,12 +51,14 @@
     http: HttpClient,
     epoch: Epoch,
     ends: mpsc::UnboundedSender<LoadEnded>,
+    /// How long the last load took, in milliseconds.
+    usual_ms: Arc<AtomicU64>,
 }
 
 impl LoadOrders {
     pub(super) fn new(context: Context, epoch: Epoch, ends: mpsc::UnboundedSender<LoadEnded>) -> Self {
         let http = HttpClient::new(context.settings.gateway.connect_timeout);
-        Self { context, http, epoch, ends }
+        Self { context, http, epoch, ends, usual_ms: Arc::default() }
     }
 
     /// Orders carry this epoch from now on.
@@ -63,6 +75,7 @@
             epoch: self.epoch,
             confirmed_at,
             load,
+            usual_ms: Arc::clone(&self.usual_ms),
         };
         let ends = self.ends.clone();
         tokio::spawn(async move {
@@ -85,28 +98,48 @@
     epoch: Epoch,
     confirmed_at: Instant,
     load: Load,
+    usual_ms: Arc<AtomicU64>,
 }
 
 impl Order {
     /// Orders, and waits until the replica reports the version. `None` where the order was not taken.
     async fn run(&self, replica: &ReplicaRecord) -> Option<BTreeMap<String, u64>> {
-        let before = self.report(replica).await?;
-        if self.is_done(&before) {
-            return Some(before.versions());
-        }
-        if before.num_busy || self.confirmed_at.elapsed() >= CONFIRMED_FOR {
-            return None;
-        }
-        let was_taken = self.order(replica, before.seq).await;
-        if !was_taken {
-            return None;
+        for _ in 0..ORDER_TRIES {
+            let before = self.report(replica).await?;
+            if self.is_done(&before) {
+                return Some(before.versions());
+            }
+            // An order that was given up may have been lost, or is under way after all.
+            let may_order = self.confirmed_at.elapsed() < CONFIRMED_FOR;
+            let is_under_way = before.num_busy || (may_order && self.order(replica, before.seq).await);
+            if !is_under_way {
+                return None;
+            }
+            if let Some(versions) = self.wait(replica, before.seq).await {
+                return Some(versions);
+            }
         }
-        let deadline = Instant::now() + LOAD_TIMEOUT;
-        while Instant::now() < deadline {
-            tokio::time::sleep(REPORT_INTERVAL).await;
-            if let Some(report) = self.report(replica).await.filter(|report| self.is_done(report)) {
+        None
+    }
+
+    /// Waits until a load is done. `None` where the report shows that no order was taken, or after too long.
+    async fn wait(&self, replica: &ReplicaRecord, orders_before: u64) -> Option<BTreeMap<String, u64>> {
+        let began = Instant::now();
+        let usual = Duration::from_millis(self.usual_ms.load(Ordering::Relaxed)).mul_f64(USUAL_SHARE);
+        while began.elapsed() < LOAD_TIMEOUT {
+            let until_usual = usual.saturating_sub(began.elapsed());
+            tokio::time::sleep(until_usual.clamp(REPORT_INTERVAL, EARLY_INTERVAL)).await;
+            let Some(report) = self.report(replica).await else { continue };
+            if self.is_done(&report) {
+                let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+                self.usual_ms.store(took_ms, Ordering::Relaxed);
                 return Some(report.versions());
             }
+            // Reports lag: only after a while does an unchanged one show that the order was lost.
+            let is_lost = !report.num_busy && report.seq == orders_before;
+            if is_lost && began.elapsed() >= LOST_AFTER {
+                return None;
+            }
         }
         None
     }
