--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -63,6 +63,21 @@
     NodeId::new(proposer.split('/').next().unwrap_or_default())
 }
 
+/// Whether this node may come to own the batch jobs, or owns them.
+pub(crate) fn is_candidate(context: &Context) -> bool {
+    let owns = context.batch_owner.load().as_ref().is_some_and(|owner| **owner == context.node);
+    owns || (context.settings.roles.coordinator && rank(context) < CANDIDATES)
+}
+
+/// This node's place among the coordinators, by their weights for the shard.
+fn rank(context: &Context) -> usize {
+    let shard = shard();
+    let own = (rendezvous_weight(&context.node, &shard), &context.node);
+    let cluster = context.cluster.load();
+    let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
+    coordinators.filter(|member| (rendezvous_weight(&member.node, &shard), &member.node) > own).count()
+}
+
 /// Runs until the node has stopped.
 pub(super) async fn run(
     context: Context,
@@ -120,7 +135,7 @@
 
     /// Whether to take over now, and how long the owner before has been silent.
     async fn look(&self, was_told: bool) -> Option<Duration> {
-        let rank = self.rank();
+        let rank = rank(&self.context);
         if rank >= CANDIDATES && !was_told {
             return None;
         }
@@ -141,15 +156,6 @@
         }
     }
 
-    /// This node's place among the candidates.
-    fn rank(&self) -> usize {
-        let shard = shard();
-        let own = (rendezvous_weight(&self.context.node, &shard), &self.context.node);
-        let cluster = self.context.cluster.load();
-        let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
-        coordinators.filter(|member| (rendezvous_weight(&member.node, &shard), &member.node) > own).count()
-    }
-
     async fn own(&mut self, idle: Duration) {
         let decision = Decision::new(Component::Rollout, "taking_over", "owner_silent", shard());
         self.context.decisions.record(decision.with("idle_ms", idle.as_millis()));
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -4,7 +4,7 @@
 //! also the fencing token of its orders to replicas. The candidates for ownership ask the stores whether the owner
 //! still appends.
 
-mod candidate;
+pub(crate) mod candidate;
 mod keeper;
 mod load;
 mod log;
--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Asks for an answer that costs the store little, to see whether it can be reached.
+    ///
+    /// # Errors
+    /// When no answer comes in time.
+    pub async fn probe(&self) -> Result<(), PlatformError> {
+        let path = objects::stale_object_path(objects::CONFIGURATION, objects::CONFIGURATION_NAME);
+        match self.http.get_json::<Value>(self.address, &path, self.timeout).await {
+            Ok(_) => Ok(()),
+            Err(error) if error.status() == Some(StatusCode::NOT_FOUND) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
     /// Writes an object if its revision is still `base`; `None` creates it.
     ///
     /// # Errors
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 mod copy;
+mod reachability;
 pub mod retirements;
 mod watcher;
 
@@ -80,11 +81,20 @@
     }
 }
 
-/// Starts to watch on the current runtime, where a metadata store is named in the settings.
+/// The name under which the version of the configuration rides on the heartbeats.
+const ANNOUNCED_NAME: &str = "routes";
+
+/// Starts to watch on the current runtime, where a metadata store is named in the settings. Nodes that serve no callers
+/// and own no control work need none of it.
 pub fn start(context: &Context) {
+    let roles = context.settings.roles;
+    if !roles.gateway && !roles.coordinator {
+        return;
+    }
     let Some(client) = client::MetadataClient::from_settings(&context.settings) else { return };
+    let recoveries = reachability::start(client.clone());
     for kind in MetadataKind::ALL {
-        tokio::spawn(watcher::run(Arc::clone(context), client.clone(), kind));
+        tokio::spawn(watcher::run(Arc::clone(context), client.clone(), kind, recoveries.clone()));
     }
 }
 
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -3,17 +3,29 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lichenpulley_core::identity::Revision;
 use lichenpulley_platform::objects;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest};
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
+use super::ANNOUNCED_NAME;
 use super::client::{MetadataClient, Watched};
+use super::reachability::Recoveries;
+use crate::batch::candidate;
 use crate::configuration::platform::PlatformError;
 use crate::context::Context;
+use crate::membership::{self, HeardRevisions};
 
 /// The least pause between two watches, so that a burst of changes costs few calls.
 const WATCH_PAUSE: Duration = Duration::from_millis(80);
+/// The least pause between two watches of replicas. A replica that begins to drain is known well within the time that
+/// it goes on serving.
+const REPLICA_WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// How often a node that may not own the batch jobs looks whether it may now.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a node that heard of a newer configuration waits for its own watch to bring it.
+const HEARD_PATIENCE: Duration = Duration::from_millis(200);
 /// The pause after the first failure; doubled after each further one.
 const RETRY_START: Duration = Duration::from_millis(100);
 /// The longest pause between two tries.
@@ -31,10 +43,15 @@
 }
 
 /// Watches until the node has stopped.
-pub(super) async fn run(context: Context, client: MetadataClient, kind: MetadataKind) {
+pub(super) async fn run(
+    context: Context,
+    client: MetadataClient,
+    kind: MetadataKind,
+    recoveries: Recoveries,
+) {
     let stopped = context.stopped.clone();
     let mut watcher =
-        Watcher { context, client, kind, objects: BTreeMap::new(), revision: None, failures: 0 };
+        Watcher { context, client, kind, recoveries, objects: BTreeMap::new(), revision: None, failures: 0 };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = watcher.watch() => {}
@@ -45,6 +62,7 @@
     context: Context,
     client: MetadataClient,
     kind: MetadataKind,
+    recoveries: Recoveries,
     objects: BTreeMap<String, String>,
     /// What `objects` is of; none where it must be listed anew.
     revision: Option<u64>,
@@ -55,11 +73,20 @@
     async fn watch(&mut self) {
         loop {
             let began = Instant::now();
+            if self.kind == MetadataKind::Versions && !candidate::is_candidate(&self.context) {
+                // Only the owner of the batch jobs has versions loaded.
+                tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+                continue;
+            }
             match self.round().await {
                 Ok(()) => self.succeeded(),
                 Err(error) => self.failed(&error).await,
             }
-            if let Some(rest) = WATCH_PAUSE.checked_sub(began.elapsed()) {
+            let pause = match self.kind {
+                MetadataKind::Replicas => REPLICA_WATCH_PAUSE,
+                MetadataKind::Configuration | MetadataKind::Versions => WATCH_PAUSE,
+            };
+            if let Some(rest) = pause.checked_sub(began.elapsed()) {
                 tokio::time::sleep(rest).await;
             }
         }
@@ -67,7 +94,16 @@
 
     async fn round(&mut self) -> Result<(), PlatformError> {
         let Some(revision) = self.revision else { return self.list().await };
-        match self.client.watch(kind_name(self.kind), revision).await? {
+        let watched = tokio::select! {
+            watched = self.client.watch(kind_name(self.kind), revision) => watched?,
+            // This watch may have been sent while nobody listened: it is sent again.
+            Ok(()) = self.recoveries.changed() => return Ok(()),
+            () = heard_newer(&self.context, self.kind) => {
+                log::info!(target: "metadata", "A peer has a newer {:?}: listing again.", self.kind);
+                return self.list().await;
+            }
+        };
+        match watched {
             Watched::HistoryGone => {
                 log::info!(target: "metadata", "The history of {:?} is gone: listing again.", self.kind);
                 self.revision = None;
@@ -102,6 +138,19 @@
     }
 
     fn publish(&self, revision: u64) {
+        self.put(revision);
+        self.announce();
+    }
+
+    /// Tells the peers which configuration this node has, so that one whose watch is stuck reads again.
+    fn announce(&self) {
+        let version = self.context.metadata.routes.load().as_ref().map(|table| table.version);
+        if let Some(version) = version.filter(|_| self.kind == MetadataKind::Configuration) {
+            membership::announce_revision(&self.context, ANNOUNCED_NAME, Revision(version));
+        }
+    }
+
+    fn put(&self, revision: u64) {
         let objects = self.objects.iter().map(|(name, spec)| (name.clone(), spec.clone())).collect();
         self.context.metadata.put(self.kind, MetadataCopy { revision, objects });
     }
@@ -143,5 +192,27 @@
         self.objects = copy.objects.iter().cloned().collect();
         self.revision = Some(copy.revision);
         self.context.metadata.put(self.kind, copy);
+        self.announce();
+    }
+}
+
+/// Waits until a peer has announced a newer configuration than this node has, and its own watch had time to bring it.
+async fn heard_newer(context: &Context, kind: MetadataKind) {
+    if kind != MetadataKind::Configuration {
+        return std::future::pending().await;
+    }
+    let mut heard = membership::watch_revisions(context);
+    let is_newer = |heard: &HeardRevisions| {
+        let held = context.metadata.routes.load().as_ref().map_or(0, |table| table.version);
+        heard.get(ANNOUNCED_NAME).is_some_and(|announced| announced.revision.0 > held)
+    };
+    loop {
+        if heard.wait_for(is_newer).await.is_err() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(HEARD_PATIENCE).await;
+        if is_newer(&heard.borrow()) {
+            return;
+        }
     }
 }
--- a/crates/daemon/src/store/disk.rs
+++ b/crates/daemon/src/store/disk.rs
@@ -19,7 +19,7 @@
 /// The format that this release writes.
 const FORMAT: u64 = 2;
 /// Memory for pages read from the file, in bytes.
-const CACHE_BYTES: usize = 16 << 20;
+const CACHE_BYTES: usize = 4 << 20;
 /// What a file system puts into an empty volume.
 const VOLUME_FOLDER: &str = "lost+found";
 
