Prove the platform's path over real nodes against stand-ins of our own

Change: lab/metadata_store and lab/platform_replica speak the platform's side through platform/; 11 tests over real nodes and sockets: requests unchanged, statuses, at most once, answers of others, streams continued, batch jobs taken once, owner killed, versions under a fence, configuration after compaction, start during an outage, disks lost with the platform down.

--- /dev/null
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -0,0 +1,182 @@
+//! A stand-in for the users' platform's metadata store: objects by kind and name, lists, watches, conditional writes, and
+//! the ways in which it fails.
+
+mod objects;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_platform::objects::{Event, Events, List, Object};
+use serde_json::Value;
+use tokio::sync::Notify;
+
+use crate::error::LabError;
+use crate::http::{self, Body, Reply, Server};
+use objects::{Objects, WriteRefusal};
+
+/// The path under which all objects lie.
+const PREFIX: &str = "/-/objects/";
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Condition {
+    /// As it should.
+    #[default]
+    Well,
+    /// It takes requests and says nothing.
+    Silent,
+    /// It closes each connection without an answer.
+    Resets,
+    /// It does nothing and says so.
+    Busy,
+}
+
+struct Shared {
+    objects: Mutex<Objects>,
+    condition: Mutex<Condition>,
+    changed: Notify,
+}
+
+/// A running stand-in.
+pub struct MetadataStore {
+    /// Where it answers.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    _server: Server,
+}
+
+/// Starts a store without objects on a free loopback port.
+///
+/// # Errors
+/// When no port can be had.
+pub async fn start() -> Result<MetadataStore, LabError> {
+    let shared =
+        Arc::new(Shared { objects: Mutex::default(), condition: Mutex::default(), changed: Notify::new() });
+    let answering = Arc::clone(&shared);
+    let handler = move |request| answer(Arc::clone(&answering), request);
+    let server = http::serve(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+    Ok(MetadataStore { address: server.address, shared, _server: server })
+}
+
+impl MetadataStore {
+    /// Writes an object's `spec`, as the operator, a replica or a trainer does.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.shared.objects().put(kind, name, spec);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.objects().remove(kind, name);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// An object as it stands.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Object> {
+        self.shared.objects().get(kind, name)
+    }
+
+    /// Drops the history: watches that begin before now get 410.
+    pub fn compact(&self) {
+        self.shared.objects().compact();
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Answers in another way from now on.
+    pub fn set_condition(&self, condition: Condition) {
+        *self.shared.condition.lock().unwrap_or_else(PoisonError::into_inner) = condition;
+    }
+}
+
+impl Shared {
+    fn objects(&self) -> std::sync::MutexGuard<'_, Objects> {
+        self.objects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn condition(&self) -> Condition {
+        *self.condition.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
+    match shared.condition() {
+        Condition::Well => {}
+        Condition::Silent => return std::future::pending().await,
+        Condition::Resets => return Reply::Hang,
+        Condition::Busy => return http::empty(StatusCode::SERVICE_UNAVAILABLE).into(),
+    }
+    let path = request.uri().path().to_owned();
+    let Some(rest) = path.strip_prefix(PREFIX) else { return http::not_found(&path).into() };
+    let parts: Vec<&str> = rest.split('/').collect();
+    let answered = match (request.method().clone(), parts.as_slice()) {
+        (Method::GET, [kind]) => read_kind(&shared, kind, &request).await,
+        (Method::GET, [kind, name]) => match shared.objects().get(kind, name) {
+            Some(object) => http::json(StatusCode::OK, &object),
+            None => http::empty(StatusCode::NOT_FOUND),
+        },
+        (Method::POST, [kind]) => write(&shared, kind, None, false, request).await,
+        (Method::PUT, [kind, name]) => write(&shared, kind, Some(name), false, request).await,
+        (Method::PUT, [kind, name, "status"]) => write(&shared, kind, Some(name), true, request).await,
+        _ => http::not_found(&path),
+    };
+    answered.into()
+}
+
+fn parameter(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let mut pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+}
+
+async fn read_kind(shared: &Shared, kind: &str, request: &Request<Incoming>) -> Response<Body> {
+    let after: Option<u64> = parameter(request, "watch").and_then(|revision| revision.parse().ok());
+    let Some(after) = after else {
+        let objects = shared.objects();
+        let list = List { items: objects.list(kind), has_more: false, at: objects.revision() };
+        return http::json(StatusCode::OK, &list);
+    };
+    let wait_ms = parameter(request, "wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+    let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let changed = shared.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        {
+            let objects = shared.objects();
+            let Some(events) = objects.events_after(kind, after) else {
+                return http::empty(StatusCode::GONE);
+            };
+            if !events.is_empty() || tokio::time::Instant::now() >= deadline {
+                let events: Vec<Event> = events;
+                return http::json(StatusCode::OK, &Events { events, at: objects.revision() });
+            }
+        }
+        // Whether it was woken or the time is over, the loop looks again.
+        let _ = tokio::time::timeout_at(deadline, changed).await;
+    }
+}
+
+async fn write(
+    shared: &Shared,
+    kind: &str,
+    name: Option<&str>,
+    is_status: bool,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let object: Object = match http::read_json(request).await {
+        Ok(object) => object,
+        Err(refusal) => return refusal,
+    };
+    let written = match name {
+        None => shared.objects().create(kind, object),
+        Some(name) => shared.objects().replace(kind, name, object, is_status),
+    };
+    shared.changed.notify_waiters();
+    match written {
+        Ok(object) => http::json(StatusCode::OK, &object),
+        Err(WriteRefusal::Conflict(object)) => http::json(StatusCode::CONFLICT, &object),
+        Err(WriteRefusal::NotFound) => http::empty(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -0,0 +1,250 @@
+//! A stand-in for a replica of the users' platform: plain requests, streams of numbered events, reports and orders, and
+//! the ways in which replicas fail.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_platform::headers;
+use lichenpulley_platform::replica::{LoadOrder, ModelState, ORDER_PATH, REPORT_PATH, Report};
+
+use crate::error::LabError;
+use crate::http::{self, Body, Reply, Server};
+
+/// How a replica treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// As it should.
+    #[default]
+    Well,
+    /// It states that it runs nothing.
+    Rejects,
+    /// It runs requests, and their answers are lost.
+    LosesAnswers,
+    /// It answers that each run failed.
+    Fails,
+    /// It breaks streams off after so many events.
+    BreaksAfter(u64),
+    /// Its answers carry the id of another request.
+    AnswersForAnother,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenRequest {
+    /// Its id.
+    pub id: String,
+    /// Method, path and query.
+    pub line: String,
+    /// Header fields in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// What a replica is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The id of this life.
+    pub id: String,
+    /// Events of each stream.
+    pub events: u64,
+    /// Pause before each event.
+    pub pause: Duration,
+    /// Its models.
+    pub models: BTreeMap<String, u64>,
+}
+
+struct State {
+    plan: Plan,
+    behaviour: Behaviour,
+    seen: Vec<SeenRequest>,
+    orders: Vec<LoadOrder>,
+}
+
+/// A running stand-in.
+pub struct Replica {
+    /// Where it answers.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _server: Server,
+}
+
+/// Starts a replica on a free loopback port.
+///
+/// # Errors
+/// When no port can be had.
+pub async fn start(plan: Plan) -> Result<Replica, LabError> {
+    let state = State { plan, behaviour: Behaviour::Well, seen: Vec::new(), orders: Vec::new() };
+    let state = Arc::new(Mutex::new(state));
+    let answering = Arc::clone(&state);
+    let handler = move |request| answer(Arc::clone(&answering), request);
+    let server = http::serve(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
+    Ok(Replica { address: server.address, state, _server: server })
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Replica {
+    /// Behaves otherwise from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        lock(&self.state).behaviour = behaviour;
+    }
+
+    /// Requests that it began to run, in order.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        lock(&self.state).seen.clone()
+    }
+
+    /// Orders that it took, in order.
+    pub fn orders(&self) -> Vec<LoadOrder> {
+        lock(&self.state).orders.clone()
+    }
+
+    /// What it writes into the metadata store.
+    pub fn record(&self, service: &str, zone: &str) -> serde_json::Value {
+        let state = lock(&self.state);
+        serde_json::json!({
+            "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1", "slots": 4,
+            "state": "ready", "cold_left_ms": 0, "stage": "both", "models": models(&state.plan), "seq": 1,
+        })
+    }
+}
+
+fn models(plan: &Plan) -> Vec<ModelState> {
+    plan.models.iter().map(|(name, version)| ModelState { name: name.clone(), version: *version }).collect()
+}
+
+async fn answer(state: Arc<Mutex<State>>, request: Request<Incoming>) -> Reply {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, REPORT_PATH) => report(&state).into(),
+        (&Method::POST, ORDER_PATH) => order(&state, request).await.into(),
+        _ => run(&state, request).await,
+    }
+}
+
+fn report(state: &Mutex<State>) -> Response<Body> {
+    let state = lock(state);
+    let report = Report {
+        models: models(&state.plan),
+        num_busy: false,
+        seq: state.orders.len() as u64,
+        num_waiting: 0,
+        num_running: 0,
+        kv_used: 0,
+        kv_total: 100_000,
+    };
+    http::json(StatusCode::OK, &report)
+}
+
+async fn order(state: &Mutex<State>, request: Request<Incoming>) -> Response<Body> {
+    let order: LoadOrder = match http::read_json(request).await {
+        Ok(order) => order,
+        Err(refusal) => return refusal,
+    };
+    let mut state = lock(state);
+    let highest_fence = state.orders.iter().map(|order| order.fence).max().unwrap_or(0);
+    if order.fence < highest_fence {
+        return http::empty(StatusCode::PRECONDITION_FAILED);
+    }
+    if order.expect_rev != state.orders.len() as u64 {
+        return http::empty(StatusCode::CONFLICT);
+    }
+    state.plan.models.insert(order.model.clone(), order.version);
+    state.orders.push(order);
+    http::empty(StatusCode::ACCEPTED)
+}
+
+async fn run(state: &Mutex<State>, request: Request<Incoming>) -> Reply {
+    let seen = match read(request).await {
+        Ok(seen) => seen,
+        Err(refusal) => return refusal.into(),
+    };
+    let (plan, behaviour) = {
+        let state = lock(state);
+        (state.plan.clone(), state.behaviour)
+    };
+    let expected = seen.headers.get(headers::EXPECT_REPLICA);
+    if expected.is_some_and(|expected| expected != &plan.id) {
+        return http::empty(StatusCode::MISDIRECTED_REQUEST).into();
+    }
+    if behaviour == Behaviour::Rejects {
+        return signed(StatusCode::SERVICE_UNAVAILABLE, &seen.id, &[(headers::NOT_RUN, "1")]).into();
+    }
+    lock(state).seen.push(seen.clone());
+    match behaviour {
+        Behaviour::LosesAnswers => Reply::Hang,
+        Behaviour::Fails => signed(StatusCode::INTERNAL_SERVER_ERROR, &seen.id, &[]).into(),
+        Behaviour::AnswersForAnother => signed(StatusCode::OK, "another", &[]).into(),
+        _ if seen.line.contains("/stream/") => events(&plan, behaviour, &seen).into(),
+        _ => {
+            let mut answer = signed(StatusCode::OK, &seen.id, &[]);
+            *answer.body_mut() = http_body_util::Full::new(seen.body).map_err(|never| match never {}).boxed();
+            answer.into()
+        }
+    }
+}
+
+async fn read(request: Request<Incoming>) -> Result<SeenRequest, Response<Body>> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|error| http::bad_request(&error.to_string()))?;
+    let fields = parts.headers.iter().map(|(name, value)| {
+        (name.as_str().to_owned(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+    });
+    let fields: BTreeMap<String, String> = fields.collect();
+    let id = fields.get(headers::REQUEST_ID).cloned().unwrap_or_default();
+    let line = format!("{} {}", parts.method, parts.uri);
+    Ok(SeenRequest { id, line, headers: fields, body: body.to_bytes() })
+}
+
+fn signed(status: StatusCode, id: &str, more: &[(&'static str, &'static str)]) -> Response<Body> {
+    let mut answer = http::empty(status);
+    let fields = answer.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(id) {
+        fields.insert(headers::REQUEST_ID, id);
+    }
+    fields.insert(headers::SIGNATURE, HeaderValue::from_static("seal"));
+    for (name, value) in more {
+        fields.insert(*name, HeaderValue::from_static(value));
+    }
+    answer
+}
+
+/// A stream of numbered events after the one that the reader has.
+fn events(plan: &Plan, behaviour: Behaviour, seen: &SeenRequest) -> Response<Body> {
+    let last = seen.headers.get(headers::LAST_EVENT_ID).and_then(|number| number.parse::<u64>().ok());
+    let first = last.map_or(0, |number| number + 1);
+    let broken_at = match behaviour {
+        Behaviour::BreaksAfter(events) => first + events,
+        _ => u64::MAX,
+    };
+    let (pause, end) = (plan.pause, plan.events);
+    let frames = stream::unfold(first, move |number| async move {
+        if number >= broken_at && number < end {
+            let broken = std::io::Error::new(std::io::ErrorKind::ConnectionReset, "broken off on purpose");
+            return Some((Err(broken), u64::MAX));
+        }
+        if number >= end {
+            return None;
+        }
+        tokio::time::sleep(pause).await;
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        Some((Ok(Frame::data(Bytes::from(event))), number + 1))
+    });
+    let mut answer = signed(StatusCode::OK, &seen.id, &[]);
+    let fields = answer.headers_mut();
+    fields.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    let version = plan.models.values().copied().max().unwrap_or(1);
+    fields.insert(headers::WEIGHT_VERSION, HeaderValue::from(version));
+    *answer.body_mut() = StreamBody::new(frames).boxed();
+    answer
+}
--- /dev/null
+++ b/crates/lab/tests/platform_path.rs
@@ -0,0 +1,455 @@
+//! The platform's path over real nodes and sockets, against the stand-ins: plain requests, streams, batch jobs, orders,
+//! configuration, and what fails.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use lichenpulley_daemon::cluster::Roles;
+use lichenpulley_daemon::http::client::{HttpClient, build};
+use lichenpulley_daemon::node::Node;
+use lichenpulley_daemon::settings::Settings;
+use lichenpulley_lab::metadata_store::{self, Condition, MetadataStore};
+use lichenpulley_lab::platform_replica::{self, Behaviour, Plan, Replica};
+use lichenpulley_platform::objects;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+/// Bounds a test that would fail anyway.
+const PATIENCE: Duration = Duration::from_secs(60);
+const ZONES: [&str; 3] = ["kajang", "shah-alam", "ampang"];
+const STORES: usize = 3;
+
+/// Stores, gateways, replicas and the platform's stand-in.
+struct System {
+    platform: MetadataStore,
+    replicas: Vec<Replica>,
+    stores: Vec<Option<Node>>,
+    gateways: Vec<Option<Node>>,
+    folders: Vec<TempDir>,
+    http: HttpClient,
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: hyper::HeaderMap,
+    body: Bytes,
+}
+
+impl Answer {
+    fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+}
+
+fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": "shop.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 5_000,
+            "target_ms": 300, "service": "engines", "max_attempts": 3, "resumable": kind != "non_idempotent",
+            "max_queue_s": 40.0, "due_ms": 7_500})
+    };
+    json!({
+        "version": version,
+        "routes": [route("read", "/read/", "idempotent"), route("write", "/write/", "non_idempotent"),
+            route("chat", "/stream/", "streaming"), route("rollouts", "/rollouts/", "rollout")],
+        "services": [{"name": "engines", "engine": {"slots": 4, "kv_cap_tokens": 100_000,
+            "models": [{"name": "pricing"}]}}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 2_000_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+    })
+}
+
+impl System {
+    async fn start(replicas: usize, events: u64) -> Self {
+        let platform = metadata_store::start().await.expect("a metadata store");
+        platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
+        let mut system = Self {
+            platform,
+            replicas: Vec::new(),
+            stores: Vec::new(),
+            gateways: Vec::new(),
+            folders: Vec::new(),
+            http: HttpClient::new(Duration::from_secs(1)),
+        };
+        for number in 0..replicas {
+            system.add_replica(number, events).await;
+        }
+        for number in 0..STORES {
+            system.folders.push(TempDir::new().expect("a folder"));
+            system.start_store(number).await;
+        }
+        for number in 0..2 {
+            system.start_gateway(number).await;
+        }
+        system
+    }
+
+    async fn add_replica(&mut self, number: usize, events: u64) {
+        let models = BTreeMap::from([("pricing".to_owned(), 1)]);
+        let pause = Duration::from_millis(5);
+        let plan = Plan { id: format!("replica-{number}"), events, pause, models };
+        let replica = platform_replica::start(plan).await.expect("a replica");
+        let record = replica.record("engines", ZONES[number % ZONES.len()]);
+        self.platform.put(objects::REPLICAS, &format!("replica-{number}"), record);
+        self.replicas.push(replica);
+    }
+
+    fn settings(&self, name: &str, number: usize) -> Settings {
+        let mut settings = Settings::on_loopback(name, ZONES[number % ZONES.len()]);
+        settings.platform.metadata_store = Some(self.platform.address);
+        settings.configuration.platform_timeout = Duration::from_millis(500);
+        settings.configuration.watch_hold = Duration::from_secs(2);
+        settings.membership.probe_interval = Duration::from_millis(200);
+        settings.membership.probe_timeout = Duration::from_millis(100);
+        settings.batch.order_lease = Duration::from_millis(500);
+        settings.store.replace_after = Duration::from_secs(3_600);
+        let seeds = self.stores.iter().flatten().map(|node| node.addresses().peers);
+        settings.peers.seeds = seeds.take(1).collect();
+        settings
+    }
+
+    async fn start_store(&mut self, number: usize) {
+        let mut settings = self.settings(&format!("store-{number}"), number);
+        settings.roles = Roles { gateway: false, coordinator: false, store: true };
+        settings.data_folder = Some(self.folders[number].path().join("store"));
+        let node = Node::start(settings).await.expect("a store");
+        if number < self.stores.len() {
+            self.stores[number] = Some(node);
+        } else {
+            self.stores.push(Some(node));
+        }
+    }
+
+    async fn start_gateway(&mut self, number: usize) {
+        let settings = self.settings(&format!("gateway-{number}"), number);
+        self.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    }
+
+    fn gateway(&self, number: usize) -> SocketAddr {
+        self.gateways[number].as_ref().expect("a living gateway").addresses().callers
+    }
+
+    async fn call(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        fields: &[(&'static str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let request = self.request(gateway, method, path, fields, body.into());
+        let response = self.http.send(self.gateway(gateway), request, Instant::now() + PATIENCE).await;
+        let (head, body) = response.expect("an answer").into_parts();
+        let body = body.collect().await.expect("a whole answer").to_bytes();
+        Answer { status: head.status, headers: head.headers, body }
+    }
+
+    fn request(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        fields: &[(&'static str, &str)],
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut request = build(method, self.gateway(gateway), path, body).expect("a request");
+        request.headers_mut().insert("host", "Shop.Example:80".parse().expect("a host"));
+        for (name, value) in fields {
+            request.headers_mut().insert(*name, value.parse().expect("a value"));
+        }
+        request
+    }
+
+    /// Asks again until the answer has this status.
+    async fn call_until(&self, status: StatusCode, gateway: usize, path: &str) -> Answer {
+        let asked = async {
+            loop {
+                let answer = self.call(gateway, Method::GET, path, &[("attempt-id", "probe")], "").await;
+                if answer.status == status {
+                    return answer;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, asked).await.expect("the status in time")
+    }
+
+    async fn submit(&self, gateway: usize, id: &str, items: usize, min_version: u64) {
+        let item = |number: usize| {
+            json!({"id": format!("{id}-{number}"), "path": "/stream/x", "headers": {"Model": "pricing"},
+                "body": "Ym9keQ==", "tokens": 100, "group": format!("g{}", number / 2)})
+        };
+        let items: Vec<Value> = (0..items).map(item).collect();
+        let job =
+            json!({"step": 0, "model": "pricing", "min_version": min_version, "desired": 1, "items": items});
+        let taken = async {
+            loop {
+                let body = serde_json::to_vec(&job).expect("a body");
+                let answer =
+                    self.call(gateway, Method::POST, "/rollouts/x", &[("attempt-id", id)], body).await;
+                if answer.status == StatusCode::ACCEPTED {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, taken).await.expect("the job is taken");
+    }
+
+    /// Reads until the list is whole.
+    async fn results(&self, gateway: usize, id: &str) -> Vec<Value> {
+        let read = async {
+            let mut results: Vec<Value> = Vec::new();
+            loop {
+                let path = format!("/-/lots/{id}?after_rev={}", results.len());
+                let answer = self.call(gateway, Method::GET, &path, &[("wait-ms", "200")], "").await;
+                if answer.status == StatusCode::OK {
+                    let page = answer.json();
+                    results.extend(page["results"].as_array().expect("results").iter().cloned());
+                    if results.len() as u64 == page["total"].as_u64().expect("a total") {
+                        return results;
+                    }
+                } else {
+                    assert_eq!(
+                        answer.status,
+                        StatusCode::SERVICE_UNAVAILABLE,
+                        "no job is ever unknown again"
+                    );
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, read).await.expect("the list is whole in time")
+    }
+
+    fn owner(&self) -> usize {
+        let owns = |node: &Option<Node>| {
+            node.as_ref().is_some_and(|node| {
+                let owner = node.context().batch_owner.load();
+                owner.as_ref().is_some_and(|owner| **owner == node.context().node)
+            })
+        };
+        self.gateways.iter().position(owns).expect("an owner")
+    }
+}
+
+fn whole_text(events: u64) -> String {
+    let pieces: Vec<String> = (0..events).map(|number| format!("piece {number}")).collect();
+    pieces.join("\n")
+}
+
+#[tokio::test]
+async fn a_plain_request_reaches_a_replica_unchanged_and_its_answer_comes_back_unchanged() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let fields = [
+        ("attempt-id", "r-1"),
+        ("deadline-ms", "2000"),
+        ("x-own", "kept"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+    ];
+    let answer = system.call(0, Method::POST, "/read/a%20b?c=d&e", &fields, "a body").await;
+    assert_eq!((answer.status, answer.body.as_ref()), (StatusCode::OK, b"a body".as_slice()));
+    assert_eq!(answer.headers.get("server-seal").expect("a seal"), "seal");
+    let seen: Vec<_> =
+        system.replicas.iter().flat_map(Replica::seen).filter(|seen| seen.id == "r-1").collect();
+    let [seen] = seen.as_slice() else { panic!("it ran {} times", seen.len()) };
+    assert_eq!((seen.line.as_str(), seen.body.as_ref()), ("POST /read/a%20b?c=d&e", b"a body".as_slice()));
+    assert_eq!(seen.headers.get("x-own").map(String::as_str), Some("kept"));
+    assert!(!seen.headers.contains_key("x-hop"), "fields of one connection are not passed on");
+    assert!(seen.headers.get("expect-replica").is_some_and(|replica| replica.starts_with("replica-")));
+    let deadline: u64 = seen.headers["deadline-ms"].parse().expect("a number");
+    assert!((1..=2_000).contains(&deadline));
+}
+
+#[tokio::test]
+async fn what_the_configuration_does_not_allow_gets_the_status_that_says_so() {
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let status =
+        async |method, path: &str, body: Vec<u8>| system.call(0, method, path, &[], body).await.status;
+    assert_eq!(status(Method::GET, "/other/x", Vec::new()).await, StatusCode::NOT_FOUND);
+    assert_eq!(status(Method::POST, "/read/x", vec![0; 2_100_000]).await, StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(status(Method::POST, "/rollouts/x", b"{}".to_vec()).await, StatusCode::BAD_REQUEST);
+    let bad = system.call(0, Method::POST, "/rollouts/x", &[("attempt-id", "j")], "{\"items\":[{}").await;
+    assert_eq!(bad.status, StatusCode::BAD_REQUEST);
+    let unknown = system.call_until(StatusCode::NOT_FOUND, 0, "/-/lots/nothing").await;
+    assert!(unknown.headers.get("retry-after").is_none());
+}
+
+#[tokio::test]
+async fn a_request_that_must_not_run_twice_runs_once_and_a_rejected_one_is_tried_elsewhere() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for replica in &system.replicas {
+        replica.set_behaviour(Behaviour::LosesAnswers);
+    }
+    let lost = system.call(0, Method::POST, "/write/x", &[("attempt-id", "w-1")], "x").await;
+    assert_eq!(lost.status, StatusCode::BAD_GATEWAY, "it may have run: no promise is made");
+    let runs = |id: &str| system.replicas.iter().flat_map(Replica::seen).filter(|seen| seen.id == id).count();
+    assert_eq!(runs("w-1"), 1);
+    let repeated = system.call(0, Method::POST, "/read/x", &[("attempt-id", "r-1")], "x").await;
+    assert_eq!(repeated.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(runs("r-1"), 2, "one that may run twice is tried at each replica");
+    for replica in &system.replicas {
+        replica.set_behaviour(Behaviour::Rejects);
+    }
+    let refused = system.call(0, Method::POST, "/write/x", &[("attempt-id", "w-2")], "x").await;
+    assert_eq!((refused.status, runs("w-2")), (StatusCode::SERVICE_UNAVAILABLE, 0));
+    assert!(refused.headers.contains_key("retry-after"), "it says when to come back");
+    system.replicas[1].set_behaviour(Behaviour::Well);
+    let served = system.call(0, Method::POST, "/write/x", &[("attempt-id", "w-3")], "x").await;
+    assert_eq!((served.status, runs("w-3")), (StatusCode::OK, 1));
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for replica in &system.replicas {
+        replica.set_behaviour(Behaviour::AnswersForAnother);
+    }
+    let answer = system.call(0, Method::POST, "/read/x", &[("attempt-id", "r-1")], "x").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_is_continued_at_another_replica_within_the_same_answer() {
+    let system = System::start(2, 20).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.replicas[0].set_behaviour(Behaviour::BreaksAfter(7));
+    system.replicas[1].set_behaviour(Behaviour::BreaksAfter(15));
+    let answer = system.call(0, Method::POST, "/stream/x", &[("attempt-id", "s-1")], "x").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let text = String::from_utf8(answer.body.to_vec()).expect("text");
+    let numbers: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    let wanted: Vec<String> = (0..20).map(|number| number.to_string()).collect();
+    assert_eq!(numbers, wanted, "each event once and in order");
+}
+
+#[tokio::test]
+async fn a_batch_job_is_taken_once_run_listed_and_ended() {
+    let system = System::start(2, 5).await;
+    system.submit(0, "job", 6, 1).await;
+    system.submit(1, "job", 6, 1).await;
+    let results = system.results(1, "job").await;
+    let items: BTreeSet<&str> = results.iter().map(|result| result["id"].as_str().expect("an id")).collect();
+    assert_eq!((results.len(), items.len()), (6, 6), "each item stands in the list once");
+    for result in &results {
+        assert_eq!(result["state"], "complete");
+        assert_eq!(result["text"], whole_text(5));
+        assert_eq!(result["versions"], json!([1]));
+    }
+    assert_eq!(system.results(0, "job").await, results, "the same at every node");
+    let ended = system.call(0, Method::DELETE, "/-/lots/job", &[], "").await;
+    assert_eq!(ended.status, StatusCode::OK);
+    let again = system.call(1, Method::DELETE, "/-/lots/job", &[], "").await;
+    assert_eq!(again.status, StatusCode::OK);
+    let body = system.call(1, Method::GET, "/-/items/job?id=job-3", &[], "").await;
+    assert_eq!((body.status, body.body.as_ref()), (StatusCode::OK, b"body".as_slice()));
+}
+
+#[tokio::test]
+async fn a_job_goes_on_when_its_owner_is_killed_and_nothing_read_before_changes() {
+    let mut system = System::start(2, 60).await;
+    system.submit(0, "job", 12, 1).await;
+    let owner = system.owner();
+    let other = 1 - owner;
+    let first = async {
+        loop {
+            let answer =
+                system.call(other, Method::GET, "/-/lots/job?after_rev=0", &[("wait-ms", "500")], "").await;
+            if answer.status == StatusCode::OK
+                && !answer.json()["results"].as_array().expect("results").is_empty()
+            {
+                return answer.json()["results"].as_array().expect("results").clone();
+            }
+        }
+    };
+    let read_before = tokio::time::timeout(PATIENCE, first).await.expect("some results");
+    system.gateways[owner].take().expect("the owner").kill();
+    let results = system.results(other, "job").await;
+    assert_eq!(results[..read_before.len()], read_before, "positions and content hold");
+    assert!(results.iter().all(|result| result["text"] == whole_text(60)), "each text is whole");
+}
+
+#[tokio::test]
+async fn a_named_version_is_loaded_under_a_fence_and_runs_what_needs_it() {
+    let system = System::start(2, 3).await;
+    system.submit(0, "before", 1, 1).await;
+    system.results(0, "before").await;
+    system.platform.put(objects::VERSIONS, "pricing", json!({"model": "pricing", "version": 2}));
+    system.submit(0, "after", 4, 2).await;
+    let results = system.results(0, "after").await;
+    assert!(results.iter().all(|result| result["versions"] == json!([2])));
+    let orders: Vec<_> = system.replicas.iter().flat_map(Replica::orders).collect();
+    let holders: BTreeSet<&str> = orders.iter().map(|order| order.holder.as_str()).collect();
+    assert_eq!(holders.len(), 1, "one holder of orders");
+    assert!(orders.iter().all(|order| order.fence >= 1 && order.version == 2));
+}
+
+#[tokio::test]
+async fn a_configuration_is_in_force_at_every_node_also_after_the_history_is_gone() {
+    let system = System::start(1, 3).await;
+    for gateway in 0..2 {
+        system.call_until(StatusCode::OK, gateway, "/read/warm").await;
+    }
+    system.platform.compact();
+    let mut next = configuration(2);
+    next["routes"][0]["path_prefix"] = json!("/moved/");
+    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, next);
+    for gateway in 0..2 {
+        system.call_until(StatusCode::OK, gateway, "/moved/x").await;
+        system.call_until(StatusCode::NOT_FOUND, gateway, "/read/x").await;
+    }
+}
+
+#[tokio::test]
+async fn a_node_that_starts_while_the_platform_is_silent_learns_from_its_peers() {
+    let mut system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.platform.set_condition(Condition::Silent);
+    system.start_gateway(2).await;
+    let early = system.call(2, Method::GET, "/read/x", &[("attempt-id", "early")], "").await;
+    assert_ne!(
+        early.status,
+        StatusCode::NOT_FOUND,
+        "a node without a configuration promises nothing about routes"
+    );
+    system.call_until(StatusCode::OK, 2, "/read/x").await;
+}
+
+#[tokio::test]
+async fn a_store_that_lost_its_disk_is_replaced_while_the_platform_is_down() {
+    let mut system = System::start(2, 3).await;
+    system.submit(0, "first", 4, 1).await;
+    let first = system.results(0, "first").await;
+    system.platform.set_condition(Condition::Resets);
+    for number in 0..2 {
+        // One disk after the other: the third store keeps all that was acknowledged, and the others take it from there.
+        let lost = system.stores[number].take().expect("a store");
+        lost.kill();
+        lost.stopped().await;
+        drop(lost);
+        system.folders[number] = TempDir::new().expect("an empty folder");
+        system.start_store(number).await;
+        let members = async {
+            loop {
+                let owner = system.gateways[system.owner()].as_ref().expect("an owner").context();
+                let shard = lichenpulley_core::identity::ShardId::new("batch/main");
+                let generation = owner.replica_sets.get(&shard).map_or(0, |set| set.generation.0);
+                if generation >= number as u64 + 2 {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, members).await.expect("the member is replaced");
+    }
+    assert_eq!(system.results(1, "first").await, first);
+}
