Do the owner's work once for all events that came together, and read only replicas that changed

Change: events mark what is due; it is done when the driver next polls. Records of replicas are read again where their text changed.

--- a/crates/core/src/batch/controller.rs
+++ b/crates/core/src/batch/controller.rs
@@ -184,6 +184,16 @@
     /// Whether the authority was confirmed lately; nothing is started or ordered otherwise.
     is_confirmed: bool,
     actions: VecDeque<Action>,
+    /// What is to be looked at once all events at hand are taken in.
+    due: DueWork,
+}
+
+/// Work that events make necessary. It is done once for all events that came together.
+#[derive(Clone, Copy, Debug, Default)]
+struct DueWork {
+    now: Timestamp,
+    items: bool,
+    loads: bool,
 }
 
 impl Controller {
@@ -208,6 +218,7 @@
             held_bytes: 0,
             is_confirmed: true,
             actions: VecDeque::new(),
+            due: DueWork::default(),
         };
         controller.restore_items();
         controller
@@ -220,6 +231,9 @@
 
     /// The next thing to do.
     pub fn poll_action(&mut self) -> Option<Action> {
+        if self.actions.is_empty() {
+            self.do_due_work();
+        }
         self.actions.pop_front()
     }
 
@@ -297,7 +311,7 @@
                 self.replicas.remove(&id);
             }
         }
-        self.work(now);
+        self.work_and_load(now);
     }
 
     /// Takes a job.
@@ -352,7 +366,7 @@
             }
             self.ledger.apply(record);
         }
-        self.work(now);
+        self.work_and_load(now);
     }
 
     fn accepted(&mut self, job: &BatchJob) {
@@ -517,7 +531,7 @@
                 state.saw_version(model, *version);
             }
         }
-        self.work(now);
+        self.work_and_load(now);
     }
 
     /// Does what is due by now. To be called at least every [`ControllerConfig::heartbeat_interval`].
@@ -532,7 +546,7 @@
             let clock = Record::Clock(self.clock_ms(now));
             self.append(now, vec![clock]);
         }
-        self.work(now);
+        self.work_and_load(now);
     }
 
     fn stop_stalled(&mut self, now: Timestamp) {
@@ -642,13 +656,32 @@
         self.actions.push_back(Action::Stop(id));
     }
 
+    /// Items may be started at the next look.
     fn work(&mut self, now: Timestamp) {
-        self.forget_listed();
+        self.due.now = now;
+        self.due.items = true;
+    }
+
+    /// Items may be started and versions loaded at the next look.
+    fn work_and_load(&mut self, now: Timestamp) {
+        self.work(now);
+        self.due.loads = true;
+    }
+
+    fn do_due_work(&mut self) {
+        let DueWork { now, items, loads } = std::mem::take(&mut self.due);
+        if items {
+            self.forget_listed();
+        }
         if !self.is_confirmed {
             return;
         }
-        self.start_loads(now);
-        self.start_items(now);
+        if loads {
+            self.start_loads(now);
+        }
+        if items {
+            self.start_items(now);
+        }
     }
 
     /// Items that stand in their job's list need nothing more.
--- a/crates/daemon/src/metadata/copy.rs
+++ b/crates/daemon/src/metadata/copy.rs
@@ -1,17 +1,55 @@
 //! From the objects of a kind to the product's own types.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use lichenpulley_core::ingress::replicas::ReplicaTable;
+use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_platform::{configuration, objects, replica};
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind};
 use serde_json::Value;
 
 use super::MetadataHandle;
 
+/// Replicas whose records did not change keep what was read of them: with thousands of replicas, one changes at a time.
+fn apply_replicas(handle: &MetadataHandle, before: Option<&MetadataCopy>, copy: &MetadataCopy) {
+    let held = handle.replicas.load();
+    let texts: HashMap<&str, &str> = before
+        .into_iter()
+        .flat_map(|copy| &copy.objects)
+        .map(|(id, text)| (id.as_str(), text.as_str()))
+        .collect();
+    let mut table = ReplicaTable::default();
+    for (id, text) in &copy.objects {
+        let is_same = texts.get(id.as_str()) == Some(&text.as_str());
+        let known = held.records.get(id).filter(|_| is_same).cloned();
+        if let Some(record) = known.or_else(|| read_replica(id, text)) {
+            table.records.insert(id.clone(), record);
+        }
+    }
+    handle.replicas.store(Arc::new(table));
+}
+
+fn read_replica(id: &str, text: &str) -> Option<ReplicaRecord> {
+    let record = serde_json::from_str(text).map_err(|error| error.to_string());
+    match record.and_then(|spec| replica::read_record(id, &spec).map_err(|error| error.to_string())) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::warn!(target: "metadata", "Replica {id} is left out: {error}.");
+            None
+        }
+    }
+}
+
 /// Puts a copy into force. An object that can't be read is left out, with a line in the log.
-pub(super) fn apply(handle: &MetadataHandle, kind: MetadataKind, copy: &MetadataCopy) {
+pub(super) fn apply(
+    handle: &MetadataHandle,
+    kind: MetadataKind,
+    before: Option<&MetadataCopy>,
+    copy: &MetadataCopy,
+) {
+    if kind == MetadataKind::Replicas {
+        return apply_replicas(handle, before, copy);
+    }
     let objects = copy.objects.iter().filter_map(|(name, text)| match serde_json::from_str(text) {
         Ok(spec) => Some((name.as_str(), spec)),
         Err(error) => {
@@ -22,7 +60,7 @@
     let objects: Vec<(&str, Value)> = objects.collect();
     match kind {
         MetadataKind::Configuration => apply_configuration(handle, &objects),
-        MetadataKind::Replicas => apply_replicas(handle, &objects),
+        MetadataKind::Replicas => {}
         MetadataKind::Versions => apply_versions(handle, &objects),
     }
 }
@@ -44,17 +82,6 @@
     }
 }
 
-fn apply_replicas(handle: &MetadataHandle, objects: &[(&str, Value)]) {
-    let mut table = ReplicaTable::default();
-    for (id, spec) in objects {
-        match replica::read_record(id, spec) {
-            Ok(record) => drop(table.records.insert((*id).to_owned(), record)),
-            Err(error) => log::warn!(target: "metadata", "Replica {id} is left out: {error}."),
-        }
-    }
-    handle.replicas.store(Arc::new(table));
-}
-
 fn apply_versions(handle: &MetadataHandle, objects: &[(&str, Value)]) {
     let mut versions = BTreeMap::clone(&handle.versions.load());
     for (name, spec) in objects {
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -70,9 +70,9 @@
         if held.as_ref().is_some_and(|held| held.revision > copy.revision) {
             return;
         }
-        let is_same = held.is_some_and(|held| held.objects == copy.objects);
+        let is_same = held.as_ref().is_some_and(|held| held.objects == copy.objects);
         if !is_same {
-            copy::apply(self, kind, &copy);
+            copy::apply(self, kind, held.as_deref(), &copy);
         }
         self.slot(kind).store(Some(Arc::new(copy)));
         if !is_same {
