Let every node look after the batch jobs' owner now and then, the first three at each turn

Cause: only the three first nodes by weight looked whether the owner still appends; all gone at once, nobody did until the membership had noticed. Change: nodes behind them look the more rarely the further behind they are (410 nodes ask less than four times as often as 7).

--- a/crates/core/src/batch/election.rs
+++ b/crates/core/src/batch/election.rs
@@ -7,13 +7,21 @@
 
 use crate::identity::{Epoch, NodeId};
 
-/// Nodes that look after the ownership of a shard.
+/// Nodes that look after the ownership of a shard at each turn.
 pub const CANDIDATES: usize = 3;
 /// A candidate waits so much longer for each one before it.
 const RANK_DELAY: Duration = Duration::from_millis(400);
 /// An owner that restarted without its state need not be waited for.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Whether a node of this rank looks at its turn `turn`. Those behind the first few look the more rarely the further
+/// behind they are: should all before them be gone at once, one of them notices, and the stores are not asked much more
+/// often however many nodes there are.
+pub fn looks_now(rank: usize, turn: u64) -> bool {
+    let period = (rank / CANDIDATES + 1) as u64;
+    turn.is_multiple_of(period)
+}
+
 /// Who leads, as one store knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaderSeen {
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -86,7 +86,7 @@
     commands: mpsc::Receiver<Command>,
 ) {
     let stopped = context.stopped.clone();
-    let mut candidate = Candidate { context, pool, traffic, commands };
+    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0 };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -98,6 +98,8 @@
     pool: ReplicaPool,
     traffic: Handle,
     commands: mpsc::Receiver<Command>,
+    /// Times at which a look was due.
+    looks: u64,
 }
 
 impl Candidate {
@@ -134,9 +136,10 @@
     }
 
     /// Whether to take over now, and how long the owner before has been silent.
-    async fn look(&self, was_told: bool) -> Option<Duration> {
+    async fn look(&mut self, was_told: bool) -> Option<Duration> {
         let rank = rank(&self.context);
-        if rank >= CANDIDATES && !was_told {
+        self.looks += 1;
+        if !was_told && !election::looks_now(rank, self.looks) {
             return None;
         }
         let say = ask_stores(&self.context).await;
