--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -12,6 +12,7 @@
 
 use crate::client::Interface;
 use crate::commands::config::{Selection, Setting, SettingChange};
+use crate::commands::trace::Trace;
 use crate::commands::watch::WatchOptions;
 use crate::error::CliError;
 
@@ -72,6 +73,8 @@
     Drain(ReplicaId),
     /// `undrain REPLICA`
     Undrain(ReplicaId),
+    /// `trace ID FILE...`
+    Trace(Trace),
     /// `watch`
     Watch(WatchOptions),
 }
@@ -151,6 +154,13 @@
         add_options: no_options,
         read: |matches| Ok(Command::Undrain(ReplicaId::new(one_argument(matches, "REPLICA")?))),
     },
+    Syntax {
+        words: &["trace"],
+        arguments: "ID FILE...",
+        help: "show what was decided about a request, batch job or item, from the nodes' logs; - reads standard input",
+        add_options: no_options,
+        read: read_trace,
+    },
     Syntax {
         words: &["watch"],
         arguments: "",
@@ -255,6 +265,15 @@
 
 fn no_options(_: &mut Options) {}
 
+fn read_trace(matches: &Matches) -> Result<Command, CliError> {
+    match matches.free.as_slice() {
+        [id, files @ ..] if !files.is_empty() => {
+            Ok(Command::Trace(Trace { id: id.clone(), files: files.to_vec() }))
+        }
+        _ => Err(CliError::Usage("`trace` needs an ID and at least one FILE".to_owned())),
+    }
+}
+
 fn add_config_set_options(options: &mut Options) {
     options.optopt("", "base", "the revision the change is based on (default: the present one)", "REVISION");
     options.optopt("", "change-id", "names the change; repeating it takes effect once", "ID");
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,4 +4,5 @@
 pub mod drain;
 pub mod job;
 pub mod pool;
+pub mod trace;
 pub mod watch;
--- /dev/null
+++ b/crates/cli/src/commands/trace.rs
@@ -0,0 +1,108 @@
+//! `trace`: the decisions about one request, batch job or item, in order across the logs of several nodes.
+
+use std::collections::BTreeSet;
+use std::io::Read;
+
+use serde_json::{Map, Value};
+
+use crate::error::CliError;
+use crate::output::Output;
+use crate::table::Table;
+
+/// What to trace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trace {
+    /// The id of a request, a batch job or an item.
+    pub id: String,
+    /// Files with log lines; `-` is standard input.
+    pub files: Vec<String>,
+}
+
+/// Fields that have columns of their own, or say nothing about a decision.
+const PLAIN_FIELDS: [&str; 7] = ["time", "node", "part", "message", "reason", "id", "level"];
+/// The field of an item's decisions that names its batch job.
+const BATCH_FIELD: &str = "batch";
+/// Decisions about the ownership of the batch jobs, which explain gaps in what became of an item.
+const OWNERSHIP: [&str; 2] = ["taking_over", "taken_over"];
+/// Decisions about a batch job as a whole.
+const BATCH_DECISIONS: [&str; 3] = ["batch_taken", "batch_ended", "batch_refused"];
+
+type Line = Map<String, Value>;
+
+/// Shows the decisions.
+///
+/// # Errors
+/// When a file can't be read.
+pub fn trace(trace: &Trace, output: &mut Output<'_>) -> Result<(), CliError> {
+    let mut lines = Vec::new();
+    for file in &trace.files {
+        lines.extend(read(file)?);
+    }
+    lines.sort_by(|left, right| text(left, "time").cmp(text(right, "time")));
+    let found = select(&lines, &trace.id);
+    if found.is_empty() {
+        output.note(&format!("no line names {}; check the id, and give the logs of every node", trace.id))?;
+    }
+    output.result(&found, || describe(&found))
+}
+
+fn read(file: &str) -> Result<Vec<Line>, CliError> {
+    let problem = |error: std::io::Error| CliError::File { path: file.to_owned(), cause: error.to_string() };
+    let mut bytes = Vec::new();
+    match file {
+        "-" => std::io::stdin().read_to_end(&mut bytes).map_err(problem)?,
+        path => {
+            std::fs::File::open(path).and_then(|mut file| file.read_to_end(&mut bytes)).map_err(problem)?
+        }
+    };
+    let text = String::from_utf8_lossy(&bytes);
+    Ok(text.lines().filter_map(parse).collect())
+}
+
+/// Whatever a collector put before a line is passed over; what is no log line of ours is left out.
+fn parse(line: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
+
+fn text<'a>(line: &'a Line, field: &str) -> &'a str {
+    line.get(field).and_then(Value::as_str).unwrap_or_default()
+}
+
+fn select(lines: &[Line], id: &str) -> Vec<Line> {
+    let names = |line: &&Line| line.values().any(|value| value.as_str() == Some(id));
+    let about: Vec<&Line> = lines.iter().filter(names).collect();
+    let batches: BTreeSet<&str> =
+        about.iter().map(|line| text(line, BATCH_FIELD)).filter(|batch| !batch.is_empty()).collect();
+    let first = about.iter().map(|line| text(line, "time")).min().unwrap_or_default();
+    let last = about.iter().map(|line| text(line, "time")).max().unwrap_or_default();
+    let is_related = |line: &&Line| {
+        let message = text(line, "message");
+        let is_of_batch = batches.contains(text(line, "id")) && BATCH_DECISIONS.contains(&message);
+        let is_meanwhile = (first..=last).contains(&text(line, "time"));
+        names(line) || is_of_batch || (!batches.is_empty() && is_meanwhile && OWNERSHIP.contains(&message))
+    };
+    lines.iter().filter(is_related).cloned().collect()
+}
+
+fn describe(lines: &[Line]) -> String {
+    let mut table = Table::new(&["TIME", "NODE", "DECISION", "REASON", "ABOUT", "INPUTS"]);
+    for line in lines {
+        let inputs = line.iter().filter(|(name, _)| !PLAIN_FIELDS.contains(&name.as_str()));
+        let inputs = inputs.map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        });
+        let inputs: Vec<String> = inputs.collect();
+        let column = |field: &str| text(line, field).to_owned();
+        table.row(vec![
+            column("time"),
+            column("node"),
+            column("message"),
+            column("reason"),
+            column("id"),
+            inputs.join(" "),
+        ]);
+    }
+    table.render()
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -35,6 +35,7 @@
         Command::PoolList(pool) => commands::pool::list(&operators()?, pool.as_ref(), output).await,
         Command::Drain(replica) => commands::drain::drain(&operators()?, &replica, output).await,
         Command::Undrain(replica) => commands::drain::undrain(&operators()?, &replica, output).await,
+        Command::Trace(trace) => commands::trace::trace(&trace, output),
         Command::Watch(watch) => commands::watch::watch(&operators()?, &watch, output).await,
     }
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -5,9 +5,9 @@
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use env_logger::{Builder, Env, Target};
@@ -22,6 +22,15 @@
 /// Lines written in one second at most.
 const LINES_PER_SECOND: u64 = 400;
 
+/// The node whose lines these are.
+static NODE: OnceLock<String> = OnceLock::new();
+
+/// Names the node in each line from now on.
+pub fn name_node(node: &str) {
+    // A second node in one process leaves the first one's name.
+    let _ = NODE.set(node.to_owned());
+}
+
 /// Lines dropped since the process started.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -70,6 +79,9 @@
     let _ = write!(message, "{}", record.args());
     let mut line = Map::new();
     line.insert("time".to_owned(), time.into());
+    if let Some(node) = NODE.get() {
+        line.insert("node".to_owned(), node.as_str().into());
+    }
     line.insert("level".to_owned(), record.level().as_str().to_ascii_lowercase().into());
     line.insert("part".to_owned(), record.target().into());
     line.insert("message".to_owned(), message.into());
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -79,6 +79,14 @@
 }
 
 async fn run_node(settings: Settings, arguments: &Arguments) -> Result<(), String> {
+    logging::name_node(settings.node.as_str());
+    log::info!(
+        target: "node",
+        version = env!("CARGO_PKG_VERSION"),
+        settings = arguments.settings_file.as_ref().map_or_else(String::new, |path| path.display().to_string()),
+        zone = settings.zone.as_str();
+        "The node starts."
+    );
     let mut signals = Signals::listen()?;
     let node = Node::start(settings).await.map_err(|error| error.to_string())?;
     if let Some(path) = &arguments.addresses_file {
