--- a/crates/core/src/batch/controller.rs
+++ b/crates/core/src/batch/controller.rs
@@ -567,10 +567,13 @@
         if !self.is_confirmed {
             return;
         }
+        // A first look over all replicas spares the choice of one for each run.
+        let free = self.replicas.values().filter(|state| state.has_free_slot());
+        let Some(best) = free.map(ReplicaState::expected_pace).min_by(f64::total_cmp) else { return };
         let mut moves = 0;
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for id in runs {
-            if moves >= MOVES_PER_TICK || !self.should_move(now, id) {
+            if moves >= MOVES_PER_TICK || !self.should_move(now, id, best) {
                 continue;
             }
             moves += 1;
@@ -587,12 +590,15 @@
         }
     }
 
-    fn should_move(&self, now: Timestamp, id: RunId) -> bool {
+    fn should_move(&self, now: Timestamp, id: RunId, best: f64) -> bool {
         let Some(run) = self.runs.get(&id) else { return false };
         if now.saturating_since(run.started_at) < LEAST_STAY || run.last_event_at.is_none() {
             return false;
         }
         let Some(state) = self.replicas.get(&run.replica) else { return false };
+        if best * MOVE_GAIN >= state.gap().as_secs_f64() {
+            return false;
+        }
         let Some(need) = self.need(&run.batch, run.item) else { return false };
         let others = Need { avoid: Some(&run.replica), ..need };
         let Some(other) = schedule::choose(&self.replicas, &others, now) else { return false };
@@ -711,9 +717,7 @@
     }
 
     fn start_items(&mut self, now: Timestamp) {
-        let has_free_slot =
-            |state: &ReplicaState| state.running < state.record.slots && !state.record.is_draining;
-        if !self.replicas.values().any(has_free_slot) {
+        if !self.replicas.values().any(ReplicaState::has_free_slot) {
             return;
         }
         for (batch, item) in self.waiting(now) {
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -72,6 +72,10 @@
         gap.unwrap_or(UNMEASURED_GAP)
     }
 
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.running < self.record.slots && !self.record.is_draining
+    }
+
     /// How long one more run would take here, relative to others.
     pub(super) fn expected_pace(&self) -> f64 {
         let load = f64::from(self.running) / f64::from(self.record.slots.max(1));
@@ -96,8 +100,8 @@
 impl Need<'_> {
     fn is_met_by(&self, replica: &ReplicaState, now: Timestamp) -> bool {
         let record = &replica.record;
-        let takes_work = !record.is_draining && replica.avoid_until <= now && replica.running < record.slots;
-        takes_work
+        replica.has_free_slot()
+            && replica.avoid_until <= now
             && self.services.iter().any(|part| part.service == record.service)
             && self.has_version(replica)
             && self.has_room(replica)
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -74,7 +74,7 @@
             .values()
             .filter(|replica| replica.record.service == service && !replica.record.models.is_empty())
             .collect();
-        self.settle_homes(&members);
+        self.settle_homes(replicas, &members);
         let under_way = members.iter().filter(|replica| replica.loading.is_some()).count();
         let free = LOADS_AT_ONCE.saturating_sub(under_way);
         let mut wanted: Vec<(u64, u32, Load)> =
@@ -106,24 +106,26 @@
     }
 
     /// Gives each replica a home model, in proportion to demand, and moves as few as possible.
-    fn settle_homes(&mut self, members: &[&ReplicaState]) {
+    fn settle_homes(&mut self, replicas: &BTreeMap<String, ReplicaState>, members: &[&ReplicaState]) {
         let mut models: Vec<&String> =
             members.iter().flat_map(|replica| replica.record.models.keys()).collect();
         models.sort_unstable();
         models.dedup();
-        self.homes.retain(|id, _| members.iter().any(|replica| &replica.record.id == id));
+        self.homes.retain(|id, _| replicas.contains_key(id));
         if models.len() < 2 || members.len() < models.len() * LEAST_REPLICAS_FOR_HOMES {
             self.homes.clear();
             return;
         }
         let shares = self.shares(&models, members.len());
+        let mut surplus = self.surplus(&shares);
         for replica in members {
             if !self.homes.contains_key(&replica.record.id) {
-                let model = self.neediest(&shares);
+                let model = neediest(&surplus);
+                *surplus.entry(model.clone()).or_default() += 1.0;
                 self.homes.insert(replica.record.id.clone(), model);
             }
         }
-        self.move_one(&shares);
+        self.move_one(&surplus);
     }
 
     /// How many replicas each model should have; at least one.
@@ -136,28 +138,26 @@
         models.iter().map(|model| ((*model).clone(), share(model))).collect()
     }
 
-    fn surplus(&self, model: &str, share: f64) -> f64 {
-        let count = self.homes.values().filter(|home| home.as_str() == model).count();
-        count as f64 - share
-    }
-
-    fn neediest(&self, shares: &BTreeMap<String, f64>) -> String {
-        let least = shares
-            .iter()
-            .min_by(|left, right| self.surplus(left.0, *left.1).total_cmp(&self.surplus(right.0, *right.1)));
-        least.map(|(model, _)| model.clone()).unwrap_or_default()
+    /// How many replicas each model has above its share.
+    fn surplus(&self, shares: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
+        let mut surplus: BTreeMap<String, f64> =
+            shares.iter().map(|(model, share)| (model.clone(), -share)).collect();
+        for home in self.homes.values() {
+            if let Some(count) = surplus.get_mut(home) {
+                *count += 1.0;
+            }
+        }
+        surplus
     }
 
     /// Moves one replica from the model with most too many, where that brings both nearer to their share.
-    fn move_one(&mut self, shares: &BTreeMap<String, f64>) {
-        let to = self.neediest(shares);
-        let most = shares
-            .iter()
-            .max_by(|left, right| self.surplus(left.0, *left.1).total_cmp(&self.surplus(right.0, *right.1)));
-        let Some((from, share)) = most else { return };
-        let is_worth_it = self.surplus(from, *share) >= 0.75
-            && self.surplus(&to, shares.get(&to).copied().unwrap_or(0.0)) <= -0.75;
-        if !is_worth_it {
+    fn move_one(&mut self, surplus: &BTreeMap<String, f64>) {
+        let to = neediest(surplus);
+        let Some((from, most)) = surplus.iter().max_by(|left, right| left.1.total_cmp(right.1)) else {
+            return;
+        };
+        let least = surplus.get(&to).copied().unwrap_or_default();
+        if *most < WORTH_MOVING || least > -WORTH_MOVING {
             return;
         }
         if let Some(home) = self.homes.values_mut().find(|home| *home == from) {
@@ -165,3 +165,12 @@
         }
     }
 }
+
+/// So many replicas too many at one model and too few at another make a move worth it.
+const WORTH_MOVING: f64 = 0.75;
+
+/// The model that lacks most replicas.
+fn neediest(surplus: &BTreeMap<String, f64>) -> String {
+    let least = surplus.iter().min_by(|left, right| left.1.total_cmp(right.1));
+    least.map(|(model, _)| model.clone()).unwrap_or_default()
+}
