--- /dev/null
+++ b/crates/core/src/batch/controller/action.rs
@@ -0,0 +1,94 @@
+//! What goes into the owner's state machine and what comes out.
+
+use crate::batch::job::{BatchItem, KeptEvent};
+use crate::batch::record::Record;
+use crate::batch::weights::Load;
+use crate::decision::Decision;
+use crate::ingress::replicas::ReplicaRecord;
+
+/// Names one run of one item within the life of an owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunId(pub u64);
+
+/// A run to begin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunStart {
+    /// The run.
+    pub run: RunId,
+    /// Where.
+    pub replica: ReplicaRecord,
+    /// The host of the job's route.
+    pub host: String,
+    /// The item.
+    pub item: BatchItem,
+    /// The last event that is kept: the run begins after it.
+    pub last_event: Option<u64>,
+    /// How urgent it is: 0 to 9, 0 first.
+    pub urgency: u8,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The answer came whole.
+    Complete,
+    /// The replica stated that it did not run it.
+    Rejected,
+    /// Another replica has the address now.
+    OtherReplica,
+    /// The replica answered that the run failed.
+    Failed,
+    /// The replica answered that the item can never be done.
+    Never,
+    /// Nothing was sent, or the answer broke off.
+    Broken,
+}
+
+impl RunEnd {
+    /// The name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Rejected => "rejected",
+            Self::OtherReplica => "other_replica",
+            Self::Failed => "failed",
+            Self::Never => "never",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// What a run gives while it goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEvent {
+    /// An event of its answer.
+    Event(KeptEvent),
+    /// It has ended.
+    Ended(RunEnd),
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Append to the shard's log; call [`Controller::appended`] once it is decided, in the same order.
+    Append(Vec<Record>),
+    /// Begin a run.
+    Start(Box<RunStart>),
+    /// Stop a run; nothing more of it is wanted.
+    Stop(RunId),
+    /// Order a replica to load a version.
+    Load(Load),
+    /// Show a decision.
+    Decide(Decision),
+}
+
+/// What comes of handing a job in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// It is kept already.
+    Kept,
+    /// It will be kept once its record is decided.
+    Pending,
+    /// There is no room for it; nothing of it runs.
+    Full,
+}
--- /dev/null
+++ b/crates/core/src/batch/controller/mod.rs
@@ -0,0 +1,325 @@
+//! The owner of a shard of batch jobs: which items run where, what is listed, what is given up.
+//!
+//! The driver hands in events and `now`, and takes out [`Action`]s. Invariants: nothing is shown before its record is
+//! kept by a majority; an item's events are taken once each, in order, from a version that its job allows; no item of
+//! an ended job is started.
+
+mod action;
+mod config;
+mod retention;
+mod runs;
+mod starting;
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use super::job::{BatchItem, BatchJob, KeptEvent};
+use super::ledger::Ledger;
+use super::record::Record;
+use super::schedule::ReplicaState;
+use super::weights::LoadPlan;
+use crate::decision::{Component, Decision};
+use crate::identity::BatchId;
+use crate::ingress::replicas::ReplicaTable;
+use crate::ingress::routes::{Route, RouteTable};
+use crate::time::Timestamp;
+pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
+pub use config::ControllerConfig;
+
+struct Run {
+    batch: BatchId,
+    item: u32,
+    replica: String,
+    tokens: u64,
+    started_at: Timestamp,
+    last_event_at: Option<Timestamp>,
+}
+
+/// What the owner knows of an item beyond the ledger.
+#[derive(Default)]
+struct LiveItem {
+    run: Option<RunId>,
+    /// Events that have come, those of the ledger included.
+    events: Vec<KeptEvent>,
+    /// How many of them are on the stores or on their way there.
+    written: usize,
+    written_at: Timestamp,
+    failures: u32,
+    /// The replica that let the last run down.
+    avoid: Option<String>,
+    /// Its result is on its way to the stores.
+    is_listing: bool,
+}
+
+/// The owner's state machine.
+pub struct Controller {
+    config: ControllerConfig,
+    ledger: Ledger,
+    /// Appends that are not decided yet, in order.
+    appending: VecDeque<Vec<Record>>,
+    accepting: HashSet<BatchId>,
+    ending: HashSet<BatchId>,
+    items: HashMap<(BatchId, u32), LiveItem>,
+    runs: BTreeMap<RunId, Run>,
+    last_run: u64,
+    routes: Option<Arc<RouteTable>>,
+    replicas: BTreeMap<String, ReplicaState>,
+    loads: LoadPlan,
+    /// The shard's clock when this owner began.
+    clock_base_ms: u64,
+    began_at: Timestamp,
+    last_append_at: Timestamp,
+    may_load_from: Timestamp,
+    held_bytes: usize,
+    /// Whether the authority was confirmed lately; nothing is started or ordered otherwise.
+    is_confirmed: bool,
+    actions: VecDeque<Action>,
+    /// What is to be looked at once all events at hand are taken in.
+    due: DueWork,
+}
+
+/// Work that events make necessary. It is done once for all events that came together.
+#[derive(Clone, Copy, Debug, Default)]
+struct DueWork {
+    now: Timestamp,
+    items: bool,
+    loads: bool,
+}
+
+impl Controller {
+    /// The owner of what its log amounts to. It gives no orders before `may_load_from`.
+    pub fn new(config: ControllerConfig, ledger: Ledger, now: Timestamp, may_load_from: Timestamp) -> Self {
+        let mut controller = Self {
+            config,
+            clock_base_ms: ledger.clock_ms(),
+            ledger,
+            appending: VecDeque::new(),
+            accepting: HashSet::new(),
+            ending: HashSet::new(),
+            items: HashMap::new(),
+            runs: BTreeMap::new(),
+            last_run: 0,
+            routes: None,
+            replicas: BTreeMap::new(),
+            loads: LoadPlan::default(),
+            began_at: now,
+            last_append_at: now,
+            may_load_from,
+            held_bytes: 0,
+            is_confirmed: true,
+            actions: VecDeque::new(),
+            due: DueWork::default(),
+        };
+        controller.restore_items();
+        controller
+    }
+
+    /// What is kept and may be shown.
+    pub const fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// The next thing to do.
+    pub fn poll_action(&mut self) -> Option<Action> {
+        if self.actions.is_empty() {
+            self.do_due_work();
+        }
+        self.actions.pop_front()
+    }
+
+    /// Says whether a majority of stores confirmed this owner lately. Without it nothing is started or ordered.
+    pub const fn set_confirmed(&mut self, is_confirmed: bool) {
+        self.is_confirmed = is_confirmed;
+    }
+
+    /// What the log amounts to, to stand for all records before; `None` while records are on their way.
+    ///
+    /// # Errors
+    /// When it is too long for the codec.
+    pub fn snapshot(&self) -> Result<Option<Vec<u8>>, speedy::Error> {
+        if self.appending.is_empty() { self.ledger.to_snapshot().map(Some) } else { Ok(None) }
+    }
+
+    /// How many items run and how many wait.
+    pub fn item_counts(&self) -> (usize, usize) {
+        let waiting = self.items.values().filter(|item| item.run.is_none() && !item.is_listing).count();
+        (self.runs.len(), waiting)
+    }
+
+    /// The shard's clock, in milliseconds: never ahead of the time since the first owner began.
+    fn clock_ms(&self, now: Timestamp) -> u64 {
+        let since = u64::try_from(now.saturating_since(self.began_at).as_millis()).unwrap_or(u64::MAX);
+        self.clock_base_ms.saturating_add(since)
+    }
+
+    fn restore_items(&mut self) {
+        for (batch, state) in self.ledger.jobs() {
+            self.held_bytes += job_bytes(&state.job);
+            for (item, position) in state.items.iter().zip(0..) {
+                if !state.is_open(position) {
+                    continue;
+                }
+                let live = LiveItem {
+                    events: item.events.clone(),
+                    written: item.events.len(),
+                    failures: item.failures,
+                    ..LiveItem::default()
+                };
+                self.items.insert((batch.clone(), position), live);
+            }
+        }
+    }
+
+    /// Takes the operator's configuration, the platform's list of replicas, and the versions that trainers named.
+    pub fn update(
+        &mut self,
+        now: Timestamp,
+        routes: Option<Arc<RouteTable>>,
+        replicas: &ReplicaTable,
+        versions: &BTreeMap<String, u64>,
+    ) {
+        if routes.is_some() {
+            self.routes = routes;
+        }
+        self.loads.name(versions, now);
+        for record in replicas.records.values() {
+            match self.replicas.get_mut(&record.id) {
+                Some(state) => state.record = record.clone(),
+                None => {
+                    self.replicas.insert(record.id.clone(), ReplicaState::new(record.clone()));
+                }
+            }
+        }
+        let gone: Vec<String> =
+            self.replicas.keys().filter(|id| !replicas.records.contains_key(*id)).cloned().collect();
+        for id in gone {
+            // Its runs go on: a replica that left the list may still serve what it has.
+            if let Some(state) = self.replicas.get_mut(&id) {
+                state.record.is_draining = true;
+            }
+            if !self.runs.values().any(|run| run.replica == id) {
+                self.replicas.remove(&id);
+            }
+        }
+        self.work_and_load(now);
+    }
+
+    /// Takes a job.
+    pub fn submit(&mut self, now: Timestamp, job: BatchJob) -> Submission {
+        if self.ledger.job(&job.id).is_some() {
+            return Submission::Kept;
+        }
+        if self.accepting.contains(&job.id) {
+            return Submission::Pending;
+        }
+        let bytes = job_bytes(&job);
+        if self.held_bytes + bytes > self.config.capacity_bytes {
+            let decision = Decision::new(Component::Rollout, "batch_refused", "no_room", &job.id);
+            self.decide(decision.with("held_bytes", self.held_bytes));
+            return Submission::Full;
+        }
+        self.held_bytes += bytes;
+        self.accepting.insert(job.id.clone());
+        let decision = Decision::new(Component::Rollout, "batch_taken", "has_room", &job.id);
+        let decision = decision.with("items", job.items.len()).with("min_version", job.min_version);
+        self.decide(
+            decision.with("step", job.step.map_or_else(|| "none".to_owned(), |step| step.to_string())),
+        );
+        let clock = Record::Clock(self.clock_ms(now));
+        self.append(now, vec![clock, Record::Accepted(job)]);
+        Submission::Pending
+    }
+
+    /// Ends a job: its runs are stopped at once, and the end is shown once it is kept. Returns whether it is kept
+    /// already; `None` where there is no such job.
+    pub fn end(&mut self, now: Timestamp, batch: &BatchId) -> Option<bool> {
+        let is_ended = match self.ledger.job(batch) {
+            Some(job) => job.is_ended,
+            None if self.accepting.contains(batch) => false,
+            None => return None,
+        };
+        if !is_ended && self.ending.insert(batch.clone()) {
+            self.append(now, vec![Record::Ended(batch.clone())]);
+            self.forget_items(batch);
+            self.decide(Decision::new(Component::Rollout, "batch_ended", "caller", batch));
+            self.work(now);
+        }
+        Some(is_ended)
+    }
+
+    /// The oldest append is decided: what it says is shown from now on.
+    pub fn appended(&mut self, now: Timestamp) {
+        let Some(records) = self.appending.pop_front() else { return };
+        for record in records {
+            if let Record::Accepted(job) = &record {
+                self.accepted(job);
+            }
+            self.ledger.apply(record);
+        }
+        self.work_and_load(now);
+    }
+
+    fn accepted(&mut self, job: &BatchJob) {
+        self.accepting.remove(&job.id);
+        if self.ending.contains(&job.id) {
+            return;
+        }
+        let mut demand: BTreeMap<&str, u64> = BTreeMap::new();
+        for (item, position) in job.items.iter().zip(0..) {
+            self.items.insert((job.id.clone(), position), LiveItem::default());
+            if let Some(model) = &item.model {
+                *demand.entry(model).or_default() += expected_tokens(item);
+            }
+        }
+        for (model, tokens) in demand {
+            self.loads.add_demand(model, tokens);
+        }
+    }
+
+    /// A load has ended, well or not; `versions` is what the replica reports, where it answered.
+    pub fn load_ended(&mut self, now: Timestamp, replica: &str, versions: Option<&BTreeMap<String, u64>>) {
+        if let Some(state) = self.replicas.get_mut(replica) {
+            state.loading = None;
+            for (model, version) in versions.into_iter().flatten() {
+                state.saw_version(model, *version);
+            }
+        }
+        self.work_and_load(now);
+    }
+
+    fn append(&mut self, now: Timestamp, records: Vec<Record>) {
+        self.last_append_at = now;
+        self.appending.push_back(records.clone());
+        self.actions.push_back(Action::Append(records));
+    }
+
+    fn decide(&mut self, decision: Decision) {
+        self.actions.push_back(Action::Decide(decision));
+    }
+
+    fn item(&self, batch: &BatchId, item: u32) -> Option<&BatchItem> {
+        self.ledger.job(batch)?.job.items.get(item as usize)
+    }
+
+    fn route(&self, batch: &BatchId) -> Option<&Route> {
+        let job = self.ledger.job(batch)?;
+        self.routes.as_ref()?.by_name(&job.job.route)
+    }
+
+    fn needs_single_version(&self, batch: &BatchId) -> bool {
+        self.route(batch).is_some_and(|route| route.needs_single_version)
+    }
+}
+
+/// Tokens that an item will need: its estimate, or a part of the most that it may.
+fn expected_tokens(item: &BatchItem) -> u64 {
+    item.expected_tokens.unwrap_or(item.tokens / 3).min(item.tokens.max(1))
+}
+
+fn job_bytes(job: &BatchJob) -> usize {
+    let item_bytes = |item: &BatchItem| {
+        let headers: usize = item.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        item.body.len() + item.path.len() + headers + item.id.len()
+    };
+    job.items.iter().map(item_bytes).sum()
+}
--- /dev/null
+++ b/crates/core/src/batch/controller/retention.rs
@@ -0,0 +1,68 @@
+//! What is due by the clock: stalled runs, items and jobs that are too old, the heartbeat of the log.
+
+use std::time::Duration;
+
+use super::{Controller, RunId, job_bytes};
+use crate::batch::ledger::JobState;
+use crate::batch::record::Record;
+use crate::identity::BatchId;
+use crate::time::Timestamp;
+
+impl Controller {
+    /// Does what is due by now. To be called at least every [`ControllerConfig::heartbeat_interval`].
+    pub fn tick(&mut self, now: Timestamp) {
+        self.stop_stalled(now);
+        self.move_slow(now);
+        self.give_up_old(now);
+        self.drop_old(now);
+        if self.appending.is_empty()
+            && now.saturating_since(self.last_append_at) >= self.config.heartbeat_interval
+        {
+            let clock = Record::Clock(self.clock_ms(now));
+            self.append(now, vec![clock]);
+        }
+        self.work_and_load(now);
+    }
+
+    fn give_up_old(&mut self, now: Timestamp) {
+        let clock_ms = self.clock_ms(now);
+        let mut old = Vec::new();
+        for (batch, item) in self.items.keys() {
+            let Some(job) = self.ledger.job(batch) else { continue };
+            let Some(route) = self.route(batch) else { continue };
+            let age = Duration::from_millis(clock_ms.saturating_sub(job.accepted_at_ms));
+            if age > route.max_queue + Duration::from_millis(500) && job.is_open(*item) {
+                old.push((batch.clone(), *item));
+            }
+        }
+        for (batch, item) in old {
+            self.give_up(now, &batch, item, "too_old");
+        }
+    }
+
+    fn drop_old(&mut self, now: Timestamp) {
+        let clock_ms = self.clock_ms(now);
+        let retention_ms = u64::try_from(self.config.retention.as_millis()).unwrap_or(u64::MAX);
+        let is_done = |job: &JobState| job.is_ended || job.results.len() == job.job.items.len();
+        let old = self
+            .ledger
+            .jobs()
+            .values()
+            .filter(|job| is_done(job) && clock_ms.saturating_sub(job.accepted_at_ms) > retention_ms);
+        let old: Vec<BatchId> = old.map(|job| job.job.id.clone()).collect();
+        for batch in old {
+            if let Some(job) = self.ledger.job(&batch) {
+                self.held_bytes = self.held_bytes.saturating_sub(job_bytes(&job.job));
+            }
+            self.forget_items(&batch);
+            self.append(now, vec![Record::Dropped(batch)]);
+        }
+    }
+
+    pub(super) fn forget_items(&mut self, batch: &BatchId) {
+        let runs: Vec<RunId> =
+            self.runs.iter().filter(|(_, run)| &run.batch == batch).map(|(id, _)| *id).collect();
+        runs.into_iter().for_each(|run| self.stop(run));
+        self.items.retain(|(owner, _), _| owner != batch);
+    }
+}
