Count latencies of requests, streams, item runs, appends and orders, and the batch jobs' items

Cause: on-call engineers ask for latency histograms beside the counters of decisions. Change: one histogram family by what it is of and its outcome, gauges of items and dropped log lines, all on the operators' /metrics.

--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -20,6 +20,7 @@
 use super::owner::CONFIRMED_FOR;
 use crate::context::Context;
 use crate::http::client::{self, HttpClient};
+use crate::metrics::Latency;
 
 /// A call of a replica unanswered for so long is given up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -78,11 +79,15 @@
             usual_ms: Arc::clone(&self.usual_ms),
         };
         let ends = self.ends.clone();
+        let metrics = self.context.metrics.clone();
         tokio::spawn(async move {
+            let began = Instant::now();
             let versions = match &record {
                 Some(record) => order.run(record).await,
                 None => None,
             };
+            let outcome = if versions.is_some() { "done" } else { "not_taken" };
+            metrics.observe(Latency::Order, outcome, began.elapsed());
             if versions.is_none() {
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -23,6 +23,7 @@
 use super::{Command, run};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
+use crate::metrics::Latency;
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// What was read under a confirmation may be shown for so long: any later owner began after it.
@@ -148,6 +149,8 @@
     fn tick(&mut self) {
         self.controller.set_confirmed(self.is_confirmed());
         self.controller.tick(self.now());
+        let (running, waiting) = self.controller.item_counts();
+        self.context.metrics.set_batch_items(running, waiting);
         self.answer_readers();
     }
 
@@ -170,6 +173,7 @@
     fn handle_written(&mut self, written: Written) {
         match written {
             Written::Appended { appends, began, is_long } => {
+                self.context.metrics.observe(Latency::Append, "decided", began.elapsed());
                 self.confirmed_at = self.confirmed_at.max(began);
                 self.controller.set_confirmed(self.is_confirmed());
                 let now = self.now();
@@ -314,6 +318,7 @@
     }
 
     fn finish(mut self) {
+        self.context.metrics.set_batch_items(0, 0);
         if let Some(error) = &self.failure {
             ::log::warn!(target: "batch", "The batch jobs are given up: {error}.");
         }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -11,10 +11,12 @@
 use lichenpulley_core::batch::job::KeptEvent;
 use lichenpulley_platform::headers;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::ingress::pool::{Exchange, ReplicaPool};
 use crate::ingress::sse::EventSplitter;
+use crate::metrics::Latency;
 
 /// A connection to a replica that is not made by then is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,6 +30,7 @@
     events: mpsc::Sender<(RunId, RunEvent)>,
 ) {
     let run = start.run;
+    let began = Instant::now();
     let end = match send(&pool, &start).await {
         Some(exchange) => read(&pool, &start, exchange, &events).await,
         None => RunEnd::Broken,
@@ -35,6 +38,7 @@
     if end == RunEnd::Broken {
         ::log::debug!(target: "batch", "{}: the run of {} at {} broke off.", context.node, start.item.id, start.replica.id);
     }
+    context.metrics.observe(Latency::ItemRun, end.as_str(), began.elapsed());
     // An error only says that the owner has ended.
     let _ = events.send((run, RunEvent::Ended(end))).await;
 }
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -17,6 +17,7 @@
 use super::refusal::Refusal;
 use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
 use crate::http::{Body, response};
+use crate::metrics::Latency;
 
 /// How long a request without a deadline or a time-out is held.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -35,6 +36,8 @@
     /// When the caller or the route gives it up.
     pub(super) limit: Instant,
     pub(super) service: String,
+    /// When it was read whole.
+    began: Instant,
     /// The version of the configuration by which it was routed.
     configuration: u64,
 }
@@ -57,7 +60,8 @@
         let Some(service) = route.service_at(rand::random()).map(str::to_owned) else {
             return Err(refuse(Refusal::NoReplica));
         };
-        Ok(Self { parts, body, request_id, limit, service, configuration: table.version })
+        let (began, configuration) = (Instant::now(), table.version);
+        Ok(Self { parts, body, request_id, limit, service, began, configuration })
     }
 
     pub(super) fn remaining(&self) -> Duration {
@@ -89,6 +93,8 @@
             .with("remaining_ms", self.remaining().as_millis())
             .with("configuration", self.configuration);
         ingress.context.decisions.record(decision);
+        let latency = if action == "stream_begun" { Latency::StreamBegin } else { Latency::Request };
+        ingress.context.metrics.observe(latency, action, self.began.elapsed());
     }
 
     pub(super) fn refuse(&self, ingress: &Ingress, refusal: Refusal) -> Response<Body> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,10 +1,16 @@
 //! Counters in the Prometheus text form.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use lichenpulley_core::decision::Decision;
 use lichenpulley_protocol::transport::{Direction, FrameMeter};
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+use crate::logging;
 
 /// A node's metrics. Cheap to clone.
 #[derive(Clone)]
@@ -14,8 +20,41 @@
     closed_connections: IntCounterVec,
     peer_frames: IntCounterVec,
     peer_bytes: IntCounterVec,
+    latencies: HistogramVec,
+    batch_items: IntGaugeVec,
+    dropped_lines: IntGauge,
+}
+
+/// What a latency is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Latency {
+    /// A plain request, from the time it was read whole to its answer.
+    Request,
+    /// A stream, to the head of its answer.
+    StreamBegin,
+    /// A run of an item of a batch job.
+    ItemRun,
+    /// An append to the log of the batch jobs.
+    Append,
+    /// An order to a replica, until it reports what was ordered.
+    Order,
+}
+
+impl Latency {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::StreamBegin => "stream_begin",
+            Self::ItemRun => "item_run",
+            Self::Append => "append",
+            Self::Order => "order",
+        }
+    }
 }
 
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
 impl Metrics {
     /// An empty set, for one node.
     ///
@@ -48,7 +87,19 @@
             "Bytes of these frames, without TCP and IP headers, by direction",
             &["direction"],
         );
-        Self { registry, decisions, closed_connections, peer_frames, peer_bytes }
+        let latencies = latencies(&registry);
+        let batch_items = batch_items(&registry);
+        let dropped_lines = dropped_lines(&registry);
+        Self {
+            registry,
+            decisions,
+            closed_connections,
+            peer_frames,
+            peer_bytes,
+            latencies,
+            batch_items,
+            dropped_lines,
+        }
     }
 
     /// The registry, for parts that add their own metrics.
@@ -62,6 +113,21 @@
         self.decisions.with_label_values(&labels).inc();
     }
 
+    /// Takes a latency into its histogram; `outcome` has few distinct values.
+    pub fn observe(&self, latency: Latency, outcome: &str, took: Duration) {
+        self.latencies.with_label_values(&[latency.as_str(), outcome]).observe(took.as_secs_f64());
+    }
+
+    /// How many items of batch jobs run and wait at this node's owner.
+    pub fn set_batch_items(&self, running: usize, waiting: usize) {
+        let set = |state: &str, count: usize| {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.batch_items.with_label_values(&[state]).set(count);
+        };
+        set("running", running);
+        set("waiting", waiting);
+    }
+
     /// Counts a peer's connection that was closed for what arrived on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.closed_connections.with_label_values(&[reason]).inc();
@@ -82,6 +148,7 @@
     /// # Errors
     /// When a metric can't be encoded.
     pub fn encode(&self) -> Result<String, prometheus::Error> {
+        self.dropped_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
@@ -123,6 +190,29 @@
     }
 }
 
+fn latencies(registry: &Registry) -> HistogramVec {
+    let options =
+        HistogramOpts::new("lichenpulley_latency_seconds", "Latencies by what they are of and their outcome");
+    let options = options.buckets(LATENCY_BOUNDS.to_vec());
+    let latencies = HistogramVec::new(options, &["of", "outcome"]).expect("a valid name");
+    registry.register(Box::new(latencies.clone())).expect("registered once");
+    latencies
+}
+
+fn batch_items(registry: &Registry) -> IntGaugeVec {
+    let options = Opts::new("lichenpulley_batch_items", "Items of batch jobs at their owner, by state");
+    let items = IntGaugeVec::new(options, &["state"]).expect("a valid name");
+    registry.register(Box::new(items.clone())).expect("registered once");
+    items
+}
+
+fn dropped_lines(registry: &Registry) -> IntGauge {
+    let lines = IntGauge::new("lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
+    let lines = lines.expect("a valid name");
+    registry.register(Box::new(lines.clone())).expect("registered once");
+    lines
+}
+
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
     registry.register(Box::new(counters.clone())).expect("registered once");
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -354,6 +354,30 @@
     assert_eq!((body.status, body.body.as_ref()), (StatusCode::OK, b"body".as_slice()));
 }
 
+#[tokio::test]
+async fn latencies_and_decisions_are_counted_where_operators_look() {
+    let system = System::start(2, 5).await;
+    system.submit(0, "job", 4, 1).await;
+    system.results(0, "job").await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let metrics_of = async |gateway: usize| {
+        let operators = system.gateways[gateway].as_ref().expect("a gateway").addresses().operators;
+        let text = system.http.get_bytes(operators, "/metrics", PATIENCE).await.expect("metrics");
+        String::from_utf8(text.to_vec()).expect("text")
+    };
+    let gateway = metrics_of(0).await;
+    assert!(
+        gateway.contains(r#"lichenpulley_latency_seconds_count{of="request",outcome="answered"}"#),
+        "{gateway}"
+    );
+    let owner = metrics_of(system.owner()).await;
+    assert!(
+        owner.contains(r#"lichenpulley_latency_seconds_count{of="item_run",outcome="complete"} 4"#),
+        "{owner}"
+    );
+    assert!(owner.contains(r#"lichenpulley_batch_items{state="running"}"#), "{owner}");
+}
+
 #[tokio::test]
 async fn a_job_goes_on_when_its_owner_is_killed_and_nothing_read_before_changes() {
     let mut system = System::start(2, 60).await;
