--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -70,7 +70,7 @@
 /// What the driver is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Append to the shard's log; call [`Controller::appended`] once it is decided, in the same order.
+    /// Append to the shard's log; call [`super::Controller::appended`] once it is decided, in the same order.
     Append(Vec<Record>),
     /// Begin a run.
     Start(Box<RunStart>),
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -9,7 +9,7 @@
 use crate::time::Timestamp;
 
 impl Controller {
-    /// Does what is due by now. To be called at least every [`ControllerConfig::heartbeat_interval`].
+    /// Does what is due by now. To be called at least every [`super::ControllerConfig::heartbeat_interval`].
     pub fn tick(&mut self, now: Timestamp) {
         self.stop_stalled(now);
         self.move_slow(now);
