Join the twin calls of the HTTP client and the twin ends of a change of stores

Cause: post_json and put_json differed in the method alone, request_json and call_json in the name, and complete repeated install_majority (duplicates on the change). Change: one private call with the method; complete calls install_majority. Behaviour stays.

--- a/crates/daemon/src/http/client/mod.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -69,7 +69,7 @@
         deadline: Duration,
     ) -> Result<Answer, ClientError> {
         let request = build(Method::GET, address, path, Bytes::new())?;
-        self.call_json(address, request, deadline).await
+        self.request_json(address, request, deadline).await
     }
 
     /// Posts JSON and reads JSON.
@@ -83,8 +83,7 @@
         question: &Question,
         deadline: Duration,
     ) -> Result<Answer, ClientError> {
-        let request = build(Method::POST, address, path, encode(question)?)?;
-        self.call_json(address, request, deadline).await
+        self.send_json(Method::POST, address, path, question, deadline).await
     }
 
     /// Puts JSON and reads JSON.
@@ -98,8 +97,19 @@
         question: &Question,
         deadline: Duration,
     ) -> Result<Answer, ClientError> {
-        let request = build(Method::PUT, address, path, encode(question)?)?;
-        self.call_json(address, request, deadline).await
+        self.send_json(Method::PUT, address, path, question, deadline).await
+    }
+
+    async fn send_json<Question: Serialize, Answer: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        question: &Question,
+        deadline: Duration,
+    ) -> Result<Answer, ClientError> {
+        let request = build(method, address, path, encode(question)?)?;
+        self.request_json(address, request, deadline).await
     }
 
     /// Deletes; the answer's body is dropped.
@@ -185,15 +195,6 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Duration,
-    ) -> Result<Answer, ClientError> {
-        self.call_json(address, request, deadline).await
-    }
-
-    async fn call_json<Answer: DeserializeOwned>(
-        &self,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        deadline: Duration,
     ) -> Result<Answer, ClientError> {
         let limit = Instant::now() + deadline;
         let response = self.send(address, request, limit).await?;
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -49,11 +49,7 @@
     old: &ReplicaSet,
     next: &ReplicaSet,
 ) -> Result<(), ReconfigurationError> {
-    let installed = run(context, old, next, Extent::Majority).await?;
-    context.replica_sets.put(&installed);
-    let decision = Decision::new(Component::Replication, "replaced_set", "installed", &old.shard);
-    let decision = decision.with("from", old.generation).with("to", installed.generation);
-    context.decisions.record(decision);
+    let installed = install_majority(context, old, next).await?;
     let context = context.clone();
     tokio::spawn(async move {
         catch_up(&context, &installed).await;
@@ -64,7 +60,7 @@
     Ok(())
 }
 
-/// Finishes a change of replica set up to a majority of the next set. The others begin when the shard's owner first
+/// Finishes a change of replica set up to a majority of the next set, and gives the set in force. The others begin when the shard's owner first
 /// appends to them, and are repaired by their own nodes.
 ///
 /// # Errors
@@ -73,13 +69,13 @@
     context: &Context,
     old: &ReplicaSet,
     next: &ReplicaSet,
-) -> Result<(), ReconfigurationError> {
+) -> Result<ReplicaSet, ReconfigurationError> {
     let installed = run(context, old, next, Extent::Majority).await?;
     context.replica_sets.put(&installed);
     let decision = Decision::new(Component::Replication, "replaced_set", "installed", &old.shard);
     let decision = decision.with("from", old.generation).with("to", installed.generation);
     context.decisions.record(decision);
-    Ok(())
+    Ok(installed)
 }
 
 /// Replaces a member of a shard's replica set by another store, chosen among the live ones. `reason` is shown with
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -152,7 +152,7 @@
         let change = reconfiguration::install_majority(&self.context, self.proposer.set(), next);
         let deadline = Instant::now() + self.context.settings.store.call_timeout * CHANGE_PATIENCE;
         let changed = tokio::time::timeout_at(deadline, change).await;
-        if let Ok(Ok(())) = changed {
+        if let Ok(Ok(_)) = changed {
             return Ok(());
         }
         log::warn!(target: "store", "Shard {}: generation {} is not in force yet.", self.shard, next.generation);
@@ -212,7 +212,7 @@
     async fn follow_replacement(&mut self, deadline: Instant) -> Option<()> {
         let next = self.replaced_by.take()?;
         let change = reconfiguration::install_majority(&self.context, self.proposer.set(), &next);
-        tokio::time::timeout_at(deadline, change).await.ok()?.ok()
+        tokio::time::timeout_at(deadline, change).await.ok()?.ok().map(drop)
     }
 
     async fn decide(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
