Read a too long body to its end before the refusal, so that the answer arrives

Not load: the order of two ends of one connection, which load only made likely. Ruled out: the client (a raw caller that sends all first loses the answer too). Change: the rest of the body is read and dropped, at most 16 MB, before the answer. Test: a_caller_that_sends_a_too_long_body_to_its_end_gets_the_answer.

--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
@@ -108,15 +108,40 @@
     path.parse().unwrap_or_default()
 }
 
-pub(super) async fn read_body(body: Incoming, limit_bytes: usize, limit: Instant) -> Result<Bytes, Refusal> {
-    match tokio::time::timeout_at(limit, Limited::new(body, limit_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
-        Ok(Err(_)) => Err(Refusal::BadBody),
-        Err(_) => Err(Refusal::BodyTooSlow),
+/// Reads a body whole. Of one that is too long the rest is read and dropped, within bounds: a connection that is closed
+/// with unread bytes is reset, and the caller would lose the answer that says why.
+pub(super) async fn read_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    limit: Instant,
+) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    let mut dropped_bytes = 0;
+    loop {
+        let frame = match tokio::time::timeout_at(limit, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return Err(Refusal::BadBody),
+            Ok(None) if dropped_bytes > 0 => return Err(Refusal::BodyTooLong),
+            Ok(None) => return Ok(whole.freeze()),
+            Err(_) if dropped_bytes > 0 => return Err(Refusal::BodyTooLong),
+            Err(_) => return Err(Refusal::BodyTooSlow),
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        if dropped_bytes > 0 || whole.len() + bytes.len() > limit_bytes {
+            dropped_bytes += bytes.len();
+            whole = BytesMut::new();
+        } else {
+            whole.extend_from_slice(&bytes);
+        }
+        if dropped_bytes > DROPPED_BYTES {
+            return Err(Refusal::BodyTooLong);
+        }
     }
 }
 
+/// So much of a body that is too long is read before the answer.
+const DROPPED_BYTES: usize = 16 << 20;
+
 /// An answer of a replica, read whole.
 struct WholeAnswer {
     status: StatusCode,
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -477,3 +477,23 @@
     }
     assert_eq!(system.results(1, "first").await, first);
 }
+
+/// A caller that sends all of its body before it reads anything must still learn why it is refused: a connection that is
+/// closed with unread bytes is reset, and the answer lost with it.
+#[tokio::test]
+async fn a_caller_that_sends_a_too_long_body_to_its_end_gets_the_answer() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let mut stream = tokio::net::TcpStream::connect(system.gateway(0)).await.expect("a connection");
+    let body = vec![b'x'; 8 << 20];
+    let head =
+        format!("POST /read/x HTTP/1.1\r\nhost: shop.example\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.expect("the head is taken");
+    stream.write_all(&body).await.expect("the whole body is taken");
+    let mut answer = vec![0; 64];
+    let length = stream.read(&mut answer).await.expect("an answer");
+    let answer = String::from_utf8_lossy(&answer[..length]);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
