--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -67,6 +67,29 @@
     behaviour: Behaviour,
     seen: Vec<SeenRequest>,
     orders: Vec<LoadOrder>,
+    /// Streams whose reader left before their end.
+    abandoned: u64,
+}
+
+/// Counts a stream that is dropped before its end.
+struct StreamGuard {
+    state: Arc<Mutex<State>>,
+    is_whole: bool,
+}
+
+impl StreamGuard {
+    /// The stream has ended by itself.
+    fn finish(mut self) {
+        self.is_whole = true;
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        if !self.is_whole {
+            lock(&self.state).abandoned += 1;
+        }
+    }
 }
 
 /// A running stand-in.
@@ -82,7 +105,8 @@
 /// # Errors
 /// When no port can be had.
 pub async fn start(plan: Plan) -> Result<Replica, LabError> {
-    let state = State { plan, behaviour: Behaviour::Well, seen: Vec::new(), orders: Vec::new() };
+    let state =
+        State { plan, behaviour: Behaviour::Well, seen: Vec::new(), orders: Vec::new(), abandoned: 0 };
     let state = Arc::new(Mutex::new(state));
     let answering = Arc::clone(&state);
     let handler = move |request| answer(Arc::clone(&answering), request);
@@ -105,6 +129,11 @@
         lock(&self.state).seen.clone()
     }
 
+    /// How many streams it stopped because their reader had left.
+    pub fn abandoned_streams(&self) -> u64 {
+        lock(&self.state).abandoned
+    }
+
     /// Orders that it took, in order.
     pub fn orders(&self) -> Vec<LoadOrder> {
         lock(&self.state).orders.clone()
@@ -164,7 +193,7 @@
     http::empty(StatusCode::ACCEPTED)
 }
 
-async fn run(state: &Mutex<State>, request: Request<Incoming>) -> Reply {
+async fn run(state: &Arc<Mutex<State>>, request: Request<Incoming>) -> Reply {
     let seen = match read(request).await {
         Ok(seen) => seen,
         Err(refusal) => return refusal.into(),
@@ -185,7 +214,10 @@
         Behaviour::LosesAnswers => Reply::Hang,
         Behaviour::Fails => signed(StatusCode::INTERNAL_SERVER_ERROR, &seen.id, &[]).into(),
         Behaviour::AnswersForAnother => signed(StatusCode::OK, "another", &[]).into(),
-        _ if seen.line.contains("/stream/") => events(&plan, behaviour, &seen).into(),
+        _ if seen.line.contains("/stream/") => {
+            let guard = StreamGuard { state: Arc::clone(state), is_whole: false };
+            events(&plan, behaviour, &seen, guard).into()
+        }
         _ => {
             let mut answer = signed(StatusCode::OK, &seen.id, &[]);
             *answer.body_mut() = http_body_util::Full::new(seen.body).map_err(|never| match never {}).boxed();
@@ -220,7 +252,7 @@
 }
 
 /// A stream of numbered events after the one that the reader has.
-fn events(plan: &Plan, behaviour: Behaviour, seen: &SeenRequest) -> Response<Body> {
+fn events(plan: &Plan, behaviour: Behaviour, seen: &SeenRequest, guard: StreamGuard) -> Response<Body> {
     let last = seen.headers.get(headers::LAST_EVENT_ID).and_then(|number| number.parse::<u64>().ok());
     let first = last.map_or(0, |number| number + 1);
     let broken_at = match behaviour {
@@ -228,17 +260,19 @@
         _ => u64::MAX,
     };
     let (pause, end) = (plan.pause, plan.events);
-    let frames = stream::unfold(first, move |number| async move {
+    let frames = stream::unfold((first, guard), move |(number, mut guard)| async move {
         if number >= broken_at && number < end {
             let broken = std::io::Error::new(std::io::ErrorKind::ConnectionReset, "broken off on purpose");
-            return Some((Err(broken), u64::MAX));
+            guard.is_whole = true;
+            return Some((Err(broken), (u64::MAX, guard)));
         }
         if number >= end {
+            guard.finish();
             return None;
         }
         tokio::time::sleep(pause).await;
         let event = format!("id: {number}\ndata: piece {number}\n\n");
-        Some((Ok(Frame::data(Bytes::from(event))), number + 1))
+        Some((Ok(Frame::data(Bytes::from(event))), (number + 1, guard)))
     });
     let mut answer = signed(StatusCode::OK, &seen.id, &[]);
     let fields = answer.headers_mut();
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -497,3 +497,52 @@
     let answer = String::from_utf8_lossy(&answer[..length]);
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
 }
+
+#[tokio::test]
+async fn a_machine_is_told_empty_once_another_store_holds_the_log_in_its_place() {
+    let mut system = System::start(2, 3).await;
+    system.submit(0, "job", 4, 1).await;
+    let results = system.results(0, "job").await;
+    system.platform.put(objects::RETIREMENTS, "store-0", json!({"duration_s": 10}));
+    let is_complete = |system: &System| {
+        let object = system.platform.get(objects::RETIREMENTS, "store-0").expect("the retirement");
+        objects::is_retirement_complete(&object.status)
+    };
+    assert!(!is_complete(&system), "nobody can take its place yet");
+    system.folders.push(TempDir::new().expect("a folder"));
+    system.start_store(STORES).await;
+    let told = async {
+        while !is_complete(&system) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, told).await.expect("the machine is told empty");
+    let emptied = system.stores[0].take().expect("the emptied store");
+    emptied.kill();
+    emptied.stopped().await;
+    system.submit(1, "after", 2, 1).await;
+    assert_eq!(system.results(1, "job").await, results);
+    assert_eq!(system.results(0, "after").await.len(), 2);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_is_followed_to_the_replica() {
+    let system = System::start(1, 100_000).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let request = system.request(0, Method::POST, "/stream/x", &[("attempt-id", "s-1")], Bytes::from("x"));
+    let response = system.http.send(system.gateway(0), request, Instant::now() + PATIENCE).await;
+    let mut body = response.expect("an answer").into_body();
+    body.frame().await.expect("an event").expect("a whole event");
+    drop(body);
+    let stopped = async {
+        while system.replicas[0].abandoned_streams() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, stopped).await.expect("the replica stops");
+    assert_eq!(
+        system.replicas[0].seen().iter().filter(|seen| seen.id == "s-1").count(),
+        1,
+        "it is not sent again"
+    );
+}
