Give back the room of a dropped job's texts, and remove two unused functions

Cause: found by reading the whole change. The owner counts the text of each result as held, and gave back only the items' bytes when a job was dropped; after 96 MB of texts in one owner's life every further job would be refused as full (429). Ruled out: the items' bytes (counted and given back alike). Change: one function counts a job's bytes, for taking over and for dropping. Attempts::may_have_run and Route::allows had no caller and are gone. Test first: a_dropped_job_gives_all_its_room_back_also_that_of_its_texts failed (Full) and passes. Result: core's tests of batch jobs and ingress pass.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use super::job::{BatchItem, BatchJob, KeptEvent};
-use super::ledger::Ledger;
+use super::ledger::{JobState, Ledger};
 use super::record::Record;
 use super::schedule::ReplicaState;
 use super::weights::LoadPlan;
@@ -154,7 +154,7 @@
 
     fn restore_items(&mut self) {
         for (batch, state) in self.ledger.jobs() {
-            self.held_bytes += job_bytes(&state.job);
+            self.held_bytes += held_bytes(state);
             for (item, position) in state.items.iter().zip(0..) {
                 if !state.is_open(position) {
                     continue;
@@ -316,6 +316,12 @@
     item.expected_tokens.unwrap_or(item.tokens / 3).min(item.tokens.max(1))
 }
 
+/// Bytes that a job counts for: its items, and the texts of its results.
+fn held_bytes(state: &JobState) -> usize {
+    let texts: usize = state.results.iter().map(|result| result.text.len()).sum();
+    job_bytes(&state.job) + texts
+}
+
 fn job_bytes(job: &BatchJob) -> usize {
     let item_bytes = |item: &BatchItem| {
         let headers: usize = item.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Controller, RunId, job_bytes};
+use super::{Controller, RunId, held_bytes};
 use crate::batch::ledger::JobState;
 use crate::batch::record::Record;
 use crate::identity::BatchId;
@@ -52,7 +52,7 @@
         let old: Vec<BatchId> = old.map(|job| job.job.id.clone()).collect();
         for batch in old {
             if let Some(job) = self.ledger.job(&batch) {
-                self.held_bytes = self.held_bytes.saturating_sub(job_bytes(&job.job));
+                self.held_bytes = self.held_bytes.saturating_sub(held_bytes(job));
             }
             self.forget_items(&batch);
             self.append(now, vec![Record::Dropped(batch)]);
--- a/crates/core/src/ingress/attempts.rs
+++ b/crates/core/src/ingress/attempts.rs
@@ -67,11 +67,6 @@
         Self { is_repeatable, max_sends, sends: 0, unsent: 0, may_have_run: false }
     }
 
-    /// Whether a replica may have begun to run the request.
-    pub const fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
     /// Whether the next send is the last that is allowed.
     pub const fn is_last(&self) -> bool {
         self.sends + 1 >= self.max_sends
--- a/crates/core/src/ingress/routes.rs
+++ b/crates/core/src/ingress/routes.rs
@@ -68,11 +68,6 @@
         None
     }
 
-    /// Whether requests of this route may be sent to a service.
-    pub fn allows(&self, service: &str) -> bool {
-        self.services.iter().any(|part| part.service == service)
-    }
-
     /// Whether a request that may have run can be sent again.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/crates/core/tests/batch_controller.rs
+++ b/crates/core/tests/batch_controller.rs
@@ -98,7 +98,16 @@
 
 impl Bench {
     fn new(ledger: Ledger, needs_single_version: bool, replicas: &[ReplicaRecord]) -> Self {
-        let mut controller = Controller::new(ControllerConfig::default(), ledger, at(0), at(0));
+        Self::with_config(ControllerConfig::default(), ledger, needs_single_version, replicas)
+    }
+
+    fn with_config(
+        config: ControllerConfig,
+        ledger: Ledger,
+        needs_single_version: bool,
+        replicas: &[ReplicaRecord],
+    ) -> Self {
+        let mut controller = Controller::new(config, ledger, at(0), at(0));
         controller.update(at(0), Some(routes(needs_single_version)), &table(replicas), &BTreeMap::new());
         let mut bench = Self {
             controller,
@@ -387,3 +396,23 @@
     let snapshot = ledger.to_snapshot().expect("a snapshot");
     assert_eq!(Ledger::recover(Some(&snapshot), &[]).expect("a ledger"), ledger);
 }
+
+#[test]
+fn a_dropped_job_gives_all_its_room_back_also_that_of_its_texts() {
+    let config = ControllerConfig { capacity_bytes: 600, ..ControllerConfig::default() };
+    let mut bench = Bench::with_config(config, Ledger::default(), false, &[replica("a", 1)]);
+    for round in 0..20 {
+        let began = round * 200_000;
+        let id = format!("j{round}");
+        bench.submit(at(began + 1), job(&id, 1, 0));
+        let run = bench.started.last().expect("a run").run;
+        for number in 0..50 {
+            bench.event(at(began + 2), run, number, 1);
+        }
+        bench.end(at(began + 3), run, RunEnd::Complete);
+        bench.decide(at(began + 4));
+        bench.controller.tick(at(began + 150_000));
+        bench.decide(at(began + 150_000));
+        assert!(bench.controller.ledger().jobs().is_empty(), "it is past its retention");
+    }
+}
