--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -7,7 +7,6 @@
 use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
-use lichenpulley_core::replication::quorum::majority;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -23,8 +22,6 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// A store that has not answered by then counts as missing.
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Store replicas of the shard.
-const STORES: usize = lichenpulley_core::replication::placement::REPLICAS;
 /// How long a successor may take to answer that it was told.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -150,8 +147,8 @@
             return Some(Duration::ZERO);
         }
         let takeover_after = self.context.settings.batch.takeover_after;
-        let verdict =
-            election::judge(&self.context.node, rank, &say.answers, majority(STORES), takeover_after);
+        let needed = self.context.settings.store.set_size.majority();
+        let verdict = election::judge(&self.context.node, rank, &say.answers, needed, takeover_after);
         match verdict {
             Verdict::Wait(_) => None,
             Verdict::TakeOver(None) => Some(self.context.settings.batch.order_lease),
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::replication::claims::ClaimWindow;
+use lichenpulley_core::replication::placement::SetSize;
 
 use super::reader::{Bounds, SettingsReader};
 
@@ -158,11 +159,14 @@
     pub claim_window: ClaimWindow,
     /// A member of a replica set that has not been seen for so long is replaced.
     pub replace_after: Duration,
+    /// Size of the replica sets that this node chooses, by the disks that may be lost at once.
+    pub set_size: SetSize,
 }
 
 impl StoreSettings {
     pub(super) fn read(reader: &mut SettingsReader) -> Self {
         let capacity = Bounds { default: 1 << 30, accepted: (1 << 20)..=(1 << 44) };
+        let losses = Bounds { default: 1, accepted: 0..=4 };
         Self {
             capacity_bytes: reader.number("store.capacity_bytes", &capacity),
             call_timeout: reader.milliseconds("store.call_timeout_ms", 1_000, 20..=60_000),
@@ -171,6 +175,7 @@
                 maximum_clock_skew: reader.milliseconds("store.maximum_clock_skew_ms", 30_000, 0..=600_000),
             },
             replace_after: reader.milliseconds("store.replace_after_ms", 600_000, 1_000..=86_400_000),
+            set_size: SetSize::tolerating(to_usize(reader.number("store.tolerated_losses", &losses))),
         }
     }
 }
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{Revision, ShardId};
-use lichenpulley_core::replication::placement::{REPLICAS, first_set};
+use lichenpulley_core::replication::placement::first_set;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 
@@ -124,10 +124,15 @@
         source: serde_json::Error,
     },
     /// There are fewer stores than a shard needs.
-    #[error("{live} stores answer and {REPLICAS} are needed; start more nodes with the store role")]
+    #[error(
+        "{live} stores answer and {needed} are needed; start more nodes with the store role, or lower \
+         store.tolerated_losses"
+    )]
     TooFewStores {
         /// How many answer.
         live: usize,
+        /// Members of a set, by the settings.
+        needed: usize,
     },
 }
 
@@ -229,14 +234,15 @@
         return Ok(stored.document.current);
     }
     let candidates = candidates(context).await;
-    let set = first_set(shard, &candidates);
-    let set = set.ok_or(ReplicaSetError::TooFewStores { live: candidates.len() })?;
+    let size = context.settings.store.set_size;
+    let too_few = || ReplicaSetError::TooFewStores { live: candidates.len(), needed: size.members() };
+    let set = first_set(shard, &candidates, size).ok_or_else(too_few)?;
     let written = write(&client, shard, None, &ReplicaSetDocument::settled(set.clone())).await;
     // Whoever was first, or whatever became of a lost reply: what the object API holds now is the set.
     let stored = read(&client, shard).await?;
     let Some(stored) = stored else {
         written?;
-        return Err(ReplicaSetError::TooFewStores { live: candidates.len() });
+        return Err(too_few());
     };
     let set = stored.document.current;
     let decision = Decision::new(Component::Replication, "placed", "first_replica_set", shard);
--- a/crates/lab/src/simulate_replication/world.rs
+++ b/crates/lab/src/simulate_replication/world.rs
@@ -4,7 +4,7 @@
 
 use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
 use lichenpulley_core::replication::group::GroupPhase;
-use lichenpulley_core::replication::placement::first_set;
+use lichenpulley_core::replication::placement::{SetSize, first_set};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_simulation::{
@@ -115,8 +115,10 @@
     pub(super) fn new(seed: u64, mechanisms: Mechanisms) -> Self {
         let (log_shard, claim_shard) = (ShardId::new("job/pricing"), ShardId::new("claims/0"));
         let stores: Vec<SetMember> = (0..STORES).map(|number| member(number, 0)).collect();
-        let sets: Vec<ReplicaSet> =
-            [&log_shard, &claim_shard].into_iter().filter_map(|shard| first_set(shard, &stores)).collect();
+        let sets: Vec<ReplicaSet> = [&log_shard, &claim_shard]
+            .into_iter()
+            .filter_map(|shard| first_set(shard, &stores, SetSize::default()))
+            .collect();
         let mut simulation = Simulation::new(seed, LinkQuality::POOR);
         simulation.add(Member::Platform(Platform::new(&sets)));
         let config = mechanisms.store_config();
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
+use lichenpulley_core::replication::placement::SetSize;
 use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::http::client::{HttpClient, build};
 use lichenpulley_daemon::node::Node;
@@ -32,6 +33,7 @@
     gateways: Vec<Option<Node>>,
     folders: Vec<TempDir>,
     http: HttpClient,
+    tolerated_losses: usize,
 }
 
 struct Answer {
@@ -65,6 +67,11 @@
 
 impl System {
     async fn start(replicas: usize, events: u64) -> Self {
+        Self::tolerating(1, replicas, events).await
+    }
+
+    /// A system whose stores bear the loss of so many disks at once.
+    async fn tolerating(tolerated_losses: usize, replicas: usize, events: u64) -> Self {
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
         let mut system = Self {
@@ -74,11 +81,12 @@
             gateways: Vec::new(),
             folders: Vec::new(),
             http: HttpClient::new(Duration::from_secs(1)),
+            tolerated_losses,
         };
         for number in 0..replicas {
             system.add_replica(number, events).await;
         }
-        for number in 0..STORES {
+        for number in 0..SetSize::tolerating(tolerated_losses).members() {
             system.folders.push(TempDir::new().expect("a folder"));
             system.start_store(number).await;
         }
@@ -107,6 +115,7 @@
         settings.membership.probe_timeout = Duration::from_millis(100);
         settings.batch.order_lease = Duration::from_millis(500);
         settings.store.replace_after = Duration::from_secs(3_600);
+        settings.store.set_size = SetSize::tolerating(self.tolerated_losses);
         let seeds = self.stores.iter().flatten().map(|node| node.addresses().peers);
         settings.peers.seeds = seeds.take(1).collect();
         settings
@@ -478,6 +487,34 @@
     assert_eq!(system.results(1, "first").await, first);
 }
 
+#[tokio::test]
+async fn what_was_taken_survives_two_disks_lost_at_once_where_two_are_to_be_borne() {
+    let mut system = System::tolerating(2, 2, 3).await;
+    system.submit(0, "first", 4, 1).await;
+    let first = system.results(0, "first").await;
+    let members: Vec<String> = {
+        let owner = system.gateways[system.owner()].as_ref().expect("an owner").context();
+        let shard = lichenpulley_core::identity::ShardId::new("batch/main");
+        let set = owner.replica_sets.get(&shard).expect("a set");
+        set.members.iter().map(|member| member.node.to_string()).collect()
+    };
+    assert_eq!(members.len(), 5);
+    for number in 0..2 {
+        let lost = system.stores[number].take().expect("a store");
+        lost.kill();
+        lost.stopped().await;
+    }
+    for number in 0..2 {
+        system.folders[number] = TempDir::new().expect("an empty folder");
+        system.start_store(number).await;
+    }
+    let owner = system.owner();
+    let killed = system.gateways[owner].take().expect("the owner");
+    killed.kill();
+    killed.stopped().await;
+    assert_eq!(system.results(1 - owner, "first").await, first);
+}
+
 /// A caller that sends all of its body before it reads anything must still learn why it is refused: a connection that is
 /// closed with unread bytes is reset, and the answer lost with it.
 #[tokio::test]
