Find from their times how many loads of a version may go on at a time

The time of a load is fixed as it begins: in proportion to the loads under way once there are more than the platform bears. So the limit starts at a fifth of the replicas and follows that ratio.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -278,6 +278,7 @@
 
     /// A load has ended, well or not; `versions` is what the replica reports, where it answered.
     pub fn load_ended(&mut self, now: Timestamp, replica: &str, versions: Option<&BTreeMap<String, u64>>) {
+        self.note_load(now, replica, versions);
         if let Some(state) = self.replicas.get_mut(replica) {
             state.loading = None;
             for (model, version) in versions.into_iter().flatten() {
@@ -287,6 +288,19 @@
         self.work_and_load(now);
     }
 
+    /// Learns from a load that is done how many may be under way.
+    fn note_load(&mut self, now: Timestamp, replica: &str, versions: Option<&BTreeMap<String, u64>>) {
+        let Some(state) = self.replicas.get(replica) else { return };
+        let Some(loading) = &state.loading else { return };
+        let reported = versions.and_then(|versions| versions.get(&loading.model));
+        if reported.is_none_or(|reported| *reported < loading.version) {
+            return;
+        }
+        let service = &state.record.service;
+        let replicas = self.replicas.values().filter(|other| &other.record.service == service).count();
+        self.loads.load_done(service, loading, replicas, now);
+    }
+
     fn append(&mut self, now: Timestamp, records: Vec<Record>) {
         self.last_append_at = now;
         self.appending.push_back(records.clone());
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use super::{Action, Controller, DueWork, Run, RunId, RunStart, expected_tokens};
-use crate::batch::schedule::{self, Need, ReplicaState};
+use crate::batch::schedule::{self, Loading, Need, ReplicaState};
+use crate::batch::weights::Load;
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::time::Timestamp;
@@ -56,9 +57,7 @@
         let Some(routes) = self.routes.clone() else { return };
         for service in routes.services.keys() {
             for load in self.loads.next(service, &self.replicas, now) {
-                if let Some(state) = self.replicas.get_mut(&load.replica) {
-                    state.loading = Some((load.model.clone(), load.version));
-                }
+                self.begin_load(now, service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
                 self.decide(decision.with("model", &load.model).with("version", load.version));
                 self.actions.push_back(Action::Load(load));
@@ -66,6 +65,15 @@
         }
     }
 
+    fn begin_load(&mut self, now: Timestamp, service: &str, load: &Load) {
+        let is_loading = |state: &&ReplicaState| state.record.service == service && state.loading.is_some();
+        let beside = self.replicas.values().filter(is_loading).count() + 1;
+        if let Some(state) = self.replicas.get_mut(&load.replica) {
+            let (model, version) = (load.model.clone(), load.version);
+            state.loading = Some(Loading { model, version, since: now, beside });
+        }
+    }
+
     fn start_items(&mut self, now: Timestamp) {
         if !self.replicas.values().any(ReplicaState::has_free_slot) {
             return;
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -8,6 +8,7 @@
 pub mod election;
 pub mod job;
 pub mod ledger;
+pub mod load_limit;
 pub mod record;
 mod schedule;
 pub mod weights;
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -18,6 +18,16 @@
 /// A replica that refused gets nothing new for so long.
 pub(super) const PAUSE_AFTER_REJECTION: Duration = Duration::from_millis(60);
 
+/// A load that a replica was ordered to do.
+#[derive(Clone, Debug)]
+pub(super) struct Loading {
+    pub(super) model: String,
+    pub(super) version: u64,
+    pub(super) since: Timestamp,
+    /// Loads of its service that were under way when it began, itself among them.
+    pub(super) beside: usize,
+}
+
 /// A replica as the owner sees it: what the platform lists, corrected by what the owner sent and saw since.
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaState {
@@ -28,8 +38,7 @@
     pub(super) tokens: u64,
     /// Nothing new before this time.
     pub(super) avoid_until: Timestamp,
-    /// The model that it is loading, and which version.
-    pub(super) loading: Option<(String, u64)>,
+    pub(super) loading: Option<Loading>,
     /// The highest version of each model that a report or an answer showed.
     pub(super) seen_versions: BTreeMap<String, u64>,
     gap_ms: Option<f64>,
@@ -110,7 +119,7 @@
     fn has_version(&self, replica: &ReplicaState) -> bool {
         let Some(model) = self.model else { return true };
         // Until a load is done, the replica refuses what it concerns.
-        if replica.loading.as_ref().is_some_and(|(loading, _)| loading == model) {
+        if replica.loading.as_ref().is_some_and(|loading| loading.model == model) {
             return false;
         }
         match (replica.version(model), self.exact_version) {
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -6,11 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::schedule::ReplicaState;
+use super::load_limit::LoadLimit;
+use super::schedule::{Loading, ReplicaState};
 use crate::time::Timestamp;
 
-/// Loads of one service that are under way at a time; more wait their turn at the platform and block their replicas.
-const LOADS_AT_ONCE: usize = 2;
 /// Replicas for each model below which none is given a home.
 const LEAST_REPLICAS_FOR_HOMES: usize = 2;
 /// Loads of a version wait so long after it was named: the step that was asked for with it fills the slots first, and a
@@ -43,6 +42,8 @@
     named: BTreeMap<String, Named>,
     homes: BTreeMap<String, String>,
     demand: BTreeMap<String, f64>,
+    /// Loads at a time, by service.
+    limits: BTreeMap<String, LoadLimit>,
 }
 
 impl LoadPlan {
@@ -63,6 +64,12 @@
         *mean += DEMAND_WEIGHT * (tokens - *mean);
     }
 
+    /// A load that began as `loading` says is done.
+    pub(super) fn load_done(&mut self, service: &str, loading: &Loading, replicas: usize, now: Timestamp) {
+        let took = now.saturating_since(loading.since);
+        self.limits.entry(service.to_owned()).or_default().observe(took, loading.beside, replicas);
+    }
+
     /// Loads to begin now in one service: those that are furthest behind first, among them the fullest.
     pub(super) fn next(
         &mut self,
@@ -76,7 +83,8 @@
             .collect();
         self.settle_homes(replicas, &members);
         let under_way = members.iter().filter(|replica| replica.loading.is_some()).count();
-        let free = LOADS_AT_ONCE.saturating_sub(under_way);
+        let limit = self.limits.entry(service.to_owned()).or_default().get(members.len());
+        let free = limit.saturating_sub(under_way);
         let mut wanted: Vec<(u64, u32, Load)> =
             members.iter().filter_map(|replica| self.wanted(replica, now)).collect();
         wanted.sort_by(|left, right| {
