Let the most capable machine own the batch jobs

Nodes now tell their machine's capacity (eighths of a core, in the attributes that ride on membership); candidates are ranked by it, and an owner leaves the jobs once to a machine at least twice as capable that it has seen for 2 s. Machines that are alike never take the ownership from each other. The memory that jobs may hold follows the machine's. Test: a much more capable machine takes the jobs and one that is alike does not (platform_path).

--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -11,9 +11,9 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
-use super::owner::Owner;
+use super::owner::{Owner, OwnerEnd};
 use super::{Command, shard};
-use crate::cluster::rendezvous_weight;
+use crate::cluster::{Member, NodeCapacity, rendezvous_weight};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
 use crate::store::shard_log::ShardLog;
@@ -66,13 +66,26 @@
     owns || (context.settings.roles.coordinator && rank(context) < CANDIDATES)
 }
 
-/// This node's place among the coordinators, by their weights for the shard.
+/// The order of coordinators as owners of the shard: the most capable machines first, among equals by their weights.
+fn preference(member: &Member) -> (NodeCapacity, u64, NodeId) {
+    (member.capacity, rendezvous_weight(&member.node, &shard()), member.node.clone())
+}
+
+/// This node's place among the coordinators.
 fn rank(context: &Context) -> usize {
-    let shard = shard();
-    let own = (rendezvous_weight(&context.node, &shard), &context.node);
+    let capacity = context.settings.machine.capacity();
+    let own = (capacity, rendezvous_weight(&context.node, &shard()), context.node.clone());
     let cluster = context.cluster.load();
     let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
-    coordinators.filter(|member| (rendezvous_weight(&member.node, &shard), &member.node) > own).count()
+    coordinators.filter(|member| preference(member) > own).count()
+}
+
+/// The coordinator that should come after this node, or before it.
+pub(super) fn best_other(context: &Context) -> Option<Member> {
+    let cluster = context.cluster.load();
+    let others = cluster.members.iter();
+    let others = others.filter(|member| member.roles.coordinator && member.node != context.node);
+    others.max_by_key(|member| preference(member)).cloned()
 }
 
 /// Runs until the node has stopped.
@@ -171,27 +184,23 @@
         let owner =
             Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), log, &recovered, idle);
         match owner {
-            Ok(owner) => owner.run(&mut self.commands).await,
-            Err(error) => ::log::error!(target: "batch", "The log of the batch jobs can't be read: {error}."),
-        }
-        self.context.batch_owner.store(None);
-        if self.context.draining.is_cancelled() {
-            self.hand_over().await;
+            Ok(owner) => {
+                let end = owner.run(&mut self.commands).await;
+                self.context.batch_owner.store(None);
+                if end == OwnerEnd::Left {
+                    self.hand_over().await;
+                }
+            }
+            Err(error) => {
+                ::log::error!(target: "batch", "The log of the batch jobs can't be read: {error}.");
+                self.context.batch_owner.store(None);
+            }
         }
     }
 
     /// Tells the next candidate that this node leaves.
     async fn hand_over(&self) {
-        let shard = shard();
-        let successor = {
-            let cluster = self.context.cluster.load();
-            let others = cluster
-                .members
-                .iter()
-                .filter(|member| member.roles.coordinator && member.node != self.context.node);
-            others.max_by_key(|member| rendezvous_weight(&member.node, &shard)).cloned()
-        };
-        let Some(successor) = successor else { return };
+        let Some(successor) = best_other(&self.context) else { return };
         let told =
             self.context.peers.batch(successor.peer_address, BatchRequest::TakeOver, HAND_OVER_TIMEOUT);
         if let Err(error) = told.await {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -8,7 +8,7 @@
 };
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::{JobState, Ledger};
-use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::replication::log::RecoveredLog;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
@@ -20,7 +20,7 @@
 use super::keeper::StoreKeeper;
 use super::load::{LoadEnded, LoadOrders};
 use super::log::{LogWriter, Written};
-use super::{Command, run};
+use super::{Command, candidate, run};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
 use crate::metrics::Latency;
@@ -32,6 +32,10 @@
 const EVENT_BACKLOG: usize = 4_096;
 /// Longest answer with results, in bytes of text.
 const RESULTS_BYTES: usize = 700 << 10;
+/// A much more capable node is left the batch jobs once it has been seen for so long.
+const LEAVE_AFTER: Duration = Duration::from_millis(2_000);
+/// The part of the machine's memory that items and results may take.
+const HELD_PERCENT: usize = 35;
 /// Margin above the order lease.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -63,6 +67,17 @@
     ends: Vec<(BatchId, Command)>,
     readers: Vec<Reader>,
     failure: Option<ShardLogError>,
+    /// A much more capable node, and since when it has been seen.
+    better: Option<(NodeId, Instant)>,
+}
+
+/// Why a node owns the batch jobs no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OwnerEnd {
+    /// It left them to another.
+    Left,
+    /// The log was lost to another or can't be written.
+    Superseded,
 }
 
 impl Owner {
@@ -79,8 +94,11 @@
         let held_bytes = recovered.records.iter().map(Vec::len).sum();
         let lease = context.settings.batch.order_lease + LEASE_MARGIN;
         let may_load_from = Timestamp::ORIGIN + lease.saturating_sub(idle);
-        let controller =
-            Controller::new(ControllerConfig::default(), ledger, Timestamp::ORIGIN, may_load_from);
+        let memory = context.settings.machine.memory_bytes;
+        let config = ControllerConfig::default();
+        let capacity_bytes = config.capacity_bytes.min(memory / 100 * HELD_PERCENT);
+        let config = ControllerConfig { capacity_bytes, ..config };
+        let controller = Controller::new(config, ledger, Timestamp::ORIGIN, may_load_from);
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
         let (load_sender, load_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
@@ -103,11 +121,12 @@
             ends: Vec::new(),
             readers: Vec::new(),
             failure: None,
+            better: None,
         })
     }
 
-    /// Owns until the node drains or the log fails.
-    pub(super) async fn run(mut self, commands: &mut mpsc::Receiver<Command>) {
+    /// Owns until the node drains, a much more capable one can own, or the log fails.
+    pub(super) async fn run(mut self, commands: &mut mpsc::Receiver<Command>) -> OwnerEnd {
         let mut metadata = self.context.metadata.watch();
         let mut ticks = tokio::time::interval(self.context.settings.batch.tick_interval);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -122,11 +141,41 @@
                 Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
                 replacement = self.keeper.next() => self.log.replace(replacement),
                 Ok(()) = metadata.changed() => self.update(),
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    if self.should_leave() {
+                        break;
+                    }
+                    self.tick();
+                }
             }
             self.act();
         }
+        let end = if self.failure.is_none() { OwnerEnd::Left } else { OwnerEnd::Superseded };
         self.finish();
+        end
+    }
+
+    /// Whether a machine that is much more capable has been there for long enough to own in this one's place.
+    ///
+    /// Ownership is sticky otherwise: machines that are alike never take it from each other.
+    fn should_leave(&mut self) -> bool {
+        let own = self.context.settings.machine.capacity();
+        let better =
+            candidate::best_other(&self.context).filter(|other| own.is_worth_leaving_for(other.capacity));
+        let Some(better) = better else {
+            self.better = None;
+            return false;
+        };
+        let (node, since) = self.better.get_or_insert_with(|| (better.node.clone(), Instant::now()));
+        if *node != better.node {
+            self.better = Some((better.node, Instant::now()));
+            return false;
+        }
+        let is_due = since.elapsed() >= LEAVE_AFTER && self.is_confirmed();
+        if is_due {
+            ::log::info!(target: "batch", "The batch jobs are left to {} ({} against {own}).", better.node, better.capacity);
+        }
+        is_due
     }
 
     fn now(&self) -> Timestamp {
--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -5,6 +5,49 @@
 use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// How much work a node's machine can do, in eighths of a core; at most 31. Rides on the membership's messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NodeCapacity(u8);
+
+impl NodeCapacity {
+    const MOST: u8 = 31;
+    const EIGHTHS: f64 = 8.0;
+
+    /// The capacity of a machine that gives a process so many cores.
+    pub fn from_cores(cores: f64) -> Self {
+        let eighths = (cores * Self::EIGHTHS).ceil().clamp(1.0, f64::from(Self::MOST));
+        Self(eighths as u8)
+    }
+
+    /// Whether control work is worth moving from a machine with this capacity to one with `other`.
+    pub const fn is_worth_leaving_for(self, other: Self) -> bool {
+        other.0 >= self.0.saturating_mul(2)
+    }
+
+    /// The attributes of a member with these roles.
+    pub const fn to_attributes(self, roles: Roles) -> u8 {
+        (self.0 << ROLE_BITS) | roles.to_bits()
+    }
+
+    /// The capacity in a member's attributes.
+    pub const fn from_attributes(attributes: u8) -> Self {
+        Self(attributes >> ROLE_BITS)
+    }
+}
+
+impl Default for NodeCapacity {
+    /// One core.
+    fn default() -> Self {
+        Self::from_cores(1.0)
+    }
+}
+
+impl std::fmt::Display for NodeCapacity {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}/8 cores", self.0)
+    }
+}
+
 /// What a node does besides membership.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Roles {
@@ -19,6 +62,8 @@
 const GATEWAY_BIT: u8 = 1;
 const COORDINATOR_BIT: u8 = 1 << 1;
 const STORE_BIT: u8 = 1 << 2;
+/// Bits of a member's attributes that hold its roles; the others hold its capacity.
+const ROLE_BITS: u8 = 3;
 
 impl Roles {
     /// The roles as they go over the wire. Bits that this version does not know are left to later ones.
@@ -55,6 +100,8 @@
     pub zone: ZoneName,
     /// Its roles.
     pub roles: Roles,
+    /// How much work it can do.
+    pub capacity: NodeCapacity,
     /// Where it answers its peers, over TCP for requests and over UDP for membership.
     pub peer_address: SocketAddr,
 }
--- a/crates/daemon/src/membership/driver.rs
+++ b/crates/daemon/src/membership/driver.rs
@@ -14,7 +14,7 @@
 use super::handle::{AnnouncedRevision, Command};
 use super::meter::Meter;
 use super::report;
-use crate::cluster::{ClusterView, Member, Roles};
+use crate::cluster::{ClusterView, Member, NodeCapacity, Roles};
 use crate::context::Context;
 
 /// The largest datagram that a UDP socket can hand over, in bytes.
@@ -190,6 +190,7 @@
         node: info.node.clone(),
         zone: info.zone.clone(),
         roles: Roles::from_bits(info.attributes),
+        capacity: NodeCapacity::from_attributes(info.attributes),
         peer_address: info.address,
     }
 }
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -77,7 +77,7 @@
         node: member.node,
         zone: member.zone,
         address: member.peer_address,
-        attributes: member.roles.to_bits(),
+        attributes: member.capacity.to_attributes(member.roles),
     };
     let config = protocol_config(&context.settings.membership);
     let incarnation = Incarnation(unix_milliseconds());
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -148,6 +148,7 @@
         node: context.node.clone(),
         zone: context.zone.clone(),
         roles: context.settings.roles,
+        capacity: context.settings.machine.capacity(),
         peer_address: addresses.peers,
     };
     let seeds = context.settings.peers.seeds.clone();
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::cluster::Roles;
 pub use parts::{
-    BatchSettings, ConfigurationSettings, CoordinatorSettings, GatewaySettings, MembershipSettings,
-    PeerSettings, StopSettings, StoreSettings,
+    BatchSettings, ConfigurationSettings, CoordinatorSettings, GatewaySettings, MachineSettings,
+    MembershipSettings, PeerSettings, StopSettings, StoreSettings,
 };
 pub use problem::{SettingsError, SettingsProblem};
 pub use reader::{Bounds, KnownKey, SettingsReader};
@@ -40,6 +40,8 @@
     pub data_folder: Option<PathBuf>,
     /// The platform's services.
     pub platform: PlatformAddresses,
+    /// What the machine gives this process.
+    pub machine: MachineSettings,
     /// Connections to other nodes, and where the first of them are found.
     pub peers: PeerSettings,
     /// Callers' requests.
@@ -146,6 +148,7 @@
                 scorer: reader.service_address("platform.scorer"),
                 metadata_store: reader.service_address("platform.metadata_store"),
             },
+            machine: MachineSettings::read(reader),
             peers: PeerSettings::read(reader),
             gateway: GatewaySettings::read(reader),
             membership: MembershipSettings::read(reader),
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -6,8 +6,36 @@
 use lichenpulley_core::replication::claims::ClaimWindow;
 use lichenpulley_core::replication::placement::SetSize;
 
+use crate::cluster::NodeCapacity;
+
 use super::reader::{Bounds, SettingsReader};
 
+/// `[machine]`: what the machine gives this process.
+#[derive(Clone, Copy, Debug)]
+pub struct MachineSettings {
+    /// The share of one core.
+    pub processor_share: f64,
+    /// How many times as fast as others that core is.
+    pub processor_speed: f64,
+    /// Memory, in bytes.
+    pub memory_bytes: usize,
+}
+
+impl MachineSettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        Self {
+            processor_share: reader.fraction("machine.processor_share", 1.0, 0.001..=1_024.0),
+            processor_speed: reader.fraction("machine.processor_speed", 1.0, 0.001..=1_024.0),
+            memory_bytes: (reader.fraction("machine.memory_mb", 1_024.0, 16.0..=1_048_576.0) * 1e6) as usize,
+        }
+    }
+
+    /// How much work the machine can do.
+    pub fn capacity(&self) -> NodeCapacity {
+        NodeCapacity::from_cores(self.processor_share * self.processor_speed)
+    }
+}
+
 /// `[peers]`: connections to other nodes.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -150,6 +150,25 @@
         accepted.unwrap_or(bounds.default)
     }
 
+    /// A number that may have a fraction, within bounds.
+    pub fn fraction(&mut self, key: &str, default: f64, accepted: RangeInclusive<f64>) -> f64 {
+        let Some(value) = self.take(key) else { return default };
+        let number = match value {
+            Value::Integer(number) => number as f64,
+            Value::Float(number) => number,
+            other => {
+                self.wrong_type(key, &other, "a number");
+                return default;
+            }
+        };
+        if accepted.contains(&number) {
+            return number;
+        }
+        let remedy = format!("use {} to {}", accepted.start(), accepted.end());
+        self.problem(key, format!("{number} is out of bounds"), remedy);
+        default
+    }
+
     /// A duration given in milliseconds; the key ends in `_ms`.
     pub fn milliseconds(&mut self, key: &str, default: u64, accepted: RangeInclusive<u64>) -> Duration {
         Duration::from_millis(self.number(key, &Bounds { default, accepted }))
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -236,13 +236,18 @@
     }
 
     fn owner(&self) -> usize {
+        self.find_owner().expect("an owner")
+    }
+
+    /// The node that owns the batch jobs; none while the ownership moves.
+    fn find_owner(&self) -> Option<usize> {
         let owns = |node: &Option<Node>| {
             node.as_ref().is_some_and(|node| {
                 let owner = node.context().batch_owner.load();
                 owner.as_ref().is_some_and(|owner| **owner == node.context().node)
             })
         };
-        self.gateways.iter().position(owns).expect("an owner")
+        self.gateways.iter().position(owns)
     }
 }
 
@@ -487,6 +492,29 @@
     assert_eq!(system.results(1, "first").await, first);
 }
 
+#[tokio::test]
+async fn a_much_more_capable_machine_takes_the_batch_jobs_and_one_that_is_alike_does_not() {
+    let mut system = System::start(2, 3).await;
+    system.submit(0, "first", 4, 1).await;
+    let first = system.results(0, "first").await;
+    let owner = system.owner();
+    system.start_gateway(2).await;
+    system.submit(2, "second", 2, 1).await;
+    assert_eq!(system.owner(), owner, "a machine that is alike changes nothing");
+    let mut settings = system.settings("gateway-3", 3);
+    settings.machine.processor_share = 2.0;
+    system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    let moved = async {
+        while system.find_owner() != Some(3) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, moved).await.expect("the capable machine owns");
+    assert_eq!(system.results(0, "first").await, first);
+    system.submit(1, "third", 2, 1).await;
+    assert_eq!(system.results(3, "third").await.len(), 2);
+}
+
 #[tokio::test]
 async fn what_was_taken_survives_two_disks_lost_at_once_where_two_are_to_be_borne() {
     let mut system = System::tolerating(2, 2, 3).await;
