Let a takeover last as long as stores answer it, and count its reading as leading

Stores now count pages read under the leader's ballot as a sign of life; a takeover goes on while stores answer within four call timeouts of each other, 60 at most. Test: a long log is taken over though reading it takes longer than a call may (platform_path), fails without the change.

--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -21,8 +21,10 @@
 
 /// Pause before a replica that could not be reached is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
-/// How many call timeouts a take-over or an append may last.
+/// How many call timeouts an append may last, and a take-over without any answer.
 const PATIENCE: u32 = 4;
+/// How many call timeouts a take-over may last: a long log is read in many pages.
+const TAKEOVER_PATIENCE: u32 = 60;
 /// How many call timeouts a change of the replica set may last.
 const CHANGE_PATIENCE: u32 = 12;
 /// Above the call timeout, so that a request is not sent again while its call still runs.
@@ -66,9 +68,29 @@
     proposer: Proposer,
     exchange: Exchange,
     origin: Instant,
+    /// When a store last answered.
+    heard_at: Instant,
     replaced_by: Option<ReplicaSet>,
 }
 
+/// How long to go on without a decision.
+#[derive(Clone, Copy, Debug)]
+enum Patience {
+    /// Until then.
+    Until(Instant),
+    /// As long as stores answer within `quiet` of each other, and no longer than `limit`.
+    WhileAnswered { quiet: Duration, limit: Instant },
+}
+
+impl Patience {
+    fn deadline(self, heard_at: Instant) -> Instant {
+        match self {
+            Self::Until(deadline) => deadline,
+            Self::WhileAnswered { quiet, limit } => limit.min(heard_at + quiet),
+        }
+    }
+}
+
 impl ShardLog {
     /// Raises the shard's epoch at a majority of its store replicas, finishes what an earlier owner may have
     /// decided, and returns all of it. Needs no platform once the shard has replicas.
@@ -79,10 +101,12 @@
         context: &Context,
         shard: &ShardId,
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
-        let deadline = Instant::now() + context.settings.store.call_timeout * PATIENCE;
+        let timeout = context.settings.store.call_timeout;
+        let limit = Instant::now() + timeout * TAKEOVER_PATIENCE;
         loop {
+            let deadline = Instant::now() + timeout * PATIENCE;
             let mut log = Self::begin(context, shard, deadline).await?;
-            match log.recover(deadline).await {
+            match log.recover(Patience::WhileAnswered { quiet: timeout * PATIENCE, limit }).await {
                 Ok(recovered) => {
                     log.record_taken_over(&recovered);
                     let chosen = recovered.next_set.as_ref();
@@ -93,7 +117,10 @@
                         None => return Ok((log, recovered)),
                     }
                 }
-                Err(error) => log.follow_replacement(deadline).await.ok_or(error)?,
+                Err(error) => {
+                    let deadline = Instant::now() + timeout * PATIENCE;
+                    log.follow_replacement(deadline).await.ok_or(error)?;
+                }
             }
         }
     }
@@ -196,13 +223,14 @@
             proposer: Proposer::new(set, proposer, Epoch(1), config),
             exchange: Exchange::new(context.clone()),
             origin: Instant::now(),
+            heard_at: Instant::now(),
             replaced_by: None,
         })
     }
 
-    async fn recover(&mut self, deadline: Instant) -> Result<RecoveredLog, ShardLogError> {
+    async fn recover(&mut self, patience: Patience) -> Result<RecoveredLog, ShardLogError> {
         loop {
-            if let ProposerEvent::Recovered(recovered) = self.next_event(deadline).await? {
+            if let ProposerEvent::Recovered(recovered) = self.next_event(patience).await? {
                 return Ok(recovered);
             }
         }
@@ -216,15 +244,15 @@
     }
 
     async fn decide(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
-        let deadline = Instant::now() + self.context.settings.store.call_timeout * PATIENCE;
+        let patience = Patience::Until(Instant::now() + self.context.settings.store.call_timeout * PATIENCE);
         while self.proposer.decided_through() < through {
-            self.next_event(deadline).await?;
+            self.next_event(patience).await?;
         }
         Ok(())
     }
 
     /// Exchanges messages until the proposer has something to report.
-    async fn next_event(&mut self, deadline: Instant) -> Result<ProposerEvent, ShardLogError> {
+    async fn next_event(&mut self, patience: Patience) -> Result<ProposerEvent, ShardLogError> {
         loop {
             match self.proposer.poll_event() {
                 Some(ProposerEvent::Ended(reason)) => return Err(self.ended(reason)),
@@ -232,6 +260,7 @@
                 None => {}
             }
             self.transmit();
+            let deadline = patience.deadline(self.heard_at);
             if Instant::now() >= deadline {
                 self.proposer.stop();
                 return Err(self.no_majority());
@@ -255,7 +284,10 @@
         let Ok(Some(answer)) = tokio::time::timeout_at(until, self.exchange.next()).await else { return };
         let now = self.now();
         match answer.response {
-            Some(response) => self.proposer.step(now, response),
+            Some(response) => {
+                self.heard_at = Instant::now();
+                self.proposer.step(now, response);
+            }
             None => self.proposer.unreachable(now, &answer.store, RETRY_AFTER),
         }
     }
--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -70,7 +70,7 @@
     leaders: Leaders,
 }
 
-/// Who leads each shard, and when it last appended here. Kept in memory, so that asking needs no disk.
+/// Who leads each shard, and when it last appended or read here: one that takes over reads a long log for a while. Kept in memory, so that asking needs no disk.
 struct Leaders {
     started_at: Instant,
     known: HashMap<ShardId, Leader>,
@@ -78,7 +78,7 @@
 
 struct Leader {
     ballot: Ballot,
-    appended_at: Instant,
+    active_at: Instant,
 }
 
 impl Leaders {
@@ -89,16 +89,19 @@
     /// Learns from what was answered to a proposer.
     fn learn(&mut self, done: &Done) {
         let Done::Response(StoreResponse::Replica(response)) = done else { return };
-        let (Outcome::Promised { ballot, .. } | Outcome::Accepted { ballot, .. }) = &response.outcome else {
+        let (Outcome::Promised { ballot, .. }
+        | Outcome::Entries { ballot, .. }
+        | Outcome::Accepted { ballot, .. }) = &response.outcome
+        else {
             return;
         };
-        let leader = Leader { ballot: ballot.clone(), appended_at: Instant::now() };
+        let leader = Leader { ballot: ballot.clone(), active_at: Instant::now() };
         self.known.insert(response.shard.clone(), leader);
     }
 
     fn get(&self, shard: &ShardId) -> Option<Leadership> {
         let leader = self.known.get(shard)?;
-        Some(leadership(&leader.ballot, leader.appended_at))
+        Some(leadership(&leader.ballot, leader.active_at))
     }
 }
 
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -188,9 +188,18 @@
     }
 
     async fn submit(&self, gateway: usize, id: &str, items: usize, min_version: u64) {
+        self.submit_bodies(gateway, id, items, min_version, "Ym9keQ==").await;
+    }
+
+    /// One item with a body of so many bytes of text.
+    async fn submit_long(&self, gateway: usize, id: &str, body_bytes: usize) {
+        self.submit_bodies(gateway, id, 1, 1, &"Ym9k".repeat(body_bytes / 4)).await;
+    }
+
+    async fn submit_bodies(&self, gateway: usize, id: &str, items: usize, min_version: u64, body: &str) {
         let item = |number: usize| {
             json!({"id": format!("{id}-{number}"), "path": "/stream/x", "headers": {"Model": "pricing"},
-                "body": "Ym9keQ==", "tokens": 100, "group": format!("g{}", number / 2)})
+                "body": body, "tokens": 100, "group": format!("g{}", number / 2)})
         };
         let items: Vec<Value> = (0..items).map(item).collect();
         let job =
@@ -515,6 +524,26 @@
     assert_eq!(system.results(3, "third").await.len(), 2);
 }
 
+/// A log takes longer to read than a few calls may take: whoever reads it is alive all the while, and is let finish.
+#[tokio::test]
+async fn a_long_log_is_taken_over_though_reading_it_takes_longer_than_a_call_may() {
+    let mut system = System::start(2, 3).await;
+    for number in 0..40 {
+        system.submit_long(0, &format!("long-{number}"), 1_000_000).await;
+    }
+    let mut settings = system.settings("gateway-2", 2);
+    settings.store.call_timeout = Duration::from_millis(30);
+    system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    for number in 0..2 {
+        let killed = system.gateways[number].take().expect("a gateway");
+        killed.kill();
+        killed.stopped().await;
+    }
+    let path = "/-/lots/long-39?after_rev=0";
+    let answer = system.call_until(StatusCode::OK, 2, path).await;
+    assert_eq!(answer.json()["total"], 1);
+}
+
 #[tokio::test]
 async fn what_was_taken_survives_two_disks_lost_at_once_where_two_are_to_be_borne() {
     let mut system = System::tolerating(2, 2, 3).await;
