Let a few nodes of a large deployment read the platform, and the others follow them

With 24 coordinators or more, six read and the others hold a call at one of them; answers are what changed since the follower's revision, with the age of the reader's last word from the platform. The choice is core/relay, without I/O. Ruled out: longer pauses between watches alone (half the calls, later drains).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod identity;
 pub mod ingress;
 pub mod membership;
+pub mod relay;
 pub mod replication;
 pub mod request;
 pub mod retry;
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -73,11 +73,27 @@
 
 /// This node's place among the coordinators.
 fn rank(context: &Context) -> usize {
+    rank_among(context).0
+}
+
+/// This node's place among the coordinators, and how many there are.
+pub(crate) fn rank_among(context: &Context) -> (usize, usize) {
     let capacity = context.settings.machine.capacity();
     let own = (capacity, rendezvous_weight(&context.node, &shard()), context.node.clone());
     let cluster = context.cluster.load();
     let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
-    coordinators.filter(|member| preference(member) > own).count()
+    let (before, all) = coordinators
+        .fold((0, 0), |(before, all), member| (before + usize::from(preference(member) > own), all + 1));
+    (before, all)
+}
+
+/// The first coordinators in the order of preference.
+pub(crate) fn first_coordinators(context: &Context, count: usize) -> Vec<Member> {
+    let cluster = context.cluster.load();
+    let mut coordinators: Vec<&Member> =
+        cluster.members.iter().filter(|member| member.roles.coordinator).collect();
+    coordinators.sort_by_cached_key(|member| std::cmp::Reverse(preference(member)));
+    coordinators.into_iter().take(count).cloned().collect()
 }
 
 /// The coordinator that should come after this node, or before it.
--- /dev/null
+++ b/crates/daemon/src/metadata/freshness.rs
@@ -0,0 +1,79 @@
+//! How long ago the platform last confirmed what this node holds.
+
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use lichenpulley_protocol::internal::MetadataKind;
+use tokio::time::Instant;
+
+use super::kind_index;
+
+/// The age of a copy that was never confirmed.
+const NEVER: u64 = u64::MAX;
+
+/// Confirmations by kind.
+///
+/// Invariant: the age is never below the true one. An answer of the platform to a probe confirms only kinds whose watch
+/// stands; a copy that came from a peer is as old as the peer said.
+#[derive(Debug)]
+pub(super) struct Freshness {
+    origin: Instant,
+    confirmed_ms: [AtomicU64; MetadataKind::ALL.len()],
+    reads: [AtomicU8; MetadataKind::ALL.len()],
+}
+
+/// How this node reads one kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub(super) enum Reading {
+    /// From a peer.
+    Followed = 0,
+    /// From the platform, which does not answer.
+    Failing = 1,
+    /// From the platform, by a watch that stands.
+    Watched = 2,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        let confirmed_ms = std::array::from_fn(|_| AtomicU64::new(NEVER));
+        Self { origin: Instant::now(), confirmed_ms, reads: Default::default() }
+    }
+}
+
+impl Freshness {
+    /// A copy of this kind was confirmed so long ago.
+    pub(super) fn confirm(&self, kind: MetadataKind, age: Duration) {
+        // A time before this process began can't be noted: such a copy is of unknown age.
+        let at = self.origin.elapsed().checked_sub(age);
+        let at_ms = at.and_then(|at| u64::try_from(at.as_millis()).ok()).unwrap_or(NEVER);
+        self.confirmed_ms[kind_index(kind)].store(at_ms, Ordering::Relaxed);
+    }
+
+    /// How this node reads a kind from now on.
+    pub(super) fn set_reading(&self, kind: MetadataKind, reading: Reading) {
+        self.reads[kind_index(kind)].store(reading as u8, Ordering::Relaxed);
+    }
+
+    /// Whether this node reads anything from the platform for itself.
+    pub(super) fn needs_platform(&self) -> bool {
+        self.reads.iter().any(|kind| kind.load(Ordering::Relaxed) != Reading::Followed as u8)
+    }
+
+    /// The platform answered: what is watched is as new as `age`.
+    pub(super) fn reached(&self, age: Duration) {
+        for kind in MetadataKind::ALL {
+            if self.reads[kind_index(kind)].load(Ordering::Relaxed) == Reading::Watched as u8 {
+                self.confirm(kind, age);
+            }
+        }
+    }
+
+    /// How old the copy of a kind may be.
+    pub(super) fn age(&self, kind: MetadataKind) -> Duration {
+        match self.confirmed_ms[kind_index(kind)].load(Ordering::Relaxed) {
+            NEVER => Duration::MAX,
+            at_ms => self.origin.elapsed().saturating_sub(Duration::from_millis(at_ms)),
+        }
+    }
+}
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -1,25 +1,33 @@
 //! The platform's metadata on this node: the operator's configuration, replicas, and versions that trainers named.
 //!
-//! Every node watches it for itself, and takes a peer's copy only while it can't reach the platform. Invariant: the
+//! In a small deployment every node watches it for itself; in a large one a few do, and the others follow them (see
+//! `lichenpulley_core::relay`). A node that can't reach the platform takes a peer's copy. Invariant: the
 //! copy of a kind never goes back to an earlier revision, nor the configuration to an earlier version, within the life
 //! of a process.
 
 pub mod client;
 mod copy;
+mod freshness;
+mod history;
 mod reachability;
+mod relay;
 pub mod retirements;
 mod watcher;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use lichenpulley_core::ingress::replicas::ReplicaTable;
 use lichenpulley_core::ingress::routes::RouteTable;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::context::Context;
+use freshness::Freshness;
+use history::CopyHistory;
 
 /// What this node knows of the platform's metadata. Traffic threads read it without a lock.
 #[derive(Debug)]
@@ -30,7 +38,8 @@
     pub replicas: ArcSwap<ReplicaTable>,
     /// Versions that trainers named, by model.
     pub versions: ArcSwap<BTreeMap<String, u64>>,
-    copies: [ArcSwapOption<MetadataCopy>; MetadataKind::ALL.len()],
+    copies: [ArcSwapOption<CopyHistory>; MetadataKind::ALL.len()],
+    freshness: Freshness,
     changes: watch::Sender<u64>,
 }
 
@@ -41,6 +50,7 @@
             replicas: ArcSwap::default(),
             versions: ArcSwap::default(),
             copies: Default::default(),
+            freshness: Freshness::default(),
             changes: watch::Sender::new(0),
         }
     }
@@ -52,35 +62,53 @@
         self.changes.subscribe()
     }
 
-    fn slot(&self, kind: MetadataKind) -> &ArcSwapOption<MetadataCopy> {
-        match kind {
-            MetadataKind::Configuration => &self.copies[0],
-            MetadataKind::Replicas => &self.copies[1],
-            MetadataKind::Versions => &self.copies[2],
-        }
+    /// Whether this node reads nothing from the platform for itself.
+    pub fn follows(&self) -> bool {
+        !self.freshness.needs_platform()
+    }
+
+    fn slot(&self, kind: MetadataKind) -> &ArcSwapOption<CopyHistory> {
+        &self.copies[kind_index(kind)]
     }
 
-    fn copy(&self, kind: MetadataKind) -> Option<Arc<MetadataCopy>> {
+    fn history(&self, kind: MetadataKind) -> Option<Arc<CopyHistory>> {
         self.slot(kind).load_full()
     }
 
+    fn revision(&self, kind: MetadataKind) -> Option<u64> {
+        self.history(kind).map(|history| history.copy.revision)
+    }
+
     /// Takes a copy unless a later one is held.
     fn put(&self, kind: MetadataKind, copy: MetadataCopy) {
-        let held = self.copy(kind);
-        if held.as_ref().is_some_and(|held| held.revision > copy.revision) {
+        let held = self.history(kind);
+        let held_copy = held.as_ref().map(|held| &held.copy);
+        if held_copy.is_some_and(|held| held.revision > copy.revision) {
             return;
         }
-        let is_same = held.as_ref().is_some_and(|held| held.objects == copy.objects);
+        let is_same = held_copy.is_some_and(|held| held.objects == copy.objects);
         if !is_same {
-            copy::apply(self, kind, held.as_deref(), &copy);
+            copy::apply(self, kind, held_copy, &copy);
         }
-        self.slot(kind).store(Some(Arc::new(copy)));
+        let history = match &held {
+            Some(held) => held.followed_by(copy),
+            None => CopyHistory::begin(copy),
+        };
+        self.slot(kind).store(Some(Arc::new(history)));
         if !is_same {
             self.changes.send_modify(|count| *count += 1);
         }
     }
 }
 
+const fn kind_index(kind: MetadataKind) -> usize {
+    match kind {
+        MetadataKind::Configuration => 0,
+        MetadataKind::Replicas => 1,
+        MetadataKind::Versions => 2,
+    }
+}
+
 /// The name under which the version of the configuration rides on the heartbeats.
 const ANNOUNCED_NAME: &str = "routes";
 
@@ -92,15 +120,29 @@
         return;
     }
     let Some(client) = client::MetadataClient::from_settings(&context.settings) else { return };
-    let recoveries = reachability::start(client.clone());
+    let recoveries = reachability::start(Arc::clone(context), client.clone());
     for kind in MetadataKind::ALL {
         tokio::spawn(watcher::run(Arc::clone(context), client.clone(), kind, recoveries.clone()));
     }
 }
 
-/// Answers a peer that can't reach the platform.
-pub fn answer(context: &Context, request: &MetadataRequest) -> MetadataResponse {
-    let copy = context.metadata.copy(request.kind);
-    let copy = copy.filter(|copy| request.newer_than.is_none_or(|revision| copy.revision > revision));
-    MetadataResponse { copy: copy.map(|copy| MetadataCopy::clone(&copy)) }
+/// The longest that an answer to a peer waits for a change.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Answers a peer that follows this node, or can't reach the platform.
+pub async fn answer(context: &Context, request: &MetadataRequest) -> MetadataResponse {
+    let metadata = &context.metadata;
+    let until = Instant::now() + LONGEST_WAIT.min(Duration::from_millis(request.wait_ms));
+    let mut changes = metadata.watch();
+    let update = loop {
+        let history = metadata.history(request.kind);
+        let update = history.and_then(|history| history.update_since(request.newer_than));
+        if update.is_some() || Instant::now() >= until {
+            break update;
+        }
+        // Neither a time-out nor the end of the handle is anything but a reason to look once more.
+        let _ = tokio::time::timeout_at(until, changes.changed()).await;
+    };
+    let age = metadata.freshness.age(request.kind);
+    MetadataResponse { update, age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX) }
 }
--- a/crates/daemon/src/metadata/reachability.rs
+++ b/crates/daemon/src/metadata/reachability.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::client::MetadataClient;
+use crate::context::Context;
 
 /// Time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -15,13 +17,21 @@
 /// Counts how often the store could be reached again.
 pub(super) type Recoveries = watch::Receiver<u64>;
 
-/// Probes until nobody listens any more.
-pub(super) fn start(client: MetadataClient) -> Recoveries {
+/// Probes until nobody listens any more, while this node watches anything for itself.
+pub(super) fn start(context: Context, client: MetadataClient) -> Recoveries {
     let (sender, recoveries) = watch::channel(0);
     tokio::spawn(async move {
         let mut was_reached = true;
         while !sender.is_closed() {
+            if !context.metadata.freshness.needs_platform() {
+                tokio::time::sleep(PROBE_INTERVAL).await;
+                continue;
+            }
+            let began = Instant::now();
             let is_reached = client.probe().await.is_ok();
+            if is_reached && was_reached {
+                context.metadata.freshness.reached(began.elapsed());
+            }
             if is_reached && !was_reached {
                 sender.send_modify(|count| *count += 1);
                 log::info!(target: "metadata", "The metadata store is reached again.");
--- /dev/null
+++ b/crates/daemon/src/metadata/relay.rs
@@ -0,0 +1,87 @@
+//! Following a peer that reads the platform.
+
+use std::time::Duration;
+
+use lichenpulley_core::relay::{ReadSource, RelayChoice, RelayConfig};
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::{MetadataKind, MetadataRequest, MetadataResponse};
+use tokio::time::Instant;
+
+use crate::batch::candidate;
+use crate::cluster::Member;
+use crate::context::Context;
+
+/// How long a reader may wait for a change before it answers.
+const HOLD: Duration = Duration::from_millis(500);
+/// How long an answer may take beyond that.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// One kind of metadata on a node that may follow.
+pub(super) struct Follower {
+    context: Context,
+    kind: MetadataKind,
+    config: RelayConfig,
+    choice: RelayChoice,
+    origin: Instant,
+    /// Readers that have failed: the next one is another.
+    turn: usize,
+}
+
+impl Follower {
+    /// A follower that has not read yet.
+    pub(super) fn new(context: Context, kind: MetadataKind) -> Self {
+        let settings = &context.settings.configuration;
+        let (readers, least_nodes) = (settings.readers, settings.follow_from_nodes);
+        let config = RelayConfig { readers, least_nodes, ..RelayConfig::default() };
+        let choice = RelayChoice::new(config.clone());
+        Self { context, kind, config, choice, origin: Instant::now(), turn: 0 }
+    }
+
+    /// From where to read next.
+    pub(super) fn source(&self) -> ReadSource {
+        let (rank, nodes) = candidate::rank_among(&self.context);
+        if candidate::is_candidate(&self.context) {
+            return ReadSource::Platform;
+        }
+        self.choice.source(self.now(), rank, nodes)
+    }
+
+    /// Asks a reader what changed since the revision held; `None` where it gave no answer.
+    pub(super) async fn ask(&mut self, newer_than: Option<u64>) -> Option<MetadataResponse> {
+        let reader = self.reader()?;
+        let wait_ms = if newer_than.is_some() { HOLD.as_millis() as u64 } else { 0 };
+        let request = MetadataRequest { kind: self.kind, newer_than, wait_ms };
+        let answer = self.context.peers.metadata(reader.peer_address, request, HOLD + ANSWER_TIMEOUT).await;
+        let now = self.now();
+        match answer {
+            Ok(response) => {
+                let age = Duration::from_millis(response.age_ms);
+                self.context.metadata.freshness.confirm(self.kind, age);
+                self.choice.answered(now, age);
+                if self.source() == ReadSource::Platform {
+                    log::info!(target: "metadata", "{:?} of {} is {} ms old: reading the platform.", self.kind, reader.node, response.age_ms);
+                }
+                Some(response)
+            }
+            Err(error) => {
+                self.turn += 1;
+                self.choice.failed(now);
+                log::info!(target: "metadata", "{} gave no {:?}: {error}.", reader.node, self.kind);
+                None
+            }
+        }
+    }
+
+    /// The reader whose turn it is. Followers begin with different ones.
+    fn reader(&self) -> Option<Member> {
+        let mut readers = candidate::first_coordinators(&self.context, self.config.readers);
+        readers.retain(|member| member.node != self.context.node);
+        let (rank, _) = candidate::rank_among(&self.context);
+        let position = (rank + self.turn).checked_rem(readers.len())?;
+        Some(readers.swap_remove(position))
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+}
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -1,17 +1,21 @@
 //! Watches one kind of the platform's objects.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lichenpulley_core::identity::Revision;
+use lichenpulley_core::relay::ReadSource;
 use lichenpulley_platform::objects;
-use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest};
+use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest, MetadataUpdate};
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
 use super::ANNOUNCED_NAME;
 use super::client::{MetadataClient, Watched};
+use super::freshness::Reading;
 use super::reachability::Recoveries;
+use super::relay::Follower;
 use crate::batch::candidate;
 use crate::configuration::platform::PlatformError;
 use crate::context::Context;
@@ -30,6 +34,8 @@
 const RETRY_START: Duration = Duration::from_millis(100);
 /// The longest pause between two tries.
 const RETRY_LIMIT: Duration = Duration::from_millis(500);
+/// The least pause between two questions to a peer that has nothing new.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
 /// How long a peer may take to hand over its copy.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -50,8 +56,17 @@
     recoveries: Recoveries,
 ) {
     let stopped = context.stopped.clone();
-    let mut watcher =
-        Watcher { context, client, kind, recoveries, objects: BTreeMap::new(), revision: None, failures: 0 };
+    let follower = Follower::new(Arc::clone(&context), kind);
+    let mut watcher = Watcher {
+        context,
+        client,
+        kind,
+        recoveries,
+        follower,
+        objects: BTreeMap::new(),
+        revision: None,
+        failures: 0,
+    };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = watcher.watch() => {}
@@ -63,6 +78,7 @@
     client: MetadataClient,
     kind: MetadataKind,
     recoveries: Recoveries,
+    follower: Follower,
     objects: BTreeMap<String, String>,
     /// What `objects` is of; none where it must be listed anew.
     revision: Option<u64>,
@@ -75,9 +91,15 @@
             let began = Instant::now();
             if self.kind == MetadataKind::Versions && !candidate::is_candidate(&self.context) {
                 // Only the owner of the batch jobs has versions loaded.
+                self.context.metadata.freshness.set_reading(self.kind, Reading::Followed);
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
+            if self.follower.source() == ReadSource::Peer {
+                self.context.metadata.freshness.set_reading(self.kind, Reading::Followed);
+                self.follow().await;
+                continue;
+            }
             match self.round().await {
                 Ok(()) => self.succeeded(),
                 Err(error) => self.failed(&error).await,
@@ -92,6 +114,41 @@
         }
     }
 
+    /// Takes what changed from a peer that reads the platform.
+    async fn follow(&mut self) {
+        let began = Instant::now();
+        let response = tokio::select! {
+            response = self.follower.ask(self.revision) => response,
+            () = heard_newer(&self.context, self.kind) => {
+                log::info!(target: "metadata", "A peer has a newer {:?} than the reader: listing.", self.kind);
+                if let Err(error) = self.list().await {
+                    log::info!(target: "metadata", "{:?} can't be listed: {error}.", self.kind);
+                    tokio::time::sleep(RETRY_LIMIT).await;
+                }
+                return;
+            }
+        };
+        let Some(response) = response else { return };
+        let Some(update) = response.update else {
+            // A peer that answers at once, as one does that is itself without a copy, is not asked without end.
+            let rest = FOLLOW_PAUSE.saturating_sub(began.elapsed());
+            return tokio::time::sleep(rest).await;
+        };
+        self.take(update);
+    }
+
+    fn take(&mut self, update: MetadataUpdate) {
+        if update.is_whole {
+            self.objects.clear();
+        }
+        for name in &update.removed {
+            self.objects.remove(name);
+        }
+        self.objects.extend(update.objects);
+        self.revision = Some(update.revision);
+        self.publish(update.revision);
+    }
+
     async fn round(&mut self) -> Result<(), PlatformError> {
         let Some(revision) = self.revision else { return self.list().await };
         let watched = tokio::select! {
@@ -156,6 +213,8 @@
     }
 
     fn succeeded(&mut self) {
+        self.context.metadata.freshness.set_reading(self.kind, Reading::Watched);
+        self.context.metadata.freshness.confirm(self.kind, Duration::ZERO);
         if self.failures > 0 {
             log::info!(target: "metadata", "{:?} is watched again after {} failures.", self.kind, self.failures);
         }
@@ -167,6 +226,8 @@
             log::warn!(target: "metadata", "{:?} can't be watched: {error}.", self.kind);
         }
         self.failures += 1;
+        // The probe goes on: it tells when the platform is reached again. The copy's age grows meanwhile.
+        self.context.metadata.freshness.set_reading(self.kind, Reading::Failing);
         self.ask_peer().await;
         let pause = RETRY_START * 2_u32.saturating_pow(self.failures.min(4) - 1);
         tokio::time::sleep(pause.min(RETRY_LIMIT)).await;
@@ -184,15 +245,12 @@
             others.choose(&mut rand::rng()).copied()
         };
         let Some(peer) = peer else { return };
-        let newer_than = self.context.metadata.copy(self.kind).map(|copy| copy.revision);
-        let request = MetadataRequest { kind: self.kind, newer_than };
+        let newer_than = self.context.metadata.revision(self.kind);
+        let request = MetadataRequest { kind: self.kind, newer_than, wait_ms: 0 };
         let Ok(response) = self.context.peers.metadata(peer, request, PEER_TIMEOUT).await else { return };
-        let Some(copy) = response.copy else { return };
-        log::info!(target: "metadata", "{:?} of revision {} came from a peer.", self.kind, copy.revision);
-        self.objects = copy.objects.iter().cloned().collect();
-        self.revision = Some(copy.revision);
-        self.context.metadata.put(self.kind, copy);
-        self.announce();
+        let Some(update) = response.update else { return };
+        log::info!(target: "metadata", "{:?} of revision {} came from a peer.", self.kind, update.revision);
+        self.take(update);
     }
 }
 
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -79,7 +79,7 @@
     }
 
     async fn metadata(self, _: tarpc::context::Context, request: MetadataRequest) -> MetadataResponse {
-        metadata::answer(&self.context, &request)
+        metadata::answer(&self.context, &request).await
     }
 }
 
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -125,11 +125,19 @@
     pub platform_timeout: Duration,
     /// How long a watch of the object API is held open.
     pub watch_hold: Duration,
+    /// In a large deployment, how many nodes read the platform's metadata store; the others follow them.
+    pub readers: usize,
+    /// With fewer coordinators each reads for itself.
+    pub follow_from_nodes: usize,
 }
 
 impl ConfigurationSettings {
     pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        let readers = Bounds { default: 6, accepted: 1..=1_024 };
+        let least = Bounds { default: 24, accepted: 2..=1_000_000 };
         Self {
+            readers: to_usize(reader.number("configuration.readers", &readers)),
+            follow_from_nodes: to_usize(reader.number("configuration.follow_from_nodes", &least)),
             poll_interval: reader.milliseconds("configuration.poll_interval_ms", 1_000, 20..=60_000),
             platform_timeout: reader.milliseconds("configuration.platform_timeout_ms", 2_000, 20..=60_000),
             watch_hold: reader.milliseconds("configuration.watch_hold_ms", 20_000, 100..=300_000),
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -244,6 +244,29 @@
         tokio::time::timeout(PATIENCE, read).await.expect("the list is whole in time")
     }
 
+    /// How many nodes follow others, once all know of each other.
+    async fn followers(&self) -> usize {
+        let live = self.gateways.iter().flatten().count();
+        let known = async {
+            loop {
+                let nodes = self.gateways.iter().flatten();
+                let knows_all = |node: &Node| {
+                    let cluster = node.context().cluster.load();
+                    cluster.members.iter().filter(|member| member.roles.gateway).count() == live
+                };
+                if nodes.into_iter().all(knows_all) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, known).await.expect("all nodes know of each other");
+        // The last watch that began before is held so long.
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        let nodes = self.gateways.iter().flatten();
+        nodes.filter(|node| node.context().metadata.follows()).count()
+    }
+
     fn owner(&self) -> usize {
         self.find_owner().expect("an owner")
     }
@@ -456,6 +479,57 @@
     }
 }
 
+/// Of many nodes a few read the platform; the others learn all the same, also when a reader is lost.
+#[tokio::test]
+async fn nodes_that_follow_a_reader_learn_of_changes_without_asking_the_platform() {
+    let mut system = System::start(2, 3).await;
+    for number in 2..6 {
+        let mut settings = system.settings(&format!("gateway-{number}"), number);
+        settings.configuration.readers = 2;
+        settings.configuration.follow_from_nodes = 4;
+        system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    }
+    for number in 0..6 {
+        system.call_until(StatusCode::OK, number, "/read/x").await;
+    }
+    let followers = system.followers().await;
+    assert!(followers >= 1, "{followers} of four nodes follow");
+    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(7));
+    let everywhere = async {
+        loop {
+            let versions =
+                system.gateways.iter().flatten().map(|node| {
+                    node.context().metadata.routes.load().as_ref().map_or(0, |table| table.version)
+                });
+            if versions.into_iter().all(|version| version == 7) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, everywhere).await.expect("the configuration is in force everywhere");
+    for number in 0..2 {
+        let lost = system.gateways[number].take().expect("a gateway");
+        lost.kill();
+        lost.stopped().await;
+    }
+    system.add_replica(2, 3).await;
+    let learned = async {
+        loop {
+            let counts = system
+                .gateways
+                .iter()
+                .flatten()
+                .map(|node| node.context().metadata.replicas.load().records.len());
+            if counts.into_iter().all(|count| count == 3) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, learned).await.expect("the replica is known everywhere");
+}
+
 #[tokio::test]
 async fn a_node_that_starts_while_the_platform_is_silent_learns_from_its_peers() {
     let mut system = System::start(1, 3).await;
--- a/crates/protocol/src/internal/metadata.rs
+++ b/crates/protocol/src/internal/metadata.rs
@@ -1,4 +1,5 @@
-//! What nodes tell each other of the platform's metadata, for those that can't reach the platform.
+//! What nodes tell each other of the platform's metadata, for those that can't reach the platform
+//! or need not.
 
 use speedy::{Readable, Writable};
 
@@ -18,13 +19,15 @@
     pub const ALL: [Self; 3] = [Self::Configuration, Self::Replicas, Self::Versions];
 }
 
-/// Asks for a copy of a kind that is newer than the sender's.
+/// Asks for what changed in a kind.
 #[derive(Clone, Debug, Readable, Writable)]
 pub struct MetadataRequest {
     /// The kind.
     pub kind: MetadataKind,
     /// The platform's revision that the sender's copy is of.
     pub newer_than: Option<u64>,
+    /// How long the answer may wait for a change, in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// A copy of all objects of a kind.
@@ -32,13 +35,28 @@
 pub struct MetadataCopy {
     /// The platform's revision that it is of.
     pub revision: u64,
+    /// Names, and what stands in each object as JSON; in rising order of names.
+    pub objects: Vec<(String, String)>,
+}
+
+/// What turns a copy into a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct MetadataUpdate {
+    /// The platform's revision that results.
+    pub revision: u64,
+    /// Whether `objects` are all there are; otherwise those that changed.
+    pub is_whole: bool,
     /// Names, and what stands in each object as JSON.
     pub objects: Vec<(String, String)>,
+    /// Names of objects that are gone.
+    pub removed: Vec<String>,
 }
 
-/// A newer copy, where the receiver has one.
+/// What a node knows beyond the sender.
 #[derive(Clone, Debug, Readable, Writable)]
 pub struct MetadataResponse {
-    /// The copy.
-    pub copy: Option<MetadataCopy>,
+    /// What changed, where the receiver has a later copy.
+    pub update: Option<MetadataUpdate>,
+    /// How long ago the platform last confirmed the receiver's copy, in milliseconds.
+    pub age_ms: u64,
 }
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -9,7 +9,7 @@
 pub use batch::{BatchRequest, BatchResponse, ListedResult};
 pub use configuration::{ConfigurationRequest, ConfigurationResponse, DocumentName};
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
-pub use metadata::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse};
+pub use metadata::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse, MetadataUpdate};
 pub use store::{StoreRequest, StoreResponse};
 
 /// What every node answers to its peers.
