Write each event of an item to the log once

A whole item is now listed by the events that follow what was kept; appends go on while stores answer. Tests: no event is written twice and a listed text is whole for every later owner; a text begun anew (batch_controller).

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -43,6 +43,8 @@
     events: Vec<KeptEvent>,
     /// How many of them are on the stores or on their way there.
     written: usize,
+    /// It was begun anew: what the stores keep of it is no beginning of its events.
+    is_anew: bool,
     written_at: Timestamp,
     failures: u32,
     /// The replica that let the last run down.
@@ -51,6 +53,15 @@
     is_listing: bool,
 }
 
+impl LiveItem {
+    /// Begins the text anew.
+    fn restart(&mut self) {
+        self.events.clear();
+        self.written = 0;
+        self.is_anew = true;
+    }
+}
+
 /// The owner's state machine.
 pub struct Controller {
     config: ControllerConfig,
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -61,7 +61,7 @@
         }
         live.events.push(event);
         let is_due = now.saturating_since(live.written_at) >= progress_interval;
-        if keeps_progress && is_due {
+        if keeps_progress && is_due && !live.is_anew {
             let events = live.events[live.written..].to_vec();
             live.written = live.events.len();
             live.written_at = now;
@@ -82,7 +82,7 @@
     fn drop_run_of_wrong_version(&mut self, now: Timestamp, id: RunId, batch: &BatchId, item: u32) {
         let starts_anew = self.needs_single_version(batch);
         if let Some(live) = self.items.get_mut(&(batch.clone(), item)).filter(|_| starts_anew) {
-            live.events.clear();
+            live.restart();
         }
         self.decide(
             Decision::new(Component::Rollout, "run_stopped", "wrong_version", batch).with("item", item),
@@ -130,10 +130,16 @@
     fn list_complete(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return };
         live.is_listing = true;
-        let result = ItemResult::complete(item, &live.events);
-        live.events = Vec::new();
-        self.held_bytes += result.text.len();
-        self.append(now, vec![Record::Listed { batch: batch.clone(), result }]);
+        let mut events = std::mem::take(&mut live.events);
+        let batch = batch.clone();
+        let line_feeds = events.len().saturating_sub(1);
+        self.held_bytes += events.iter().map(|event| event.data.len()).sum::<usize>() + line_feeds;
+        let record = if live.is_anew {
+            Record::Listed { batch, result: ItemResult::complete(item, &events) }
+        } else {
+            Record::Completed { batch, item, events: events.split_off(live.written) }
+        };
+        self.append(now, vec![record]);
     }
 
     pub(super) fn give_up(&mut self, now: Timestamp, batch: &BatchId, item: u32, reason: &str) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -156,7 +156,7 @@
             live.run = Some(run);
             live.written_at = now;
             if starts_anew {
-                live.events.clear();
+                live.restart();
             }
         }
         let started =
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -107,6 +107,7 @@
                 }
             }
             Record::Listed { batch, result } => self.list(&batch, result),
+            Record::Completed { batch, item, events } => self.complete(&batch, item, events),
             Record::Ended(batch) => {
                 if let Some(job) = self.jobs.get_mut(&batch) {
                     job.is_ended = true;
@@ -134,6 +135,17 @@
         job.results.push(result);
     }
 
+    /// Invariant: only a text without a gap is listed as whole.
+    fn complete(&mut self, batch: &BatchId, item: u32, events: Vec<KeptEvent>) {
+        let Some(state) = self.item(batch, item) else { return };
+        let last = events.last().map(|event| event.number).or(state.last_event());
+        append_events(state, events);
+        if state.last_event() == last {
+            let result = ItemResult::complete(item, &state.events);
+            self.list(batch, result);
+        }
+    }
+
     /// The ledger as a snapshot.
     ///
     /// # Errors
--- a/crates/core/src/batch/record.rs
+++ b/crates/core/src/batch/record.rs
@@ -39,6 +39,16 @@
     Ended(BatchId),
     /// A job is past its retention and dropped.
     Dropped(BatchId),
+    /// An item came whole and is listed, at the next free position of its job. Its text is what [`Record::Progress`] kept
+    /// of it and then these events: no event is written twice.
+    Completed {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// Events that follow those kept before.
+        events: Vec<KeptEvent>,
+    },
     /// The owner is alive. The shard's clock: milliseconds that owners have counted so far.
     Clock(u64),
 }
--- a/crates/core/tests/batch_controller.rs
+++ b/crates/core/tests/batch_controller.rs
@@ -416,3 +416,50 @@
         assert!(bench.controller.ledger().jobs().is_empty(), "it is past its retention");
     }
 }
+
+/// A text that was kept piece by piece is listed by its last pieces alone: the log holds each event once.
+#[test]
+fn no_event_is_written_twice_and_a_listed_text_is_whole_for_every_later_owner() {
+    let mut bench = Bench::new(Ledger::default(), false, &[replica("a", 1)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let run = bench.started[0].run;
+    for number in 0..100 {
+        bench.event(at(10 + 40 * number), run, number, 1);
+    }
+    bench.end(at(4_100), run, RunEnd::Complete);
+    bench.decide(at(4_200));
+    let written = bench.records.iter().map(|record| match record {
+        Record::Progress { events, .. } | Record::Completed { events, .. } => events.len(),
+        Record::Listed { .. } => panic!("the text is written again as a whole"),
+        _ => 0,
+    });
+    assert_eq!(written.sum::<usize>(), 100);
+    let whole = &bench.controller.ledger().job(&BatchId::new("j")).expect("the job").results;
+    assert!(whole[0].is_complete);
+    assert_eq!(whole[0].text.lines().count(), 100);
+    assert_eq!(&bench.ledger_of_records().job(&BatchId::new("j")).expect("the job").results, whole);
+}
+
+/// A text that was begun anew, because its version changed, stands on nothing that the stores kept of it before.
+#[test]
+fn a_text_that_was_begun_anew_is_listed_from_its_new_beginning() {
+    let mut bench = Bench::new(Ledger::default(), true, &[replica("a", 1), replica("b", 2)]);
+    bench.submit(at(1), job("j", 1, 0));
+    let first = bench.started[0].run;
+    bench.event(at(10), first, 0, 1);
+    bench.event(at(50), first, 1, 2);
+    bench.decide(at(60));
+    bench.controller.tick(at(2_000));
+    bench.take();
+    let second = bench.started.last().expect("a second run");
+    assert_eq!(second.last_event, None);
+    let run = second.run;
+    for number in 0..3 {
+        bench.event(at(2_010 + number), run, number, 2);
+    }
+    bench.end(at(2_020), run, RunEnd::Complete);
+    bench.decide(at(2_030));
+    let ledger = bench.ledger_of_records();
+    let result = &ledger.job(&BatchId::new("j")).expect("the job").results[0];
+    assert_eq!((result.text.lines().count(), result.versions.clone()), (3, vec![2]));
+}
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -21,10 +21,10 @@
 
 /// Pause before a replica that could not be reached is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
-/// How many call timeouts an append may last, and a take-over without any answer.
+/// How many call timeouts a take-over or an append may last without any answer.
 const PATIENCE: u32 = 4;
-/// How many call timeouts a take-over may last: a long log is read in many pages.
-const TAKEOVER_PATIENCE: u32 = 60;
+/// How many call timeouts they may last in all: a long log is read in many pages, and a snapshot written in many parts.
+const WHOLE_PATIENCE: u32 = 60;
 /// How many call timeouts a change of the replica set may last.
 const CHANGE_PATIENCE: u32 = 12;
 /// Above the call timeout, so that a request is not sent again while its call still runs.
@@ -73,21 +73,16 @@
     replaced_by: Option<ReplicaSet>,
 }
 
-/// How long to go on without a decision.
+/// How long to go on without a decision: as long as stores answer within `quiet` of each other, and no longer than `limit`.
 #[derive(Clone, Copy, Debug)]
-enum Patience {
-    /// Until then.
-    Until(Instant),
-    /// As long as stores answer within `quiet` of each other, and no longer than `limit`.
-    WhileAnswered { quiet: Duration, limit: Instant },
+struct Patience {
+    quiet: Duration,
+    limit: Instant,
 }
 
 impl Patience {
     fn deadline(self, heard_at: Instant) -> Instant {
-        match self {
-            Self::Until(deadline) => deadline,
-            Self::WhileAnswered { quiet, limit } => limit.min(heard_at + quiet),
-        }
+        self.limit.min(heard_at + self.quiet)
     }
 }
 
@@ -102,11 +97,11 @@
         shard: &ShardId,
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
         let timeout = context.settings.store.call_timeout;
-        let limit = Instant::now() + timeout * TAKEOVER_PATIENCE;
+        let limit = Instant::now() + timeout * WHOLE_PATIENCE;
         loop {
             let deadline = Instant::now() + timeout * PATIENCE;
             let mut log = Self::begin(context, shard, deadline).await?;
-            match log.recover(Patience::WhileAnswered { quiet: timeout * PATIENCE, limit }).await {
+            match log.recover(Patience { quiet: timeout * PATIENCE, limit }).await {
                 Ok(recovered) => {
                     log.record_taken_over(&recovered);
                     let chosen = recovered.next_set.as_ref();
@@ -244,7 +239,11 @@
     }
 
     async fn decide(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
-        let patience = Patience::Until(Instant::now() + self.context.settings.store.call_timeout * PATIENCE);
+        let timeout = self.context.settings.store.call_timeout;
+        self.heard_at = Instant::now();
+        // A snapshot takes many requests: it goes on while stores take them.
+        let limit = Instant::now() + timeout * WHOLE_PATIENCE;
+        let patience = Patience { quiet: timeout * PATIENCE, limit };
         while self.proposer.decided_through() < through {
             self.next_event(patience).await?;
         }
