--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -12,7 +12,6 @@
 use lichenpulley_core::replication::placement::first_set;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
-use tokio::time::Instant;
 
 use crate::cluster::Member;
 use crate::configuration::platform::{ObjectClient, PlatformError, WriteError};
@@ -209,14 +208,7 @@
 
 async fn candidate(context: &Context, member: &Member) -> Option<SetMember> {
     let deadline = context.settings.store.call_timeout;
-    let ask = || context.peers.store(member.peer_address, StoreRequest::Identity, deadline);
-    let began = Instant::now();
-    // A connection to a store that was restarted ends at its first use: the question is asked once more. A store that
-    // is silent has had its time.
-    let answer = match ask().await {
-        Err(_) if began.elapsed() < deadline => ask().await,
-        answered => answered,
-    };
+    let answer = context.peers.store(member.peer_address, StoreRequest::Identity, deadline).await;
     let Ok(StoreResponse::Identity(store)) = answer else { return None };
     let (node, zone) = (member.node.clone(), member.zone.clone());
     Some(SetMember { store, node, zone, address: member.peer_address.to_string() })
