Tell what changed only to a follower of a revision that this node has held

On a node that follows, a replica that is gone could have stayed in the list. Updates are now told only from revisions that the reader itself has held; any other follower gets the whole copy. Before: the property fails; after: it passes, with two cases of its own.

--- a/crates/daemon/src/metadata/history.rs
+++ b/crates/daemon/src/metadata/history.rs
@@ -4,27 +4,27 @@
 
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataUpdate};
 
-/// Removals remembered; a follower that is further behind gets the whole copy.
-const REMOVALS: usize = 1_024;
+/// Revisions remembered; a follower that is further behind gets the whole copy.
+const REVISIONS: usize = 256;
 
 /// A copy and the revisions at which this node saw its objects change.
 ///
-/// Invariant: an object that changed after revision R is noted at a revision above R, so that an update since R holds all
-/// that a copy of R lacks, whichever node that copy came from.
+/// Invariant: what changed is told only to a follower whose copy is of a revision that this node has held. A follower
+/// may hold an object that came and went between two of this node's revisions, and nothing here knows of it.
 #[derive(Debug)]
 pub(super) struct CopyHistory {
     pub(super) copy: MetadataCopy,
     changed_at: HashMap<String, u64>,
     removed: VecDeque<(u64, String)>,
-    /// Changes after this revision are known.
-    since: u64,
+    /// Revisions held, in rising order.
+    held: VecDeque<u64>,
 }
 
 impl CopyHistory {
     /// The history that begins with a copy.
     pub(super) fn begin(copy: MetadataCopy) -> Self {
-        let since = copy.revision;
-        Self { copy, changed_at: HashMap::new(), removed: VecDeque::new(), since }
+        let held = VecDeque::from([copy.revision]);
+        Self { copy, changed_at: HashMap::new(), removed: VecDeque::new(), held }
     }
 
     /// The history with a later copy.
@@ -42,13 +42,16 @@
             changed_at.remove(*name);
             removed.push_back((copy.revision, (*name).to_owned()));
         }
-        let mut since = self.since;
-        while removed.len() > REMOVALS {
-            if let Some((revision, _)) = removed.pop_front() {
-                since = since.max(revision);
-            }
+        let mut held = self.held.clone();
+        if held.back() != Some(&copy.revision) {
+            held.push_back(copy.revision);
+        }
+        if held.len() > REVISIONS {
+            held.pop_front();
         }
-        Self { changed_at, removed, since, copy }
+        let oldest = held.front().copied().unwrap_or_default();
+        removed.retain(|(revision, _)| *revision > oldest);
+        Self { changed_at, removed, held, copy }
     }
 
     /// What turns a copy of revision `held` into this one; `None` where that is as late.
@@ -57,7 +60,7 @@
         if held.is_some_and(|held| held >= revision) {
             return None;
         }
-        let Some(held) = held.filter(|held| *held >= self.since) else {
+        let Some(held) = held.filter(|held| self.held.binary_search(held).is_ok()) else {
             let objects = self.copy.objects.clone();
             return Some(MetadataUpdate { revision, is_whole: true, objects, removed: Vec::new() });
         };
--- a/crates/daemon/src/metadata/history/tests.rs
+++ b/crates/daemon/src/metadata/history/tests.rs
@@ -64,3 +64,25 @@
     assert!(update.is_whole);
     assert_eq!(history.update_since(Some(10)), None);
 }
+
+/// Found by the property above: an object that came and went between two revisions of the reader.
+#[test]
+fn a_follower_of_a_revision_that_the_reader_never_held_gets_the_whole_copy() {
+    let nothing = BTreeMap::new();
+    let passing = BTreeMap::from([("passing".to_owned(), "1".to_owned())]);
+    let history = CopyHistory::begin(copy(0, &nothing)).followed_by(copy(2, &nothing));
+    let update = history.update_since(Some(1)).expect("an update");
+    assert!(update.is_whole);
+    assert_eq!(apply(passing, update), nothing);
+}
+
+#[test]
+fn a_follower_that_was_here_gets_what_changed_alone() {
+    let first = BTreeMap::from([("a".to_owned(), "1".to_owned()), ("b".to_owned(), "1".to_owned())]);
+    let second = BTreeMap::from([("a".to_owned(), "1".to_owned()), ("c".to_owned(), "1".to_owned())]);
+    let history = CopyHistory::begin(copy(3, &first)).followed_by(copy(5, &second));
+    let update = history.update_since(Some(3)).expect("an update");
+    assert!(!update.is_whole);
+    assert_eq!((update.objects.len(), update.removed.clone()), (1, vec!["b".to_owned()]));
+    assert_eq!(apply(first, update), second);
+}
