Never ask to be woken in the past while members that stay go first

Since the time until which members that join wait stayed among the time-outs after it had passed, so that a driver that waited for a silent member woke without end; in service it would have burnt a core's share until the change was given up. The wait is now a state of its own that is over once its time has passed or a majority takes part. Ruled out: the shorter reads of an owner that knows the log; the machine's load (two threads at 100 % for five minutes). Test: a change that waits never asks to be woken in the past.

--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -64,13 +64,23 @@
     sealed_positions: BTreeMap<StoreId, LogPosition>,
     sources: Option<Sources>,
     targets: BTreeMap<StoreId, CopyTarget>,
-    /// Until then members that stay go before those that join.
-    staying_first_until: Option<Timestamp>,
+    staying_first: StayingFirst,
     installed: VoteCount,
     events: VecDeque<ReconfigurerEvent>,
     ended: bool,
 }
 
+/// Whether members that stay go before those that join.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StayingFirst {
+    /// Nothing is copied yet.
+    Pending,
+    /// Until then.
+    Until(Timestamp),
+    /// No more.
+    Over,
+}
+
 /// How long members that join wait for those that stay. These have nearly all there is already, and behind the pages
 /// of a whole log their few requests would wait: without them nothing is decided meanwhile.
 const STAYING_FIRST: Duration = Duration::from_millis(1_500);
@@ -127,7 +137,7 @@
             sealed: VoteCount::default(),
             sealed_positions: BTreeMap::new(),
             sources: None,
-            staying_first_until: None,
+            staying_first: StayingFirst::Pending,
             installed: VoteCount::default(),
             events: VecDeque::new(),
             ended: false,
@@ -159,7 +169,10 @@
     pub fn poll_timeout(&self) -> Option<Timestamp> {
         let sealing = self.sealing.values().filter_map(|sealing| sealing.retry_at);
         let copying = self.targets.values().filter_map(|target| target.retry_at);
-        let joining = self.staying_first_until.filter(|_| self.can_decide_without_joining());
+        let joining = match self.staying_first {
+            StayingFirst::Until(until) => Some(until),
+            StayingFirst::Pending | StayingFirst::Over => None,
+        };
         sealing.chain(copying).chain(joining).min()
     }
 
@@ -203,10 +216,10 @@
     }
 
     fn poll_copy(&mut self, now: Timestamp) -> Option<Transmit> {
-        let sources = self.sources.as_ref()?;
+        self.sources.as_ref()?;
         let retry_at = now + self.retransmit_after;
-        let until = *self.staying_first_until.get_or_insert(now + STAYING_FIRST);
-        let staying_first = now < until && self.can_decide_without_joining();
+        let staying_first = self.update_staying_first(now);
+        let sources = self.sources.as_ref()?;
         let (next, transfer, stays) = (&self.next, &self.transfer, &self.sealed_positions);
         let found = self.targets.iter_mut().find_map(|(store, target)| {
             if !target.is_due(now) || (staying_first && !stays.contains_key(store)) {
@@ -220,6 +233,20 @@
         Some(self.request(to, generation, operation))
     }
 
+    /// Whether members that join wait now.
+    ///
+    /// Invariant: once the time is over it is no time-out any more, so that a driver does not wake for it without end.
+    fn update_staying_first(&mut self, now: Timestamp) -> bool {
+        if self.staying_first == StayingFirst::Pending {
+            self.staying_first = StayingFirst::Until(now + STAYING_FIRST);
+        }
+        let is_waiting = matches!(self.staying_first, StayingFirst::Until(until) if now < until);
+        if !is_waiting || !self.can_decide_without_joining() {
+            self.staying_first = StayingFirst::Over;
+        }
+        self.staying_first != StayingFirst::Over
+    }
+
     /// Whether a majority of the next set is sealed, and not yet installed.
     fn can_decide_without_joining(&self) -> bool {
         let staying = self.sealed_positions.keys().filter(|store| self.next.member(store).is_some());
--- a/crates/core/tests/replication_reconfiguration.rs
+++ b/crates/core/tests/replication_reconfiguration.rs
@@ -377,3 +377,27 @@
     }
     assert_eq!(recovered, Some((vec![b"three".to_vec()], Epoch(2))));
 }
+
+/// A driver sleeps until the time-out: one that has passed would have it spin while a silent member is waited for.
+#[test]
+fn a_change_that_waits_never_asks_to_be_woken_in_the_past() {
+    let mut stores = Stores::new(&["a", "b", "c", "d", "e", "f"]);
+    let old = set_of_five();
+    let next = old.with_replaced(&StoreId::new("e"), member("f")).expect("e is a member and f is not");
+    stores.own(&old, "first", &[b"one"]).expect("taken over");
+    let transfer = TransferId("to 2".to_owned());
+    let mut change = Reconfigurer::new(old, next, transfer, Duration::from_millis(500));
+    let mut now = Timestamp::ORIGIN;
+    for _ in 0..100 {
+        while let Some(transmit) = change.poll_transmit(now) {
+            let is_seal = matches!(transmit.request.operation, Operation::Seal(_));
+            stores.reach(if is_seal { &["a", "b", "c"] } else { &[] });
+            if let Some(response) = stores.answer(transmit.request) {
+                change.step(response);
+            }
+        }
+        let wake = change.poll_timeout().expect("something is waited for");
+        assert!(wake > now, "{wake:?} at {now:?}");
+        now = wake;
+    }
+}
