--- /dev/null
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -0,0 +1,289 @@
+//! A whole system on the users' platform in one process: stand-ins of the platform, stores and gateways.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use lichenpulley_core::replication::placement::SetSize;
+use lichenpulley_daemon::cluster::Roles;
+use lichenpulley_daemon::http::client::{HttpClient, build};
+use lichenpulley_daemon::node::Node;
+use lichenpulley_daemon::settings::Settings;
+use lichenpulley_lab::metadata_store::{self, MetadataStore};
+use lichenpulley_lab::platform_replica::{self, Plan, Replica};
+use lichenpulley_platform::objects;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+/// Bounds a test that would fail anyway.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const ZONES: [&str; 3] = ["kajang", "shah-alam", "ampang"];
+pub(crate) const STORES: usize = 3;
+
+/// Stores, gateways, replicas and the platform's stand-in.
+pub(crate) struct System {
+    pub(crate) platform: MetadataStore,
+    pub(crate) replicas: Vec<Replica>,
+    pub(crate) stores: Vec<Option<Node>>,
+    pub(crate) gateways: Vec<Option<Node>>,
+    pub(crate) folders: Vec<TempDir>,
+    pub(crate) http: HttpClient,
+    pub(crate) tolerated_losses: usize,
+}
+
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+}
+
+pub(crate) fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": "shop.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 5_000,
+            "target_ms": 300, "service": "engines", "max_attempts": 3, "resumable": kind != "non_idempotent",
+            "max_queue_s": 40.0, "due_ms": 7_500})
+    };
+    json!({
+        "version": version,
+        "routes": [route("read", "/read/", "idempotent"), route("write", "/write/", "non_idempotent"),
+            route("chat", "/stream/", "streaming"), route("rollouts", "/rollouts/", "rollout")],
+        "services": [{"name": "engines", "engine": {"slots": 4, "kv_cap_tokens": 100_000,
+            "models": [{"name": "pricing"}]}}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 2_000_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+    })
+}
+
+impl System {
+    pub(crate) async fn start(replicas: usize, events: u64) -> Self {
+        Self::tolerating(1, replicas, events).await
+    }
+
+    /// A system whose stores bear the loss of so many disks at once.
+    pub(crate) async fn tolerating(tolerated_losses: usize, replicas: usize, events: u64) -> Self {
+        let platform = metadata_store::start().await.expect("a metadata store");
+        platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
+        let mut system = Self {
+            platform,
+            replicas: Vec::new(),
+            stores: Vec::new(),
+            gateways: Vec::new(),
+            folders: Vec::new(),
+            http: HttpClient::new(Duration::from_secs(1)),
+            tolerated_losses,
+        };
+        for number in 0..replicas {
+            system.add_replica(number, events).await;
+        }
+        for number in 0..SetSize::tolerating(tolerated_losses).members() {
+            system.folders.push(TempDir::new().expect("a folder"));
+            system.start_store(number).await;
+        }
+        for number in 0..2 {
+            system.start_gateway(number).await;
+        }
+        system
+    }
+
+    pub(crate) async fn add_replica(&mut self, number: usize, events: u64) {
+        let models = BTreeMap::from([("pricing".to_owned(), 1)]);
+        let pause = Duration::from_millis(5);
+        let plan = Plan { id: format!("replica-{number}"), events, pause, models };
+        let replica = platform_replica::start(plan).await.expect("a replica");
+        let record = replica.record("engines", ZONES[number % ZONES.len()]);
+        self.platform.put(objects::REPLICAS, &format!("replica-{number}"), record);
+        self.replicas.push(replica);
+    }
+
+    pub(crate) fn settings(&self, name: &str, number: usize) -> Settings {
+        let mut settings = Settings::on_loopback(name, ZONES[number % ZONES.len()]);
+        settings.platform.metadata_store = Some(self.platform.address);
+        settings.configuration.platform_timeout = Duration::from_millis(500);
+        settings.configuration.watch_hold = Duration::from_secs(2);
+        settings.membership.probe_interval = Duration::from_millis(200);
+        settings.membership.probe_timeout = Duration::from_millis(100);
+        settings.batch.order_lease = Duration::from_millis(500);
+        settings.store.replace_after = Duration::from_secs(3_600);
+        settings.store.set_size = SetSize::tolerating(self.tolerated_losses);
+        let seeds = self.stores.iter().flatten().map(|node| node.addresses().peers);
+        settings.peers.seeds = seeds.take(1).collect();
+        settings
+    }
+
+    pub(crate) async fn start_store(&mut self, number: usize) {
+        let mut settings = self.settings(&format!("store-{number}"), number);
+        settings.roles = Roles { gateway: false, coordinator: false, store: true };
+        settings.data_folder = Some(self.folders[number].path().join("store"));
+        let node = Node::start(settings).await.expect("a store");
+        if number < self.stores.len() {
+            self.stores[number] = Some(node);
+        } else {
+            self.stores.push(Some(node));
+        }
+    }
+
+    pub(crate) async fn start_gateway(&mut self, number: usize) {
+        let settings = self.settings(&format!("gateway-{number}"), number);
+        self.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    }
+
+    pub(crate) fn gateway(&self, number: usize) -> SocketAddr {
+        self.gateways[number].as_ref().expect("a living gateway").addresses().callers
+    }
+
+    pub(crate) async fn call(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        fields: &[(&'static str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let request = self.request(gateway, method, path, fields, body.into());
+        let response = self.http.send(self.gateway(gateway), request, Instant::now() + PATIENCE).await;
+        let (head, body) = response.expect("an answer").into_parts();
+        let body = body.collect().await.expect("a whole answer").to_bytes();
+        Answer { status: head.status, headers: head.headers, body }
+    }
+
+    pub(crate) fn request(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        fields: &[(&'static str, &str)],
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut request = build(method, self.gateway(gateway), path, body).expect("a request");
+        request.headers_mut().insert("host", "Shop.Example:80".parse().expect("a host"));
+        for (name, value) in fields {
+            request.headers_mut().insert(*name, value.parse().expect("a value"));
+        }
+        request
+    }
+
+    /// Asks again until the answer has this status.
+    pub(crate) async fn call_until(&self, status: StatusCode, gateway: usize, path: &str) -> Answer {
+        let asked = async {
+            loop {
+                let answer = self.call(gateway, Method::GET, path, &[("attempt-id", "probe")], "").await;
+                if answer.status == status {
+                    return answer;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, asked).await.expect("the status in time")
+    }
+
+    pub(crate) async fn submit(&self, gateway: usize, id: &str, items: usize, min_version: u64) {
+        self.submit_bodies(gateway, id, items, min_version, "Ym9keQ==").await;
+    }
+
+    /// One item with a body of so many bytes of text.
+    pub(crate) async fn submit_long(&self, gateway: usize, id: &str, body_bytes: usize) {
+        self.submit_bodies(gateway, id, 1, 1, &"Ym9k".repeat(body_bytes / 4)).await;
+    }
+
+    pub(crate) async fn submit_bodies(
+        &self,
+        gateway: usize,
+        id: &str,
+        items: usize,
+        min_version: u64,
+        body: &str,
+    ) {
+        let item = |number: usize| {
+            json!({"id": format!("{id}-{number}"), "path": "/stream/x", "headers": {"Model": "pricing"},
+                "body": body, "tokens": 100, "group": format!("g{}", number / 2)})
+        };
+        let items: Vec<Value> = (0..items).map(item).collect();
+        let job =
+            json!({"step": 0, "model": "pricing", "min_version": min_version, "desired": 1, "items": items});
+        let taken = async {
+            loop {
+                let body = serde_json::to_vec(&job).expect("a body");
+                let answer =
+                    self.call(gateway, Method::POST, "/rollouts/x", &[("attempt-id", id)], body).await;
+                if answer.status == StatusCode::ACCEPTED {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, taken).await.expect("the job is taken");
+    }
+
+    /// Reads until the list is whole.
+    pub(crate) async fn results(&self, gateway: usize, id: &str) -> Vec<Value> {
+        let read = async {
+            let mut results: Vec<Value> = Vec::new();
+            loop {
+                let path = format!("/-/lots/{id}?after_rev={}", results.len());
+                let answer = self.call(gateway, Method::GET, &path, &[("wait-ms", "200")], "").await;
+                if answer.status == StatusCode::OK {
+                    let page = answer.json();
+                    results.extend(page["results"].as_array().expect("results").iter().cloned());
+                    if results.len() as u64 == page["total"].as_u64().expect("a total") {
+                        return results;
+                    }
+                } else {
+                    assert_eq!(
+                        answer.status,
+                        StatusCode::SERVICE_UNAVAILABLE,
+                        "no job is ever unknown again"
+                    );
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, read).await.expect("the list is whole in time")
+    }
+
+    /// How many nodes follow others, once all know of each other.
+    pub(crate) async fn followers(&self) -> usize {
+        let live = self.gateways.iter().flatten().count();
+        let known = async {
+            loop {
+                let nodes = self.gateways.iter().flatten();
+                let knows_all = |node: &Node| {
+                    let cluster = node.context().cluster.load();
+                    cluster.members.iter().filter(|member| member.roles.gateway).count() == live
+                };
+                if nodes.into_iter().all(knows_all) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, known).await.expect("all nodes know of each other");
+        // The last watch that began before is held so long.
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        let nodes = self.gateways.iter().flatten();
+        nodes.filter(|node| node.context().metadata.follows()).count()
+    }
+
+    pub(crate) fn owner(&self) -> usize {
+        self.find_owner().expect("an owner")
+    }
+
+    /// The node that owns the batch jobs; none while the ownership moves.
+    pub(crate) fn find_owner(&self) -> Option<usize> {
+        let owns = |node: &Option<Node>| {
+            node.as_ref().is_some_and(|node| {
+                let owner = node.context().batch_owner.load();
+                owner.as_ref().is_some_and(|owner| **owner == node.context().node)
+            })
+        };
+        self.gateways.iter().position(owns)
+    }
+}
