--- a/crates/daemon/src/batch/log.rs
+++ b/crates/daemon/src/batch/log.rs
@@ -8,8 +8,9 @@
 
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
-/// Records of which the log is compacted once it holds so many bytes.
-const COMPACT_BYTES: usize = 48 << 20;
+/// The log is compacted once it holds so many bytes. Nothing else is decided while a snapshot is written, so that the
+/// owner is not confirmed meanwhile: it should come seldom, and before a small disk is full.
+const COMPACT_BYTES: usize = 96 << 20;
 
 /// A member of the stores that is to be replaced.
 pub(super) struct Replacement {
