Score whole texts by their items' scorers before they are listed

Cause: the new customer's items name a scorer, and the users' rule is that no result is listed whole without the signature of its answer.

What: the whole text is a record of its own (Whole); once a majority keeps it, a score request goes by the route table to a replica of that route's service; its signature is a record (Scored) that lists the item. A new owner repeats the request and never the generation. Failures of the scorer are counted in the log, and only as many as the route allows give an item up. A malformed scorer gets 400 with its field; a scorer whose route is gone waits for it.

Ruled out: sending the request beside the append of the text (a takeover in between would have a score of a text that nobody keeps); choosing replicas in the daemon's ingress (its view is per node and not testable on the virtual clock).

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::job::{BatchItem, KeptEvent};
 use crate::batch::record::Record;
+use crate::batch::score_plan::{ScoreId, ScoreStart};
 use crate::batch::weights::Load;
 use crate::decision::Decision;
 use crate::ingress::replicas::ReplicaRecord;
@@ -76,6 +77,10 @@
     Start(Box<RunStart>),
     /// Stop a run; nothing more of it is wanted.
     Stop(RunId),
+    /// Send a score request; tell its end by [`super::Controller::score_ended`].
+    Score(Box<ScoreStart>),
+    /// Give a score request up; nothing more of it is wanted.
+    StopScore(ScoreId),
     /// Order a replica to load a version.
     Load(Load),
     /// Show a decision.
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod retention;
 mod runs;
+mod scoring;
 mod starting;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -17,6 +18,7 @@
 use super::ledger::{JobState, Ledger};
 use super::record::Record;
 use super::schedule::ReplicaState;
+use super::score_plan::ScorePlan;
 use super::weights::LoadPlan;
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
@@ -35,6 +37,20 @@
     last_event_at: Option<Timestamp>,
 }
 
+/// How far an item that is not listed yet has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ItemStage {
+    /// Its text is being made.
+    #[default]
+    Generating,
+    /// Its whole text is on its way to the stores.
+    Keeping,
+    /// Its whole text is kept and being scored.
+    Scoring,
+    /// Its result is on its way to the stores.
+    Listing,
+}
+
 /// What the owner knows of an item beyond the ledger.
 #[derive(Default)]
 struct LiveItem {
@@ -49,8 +65,8 @@
     failures: u32,
     /// The replica that let the last run down.
     avoid: Option<String>,
-    /// Its result is on its way to the stores.
-    is_listing: bool,
+    stage: ItemStage,
+    score_failures: u32,
 }
 
 impl LiveItem {
@@ -76,6 +92,7 @@
     routes: Option<Arc<RouteTable>>,
     replicas: BTreeMap<String, ReplicaState>,
     loads: LoadPlan,
+    scores: ScorePlan,
     /// The shard's clock when this owner began.
     clock_base_ms: u64,
     began_at: Timestamp,
@@ -113,6 +130,7 @@
             routes: None,
             replicas: BTreeMap::new(),
             loads: LoadPlan::default(),
+            scores: ScorePlan::default(),
             began_at: now,
             last_append_at: now,
             may_load_from,
@@ -153,7 +171,8 @@
 
     /// How many items run and how many wait.
     pub fn item_counts(&self) -> (usize, usize) {
-        let waiting = self.items.values().filter(|item| item.run.is_none() && !item.is_listing).count();
+        let waits = |item: &&LiveItem| item.run.is_none() && item.stage == ItemStage::Generating;
+        let waiting = self.items.values().filter(waits).count();
         (self.runs.len(), waiting)
     }
 
@@ -164,21 +183,31 @@
     }
 
     fn restore_items(&mut self) {
+        let mut whole = Vec::new();
         for (batch, state) in self.ledger.jobs() {
             self.held_bytes += held_bytes(state);
             for (item, position) in state.items.iter().zip(0..) {
                 if !state.is_open(position) {
                     continue;
                 }
-                let live = LiveItem {
-                    events: item.events.clone(),
-                    written: item.events.len(),
+                let key = (batch.clone(), position);
+                let mut live = LiveItem {
                     failures: item.failures,
+                    score_failures: item.score_failures,
                     ..LiveItem::default()
                 };
-                self.items.insert((batch.clone(), position), live);
+                if item.is_whole {
+                    whole.push(key.clone());
+                } else {
+                    live.events = item.events.clone();
+                    live.written = item.events.len();
+                }
+                self.items.insert(key, live);
             }
         }
+        for (batch, item) in whole {
+            self.begin_scoring(self.began_at, &batch, item);
+        }
     }
 
     /// Takes the operator's configuration, the platform's list of replicas, and the versions that trainers named.
@@ -251,7 +280,7 @@
         };
         if !is_ended && self.ending.insert(batch.clone()) {
             self.append(now, vec![Record::Ended(batch.clone())]);
-            self.forget_items(batch);
+            self.forget_items(now, batch);
             self.decide(Decision::new(Component::Rollout, "batch_ended", "caller", batch));
             self.work(now);
         }
@@ -265,7 +294,14 @@
             if let Record::Accepted(job) = &record {
                 self.accepted(job);
             }
+            let whole = match &record {
+                Record::Whole { batch, item, .. } => Some((batch.clone(), *item)),
+                _ => None,
+            };
             self.ledger.apply(record);
+            if let Some((batch, item)) = whole {
+                self.begin_scoring(now, &batch, item);
+            }
         }
         self.work_and_load(now);
     }
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -54,15 +54,16 @@
             if let Some(job) = self.ledger.job(&batch) {
                 self.held_bytes = self.held_bytes.saturating_sub(held_bytes(job));
             }
-            self.forget_items(&batch);
+            self.forget_items(now, &batch);
             self.append(now, vec![Record::Dropped(batch)]);
         }
     }
 
-    pub(super) fn forget_items(&mut self, batch: &BatchId) {
+    pub(super) fn forget_items(&mut self, now: Timestamp, batch: &BatchId) {
         let runs: Vec<RunId> =
             self.runs.iter().filter(|(_, run)| &run.batch == batch).map(|(id, _)| *id).collect();
         runs.into_iter().for_each(|run| self.stop(run));
+        self.stop_scores(now, |(owner, _)| owner == batch);
         self.items.retain(|(owner, _), _| owner != batch);
     }
 }
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Action, Controller, Run, RunEnd, RunEvent, RunId};
+use super::{Action, Controller, ItemStage, Run, RunEnd, RunEvent, RunId};
 use crate::batch::job::{ItemResult, KeptEvent};
 use crate::batch::record::Record;
 use crate::batch::schedule::{self, Need, PAUSE_AFTER_REJECTION, ReplicaState, SUSPECT_AFTER_BREAK};
@@ -111,7 +111,7 @@
         let max_attempts = self.route(&batch).map_or(1, |route| route.max_attempts);
         let Some(live) = self.items.get_mut(&key) else { return };
         match end {
-            RunEnd::Complete => self.list_complete(now, &batch, item),
+            RunEnd::Complete => self.text_came_whole(now, &batch, item),
             RunEnd::Never => self.give_up(now, &batch, item, "never"),
             RunEnd::Failed => {
                 live.failures += 1;
@@ -127,31 +127,36 @@
         self.work(now);
     }
 
-    fn list_complete(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
+    /// Keeps a whole text: listed at once, or for its scorer.
+    fn text_came_whole(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
+        let needs_score = self.item(batch, item).is_some_and(|item| item.scorer.is_some());
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return };
-        live.is_listing = true;
+        live.stage = if needs_score { ItemStage::Keeping } else { ItemStage::Listing };
         let mut events = std::mem::take(&mut live.events);
         let batch = batch.clone();
         let line_feeds = events.len().saturating_sub(1);
         self.held_bytes += events.iter().map(|event| event.data.len()).sum::<usize>() + line_feeds;
-        let record = if live.is_anew {
-            Record::Listed { batch, result: ItemResult::complete(item, &events) }
-        } else {
-            Record::Completed { batch, item, events: events.split_off(live.written) }
+        let replaces = live.is_anew;
+        let record = match (needs_score, replaces) {
+            (true, true) => Record::Whole { batch, item, events, replaces },
+            (true, false) => Record::Whole { batch, item, events: events.split_off(live.written), replaces },
+            (false, true) => Record::Listed { batch, result: ItemResult::complete(item, &events, None) },
+            (false, false) => Record::Completed { batch, item, events: events.split_off(live.written) },
         };
         self.append(now, vec![record]);
     }
 
     pub(super) fn give_up(&mut self, now: Timestamp, batch: &BatchId, item: u32, reason: &str) {
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return };
-        if live.is_listing {
+        if live.stage == ItemStage::Listing {
             return;
         }
-        live.is_listing = true;
+        live.stage = ItemStage::Listing;
         let run = live.run.take();
         if let Some(run) = run {
             self.stop(run);
         }
+        self.stop_scores(now, |key| key.0 == *batch && key.1 == item);
         let subject = self.item(batch, item).map_or_else(String::new, |item| item.id.clone());
         self.decide(Decision::new(Component::Rollout, "item_given_up", reason, subject).with("batch", batch));
         let result = ItemResult::faulted(item);
--- /dev/null
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -0,0 +1,95 @@
+//! Whole texts that wait for their score.
+//!
+//! Invariants: a score request leaves only after the text that it scores is kept whole; a score is listed only with the
+//! text that its request followed; an item is given up for its scorer only after as many failures as the route allows,
+//! those of earlier owners included.
+
+use super::{Action, Controller, ItemStage};
+use crate::batch::record::Record;
+use crate::batch::score_plan::{EndedScore, ItemKey, ScoreEnd, ScoreId};
+use crate::decision::{Component, Decision};
+use crate::identity::BatchId;
+use crate::time::Timestamp;
+
+impl Controller {
+    /// A whole text is kept: its score request may leave.
+    pub(super) fn begin_scoring(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
+        let Some(job) = self.ledger.job(batch).filter(|job| job.is_open(item)) else { return };
+        let Some(request) = job.job.items.get(item as usize).and_then(|item| item.scorer.clone()) else {
+            return;
+        };
+        let is_whole = job.items.get(item as usize).is_some_and(|state| state.is_whole);
+        let key = (batch.clone(), item);
+        let Some(live) = self.items.get_mut(&key).filter(|live| is_whole && live.stage != ItemStage::Listing)
+        else {
+            return;
+        };
+        live.stage = ItemStage::Scoring;
+        self.scores.add(key, request, now);
+    }
+
+    pub(super) fn start_scores(&mut self, now: Timestamp) {
+        let Some(routes) = self.routes.clone() else { return };
+        let replicas = &self.replicas;
+        let ready = |service: &str| {
+            let records = replicas.values().map(|state| &state.record);
+            records.filter(|record| record.service == service && !record.is_draining).collect()
+        };
+        for start in self.scores.next(&routes, ready, now) {
+            let decision = Decision::new(Component::Rollout, "score_requested", "whole", &start.request.id);
+            let decision = decision.with("replica", &start.replica.id).with("sending", start.id.0);
+            self.decide(decision.with("patience_ms", start.patience.as_millis()));
+            self.actions.push_back(Action::Score(Box::new(start)));
+        }
+    }
+
+    /// Takes the end of a score request, and what the replica said of its load, where it did.
+    pub fn score_ended(&mut self, now: Timestamp, id: ScoreId, end: &ScoreEnd, busy: Option<u32>) {
+        if let Some(busy) = busy {
+            self.scores.reported(id, busy, now);
+        }
+        let ended = self.scores.ended(id, end, self.routes.as_deref(), now);
+        let Some(EndedScore { key, request, replica, route_attempts }) = ended else { return };
+        let decision = Decision::new(Component::Rollout, "score_ended", end.as_str(), &request);
+        self.decide(decision.with("batch", &key.0).with("replica", &replica).with("sending", id.0));
+        match end {
+            ScoreEnd::Scored(score) => self.list_scored(now, key, score),
+            ScoreEnd::Failed => self.count_score_failure(now, &key, route_attempts),
+            ScoreEnd::Rejected | ScoreEnd::Broken => {}
+        }
+        self.work(now);
+    }
+
+    fn list_scored(&mut self, now: Timestamp, key: ItemKey, score: &str) {
+        let Some(live) = self.items.get_mut(&key).filter(|live| live.stage == ItemStage::Scoring) else {
+            return;
+        };
+        live.stage = ItemStage::Listing;
+        let (batch, item) = key;
+        self.append(now, vec![Record::Scored { batch, item, score: score.to_owned() }]);
+    }
+
+    fn count_score_failure(&mut self, now: Timestamp, key: &ItemKey, route_attempts: Option<u32>) {
+        let Some(live) = self.items.get_mut(key) else { return };
+        live.score_failures += 1;
+        let failures = live.score_failures;
+        let (batch, item) = key.clone();
+        self.append(now, vec![Record::ScoreFailed { batch, item, failures }]);
+        // Without a route nobody says how many failures are enough.
+        if route_attempts.is_some_and(|attempts| failures >= attempts) {
+            self.give_up(now, &key.0, key.1, "score_failures");
+        }
+    }
+
+    /// Gives up the score requests of these items.
+    pub(super) fn stop_scores(&mut self, now: Timestamp, is_gone: impl Fn(&ItemKey) -> bool) {
+        for id in self.scores.remove(is_gone, now) {
+            self.actions.push_back(Action::StopScore(id));
+        }
+    }
+
+    /// How many score requests wait and how many are under way.
+    pub fn score_counts(&self) -> (usize, usize) {
+        self.scores.counts()
+    }
+}
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::{Action, Controller, DueWork, Run, RunId, RunStart, expected_tokens};
+use super::{Action, Controller, DueWork, ItemStage, Run, RunId, RunStart, expected_tokens};
 use crate::batch::schedule::{self, Loading, Need, ReplicaState};
 use crate::batch::weights::Load;
 use crate::decision::{Component, Decision};
@@ -38,6 +38,7 @@
         }
         if items {
             self.start_items(now);
+            self.start_scores(now);
         }
     }
 
@@ -46,7 +47,7 @@
         let ledger = &self.ledger;
         self.items.retain(|(batch, item), live| {
             let is_listed = || ledger.job(batch).is_some_and(|job| !job.is_open(*item));
-            !(live.is_listing && is_listed())
+            !(live.stage == ItemStage::Listing && is_listed())
         });
     }
 
@@ -94,7 +95,7 @@
         }
         let mut waiting = Vec::new();
         for ((batch, item), live) in &self.items {
-            if live.run.is_some() || live.is_listing {
+            if live.run.is_some() || live.stage != ItemStage::Generating {
                 continue;
             }
             let Some(job) = self.ledger.job(batch) else { continue };
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -4,6 +4,19 @@
 
 use crate::identity::BatchId;
 
+/// A request that scores an item's text once it is whole. The signature of its successful answer is the score.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ScoreRequest {
+    /// Its id.
+    pub id: String,
+    /// The host whose routes it goes by.
+    pub host: String,
+    /// The path, by which its route is found.
+    pub path: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
 /// One request of a batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct BatchItem {
@@ -23,6 +36,8 @@
     pub group: Option<String>,
     /// The model it is for.
     pub model: Option<String>,
+    /// What scores its text; without it the text is listed as it came.
+    pub scorer: Option<ScoreRequest>,
 }
 
 /// A batch job.
@@ -66,20 +81,22 @@
     pub text: String,
     /// Every version that made an event of the text, in rising order.
     pub versions: Vec<u64>,
+    /// The score of the text, where its item names a scorer.
+    pub score: Option<String>,
 }
 
 impl ItemResult {
     /// The result of an item that came whole.
-    pub fn complete(item: u32, events: &[KeptEvent]) -> Self {
+    pub fn complete(item: u32, events: &[KeptEvent], score: Option<String>) -> Self {
         let mut versions: Vec<u64> = events.iter().map(|event| event.version).collect();
         versions.sort_unstable();
         versions.dedup();
         let data: Vec<&str> = events.iter().map(|event| event.data.as_str()).collect();
-        Self { item, is_complete: true, text: data.join("\n"), versions }
+        Self { item, is_complete: true, text: data.join("\n"), versions, score }
     }
 
     /// The result of an item that was given up.
     pub const fn faulted(item: u32) -> Self {
-        Self { item, is_complete: false, text: String::new(), versions: Vec::new() }
+        Self { item, is_complete: false, text: String::new(), versions: Vec::new(), score: None }
     }
 }
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -1,7 +1,8 @@
 //! What the records of a batch shard amount to.
 //!
 //! Invariants: an item is listed once, and keeps its position; a job that was ended stays ended; events of an item
-//! are kept without a gap and each once. Applying a record a second time changes nothing.
+//! are kept without a gap and each once; a score is listed only with the whole text that was kept before it. Applying
+//! a record a second time changes nothing.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -18,6 +19,10 @@
     pub events: Vec<KeptEvent>,
     /// Runs that failed.
     pub failures: u32,
+    /// Whether its text is whole and waits for its score.
+    pub is_whole: bool,
+    /// Answers of its scorer that said that it failed.
+    pub score_failures: u32,
     /// Whether it stands in the job's list.
     pub is_listed: bool,
 }
@@ -116,6 +121,17 @@
             Record::Dropped(batch) => {
                 self.jobs.remove(&batch);
             }
+            Record::Whole { batch, item, events, replaces } => {
+                if let Some(state) = self.item(&batch, item) {
+                    keep_whole(state, events, replaces);
+                }
+            }
+            Record::ScoreFailed { batch, item, failures } => {
+                if let Some(state) = self.item(&batch, item) {
+                    state.score_failures = state.score_failures.max(failures);
+                }
+            }
+            Record::Scored { batch, item, score } => self.list_scored(&batch, item, score),
             Record::Clock(milliseconds) => self.clock_ms = self.clock_ms.max(milliseconds),
         }
     }
@@ -141,11 +157,17 @@
         let last = events.last().map(|event| event.number).or(state.last_event());
         append_events(state, events);
         if state.last_event() == last {
-            let result = ItemResult::complete(item, &state.events);
+            let result = ItemResult::complete(item, &state.events, None);
             self.list(batch, result);
         }
     }
 
+    fn list_scored(&mut self, batch: &BatchId, item: u32, score: String) {
+        let Some(state) = self.item(batch, item).filter(|state| state.is_whole) else { return };
+        let result = ItemResult::complete(item, &state.events, Some(score));
+        self.list(batch, result);
+    }
+
     /// The ledger as a snapshot.
     ///
     /// # Errors
@@ -179,10 +201,23 @@
     }
 }
 
+/// Invariant: only a text without a gap counts as whole, and once it does it is not changed.
+fn keep_whole(state: &mut ItemState, events: Vec<KeptEvent>, replaces: bool) {
+    if state.is_whole || state.is_listed {
+        return;
+    }
+    if replaces {
+        state.events.clear();
+    }
+    let last = events.last().map(|event| event.number).or(state.last_event());
+    append_events(state, events);
+    state.is_whole = state.last_event() == last;
+}
+
 fn append_events(state: &mut ItemState, events: Vec<KeptEvent>) {
     for event in events {
         let next = state.last_event().map_or(event.number, |last| last + 1);
-        if !state.is_listed && event.number == next {
+        if !state.is_listed && !state.is_whole && event.number == next {
             state.events.push(event);
         }
     }
@@ -198,10 +233,17 @@
         if state.failures > 0 {
             records.push(Record::Failed { batch: batch.clone(), item, failures: state.failures });
         }
-        if !state.events.is_empty() {
+        if state.is_whole {
+            let events = state.events.clone();
+            records.push(Record::Whole { batch: batch.clone(), item, events, replaces: true });
+        } else if !state.events.is_empty() {
             records.push(Record::Progress { batch: batch.clone(), item, events: state.events.clone() });
         }
     }
+    for (state, item) in job.items.iter().zip(0..).filter(|(state, _)| state.score_failures > 0) {
+        let failures = state.score_failures;
+        records.push(Record::ScoreFailed { batch: batch.clone(), item, failures });
+    }
     if job.is_ended {
         records.push(Record::Ended(batch.clone()));
     }
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -11,4 +11,5 @@
 pub mod load_limit;
 pub mod record;
 mod schedule;
+pub mod score_plan;
 pub mod weights;
--- a/crates/core/src/batch/record.rs
+++ b/crates/core/src/batch/record.rs
@@ -51,6 +51,35 @@
     },
     /// The owner is alive. The shard's clock: milliseconds that owners have counted so far.
     Clock(u64),
+    /// An item's text came whole and waits for its score.
+    Whole {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// Events that follow those kept before, or all of them.
+        events: Vec<KeptEvent>,
+        /// Whether the text was begun anew, so that nothing kept before belongs to it.
+        replaces: bool,
+    },
+    /// The scorer of an item answered that it failed.
+    ScoreFailed {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// Failures so far.
+        failures: u32,
+    },
+    /// A whole text is scored, and its item listed at the next free position of its job.
+    Scored {
+        /// The job.
+        batch: BatchId,
+        /// The item's position in the job.
+        item: u32,
+        /// The score.
+        score: String,
+    },
 }
 
 impl Record {
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -60,6 +60,14 @@
     failures_in_row: u32,
 }
 
+impl Seen {
+    /// Requests in hand there: what this node sent, or the replica's own word where that is more.
+    fn busy(&self, now: Timestamp) -> u32 {
+        let reported = self.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_FOR);
+        self.in_flight.max(reported.map_or(0, |(_, busy)| busy))
+    }
+}
+
 /// How a request to a replica went, as far as its choice is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Experience {
@@ -67,6 +75,8 @@
     Answered(Duration),
     /// It was too full.
     Full,
+    /// It answered that it failed.
+    Failed,
     /// It gave no whole answer.
     Silent,
     /// The caller left, or another way was found.
@@ -91,7 +101,16 @@
         random: u64,
     ) -> Option<&'a ReplicaRecord> {
         let untried = table.ready(service).filter(|record| !tried.contains(&record.id));
-        let mut candidates: Vec<&ReplicaRecord> = untried.collect();
+        self.best_of(untried.collect(), now, random)
+    }
+
+    /// The one of `candidates` that should answer first. Among equals, `random` decides.
+    pub fn best_of<'a>(
+        &self,
+        mut candidates: Vec<&'a ReplicaRecord>,
+        now: Timestamp,
+        random: u64,
+    ) -> Option<&'a ReplicaRecord> {
         if candidates.is_empty() {
             return None;
         }
@@ -107,14 +126,18 @@
     /// Whether the replica is suspected, and its expected time to answer in milliseconds.
     fn cost(&self, record: &ReplicaRecord, now: Timestamp) -> (bool, f64) {
         let Some(seen) = self.seen.get(&record.id) else { return (false, UNMEASURED_LATENCY_MS) };
-        let reported = seen.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_FOR);
-        let busy = seen.in_flight.max(reported.map_or(0, |(_, busy)| busy));
+        let busy = seen.busy(now);
         let slots = f64::from(record.slots.max(1));
         let load = f64::from(busy) / slots;
         let latency = seen.latency_ms.unwrap_or(UNMEASURED_LATENCY_MS);
         (seen.suspect_until > now, latency * (1.0 + load))
     }
 
+    /// Requests in hand at a replica, as far as is known.
+    pub fn busy(&self, replica: &str, now: Timestamp) -> u32 {
+        self.seen.get(replica).map_or(0, |seen| seen.busy(now))
+    }
+
     /// A request was sent.
     pub fn sent(&mut self, replica: &str) {
         self.seen.entry(replica.to_owned()).or_default().in_flight += 1;
@@ -138,7 +161,7 @@
                 seen.suspect_until = now + pause.min(SUSPECT_LIMIT);
             }
             Experience::Full => seen.reported = Some((now, u32::MAX / 2)),
-            Experience::Abandoned => {}
+            Experience::Failed | Experience::Abandoned => {}
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/batch_support/mod.rs
@@ -0,0 +1,240 @@
+//! An owner of batch jobs whose appends are decided, and whose runs end, when a test says so.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::batch::controller::{
+    Action, Controller, ControllerConfig, RunEnd, RunEvent, RunId, RunStart, Submission,
+};
+use lichenpulley_core::batch::job::{BatchItem, BatchJob, KeptEvent, ScoreRequest};
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
+use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
+use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
+use lichenpulley_core::time::Timestamp;
+
+pub(crate) const MODEL: &str = "pricing";
+
+pub(crate) fn replica(id: &str, version: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "engines".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "kajang".to_owned(),
+        slots: 2,
+        is_draining: false,
+        models: BTreeMap::from([(MODEL.to_owned(), version)]),
+    }
+}
+
+pub(crate) fn table(replicas: &[ReplicaRecord]) -> ReplicaTable {
+    let records = replicas.iter().map(|record| (record.id.clone(), record.clone()));
+    ReplicaTable { records: records.collect() }
+}
+
+pub(crate) fn routes(needs_single_version: bool) -> Arc<RouteTable> {
+    let route = Route {
+        name: "rollouts".to_owned(),
+        host: "host".to_owned(),
+        path_prefix: "/r/".to_owned(),
+        kind: RouteKind::Batch,
+        timeout: None,
+        target: Duration::from_millis(400),
+        services: vec![WeightedService { service: "engines".to_owned(), weight: 1 }],
+        max_attempts: 3,
+        is_resumable: true,
+        max_queue: Duration::from_secs(40),
+        due: Duration::from_secs(8),
+        needs_single_version,
+    };
+    let scorers = Route {
+        name: "scores".to_owned(),
+        path_prefix: "/score/".to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Some(Duration::from_millis(1_500)),
+        target: Duration::from_millis(150),
+        services: vec![WeightedService { service: "scorers".to_owned(), weight: 1 }],
+        is_resumable: false,
+        ..route.clone()
+    };
+    let service = Service { slots: 2, memory_tokens: Some(10_000), models: vec![MODEL.to_owned()] };
+    let limits = Limits {
+        header_bytes: 16 << 10,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = BTreeMap::from([("engines".to_owned(), service)]);
+    Arc::new(RouteTable { version: 1, routes: vec![route, scorers], services, limits })
+}
+
+pub(crate) fn job(id: &str, items: usize, min_version: u64) -> BatchJob {
+    let item = |number: usize| BatchItem {
+        id: format!("{id}-{number}"),
+        path: "/r/x".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        tokens: 100,
+        expected_tokens: Some(50),
+        group: Some("g".to_owned()),
+        model: Some(MODEL.to_owned()),
+        scorer: None,
+    };
+    BatchJob {
+        id: BatchId::new(id),
+        route: "rollouts".to_owned(),
+        host: "host".to_owned(),
+        step: Some(0),
+        min_version,
+        desired_groups: Some(1),
+        items: (0..items).map(item).collect(),
+    }
+}
+
+/// A job whose items name a scorer.
+pub(crate) fn scored_job(id: &str, items: usize) -> BatchJob {
+    let mut job = job(id, items, 0);
+    for item in &mut job.items {
+        item.scorer = Some(ScoreRequest {
+            id: format!("score-{}", item.id),
+            host: "host".to_owned(),
+            path: "/score/x".to_owned(),
+            body: b"text".to_vec(),
+        });
+    }
+    job
+}
+
+/// A replica of the scorers' service.
+pub(crate) fn scorer_replica(id: &str) -> ReplicaRecord {
+    ReplicaRecord { service: "scorers".to_owned(), slots: 6, models: BTreeMap::new(), ..replica(id, 1) }
+}
+
+pub(crate) fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+/// An owner and what it asked for, with its appends decided only when the test says so.
+pub(crate) struct Bench {
+    pub(crate) controller: Controller,
+    pub(crate) appends: usize,
+    pub(crate) started: Vec<RunStart>,
+    pub(crate) stopped: Vec<RunId>,
+    pub(crate) scores: Vec<ScoreStart>,
+    pub(crate) stopped_scores: Vec<ScoreId>,
+    pub(crate) records: Vec<Record>,
+    pub(crate) loads: Vec<(String, u64)>,
+}
+
+impl Bench {
+    pub(crate) fn new(ledger: Ledger, needs_single_version: bool, replicas: &[ReplicaRecord]) -> Self {
+        Self::with_config(ControllerConfig::default(), ledger, needs_single_version, replicas)
+    }
+
+    pub(crate) fn with_config(
+        config: ControllerConfig,
+        ledger: Ledger,
+        needs_single_version: bool,
+        replicas: &[ReplicaRecord],
+    ) -> Self {
+        let mut controller = Controller::new(config, ledger, at(0), at(0));
+        controller.update(at(0), Some(routes(needs_single_version)), &table(replicas), &BTreeMap::new());
+        let mut bench = Self {
+            controller,
+            appends: 0,
+            started: Vec::new(),
+            stopped: Vec::new(),
+            scores: Vec::new(),
+            stopped_scores: Vec::new(),
+            records: Vec::new(),
+            loads: Vec::new(),
+        };
+        bench.take();
+        bench
+    }
+
+    pub(crate) fn take(&mut self) {
+        while let Some(action) = self.controller.poll_action() {
+            match action {
+                Action::Append(records) => {
+                    self.appends += 1;
+                    self.records.extend(records);
+                }
+                Action::Start(start) => self.started.push(*start),
+                Action::Stop(run) => self.stopped.push(run),
+                Action::Load(load) => self.loads.push((load.replica, load.version)),
+                Action::Score(start) => self.scores.push(*start),
+                Action::StopScore(id) => self.stopped_scores.push(id),
+                Action::Decide(_) => {}
+            }
+        }
+    }
+
+    /// All appends so far are kept by a majority.
+    pub(crate) fn decide(&mut self, now: Timestamp) {
+        self.take();
+        while self.appends > 0 {
+            self.appends -= 1;
+            self.controller.appended(now);
+            self.take();
+        }
+    }
+
+    pub(crate) fn submit(&mut self, now: Timestamp, job: BatchJob) {
+        assert_eq!(self.controller.submit(now, job), Submission::Pending);
+        self.decide(now);
+    }
+
+    pub(crate) fn event(&mut self, now: Timestamp, run: RunId, number: u64, version: u64) {
+        let kept = KeptEvent { number, version, data: format!("d{number}") };
+        self.controller.run_event(now, run, RunEvent::Event(kept));
+        self.take();
+    }
+
+    pub(crate) fn end(&mut self, now: Timestamp, run: RunId, end: RunEnd) {
+        self.controller.run_event(now, run, RunEvent::Ended(end));
+        self.take();
+    }
+
+    /// Takes a job of one item whose text comes whole at once.
+    pub(crate) fn run_whole(&mut self, now: Timestamp, job: BatchJob) {
+        self.submit(now, job);
+        let run = self.started.last().expect("a run").run;
+        self.event(now, run, 0, 1);
+        self.end(now, run, RunEnd::Complete);
+        self.decide(now);
+    }
+
+    /// The score request that was sent as number `position` ends.
+    pub(crate) fn score_end(&mut self, now: Timestamp, position: usize, end: ScoreEnd) {
+        self.score_end_with(now, position, end, None);
+    }
+
+    /// The same, with the replica's word of how many requests it has in hand.
+    pub(crate) fn score_end_with(
+        &mut self,
+        now: Timestamp,
+        position: usize,
+        end: ScoreEnd,
+        busy: Option<u32>,
+    ) {
+        let id = self.scores[position].id;
+        self.controller.score_ended(now, id, &end, busy);
+        self.take();
+    }
+
+    pub(crate) fn results(&self, id: &str) -> usize {
+        self.controller.ledger().job(&BatchId::new(id)).map_or(0, |job| job.results.len())
+    }
+
+    pub(crate) fn ledger_of_records(&self) -> Ledger {
+        let mut ledger = Ledger::default();
+        self.records.iter().cloned().for_each(|record| ledger.apply(record));
+        ledger
+    }
+}
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod owner;
 mod run;
+mod score;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -8,6 +8,7 @@
 };
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::{JobState, Ledger};
+use lichenpulley_core::batch::score_plan::ScoreId;
 use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::replication::log::RecoveredLog;
 use lichenpulley_core::time::Timestamp;
@@ -20,6 +21,7 @@
 use super::keeper::StoreKeeper;
 use super::load::{LoadEnded, LoadOrders};
 use super::log::{LogWriter, Written};
+use super::score::{self, ScoreEnded};
 use super::{Command, candidate, run};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
@@ -60,6 +62,9 @@
     runs: HashMap<RunId, AbortHandle>,
     run_events: mpsc::Receiver<(RunId, RunEvent)>,
     run_sender: mpsc::Sender<(RunId, RunEvent)>,
+    scores: HashMap<ScoreId, AbortHandle>,
+    score_ends: mpsc::UnboundedReceiver<ScoreEnded>,
+    score_sender: mpsc::UnboundedSender<ScoreEnded>,
     loads: LoadOrders,
     keeper: StoreKeeper,
     load_ends: mpsc::UnboundedReceiver<LoadEnded>,
@@ -101,6 +106,7 @@
         let controller = Controller::new(config, ledger, Timestamp::ORIGIN, may_load_from);
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
         let (load_sender, load_ends) = mpsc::unbounded_channel();
+        let (score_sender, score_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
         let now = Instant::now();
         Ok(Self {
@@ -116,6 +122,9 @@
             runs: HashMap::new(),
             run_events,
             run_sender,
+            scores: HashMap::new(),
+            score_ends,
+            score_sender,
             load_ends,
             submissions: Vec::new(),
             ends: Vec::new(),
@@ -138,6 +147,7 @@
                 Some(command) = commands.recv() => self.handle_command(command),
                 written = self.log.next() => self.handle_written(written),
                 Some((run, event)) = self.run_events.recv() => self.handle_run(run, event),
+                Some(ended) = self.score_ends.recv() => self.handle_score(&ended),
                 Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
                 replacement = self.keeper.next() => self.log.replace(replacement),
                 Ok(()) = metadata.changed() => self.update(),
@@ -213,6 +223,13 @@
         }
     }
 
+    fn handle_score(&mut self, ended: &ScoreEnded) {
+        self.scores.remove(&ended.id);
+        let now = self.now();
+        self.controller.set_confirmed(self.is_confirmed());
+        self.controller.score_ended(now, ended.id, &ended.end, ended.busy);
+    }
+
     fn handle_load(&mut self, ended: &LoadEnded) {
         let now = self.now();
         self.controller.set_confirmed(self.is_confirmed());
@@ -360,6 +377,22 @@
                         handle.abort();
                     }
                 }
+                Action::Score(start) => {
+                    let id = start.id;
+                    let task = score::score(
+                        self.context.clone(),
+                        self.pool.clone(),
+                        *start,
+                        self.score_sender.clone(),
+                    );
+                    let handle = self.traffic.spawn(task).abort_handle();
+                    self.scores.insert(id, handle);
+                }
+                Action::StopScore(id) => {
+                    if let Some(handle) = self.scores.remove(&id) {
+                        handle.abort();
+                    }
+                }
                 Action::Load(load) => self.loads.begin(load, self.confirmed_at),
                 Action::Decide(decision) => self.context.decisions.record(decision),
             }
@@ -371,9 +404,9 @@
         if let Some(error) = &self.failure {
             ::log::warn!(target: "batch", "The batch jobs are given up: {error}.");
         }
-        for (_, handle) in self.runs.drain() {
-            handle.abort();
-        }
+        let runs = self.runs.drain().map(|(_, handle)| handle);
+        let scores = self.scores.drain().map(|(_, handle)| handle);
+        runs.chain(scores).for_each(|handle| handle.abort());
         let waiting = self.submissions.drain(..).chain(self.ends.drain(..));
         for (_, command) in waiting {
             command.answer(BatchResponse::InDoubt);
--- /dev/null
+++ b/crates/daemon/src/batch/score.rs
@@ -0,0 +1,88 @@
+//! Sends one score request to one replica.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
+use lichenpulley_platform::headers;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::ingress::headers as fields;
+use crate::ingress::pool::{Exchange, ReplicaPool, SendError};
+use crate::metrics::Latency;
+
+/// Longest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// The end of a score request.
+pub(super) struct ScoreEnded {
+    pub(super) id: ScoreId,
+    pub(super) end: ScoreEnd,
+    /// Requests in hand at the replica, where it said so.
+    pub(super) busy: Option<u32>,
+}
+
+/// Sends a score request and tells the owner how it ended. Dropping it closes the connection.
+pub(super) async fn score(
+    context: Context,
+    pool: ReplicaPool,
+    start: ScoreStart,
+    ends: mpsc::UnboundedSender<ScoreEnded>,
+) {
+    let began = Instant::now();
+    let mut busy = None;
+    let answer = tokio::time::timeout(start.patience, send(&pool, &start, &mut busy)).await;
+    let end = answer.unwrap_or(ScoreEnd::Broken);
+    context.metrics.observe(Latency::Score, end.as_str(), began.elapsed());
+    // An error only says that the owner has ended.
+    let _ = ends.send(ScoreEnded { id: start.id, end, busy });
+}
+
+async fn send(pool: &ReplicaPool, start: &ScoreStart, busy: &mut Option<u32>) -> ScoreEnd {
+    let Some(request) = build(start) else { return ScoreEnd::Broken };
+    let sent = pool.send(start.replica.address, request, false, start.patience).await;
+    let Exchange { response, connection } = match sent {
+        Ok(exchange) => exchange,
+        Err(SendError::NotSent | SendError::Broken) => return ScoreEnd::Broken,
+    };
+    let (head, body) = response.into_parts();
+    *busy = fields::reported_busy(&head.headers);
+    if !fields::echoes(&head.headers, Some(&start.request.id)) {
+        return ScoreEnd::Broken;
+    }
+    // Only a whole answer counts: one that breaks off proves nothing.
+    if Limited::new(body, ANSWER_LIMIT_BYTES).collect().await.is_err() {
+        return ScoreEnd::Broken;
+    }
+    pool.give_back(connection, &head.headers);
+    judge(head.status, &head.headers)
+}
+
+fn build(start: &ScoreStart) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(Bytes::from(start.request.body.clone())));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = start.request.path.parse().ok()?;
+    let head = request.headers_mut();
+    head.insert(HOST, start.request.host.parse().ok()?);
+    head.insert(headers::REQUEST_ID, start.request.id.parse().ok()?);
+    fields::address_to(head, &start.replica.id, start.patience);
+    Some(request)
+}
+
+/// What a whole answer to its own request says.
+fn judge(status: StatusCode, head: &hyper::HeaderMap) -> ScoreEnd {
+    if head.contains_key(headers::NOT_RUN) || status.as_u16() == headers::STATUS_OTHER_REPLICA {
+        return ScoreEnd::Rejected;
+    }
+    let signature = head.get(headers::SIGNATURE).and_then(|value: &HeaderValue| value.to_str().ok());
+    match signature {
+        Some(signature) if fields::is_signed(head) && status.is_success() => {
+            ScoreEnd::Scored(signature.to_owned())
+        }
+        Some(_) if status == StatusCode::INTERNAL_SERVER_ERROR => ScoreEnd::Failed,
+        _ => ScoreEnd::Broken,
+    }
+}
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -3,6 +3,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_platform::{batch, headers as names};
@@ -46,9 +47,14 @@
         Ok(job) => job,
         Err(error) => {
             ::log::info!(target: "batch", "Batch job {id} is refused: {error}.");
-            return refuse(Refusal::BadBody);
+            return Refusal::BadBody.respond_because(&ingress.context, Some(&id), &error.to_string());
         }
     };
+    if let Some(host) = unknown_scorer_host(table, &job) {
+        let cause = format!("no route has the host {host}, which the field `scorer.host` of an item names");
+        ::log::info!(target: "batch", "Batch job {id} is refused: {cause}.");
+        return Refusal::BadBody.respond_because(&ingress.context, Some(&id), &cause);
+    }
     match ingress.batch.ask(BatchRequest::Submit(job)).await {
         BatchResponse::Taken => answer_empty(StatusCode::ACCEPTED, &id),
         BatchResponse::Full => refuse(Refusal::Full),
@@ -57,6 +63,22 @@
     }
 }
 
+/// A host of a scorer that no route serves. A path without a route may get one while the job is open.
+fn unknown_scorer_host<'a>(table: &RouteTable, job: &'a BatchJob) -> Option<&'a str> {
+    let hosts = job.items.iter().filter_map(|item| item.scorer.as_ref()).map(|scorer| scorer.host.as_str());
+    let mut checked = None;
+    for host in hosts {
+        if checked == Some(host) {
+            continue;
+        }
+        checked = Some(host);
+        if !table.routes.iter().any(|route| route.host == host) {
+            return Some(host);
+        }
+    }
+    None
+}
+
 /// Answers a call for a job that was taken.
 pub(super) async fn handle(ingress: &Ingress, call: Request<Incoming>) -> Response<Body> {
     let path = call.uri().path().to_owned();
--- a/crates/daemon/src/ingress/headers.rs
+++ b/crates/daemon/src/ingress/headers.rs
@@ -48,7 +48,7 @@
 }
 
 /// Names the replica and what is left of the time.
-pub(super) fn address_to(fields: &mut HeaderMap, replica: &str, remaining: Duration) {
+pub(crate) fn address_to(fields: &mut HeaderMap, replica: &str, remaining: Duration) {
     if let Ok(replica) = HeaderValue::from_str(replica) {
         fields.insert(headers::EXPECT_REPLICA, replica);
     }
@@ -57,17 +57,17 @@
 }
 
 /// Whether an answer belongs to the request with this id.
-pub(super) fn echoes(fields: &HeaderMap, request_id: Option<&str>) -> bool {
+pub(crate) fn echoes(fields: &HeaderMap, request_id: Option<&str>) -> bool {
     text(fields, headers::REQUEST_ID) == request_id
 }
 
 /// Whether an answer is signed and comes as the replica made it.
-pub(super) fn is_signed(fields: &HeaderMap) -> bool {
+pub(crate) fn is_signed(fields: &HeaderMap) -> bool {
     fields.contains_key(headers::SIGNATURE) && !fields.contains_key(CONTENT_ENCODING)
 }
 
 /// Requests that run and wait at the replica, where it says so.
-pub(super) fn reported_busy(fields: &HeaderMap) -> Option<u32> {
+pub(crate) fn reported_busy(fields: &HeaderMap) -> Option<u32> {
     let mut numbers = text(fields, headers::LOAD)?.split(',').map(|number| number.trim().parse::<u32>());
     let running = numbers.next()?.ok()?;
     let waiting = numbers.next()?.ok()?;
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -2,7 +2,7 @@
 
 mod batch_calls;
 mod forward;
-mod headers;
+pub(crate) mod headers;
 pub mod pool;
 pub mod readiness;
 mod refusal;
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -115,10 +115,19 @@
 
     /// The same, for the request with this id.
     pub(super) fn respond_to(self, context: &Context, request_id: Option<&str>) -> Response<Body> {
+        self.respond_because(context, request_id, self.kind())
+    }
+
+    /// The same, with what exactly is wrong.
+    pub(super) fn respond_because(
+        self,
+        context: &Context,
+        request_id: Option<&str>,
+        cause: &str,
+    ) -> Response<Body> {
         let subject = request_id.unwrap_or("-");
         context.decisions.record(Decision::new(Component::Request, "refused", self.kind(), subject));
-        let body =
-            ErrorBody::new(self.kind(), format!("the request was refused: {}", self.kind()), self.remedy());
+        let body = ErrorBody::new(self.kind(), format!("the request was refused: {cause}"), self.remedy());
         let mut answer = response::json(self.status(), &body);
         if let Some(id) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
             answer.headers_mut().insert(headers::REQUEST_ID, id);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -38,6 +38,8 @@
     Append,
     /// An order to a replica, until it reports what was ordered.
     Order,
+    /// A score request at one replica.
+    Score,
 }
 
 impl Latency {
@@ -48,6 +50,7 @@
             Self::ItemRun => "item_run",
             Self::Append => "append",
             Self::Order => "order",
+            Self::Score => "score",
         }
     }
 }
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -238,13 +238,19 @@
     Ok(SeenRequest { id, line, headers: fields, body: body.to_bytes() })
 }
 
+/// Requests whose ids begin so get a signature that names them, so that a score shows which request it came of.
+const SCORE_ID_PREFIX: &str = "score-";
+
 fn signed(status: StatusCode, id: &str, more: &[(&'static str, &'static str)]) -> Response<Body> {
     let mut answer = http::empty(status);
     let fields = answer.headers_mut();
     if let Ok(id) = HeaderValue::from_str(id) {
         fields.insert(headers::REQUEST_ID, id);
     }
-    fields.insert(headers::SIGNATURE, HeaderValue::from_static("seal"));
+    let seal = if id.starts_with(SCORE_ID_PREFIX) { format!("seal of {id}") } else { "seal".to_owned() };
+    if let Ok(seal) = HeaderValue::from_str(&seal) {
+        fields.insert(headers::SIGNATURE, seal);
+    }
     for (name, value) in more {
         fields.insert(*name, HeaderValue::from_static(value));
     }
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -135,6 +135,55 @@
     assert_eq!((body.status, body.body.as_ref()), (StatusCode::OK, b"body".as_slice()));
 }
 
+#[tokio::test]
+async fn each_result_carries_the_seal_of_its_own_scorer_although_scorers_fail_and_the_owner_is_killed() {
+    let mut system = System::start(3, 5).await;
+    system.replicas[0].set_behaviour(Behaviour::AnswersForAnother);
+    system.submit_scored(0, "job", 12).await;
+    system.replicas[1].set_behaviour(Behaviour::Rejects);
+    let owner = system.owner();
+    system.gateways[owner].take().expect("the owner").kill();
+    let reader = 1 - owner;
+    system.replicas[1].set_behaviour(Behaviour::Well);
+    let results = system.results(reader, "job").await;
+    assert_eq!(results.len(), 12);
+    let seen: Vec<_> = system.replicas.iter().flat_map(Replica::seen).collect();
+    for result in &results {
+        assert_eq!((&result["state"], &result["text"]), (&json!("complete"), &json!(whole_text(5))));
+        let request = format!("score-{}", result["id"].as_str().expect("an id"));
+        assert_eq!(result["score"], format!("seal of {request}"));
+        let calls: Vec<_> = seen.iter().filter(|seen| seen.id == request).collect();
+        assert!(!calls.is_empty());
+        for call in calls {
+            assert_eq!((call.line.as_str(), call.body.as_ref()), ("POST /read/score", b"score".as_slice()));
+            assert!(call.headers.contains_key("expect-replica") && call.headers.contains_key("deadline-ms"));
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_scorer_that_can_not_be_asked_is_refused_with_its_field() {
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let refused = async |scorer: serde_json::Value| {
+        let item = json!({"id": "i", "path": "/stream/x", "scorer": scorer});
+        let body = serde_json::to_vec(&json!({"items": [item]})).expect("a body");
+        let answer = system.call(0, Method::POST, "/rollouts/x", &[("attempt-id", "j")], body).await;
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST);
+        String::from_utf8(answer.body.to_vec()).expect("text")
+    };
+    let good = json!({"id": "s", "host": "shop.example", "path": "/read/x", "body": "Ym9keQ=="});
+    for (field, value) in [("path", "read"), ("body", "%"), ("host", ""), ("id", "")] {
+        let mut scorer = good.clone();
+        scorer[field] = json!(value);
+        let text = refused(scorer).await;
+        assert!(text.contains(&format!("scorer.{field}")), "{text}");
+    }
+    let mut unknown = good.clone();
+    unknown["host"] = json!("elsewhere.example");
+    assert!(refused(unknown).await.contains("elsewhere.example"));
+}
+
 #[tokio::test]
 async fn latencies_and_decisions_are_counted_where_operators_look() {
     let system = System::start(2, 5).await;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -207,6 +207,21 @@
                 "body": body, "tokens": 100, "group": format!("g{}", number / 2)})
         };
         let items: Vec<Value> = (0..items).map(item).collect();
+        self.submit_items(gateway, id, min_version, items).await;
+    }
+
+    /// Items that each name a scorer.
+    pub(crate) async fn submit_scored(&self, gateway: usize, id: &str, items: usize) {
+        let item = |number: usize| {
+            let scorer = json!({"id": format!("score-{id}-{number}"), "host": "Shop.Example",
+                "path": "/read/score", "body": "c2NvcmU="});
+            json!({"id": format!("{id}-{number}"), "path": "/stream/x", "headers": {"Model": "pricing"},
+                "body": "Ym9keQ==", "tokens": 100, "group": format!("g{}", number / 2), "scorer": scorer})
+        };
+        self.submit_items(gateway, id, 1, (0..items).map(item).collect()).await;
+    }
+
+    async fn submit_items(&self, gateway: usize, id: &str, min_version: u64, items: Vec<Value>) {
         let job =
             json!({"step": 0, "model": "pricing", "min_version": min_version, "desired": 1, "items": items});
         let taken = async {
