Hold the order lease for each replica, and account for the time of each step

What: an order is a record first (Ordered, with holder and the shard's clock) and leaves once a majority keeps it; a new owner waits only for replicas whose last order of another holder is recent, and not for its own. The lease now counts from the record and covers the 600 ms in which the order may leave after it.

Ruled out: no lease at all.

Tests: batch_orders.rs, account.rs; two tests of batch_controller.rs let the order's record be decided first, their assertions unchanged.

--- /dev/null
+++ b/crates/cli/src/account_plot.rs
@@ -0,0 +1,65 @@
+//! A plot of the account of steps: one bar a step, split by where its time went.
+
+use std::fmt::Write;
+
+use crate::step_account::StepAccount;
+
+const WIDTH: u64 = 900;
+const LEFT: u64 = 70;
+const BAR: u64 = 18;
+const ROW: u64 = 24;
+const TOP: u64 = 40;
+
+/// The parts of a bar, with their colours.
+const PARTS: [(&str, &str); 6] = [
+    ("wait", "#9aa5b1"),
+    ("run", "#3b7dd8"),
+    ("gap", "#d64545"),
+    ("score", "#e9b949"),
+    ("list", "#8a63d2"),
+    ("read", "#57ae5b"),
+];
+
+const fn part_ms(account: &StepAccount, part: usize) -> u64 {
+    match part {
+        0 => account.wait_ms,
+        1 => account.run_ms,
+        2 => account.gap_ms,
+        3 => account.score_ms,
+        4 => account.list_ms,
+        _ => account.read_ms,
+    }
+}
+
+/// The plot as SVG.
+pub fn render(accounts: &[StepAccount]) -> String {
+    let longest = accounts.iter().map(|account| account.total_ms).max().unwrap_or(1).max(1);
+    let height = TOP + ROW * accounts.len() as u64 + 20;
+    let scale = |milliseconds: u64| milliseconds * (WIDTH - LEFT - 90) / longest;
+    let mut svg = format!(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDTH}\" height=\"{height}\" font-family=\"sans-serif\" \
+         font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+    );
+    for (number, (name, colour)) in PARTS.iter().enumerate() {
+        let x = LEFT + 90 * number as u64;
+        let _ = writeln!(svg, "<rect x=\"{x}\" y=\"12\" width=\"12\" height=\"12\" fill=\"{colour}\"/>");
+        let _ = writeln!(svg, "<text x=\"{}\" y=\"22\">{name}</text>", x + 16);
+    }
+    for (row, account) in accounts.iter().enumerate() {
+        let y = TOP + ROW * row as u64;
+        let _ = writeln!(svg, "<text x=\"8\" y=\"{}\">step {}</text>", y + 13, account.step);
+        let mut x = LEFT;
+        for (part, (_, colour)) in PARTS.iter().enumerate() {
+            let width = scale(part_ms(account, part));
+            let _ = writeln!(
+                svg,
+                "<rect x=\"{x}\" y=\"{y}\" width=\"{width}\" height=\"{BAR}\" fill=\"{colour}\"/>"
+            );
+            x += width;
+        }
+        let seconds = account.total_ms as f64 / 1_000.0;
+        let _ = writeln!(svg, "<text x=\"{}\" y=\"{}\">{seconds:.1} s</text>", x + 6, y + 13);
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -11,6 +11,7 @@
 use lichenpulley_protocol::caller::JobSpecification;
 
 use crate::client::Interface;
+use crate::commands::account::Account;
 use crate::commands::config::{Selection, Setting, SettingChange};
 use crate::commands::trace::Trace;
 use crate::commands::watch::WatchOptions;
@@ -73,6 +74,8 @@
     Drain(ReplicaId),
     /// `undrain REPLICA`
     Undrain(ReplicaId),
+    /// `account FILE...`
+    Account(Account),
     /// `trace ID FILE...`
     Trace(Trace),
     /// `watch`
@@ -154,6 +157,15 @@
         add_options: no_options,
         read: |matches| Ok(Command::Undrain(ReplicaId::new(one_argument(matches, "REPLICA")?))),
     },
+    Syntax {
+        words: &["account"],
+        arguments: "FILE...",
+        help: "split the time of a trainer's steps, from the nodes' logs; - reads standard input",
+        add_options: |options| {
+            options.optopt("", "plot", "write the bars as SVG to this file", "FILE");
+        },
+        read: read_account,
+    },
     Syntax {
         words: &["trace"],
         arguments: "ID FILE...",
@@ -265,6 +277,13 @@
 
 fn no_options(_: &mut Options) {}
 
+fn read_account(matches: &Matches) -> Result<Command, CliError> {
+    if matches.free.is_empty() {
+        return Err(CliError::Usage("`account` needs at least one FILE".to_owned()));
+    }
+    Ok(Command::Account(Account { files: matches.free.clone(), plot: matches.opt_str("plot") }))
+}
+
 fn read_trace(matches: &Matches) -> Result<Command, CliError> {
     match matches.free.as_slice() {
         [id, files @ ..] if !files.is_empty() => {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One module for each group of commands.
 
+pub mod account;
 pub mod config;
 pub mod drain;
 pub mod job;
--- a/crates/cli/src/commands/trace.rs
+++ b/crates/cli/src/commands/trace.rs
@@ -1,11 +1,9 @@
 //! `trace`: the decisions about one request, batch job or item, in order across the logs of several nodes.
 
 use std::collections::BTreeSet;
-use std::io::Read;
-
-use serde_json::{Map, Value};
 
 use crate::error::CliError;
+use crate::log_lines::{LogLine, read_all, text};
 use crate::output::Output;
 use crate::table::Table;
 
@@ -27,18 +25,12 @@
 /// Decisions about a batch job as a whole.
 const BATCH_DECISIONS: [&str; 3] = ["batch_taken", "batch_ended", "batch_refused"];
 
-type Line = Map<String, Value>;
-
 /// Shows the decisions.
 ///
 /// # Errors
 /// When a file can't be read.
 pub fn trace(trace: &Trace, output: &mut Output<'_>) -> Result<(), CliError> {
-    let mut lines = Vec::new();
-    for file in &trace.files {
-        lines.extend(read(file)?);
-    }
-    lines.sort_by(|left, right| text(left, "time").cmp(text(right, "time")));
+    let lines = read_all(&trace.files)?;
     let found = select(&lines, &trace.id);
     if found.is_empty() {
         output.note(&format!("no line names {}; check the id, and give the logs of every node", trace.id))?;
@@ -46,37 +38,14 @@
     output.result(&found, || describe(&found))
 }
 
-fn read(file: &str) -> Result<Vec<Line>, CliError> {
-    let problem = |error: std::io::Error| CliError::File { path: file.to_owned(), cause: error.to_string() };
-    let mut bytes = Vec::new();
-    match file {
-        "-" => std::io::stdin().read_to_end(&mut bytes).map_err(problem)?,
-        path => {
-            std::fs::File::open(path).and_then(|mut file| file.read_to_end(&mut bytes)).map_err(problem)?
-        }
-    };
-    let text = String::from_utf8_lossy(&bytes);
-    Ok(text.lines().filter_map(parse).collect())
-}
-
-/// Whatever a collector put before a line is passed over; what is no log line of ours is left out.
-fn parse(line: &str) -> Option<Line> {
-    let start = line.find('{')?;
-    serde_json::from_str(&line[start..]).ok()
-}
-
-fn text<'a>(line: &'a Line, field: &str) -> &'a str {
-    line.get(field).and_then(Value::as_str).unwrap_or_default()
-}
-
-fn select(lines: &[Line], id: &str) -> Vec<Line> {
-    let names = |line: &&Line| line.values().any(|value| value.as_str() == Some(id));
-    let about: Vec<&Line> = lines.iter().filter(names).collect();
+fn select(lines: &[LogLine], id: &str) -> Vec<LogLine> {
+    let names = |line: &&LogLine| line.values().any(|value| value.as_str() == Some(id));
+    let about: Vec<&LogLine> = lines.iter().filter(names).collect();
     let batches: BTreeSet<&str> =
         about.iter().map(|line| text(line, BATCH_FIELD)).filter(|batch| !batch.is_empty()).collect();
     let first = about.iter().map(|line| text(line, "time")).min().unwrap_or_default();
     let last = about.iter().map(|line| text(line, "time")).max().unwrap_or_default();
-    let is_related = |line: &&Line| {
+    let is_related = |line: &&LogLine| {
         let message = text(line, "message");
         let is_of_batch = batches.contains(text(line, "id")) && BATCH_DECISIONS.contains(&message);
         let is_meanwhile = (first..=last).contains(&text(line, "time"));
@@ -85,7 +54,7 @@
     lines.iter().filter(is_related).cloned().collect()
 }
 
-fn describe(lines: &[Line]) -> String {
+fn describe(lines: &[LogLine]) -> String {
     let mut table = Table::new(&["TIME", "NODE", "DECISION", "REASON", "ABOUT", "INPUTS"]);
     for line in lines {
         let inputs = line.iter().filter(|(name, _)| !PLAIN_FIELDS.contains(&name.as_str()));
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,13 +2,16 @@
 //!
 //! A library too, so that tests can run a command inside their process with [`run`].
 
+pub mod account_plot;
 pub mod arguments;
 pub mod client;
 pub mod commands;
 pub mod error;
 pub mod event_stream;
+pub mod log_lines;
 pub mod output;
 pub mod sequence;
+pub mod step_account;
 pub mod table;
 
 use arguments::{Command, Invocation};
@@ -35,6 +38,7 @@
         Command::PoolList(pool) => commands::pool::list(&operators()?, pool.as_ref(), output).await,
         Command::Drain(replica) => commands::drain::drain(&operators()?, &replica, output).await,
         Command::Undrain(replica) => commands::drain::undrain(&operators()?, &replica, output).await,
+        Command::Account(account) => commands::account::account(&account, output),
         Command::Trace(trace) => commands::trace::trace(&trace, output),
         Command::Watch(watch) => commands::watch::watch(&operators()?, &watch, output).await,
     }
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -14,12 +14,14 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+use super::group_tally::GroupTally;
 use super::job::{BatchItem, BatchJob, KeptEvent};
 use super::ledger::{JobState, Ledger};
+use super::order_lease::OrderLease;
 use super::record::Record;
 use super::schedule::ReplicaState;
 use super::score_plan::ScorePlan;
-use super::weights::LoadPlan;
+use super::weights::{Load, LoadPlan};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::ingress::replicas::ReplicaTable;
@@ -87,6 +89,8 @@
     accepting: HashSet<BatchId>,
     ending: HashSet<BatchId>,
     items: HashMap<(BatchId, u32), LiveItem>,
+    /// Groups of the jobs that are open.
+    tallies: HashMap<BatchId, GroupTally>,
     runs: BTreeMap<RunId, Run>,
     last_run: u64,
     routes: Option<Arc<RouteTable>>,
@@ -97,7 +101,9 @@
     clock_base_ms: u64,
     began_at: Timestamp,
     last_append_at: Timestamp,
-    may_load_from: Timestamp,
+    lease: OrderLease,
+    /// Loads whose orders are on their way to the stores, by replica.
+    ordering: HashMap<String, Load>,
     held_bytes: usize,
     /// Whether the authority was confirmed lately; nothing is started or ordered otherwise.
     is_confirmed: bool,
@@ -115,8 +121,8 @@
 }
 
 impl Controller {
-    /// The owner of what its log amounts to. It gives no orders before `may_load_from`.
-    pub fn new(config: ControllerConfig, ledger: Ledger, now: Timestamp, may_load_from: Timestamp) -> Self {
+    /// The owner of what its log amounts to.
+    pub fn new(config: ControllerConfig, ledger: Ledger, now: Timestamp, lease: OrderLease) -> Self {
         let mut controller = Self {
             config,
             clock_base_ms: ledger.clock_ms(),
@@ -125,6 +131,7 @@
             accepting: HashSet::new(),
             ending: HashSet::new(),
             items: HashMap::new(),
+            tallies: HashMap::new(),
             runs: BTreeMap::new(),
             last_run: 0,
             routes: None,
@@ -133,7 +140,8 @@
             scores: ScorePlan::default(),
             began_at: now,
             last_append_at: now,
-            may_load_from,
+            lease,
+            ordering: HashMap::new(),
             held_bytes: 0,
             is_confirmed: true,
             actions: VecDeque::new(),
@@ -186,6 +194,9 @@
         let mut whole = Vec::new();
         for (batch, state) in self.ledger.jobs() {
             self.held_bytes += held_bytes(state);
+            if !state.is_ended {
+                self.tallies.insert(batch.clone(), GroupTally::of(state));
+            }
             for (item, position) in state.items.iter().zip(0..) {
                 if !state.is_open(position) {
                     continue;
@@ -291,26 +302,57 @@
     pub fn appended(&mut self, now: Timestamp) {
         let Some(records) = self.appending.pop_front() else { return };
         for record in records {
-            if let Record::Accepted(job) = &record {
-                self.accepted(job);
-            }
-            let whole = match &record {
-                Record::Whole { batch, item, .. } => Some((batch.clone(), *item)),
-                _ => None,
-            };
-            self.ledger.apply(record);
-            if let Some((batch, item)) = whole {
-                self.begin_scoring(now, &batch, item);
-            }
+            self.apply(now, record);
         }
         self.work_and_load(now);
     }
 
-    fn accepted(&mut self, job: &BatchJob) {
-        self.accepting.remove(&job.id);
-        if self.ending.contains(&job.id) {
-            return;
+    /// Applies a record that is decided, and does what follows from it.
+    fn apply(&mut self, now: Timestamp, record: Record) {
+        enum Follows {
+            Nothing,
+            Acceptance(BatchId),
+            Scoring(BatchId, u32),
+            Listing(BatchId, u32),
+            Order(String),
+        }
+        let follows = match &record {
+            Record::Accepted(job) => Follows::Acceptance(job.id.clone()),
+            Record::Whole { batch, item, .. } => Follows::Scoring(batch.clone(), *item),
+            Record::Completed { batch, item, .. } | Record::Scored { batch, item, .. } => {
+                Follows::Listing(batch.clone(), *item)
+            }
+            Record::Ordered { replica, .. } => Follows::Order(replica.clone()),
+            Record::Listed { batch, result } => Follows::Listing(batch.clone(), result.item),
+            _ => Follows::Nothing,
+        };
+        self.ledger.apply(record);
+        match follows {
+            Follows::Nothing => {}
+            Follows::Acceptance(batch) => self.accepted(&batch),
+            Follows::Scoring(batch, item) => self.begin_scoring(now, &batch, item),
+            Follows::Listing(batch, item) => self.note_listed(&batch, item),
+            Follows::Order(replica) => {
+                self.actions.extend(self.ordering.remove(&replica).map(Action::Load));
+            }
         }
+    }
+
+    /// Tells when an item made its group whole.
+    fn note_listed(&mut self, batch: &BatchId, item: u32) {
+        let Some(whole) = self.tallies.get_mut(batch).and_then(|tally| tally.listed(item)) else { return };
+        let desired = self.ledger.job(batch).and_then(|job| job.job.desired_groups).unwrap_or(0);
+        let last = self.item(batch, item).map_or_else(String::new, |item| item.id.clone());
+        let decision = Decision::new(Component::Rollout, "group_whole", "all_listed", last);
+        let decision = decision.with("batch", batch).with("group", whole.name).with("whole", whole.whole);
+        self.decide(decision.with("desired", desired).with("groups", whole.groups));
+    }
+
+    fn accepted(&mut self, batch: &BatchId) {
+        self.accepting.remove(batch);
+        let Some(state) = self.ledger.job(batch).filter(|_| !self.ending.contains(batch)) else { return };
+        self.tallies.insert(batch.clone(), GroupTally::of(state));
+        let job = &state.job;
         let mut demand: BTreeMap<&str, u64> = BTreeMap::new();
         for (item, position) in job.items.iter().zip(0..) {
             self.items.insert((job.id.clone(), position), LiveItem::default());
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -65,5 +65,6 @@
         runs.into_iter().for_each(|run| self.stop(run));
         self.stop_scores(now, |(owner, _)| owner == batch);
         self.items.retain(|(owner, _), _| owner != batch);
+        self.tallies.remove(batch);
     }
 }
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -107,7 +107,9 @@
         }
         let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
         let decision = Decision::new(Component::Rollout, "run_ended", end.as_str(), subject);
-        self.decide(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
+        let events = self.items.get(&key).map_or(0, |live| live.events.len());
+        let decision = decision.with("batch", &batch).with("replica", &replica).with("run", id.0);
+        self.decide(decision.with("events", events));
         let max_attempts = self.route(&batch).map_or(1, |route| route.max_attempts);
         let Some(live) = self.items.get_mut(&key) else { return };
         match end {
@@ -195,7 +197,7 @@
             let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
-            self.decide(decision.with("replica", &replica).with("run", id.0));
+            self.decide(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
             self.stop(id);
             if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
                 live.avoid = Some(replica);
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -50,7 +50,9 @@
         }
         let ended = self.scores.ended(id, end, self.routes.as_deref(), now);
         let Some(EndedScore { key, request, replica, route_attempts }) = ended else { return };
-        let decision = Decision::new(Component::Rollout, "score_ended", end.as_str(), &request);
+        let item = self.item(&key.0, key.1).map_or_else(String::new, |item| item.id.clone());
+        let decision =
+            Decision::new(Component::Rollout, "score_ended", end.as_str(), &request).with("item", item);
         self.decide(decision.with("batch", &key.0).with("replica", &replica).with("sending", id.0));
         match end {
             ScoreEnd::Scored(score) => self.list_scored(now, key, score),
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -1,8 +1,7 @@
 //! Which items are started and which versions are loaded, once all events at hand are taken in.
 
-use std::collections::HashMap;
-
 use super::{Action, Controller, DueWork, ItemStage, Run, RunId, RunStart, expected_tokens};
+use crate::batch::record::Record;
 use crate::batch::schedule::{self, Loading, Need, ReplicaState};
 use crate::batch::weights::Load;
 use crate::decision::{Component, Decision};
@@ -52,20 +51,27 @@
     }
 
     fn start_loads(&mut self, now: Timestamp) {
-        if now < self.may_load_from {
-            return;
-        }
         let Some(routes) = self.routes.clone() else { return };
+        let clock_ms = self.clock_ms(now);
         for service in routes.services.keys() {
-            for load in self.loads.next(service, &self.replicas, now) {
+            let (ledger, lease) = (&self.ledger, &self.lease);
+            let may_order = |replica: &str| lease.allows(ledger.last_order(replica), clock_ms);
+            for load in self.loads.next(service, &self.replicas, may_order, now) {
                 self.begin_load(now, service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
                 self.decide(decision.with("model", &load.model).with("version", load.version));
-                self.actions.push_back(Action::Load(load));
+                self.order(now, clock_ms, load);
             }
         }
     }
 
+    /// Invariant: an order leaves only after a majority of stores keeps that it was given.
+    fn order(&mut self, now: Timestamp, clock_ms: u64, load: Load) {
+        let (replica, holder) = (load.replica.clone(), self.lease.holder.clone());
+        self.ordering.insert(replica.clone(), load);
+        self.append(now, vec![Record::Ordered { replica, holder, at_ms: clock_ms }]);
+    }
+
     fn begin_load(&mut self, now: Timestamp, service: &str, load: &Load) {
         let is_loading = |state: &&ReplicaState| state.record.service == service && state.loading.is_some();
         let beside = self.replicas.values().filter(is_loading).count() + 1;
@@ -87,12 +93,6 @@
     /// Waiting items, the most pressing first.
     fn waiting(&self, now: Timestamp) -> Vec<(BatchId, u32)> {
         let clock_ms = self.clock_ms(now);
-        let mut left: HashMap<(&BatchId, &str), u32> = HashMap::new();
-        for (batch, item) in self.items.keys() {
-            if let Some(group) = self.item(batch, *item).and_then(|item| item.group.as_deref()) {
-                *left.entry((batch, group)).or_default() += 1;
-            }
-        }
         let mut waiting = Vec::new();
         for ((batch, item), live) in &self.items {
             if live.run.is_some() || live.stage != ItemStage::Generating {
@@ -102,7 +102,8 @@
             let Some(request) = job.job.items.get(*item as usize) else { continue };
             let due_ms = self.route(batch).map_or(0, |route| route.due.as_millis() as u64);
             let is_late = clock_ms.saturating_sub(job.accepted_at_ms) > due_ms;
-            let group_left = request.group.as_deref().and_then(|group| left.get(&(batch, group)).copied());
+            let tally = self.tallies.get(batch);
+            let group_left = tally.and_then(|tally| tally.group(*item).map(|group| tally.left(group)));
             let expected = expected_tokens(request).saturating_sub(live.events.len() as u64);
             let rank = (is_late, job.accepted_at_ms, u64::MAX - expected, group_left.unwrap_or(0));
             waiting.push((rank, batch.clone(), *item));
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -10,7 +10,7 @@
 
 use super::job::{BatchJob, ItemResult, KeptEvent};
 use super::record::Record;
-use crate::identity::BatchId;
+use crate::identity::{BatchId, NodeId};
 
 /// What is kept of one item.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -65,11 +65,24 @@
     }
 }
 
+/// The last order to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderMark {
+    /// Who gave it.
+    pub holder: NodeId,
+    /// The shard's clock when it was written down, in milliseconds.
+    pub at_ms: u64,
+}
+
+/// Marks of orders are kept so long: no lease is longer.
+const MARK_RETENTION_MS: u64 = 60_000;
+
 /// All jobs of a shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
     jobs: BTreeMap<BatchId, JobState>,
     clock_ms: u64,
+    orders: BTreeMap<String, OrderMark>,
 }
 
 /// A snapshot: records that amount to the same ledger.
@@ -94,6 +107,11 @@
         self.clock_ms
     }
 
+    /// The last order to a replica, where it is recent enough to matter.
+    pub fn last_order(&self, replica: &str) -> Option<&OrderMark> {
+        self.orders.get(replica)
+    }
+
     /// Applies a record.
     pub fn apply(&mut self, record: Record) {
         match record {
@@ -131,6 +149,9 @@
                     state.score_failures = state.score_failures.max(failures);
                 }
             }
+            Record::Ordered { replica, holder, at_ms } => {
+                self.mark_order(replica, OrderMark { holder, at_ms })
+            }
             Record::Scored { batch, item, score } => self.list_scored(&batch, item, score),
             Record::Clock(milliseconds) => self.clock_ms = self.clock_ms.max(milliseconds),
         }
@@ -162,6 +183,16 @@
         }
     }
 
+    fn mark_order(&mut self, replica: String, mark: OrderMark) {
+        self.clock_ms = self.clock_ms.max(mark.at_ms);
+        let clock_ms = self.clock_ms;
+        self.orders.retain(|_, mark| clock_ms.saturating_sub(mark.at_ms) <= MARK_RETENTION_MS);
+        let is_latest = self.orders.get(&replica).is_none_or(|held| held.at_ms <= mark.at_ms);
+        if is_latest {
+            self.orders.insert(replica, mark);
+        }
+    }
+
     fn list_scored(&mut self, batch: &BatchId, item: u32, score: String) {
         let Some(state) = self.item(batch, item).filter(|state| state.is_whole) else { return };
         let result = ItemResult::complete(item, &state.events, Some(score));
@@ -180,6 +211,12 @@
             records.push(Record::Clock(job.accepted_at_ms));
             job_records(job, &mut records);
         }
+        let mut orders: Vec<(&String, &OrderMark)> = self.orders.iter().collect();
+        orders.sort_by_key(|(_, mark)| mark.at_ms);
+        records.extend(orders.into_iter().map(|(replica, mark)| {
+            let (replica, holder) = (replica.clone(), mark.holder.clone());
+            Record::Ordered { replica, holder, at_ms: mark.at_ms }
+        }));
         records.push(Record::Clock(self.clock_ms));
         Snapshot { records }.write_to_vec()
     }
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -6,9 +6,11 @@
 
 pub mod controller;
 pub mod election;
+pub mod group_tally;
 pub mod job;
 pub mod ledger;
 pub mod load_limit;
+pub mod order_lease;
 pub mod record;
 mod schedule;
 pub mod score_plan;
--- a/crates/core/src/batch/record.rs
+++ b/crates/core/src/batch/record.rs
@@ -3,7 +3,7 @@
 use speedy::{Readable, Writable};
 
 use super::job::{BatchJob, ItemResult, KeptEvent};
-use crate::identity::BatchId;
+use crate::identity::{BatchId, NodeId};
 
 /// What the owner writes down before it acts on it or shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -80,6 +80,15 @@
         /// The score.
         score: String,
     },
+    /// A replica is about to be ordered.
+    Ordered {
+        /// The replica.
+        replica: String,
+        /// Whose order it is.
+        holder: NodeId,
+        /// The shard's clock, in milliseconds.
+        at_ms: u64,
+    },
 }
 
 impl Record {
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -70,11 +70,13 @@
         self.limits.entry(service.to_owned()).or_default().observe(took, loading.beside, replicas);
     }
 
-    /// Loads to begin now in one service: those that are furthest behind first, among them the fullest.
+    /// Loads to begin now in one service, of the replicas that may be ordered: those that are furthest behind first, among
+    /// them the fullest.
     pub(super) fn next(
         &mut self,
         service: &str,
         replicas: &BTreeMap<String, ReplicaState>,
+        may_order: impl Fn(&str) -> bool,
         now: Timestamp,
     ) -> Vec<Load> {
         let members: Vec<&ReplicaState> = replicas
@@ -87,6 +89,7 @@
         let free = limit.saturating_sub(under_way);
         let mut wanted: Vec<(u64, u32, Load)> =
             members.iter().filter_map(|replica| self.wanted(replica, now)).collect();
+        wanted.retain(|(_, _, load)| may_order(&load.replica));
         wanted.sort_by(|left, right| {
             right.0.cmp(&left.0).then(right.1.cmp(&left.1)).then_with(|| left.2.replica.cmp(&right.2.replica))
         });
--- a/crates/core/tests/batch_controller.rs
+++ b/crates/core/tests/batch_controller.rs
@@ -166,7 +166,7 @@
     assert!(bench.started.is_empty() && bench.loads.is_empty());
     bench.controller.set_confirmed(true);
     bench.controller.tick(at(400));
-    bench.take();
+    bench.decide(at(400));
     assert_eq!(bench.loads, [("a".to_owned(), 2)]);
 }
 
@@ -208,11 +208,11 @@
     bench.take();
     assert_eq!(bench.loads.len(), 0, "the step that is asked for with the version fills the slots first");
     bench.controller.tick(at(400));
-    bench.take();
+    bench.decide(at(400));
     assert_eq!(bench.loads.len(), 2);
     let loaded = bench.loads[0].0.clone();
     bench.controller.load_ended(at(900), &loaded, Some(&named));
-    bench.take();
+    bench.decide(at(900));
     assert_eq!(bench.loads.len(), 3);
 }
 
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -11,9 +11,10 @@
 };
 use lichenpulley_core::batch::job::{BatchItem, BatchJob, KeptEvent, ScoreRequest};
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
-use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
 use lichenpulley_core::time::Timestamp;
@@ -119,6 +120,11 @@
     Timestamp::from_millis(milliseconds)
 }
 
+/// The lease of an owner whose predecessor was heard of just now.
+pub(crate) fn lease_of(holder: &str) -> OrderLease {
+    OrderLease { holder: NodeId::new(holder), length: Duration::from_secs(3), idle: Duration::ZERO }
+}
+
 /// An owner and what it asked for, with its appends decided only when the test says so.
 pub(crate) struct Bench {
     pub(crate) controller: Controller,
@@ -142,7 +148,17 @@
         needs_single_version: bool,
         replicas: &[ReplicaRecord],
     ) -> Self {
-        let mut controller = Controller::new(config, ledger, at(0), at(0));
+        Self::with_lease(lease_of("node-1"), config, ledger, needs_single_version, replicas)
+    }
+
+    pub(crate) fn with_lease(
+        lease: OrderLease,
+        config: ControllerConfig,
+        ledger: Ledger,
+        needs_single_version: bool,
+        replicas: &[ReplicaRecord],
+    ) -> Self {
+        let mut controller = Controller::new(config, ledger, at(0), lease);
         controller.update(at(0), Some(routes(needs_single_version)), &table(replicas), &BTreeMap::new());
         let mut bench = Self {
             controller,
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -8,6 +8,7 @@
 };
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::{JobState, Ledger};
+use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::score_plan::ScoreId;
 use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::replication::log::RecoveredLog;
@@ -38,8 +39,8 @@
 const LEAVE_AFTER: Duration = Duration::from_millis(2_000);
 /// The part of the machine's memory that items and results may take.
 const HELD_PERCENT: usize = 35;
-/// Margin above the order lease.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// Margin above the order lease and the time for which an order may leave after its record.
+const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
 /// A reader that waits for a result.
 struct Reader {
@@ -97,13 +98,16 @@
     ) -> Result<Self, speedy::Error> {
         let ledger = Ledger::recover(recovered.snapshot.as_deref(), &recovered.records)?;
         let held_bytes = recovered.records.iter().map(Vec::len).sum();
-        let lease = context.settings.batch.order_lease + LEASE_MARGIN;
-        let may_load_from = Timestamp::ORIGIN + lease.saturating_sub(idle);
+        let lease = OrderLease {
+            holder: context.node.clone(),
+            length: context.settings.batch.order_lease + CONFIRMED_FOR + LEASE_MARGIN,
+            idle,
+        };
         let memory = context.settings.machine.memory_bytes;
         let config = ControllerConfig::default();
         let capacity_bytes = config.capacity_bytes.min(memory / 100 * HELD_PERCENT);
         let config = ControllerConfig { capacity_bytes, ..config };
-        let controller = Controller::new(config, ledger, Timestamp::ORIGIN, may_load_from);
+        let controller = Controller::new(config, ledger, Timestamp::ORIGIN, lease);
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
         let (load_sender, load_ends) = mpsc::unbounded_channel();
         let (score_sender, score_ends) = mpsc::unbounded_channel();
