Hand progress over when an owner leaves or is cut off from its stores

What: an owner that leaves has its progress kept first, within 300 ms. One to which no store has answered for 500 ms stops acting by itself, asks the next candidate to take over, and offers what its stores don't keep; the offer is taken only by the owner that follows its giver's epoch directly, item by item, without a gap. A candidate that was asked checks that a majority of the stores answers and has not heard of the owner for 300 ms.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod config;
+mod handing_over;
 mod retention;
 mod runs;
 mod scoring;
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -70,7 +70,7 @@
     }
 
     /// Whether an event of this version may stand in the item's text.
-    fn is_version_allowed(&self, batch: &BatchId, item: u32, version: u64) -> bool {
+    pub(super) fn is_version_allowed(&self, batch: &BatchId, item: u32, version: u64) -> bool {
         let Some(job) = self.ledger.job(batch) else { return false };
         if version < job.job.min_version {
             return false;
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod load_limit;
 pub mod order_lease;
+pub mod progress_offer;
 pub mod record;
 mod schedule;
 pub mod score_plan;
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -5,6 +5,7 @@
 
 use futures::future::join_all;
 use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
+use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
@@ -22,6 +23,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// A store that has not answered by then counts as missing.
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+/// A candidate that the owner asked takes over where the stores have not heard of the owner for so long.
+const ASKED_IDLE: Duration = Duration::from_millis(300);
 /// How long a successor may take to answer that it was told.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -112,7 +115,7 @@
     commands: mpsc::Receiver<Command>,
 ) {
     let stopped = context.stopped.clone();
-    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0 };
+    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0, offer: None };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -126,32 +129,47 @@
     commands: mpsc::Receiver<Command>,
     /// Times at which a look was due.
     looks: u64,
+    /// What an owner that can't reach its stores left.
+    offer: Option<ProgressOffer>,
+}
+
+/// Why a candidate looks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LookReason {
+    /// It is time.
+    Due,
+    /// The owner left the jobs to this node.
+    Told,
+    /// The owner can't reach its stores, and asked this node to try.
+    Asked,
 }
 
 impl Candidate {
     async fn run(&mut self) {
         loop {
-            let was_told = self.wait().await;
+            let reason = self.wait().await;
             if self.context.draining.is_cancelled() {
                 continue;
             }
-            if let Some(idle) = self.look(was_told).await {
+            if let Some(idle) = self.look(reason).await {
                 self.own(idle).await;
             }
         }
     }
 
-    /// Waits for the next look; answers commands with who owns meanwhile. Tells whether the owner handed over.
-    async fn wait(&mut self) -> bool {
+    /// Waits for the next look; answers commands with who owns meanwhile.
+    async fn wait(&mut self) -> LookReason {
         let next = tokio::time::sleep(LOOK_INTERVAL);
         tokio::pin!(next);
         loop {
             tokio::select! {
-                () = &mut next => return false,
+                () = &mut next => return LookReason::Due,
                 Some(command) = self.commands.recv() => {
-                    if matches!(command.request, BatchRequest::TakeOver) {
+                    if let BatchRequest::TakeOver(offer) = &command.request {
+                        let reason = if offer.is_some() { LookReason::Asked } else { LookReason::Told };
+                        self.offer.clone_from(offer);
                         command.answer(BatchResponse::Ended);
-                        return true;
+                        return reason;
                     }
                     let owner = self.context.batch_owner.load_full();
                     let owner = owner.filter(|owner| **owner != self.context.node);
@@ -162,20 +180,24 @@
     }
 
     /// Whether to take over now, and how long the owner before has been silent.
-    async fn look(&mut self, was_told: bool) -> Option<Duration> {
+    async fn look(&mut self, reason: LookReason) -> Option<Duration> {
         let rank = rank(&self.context);
         self.looks += 1;
-        if !was_told && !election::looks_now(rank, self.looks) {
+        if reason == LookReason::Due && !election::looks_now(rank, self.looks) {
             return None;
         }
         let say = ask_stores(&self.context).await;
         if let Some(owner) = &say.owner {
             self.context.batch_owner.store(Some(Arc::new(owner.clone())));
         }
-        if was_told {
+        if reason == LookReason::Told {
             return Some(Duration::ZERO);
         }
-        let takeover_after = self.context.settings.batch.takeover_after;
+        let (rank, takeover_after) = match reason {
+            // Nobody else was asked: no turn need be waited for.
+            LookReason::Asked => (0, ASKED_IDLE),
+            _ => (rank, self.context.settings.batch.takeover_after),
+        };
         let needed = self.context.settings.store.set_size.majority();
         let verdict = election::judge(&self.context.node, rank, &say.answers, needed, takeover_after);
         match verdict {
@@ -197,14 +219,23 @@
             }
         };
         self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
-        let owner =
-            Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), log, &recovered, idle);
+        let owner = Owner::new(
+            self.context.clone(),
+            self.pool.clone(),
+            self.traffic.clone(),
+            log,
+            &recovered,
+            idle,
+            self.offer.take(),
+        );
         match owner {
             Ok(owner) => {
                 let end = owner.run(&mut self.commands).await;
                 self.context.batch_owner.store(None);
-                if end == OwnerEnd::Left {
-                    self.hand_over().await;
+                match end {
+                    OwnerEnd::Left => self.hand_over(None).await,
+                    OwnerEnd::CutOff(offer) => self.hand_over(Some(offer)).await,
+                    OwnerEnd::Superseded => {}
                 }
             }
             Err(error) => {
@@ -215,10 +246,13 @@
     }
 
     /// Tells the next candidate that this node leaves.
-    async fn hand_over(&self) {
+    async fn hand_over(&self, offer: Option<ProgressOffer>) {
         let Some(successor) = best_other(&self.context) else { return };
-        let told =
-            self.context.peers.batch(successor.peer_address, BatchRequest::TakeOver, HAND_OVER_TIMEOUT);
+        let told = self.context.peers.batch(
+            successor.peer_address,
+            BatchRequest::TakeOver(offer),
+            HAND_OVER_TIMEOUT,
+        );
         if let Err(error) = told.await {
             ::log::info!(target: "batch", "{} was not told to take over: {error}.", successor.node);
         }
--- a/crates/daemon/src/batch/log.rs
+++ b/crates/daemon/src/batch/log.rs
@@ -3,9 +3,12 @@
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use std::time::Duration;
+
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::store::heard_clock::HeardClock;
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// The log is compacted once it holds so many bytes. Nothing else is decided while a snapshot is written, so that the
@@ -44,6 +47,7 @@
 pub(super) struct LogWriter {
     writes: mpsc::UnboundedSender<Write>,
     written: mpsc::UnboundedReceiver<Written>,
+    heard: HeardClock,
 }
 
 impl LogWriter {
@@ -51,8 +55,14 @@
     pub(super) fn start(log: ShardLog, held_bytes: usize) -> Self {
         let (writes, received) = mpsc::unbounded_channel();
         let (sender, written) = mpsc::unbounded_channel();
+        let heard = log.heard();
         tokio::spawn(Task { log, received, sender, held_bytes }.run());
-        Self { writes, written }
+        Self { writes, written, heard }
+    }
+
+    /// How long no store has answered a write.
+    pub(super) fn silent_for(&self) -> Duration {
+        self.heard.silent_for()
     }
 
     pub(super) fn append(&self, records: Vec<Record>) {
@@ -139,11 +149,12 @@
         replacement: Replacement,
     ) -> Result<Self, (mpsc::UnboundedSender<Written>, ShardLogError)> {
         let Self { log, received, sender, held_bytes } = self;
-        let epoch = log.epoch();
+        let (epoch, heard) = (log.epoch(), log.heard());
         let Replacement { leaving, joining, reason } = replacement;
         ::log::info!(target: "batch", "Store {leaving} is replaced by {} of {}: {reason}.", joining.store, joining.node);
         match log.replace_member(&leaving, joining, reason).await {
-            Ok((log, recovered)) if recovered.latest_origin <= epoch => {
+            Ok((mut log, recovered)) if recovered.latest_origin <= epoch => {
+                log.tell_heard(heard);
                 let (epoch, set) = (log.epoch(), log.set().clone());
                 ::log::info!(target: "batch", "Generation {} of the stores is in force.", set.generation);
                 let _ = sender.send(Written::Replaced { epoch, set });
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -9,8 +9,9 @@
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::{JobState, Ledger};
 use lichenpulley_core::batch::order_lease::OrderLease;
+use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::batch::score_plan::ScoreId;
-use lichenpulley_core::identity::{BatchId, NodeId};
+use lichenpulley_core::identity::{BatchId, Epoch, NodeId};
 use lichenpulley_core::replication::log::RecoveredLog;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
@@ -31,6 +32,10 @@
 
 /// What was read under a confirmation may be shown for so long: any later owner began after it.
 pub(super) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
+/// An owner to which no store has answered for so long leaves the jobs to another.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(500);
+/// How long an owner that leaves waits for the stores to keep its progress.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Events of runs that wait for the owner.
 const EVENT_BACKLOG: usize = 4_096;
 /// Longest answer with results, in bytes of text.
@@ -58,6 +63,7 @@
     controller: Controller,
     origin: Instant,
     log: LogWriter,
+    epoch: Epoch,
     /// When the last append that is known to be decided was begun.
     confirmed_at: Instant,
     runs: HashMap<RunId, AbortHandle>,
@@ -73,21 +79,25 @@
     ends: Vec<(BatchId, Command)>,
     readers: Vec<Reader>,
     failure: Option<ShardLogError>,
+    /// Whether a store is being replaced.
+    is_replacing: bool,
     /// A much more capable node, and since when it has been seen.
     better: Option<(NodeId, Instant)>,
 }
 
 /// Why a node owns the batch jobs no longer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum OwnerEnd {
-    /// It left them to another.
+    /// It left them to another; all that it took is kept.
     Left,
+    /// It can't reach its stores, and leaves what they don't keep to another.
+    CutOff(ProgressOffer),
     /// The log was lost to another or can't be written.
     Superseded,
 }
 
 impl Owner {
-    /// The owner after it has taken the log over; the owner before has been silent for `idle`.
+    /// The owner after it has taken the log over; the owner before has been silent for `idle`, and may have left an offer.
     pub(super) fn new(
         context: Context,
         pool: ReplicaPool,
@@ -95,6 +105,7 @@
         log: ShardLog,
         recovered: &RecoveredLog,
         idle: Duration,
+        offer: Option<ProgressOffer>,
     ) -> Result<Self, speedy::Error> {
         let ledger = Ledger::recover(recovered.snapshot.as_deref(), &recovered.records)?;
         let held_bytes = recovered.records.iter().map(Vec::len).sum();
@@ -107,7 +118,11 @@
         let config = ControllerConfig::default();
         let capacity_bytes = config.capacity_bytes.min(memory / 100 * HELD_PERCENT);
         let config = ControllerConfig { capacity_bytes, ..config };
-        let controller = Controller::new(config, ledger, Timestamp::ORIGIN, lease);
+        let mut controller = Controller::new(config, ledger, Timestamp::ORIGIN, lease);
+        if let Some(offer) = offer {
+            let adopted = controller.adopt(offer, recovered.latest_origin);
+            ::log::info!(target: "batch", "{adopted} events came from the owner before.");
+        }
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
         let (load_sender, load_ends) = mpsc::unbounded_channel();
         let (score_sender, score_ends) = mpsc::unbounded_channel();
@@ -122,6 +137,7 @@
             controller,
             origin: now,
             log: LogWriter::start(log, held_bytes),
+            epoch,
             confirmed_at: now,
             runs: HashMap::new(),
             run_events,
@@ -134,6 +150,7 @@
             ends: Vec::new(),
             readers: Vec::new(),
             failure: None,
+            is_replacing: false,
             better: None,
         })
     }
@@ -145,6 +162,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let draining = self.context.draining.clone();
         self.update();
+        let mut is_cut_off = false;
         while self.failure.is_none() {
             tokio::select! {
                 () = draining.cancelled() => break,
@@ -153,10 +171,14 @@
                 Some((run, event)) = self.run_events.recv() => self.handle_run(run, event),
                 Some(ended) = self.score_ends.recv() => self.handle_score(&ended),
                 Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
-                replacement = self.keeper.next() => self.log.replace(replacement),
+                replacement = self.keeper.next() => {
+                    self.is_replacing = true;
+                    self.log.replace(replacement);
+                }
                 Ok(()) = metadata.changed() => self.update(),
                 _ = ticks.tick() => {
-                    if self.should_leave() {
+                    is_cut_off = self.is_cut_off();
+                    if is_cut_off || self.should_leave() {
                         break;
                     }
                     self.tick();
@@ -164,11 +186,33 @@
             }
             self.act();
         }
-        let end = if self.failure.is_none() { OwnerEnd::Left } else { OwnerEnd::Superseded };
+        let end = if self.failure.is_some() {
+            OwnerEnd::Superseded
+        } else if is_cut_off {
+            OwnerEnd::CutOff(self.controller.progress_offer(self.epoch))
+        } else {
+            self.flush().await;
+            OwnerEnd::Left
+        };
         self.finish();
         end
     }
 
+    /// Has the stores keep all progress, within bounds.
+    async fn flush(&mut self) {
+        self.controller.set_confirmed(false);
+        self.controller.flush_progress(self.now());
+        self.act();
+        let limit = Instant::now() + FLUSH_TIMEOUT;
+        while !self.controller.is_settled() && self.failure.is_none() {
+            match tokio::time::timeout_at(limit, self.log.next()).await {
+                Ok(written) => self.handle_written(written),
+                Err(_) => return,
+            }
+            self.act();
+        }
+    }
+
     /// Whether a machine that is much more capable has been there for long enough to own in this one's place.
     ///
     /// Ownership is sticky otherwise: machines that are alike never take it from each other.
@@ -192,6 +236,12 @@
         is_due
     }
 
+    /// Whether no store has answered for long. While a store is replaced, other parts of the node ask them.
+    fn is_cut_off(&self) -> bool {
+        let is_unconfirmed = self.confirmed_at.elapsed() >= CUT_OFF_AFTER;
+        is_unconfirmed && !self.is_replacing && self.log.silent_for() >= CUT_OFF_AFTER
+    }
+
     fn now(&self) -> Timestamp {
         Timestamp::ORIGIN + self.origin.elapsed()
     }
@@ -257,6 +307,8 @@
                 }
             }
             Written::Replaced { epoch, set } => {
+                self.epoch = epoch;
+                self.is_replacing = false;
                 self.loads.set_epoch(epoch);
                 self.keeper.follow(set);
             }
@@ -297,7 +349,7 @@
                 self.end(batch, command);
             }
             // It is owned already.
-            BatchRequest::TakeOver => command.answer(BatchResponse::Ended),
+            BatchRequest::TakeOver(_) => command.answer(BatchResponse::Ended),
         }
     }
 
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::exchange::Exchange;
+use super::heard_clock::HeardClock;
 use super::{reconfiguration, replica_sets};
 use crate::context::Context;
 
@@ -70,6 +71,8 @@
     origin: Instant,
     /// When a store last answered.
     heard_at: Instant,
+    /// The same for other tasks.
+    heard: HeardClock,
     replaced_by: Option<ReplicaSet>,
 }
 
@@ -189,6 +192,17 @@
         Err(self.no_majority())
     }
 
+    /// When the stores last answered.
+    pub fn heard(&self) -> HeardClock {
+        self.heard.clone()
+    }
+
+    /// Tells another clock from now on when the stores answer.
+    pub fn tell_heard(&mut self, clock: HeardClock) {
+        clock.heard();
+        self.heard = clock;
+    }
+
     /// The replica set in use.
     pub fn set(&self) -> &ReplicaSet {
         self.proposer.set()
@@ -232,6 +246,7 @@
             exchange: Exchange::new(context.clone()),
             origin: Instant::now(),
             heard_at: Instant::now(),
+            heard: HeardClock::start(),
             replaced_by: None,
         })
     }
@@ -298,6 +313,7 @@
         match answer.response {
             Some(response) => {
                 self.heard_at = Instant::now();
+                self.heard.heard();
                 self.proposer.step(now, response);
             }
             None => self.proposer.unreachable(now, &answer.store, RETRY_AFTER),
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -1,6 +1,7 @@
 //! Requests to the owner of the batch jobs.
 
 use lichenpulley_core::batch::job::{BatchJob, ItemResult};
+use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::identity::{BatchId, NodeId};
 use speedy::{Readable, Writable};
 
@@ -27,8 +28,8 @@
     },
     /// Ends a job.
     End(BatchId),
-    /// The owner leaves: the receiver should take over now.
-    TakeOver,
+    /// The owner leaves: the receiver should take over now. One that can't reach its stores offers what they don't keep.
+    TakeOver(Option<ProgressOffer>),
 }
 
 /// A result and the id of its item.
