Show the stores that a new owner leads while it puts its ledger together

Cause: between the promise of a majority and its first append a new owner was silent for as long as it read the records that it had recovered. Where that takes more than a second (a long log, a small machine) the next candidate takes the log over, and so on without end: jobs can't be read any more. The picture is that of the open finding; that it was this cause is not shown.

What: the ledger is put together 64 records at a time, with a heartbeat each 200 ms between pieces, and the node's other tasks go on.

The trial itself (records and texts in DEFLATE, to save bytes between zones) is not kept: a takeover must read all of the log, and each 100 ms there costs more than the bytes.

--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -221,6 +221,11 @@
         Snapshot { records }.write_to_vec()
     }
 
+    /// The records of a snapshot.
+    pub(super) fn snapshot_records(bytes: &[u8]) -> Result<Vec<Record>, speedy::Error> {
+        Ok(Snapshot::read_from_buffer(bytes)?.records)
+    }
+
     /// The ledger that a snapshot and the records after it amount to.
     ///
     /// # Errors
@@ -228,8 +233,7 @@
     pub fn recover(snapshot: Option<&[u8]>, records: &[Vec<u8>]) -> Result<Self, speedy::Error> {
         let mut ledger = Self::default();
         if let Some(bytes) = snapshot {
-            let snapshot = Snapshot::read_from_buffer(bytes)?;
-            snapshot.records.into_iter().for_each(|record| ledger.apply(record));
+            Self::snapshot_records(bytes)?.into_iter().for_each(|record| ledger.apply(record));
         }
         for bytes in records {
             ledger.apply(Record::decode(bytes)?);
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -13,6 +13,7 @@
 pub mod order_lease;
 pub mod progress_offer;
 pub mod record;
+pub mod recovery;
 mod schedule;
 pub mod score_plan;
 pub mod weights;
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -5,19 +5,25 @@
 
 use futures::future::join_all;
 use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
+use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::batch::recovery::{LedgerRecovery, RecoveryStep};
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
-use super::owner::{Owner, OwnerEnd};
+use super::owner::{Owner, OwnerEnd, Takeover};
 use super::{Command, shard};
 use crate::cluster::{Member, NodeCapacity, rendezvous_weight};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
-use crate::store::shard_log::ShardLog;
+use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// Time between two looks at the stores.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
@@ -25,6 +31,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 /// A candidate that the owner asked takes over where the stores have not heard of the owner for so long.
 const ASKED_IDLE: Duration = Duration::from_millis(300);
+/// The pause between two signs of life while the ledger is put together.
+const RECOVERY_HEARTBEAT: Duration = Duration::from_millis(200);
 /// How long a successor may take to answer that it was told.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -211,7 +219,7 @@
         let decision = Decision::new(Component::Rollout, "taking_over", "owner_silent", shard());
         self.context.decisions.record(decision.with("idle_ms", idle.as_millis()));
         let taken = ShardLog::take_over(&self.context, &shard()).await;
-        let (log, recovered) = match taken {
+        let (mut log, recovered) = match taken {
             Ok(taken) => taken,
             Err(error) => {
                 ::log::warn!(target: "batch", "The batch jobs are not taken over: {error}.");
@@ -219,29 +227,24 @@
             }
         };
         self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
-        let owner = Owner::new(
-            self.context.clone(),
-            self.pool.clone(),
-            self.traffic.clone(),
-            log,
-            &recovered,
-            idle,
-            self.offer.take(),
-        );
-        match owner {
-            Ok(owner) => {
-                let end = owner.run(&mut self.commands).await;
-                self.context.batch_owner.store(None);
-                match end {
-                    OwnerEnd::Left => self.hand_over(None).await,
-                    OwnerEnd::CutOff(offer) => self.hand_over(Some(offer)).await,
-                    OwnerEnd::Superseded => {}
-                }
-            }
+        let ledger = recover_ledger(&mut log, &recovered).await;
+        let ledger = match ledger {
+            Ok(ledger) => ledger,
             Err(error) => {
-                ::log::error!(target: "batch", "The log of the batch jobs can't be read: {error}.");
-                self.context.batch_owner.store(None);
+                ::log::error!(target: "batch", "The log of the batch jobs can't be recovered: {error}.");
+                return self.context.batch_owner.store(None);
             }
+        };
+        let held_bytes = recovered.records.iter().map(Vec::len).sum();
+        let (latest, offer) = (recovered.latest_origin, self.offer.take());
+        let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer };
+        let owner = Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), takeover);
+        let end = owner.run(&mut self.commands).await;
+        self.context.batch_owner.store(None);
+        match end {
+            OwnerEnd::Left => self.hand_over(None).await,
+            OwnerEnd::CutOff(offer) => self.hand_over(Some(offer)).await,
+            OwnerEnd::Superseded => {}
         }
     }
 
@@ -258,3 +261,28 @@
         }
     }
 }
+
+/// Why the ledger could not be put together.
+#[derive(Debug, thiserror::Error)]
+enum RecoveryError {
+    #[error("a record can't be read: {0}")]
+    Codec(#[from] speedy::Error),
+    #[error(transparent)]
+    Log(#[from] ShardLogError),
+}
+
+/// Puts the ledger together, and shows the stores meanwhile that this node leads.
+async fn recover_ledger(log: &mut ShardLog, recovered: &RecoveredLog) -> Result<Ledger, RecoveryError> {
+    let began = Instant::now();
+    let now = || Timestamp::ORIGIN + began.elapsed();
+    let snapshot = recovered.snapshot.as_deref();
+    let mut recovery = LedgerRecovery::begin(snapshot, &recovered.records, RECOVERY_HEARTBEAT, now())?;
+    loop {
+        match recovery.step(now())? {
+            // The node's other tasks go on meanwhile.
+            RecoveryStep::Working => tokio::task::yield_now().await,
+            RecoveryStep::HeartbeatDue => log.append(vec![Record::Clock(0).encode()?]).await?,
+            RecoveryStep::Done => return Ok(recovery.into_ledger()),
+        }
+    }
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -12,7 +12,6 @@
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::batch::score_plan::ScoreId;
 use lichenpulley_core::identity::{BatchId, Epoch, NodeId};
-use lichenpulley_core::replication::log::RecoveredLog;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
 use tokio::runtime::Handle;
@@ -47,6 +46,22 @@
 /// Margin above the order lease and the time for which an order may leave after its record.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
+/// The batch jobs as a new owner takes them over.
+pub(super) struct Takeover {
+    /// Their log.
+    pub(super) log: ShardLog,
+    /// What it amounts to.
+    pub(super) ledger: Ledger,
+    /// Bytes of the log.
+    pub(super) held_bytes: usize,
+    /// The epoch of the last owner that appended.
+    pub(super) latest: Epoch,
+    /// How long the owner before had been silent.
+    pub(super) idle: Duration,
+    /// What the owner before took and its stores don't keep.
+    pub(super) offer: Option<ProgressOffer>,
+}
+
 /// A reader that waits for a result.
 struct Reader {
     batch: BatchId,
@@ -97,18 +112,9 @@
 }
 
 impl Owner {
-    /// The owner after it has taken the log over; the owner before has been silent for `idle`, and may have left an offer.
-    pub(super) fn new(
-        context: Context,
-        pool: ReplicaPool,
-        traffic: Handle,
-        log: ShardLog,
-        recovered: &RecoveredLog,
-        idle: Duration,
-        offer: Option<ProgressOffer>,
-    ) -> Result<Self, speedy::Error> {
-        let ledger = Ledger::recover(recovered.snapshot.as_deref(), &recovered.records)?;
-        let held_bytes = recovered.records.iter().map(Vec::len).sum();
+    /// The owner of what it has taken over.
+    pub(super) fn new(context: Context, pool: ReplicaPool, traffic: Handle, takeover: Takeover) -> Self {
+        let Takeover { log, ledger, held_bytes, latest, idle, offer } = takeover;
         let lease = OrderLease {
             holder: context.node.clone(),
             length: context.settings.batch.order_lease + CONFIRMED_FOR + LEASE_MARGIN,
@@ -120,7 +126,7 @@
         let config = ControllerConfig { capacity_bytes, ..config };
         let mut controller = Controller::new(config, ledger, Timestamp::ORIGIN, lease);
         if let Some(offer) = offer {
-            let adopted = controller.adopt(offer, recovered.latest_origin);
+            let adopted = controller.adopt(offer, latest);
             ::log::info!(target: "batch", "{adopted} events came from the owner before.");
         }
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
@@ -128,7 +134,7 @@
         let (score_sender, score_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
         let now = Instant::now();
-        Ok(Self {
+        Self {
             loads: LoadOrders::new(context.clone(), epoch, load_sender),
             keeper: StoreKeeper::start(context.clone(), log.set().clone()),
             context,
@@ -152,7 +158,7 @@
             failure: None,
             is_replacing: false,
             better: None,
-        })
+        }
     }
 
     /// Owns until the node drains, a much more capable one can own, or the log fails.
