Soak the real processes under random faults from outside them

Checked while it runs and once more at the end: each item listed once with its whole text, versions and the seal of its own score request; positions never change, also when read again at every gateway; requests that must not run twice run once at most; not run is true; what arrives is unchanged; a job that was taken is finished and known.

Not in it yet: clocks, full or failing folders, two faults at a time, configuration changes, drains, orders of weights, recovery times, kept seeds, and the proof that mechanisms switched off are found.

--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -30,6 +30,11 @@
         help: "three zones, live requests and a rollout job in one process, ending in a summary",
         entry: |arguments| Box::pin(demo::run(arguments)),
     },
+    Command {
+        name: "soak",
+        help: "run real processes under random faults from outside, and check the promises meanwhile",
+        entry: |arguments| Box::pin(crate::soak::run(arguments)),
+    },
     Command {
         name: "object-api",
         help: "stand-in for the platform's object API",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod rollout_simulation;
 pub mod scorer;
 pub mod simulate_replication;
+pub mod soak;
 pub mod subsets;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/crates/lab/src/soak/fault.rs
@@ -0,0 +1,98 @@
+//! The faults of a soak, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use super::proxy::ProxyMode;
+use crate::metadata_store::Condition;
+use crate::platform_replica::Behaviour;
+
+/// One fault, for some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed and started again.
+    KillGateway(usize),
+    /// A store is killed and started again.
+    KillStore(usize),
+    /// A store is killed, its data are gone, and it is started again.
+    WipeStore(usize),
+    /// A gateway stands still.
+    FreezeGateway(usize),
+    /// A store stands still.
+    FreezeStore(usize),
+    /// A gateway is stopped as planned and started again.
+    StopGateway(usize),
+    /// The platform's metadata store fails for all.
+    Platform(Condition),
+    /// The platform's metadata store is not reached by one gateway.
+    PlatformCut(usize, ProxyMode),
+    /// A replica is not reached as it should be.
+    ReplicaCut(usize, ProxyMode),
+    /// A replica misbehaves.
+    Replica(usize, Behaviour),
+}
+
+/// A fault and its length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedFault {
+    /// What.
+    pub fault: Fault,
+    /// How long.
+    pub lasts: Duration,
+    /// The pause after it.
+    pub pause: Duration,
+}
+
+/// How many there are of each kind of process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SystemSize {
+    /// Gateways.
+    pub gateways: usize,
+    /// Stores.
+    pub stores: usize,
+    /// Replicas.
+    pub replicas: usize,
+}
+
+impl PlannedFault {
+    /// Draws the next fault.
+    pub fn draw<R: Rng>(size: SystemSize, random: &mut R) -> Self {
+        let gateway = random.random_range(0..size.gateways);
+        let store = random.random_range(0..size.stores);
+        let replica = random.random_range(0..size.replicas);
+        let modes = [
+            ProxyMode::Delayed(Duration::from_millis(150)),
+            ProxyMode::Resets,
+            ProxyMode::Silent,
+            ProxyMode::DeafBack,
+        ];
+        let mode = modes[random.random_range(0..modes.len())];
+        let conditions = [Condition::Silent, Condition::Resets, Condition::Busy];
+        let condition = conditions[random.random_range(0..conditions.len())];
+        let behaviours = [
+            Behaviour::Rejects,
+            Behaviour::LosesAnswers,
+            Behaviour::BreaksAfter(2),
+            Behaviour::AnswersForAnother,
+        ];
+        let behaviour = behaviours[random.random_range(0..behaviours.len())];
+        let fault = match random.random_range(0..10) {
+            0 => Fault::KillGateway(gateway),
+            1 => Fault::KillStore(store),
+            2 => Fault::WipeStore(store),
+            3 => Fault::FreezeGateway(gateway),
+            4 => Fault::FreezeStore(store),
+            5 => Fault::StopGateway(gateway),
+            6 => Fault::Platform(condition),
+            7 => Fault::PlatformCut(gateway, mode),
+            8 => Fault::ReplicaCut(replica, mode),
+            _ => Fault::Replica(replica, behaviour),
+        };
+        let lasts = Duration::from_millis(random.random_range(200..2_500));
+        // The loss of one disk at a time is to be borne: its successor must hold the log before the next one goes.
+        let least_ms = if matches!(fault, Fault::WipeStore(_)) { 5_000 } else { 300 };
+        let pause = Duration::from_millis(least_ms + random.random_range(0..1_500));
+        Self { fault, lasts, pause }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,156 @@
+//! A randomized soak: real processes on loopback, faults from outside them, and the promises checked by what callers and
+//! replicas see.
+//!
+//! The seed draws the faults. Processes run on real time, so the same seed does not give the same run; the report names
+//! every fault with its time. Verdicts rest on what was seen alone, never on how long anything took, but for jobs that are
+//! not finished a minute after everything is well again.
+
+pub mod caller;
+pub mod fault;
+pub mod history;
+pub mod node;
+pub mod proxy;
+mod system;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use getopts::Options;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::error::LabError;
+use fault::PlannedFault;
+use history::Violation;
+use system::SoakSystem;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakConfig {
+    /// Draws the faults.
+    pub seed: u64,
+    /// How long faults go on.
+    pub duration: Duration,
+    /// The daemon's binary.
+    pub binary: PathBuf,
+    /// Where settings, data and logs go.
+    pub folder: PathBuf,
+}
+
+/// A fault as it happened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FaultRecord {
+    /// When it began, in milliseconds since the soak did.
+    pub at_ms: u64,
+    /// How long it lasted, in milliseconds.
+    pub lasted_ms: u64,
+    /// What it was.
+    pub fault: String,
+}
+
+/// What came of a soak.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// The faults.
+    pub faults: Vec<FaultRecord>,
+    /// Results that were read.
+    pub results: usize,
+    /// Requests that must not run twice, and how many of them were answered with success.
+    pub writes: usize,
+    /// Those that were answered with success.
+    pub writes_answered: usize,
+    /// Promises that did not hold.
+    pub violations: Vec<Violation>,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+/// When a process can't be started, or ends by itself.
+pub async fn soak(config: &SoakConfig) -> Result<SoakReport, LabError> {
+    let mut random = Pcg64Mcg::seed_from_u64(config.seed);
+    let mut system = SoakSystem::spawn(&config.binary, &config.folder).await?;
+    let callers = system.callers();
+    let until = Instant::now() + config.duration;
+    let jobs: Vec<_> = (0..3).map(|name| tokio::spawn(callers.clone().run_jobs(name, until))).collect();
+    let writes: Vec<_> = (0..2).map(|name| tokio::spawn(callers.clone().write(name, until))).collect();
+    let mut faults = Vec::new();
+    while Instant::now() < until {
+        let planned = PlannedFault::draw(system.size(), &mut random);
+        let at_ms = callers.now_ms();
+        system.play(planned).await?;
+        let lasted_ms = callers.now_ms() - at_ms;
+        faults.push(FaultRecord { at_ms, lasted_ms, fault: format!("{:?}", planned.fault) });
+        tokio::time::sleep(planned.pause).await;
+    }
+    for task in jobs.into_iter().chain(writes) {
+        // A task that panicked has failed the soak.
+        task.await.map_err(|error| LabError::CheckFailed(error.to_string()))?;
+    }
+    system.check_all_again().await;
+    let mut history = callers.history();
+    history.check_runs(callers.now_ms(), &system.seen());
+    let writes_answered = history.writes.iter().filter(|write| write.status.is_some_and(|s| s.is_success()));
+    let writes_answered = writes_answered.count();
+    Ok(SoakReport {
+        seed: config.seed,
+        faults,
+        results: history.results_read(),
+        writes: history.writes.len(),
+        writes_answered,
+        violations: history.violations.clone(),
+    })
+}
+
+/// `lichenpulley-lab soak`.
+///
+/// # Errors
+/// When the command line is wrong, a process can't be started, or a promise did not hold.
+pub async fn run(arguments: &[String]) -> Result<(), LabError> {
+    let mut options = Options::new();
+    options.optopt("", "seed", "draws the faults (default: a fresh one)", "S");
+    options.optopt("", "minutes", "how long faults go on (default 5)", "M");
+    options.optopt("", "keep", "keep settings, data and logs in this folder", "FOLDER");
+    options.optflag("h", "help", "print this help and end");
+    let matches = options.parse(arguments).map_err(|error| LabError::Usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        println!("{}", options.usage("usage: lichenpulley-lab soak [options]"));
+        return Ok(());
+    }
+    let number = |name: &str, default: f64| match matches.opt_str(name) {
+        Some(text) => text.parse().map_err(|_| LabError::Usage(format!("--{name} is no number: {text}"))),
+        None => Ok(default),
+    };
+    let seed = match matches.opt_str("seed") {
+        Some(text) => text.parse().map_err(|_| LabError::Usage(format!("--seed is no number: {text}")))?,
+        None => rand::random::<u32>().into(),
+    };
+    let minutes: f64 = number("minutes", 5.0)?;
+    if !(0.0..=600.0).contains(&minutes) {
+        return Err(LabError::Usage(format!("--minutes is {minutes}; set it from 0 to 600")));
+    }
+    let problem = |source| LabError::Io {
+        action: "make a folder".to_owned(),
+        remedy: "give --keep a folder that can be made",
+        source,
+    };
+    let scratch = tempfile::tempdir().map_err(problem)?;
+    let folder = matches.opt_str("keep").map_or_else(|| scratch.path().to_owned(), PathBuf::from);
+    std::fs::create_dir_all(&folder).map_err(problem)?;
+    let own = std::env::current_exe().map_err(problem)?;
+    let binary = own.with_file_name("lichenpulleyd");
+    let config = SoakConfig { seed, duration: Duration::from_secs_f64(minutes * 60.0), binary, folder };
+    let report = soak(&config).await?;
+    let text =
+        serde_json::to_string_pretty(&report).map_err(|error| LabError::CheckFailed(error.to_string()))?;
+    println!("{text}");
+    if report.violations.is_empty() {
+        return Ok(());
+    }
+    let count = report.violations.len();
+    Err(LabError::CheckFailed(format!("{count} promises did not hold; the seed was {seed}")))
+}
--- /dev/null
+++ b/crates/lab/src/soak/node.rs
@@ -0,0 +1,156 @@
+//! One real `lichenpulleyd` as a process of its own.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::error::LabError;
+
+/// How long a process may take to say where it listens.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What a node is started with.
+#[derive(Clone, Debug)]
+pub struct NodePlan {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a store; a gateway otherwise.
+    pub is_store: bool,
+    /// Where it finds the platform's metadata store.
+    pub platform: SocketAddr,
+}
+
+/// A running process, ended with this handle.
+pub struct NodeProcess {
+    /// What it was started with.
+    pub plan: NodePlan,
+    child: Child,
+    addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl NodeProcess {
+    /// Starts a node and waits until it says where it listens.
+    ///
+    /// # Errors
+    /// When it can't be started or ends at once.
+    pub async fn spawn(
+        binary: &Path,
+        folder: &Path,
+        plan: NodePlan,
+        seeds: &[SocketAddr],
+    ) -> Result<Self, LabError> {
+        let path = |suffix: &str| folder.join(format!("{}.{suffix}", plan.name));
+        let addresses_file = path("addresses");
+        // What an earlier process of this name has bound is of no use.
+        let _ = std::fs::remove_file(&addresses_file);
+        let problem = |source| LabError::Io {
+            action: format!("start {}", binary.display()),
+            remedy: "build it with `cargo build --workspace --bins`, and free some space",
+            source,
+        };
+        std::fs::write(path("toml"), settings(&plan, &data_folder(folder, &plan.name), seeds))
+            .map_err(problem)?;
+        let log = File::options().create(true).append(true).open(path("log")).map_err(problem)?;
+        let child = Command::new(binary)
+            .arg("--settings")
+            .arg(path("toml"))
+            .arg("--addresses-file")
+            .arg(&addresses_file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(problem)?)
+            .stderr(log)
+            .spawn()
+            .map_err(problem)?;
+        let mut node = Self { plan, child, addresses: BTreeMap::new() };
+        node.addresses = node.read_addresses(&addresses_file).await?;
+        Ok(node)
+    }
+
+    async fn read_addresses(&mut self, path: &Path) -> Result<BTreeMap<String, SocketAddr>, LabError> {
+        let began = Instant::now();
+        loop {
+            let text = std::fs::read_to_string(path).ok();
+            if let Some(addresses) = text.and_then(|text| serde_json::from_str(&text).ok()) {
+                return Ok(addresses);
+            }
+            let has_ended = self.child.try_wait().is_ok_and(|status| status.is_some());
+            if has_ended || began.elapsed() > START_LIMIT {
+                let message = format!("{} does not start; see its log", self.plan.name);
+                return Err(LabError::Part { part: "soak", message });
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// An address that it has bound.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.addresses.get(name).copied()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            // A process that has ended by itself is found by `has_ended`.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Waits until it has ended by itself, no longer than `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> bool {
+        let began = Instant::now();
+        while began.elapsed() < limit {
+            if self.has_ended() {
+                return true;
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        false
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Where a store of this name keeps its data.
+pub fn data_folder(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.data"))
+}
+
+fn settings(plan: &NodePlan, data: &Path, seeds: &[SocketAddr]) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let roles = if plan.is_store { "[\"store\"]" } else { "[\"gateway\", \"coordinator\"]" };
+    let data = if plan.is_store { format!("data_folder = \"{}\"\n", data.display()) } else { String::new() };
+    format!(
+        "node = \"{}\"\nzone = \"{}\"\nroles = {roles}\n{data}\n\
+         [addresses]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\n\
+         [peers]\nseeds = [{}]\nstall_timeout_ms = 2000\nconnect_timeout_ms = 300\n\n\
+         [platform]\nmetadata_store = \"{}\"\n\n\
+         [configuration]\nplatform_timeout_ms = 600\nwatch_hold_ms = 2000\n\n\
+         [membership]\nprobe_interval_ms = 300\nprobe_timeout_ms = 120\nsuspicion_multiplier = 3\n\n\
+         [batch]\norder_lease_ms = 1000\n\n\
+         [store]\ncall_timeout_ms = 500\nreplace_after_ms = 60000\ntolerated_losses = 1\n\n\
+         [stop]\nnotice_ms = 500\n",
+        plan.name,
+        plan.zone,
+        seeds.join(", "),
+        plan.platform
+    )
+}
--- /dev/null
+++ b/crates/lab/src/soak/system.rs
@@ -0,0 +1,242 @@
+//! The processes, stand-ins and proxies of a soak.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use lichenpulley_platform::objects;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use super::caller::{Callers, HOST};
+use super::fault::{Fault, PlannedFault, SystemSize};
+use super::history::EVENTS;
+use super::node::{NodePlan, NodeProcess, data_folder};
+use super::proxy::{LoopbackProxy, ProxyMode};
+use crate::error::LabError;
+use crate::metadata_store::{self, Condition, MetadataStore};
+use crate::platform_replica::{self, Behaviour, Plan, Replica, SeenRequest};
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const SIZE: SystemSize = SystemSize { gateways: 3, stores: 3, replicas: 3 };
+/// How long a planned stop may take.
+const STOP_LIMIT: Duration = Duration::from_secs(12);
+
+/// A running system.
+pub(super) struct SoakSystem {
+    binary: PathBuf,
+    folder: PathBuf,
+    platform: MetadataStore,
+    replicas: Vec<Replica>,
+    replica_proxies: Vec<LoopbackProxy>,
+    platform_proxies: Vec<LoopbackProxy>,
+    stores: Vec<Option<NodeProcess>>,
+    gateways: Vec<Option<NodeProcess>>,
+    callers: Callers,
+}
+
+impl SoakSystem {
+    /// Starts everything.
+    pub(super) async fn spawn(binary: &Path, folder: &Path) -> Result<Self, LabError> {
+        let platform = metadata_store::start().await?;
+        platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration());
+        let mut system = Self {
+            binary: binary.to_owned(),
+            folder: folder.to_owned(),
+            platform,
+            replicas: Vec::new(),
+            replica_proxies: Vec::new(),
+            platform_proxies: Vec::new(),
+            stores: Vec::new(),
+            gateways: Vec::new(),
+            callers: Callers::new(SIZE.gateways),
+        };
+        for number in 0..SIZE.replicas {
+            system.add_replica(number).await?;
+        }
+        for number in 0..SIZE.stores {
+            system.stores.push(None);
+            system.start_store(number).await?;
+        }
+        for number in 0..SIZE.gateways {
+            system.platform_proxies.push(LoopbackProxy::bind(system.platform.address).await?);
+            system.gateways.push(None);
+            system.start_gateway(number).await?;
+        }
+        Ok(system)
+    }
+
+    async fn add_replica(&mut self, number: usize) -> Result<(), LabError> {
+        let models = BTreeMap::from([("m".to_owned(), 1)]);
+        let id = format!("replica-{number}");
+        let plan = Plan { id: id.clone(), events: EVENTS, pause: Duration::from_millis(20), models };
+        let replica = platform_replica::start(plan).await?;
+        let proxy = LoopbackProxy::bind(replica.address).await?;
+        let mut record = replica.record("engines", ZONES[number % ZONES.len()]);
+        record["address"] = json!(proxy.address.to_string());
+        self.platform.put(objects::REPLICAS, &id, record);
+        self.replicas.push(replica);
+        self.replica_proxies.push(proxy);
+        Ok(())
+    }
+
+    /// Where others can be found: every node that runs.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let running = self.stores.iter().chain(&self.gateways).flatten();
+        running.filter_map(|node| node.address("peers")).take(3).collect()
+    }
+
+    async fn start_store(&mut self, number: usize) -> Result<(), LabError> {
+        let (name, zone) = (format!("store-{number}"), ZONES[number].to_owned());
+        let plan = NodePlan { name, zone, is_store: true, platform: self.platform.address };
+        let node = NodeProcess::spawn(&self.binary, &self.folder, plan, &self.seeds()).await?;
+        self.stores[number] = Some(node);
+        Ok(())
+    }
+
+    async fn start_gateway(&mut self, number: usize) -> Result<(), LabError> {
+        let (name, zone) = (format!("gateway-{number}"), ZONES[number].to_owned());
+        let platform = self.platform_proxies[number].address;
+        let plan = NodePlan { name, zone, is_store: false, platform };
+        let node = NodeProcess::spawn(&self.binary, &self.folder, plan, &self.seeds()).await?;
+        self.callers.set_gateway(number, node.address("callers"));
+        self.gateways[number] = Some(node);
+        Ok(())
+    }
+
+    /// The callers.
+    pub(super) fn callers(&self) -> Callers {
+        self.callers.clone()
+    }
+
+    /// How many there are of each.
+    pub(super) const fn size(&self) -> SystemSize {
+        SIZE
+    }
+
+    /// What all replicas ran.
+    pub(super) fn seen(&self) -> Vec<SeenRequest> {
+        self.replicas.iter().flat_map(Replica::seen).collect()
+    }
+
+    /// Plays a fault to its end.
+    ///
+    /// # Errors
+    /// When a process ended by itself or can't be started again.
+    pub(super) async fn play(&mut self, planned: PlannedFault) -> Result<(), LabError> {
+        self.find_ended()?;
+        let lasts = planned.lasts;
+        match planned.fault {
+            Fault::KillGateway(number) => self.restart_gateway(number, lasts).await,
+            Fault::KillStore(number) => self.restart_store(number, lasts, false).await,
+            Fault::WipeStore(number) => self.restart_store(number, lasts, true).await,
+            Fault::FreezeGateway(number) => freeze(self.gateways[number].as_ref(), lasts).await,
+            Fault::FreezeStore(number) => freeze(self.stores[number].as_ref(), lasts).await,
+            Fault::StopGateway(number) => self.stop_gateway(number).await,
+            Fault::Platform(condition) => {
+                self.platform.set_condition(condition);
+                tokio::time::sleep(lasts).await;
+                self.platform.set_condition(Condition::Well);
+                Ok(())
+            }
+            Fault::PlatformCut(number, mode) => cut(&self.platform_proxies[number], mode, lasts).await,
+            Fault::ReplicaCut(number, mode) => cut(&self.replica_proxies[number], mode, lasts).await,
+            Fault::Replica(number, behaviour) => {
+                self.replicas[number].set_behaviour(behaviour);
+                tokio::time::sleep(lasts).await;
+                self.replicas[number].set_behaviour(Behaviour::Well);
+                Ok(())
+            }
+        }
+    }
+
+    /// A process that ended by itself fails the soak.
+    fn find_ended(&mut self) -> Result<(), LabError> {
+        for node in self.stores.iter_mut().chain(&mut self.gateways).flatten() {
+            if node.has_ended() {
+                let message = format!("{} ended by itself; see its log", node.plan.name);
+                return Err(LabError::CheckFailed(message));
+            }
+        }
+        Ok(())
+    }
+
+    async fn restart_gateway(&mut self, number: usize, lasts: Duration) -> Result<(), LabError> {
+        self.callers.set_gateway(number, None);
+        // Dropping a process kills it.
+        self.gateways[number] = None;
+        tokio::time::sleep(lasts).await;
+        self.start_gateway(number).await
+    }
+
+    async fn restart_store(
+        &mut self,
+        number: usize,
+        lasts: Duration,
+        loses_data: bool,
+    ) -> Result<(), LabError> {
+        let name = self.stores[number].as_ref().map(|node| node.plan.name.clone());
+        self.stores[number] = None;
+        if let Some(name) = name.filter(|_| loses_data) {
+            // A folder that is not there yet is as good as an emptied one.
+            let _ = std::fs::remove_dir_all(data_folder(&self.folder, &name));
+        }
+        tokio::time::sleep(lasts).await;
+        self.start_store(number).await
+    }
+
+    async fn stop_gateway(&mut self, number: usize) -> Result<(), LabError> {
+        self.callers.set_gateway(number, None);
+        if let Some(node) = &mut self.gateways[number] {
+            node.signal(Signal::TERM);
+            if !node.wait(STOP_LIMIT).await {
+                let message = format!("{} does not end when it is asked to", node.plan.name);
+                return Err(LabError::CheckFailed(message));
+            }
+        }
+        self.gateways[number] = None;
+        self.start_gateway(number).await
+    }
+
+    /// Reads every job once more from its start, now that everything is well.
+    pub(super) async fn check_all_again(&self) {
+        let jobs = self.callers.history().jobs();
+        for job in jobs {
+            self.callers.read_whole(&job, Duration::from_secs(60)).await;
+        }
+    }
+}
+
+async fn freeze(node: Option<&NodeProcess>, lasts: Duration) -> Result<(), LabError> {
+    if let Some(node) = node {
+        node.signal(Signal::STOP);
+        tokio::time::sleep(lasts).await;
+        node.signal(Signal::CONT);
+    }
+    Ok(())
+}
+
+async fn cut(proxy: &LoopbackProxy, mode: ProxyMode, lasts: Duration) -> Result<(), LabError> {
+    proxy.set_mode(mode);
+    tokio::time::sleep(lasts).await;
+    proxy.set_mode(ProxyMode::Open);
+    Ok(())
+}
+
+fn configuration() -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 3_000,
+            "target_ms": 300, "service": "engines", "max_attempts": 3, "resumable": false, "max_queue_s": 300.0,
+            "due_ms": 7_500})
+    };
+    json!({
+        "version": 1,
+        "routes": [route("read", "/read/", "idempotent"), route("write", "/write/", "non_idempotent"),
+            route("rollouts", "/rollouts/", "rollout")],
+        "services": [{"name": "engines", "engine": {"slots": 4, "kv_cap_tokens": 100_000,
+            "models": [{"name": "m"}]}}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 2_000_000, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000},
+    })
+}
