--- a/crates/lab/src/commands.rs
+++ b/crates/lab/src/commands.rs
@@ -100,11 +100,6 @@
         help: "measure what a gateway costs against callers straight at engines",
         entry: |arguments| Box::pin(bench::run(arguments)),
     },
-    Command {
-        name: "hollow",
-        help: "measure what a node spends on control, with whole nodes that share this process",
-        entry: |arguments| Box::pin(crate::hollow::run(arguments)),
-    },
     Command {
         name: "simulate-rollout",
         help: "rollout jobs under seeded faults on a virtual clock",
@@ -112,7 +107,7 @@
     },
     Command {
         name: "simulate-weights",
-        help: "weight waves under seeded faults, or timed over hollow replicas",
+        help: "weight waves under seeded faults, or timed over replicas without engines",
         entry: |arguments| Box::pin(weights_simulation::run(arguments)),
     },
     Command {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod engine;
 pub mod error;
 pub mod experiment;
-pub mod hollow;
 pub mod http;
 pub mod load;
 pub mod machine_list;
--- a/crates/lab/src/weights_simulation/command.rs
+++ b/crates/lab/src/weights_simulation/command.rs
@@ -22,7 +22,7 @@
 pub async fn run(arguments: &[String]) -> Result<(), LabError> {
     let mut options = Options::new();
     options.optopt("", "seeds", "schedules to try (default 200)", "NUMBER");
-    options.optopt("", "replicas", "measure a wave over so many hollow replicas instead", "NUMBER");
+    options.optopt("", "replicas", "measure a wave over so many replicas without engines instead", "NUMBER");
     options.optopt(
         "",
         "bound-seconds",
--- a/crates/lab/src/weights_simulation/mod.rs
+++ b/crates/lab/src/weights_simulation/mod.rs
@@ -1,4 +1,4 @@
-//! Weight waves on a virtual clock: owners, hollow replicas, a rate-limited weight store, with seeded faults.
+//! Weight waves on a virtual clock: owners, replicas without engines, a rate-limited weight store, with seeded faults.
 //!
 //! The log here is one process with epochs: that a log kept by a majority behaves like it is proved where the
 //! replication core is. What is proved here is what the owners do with it.
--- a/crates/lab/src/weights_simulation/replica.rs
+++ b/crates/lab/src/weights_simulation/replica.rs
@@ -1,4 +1,4 @@
-//! A hollow replica: fetches, swaps, fails partway, restarts with its first weights.
+//! A replica without an engine: fetches, swaps, fails partway, restarts with its first weights.
 
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
     Swapping { version: WeightVersion, until: Timestamp },
 }
 
-/// A hollow replica.
+/// A replica without an engine.
 pub(super) struct Replica {
     random: Pcg64Mcg,
     size: WaveSize,
