Keep entries of replicas that lapsed while the store was away, until two seconds after its return

Cause: an outage of the platform's store lets the entries of replicas lapse that are well; the first answer after it removed them here at once, and requests were refused until each had put its entry back.

What: a keeper (core/ingress/lapse) holds entries that vanish after an outage, seen by a failed call, by the probe, or by a watch that had to be begun anew; they are dropped two seconds after the return (configuration.lapse_grace_ms), and all is listed anew so that followers learn it under a later revision. What vanishes while the store is well is gone at once, as before.

Tests: lapse.rs; two in platform_path.rs, of which the first failed until a watch that is begun anew counted as an outage.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -1,5 +1,6 @@
 //! Plain requests: which service a request goes to, which replica serves it, and what to do when one fails.
 
 pub mod attempts;
+pub mod lapse;
 pub mod replicas;
 pub mod routes;
--- a/crates/daemon/src/metadata/freshness.rs
+++ b/crates/daemon/src/metadata/freshness.rs
@@ -1,6 +1,6 @@
 //! How long ago the platform last confirmed what this node holds.
 
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
 use lichenpulley_protocol::internal::MetadataKind;
@@ -20,6 +20,7 @@
     origin: Instant,
     confirmed_ms: [AtomicU64; MetadataKind::ALL.len()],
     reads: [AtomicU8; MetadataKind::ALL.len()],
+    is_away: AtomicBool,
 }
 
 /// How this node reads one kind.
@@ -37,7 +38,8 @@
 impl Default for Freshness {
     fn default() -> Self {
         let confirmed_ms = std::array::from_fn(|_| AtomicU64::new(NEVER));
-        Self { origin: Instant::now(), confirmed_ms, reads: Default::default() }
+        let is_away = AtomicBool::new(false);
+        Self { origin: Instant::now(), confirmed_ms, reads: Default::default(), is_away }
     }
 }
 
@@ -50,6 +52,16 @@
         self.confirmed_ms[kind_index(kind)].store(at_ms, Ordering::Relaxed);
     }
 
+    /// Whether the platform gave no answer when it was last asked.
+    pub(super) fn is_away(&self) -> bool {
+        self.is_away.load(Ordering::Relaxed)
+    }
+
+    /// The platform was asked, and gave an answer or none.
+    pub(super) fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::Relaxed);
+    }
+
     /// How this node reads a kind from now on.
     pub(super) fn set_reading(&self, kind: MetadataKind, reading: Reading) {
         self.reads[kind_index(kind)].store(reading as u8, Ordering::Relaxed);
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -62,6 +62,11 @@
         self.changes.subscribe()
     }
 
+    /// Whether the platform's store gave no answer when this node last asked it.
+    pub fn is_store_away(&self) -> bool {
+        self.freshness.is_away()
+    }
+
     /// Whether this node reads nothing from the platform for itself.
     pub fn follows(&self) -> bool {
         !self.freshness.needs_platform()
--- a/crates/daemon/src/metadata/reachability.rs
+++ b/crates/daemon/src/metadata/reachability.rs
@@ -29,6 +29,7 @@
             }
             let began = Instant::now();
             let is_reached = client.probe().await.is_ok();
+            context.metadata.freshness.set_away(!is_reached);
             if is_reached && was_reached {
                 context.metadata.freshness.reached(began.elapsed());
             }
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use lichenpulley_core::identity::Revision;
+use lichenpulley_core::ingress::lapse::LapseKeeper;
 use lichenpulley_core::relay::ReadSource;
+use lichenpulley_core::time::Timestamp;
 use lichenpulley_platform::objects;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest, MetadataUpdate};
 use rand::seq::IndexedRandom;
@@ -57,7 +59,10 @@
 ) {
     let stopped = context.stopped.clone();
     let follower = Follower::new(Arc::clone(&context), kind);
+    let lapses = LapseKeeper::new(context.settings.configuration.lapse_grace);
     let mut watcher = Watcher {
+        lapses,
+        origin: Instant::now(),
         context,
         client,
         kind,
@@ -83,6 +88,9 @@
     /// What `objects` is of; none where it must be listed anew.
     revision: Option<u64>,
     failures: u32,
+    /// Entries of replicas that vanished while the store was away.
+    lapses: LapseKeeper,
+    origin: Instant,
 }
 
 impl Watcher {
@@ -151,10 +159,19 @@
 
     async fn round(&mut self) -> Result<(), PlatformError> {
         let Some(revision) = self.revision else { return self.list().await };
+        let lapses_end =
+            self.lapses.deadline().map(|at| self.origin + at.saturating_since(Timestamp::ORIGIN));
         let watched = tokio::select! {
             watched = self.client.watch(kind_name(self.kind), revision) => watched?,
             // This watch may have been sent while nobody listened: it is sent again.
-            Ok(()) = self.recoveries.changed() => return Ok(()),
+            Ok(()) = self.recoveries.changed() => {
+                self.lapses.failed();
+                return Ok(());
+            }
+            () = sleep_until(lapses_end) => {
+                self.drop_lapsed();
+                return Ok(());
+            }
             () = heard_newer(&self.context, self.kind) => {
                 log::info!(target: "metadata", "A peer has a newer {:?}: listing again.", self.kind);
                 return self.list().await;
@@ -167,12 +184,14 @@
                 self.list().await
             }
             Watched::Events(events) => {
+                self.store_answered();
                 let has_changes = !events.events.is_empty();
                 for event in events.events {
                     let name = event.object.metadata.name;
                     if event.is_removed {
-                        self.objects.remove(&name);
+                        self.remove(&name);
                     } else {
+                        self.lapses.is_there(&name);
                         self.objects.insert(name, event.object.spec.to_string());
                     }
                 }
@@ -187,13 +206,53 @@
 
     async fn list(&mut self) -> Result<(), PlatformError> {
         let list = self.client.list(kind_name(self.kind)).await?;
-        let objects = list.items.into_iter().map(|object| (object.metadata.name, object.spec.to_string()));
-        self.objects = objects.collect();
+        self.store_answered();
+        let listed = list.items.into_iter().map(|object| (object.metadata.name, object.spec.to_string()));
+        let listed: BTreeMap<String, String> = listed.collect();
+        let missing: Vec<String> =
+            self.objects.keys().filter(|name| !listed.contains_key(*name)).cloned().collect();
+        listed.keys().for_each(|name| self.lapses.is_there(name));
+        missing.iter().for_each(|name| self.remove(name));
+        self.objects.extend(listed);
         self.revision = Some(list.at);
         self.publish(list.at);
         Ok(())
     }
 
+    /// The store answered: from now on entries that lapsed meanwhile may come back.
+    fn store_answered(&mut self) {
+        if self.kind == MetadataKind::Replicas {
+            let was_away = self.failures > 0 || self.context.metadata.freshness.is_away();
+            self.lapses.answered(self.now(), was_away);
+        }
+    }
+
+    /// An object is gone, unless it lapsed while the store was away.
+    fn remove(&mut self, name: &str) {
+        if self.lapses.keeps(name) {
+            return;
+        }
+        if self.objects.contains_key(name) && self.lapses.vanished(name) {
+            log::info!(target: "metadata", "The entry of {name} vanished while the store was away: it is kept for now.");
+            return;
+        }
+        self.objects.remove(name);
+    }
+
+    /// Entries that did not come back are gone. All are listed anew, so that this is told under a later revision: followers
+    /// ask for what came after the one they have.
+    fn drop_lapsed(&mut self) {
+        let gone = self.lapses.expire(self.now());
+        if !gone.is_empty() {
+            log::info!(target: "metadata", "{} entries did not come back after the store did: they are gone.", gone.len());
+            self.revision = None;
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
     fn publish(&self, revision: u64) {
         self.put(revision);
         self.announce();
@@ -226,6 +285,7 @@
             log::warn!(target: "metadata", "{:?} can't be watched: {error}.", self.kind);
         }
         self.failures += 1;
+        self.lapses.failed();
         // The probe goes on: it tells when the platform is reached again. The copy's age grows meanwhile.
         self.context.metadata.freshness.set_reading(self.kind, Reading::Failing);
         self.ask_peer().await;
@@ -254,6 +314,13 @@
     }
 }
 
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until a peer has announced a newer configuration than this node has, and its own watch had time to bring it.
 async fn heard_newer(context: &Context, kind: MetadataKind) {
     if kind != MetadataKind::Configuration {
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -125,6 +125,8 @@
     pub platform_timeout: Duration,
     /// How long a watch of the object API is held open.
     pub watch_hold: Duration,
+    /// Entries of replicas that vanished while the platform's metadata store was away are kept so long after its return.
+    pub lapse_grace: Duration,
     /// In a large deployment, how many nodes read the platform's metadata store; the others follow them.
     pub readers: usize,
     /// With fewer coordinators each reads for itself.
@@ -140,6 +142,7 @@
             follow_from_nodes: to_usize(reader.number("configuration.follow_from_nodes", &least)),
             poll_interval: reader.milliseconds("configuration.poll_interval_ms", 1_000, 20..=60_000),
             platform_timeout: reader.milliseconds("configuration.platform_timeout_ms", 2_000, 20..=60_000),
+            lapse_grace: reader.milliseconds("configuration.lapse_grace_ms", 2_000, 0..=600_000),
             watch_hold: reader.milliseconds("configuration.watch_hold_ms", 20_000, 100..=300_000),
         }
     }
--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -19,6 +19,8 @@
 const ITEMS: usize = 6;
 /// How long one call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(4);
+/// A job is known for so long after it was sent (`status_s` of the platform's pages).
+const KNOWN_FOR: Duration = Duration::from_secs(120);
 /// Pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -134,6 +136,8 @@
         let body =
             json!({"step": 0, "model": "m", "min_version": 1, "desired": 3, "items": items}).to_string();
         let mut turn = 0;
+        let sent_at_ms = self.now_ms();
+        self.history().sent(job, sent_at_ms);
         loop {
             turn += 1;
             let answer = self.call(turn, Method::POST, "/rollouts/x", job, body.clone().into_bytes()).await;
@@ -166,14 +170,22 @@
             };
             match answer.status {
                 StatusCode::OK => from = self.take_page(job, from, &answer.body),
-                StatusCode::NOT_FOUND => {
-                    return self.history().broken(self.now_ms(), "a job that was taken is known", job, "404");
-                }
+                StatusCode::NOT_FOUND => return self.note_unknown(job),
                 _ => tokio::time::sleep(RETRY_PAUSE).await,
             }
         }
     }
 
+    /// A job is not known. It has to be for as long as the platform's pages say, from when it was sent.
+    fn note_unknown(&self, job: &str) {
+        let now_ms = self.now_ms();
+        let mut history = self.history();
+        let age = Duration::from_millis(now_ms - history.sent_at_ms(job));
+        if age < KNOWN_FOR {
+            history.broken(now_ms, "a job that was taken is known", job, format!("404 after {age:?}"));
+        }
+    }
+
     fn take_page(&self, job: &str, from: u64, body: &[u8]) -> u64 {
         let at_ms = self.now_ms();
         let mut history = self.history();
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -39,6 +39,8 @@
     pub writes: Vec<WriteOutcome>,
     /// The first result that was read at each position of each job.
     results: BTreeMap<String, BTreeMap<u64, Value>>,
+    /// When each job was first sent.
+    sent_at_ms: BTreeMap<String, u64>,
     /// What did not hold.
     pub violations: Vec<Violation>,
 }
@@ -57,6 +59,16 @@
         self.violations.push(Violation { at_ms, promise, id: id.to_owned(), seen: seen.to_string() });
     }
 
+    /// A job is sent for the first time.
+    pub fn sent(&mut self, job: &str, at_ms: u64) {
+        self.sent_at_ms.insert(job.to_owned(), at_ms);
+    }
+
+    /// When a job was first sent.
+    pub fn sent_at_ms(&self, job: &str) -> u64 {
+        self.sent_at_ms.get(job).copied().unwrap_or(0)
+    }
+
     /// How many results were read.
     pub fn results_read(&self) -> usize {
         self.results.values().map(BTreeMap::len).sum()
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -264,6 +264,47 @@
 }
 
 /// Of many nodes a few read the platform; the others learn all the same, also when a reader is lost.
+/// Makes the platform's store silent until each gateway has noticed, and every replica's entry lapse meanwhile.
+async fn lapse_all(system: &System) {
+    let nodes = || system.gateways.iter().flatten();
+    system.platform.set_condition(Condition::Silent);
+    while !nodes().all(|node| node.context().metadata.is_store_away()) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for number in 0..system.replicas.len() {
+        system.platform.remove(objects::REPLICAS, &format!("replica-{number}"));
+    }
+    system.platform.set_condition(Condition::Well);
+    while nodes().any(|node| node.context().metadata.is_store_away()) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn replicas_whose_entries_lapsed_while_the_store_was_away_go_on_serving() {
+    let system = System::with_lapse_grace(Duration::from_secs(600), 2).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.call_until(StatusCode::OK, 1, "/read/warm").await;
+    lapse_all(&system).await;
+    // What is sent after the return is served, though no entry is back.
+    for number in 0..20 {
+        let answer = system.call(number % 2, Method::GET, "/read/x", &[("attempt-id", "r")], "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn replicas_whose_entries_do_not_come_back_in_time_are_gone() {
+    let system = System::with_lapse_grace(Duration::from_millis(300), 2).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    lapse_all(&system).await;
+    system.call_until(StatusCode::SERVICE_UNAVAILABLE, 0, "/read/x").await;
+    let record = system.replicas[0].record("engines", "kajang");
+    system.platform.put(objects::REPLICAS, "replica-0", record);
+    system.call_until(StatusCode::OK, 0, "/read/x").await;
+}
+
 #[tokio::test]
 async fn nodes_that_follow_a_reader_learn_of_changes_without_asking_the_platform() {
     let mut system = System::start(2, 3).await;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -32,6 +32,7 @@
     pub(crate) folders: Vec<TempDir>,
     pub(crate) http: HttpClient,
     pub(crate) tolerated_losses: usize,
+    pub(crate) lapse_grace: Duration,
 }
 
 pub(crate) struct Answer {
@@ -68,8 +69,17 @@
         Self::tolerating(1, replicas, events).await
     }
 
+    /// A system that keeps entries of replicas so long which vanished while the platform's store was away.
+    pub(crate) async fn with_lapse_grace(lapse_grace: Duration, replicas: usize) -> Self {
+        Self::build(1, lapse_grace, replicas, 3).await
+    }
+
     /// A system whose stores bear the loss of so many disks at once.
     pub(crate) async fn tolerating(tolerated_losses: usize, replicas: usize, events: u64) -> Self {
+        Self::build(tolerated_losses, Duration::from_secs(2), replicas, events).await
+    }
+
+    async fn build(tolerated_losses: usize, lapse_grace: Duration, replicas: usize, events: u64) -> Self {
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
         let mut system = Self {
@@ -80,6 +90,7 @@
             folders: Vec::new(),
             http: HttpClient::new(Duration::from_secs(1)),
             tolerated_losses,
+            lapse_grace,
         };
         for number in 0..replicas {
             system.add_replica(number, events).await;
@@ -109,6 +120,7 @@
         settings.platform.metadata_store = Some(self.platform.address);
         settings.configuration.platform_timeout = Duration::from_millis(500);
         settings.configuration.watch_hold = Duration::from_secs(2);
+        settings.configuration.lapse_grace = self.lapse_grace;
         settings.membership.probe_interval = Duration::from_millis(200);
         settings.membership.probe_timeout = Duration::from_millis(100);
         settings.batch.order_lease = Duration::from_millis(500);
