Show the stores that an owner is at work while they are changed

What: while a change of the stores is brought into force, the owner tells the stores each 200 ms under its ballot that it is at work; a store believes it only while it has promised no other.

--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -187,6 +187,11 @@
         self.ballot.epoch
     }
 
+    /// The ballot asked for or held.
+    pub const fn ballot(&self) -> &Ballot {
+        &self.ballot
+    }
+
     /// The replica set used.
     pub fn set(&self) -> &ReplicaSet {
         &self.set
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -98,6 +98,7 @@
             StoreRequest::Identity => return StoreResponse::Identity(self.id.clone()),
             StoreRequest::KnownSet(shard) => Work::KnownSet(shard),
             StoreRequest::Leadership(shard) => Work::Leadership(shard),
+            StoreRequest::LeaderAlive { shard, ballot } => Work::LeaderAlive { shard, ballot },
             StoreRequest::Replica(request) => Work::Replica(request),
         };
         match self.work(work).await {
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -1,8 +1,11 @@
 //! A shard's log as its owner uses it: every record is on disk at a majority of the shard's store replicas
 //! before `append` returns, and an owner that has been superseded can append nothing.
 
+use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::time::Duration;
 
+use futures::future::join_all;
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{Epoch, ShardId};
 use lichenpulley_core::replication::ballot::ProposerId;
@@ -13,9 +16,10 @@
 };
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::StoreRequest;
 use tokio::time::Instant;
 
-use super::exchange::Exchange;
+use super::exchange::{self, Exchange};
 use super::heard_clock::HeardClock;
 use super::{reconfiguration, replica_sets};
 use crate::context::Context;
@@ -28,6 +32,8 @@
 const WHOLE_PATIENCE: u32 = 60;
 /// How many call timeouts a change of the replica set may last.
 const CHANGE_PATIENCE: u32 = 12;
+/// The pause between two signs of life while the stores are changed, and how long one may take.
+const LIFE_INTERVAL: Duration = Duration::from_millis(200);
 /// Above the call timeout, so that a request is not sent again while its call still runs.
 const RETRANSMIT_MARGIN: Duration = Duration::from_millis(50);
 
@@ -184,7 +190,11 @@
     async fn install(&self, next: &ReplicaSet) -> Result<(), ShardLogError> {
         let change = reconfiguration::install_majority(&self.context, self.proposer.set(), next);
         let deadline = Instant::now() + self.context.settings.store.call_timeout * CHANGE_PATIENCE;
-        let changed = tokio::time::timeout_at(deadline, change).await;
+        let changed = tokio::select! {
+            changed = tokio::time::timeout_at(deadline, change) => changed,
+            // Nothing is appended meanwhile: without a sign of life another would take the shard over.
+            never = self.show_life(next) => match never {},
+        };
         if let Ok(Ok(_)) = changed {
             return Ok(());
         }
@@ -203,6 +213,29 @@
         self.heard = clock;
     }
 
+    /// Tells the stores of the present set and of `next` again and again that this owner is at work.
+    async fn show_life(&self, next: &ReplicaSet) -> Infallible {
+        let sets = [self.proposer.set(), next];
+        let members: BTreeMap<&StoreId, &SetMember> =
+            sets.iter().flat_map(|set| &set.members).map(|member| (&member.store, member)).collect();
+        loop {
+            let tell = |member: &SetMember| {
+                let address = exchange::address_of(&self.context, member);
+                let (shard, ballot) = (self.shard.clone(), self.proposer.ballot().clone());
+                let request = StoreRequest::LeaderAlive { shard, ballot };
+                let context = self.context.clone();
+                async move {
+                    if let Some(address) = address {
+                        // A store that doesn't hear it hears the next one.
+                        let _ = context.peers.store(address, request, LIFE_INTERVAL).await;
+                    }
+                }
+            };
+            join_all(members.values().map(|member| tell(member))).await;
+            tokio::time::sleep(LIFE_INTERVAL).await;
+        }
+    }
+
     /// The replica set in use.
     pub fn set(&self) -> &ReplicaSet {
         self.proposer.set()
--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -38,6 +38,8 @@
     KnownSet(ShardId),
     /// Who leads a shard.
     Leadership(ShardId),
+    /// The leader of a shard under this ballot is at work.
+    LeaderAlive { shard: ShardId, ballot: Ballot },
     /// The store's part in each of its shards.
     Groups,
     /// Adds decided entries.
@@ -99,6 +101,13 @@
         self.known.insert(response.shard.clone(), leader);
     }
 
+    /// The leader says that it is at work. One that was superseded here is not believed.
+    fn alive(&mut self, shard: &ShardId, ballot: &Ballot) {
+        if let Some(leader) = self.known.get_mut(shard).filter(|leader| &leader.ballot == ballot) {
+            leader.active_at = Instant::now();
+        }
+    }
+
     fn get(&self, shard: &ShardId) -> Option<Leadership> {
         let leader = self.known.get(shard)?;
         Some(leadership(&leader.ballot, leader.active_at))
@@ -131,18 +140,23 @@
     }
 
     /// Answers what needs no disk.
-    fn answer_from_memory(&self, batch: &mut Vec<Job>) {
+    fn answer_from_memory(&mut self, batch: &mut Vec<Job>) {
         let mut remaining = Vec::with_capacity(batch.len());
         for job in batch.drain(..) {
-            let known = match &job.work {
-                Work::Leadership(shard) => self.leaders.get(shard),
+            let response = match &job.work {
+                Work::Leadership(shard) => {
+                    self.leaders.get(shard).map(|known| StoreResponse::Leadership(Some(known)))
+                }
+                Work::LeaderAlive { shard, ballot } => {
+                    self.leaders.alive(shard, ballot);
+                    Some(StoreResponse::Ready)
+                }
                 _ => None,
             };
-            match known {
-                Some(known) => {
-                    let done = Done::Response(StoreResponse::Leadership(Some(known)));
+            match response {
+                Some(response) => {
                     // An error only says that the peer has stopped waiting.
-                    let _ = job.reply.send(done);
+                    let _ = job.reply.send(Done::Response(response));
                 }
                 None => remaining.push(job),
             }
@@ -243,6 +257,8 @@
             let known = promised.map(|promised| leadership(&promised, started_at));
             Ok(Done::Response(StoreResponse::Leadership(known)))
         }
+        // Answered from memory.
+        Work::LeaderAlive { .. } => Ok(Done::Response(StoreResponse::Ready)),
         Work::Groups => {
             let shards = transaction.shards()?;
             let groups = shards.iter().map(|shard| transaction.group(shard));
--- a/crates/protocol/src/internal/store.rs
+++ b/crates/protocol/src/internal/store.rs
@@ -1,7 +1,7 @@
 //! Requests to a store replica.
 
 use lichenpulley_core::identity::{Epoch, ShardId};
-use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::ballot::{Ballot, ProposerId};
 use lichenpulley_core::replication::message::{ReplicaRequest, ReplicaResponse};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
 use speedy::{Readable, Writable};
@@ -17,6 +17,13 @@
     KnownSet(ShardId),
     /// Asks who leads a shard, as far as the store knows.
     Leadership(ShardId),
+    /// The leader under this ballot is at work, though it appends nothing: it changes the stores.
+    LeaderAlive {
+        /// The shard.
+        shard: ShardId,
+        /// The leader's ballot.
+        ballot: Ballot,
+    },
     /// Asks one replica of one shard.
     Replica(Box<ReplicaRequest>),
 }
