--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -285,3 +285,6 @@
     };
     KnownSet { set: record.set, next }
 }
+
+#[cfg(test)]
+mod tests;
