--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -33,6 +33,8 @@
 pub(super) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
 /// An owner to which no store has answered for so long leaves the jobs to another.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(500);
+/// In so many looks in a row.
+const CUT_OFF_LOOKS: u32 = 3;
 /// How long an owner that leaves waits for the stores to keep its progress.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Events of runs that wait for the owner.
@@ -94,6 +96,8 @@
     ends: Vec<(BatchId, Command)>,
     readers: Vec<Reader>,
     failure: Option<ShardLogError>,
+    /// Looks in a row at which no store had answered for long.
+    silent_looks: u32,
     /// Whether a store is being replaced.
     is_replacing: bool,
     /// A much more capable node, and since when it has been seen.
@@ -156,6 +160,7 @@
             ends: Vec::new(),
             readers: Vec::new(),
             failure: None,
+            silent_looks: 0,
             is_replacing: false,
             better: None,
         }
@@ -243,9 +248,13 @@
     }
 
     /// Whether no store has answered for long. While a store is replaced, other parts of the node ask them.
-    fn is_cut_off(&self) -> bool {
+    ///
+    /// After this thread itself stood still, answers may lie unread: only several looks in a row count.
+    fn is_cut_off(&mut self) -> bool {
         let is_unconfirmed = self.confirmed_at.elapsed() >= CUT_OFF_AFTER;
-        is_unconfirmed && !self.is_replacing && self.log.silent_for() >= CUT_OFF_AFTER
+        let is_silent = is_unconfirmed && !self.is_replacing && self.log.silent_for() >= CUT_OFF_AFTER;
+        self.silent_looks = if is_silent { self.silent_looks + 1 } else { 0 };
+        self.silent_looks >= CUT_OFF_LOOKS
     }
 
     fn now(&self) -> Timestamp {
