Take an item's unwritten events in one place, and remove what nothing calls

Taking the events that are not on their way to the stores stood twice (take_event, flush_progress) and is LiveItem::take_unwritten now. Nothing called Controller::score_counts, ScorePlan::counts, GroupTally::whole, SoakHistory::results_of and ProxyMode::as_str. Ruled out: joining Ledger::recover with LedgerRecovery, since the tests hold one against the other.

--- a/crates/core/src/batch/controller/handing_over.rs
+++ b/crates/core/src/batch/controller/handing_over.rs
@@ -23,8 +23,7 @@
             if live.stage != ItemStage::Generating || live.is_anew || live.written == live.events.len() {
                 continue;
             }
-            let events = live.events[live.written..].to_vec();
-            live.written = live.events.len();
+            let events = live.take_unwritten();
             records.push(Record::Progress { batch, item, events });
         }
         if !records.is_empty() {
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -73,6 +73,13 @@
 }
 
 impl LiveItem {
+    /// The events that are not on their way to the stores yet; from now on they are.
+    fn take_unwritten(&mut self) -> Vec<KeptEvent> {
+        let events = self.events[self.written..].to_vec();
+        self.written = self.events.len();
+        events
+    }
+
     /// Begins the text anew.
     fn restart(&mut self) {
         self.events.clear();
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -62,8 +62,7 @@
         live.events.push(event);
         let is_due = now.saturating_since(live.written_at) >= progress_interval;
         if keeps_progress && is_due && !live.is_anew {
-            let events = live.events[live.written..].to_vec();
-            live.written = live.events.len();
+            let events = live.take_unwritten();
             live.written_at = now;
             self.append(now, vec![Record::Progress { batch, item, events }]);
         }
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -89,9 +89,4 @@
             self.actions.push_back(Action::StopScore(id));
         }
     }
-
-    /// How many score requests wait and how many are under way.
-    pub fn score_counts(&self) -> (usize, usize) {
-        self.scores.counts()
-    }
 }
--- a/crates/core/src/batch/group_tally.rs
+++ b/crates/core/src/batch/group_tally.rs
@@ -65,11 +65,6 @@
         self.left.len()
     }
 
-    /// How many groups are whole.
-    pub const fn whole(&self) -> usize {
-        self.whole
-    }
-
     /// An item was listed; the group that this makes whole. To be called once for each item.
     pub fn listed(&mut self, item: u32) -> Option<WholeGroup> {
         let group = self.group(item)?;
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -242,11 +242,6 @@
         }
         Some(ended)
     }
-
-    /// How many wait and how many are under way.
-    pub(super) fn counts(&self) -> (usize, usize) {
-        (self.waiting.len(), self.active.len())
-    }
 }
 
 /// How many requests a replica with so many slots may have in hand, those of live callers included.
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -79,11 +79,6 @@
         self.results.keys().cloned().collect()
     }
 
-    /// How many results of a job were read.
-    pub fn results_of(&self, job: &str) -> usize {
-        self.results.get(job).map_or(0, BTreeMap::len)
-    }
-
     /// Takes a result that was read at a position.
     pub fn read(&mut self, at_ms: u64, job: &str, position: u64, result: &Value) {
         let held = self.results.entry(job.to_owned()).or_default();
--- a/crates/lab/src/soak/proxy.rs
+++ b/crates/lab/src/soak/proxy.rs
@@ -27,19 +27,6 @@
     DeafBack,
 }
 
-impl ProxyMode {
-    /// The name used in reports.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Open => "open",
-            Self::Delayed(_) => "delayed",
-            Self::Resets => "resets",
-            Self::Silent => "silent",
-            Self::DeafBack => "deaf_back",
-        }
-    }
-}
-
 /// A running proxy; it ends when dropped.
 pub struct LoopbackProxy {
     /// Where callers connect.
