Judge the limit of loads by rounds of loads, timed by the replicas' reports

The time of a load was taken from the owner's decision until it saw the version, so that a slow replica, a lost order or an owner that sees late looked like crowding; two such in a row cut the limit, the shortest time ever seen never aged, and the limit rose by one for each full round.

Now a load is timed from the replica's answer to the order, between two of its reports; a round of loads that went on together is slow only if its quickest one is; the shortest time is that of the newest 64; growth doubles while nothing slows; the limit never falls below the number of models. Tests on the virtual clock: a fifth of the replicas three times slower, an owner that sees every load late, a limit that fell, loads that take longer for good, a floor.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -22,7 +22,7 @@
 use super::record::Record;
 use super::schedule::ReplicaState;
 use super::score_plan::ScorePlan;
-use super::weights::{Load, LoadPlan};
+use super::weights::{Load, LoadEnd, LoadPlan};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::ingress::replicas::ReplicaTable;
@@ -373,12 +373,12 @@
         }
     }
 
-    /// A load has ended, well or not; `versions` is what the replica reports, where it answered.
-    pub fn load_ended(&mut self, now: Timestamp, replica: &str, versions: Option<&BTreeMap<String, u64>>) {
-        self.note_load(now, replica, versions);
+    /// A load has ended, well or not.
+    pub fn load_ended(&mut self, now: Timestamp, replica: &str, end: &LoadEnd) {
+        self.note_load(replica, end);
         if let Some(state) = self.replicas.get_mut(replica) {
             state.loading = None;
-            for (model, version) in versions.into_iter().flatten() {
+            for (model, version) in &end.versions {
                 state.saw_version(model, *version);
             }
         }
@@ -386,16 +386,11 @@
     }
 
     /// Learns from a load that is done how many may be under way.
-    fn note_load(&mut self, now: Timestamp, replica: &str, versions: Option<&BTreeMap<String, u64>>) {
+    fn note_load(&mut self, replica: &str, end: &LoadEnd) {
         let Some(state) = self.replicas.get(replica) else { return };
         let Some(loading) = &state.loading else { return };
-        let reported = versions.and_then(|versions| versions.get(&loading.model));
-        if reported.is_none_or(|reported| *reported < loading.version) {
-            return;
-        }
-        let service = &state.record.service;
-        let replicas = self.replicas.values().filter(|other| &other.record.service == service).count();
-        self.loads.load_done(service, loading, replicas, now);
+        let Some(time) = end.time.filter(|_| end.shows(&loading.model, loading.version)) else { return };
+        self.loads.load_done(&state.record.service, loading, time, &self.replicas);
     }
 
     fn append(&mut self, now: Timestamp, records: Vec<Record>) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -57,7 +57,7 @@
             let (ledger, lease) = (&self.ledger, &self.lease);
             let may_order = |replica: &str| lease.allows(ledger.last_order(replica), clock_ms);
             for load in self.loads.next(service, &self.replicas, may_order, now) {
-                self.begin_load(now, service, &load);
+                self.begin_load(service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
                 self.decide(decision.with("model", &load.model).with("version", load.version));
                 self.order(now, clock_ms, load);
@@ -72,12 +72,12 @@
         self.append(now, vec![Record::Ordered { replica, holder, at_ms: clock_ms }]);
     }
 
-    fn begin_load(&mut self, now: Timestamp, service: &str, load: &Load) {
+    fn begin_load(&mut self, service: &str, load: &Load) {
         let is_loading = |state: &&ReplicaState| state.record.service == service && state.loading.is_some();
         let beside = self.replicas.values().filter(is_loading).count() + 1;
         if let Some(state) = self.replicas.get_mut(&load.replica) {
             let (model, version) = (load.model.clone(), load.version);
-            state.loading = Some(Loading { model, version, since: now, beside });
+            state.loading = Some(Loading { model, version, beside });
         }
     }
 
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -23,7 +23,6 @@
 pub(super) struct Loading {
     pub(super) model: String,
     pub(super) version: u64,
-    pub(super) since: Timestamp,
     /// Loads of its service that were under way when it began, itself among them.
     pub(super) beside: usize,
 }
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::load_limit::LoadLimit;
+use super::load_limit::{LoadLimit, LoadTime, PoolSize};
 use super::schedule::{Loading, ReplicaState};
 use crate::time::Timestamp;
 
@@ -29,6 +29,22 @@
     pub version: u64,
 }
 
+/// How a load ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadEnd {
+    /// The versions that the replica reports; none where it did not answer.
+    pub versions: BTreeMap<String, u64>,
+    /// How long the load took, where its order was answered and its reports were read.
+    pub time: Option<LoadTime>,
+}
+
+impl LoadEnd {
+    /// Whether the replica reports this version of the model, or a newer one.
+    pub fn shows(&self, model: &str, version: u64) -> bool {
+        self.versions.get(model).is_some_and(|reported| *reported >= version)
+    }
+}
+
 /// The newest version of a model that its trainer named.
 #[derive(Clone, Copy, Debug, Default)]
 struct Named {
@@ -64,10 +80,16 @@
         *mean += DEMAND_WEIGHT * (tokens - *mean);
     }
 
-    /// A load that began as `loading` says is done.
-    pub(super) fn load_done(&mut self, service: &str, loading: &Loading, replicas: usize, now: Timestamp) {
-        let took = now.saturating_since(loading.since);
-        self.limits.entry(service.to_owned()).or_default().observe(took, loading.beside, replicas);
+    /// A load that began as `loading` says is done, among the replicas of its service.
+    pub(super) fn load_done(
+        &mut self,
+        service: &str,
+        loading: &Loading,
+        time: LoadTime,
+        replicas: &BTreeMap<String, ReplicaState>,
+    ) {
+        let size = pool_size(&members(service, replicas));
+        self.limits.entry(service.to_owned()).or_default().observe(time, loading.beside, size);
     }
 
     /// Loads to begin now in one service, of the replicas that may be ordered: those that are furthest behind first, among
@@ -79,13 +101,10 @@
         may_order: impl Fn(&str) -> bool,
         now: Timestamp,
     ) -> Vec<Load> {
-        let members: Vec<&ReplicaState> = replicas
-            .values()
-            .filter(|replica| replica.record.service == service && !replica.record.models.is_empty())
-            .collect();
+        let members = members(service, replicas);
         self.settle_homes(replicas, &members);
         let under_way = members.iter().filter(|replica| replica.loading.is_some()).count();
-        let limit = self.limits.entry(service.to_owned()).or_default().get(members.len());
+        let limit = self.limits.entry(service.to_owned()).or_default().get(pool_size(&members));
         let free = limit.saturating_sub(under_way);
         let mut wanted: Vec<(u64, u32, Load)> =
             members.iter().filter_map(|replica| self.wanted(replica, now)).collect();
@@ -118,10 +137,7 @@
 
     /// Gives each replica a home model, in proportion to demand, and moves as few as possible.
     fn settle_homes(&mut self, replicas: &BTreeMap<String, ReplicaState>, members: &[&ReplicaState]) {
-        let mut models: Vec<&String> =
-            members.iter().flat_map(|replica| replica.record.models.keys()).collect();
-        models.sort_unstable();
-        models.dedup();
+        let models = models_of(members);
         self.homes.retain(|id, _| replicas.contains_key(id));
         if models.len() < 2 || members.len() < models.len() * LEAST_REPLICAS_FOR_HOMES {
             self.homes.clear();
@@ -177,6 +193,24 @@
     }
 }
 
+/// The replicas of a service that have weights.
+fn members<'a>(service: &str, replicas: &'a BTreeMap<String, ReplicaState>) -> Vec<&'a ReplicaState> {
+    let is_member =
+        |replica: &&ReplicaState| replica.record.service == service && !replica.record.models.is_empty();
+    replicas.values().filter(is_member).collect()
+}
+
+fn models_of<'a>(members: &[&'a ReplicaState]) -> Vec<&'a String> {
+    let mut models: Vec<&String> = members.iter().flat_map(|replica| replica.record.models.keys()).collect();
+    models.sort_unstable();
+    models.dedup();
+    models
+}
+
+fn pool_size(members: &[&ReplicaState]) -> PoolSize {
+    PoolSize { replicas: members.len(), models: models_of(members).len() }
+}
+
 /// So many replicas too many at one model and too few at another make a move worth it.
 const WORTH_MOVING: f64 = 0.75;
 
--- a/crates/core/tests/batch_controller.rs
+++ b/crates/core/tests/batch_controller.rs
@@ -8,6 +8,7 @@
 use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd, Submission};
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::batch::weights::LoadEnd;
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 
@@ -211,7 +212,7 @@
     bench.decide(at(400));
     assert_eq!(bench.loads.len(), 2);
     let loaded = bench.loads[0].0.clone();
-    bench.controller.load_ended(at(900), &loaded, Some(&named));
+    bench.controller.load_ended(at(900), &loaded, &LoadEnd { versions: named, time: None });
     bench.decide(at(900));
     assert_eq!(bench.loads.len(), 3);
 }
--- a/crates/core/tests/batch_orders.rs
+++ b/crates/core/tests/batch_orders.rs
@@ -7,6 +7,7 @@
 use batch_support::{Bench, MODEL, at, lease_of, replica, table};
 use lichenpulley_core::batch::controller::ControllerConfig;
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::weights::LoadEnd;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 
 fn replicas() -> Vec<ReplicaRecord> {
@@ -59,7 +60,7 @@
     name_version(&mut next, 0);
     for (replica, version) in next.loads.clone() {
         let versions = BTreeMap::from([(MODEL.to_owned(), version)]);
-        next.controller.load_ended(at(500), &replica, Some(&versions));
+        next.controller.load_ended(at(500), &replica, &LoadEnd { versions, time: None });
     }
     next.decide(at(500));
     assert_eq!(next.loads.len(), 2, "the other two are still under the lease");
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -3,13 +3,13 @@
 //! An order that got no answer may be carried out later, so that only the replica's report is believed. Every order
 //! names the replica, the number of orders taken before it, and the owner's epoch as its fencing token.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use lichenpulley_core::batch::weights::Load;
+use lichenpulley_core::batch::load_limit::LoadTime;
+use lichenpulley_core::batch::weights::{Load, LoadEnd};
 use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_platform::headers;
@@ -39,11 +39,10 @@
 /// Pause after a load that failed, before the replica can be chosen again.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
-/// How a load ended.
+/// A load of a replica has ended.
 pub(super) struct LoadEnded {
     pub(super) replica: String,
-    /// What the replica reports, where it answered.
-    pub(super) versions: Option<BTreeMap<String, u64>>,
+    pub(super) end: LoadEnd,
 }
 
 /// Gives orders under one epoch.
@@ -82,21 +81,31 @@
         let metrics = self.context.metrics.clone();
         tokio::spawn(async move {
             let began = Instant::now();
-            let versions = match &record {
+            let end = match &record {
                 Some(record) => order.run(record).await,
                 None => None,
             };
-            let outcome = if versions.is_some() { "done" } else { "not_taken" };
+            let outcome = if end.is_some() { "done" } else { "not_taken" };
             metrics.observe(Latency::Order, outcome, began.elapsed());
-            if versions.is_none() {
+            if end.is_none() {
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
+            let ended = LoadEnded { replica: order.load.replica, end: end.unwrap_or_default() };
             // An error only says that the owner has ended.
-            let _ = ends.send(LoadEnded { replica: order.load.replica, versions });
+            let _ = ends.send(ended);
         });
     }
 }
 
+/// Whether a replica took an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderTaken {
+    Yes,
+    /// It did not answer, or an earlier order is under way.
+    Perhaps,
+    No,
+}
+
 struct Order {
     http: HttpClient,
     holder: String,
@@ -108,37 +117,51 @@
 
 impl Order {
     /// Orders, and waits until the replica reports the version. `None` where the order was not taken.
-    async fn run(&self, replica: &ReplicaRecord) -> Option<BTreeMap<String, u64>> {
+    async fn run(&self, replica: &ReplicaRecord) -> Option<LoadEnd> {
         for _ in 0..ORDER_TRIES {
             let before = self.report(replica).await?;
             if self.is_done(&before) {
-                return Some(before.versions());
+                return Some(LoadEnd { versions: before.versions(), time: None });
             }
             // An order that was given up may have been lost, or is under way after all.
             let may_order = self.confirmed_at.elapsed() < CONFIRMED_FOR;
-            let is_under_way = before.num_busy || (may_order && self.order(replica, before.seq).await);
-            if !is_under_way {
+            let taken = if before.num_busy {
+                OrderTaken::Perhaps
+            } else if may_order {
+                self.order(replica, before.seq).await
+            } else {
+                OrderTaken::No
+            };
+            if taken == OrderTaken::No {
                 return None;
             }
-            if let Some(versions) = self.wait(replica, before.seq).await {
-                return Some(versions);
+            if let Some(end) = self.wait(replica, before.seq, taken).await {
+                return Some(end);
             }
         }
         None
     }
 
     /// Waits until a load is done. `None` where the report shows that no order was taken, or after too long.
-    async fn wait(&self, replica: &ReplicaRecord, orders_before: u64) -> Option<BTreeMap<String, u64>> {
+    async fn wait(&self, replica: &ReplicaRecord, orders_before: u64, taken: OrderTaken) -> Option<LoadEnd> {
         let began = Instant::now();
+        let mut seen_busy = Duration::ZERO;
         let usual = Duration::from_millis(self.usual_ms.load(Ordering::Relaxed)).mul_f64(USUAL_SHARE);
         while began.elapsed() < LOAD_TIMEOUT {
             let until_usual = usual.saturating_sub(began.elapsed());
             tokio::time::sleep(until_usual.clamp(REPORT_INTERVAL, EARLY_INTERVAL)).await;
+            let asked = began.elapsed();
             let Some(report) = self.report(replica).await else { continue };
             if self.is_done(&report) {
-                let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
-                self.usual_ms.store(took_ms, Ordering::Relaxed);
-                return Some(report.versions());
+                let took = began.elapsed();
+                self.usual_ms.store(u64::try_from(took.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
+                let time = LoadTime { at_least: seen_busy, at_most: took };
+                // When an order began that was not answered is not known.
+                let time = (taken == OrderTaken::Yes).then_some(time);
+                return Some(LoadEnd { versions: report.versions(), time });
+            }
+            if report.num_busy {
+                seen_busy = asked;
             }
             // Reports lag: only after a while does an unchanged one show that the order was lost.
             let is_lost = !report.num_busy && report.seq == orders_before;
@@ -158,15 +181,15 @@
         self.call(replica, request).await.ok()
     }
 
-    /// Whether the order is under way or in force, or may be.
-    async fn order(&self, replica: &ReplicaRecord, orders_before: u64) -> bool {
+    /// Gives the order.
+    async fn order(&self, replica: &ReplicaRecord, orders_before: u64) -> OrderTaken {
         let load = &self.load;
         let mode = LoadMode::Keep;
         let order =
             LoadOrder::new(&load.model, load.version, mode, &self.holder, self.epoch.0, orders_before);
-        let Ok(body) = serde_json::to_vec(&order) else { return false };
+        let Ok(body) = serde_json::to_vec(&order) else { return OrderTaken::No };
         let Ok(mut request) = client::build(Method::POST, replica.address, ORDER_PATH, body.into()) else {
-            return false;
+            return OrderTaken::No;
         };
         if let Ok(id) = replica.id.parse() {
             request.headers_mut().insert(headers::EXPECT_REPLICA, id);
@@ -175,12 +198,14 @@
         match self.http.send(replica.address, request, limit).await {
             Ok(answer) => {
                 let status = answer.status();
-                if status != StatusCode::OK && status != StatusCode::ACCEPTED {
-                    ::log::info!(target: "batch", "Replica {} refused an order: {status}.", replica.id);
+                if status == StatusCode::OK || status == StatusCode::ACCEPTED {
+                    return OrderTaken::Yes;
                 }
-                status == StatusCode::OK || status == StatusCode::ACCEPTED
+                ::log::info!(target: "batch", "Replica {} refused an order: {status}.", replica.id);
+                OrderTaken::No
             }
-            Err(error) => !error.nothing_sent(),
+            Err(error) if error.nothing_sent() => OrderTaken::No,
+            Err(_) => OrderTaken::Perhaps,
         }
     }
 
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -302,7 +302,7 @@
     fn handle_load(&mut self, ended: &LoadEnded) {
         let now = self.now();
         self.controller.set_confirmed(self.is_confirmed());
-        self.controller.load_ended(now, &ended.replica, ended.versions.as_ref());
+        self.controller.load_ended(now, &ended.replica, &ended.end);
     }
 
     fn handle_written(&mut self, written: Written) {
