Look at waiting items by job and model, and find each job's route once

Now what the items of one job and model share is worked out once a look, kinds without a place are left out before anything is sorted, and a kind that finds no place any more is closed for the rest of the look. What starts, and in which order, is as before: the tests of the controller are unchanged.

--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -8,6 +8,9 @@
 use crate::identity::BatchId;
 use crate::time::Timestamp;
 
+/// An item is given up so long after its time in the queue has passed: never before its caller expects it.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
+
 impl Controller {
     /// Does what is due by now. To be called at least every [`super::ControllerConfig::heartbeat_interval`].
     pub fn tick(&mut self, now: Timestamp) {
@@ -26,14 +29,17 @@
 
     fn give_up_old(&mut self, now: Timestamp) {
         let clock_ms = self.clock_ms(now);
+        let is_too_old = |batch: &&BatchId| {
+            let (Some(job), Some(route)) = (self.ledger.job(batch), self.route(batch)) else { return false };
+            let age = Duration::from_millis(clock_ms.saturating_sub(job.accepted_at_ms));
+            age > route.max_queue + GIVE_UP_MARGIN
+        };
+        let too_old: Vec<&BatchId> = self.tallies.keys().filter(is_too_old).collect();
         let mut old = Vec::new();
-        for (batch, item) in self.items.keys() {
+        for batch in too_old {
             let Some(job) = self.ledger.job(batch) else { continue };
-            let Some(route) = self.route(batch) else { continue };
-            let age = Duration::from_millis(clock_ms.saturating_sub(job.accepted_at_ms));
-            if age > route.max_queue + Duration::from_millis(500) && job.is_open(*item) {
-                old.push((batch.clone(), *item));
-            }
+            let positions = (0..).take(job.items.len()).filter(|position| job.is_open(*position));
+            old.extend(positions.map(|position| (batch.clone(), position)));
         }
         for (batch, item) in old {
             self.give_up(now, &batch, item, "too_old");
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -201,7 +201,8 @@
             if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
                 live.avoid = Some(replica);
             }
-            self.start_item(now, &batch, item);
+            // Without a place elsewhere it waits like any other.
+            let _ = self.start_item(now, &batch, item);
         }
     }
 
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -1,11 +1,15 @@
 //! Which items are started and which versions are loaded, once all events at hand are taken in.
 
+use std::collections::{HashMap, HashSet};
+
 use super::{Action, Controller, DueWork, ItemStage, Run, RunId, RunStart, expected_tokens};
+use crate::batch::ledger::JobState;
 use crate::batch::record::Record;
 use crate::batch::schedule::{self, Loading, Need, ReplicaState};
 use crate::batch::weights::Load;
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
+use crate::ingress::routes::{Route, WeightedService};
 use crate::time::Timestamp;
 
 /// Urgency of items where nothing speaks for another.
@@ -85,31 +89,65 @@
         if !self.replicas.values().any(ReplicaState::has_free_slot) {
             return;
         }
-        for (batch, item) in self.waiting(now) {
-            self.start_item(now, &batch, item);
+        let mut closed = HashSet::new();
+        for WaitingItem { batch, item, kind } in self.waiting(now) {
+            if closed.contains(&kind) || self.start_item(now, &batch, item) {
+                continue;
+            }
+            let need = self.need(&batch, item).map(Need::least);
+            if !need.is_some_and(|need| schedule::has_place(&self.replicas, &need, now)) {
+                closed.insert(kind);
+            }
         }
     }
 
-    /// Waiting items, the most pressing first.
-    fn waiting(&self, now: Timestamp) -> Vec<(BatchId, u32)> {
-        let clock_ms = self.clock_ms(now);
+    /// Waiting items for which a replica may have a place, the most pressing first.
+    ///
+    /// What the items of one job and model share is worked out once for all of them: at size, a thousand items wait at
+    /// each look, and most of them for replicas without a free slot.
+    fn waiting(&self, now: Timestamp) -> Vec<WaitingItem> {
+        let kinds = self.open_kinds(now);
         let mut waiting = Vec::new();
         for ((batch, item), live) in &self.items {
             if live.run.is_some() || live.stage != ItemStage::Generating {
                 continue;
             }
-            let Some(job) = self.ledger.job(batch) else { continue };
-            let Some(request) = job.job.items.get(*item as usize) else { continue };
-            let due_ms = self.route(batch).map_or(0, |route| route.due.as_millis() as u64);
-            let is_late = clock_ms.saturating_sub(job.accepted_at_ms) > due_ms;
+            let Some(of_job) = kinds.get(batch) else { continue };
+            let Some(request) = of_job.job.job.items.get(*item as usize) else { continue };
+            let Some(kind) = of_job.kind(request.model.as_deref()) else { continue };
             let tally = self.tallies.get(batch);
             let group_left = tally.and_then(|tally| tally.group(*item).map(|group| tally.left(group)));
             let expected = expected_tokens(request).saturating_sub(live.events.len() as u64);
-            let rank = (is_late, job.accepted_at_ms, u64::MAX - expected, group_left.unwrap_or(0));
-            waiting.push((rank, batch.clone(), *item));
+            let rank =
+                (of_job.is_late, of_job.job.accepted_at_ms, u64::MAX - expected, group_left.unwrap_or(0));
+            waiting.push((rank, batch, *item, kind));
         }
         waiting.sort_unstable();
-        waiting.into_iter().map(|(_, batch, item)| (batch, item)).collect()
+        let waiting = waiting.into_iter();
+        waiting.map(|(_, batch, item, kind)| WaitingItem { batch: batch.clone(), item, kind }).collect()
+    }
+
+    /// The open jobs with a model for which a replica has a place.
+    fn open_kinds(&self, now: Timestamp) -> HashMap<&BatchId, JobKinds<'_>> {
+        let clock_ms = self.clock_ms(now);
+        let mut next_kind = 0;
+        let mut kinds = HashMap::new();
+        for batch in self.tallies.keys() {
+            let (Some(job), Some(route)) = (self.ledger.job(batch), self.route(batch)) else { continue };
+            let mut models = models_of(job);
+            models.retain(|model| {
+                let need = self.least_need(route, job, *model);
+                schedule::has_place(&self.replicas, &need, now)
+            });
+            let due_ms = u64::try_from(route.due.as_millis()).unwrap_or(u64::MAX);
+            let is_late = clock_ms.saturating_sub(job.accepted_at_ms) > due_ms;
+            let first_kind = next_kind;
+            next_kind += models.len();
+            if !models.is_empty() {
+                kinds.insert(batch, JobKinds { job, is_late, models, first_kind });
+            }
+        }
+        kinds
     }
 
     /// What an item needs of a replica; none where its route is gone.
@@ -119,24 +157,36 @@
         let route = routes.by_name(&job.job.route)?;
         let request = job.job.items.get(item as usize)?;
         let live = self.items.get(&(batch.clone(), item))?;
-        let first_service = route.services.first().and_then(|part| routes.services.get(&part.service));
         let first_event = live.events.first().filter(|_| route.needs_single_version);
         Some(Need {
-            services: &route.services,
-            model: request.model.as_deref(),
-            min_version: job.job.min_version,
             exact_version: first_event.map(|event| event.version),
             tokens: expected_tokens(request),
-            memory_tokens: first_service.and_then(|service| service.memory_tokens),
             avoid: live.avoid.as_deref(),
+            ..self.least_need(route, job, request.model.as_deref())
         })
     }
 
-    pub(super) fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
-        let Some(mut need) = self.need(batch, item) else { return };
-        let Some(job) = self.ledger.job(batch) else { return };
-        let Some(request) = self.item(batch, item) else { return };
-        let Some(live) = self.items.get(&(batch.clone(), item)) else { return };
+    /// What any item of a job and model needs of a replica at least.
+    fn least_need<'a>(&'a self, route: &'a Route, job: &JobState, model: Option<&'a str>) -> Need<'a> {
+        let service = |part: &WeightedService| self.routes.as_ref()?.services.get(&part.service);
+        let first_service = route.services.first().and_then(service);
+        Need {
+            services: &route.services,
+            model,
+            min_version: job.job.min_version,
+            exact_version: None,
+            tokens: 0,
+            memory_tokens: first_service.and_then(|service| service.memory_tokens),
+            avoid: None,
+        }
+    }
+
+    /// Starts an item where a replica has a place for it; returns whether one has.
+    pub(super) fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) -> bool {
+        let Some(mut need) = self.need(batch, item) else { return false };
+        let Some(job) = self.ledger.job(batch) else { return false };
+        let Some(request) = self.item(batch, item) else { return false };
+        let Some(live) = self.items.get(&(batch.clone(), item)) else { return false };
         let mut last_event = live.events.last().map(|event| event.number);
         let mut chosen = schedule::choose(&self.replicas, &need, now);
         let mut starts_anew = false;
@@ -146,9 +196,9 @@
             last_event = None;
             starts_anew = true;
         }
-        let Some(chosen) = chosen else { return };
+        let Some(chosen) = chosen else { return false };
         let (tokens, request, host) = (need.tokens, request.clone(), job.job.host.clone());
-        let Some(state) = self.replicas.get_mut(&chosen) else { return };
+        let Some(state) = self.replicas.get_mut(&chosen) else { return false };
         state.running += 1;
         state.tokens += tokens;
         let replica = state.record.clone();
@@ -172,5 +222,43 @@
         self.decide(decision);
         let start = RunStart { run, replica, host, item: request, last_event, urgency: DEFAULT_URGENCY };
         self.actions.push_back(Action::Start(Box::new(start)));
+        true
+    }
+}
+
+/// An item to start.
+struct WaitingItem {
+    batch: BatchId,
+    item: u32,
+    /// The number of its job and model among the open ones.
+    kind: usize,
+}
+
+/// What the waiting items of a job share.
+struct JobKinds<'a> {
+    job: &'a JobState,
+    is_late: bool,
+    /// Its models for which a replica has a place.
+    models: Vec<Option<&'a str>>,
+    /// The number of the first of them; the others follow.
+    first_kind: usize,
+}
+
+impl JobKinds<'_> {
+    fn kind(&self, model: Option<&str>) -> Option<usize> {
+        let position = self.models.iter().position(|open| *open == model)?;
+        Some(self.first_kind + position)
+    }
+}
+
+/// The models that a job's items name, each once.
+fn models_of(job: &JobState) -> Vec<Option<&str>> {
+    let mut models = Vec::new();
+    for item in &job.job.items {
+        let model = item.model.as_deref();
+        if !models.contains(&model) {
+            models.push(model);
+        }
     }
+    models
 }
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -106,6 +106,11 @@
 }
 
 impl Need<'_> {
+    /// The same for an item of this kind that asks as little as any.
+    pub(super) const fn least(self) -> Self {
+        Self { exact_version: None, tokens: 0, ..self }
+    }
+
     fn is_met_by(&self, replica: &ReplicaState, now: Timestamp) -> bool {
         let record = &replica.record;
         replica.has_free_slot()
@@ -134,6 +139,11 @@
     }
 }
 
+/// Whether a replica has a place for an item.
+pub(super) fn has_place(replicas: &BTreeMap<String, ReplicaState>, need: &Need<'_>, now: Timestamp) -> bool {
+    replicas.values().any(|replica| need.is_met_by(replica, now))
+}
+
 /// The replica on which an item would be done first.
 pub(super) fn choose(
     replicas: &BTreeMap<String, ReplicaState>,
