Ask other readers and probe the platform before a follower reads for itself

Now a follower asks another reader first, then probes the platform (a tenth of a call), and reads for itself only once two probes in a row were answered while readers are still behind. A node that starts waits until it hears of no others any more, two seconds at most, before it decides from where to read.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,8 +1,9 @@
 //! From where a node of a large deployment takes the platform's metadata: from the platform, or from a peer that does.
 //!
-//! The platform bears few readers and prices each call. So a few nodes read it, and the others follow one of them. A
-//! follower's copy may be as old as its reader's last word from the platform: each answer tells that age, and one that
-//! is too old sends the follower to the platform for itself.
+//! The platform bears few readers and prices each call, also those that it refuses. So a few nodes read it, and the
+//! others follow one of them. A follower's copy may be as old as its reader's last word from the platform: each answer
+//! tells that age. A follower to which some readers in a row gave nothing fresh asks the platform for a small answer,
+//! and reads for itself only once it got two: while the platform is away from all, no one asks it more than that.
 
 use std::time::Duration;
 
@@ -19,8 +20,13 @@
     pub stale_after: Duration,
     /// A follower that was let down reads for itself at least so long.
     pub direct_for: Duration,
-    /// Readers that may fail in a row before a follower reads for itself.
+    /// Readers that may fail or be behind in a row before a follower probes the platform.
     pub tolerated_failures: u32,
+    /// The pause between two probes.
+    pub probe_pause: Duration,
+    /// Probes in a row that the platform must answer before a follower reads for itself: readers that lost the platform
+    /// with everyone else find it again meanwhile.
+    pub needed_probes: u32,
 }
 
 impl Default for RelayConfig {
@@ -31,6 +37,8 @@
             stale_after: Duration::from_millis(1_500),
             direct_for: Duration::from_secs(3),
             tolerated_failures: 1,
+            probe_pause: Duration::from_millis(600),
+            needed_probes: 2,
         }
     }
 }
@@ -42,44 +50,69 @@
     Platform,
     /// A node that reads it.
     Peer,
+    /// Nowhere yet: first see whether the platform answers this node.
+    Probe,
 }
 
 /// Chooses the source of one kind of metadata on one node.
 ///
-/// Invariant: no node follows for longer than `stale_after`, and the time of one answer, behind a platform that it could
-/// reach for itself.
+/// Invariant: no node follows behind a platform that it could reach for itself for longer than `stale_after`, the time of
+/// the tolerated answers, and that of the probes.
 #[derive(Clone, Debug)]
 pub struct RelayChoice {
     config: RelayConfig,
     direct_until: Option<Timestamp>,
+    /// Readers in a row that gave nothing fresh.
     failures: u32,
+    probed_at: Option<Timestamp>,
+    /// Probes in a row that the platform answered.
+    probes: u32,
 }
 
 impl RelayChoice {
     /// A node that has not read yet.
     pub fn new(config: RelayConfig) -> Self {
-        Self { config, direct_until: None, failures: 0 }
+        Self { config, direct_until: None, failures: 0, probed_at: None, probes: 0 }
     }
 
     /// The source for a node of this rank (0 for the first) among so many.
     pub fn source(&self, now: Timestamp, rank: usize, nodes: usize) -> ReadSource {
         let reads_always = nodes < self.config.least_nodes || rank < self.config.readers;
         let was_let_down = self.direct_until.is_some_and(|until| now < until);
-        if reads_always || was_let_down { ReadSource::Platform } else { ReadSource::Peer }
+        if reads_always || was_let_down {
+            return ReadSource::Platform;
+        }
+        let may_probe = self.probed_at.is_none_or(|at| now >= at + self.config.probe_pause);
+        if self.failures > self.config.tolerated_failures && may_probe {
+            ReadSource::Probe
+        } else {
+            ReadSource::Peer
+        }
     }
 
-    /// A reader answered with a copy of this age.
-    pub fn answered(&mut self, now: Timestamp, age: Duration) {
-        self.failures = 0;
-        if age > self.config.stale_after {
-            self.direct_until = Some(now + self.config.direct_for);
+    /// A reader answered with a copy of this age. Returns whether that is fresh.
+    pub fn answered(&mut self, age: Duration) -> bool {
+        let is_fresh = age <= self.config.stale_after;
+        if is_fresh {
+            self.failures = 0;
+            self.probes = 0;
+        } else {
+            self.failed();
         }
+        is_fresh
     }
 
     /// A reader gave no answer.
-    pub fn failed(&mut self, now: Timestamp) {
-        self.failures += 1;
-        if self.failures > self.config.tolerated_failures {
+    pub const fn failed(&mut self) {
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// The platform answered a probe, or did not.
+    pub fn probed(&mut self, now: Timestamp, is_reached: bool) {
+        self.probed_at = Some(now);
+        self.probes = if is_reached { self.probes + 1 } else { 0 };
+        if self.probes >= self.config.needed_probes {
+            self.probes = 0;
             self.failures = 0;
             self.direct_until = Some(now + self.config.direct_for);
         }
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -7,6 +7,7 @@
 use lichenpulley_protocol::internal::{MetadataKind, MetadataRequest, MetadataResponse};
 use tokio::time::Instant;
 
+use super::client::MetadataClient;
 use crate::batch::candidate;
 use crate::cluster::Member;
 use crate::context::Context;
@@ -23,8 +24,10 @@
     config: RelayConfig,
     choice: RelayChoice,
     origin: Instant,
-    /// Readers that have failed: the next one is another.
+    /// Readers that gave nothing fresh: the next one is another.
     turn: usize,
+    /// Whether the last reader gave nothing fresh.
+    was_let_down: bool,
 }
 
 impl Follower {
@@ -34,7 +37,7 @@
         let (readers, least_nodes) = (settings.readers, settings.follow_from_nodes);
         let config = RelayConfig { readers, least_nodes, ..RelayConfig::default() };
         let choice = RelayChoice::new(config.clone());
-        Self { context, kind, config, choice, origin: Instant::now(), turn: 0 }
+        Self { context, kind, config, choice, origin: Instant::now(), turn: 0, was_let_down: false }
     }
 
     /// From where to read next.
@@ -49,29 +52,42 @@
     /// Asks a reader what changed since the revision held; `None` where it gave no answer.
     pub(super) async fn ask(&mut self, newer_than: Option<u64>) -> Option<MetadataResponse> {
         let reader = self.reader()?;
-        let wait_ms = if newer_than.is_some() { HOLD.as_millis() as u64 } else { 0 };
+        // After a reader that knew nothing fresh, the next one says at once what it knows.
+        let may_wait = newer_than.is_some() && !self.was_let_down;
+        let wait_ms = if may_wait { HOLD.as_millis() as u64 } else { 0 };
         let request = MetadataRequest { kind: self.kind, newer_than, wait_ms };
         let answer = self.context.peers.metadata(reader.peer_address, request, HOLD + ANSWER_TIMEOUT).await;
-        let now = self.now();
         match answer {
             Ok(response) => {
                 let age = Duration::from_millis(response.age_ms);
                 self.context.metadata.freshness.confirm(self.kind, age);
-                self.choice.answered(now, age);
-                if self.source() == ReadSource::Platform {
-                    log::info!(target: "metadata", "{:?} of {} is {} ms old: reading the platform.", self.kind, reader.node, response.age_ms);
+                let is_fresh = self.choice.answered(age);
+                if !is_fresh && !self.was_let_down {
+                    log::info!(target: "metadata", "{:?} of {} is {} ms old: asking another.", self.kind, reader.node, response.age_ms);
                 }
+                self.turn += usize::from(!is_fresh);
+                self.was_let_down = !is_fresh;
                 Some(response)
             }
             Err(error) => {
                 self.turn += 1;
-                self.choice.failed(now);
+                self.was_let_down = true;
+                self.choice.failed();
                 log::info!(target: "metadata", "{} gave no {:?}: {error}.", reader.node, self.kind);
                 None
             }
         }
     }
 
+    /// Sees whether the platform answers this node while readers give nothing fresh.
+    pub(super) async fn probe(&mut self, client: &MetadataClient) {
+        let is_reached = client.probe().await.is_ok();
+        self.choice.probed(self.now(), is_reached);
+        if self.source() == ReadSource::Platform {
+            log::info!(target: "metadata", "{:?} of all readers is old and the platform answers: reading it.", self.kind);
+        }
+    }
+
     /// The reader whose turn it is. Followers begin with different ones.
     fn reader(&self) -> Option<Member> {
         let mut readers = candidate::first_coordinators(&self.context, self.config.readers);
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -41,6 +41,11 @@
 /// How long a peer may take to hand over its copy.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A node that heard of no others for so long knows those it will know soon: a few rounds of gossip.
+const SETTLE_LOOK: Duration = Duration::from_millis(300);
+/// A node reads after so long though it still hears of others.
+const SETTLE_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// The platform's name of a kind.
 const fn kind_name(kind: MetadataKind) -> &'static str {
     match kind {
@@ -95,6 +100,7 @@
 
 impl Watcher {
     async fn watch(&mut self) {
+        self.settle().await;
         loop {
             let began = Instant::now();
             if self.kind == MetadataKind::Versions && !candidate::is_candidate(&self.context) {
@@ -103,10 +109,17 @@
                 tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             }
-            if self.follower.source() == ReadSource::Peer {
-                self.context.metadata.freshness.set_reading(self.kind, Reading::Followed);
-                self.follow().await;
-                continue;
+            match self.follower.source() {
+                ReadSource::Peer => {
+                    self.context.metadata.freshness.set_reading(self.kind, Reading::Followed);
+                    self.follow().await;
+                    continue;
+                }
+                ReadSource::Probe => {
+                    self.follower.probe(&self.client).await;
+                    continue;
+                }
+                ReadSource::Platform => {}
             }
             match self.round().await {
                 Ok(()) => self.succeeded(),
@@ -122,6 +135,24 @@
         }
     }
 
+    /// Waits until the node has heard who else there is: which nodes read the platform depends on all of them, and each
+    /// one that starts would take itself for the first. Takes a peer's copy meanwhile, where there is one.
+    async fn settle(&mut self) {
+        let began = Instant::now();
+        let mut nodes = 0;
+        loop {
+            tokio::time::sleep(SETTLE_LOOK).await;
+            let heard = self.context.cluster.load().members.len();
+            if heard == nodes || began.elapsed() >= SETTLE_LIMIT {
+                return;
+            }
+            nodes = heard;
+            if self.revision.is_none() {
+                self.ask_peer().await;
+            }
+        }
+    }
+
     /// Takes what changed from a peer that reads the platform.
     async fn follow(&mut self) {
         let began = Instant::now();
