Let an owner ask the stores before it takes itself for cut off

Silence alone proved nothing.

Now it asks all stores a small question, and leaves only where none answers within its time; a question that ended late says that the node itself stood still, and is asked again. It begins to look after 0.3 s of silence in place of 0.5 s, so that an owner that is cut off leaves no later than before.

--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! where, and [`weights`] which replica loads which version.
 
 pub mod controller;
+pub mod cut_off;
 pub mod election;
 pub mod group_tally;
 pub mod job;
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -28,7 +28,7 @@
 /// Time between two looks at the stores.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// A store that has not answered by then counts as missing.
-const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 /// A candidate that the owner asked takes over where the stores have not heard of the owner for so long.
 const ASKED_IDLE: Duration = Duration::from_millis(300);
 /// The pause between two signs of life while the ledger is put together.
@@ -43,6 +43,13 @@
     pub(super) owner: Option<NodeId>,
 }
 
+impl StoresSay {
+    /// How many stores answered.
+    pub(super) const fn answered(&self) -> usize {
+        self.answers.len()
+    }
+}
+
 /// Asks every live store.
 pub(super) async fn ask_stores(context: &Context) -> StoresSay {
     let addresses: Vec<_> = {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -6,6 +6,7 @@
 use lichenpulley_core::batch::controller::{
     Action, Controller, ControllerConfig, RunEvent, RunId, Submission,
 };
+use lichenpulley_core::batch::cut_off::{CutOffStep, CutOffWatch, StoresReply};
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::{JobState, Ledger};
 use lichenpulley_core::batch::order_lease::OrderLease;
@@ -31,10 +32,8 @@
 
 /// What was read under a confirmation may be shown for so long: any later owner began after it.
 pub(super) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
-/// An owner to which no store has answered for so long leaves the jobs to another.
-const CUT_OFF_AFTER: Duration = Duration::from_millis(500);
-/// In so many looks in a row.
-const CUT_OFF_LOOKS: u32 = 3;
+/// An owner to which no store has answered for so long asks whether any can be reached, and leaves if not.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(300);
 /// How long an owner that leaves waits for the stores to keep its progress.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Events of runs that wait for the owner.
@@ -96,8 +95,10 @@
     ends: Vec<(BatchId, Command)>,
     readers: Vec<Reader>,
     failure: Option<ShardLogError>,
-    /// Looks in a row at which no store had answered for long.
-    silent_looks: u32,
+    cut_off: CutOffWatch,
+    /// What the stores reply to the question whether any can be reached.
+    stores_replies: mpsc::UnboundedReceiver<StoresReply>,
+    stores_asked: mpsc::UnboundedSender<StoresReply>,
     /// Whether a store is being replaced.
     is_replacing: bool,
     /// A much more capable node, and since when it has been seen.
@@ -136,6 +137,7 @@
         let (run_sender, run_events) = mpsc::channel(EVENT_BACKLOG);
         let (load_sender, load_ends) = mpsc::unbounded_channel();
         let (score_sender, score_ends) = mpsc::unbounded_channel();
+        let (stores_asked, stores_replies) = mpsc::unbounded_channel();
         let epoch = log.epoch();
         let now = Instant::now();
         Self {
@@ -160,7 +162,9 @@
             ends: Vec::new(),
             readers: Vec::new(),
             failure: None,
-            silent_looks: 0,
+            cut_off: CutOffWatch::default(),
+            stores_replies,
+            stores_asked,
             is_replacing: false,
             better: None,
         }
@@ -187,11 +191,18 @@
                     self.log.replace(replacement);
                 }
                 Ok(()) = metadata.changed() => self.update(),
+                Some(reply) = self.stores_replies.recv() => {
+                    is_cut_off = self.cut_off.replied(reply) == CutOffStep::Leave;
+                    if is_cut_off {
+                        ::log::warn!(target: "batch", "No store answers this owner: the batch jobs are left.");
+                        break;
+                    }
+                }
                 _ = ticks.tick() => {
-                    is_cut_off = self.is_cut_off();
-                    if is_cut_off || self.should_leave() {
+                    if self.should_leave() {
                         break;
                     }
+                    self.watch_silence();
                     self.tick();
                 }
             }
@@ -247,14 +258,21 @@
         is_due
     }
 
-    /// Whether no store has answered for long. While a store is replaced, other parts of the node ask them.
-    ///
-    /// After this thread itself stood still, answers may lie unread: only several looks in a row count.
-    fn is_cut_off(&mut self) -> bool {
+    /// Asks the stores where none has answered for long. While a store is replaced, other parts of the node ask them.
+    fn watch_silence(&mut self) {
         let is_unconfirmed = self.confirmed_at.elapsed() >= CUT_OFF_AFTER;
         let is_silent = is_unconfirmed && !self.is_replacing && self.log.silent_for() >= CUT_OFF_AFTER;
-        self.silent_looks = if is_silent { self.silent_looks + 1 } else { 0 };
-        self.silent_looks >= CUT_OFF_LOOKS
+        if self.cut_off.look(is_silent) != CutOffStep::Ask {
+            return;
+        }
+        let (context, replies) = (self.context.clone(), self.stores_asked.clone());
+        tokio::spawn(async move {
+            let began = Instant::now();
+            let answered = candidate::ask_stores(&context).await.answered();
+            let reply = StoresReply { answered, took: began.elapsed(), timeout: candidate::STORE_TIMEOUT };
+            // An error only says that the owner has ended.
+            let _ = replies.send(reply);
+        });
     }
 
     fn now(&self) -> Timestamp {
