Let the next owner of the batch jobs follow their log

Now the first coordinator beside the owner reads what the stores call decided, a quarter of a second behind, and holds the ledger; a takeover goes on from there and reads only what came last (the log's proposer could do that already, for changes of its stores). One follower, no text moved but the log's own, dropped where it takes more than 30 percent of the memory.

--- /dev/null
+++ b/crates/core/src/batch/ledger_follower.rs
@@ -0,0 +1,105 @@
+//! Follows the log of a shard that another node owns, so that a takeover reads only what came last.
+//!
+//! Reads what a store calls decided, in order; decided entries never change, so that what was followed is a beginning of
+//! what any later owner recovers. Applying a record a second time changes nothing, so that an overlap does no harm.
+
+use super::ledger::Ledger;
+use super::record::Record;
+use crate::identity::Epoch;
+use crate::replication::entry::{IndexedEntry, LogIndex};
+use crate::replication::log::{KnownLog, LogAddition, LogAssembler};
+
+/// Decided entries as a store gave them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DecidedPage {
+    /// The entries, in order.
+    pub entries: Vec<IndexedEntry>,
+    /// The first position that has not been dropped; what came before is in a snapshot that begins there.
+    pub base: LogIndex,
+    /// All positions up to this one are decided, as far as the store knows.
+    pub decided_through: LogIndex,
+}
+
+/// A ledger that follows the log.
+#[derive(Debug)]
+pub struct LedgerFollower {
+    ledger: Ledger,
+    assembler: LogAssembler,
+    through: LogIndex,
+    held_bytes: usize,
+    /// Whether the ledger holds all up to `through`: not so after the beginning was dropped, until the snapshot that stands
+    /// for it was read to its end.
+    is_whole: bool,
+}
+
+impl Default for LedgerFollower {
+    fn default() -> Self {
+        Self::beginning_after(LogIndex::ZERO)
+    }
+}
+
+impl LedgerFollower {
+    fn beginning_after(through: LogIndex) -> Self {
+        let assembler = LogAssembler::new(Epoch::default(), true);
+        let is_whole = through == LogIndex::ZERO;
+        Self { ledger: Ledger::default(), assembler, through, held_bytes: 0, is_whole }
+    }
+
+    /// The position to read next.
+    pub const fn next(&self) -> LogIndex {
+        self.through.next()
+    }
+
+    /// Bytes of the log so far: the last snapshot and the records after it.
+    pub const fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Whether a takeover can go on from here.
+    pub const fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// What is known of the log, where [`Self::is_whole`].
+    pub const fn known(&self) -> KnownLog {
+        KnownLog { through: self.through, latest_origin: self.assembler.latest_origin() }
+    }
+
+    /// Takes what a store has from [`Self::next`] on. Returns whether it has more.
+    ///
+    /// # Errors
+    /// When a record is none of ours; what was followed is of no use then.
+    pub fn take(&mut self, page: DecidedPage) -> Result<bool, speedy::Error> {
+        if page.base > self.next() {
+            *self = Self::beginning_after(page.base.previous());
+        }
+        let before = self.through;
+        for IndexedEntry { index, entry } in page.entries {
+            if index != self.next() {
+                continue;
+            }
+            self.through = index;
+            match self.assembler.push(entry.payload) {
+                LogAddition::Nothing | LogAddition::NextSet(_) => {}
+                LogAddition::Record(bytes) => {
+                    self.held_bytes += bytes.len();
+                    self.ledger.apply(Record::decode(&bytes)?);
+                }
+                LogAddition::Snapshot(bytes) => {
+                    self.held_bytes = bytes.len();
+                    self.is_whole = true;
+                    self.ledger = Ledger::default();
+                    Ledger::snapshot_records(&bytes)?
+                        .into_iter()
+                        .for_each(|record| self.ledger.apply(record));
+                }
+            }
+        }
+        Ok(self.through > before && self.through < page.decided_through)
+    }
+
+    /// The ledger as it was followed.
+    pub fn into_ledger(self) -> Ledger {
+        self.ledger
+    }
+}
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -10,6 +10,7 @@
 pub mod group_tally;
 pub mod job;
 pub mod ledger;
+pub mod ledger_follower;
 pub mod load_limit;
 pub mod order_lease;
 pub mod progress_offer;
--- a/crates/core/src/batch/recovery.rs
+++ b/crates/core/src/batch/recovery.rs
@@ -50,6 +50,18 @@
         Ok(Self { ledger: Ledger::default(), snapshot, records, heartbeat_interval, heartbeat_at })
     }
 
+    /// Goes on with a ledger that was followed, by the records that came after it.
+    pub fn resume(
+        followed: Ledger,
+        records: &'a [Vec<u8>],
+        heartbeat_interval: Duration,
+        now: Timestamp,
+    ) -> Self {
+        let heartbeat_at = now + heartbeat_interval;
+        let (snapshot, records) = (Vec::new().into_iter(), records.iter());
+        Self { ledger: followed, snapshot, records, heartbeat_interval, heartbeat_at }
+    }
+
     /// Applies one piece, unless a heartbeat is due.
     ///
     /// # Errors
--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -1,6 +1,6 @@
 //! From entries to what an owner recovers, and from a snapshot to entries.
 
-use super::entry::Payload;
+use super::entry::{LogIndex, Payload};
 use super::replica_set::ReplicaSet;
 use crate::identity::Epoch;
 
@@ -17,6 +17,28 @@
     pub latest_origin: Epoch,
 }
 
+/// What an owner knows already of a log that it takes over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownLog {
+    /// All positions up to this one are decided and known.
+    pub through: LogIndex,
+    /// The epoch of the last owner that appended one of them.
+    pub latest_origin: Epoch,
+}
+
+/// What one more entry adds to a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LogAddition {
+    /// Nothing yet, or nothing at all.
+    Nothing,
+    /// A record.
+    Record(Vec<u8>),
+    /// A snapshot, which stands for all records before it.
+    Snapshot(Vec<u8>),
+    /// The set that follows.
+    NextSet(ReplicaSet),
+}
+
 /// Puts a log together from its entries in order. A snapshot of which a part is missing counts for nothing: its
 /// owner was superseded while writing it, and nothing was dropped for it.
 ///
@@ -24,36 +46,66 @@
 /// of it. Such a record was never acknowledged: had it been decided, the later owner would have found it, and its
 /// own records would lie behind it. With `skip_overtaken` it is left out, so that no record follows one of a later
 /// owner.
-pub fn assemble(payloads: impl IntoIterator<Item = Payload>, skip_overtaken: bool) -> RecoveredLog {
-    let mut recovered = RecoveredLog::default();
-    let mut parts = PartialSnapshot::default();
-    let mut latest_origin = Epoch::default();
-    for payload in payloads {
-        let origin = payload.origin().unwrap_or(latest_origin);
-        if skip_overtaken && origin < latest_origin {
-            parts.discard();
-            continue;
+#[derive(Debug)]
+pub struct LogAssembler {
+    parts: PartialSnapshot,
+    latest_origin: Epoch,
+    skip_overtaken: bool,
+}
+
+impl LogAssembler {
+    /// Begins after entries of which the last was made under `latest_origin`.
+    pub fn new(latest_origin: Epoch, skip_overtaken: bool) -> Self {
+        Self { parts: PartialSnapshot::default(), latest_origin, skip_overtaken }
+    }
+
+    /// The epoch of the last owner that appended.
+    pub const fn latest_origin(&self) -> Epoch {
+        self.latest_origin
+    }
+
+    /// Takes the next entry.
+    pub fn push(&mut self, payload: Payload) -> LogAddition {
+        let origin = payload.origin().unwrap_or(self.latest_origin);
+        if self.skip_overtaken && origin < self.latest_origin {
+            self.parts.discard();
+            return LogAddition::Nothing;
+        }
+        self.latest_origin = origin.max(self.latest_origin);
+        if !matches!(payload, Payload::SnapshotPart { .. }) {
+            self.parts.discard();
         }
-        latest_origin = origin.max(latest_origin);
-        recovered.latest_origin = latest_origin;
         match payload {
-            Payload::Noop => parts.discard(),
-            Payload::Record { bytes, .. } => {
-                parts.discard();
-                recovered.records.push(bytes);
-            }
-            Payload::NextSet { set, .. } => {
-                parts.discard();
-                recovered.next_set = Some(set);
-            }
+            Payload::Noop => LogAddition::Nothing,
+            Payload::Record { bytes, .. } => LogAddition::Record(bytes),
+            Payload::NextSet { set, .. } => LogAddition::NextSet(set),
             Payload::SnapshotPart { number, count, bytes, .. } => {
-                if let Some(snapshot) = parts.add(number, count, &bytes) {
-                    recovered.snapshot = Some(snapshot);
-                    recovered.records.clear();
-                }
+                self.parts.add(number, count, &bytes).map_or(LogAddition::Nothing, LogAddition::Snapshot)
+            }
+        }
+    }
+}
+
+/// What the entries after what is known amount to.
+pub fn assemble(
+    payloads: impl IntoIterator<Item = Payload>,
+    known: KnownLog,
+    skip_overtaken: bool,
+) -> RecoveredLog {
+    let mut assembler = LogAssembler::new(known.latest_origin, skip_overtaken);
+    let mut recovered = RecoveredLog::default();
+    for payload in payloads {
+        match assembler.push(payload) {
+            LogAddition::Nothing => {}
+            LogAddition::Record(bytes) => recovered.records.push(bytes),
+            LogAddition::NextSet(set) => recovered.next_set = Some(set),
+            LogAddition::Snapshot(snapshot) => {
+                recovered.snapshot = Some(snapshot);
+                recovered.records.clear();
             }
         }
     }
+    recovered.latest_origin = assembler.latest_origin();
     recovered
 }
 
@@ -75,7 +127,7 @@
 }
 
 /// Parts of a snapshot read so far, without a gap.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct PartialSnapshot {
     next: u32,
     bytes: Vec<u8>,
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -12,7 +12,7 @@
 
 use super::ballot::{Ballot, ProposerId};
 use super::entry::{ENTRY_OVERHEAD_BYTES, LogIndex, Payload};
-use super::log::{RecoveredLog, assemble, split_snapshot};
+use super::log::{KnownLog, RecoveredLog, assemble, split_snapshot};
 use super::member_progress::MemberProgress;
 use super::message::{Accept, Operation, Outcome, Read, Refusal, ReplicaRequest, ReplicaResponse};
 use super::quorum::majority;
@@ -132,8 +132,8 @@
     members: BTreeMap<StoreId, MemberProgress>,
     window: Window,
     decided_through: LogIndex,
-    /// Decided positions that the embedder has read: taking over leaves them out.
-    known_through: LogIndex,
+    /// What the embedder has read: taking over leaves it out.
+    known: KnownLog,
     truncation: Truncation,
     events: VecDeque<ProposerEvent>,
 }
@@ -161,7 +161,7 @@
             phase: Phase::Preparing { raises: 0 },
             window: Window::default(),
             decided_through: LogIndex::ZERO,
-            known_through: LogIndex::ZERO,
+            known: KnownLog::default(),
             truncation: Truncation::default(),
             events: VecDeque::new(),
         }
@@ -174,11 +174,11 @@
         self
     }
 
-    /// The same for an owner that goes on under another set and knows what is decided up to a position: only what
-    /// follows is read and recovered.
+    /// The same for an owner that knows what is decided up to a position, from another set or from following the log:
+    /// only what follows is read and recovered.
     #[must_use]
-    pub fn with_known(mut self, through: LogIndex) -> Self {
-        self.known_through = through;
+    pub const fn with_known(mut self, known: KnownLog) -> Self {
+        self.known = known;
         self
     }
 
@@ -401,7 +401,7 @@
         if promises.len() < majority(self.members.len()) {
             return;
         }
-        let recovery = Recovery::new(&promises, self.checks.recover, self.known_through);
+        let recovery = Recovery::new(&promises, self.checks.recover, self.known.through);
         self.phase = Phase::Reading(recovery);
         self.finish_reading();
     }
@@ -424,7 +424,8 @@
         for member in self.members.values_mut() {
             member.start_from(log.decided_through);
         }
-        let recovered = assemble(log.decided.into_iter().chain(log.undecided), self.checks.skip_overtaken);
+        let payloads = log.decided.into_iter().chain(log.undecided);
+        let recovered = assemble(payloads, self.known, self.checks.skip_overtaken);
         self.phase = Phase::Confirming { through: self.window.last(), recovered };
         self.finish_confirming();
     }
--- /dev/null
+++ b/crates/core/tests/batch_follower.rs
@@ -0,0 +1,170 @@
+//! A ledger that follows the log amounts to what a new owner recovers from all of it.
+
+mod batch_support;
+
+use batch_support::job;
+use lichenpulley_core::batch::job::KeptEvent;
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::ledger_follower::{DecidedPage, LedgerFollower};
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::batch::recovery::{LedgerRecovery, RecoveryStep};
+use lichenpulley_core::identity::{BatchId, Epoch};
+use lichenpulley_core::replication::entry::{Entry, IndexedEntry, LogIndex, Payload};
+use lichenpulley_core::replication::log::{KnownLog, assemble, split_snapshot};
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// What may come next in a log.
+#[derive(Clone, Debug)]
+enum Step {
+    Accept,
+    /// Events of an item, or its end, by one of the jobs so far.
+    Progress(u8, u8, bool),
+    End(u8),
+    Snapshot,
+    /// The next owner begins.
+    Change,
+    /// A record of the owner before that was left at a minority.
+    Overtaken,
+    Gap,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        2 => Just(Step::Accept),
+        6 => (any::<u8>(), 0..3_u8, any::<bool>()).prop_map(|(job, item, whole)| Step::Progress(job, item, whole)),
+        1 => any::<u8>().prop_map(Step::End),
+        1 => Just(Step::Snapshot),
+        1 => Just(Step::Change),
+        1 => Just(Step::Overtaken),
+        1 => Just(Step::Gap),
+    ];
+    proptest::collection::vec(step, 1..40)
+}
+
+fn record(origin: Epoch, record: &Record) -> Payload {
+    Payload::Record { origin, bytes: record.encode().expect("a record") }
+}
+
+/// A log and where its last snapshot begins.
+fn log_of(steps: &[Step]) -> (Vec<Payload>, usize) {
+    let (mut log, mut ledger, mut epoch, mut jobs, mut base) =
+        (Vec::new(), Ledger::default(), Epoch(1), 0_u8, 0);
+    let keep = |log: &mut Vec<Payload>, ledger: &mut Ledger, epoch, kept: Record| {
+        log.push(record(epoch, &kept));
+        ledger.apply(kept);
+    };
+    for step in steps {
+        let batch = |number: u8| BatchId::new(format!("job-{}", number % jobs.max(1)));
+        match step {
+            Step::Accept => {
+                keep(&mut log, &mut ledger, epoch, Record::Accepted(job(&format!("job-{jobs}"), 3, 0)));
+                jobs += 1;
+            }
+            Step::Progress(number, item, is_whole) => {
+                let (batch, item) = (batch(*number), u32::from(*item));
+                let known = ledger.job(&batch).filter(|job| job.is_open(item));
+                let Some(known) = known else { continue };
+                let next = known.items[item as usize].last_event().map_or(0, |last| last + 1);
+                let events = vec![KeptEvent { number: next, version: 1, data: format!("d{next}") }];
+                let made = if *is_whole {
+                    Record::Completed { batch, item, events }
+                } else {
+                    Record::Progress { batch, item, events }
+                };
+                keep(&mut log, &mut ledger, epoch, made);
+            }
+            Step::End(number) if jobs > 0 => {
+                keep(&mut log, &mut ledger, epoch, Record::Ended(batch(*number)));
+            }
+            Step::Snapshot => {
+                base = log.len();
+                log.extend(split_snapshot(&ledger.to_snapshot().expect("a snapshot"), 64, epoch));
+            }
+            Step::Change => epoch = epoch.next(),
+            Step::Overtaken if epoch.0 > 1 && log.last().and_then(Payload::origin) == Some(epoch) => {
+                log.push(record(Epoch(epoch.0 - 1), &Record::Accepted(job("never", 1, 0))));
+            }
+            Step::Gap => log.push(Payload::Noop),
+            Step::End(_) | Step::Overtaken => {}
+        }
+    }
+    (log, base)
+}
+
+fn page(log: &[Payload], base: usize, from: LogIndex, through: usize, most: usize) -> DecidedPage {
+    let first = (from.0 as usize - 1).max(base);
+    let last = through.min(first + most);
+    let entry = |position: usize| IndexedEntry {
+        index: LogIndex(position as u64 + 1),
+        entry: Entry { epoch: Epoch(9), payload: log[position].clone() },
+    };
+    let entries = (first..last.max(first)).map(entry).collect();
+    DecidedPage { entries, base: LogIndex(base as u64 + 1), decided_through: LogIndex(through as u64) }
+}
+
+fn recovered(log: &[Payload], known: KnownLog, followed: Option<Ledger>) -> Ledger {
+    let rest = log[known.through.0 as usize..].iter().cloned();
+    let found = assemble(rest, known, true);
+    let (now, interval) = (Timestamp::ORIGIN, Duration::from_secs(9));
+    let snapshot = found.snapshot.as_deref();
+    let mut recovery = match followed {
+        Some(followed) if snapshot.is_none() => {
+            LedgerRecovery::resume(followed, &found.records, interval, now)
+        }
+        _ => LedgerRecovery::begin(snapshot, &found.records, interval, now).expect("a ledger"),
+    };
+    while recovery.step(now).expect("a record") != RecoveryStep::Done {}
+    recovery.into_ledger()
+}
+
+proptest! {
+    #[test]
+    fn a_takeover_after_following_amounts_to_one_that_reads_everything(
+        steps in steps(),
+        pages in proptest::collection::vec((0..40_usize, 1..9_usize), 0..12),
+        is_truncated in any::<bool>(),
+    ) {
+        let (log, snapshot) = log_of(&steps);
+        let base = if is_truncated { snapshot } else { 0 };
+        let mut follower = LedgerFollower::default();
+        for (through, most) in pages {
+            let through = through.min(log.len());
+            // The log was truncated only once the snapshot was decided.
+            let base = if through == log.len() { base } else { 0 };
+            let next = follower.next();
+            follower.take(page(&log, base, next, through, most)).expect("records");
+        }
+        let whole = recovered(&log, KnownLog::default(), None);
+        let after = if follower.is_whole() {
+            recovered(&log, follower.known(), Some(follower.into_ledger()))
+        } else {
+            recovered(&log, KnownLog::default(), None)
+        };
+        prop_assert_eq!(after, whole);
+    }
+}
+
+#[test]
+fn a_follower_that_read_a_part_of_the_snapshot_alone_is_of_no_use() {
+    let (log, base) = log_of(&[Step::Accept, Step::Snapshot]);
+    let mut follower = LedgerFollower::default();
+    assert!(follower.take(page(&log, base, LogIndex::FIRST, log.len(), 1)).expect("a part"), "there is more");
+    assert!(!follower.is_whole());
+    let next = follower.next();
+    follower.take(page(&log, base, next, log.len(), log.len())).expect("the others");
+    assert!(follower.is_whole());
+}
+
+#[test]
+fn a_follower_that_fell_behind_a_snapshot_begins_with_it() {
+    let steps = [Step::Accept, Step::Progress(0, 0, false), Step::Snapshot, Step::Progress(0, 1, true)];
+    let (log, base) = log_of(&steps);
+    let mut follower = LedgerFollower::default();
+    assert!(follower.take(page(&log, 0, LogIndex::FIRST, log.len(), 1)).expect("a record"), "there is more");
+    let next = follower.next();
+    assert!(!follower.take(page(&log, base, next, log.len(), log.len())).expect("records"));
+    assert_eq!(follower.known().through, LogIndex(log.len() as u64));
+    assert_eq!(follower.into_ledger(), recovered(&log, KnownLog::default(), None));
+}
--- a/crates/core/tests/replication_reconfiguration.rs
+++ b/crates/core/tests/replication_reconfiguration.rs
@@ -8,6 +8,7 @@
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::claims::{ClaimVote, ClaimWindow};
 use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::log::KnownLog;
 use lichenpulley_core::replication::memory_storage::MemoryStorage;
 use lichenpulley_core::replication::message::{
     Claim, Operation, Outcome, Refusal, ReplicaRequest, ReplicaResponse, TransferId,
@@ -360,7 +361,8 @@
     stores.own(&set, "second", &[b"three"]).expect("taken over");
     let config = ProposerConfig { maximum_raises: 10, ..ProposerConfig::default() };
     let known = LogIndex(2);
-    let mut proposer = Proposer::new(set, ProposerId::new("third"), Epoch(1), config).with_known(known);
+    let mut proposer = Proposer::new(set, ProposerId::new("third"), Epoch(1), config)
+        .with_known(KnownLog { through: known, ..KnownLog::default() });
     let mut recovered = None;
     while let Some(transmit) = proposer.poll_transmit(Timestamp::ORIGIN) {
         if let Operation::Read(read) = &transmit.request.operation {
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -6,6 +6,7 @@
 use futures::future::join_all;
 use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::ledger_follower::LedgerFollower;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::batch::recovery::{LedgerRecovery, RecoveryStep};
@@ -18,6 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::follower::LogFollower;
 use super::owner::{Owner, OwnerEnd, Takeover};
 use super::{Command, shard};
 use crate::cluster::{Member, NodeCapacity, rendezvous_weight};
@@ -122,6 +124,13 @@
     others.max_by_key(|member| preference(member)).cloned()
 }
 
+/// Whether this node is the first coordinator beside the owner.
+pub(super) fn is_next(context: &Context, owner: &NodeId) -> bool {
+    let cluster = context.cluster.load();
+    let others = cluster.members.iter().filter(|member| member.roles.coordinator && member.node != *owner);
+    others.max_by_key(|member| preference(member)).is_some_and(|next| next.node == context.node)
+}
+
 /// Runs until the node has stopped.
 pub(super) async fn run(
     context: Context,
@@ -130,7 +139,8 @@
     commands: mpsc::Receiver<Command>,
 ) {
     let stopped = context.stopped.clone();
-    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0, offer: None };
+    let follower = LogFollower::spawn(context.clone());
+    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0, offer: None, follower };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -146,6 +156,7 @@
     looks: u64,
     /// What an owner that can't reach its stores left.
     offer: Option<ProgressOffer>,
+    follower: LogFollower,
 }
 
 /// Why a candidate looks.
@@ -167,7 +178,9 @@
                 continue;
             }
             if let Some(idle) = self.look(reason).await {
-                self.own(idle).await;
+                let followed = self.follower.take();
+                self.own(idle, followed).await;
+                self.follower.resume();
             }
         }
     }
@@ -222,19 +235,22 @@
         }
     }
 
-    async fn own(&mut self, idle: Duration) {
+    async fn own(&mut self, idle: Duration, followed: Option<LedgerFollower>) {
+        let known = followed.as_ref().map(LedgerFollower::known).unwrap_or_default();
         let decision = Decision::new(Component::Rollout, "taking_over", "owner_silent", shard());
-        self.context.decisions.record(decision.with("idle_ms", idle.as_millis()));
-        let taken = ShardLog::take_over(&self.context, &shard()).await;
+        let decision = decision.with("idle_ms", idle.as_millis()).with("known_through", known.through);
+        self.context.decisions.record(decision);
+        let taken = ShardLog::take_over_knowing(&self.context, &shard(), known).await;
         let (mut log, recovered) = match taken {
             Ok(taken) => taken,
             Err(error) => {
                 ::log::warn!(target: "batch", "The batch jobs are not taken over: {error}.");
-                return;
+                return self.follower.put_back(followed);
             }
         };
         self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
-        let ledger = recover_ledger(&mut log, &recovered).await;
+        let followed_bytes = followed.as_ref().map_or(0, LedgerFollower::held_bytes);
+        let ledger = recover_ledger(&mut log, &recovered, followed).await;
         let ledger = match ledger {
             Ok(ledger) => ledger,
             Err(error) => {
@@ -242,7 +258,7 @@
                 return self.context.batch_owner.store(None);
             }
         };
-        let held_bytes = recovered.records.iter().map(Vec::len).sum();
+        let held_bytes = followed_bytes + recovered.records.iter().map(Vec::len).sum::<usize>();
         let (latest, offer) = (recovered.latest_origin, self.offer.take());
         let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer };
         let owner = Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), takeover);
@@ -279,11 +295,21 @@
 }
 
 /// Puts the ledger together, and shows the stores meanwhile that this node leads.
-async fn recover_ledger(log: &mut ShardLog, recovered: &RecoveredLog) -> Result<Ledger, RecoveryError> {
+async fn recover_ledger(
+    log: &mut ShardLog,
+    recovered: &RecoveredLog,
+    followed: Option<LedgerFollower>,
+) -> Result<Ledger, RecoveryError> {
     let began = Instant::now();
     let now = || Timestamp::ORIGIN + began.elapsed();
-    let snapshot = recovered.snapshot.as_deref();
-    let mut recovery = LedgerRecovery::begin(snapshot, &recovered.records, RECOVERY_HEARTBEAT, now())?;
+    let (snapshot, records) = (recovered.snapshot.as_deref(), &recovered.records);
+    let mut recovery = match followed {
+        // A snapshot stands for all that was followed.
+        Some(followed) if snapshot.is_none() => {
+            LedgerRecovery::resume(followed.into_ledger(), records, RECOVERY_HEARTBEAT, now())
+        }
+        _ => LedgerRecovery::begin(snapshot, records, RECOVERY_HEARTBEAT, now())?,
+    };
     loop {
         match recovery.step(now())? {
             // The node's other tasks go on meanwhile.
--- /dev/null
+++ b/crates/daemon/src/batch/follower.rs
@@ -0,0 +1,157 @@
+//! Follows the log of the batch jobs on the node that would own them next.
+//!
+//! Reading the whole log is the longest part of a takeover. The first coordinator beside the owner reads what is decided as
+//! it comes, a quarter of a second behind, from one store after another; the others read nothing.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use lichenpulley_core::batch::ledger_follower::{DecidedPage, LedgerFollower};
+use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
+use lichenpulley_core::replication::replica_set::ReplicaSet;
+use tokio::task::AbortHandle;
+
+use super::{candidate, shard};
+use crate::context::Context;
+use crate::store::{exchange, replica_sets};
+
+/// Time between two readings once all that is decided was read.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(250);
+/// The part of the machine's memory that the log may take here: the owner's own bound is 35 percent.
+const HELD_PERCENT: usize = 30;
+
+/// The follower's task, as the candidate sees it.
+pub(super) struct LogFollower {
+    shared: Arc<Shared>,
+    task: AbortHandle,
+}
+
+#[derive(Default)]
+struct Shared {
+    followed: Mutex<Option<LedgerFollower>>,
+    /// Whether this node takes over or owns.
+    is_owning: AtomicBool,
+}
+
+impl Drop for LogFollower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl LogFollower {
+    /// Begins to follow whenever this node would own next.
+    pub(super) fn spawn(context: Context) -> Self {
+        let shared = Arc::<Shared>::default();
+        let task = tokio::spawn(Task { context, shared: Arc::clone(&shared), turn: 0 }.run());
+        Self { shared, task: task.abort_handle() }
+    }
+
+    /// What was followed so far; nothing more is followed until [`Self::resume`].
+    pub(super) fn take(&self) -> Option<LedgerFollower> {
+        self.shared.is_owning.store(true, Ordering::Relaxed);
+        self.shared.lock().take().filter(LedgerFollower::is_whole)
+    }
+
+    /// The takeover failed: what was followed is followed on.
+    pub(super) fn put_back(&self, followed: Option<LedgerFollower>) {
+        *self.shared.lock() = followed;
+    }
+
+    /// This node owns no longer.
+    pub(super) fn resume(&self) {
+        self.shared.is_owning.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<LedgerFollower>> {
+        self.followed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Task {
+    context: Context,
+    shared: Arc<Shared>,
+    /// Which store is read; another after one that gave nothing.
+    turn: usize,
+}
+
+impl Task {
+    async fn run(mut self) {
+        loop {
+            if !self.should_follow() {
+                *self.shared.lock() = None;
+            } else if self.read_page().await {
+                continue;
+            }
+            tokio::time::sleep(FOLLOW_INTERVAL).await;
+        }
+    }
+
+    /// Whether this node is the first coordinator beside the owner, and has room.
+    fn should_follow(&self) -> bool {
+        if self.shared.is_owning.load(Ordering::Relaxed) || self.context.draining.is_cancelled() {
+            return false;
+        }
+        let owner = self.context.batch_owner.load_full();
+        let Some(owner) = owner.filter(|owner| **owner != self.context.node) else { return false };
+        candidate::is_next(&self.context, &owner)
+    }
+
+    /// Reads once; returns whether there is more.
+    async fn read_page(&mut self) -> bool {
+        let Some(set) = replica_sets::find_among_stores(&self.context, &shard()).await else { return false };
+        let next = self.shared.lock().get_or_insert_default().next();
+        let Some(page) = self.ask(&set, next).await else {
+            self.turn += 1;
+            return false;
+        };
+        let mut followed = self.shared.lock();
+        // It may have been taken meanwhile.
+        let Some(follower) = followed.as_mut().filter(|follower| follower.next() == next) else {
+            return false;
+        };
+        match follower.take(page) {
+            Ok(has_more) => {
+                let most_bytes = self.context.settings.machine.memory_bytes / 100 * HELD_PERCENT;
+                if follower.held_bytes() > most_bytes {
+                    ::log::warn!(target: "batch", "The log is too long to be followed here: {} bytes.", follower.held_bytes());
+                    *followed = None;
+                    return false;
+                }
+                has_more
+            }
+            Err(error) => {
+                ::log::error!(target: "batch", "The log can't be followed: {error}.");
+                *followed = None;
+                false
+            }
+        }
+    }
+
+    async fn ask(&self, set: &ReplicaSet, next: LogIndex) -> Option<DecidedPage> {
+        let member = set.members.get(self.turn.checked_rem(set.members.len())?)?;
+        let request = ReplicaRequest {
+            shard: shard(),
+            generation: set.generation,
+            store: member.store.clone(),
+            operation: Operation::ReadDecided(next),
+        };
+        let timeout = self.context.settings.store.call_timeout;
+        let response = exchange::ask(&self.context, member, request, timeout).await;
+        match response.map(|response| response.outcome) {
+            Some(Outcome::Decided { entries, base, decided_through, .. }) => {
+                Some(DecidedPage { entries, base, decided_through })
+            }
+            Some(_) => {
+                // Another set may be in force.
+                self.context.replica_sets.forget(&shard());
+                None
+            }
+            None => None,
+        }
+    }
+}
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! still appends.
 
 pub(crate) mod candidate;
+mod follower;
 mod keeper;
 mod load;
 mod log;
--- a/crates/daemon/src/store/exchange.rs
+++ b/crates/daemon/src/store/exchange.rs
@@ -21,7 +21,7 @@
 }
 
 /// Asks one replica. `None` where no answer came in time.
-pub(super) async fn ask(
+pub(crate) async fn ask(
     context: &Context,
     member: &SetMember,
     request: ReplicaRequest,
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -7,7 +7,7 @@
 pub mod claims;
 mod disk;
 pub mod error;
-mod exchange;
+pub(crate) mod exchange;
 pub mod heard_clock;
 mod metrics;
 pub mod reconfiguration;
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -141,13 +141,10 @@
 /// # Errors
 /// When no store knows the shard and the platform doesn't help.
 pub async fn find(context: &Context, shard: &ShardId) -> Result<ReplicaSet, ReplicaSetError> {
-    if let Some(set) = context.replica_sets.get(shard) {
+    if let Some(set) = find_among_stores(context, shard).await {
         return Ok(set);
     }
-    let set = match ask_stores(context, shard).await {
-        Some(set) => set,
-        None => read_or_create(context, shard).await?,
-    };
+    let set = read_or_create(context, shard).await?;
     context.replica_sets.put(&set);
     Ok(set)
 }
@@ -214,6 +211,16 @@
     Some(SetMember { store, node, zone, address: member.peer_address.to_string() })
 }
 
+/// The replica set of a shard as this node or a live store knows it; the platform is not asked.
+pub async fn find_among_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+    if let Some(set) = context.replica_sets.get(shard) {
+        return Some(set);
+    }
+    let set = ask_stores(context, shard).await?;
+    context.replica_sets.put(&set);
+    Some(set)
+}
+
 /// The latest set that any live store knows.
 async fn ask_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
     let deadline = context.settings.store.call_timeout;
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -10,7 +10,7 @@
 use lichenpulley_core::identity::{Epoch, ShardId};
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::entry::LogIndex;
-pub use lichenpulley_core::replication::log::RecoveredLog;
+pub use lichenpulley_core::replication::log::{KnownLog, RecoveredLog};
 use lichenpulley_core::replication::proposer::{
     AppendRefusal, EndReason, Proposer, ProposerConfig, ProposerEvent,
 };
@@ -105,20 +105,24 @@
         context: &Context,
         shard: &ShardId,
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
-        Self::take_over_knowing(context, shard, LogIndex::ZERO).await
+        Self::take_over_knowing(context, shard, KnownLog::default()).await
     }
 
-    /// The same for an owner that knows what is decided up to a position; recovers what follows.
-    async fn take_over_knowing(
+    /// The same for an owner that knows what is decided up to a position; recovers what follows. Where that has been
+    /// replaced by a snapshot, the snapshot is recovered too.
+    ///
+    /// # Errors
+    /// As for [`Self::take_over`].
+    pub async fn take_over_knowing(
         context: &Context,
         shard: &ShardId,
-        known_through: LogIndex,
+        known: KnownLog,
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
         let timeout = context.settings.store.call_timeout;
         let limit = Instant::now() + timeout * WHOLE_PATIENCE;
         loop {
             let deadline = Instant::now() + timeout * PATIENCE;
-            let mut log = Self::begin(context, shard, deadline, known_through).await?;
+            let mut log = Self::begin(context, shard, deadline, known).await?;
             match log.recover(Patience { quiet: timeout * PATIENCE, limit }).await {
                 Ok(recovered) => {
                     log.record_taken_over(&recovered);
@@ -183,7 +187,8 @@
         let through = self.proposer.append_next_set(next.clone()).map_err(|refusal| self.refused(refusal))?;
         self.decide(through).await?;
         self.install(&next).await?;
-        Self::take_over_knowing(&self.context, &self.shard, through).await
+        let known = KnownLog { through, ..KnownLog::default() };
+        Self::take_over_knowing(&self.context, &self.shard, known).await
     }
 
     /// Brings the set that the log chose into force.
@@ -254,7 +259,7 @@
         context: &Context,
         shard: &ShardId,
         deadline: Instant,
-        known_through: LogIndex,
+        known: KnownLog,
     ) -> Result<Self, ShardLogError> {
         let found = tokio::time::timeout_at(deadline, replica_sets::find(context, shard)).await;
         let set = match found {
@@ -275,7 +280,7 @@
         Ok(Self {
             context: context.clone(),
             shard: shard.clone(),
-            proposer: Proposer::new(set, proposer, Epoch(1), config).with_known(known_through),
+            proposer: Proposer::new(set, proposer, Epoch(1), config).with_known(known),
             exchange: Exchange::new(context.clone()),
             origin: Instant::now(),
             heard_at: Instant::now(),
