Let a node that starts read cheaply at first, and settle before it reads for itself

And after the final fault plain requests were refused until the wait was over.

Now a node asks for a list that may be seconds old, a tenth of a call, and serves by it; it settles for a second at least. The revision stays unknown, so that all is read anew afterwards.

--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -44,14 +44,34 @@
     /// # Errors
     /// When no answer comes in time.
     pub async fn list(&self, kind: &str) -> Result<List, PlatformError> {
+        self.list_pages(kind, objects::list_path).await
+    }
+
+    /// Reads all objects of a kind as they stood up to some seconds ago, which costs the store little.
+    ///
+    /// # Errors
+    /// When no answer comes in time.
+    pub async fn list_stale(&self, kind: &str) -> Result<List, PlatformError> {
+        self.list_pages(kind, objects::stale_list_path).await
+    }
+
+    async fn list_pages(
+        &self,
+        kind: &str,
+        path_after: impl Fn(&str, Option<&str>) -> String,
+    ) -> Result<List, PlatformError> {
         let mut all: Option<List> = None;
         loop {
             let after = all.as_ref().and_then(|list| list.items.last());
-            let path = objects::list_path(kind, after.map(|object| object.metadata.name.as_str()));
+            let path = path_after(kind, after.map(|object| object.metadata.name.as_str()));
             let page: List = self.http.get_json(self.address, &path, self.timeout).await?;
             let is_last = !page.has_more || page.items.is_empty();
             match &mut all {
-                Some(list) => list.items.extend(page.items),
+                Some(list) => {
+                    // Pages may be of different times: the whole is no newer than the oldest.
+                    list.at = list.at.min(page.at);
+                    list.items.extend(page.items);
+                }
                 None => all = Some(page),
             }
             if let Some(list) = all.take_if(|_| is_last) {
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -43,6 +43,8 @@
 
 /// A node that heard of no others for so long knows those it will know soon: a few rounds of gossip.
 const SETTLE_LOOK: Duration = Duration::from_millis(300);
+/// Where hundreds of nodes start together, each hears of the first others after some 0.7 seconds.
+const SETTLE_LEAST: Duration = Duration::from_millis(1_000);
 /// A node reads after so long though it still hears of others.
 const SETTLE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -100,6 +102,7 @@
 
 impl Watcher {
     async fn watch(&mut self) {
+        self.begin().await;
         self.settle().await;
         loop {
             let began = Instant::now();
@@ -135,6 +138,23 @@
         }
     }
 
+    /// Serves by what the platform gives cheaply until it is known from where to read. Only a beginning: the revision stays
+    /// unknown, so that all is read anew.
+    async fn begin(&mut self) {
+        if self.kind == MetadataKind::Versions {
+            return;
+        }
+        match self.client.list_stale(kind_name(self.kind)).await {
+            Ok(list) => {
+                let listed =
+                    list.items.into_iter().map(|object| (object.metadata.name, object.spec.to_string()));
+                self.objects = listed.collect();
+                self.publish(list.at);
+            }
+            Err(error) => log::info!(target: "metadata", "No first {:?} yet: {error}.", self.kind),
+        }
+    }
+
     /// Waits until the node has heard who else there is: which nodes read the platform depends on all of them, and each
     /// one that starts would take itself for the first. Takes a peer's copy meanwhile, where there is one.
     async fn settle(&mut self) {
@@ -143,7 +163,8 @@
         loop {
             tokio::time::sleep(SETTLE_LOOK).await;
             let heard = self.context.cluster.load().members.len();
-            if heard == nodes || began.elapsed() >= SETTLE_LIMIT {
+            let is_settled = heard == nodes && began.elapsed() >= SETTLE_LEAST;
+            if is_settled || began.elapsed() >= SETTLE_LIMIT {
                 return;
             }
             nodes = heard;
