Read the followed log from a store of the same zone, and tell what a takeover read

Now those of its own zone come first.

A takeover also tells by a decision (ledger_whole) how many bytes were followed and read and how long it took, and why it began: owner_silent, owner_left or owner_cut_off.

--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -17,6 +17,14 @@
     pub latest_origin: Epoch,
 }
 
+impl RecoveredLog {
+    /// Bytes of the snapshot and the records.
+    pub fn bytes(&self) -> usize {
+        let records: usize = self.records.iter().map(Vec::len).sum();
+        records + self.snapshot.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// What an owner knows already of a log that it takes over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KnownLog {
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -170,6 +170,17 @@
     Asked,
 }
 
+impl LookReason {
+    /// The name used in logs, as the reason of a takeover.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Due => "owner_silent",
+            Self::Told => "owner_left",
+            Self::Asked => "owner_cut_off",
+        }
+    }
+}
+
 impl Candidate {
     async fn run(&mut self) {
         loop {
@@ -179,7 +190,7 @@
             }
             if let Some(idle) = self.look(reason).await {
                 let followed = self.follower.take();
-                self.own(idle, followed).await;
+                self.own(reason, idle, followed).await;
                 self.follower.resume();
             }
         }
@@ -235,9 +246,10 @@
         }
     }
 
-    async fn own(&mut self, idle: Duration, followed: Option<LedgerFollower>) {
+    async fn own(&mut self, reason: LookReason, idle: Duration, followed: Option<LedgerFollower>) {
+        let began = Instant::now();
         let known = followed.as_ref().map(LedgerFollower::known).unwrap_or_default();
-        let decision = Decision::new(Component::Rollout, "taking_over", "owner_silent", shard());
+        let decision = Decision::new(Component::Rollout, "taking_over", reason.as_str(), shard());
         let decision = decision.with("idle_ms", idle.as_millis()).with("known_through", known.through);
         self.context.decisions.record(decision);
         let taken = ShardLog::take_over_knowing(&self.context, &shard(), known).await;
@@ -258,7 +270,13 @@
                 return self.context.batch_owner.store(None);
             }
         };
-        let held_bytes = followed_bytes + recovered.records.iter().map(Vec::len).sum::<usize>();
+        let read_bytes = recovered.bytes();
+        // A snapshot stands for all that was followed.
+        let followed_bytes = if recovered.snapshot.is_some() { 0 } else { followed_bytes };
+        let decision = Decision::new(Component::Rollout, "ledger_whole", reason.as_str(), shard());
+        let decision = decision.with("followed_bytes", followed_bytes).with("read_bytes", read_bytes);
+        self.context.decisions.record(decision.with("milliseconds", began.elapsed().as_millis()));
+        let held_bytes = followed_bytes + read_bytes;
         let (latest, offer) = (recovered.latest_origin, self.offer.take());
         let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer };
         let owner = Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), takeover);
--- a/crates/daemon/src/batch/follower.rs
+++ b/crates/daemon/src/batch/follower.rs
@@ -10,7 +10,7 @@
 use lichenpulley_core::batch::ledger_follower::{DecidedPage, LedgerFollower};
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
-use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
 use tokio::task::AbortHandle;
 
 use super::{candidate, shard};
@@ -75,7 +75,7 @@
 struct Task {
     context: Context,
     shared: Arc<Shared>,
-    /// Which store is read; another after one that gave nothing.
+    /// Which store is read, in the order of [`Self::member`]; another after one that gave nothing.
     turn: usize,
 }
 
@@ -132,8 +132,15 @@
         }
     }
 
+    /// The store to read: those of this zone first, since bytes between zones are priced.
+    fn member<'a>(&self, set: &'a ReplicaSet) -> Option<&'a SetMember> {
+        let mut members: Vec<&SetMember> = set.members.iter().collect();
+        members.sort_by_key(|member| member.zone != self.context.settings.zone);
+        members.get(self.turn.checked_rem(members.len())?).copied()
+    }
+
     async fn ask(&self, set: &ReplicaSet, next: LogIndex) -> Option<DecidedPage> {
-        let member = set.members.get(self.turn.checked_rem(set.members.len())?)?;
+        let member = self.member(set)?;
         let request = ReplicaRequest {
             shard: shard(),
             generation: set.generation,
