Ask a reader once more after the probes, and settle early where there are many nodes

Now a node that hears of as many others as make a large deployment has settled after a second, and a follower reads for itself only when a reader that it asks after the second probe is still behind. The tests of the rule say so, as strict as before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -3,7 +3,7 @@
 //! The platform bears few readers and prices each call, also those that it refuses. So a few nodes read it, and the
 //! others follow one of them. A follower's copy may be as old as its reader's last word from the platform: each answer
 //! tells that age. A follower to which some readers in a row gave nothing fresh asks the platform for a small answer,
-//! and reads for itself only once it got two: while the platform is away from all, no one asks it more than that.
+//! and reads for itself only once it got two and a reader after them is still behind: while the platform is away from all, no one asks it more than that.
 
 use std::time::Duration;
 
@@ -91,30 +91,30 @@
     }
 
     /// A reader answered with a copy of this age. Returns whether that is fresh.
-    pub fn answered(&mut self, age: Duration) -> bool {
+    pub fn answered(&mut self, now: Timestamp, age: Duration) -> bool {
         let is_fresh = age <= self.config.stale_after;
         if is_fresh {
             self.failures = 0;
             self.probes = 0;
         } else {
-            self.failed();
+            self.failed(now);
         }
         is_fresh
     }
 
-    /// A reader gave no answer.
-    pub const fn failed(&mut self) {
+    /// A reader gave no answer, or nothing fresh. After enough probes this node reads for itself.
+    pub fn failed(&mut self, now: Timestamp) {
         self.failures = self.failures.saturating_add(1);
-    }
-
-    /// The platform answered a probe, or did not.
-    pub fn probed(&mut self, now: Timestamp, is_reached: bool) {
-        self.probed_at = Some(now);
-        self.probes = if is_reached { self.probes + 1 } else { 0 };
         if self.probes >= self.config.needed_probes {
             self.probes = 0;
             self.failures = 0;
             self.direct_until = Some(now + self.config.direct_for);
         }
     }
+
+    /// The platform answered a probe, or did not.
+    pub const fn probed(&mut self, now: Timestamp, is_reached: bool) {
+        self.probed_at = Some(now);
+        self.probes = if is_reached { self.probes + 1 } else { 0 };
+    }
 }
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -57,22 +57,26 @@
         let wait_ms = if may_wait { HOLD.as_millis() as u64 } else { 0 };
         let request = MetadataRequest { kind: self.kind, newer_than, wait_ms };
         let answer = self.context.peers.metadata(reader.peer_address, request, HOLD + ANSWER_TIMEOUT).await;
+        let now = self.now();
         match answer {
             Ok(response) => {
                 let age = Duration::from_millis(response.age_ms);
                 self.context.metadata.freshness.confirm(self.kind, age);
-                let is_fresh = self.choice.answered(age);
+                let is_fresh = self.choice.answered(now, age);
                 if !is_fresh && !self.was_let_down {
                     log::info!(target: "metadata", "{:?} of {} is {} ms old: asking another.", self.kind, reader.node, response.age_ms);
                 }
                 self.turn += usize::from(!is_fresh);
                 self.was_let_down = !is_fresh;
+                if self.source() == ReadSource::Platform {
+                    log::info!(target: "metadata", "{:?} of all readers is old and the platform answers: reading it.", self.kind);
+                }
                 Some(response)
             }
             Err(error) => {
                 self.turn += 1;
                 self.was_let_down = true;
-                self.choice.failed();
+                self.choice.failed(now);
                 log::info!(target: "metadata", "{} gave no {:?}: {error}.", reader.node, self.kind);
                 None
             }
@@ -83,9 +87,6 @@
     pub(super) async fn probe(&mut self, client: &MetadataClient) {
         let is_reached = client.probe().await.is_ok();
         self.choice.probed(self.now(), is_reached);
-        if self.source() == ReadSource::Platform {
-            log::info!(target: "metadata", "{:?} of all readers is old and the platform answers: reading it.", self.kind);
-        }
     }
 
     /// The reader whose turn it is. Followers begin with different ones.
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -163,8 +163,9 @@
         loop {
             tokio::time::sleep(SETTLE_LOOK).await;
             let heard = self.context.cluster.load().members.len();
-            let is_settled = heard == nodes && began.elapsed() >= SETTLE_LEAST;
-            if is_settled || began.elapsed() >= SETTLE_LIMIT {
+            // In a large deployment more nodes change nothing; a small one may be the beginning of a large one.
+            let is_known = heard == nodes || heard >= self.context.settings.configuration.follow_from_nodes;
+            if (is_known && began.elapsed() >= SETTLE_LEAST) || began.elapsed() >= SETTLE_LIMIT {
                 return;
             }
             nodes = heard;
