Begin to follow a log only once its owner has settled, and never twice the same long one

Now a follower begins batch.follow_after_ms (5 s) after an owner began, goes on at once with what it has, keeps it while no owner is known, and leaves a log that was too long until the owner changes. lichenpulley_batch_followed_bytes shows how much is followed; a test over real nodes shows that a takeover goes on from it.

--- a/crates/daemon/src/batch/follower.rs
+++ b/crates/daemon/src/batch/follower.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use lichenpulley_core::batch::ledger_follower::{DecidedPage, LedgerFollower};
+use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use super::{candidate, shard};
 use crate::context::Context;
@@ -45,7 +47,7 @@
     /// Begins to follow whenever this node would own next.
     pub(super) fn spawn(context: Context) -> Self {
         let shared = Arc::<Shared>::default();
-        let task = tokio::spawn(Task { context, shared: Arc::clone(&shared), turn: 0 }.run());
+        let task = tokio::spawn(Task { context, shared: Arc::clone(&shared), turn: 0, owner: None }.run());
         Self { shared, task: task.abort_handle() }
     }
 
@@ -77,28 +79,63 @@
     shared: Arc<Shared>,
     /// Which store is read, in the order of [`Self::member`]; another after one that gave nothing.
     turn: usize,
+    /// The owner that is followed.
+    owner: Option<SeenOwner>,
+}
+
+/// An owner as this node sees it.
+struct SeenOwner {
+    node: NodeId,
+    since: Instant,
+    /// Whether its log was too long for this node: it is not begun again under the same owner.
+    is_too_long: bool,
+}
+
+/// What to do about the log now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FollowDuty {
+    /// Read on.
+    Follow,
+    /// Keep what there is, and read nothing.
+    Wait,
+    /// Another node follows.
+    Drop,
 }
 
 impl Task {
     async fn run(mut self) {
         loop {
-            if !self.should_follow() {
-                *self.shared.lock() = None;
-            } else if self.read_page().await {
-                continue;
+            match self.duty() {
+                FollowDuty::Follow if self.read_page().await => continue,
+                FollowDuty::Follow | FollowDuty::Wait => {}
+                FollowDuty::Drop => *self.shared.lock() = None,
             }
+            let followed_bytes = self.shared.lock().as_ref().map_or(0, LedgerFollower::held_bytes);
+            self.context.metrics.set_followed_bytes(followed_bytes);
             tokio::time::sleep(FOLLOW_INTERVAL).await;
         }
     }
 
-    /// Whether this node is the first coordinator beside the owner, and has room.
-    fn should_follow(&self) -> bool {
-        if self.shared.is_owning.load(Ordering::Relaxed) || self.context.draining.is_cancelled() {
-            return false;
+    fn duty(&mut self) -> FollowDuty {
+        if self.context.draining.is_cancelled() {
+            return FollowDuty::Drop;
         }
         let owner = self.context.batch_owner.load_full();
-        let Some(owner) = owner.filter(|owner| **owner != self.context.node) else { return false };
-        candidate::is_next(&self.context, &owner)
+        let Some(node) = owner.filter(|owner| **owner != self.context.node) else { return FollowDuty::Wait };
+        if self.shared.is_owning.load(Ordering::Relaxed) {
+            return FollowDuty::Wait;
+        }
+        if !candidate::is_next(&self.context, &node) {
+            return FollowDuty::Drop;
+        }
+        if self.owner.as_ref().is_none_or(|seen| seen.node != *node) {
+            self.owner =
+                Some(SeenOwner { node: NodeId::clone(&node), since: Instant::now(), is_too_long: false });
+        }
+        let Some(seen) = &self.owner else { return FollowDuty::Wait };
+        let has_begun = self.shared.lock().is_some();
+        let is_settled = seen.since.elapsed() >= self.context.settings.batch.follow_after;
+        if !seen.is_too_long && (has_begun || is_settled) { FollowDuty::Follow } else { FollowDuty::Wait }
     }
 
     /// Reads once; returns whether there is more.
@@ -120,6 +157,9 @@
                 if follower.held_bytes() > most_bytes {
                     ::log::warn!(target: "batch", "The log is too long to be followed here: {} bytes.", follower.held_bytes());
                     *followed = None;
+                    if let Some(seen) = &mut self.owner {
+                        seen.is_too_long = true;
+                    }
                     return false;
                 }
                 has_more
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,6 +22,7 @@
     peer_bytes: IntCounterVec,
     latencies: HistogramVec,
     batch_items: IntGaugeVec,
+    followed_bytes: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -92,7 +93,13 @@
         );
         let latencies = latencies(&registry);
         let batch_items = batch_items(&registry);
-        let dropped_lines = dropped_lines(&registry);
+        let followed_bytes = gauge(
+            &registry,
+            "lichenpulley_batch_followed_bytes",
+            "Bytes of the batch jobs' log that the node which would own them next has followed",
+        );
+        let dropped_lines =
+            gauge(&registry, "lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
         Self {
             registry,
             decisions,
@@ -101,6 +108,7 @@
             peer_bytes,
             latencies,
             batch_items,
+            followed_bytes,
             dropped_lines,
         }
     }
@@ -131,6 +139,11 @@
         set("waiting", waiting);
     }
 
+    /// How many bytes of the batch jobs' log this node has followed; none where another would own next.
+    pub fn set_followed_bytes(&self, bytes: usize) {
+        self.followed_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Counts a peer's connection that was closed for what arrived on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.closed_connections.with_label_values(&[reason]).inc();
@@ -209,11 +222,10 @@
     items
 }
 
-fn dropped_lines(registry: &Registry) -> IntGauge {
-    let lines = IntGauge::new("lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
-    let lines = lines.expect("a valid name");
-    registry.register(Box::new(lines.clone())).expect("registered once");
-    lines
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("a valid name");
+    registry.register(Box::new(gauge.clone())).expect("registered once");
+    gauge
 }
 
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -175,6 +175,8 @@
     pub order_lease: Duration,
     /// How often the owner looks at what is due.
     pub tick_interval: Duration,
+    /// The node that would own next begins to follow the log so long after an owner began.
+    pub follow_after: Duration,
 }
 
 impl BatchSettings {
@@ -183,6 +185,8 @@
             takeover_after: reader.milliseconds("batch.takeover_after_ms", 1_000, 200..=60_000),
             order_lease: reader.milliseconds("batch.order_lease_ms", 3_000, 0..=600_000),
             tick_interval: reader.milliseconds("batch.tick_interval_ms", 50, 5..=1_000),
+            // Longer than a new owner reads a log of 45 MB (2.7 s): both would ask the same stores.
+            follow_after: reader.milliseconds("batch.follow_after_ms", 5_000, 0..=600_000),
         }
     }
 }
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -184,23 +184,24 @@
     assert!(refused(unknown).await.contains("elsewhere.example"));
 }
 
+async fn metrics_of(system: &System, gateway: usize) -> String {
+    let operators = system.gateways[gateway].as_ref().expect("a gateway").addresses().operators;
+    let text = system.http.get_bytes(operators, "/metrics", PATIENCE).await.expect("metrics");
+    String::from_utf8(text.to_vec()).expect("text")
+}
+
 #[tokio::test]
 async fn latencies_and_decisions_are_counted_where_operators_look() {
     let system = System::start(2, 5).await;
     system.submit(0, "job", 4, 1).await;
     system.results(0, "job").await;
     system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    let metrics_of = async |gateway: usize| {
-        let operators = system.gateways[gateway].as_ref().expect("a gateway").addresses().operators;
-        let text = system.http.get_bytes(operators, "/metrics", PATIENCE).await.expect("metrics");
-        String::from_utf8(text.to_vec()).expect("text")
-    };
-    let gateway = metrics_of(0).await;
+    let gateway = metrics_of(&system, 0).await;
     assert!(
         gateway.contains(r#"lichenpulley_latency_seconds_count{of="request",outcome="answered"}"#),
         "{gateway}"
     );
-    let owner = metrics_of(system.owner()).await;
+    let owner = metrics_of(&system, system.owner()).await;
     assert!(
         owner.contains(r#"lichenpulley_latency_seconds_count{of="item_run",outcome="complete"} 4"#),
         "{owner}"
@@ -232,6 +233,49 @@
     assert!(results.iter().all(|result| result["text"] == whole_text(60)), "each text is whole");
 }
 
+/// How many bytes of the log a gateway has followed, by its metrics.
+async fn followed_bytes(system: &System, gateway: usize) -> u64 {
+    let text = metrics_of(system, gateway).await;
+    let value = text.lines().find_map(|line| line.strip_prefix("lichenpulley_batch_followed_bytes "));
+    value.expect("the gauge").parse().expect("bytes")
+}
+
+#[tokio::test]
+async fn the_next_owner_has_followed_the_log_and_reads_only_what_came_last() {
+    let mut system = System::start(2, 3).await;
+    for number in 0..4 {
+        system.submit(0, &format!("job-{number}"), 20, 1).await;
+        system.results(0, &format!("job-{number}")).await;
+    }
+    let owner = system.owner();
+    let followed_before = tokio::time::timeout(PATIENCE, async {
+        loop {
+            match followed_bytes(&system, 1 - owner).await {
+                0 => tokio::time::sleep(Duration::from_millis(50)).await,
+                bytes => return bytes,
+            }
+        }
+    });
+    let followed_before = followed_before.await.expect("the next owner follows");
+    let next = system.gateways[1 - owner].as_ref().expect("the next owner");
+    let mut decisions = next.context().decisions.watch();
+    system.gateways[owner].take().expect("the owner").kill();
+    let whole = async {
+        loop {
+            let event = decisions.recv().await.expect("a decision");
+            if event.decision.action == "ledger_whole" {
+                return event.decision;
+            }
+        }
+    };
+    let decision = tokio::time::timeout(PATIENCE, whole).await.expect("a takeover");
+    let followed = decision.inputs.iter().find(|input| input.name == "followed_bytes").expect("an input");
+    assert!(followed.value.parse::<u64>().expect("bytes") >= followed_before, "{decision:?}");
+    for number in 0..4 {
+        assert_eq!(system.results(1 - owner, &format!("job-{number}")).await.len(), 20);
+    }
+}
+
 #[tokio::test]
 async fn a_named_version_is_loaded_under_a_fence_and_runs_what_needs_it() {
     let system = System::start(2, 3).await;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -124,6 +124,7 @@
         settings.membership.probe_interval = Duration::from_millis(200);
         settings.membership.probe_timeout = Duration::from_millis(100);
         settings.batch.order_lease = Duration::from_millis(500);
+        settings.batch.follow_after = Duration::ZERO;
         settings.store.replace_after = Duration::from_secs(3_600);
         settings.store.set_size = SetSize::tolerating(self.tolerated_losses);
         let seeds = self.stores.iter().flatten().map(|node| node.addresses().peers);
