Serve callers by the keys of their tenants

A request needs a known key where tenants are configured and its route isn't public: 401 otherwise, also for batch calls. The tenant's name replaces what the caller sent, the key never leaves the node. A job belongs to its tenant: to others it isn't there. Two tenants with one key or name, empty and over-long keys, and bounds of scaling that contradict themselves are refused with a remedy.

Ruled out: keys in clear in the directory, compared in constant time (83 tenants with some keys each would be compared one by one); a look-up by digest takes the same time for each key.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -5,6 +5,7 @@
 use crate::batch::score_plan::{ScoreId, ScoreStart};
 use crate::batch::weights::Load;
 use crate::decision::Decision;
+use crate::identity::TenantName;
 use crate::ingress::replicas::ReplicaRecord;
 
 /// Names one run of one item within the life of an owner.
@@ -20,6 +21,8 @@
     pub replica: ReplicaRecord,
     /// The host of the job's route.
     pub host: String,
+    /// Whose job it is.
+    pub tenant: Option<TenantName>,
     /// The item.
     pub item: BatchItem,
     /// The last event that is kept: the run begins after it.
@@ -96,4 +99,6 @@
     Pending,
     /// There is no room for it; nothing of it runs.
     Full,
+    /// Another tenant's job has its id; nothing of it runs.
+    IdTaken,
 }
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -265,8 +265,9 @@
 
     /// Takes a job.
     pub fn submit(&mut self, now: Timestamp, job: BatchJob) -> Submission {
-        if self.ledger.job(&job.id).is_some() {
-            return Submission::Kept;
+        if let Some(kept) = self.ledger.job(&job.id) {
+            let is_own = kept.job.is_open_to(job.tenant.as_ref());
+            return if is_own { Submission::Kept } else { Submission::IdTaken };
         }
         if self.accepting.contains(&job.id) {
             return Submission::Pending;
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -18,6 +18,7 @@
         let Some(request) = job.job.items.get(item as usize).and_then(|item| item.scorer.clone()) else {
             return;
         };
+        let tenant = job.job.tenant.clone();
         let is_whole = job.items.get(item as usize).is_some_and(|state| state.is_whole);
         let key = (batch.clone(), item);
         let Some(live) = self.items.get_mut(&key).filter(|live| is_whole && live.stage != ItemStage::Listing)
@@ -25,7 +26,7 @@
             return;
         };
         live.stage = ItemStage::Scoring;
-        self.scores.add(key, request, now);
+        self.scores.add(key, request, tenant, now);
     }
 
     pub(super) fn start_scores(&mut self, now: Timestamp) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -197,7 +197,8 @@
             starts_anew = true;
         }
         let Some(chosen) = chosen else { return false };
-        let (tokens, request, host) = (need.tokens, request.clone(), job.job.host.clone());
+        let (tokens, request) = (need.tokens, request.clone());
+        let (host, tenant) = (job.job.host.clone(), job.job.tenant.clone());
         let Some(state) = self.replicas.get_mut(&chosen) else { return false };
         state.running += 1;
         state.tokens += tokens;
@@ -220,7 +221,8 @@
             .with("run", run.0)
             .with("after_event", last_event.map_or_else(|| "none".to_owned(), |number| number.to_string()));
         self.decide(decision);
-        let start = RunStart { run, replica, host, item: request, last_event, urgency: DEFAULT_URGENCY };
+        let start =
+            RunStart { run, replica, host, tenant, item: request, last_event, urgency: DEFAULT_URGENCY };
         self.actions.push_back(Action::Start(Box::new(start)));
         true
     }
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::identity::BatchId;
+use crate::identity::{BatchId, TenantName};
 
 /// A request that scores an item's text once it is whole. The signature of its successful answer is the score.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -49,6 +49,8 @@
     pub route: String,
     /// The host under which it came.
     pub host: String,
+    /// Whose job it is; `None` where callers need no key.
+    pub tenant: Option<TenantName>,
     /// The trainer's step.
     pub step: Option<u64>,
     /// The oldest version of the weights allowed to make its tokens.
@@ -59,6 +61,16 @@
     pub items: Vec<BatchItem>,
 }
 
+impl BatchJob {
+    /// Whether a caller of this tenant may see and end the job. Where callers need no key, each may.
+    pub fn is_open_to(&self, caller: Option<&TenantName>) -> bool {
+        match (&self.tenant, caller) {
+            (Some(owner), Some(caller)) => owner == caller,
+            _ => true,
+        }
+    }
+}
+
 /// One event of an item's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct KeptEvent {
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::job::ScoreRequest;
-use crate::identity::BatchId;
+use crate::identity::{BatchId, TenantName};
 use crate::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
 use crate::ingress::routes::{Route, RouteTable};
 use crate::retry::budget::{BudgetConfig, RetryBudget};
@@ -48,6 +48,8 @@
     pub replica: ReplicaRecord,
     /// How long the replica may take.
     pub patience: Duration,
+    /// Whose job the request belongs to.
+    pub tenant: Option<TenantName>,
 }
 
 /// How a sending ended.
@@ -83,6 +85,7 @@
 struct WaitingScore {
     key: ItemKey,
     request: ScoreRequest,
+    tenant: Option<TenantName>,
     /// Replicas that gave no score so far, the last ones.
     tried: Vec<String>,
     tries: u32,
@@ -118,8 +121,14 @@
 
 impl ScorePlan {
     /// An item's text is whole and kept.
-    pub(super) fn add(&mut self, key: ItemKey, request: ScoreRequest, now: Timestamp) {
-        let waiting = WaitingScore { key, request, tried: Vec::new(), tries: 0, not_before: now };
+    pub(super) fn add(
+        &mut self,
+        key: ItemKey,
+        request: ScoreRequest,
+        tenant: Option<TenantName>,
+        now: Timestamp,
+    ) {
+        let waiting = WaitingScore { key, request, tenant, tried: Vec::new(), tries: 0, not_before: now };
         self.waiting.push_back(waiting);
     }
 
@@ -184,6 +193,7 @@
             request: waiting.request.clone(),
             replica: chosen,
             patience,
+            tenant: waiting.tenant.clone(),
         })
     }
 
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -94,6 +94,10 @@
     /// A batch job: a set of requests taken together and run afterwards.
     BatchId
 );
+name_type!(
+    /// A tenant: a customer of the deployment, whose keys callers bring.
+    TenantName
+);
 name_type!(
     /// A shard of control work: `job/<job>`, `weights/<pool>` or `claims/<bucket>`.
     ShardId
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -4,3 +4,4 @@
 pub mod lapse;
 pub mod replicas;
 pub mod routes;
+pub mod tenants;
--- a/crates/core/src/ingress/routes.rs
+++ b/crates/core/src/ingress/routes.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::tenants::TenantDirectory;
+
 /// What a route's requests are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -52,6 +54,10 @@
     pub due: Duration,
     /// Whether a result must come from a single version of the weights.
     pub needs_single_version: bool,
+    /// Its rank among routes, 0 first; that of a caller's tenant goes before it.
+    pub priority: u32,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -79,7 +85,7 @@
 }
 
 /// A service: replicas that serve the same.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Requests that a replica takes at a time where it does not say so itself.
     pub slots: u32,
@@ -87,6 +93,46 @@
     pub memory_tokens: Option<u64>,
     /// The models that its replicas serve.
     pub models: Vec<String>,
+    /// How its replicas may be ordered; `None` where their number is not ours to choose.
+    pub scaling: Option<ScalingBounds>,
+}
+
+/// How the replicas of a service may be ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingBounds {
+    /// The fewest in a zone.
+    pub least: u32,
+    /// The most in a zone.
+    pub most: u32,
+    /// How long a new one takes until it serves.
+    pub start_time: Duration,
+    /// What a second of a replica costs in each zone, in proportion to others.
+    pub zone_prices: BTreeMap<String, f64>,
+    /// What one that may be taken away costs, as a part of another.
+    pub preemptible_price: Option<f64>,
+}
+
+impl ScalingBounds {
+    /// Bounds whose fewest and most fit together.
+    ///
+    /// # Errors
+    /// When they don't.
+    pub fn check(self) -> Result<Self, ScalingError> {
+        if self.least > self.most {
+            return Err(ScalingError { least: self.least, most: self.most });
+        }
+        Ok(self)
+    }
+}
+
+/// More replicas are asked for at least than at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("at least {least} replicas of a zone are more than at most {most}; lower the one or raise the other")]
+pub struct ScalingError {
+    /// The fewest in a zone.
+    pub least: u32,
+    /// The most in a zone.
+    pub most: u32,
 }
 
 /// Bounds on what callers send.
@@ -113,6 +159,8 @@
     pub services: BTreeMap<String, Service>,
     /// Bounds on what callers send.
     pub limits: Limits,
+    /// Tenants; `None` where callers need no key.
+    pub tenants: Option<TenantDirectory>,
 }
 
 impl RouteTable {
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -52,6 +52,8 @@
         max_queue: Duration::from_secs(40),
         due: Duration::from_secs(8),
         needs_single_version,
+        priority: 1,
+        is_public: false,
     };
     let scorers = Route {
         name: "scores".to_owned(),
@@ -63,7 +65,8 @@
         is_resumable: false,
         ..route.clone()
     };
-    let service = Service { slots: 2, memory_tokens: Some(10_000), models: vec![MODEL.to_owned()] };
+    let service =
+        Service { slots: 2, memory_tokens: Some(10_000), models: vec![MODEL.to_owned()], scaling: None };
     let limits = Limits {
         header_bytes: 16 << 10,
         body_bytes: 1 << 20,
@@ -71,7 +74,7 @@
         idle_timeout: Duration::from_secs(15),
     };
     let services = BTreeMap::from([("engines".to_owned(), service)]);
-    Arc::new(RouteTable { version: 1, routes: vec![route, scorers], services, limits })
+    Arc::new(RouteTable { version: 1, routes: vec![route, scorers], services, limits, tenants: None })
 }
 
 pub(crate) fn job(id: &str, items: usize, min_version: u64) -> BatchJob {
@@ -90,6 +93,7 @@
         id: BatchId::new(id),
         route: "rollouts".to_owned(),
         host: "host".to_owned(),
+        tenant: None,
         step: Some(0),
         min_version,
         desired_groups: Some(1),
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -28,6 +28,8 @@
         max_queue: LONG,
         due: LONG,
         needs_single_version: false,
+        priority: 1,
+        is_public: false,
     }
 }
 
@@ -36,7 +38,7 @@
     let limits = Limits { header_bytes: 1, body_bytes: 1, header_timeout: LONG, idle_timeout: LONG };
     let routes =
         vec![route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "i", "/a/b/c/")];
-    let table = RouteTable { version: 1, routes, services: BTreeMap::new(), limits };
+    let table = RouteTable { version: 1, routes, services: BTreeMap::new(), limits, tenants: None };
     let found = |host, path| table.find(host, path).map(|route| route.name.as_str());
     assert_eq!(found("h", "/a/b/c/d"), Some("long"));
     assert_eq!(found("h", "/a/x"), Some("short"));
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -12,7 +12,7 @@
 use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::batch::score_plan::ScoreId;
-use lichenpulley_core::identity::{BatchId, Epoch, NodeId};
+use lichenpulley_core::identity::{BatchId, Epoch, NodeId, TenantName};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
 use tokio::runtime::Handle;
@@ -68,6 +68,7 @@
     batch: BatchId,
     from: u64,
     until: Instant,
+    caller: Option<TenantName>,
     command: Command,
 }
 
@@ -367,17 +368,21 @@
                 let job = job.clone();
                 self.submit(job, command);
             }
-            BatchRequest::Read { batch, from, wait_ms } => {
+            BatchRequest::Read { batch, from, wait_ms, caller } => {
                 let until = Instant::now() + Duration::from_millis(*wait_ms);
-                let reader = Reader { batch: batch.clone(), from: *from, until, command };
+                let (batch, caller) = (batch.clone(), caller.clone());
+                let reader = Reader { batch, from: *from, until, caller, command };
                 self.readers.push(reader);
                 self.answer_readers();
             }
-            BatchRequest::ItemBody { batch, item } => {
-                let response = self.item_body(batch, item);
+            BatchRequest::ItemBody { batch, item, caller } => {
+                let response = self.item_body(batch, item, caller.as_ref());
                 command.answer(response);
             }
-            BatchRequest::End(batch) => {
+            BatchRequest::End { batch, caller } => {
+                if self.is_hidden(batch, caller.as_ref()) {
+                    return command.answer(BatchResponse::Unknown);
+                }
                 let batch = batch.clone();
                 self.end(batch, command);
             }
@@ -392,9 +397,15 @@
             Submission::Kept => command.answer(BatchResponse::Taken),
             Submission::Pending => self.submissions.push((batch, command)),
             Submission::Full => command.answer(BatchResponse::Full),
+            Submission::IdTaken => command.answer(BatchResponse::IdTaken),
         }
     }
 
+    /// Whether a job is another tenant's: to this caller it is as if it weren't there.
+    fn is_hidden(&self, batch: &BatchId, caller: Option<&TenantName>) -> bool {
+        self.controller.ledger().job(batch).is_some_and(|state| !state.job.is_open_to(caller))
+    }
+
     fn end(&mut self, batch: BatchId, command: Command) {
         match self.controller.end(self.now(), &batch) {
             Some(true) => command.answer(BatchResponse::Ended),
@@ -403,9 +414,12 @@
         }
     }
 
-    fn item_body(&self, batch: &BatchId, item: &str) -> BatchResponse {
+    fn item_body(&self, batch: &BatchId, item: &str, caller: Option<&TenantName>) -> BatchResponse {
         let body = || {
             let job = self.controller.ledger().job(batch)?;
+            if !job.job.is_open_to(caller) {
+                return None;
+            }
             let position = *job.positions.get(item)?;
             Some(job.job.items.get(position as usize)?.body.clone())
         };
@@ -442,6 +456,9 @@
             }
             match self.controller.ledger().job(&reader.batch) {
                 None => reader.command.answer(BatchResponse::Unknown),
+                Some(state) if !state.job.is_open_to(reader.caller.as_ref()) => {
+                    reader.command.answer(BatchResponse::Unknown)
+                }
                 Some(job) if (job.results.len() as u64) <= reader.from && now < reader.until => {
                     self.readers.push(reader);
                 }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response};
 use lichenpulley_core::batch::controller::{RunEnd, RunEvent, RunId, RunStart};
 use lichenpulley_core::batch::job::KeptEvent;
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::ingress::callers;
 use crate::ingress::pool::{Exchange, ReplicaPool};
 use crate::ingress::sse::EventSplitter;
 use crate::metrics::Latency;
@@ -57,6 +58,10 @@
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         fields.append(name, HeaderValue::from_str(value).ok()?);
     }
+    if start.tenant.is_some() {
+        fields.remove(AUTHORIZATION);
+        callers::put_tenant(fields, start.tenant.as_ref());
+    }
     fields.insert(HOST, start.host.parse().ok()?);
     fields.insert(headers::REQUEST_ID, start.item.id.parse().ok()?);
     fields.insert(headers::EXPECT_REPLICA, start.replica.id.parse().ok()?);
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
-use crate::ingress::headers as fields;
 use crate::ingress::pool::{Exchange, ReplicaPool, SendError};
+use crate::ingress::{callers, headers as fields};
 use crate::metrics::Latency;
 
 /// Longest answer that is read, in bytes.
@@ -68,6 +68,7 @@
     let head = request.headers_mut();
     head.insert(HOST, start.request.host.parse().ok()?);
     head.insert(headers::REQUEST_ID, start.request.id.parse().ok()?);
+    callers::put_tenant(head, start.tenant.as_ref());
     fields::address_to(head, &start.replica.id, start.patience);
     Some(request)
 }
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+use super::callers::Caller;
 use super::forward::read_body;
 use super::refusal::Refusal;
 use super::{Ingress, headers};
@@ -31,6 +32,7 @@
     ingress: &Ingress,
     table: &RouteTable,
     route: &Route,
+    caller: &Caller,
     host: &str,
     request: Request<Incoming>,
 ) -> Response<Body> {
@@ -43,7 +45,8 @@
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
-    let job = match batch::read_job(BatchId::new(id.clone()), host, &route.name, &body) {
+    let tenant = caller.tenant().cloned();
+    let job = match batch::read_job(BatchId::new(id.clone()), host, &route.name, tenant, &body) {
         Ok(job) => job,
         Err(error) => {
             ::log::info!(target: "batch", "Batch job {id} is refused: {error}.");
@@ -58,6 +61,7 @@
     match ingress.batch.ask(BatchRequest::Submit(job)).await {
         BatchResponse::Taken => answer_empty(StatusCode::ACCEPTED, &id),
         BatchResponse::Full => refuse(Refusal::Full),
+        BatchResponse::IdTaken => refuse(Refusal::IdTaken),
         BatchResponse::Unavailable => refuse(Refusal::NoOwner),
         _ => refuse(Refusal::InDoubt),
     }
@@ -80,26 +84,33 @@
 }
 
 /// Answers a call for a job that was taken.
-pub(super) async fn handle(ingress: &Ingress, call: Request<Incoming>) -> Response<Body> {
+pub(super) async fn handle(ingress: &Ingress, caller: &Caller, call: Request<Incoming>) -> Response<Body> {
     let path = call.uri().path().to_owned();
     let method = call.method().clone();
     if let Some(id) = path.strip_prefix(batch::JOB_PREFIX) {
         let id = BatchId::new(id);
         return match method {
-            Method::GET => read(ingress, id, &call).await,
-            Method::DELETE => end(ingress, id).await,
+            Method::GET => read(ingress, caller, id, &call).await,
+            Method::DELETE => end(ingress, caller, id).await,
             _ => Refusal::NoRoute.respond(&ingress.context, &call),
         };
     }
     let item = request::query_parameter(&call, batch::ITEM_PARAMETER);
     match (path.strip_prefix(batch::ITEM_PREFIX), item) {
-        (Some(id), Some(item)) if method == Method::GET => item_body(ingress, BatchId::new(id), item).await,
+        (Some(id), Some(item)) if method == Method::GET => {
+            item_body(ingress, caller, BatchId::new(id), item).await
+        }
         (Some(_), None) => Refusal::Incomplete.respond(&ingress.context, &call),
         _ => Refusal::NoRoute.respond(&ingress.context, &call),
     }
 }
 
-async fn read(ingress: &Ingress, batch: BatchId, call: &Request<Incoming>) -> Response<Body> {
+async fn read(
+    ingress: &Ingress,
+    caller: &Caller,
+    batch: BatchId,
+    call: &Request<Incoming>,
+) -> Response<Body> {
     let from = request::query_parameter(call, batch::FROM_PARAMETER);
     let Ok(from) = from.map_or(Ok(0), |from| from.parse::<u64>()) else {
         return Refusal::Incomplete.respond(&ingress.context, call);
@@ -107,7 +118,8 @@
     let wait_ms = headers::text(call.headers(), names::WAIT_MS).and_then(|wait| wait.trim().parse().ok());
     let wait_ms = wait_ms.unwrap_or(0).min(LONGEST_WAIT_MS);
     let subject = batch.to_string();
-    match ingress.batch.ask(BatchRequest::Read { batch, from, wait_ms }).await {
+    let caller = caller.tenant().cloned();
+    match ingress.batch.ask(BatchRequest::Read { batch, from, wait_ms, caller }).await {
         BatchResponse::Results { total, results } => write_results(ingress, &subject, total, from, results),
         other => refuse(ingress, &subject, &other),
     }
@@ -135,17 +147,17 @@
     }
 }
 
-async fn end(ingress: &Ingress, batch: BatchId) -> Response<Body> {
+async fn end(ingress: &Ingress, caller: &Caller, batch: BatchId) -> Response<Body> {
     let subject = batch.to_string();
-    match ingress.batch.ask(BatchRequest::End(batch)).await {
+    match ingress.batch.ask(BatchRequest::End { batch, caller: caller.tenant().cloned() }).await {
         BatchResponse::Ended => answer_empty(StatusCode::OK, &subject),
         other => refuse(ingress, &subject, &other),
     }
 }
 
-async fn item_body(ingress: &Ingress, batch: BatchId, item: String) -> Response<Body> {
+async fn item_body(ingress: &Ingress, caller: &Caller, batch: BatchId, item: String) -> Response<Body> {
     let subject = item.clone();
-    match ingress.batch.ask(BatchRequest::ItemBody { batch, item }).await {
+    match ingress.batch.ask(BatchRequest::ItemBody { batch, item, caller: caller.tenant().cloned() }).await {
         BatchResponse::Body(body) => Response::new(response::full(body)),
         other => refuse(ingress, &subject, &other),
     }
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -13,6 +13,7 @@
 use lichenpulley_platform::headers as names;
 use tokio::time::Instant;
 
+use super::callers::Caller;
 use super::pool::{Exchange, SendError};
 use super::refusal::Refusal;
 use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
@@ -36,6 +37,8 @@
     /// When the caller or the route gives it up.
     pub(super) limit: Instant,
     pub(super) service: String,
+    /// Who sent it.
+    caller: Caller,
     /// When it was read whole.
     began: Instant,
     /// The version of the configuration by which it was routed.
@@ -48,6 +51,7 @@
         ingress: &Ingress,
         table: &RouteTable,
         route: &Route,
+        caller: Caller,
         request: Request<Incoming>,
     ) -> Result<Self, Response<Body>> {
         let began = Instant::now();
@@ -61,7 +65,7 @@
             return Err(refuse(Refusal::NoReplica));
         };
         let (began, configuration) = (Instant::now(), table.version);
-        Ok(Self { parts, body, request_id, limit, service, began, configuration })
+        Ok(Self { parts, body, request_id, limit, service, caller, began, configuration })
     }
 
     pub(super) fn remaining(&self) -> Duration {
@@ -71,6 +75,7 @@
     /// The request for one replica; `last_event` makes it begin after that event.
     pub(super) fn build(&self, replica: &str, last_event: Option<&str>) -> Request<Full<Bytes>> {
         let mut fields = headers::end_to_end(&self.parts.headers);
+        self.caller.replace_identity(&mut fields);
         headers::address_to(&mut fields, replica, self.remaining());
         if let Some(number) = last_event.and_then(|number| number.parse().ok()) {
             fields.insert(names::LAST_EVENT_ID, number);
@@ -154,9 +159,10 @@
     ingress: &Ingress,
     table: &RouteTable,
     route: &Route,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let call = match Call::read(ingress, table, route, request).await {
+    let call = match Call::read(ingress, table, route, caller, request).await {
         Ok(call) => call,
         Err(refusal) => return refusal,
     };
--- a/crates/daemon/src/ingress/headers.rs
+++ b/crates/daemon/src/ingress/headers.rs
@@ -19,7 +19,12 @@
 
 /// A field as text.
 pub(super) fn text<'a>(fields: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    fields.get(name)?.to_str().ok()
+    as_text(fields.get(name)?)
+}
+
+/// A value as text.
+pub(super) fn as_text(value: &HeaderValue) -> Option<&str> {
+    value.to_str().ok()
 }
 
 /// How long the caller will wait.
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Callers in the platform's own form: plain requests are passed on whole, batch jobs go to their owner.
 
 mod batch_calls;
+pub(crate) mod callers;
 mod forward;
 pub(crate) mod headers;
 pub mod pool;
@@ -22,6 +23,7 @@
 use crate::batch::BatchJobs;
 use crate::context::Context;
 use crate::http::Body;
+use callers::Caller;
 use pool::ReplicaPool;
 use refusal::Refusal;
 
@@ -47,18 +49,24 @@
             return Refusal::NoConfiguration.respond(&self.context, &request);
         };
         if batch_calls::is_call(request.uri().path()) {
-            return batch_calls::handle(self, request).await;
+            return match Caller::identify(&table, request.headers(), false) {
+                Ok(caller) => batch_calls::handle(self, &caller, request).await,
+                Err(_) => Refusal::UnknownKey.respond(&self.context, &request),
+            };
         }
         let host = headers::host(&request);
         let Some(route) = table.find(&host, request.uri().path()).cloned() else {
             return Refusal::NoRoute.respond(&self.context, &request);
         };
+        let Ok(caller) = Caller::identify(&table, request.headers(), route.is_public) else {
+            return Refusal::UnknownKey.respond(&self.context, &request);
+        };
         match route.kind {
             RouteKind::Idempotent | RouteKind::NonIdempotent => {
-                forward::handle(self, &table, &route, request).await
+                forward::handle(self, &table, &route, caller, request).await
             }
-            RouteKind::Streaming => stream::handle(self, &table, &route, request).await,
-            RouteKind::Batch => batch_calls::submit(self, &table, &route, &host, request).await,
+            RouteKind::Streaming => stream::handle(self, &table, &route, caller, request).await,
+            RouteKind::Batch => batch_calls::submit(self, &table, &route, &caller, &host, request).await,
         }
     }
 
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -16,6 +16,8 @@
 pub(super) enum Refusal {
     /// This node knows no configuration yet.
     NoConfiguration,
+    /// The caller needs a key and brought none that is known.
+    UnknownKey,
     /// No route fits the host and path.
     NoRoute,
     /// No replica of the service takes work.
@@ -40,6 +42,8 @@
     NoOwner,
     /// There is no room for a batch job.
     Full,
+    /// Another tenant's batch job has the id.
+    IdTaken,
     /// The batch job may have been taken, or not.
     InDoubt,
 }
@@ -55,6 +59,8 @@
             Self::NoConfiguration | Self::NoReplica | Self::NotRun | Self::NoOwner => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::IdTaken => StatusCode::CONFLICT,
             Self::NoRoute | Self::UnknownBatch => StatusCode::NOT_FOUND,
             Self::Unknown | Self::InDoubt => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -68,6 +74,8 @@
     const fn kind(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::UnknownKey => "unknown_key",
+            Self::IdTaken => "id_taken",
             Self::NoRoute => "no_route",
             Self::NoReplica => "no_replica",
             Self::NotRun => "not_run",
@@ -94,6 +102,8 @@
             Self::BodyTooSlow => "send the body at once",
             Self::BadBody => "mend the body",
             Self::Incomplete => "add the field or parameter that the call needs",
+            Self::UnknownKey => "bring a key of a tenant, as `Authorization: Bearer KEY`",
+            Self::IdTaken => "choose another id",
             Self::UnknownBatch => "check the id",
             Self::InDoubt => "send the same batch job again: it is taken once",
         }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
+use super::callers::Caller;
 use super::forward::{Call, judge};
 use super::pool::{Exchange, SendError};
 use super::refusal::Refusal;
@@ -56,10 +57,11 @@
     ingress: &Ingress,
     table: &RouteTable,
     route: &Route,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Response<Body> {
     let last_event = headers::text(request.headers(), names::LAST_EVENT_ID).map(str::to_owned);
-    let call = match Call::read(ingress, table, route, request).await {
+    let call = match Call::read(ingress, table, route, caller, request).await {
         Ok(call) => call,
         Err(refusal) => return refusal,
     };
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -2,6 +2,7 @@
 //! configuration, and what fails.
 
 mod platform_system;
+mod platform_tenants;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -2,7 +2,7 @@
 
 use lichenpulley_core::batch::job::{BatchJob, ItemResult};
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
-use lichenpulley_core::identity::{BatchId, NodeId};
+use lichenpulley_core::identity::{BatchId, NodeId, TenantName};
 use speedy::{Readable, Writable};
 
 /// A request to the owner of the batch jobs. Each can be repeated without harm.
@@ -18,6 +18,8 @@
         from: u64,
         /// How long to wait, in milliseconds.
         wait_ms: u64,
+        /// Who asks; `None` where callers need no key.
+        caller: Option<TenantName>,
     },
     /// Reads the body of an item that is not listed.
     ItemBody {
@@ -25,9 +27,16 @@
         batch: BatchId,
         /// The item's id.
         item: String,
+        /// Who asks; `None` where callers need no key.
+        caller: Option<TenantName>,
     },
     /// Ends a job.
-    End(BatchId),
+    End {
+        /// The job.
+        batch: BatchId,
+        /// Who asks; `None` where callers need no key.
+        caller: Option<TenantName>,
+    },
     /// The owner leaves: the receiver should take over now. One that can't reach its stores offers what they don't keep.
     TakeOver(Option<ProgressOffer>),
 }
@@ -48,6 +57,8 @@
     Taken,
     /// There is no room; nothing of the job runs.
     Full,
+    /// Another tenant's job has the id; nothing of this one runs.
+    IdTaken,
     /// Results.
     Results {
         /// How many items the job has.
