--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -5,6 +5,7 @@
 use crate::batch::score_plan::{ScoreId, ScoreStart};
 use crate::batch::weights::Load;
 use crate::decision::Decision;
+use crate::duties::DutyCall;
 use crate::identity::TenantName;
 use crate::ingress::replicas::ReplicaRecord;
 
@@ -86,6 +87,8 @@
     StopScore(ScoreId),
     /// Order a replica to load a version.
     Load(Load),
+    /// Call the platform; tell how it ended by [`super::Controller::duty_ended`].
+    Duty(DutyCall),
     /// Show a decision.
     Decide(Decision),
 }
--- a/crates/core/src/batch/controller/config.rs
+++ b/crates/core/src/batch/controller/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::duties::DutyConfig;
+
 /// Times and limits of the owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ControllerConfig {
@@ -17,6 +19,8 @@
     pub capacity_bytes: usize,
     /// The pause after which the shard's clock is written down where nothing else is.
     pub heartbeat_interval: Duration,
+    /// Duties towards the platform.
+    pub duties: DutyConfig,
 }
 
 impl Default for ControllerConfig {
@@ -28,6 +32,7 @@
             retention: Duration::from_secs(125),
             capacity_bytes: 96 << 20,
             heartbeat_interval: Duration::from_millis(200),
+            duties: DutyConfig::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/batch/controller/duties.rs
@@ -0,0 +1,165 @@
+//! The duties towards the platform, which go with the ownership of the batch jobs.
+//!
+//! Invariants: a call leaves only after a majority of stores keeps that it is about to, and only once the lease of the
+//! holder before has run out; a window is told only as the log holds it.
+
+use std::collections::BTreeMap;
+
+use super::{Action, Controller, ItemStage, LiveItem};
+use crate::batch::record::Record;
+use crate::batch::schedule::ReplicaState;
+use crate::decision::{Component, Decision};
+use crate::duties::{DutyCall, DutyEnd, USAGE_SUBJECT};
+use crate::identity::BatchId;
+use crate::ingress::routes::RouteTable;
+use crate::scaling::ServiceSight;
+use crate::time::Timestamp;
+use crate::usage::meter::UsageReport;
+use crate::usage::window::WallTime;
+
+impl Controller {
+    /// Takes what a node counted. It is kept once [`crate::usage::account::UsageAccount::through`] has reached its end.
+    pub fn take_usage(&mut self, now: Timestamp, report: &UsageReport) {
+        let Some(usage) = &mut self.duties.usage else { return };
+        let Some(counts) = usage.take(self.ledger.usage(), report, now) else { return };
+        let (source, through) = (report.source.clone(), report.through());
+        self.append(now, vec![Record::UsageCounted { source, through, counts }]);
+    }
+
+    /// Looks at what the platform is to be told.
+    pub fn tick_duties(&mut self, now: Timestamp, wall: WallTime) {
+        if let Some(usage) = &mut self.duties.usage {
+            usage.hear_own(self.lease.holder.as_str(), wall, now);
+        }
+        if !self.is_confirmed {
+            return;
+        }
+        self.close_windows(now);
+        self.tell_usage(now);
+        self.order_replicas(now);
+    }
+
+    fn close_windows(&mut self, now: Timestamp) {
+        let Some(usage) = &mut self.duties.usage else { return };
+        let Some(window) = usage.close_next(self.ledger.usage(), now) else { return };
+        self.append(now, vec![Record::UsageClosed(window)]);
+    }
+
+    fn tell_usage(&mut self, now: Timestamp) {
+        let clock_ms = self.clock_ms(now);
+        let Some(usage) = &mut self.duties.usage else { return };
+        if !self.lease.allows(self.ledger.last_order(USAGE_SUBJECT), clock_ms) {
+            return;
+        }
+        let Some((window, counts)) = usage.tell_next(self.ledger.usage(), now) else { return };
+        let call = DutyCall::Usage { window, counts: counts.clone() };
+        self.begin_duty(now, clock_ms, call, Vec::new());
+    }
+
+    fn order_replicas(&mut self, now: Timestamp) {
+        if !self.duties.scaling.as_mut().is_some_and(|plan| plan.is_due(now)) {
+            return;
+        }
+        let (Some(routes), Some(mut plan)) = (self.routes.clone(), self.duties.scaling.take()) else {
+            return;
+        };
+        let clock_ms = self.clock_ms(now);
+        for (service, bounds) in
+            routes.services.iter().filter_map(|(name, service)| Some((name, service.scaling.as_ref()?)))
+        {
+            let Some(sight) = self.sight(&routes, service) else { continue };
+            let earlier = |zone: &str| self.ledger.scaled().get(&(service.clone(), zone.to_owned())).copied();
+            for order in plan.next(service, bounds, &sight, earlier, now) {
+                let (service, zone, desired) = (order.service.clone(), order.zone.clone(), order.desired);
+                let decision = Decision::new(Component::Duty, "replicas_ordered", "demand", &service);
+                let ready = sight.ready.get(&zone).copied().unwrap_or(0);
+                let decision = decision.with("zone", &zone).with("desired", desired).with("ready", ready);
+                self.decide(decision.with("demand", sight.demand).with("slots", sight.slots));
+                let call = DutyCall::Scale(order);
+                if self.lease.allows(self.ledger.last_order(&call.subject()), clock_ms) {
+                    self.begin_duty(now, clock_ms, call, vec![Record::Scaled { service, zone, desired }]);
+                } else if let DutyCall::Scale(order) = call {
+                    // The holder before may still be heard: the order is given once its lease is over.
+                    plan.ordered(&order, bounds.start_time, false, now);
+                }
+            }
+        }
+        self.duties.scaling = Some(plan);
+    }
+
+    fn begin_duty(&mut self, now: Timestamp, clock_ms: u64, call: DutyCall, mut records: Vec<Record>) {
+        let (replica, holder) = (call.subject(), self.lease.holder.clone());
+        self.calling.insert(replica.clone(), call);
+        records.push(Record::Ordered { replica, holder, at_ms: clock_ms });
+        self.append(now, records);
+    }
+
+    /// What is seen of a service; `None` while no replica of it is listed.
+    fn sight(&self, routes: &RouteTable, service: &str) -> Option<ServiceSight> {
+        let members = self.replicas.values().filter(|state| state.record.service == service);
+        let mut ready: BTreeMap<String, u32> = BTreeMap::new();
+        let mut slots = 0;
+        for ReplicaState { record, .. } in members {
+            slots = slots.max(record.slots);
+            *ready.entry(record.zone.clone()).or_default() += u32::from(!record.is_draining);
+        }
+        if ready.is_empty() {
+            return None;
+        }
+        for (of_service, zone) in self.ledger.scaled().keys() {
+            if of_service == service {
+                ready.entry(zone.clone()).or_default();
+            }
+        }
+        let wants = |live: &LiveItem| live.stage == ItemStage::Generating;
+        let is_of_service = |batch: &BatchId| {
+            let job = self.ledger.job(batch);
+            let route = job.and_then(|job| routes.by_name(&job.job.route));
+            route.is_some_and(|route| route.services.iter().any(|part| part.service == service))
+        };
+        let of_service: BTreeMap<&BatchId, bool> =
+            self.tallies.keys().map(|batch| (batch, is_of_service(batch))).collect();
+        let demand = self
+            .items
+            .iter()
+            .filter(|((batch, _), live)| wants(live) && of_service.get(batch).copied().unwrap_or(false));
+        let demand = u32::try_from(demand.count()).unwrap_or(u32::MAX);
+        Some(ServiceSight { ready, slots, demand })
+    }
+
+    /// A call has ended.
+    pub fn duty_ended(&mut self, now: Timestamp, call: &DutyCall, end: DutyEnd) {
+        let is_taken = end == DutyEnd::Taken;
+        match call {
+            DutyCall::Usage { window, counts } => {
+                let requests: u64 = counts.values().sum();
+                let decision = Decision::new(Component::Duty, "usage_told", end.as_str(), window);
+                self.decide(decision.with("tenants", counts.len()).with("requests", requests));
+                if let Some(usage) = &mut self.duties.usage {
+                    usage.told(*window, is_taken, now);
+                }
+                if is_taken {
+                    self.append(now, vec![Record::UsageDelivered(*window)]);
+                }
+            }
+            DutyCall::Scale(order) => {
+                let decision =
+                    Decision::new(Component::Duty, "replicas_order_ended", end.as_str(), &order.service);
+                self.decide(decision.with("zone", &order.zone).with("desired", order.desired));
+                let bounds = self
+                    .routes
+                    .as_ref()
+                    .and_then(|routes| routes.services.get(&order.service)?.scaling.as_ref());
+                let start_time = bounds.map(|bounds| bounds.start_time).unwrap_or_default();
+                if let Some(plan) = &mut self.duties.scaling {
+                    plan.ordered(order, start_time, is_taken, now);
+                }
+            }
+        }
+    }
+
+    /// The record of a call is kept: it may leave.
+    pub(super) fn call_duty(&mut self, subject: &str) {
+        self.actions.extend(self.calling.remove(subject).map(Action::Duty));
+    }
+}
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod config;
+mod duties;
 mod handing_over;
 mod retention;
 mod runs;
@@ -24,6 +25,7 @@
 use super::score_plan::ScorePlan;
 use super::weights::{Load, LoadEnd, LoadPlan};
 use crate::decision::{Component, Decision};
+use crate::duties::{DutyCall, DutyPlan};
 use crate::identity::BatchId;
 use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
@@ -112,6 +114,9 @@
     lease: OrderLease,
     /// Loads whose orders are on their way to the stores, by replica.
     ordering: HashMap<String, Load>,
+    /// Calls to the platform that are on their way to the stores, by subject.
+    calling: HashMap<String, DutyCall>,
+    duties: DutyPlan,
     held_bytes: usize,
     /// Whether the authority was confirmed lately; nothing is started or ordered otherwise.
     is_confirmed: bool,
@@ -132,6 +137,8 @@
     /// The owner of what its log amounts to.
     pub fn new(config: ControllerConfig, ledger: Ledger, now: Timestamp, lease: OrderLease) -> Self {
         let mut controller = Self {
+            duties: DutyPlan::new(config.duties),
+            calling: HashMap::new(),
             config,
             clock_base_ms: ledger.clock_ms(),
             ledger,
@@ -343,6 +350,7 @@
             Follows::Listing(batch, item) => self.note_listed(&batch, item),
             Follows::Order(replica) => {
                 self.actions.extend(self.ordering.remove(&replica).map(Action::Load));
+                self.call_duty(&replica);
             }
         }
     }
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -11,6 +11,7 @@
 use super::job::{BatchJob, ItemResult, KeptEvent};
 use super::record::Record;
 use crate::identity::{BatchId, NodeId};
+use crate::usage::account::UsageAccount;
 
 /// What is kept of one item.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -83,6 +84,9 @@
     jobs: BTreeMap<BatchId, JobState>,
     clock_ms: u64,
     orders: BTreeMap<String, OrderMark>,
+    usage: UsageAccount,
+    /// Replicas that zones are to have, by service and zone.
+    scaled: BTreeMap<(String, String), u32>,
 }
 
 /// A snapshot: records that amount to the same ledger.
@@ -112,6 +116,16 @@
         self.orders.get(replica)
     }
 
+    /// What tenants used.
+    pub const fn usage(&self) -> &UsageAccount {
+        &self.usage
+    }
+
+    /// Replicas that zones are to have by the last order, by service and zone.
+    pub const fn scaled(&self) -> &BTreeMap<(String, String), u32> {
+        &self.scaled
+    }
+
     /// Applies a record.
     pub fn apply(&mut self, record: Record) {
         match record {
@@ -153,6 +167,13 @@
                 self.mark_order(replica, OrderMark { holder, at_ms })
             }
             Record::Scored { batch, item, score } => self.list_scored(&batch, item, score),
+            Record::UsageCounted { source, through, counts } => self.usage.count(&source, through, &counts),
+            Record::UsageClosed(window) => self.usage.close(window),
+            Record::UsageDelivered(window) => self.usage.delivered(window),
+            Record::Usage(parts) => self.usage = UsageAccount::from_parts(parts),
+            Record::Scaled { service, zone, desired } => {
+                self.scaled.insert((service, zone), desired);
+            }
             Record::Clock(milliseconds) => self.clock_ms = self.clock_ms.max(milliseconds),
         }
     }
@@ -217,6 +238,11 @@
             let (replica, holder) = (replica.clone(), mark.holder.clone());
             Record::Ordered { replica, holder, at_ms: mark.at_ms }
         }));
+        records.extend(self.scaled.iter().map(|((service, zone), desired)| {
+            let (service, zone) = (service.clone(), zone.clone());
+            Record::Scaled { service, zone, desired: *desired }
+        }));
+        records.push(Record::Usage(self.usage.parts()));
         records.push(Record::Clock(self.clock_ms));
         Snapshot { records }.write_to_vec()
     }
--- a/crates/core/src/batch/record.rs
+++ b/crates/core/src/batch/record.rs
@@ -4,6 +4,8 @@
 
 use super::job::{BatchJob, ItemResult, KeptEvent};
 use crate::identity::{BatchId, NodeId};
+use crate::usage::account::{AccountParts, WindowCount};
+use crate::usage::window::WindowNumber;
 
 /// What the owner writes down before it acts on it or shows it.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -80,15 +82,39 @@
         /// The score.
         score: String,
     },
-    /// A replica is about to be ordered.
+    /// A replica is about to be ordered, or the platform to be told something that one holder tells at a time.
     Ordered {
-        /// The replica.
+        /// The replica, or the duty.
         replica: String,
         /// Whose order it is.
         holder: NodeId,
         /// The shard's clock, in milliseconds.
         at_ms: u64,
     },
+    /// Requests that began to run on a node.
+    UsageCounted {
+        /// The life of the node.
+        source: String,
+        /// All its entries before this number are taken from now on.
+        through: u64,
+        /// What they add.
+        counts: Vec<WindowCount>,
+    },
+    /// No more is counted in the windows up to this one.
+    UsageClosed(WindowNumber),
+    /// The platform took what a window holds.
+    UsageDelivered(WindowNumber),
+    /// All usage, in a snapshot.
+    Usage(AccountParts),
+    /// A zone is to have so many replicas of a service.
+    Scaled {
+        /// The service.
+        service: String,
+        /// The zone.
+        zone: String,
+        /// How many.
+        desired: u32,
+    },
 }
 
 impl Record {
--- a/crates/core/src/decision.rs
+++ b/crates/core/src/decision.rs
@@ -22,6 +22,8 @@
     Replication,
     /// Draining and stopping.
     Drain,
+    /// Calls to the platform that one holder makes at a time.
+    Duty,
 }
 
 impl Component {
@@ -36,6 +38,7 @@
             Self::Membership => "membership",
             Self::Replication => "replication",
             Self::Drain => "drain",
+            Self::Duty => "duty",
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch;
 pub mod configuration;
 pub mod decision;
+pub mod duties;
 pub mod identity;
 pub mod ingress;
 pub mod membership;
@@ -17,5 +18,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod routing;
+pub mod scaling;
 pub mod time;
+pub mod usage;
 pub mod weights;
--- /dev/null
+++ b/crates/core/src/usage/mod.rs
@@ -0,0 +1,11 @@
+//! What each tenant used: how many of its requests began to run in each window of time, told to the platform once.
+//!
+//! Nodes count what they pass on ([`meter`]) and hand it to the holder of the duty, which keeps it in its log before it
+//! says so: [`account`] is what the records amount to, [`reporter`] decides when a window is closed and told. Clocks of
+//! single nodes may jump; [`true_time`] goes by most of them.
+
+pub mod account;
+pub mod meter;
+pub mod reporter;
+pub mod true_time;
+pub mod window;
--- /dev/null
+++ b/crates/core/src/usage/reporter.rs
@@ -0,0 +1,140 @@
+//! When a window is closed, and when it is told to the platform.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use super::account::{TenantCounts, UsageAccount, WindowCount};
+use super::meter::UsageReport;
+use super::true_time::TrueTime;
+use super::window::{WallTime, WindowLength, WindowNumber};
+use crate::identity::TenantName;
+use crate::time::Timestamp;
+
+/// The part of the time until a window is due after which it is closed: counts of nodes that were cut off for less come
+/// in time, and a takeover of some four seconds can pass before it is due.
+const CLOSE_SHARE: f64 = 0.4;
+/// Windows that are made up for after a long outage; earlier ones are too late by far.
+const MADE_UP_WINDOWS: u64 = 24;
+/// The pause after a call that the platform did not take; doubled after each further one.
+const RETRY_START: Duration = Duration::from_millis(300);
+/// The longest pause between two calls.
+const RETRY_LIMIT: Duration = Duration::from_secs(2);
+
+/// What the platform asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReporterConfig {
+    /// The length of a window.
+    pub window: WindowLength,
+    /// A window is due so long after its end.
+    pub due_after: Duration,
+}
+
+/// Decides what is closed and told. What must outlast it lies in the [`UsageAccount`].
+#[derive(Clone, Debug)]
+pub struct UsageReporter {
+    config: ReporterConfig,
+    time: TrueTime,
+    /// Entries that are on their way into the account, by source.
+    taking: HashMap<String, u64>,
+    /// The window whose close is on its way into the account.
+    closing: Option<WindowNumber>,
+    /// The window that is being told.
+    telling: Option<WindowNumber>,
+    /// The last window that the platform took from this holder; windows are told in order.
+    told_through: Option<WindowNumber>,
+    failures: u32,
+    not_before: Timestamp,
+}
+
+impl UsageReporter {
+    /// A reporter that has told nothing.
+    pub fn new(config: ReporterConfig) -> Self {
+        Self {
+            config,
+            time: TrueTime::default(),
+            taking: HashMap::new(),
+            closing: None,
+            telling: None,
+            told_through: None,
+            failures: 0,
+            not_before: Timestamp::ORIGIN,
+        }
+    }
+
+    /// This node's own clock.
+    pub fn hear_own(&mut self, node: &str, wall: WallTime, now: Timestamp) {
+        self.time.heard(node, wall, now);
+    }
+
+    /// Takes a report: what it adds to the account, by window, or `None` where all of it is taken or on its way.
+    pub fn take(
+        &mut self,
+        account: &UsageAccount,
+        report: &UsageReport,
+        now: Timestamp,
+    ) -> Option<Vec<WindowCount>> {
+        self.time.heard(&report.source, report.sent_at, now);
+        let taking = self.taking.get(&report.source).copied().unwrap_or(0);
+        let taken = account.through(&report.source).max(taking);
+        if report.through() <= taken {
+            return None;
+        }
+        let known = usize::try_from(taken.saturating_sub(report.first)).unwrap_or(usize::MAX);
+        let mut counts: BTreeMap<(WindowNumber, TenantName), u64> = BTreeMap::new();
+        for entry in report.entries.iter().skip(known) {
+            let began = report.sent_at.before(Duration::from_millis(entry.age_ms));
+            let window = self.config.window.window_at(self.time.corrected(&report.source, began));
+            *counts.entry((window, entry.tenant.clone())).or_default() += 1;
+        }
+        self.taking.insert(report.source.clone(), report.through());
+        let counts = counts.into_iter();
+        Some(counts.map(|((window, tenant), requests)| WindowCount { window, tenant, requests }).collect())
+    }
+
+    /// The next window to close, where one is due. Each is closed by itself, also one without a count.
+    pub fn close_next(&mut self, account: &UsageAccount, now: Timestamp) -> Option<WindowNumber> {
+        let time = self.time.now(now)?;
+        let current = self.config.window.window_at(time);
+        // Before any was closed, the window that is open now is the first that can be counted whole.
+        let before = WindowNumber(current.0.saturating_sub(1));
+        let last = account.closed_through().max(self.closing).unwrap_or(before);
+        self.closing = Some(last);
+        let next = last.next().max(WindowNumber(current.0.saturating_sub(MADE_UP_WINDOWS)));
+        let closes_at = self.config.window.end_of(next).after(self.config.due_after.mul_f64(CLOSE_SHARE));
+        if time < closes_at {
+            return None;
+        }
+        self.closing = Some(next);
+        Some(next)
+    }
+
+    /// The closed window to tell now, where one waits and nothing is being told.
+    pub fn tell_next<'a>(
+        &mut self,
+        account: &'a UsageAccount,
+        now: Timestamp,
+    ) -> Option<(WindowNumber, &'a TenantCounts)> {
+        if self.telling.is_some() || now < self.not_before {
+            return None;
+        }
+        let untold = account.closed().iter().find(|(window, _)| Some(**window) > self.told_through);
+        let (window, counts) = untold?;
+        self.telling = Some(*window);
+        Some((*window, counts))
+    }
+
+    /// The call that told a window has ended; whether the platform took it.
+    pub fn told(&mut self, window: WindowNumber, is_taken: bool, now: Timestamp) {
+        if self.telling == Some(window) {
+            self.telling = None;
+        }
+        if is_taken {
+            self.told_through = self.told_through.max(Some(window));
+            self.failures = 0;
+        } else {
+            self.failures += 1;
+            let pause = RETRY_START * 2_u32.saturating_pow(self.failures.min(6) - 1);
+            self.not_before = now + pause.min(RETRY_LIMIT);
+        }
+    }
+}
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -14,6 +14,7 @@
 use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
+use lichenpulley_core::duties::DutyCall;
 use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
@@ -139,6 +140,7 @@
     pub(crate) stopped_scores: Vec<ScoreId>,
     pub(crate) records: Vec<Record>,
     pub(crate) loads: Vec<(String, u64)>,
+    pub(crate) calls: Vec<DutyCall>,
 }
 
 impl Bench {
@@ -173,6 +175,7 @@
             stopped_scores: Vec::new(),
             records: Vec::new(),
             loads: Vec::new(),
+            calls: Vec::new(),
         };
         bench.take();
         bench
@@ -190,6 +193,7 @@
                 Action::Load(load) => self.loads.push((load.replica, load.version)),
                 Action::Score(start) => self.scores.push(*start),
                 Action::StopScore(id) => self.stopped_scores.push(id),
+                Action::Duty(call) => self.calls.push(call),
                 Action::Decide(_) => {}
             }
         }
--- /dev/null
+++ b/crates/core/tests/usage.rs
@@ -0,0 +1,239 @@
+//! Usage: what nodes count, how the clocks of nodes are judged, and what of it stands after a change of holder.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::identity::TenantName;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_core::usage::account::{TenantCounts, UsageAccount};
+use lichenpulley_core::usage::meter::{UsageEntry, UsageMeter, UsageReport};
+use lichenpulley_core::usage::reporter::{ReporterConfig, UsageReporter};
+use lichenpulley_core::usage::true_time::TrueTime;
+use lichenpulley_core::usage::window::{WallTime, WindowLength, WindowNumber};
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(5);
+const DUE: Duration = Duration::from_secs(10);
+/// The start of a window: a multiple of its length.
+const START_MS: u64 = 1_000_000_000_000;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn wall(milliseconds: u64) -> WallTime {
+    WallTime(START_MS + milliseconds)
+}
+
+fn window(number: u64) -> WindowNumber {
+    WindowNumber(START_MS / 5_000 + number)
+}
+
+fn tenant(name: &str) -> TenantName {
+    TenantName::new(name)
+}
+
+fn report(source: &str, sent_ms: u64, first: u64, began_ms: &[u64]) -> UsageReport {
+    let entry = |began: &u64| UsageEntry { tenant: tenant("t"), age_ms: sent_ms - began };
+    let entries = began_ms.iter().map(entry).collect();
+    UsageReport { source: source.to_owned(), sent_at: wall(sent_ms), first, entries }
+}
+
+/// A holder whose records are decided at once.
+struct Holder {
+    reporter: UsageReporter,
+    ledger: Ledger,
+}
+
+impl Holder {
+    fn new(ledger: Ledger) -> Self {
+        let config = ReporterConfig { window: WindowLength::new(WINDOW), due_after: DUE };
+        Self { reporter: UsageReporter::new(config), ledger }
+    }
+
+    fn account(&self) -> &UsageAccount {
+        self.ledger.usage()
+    }
+
+    fn take(&mut self, report: &UsageReport, now_ms: u64) {
+        let counts = self.reporter.take(self.ledger.usage(), report, at(now_ms));
+        let Some(counts) = counts else { return };
+        let (source, through) = (report.source.clone(), report.through());
+        self.ledger.apply(Record::UsageCounted { source, through, counts });
+    }
+
+    /// Closes what is due by then, at each half second since `from_ms`.
+    fn close(&mut self, from_ms: u64, to_ms: u64) {
+        for now_ms in (from_ms..=to_ms).step_by(500) {
+            self.reporter.hear_own("holder", wall(now_ms), at(now_ms));
+            while let Some(window) = self.reporter.close_next(self.ledger.usage(), at(now_ms)) {
+                self.ledger.apply(Record::UsageClosed(window));
+            }
+        }
+    }
+
+    fn closed(&self, number: u64) -> Option<u64> {
+        self.account().closed().get(&window(number)).map(|counts: &TenantCounts| counts.values().sum())
+    }
+}
+
+#[test]
+fn each_window_holds_what_began_in_it() {
+    let mut holder = Holder::new(Ledger::default());
+    holder.close(100, 100);
+    holder.take(&report("a/1", 4_900, 0, &[10, 4_000, 4_899]), 4_900);
+    holder.take(&report("a/1", 5_400, 3, &[4_999, 5_000]), 5_400);
+    holder.close(500, 20_000);
+    assert_eq!((holder.closed(0), holder.closed(1), holder.closed(2)), (Some(4), Some(1), Some(0)));
+}
+
+#[test]
+fn a_report_that_comes_again_or_grown_counts_each_request_once() {
+    let mut holder = Holder::new(Ledger::default());
+    holder.close(100, 100);
+    let first = report("a/1", 1_000, 0, &[100, 200]);
+    holder.take(&first, 1_000);
+    holder.take(&first, 1_001);
+    holder.take(&report("a/1", 1_500, 0, &[100, 200, 1_400]), 1_500);
+    holder.take(&report("a/2", 1_600, 0, &[1_550]), 1_600);
+    holder.close(2_000, 12_000);
+    assert_eq!(holder.closed(0), Some(4), "the node's second life counts for itself");
+}
+
+#[test]
+fn a_report_that_comes_twice_before_the_first_is_kept_counts_once() {
+    let mut holder = Holder::new(Ledger::default());
+    let first = report("a/1", 1_000, 0, &[100, 200]);
+    assert!(holder.reporter.take(holder.ledger.usage(), &first, at(1_000)).is_some());
+    let again = report("a/1", 1_200, 0, &[100, 200, 1_100]);
+    let added = holder.reporter.take(holder.ledger.usage(), &again, at(1_200)).expect("one more");
+    assert_eq!(added.iter().map(|count| count.requests).sum::<u64>(), 1);
+    assert!(holder.reporter.take(holder.ledger.usage(), &first, at(1_300)).is_none());
+}
+
+#[test]
+fn what_comes_after_a_window_is_closed_changes_nothing_that_is_told() {
+    let mut holder = Holder::new(Ledger::default());
+    holder.close(100, 100);
+    holder.take(&report("a/1", 1_000, 0, &[100]), 1_000);
+    holder.close(500, 9_500);
+    let told = holder.account().closed().clone();
+    holder.take(&report("b/1", 9_600, 0, &[200, 9_500]), 9_600);
+    assert_eq!(holder.account().closed(), &told);
+    assert_eq!(holder.account().through("b/1"), 2, "the node need not tell it again");
+}
+
+#[test]
+fn the_next_holder_tells_what_the_one_before_would_have() {
+    let mut first = Holder::new(Ledger::default());
+    first.close(100, 100);
+    first.take(&report("a/1", 1_000, 0, &[100, 200]), 1_000);
+    first.take(&report("a/1", 6_000, 2, &[5_900]), 6_000);
+    first.close(500, 9_500);
+    let (told, counts) = first.reporter.tell_next(first.ledger.usage(), at(9_600)).expect("a window");
+    let (told, counts) = (told, counts.clone());
+    let bytes = first.ledger.to_snapshot().expect("a snapshot");
+    let mut next = Holder::new(Ledger::recover(Some(&bytes), &[]).expect("a ledger"));
+    assert_eq!(next.ledger, first.ledger);
+    assert_eq!(next.reporter.tell_next(next.ledger.usage(), at(0)), Some((told, &counts)));
+    next.take(&report("a/1", 6_000, 2, &[5_900]), 12_000);
+    next.close(12_000, 20_000);
+    assert_eq!(next.closed(1), Some(1), "what the first holder kept is not counted again");
+}
+
+#[test]
+fn windows_are_told_in_order_until_the_platform_takes_them() {
+    let mut holder = Holder::new(Ledger::default());
+    holder.close(100, 15_000);
+    let tell = |holder: &mut Holder, now_ms| {
+        holder.reporter.tell_next(holder.ledger.usage(), at(now_ms)).map(|(window, _)| window)
+    };
+    assert_eq!(tell(&mut holder, 15_000), Some(window(0)));
+    assert_eq!(tell(&mut holder, 15_000), None, "one at a time");
+    holder.reporter.told(window(0), false, at(15_100));
+    assert_eq!(tell(&mut holder, 15_100), None, "after a pause");
+    assert_eq!(tell(&mut holder, 15_500), Some(window(0)));
+    holder.reporter.told(window(0), true, at(15_600));
+    assert_eq!(tell(&mut holder, 15_600), Some(window(1)), "before the record of the end is kept");
+    holder.ledger.apply(Record::UsageDelivered(window(0)));
+    assert_eq!(holder.closed(0), None);
+}
+
+#[test]
+fn a_clock_that_jumps_moves_no_window() {
+    let mut time = TrueTime::default();
+    for (source, ahead) in [("a", 0), ("b", 3), ("c", 2_400), ("d", 2), ("e", 2_400)] {
+        time.heard(source, wall(1_000 + ahead), at(1_000));
+    }
+    assert_eq!(time.now(at(1_500)), Some(wall(1_503)));
+    assert_eq!(time.corrected("c", wall(3_400)), wall(1_003), "as most have it");
+    assert_eq!(time.corrected("d", wall(1_002)), wall(1_002), "a calm clock is believed");
+    assert_eq!(time.corrected("unknown", wall(7)), wall(7));
+}
+
+#[test]
+fn a_meter_holds_what_is_not_kept_and_drops_what_is() {
+    let mut meter = UsageMeter::default();
+    assert_eq!(meter.report("a", at(0), wall(0)), None);
+    meter.count(at(10), tenant("t"));
+    meter.count(at(30), tenant("u"));
+    let report = meter.report("a", at(40), wall(40)).expect("a report");
+    assert_eq!((report.first, report.through(), report.entries[0].age_ms), (0, 2, 30));
+    meter.count(at(50), tenant("t"));
+    meter.kept(report.through());
+    let rest = meter.report("a", at(60), wall(60)).expect("a report");
+    assert_eq!((rest.first, rest.entries.len(), meter.dropped()), (2, 1, 0));
+    meter.kept(3);
+    assert_eq!(meter.report("a", at(70), wall(70)), None);
+}
+
+proptest! {
+    /// Reports are lost, come twice, late and in any grouping, and the holder changes: each request is in one window.
+    #[test]
+    fn nothing_is_counted_twice_whatever_becomes_of_reports(
+        steps in prop::collection::vec((0_u8..5, 1_usize..4), 1..60),
+    ) {
+        let mut meters = [UsageMeter::default(), UsageMeter::default()];
+        let mut holder = Holder::new(Ledger::default());
+        let (mut now_ms, mut counted) = (0_u64, 0_u64);
+        let mut last: Option<UsageReport> = None;
+        for (step, number) in steps {
+            now_ms += 37;
+            let node = number % 2;
+            match step {
+                0 => for _ in 0..number {
+                    meters[node].count(at(now_ms), tenant("t"));
+                    counted += 1;
+                },
+                1 | 2 => {
+                    let source = format!("node-{node}");
+                    let Some(report) = meters[node].report(&source, at(now_ms), wall(now_ms)) else { continue };
+                    holder.take(&report, now_ms);
+                    // The answer of every second one is lost.
+                    if step == 1 {
+                        meters[node].kept(report.through());
+                    }
+                    last = Some(report);
+                }
+                3 => if let Some(report) = &last {
+                    holder.take(report, now_ms);
+                },
+                _ => {
+                    let bytes = holder.ledger.to_snapshot().expect("a snapshot");
+                    holder = Holder::new(Ledger::recover(Some(&bytes), &[]).expect("a ledger"));
+                }
+            }
+        }
+        for (node, meter) in meters.iter().enumerate() {
+            if let Some(report) = meter.report(&format!("node-{node}"), at(now_ms), wall(now_ms)) {
+                holder.take(&report, now_ms);
+            }
+        }
+        holder.close(now_ms, now_ms + 20_000);
+        let told: BTreeMap<_, u64> =
+            holder.account().closed().iter().map(|(window, counts)| (*window, counts.values().sum())).collect();
+        prop_assert_eq!(told.values().sum::<u64>(), counted);
+    }
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -12,6 +12,7 @@
 use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::batch::score_plan::ScoreId;
+use lichenpulley_core::duties::DutyConfig;
 use lichenpulley_core::identity::{BatchId, Epoch, NodeId, TenantName};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
@@ -26,6 +27,7 @@
 use super::score::{self, ScoreEnded};
 use super::{Command, candidate, run};
 use crate::context::Context;
+use crate::duties::{self, DutyCalls, DutyEnded};
 use crate::ingress::pool::ReplicaPool;
 use crate::metrics::Latency;
 use crate::store::shard_log::{ShardLog, ShardLogError};
@@ -94,6 +96,10 @@
     load_ends: mpsc::UnboundedReceiver<LoadEnded>,
     submissions: Vec<(BatchId, Command)>,
     ends: Vec<(BatchId, Command)>,
+    /// Counts of nodes that are on their way to the stores: the node's life, and the entry before which all are taken.
+    usages: Vec<(String, u64, Command)>,
+    duty_calls: DutyCalls,
+    duty_ends: mpsc::UnboundedReceiver<DutyEnded>,
     readers: Vec<Reader>,
     failure: Option<ShardLogError>,
     cut_off: CutOffWatch,
@@ -129,7 +135,9 @@
         let memory = context.settings.machine.memory_bytes;
         let config = ControllerConfig::default();
         let capacity_bytes = config.capacity_bytes.min(memory / 100 * HELD_PERCENT);
-        let config = ControllerConfig { capacity_bytes, ..config };
+        let duties = context.settings.duties;
+        let duties = DutyConfig { usage: duties.usage(), scaling: duties.scaling() };
+        let config = ControllerConfig { capacity_bytes, duties, ..config };
         let mut controller = Controller::new(config, ledger, Timestamp::ORIGIN, lease);
         if let Some(offer) = offer {
             let adopted = controller.adopt(offer, latest);
@@ -139,9 +147,13 @@
         let (load_sender, load_ends) = mpsc::unbounded_channel();
         let (score_sender, score_ends) = mpsc::unbounded_channel();
         let (stores_asked, stores_replies) = mpsc::unbounded_channel();
+        let (duty_sender, duty_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
         let now = Instant::now();
         Self {
+            duty_calls: DutyCalls::new(context.clone(), epoch, duty_sender),
+            duty_ends,
+            usages: Vec::new(),
             loads: LoadOrders::new(context.clone(), epoch, load_sender),
             keeper: StoreKeeper::start(context.clone(), log.set().clone()),
             context,
@@ -187,6 +199,7 @@
                 Some((run, event)) = self.run_events.recv() => self.handle_run(run, event),
                 Some(ended) = self.score_ends.recv() => self.handle_score(&ended),
                 Some(ended) = self.load_ends.recv() => self.handle_load(&ended),
+                Some(ended) = self.duty_ends.recv() => self.handle_duty(&ended),
                 replacement = self.keeper.next() => {
                     self.is_replacing = true;
                     self.log.replace(replacement);
@@ -296,6 +309,7 @@
     fn tick(&mut self) {
         self.controller.set_confirmed(self.is_confirmed());
         self.controller.tick(self.now());
+        self.controller.tick_duties(self.now(), duties::wall_time());
         let (running, waiting) = self.controller.item_counts();
         self.context.metrics.set_batch_items(running, waiting);
         self.answer_readers();
@@ -324,6 +338,12 @@
         self.controller.load_ended(now, &ended.replica, &ended.end);
     }
 
+    fn handle_duty(&mut self, ended: &DutyEnded) {
+        let now = self.now();
+        self.controller.set_confirmed(self.is_confirmed());
+        self.controller.duty_ended(now, &ended.call, ended.end);
+    }
+
     fn handle_written(&mut self, written: Written) {
         match written {
             Written::Appended { appends, began, is_long } => {
@@ -344,6 +364,7 @@
                 self.epoch = epoch;
                 self.is_replacing = false;
                 self.loads.set_epoch(epoch);
+                self.duty_calls.set_epoch(epoch);
                 self.keeper.follow(set);
             }
             Written::Failed(error) => self.failure = Some(error),
@@ -386,6 +407,12 @@
                 let batch = batch.clone();
                 self.end(batch, command);
             }
+            BatchRequest::Usage(report) => {
+                let (source, through) = (report.source.clone(), report.through());
+                self.controller.take_usage(self.now(), report);
+                self.usages.push((source, through, command));
+                self.answer_writers();
+            }
             // It is owned already.
             BatchRequest::TakeOver(_) => command.answer(BatchResponse::Ended),
         }
@@ -434,6 +461,13 @@
                 None => self.submissions.push((batch, command)),
             }
         }
+        for (source, through, command) in std::mem::take(&mut self.usages) {
+            if ledger.usage().through(&source) >= through {
+                command.answer(BatchResponse::UsageKept);
+            } else {
+                self.usages.push((source, through, command));
+            }
+        }
         for (batch, command) in std::mem::take(&mut self.ends) {
             match ledger.job(&batch) {
                 Some(job) if job.is_ended => command.answer(BatchResponse::Ended),
@@ -500,6 +534,7 @@
                     }
                 }
                 Action::Load(load) => self.loads.begin(load, self.confirmed_at),
+                Action::Duty(call) => self.duty_calls.begin(call, self.is_confirmed()),
                 Action::Decide(decision) => self.context.decisions.record(decision),
             }
         }
@@ -514,7 +549,8 @@
         let scores = self.scores.drain().map(|(_, handle)| handle);
         runs.chain(scores).for_each(|handle| handle.abort());
         let waiting = self.submissions.drain(..).chain(self.ends.drain(..));
-        for (_, command) in waiting {
+        let waiting = waiting.map(|(_, command)| command);
+        for command in waiting.chain(self.usages.drain(..).map(|(_, _, command)| command)) {
             command.answer(BatchResponse::InDoubt);
         }
         for reader in self.readers.drain(..) {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,6 +13,7 @@
 use crate::configuration::{ConfigurationHandle, ConfigurationView};
 use crate::decisions::DecisionLog;
 use crate::directory::ReplicaDirectory;
+use crate::duties::NodeUsage;
 use crate::membership::MembershipHandle;
 use crate::metadata::MetadataHandle;
 use crate::metrics::Metrics;
@@ -48,6 +49,8 @@
     pub metadata: MetadataHandle,
     /// Who owns the batch jobs, as far as this node has heard.
     pub batch_owner: ArcSwapOption<NodeId>,
+    /// What this node counts for the duty of usage.
+    pub usage: NodeUsage,
     /// Connections to other nodes.
     pub peers: PeerClients,
     /// Cancelled when a planned stop begins: refuse new work, finish what runs.
@@ -76,6 +79,7 @@
             replica_sets: ReplicaSetCache::default(),
             metadata: MetadataHandle::default(),
             batch_owner: ArcSwapOption::empty(),
+            usage: NodeUsage::new(settings.node.as_str(), settings.duties.usage().is_some()),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- /dev/null
+++ b/crates/daemon/src/duties/mod.rs
@@ -0,0 +1,93 @@
+//! Duties towards the platform: the calls of their holder, and what each node counts for it.
+
+mod usage;
+
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use lichenpulley_core::duties::{DutyCall, DutyEnd};
+use lichenpulley_core::identity::Epoch;
+use lichenpulley_platform::cloud;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::http::client::{self, HttpClient};
+pub use usage::{NodeUsage, RunCount};
+pub(crate) use usage::{hand_over, wall_time};
+
+/// A call that is unanswered for so long is made again. The platform answers calm calls within some milliseconds.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A call has ended.
+pub(crate) struct DutyEnded {
+    pub(crate) call: DutyCall,
+    pub(crate) end: DutyEnd,
+}
+
+/// Makes calls under one epoch.
+pub(crate) struct DutyCalls {
+    context: Context,
+    http: HttpClient,
+    epoch: Epoch,
+    ends: mpsc::UnboundedSender<DutyEnded>,
+}
+
+impl DutyCalls {
+    pub(crate) fn new(context: Context, epoch: Epoch, ends: mpsc::UnboundedSender<DutyEnded>) -> Self {
+        let http = HttpClient::new(context.settings.gateway.connect_timeout);
+        Self { context, http, epoch, ends }
+    }
+
+    /// Calls carry this epoch from now on.
+    pub(crate) fn set_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+    }
+
+    /// Begins a call; it leaves only while `may_call`, the authority of its holder, holds.
+    pub(crate) fn begin(&self, call: DutyCall, may_call: bool) {
+        let ends = self.ends.clone();
+        let made = self.make(&call).filter(|_| may_call);
+        tokio::spawn(async move {
+            let end = match made {
+                Some(made) => made.await,
+                None => DutyEnd::Missed,
+            };
+            // An error only says that the holder has ended.
+            let _ = ends.send(DutyEnded { call, end });
+        });
+    }
+
+    fn make(&self, call: &DutyCall) -> Option<impl Future<Output = DutyEnd> + Send + 'static> {
+        let address = self.context.settings.duties.platform?;
+        let body = match cloud::body(call) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!(target: "duties", "A call can't be written: {error}.");
+                return None;
+            }
+        };
+        let mut request = client::build(Method::POST, address, cloud::path(call), body.into()).ok()?;
+        let fields = request.headers_mut();
+        fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        fields.insert(cloud::HOLDER, self.context.node.as_str().parse().ok()?);
+        fields.insert(cloud::FENCE, HeaderValue::from(self.epoch.0));
+        let http = self.http.clone();
+        Some(async move {
+            match http.send(address, request, Instant::now() + CALL_TIMEOUT).await {
+                Ok(answer) if answer.status().is_success() => DutyEnd::Taken,
+                Ok(answer) => {
+                    let status = answer.status();
+                    log::info!(target: "duties", "The platform refused a call: {status}.");
+                    let is_superseded = status.as_u16() == cloud::STATUS_SUPERSEDED;
+                    if is_superseded { DutyEnd::Superseded } else { DutyEnd::Missed }
+                }
+                Err(error) => {
+                    log::info!(target: "duties", "A call got no answer: {error}.");
+                    DutyEnd::Missed
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/duties/usage.rs
@@ -0,0 +1,127 @@
+//! What this node counts, and how it reaches the holder of the duty.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use lichenpulley_core::identity::TenantName;
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_core::usage::meter::UsageMeter;
+use lichenpulley_core::usage::window::WallTime;
+use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::batch::BatchJobs;
+use crate::context::Context;
+
+/// Counts of so long go together: one report for a busy node, and a loss of power loses no more.
+const GATHER_FOR: Duration = Duration::from_millis(250);
+/// The pause after a report that did not arrive.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Counts requests that began to run on this node. Usable from any thread; the lock is held for a moment only.
+#[derive(Debug)]
+pub struct NodeUsage {
+    meter: Mutex<UsageMeter>,
+    counted: Notify,
+    origin: Instant,
+    /// This life of this node.
+    source: String,
+    is_wanted: bool,
+}
+
+impl NodeUsage {
+    /// Nothing is counted yet. Where usage `is_wanted` by nobody nothing ever is.
+    pub fn new(node: &str, is_wanted: bool) -> Self {
+        let life: u32 = rand::random();
+        Self {
+            meter: Mutex::default(),
+            counted: Notify::new(),
+            origin: Instant::now(),
+            source: format!("{node}/{life:x}"),
+            is_wanted,
+        }
+    }
+
+    /// A request of a tenant began to run at `at`.
+    fn count(&self, at: Instant, tenant: TenantName) {
+        let at = Timestamp::ORIGIN + at.saturating_duration_since(self.origin);
+        self.meter().count(at, tenant);
+        self.counted.notify_one();
+    }
+
+    fn meter(&self) -> MutexGuard<'_, UsageMeter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that was sent to a replica. It counts as begun when this is dropped, unless it is known not to have run: a
+/// request whose caller left, or whose answer was lost, has run.
+pub struct RunCount {
+    context: Context,
+    at: Instant,
+    tenant: Option<TenantName>,
+}
+
+impl RunCount {
+    /// The request of a tenant is sent now.
+    pub fn begin(context: &Context, tenant: Option<&TenantName>) -> Self {
+        let tenant = tenant.filter(|_| context.usage.is_wanted).cloned();
+        Self { context: Context::clone(context), at: Instant::now(), tenant }
+    }
+
+    /// It has not run.
+    pub fn has_not_run(&mut self) {
+        self.tenant = None;
+    }
+}
+
+impl Drop for RunCount {
+    fn drop(&mut self) {
+        if let Some(tenant) = self.tenant.take() {
+            self.context.usage.count(self.at, tenant);
+        }
+    }
+}
+
+/// The time of day by this machine's clock.
+pub(crate) fn wall_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Hands over what was counted until the node has stopped.
+pub(crate) async fn hand_over(context: Context, batch: BatchJobs) {
+    if !context.usage.is_wanted {
+        return;
+    }
+    tokio::select! {
+        () = context.stopped.cancelled() => {}
+        () = hand_over_all(&context, &batch) => {}
+    }
+}
+
+async fn hand_over_all(context: &Context, batch: &BatchJobs) {
+    let usage = &context.usage;
+    let mut dropped = 0;
+    loop {
+        usage.counted.notified().await;
+        tokio::time::sleep(GATHER_FOR).await;
+        loop {
+            let now = Timestamp::ORIGIN + usage.origin.elapsed();
+            let report = usage.meter().report(&usage.source, now, wall_time());
+            let Some(report) = report else { break };
+            let through = report.through();
+            match batch.ask(BatchRequest::Usage(report)).await {
+                BatchResponse::UsageKept => usage.meter().kept(through),
+                _ => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+        let dropped_now = usage.meter().dropped();
+        if dropped_now > dropped {
+            let lost = dropped_now - dropped;
+            log::warn!(target: "duties", "{lost} requests are missing from the usage: no holder took them in time.");
+            dropped = dropped_now;
+        }
+    }
+}
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -17,6 +17,7 @@
 use super::pool::{Exchange, SendError};
 use super::refusal::Refusal;
 use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
+use crate::duties::RunCount;
 use crate::http::{Body, response};
 use crate::metrics::Latency;
 
@@ -38,7 +39,7 @@
     pub(super) limit: Instant,
     pub(super) service: String,
     /// Who sent it.
-    caller: Caller,
+    pub(super) caller: Caller,
     /// When it was read whole.
     began: Instant,
     /// The version of the configuration by which it was routed.
@@ -220,6 +221,7 @@
 ) -> (SendOutcome, Option<WholeAnswer>) {
     let limit = Instant::now() + patience;
     let request = call.build(&visit.replica.id, None);
+    let mut count = RunCount::begin(&ingress.context, call.caller.tenant());
     let connect_timeout = CONNECT_TIMEOUT.min(patience);
     let sent = ingress.pool.send(visit.replica.address, request, needs_fresh, connect_timeout);
     let exchange = match tokio::time::timeout_at(limit, sent).await {
@@ -227,7 +229,10 @@
         Ok(Err(error)) => {
             visit.was_silent();
             let outcome = match error {
-                SendError::NotSent => SendOutcome::NotSent,
+                SendError::NotSent => {
+                    count.has_not_run();
+                    SendOutcome::NotSent
+                }
                 SendError::Broken => SendOutcome::Broken,
             };
             return (outcome, None);
@@ -237,7 +242,11 @@
             return (SendOutcome::Broken, None);
         }
     };
-    read_answer(ingress, call, visit, exchange, limit).await
+    let (outcome, answer) = read_answer(ingress, call, visit, exchange, limit).await;
+    if outcome == SendOutcome::Rejected {
+        count.has_not_run();
+    }
+    (outcome, answer)
 }
 
 async fn read_answer(
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -21,6 +21,7 @@
 use super::refusal::Refusal;
 use super::sse::{Event, EventSplitter};
 use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
+use crate::duties::RunCount;
 use crate::http::{Body, response};
 
 /// Events that may wait for a slow reader.
@@ -125,6 +126,10 @@
         return (SendOutcome::Broken, None);
     }
     let outcome = judge(exchange.response.status(), fields);
+    if outcome == SendOutcome::Answered {
+        // A stream begins to run with its first event, which follows the head at once.
+        drop(RunCount::begin(&ingress.context, call.caller.tenant()));
+    }
     match outcome {
         SendOutcome::Rejected => visit.was_full(),
         _ => visit.answered(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod coordinator;
 pub mod decisions;
 pub mod directory;
+pub mod duties;
 pub mod gateway;
 pub mod http;
 pub mod ingress;
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -17,6 +17,7 @@
 use crate::configuration;
 use crate::context::{Context, NodeContext};
 use crate::coordinator;
+use crate::duties;
 use crate::gateway::{Dispatcher, Gateway};
 use crate::http::server::{self, HeadLimits, ServerStop};
 use crate::http::socket::SocketLimits;
@@ -122,6 +123,7 @@
     let limits = SocketLimits { stall: context.settings.gateway.stall_timeout };
     let callers_stop = stop.callers.clone();
     let callers = if context.settings.platform.metadata_store.is_some() {
+        tokio::spawn(duties::hand_over(Arc::clone(context), batch.clone()));
         let ingress = Ingress::new(Arc::clone(context), pool, batch);
         spawn_ingress(callers, traffic, callers_stop, limits, ingress)?
     } else {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::cluster::Roles;
 pub use parts::{
-    BatchSettings, ConfigurationSettings, CoordinatorSettings, GatewaySettings, MachineSettings,
-    MembershipSettings, PeerSettings, StopSettings, StoreSettings,
+    BatchSettings, ConfigurationSettings, CoordinatorSettings, DutySettings, GatewaySettings,
+    MachineSettings, MembershipSettings, PeerSettings, StopSettings, StoreSettings,
 };
 pub use problem::{SettingsError, SettingsProblem};
 pub use reader::{Bounds, KnownKey, SettingsReader};
@@ -58,6 +58,8 @@
     pub store: StoreSettings,
     /// Planned stop.
     pub stop: StopSettings,
+    /// Duties towards the platform.
+    pub duties: DutySettings,
 }
 
 /// Where a node listens. Port 0 lets the system choose.
@@ -156,6 +158,7 @@
             coordinator: CoordinatorSettings::read(reader),
             batch: BatchSettings::read(reader),
             store: StoreSettings::read(reader),
+            duties: DutySettings::read(reader),
             stop: StopSettings::read(reader),
         }
     }
@@ -183,6 +186,13 @@
                 "make it at most half of `membership.probe_interval_ms`",
             );
         }
+        if self.duties.lacks_platform() {
+            reader.problem(
+                "duties.platform",
+                "duties are held, and nobody takes their calls",
+                "name the platform's address, or remove `duties.held`",
+            );
+        }
         if let Err(error) = self.store.claim_window.validate() {
             let remedy = "raise it above twice `store.maximum_clock_skew_ms`";
             reader.problem("store.claim_retention_ms", error.to_string(), remedy);
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -5,6 +5,10 @@
 
 use lichenpulley_core::replication::claims::ClaimWindow;
 use lichenpulley_core::replication::placement::SetSize;
+use lichenpulley_core::scaling::ScalingPolicy;
+use lichenpulley_core::usage::reporter::ReporterConfig;
+use lichenpulley_core::usage::window::WindowLength;
+use lichenpulley_platform::cloud::{Duty, duty_named};
 
 use crate::cluster::NodeCapacity;
 
@@ -223,6 +227,75 @@
     }
 }
 
+/// `[duties]`: calls to the platform that one node makes at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct DutySettings {
+    /// Where the platform takes them; without it there are none.
+    pub platform: Option<SocketAddr>,
+    reports_usage: bool,
+    orders_replicas: bool,
+    usage: ReporterConfig,
+    scaling: ScalingPolicy,
+}
+
+impl DutySettings {
+    pub(super) fn read(reader: &mut SettingsReader) -> Self {
+        let (mut reports_usage, mut orders_replicas) = (false, false);
+        for name in reader.text_list("duties.held") {
+            match duty_named(&name) {
+                Some(Duty::Usage) => reports_usage = true,
+                Some(Duty::Scaling) => orders_replicas = true,
+                None => reader.problem(
+                    "duties.held",
+                    format!("\"{name}\" is no duty"),
+                    "use \"usage_report\" or \"autoscaler\"",
+                ),
+            }
+        }
+        let window = Duration::from_secs_f64(reader.fraction("duties.usage_window_s", 60.0, 1.0..=86_400.0));
+        let due_after = Duration::from_secs_f64(reader.fraction("duties.usage_due_s", 60.0, 0.1..=86_400.0));
+        let margin = Bounds { default: 100, accepted: 50..=400 };
+        let margin = reader.number("duties.replica_margin_percent", &margin);
+        Self {
+            platform: reader.service_address("duties.platform"),
+            reports_usage,
+            orders_replicas,
+            usage: ReporterConfig { window: WindowLength::new(window), due_after },
+            scaling: ScalingPolicy {
+                margin_percent: u32::try_from(margin).unwrap_or(u32::MAX),
+                hold: reader.milliseconds("duties.replica_hold_ms", 60_000, 1_000..=86_400_000),
+            },
+        }
+    }
+
+    /// Both duties, with windows of a second, for a system inside a test or a demonstration.
+    pub fn on_loopback(platform: SocketAddr) -> Self {
+        let second = Duration::from_secs(1);
+        Self {
+            platform: Some(platform),
+            reports_usage: true,
+            orders_replicas: true,
+            usage: ReporterConfig { window: WindowLength::new(second), due_after: second },
+            scaling: ScalingPolicy::default(),
+        }
+    }
+
+    /// Whether calls are expected that could go nowhere.
+    pub(super) const fn lacks_platform(&self) -> bool {
+        self.platform.is_none() && (self.reports_usage || self.orders_replicas)
+    }
+
+    /// How usage is told, where it is.
+    pub fn usage(&self) -> Option<ReporterConfig> {
+        self.platform.filter(|_| self.reports_usage).map(|_| self.usage)
+    }
+
+    /// How replicas are ordered, where they are.
+    pub fn scaling(&self) -> Option<ScalingPolicy> {
+        self.platform.filter(|_| self.orders_replicas).map(|_| self.scaling)
+    }
+}
+
 /// `[stop]`: planned stop (brief point 8).
 #[derive(Clone, Debug)]
 pub struct StopSettings {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod machine_list;
 pub mod metadata_store;
 pub mod object_api;
+pub mod platform_duties;
 pub mod platform_replica;
 pub mod requests;
 pub mod rollout_simulation;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -7,8 +7,9 @@
 use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::http::client::{HttpClient, build};
 use lichenpulley_daemon::node::Node;
-use lichenpulley_daemon::settings::Settings;
+use lichenpulley_daemon::settings::{DutySettings, Settings};
 use lichenpulley_lab::metadata_store::{self, MetadataStore};
+use lichenpulley_lab::platform_duties::PlatformDuties;
 use lichenpulley_lab::platform_replica::{self, Plan, Replica};
 use lichenpulley_platform::objects;
 use serde_json::{Value, json};
@@ -33,6 +34,8 @@
     pub(crate) http: HttpClient,
     pub(crate) tolerated_losses: usize,
     pub(crate) lapse_grace: Duration,
+    /// Where the platform takes duties, in windows of a second.
+    pub(crate) duties: Option<PlatformDuties>,
 }
 
 pub(crate) struct Answer {
@@ -71,15 +74,26 @@
 
     /// A system that keeps entries of replicas so long which vanished while the platform's store was away.
     pub(crate) async fn with_lapse_grace(lapse_grace: Duration, replicas: usize) -> Self {
-        Self::build(1, lapse_grace, replicas, 3).await
+        Self::build(1, lapse_grace, None, replicas, 3).await
+    }
+
+    /// A system that has duties towards the platform.
+    pub(crate) async fn with_duties(duties: PlatformDuties, replicas: usize) -> Self {
+        Self::build(1, Duration::from_secs(2), Some(duties), replicas, 3).await
     }
 
     /// A system whose stores bear the loss of so many disks at once.
     pub(crate) async fn tolerating(tolerated_losses: usize, replicas: usize, events: u64) -> Self {
-        Self::build(tolerated_losses, Duration::from_secs(2), replicas, events).await
+        Self::build(tolerated_losses, Duration::from_secs(2), None, replicas, events).await
     }
 
-    async fn build(tolerated_losses: usize, lapse_grace: Duration, replicas: usize, events: u64) -> Self {
+    async fn build(
+        tolerated_losses: usize,
+        lapse_grace: Duration,
+        duties: Option<PlatformDuties>,
+        replicas: usize,
+        events: u64,
+    ) -> Self {
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
         let mut system = Self {
@@ -91,6 +105,7 @@
             http: HttpClient::new(Duration::from_secs(1)),
             tolerated_losses,
             lapse_grace,
+            duties,
         };
         for number in 0..replicas {
             system.add_replica(number, events).await;
@@ -117,6 +132,9 @@
 
     pub(crate) fn settings(&self, name: &str, number: usize) -> Settings {
         let mut settings = Settings::on_loopback(name, ZONES[number % ZONES.len()]);
+        if let Some(duties) = &self.duties {
+            settings.duties = DutySettings::on_loopback(duties.address);
+        }
         settings.platform.metadata_store = Some(self.platform.address);
         settings.configuration.platform_timeout = Duration::from_millis(500);
         settings.configuration.watch_hold = Duration::from_secs(2);
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -3,6 +3,7 @@
 use lichenpulley_core::batch::job::{BatchJob, ItemResult};
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
 use lichenpulley_core::identity::{BatchId, NodeId, TenantName};
+use lichenpulley_core::usage::meter::UsageReport;
 use speedy::{Readable, Writable};
 
 /// A request to the owner of the batch jobs. Each can be repeated without harm.
@@ -39,6 +40,8 @@
     },
     /// The owner leaves: the receiver should take over now. One that can't reach its stores offers what they don't keep.
     TakeOver(Option<ProgressOffer>),
+    /// What a node counted for the duty of usage.
+    Usage(UsageReport),
 }
 
 /// A result and the id of its item.
@@ -70,6 +73,8 @@
     Body(Vec<u8>),
     /// The job is ended.
     Ended,
+    /// What a node counted is kept by a majority of stores.
+    UsageKept,
     /// There is no such job or item.
     Unknown,
     /// The receiver does not own the jobs; it knows who may.
