Move a run where that ends it sooner, and find how much load slows a replica

A run moved only to one 1.6 times faster, and a full replica was taken to be 1.5 times slower than an empty one, where the pauses say some hundredths, so that long items went to slow replicas too early.

A run moves where what it has made so far, taken as what is still to come, gains more than the 0.15 s that a move costs. How much load slows a replica is found from the pauses of all.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -21,7 +21,7 @@
 use super::ledger::{JobState, Ledger};
 use super::order_lease::OrderLease;
 use super::record::Record;
-use super::schedule::ReplicaState;
+use super::schedule::{ReplicaState, Slowdown};
 use super::score_plan::ScorePlan;
 use super::weights::{Load, LoadEnd, LoadPlan};
 use crate::decision::{Component, Decision};
@@ -105,6 +105,7 @@
     last_run: u64,
     routes: Option<Arc<RouteTable>>,
     replicas: BTreeMap<String, ReplicaState>,
+    slowdown: Slowdown,
     loads: LoadPlan,
     scores: ScorePlan,
     /// The shard's clock when this owner began.
@@ -151,6 +152,7 @@
             last_run: 0,
             routes: None,
             replicas: BTreeMap::new(),
+            slowdown: Slowdown::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
             began_at: now,
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -5,13 +5,15 @@
 use super::{Action, Controller, ItemStage, Run, RunEnd, RunEvent, RunId};
 use crate::batch::job::{ItemResult, KeptEvent};
 use crate::batch::record::Record;
-use crate::batch::schedule::{self, Need, PAUSE_AFTER_REJECTION, ReplicaState, SUSPECT_AFTER_BREAK};
+use crate::batch::schedule::{self, Need, PAUSE_AFTER_REJECTION, SUSPECT_AFTER_BREAK};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::time::Timestamp;
 
-/// How much faster another replica must be before a run is moved there.
-const MOVE_GAIN: f64 = 1.6;
+/// How much faster another replica must be before a run is moved there: paces are known to some percent.
+const LEAST_GAIN: f64 = 1.12;
+/// What a move costs, in seconds: a connection, the prompt and what was made so far read anew, the first event.
+const MOVE_COST_S: f64 = 0.15;
 
 /// Runs moved in one tick at most: each makes the other replica slower.
 const MOVES_PER_TICK: usize = 8;
@@ -40,7 +42,7 @@
         let model = self.item(&batch, item).and_then(|item| item.model.clone());
         if let Some(state) = self.replicas.get_mut(&replica) {
             if let Some(gap) = gap {
-                state.saw_gap(gap);
+                state.saw_gap(gap, &mut self.slowdown);
             }
             if let Some(model) = &model {
                 state.saw_version(model, event.version);
@@ -184,7 +186,9 @@
         }
         // A first look over all replicas spares the choice of one for each run.
         let free = self.replicas.values().filter(|state| state.has_free_slot());
-        let Some(best) = free.map(ReplicaState::expected_pace).min_by(f64::total_cmp) else { return };
+        let Some(best) = free.map(|state| state.expected_pace(self.slowdown)).min_by(f64::total_cmp) else {
+            return;
+        };
         let mut moves = 0;
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for id in runs {
@@ -212,16 +216,18 @@
             return false;
         }
         let Some(state) = self.replicas.get(&run.replica) else { return false };
-        if best * MOVE_GAIN >= state.gap().as_secs_f64() {
+        let pace = state.gap(self.slowdown).as_secs_f64();
+        let events = self.items.get(&(run.batch.clone(), run.item)).map_or(0, |live| live.events.len());
+        if !is_worth_moving(pace, best, events) {
             return false;
         }
         let Some(need) = self.need(&run.batch, run.item) else { return false };
         let others = Need { avoid: Some(&run.replica), ..need };
-        let Some(other) = schedule::choose(&self.replicas, &others, now) else { return false };
+        let Some(other) = schedule::choose(&self.replicas, &others, self.slowdown, now) else { return false };
         let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
             return false;
         };
-        other.expected_pace() * MOVE_GAIN < state.gap().as_secs_f64()
+        is_worth_moving(pace, other.expected_pace(self.slowdown), events)
     }
 
     pub(super) fn stop(&mut self, id: RunId) {
@@ -236,3 +242,10 @@
         self.actions.push_back(Action::Stop(id));
     }
 }
+
+/// Whether a run of so many events that goes on elsewhere, at `other` seconds an event in place of `pace`, ends sooner by
+/// more than the move costs. Lengths have a long tail: a run is expected to go on for as long again.
+fn is_worth_moving(pace: f64, other: f64, events: usize) -> bool {
+    let gain = (pace - other) * events as f64;
+    other * LEAST_GAIN < pace && gain > MOVE_COST_S
+}
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -188,11 +188,11 @@
         let Some(request) = self.item(batch, item) else { return false };
         let Some(live) = self.items.get(&(batch.clone(), item)) else { return false };
         let mut last_event = live.events.last().map(|event| event.number);
-        let mut chosen = schedule::choose(&self.replicas, &need, now);
+        let mut chosen = schedule::choose(&self.replicas, &need, self.slowdown, now);
         let mut starts_anew = false;
         if chosen.is_none() && need.exact_version.is_some() {
             need.exact_version = None;
-            chosen = schedule::choose(&self.replicas, &need, now);
+            chosen = schedule::choose(&self.replicas, &need, self.slowdown, now);
             last_event = None;
             starts_anew = true;
         }
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -11,8 +11,14 @@
 const UNMEASURED_GAP: Duration = Duration::from_millis(40);
 /// Weight of the newest pause in the running mean.
 const GAP_WEIGHT: f64 = 0.1;
-/// How much slower a full replica is taken to be than an empty one.
-const FULL_SLOWDOWN: f64 = 0.5;
+/// How much slower a full replica is taken to be than an empty one before any was measured.
+const UNMEASURED_SLOWDOWN: f64 = 0.5;
+/// A full replica is never taken to be slower than so many empty ones: beyond, something else holds it up.
+const GREATEST_SLOWDOWN: f64 = 4.0;
+/// How far one pause moves the slowdown: a thousand pauses, less than a second of a busy service, settle it.
+const SLOWDOWN_RATE: f64 = 0.01;
+/// A pause that differs more from what was expected says that something was held up, nothing of load.
+const GREATEST_SURPRISE: f64 = 1.0;
 /// A replica that left a run broken gets nothing new for so long.
 pub(super) const SUSPECT_AFTER_BREAK: Duration = Duration::from_millis(600);
 /// A replica that refused gets nothing new for so long.
@@ -40,7 +46,34 @@
     pub(super) loading: Option<Loading>,
     /// The highest version of each model that a report or an answer showed.
     pub(super) seen_versions: BTreeMap<String, u64>,
-    gap_ms: Option<f64>,
+    /// The mean pause between events of one run, less what the load made of it.
+    empty_gap_ms: Option<f64>,
+    /// The mean load at which pauses were seen.
+    mean_load: f64,
+}
+
+/// How much slower a full replica is than an empty one, found from the pauses of all.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Slowdown(f64);
+
+impl Default for Slowdown {
+    fn default() -> Self {
+        Self(UNMEASURED_SLOWDOWN)
+    }
+}
+
+impl Slowdown {
+    /// How much longer pauses are at a load, from 0 to 1, than without.
+    fn factor(self, load: f64) -> f64 {
+        1.0 + self.0 * load
+    }
+
+    /// A pause was so many times as long as without load; loads about `mean_load` tell nothing.
+    fn saw(&mut self, ratio: f64, load: f64, mean_load: f64) {
+        let surprise = (ratio - self.factor(load)).clamp(-GREATEST_SURPRISE, GREATEST_SURPRISE);
+        let moved = self.0 + SLOWDOWN_RATE * surprise * (load - mean_load);
+        self.0 = moved.clamp(0.0, GREATEST_SLOWDOWN);
+    }
 }
 
 impl ReplicaState {
@@ -52,7 +85,8 @@
             avoid_until: Timestamp::ORIGIN,
             loading: None,
             seen_versions: BTreeMap::new(),
-            gap_ms: None,
+            empty_gap_ms: None,
+            mean_load: 0.0,
         }
     }
 
@@ -68,26 +102,47 @@
         *seen = version.max(*seen);
     }
 
-    pub(super) fn saw_gap(&mut self, gap: Duration) {
+    /// A run here paused for so long between two events.
+    pub(super) fn saw_gap(&mut self, gap: Duration, slowdown: &mut Slowdown) {
         let gap_ms = gap.as_secs_f64() * 1_000.0;
-        let mean = self.gap_ms.unwrap_or(gap_ms);
-        self.gap_ms = Some(mean + GAP_WEIGHT * (gap_ms - mean));
+        let load = self.load();
+        let Some(mean) = self.empty_gap_ms else {
+            self.empty_gap_ms = Some(gap_ms / slowdown.factor(load));
+            self.mean_load = load;
+            return;
+        };
+        if mean > 0.0 {
+            slowdown.saw(gap_ms / mean, load, self.mean_load);
+        }
+        self.empty_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms / slowdown.factor(load) - mean));
+        self.mean_load += GAP_WEIGHT * (load - self.mean_load);
+    }
+
+    fn load(&self) -> f64 {
+        self.load_of(self.running)
+    }
+
+    fn load_of(&self, runs: u32) -> f64 {
+        f64::from(runs) / f64::from(self.record.slots.max(1))
+    }
+
+    fn gap_at(&self, load: f64, slowdown: Slowdown) -> Duration {
+        let empty = self.empty_gap_ms.map(|gap| Duration::from_secs_f64(gap / 1_000.0));
+        empty.unwrap_or(UNMEASURED_GAP).mul_f64(slowdown.factor(load))
     }
 
-    /// The mean pause between events of one run.
-    pub(super) fn gap(&self) -> Duration {
-        let gap = self.gap_ms.map(|gap| Duration::from_secs_f64(gap / 1_000.0));
-        gap.unwrap_or(UNMEASURED_GAP)
+    /// The mean pause between events of one run at the present load.
+    pub(super) fn gap(&self, slowdown: Slowdown) -> Duration {
+        self.gap_at(self.load(), slowdown)
     }
 
     pub(super) fn has_free_slot(&self) -> bool {
         self.running < self.record.slots && !self.record.is_draining
     }
 
-    /// How long one more run would take here, relative to others.
-    pub(super) fn expected_pace(&self) -> f64 {
-        let load = f64::from(self.running) / f64::from(self.record.slots.max(1));
-        self.gap().as_secs_f64() * (1.0 + FULL_SLOWDOWN * load)
+    /// The mean pause, in seconds, between events of one run more than there are.
+    pub(super) fn expected_pace(&self, slowdown: Slowdown) -> f64 {
+        self.gap_at(self.load_of(self.running + 1), slowdown).as_secs_f64()
     }
 }
 
@@ -148,12 +203,13 @@
 pub(super) fn choose(
     replicas: &BTreeMap<String, ReplicaState>,
     need: &Need<'_>,
+    slowdown: Slowdown,
     now: Timestamp,
 ) -> Option<String> {
     let fitting = replicas.values().filter(|replica| need.is_met_by(replica, now));
     let key = |replica: &ReplicaState| {
         let is_avoided = need.avoid == Some(replica.record.id.as_str());
-        (is_avoided, replica.expected_pace())
+        (is_avoided, replica.expected_pace(slowdown))
     };
     let best = fitting.min_by(|left, right| {
         let (left, right) = (key(left), key(right));
