Let a change of the stores wait for members that lack the log

The keeper asks the members that stay how much they know to be decided, and begins once a majority lacks no more than 1,000 entries, or after 10 s. Until then the log goes on, and the member repairs itself from another store.

Ruled out: a longer patience alone (the log stands still for the whole copy).

--- a/crates/daemon/src/batch/keeper.rs
+++ b/crates/daemon/src/batch/keeper.rs
@@ -6,7 +6,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use futures::future::join_all;
 use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
 use lichenpulley_core::replication::placement::best_addition;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use tokio::sync::{mpsc, watch};
@@ -16,10 +19,14 @@
 use super::log::Replacement;
 use crate::context::Context;
 use crate::metadata::retirements::Retirements;
-use crate::store::replica_sets;
+use crate::store::{exchange, replica_sets};
 
 /// Time between two looks at the stores.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+/// A member that lacks no more decided entries than this is brought into the next set in some tenths of a second.
+const CURRENT_ENTRIES: u64 = 1_000;
+/// A change waits so long for members that stay to catch up, before it is begun all the same.
+const CATCH_UP_PATIENCE: Duration = Duration::from_secs(10);
 /// The node answers with another store: the disk was lost.
 const REASON_DISK: &str = "disk_replaced";
 /// The store has not answered for long.
@@ -70,6 +77,8 @@
     retirements: Retirements,
     answered_at: HashMap<StoreId, Instant>,
     began: Instant,
+    /// Since when a change has waited for members that stay.
+    waiting_since: Option<Instant>,
 }
 
 impl Task {
@@ -79,7 +88,15 @@
         sender: mpsc::UnboundedSender<Replacement>,
     ) -> Self {
         let retirements = Retirements::start(&context);
-        Self { context, sets, sender, retirements, answered_at: HashMap::new(), began: Instant::now() }
+        Self {
+            context,
+            sets,
+            sender,
+            retirements,
+            answered_at: HashMap::new(),
+            began: Instant::now(),
+            waiting_since: None,
+        }
     }
 
     async fn run(mut self) {
@@ -89,13 +106,51 @@
             let stores = replica_sets::candidates(&self.context).await;
             self.note(&set, &stores);
             self.finish_retirements(&set, &stores);
-            let Some(replacement) = self.replacement(&set, &stores) else { continue };
+            let Some(replacement) = self.replacement(&set, &stores) else {
+                self.waiting_since = None;
+                continue;
+            };
+            let waited = self.waiting_since.get_or_insert_with(Instant::now).elapsed();
+            if waited < CATCH_UP_PATIENCE && !self.is_quick(&set, &replacement).await {
+                continue;
+            }
+            self.waiting_since = None;
             if self.sender.send(replacement).is_err() || self.sets.changed().await.is_err() {
                 return;
             }
         }
     }
 
+    /// Whether enough members that stay have what is decided, so that the next set can decide without a long copy. Nothing is
+    /// decided while a set is changed: with a member of a majority that lacks the log, a change took six seconds.
+    async fn is_quick(&self, set: &ReplicaSet, replacement: &Replacement) -> bool {
+        let staying = set.members.iter().filter(|member| member.store != replacement.leaving);
+        let marks = join_all(staying.map(|member| self.decided_through(set, member))).await;
+        let latest = marks.iter().flatten().max().copied().unwrap_or_default();
+        let is_current = |mark: &&LogIndex| mark.0 + CURRENT_ENTRIES >= latest.0;
+        let current = marks.iter().flatten().filter(is_current).count();
+        if current < set.majority() {
+            ::log::info!(target: "batch", "{current} of {} members that stay have the log: the change waits.", marks.len());
+        }
+        current >= set.majority()
+    }
+
+    /// The last entry that a member knows to be decided; `None` where it does not take part or answer.
+    async fn decided_through(&self, set: &ReplicaSet, member: &SetMember) -> Option<LogIndex> {
+        let request = ReplicaRequest {
+            shard: set.shard.clone(),
+            generation: set.generation,
+            store: member.store.clone(),
+            // No entry lies there: the answer holds the member's marks alone.
+            operation: Operation::ReadDecided(LogIndex(u64::MAX)),
+        };
+        let timeout = self.context.settings.store.call_timeout;
+        match exchange::ask(&self.context, member, request, timeout).await?.outcome {
+            Outcome::Decided { decided_through, .. } => Some(decided_through),
+            _ => None,
+        }
+    }
+
     fn note(&mut self, set: &ReplicaSet, stores: &[SetMember]) {
         let now = Instant::now();
         for store in stores {
