Read an outline from the members that have the log

The first page is asked of all; those that know nearly as much to be decided as the most share the rest.

The test with a lost disk over nodes passes with and without it: whether the lost member reads the first part depends on the stores' random ids, so that it guards the results, not this cause.

--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -16,6 +16,8 @@
 
 /// A log of fewer entries is read whole at once: some megabytes.
 const LONG_ENTRIES: u64 = 1_000;
+/// A member that knows so many entries fewer to be decided than another can still read most of the log.
+const MISSING_ENTRIES: u64 = 500;
 /// Rounds of reading in which nothing more came before the log is read in the ordinary way.
 const IDLE_ROUNDS: u32 = 2;
 /// The pause before a store is asked again that gave nothing.
@@ -32,8 +34,7 @@
 pub(super) async fn read(context: &Context) -> Option<LedgerFollower> {
     let began = Instant::now();
     let set = replica_sets::find_among_stores(context, &shard()).await?;
-    let first = ask_any(context, &set, LogIndex::FIRST).await?;
-    let through = first.decided_through;
+    let Beginning { first, readers, through } = begin(context, &set).await?;
     if through.0 < LONG_ENTRIES {
         return None;
     }
@@ -42,7 +43,7 @@
     let mut idle_rounds = 0;
     while follower.through() < through {
         let before = follower.through();
-        for page in read_in_parts(context, &set, follower.next(), through).await {
+        for page in read_in_parts(context, &set, &readers, follower.next(), through).await {
             take(&mut follower, page)?;
         }
         idle_rounds = if follower.through() > before { 0 } else { idle_rounds + 1 };
@@ -100,17 +101,18 @@
 async fn read_in_parts(
     context: &Context,
     set: &ReplicaSet,
+    readers: &[SetMember],
     from: LogIndex,
     through: LogIndex,
 ) -> Vec<DecidedPage> {
-    let parts = set.members.len().max(1) as u64;
+    let parts = readers.len().max(1) as u64;
     let length = (through.0 + 1 - from.0).div_ceil(parts).max(1);
     let part = |(number, member)| {
         let first = LogIndex(from.0 + length * number);
         let last = LogIndex((first.0 + length - 1).min(through.0));
         read_part(context, set, member, first, last)
     };
-    let parts = join_all((0..).zip(&set.members).map(part)).await;
+    let parts = join_all((0..).zip(readers).map(part)).await;
     parts.into_iter().flatten().collect()
 }
 
@@ -133,10 +135,35 @@
     pages
 }
 
-async fn ask_any(context: &Context, set: &ReplicaSet, next: LogIndex) -> Option<DecidedPage> {
-    let asked = set.members.iter().map(|member| ask(context, set, member, next, Reading::Outline));
-    let pages = join_all(asked).await.into_iter().flatten();
-    pages.max_by_key(|page| page.decided_through)
+/// Where the reading of an outline begins.
+struct Beginning {
+    first: DecidedPage,
+    /// Members that have nearly all that is decided.
+    readers: Vec<SetMember>,
+    /// What each of them knows to be decided; the rest is recovered with what is not known to be.
+    through: LogIndex,
+}
+
+/// The first page, and the members that can read on to its mark: a disk that was lost has none of the log, and a member that
+/// was brought in lately not all.
+async fn begin(context: &Context, set: &ReplicaSet) -> Option<Beginning> {
+    let asked = set.members.iter().map(|member| ask(context, set, member, LogIndex::FIRST, Reading::Outline));
+    let pages = join_all(asked).await;
+    let most = pages.iter().flatten().map(|page| page.decided_through).max()?;
+    let has_most = |page: &Option<DecidedPage>| {
+        page.as_ref().is_some_and(|page| page.decided_through.0 + MISSING_ENTRIES >= most.0)
+    };
+    let readers: Vec<SetMember> = set
+        .members
+        .iter()
+        .zip(&pages)
+        .filter(|(_, page)| has_most(page))
+        .map(|(member, _)| member.clone())
+        .collect();
+    let through =
+        pages.iter().filter(|page| has_most(page)).flatten().map(|page| page.decided_through).min()?;
+    let first = pages.into_iter().flatten().max_by_key(|page| page.decided_through)?;
+    Some(Beginning { first, readers, through })
 }
 
 /// A member by its turn, those of this zone first, since bytes between zones are priced.
