Order no more replicas than loads can keep at the newest weights

Cause: with 85 replicas in place of 45 steps waited up to 5 s for a fit version: the platform bears nine loads of 0.9 s at a time, each replica needs one each 4 s, so that 40 can be kept up to date and the others wait for their weights.

The plan follows the demand once it has looked for 12 s, up to the replicas that the loads seen and the times between versions allow, and never goes below what it found. A zone that lost replicas is ordered again as before.

--- a/crates/core/src/batch/controller/duties.rs
+++ b/crates/core/src/batch/controller/duties.rs
@@ -74,7 +74,14 @@
                 let decision = Decision::new(Component::Duty, "replicas_ordered", "demand", &service);
                 let ready = sight.ready.get(&zone).copied().unwrap_or(0);
                 let decision = decision.with("zone", &zone).with("desired", desired).with("ready", ready);
-                self.decide(decision.with("demand", sight.demand).with("slots", sight.slots));
+                let renewable =
+                    sight.renewable.map_or_else(|| "unknown".to_owned(), |count| count.to_string());
+                self.decide(
+                    decision
+                        .with("demand", sight.demand)
+                        .with("slots", sight.slots)
+                        .with("renewable", renewable),
+                );
                 let call = DutyCall::Scale(order);
                 if self.lease.allows(self.ledger.last_order(&call.subject()), clock_ms) {
                     self.begin_duty(now, clock_ms, call, vec![Record::Scaled { service, zone, desired }]);
@@ -124,7 +131,8 @@
             .iter()
             .filter(|((batch, _), live)| wants(live) && of_service.get(batch).copied().unwrap_or(false));
         let demand = u32::try_from(demand.count()).unwrap_or(u32::MAX);
-        Some(ServiceSight { ready, slots, demand })
+        let renewable = self.loads.renewable(service, &self.replicas);
+        Some(ServiceSight { ready, slots, demand, renewable })
     }
 
     /// A call has ended.
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -15,6 +15,8 @@
 /// Loads of a version wait so long after it was named: the step that was asked for with it fills the slots first, and a
 /// replica whose slots are full loses nothing while it loads, since its runs go on.
 const LOAD_DELAY: Duration = Duration::from_millis(300);
+/// Weight of the newest time between two versions of a model in the running mean.
+const INTERVAL_WEIGHT: f64 = 0.3;
 /// Weight of the newest job in the running mean of a model's demand.
 const DEMAND_WEIGHT: f64 = 0.3;
 
@@ -50,6 +52,8 @@
 struct Named {
     version: u64,
     at: Timestamp,
+    /// The mean time between two versions, in seconds, once two were seen.
+    interval_s: Option<f64>,
 }
 
 /// Named versions, home models, and demand for each model.
@@ -68,7 +72,12 @@
         for (model, version) in versions {
             let named = self.named.entry(model.clone()).or_default();
             if *version > named.version {
-                *named = Named { version: *version, at: now };
+                let since_s = now.saturating_since(named.at).as_secs_f64();
+                // The first one that is seen may have been named long ago.
+                let seen = (named.version > 0).then_some(since_s / (*version - named.version) as f64);
+                let mean = named.interval_s.or(seen);
+                let interval_s = mean.map(|mean| mean + INTERVAL_WEIGHT * (seen.unwrap_or(mean) - mean));
+                *named = Named { version: *version, at: now, interval_s };
             }
         }
     }
@@ -115,6 +124,17 @@
         wanted.into_iter().take(free).map(|(_, _, load)| load).collect()
     }
 
+    /// How many replicas of a service can be brought to each version in time; `None` where versions or loads were not seen
+    /// yet. More of them only wait for their weights.
+    pub(super) fn renewable(&self, service: &str, replicas: &BTreeMap<String, ReplicaState>) -> Option<u32> {
+        let members = members(service, replicas);
+        let models = models_of(&members);
+        let intervals = models.iter().filter_map(|model| self.named.get(*model)?.interval_s);
+        let shortest = intervals.min_by(f64::total_cmp)?;
+        let loads_per_second = self.limits.get(service)?.loads_per_second(pool_size(&members))?;
+        Some((shortest * loads_per_second) as u32)
+    }
+
     /// The load that a replica needs, with how far it is behind and how much runs there.
     fn wanted(&self, replica: &ReplicaState, now: Timestamp) -> Option<(u64, u32, Load)> {
         if replica.loading.is_some() || replica.record.is_draining {
--- a/crates/core/src/scaling/mod.rs
+++ b/crates/core/src/scaling/mod.rs
@@ -24,6 +24,9 @@
     }
 }
 
+/// A holder follows the demand once it has looked for so long: by then it has seen some steps of each trainer, and how often
+/// weights change.
+const FOLLOW_AFTER: Duration = Duration::from_secs(12);
 /// The pause between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 /// A zone must be short for so long before it is ordered: an entry that is being replaced is back by then.
@@ -42,6 +45,8 @@
     pub slots: u32,
     /// Requests that run and wait.
     pub demand: u32,
+    /// Replicas that can be kept at the newest weights, where that is a limit.
+    pub renewable: Option<u32>,
 }
 
 /// An order of replicas.
@@ -91,6 +96,8 @@
     policy: ScalingPolicy,
     peaks: BTreeMap<String, DemandPeak>,
     zones: BTreeMap<(String, String), ZoneOrders>,
+    /// What each zone had when it was first seen.
+    found: BTreeMap<(String, String), u32>,
     began_at: Option<Timestamp>,
     next_look: Timestamp,
 }
@@ -102,6 +109,7 @@
             policy,
             peaks: BTreeMap::new(),
             zones: BTreeMap::new(),
+            found: BTreeMap::new(),
             began_at: None,
             next_look: Timestamp::ORIGIN,
         }
@@ -130,15 +138,19 @@
         let began_at = *self.began_at.get_or_insert(now);
         let peak = self.peaks.entry(service.to_owned()).or_default();
         let peak = peak.see(sight.demand, self.policy.hold, now);
-        let shares = shares(self.wanted(peak, sight), sight, bounds);
+        let has_seen = now.saturating_since(began_at) >= FOLLOW_AFTER;
+        let wanted = if has_seen { self.wanted(peak, sight) } else { 0 };
+        let shares = shares(wanted, sight, bounds);
         // What the holder before ordered stands until this one has seen as much as that one.
         let is_new = now.saturating_since(began_at) < self.policy.hold;
         let mut orders = Vec::new();
         for (zone, share) in shares {
             let before = earlier(&zone).filter(|_| is_new).unwrap_or(0);
-            let desired = share.max(before).clamp(bounds.least, bounds.most);
             let ready = sight.ready.get(&zone).copied().unwrap_or(0);
-            let state = self.zones.entry((service.to_owned(), zone.clone())).or_default();
+            let key = (service.to_owned(), zone.clone());
+            let found = *self.found.entry(key.clone()).or_insert(ready);
+            let desired = share.max(before).max(found).clamp(bounds.least, bounds.most);
+            let state = self.zones.entry(key).or_default();
             if state.is_due(desired, ready, is_new, now) {
                 state.is_under_way = true;
                 orders.push(ScaleOrder { service: service.to_owned(), zone, desired });
@@ -147,11 +159,12 @@
         orders
     }
 
-    /// Replicas that the demand asks for.
+    /// Replicas that the demand asks for, as far as they can be kept at the newest weights.
     fn wanted(&self, peak: u32, sight: &ServiceSight) -> u32 {
         let filled = peak.div_ceil(sight.slots.max(1));
         let wanted = u64::from(filled) * u64::from(self.policy.margin_percent) / 100;
-        u32::try_from(wanted).unwrap_or(u32::MAX)
+        let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
+        sight.renewable.map_or(wanted, |renewable| wanted.min(renewable))
     }
 
     /// An order has ended; whether the platform took it.
