Give stores more time to answer in a change and for an outline

Answers in a change may take four call timeouts, pages of an outline three, a change 24; why an outline is not read is said.

--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -18,6 +18,8 @@
 const LONG_ENTRIES: u64 = 1_000;
 /// A member that knows so many entries fewer to be decided than another can still read most of the log.
 const MISSING_ENTRIES: u64 = 500;
+/// How many call timeouts a store may take for a page: all that start after a loss of power read at a time.
+const ANSWER_TIMEOUTS: u32 = 3;
 /// Rounds of reading in which nothing more came before the log is read in the ordinary way.
 const IDLE_ROUNDS: u32 = 2;
 /// The pause before a store is asked again that gave nothing.
@@ -32,27 +34,54 @@
 
 /// Reads the outline of a log; `None` where it is short or can't be read this way.
 pub(super) async fn read(context: &Context) -> Option<LedgerFollower> {
+    match try_read(context).await {
+        Ok(follower) => Some(follower),
+        Err(cause) => {
+            log::info!(target: "batch", "The log is not read by its outline: {cause}.");
+            None
+        }
+    }
+}
+
+/// Why a log is not read by its outline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum NoOutline {
+    #[error("no store knows who keeps it")]
+    UnknownSet,
+    #[error("no member answered with what is decided")]
+    NoMember,
+    #[error("{0} entries are read at once")]
+    Short(u64),
+    #[error("it could be read through {read} of {through} entries")]
+    Stuck { read: LogIndex, through: LogIndex },
+    #[error("an entry is none of ours")]
+    Unreadable,
+    #[error("its beginning is missing")]
+    NotWhole,
+}
+
+async fn try_read(context: &Context) -> Result<LedgerFollower, NoOutline> {
     let began = Instant::now();
-    let set = replica_sets::find_among_stores(context, &shard()).await?;
-    let Beginning { first, readers, through } = begin(context, &set).await?;
+    let set = replica_sets::find_among_stores(context, &shard()).await.ok_or(NoOutline::UnknownSet)?;
+    let Beginning { first, readers, through } = begin(context, &set).await.ok_or(NoOutline::NoMember)?;
     if through.0 < LONG_ENTRIES {
-        return None;
+        return Err(NoOutline::Short(through.0));
     }
     let mut follower = LedgerFollower::default();
-    take(&mut follower, first)?;
+    take(&mut follower, first).ok_or(NoOutline::Unreadable)?;
     let mut idle_rounds = 0;
     while follower.through() < through {
         let before = follower.through();
         for page in read_in_parts(context, &set, &readers, follower.next(), through).await {
-            take(&mut follower, page)?;
+            take(&mut follower, page).ok_or(NoOutline::Unreadable)?;
         }
         idle_rounds = if follower.through() > before { 0 } else { idle_rounds + 1 };
         if idle_rounds >= IDLE_ROUNDS {
-            return None;
+            return Err(NoOutline::Stuck { read: follower.through(), through });
         }
     }
     record(context, "outline_read", &follower, began);
-    Some(follower).filter(LedgerFollower::is_whole)
+    Some(follower).filter(LedgerFollower::is_whole).ok_or(NoOutline::NotWhole)
 }
 
 /// Reads all up to a position with its texts, however long it takes.
@@ -186,7 +215,7 @@
         store: member.store.clone(),
         operation: Operation::ReadDecided(next),
     };
-    let timeout = context.settings.store.call_timeout;
+    let timeout = context.settings.store.call_timeout * ANSWER_TIMEOUTS;
     let response = match reading {
         Reading::Outline => exchange::ask_outline(context, member, request, timeout).await,
         Reading::Whole => exchange::ask(context, member, request, timeout).await,
--- a/crates/daemon/src/store/exchange.rs
+++ b/crates/daemon/src/store/exchange.rs
@@ -75,8 +75,13 @@
 
 impl Exchange {
     pub(super) fn new(context: Context) -> Self {
-        let (sender, answers) = mpsc::channel(ANSWERS_LIMIT);
         let deadline = context.settings.store.call_timeout;
+        Self::with_deadline(context, deadline)
+    }
+
+    /// The same, where answers may take so long.
+    pub(super) fn with_deadline(context: Context, deadline: Duration) -> Self {
+        let (sender, answers) = mpsc::channel(ANSWERS_LIMIT);
         Self { context, deadline, sender, answers }
     }
 
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -17,7 +17,11 @@
 
 /// How many call timeouts a change may last before it is given up; it can be taken up again.
 const PATIENCE: u32 = 30;
-/// Above the call timeout, so that a request is not sent again while its call still runs.
+/// How many call timeouts a store may take to answer in a change: beside the pages of a whole log, which others read there
+/// meanwhile, its answers wait for longer than one. Requests that were given up after one came again without end, and a
+/// change of two disks was not done after six seconds.
+const ANSWER_TIMEOUTS: u32 = 4;
+/// Above the time for an answer, so that a request is not sent again while its call still runs.
 const RETRANSMIT_MARGIN: Duration = Duration::from_millis(50);
 
 /// Why a member was not replaced.
@@ -185,7 +189,11 @@
 }
 
 fn retransmit_after(context: &Context) -> Duration {
-    context.settings.store.call_timeout + RETRANSMIT_MARGIN
+    answer_deadline(context) + RETRANSMIT_MARGIN
+}
+
+fn answer_deadline(context: &Context) -> Duration {
+    context.settings.store.call_timeout * ANSWER_TIMEOUTS
 }
 
 /// Exchanges messages until enough members are installed; gives a later set where one was met.
@@ -197,7 +205,7 @@
 ) -> Result<Option<ReplicaSet>, ReconfigurationError> {
     let origin = Instant::now();
     let deadline = origin + context.settings.store.call_timeout * PATIENCE;
-    let mut exchange = Exchange::new(context.clone());
+    let mut exchange = Exchange::with_deadline(context.clone(), answer_deadline(context));
     let mut has_majority = false;
     loop {
         match reconfigurer.poll_event() {
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -31,7 +31,7 @@
 /// How many call timeouts they may last in all: a long log is read in many pages, and a snapshot written in many parts.
 const WHOLE_PATIENCE: u32 = 60;
 /// How many call timeouts a change of the replica set may last.
-const CHANGE_PATIENCE: u32 = 12;
+const CHANGE_PATIENCE: u32 = 24;
 /// The pause between two signs of life while the stores are changed, and how long one may take.
 const LIFE_INTERVAL: Duration = Duration::from_millis(200);
 /// Above the call timeout, so that a request is not sent again while its call still runs.
