--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -22,6 +22,8 @@
 const ANSWER_TIMEOUTS: u32 = 3;
 /// Rounds of reading in which nothing more came before the log is read in the ordinary way.
 const IDLE_ROUNDS: u32 = 2;
+/// How often the members of the log are looked for: all stores are heard of within half a second of a start together.
+const LOOKS: u32 = 6;
 /// The pause before a store is asked again that gave nothing.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -34,12 +36,18 @@
 
 /// Reads the outline of a log; `None` where it is short or can't be read this way.
 pub(super) async fn read(context: &Context) -> Option<LedgerFollower> {
-    match try_read(context).await {
-        Ok(follower) => Some(follower),
-        Err(cause) => {
+    let mut tries = 0;
+    loop {
+        let cause = match try_read(context).await {
+            Ok(follower) => return Some(follower),
+            Err(cause) => cause,
+        };
+        tries += 1;
+        if tries >= LOOKS || !cause.may_pass() {
             log::info!(target: "batch", "The log is not read by its outline: {cause}.");
-            None
+            return None;
         }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
@@ -60,6 +68,13 @@
     NotWhole,
 }
 
+impl NoOutline {
+    /// Whether another look may find what this one did not: a node that has just started hears of the stores one by one.
+    const fn may_pass(self) -> bool {
+        matches!(self, Self::UnknownSet | Self::NoMember)
+    }
+}
+
 async fn try_read(context: &Context) -> Result<LedgerFollower, NoOutline> {
     let began = Instant::now();
     let set = replica_sets::find_among_stores(context, &shard()).await.ok_or(NoOutline::UnknownSet)?;
@@ -176,7 +191,10 @@
 /// The first page, and the members that can read on to its mark: a disk that was lost has none of the log, and a member that
 /// was brought in lately not all.
 async fn begin(context: &Context, set: &ReplicaSet) -> Option<Beginning> {
-    let asked = set.members.iter().map(|member| ask(context, set, member, LogIndex::FIRST, Reading::Outline));
+    // A member that is down is not waited for.
+    let timeout = context.settings.store.call_timeout;
+    let first_page = |member| ask_within(context, set, member, LogIndex::FIRST, Reading::Outline, timeout);
+    let asked = set.members.iter().map(first_page);
     let pages = join_all(asked).await;
     let most = pages.iter().flatten().map(|page| page.decided_through).max()?;
     let has_most = |page: &Option<DecidedPage>| {
@@ -208,6 +226,18 @@
     member: &SetMember,
     next: LogIndex,
     reading: Reading,
+) -> Option<DecidedPage> {
+    let timeout = context.settings.store.call_timeout * ANSWER_TIMEOUTS;
+    ask_within(context, set, member, next, reading, timeout).await
+}
+
+async fn ask_within(
+    context: &Context,
+    set: &ReplicaSet,
+    member: &SetMember,
+    next: LogIndex,
+    reading: Reading,
+    timeout: Duration,
 ) -> Option<DecidedPage> {
     let request = ReplicaRequest {
         shard: shard(),
@@ -215,7 +245,6 @@
         store: member.store.clone(),
         operation: Operation::ReadDecided(next),
     };
-    let timeout = context.settings.store.call_timeout * ANSWER_TIMEOUTS;
     let response = match reading {
         Reading::Outline => exchange::ask_outline(context, member, request, timeout).await,
         Reading::Whole => exchange::ask(context, member, request, timeout).await,
