Read the texts of open jobs first, and learn the set of stores from its members

Cause: after all power was gone no store that a starting node had heard of knew who keeps the log; the platform names the first set alone, so that the outline was given up and 62.5 MB were read for 3.4 s.

A member of a set that is not in force any more names the one that is. The owner reads the log from the first open job on first, then all of it.

The property fills the tail first and then all.

--- a/crates/core/src/batch/ledger_follower.rs
+++ b/crates/core/src/batch/ledger_follower.rs
@@ -3,9 +3,11 @@
 //! Reads what a store calls decided, in order; decided entries never change, so that what was followed is a beginning of
 //! what any later owner recovers. Applying a record a second time changes nothing, so that an overlap does no harm.
 
+use std::collections::BTreeMap;
+
 use super::ledger::Ledger;
 use super::record::Record;
-use crate::identity::Epoch;
+use crate::identity::{BatchId, Epoch};
 use crate::replication::entry::{IndexedEntry, LogIndex};
 use crate::replication::log::{KnownLog, LogAddition, LogAssembler};
 
@@ -27,6 +29,8 @@
     assembler: LogAssembler,
     through: LogIndex,
     held_bytes: usize,
+    /// Where each job was taken.
+    taken_at: BTreeMap<BatchId, LogIndex>,
     /// Whether the ledger holds all up to `through`: not so after the beginning was dropped, until the snapshot that stands
     /// for it was read to its end.
     is_whole: bool,
@@ -39,10 +43,18 @@
 }
 
 impl LedgerFollower {
-    fn beginning_after(through: LogIndex) -> Self {
+    /// A follower that begins after a position: its ledger holds the jobs that were taken later, and is not whole.
+    pub fn beginning_after(through: LogIndex) -> Self {
         let assembler = LogAssembler::new(Epoch::default(), true);
         let is_whole = through == LogIndex::ZERO;
-        Self { ledger: Ledger::default(), assembler, through, held_bytes: 0, is_whole }
+        Self {
+            ledger: Ledger::default(),
+            assembler,
+            through,
+            held_bytes: 0,
+            taken_at: BTreeMap::new(),
+            is_whole,
+        }
     }
 
     /// The position to read next.
@@ -83,7 +95,11 @@
                 LogAddition::Nothing | LogAddition::NextSet(_) => {}
                 LogAddition::Record(bytes) => {
                     self.held_bytes += bytes.len();
-                    self.ledger.apply(Record::decode(&bytes)?);
+                    let record = Record::decode(&bytes)?;
+                    if let Record::Accepted(job) = &record {
+                        self.taken_at.entry(job.id.clone()).or_insert(index);
+                    }
+                    self.ledger.apply(record);
                 }
                 LogAddition::Snapshot(bytes) => {
                     self.held_bytes = bytes.len();
@@ -103,6 +119,14 @@
         self.through
     }
 
+    /// The position before the first job that is open, where all open jobs were taken after the beginning.
+    pub fn before_open_jobs(&self) -> Option<LogIndex> {
+        let open = self.ledger.jobs().iter().filter(|(_, state)| !state.is_ended);
+        let taken_at = open.map(|(batch, _)| self.taken_at.get(batch).copied());
+        let first = taken_at.collect::<Option<Vec<LogIndex>>>()?.into_iter().min()?;
+        Some(first.previous())
+    }
+
     /// The ledger as it was followed.
     pub fn into_ledger(self) -> Ledger {
         self.ledger
--- a/crates/core/tests/batch_follower.rs
+++ b/crates/core/tests/batch_follower.rs
@@ -149,7 +149,16 @@
 
 /// A follower that has read so much of a log.
 fn follower_of(log: &[Payload], base: usize, through: usize, is_outline: bool) -> LedgerFollower {
-    let mut follower = LedgerFollower::default();
+    read_on(LedgerFollower::default(), log, base, through, is_outline)
+}
+
+fn read_on(
+    mut follower: LedgerFollower,
+    log: &[Payload],
+    base: usize,
+    through: usize,
+    is_outline: bool,
+) -> LedgerFollower {
     loop {
         let mut page = page(log, base, follower.next(), through, 7);
         if is_outline {
@@ -173,6 +182,7 @@
         prop_assume!(outline.is_whole());
         let whole = recovered(&log, KnownLog::default(), None);
         let known = outline.known();
+        let before_open = outline.before_open_jobs();
         let mut after = recovered(&log, known, Some(outline.into_ledger()));
         for (batch, state) in whole.jobs() {
             let outlined = after.job(batch).expect("the job");
@@ -185,6 +195,14 @@
                 }
             }
         }
+        // The texts of open jobs come first, where these were taken after the last snapshot.
+        if let Some(before_open) = before_open {
+            let open: Vec<BatchId> =
+                after.jobs().iter().filter(|(_, state)| !state.is_ended).map(|(batch, _)| batch.clone()).collect();
+            let tail = LedgerFollower::beginning_after(before_open);
+            after.fill_texts(read_on(tail, &log, base, through, false).into_ledger());
+            prop_assert!(open.iter().all(|batch| !after.lacks_texts(batch)));
+        }
         after.fill_texts(follower_of(&log, base, through, false).into_ledger());
         prop_assert!(!after.is_outline());
         prop_assert_eq!(after, whole);
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -12,7 +12,6 @@
 use lichenpulley_core::batch::recovery::{LedgerRecovery, RecoveryStep};
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
-use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::log::RecoveredLog;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
@@ -21,8 +20,9 @@
 use tokio::time::Instant;
 
 use super::follower::LogFollower;
+use super::outline::{self, MissingTexts};
 use super::owner::{Owner, OwnerEnd, Takeover};
-use super::{Command, outline, shard};
+use super::{Command, shard};
 use crate::cluster::{Member, NodeCapacity, rendezvous_weight};
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
@@ -266,8 +266,8 @@
         if reason == LookReason::Due && ask_stores(&self.context).await.heard_within(began.elapsed()) {
             return;
         }
-        let through = outline.as_ref().map(LedgerFollower::through);
-        self.own(reason, idle, outline, through).await;
+        let missing = outline.as_ref().map(MissingTexts::of);
+        self.own(reason, idle, outline, missing).await;
     }
 
     async fn own(
@@ -275,7 +275,7 @@
         reason: LookReason,
         idle: Duration,
         followed: Option<LedgerFollower>,
-        outlined_through: Option<LogIndex>,
+        missing: Option<MissingTexts>,
     ) {
         let began = Instant::now();
         let known = followed.as_ref().map(LedgerFollower::known).unwrap_or_default();
@@ -287,7 +287,7 @@
             Ok(taken) => taken,
             Err(error) => {
                 ::log::warn!(target: "batch", "The batch jobs are not taken over: {error}.");
-                return self.follower.put_back(followed.filter(|_| outlined_through.is_none()));
+                return self.follower.put_back(followed.filter(|_| missing.is_none()));
             }
         };
         self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
@@ -308,7 +308,7 @@
         self.context.decisions.record(decision.with("milliseconds", began.elapsed().as_millis()));
         let held_bytes = followed_bytes + read_bytes;
         let (latest, offer) = (recovered.latest_origin, self.offer.take());
-        let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer, outlined_through };
+        let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer, missing };
         let owner = Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), takeover);
         let end = owner.run(&mut self.commands).await;
         self.context.batch_owner.store(None);
--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -5,9 +5,10 @@
 use lichenpulley_core::batch::ledger_follower::{DecidedPage, LedgerFollower};
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::replication::entry::LogIndex;
-use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
+use lichenpulley_core::replication::message::{Operation, Outcome, Refusal, ReplicaRequest};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::shard;
@@ -77,7 +78,7 @@
 
 async fn try_read(context: &Context) -> Result<LedgerFollower, NoOutline> {
     let began = Instant::now();
-    let set = replica_sets::find_among_stores(context, &shard()).await.ok_or(NoOutline::UnknownSet)?;
+    let set = find_set(context).await.ok_or(NoOutline::UnknownSet)?;
     let Beginning { first, readers, through } = begin(context, &set).await.ok_or(NoOutline::NoMember)?;
     if through.0 < LONG_ENTRIES {
         return Err(NoOutline::Short(through.0));
@@ -99,17 +100,43 @@
     Some(follower).filter(LedgerFollower::is_whole).ok_or(NoOutline::NotWhole)
 }
 
-/// Reads all up to a position with its texts, however long it takes.
-pub(super) async fn read_texts(context: Context, through: LogIndex) -> Ledger {
+/// What is read of a log behind its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MissingTexts {
+    /// The first position whose texts callers wait for, less one; the beginning where that is not known.
+    pub(super) open_after: LogIndex,
+    /// The last one whose texts are missing.
+    pub(super) through: LogIndex,
+}
+
+impl MissingTexts {
+    /// What an outline leaves out.
+    pub(super) fn of(outline: &LedgerFollower) -> Self {
+        Self { open_after: outline.before_open_jobs().unwrap_or_default(), through: outline.through() }
+    }
+}
+
+/// Reads the missing texts and hands them over: those of open jobs first, since their callers wait for them, then all.
+pub(super) async fn read_texts(context: Context, missing: MissingTexts, texts: mpsc::Sender<Ledger>) {
+    for after in [missing.open_after, LogIndex::ZERO] {
+        let ledger = read_between(&context, after, missing.through).await;
+        if texts.send(ledger).await.is_err() || after == LogIndex::ZERO {
+            return;
+        }
+    }
+}
+
+/// Reads a stretch of the log with its texts, however long it takes.
+async fn read_between(context: &Context, after: LogIndex, through: LogIndex) -> Ledger {
     let began = Instant::now();
-    let mut follower = LedgerFollower::default();
+    let mut follower = LedgerFollower::beginning_after(after);
     let mut turn = 0;
     while follower.through() < through {
-        let page = match replica_sets::find_among_stores(&context, &shard()).await {
+        let page = match replica_sets::find_among_stores(context, &shard()).await {
             Some(set) => {
-                let member = nearest(&context, &set, turn).cloned();
+                let member = nearest(context, &set, turn).cloned();
                 match member {
-                    Some(member) => ask(&context, &set, &member, follower.next(), Reading::Whole).await,
+                    Some(member) => ask(context, &set, &member, follower.next(), Reading::Whole).await,
                     None => None,
                 }
             }
@@ -121,7 +148,7 @@
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
-    record(&context, "texts_read", &follower, began);
+    record(context, "texts_read", &follower, began);
     follower.into_ledger()
 }
 
@@ -179,6 +206,15 @@
     pages
 }
 
+/// Who keeps the log: as a store says that this node has heard of, or else as the platform does. The platform may name the
+/// first set; its members say which one followed.
+async fn find_set(context: &Context) -> Option<ReplicaSet> {
+    if let Some(set) = replica_sets::find_among_stores(context, &shard()).await {
+        return Some(set);
+    }
+    replica_sets::find(context, &shard()).await.ok()
+}
+
 /// Where the reading of an outline begins.
 struct Beginning {
     first: DecidedPage,
@@ -253,9 +289,16 @@
         Some(Outcome::Decided { entries, base, decided_through, .. }) => {
             Some(DecidedPage { entries, base, decided_through })
         }
+        Some(Outcome::Refused(Refusal::NewerGeneration { current })) => {
+            context.replica_sets.put(&current);
+            None
+        }
         Some(_) => {
-            // Another set may be in force.
-            context.replica_sets.forget(&shard());
+            // Another set may be in force, where none that followed was learnt meanwhile.
+            let known = context.replica_sets.get(&shard());
+            if known.is_none_or(|known| known.generation <= set.generation) {
+                context.replica_sets.forget(&shard());
+            }
             None
         }
         None => None,
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -14,7 +14,6 @@
 use lichenpulley_core::batch::score_plan::ScoreId;
 use lichenpulley_core::duties::DutyConfig;
 use lichenpulley_core::identity::{BatchId, Epoch, NodeId, TenantName};
-use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
 use tokio::runtime::Handle;
@@ -25,8 +24,9 @@
 use super::keeper::StoreKeeper;
 use super::load::{LoadEnded, LoadOrders};
 use super::log::{LogWriter, Written};
+use super::outline::{self, MissingTexts};
 use super::score::{self, ScoreEnded};
-use super::{Command, candidate, outline, run};
+use super::{Command, candidate, run};
 use crate::context::Context;
 use crate::duties::{self, DutyCalls, DutyEnded};
 use crate::ingress::pool::ReplicaPool;
@@ -64,8 +64,8 @@
     pub(super) idle: Duration,
     /// What the owner before took and its stores don't keep.
     pub(super) offer: Option<ProgressOffer>,
-    /// Of entries up to this one the texts were not read; none where the log was read whole.
-    pub(super) outlined_through: Option<LogIndex>,
+    /// Texts that were not read; none where the log was read whole.
+    pub(super) missing: Option<MissingTexts>,
 }
 
 /// A reader that waits for a result.
@@ -131,7 +131,7 @@
 impl Owner {
     /// The owner of what it has taken over.
     pub(super) fn new(context: Context, pool: ReplicaPool, traffic: Handle, takeover: Takeover) -> Self {
-        let Takeover { log, ledger, held_bytes, latest, idle, offer, outlined_through } = takeover;
+        let Takeover { log, ledger, held_bytes, latest, idle, offer, missing } = takeover;
         let lease = OrderLease {
             holder: context.node.clone(),
             length: context.settings.batch.order_lease + CONFIRMED_FOR + LEASE_MARGIN,
@@ -153,8 +153,8 @@
         let (score_sender, score_ends) = mpsc::unbounded_channel();
         let (stores_asked, stores_replies) = mpsc::unbounded_channel();
         let (texts_sender, texts) = mpsc::channel(1);
-        if let Some(through) = outlined_through.filter(|_| controller.ledger().is_outline()) {
-            tokio::spawn(read_texts(context.clone(), through, texts_sender));
+        if let Some(missing) = missing.filter(|_| controller.ledger().is_outline()) {
+            tokio::spawn(read_texts(context.clone(), missing, texts_sender));
         }
         let (duty_sender, duty_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
@@ -581,12 +581,9 @@
 }
 
 /// Reads the texts that an owner lacks and hands them to it, unless it ends before.
-async fn read_texts(context: Context, through: LogIndex, texts: mpsc::Sender<Ledger>) {
+async fn read_texts(context: Context, missing: MissingTexts, texts: mpsc::Sender<Ledger>) {
     tokio::select! {
-        whole = outline::read_texts(context, through) => {
-            // An error only says that the owner has ended.
-            let _ = texts.send(whole).await;
-        }
+        () = outline::read_texts(context, missing, texts.clone()) => {}
         () = texts.closed() => {}
     }
 }
