--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -26,7 +26,7 @@
 use super::weights::{Load, LoadEnd, LoadPlan};
 use crate::decision::{Component, Decision};
 use crate::duties::{DutyCall, DutyPlan};
-use crate::identity::BatchId;
+use crate::identity::{BatchId, TenantName};
 use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
 use crate::time::Timestamp;
@@ -298,6 +298,7 @@
         self.accepting.insert(job.id.clone());
         let decision = Decision::new(Component::Rollout, "batch_taken", "has_room", &job.id);
         let decision = decision.with("items", job.items.len()).with("min_version", job.min_version);
+        let decision = decision.with("tenant", job.tenant.as_ref().map_or("none", TenantName::as_str));
         self.decide(
             decision.with("step", job.step.map_or_else(|| "none".to_owned(), |step| step.to_string())),
         );
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -8,6 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::TenantName;
 use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_platform::headers as names;
@@ -94,6 +95,7 @@
         let decision = Decision::new(Component::Request, action, reason, subject)
             .with("replica", &visit.replica.id)
             .with("service", &self.service)
+            .with("tenant", self.caller.tenant().map_or("none", TenantName::as_str))
             .with("sends", sends)
             .with("milliseconds", visit.began.elapsed().as_millis())
             .with("remaining_ms", self.remaining().as_millis())
