--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -139,3 +139,20 @@
         .collect();
     assert!(missing.is_empty(), "add to docs/operators/settings.md:\n{}", missing.join("\n"));
 }
+
+#[test]
+fn duties_need_a_platform_and_names_that_are_known() {
+    let with = |duties: &str| format!("{GOOD}\n[duties]\n{duties}");
+    assert_eq!(refused_keys(&with("held = [\"usage_report\"]")), ["duties.platform"]);
+    let unknown = with("platform = \"127.0.0.1:9000\"\nheld = [\"juggling\"]");
+    assert_eq!(refused_keys(&unknown), ["duties.held"]);
+    let text = with(
+        "platform = \"127.0.0.1:9000\"\nheld = [\"usage_report\"]\nusage_window_s = 5\nusage_due_s = 10.5",
+    );
+    let duties = Settings::parse(&text).expect("a good file").duties;
+    let usage = duties.usage().expect("usage is told");
+    assert_eq!(usage.due_after, Duration::from_millis(10_500));
+    assert!(duties.scaling().is_none());
+    let none = Settings::parse(GOOD).expect("a good file").duties;
+    assert!(none.usage().is_none() && none.scaling().is_none());
+}
