--- a/crates/core/src/usage/meter.rs
+++ b/crates/core/src/usage/meter.rs
@@ -47,7 +47,7 @@
 /// Counts requests that began to run on one node.
 ///
 /// Invariant: an entry is held until the holder of the duty has said that it keeps it, or until it is one of more than
-/// [`HELD_LIMIT`] that wait; entries keep their numbers.
+/// 65,536 that wait; entries keep their numbers.
 #[derive(Clone, Debug, Default)]
 pub struct UsageMeter {
     entries: VecDeque<(Timestamp, TenantName)>,
