Let a window that can't be told keep no other back

After a call that was missed the next window has its turn. The unit test of the old order is replaced by one of the new, as strict.

--- a/crates/core/src/usage/reporter.rs
+++ b/crates/core/src/usage/reporter.rs
@@ -1,6 +1,6 @@
 //! When a window is closed, and when it is told to the platform.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::account::{TenantCounts, UsageAccount, WindowCount};
@@ -40,8 +40,11 @@
     closing: Option<WindowNumber>,
     /// The window that is being told.
     telling: Option<WindowNumber>,
-    /// The last window that the platform took from this holder; windows are told in order.
-    told_through: Option<WindowNumber>,
+    /// Windows that the platform took, until the account says so.
+    told: BTreeSet<WindowNumber>,
+    /// The window of the last call: after one that was missed the next window has its turn, so that none keeps the others from
+    /// being told in time.
+    last: Option<WindowNumber>,
     failures: u32,
     not_before: Timestamp,
 }
@@ -55,7 +58,8 @@
             taking: HashMap::new(),
             closing: None,
             telling: None,
-            told_through: None,
+            told: BTreeSet::new(),
+            last: None,
             failures: 0,
             not_before: Timestamp::ORIGIN,
         }
@@ -117,9 +121,12 @@
         if self.telling.is_some() || now < self.not_before {
             return None;
         }
-        let untold = account.closed().iter().find(|(window, _)| Some(**window) > self.told_through);
-        let (window, counts) = untold?;
+        self.told.retain(|window| account.closed().contains_key(window));
+        let untold = || account.closed().iter().filter(|(window, _)| !self.told.contains(window));
+        let next = untold().find(|(window, _)| Some(**window) > self.last).or_else(|| untold().next());
+        let (window, counts) = next?;
         self.telling = Some(*window);
+        self.last = Some(*window);
         Some((*window, counts))
     }
 
@@ -129,7 +136,7 @@
             self.telling = None;
         }
         if is_taken {
-            self.told_through = self.told_through.max(Some(window));
+            self.told.insert(window);
             self.failures = 0;
         } else {
             self.failures += 1;
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn windows_are_told_in_order_until_the_platform_takes_them() {
+fn windows_are_told_by_turns_until_the_platform_takes_them() {
     let mut holder = Holder::new(Ledger::default());
     holder.close(100, 15_000);
     let tell = |holder: &mut Holder, now_ms| {
@@ -154,11 +154,18 @@
     assert_eq!(tell(&mut holder, 15_000), None, "one at a time");
     holder.reporter.told(window(0), false, at(15_100));
     assert_eq!(tell(&mut holder, 15_100), None, "after a pause");
-    assert_eq!(tell(&mut holder, 15_500), Some(window(0)));
-    holder.reporter.told(window(0), true, at(15_600));
-    assert_eq!(tell(&mut holder, 15_600), Some(window(1)), "before the record of the end is kept");
+    assert_eq!(tell(&mut holder, 15_500), Some(window(1)), "one that was missed keeps no other back");
+    holder.reporter.told(window(1), true, at(15_600));
+    assert_eq!(
+        tell(&mut holder, 15_600),
+        Some(window(0)),
+        "the other is not told again before its record is kept"
+    );
+    holder.reporter.told(window(0), true, at(15_700));
+    assert_eq!(tell(&mut holder, 15_700), None);
     holder.ledger.apply(Record::UsageDelivered(window(0)));
-    assert_eq!(holder.closed(0), None);
+    holder.ledger.apply(Record::UsageDelivered(window(1)));
+    assert_eq!((holder.closed(0), holder.closed(1)), (None, None));
 }
 
 #[test]
