Choose the store to read, and count milliseconds, in one place

Cause: reading the whole change again. The outline chose the nearest member of the log by a copy of what the follower does, and the modules on usage turned durations into milliseconds in three places.

The follower calls the outline's choice; the conversion is the windows' own. Behaviour is the same, no test changed.

Ruled out for now: one request for decided pages. The outline learns the set that followed from a refusal where the follower forgets the set it knows, so that joining them changes what the follower does.

--- a/crates/core/src/usage/meter.rs
+++ b/crates/core/src/usage/meter.rs
@@ -1,11 +1,10 @@
 //! What a node counts until the holder of the duty keeps it.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use speedy::{Readable, Writable};
 
-use super::window::WallTime;
+use super::window::{WallTime, to_ms};
 use crate::identity::TenantName;
 use crate::time::Timestamp;
 
@@ -73,7 +72,7 @@
         }
         let entry = |(at, tenant): &(Timestamp, TenantName)| UsageEntry {
             tenant: tenant.clone(),
-            age_ms: milliseconds(now.saturating_since(*at)),
+            age_ms: to_ms(now.saturating_since(*at)),
         };
         let entries = self.entries.iter().take(REPORT_LIMIT).map(entry).collect();
         Some(UsageReport { source: source.to_owned(), sent_at: wall, first: self.first, entries })
@@ -91,7 +90,3 @@
         self.dropped
     }
 }
-
-fn milliseconds(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/core/src/usage/true_time.rs
+++ b/crates/core/src/usage/true_time.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::window::WallTime;
+use super::window::{WallTime, to_ms};
 use crate::time::Timestamp;
 
 /// A clock that was not heard for so long is left out: it may have been set since.
@@ -58,7 +58,7 @@
 }
 
 fn steady_ms(now: Timestamp) -> u64 {
-    u64::try_from(now.saturating_since(Timestamp::ORIGIN).as_millis()).unwrap_or(u64::MAX)
+    to_ms(now.saturating_since(Timestamp::ORIGIN))
 }
 
 fn as_signed(milliseconds: u64) -> i64 {
--- a/crates/core/src/usage/window.rs
+++ b/crates/core/src/usage/window.rs
@@ -62,6 +62,7 @@
     }
 }
 
-fn to_ms(duration: Duration) -> u64 {
+/// Whole milliseconds of a duration.
+pub(super) fn to_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/batch/follower.rs
+++ b/crates/daemon/src/batch/follower.rs
@@ -11,10 +11,11 @@
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
-use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
+use lichenpulley_core::replication::replica_set::ReplicaSet;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::outline::nearest;
 use super::{candidate, shard};
 use crate::context::Context;
 use crate::store::{exchange, replica_sets};
@@ -77,7 +78,7 @@
 struct Task {
     context: Context,
     shared: Arc<Shared>,
-    /// Which store is read, in the order of [`Self::member`]; another after one that gave nothing.
+    /// Which store is read, in the order of [`nearest`]; another after one that gave nothing.
     turn: usize,
     /// The owner that is followed.
     owner: Option<SeenOwner>,
@@ -172,15 +173,8 @@
         }
     }
 
-    /// The store to read: those of this zone first, since bytes between zones are priced.
-    fn member<'a>(&self, set: &'a ReplicaSet) -> Option<&'a SetMember> {
-        let mut members: Vec<&SetMember> = set.members.iter().collect();
-        members.sort_by_key(|member| member.zone != self.context.settings.zone);
-        members.get(self.turn.checked_rem(members.len())?).copied()
-    }
-
     async fn ask(&self, set: &ReplicaSet, next: LogIndex) -> Option<DecidedPage> {
-        let member = self.member(set)?;
+        let member = nearest(&self.context, set, self.turn)?;
         let request = ReplicaRequest {
             shard: shard(),
             generation: set.generation,
--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -250,7 +250,7 @@
 }
 
 /// A member by its turn, those of this zone first, since bytes between zones are priced.
-fn nearest<'a>(context: &Context, set: &'a ReplicaSet, turn: usize) -> Option<&'a SetMember> {
+pub(super) fn nearest<'a>(context: &Context, set: &'a ReplicaSet, turn: usize) -> Option<&'a SetMember> {
     let mut members: Vec<&SetMember> = set.members.iter().collect();
     members.sort_by_key(|member| member.zone != context.settings.zone);
     members.get(turn.checked_rem(members.len())?).copied()
