Agree on the types of evacuations, cold replicas and regions

Change: core gains ingress::admission (the one place that all senders ask) and ingress::places; routes, tenants, services and replicas carry allowed regions and cold bounds, read in platform/; evacuations are a fourth kind of the platform's objects that nodes watch. A sender of plain requests is told why it can send nowhere.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -27,6 +27,7 @@
 use crate::decision::{Component, Decision};
 use crate::duties::{DutyCall, DutyPlan};
 use crate::identity::{BatchId, TenantName};
+use crate::ingress::admission::{AdmissionGate, EvacuatedZones};
 use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
 use crate::time::Timestamp;
@@ -105,6 +106,8 @@
     last_run: u64,
     routes: Option<Arc<RouteTable>>,
     replicas: BTreeMap<String, ReplicaState>,
+    /// What may be sent where.
+    gate: AdmissionGate,
     slowdown: Slowdown,
     loads: LoadPlan,
     scores: ScorePlan,
@@ -152,6 +155,7 @@
             last_run: 0,
             routes: None,
             replicas: BTreeMap::new(),
+            gate: AdmissionGate::default(),
             slowdown: Slowdown::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
@@ -279,6 +283,12 @@
         self.work_and_load(now);
     }
 
+    /// Takes the zones that are evacuated from now on.
+    pub fn set_evacuated(&mut self, now: Timestamp, evacuated: Arc<EvacuatedZones>) {
+        self.gate.set_evacuated(evacuated, now);
+        self.work(now);
+    }
+
     /// Takes a job.
     pub fn submit(&mut self, now: Timestamp, job: BatchJob) -> Submission {
         if let Some(kept) = self.ledger.job(&job.id) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -178,6 +178,7 @@
             tokens: 0,
             memory_tokens: first_service.and_then(|service| service.memory_tokens),
             avoid: None,
+            gate: &self.gate,
         }
     }
 
@@ -203,6 +204,7 @@
         state.running += 1;
         state.tokens += tokens;
         let replica = state.record.clone();
+        self.gate.sent(&replica, now);
         self.last_run += 1;
         let run = RunId(self.last_run);
         if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::ingress::admission::AdmissionGate;
 use crate::ingress::replicas::ReplicaRecord;
 use crate::ingress::routes::WeightedService;
 use crate::time::Timestamp;
@@ -159,6 +160,8 @@
     pub(super) memory_tokens: Option<u64>,
     /// Not this replica, where another can be had.
     pub(super) avoid: Option<&'a str>,
+    /// What this owner may send where.
+    pub(super) gate: &'a AdmissionGate,
 }
 
 impl Need<'_> {
@@ -171,6 +174,7 @@
         let record = &replica.record;
         replica.has_free_slot()
             && replica.avoid_until <= now
+            && self.gate.judge(record, now).is_open()
             && self.services.iter().any(|part| part.service == record.service)
             && self.has_version(replica)
             && self.has_room(replica)
--- a/crates/core/src/identity.rs
+++ b/crates/core/src/identity.rs
@@ -74,6 +74,11 @@
     /// A zone: machines that share a failure domain and a short network path.
     ZoneName
 );
+
+name_type!(
+    /// A region: zones that lie near each other.
+    RegionName
+);
 name_type!(
     /// A model pool: replicas that serve the same model.
     PoolName
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -23,6 +23,8 @@
     pub is_draining: bool,
     /// The version of each model that it serves.
     pub models: BTreeMap<String, u64>,
+    /// How much longer it was cold when it wrote its record; zero where it is warm.
+    pub cold_left: Duration,
 }
 
 /// All replicas, by id.
--- a/crates/core/src/ingress/routes.rs
+++ b/crates/core/src/ingress/routes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::places::AllowedRegions;
 use super::tenants::TenantDirectory;
 
 /// What a route's requests are.
@@ -58,6 +59,8 @@
     pub priority: u32,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// Where its requests may be served and kept.
+    pub regions: AllowedRegions,
 }
 
 impl Route {
@@ -95,6 +98,17 @@
     pub models: Vec<String>,
     /// How its replicas may be ordered; `None` where their number is not ours to choose.
     pub scaling: Option<ScalingBounds>,
+    /// What its replicas bear while they are cold; `None` where they are as good as warm from their start.
+    pub cold: Option<ColdBounds>,
+}
+
+/// What a replica bears for a while after its start, or after it turned cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBounds {
+    /// Requests a second that one replica bears, from all senders together.
+    pub per_second: f64,
+    /// How long a replica is cold after its start.
+    pub lasts: Duration,
 }
 
 /// How the replicas of a service may be ordered.
--- a/crates/core/src/ingress/tenants.rs
+++ b/crates/core/src/ingress/tenants.rs
@@ -8,6 +8,7 @@
 
 use sha2::{Digest, Sha256};
 
+use super::places::AllowedRegions;
 use crate::identity::TenantName;
 
 /// The longest key that is taken, in bytes: a header field carries it.
@@ -82,6 +83,8 @@
     pub keys: HashSet<KeyDigest>,
     /// Its rank, 0 first, where it has one; it goes before that of a route.
     pub priority: Option<u32>,
+    /// Where its requests may be served and kept.
+    pub regions: AllowedRegions,
 }
 
 impl Tenant {
@@ -96,7 +99,13 @@
     ) -> Result<Self, TenantError> {
         let digests = keys.into_iter().map(|key| KeyDigest::of(key.as_ref())).collect::<Result<_, _>>();
         let keys = digests.map_err(|cause| TenantError::Key { tenant: name.clone(), cause })?;
-        Ok(Self { name, keys, priority })
+        Ok(Self { name, keys, priority, regions: AllowedRegions::all() })
+    }
+
+    /// The same tenant, whose requests may be served and kept in these regions alone.
+    #[must_use]
+    pub fn within(self, regions: AllowedRegions) -> Self {
+        Self { regions, ..self }
     }
 }
 
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -16,6 +16,7 @@
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
 use lichenpulley_core::duties::DutyCall;
 use lichenpulley_core::identity::{BatchId, NodeId};
+use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
 use lichenpulley_core::time::Timestamp;
@@ -31,6 +32,7 @@
         slots: 2,
         is_draining: false,
         models: BTreeMap::from([(MODEL.to_owned(), version)]),
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -55,6 +57,7 @@
         needs_single_version,
         priority: 1,
         is_public: false,
+        regions: AllowedRegions::all(),
     };
     let scorers = Route {
         name: "scores".to_owned(),
@@ -66,8 +69,13 @@
         is_resumable: false,
         ..route.clone()
     };
-    let service =
-        Service { slots: 2, memory_tokens: Some(10_000), models: vec![MODEL.to_owned()], scaling: None };
+    let service = Service {
+        slots: 2,
+        memory_tokens: Some(10_000),
+        models: vec![MODEL.to_owned()],
+        scaling: None,
+        cold: None,
+    };
     let limits = Limits {
         header_bytes: 16 << 10,
         body_bytes: 1 << 20,
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
+use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, WeightedService};
 use lichenpulley_core::time::Timestamp;
@@ -30,6 +31,7 @@
         needs_single_version: false,
         priority: 1,
         is_public: false,
+        regions: AllowedRegions::all(),
     }
 }
 
@@ -103,6 +105,7 @@
         slots: 4,
         is_draining: false,
         models: BTreeMap::new(),
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -309,6 +309,7 @@
         let routes = metadata.routes.load_full();
         let (replicas, versions) = (metadata.replicas.load_full(), metadata.versions.load_full());
         self.controller.update(now, routes, &replicas, &versions);
+        self.controller.set_evacuated(now, metadata.evacuated.load_full());
     }
 
     fn tick(&mut self) {
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -172,10 +172,10 @@
     let mut attempts = Attempts::new(route.is_repeatable(), route.max_attempts);
     let mut tried = Vec::new();
     loop {
-        let Some(mut visit) = ingress.visit(&call.service, &tried) else {
-            let nowhere = tried.is_empty();
-            let refusal = if nowhere { Refusal::NoReplica } else { given_up(attempts.give_up(), &call) };
-            return call.refuse(ingress, refusal);
+        let mut visit = match ingress.visit(&call.service, &tried) {
+            Ok(visit) => visit,
+            Err(nowhere) if tried.is_empty() => return call.refuse(ingress, nowhere.into()),
+            Err(_) => return call.refuse(ingress, given_up(attempts.give_up(), &call)),
         };
         tried.push(visit.replica.id.clone());
         let patience = patience(&call, &attempts, route);
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -10,11 +10,12 @@
 pub mod sse;
 mod stream;
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lichenpulley_core::ingress::admission::{Admission, AdmissionGate};
 use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::time::Timestamp;
@@ -27,20 +28,38 @@
 use pool::ReplicaPool;
 use refusal::Refusal;
 
+/// What decides where a request goes.
+#[derive(Default)]
+struct ReplicaChoice {
+    chooser: ReplicaChooser,
+    gate: AdmissionGate,
+}
+
+/// Why no replica can be sent a request now. The greatest one tells what would have to end first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Nowhere {
+    /// None of the service is listed, or all were tried.
+    NoReplica,
+    /// All stand in zones that are evacuated.
+    Evacuated,
+    /// Some are cold; this node may send to one of them after so long.
+    Warming(Duration),
+}
+
 /// Serves callers. Cheap to clone.
 #[derive(Clone)]
 pub struct Ingress {
     context: Context,
     pool: ReplicaPool,
     batch: BatchJobs,
-    chooser: Arc<Mutex<ReplicaChooser>>,
+    choice: Arc<Mutex<ReplicaChoice>>,
     origin: Instant,
 }
 
 impl Ingress {
     /// An ingress that sends to replicas through `pool`, and batch jobs to their owner through `batch`.
     pub fn new(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
-        Self { context, pool, batch, chooser: Arc::default(), origin: Instant::now() }
+        Self { context, pool, batch, choice: Arc::default(), origin: Instant::now() }
     }
 
     /// Answers one request on the callers' port.
@@ -80,23 +99,43 @@
     }
 
     /// Chooses a replica and counts a request there until the returned visit is dropped.
-    fn visit(&self, service: &str, tried: &[String]) -> Option<Visit> {
-        let table = self.context.metadata.replicas.load();
-        let mut chooser = self.chooser.lock().unwrap_or_else(PoisonError::into_inner);
-        chooser.retain_listed(&table);
-        let replica = chooser.choose(&table, service, tried, self.now(), rand::random())?.clone();
-        chooser.sent(&replica.id);
-        Some(Visit {
-            ingress: self.clone(),
-            replica,
-            began: Instant::now(),
-            experience: Experience::Abandoned,
-        })
+    fn visit(&self, service: &str, tried: &[String]) -> Result<Visit, Nowhere> {
+        let metadata = &self.context.metadata;
+        let (table, now) = (metadata.replicas.load(), self.now());
+        let mut choice = self.choice();
+        choice.gate.set_evacuated(metadata.evacuated.load_full(), now);
+        choice.chooser.retain_listed(&table);
+        let mut open = Vec::new();
+        let mut nowhere = Nowhere::NoReplica;
+        for record in table.ready(service).filter(|record| !tried.contains(&record.id)) {
+            match choice.gate.judge(record, now) {
+                Admission::Open => open.push(record),
+                Admission::Evacuated => nowhere = nowhere.max(Nowhere::Evacuated),
+                Admission::Warming(until) => nowhere = nowhere.warming_for(until.saturating_since(now)),
+            }
+        }
+        let replica = choice.chooser.best_of(open, now, rand::random()).ok_or(nowhere)?.clone();
+        choice.gate.sent(&replica, now);
+        choice.chooser.sent(&replica.id);
+        Ok(Visit { ingress: self.clone(), replica, began: Instant::now(), experience: Experience::Abandoned })
     }
 
     fn reported(&self, replica: &str, busy: u32) {
-        let mut chooser = self.chooser.lock().unwrap_or_else(PoisonError::into_inner);
-        chooser.reported(replica, busy, self.now());
+        self.choice().chooser.reported(replica, busy, self.now());
+    }
+
+    fn choice(&self) -> MutexGuard<'_, ReplicaChoice> {
+        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Nowhere {
+    /// The same, where one more replica is cold: the soonest counts.
+    fn warming_for(self, left: Duration) -> Self {
+        match self {
+            Self::Warming(other) => Self::Warming(other.min(left)),
+            Self::NoReplica | Self::Evacuated => Self::Warming(left),
+        }
     }
 }
 
@@ -124,8 +163,7 @@
 
 impl Drop for Visit {
     fn drop(&mut self) {
-        let mut chooser = self.ingress.chooser.lock().unwrap_or_else(PoisonError::into_inner);
-        chooser.ended(&self.replica.id, self.experience, self.ingress.now());
+        self.ingress.choice().chooser.ended(&self.replica.id, self.experience, self.ingress.now());
     }
 }
 
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -8,6 +8,7 @@
 use lichenpulley_platform::headers;
 use lichenpulley_protocol::error::ErrorBody;
 
+use super::Nowhere;
 use crate::context::Context;
 use crate::http::{Body, response};
 
@@ -22,6 +23,10 @@
     NoRoute,
     /// No replica of the service takes work.
     NoReplica,
+    /// All replicas of the service stand in zones that are evacuated.
+    Evacuated,
+    /// The replicas that could take it are cold; one may be sent a request after so long.
+    Warming(Duration),
     /// Every replica that was tried stated that it did not run the request.
     NotRun,
     /// A replica may have run the request, and no whole answer came.
@@ -48,6 +53,16 @@
     InDoubt,
 }
 
+impl From<Nowhere> for Refusal {
+    fn from(nowhere: Nowhere) -> Self {
+        match nowhere {
+            Nowhere::NoReplica => Self::NoReplica,
+            Nowhere::Evacuated => Self::Evacuated,
+            Nowhere::Warming(left) => Self::Warming(left),
+        }
+    }
+}
+
 /// When to come back after a replica could not be had.
 const RETRY_SOON: Duration = Duration::from_millis(100);
 /// When to come back after the owner or the configuration could not be had.
@@ -56,9 +71,12 @@
 impl Refusal {
     const fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::NoReplica | Self::NotRun | Self::NoOwner => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::NoReplica
+            | Self::Evacuated
+            | Self::Warming(_)
+            | Self::NotRun
+            | Self::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::IdTaken => StatusCode::CONFLICT,
             Self::NoRoute | Self::UnknownBatch => StatusCode::NOT_FOUND,
@@ -78,6 +96,8 @@
             Self::IdTaken => "id_taken",
             Self::NoRoute => "no_route",
             Self::NoReplica => "no_replica",
+            Self::Evacuated => "evacuated",
+            Self::Warming(_) => "warming",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
@@ -96,7 +116,10 @@
         match self {
             Self::NoConfiguration => "come back once this node has read the configuration",
             Self::NoRoute => "check the host and the path, or add a route",
-            Self::NoReplica | Self::NotRun | Self::NoOwner | Self::Full => "send it again, it has not run",
+            Self::Evacuated => "return a zone, or order replicas in another",
+            Self::NoReplica | Self::Warming(_) | Self::NotRun | Self::NoOwner | Self::Full => {
+                "send it again, it has not run"
+            }
             Self::Unknown | Self::TimedOut => "it may have run; send it again only if it may run twice",
             Self::BodyTooLong => "send a shorter body, or raise the configuration's limit",
             Self::BodyTooSlow => "send the body at once",
@@ -112,7 +135,8 @@
     const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoReplica | Self::NotRun => Some(RETRY_SOON),
-            Self::NoConfiguration | Self::NoOwner | Self::Full => Some(RETRY_LATER),
+            Self::Warming(left) => Some(left),
+            Self::NoConfiguration | Self::NoOwner | Self::Full | Self::Evacuated => Some(RETRY_LATER),
             _ => None,
         }
     }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -69,9 +69,10 @@
     let mut attempts = Attempts::new(route.is_repeatable(), route.max_attempts);
     let mut tried = Vec::new();
     loop {
-        let Some(mut visit) = ingress.visit(&call.service, &tried) else {
-            let refusal = if tried.is_empty() { Refusal::NoReplica } else { refusal(attempts.give_up()) };
-            return call.refuse(ingress, refusal);
+        let mut visit = match ingress.visit(&call.service, &tried) {
+            Ok(visit) => visit,
+            Err(nowhere) if tried.is_empty() => return call.refuse(ingress, nowhere.into()),
+            Err(_) => return call.refuse(ingress, refusal(attempts.give_up())),
         };
         tried.push(visit.replica.id.clone());
         let (outcome, exchange) = open(ingress, &call, &mut visit, last_event.as_deref()).await;
@@ -231,7 +232,7 @@
         if next != Next::TryAnother || pieces.is_closed() {
             return false;
         }
-        let Some(mut visit) = ingress.visit(&stream.call.service, &stream.tried) else { return false };
+        let Ok(mut visit) = ingress.visit(&stream.call.service, &stream.tried) else { return false };
         stream.tried.push(visit.replica.id.clone());
         let (opened, exchange) = open(ingress, &stream.call, &mut visit, last_event.as_deref()).await;
         match exchange {
--- a/crates/daemon/src/metadata/copy.rs
+++ b/crates/daemon/src/metadata/copy.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_platform::{configuration, objects, replica};
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind};
@@ -62,9 +63,16 @@
         MetadataKind::Configuration => apply_configuration(handle, &objects),
         MetadataKind::Replicas => {}
         MetadataKind::Versions => apply_versions(handle, &objects),
+        MetadataKind::Evacuations => apply_evacuations(handle, &objects),
     }
 }
 
+/// Each object is a zone; it is evacuated for as long as the object is there.
+fn apply_evacuations(handle: &MetadataHandle, objects: &[(&str, Value)]) {
+    let zones = objects.iter().map(|(zone, _)| (*zone).to_owned()).collect();
+    handle.evacuated.store(Arc::new(EvacuatedZones { zones }));
+}
+
 /// Invariant: the version in force never goes down.
 fn apply_configuration(handle: &MetadataHandle, objects: &[(&str, Value)]) {
     let main = objects.iter().find(|(name, _)| *name == objects::CONFIGURATION_NAME);
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::replicas::ReplicaTable;
 use lichenpulley_core::ingress::routes::RouteTable;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse};
@@ -38,6 +39,8 @@
     pub replicas: ArcSwap<ReplicaTable>,
     /// Versions that trainers named, by model.
     pub versions: ArcSwap<BTreeMap<String, u64>>,
+    /// Zones that are evacuated.
+    pub evacuated: ArcSwap<EvacuatedZones>,
     copies: [ArcSwapOption<CopyHistory>; MetadataKind::ALL.len()],
     freshness: Freshness,
     changes: watch::Sender<u64>,
@@ -49,6 +52,7 @@
             routes: ArcSwapOption::empty(),
             replicas: ArcSwap::default(),
             versions: ArcSwap::default(),
+            evacuated: ArcSwap::default(),
             copies: Default::default(),
             freshness: Freshness::default(),
             changes: watch::Sender::new(0),
@@ -111,6 +115,7 @@
         MetadataKind::Configuration => 0,
         MetadataKind::Replicas => 1,
         MetadataKind::Versions => 2,
+        MetadataKind::Evacuations => 3,
     }
 }
 
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -54,6 +54,7 @@
         MetadataKind::Configuration => objects::CONFIGURATION,
         MetadataKind::Replicas => objects::REPLICAS,
         MetadataKind::Versions => objects::VERSIONS,
+        MetadataKind::Evacuations => objects::EVACUATIONS,
     }
 }
 
@@ -130,7 +131,9 @@
             }
             let pause = match self.kind {
                 MetadataKind::Replicas => REPLICA_WATCH_PAUSE,
-                MetadataKind::Configuration | MetadataKind::Versions => WATCH_PAUSE,
+                MetadataKind::Configuration | MetadataKind::Versions | MetadataKind::Evacuations => {
+                    WATCH_PAUSE
+                }
             };
             if let Some(rest) = pause.checked_sub(began.elapsed()) {
                 tokio::time::sleep(rest).await;
--- a/crates/protocol/src/internal/metadata.rs
+++ b/crates/protocol/src/internal/metadata.rs
@@ -12,11 +12,13 @@
     Replicas,
     /// Versions that trainers named.
     Versions,
+    /// Zones that the operator wants evacuated.
+    Evacuations,
 }
 
 impl MetadataKind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Replicas, Self::Versions];
+    pub const ALL: [Self; 4] = [Self::Configuration, Self::Replicas, Self::Versions, Self::Evacuations];
 }
 
 /// Asks for what changed in a kind.
