Let the soak evacuate zones while faults strike

Cause: the soak knew nothing of evacuations, so that a node which starts, wakes or loses the platform in the middle of one was never seen to keep to it.

Change: a quarter of the faults strike while a zone is evacuated; from five seconds after the operator's request on, its replicas may begin nothing new.

Ruled out: judging from the first moment on: the news has to travel.

--- a/crates/lab/src/soak/fault.rs
+++ b/crates/lab/src/soak/fault.rs
@@ -1,5 +1,6 @@
 //! The faults of a soak, drawn from its seed.
 
+use std::fmt;
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
@@ -42,6 +43,8 @@
     pub lasts: Duration,
     /// The pause after it.
     pub pause: Duration,
+    /// The zone, by its number, that the operator has had evacuated before it begins, until after its end.
+    pub evacuated: Option<usize>,
 }
 
 /// How many there are of each kind of process.
@@ -53,6 +56,21 @@
     pub stores: usize,
     /// Replicas.
     pub replicas: usize,
+    /// Zones; each has replicas.
+    pub zones: usize,
+}
+
+/// The part of the faults that strike while a zone is evacuated.
+const EVACUATED_SHARE: f64 = 0.25;
+
+impl fmt::Display for PlannedFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}", self.fault)?;
+        match self.evacuated {
+            Some(zone) => write!(formatter, ", zone {zone} evacuated"),
+            None => Ok(()),
+        }
+    }
 }
 
 impl PlannedFault {
@@ -93,6 +111,8 @@
         // The loss of one disk at a time is to be borne: its successor must hold the log before the next one goes.
         let least_ms = if matches!(fault, Fault::WipeStore(_)) { 5_000 } else { 300 };
         let pause = Duration::from_millis(least_ms + random.random_range(0..1_500));
-        Self { fault, lasts, pause }
+        let is_evacuated = random.random_bool(EVACUATED_SHARE);
+        let evacuated = is_evacuated.then(|| random.random_range(0..size.zones));
+        Self { fault, lasts, pause, evacuated }
     }
 }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -84,7 +84,7 @@
         let at_ms = callers.now_ms();
         system.play(planned).await?;
         let lasted_ms = callers.now_ms() - at_ms;
-        faults.push(FaultRecord { at_ms, lasted_ms, fault: format!("{:?}", planned.fault) });
+        faults.push(FaultRecord { at_ms, lasted_ms, fault: planned.to_string() });
         tokio::time::sleep(planned.pause).await;
     }
     for task in jobs.into_iter().chain(writes) {
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -19,7 +19,10 @@
 use crate::platform_replica::{self, Behaviour, Plan, Replica, SeenRequest};
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-const SIZE: SystemSize = SystemSize { gateways: 3, stores: 3, replicas: 3 };
+const SIZE: SystemSize = SystemSize { gateways: 3, stores: 3, replicas: 3, zones: ZONES.len() };
+/// Every node that runs and reaches the platform or a peer keeps to an evacuation after so long (`evac_ms` of the
+/// platform's pages).
+const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
 /// How long a planned stop may take.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
@@ -120,12 +123,40 @@
         self.replicas.iter().flat_map(Replica::seen).collect()
     }
 
-    /// Plays a fault to its end.
+    /// Plays a fault to its end, while a zone is evacuated where the plan says so.
     ///
     /// # Errors
     /// When a process ended by itself or can't be started again.
     pub(super) async fn play(&mut self, planned: PlannedFault) -> Result<(), LabError> {
         self.find_ended()?;
+        let Some(zone) = planned.evacuated else { return self.play_fault(planned).await };
+        self.platform.put(objects::EVACUATIONS, ZONES[zone], json!({}));
+        tokio::time::sleep(EVACUATED_WITHIN).await;
+        let before = self.seen_in(zone);
+        let played = self.play_fault(planned).await;
+        self.check_evacuated(zone, before);
+        self.platform.remove(objects::EVACUATIONS, ZONES[zone]);
+        played
+    }
+
+    /// How many requests the replicas of a zone began to run.
+    fn seen_in(&self, zone: usize) -> usize {
+        let replicas = self.replicas.iter().enumerate();
+        let replicas = replicas.filter(|(number, _)| number % ZONES.len() == zone);
+        replicas.map(|(_, replica)| replica.seen().len()).sum()
+    }
+
+    /// Nothing new may have come to the replicas of a zone since they had begun `before` requests.
+    fn check_evacuated(&self, zone: usize, before: usize) {
+        let later = self.seen_in(zone) - before;
+        if later > 0 {
+            let seen = format!("{later} requests began there");
+            let at_ms = self.callers.now_ms();
+            self.callers.history().broken(at_ms, "nothing goes to an evacuated zone", ZONES[zone], seen);
+        }
+    }
+
+    async fn play_fault(&mut self, planned: PlannedFault) -> Result<(), LabError> {
         let lasts = planned.lasts;
         match planned.fault {
             Fault::KillGateway(number) => self.restart_gateway(number, lasts).await,
