Split the simulated gateway, and describe errors in one place

Change: what a schedule switches off and what gateways are asked, tell and send stand in modules of their own; the HTTP client calls the transport's function. No behaviour changes.

--- a/crates/daemon/src/http/client/error.rs
+++ b/crates/daemon/src/http/client/error.rs
@@ -84,15 +84,3 @@
     };
     error.is_connect() || error.source().is_some_and(unstarted)
 }
-
-/// An error with its causes, since `hyper`'s own text names the kind only.
-pub(super) fn describe(error: &legacy::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/crates/daemon/src/http/client/mod.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -14,13 +14,14 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use lichenpulley_protocol::transport;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use super::events::EventReader;
 pub use error::ClientError;
-use error::{describe, is_unsent};
+use error::is_unsent;
 
 /// Longest body that is read whole, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
@@ -221,9 +222,9 @@
         match answered {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if is_unsent(&error) => {
-                Err(ClientError::NotSent { address, reason: describe(&error) })
+                Err(ClientError::NotSent { address, reason: transport::describe(&error) })
             }
-            Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: describe(&error) }),
+            Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: transport::describe(&error) }),
             Err(_) if connection.connection_metadata().is_none() => {
                 Err(ClientError::NotSent { address, reason: "no connection by the deadline".to_owned() })
             }
--- a/crates/lab/src/requests/checks.rs
+++ b/crates/lab/src/requests/checks.rs
@@ -11,7 +11,7 @@
 use lichenpulley_core::time::Timestamp;
 
 use super::engine::Admission;
-use super::gateway::{SentWork, Submission, Told};
+use super::submission::{SentWork, Submission, Told};
 use crate::engine::answer::is_whole_answer;
 
 /// A promise that a schedule broke.
--- a/crates/lab/src/requests/comparison.rs
+++ b/crates/lab/src/requests/comparison.rs
@@ -1,7 +1,7 @@
 //! `lichenpulley-lab compare-requests`: what mechanisms of the request path cost and spare, on the same schedules.
 
 use super::checks::Tally;
-use super::gateway::Mechanisms;
+use super::mechanisms::Mechanisms;
 use super::schedule::{Cost, Schedule};
 use crate::arguments;
 use crate::error::LabError;
--- a/crates/lab/src/requests/gateway.rs
+++ b/crates/lab/src/requests/gateway.rs
@@ -9,17 +9,18 @@
 use lichenpulley_core::request::execution::{
     ANSWER_TIMEOUT, ClaimVerdict, EngineEvent, Execution, ExecutionSpec, Step,
 };
-use lichenpulley_core::request::outcome::{EngineRefusal, Outcome, RefusalReason, refuse_at_once};
-use lichenpulley_core::retry::budget::BudgetConfig;
+use lichenpulley_core::request::outcome::{EngineRefusal, RefusalReason, refuse_at_once};
+use lichenpulley_core::routing::Pool;
 use lichenpulley_core::routing::pool::ListedReplica;
-use lichenpulley_core::routing::{Pool, PoolConfig};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::engine::StreamRequest;
 use lichenpulley_simulation::{Outbox, ProcessId};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::mechanisms::Mechanisms;
 use super::message::Message;
+use super::submission::{SentWork, Submission, Told};
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -30,93 +31,6 @@
 /// Most replicas probed in one round.
 const PROBES_IN_ROUND: usize = 8;
 
-/// Mechanisms that a schedule can switch off, to show that its checks find what they are there for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mechanisms {
-    /// Only a proof makes "not run"; off: a request whose stream falls silent is told to be not run.
-    pub proof_of_not_run: bool,
-    /// Ids are claimed at a majority; off: the gateway remembers by itself what it has sent.
-    pub claims: bool,
-    /// Chunks are put together by number; off: in the order in which they come.
-    pub numbering: bool,
-    /// A confirmation stands for the time of its question; off: for the time of its arrival, and holds for ever.
-    pub expiring_confirmations: bool,
-    /// A stream that breaks is resumed, and goes on elsewhere from the tokens that came; off: the request begins
-    /// anew.
-    pub resume: bool,
-    /// Retries stay within the pool's budget; off: every refusal is retried until the deadline.
-    pub retry_budget: bool,
-    /// Requests at a replica are limited by how it answers; off: they are not limited.
-    pub concurrency_limits: bool,
-}
-
-impl Mechanisms {
-    /// All of them.
-    pub const ON: Self = Self {
-        proof_of_not_run: true,
-        claims: true,
-        numbering: true,
-        expiring_confirmations: true,
-        resume: true,
-        retry_budget: true,
-        concurrency_limits: true,
-    };
-
-    fn pool_config(&self) -> PoolConfig {
-        let mut config = PoolConfig::default();
-        if !self.expiring_confirmations {
-            config.confirmation_holds = Duration::from_secs(1_000_000);
-        }
-        if !self.retry_budget {
-            config.budget = BudgetConfig { deposit_ratio: 1.0, minimum_per_second: 1_000.0, ..config.budget };
-            config.budget.most_saved = 1e9;
-        }
-        if !self.concurrency_limits {
-            let unlimited = config.concurrency.maximum;
-            config.concurrency.minimum = unlimited;
-            config.concurrency.initial = unlimited;
-        }
-        config
-    }
-}
-
-/// A caller's request as a gateway gets it.
-#[derive(Clone, Debug)]
-pub struct Submission {
-    /// Which submission of the schedule this is.
-    pub number: usize,
-    /// The request as it goes to an engine.
-    pub stream: StreamRequest,
-    /// Its id.
-    pub request: RequestId,
-    /// Whether it may run twice.
-    pub repeatable: bool,
-    /// When the answer is of no use any more.
-    pub deadline: Timestamp,
-}
-
-/// What a caller was told.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// Which submission.
-    pub number: usize,
-    /// The outcome.
-    pub outcome: Rc<Outcome>,
-    /// Chunks as they were streamed.
-    pub streamed: Vec<u32>,
-    /// How long the caller waited.
-    pub took: Duration,
-}
-
-/// New work sent to a replica.
-#[derive(Clone, Debug)]
-pub struct SentWork {
-    /// The replica.
-    pub replica: ReplicaId,
-    /// When.
-    pub at: Timestamp,
-}
-
 #[derive(Debug)]
 enum Waiting {
     Connecting { attempt: AttemptId, prior_tokens: Vec<u32>, replica: ReplicaId },
--- a/crates/lab/src/requests/mod.rs
+++ b/crates/lab/src/requests/mod.rs
@@ -5,13 +5,15 @@
 mod comparison;
 mod engine;
 mod gateway;
+mod mechanisms;
 mod message;
 mod process;
 mod schedule;
+mod submission;
 
 pub use checks::{Tally, Violation};
 pub use comparison::compare;
-pub use gateway::Mechanisms;
+pub use mechanisms::Mechanisms;
 pub use schedule::{Cost, Report, Schedule};
 
 use crate::arguments;
--- a/crates/lab/src/requests/schedule.rs
+++ b/crates/lab/src/requests/schedule.rs
@@ -16,8 +16,10 @@
 use super::checks::{self, Absence, Tally, Violation};
 use super::claims::ClaimProcess;
 use super::engine::{Admission, EngineProcess};
-use super::gateway::{GatewayProcess, Mechanisms, Submission};
+use super::gateway::GatewayProcess;
+use super::mechanisms::Mechanisms;
 use super::process::Role;
+use super::submission::Submission;
 use crate::engine::model::EngineConfig;
 
 const ENGINES: usize = 5;
--- a/crates/protocol/src/transport.rs
+++ b/crates/protocol/src/transport.rs
@@ -289,7 +289,7 @@
     Err(TransportError::Undecodable(speedy::Error::custom("bytes follow the message")))
 }
 
-/// An error with its causes in one line, since `tarpc`'s own text names the step that failed only.
+/// An error with its causes in one line: the text of a library's own error names the step that failed only.
 pub fn describe(error: &(dyn std::error::Error + 'static)) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
