Serve with few stores, and place the log by zones and regions

A log that wants five members was never made where three or four stores stood: the first set was refused until as many answered as the settings want, and no batch job was served. Who answered was judged by the settings' majority as well, so that a smaller set could not have been taken over from.

The first set is now made of as many stores as there are once no other has come for store.small_set_after_ms (5 s), and of tolerated_losses + 1 at least. It grows by itself, one member at a time: through the log at the owner of the batch jobs, through the document of replica sets elsewhere. It never shrinks. A candidate judges by the majority of the set in force, and counts its members and stores that know of a leader. What a set bears is told in the decisions placed and kept_by, in two gauges, and as a warning where it is less than wanted.

store.tolerated_zones and store.tolerated_regions ask for more than disks. Which set is chosen follows from these three and from where stores stand: the smallest that bears them, with a majority in one region where regions need not be borne, evenly over zones. Where none bears them, the one that comes nearest. A member moves where that lets the set bear more. Among machines that are alike, those in the region of the log's majority own first; readers of the platform's store are spread as before.

Ruled out: deciding with all members of a small set (bears more lost disks, but stops with the first lost one); making the small set at once (a normal start would begin with one).

--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -63,6 +63,7 @@
 
 pub mod acceptor;
 pub mod ballot;
+pub mod bearing;
 pub mod claim_tally;
 pub mod claims;
 mod copy_target;
--- a/crates/core/src/replication/replica_set.rs
+++ b/crates/core/src/replication/replica_set.rs
@@ -106,12 +106,15 @@
     }
 
     /// The next generation, with `leaving` replaced by `joining`. One member at a time, so that most of the next
-    /// set already has most of the state. `None` where `leaving` is no member or `joining` is one already.
+    /// set already has most of the state. Where `leaving` is the joining store itself, nobody leaves and the set grows.
+    /// `None` where `leaving` is no member otherwise or `joining` is one already.
     pub fn with_replaced(&self, leaving: &StoreId, joining: SetMember) -> Option<Self> {
-        self.member(leaving)?;
         if self.member(&joining.store).is_some() {
             return None;
         }
+        if leaving != &joining.store {
+            self.member(leaving)?;
+        }
         let mut members = self.members.clone();
         members.retain(|member| &member.store != leaving);
         members.push(joining);
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use lichenpulley_core::batch::election::{self, CANDIDATES, LeaderSeen, Verdict};
+use lichenpulley_core::batch::election::{self, LeaderSeen, Verdict};
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::ledger_follower::LedgerFollower;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
@@ -13,6 +13,7 @@
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::replication::replica_set::ReplicaSet;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, StoreRequest, StoreResponse};
 use tokio::runtime::Handle;
@@ -22,10 +23,14 @@
 use super::follower::LogFollower;
 use super::outline::{self, MissingTexts};
 use super::owner::{Owner, OwnerEnd, Takeover};
+use super::owner_order::rank;
+pub(super) use super::owner_order::{best_other, is_next};
+pub(crate) use super::owner_order::{first_coordinators, is_candidate, rank_among};
 use super::{Command, shard};
-use crate::cluster::{Member, NodeCapacity, rendezvous_weight};
+use crate::cluster::Member;
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
+use crate::store::replica_sets;
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// Time between two looks at the stores.
@@ -39,9 +44,15 @@
 /// How long a successor may take to answer that it was told.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// What one store says of who leads.
+struct StoreAnswer {
+    store: NodeId,
+    leader: Option<LeaderSeen>,
+}
+
 /// What the stores say of who leads.
 pub(super) struct StoresSay {
-    answers: Vec<Option<LeaderSeen>>,
+    answers: Vec<StoreAnswer>,
     /// The owner under the highest epoch.
     pub(super) owner: Option<NodeId>,
 }
@@ -49,7 +60,22 @@
 impl StoresSay {
     /// Whether a store heard of the owner less than so long ago.
     fn heard_within(&self, duration: Duration) -> bool {
-        self.answers.iter().flatten().any(|seen| seen.idle < duration)
+        self.leaders().any(|seen| seen.idle < duration)
+    }
+
+    fn leaders(&self) -> impl Iterator<Item = &LeaderSeen> {
+        self.answers.iter().filter_map(|answer| answer.leader.as_ref())
+    }
+
+    /// The answers that count towards a majority of `set`: those of its members, and of stores that know of a leader, which
+    /// are members of a set that this node has not met yet. All of them where no set is known.
+    fn counted(&self, set: Option<&ReplicaSet>) -> Vec<Option<LeaderSeen>> {
+        let is_member =
+            |set: &ReplicaSet, node: &NodeId| set.members.iter().any(|member| member.node == *node);
+        let counts = |answer: &&StoreAnswer| {
+            answer.leader.is_some() || set.is_none_or(|set| is_member(set, &answer.store))
+        };
+        self.answers.iter().filter(counts).map(|answer| answer.leader.clone()).collect()
     }
 
     /// How many stores answered.
@@ -60,25 +86,31 @@
 
 /// Asks every live store.
 pub(super) async fn ask_stores(context: &Context) -> StoresSay {
-    let addresses: Vec<_> = {
+    let stores: Vec<Member> = {
         let cluster = context.cluster.load();
-        let stores = cluster.members.iter().filter(|member| member.roles.store);
-        stores.map(|member| member.peer_address).collect()
+        cluster.members.iter().filter(|member| member.roles.store).cloned().collect()
     };
-    let ask = |address| context.peers.store(address, StoreRequest::Leadership(shard()), STORE_TIMEOUT);
-    let answers = join_all(addresses.into_iter().map(ask)).await;
-    let answers = answers.into_iter().filter_map(|answer| match answer {
-        Ok(StoreResponse::Leadership(seen)) => Some(seen.map(|seen| LeaderSeen {
-            epoch: seen.epoch,
-            owner: node_of(seen.proposer.as_str()),
-            idle: Duration::from_millis(seen.idle_ms),
-        })),
-        _ => None,
+    let answers = join_all(stores.into_iter().map(|store| ask_store(context, store))).await;
+    let mut say = StoresSay { answers: answers.into_iter().flatten().collect(), owner: None };
+    let latest = say.leaders().max_by_key(|seen| seen.epoch);
+    say.owner = latest.map(|seen| seen.owner.clone());
+    say
+}
+
+/// Asks one store; `None` where it gives no answer in time.
+async fn ask_store(context: &Context, store: Member) -> Option<StoreAnswer> {
+    let request = StoreRequest::Leadership(shard());
+    let Ok(StoreResponse::Leadership(seen)) =
+        context.peers.store(store.peer_address, request, STORE_TIMEOUT).await
+    else {
+        return None;
+    };
+    let leader = seen.map(|seen| LeaderSeen {
+        epoch: seen.epoch,
+        owner: node_of(seen.proposer.as_str()),
+        idle: Duration::from_millis(seen.idle_ms),
     });
-    let answers: Vec<Option<LeaderSeen>> = answers.collect();
-    let latest = answers.iter().flatten().max_by_key(|seen| seen.epoch);
-    let owner = latest.map(|seen| seen.owner.clone());
-    StoresSay { answers, owner }
+    Some(StoreAnswer { store: store.node, leader })
 }
 
 /// A proposer's id is its node's name, a slash, and a random number.
@@ -86,57 +118,6 @@
     NodeId::new(proposer.split('/').next().unwrap_or_default())
 }
 
-/// Whether this node may come to own the batch jobs, or owns them.
-pub(crate) fn is_candidate(context: &Context) -> bool {
-    let owns = context.batch_owner.load().as_ref().is_some_and(|owner| **owner == context.node);
-    owns || (context.settings.roles.coordinator && rank(context) < CANDIDATES)
-}
-
-/// The order of coordinators as owners of the shard: the most capable machines first, among equals by their weights.
-fn preference(member: &Member) -> (NodeCapacity, u64, NodeId) {
-    (member.capacity, rendezvous_weight(&member.node, &shard()), member.node.clone())
-}
-
-/// This node's place among the coordinators.
-fn rank(context: &Context) -> usize {
-    rank_among(context).0
-}
-
-/// This node's place among the coordinators, and how many there are.
-pub(crate) fn rank_among(context: &Context) -> (usize, usize) {
-    let capacity = context.settings.machine.capacity();
-    let own = (capacity, rendezvous_weight(&context.node, &shard()), context.node.clone());
-    let cluster = context.cluster.load();
-    let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
-    let (before, all) = coordinators
-        .fold((0, 0), |(before, all), member| (before + usize::from(preference(member) > own), all + 1));
-    (before, all)
-}
-
-/// The first coordinators in the order of preference.
-pub(crate) fn first_coordinators(context: &Context, count: usize) -> Vec<Member> {
-    let cluster = context.cluster.load();
-    let mut coordinators: Vec<&Member> =
-        cluster.members.iter().filter(|member| member.roles.coordinator).collect();
-    coordinators.sort_by_cached_key(|member| std::cmp::Reverse(preference(member)));
-    coordinators.into_iter().take(count).cloned().collect()
-}
-
-/// The coordinator that should come after this node, or before it.
-pub(super) fn best_other(context: &Context) -> Option<Member> {
-    let cluster = context.cluster.load();
-    let others = cluster.members.iter();
-    let others = others.filter(|member| member.roles.coordinator && member.node != context.node);
-    others.max_by_key(|member| preference(member)).cloned()
-}
-
-/// Whether this node is the first coordinator beside the owner.
-pub(super) fn is_next(context: &Context, owner: &NodeId) -> bool {
-    let cluster = context.cluster.load();
-    let others = cluster.members.iter().filter(|member| member.roles.coordinator && member.node != *owner);
-    others.max_by_key(|member| preference(member)).is_some_and(|next| next.node == context.node)
-}
-
 /// Runs until the node has stopped.
 pub(super) async fn run(
     context: Context,
@@ -243,8 +224,14 @@
             LookReason::Asked => (0, ASKED_IDLE),
             _ => (rank, self.context.settings.batch.takeover_after),
         };
-        let needed = self.context.settings.store.set_size.majority();
-        let verdict = election::judge(&self.context.node, rank, &say.answers, needed, takeover_after);
+        // A majority is one of the set in force, which may be smaller or larger than the settings want.
+        let set = replica_sets::find_among_stores(&self.context, &shard()).await;
+        let needed = match &set {
+            Some(set) => set.majority(),
+            None => self.context.settings.store.set_size.least_members(),
+        };
+        let answers = say.counted(set.as_ref());
+        let verdict = election::judge(&self.context.node, rank, &answers, needed, takeover_after);
         match verdict {
             Verdict::Wait(_) => None,
             Verdict::TakeOver(None) => Some(self.context.settings.batch.order_lease),
--- a/crates/daemon/src/batch/keeper.rs
+++ b/crates/daemon/src/batch/keeper.rs
@@ -1,5 +1,6 @@
 //! Looks after the stores that keep the log of the batch jobs: has a member replaced whose disk is gone, which has not
-//! been seen for long, or whose machine the operator wants emptied.
+//! been seen for long, or whose machine the operator wants emptied; and has the set grow, or a member move, where it could
+//! bear more of what the settings want.
 //!
 //! Needs no platform: which set follows is decided by the log itself.
 
@@ -10,7 +11,8 @@
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
-use lichenpulley_core::replication::placement::best_addition;
+use lichenpulley_core::replication::placement::{Bearing, Improvement};
+use lichenpulley_core::replication::quorum::majority;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -19,7 +21,7 @@
 use super::log::Replacement;
 use crate::context::Context;
 use crate::metadata::retirements::Retirements;
-use crate::store::{exchange, replica_sets};
+use crate::store::{exchange, placement, replica_sets};
 
 /// Time between two looks at the stores.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
@@ -34,8 +36,16 @@
 /// The operator wants the machine emptied.
 const REASON_RETIRED: &str = "machine_leaves";
 
+/// The set was smaller than wanted, and another store has come.
+const REASON_GROWS: &str = "set_grows";
+/// A store elsewhere lets the set bear more.
+const REASON_BEARS_MORE: &str = "bears_more";
+/// A set that is whole is changed once the same change was due for so long: a store that restarts answers again by then.
+const IMPROVE_AFTER: Duration = Duration::from_secs(3);
+
 /// The keeper's task, as the owner sees it.
 pub(super) struct StoreKeeper {
+    context: Context,
     sets: watch::Sender<ReplicaSet>,
     replacements: mpsc::UnboundedReceiver<Replacement>,
     task: AbortHandle,
@@ -44,16 +54,19 @@
 impl Drop for StoreKeeper {
     fn drop(&mut self) {
         self.task.abort();
+        // Another owner shows it from now on.
+        self.context.metrics.placement().show(0, Bearing::default());
     }
 }
 
 impl StoreKeeper {
     /// Begins to look after a set.
     pub(super) fn start(context: Context, set: ReplicaSet) -> Self {
+        show(&context, &set);
         let (sets, followed) = watch::channel(set);
         let (sender, replacements) = mpsc::unbounded_channel();
-        let task = tokio::spawn(Task::new(context, followed, sender).run());
-        Self { sets, replacements, task: task.abort_handle() }
+        let task = tokio::spawn(Task::new(context.clone(), followed, sender).run());
+        Self { context, sets, replacements, task: task.abort_handle() }
     }
 
     /// The next member to replace. Nothing more comes until [`Self::follow`] names the set that resulted.
@@ -66,10 +79,30 @@
 
     /// Looks after another set from now on.
     pub(super) fn follow(&self, set: ReplicaSet) {
+        show(&self.context, &set);
         self.sets.send_replace(set);
     }
 }
 
+/// The change that an improvement asks for. A set grows where the joining store is named as the leaving one too.
+fn to_replacement(step: Improvement) -> Replacement {
+    match step {
+        Improvement::Grow(joining) => {
+            Replacement { leaving: joining.store.clone(), joining, reason: REASON_GROWS }
+        }
+        Improvement::Move { leaving, joining } => {
+            Replacement { leaving: leaving.store, joining, reason: REASON_BEARS_MORE }
+        }
+    }
+}
+
+/// Tells what a set bears.
+fn show(context: &Context, set: &ReplicaSet) {
+    let bearing = placement::policy(context).bearing(&set.members);
+    context.metrics.placement().show(set.members.len(), bearing);
+    placement::tell(context, set, "kept_by", "set_in_force");
+}
+
 struct Task {
     context: Context,
     sets: watch::Receiver<ReplicaSet>,
@@ -79,6 +112,10 @@
     began: Instant,
     /// Since when a change has waited for members that stay.
     waiting_since: Option<Instant>,
+    /// The step by which the set could bear more, and since when it is the same.
+    improvement: Option<(Improvement, Instant)>,
+    /// For which set and stores that step was worked out.
+    improved_for: Option<(ReplicaSet, Vec<SetMember>)>,
 }
 
 impl Task {
@@ -96,6 +133,8 @@
             answered_at: HashMap::new(),
             began: Instant::now(),
             waiting_since: None,
+            improvement: None,
+            improved_for: None,
         }
     }
 
@@ -129,10 +168,11 @@
         let latest = marks.iter().flatten().max().copied().unwrap_or_default();
         let is_current = |mark: &&LogIndex| mark.0 + CURRENT_ENTRIES >= latest.0;
         let current = marks.iter().flatten().filter(is_current).count();
-        if current < set.majority() {
+        let needed = majority(set.members.len() + usize::from(replacement.reason == REASON_GROWS));
+        if current < needed {
             ::log::info!(target: "batch", "{current} of {} members that stay have the log: the change waits.", marks.len());
         }
-        current >= set.majority()
+        current >= needed
     }
 
     /// The last entry that a member knows to be decided; `None` where it does not take part or answer.
@@ -159,20 +199,51 @@
         self.answered_at.retain(|store, _| set.member(store).is_some());
     }
 
-    fn replacement(&self, set: &ReplicaSet, stores: &[SetMember]) -> Option<Replacement> {
+    /// The next change of the set: a member that must go comes first, then what lets the set bear more.
+    fn replacement(&mut self, set: &ReplicaSet, stores: &[SetMember]) -> Option<Replacement> {
         let retired = self.retirements.nodes();
-        let (leaving, reason) = self.leaving(set, stores, &retired)?;
+        let Some((leaving, reason)) = self.leaving(set, stores, &retired) else {
+            return self.improvement(set, stores, &retired);
+        };
         let staying: Vec<SetMember> =
             set.members.iter().filter(|member| member.store != leaving.store).cloned().collect();
         let free: Vec<SetMember> =
             stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
-        let joining = best_addition(&set.shard, &staying, &free)?;
+        let joining = placement::policy(&self.context).best_addition(&set.shard, &staying, &free)?;
         if joining.store == leaving.store {
             return None;
         }
         Some(Replacement { leaving: leaving.store.clone(), joining, reason })
     }
 
+    /// What lets the set bear more, where all of its members answer and the same step was due for a while.
+    fn improvement(
+        &mut self,
+        set: &ReplicaSet,
+        stores: &[SetMember],
+        retired: &BTreeSet<NodeId>,
+    ) -> Option<Replacement> {
+        let answers = |member: &SetMember| stores.iter().any(|store| store.store == member.store);
+        if !set.members.iter().all(answers) {
+            self.improved_for = None;
+            self.improvement = None;
+            return None;
+        }
+        let mut free: Vec<SetMember> =
+            stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
+        free.sort();
+        let seen = (set.clone(), free);
+        if self.improved_for.as_ref() != Some(&seen) {
+            let step = placement::policy(&self.context).improvement(set, &seen.1);
+            if self.improvement.as_ref().map(|(known, _)| known) != step.as_ref() {
+                self.improvement = step.map(|step| (step, Instant::now()));
+            }
+            self.improved_for = Some(seen);
+        }
+        let (step, since) = self.improvement.as_ref()?;
+        (since.elapsed() >= IMPROVE_AFTER).then(|| to_replacement(step.clone()))
+    }
+
     /// The member that should go first, where all others answer: one change at a time, and none that leaves too few.
     fn leaving<'a>(
         &self,
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -11,6 +11,7 @@
 mod log;
 mod outline;
 mod owner;
+mod owner_order;
 mod run;
 mod score;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::logging;
+use crate::store::placement::PlacementMetrics;
 
 /// A node's metrics. Cheap to clone.
 #[derive(Clone)]
@@ -23,6 +24,7 @@
     latencies: HistogramVec,
     batch_items: IntGaugeVec,
     followed_bytes: IntGauge,
+    placement: PlacementMetrics,
     dropped_lines: IntGauge,
 }
 
@@ -98,6 +100,7 @@
             "lichenpulley_batch_followed_bytes",
             "Bytes of the batch jobs' log that the node which would own them next has followed",
         );
+        let placement = PlacementMetrics::new(&registry).expect("valid names, registered once");
         let dropped_lines =
             gauge(&registry, "lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
         Self {
@@ -109,6 +112,7 @@
             latencies,
             batch_items,
             followed_bytes,
+            placement,
             dropped_lines,
         }
     }
@@ -139,6 +143,11 @@
         set("waiting", waiting);
     }
 
+    /// What the log of the batch jobs bears.
+    pub fn placement(&self) -> &PlacementMetrics {
+        &self.placement
+    }
+
     /// How many bytes of the batch jobs' log this node has followed; none where another would own next.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.followed_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
--- a/crates/daemon/src/settings/parts.rs
+++ b/crates/daemon/src/settings/parts.rs
@@ -206,7 +206,9 @@
     pub claim_window: ClaimWindow,
     /// A member of a replica set that has not been seen for so long is replaced.
     pub replace_after: Duration,
-    /// Size of the replica sets that this node chooses, by the disks that may be lost at once.
+    /// Where fewer stores stand than a replica set should have, a smaller one is made once no other has come for so long.
+    pub small_set_after: Duration,
+    /// What the replica sets that this node chooses should bear.
     pub set_size: SetSize,
 }
 
@@ -214,6 +216,7 @@
     pub(super) fn read(reader: &mut SettingsReader) -> Self {
         let capacity = Bounds { default: 1 << 30, accepted: (1 << 20)..=(1 << 44) };
         let losses = Bounds { default: 1, accepted: 0..=4 };
+        let groups = Bounds { default: 0, accepted: 0..=4 };
         Self {
             capacity_bytes: reader.number("store.capacity_bytes", &capacity),
             call_timeout: reader.milliseconds("store.call_timeout_ms", 1_000, 20..=60_000),
@@ -222,7 +225,11 @@
                 maximum_clock_skew: reader.milliseconds("store.maximum_clock_skew_ms", 30_000, 0..=600_000),
             },
             replace_after: reader.milliseconds("store.replace_after_ms", 600_000, 1_000..=86_400_000),
-            set_size: SetSize::tolerating(to_usize(reader.number("store.tolerated_losses", &losses))),
+            // Stores of one deployment start within seconds of each other, and nothing is served meanwhile.
+            small_set_after: reader.milliseconds("store.small_set_after_ms", 5_000, 0..=3_600_000),
+            set_size: SetSize::tolerating(to_usize(reader.number("store.tolerated_losses", &losses)))
+                .with_zones(to_usize(reader.number("store.tolerated_zones", &groups)))
+                .with_regions(to_usize(reader.number("store.tolerated_regions", &groups))),
         }
     }
 }
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod exchange;
 pub mod heard_clock;
 mod metrics;
+pub mod placement;
 pub mod reconfiguration;
 mod record;
 mod repair;
--- /dev/null
+++ b/crates/daemon/src/store/placement.rs
@@ -0,0 +1,113 @@
+//! By what this node chooses the stores of a shard, and how it tells what the chosen ones bear.
+
+use std::collections::BTreeMap;
+
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::{RegionName, ShardId, ZoneName};
+use lichenpulley_core::replication::placement::{Bearing, PlacementPolicy};
+use lichenpulley_core::replication::quorum::majority;
+use lichenpulley_core::replication::replica_set::ReplicaSet;
+use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+
+use crate::context::{Context, NodeContext};
+
+/// The policy of this node: what the settings want, with members near the stores that are most.
+pub(crate) fn policy(context: &NodeContext) -> PlacementPolicy {
+    let places = &context.settings.places;
+    let home = region_of_most_stores(context).or_else(|| places.region.clone());
+    PlacementPolicy { size: context.settings.store.set_size, places: places.zones.clone(), home }
+}
+
+/// The region from which a shard is best owned: the one where a majority of its members stands, so that appends don't cross
+/// to another; before the set is known, the one with the most stores. `None` where there is no such region.
+pub(crate) fn home_region(context: &NodeContext, shard: &ShardId) -> Option<RegionName> {
+    match context.replica_sets.get(shard) {
+        Some(set) => {
+            let (region, members) = most_common(context, set.members.iter().map(|member| &member.zone))?;
+            (members >= majority(set.members.len())).then_some(region)
+        }
+        None => region_of_most_stores(context),
+    }
+}
+
+/// Tells what a set bears in a decision and, where it is less than the settings want, in the log.
+pub(crate) fn tell(context: &Context, set: &ReplicaSet, action: &str, reason: &str) {
+    let policy = policy(context);
+    let bearing = policy.bearing(&set.members);
+    let wanted = policy.size.members();
+    let nodes: Vec<&str> = set.members.iter().map(|member| member.node.as_str()).collect();
+    let decision = Decision::new(Component::Replication, action, reason, &set.shard);
+    let decision = decision.with("nodes", nodes.join(" ")).with("members", nodes.len());
+    let decision = decision.with("least_wanted", wanted).with("bears_disks", bearing.disks);
+    let decision = decision.with("bears_zones", bearing.zones).with("bears_regions", bearing.regions);
+    context.decisions.record(decision);
+    if !bearing.covers(policy.size) {
+        log::warn!(
+            target: "store",
+            "Shard {}: its {} stores bear the loss of {bearing}, less than store.tolerated_losses, \
+             store.tolerated_zones and store.tolerated_regions want; start stores in other zones or regions, or lower these.",
+            set.shard, set.members.len()
+        );
+    }
+}
+
+/// The region with more live stores than any other.
+fn region_of_most_stores(context: &NodeContext) -> Option<RegionName> {
+    let cluster = context.cluster.load();
+    let stores = cluster.members.iter().filter(|member| member.roles.store);
+    most_common(context, stores.map(|member| &member.zone)).map(|(region, _)| region)
+}
+
+/// The region that most of these zones lie in; `None` where two have as many.
+fn most_common<'a>(
+    context: &NodeContext,
+    zones: impl Iterator<Item = &'a ZoneName>,
+) -> Option<(RegionName, usize)> {
+    let places = &context.settings.places.zones;
+    let mut counts: BTreeMap<&RegionName, usize> = BTreeMap::new();
+    for region in zones.filter_map(|zone| places.region(zone.as_str())) {
+        *counts.entry(region).or_default() += 1;
+    }
+    let most = counts.values().copied().max()?;
+    let mut greatest = counts.into_iter().filter(|(_, count)| *count == most);
+    let (region, _) = greatest.next()?;
+    greatest.next().is_none().then(|| (region.clone(), most))
+}
+
+/// What the log of the batch jobs bears, shown by its owner; 0 elsewhere.
+#[derive(Clone)]
+pub struct PlacementMetrics {
+    members: IntGauge,
+    borne: IntGaugeVec,
+}
+
+impl PlacementMetrics {
+    /// Registers the gauges, once for each registry.
+    pub(crate) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let members = IntGauge::new(
+            "lichenpulley_log_members",
+            "Stores that keep the log of the batch jobs, at its owner",
+        )?;
+        let options = Opts::new(
+            "lichenpulley_log_borne_losses",
+            "Losses that the log of the batch jobs bears, at its owner, by what is lost",
+        );
+        let borne = IntGaugeVec::new(options, &["of"])?;
+        registry.register(Box::new(members.clone()))?;
+        registry.register(Box::new(borne.clone()))?;
+        Ok(Self { members, borne })
+    }
+
+    /// Shows a set.
+    pub(crate) fn show(&self, members: usize, bearing: Bearing) {
+        let set = |of: &str, count: usize| self.borne.with_label_values(&[of]).set(to_gauge(count));
+        self.members.set(to_gauge(members));
+        set("disks", bearing.disks);
+        set("zones", bearing.zones);
+        set("regions", bearing.regions);
+    }
+}
+
+fn to_gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/daemon/src/store/replacement.rs
+++ b/crates/daemon/src/store/replacement.rs
@@ -1,16 +1,20 @@
 //! Replaces members of replica sets that are gone: the disk was replaced, the node has not been seen for long, or
-//! the machine list says that it leaves.
+//! the machine list says that it leaves. Has a set grow that was made while fewer stores stood than were wanted.
 
 use std::collections::{HashMap, HashSet};
 
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::replication::group::{GroupPhase, GroupRecord};
-use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
+use lichenpulley_core::replication::placement::Improvement;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember, StoreId};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 use lichenpulley_protocol::platform::MachineState;
 use tokio::time::Instant;
 
-use super::reconfiguration;
+use super::reconfiguration::{self, ReconfigurationError};
+use super::replica_sets::DocumentClient;
+use super::{placement, replica_sets};
 use crate::configuration::platform::MachineListClient;
 use crate::context::Context;
 
@@ -53,7 +57,9 @@
         let active = groups.iter().filter(|group| group.phase == GroupPhase::Active);
         for group in active {
             self.note_missing(context, &group.set);
-            self.replace_gone(context, store, &group.set).await;
+            if !self.replace_gone(context, store, &group.set).await {
+                grow_if_small(context, store, &group.set).await;
+            }
         }
         self.rounds += 1;
     }
@@ -79,8 +85,8 @@
         }
     }
 
-    /// One member a round: the next one waits until the set is whole again.
-    async fn replace_gone(&self, context: &Context, store: &StoreId, set: &ReplicaSet) {
+    /// One member a round: the next one waits until the set is whole again. Whether one was to be replaced.
+    async fn replace_gone(&self, context: &Context, store: &StoreId, set: &ReplicaSet) -> bool {
         let looked_after = |member: &&SetMember| responsible(context, set, member) == Some(store);
         for member in set.members.iter().filter(looked_after) {
             let Some(reason) = self.gone(context, member).await else { continue };
@@ -93,8 +99,9 @@
             {
                 log::warn!(target: "store", "Shard {}: not replaced yet: {error}.", set.shard);
             }
-            return;
+            return true;
         }
+        false
     }
 
     async fn gone(&self, context: &Context, member: &SetMember) -> Option<Reason> {
@@ -113,6 +120,37 @@
     }
 }
 
+/// Lets a set grow that is smaller than the settings want, where all of its members are seen and this store is the first.
+async fn grow_if_small(context: &Context, store: &StoreId, set: &ReplicaSet) {
+    let cluster = context.cluster.load();
+    let is_seen = |member: &SetMember| cluster.member(&member.node).is_some();
+    let is_first = set.members.iter().map(|member| &member.store).min() == Some(store);
+    let is_small = set.members.len() < context.settings.store.set_size.members();
+    if !is_small || !is_first || !set.members.iter().all(is_seen) {
+        return;
+    }
+    let candidates = replica_sets::candidates(context).await;
+    if let Some(Improvement::Grow(joining)) = placement::policy(context).improvement(set, &candidates)
+        && let Err(error) = grow(context, set, joining).await
+    {
+        log::warn!(target: "store", "Shard {}: its set has not grown yet: {error}.", set.shard);
+    }
+}
+
+async fn grow(context: &Context, set: &ReplicaSet, joining: SetMember) -> Result<(), ReconfigurationError> {
+    let client = DocumentClient::from_settings(&context.settings)?;
+    let stored = replica_sets::read(&client, &set.shard).await?;
+    let stored = stored.filter(|stored| stored.document == ReplicaSetDocument::settled(set.clone()));
+    // Otherwise a change is under way, which another round finishes first.
+    let Some(stored) = stored else { return Ok(()) };
+    let Some(next) = set.with_replaced(&joining.store.clone(), joining) else { return Ok(()) };
+    let document = ReplicaSetDocument { current: set.clone(), pending: Some(next.clone()) };
+    replica_sets::write(&client, &set.shard, Some(stored.version), &document).await?;
+    let decision = Decision::new(Component::Replication, "replacing", "set_grows", &set.shard);
+    context.decisions.record(decision.with("generation", next.generation));
+    reconfiguration::complete(context, set, &next).await
+}
+
 /// The member that looks after another: the first of the others, by store id, whose node is seen. Never itself: a
 /// node that lost its disk is seen, and its old store looks after nobody any more.
 fn responsible<'a>(context: &Context, set: &'a ReplicaSet, after: &SetMember) -> Option<&'a StoreId> {
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -3,16 +3,19 @@
 //! A set that is out of date does no harm: its members are sealed, refuse, and name their successor. So any source
 //! will do, and the ones that need no platform are asked first.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use futures::future::join_all;
-use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{Revision, ShardId};
-use lichenpulley_core::replication::placement::first_set;
-use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember};
+use lichenpulley_core::replication::placement::TooFewStores;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember, StoreId};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
+use tokio::time::Instant;
 
+use super::placement;
 use crate::cluster::Member;
 use crate::configuration::platform::{ObjectClient, PlatformError, WriteError};
 use crate::context::Context;
@@ -73,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct ReplicaSetCache {
     sets: ArcSwap<HashMap<ShardId, ReplicaSet>>,
+    shortages: Mutex<HashMap<ShardId, Shortage>>,
 }
 
 impl ReplicaSetCache {
@@ -103,6 +107,30 @@
     }
 }
 
+/// Fewer stores than a shard should have, as this node has seen them.
+#[derive(Debug)]
+struct Shortage {
+    seen: HashSet<StoreId>,
+    /// When the last of them was seen first.
+    since: Instant,
+}
+
+impl ReplicaSetCache {
+    /// How long no store has come that was not seen before, while a shard has too few.
+    fn short_for(&self, shard: &ShardId, stores: &[SetMember]) -> Duration {
+        let mut shortages = self.shortages.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let none = || Shortage { seen: HashSet::new(), since: now };
+        let shortage = shortages.entry(shard.clone()).or_insert_with(none);
+        let before = shortage.seen.len();
+        shortage.seen.extend(stores.iter().map(|member| member.store.clone()));
+        if shortage.seen.len() > before {
+            shortage.since = now;
+        }
+        shortage.since.elapsed()
+    }
+}
+
 /// Why no replica set is known.
 #[derive(Debug, thiserror::Error)]
 pub enum ReplicaSetError {
@@ -123,16 +151,24 @@
         /// What is wrong with it.
         source: serde_json::Error,
     },
-    /// There are fewer stores than a shard needs.
+    /// What was written is not there.
+    #[error("the first replica set was taken and is not kept; it is written again")]
+    NotKept,
+    /// There are fewer stores than the smallest set has members.
+    #[error("{0}, or lower store.tolerated_losses")]
+    TooFewStores(#[from] TooFewStores),
+    /// There are fewer stores than a set should have, and others may be about to come.
     #[error(
-        "{live} stores answer and {needed} are needed; start more nodes with the store role, or lower \
-         store.tolerated_losses"
+        "{live} stores answer and {wanted} are wanted; a smaller set is made once no other store has come for \
+         {small_set_after:?} (store.small_set_after_ms)"
     )]
-    TooFewStores {
+    WaitingForStores {
         /// How many answer.
         live: usize,
         /// Members of a set, by the settings.
-        needed: usize,
+        wanted: usize,
+        /// How long others are waited for.
+        small_set_after: Duration,
     },
 }
 
@@ -240,20 +276,33 @@
     if let Some(stored) = read(&client, shard).await? {
         return Ok(stored.document.current);
     }
-    let candidates = candidates(context).await;
-    let size = context.settings.store.set_size;
-    let too_few = || ReplicaSetError::TooFewStores { live: candidates.len(), needed: size.members() };
-    let set = first_set(shard, &candidates, size).ok_or_else(too_few)?;
-    let written = write(&client, shard, None, &ReplicaSetDocument::settled(set.clone())).await;
+    let set = choose_first(context, shard, &candidates(context).await)?;
+    let written = write(&client, shard, None, &ReplicaSetDocument::settled(set)).await;
     // Whoever was first, or whatever became of a lost reply: what the object API holds now is the set.
     let stored = read(&client, shard).await?;
     let Some(stored) = stored else {
         written?;
-        return Err(too_few());
+        return Err(ReplicaSetError::NotKept);
     };
     let set = stored.document.current;
-    let decision = Decision::new(Component::Replication, "placed", "first_replica_set", shard);
-    let nodes: Vec<&str> = set.members.iter().map(|member| member.node.as_str()).collect();
-    context.decisions.record(decision.with("nodes", nodes.join(" ")));
+    let is_small = set.members.len() < context.settings.store.set_size.members();
+    placement::tell(context, &set, "placed", if is_small { "fewer_stores" } else { "first_replica_set" });
+    Ok(set)
+}
+
+/// The first set of a shard. One smaller than wanted only after others were waited for: what is decided before the set has
+/// grown bears fewer losses.
+fn choose_first(
+    context: &Context,
+    shard: &ShardId,
+    candidates: &[SetMember],
+) -> Result<ReplicaSet, ReplicaSetError> {
+    let policy = placement::policy(context);
+    let set = policy.first_set(shard, candidates)?;
+    let (live, wanted) = (set.members.len(), policy.size.members());
+    let small_set_after = context.settings.store.small_set_after;
+    if live < wanted && context.replica_sets.short_for(shard, candidates) < small_set_after {
+        return Err(ReplicaSetError::WaitingForStores { live, wanted, small_set_after });
+    }
     Ok(set)
 }
--- a/crates/lab/tests/replication.rs
+++ b/crates/lab/tests/replication.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::identity::{AttemptId, NodeId, RequestId, ShardId};
+use lichenpulley_core::replication::placement::SetSize;
 use lichenpulley_core::replication::replica_set::StoreId;
 use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::configuration::platform::WriteError;
@@ -14,7 +15,7 @@
 use lichenpulley_daemon::settings::Settings;
 use lichenpulley_daemon::store::claims::{ClaimOutcome, claim};
 use lichenpulley_daemon::store::reconfiguration::{self, ReconfigurationError};
-use lichenpulley_daemon::store::replica_sets::ReplicaSetError;
+use lichenpulley_daemon::store::replica_sets::{self, ReplicaSetError};
 use lichenpulley_daemon::store::shard_log::{ShardLog, ShardLogError};
 use lichenpulley_lab::object_api::{self, ObjectApi};
 use tempfile::TempDir;
@@ -35,6 +36,10 @@
 
 impl Cluster {
     async fn start(size: usize) -> Self {
+        Self::start_tolerating(size, SetSize::default()).await
+    }
+
+    async fn start_tolerating(size: usize, set_size: SetSize) -> Self {
         let api = object_api::start(object_api::Options::loopback()).await.expect("an object API");
         let mut cluster = Self { nodes: Vec::new(), settings: Vec::new(), folders: Vec::new(), api: None };
         for number in 0..size {
@@ -44,6 +49,8 @@
             settings.data_folder = Some(folder.path().join("store"));
             settings.platform.object_api = Some(api.address);
             settings.store.call_timeout = Duration::from_secs(2);
+            settings.store.set_size = set_size;
+            settings.store.small_set_after = Duration::ZERO;
             settings.membership.probe_interval = Duration::from_millis(200);
             settings.membership.probe_timeout = Duration::from_millis(100);
             settings.peers.seeds = cluster.seeds();
@@ -278,3 +285,32 @@
     let (_, recovered) = ShardLog::take_over(cluster.context(2), &shard).await.expect("taken over");
     assert_eq!(recovered.records, records(&["kept"]));
 }
+
+#[tokio::test]
+async fn a_set_that_was_made_of_three_stores_grows_without_an_operator() {
+    let mut cluster = Cluster::start_tolerating(5, SetSize::tolerating(2)).await;
+    let shard = ShardId::new(SHARD);
+    for number in 3..5 {
+        cluster.kill(number).await;
+    }
+    let (mut log, _) = ShardLog::take_over(cluster.context(0), &shard).await.expect("a take-over");
+    log.append(records(&["before"])).await.expect("a majority of three");
+    assert_eq!(log.set().members.len(), 3);
+    drop(log);
+    for number in 3..5 {
+        cluster.restart(number).await;
+    }
+    let grown = async {
+        while cluster.context(0).replica_sets.get(&shard).is_none_or(|set| set.members.len() < 5) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            cluster.context(0).replica_sets.forget(&shard);
+            let _ = replica_sets::find(cluster.context(0), &shard).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, grown).await.expect("five members");
+    for number in 0..2 {
+        cluster.kill(number).await;
+    }
+    let (_, recovered) = ShardLog::take_over(cluster.context(4), &shard).await.expect("three of five");
+    assert_eq!(recovered.records, records(&["before"]));
+}
