--- a/crates/core/src/replication/acceptor.rs
+++ b/crates/core/src/replication/acceptor.rs
@@ -27,6 +27,8 @@
     pub check_copied: bool,
     /// Refuse ids whose claims may have been forgotten.
     pub refuse_forgotten_claims: bool,
+    /// Keep to the highest ballot that the sealed replicas promised, once installed.
+    pub carry_promise: bool,
 }
 
 impl Default for AcceptorChecks {
@@ -37,6 +39,7 @@
             refuse_when_sealed: true,
             check_copied: true,
             refuse_forgotten_claims: true,
+            carry_promise: true,
         }
     }
 }
@@ -140,8 +143,7 @@
             Operation::Begin(set) => return begin(storage, shard, record, set),
             Operation::Copy(page) => return transfer::copy(storage, shard, record, page),
             Operation::Install(install) => {
-                let check = self.checks.check_copied;
-                return transfer::install(storage, shard, &self.store, record, install, check);
+                return transfer::install(storage, shard, &self.store, record, install, self.checks);
             }
             _ => {}
         }
@@ -153,6 +155,9 @@
             Operation::Seal(next) => transfer::seal(storage, shard, record, next),
             Operation::ReadState(from) => transfer::read_state(storage, shard, &record.position, from),
             Operation::ReadDecided(from) => read_decided(storage, shard, &record, from),
+            // A sealed replica promises too: whoever brings the next set into force in order to take the shard over is
+            // known by its ballot meanwhile. A promise only excludes others; nothing is accepted under it here.
+            Operation::Prepare(ballot) => self.prepare(storage, shard, record, ballot),
             operation => match self.active(&record) {
                 Err(refusal) => Ok(Outcome::Refused(refusal)),
                 Ok(()) => self.operate_active(storage, now_unix_ms, shard, record, operation),
@@ -169,7 +174,6 @@
         operation: Operation,
     ) -> Result<Outcome, S::Error> {
         match operation {
-            Operation::Prepare(ballot) => self.prepare(storage, shard, record, ballot),
             Operation::Read(read) => self.read(storage, shard, &record, &read),
             Operation::Accept(accept) => self.accept(storage, shard, record, accept),
             Operation::Claim(claim) => self.claim(storage, now_unix_ms, shard, &record, claim),
--- a/crates/core/src/replication/member_progress.rs
+++ b/crates/core/src/replication/member_progress.rs
@@ -23,9 +23,16 @@
     retry_at: Option<Timestamp>,
     must_begin: bool,
     answered: bool,
+    /// How often it said that it takes no part in the set.
+    not_installed: u32,
 }
 
 impl MemberProgress {
+    /// The same replica as a member of the next set, in which nothing was asked of it yet.
+    pub(super) fn in_next_set(&self) -> Self {
+        Self { base: self.base, free_bytes: self.free_bytes, ..Self::default() }
+    }
+
     pub(super) fn may_send(&self, now: Timestamp) -> bool {
         self.retry_at.is_none_or(|retry_at| retry_at <= now)
     }
@@ -64,12 +71,18 @@
         // The first time it may begin at once; a member that still is not installed is asked again later.
         self.retry_at = self.must_begin.then_some(retry_at);
         self.must_begin = true;
+        self.not_installed += 1;
     }
 
     pub(super) fn abstains(&mut self, retry_at: Timestamp) {
         self.retry_at = Some(retry_at);
     }
 
+    /// Whether it still took no part in the set after a pause: it is asked twice before that.
+    pub(super) fn was_asked_to_join_again(&self) -> bool {
+        self.not_installed > 2
+    }
+
     pub(super) fn forget_answers(&mut self) {
         self.promise = None;
         self.answered = false;
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -55,11 +55,13 @@
     pub wait_for_majority: bool,
     /// Leave out records that a later owner overtook before they were decided.
     pub skip_overtaken: bool,
+    /// Go on under the same ballot in the next set, instead of asking for the shard anew.
+    pub keep_ballot: bool,
 }
 
 impl Default for ProposerChecks {
     fn default() -> Self {
-        Self { recover: true, wait_for_majority: true, skip_overtaken: true }
+        Self { recover: true, wait_for_majority: true, skip_overtaken: true, keep_ballot: true }
     }
 }
 
@@ -96,6 +98,8 @@
         /// The later set.
         next: ReplicaSet,
     },
+    /// Too many members take no part in the set yet: the change that led to it stopped halfway and has to be finished.
+    NotInstalled,
     /// A replica doesn't have an entry that it called decided.
     Damaged {
         /// The replica.
@@ -112,6 +116,9 @@
     /// Less than a majority of the replicas has room.
     #[error("the store disks are full; free space under the data folder and try again")]
     DiskFull,
+    /// Something appended is not decided yet.
+    #[error("entries are on their way; wait until they are decided")]
+    Undecided,
 }
 
 enum Phase {
@@ -302,7 +309,7 @@
     }
 
     /// Appends the members that are to follow. Once that is decided, this set and no other is the next generation, and
-    /// the change may begin; the owner appends nothing after it.
+    /// the change may begin; the owner appends nothing after it until it goes on in that set ([`Self::continue_in`]).
     ///
     /// # Errors
     /// When the proposer does not lead.
@@ -312,6 +319,42 @@
         Ok(self.window.last())
     }
 
+    /// Goes on in the next set, a majority of which is installed, under the same ballot. Gives the position whose decision
+    /// shows that this owner was not superseded: nobody else can get anything decided before it under a lower ballot.
+    ///
+    /// Invariant: nothing was appended after the entry that names the next set, so that no position gets two entries under
+    /// this ballot, and all that the old set decided is known here. A later owner that a majority of the old set has
+    /// promised is known to every installed member, which then refuses this one.
+    ///
+    /// # Errors
+    /// When the proposer does not lead, or something that it appended is not decided.
+    pub fn continue_in(&mut self, next: ReplicaSet) -> Result<LogIndex, AppendRefusal> {
+        self.check_leading()?;
+        if self.window.last() > self.decided_through {
+            return Err(AppendRefusal::Undecided);
+        }
+        let known = self.decided_through;
+        let stays = |store: &StoreId| self.members.get(store);
+        let members = next.members.iter().map(|member| {
+            let progress =
+                stays(&member.store).map_or_else(MemberProgress::default, MemberProgress::in_next_set);
+            (member.store.clone(), progress)
+        });
+        self.members = members.collect();
+        self.set = next;
+        if !self.checks.keep_ballot {
+            self.known.through = known;
+            self.phase = Phase::Preparing { raises: 0 };
+            return Ok(known.next());
+        }
+        for member in self.members.values_mut() {
+            member.start_from(known);
+        }
+        self.window = Window::starting_after(known);
+        self.window.push(Payload::Noop);
+        Ok(self.window.last())
+    }
+
     /// Appends a snapshot that stands for everything appended before, which is dropped once it is decided.
     ///
     /// # Errors
@@ -472,11 +515,27 @@
             }
             Refusal::SealedFor { next } => self.end(EndReason::Replaced { next }),
             Refusal::NewerGeneration { current } => self.end(EndReason::Replaced { next: current }),
-            Refusal::NotInstalled => self.member(store, |member| member.not_installed(retry_at)),
+            Refusal::NotInstalled => {
+                self.member(store, |member| member.not_installed(retry_at));
+                self.check_installed();
+            }
             _ => self.member(store, |member| member.abstains(retry_at)),
         }
     }
 
+    /// Without a majority that takes part in a later set nobody can be promised anything. Members whose disks were lost
+    /// don't answer to their names: where one still takes no part after a pause, the change may wait for it.
+    fn check_installed(&mut self) {
+        if self.may_begin() {
+            return;
+        }
+        let missing = self.members.values().filter(|member| member.must_begin()).count();
+        let waited = self.members.values().any(MemberProgress::was_asked_to_join_again);
+        if waited || missing > self.members.len() - majority(self.members.len()) {
+            self.end(EndReason::NotInstalled);
+        }
+    }
+
     /// Another proposer is ahead: outbid it while preparing, since its epoch may be an old one; stop afterwards.
     fn outbid(&mut self, highest: Epoch) {
         match &mut self.phase {
--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::ballot::Ballot;
 use super::copy_target::CopyTarget;
 use super::entry::LogIndex;
 use super::group::LogPosition;
@@ -20,6 +21,7 @@
 use super::proposer::Transmit;
 use super::quorum::VoteCount;
 use super::replica_set::{Generation, ReplicaSet, StoreId};
+use crate::identity::Epoch;
 use crate::time::Timestamp;
 
 /// Mechanisms of a reconfigurer. All on in service; proofs switch one off to show that it is needed.
@@ -29,11 +31,13 @@
     pub seal_majority: bool,
     /// Copy before installing.
     pub copy: bool,
+    /// Have an owner stop once a replica has promised a higher ballot.
+    pub stop_superseded: bool,
 }
 
 impl Default for ReconfigurerChecks {
     fn default() -> Self {
-        Self { seal_majority: true, copy: true }
+        Self { seal_majority: true, copy: true, stop_superseded: true }
     }
 }
 
@@ -46,12 +50,28 @@
     Complete,
     /// A still later set is known: this change was finished before.
     Overtaken(ReplicaSet),
+    /// The owner for whom it was run was superseded: nothing more is sent.
+    Superseded {
+        /// The epoch of the owner that is ahead.
+        highest: Epoch,
+    },
+}
+
+/// The owner of the log that changes its stores.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeOwner {
+    /// The ballot under which it goes on in the next set.
+    pub ballot: Ballot,
+    /// All that the old set decided; members that it installs know this from the start.
+    pub decided_through: LogIndex,
 }
 
 /// One run of a change of replica set.
 pub struct Reconfigurer {
     checks: ReconfigurerChecks,
     retransmit_after: Duration,
+    /// For whom it is run; `None` where whoever met a change that was begun finishes it.
+    owner: Option<ChangeOwner>,
     old: ReplicaSet,
     next: ReplicaSet,
     transfer: TransferId,
@@ -98,6 +118,8 @@
     pub(super) generation: Generation,
     pub(super) stores: Vec<StoreId>,
     pub(super) positions: BTreeMap<StoreId, LogPosition>,
+    /// What the owner knows to be decided; among the pages of a majority there is all of it.
+    pub(super) known_decided: LogIndex,
 }
 
 impl Sources {
@@ -116,7 +138,8 @@
 
     /// The later of each mark of the sources.
     pub(super) fn position(&self) -> LogPosition {
-        self.positions.values().cloned().fold(LogPosition::default(), LogPosition::merged)
+        let known = LogPosition { decided_through: self.known_decided, ..LogPosition::default() };
+        self.positions.values().cloned().fold(known, LogPosition::merged)
     }
 }
 
@@ -128,6 +151,7 @@
         Self {
             checks: ReconfigurerChecks::default(),
             retransmit_after,
+            owner: None,
             targets: targets.collect(),
             old,
             next,
@@ -160,6 +184,13 @@
         self
     }
 
+    /// The same for the log's owner, which stops once it meets a higher ballot.
+    #[must_use]
+    pub fn with_owner(mut self, owner: ChangeOwner) -> Self {
+        self.owner = Some(owner);
+        self
+    }
+
     /// What happened since the last call.
     pub fn poll_event(&mut self) -> Option<ReconfigurerEvent> {
         self.events.pop_front()
@@ -272,7 +303,7 @@
     }
 
     fn after_seal(&mut self, store: &StoreId, position: LogPosition) {
-        if self.sealing.remove(store).is_none() {
+        if self.is_superseded(&position.promised) || self.sealing.remove(store).is_none() {
             return;
         }
         self.sealed.add(store);
@@ -293,7 +324,8 @@
             InstallBasis::SealedMajority => self.sealed_positions.clone(),
             InstallBasis::InstalledMember => BTreeMap::new(),
         };
-        self.sources = Some(Sources { basis, generation, stores, positions });
+        let known_decided = self.owner.as_ref().map(|owner| owner.decided_through).unwrap_or_default();
+        self.sources = Some(Sources { basis, generation, stores, positions, known_decided });
         for target in self.targets.values_mut() {
             target.restart(None);
             target.skip_copying(!self.checks.copy);
@@ -301,6 +333,9 @@
     }
 
     fn page_read(&mut self, store: &StoreId, generation: Generation, from: &PagePosition, page: &StatePage) {
+        if self.is_superseded(&page.position.promised) {
+            return;
+        }
         let Some(sources) = &mut self.sources else { return };
         if generation != sources.generation || !sources.stores.contains(store) {
             return;
@@ -362,6 +397,16 @@
         }
     }
 
+    /// Whether a replica has promised more than the owner's ballot; nothing is sent for it from then on.
+    fn is_superseded(&mut self, promised: &Ballot) -> bool {
+        let Some(owner) = self.owner.as_ref().filter(|_| self.checks.stop_superseded) else { return false };
+        let is_ahead = !promised.admits(&owner.ballot);
+        if is_ahead {
+            self.end(ReconfigurerEvent::Superseded { highest: promised.epoch });
+        }
+        is_ahead
+    }
+
     fn end(&mut self, event: ReconfigurerEvent) {
         self.ended = true;
         self.events.push_back(event);
--- a/crates/core/src/replication/transfer.rs
+++ b/crates/core/src/replication/transfer.rs
@@ -1,5 +1,6 @@
 //! A replica's side of changing the replica set: seal, hand out pages, take pages, install.
 
+use super::acceptor::AcceptorChecks;
 use super::claims;
 use super::entry::{IndexedEntry, LogIndex};
 use super::group::{AcceptedRun, CopyProgress, GroupPhase, GroupRecord, LogPosition, SourceProgress};
@@ -96,20 +97,27 @@
     store: &StoreId,
     record: Option<GroupRecord>,
     install: Install,
-    check_copied: bool,
+    checks: AcceptorChecks,
 ) -> Result<Outcome, S::Error> {
     let mut record = match joining_record(record, &install.set) {
         Ok(record) => record,
         Err(outcome) => return Ok(*outcome),
     };
-    if check_copied && !has_all_pages(&record, store, &install) {
+    if checks.check_copied && !has_all_pages(&record, store, &install) {
         return Ok(Outcome::Refused(Refusal::OutOfOrder));
     }
     let generation = install.set.generation;
+    let promised = record.position.promised.clone();
     record.position = record.position.merged(install.position);
+    if !checks.carry_promise {
+        record.position.promised = promised.clone();
+    }
+    // What was accepted under a ballot that is still the highest one stays what its owner proposed.
+    if record.position.promised != promised {
+        record.run = AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO };
+    }
     record.set = install.set;
     record.phase = GroupPhase::Active;
-    record.run = AcceptedRun { from: LogIndex::FIRST, through: LogIndex::ZERO };
     record.copying.clear();
     storage.remove_entries_before(shard, record.position.first())?;
     storage.remove_claims_issued_before(shard, record.position.claims_forgotten_before_unix_ms)?;
--- a/crates/core/tests/replication_reconfiguration.rs
+++ b/crates/core/tests/replication_reconfiguration.rs
@@ -1,125 +1,22 @@
 //! Changes of a replica set at the moments that matter, with each mechanism on and off.
 
-use std::collections::BTreeMap;
+mod replication_support;
+
 use std::time::Duration;
 
-use lichenpulley_core::identity::{AttemptId, Epoch, NodeId, RequestId, ShardId, ZoneName};
+use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::replication::acceptor::{Acceptor, AcceptorChecks};
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::claims::{ClaimVote, ClaimWindow};
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::log::KnownLog;
 use lichenpulley_core::replication::memory_storage::MemoryStorage;
-use lichenpulley_core::replication::message::{
-    Claim, Operation, Outcome, Refusal, ReplicaRequest, ReplicaResponse, TransferId,
-};
+use lichenpulley_core::replication::message::{Operation, Outcome, Refusal, TransferId};
 use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig, ProposerEvent};
 use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerChecks, ReconfigurerEvent};
-use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, SetMember, StoreId};
+use lichenpulley_core::replication::replica_set::StoreId;
 use lichenpulley_core::time::Timestamp;
-
-const NOW_UNIX_MS: u64 = 1_000_000;
-
-/// Stores that answer at once, as far as they can be reached.
-struct Stores {
-    acceptors: BTreeMap<StoreId, (Acceptor, MemoryStorage)>,
-    reachable: Vec<StoreId>,
-    now_unix_ms: u64,
-}
-
-impl Stores {
-    fn new(names: &[&str]) -> Self {
-        let stores = names.iter().map(|name| {
-            let acceptor = Acceptor::new(StoreId::new(*name), ClaimWindow::default());
-            (StoreId::new(*name), (acceptor, MemoryStorage::default()))
-        });
-        let mut all = Self { acceptors: stores.collect(), reachable: Vec::new(), now_unix_ms: NOW_UNIX_MS };
-        all.reach(names);
-        all
-    }
-
-    fn reach(&mut self, names: &[&str]) {
-        self.reachable = names.iter().map(|name| StoreId::new(*name)).collect();
-    }
-
-    fn answer(&mut self, request: ReplicaRequest) -> Option<ReplicaResponse> {
-        if !self.reachable.contains(&request.store) {
-            return None;
-        }
-        let (acceptor, storage) = self.acceptors.get_mut(&request.store)?;
-        let Ok(response) = acceptor.answer(storage, self.now_unix_ms, request);
-        Some(response)
-    }
-
-    /// Takes the shard over and appends; gives what was found, or nothing where it did not get that far.
-    fn own(&mut self, set: &ReplicaSet, owner: &str, records: &[&[u8]]) -> Option<Vec<Vec<u8>>> {
-        let config = ProposerConfig { maximum_raises: 10, ..ProposerConfig::default() };
-        let mut proposer = Proposer::new(set.clone(), ProposerId::new(owner), Epoch(1), config);
-        let mut found = None;
-        while let Some(transmit) = proposer.poll_transmit(Timestamp::ORIGIN) {
-            if let Some(response) = self.answer(transmit.request) {
-                proposer.step(Timestamp::ORIGIN, response);
-            }
-            while let Some(event) = proposer.poll_event() {
-                if let ProposerEvent::Recovered(log) = event {
-                    found = Some(log.records);
-                    let appended = proposer.append(records.iter().map(|record| record.to_vec()).collect());
-                    appended.expect("it leads");
-                }
-            }
-        }
-        found
-    }
-
-    fn change(&mut self, old: &ReplicaSet, next: &ReplicaSet, checks: ReconfigurerChecks) -> bool {
-        let transfer = TransferId(format!("to {}", next.generation));
-        let mut change = Reconfigurer::new(old.clone(), next.clone(), transfer, Duration::from_secs(1));
-        change = change.with_checks(checks);
-        let mut installed = false;
-        while let Some(transmit) = change.poll_transmit(Timestamp::ORIGIN) {
-            if let Some(response) = self.answer(transmit.request) {
-                change.step(response);
-            }
-            while let Some(event) = change.poll_event() {
-                installed |= event == ReconfigurerEvent::Installed;
-            }
-        }
-        installed
-    }
-
-    fn claim(&mut self, set: &ReplicaSet, store: &str, attempt: &str, issued_at_unix_ms: u64) -> Outcome {
-        let claim = Claim {
-            request: RequestId::new("ticket-7"),
-            issued_at_unix_ms,
-            attempt: AttemptId::new(attempt),
-        };
-        self.ask(set, store, Operation::Claim(claim))
-    }
-
-    fn ask(&mut self, set: &ReplicaSet, store: &str, operation: Operation) -> Outcome {
-        let (shard, generation, store) = (set.shard.clone(), set.generation, StoreId::new(store));
-        let request = ReplicaRequest { shard, generation, store, operation };
-        self.answer(request).expect("a reachable store").outcome
-    }
-}
-
-fn member(name: &str) -> SetMember {
-    SetMember {
-        store: StoreId::new(name),
-        node: NodeId::new(name),
-        zone: ZoneName::new(name),
-        address: String::new(),
-    }
-}
-
-fn first_set() -> ReplicaSet {
-    let members = ["a", "b", "c"].map(member).to_vec();
-    ReplicaSet { shard: ShardId::new("job/pricing"), generation: Generation::FIRST, members }
-}
-
-fn without_c(set: &ReplicaSet) -> ReplicaSet {
-    set.with_replaced(&StoreId::new("c"), member("d")).expect("c is a member and d is not")
-}
+use replication_support::{NOW_UNIX_MS, Stores, first_set, member, set_of_five, without_c};
 
 /// A record is decided by `b` and `c` alone, then `c` is lost and replaced by `d`; what do `a` and `d` find?
 fn found_after_losing_c(checks: ReconfigurerChecks, check_copied: bool) -> Option<Vec<Vec<u8>>> {
@@ -281,11 +178,6 @@
     assert_eq!(vote(stores.claim(&set, "a", "other", NOW_UNIX_MS)), ClaimVote::Expired);
 }
 
-fn set_of_five() -> ReplicaSet {
-    let members = ["a", "b", "c", "d", "e"].map(member).to_vec();
-    ReplicaSet { shard: ShardId::new("batch/main"), generation: Generation::FIRST, members }
-}
-
 /// The pages of a whole log would hold up the few requests of members that stay, and nothing is decided until these take
 /// part in the next set.
 #[test]
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -61,11 +61,6 @@
         Self { context, http, epoch, ends, usual_ms: Arc::default() }
     }
 
-    /// Orders carry this epoch from now on.
-    pub(super) fn set_epoch(&mut self, epoch: Epoch) {
-        self.epoch = epoch;
-    }
-
     /// Begins a load; the order goes out only while the authority confirmed at `confirmed_at` holds.
     pub(super) fn begin(&self, load: Load, confirmed_at: Instant) {
         let record = self.context.metadata.replicas.load().records.get(&load.replica).cloned();
--- a/crates/daemon/src/batch/log.rs
+++ b/crates/daemon/src/batch/log.rs
@@ -1,7 +1,6 @@
 //! Appends to the log of the batch jobs in a task of its own. Records that wait go into one append.
 
 use lichenpulley_core::batch::record::Record;
-use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use std::time::Duration;
 
@@ -37,8 +36,8 @@
         /// Whether the log should be compacted.
         is_long: bool,
     },
-    /// The log goes on under another set of stores and a higher epoch.
-    Replaced { epoch: Epoch, set: ReplicaSet },
+    /// The log goes on under another set of stores and the same epoch.
+    Replaced(ReplicaSet),
     /// The log can't be used any more; nothing further is written.
     Failed(ShardLogError),
 }
@@ -113,16 +112,14 @@
                     self.append(appends).await
                 }
                 Write::Compact(snapshot) => self.compact(snapshot).await,
-                Write::Replace(replacement) => match self.replace(replacement).await {
-                    Ok(replaced) => {
-                        self = replaced;
-                        Ok(())
+                Write::Replace(replacement) => {
+                    let owner = self.sender.clone();
+                    tokio::select! {
+                        replaced = self.replace(replacement) => replaced,
+                        // An owner that has ended drives no change any further.
+                        () = owner.closed() => return,
                     }
-                    Err((sender, error)) => {
-                        let _ = sender.send(Written::Failed(error));
-                        return;
-                    }
-                },
+                }
             };
             if let Err(error) = result {
                 let _ = self.sender.send(Written::Failed(error));
@@ -142,31 +139,14 @@
         None
     }
 
-    /// Invariant: the log goes on only if nobody else has appended to it meanwhile, so that what the owner believes is
-    /// still all that the log says.
-    async fn replace(
-        self,
-        replacement: Replacement,
-    ) -> Result<Self, (mpsc::UnboundedSender<Written>, ShardLogError)> {
-        let Self { log, received, sender, held_bytes } = self;
-        let (epoch, heard) = (log.epoch(), log.heard());
+    async fn replace(&mut self, replacement: Replacement) -> Result<(), ShardLogError> {
         let Replacement { leaving, joining, reason } = replacement;
         ::log::info!(target: "batch", "Store {leaving} is replaced by {} of {}: {reason}.", joining.store, joining.node);
-        match log.replace_member(&leaving, joining, reason).await {
-            Ok((mut log, recovered)) if recovered.latest_origin <= epoch => {
-                log.tell_heard(heard);
-                let (epoch, set) = (log.epoch(), log.set().clone());
-                ::log::info!(target: "batch", "Generation {} of the stores is in force.", set.generation);
-                let _ = sender.send(Written::Replaced { epoch, set });
-                Ok(Self { log, received, sender, held_bytes })
-            }
-            Ok((_, recovered)) => {
-                let error =
-                    ShardLogError::Superseded { shard: super::shard(), highest: recovered.latest_origin };
-                Err((sender, error))
-            }
-            Err(error) => Err((sender, error)),
-        }
+        self.log.replace_member(&leaving, joining, reason).await?;
+        let set = self.log.set().clone();
+        ::log::info!(target: "batch", "Generation {} of the stores is in force.", set.generation);
+        let _ = self.sender.send(Written::Replaced(set));
+        Ok(())
     }
 
     async fn append(&mut self, appends: Vec<Vec<Record>>) -> Result<(), ShardLogError> {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -277,10 +277,10 @@
         is_due
     }
 
-    /// Asks the stores where none has answered for long. While a store is replaced, other parts of the node ask them.
+    /// Asks the stores where none has answered for long. While a store is replaced, they answer to the signs of life.
     fn watch_silence(&mut self) {
         let is_unconfirmed = self.confirmed_at.elapsed() >= CUT_OFF_AFTER;
-        let is_silent = is_unconfirmed && !self.is_replacing && self.log.silent_for() >= CUT_OFF_AFTER;
+        let is_silent = is_unconfirmed && self.log.silent_for() >= CUT_OFF_AFTER;
         if self.cut_off.look(is_silent) != CutOffStep::Ask {
             return;
         }
@@ -366,11 +366,8 @@
                     self.compact();
                 }
             }
-            Written::Replaced { epoch, set } => {
-                self.epoch = epoch;
+            Written::Replaced(set) => {
                 self.is_replacing = false;
-                self.loads.set_epoch(epoch);
-                self.duty_calls.set_epoch(epoch);
                 self.keeper.follow(set);
             }
             Written::Failed(error) => self.failure = Some(error),
--- a/crates/daemon/src/duties/mod.rs
+++ b/crates/daemon/src/duties/mod.rs
@@ -40,11 +40,6 @@
         Self { context, http, epoch, ends }
     }
 
-    /// Calls carry this epoch from now on.
-    pub(crate) fn set_epoch(&mut self, epoch: Epoch) {
-        self.epoch = epoch;
-    }
-
     /// Begins a call; it leaves only while `may_call`, the authority of its holder, holds.
     pub(crate) fn begin(&self, call: DutyCall, may_call: bool) {
         let ends = self.ends.clone();
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use lichenpulley_core::decision::{Component, Decision};
-use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::identity::{Epoch, ShardId};
 use lichenpulley_core::replication::message::TransferId;
 use lichenpulley_core::replication::placement::best_addition;
-use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerEvent};
+use lichenpulley_core::replication::reconfigurer::{ChangeOwner, Reconfigurer, ReconfigurerEvent};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember, StoreId};
 use lichenpulley_core::time::Timestamp;
 use tokio::time::Instant;
@@ -42,6 +42,12 @@
     /// Too few members answered; what was begun can be finished later.
     #[error("the change of replica set is not finished; restore a majority of the old members")]
     Unfinished,
+    /// The owner that changed its stores was superseded.
+    #[error("the log is held under the higher epoch {highest}; stop acting for it")]
+    Superseded {
+        /// The highest epoch seen.
+        highest: Epoch,
+    },
 }
 
 /// Finishes a change of replica set that was begun: `next` is the pending set or a later one. Needs no platform.
@@ -53,7 +59,7 @@
     old: &ReplicaSet,
     next: &ReplicaSet,
 ) -> Result<(), ReconfigurationError> {
-    let installed = install_majority(context, old, next).await?;
+    let installed = install_majority(context, old, next, None).await?;
     let context = context.clone();
     tokio::spawn(async move {
         catch_up(&context, &installed).await;
@@ -65,16 +71,17 @@
 }
 
 /// Finishes a change of replica set up to a majority of the next set, and gives the set in force. The others begin when the shard's owner first
-/// appends to them, and are repaired by their own nodes.
+/// appends to them, and are repaired by their own nodes. With an `owner` it ends once a store has promised a higher ballot.
 ///
 /// # Errors
-/// When too few members answer.
+/// When too few members answer, or the owner was superseded.
 pub async fn install_majority(
     context: &Context,
     old: &ReplicaSet,
     next: &ReplicaSet,
+    owner: Option<ChangeOwner>,
 ) -> Result<ReplicaSet, ReconfigurationError> {
-    let installed = run(context, old, next, Extent::Majority).await?;
+    let installed = run(context, old, next, Extent::Majority, owner).await?;
     context.replica_sets.put(&installed);
     let decision = Decision::new(Component::Replication, "replaced_set", "installed", &old.shard);
     let decision = decision.with("from", old.generation).with("to", installed.generation);
@@ -106,7 +113,7 @@
     replica_sets::write(&client, shard, Some(stored.version), &document).await?;
     let decision = Decision::new(Component::Replication, "replacing", reason, shard);
     context.decisions.record(decision.with("leaving", leaving).with("generation", next.generation));
-    let installed = run(context, &current, &next, Extent::All).await?;
+    let installed = run(context, &current, &next, Extent::All, None).await?;
     context.replica_sets.put(&installed);
     settle(context, &installed).await?;
     Ok(installed)
@@ -120,6 +127,15 @@
     }
 }
 
+/// Finishes a change that stopped after members of the set were heard of and before a majority of them was installed.
+///
+/// # Errors
+/// When too few members answer.
+pub(super) async fn install_rest(context: &Context, set: &ReplicaSet) -> Result<(), ReconfigurationError> {
+    let reconfigurer = Reconfigurer::catch_up(set.clone(), new_transfer(context), retransmit_after(context));
+    drive(context, reconfigurer, &[set], Extent::Majority).await.map(drop)
+}
+
 async fn choose_next(
     context: &Context,
     current: &ReplicaSet,
@@ -141,7 +157,7 @@
     stored: StoredDocument,
 ) -> Result<StoredDocument, ReconfigurationError> {
     let Some(pending) = &stored.document.pending else { return Ok(stored) };
-    let installed = run(context, &stored.document.current, pending, Extent::All).await?;
+    let installed = run(context, &stored.document.current, pending, Extent::All, None).await?;
     settle(context, &installed).await?;
     let stored = replica_sets::read(client, &installed.shard).await?;
     stored.ok_or_else(|| ReconfigurationError::UnknownShard(installed.shard))
@@ -173,13 +189,17 @@
     old: &ReplicaSet,
     next: &ReplicaSet,
     extent: Extent,
+    owner: Option<ChangeOwner>,
 ) -> Result<ReplicaSet, ReconfigurationError> {
     if next.generation > old.generation.next() {
         // Several changes behind: the later set is in force already.
         return Ok(next.clone());
     }
     let transfer = new_transfer(context);
-    let reconfigurer = Reconfigurer::new(old.clone(), next.clone(), transfer, retransmit_after(context));
+    let mut reconfigurer = Reconfigurer::new(old.clone(), next.clone(), transfer, retransmit_after(context));
+    if let Some(owner) = owner {
+        reconfigurer = reconfigurer.with_owner(owner);
+    }
     let later = drive(context, reconfigurer, &[old, next], extent).await?;
     Ok(later.unwrap_or_else(|| next.clone()))
 }
@@ -213,6 +233,9 @@
             Some(ReconfigurerEvent::Installed) => has_majority = true,
             Some(ReconfigurerEvent::Complete) => return Ok(None),
             Some(ReconfigurerEvent::Overtaken(later)) => return Ok(Some(later)),
+            Some(ReconfigurerEvent::Superseded { highest }) => {
+                return Err(ReconfigurationError::Superseded { highest });
+            }
             None => {}
         }
         let now = Timestamp::ORIGIN + origin.elapsed();
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -2,7 +2,6 @@
 //! before `append` returns, and an owner that has been superseded can append nothing.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -14,14 +13,16 @@
 use lichenpulley_core::replication::proposer::{
     AppendRefusal, EndReason, Proposer, ProposerConfig, ProposerEvent,
 };
+use lichenpulley_core::replication::reconfigurer::ChangeOwner;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use lichenpulley_core::time::Timestamp;
-use lichenpulley_protocol::internal::StoreRequest;
+use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 use tokio::time::Instant;
 
 use super::exchange::{self, Exchange};
 use super::heard_clock::HeardClock;
-use super::{reconfiguration, replica_sets};
+use super::reconfiguration::{self, ReconfigurationError};
+use super::replica_sets;
 use crate::context::Context;
 
 /// Pause before a replica that could not be reached is tried again.
@@ -79,6 +80,7 @@
     heard_at: Instant,
     /// The same for other tasks.
     heard: HeardClock,
+    /// The set that has to be brought into force first.
     replaced_by: Option<ReplicaSet>,
 }
 
@@ -120,23 +122,25 @@
     ) -> Result<(Self, RecoveredLog), ShardLogError> {
         let timeout = context.settings.store.call_timeout;
         let limit = Instant::now() + timeout * WHOLE_PATIENCE;
+        let mut at_least = Epoch(1);
         loop {
             let deadline = Instant::now() + timeout * PATIENCE;
-            let mut log = Self::begin(context, shard, deadline, known).await?;
+            let mut log = Self::begin(context, shard, deadline, known, at_least).await?;
             match log.recover(Patience { quiet: timeout * PATIENCE, limit }).await {
                 Ok(recovered) => {
                     log.record_taken_over(&recovered);
                     let chosen = recovered.next_set.as_ref();
                     let open = chosen.filter(|next| next.generation > log.proposer.set().generation);
-                    match open {
+                    if let Some(next) = open {
                         // An owner before chose the next set and did not bring it into force.
-                        Some(next) => log.install(next).await?,
-                        None => return Ok((log, recovered)),
+                        log.continue_in(next).await?;
                     }
+                    return Ok((log, recovered));
                 }
                 Err(error) => {
-                    let deadline = Instant::now() + timeout * PATIENCE;
-                    log.follow_replacement(deadline).await.ok_or(error)?;
+                    log.follow_replacement().await.ok_or(error)?;
+                    // The ballot before may have accepted entries in the old set: it is not used again.
+                    at_least = log.epoch().next();
                 }
             }
         }
@@ -161,65 +165,78 @@
     }
 
     /// Replaces a member of the shard's replica set by another store, without the platform: the log itself decides which
-    /// set follows. The owner takes the shard over again under the next set; gives what of the log it may not know.
+    /// set follows. The owner goes on in the next set under the same epoch.
     ///
     /// # Errors
-    /// When superseded or without a majority. The change may then be finished by a later owner.
+    /// When superseded or without a majority. The change may then be finished by a later owner, and this one must not go on.
     pub async fn replace_member(
-        self,
+        &mut self,
         leaving: &StoreId,
         joining: SetMember,
         reason: &str,
-    ) -> Result<(Self, RecoveredLog), ShardLogError> {
+    ) -> Result<(), ShardLogError> {
         let Some(next) = self.proposer.set().with_replaced(leaving, joining) else {
             return Err(self.no_majority());
         };
         self.change_set(next, reason).await
     }
 
-    async fn change_set(
-        mut self,
-        next: ReplicaSet,
-        reason: &str,
-    ) -> Result<(Self, RecoveredLog), ShardLogError> {
+    async fn change_set(&mut self, next: ReplicaSet, reason: &str) -> Result<(), ShardLogError> {
         let decision = Decision::new(Component::Replication, "replacing", reason, &self.shard);
         self.context.decisions.record(decision.with("generation", next.generation));
         let through = self.proposer.append_next_set(next.clone()).map_err(|refusal| self.refused(refusal))?;
         self.decide(through).await?;
-        self.install(&next).await?;
-        let known = KnownLog { through, ..KnownLog::default() };
-        Self::take_over_knowing(&self.context, &self.shard, known).await
+        self.continue_in(&next).await
+    }
+
+    /// Brings the set that the log chose into force and goes on in it under the same epoch.
+    async fn continue_in(&mut self, next: &ReplicaSet) -> Result<(), ShardLogError> {
+        let installed = self.install(next).await;
+        if installed.is_err() {
+            // Another may go on from here: this owner says nothing more.
+            self.proposer.stop();
+        }
+        installed?;
+        let through = self.proposer.continue_in(next.clone()).map_err(|refusal| self.refused(refusal))?;
+        self.decide(through).await?;
+        let decision = Decision::new(Component::Replication, "set_changed", "majority_accepted", &self.shard);
+        let decision = decision.with("epoch", self.epoch()).with("generation", next.generation);
+        self.context.decisions.record(decision);
+        Ok(())
     }
 
-    /// Brings the set that the log chose into force.
+    /// Brings the set that the log chose into force, unless another owner is ahead.
     async fn install(&self, next: &ReplicaSet) -> Result<(), ShardLogError> {
-        let change = reconfiguration::install_majority(&self.context, self.proposer.set(), next);
+        let (ballot, decided_through) = (self.proposer.ballot().clone(), self.proposer.decided_through());
+        let owner = Some(ChangeOwner { ballot, decided_through });
+        let change = reconfiguration::install_majority(&self.context, self.proposer.set(), next, owner);
         let deadline = Instant::now() + self.context.settings.store.call_timeout * CHANGE_PATIENCE;
         let changed = tokio::select! {
             changed = tokio::time::timeout_at(deadline, change) => changed,
             // Nothing is appended meanwhile: without a sign of life another would take the shard over.
-            never = self.show_life(next) => match never {},
+            highest = self.show_life(next) => return Err(self.superseded(highest)),
         };
-        if let Ok(Ok(_)) = changed {
-            return Ok(());
+        match changed {
+            Ok(Ok(installed)) if &installed == next => return Ok(()),
+            Ok(Err(ReconfigurationError::Superseded { highest })) => return Err(self.superseded(highest)),
+            _ => {}
         }
         log::warn!(target: "store", "Shard {}: generation {} is not in force yet.", self.shard, next.generation);
         Err(self.no_majority())
     }
 
+    fn superseded(&self, highest: Epoch) -> ShardLogError {
+        ShardLogError::Superseded { shard: self.shard.clone(), highest }
+    }
+
     /// When the stores last answered.
     pub fn heard(&self) -> HeardClock {
         self.heard.clone()
     }
 
-    /// Tells another clock from now on when the stores answer.
-    pub fn tell_heard(&mut self, clock: HeardClock) {
-        clock.heard();
-        self.heard = clock;
-    }
-
-    /// Tells the stores of the present set and of `next` again and again that this owner is at work.
-    async fn show_life(&self, next: &ReplicaSet) -> Infallible {
+    /// Tells the stores of the present set and of `next` again and again that this owner is at work; ends with the epoch of
+    /// another one of which a store tells that it is ahead.
+    async fn show_life(&self, next: &ReplicaSet) -> Epoch {
         let sets = [self.proposer.set(), next];
         let members: BTreeMap<&StoreId, &SetMember> =
             sets.iter().flat_map(|set| &set.members).map(|member| (&member.store, member)).collect();
@@ -228,15 +245,23 @@
                 let address = exchange::address_of(&self.context, member);
                 let (shard, ballot) = (self.shard.clone(), self.proposer.ballot().clone());
                 let request = StoreRequest::LeaderAlive { shard, ballot };
-                let context = self.context.clone();
+                let (context, heard) = (self.context.clone(), self.heard.clone());
                 async move {
-                    if let Some(address) = address {
-                        // A store that doesn't hear it hears the next one.
-                        let _ = context.peers.store(address, request, LIFE_INTERVAL).await;
+                    // A store that doesn't hear it hears the next one.
+                    match context.peers.store(address?, request, LIFE_INTERVAL).await {
+                        Ok(StoreResponse::Leadership(seen)) => {
+                            heard.heard();
+                            seen.map(|seen| seen.epoch)
+                        }
+                        _ => None,
                     }
                 }
             };
-            join_all(members.values().map(|member| tell(member))).await;
+            let seen = join_all(members.values().map(|member| tell(member))).await;
+            let highest = seen.into_iter().flatten().max().unwrap_or_default();
+            if highest > self.epoch() {
+                return highest;
+            }
             tokio::time::sleep(LIFE_INTERVAL).await;
         }
     }
@@ -260,6 +285,7 @@
         shard: &ShardId,
         deadline: Instant,
         known: KnownLog,
+        at_least: Epoch,
     ) -> Result<Self, ShardLogError> {
         let found = tokio::time::timeout_at(deadline, replica_sets::find(context, shard)).await;
         let set = match found {
@@ -280,7 +306,7 @@
         Ok(Self {
             context: context.clone(),
             shard: shard.clone(),
-            proposer: Proposer::new(set, proposer, Epoch(1), config).with_known(known),
+            proposer: Proposer::new(set, proposer, at_least, config).with_known(known),
             exchange: Exchange::new(context.clone()),
             origin: Instant::now(),
             heard_at: Instant::now(),
@@ -298,10 +324,31 @@
     }
 
     /// Finishes a change of the replica set that stopped this take-over. `None` where there was none.
-    async fn follow_replacement(&mut self, deadline: Instant) -> Option<()> {
+    ///
+    /// The sealed stores that promised hear meanwhile that this node is at work, so that no other begins the same.
+    async fn follow_replacement(&mut self) -> Option<()> {
         let next = self.replaced_by.take()?;
-        let change = reconfiguration::install_majority(&self.context, self.proposer.set(), &next);
-        tokio::time::timeout_at(deadline, change).await.ok()?.ok().map(drop)
+        let (context, set) = (&self.context, self.proposer.set());
+        let change = async {
+            if &next == set {
+                return reconfiguration::install_rest(context, set).await;
+            }
+            reconfiguration::install_majority(context, set, &next, None).await.map(drop)
+        };
+        let deadline = Instant::now() + self.context.settings.store.call_timeout * CHANGE_PATIENCE;
+        let changed = async {
+            let changed = tokio::time::timeout_at(deadline, change).await;
+            changed.ok()?.ok()
+        };
+        let life = async {
+            // Whoever is ahead is met in the next set: a change that was decided is finished all the same.
+            self.show_life(&next).await;
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            changed = changed => changed,
+            () = life => None,
+        }
     }
 
     async fn decide(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
@@ -370,7 +417,7 @@
                 self.context.decisions.record(decision.with("epoch", self.epoch()));
                 ShardLogError::DiskFull { shard: self.shard.clone() }
             }
-            AppendRefusal::NotLeading => self.no_majority(),
+            AppendRefusal::NotLeading | AppendRefusal::Undecided => self.no_majority(),
         }
     }
 
@@ -397,6 +444,10 @@
                 self.replaced_by = Some(next);
                 self.no_majority()
             }
+            EndReason::NotInstalled => {
+                self.replaced_by = Some(self.proposer.set().clone());
+                self.no_majority()
+            }
             EndReason::Damaged { store } => {
                 log::error!(target: "store", "Shard {}: store {store} lacks decided entries.", self.shard);
                 self.no_majority()
--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -149,7 +149,7 @@
                 }
                 Work::LeaderAlive { shard, ballot } => {
                     self.leaders.alive(shard, ballot);
-                    Some(StoreResponse::Ready)
+                    Some(StoreResponse::Leadership(self.leaders.get(shard)))
                 }
                 _ => None,
             };
--- a/crates/lab/src/simulate_replication/change.rs
+++ b/crates/lab/src/simulate_replication/change.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use lichenpulley_core::replication::message::{ReplicaResponse, TransferId};
-use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerChecks, ReconfigurerEvent};
+use lichenpulley_core::replication::reconfigurer::{
+    ChangeOwner, Reconfigurer, ReconfigurerChecks, ReconfigurerEvent,
+};
 use lichenpulley_core::replication::replica_set::ReplicaSet;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_simulation::Outbox;
@@ -26,7 +28,7 @@
 pub(super) enum ChangeEnd {
     /// This set is in force.
     InForce(ReplicaSet),
-    /// Time ran out.
+    /// Time ran out, or the owner for whom it was run was superseded.
     GivenUp,
 }
 
@@ -43,6 +45,11 @@
         Self::run(reconfigurer.with_checks(checks), [old.clone(), next.clone()], now)
     }
 
+    /// The same for the log's owner.
+    pub(super) fn with_owner(self, owner: ChangeOwner) -> Self {
+        Self { reconfigurer: self.reconfigurer.with_owner(owner), ..self }
+    }
+
     pub(super) fn catch_up(set: &ReplicaSet, transfer: String, now: Timestamp) -> Self {
         let reconfigurer = Reconfigurer::catch_up(set.clone(), TransferId(transfer), RETRANSMIT_AFTER);
         Self::run(reconfigurer, [set.clone(), set.clone()], now)
@@ -78,6 +85,7 @@
                 ReconfigurerEvent::Overtaken(set) => {
                     return Some(ChangeEnd::InForce(set));
                 }
+                ReconfigurerEvent::Superseded { .. } => return Some(ChangeEnd::GivenUp),
             }
         }
         if now >= self.deadline {
--- a/crates/lab/src/simulate_replication/check.rs
+++ b/crates/lab/src/simulate_replication/check.rs
@@ -28,6 +28,8 @@
     owners: BTreeMap<Epoch, usize>,
     /// What each owner holds for decided.
     decided: BTreeMap<usize, Vec<u64>>,
+    /// Owners that began to take the log over.
+    taking_over: BTreeSet<usize>,
     /// How long the log was when each owner's present take-over began.
     at_beginning: BTreeMap<usize, usize>,
     violations: Vec<String>,
@@ -38,8 +40,9 @@
         match &observation.kind {
             ObservationKind::Began => {
                 self.at_beginning.insert(owner, self.longest.len());
+                self.taking_over.insert(owner);
             }
-            ObservationKind::Appending(_) => {}
+            ObservationKind::Appending(_) | ObservationKind::Continued => {}
             ObservationKind::Recovered(records) => self.recovered(owner, observation.epoch, records),
             ObservationKind::Acknowledged { length, records } => {
                 let decided = self.decided.entry(owner).or_default();
@@ -52,6 +55,10 @@
     }
 
     fn recovered(&mut self, owner: usize, epoch: Epoch, records: &[u64]) {
+        if !self.taking_over.remove(&owner) {
+            self.violations
+                .push(format!("owner {owner} took the log by a change of the stores: epoch {epoch}"));
+        }
         if let Some(other) = self.owners.insert(epoch, owner) {
             self.violations.push(format!("epoch {epoch} was held by owners {other} and {owner}"));
         }
--- a/crates/lab/src/simulate_replication/mod.rs
+++ b/crates/lab/src/simulate_replication/mod.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Who changes the log's set of stores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// Operators, through the platform's document.
+    ByOperators,
+    /// The log's owner, through the log; it is cut off while it does so, more often than not.
+    ByOwner,
+}
+
 /// What one run showed.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -81,6 +90,8 @@
     pub refused: usize,
     /// Replica sets that were replaced.
     pub replacements: u64,
+    /// How often an owner went on in another set of stores.
+    pub continued: usize,
     /// Messages delivered.
     pub messages: u64,
     /// What owners saw, with the process of each, in the order of time.
@@ -91,7 +102,12 @@
 
 /// Runs one schedule.
 pub fn simulate(seed: u64, mechanisms: Mechanisms) -> Report {
-    let run = World::new(seed, mechanisms).run(seed);
+    simulate_changes(seed, mechanisms, Changes::ByOperators)
+}
+
+/// Runs one schedule with the changes of the log's stores by one or the other.
+pub fn simulate_changes(seed: u64, mechanisms: Mechanisms, changes: Changes) -> Report {
+    let run = World::new(seed, mechanisms, changes).run(seed);
     let mut violations = run.violations;
     violations.extend(check::check_log(&run.observations));
     violations.extend(check::check_claims(&run.claims));
@@ -108,6 +124,7 @@
         take_overs: kinds().filter(|kind| matches!(kind, ObservationKind::Recovered(_))).count(),
         granted,
         refused: run.claims.len() - granted,
+        continued: kinds().filter(|kind| matches!(kind, ObservationKind::Continued)).count(),
         replacements: run.generations.saturating_sub(2),
         messages: run.messages,
         observations: run.observations,
@@ -123,12 +140,14 @@
     let mut options = help_option();
     options.optopt("", "seeds", "schedules to try (default 200)", "N");
     options.optopt("", "first-seed", "the first seed (default 0)", "SEED");
+    options.optflag("", "by-owner", "have the log's owner change its stores");
     let Some(matches) = parse("simulate-replication", &options, arguments)? else { return Ok(()) };
     let seeds: u64 = value_or(&matches, "seeds", "200")?;
     let first: u64 = value_or(&matches, "first-seed", "0")?;
     let mut totals = Totals::default();
+    let changes = if matches.opt_present("by-owner") { Changes::ByOwner } else { Changes::ByOperators };
     for seed in first..first + seeds {
-        totals.add(seed, &simulate(seed, Mechanisms::default()));
+        totals.add(seed, &simulate_changes(seed, Mechanisms::default(), changes));
     }
     totals.print(seeds);
     if totals.violations == 0 {
@@ -146,6 +165,7 @@
     granted: usize,
     refused: usize,
     replacements: u64,
+    continued: usize,
     messages: u64,
 }
 
@@ -163,6 +183,7 @@
         self.granted += report.granted;
         self.refused += report.refused;
         self.replacements += report.replacements;
+        self.continued += report.continued;
         self.messages += report.messages;
     }
 
@@ -170,6 +191,7 @@
         println!("schedules tried: {seeds}, violations: {}", self.violations);
         println!("records acknowledged: {}, take-overs: {}", self.acknowledged, self.take_overs);
         println!("claims granted: {}, not granted: {}", self.granted, self.refused);
+        println!("owners that went on in another set: {}", self.continued);
         println!("replica sets replaced: {}, messages delivered: {}", self.replacements, self.messages);
     }
 }
--- a/crates/lab/src/simulate_replication/owner.rs
+++ b/crates/lab/src/simulate_replication/owner.rs
@@ -7,11 +7,12 @@
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::log::RecoveredLog;
+use lichenpulley_core::replication::placement::best_addition;
 use lichenpulley_core::replication::proposer::{
     EndReason, Proposer, ProposerChecks, ProposerConfig, ProposerEvent,
 };
-use lichenpulley_core::replication::reconfigurer::ReconfigurerChecks;
-use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::replication::reconfigurer::{ChangeOwner, ReconfigurerChecks};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember};
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_simulation::Outbox;
 use rand::{RngExt, SeedableRng};
@@ -25,6 +26,12 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Time between two appends.
 const APPEND_INTERVAL: Duration = Duration::from_millis(40);
+/// The shortest pause before a take-over.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// The longest pause before a take-over.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// The same for owners that change the stores, so that there is time for it.
+const LONGEST_PAUSE_OF_CHANGERS: Duration = Duration::from_secs(4);
 /// Appends between two snapshots.
 const APPENDS_PER_SNAPSHOT: u64 = 12;
 /// Bytes of one record.
@@ -48,6 +55,8 @@
     Began,
     /// It took the log over and found these records.
     Recovered(Vec<u64>),
+    /// It goes on in another set of stores.
+    Continued,
     /// It asked for this record to be appended.
     Appending(u64),
     /// This many records, with these at the end, are acknowledged.
@@ -67,9 +76,18 @@
 }
 
 enum Activity {
-    Waiting { until: Timestamp },
-    Proposing { proposer: Box<Proposer>, deadline: Timestamp },
-    Changing(Box<Change>),
+    Waiting {
+        until: Timestamp,
+    },
+    Proposing {
+        proposer: Box<Proposer>,
+        deadline: Timestamp,
+    },
+    /// A change of the stores; the proposer is that of an owner that goes on afterwards.
+    Changing {
+        change: Box<Change>,
+        leading: Option<(Box<Proposer>, ReplicaSet)>,
+    },
 }
 
 /// An owner process.
@@ -85,6 +103,14 @@
     /// Records that are on their way, with the position of each.
     pending: VecDeque<(LogIndex, u64)>,
     next_append: Timestamp,
+    /// The set that is to follow, with the position of the entry that says so.
+    chosen: Option<(LogIndex, ReplicaSet)>,
+    /// The position that shows that the owner goes on in another set.
+    confirming: Option<LogIndex>,
+    /// Every store as it is now, where owners see to the replacement of lost ones.
+    stores: Vec<SetMember>,
+    /// The longest pause before a take-over.
+    longest_pause: Duration,
     appends: u64,
     lives: u64,
     /// Whether it begins new take-overs and appends.
@@ -104,6 +130,10 @@
             decided: Vec::new(),
             pending: VecDeque::new(),
             next_append: Timestamp::ORIGIN,
+            chosen: None,
+            confirming: None,
+            stores: Vec::new(),
+            longest_pause: LONGEST_PAUSE,
             appends: 0,
             lives: 0,
             active: true,
@@ -119,10 +149,26 @@
         owner.lives = self.lives;
         owner.appends = self.appends;
         owner.active = self.active;
+        owner.longest_pause = self.longest_pause;
         owner.observations.clone_from(&self.observations);
         owner
     }
 
+    /// Tells which stores there are, and the set in force: from then on the owner replaces lost members through the log.
+    pub(super) fn set_stores(&mut self, stores: Vec<SetMember>, in_force: Option<ReplicaSet>) {
+        self.stores = stores;
+        self.longest_pause = LONGEST_PAUSE_OF_CHANGERS;
+        let later = in_force.filter(|set| set.generation > self.set.generation);
+        if let (Activity::Waiting { .. }, Some(set)) = (&self.activity, later) {
+            self.set = set;
+        }
+    }
+
+    /// Whether it is bringing another set into force, in order to go on in it.
+    pub(super) fn is_changing(&self) -> bool {
+        matches!(self.activity, Activity::Changing { leading: Some(_), .. })
+    }
+
     /// Whether a take-over succeeded since a time.
     pub(super) fn recovered_since(&self, since: Timestamp) -> bool {
         let later = self.observations.iter().rev().take_while(|observation| observation.at >= since);
@@ -142,7 +188,7 @@
                 let due = proposer.poll_timeout().map_or(*deadline, |at| at.min(*deadline));
                 Some(if self.active { due.min(self.next_append.max(Timestamp::ORIGIN)) } else { due })
             }
-            Activity::Changing(change) => Some(change.next_wake()),
+            Activity::Changing { change, .. } => Some(change.next_wake()),
         }
     }
 
@@ -150,7 +196,7 @@
         match message {
             Message::Response(response) => match &mut self.activity {
                 Activity::Proposing { proposer, .. } => proposer.step(now, response),
-                Activity::Changing(change) => change.step(response),
+                Activity::Changing { change, .. } => change.step(response),
                 Activity::Waiting { .. } => {}
             },
             Message::Document { document, .. }
@@ -195,29 +241,72 @@
         let proposer = Box::new(proposer.with_checks(self.checks.proposer));
         self.observe(now, proposer.epoch(), ObservationKind::Began);
         self.pending.clear();
+        (self.chosen, self.confirming) = (None, None);
         self.activity = Activity::Proposing { proposer, deadline: now + PATIENCE };
         self.next_append = now + PATIENCE;
     }
 
     fn advance_change(&mut self, now: Timestamp, outbox: &mut Outbox<Message>) {
-        let Activity::Changing(change) = &mut self.activity else { return };
+        let Activity::Changing { change, leading } = &mut self.activity else { return };
         match change.advance(now, false, outbox) {
             Some(ChangeEnd::InForce(set)) => {
+                let leading = leading.take().filter(|(_, next)| next == &set);
                 self.set = set;
-                self.wait(now);
+                match leading {
+                    Some((proposer, _)) => self.continue_in_set(now, proposer),
+                    None => self.wait(now),
+                }
             }
             Some(ChangeEnd::GivenUp) => self.wait(now),
             None => {}
         }
     }
 
+    /// An owner that brought the next set into force goes on in it.
+    fn continue_in_set(&mut self, now: Timestamp, mut proposer: Box<Proposer>) {
+        let Ok(through) = proposer.continue_in(self.set.clone()) else { return self.wait(now) };
+        self.confirming = Some(through);
+        self.activity = Activity::Proposing { proposer, deadline: now + PATIENCE };
+    }
+
+    /// Chooses the set that is to follow, where a member's disk is gone.
+    fn choose_set(&mut self) -> Option<ReplicaSet> {
+        let is_here = |member: &&SetMember| self.stores.iter().any(|store| store.store == member.store);
+        let lost = self.set.members.iter().find(|member| !is_here(member))?;
+        let mut staying = self.set.members.clone();
+        staying.retain(|member| member.store != lost.store);
+        let joining = best_addition(&self.shard, &staying, &self.stores)?;
+        self.set.with_replaced(&lost.store, joining)
+    }
+
+    /// Begins to bring the chosen set into force, once the log says so.
+    fn change_set(&mut self, now: Timestamp, next: ReplicaSet) {
+        let activity = std::mem::replace(&mut self.activity, Activity::Waiting { until: now });
+        let Activity::Proposing { proposer, .. } = activity else { return };
+        let transfer = format!("{}/{}/{}", self.name, self.lives, now.as_micros());
+        let change = Change::new(&self.set, &next, transfer, self.checks.reconfigurer, now);
+        let ballot = proposer.ballot().clone();
+        let owner = ChangeOwner { ballot, decided_through: proposer.decided_through() };
+        let change = Box::new(change.with_owner(owner));
+        self.activity = Activity::Changing { change, leading: Some((proposer, next)) };
+    }
+
     fn append_if_due(&mut self, now: Timestamp) {
-        let Activity::Proposing { proposer, deadline } = &mut self.activity else { return };
         if now < self.next_append || !self.active {
             return;
         }
         self.next_append = now + APPEND_INTERVAL;
-        if !self.pending.is_empty() {
+        if !self.pending.is_empty() || self.chosen.is_some() || self.confirming.is_some() {
+            return;
+        }
+        let next_set = self.choose_set();
+        let Activity::Proposing { proposer, deadline } = &mut self.activity else { return };
+        if let Some(next) = next_set {
+            // A refusal says that it does not lead yet.
+            if let Ok(through) = proposer.append_next_set(next.clone()) {
+                *deadline = now + PATIENCE;
+                self.chosen = Some((through, next));
+            }
             return;
         }
         self.appends += 1;
@@ -246,18 +335,42 @@
             let epoch = proposer.epoch();
             match proposer.poll_event() {
                 Some(ProposerEvent::Recovered(recovered)) => {
-                    self.decided = decode_log(&recovered);
+                    let found = decode_log(&recovered);
+                    // One that asked for the log anew in another set knows what came before.
+                    let knows = self.confirming.take().is_some() && recovered.snapshot.is_none();
+                    let known = if knows { std::mem::take(&mut self.decided) } else { Vec::new() };
+                    self.decided = known.into_iter().chain(found).collect();
                     self.next_append = now;
                     *deadline = now + PATIENCE * 1_000;
                     self.observe(now, epoch, ObservationKind::Recovered(self.decided.clone()));
+                    if let Some(next) = recovered.next_set
+                        && next.generation > self.set.generation
+                    {
+                        self.change_set(now, next);
+                    }
                 }
-                Some(ProposerEvent::Decided(through)) => self.acknowledge(now, epoch, through),
+                Some(ProposerEvent::Decided(through)) => self.decided(now, epoch, through),
                 Some(ProposerEvent::Ended(reason)) => self.ended(now, reason),
                 None => return,
             }
         }
     }
 
+    fn decided(&mut self, now: Timestamp, epoch: Epoch, through: LogIndex) {
+        self.acknowledge(now, epoch, through);
+        if self.confirming.is_some_and(|confirming| confirming <= through) {
+            self.confirming = None;
+            self.next_append = now;
+            if let Activity::Proposing { deadline, .. } = &mut self.activity {
+                *deadline = now + PATIENCE * 1_000;
+            }
+            self.observe(now, epoch, ObservationKind::Continued);
+        }
+        if let Some((_, next)) = self.chosen.take_if(|(chosen, _)| *chosen <= through) {
+            self.change_set(now, next);
+        }
+    }
+
     fn acknowledge(&mut self, now: Timestamp, epoch: Epoch, through: LogIndex) {
         let mut records = Vec::new();
         while self.pending.front().is_some_and(|(index, _)| *index <= through) {
@@ -277,14 +390,19 @@
     }
 
     fn ended(&mut self, now: Timestamp, reason: EndReason) {
+        let transfer = format!("{}/{}", self.name, self.lives);
+        if reason == EndReason::NotInstalled {
+            let change = Box::new(Change::catch_up(&self.set, transfer, now));
+            self.activity = Activity::Changing { change, leading: None };
+            return;
+        }
         let EndReason::Replaced { next } = reason else { return self.wait(now) };
         if next.generation > self.set.generation.next() {
             self.set = next;
             return self.wait(now);
         }
-        let transfer = format!("{}/{}", self.name, self.lives);
         let change = Change::new(&self.set, &next, transfer, self.checks.reconfigurer, now);
-        self.activity = Activity::Changing(Box::new(change));
+        self.activity = Activity::Changing { change: Box::new(change), leading: None };
     }
 
     fn give_up_if_late(&mut self, now: Timestamp) {
@@ -296,7 +414,7 @@
     }
 
     fn wait(&mut self, now: Timestamp) {
-        let pause = self.random.random_range(Duration::from_millis(20)..Duration::from_millis(600));
+        let pause = self.random.random_range(SHORTEST_PAUSE..self.longest_pause);
         self.activity = Activity::Waiting { until: now + pause };
     }
 
--- a/crates/lab/src/simulate_replication/world.rs
+++ b/crates/lab/src/simulate_replication/world.rs
@@ -19,7 +19,7 @@
 use super::owner::{Observation, Owner, OwnerChecks};
 use super::platform::Platform;
 use super::store::{Store, StoreConfig};
-use super::{Mechanisms, PLATFORM};
+use super::{Changes, Mechanisms, PLATFORM};
 
 const STORES: usize = 5;
 const OPERATORS: usize = 2;
@@ -37,6 +37,8 @@
 const CALM_TIME: Duration = Duration::from_secs(20);
 /// Time between two draws of faults that the plan does not know.
 const DRAW_INTERVAL: Duration = Duration::from_millis(100);
+/// How often an owner that changes the stores is cut off at a draw.
+const CUT_RATE: f64 = 0.15;
 /// Most that a store's clock is off, in milliseconds.
 const CLOCK_OFFSET_MS: i64 = 3_000;
 
@@ -107,12 +109,14 @@
     log_shard: ShardId,
     claim_shard: ShardId,
     disks: u64,
+    /// Who changes the log's set of stores.
+    changes: Changes,
     /// A store whose machine is to be taken away: operators replace it while it still answers.
     leaving: Option<usize>,
 }
 
 impl World {
-    pub(super) fn new(seed: u64, mechanisms: Mechanisms) -> Self {
+    pub(super) fn new(seed: u64, mechanisms: Mechanisms, changes: Changes) -> Self {
         let (log_shard, claim_shard) = (ShardId::new("job/pricing"), ShardId::new("claims/0"));
         let stores: Vec<SetMember> = (0..STORES).map(|number| member(number, 0)).collect();
         let sets: Vec<ReplicaSet> = [&log_shard, &claim_shard]
@@ -127,7 +131,10 @@
             simulation.add(Member::Store(Box::new(store)));
         }
         for number in 0..OPERATORS {
-            let shards = vec![log_shard.clone(), claim_shard.clone()];
+            let shards = match changes {
+                Changes::ByOperators => vec![log_shard.clone(), claim_shard.clone()],
+                Changes::ByOwner => vec![claim_shard.clone()],
+            };
             let name = format!("operator-{number}");
             let operator_seed = seed.wrapping_mul(31).wrapping_add(number as u64);
             let operator =
@@ -147,7 +154,7 @@
             simulation.add(Member::Claimant(Box::new(claimant)));
         }
         let random = Pcg64Mcg::seed_from_u64(seed ^ 0x5eed);
-        Self { simulation, random, mechanisms, log_shard, claim_shard, disks: 0, leaving: None }
+        Self { simulation, random, mechanisms, log_shard, claim_shard, disks: 0, changes, leaving: None }
     }
 
     /// Runs the schedule to its end.
@@ -186,6 +193,9 @@
         }
         self.set_platform(false, false);
         self.tell_operators();
+        if self.changes == Changes::ByOwner {
+            self.tell_owners();
+        }
         self.simulation.run_for(CALM_TIME / 2);
         for owner in FIRST_OWNER..FIRST_CLAIMANT {
             let last = owner == FIRST_OWNER;
@@ -198,6 +208,9 @@
                 }
             });
         }
+        if self.changes == Changes::ByOwner {
+            self.tell_owners();
+        }
         self.simulation.run_for(CALM_TIME / 2);
     }
 
@@ -234,11 +247,9 @@
 
     fn generations(&self) -> u64 {
         let Member::Platform(platform) = self.simulation.process(PLATFORM) else { return 0 };
-        let shards = [&self.log_shard, &self.claim_shard].into_iter();
-        shards
-            .filter_map(|shard| platform.document(shard))
-            .map(|document| document.current.generation.0)
-            .sum()
+        let of = |shard| platform.document(shard).map_or(0, |document| document.current.generation.0);
+        let latest = self.latest_log_set().map_or(0, |set| set.generation.0);
+        of(&self.log_shard).max(latest) + of(&self.claim_shard)
     }
 
     fn apply(&mut self, fault: &Fault) {
@@ -255,6 +266,10 @@
     /// Platform outages, lost replies, clocks that jump, and disks that are lost.
     fn draw_other_faults(&mut self) {
         self.tell_operators();
+        if self.changes == Changes::ByOwner {
+            self.tell_owners();
+            self.cut_changing_owner();
+        }
         match self.random.random_range(0..30) {
             0 => self.set_platform(true, false),
             1 => self.set_platform(false, true),
@@ -316,14 +331,49 @@
         }
     }
 
+    /// Tells owners which stores there are, and those that look for the log its latest set.
+    fn tell_owners(&mut self) {
+        let (stores, in_force) = (self.stores(), self.latest_log_set());
+        for owner in FIRST_OWNER..FIRST_CLAIMANT {
+            let (stores, in_force) = (stores.clone(), in_force.clone());
+            self.simulation.interact(ProcessId(owner), |process, _, _| {
+                if let Member::Owner(owner) = process {
+                    owner.set_stores(stores, in_force);
+                }
+            });
+        }
+    }
+
+    /// Cuts an owner off while it changes the stores; the cut heals while a successor works.
+    fn cut_changing_owner(&mut self) {
+        let changing = (FIRST_OWNER..FIRST_CLAIMANT)
+            .map(ProcessId)
+            .find(|id| matches!(self.simulation.process(*id), Member::Owner(owner) if owner.is_changing()));
+        if let Some(owner) = changing.filter(|_| self.random.random_bool(CUT_RATE)) {
+            self.simulation.cut_off(&[owner]);
+        }
+    }
+
+    /// The latest set of the log in which a store takes part.
+    fn latest_log_set(&self) -> Option<ReplicaSet> {
+        let groups =
+            (0..STORES).filter_map(|number| match self.simulation.process(ProcessId(FIRST_STORE + number)) {
+                Member::Store(store) => store.group(&self.log_shard),
+                _ => None,
+            });
+        let active = groups.filter(|group| group.phase == GroupPhase::Active).map(|group| &group.set);
+        active.max_by_key(|set| set.generation).cloned()
+    }
+
     /// Whether every member of every current set takes part in it.
     fn is_settled(&self) -> bool {
         let Member::Platform(platform) = self.simulation.process(PLATFORM) else { return false };
         [&self.log_shard, &self.claim_shard].into_iter().all(|shard| {
             let settled = platform.document(shard).filter(|document| document.pending.is_none());
-            settled.is_some_and(|document| {
-                document.current.members.iter().all(|member| self.takes_part(&document.current, member))
-            })
+            let by_owner = self.changes == Changes::ByOwner && shard == &self.log_shard;
+            let latest = self.latest_log_set().filter(|_| by_owner);
+            let current = latest.or_else(|| settled.map(|document| document.current.clone()));
+            current.is_some_and(|set| set.members.iter().all(|member| self.takes_part(&set, member)))
         })
     }
 
--- a/crates/lab/tests/replication_linearizability.rs
+++ b/crates/lab/tests/replication_linearizability.rs
@@ -66,6 +66,8 @@
                 actions.push((began, began, Action::Call(LogOperation::TakeOver(Vec::new()))));
                 actions.push((number, began, Action::Response(LogOperation::TakeOver(records.clone()))));
             }
+            // A change of the stores is no operation on the log.
+            ObservationKind::Continued => {}
             ObservationKind::Appending(record) => {
                 let position = positions.get(record).copied();
                 // An append without an answer that nobody saw may as well not have been.
--- a/crates/lab/tests/simulate_replication.rs
+++ b/crates/lab/tests/simulate_replication.rs
@@ -1,7 +1,7 @@
 //! Proofs of the replicated log, the claims and changes of the replica set: the same schedules violate what must
 //! hold with a mechanism switched off, and don't with all on.
 
-use lichenpulley_lab::simulate_replication::{Mechanisms, simulate};
+use lichenpulley_lab::simulate_replication::{Changes, Mechanisms, simulate, simulate_changes};
 
 /// Schedules tried with every mechanism on. `lichenpulley-lab simulate-replication --seeds N` tries more.
 const SEEDS: std::ops::Range<u64> = 0..10;
@@ -67,3 +67,35 @@
     mechanisms.acceptor.refuse_forgotten_claims = false;
     violation_without(mechanisms);
 }
+
+/// Schedules in which the log's owner replaces stores, and is cut off while it does so more often than not.
+/// `lichenpulley-lab simulate-replication --by-owner --seeds N` tries more.
+const OWNER_SEEDS: std::ops::Range<u64> = 0..30;
+
+#[test]
+fn an_owner_cut_off_while_it_replaces_a_store_gets_nothing_by_coming_back() {
+    let mut continued = 0;
+    for seed in OWNER_SEEDS {
+        let report = simulate_changes(seed, Mechanisms::default(), Changes::ByOwner);
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.came_back, "seed {seed}: the log could not be taken over after all faults had ended");
+        assert!(report.acknowledged > 0, "seed {seed} got nothing done");
+        continued += report.continued;
+    }
+    assert!(continued > 0, "no owner went on in another set");
+}
+
+/// The first violation where owners change the stores with some mechanism off.
+fn violation_of_owners_without(mechanisms: Mechanisms) -> String {
+    let mut found =
+        OWNER_SEEDS.flat_map(|seed| simulate_changes(seed, mechanisms, Changes::ByOwner).violations);
+    found.next().expect("some schedule must go wrong without a mechanism that is needed")
+}
+
+#[test]
+fn with_a_ballot_of_its_own_a_change_takes_the_log_from_the_successor() {
+    let mut mechanisms = Mechanisms::default();
+    mechanisms.proposer.keep_ballot = false;
+    let found = violation_of_owners_without(mechanisms);
+    assert!(found.contains("took the log by a change of the stores"), "{found}");
+}
--- a/crates/protocol/src/internal/store.rs
+++ b/crates/protocol/src/internal/store.rs
@@ -17,7 +17,8 @@
     KnownSet(ShardId),
     /// Asks who leads a shard, as far as the store knows.
     Leadership(ShardId),
-    /// The leader under this ballot is at work, though it appends nothing: it changes the stores.
+    /// The leader under this ballot is at work, though it appends nothing: it changes the stores. The answer tells who
+    /// leads, as far as the store knows, so that one that was superseded learns it.
     LeaderAlive {
         /// The shard.
         shard: ShardId,
