Read where zones lie from the settings

Nothing in the tree knows the region of a node or of a zone, which the placement of stores and owners and the homes of requests need. The settings file gets a table [places] with `region` and `zones` (a table of zones with their regions); a region that is not given follows from the node's zone, and one that contradicts the table is refused with both keys named. Without the table all zones count as one region.

A zone that the table does not name is not refused: a node of a new zone has to come up while the others still hold the older table.

--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! Every problem of a file is reported at once, each with its key and its remedy.
 
 mod parts;
+mod places;
 mod problem;
 mod reader;
 
@@ -17,6 +18,7 @@
     BatchSettings, ConfigurationSettings, CoordinatorSettings, DutySettings, GatewaySettings,
     MachineSettings, MembershipSettings, PeerSettings, StopSettings, StoreSettings,
 };
+pub use places::PlaceSettings;
 pub use problem::{SettingsError, SettingsProblem};
 pub use reader::{Bounds, KnownKey, SettingsReader};
 
@@ -30,6 +32,8 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
+    /// Which regions it and the zones lie in.
+    pub places: PlaceSettings,
     /// What it does; any mix.
     pub roles: Roles,
     /// Where it listens.
@@ -104,7 +108,8 @@
     /// With every problem of its values.
     pub fn from_table(table: toml::Table) -> Result<Self, SettingsError> {
         let mut reader = SettingsReader::new(table);
-        let settings = Self::read(&mut reader);
+        let mut settings = Self::read(&mut reader);
+        settings.places.settle(&mut reader, &settings.zone);
         settings.check(&mut reader);
         reader.finish()?;
         Ok(settings)
@@ -135,6 +140,7 @@
         Self {
             node: NodeId::new(reader.name("node")),
             zone: ZoneName::new(reader.name("zone")),
+            places: PlaceSettings::read(reader),
             roles: read_roles(reader),
             addresses: ListenAddresses {
                 callers: reader.listen_address("addresses.callers"),
--- a/crates/daemon/src/settings/reader.rs
+++ b/crates/daemon/src/settings/reader.rs
@@ -1,5 +1,6 @@
 //! Reads typed values out of a TOML table and collects every problem on the way.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -60,13 +61,36 @@
             }
             return String::new();
         };
-        let allowed = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
-        if name.is_empty() || !name.chars().all(allowed) {
-            self.problem(key, format!("\"{name}\" is no name"), "use letters, digits, `-`, `_` and `.` only");
-        }
+        self.check_name(key, &name);
         name
     }
 
+    /// A name that may be absent.
+    pub fn optional_name(&mut self, key: &str) -> Option<String> {
+        let name = self.optional_text(key)?;
+        self.check_name(key, &name).then_some(name)
+    }
+
+    /// A table of names by names; empty where absent.
+    pub fn name_table(&mut self, key: &str) -> BTreeMap<String, String> {
+        let Some(value) = self.take(key) else { return BTreeMap::new() };
+        let Value::Table(entries) = value else {
+            self.wrong_type(key, &value, "a table such as { a = \"b\" }");
+            return BTreeMap::new();
+        };
+        let mut names = BTreeMap::new();
+        for (name, value) in entries {
+            let Value::String(text) = value else {
+                self.wrong_type(key, &value, "names in quotes");
+                continue;
+            };
+            if self.check_name(key, &name) && self.check_name(key, &text) {
+                names.insert(name, text);
+            }
+        }
+        names
+    }
+
     /// A text that may be absent.
     pub fn optional_text(&mut self, key: &str) -> Option<String> {
         match self.take(key)? {
@@ -204,6 +228,16 @@
         }
     }
 
+    /// Whether a text is a name; noted where it is not.
+    fn check_name(&mut self, key: &str, name: &str) -> bool {
+        let allowed = |character: char| character.is_ascii_alphanumeric() || "-_.".contains(character);
+        let is_name = !name.is_empty() && name.chars().all(allowed);
+        if !is_name {
+            self.problem(key, format!("\"{name}\" is no name"), "use letters, digits, `-`, `_` and `.` only");
+        }
+        is_name
+    }
+
     fn wrong_type(&mut self, key: &str, found: &Value, wanted: &str) {
         let message = format!("holds {} of type {}", found, found.type_str());
         self.problem(key, message, format!("give {wanted}"));
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -121,6 +121,22 @@
     }
 }
 
+#[test]
+fn zones_lie_in_regions_and_a_contradiction_is_refused() {
+    let with = |places: &str| format!("{GOOD}\n[places]\n{places}");
+    let settings =
+        Settings::parse(&with("zones = { sando-hall = \"south\", far = \"north\" }")).expect("good");
+    assert_eq!(settings.places.region.as_ref().map(|region| region.as_str()), Some("south"));
+    assert_eq!(settings.places.zones.region("far").map(|region| region.as_str()), Some("north"));
+    assert_eq!(Settings::parse(GOOD).expect("good").places.region, None);
+    let contradiction = with("region = \"north\"\nzones = { sando-hall = \"south\" }");
+    assert_eq!(refused_keys(&contradiction), ["places.region"]);
+    for bad in ["zones = { a = 1 }", "zones = [\"a\"]", "zones = { a = \"\" }"] {
+        assert_eq!(refused_keys(&with(bad)), ["places.zones"], "{bad}");
+    }
+    assert_eq!(refused_keys(&with("region = \"no name\"")), ["places.region"]);
+}
+
 /// The operators' page lists every key with its default and bounds, as a table row.
 #[test]
 fn every_key_is_on_the_operators_page() {
