Send items and scores to replicas in allowed regions alone

Cause: routes and tenants hold allowed regions, and nothing chose replicas by them.

Change: a route table tells where the requests of a route and a tenant may be served, which is the intersection of both. The owner of batch jobs sends items, moved runs and resumed runs only to replicas whose zone lies there, and within the regions of its own shard; a score request goes by its scorer's route. An owner of a shard of some regions orders no loads. batch::regional names a shard for each set of regions, by a name that tells the regions.

Ruled out: judging by the admission gate, since a region is no state that passes.

--- a/crates/core/src/batch/controller/config.rs
+++ b/crates/core/src/batch/controller/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::duties::DutyConfig;
+use crate::ingress::places::{AllowedRegions, ZoneMap};
 
 /// Times and limits of the owner.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +22,11 @@
     pub heartbeat_interval: Duration,
     /// Duties towards the platform.
     pub duties: DutyConfig,
+    /// Which region each zone lies in.
+    pub zones: ZoneMap,
+    /// The regions of the shard that is owned. The owner of a shard of some regions runs items and scores them; orders to
+    /// replicas and duties are left to the owner of the shard without such limits, since one holder gives them.
+    pub regions: AllowedRegions,
 }
 
 impl Default for ControllerConfig {
@@ -33,6 +39,8 @@
             capacity_bytes: 96 << 20,
             heartbeat_interval: Duration::from_millis(200),
             duties: DutyConfig::default(),
+            zones: ZoneMap::default(),
+            regions: AllowedRegions::all(),
         }
     }
 }
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -9,6 +9,7 @@
 use crate::batch::score_plan::{EndedScore, ItemKey, ScoreEnd, ScoreId};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
+use crate::ingress::places::AllowedRegions;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -31,10 +32,11 @@
 
     pub(super) fn start_scores(&mut self, now: Timestamp) {
         let Some(routes) = self.routes.clone() else { return };
-        let (replicas, gate) = (&self.replicas, &self.gate);
-        let ready = |service: &str| {
+        let (replicas, gate, config) = (&self.replicas, &self.gate, &self.config);
+        let ready = |service: &str, regions: &AllowedRegions| {
             let records = replicas.values().map(|state| &state.record);
             let ready = records.filter(|record| record.service == service && !record.is_draining);
+            let ready = ready.filter(|record| regions.allows_zone(&config.zones, &record.zone));
             ready.filter(|record| gate.judge(record, now).is_open()).collect()
         };
         for start in self.scores.next(&routes, ready, now) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -8,7 +8,8 @@
 use crate::batch::schedule::{self, Loading, Need, ReplicaState};
 use crate::batch::weights::Load;
 use crate::decision::{Component, Decision};
-use crate::identity::BatchId;
+use crate::identity::{BatchId, TenantName};
+use crate::ingress::places::AllowedRegions;
 use crate::ingress::routes::{Route, WeightedService};
 use crate::time::Timestamp;
 
@@ -36,7 +37,7 @@
         if !self.is_confirmed {
             return;
         }
-        if loads {
+        if loads && self.config.regions.is_all() {
             self.start_loads(now);
         }
         if items {
@@ -179,9 +180,17 @@
             memory_tokens: first_service.and_then(|service| service.memory_tokens),
             avoid: None,
             gate: &self.gate,
+            regions: self.allowed_regions(route, job.job.tenant.as_ref()),
+            zones: &self.config.zones,
         }
     }
 
+    /// Where the requests of a route and a tenant may run: within the shard's own regions.
+    fn allowed_regions(&self, route: &Route, tenant: Option<&TenantName>) -> AllowedRegions {
+        let Some(routes) = &self.routes else { return self.config.regions.clone() };
+        routes.allowed_regions(route, tenant).intersect(&self.config.regions)
+    }
+
     /// Starts an item where a replica has a place for it; returns whether one has.
     pub(super) fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) -> bool {
         let Some(mut need) = self.need(batch, item) else { return false };
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -17,6 +17,7 @@
 pub mod progress_offer;
 pub mod record;
 pub mod recovery;
+pub mod regional;
 mod schedule;
 pub mod score_plan;
 pub mod weights;
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ingress::admission::AdmissionGate;
+use crate::ingress::places::{AllowedRegions, ZoneMap};
 use crate::ingress::replicas::ReplicaRecord;
 use crate::ingress::routes::WeightedService;
 use crate::time::Timestamp;
@@ -162,11 +163,14 @@
     pub(super) avoid: Option<&'a str>,
     /// What this owner may send where.
     pub(super) gate: &'a AdmissionGate,
+    /// Where the job's items may run.
+    pub(super) regions: AllowedRegions,
+    pub(super) zones: &'a ZoneMap,
 }
 
 impl Need<'_> {
     /// The same for an item of this kind that asks as little as any.
-    pub(super) const fn least(self) -> Self {
+    pub(super) fn least(self) -> Self {
         Self { exact_version: None, tokens: 0, ..self }
     }
 
@@ -174,6 +178,7 @@
         let record = &replica.record;
         replica.has_free_slot()
             && replica.avoid_until <= now
+            && self.regions.allows_zone(self.zones, &record.zone)
             && self.gate.judge(record, now).is_open()
             && self.services.iter().any(|part| part.service == record.service)
             && self.has_version(replica)
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -8,6 +8,7 @@
 
 use super::job::ScoreRequest;
 use crate::identity::{BatchId, TenantName};
+use crate::ingress::places::AllowedRegions;
 use crate::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
 use crate::ingress::routes::{Route, RouteTable};
 use crate::retry::budget::{BudgetConfig, RetryBudget};
@@ -145,11 +146,11 @@
         gone
     }
 
-    /// Requests to send now.
+    /// Requests to send now; `replicas` are those of a service that stand in some regions.
     pub(super) fn next<'a>(
         &mut self,
         routes: &RouteTable,
-        replicas: impl Fn(&str) -> Vec<&'a ReplicaRecord>,
+        replicas: impl Fn(&str, &AllowedRegions) -> Vec<&'a ReplicaRecord>,
         now: Timestamp,
     ) -> Vec<ScoreStart> {
         let mut starts = Vec::new();
@@ -170,7 +171,7 @@
         &mut self,
         waiting: &WaitingScore,
         routes: &RouteTable,
-        replicas: &impl Fn(&str) -> Vec<&'a ReplicaRecord>,
+        replicas: &impl Fn(&str, &AllowedRegions) -> Vec<&'a ReplicaRecord>,
         now: Timestamp,
     ) -> Option<ScoreStart> {
         if waiting.not_before > now {
@@ -178,7 +179,8 @@
         }
         let route = routes.find(&waiting.request.host, &waiting.request.path)?;
         let service = route.service_at(self.spread())?.to_owned();
-        let chosen = self.choose(&replicas(&service), &waiting.tried, now)?;
+        let regions = routes.allowed_regions(route, waiting.tenant.as_ref());
+        let chosen = self.choose(&replicas(&service, &regions), &waiting.tried, now)?;
         let budget = self.budgets.entry(service).or_insert_with(|| RetryBudget::new(BUDGET, now));
         if waiting.tries == 0 {
             budget.deposit(now);
--- a/crates/core/src/ingress/places.rs
+++ b/crates/core/src/ingress/places.rs
@@ -68,6 +68,30 @@
         }
     }
 
+    /// Whether a zone lies in a region that is allowed.
+    pub fn allows_zone(&self, zones: &ZoneMap, zone: &str) -> bool {
+        self.is_all() || self.allows(zones.region(zone))
+    }
+
+    /// Whether no region is allowed: what a route and its caller's tenant allow has nothing in common.
+    pub fn is_nowhere(&self) -> bool {
+        self.0.as_ref().is_some_and(|allowed| allowed.is_empty())
+    }
+
+    /// The regions that are named; none where every region is allowed.
+    pub fn named(&self) -> impl Iterator<Item = &RegionName> {
+        self.0.iter().flat_map(|regions| regions.iter())
+    }
+
+    /// Whether every region that `other` allows is allowed here.
+    pub fn includes(&self, other: &Self) -> bool {
+        match (&self.0, &other.0) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(allowed), Some(other)) => other.is_subset(allowed),
+        }
+    }
+
     /// The regions that both allow: those of a route and of its caller's tenant bind together. May be none at all.
     #[must_use]
     pub fn intersect(&self, other: &Self) -> Self {
--- a/crates/core/src/ingress/routes.rs
+++ b/crates/core/src/ingress/routes.rs
@@ -5,6 +5,7 @@
 
 use super::places::AllowedRegions;
 use super::tenants::TenantDirectory;
+use crate::identity::TenantName;
 
 /// What a route's requests are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,6 +186,12 @@
         fitting.max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Where the requests of a route and a tenant may be served and kept: both bind. A tenant that is gone binds no more.
+    pub fn allowed_regions(&self, route: &Route, tenant: Option<&TenantName>) -> AllowedRegions {
+        let tenant = tenant.and_then(|name| self.tenants.as_ref()?.by_name(name));
+        tenant.map_or_else(|| route.regions.clone(), |tenant| route.regions.intersect(&tenant.regions))
+    }
+
     /// The route with this name.
     pub fn by_name(&self, name: &str) -> Option<&Route> {
         self.routes.iter().find(|route| route.name == name)
--- a/crates/core/src/ingress/tenants.rs
+++ b/crates/core/src/ingress/tenants.rs
@@ -114,6 +114,7 @@
 pub struct TenantDirectory {
     tenants: Vec<Tenant>,
     by_key: HashMap<KeyDigest, usize>,
+    by_name: HashMap<TenantName, usize>,
 }
 
 impl TenantDirectory {
@@ -122,10 +123,10 @@
     /// # Errors
     /// When two of them have one name or one key.
     pub fn new(tenants: Vec<Tenant>) -> Result<Self, TenantError> {
-        let mut names = HashSet::new();
+        let mut by_name = HashMap::new();
         let mut by_key = HashMap::new();
         for (position, tenant) in tenants.iter().enumerate() {
-            if !names.insert(&tenant.name) {
+            if by_name.insert(tenant.name.clone(), position).is_some() {
                 return Err(TenantError::DoubledName(tenant.name.clone()));
             }
             for key in &tenant.keys {
@@ -136,7 +137,7 @@
                 }
             }
         }
-        Ok(Self { tenants, by_key })
+        Ok(Self { tenants, by_key, by_name })
     }
 
     /// The tenant that holds a key; `None` where nobody does.
@@ -145,6 +146,11 @@
         self.by_key.get(&digest).and_then(|position| self.tenants.get(*position))
     }
 
+    /// The tenant with this name.
+    pub fn by_name(&self, name: &TenantName) -> Option<&Tenant> {
+        self.by_name.get(name).and_then(|position| self.tenants.get(*position))
+    }
+
     /// All tenants, in the order of the configuration.
     pub fn tenants(&self) -> &[Tenant] {
         &self.tenants
--- /dev/null
+++ b/crates/core/tests/regions.rs
@@ -0,0 +1,252 @@
+//! Where requests may be served and kept: sets of regions, the shards of batch jobs, and what an owner sends where.
+
+mod batch_support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use batch_support::{Bench, at, job, replica, routes, scored_job, scorer_replica, table};
+use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd};
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::regional::{bound_sets, regions_of, shard_of};
+use lichenpulley_core::batch::score_plan::ScoreEnd;
+use lichenpulley_core::identity::{RegionName, TenantName};
+use lichenpulley_core::ingress::places::{AllowedRegions, ZoneMap};
+use lichenpulley_core::ingress::replicas::ReplicaRecord;
+use lichenpulley_core::ingress::routes::{RouteKind, RouteTable};
+use lichenpulley_core::ingress::tenants::{Tenant, TenantDirectory};
+use proptest::prelude::*;
+
+const REGIONS: [&str; 3] = ["east", "west", "north"];
+
+fn regions(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::of(names.iter().map(|name| RegionName::new(*name)))
+}
+
+/// Two zones in each region.
+fn zones() -> ZoneMap {
+    let zones = REGIONS.iter().flat_map(|region| {
+        (0..2).map(move |number| (format!("{region}-{number}"), RegionName::new(*region)))
+    });
+    ZoneMap::new(zones.collect())
+}
+
+fn allowed() -> impl Strategy<Value = AllowedRegions> {
+    prop::sample::subsequence(REGIONS.to_vec(), 0..=REGIONS.len()).prop_map(|names| regions(&names))
+}
+
+/// The same table with these regions of its batch route and its scorers'.
+fn bound(batch: &AllowedRegions, scorers: &AllowedRegions, tenant: &AllowedRegions) -> RouteTable {
+    let mut table = RouteTable::clone(&routes(false));
+    for route in &mut table.routes {
+        let is_batch = route.kind == RouteKind::Batch;
+        route.regions = if is_batch { batch.clone() } else { scorers.clone() };
+    }
+    let held = Tenant::new(TenantName::new("anna"), ["key"], None).expect("a tenant");
+    table.tenants = Some(TenantDirectory::new(vec![held.within(tenant.clone())]).expect("a directory"));
+    table
+}
+
+proptest! {
+    #[test]
+    fn an_intersection_allows_what_both_allow(left in allowed(), right in allowed(), other in allowed()) {
+        let both = left.intersect(&right);
+        for region in REGIONS.map(RegionName::new) {
+            let by_each = left.allows(Some(&region)) && right.allows(Some(&region));
+            prop_assert_eq!(both.allows(Some(&region)), by_each);
+        }
+        prop_assert_eq!(both.allows(None), left.is_all() && right.is_all());
+        prop_assert_eq!(&both, &right.intersect(&left));
+        prop_assert_eq!(both.intersect(&other), left.intersect(&right.intersect(&other)));
+        prop_assert!(left.includes(&both) && right.includes(&both));
+        let is_nowhere = !both.is_all() && REGIONS.iter().all(|name| !both.allows(Some(&RegionName::new(*name))));
+        prop_assert_eq!(both.is_nowhere(), is_nowhere);
+    }
+
+    /// Names that are told apart are kept apart, and a shard's name alone tells where it may be.
+    #[test]
+    fn each_set_of_regions_has_a_shard_of_its_own(
+        left in prop::collection::btree_set("[a-z_/.,-]{1,6}", 1..4),
+        right in prop::collection::btree_set("[a-z_/.,-]{1,6}", 1..4),
+    ) {
+        let set = |names: &std::collections::BTreeSet<String>| {
+            AllowedRegions::of(names.iter().map(|name| RegionName::new(name.clone())))
+        };
+        let (left, right) = (set(&left), set(&right));
+        prop_assert_eq!(&regions_of(&shard_of(&left)), &left);
+        prop_assert_eq!(shard_of(&left) == shard_of(&right), left == right);
+        prop_assert!(shard_of(&left) != shard_of(&AllowedRegions::all()));
+    }
+}
+
+#[test]
+fn a_job_is_bound_by_its_route_and_its_tenant() {
+    let table = bound(&regions(&["east", "west"]), &regions(&["north"]), &regions(&["west", "north"]));
+    assert_eq!(bound_sets(&table).into_iter().collect::<Vec<_>>(), [regions(&["west"])]);
+    let apart = bound(&regions(&["east"]), &AllowedRegions::all(), &regions(&["west"]));
+    assert!(bound_sets(&apart).is_empty(), "nothing is kept where nothing is allowed");
+    assert!(bound_sets(&routes(false)).is_empty(), "a deployment without limits has one shard");
+    assert!(regions_of(&shard_of(&AllowedRegions::all())).is_all());
+}
+
+/// What happens to an owner.
+#[derive(Clone, Debug)]
+enum Event {
+    /// The operator changes where the batch route, its scorers' and the tenant may be served.
+    Bind(AllowedRegions, AllowedRegions, AllowedRegions),
+    /// A replica of the batch route's service, or of the scorers', comes to a zone.
+    Come(bool, usize),
+    /// Replicas of a zone leave.
+    Leave(usize),
+    Submit(bool),
+    EndRun(usize, u8),
+    EndScore(usize, bool),
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        1 => (allowed(), allowed(), allowed()).prop_map(|(batch, scorers, tenant)| Event::Bind(
+            batch, scorers, tenant
+        )),
+        3 => (any::<bool>(), 0..6_usize).prop_map(|(is_scorer, zone)| Event::Come(is_scorer, zone)),
+        1 => (0..6_usize).prop_map(Event::Leave),
+        3 => any::<bool>().prop_map(Event::Submit),
+        4 => (any::<prop::sample::Index>(), 0..4_u8)
+            .prop_map(|(run, end)| Event::EndRun(run.index(64), end)),
+        2 => (any::<prop::sample::Index>(), any::<bool>())
+            .prop_map(|(score, is_well)| Event::EndScore(score.index(64), is_well)),
+        2 => (1..2_500_u64).prop_map(Event::Wait),
+    ]
+}
+
+/// The owner of a shard beside a model of what it may do.
+struct Watched {
+    bench: Bench,
+    shard: AllowedRegions,
+    table: RouteTable,
+    replicas: Vec<ReplicaRecord>,
+    now_ms: u64,
+    count: usize,
+    /// Starts and score requests that were looked at.
+    seen: (usize, usize),
+}
+
+impl Watched {
+    fn new(shard: AllowedRegions) -> Self {
+        let config =
+            ControllerConfig { zones: zones(), regions: shard.clone(), ..ControllerConfig::default() };
+        let bench = Bench::with_config(config, Ledger::default(), false, &[]);
+        let all = AllowedRegions::all();
+        let table = bound(&all, &all, &all);
+        Self { bench, shard, table, replicas: Vec::new(), now_ms: 0, count: 0, seen: (0, 0) }
+    }
+
+    fn update(&mut self) {
+        let (routes, versions) = (Arc::new(self.table.clone()), BTreeMap::from([("pricing".to_owned(), 9)]));
+        let replicas = table(&self.replicas);
+        self.bench.controller.update(at(self.now_ms), Some(routes), &replicas, &versions);
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = at(self.now_ms);
+        match event {
+            Event::Bind(batch, scorers, tenant) => self.table = bound(&batch, &scorers, &tenant),
+            Event::Come(is_scorer, zone) => {
+                let id = format!("replica-{}", self.count);
+                let record = if is_scorer { scorer_replica(&id) } else { replica(&id, 1) };
+                let zone = format!("{}-{}", REGIONS[zone / 2], zone % 2);
+                self.replicas.push(ReplicaRecord { zone, ..record });
+            }
+            Event::Leave(zone) => {
+                let zone = format!("{}-{}", REGIONS[zone / 2], zone % 2);
+                self.replicas.retain(|record| record.zone != zone);
+            }
+            Event::Submit(is_scored) => {
+                let id = format!("job-{}", self.count);
+                let mut job = if is_scored { scored_job(&id, 3) } else { job(&id, 3, 0) };
+                job.tenant = Some(TenantName::new("anna"));
+                self.bench.submit(now, job);
+            }
+            Event::EndRun(position, end) => {
+                let end = [RunEnd::Broken, RunEnd::Rejected, RunEnd::OtherReplica, RunEnd::Complete]
+                    [usize::from(end)];
+                if let Some(start) = self.bench.started.get(position) {
+                    let run = start.run;
+                    self.bench.event(now, run, 0, 1);
+                    self.bench.end(now, run, end);
+                }
+            }
+            Event::EndScore(position, is_well) => {
+                let end = if is_well { ScoreEnd::Scored("seal".to_owned()) } else { ScoreEnd::Broken };
+                if position < self.bench.scores.len() {
+                    self.bench.score_end(now, position, end);
+                }
+            }
+            Event::Wait(milliseconds) => self.now_ms += milliseconds,
+        }
+        self.count += 1;
+        self.update();
+        self.bench.controller.tick(at(self.now_ms));
+        self.bench.decide(at(self.now_ms));
+    }
+
+    /// What was sent since the last look went where it may by the configuration then in force.
+    fn check(&mut self, table: &RouteTable) -> Result<(), TestCaseError> {
+        let zones = zones();
+        let tenant = TenantName::new("anna");
+        let allowed = |host: &str, path: &str| {
+            table.find(host, path).map(|route| table.allowed_regions(route, Some(&tenant)))
+        };
+        let batch = allowed("host", "/r/x").expect("a route").intersect(&self.shard);
+        for start in &self.bench.started[self.seen.0..] {
+            prop_assert!(batch.allows_zone(&zones, &start.replica.zone), "{} of {batch}", start.replica.zone);
+        }
+        let scorers = allowed("host", "/score/x").expect("a route");
+        for start in &self.bench.scores[self.seen.1..] {
+            prop_assert!(scorers.allows_zone(&zones, &start.replica.zone));
+        }
+        self.seen = (self.bench.started.len(), self.bench.scores.len());
+        prop_assert!(self.shard.is_all() || self.bench.loads.is_empty(), "one holder gives orders");
+        Ok(())
+    }
+}
+
+proptest! {
+    /// Under any order of events nothing is sent to a replica outside the regions of the route, the tenant and the shard.
+    #[test]
+    fn an_owner_sends_to_replicas_in_allowed_regions_alone(
+        shard in allowed(),
+        events in prop::collection::vec(event(), 1..80),
+    ) {
+        let mut watched = Watched::new(shard);
+        for event in events {
+            let before = watched.table.clone();
+            let is_bind = matches!(event, Event::Bind(..));
+            watched.take(event);
+            // What an end frees is sent before the owner hears of a change that comes with it.
+            let in_force = if is_bind { watched.table.clone() } else { before };
+            watched.check(&in_force)?;
+        }
+    }
+}
+
+#[test]
+fn an_item_waits_for_an_allowed_replica_and_runs_there_at_once() {
+    let mut watched = Watched::new(regions(&["west"]));
+    watched.take(Event::Come(false, 0));
+    watched.take(Event::Submit(false));
+    assert!(watched.bench.started.is_empty());
+    watched.take(Event::Come(false, 2));
+    let zones: Vec<&str> = watched.bench.started.iter().map(|start| start.replica.zone.as_str()).collect();
+    assert_eq!(zones, ["west-0", "west-0"], "as many as it has slots");
+}
+
+#[test]
+fn the_owner_of_a_shard_without_limits_gives_orders() {
+    let mut watched = Watched::new(AllowedRegions::all());
+    watched.take(Event::Come(false, 0));
+    watched.take(Event::Wait(4_000));
+    watched.take(Event::Wait(4_000));
+    assert!(!watched.bench.loads.is_empty());
+}
