--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -20,15 +20,15 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::Command;
 use super::follower::LogFollower;
 use super::outline::{self, MissingTexts};
 use super::owner::{Owner, OwnerEnd, Takeover};
 use super::owner_order::rank;
 pub(super) use super::owner_order::{best_other, is_next};
 pub(crate) use super::owner_order::{first_coordinators, is_candidate, rank_among};
-use super::{Command, shard};
+use super::scope::Scope;
 use crate::cluster::Member;
-use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
 use crate::store::replica_sets;
 use crate::store::shard_log::{ShardLog, ShardLogError};
@@ -51,10 +51,10 @@
 }
 
 /// What the stores say of who leads.
-pub(super) struct StoresSay {
+pub(crate) struct StoresSay {
     answers: Vec<StoreAnswer>,
     /// The owner under the highest epoch.
-    pub(super) owner: Option<NodeId>,
+    pub(crate) owner: Option<NodeId>,
 }
 
 impl StoresSay {
@@ -84,13 +84,9 @@
     }
 }
 
-/// Asks every live store.
-pub(super) async fn ask_stores(context: &Context) -> StoresSay {
-    let stores: Vec<Member> = {
-        let cluster = context.cluster.load();
-        cluster.members.iter().filter(|member| member.roles.store).cloned().collect()
-    };
-    let answers = join_all(stores.into_iter().map(|store| ask_store(context, store))).await;
+/// Asks every live store that may keep the shard.
+pub(crate) async fn ask_stores(scope: &Scope) -> StoresSay {
+    let answers = join_all(scope.stores().into_iter().map(|store| ask_store(scope, store))).await;
     let mut say = StoresSay { answers: answers.into_iter().flatten().collect(), owner: None };
     let latest = say.leaders().max_by_key(|seen| seen.epoch);
     say.owner = latest.map(|seen| seen.owner.clone());
@@ -98,10 +94,10 @@
 }
 
 /// Asks one store; `None` where it gives no answer in time.
-async fn ask_store(context: &Context, store: Member) -> Option<StoreAnswer> {
-    let request = StoreRequest::Leadership(shard());
-    let Ok(StoreResponse::Leadership(seen)) =
-        context.peers.store(store.peer_address, request, STORE_TIMEOUT).await
+async fn ask_store(scope: &Scope, store: Member) -> Option<StoreAnswer> {
+    let request = StoreRequest::Leadership(scope.shard.clone());
+    let peers = &scope.context.peers;
+    let Ok(StoreResponse::Leadership(seen)) = peers.store(store.peer_address, request, STORE_TIMEOUT).await
     else {
         return None;
     };
@@ -119,15 +115,10 @@
 }
 
 /// Runs until the node has stopped.
-pub(super) async fn run(
-    context: Context,
-    pool: ReplicaPool,
-    traffic: Handle,
-    commands: mpsc::Receiver<Command>,
-) {
-    let stopped = context.stopped.clone();
-    let follower = LogFollower::spawn(context.clone());
-    let mut candidate = Candidate { context, pool, traffic, commands, looks: 0, offer: None, follower };
+pub(super) async fn run(scope: Scope, pool: ReplicaPool, traffic: Handle, commands: mpsc::Receiver<Command>) {
+    let stopped = scope.context.stopped.clone();
+    let follower = LogFollower::spawn(scope.clone());
+    let mut candidate = Candidate { scope, pool, traffic, commands, looks: 0, offer: None, follower };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -135,7 +126,7 @@
 }
 
 struct Candidate {
-    context: Context,
+    scope: Scope,
     pool: ReplicaPool,
     traffic: Handle,
     commands: mpsc::Receiver<Command>,
@@ -172,7 +163,7 @@
     async fn run(&mut self) {
         loop {
             let reason = self.wait().await;
-            if self.context.draining.is_cancelled() {
+            if self.scope.context.draining.is_cancelled() {
                 continue;
             }
             if let Some(idle) = self.look(reason).await {
@@ -197,8 +188,8 @@
                         command.answer(BatchResponse::Ended);
                         return reason;
                     }
-                    let owner = self.context.batch_owner.load_full();
-                    let owner = owner.filter(|owner| **owner != self.context.node);
+                    let owner = self.scope.owner.load_full();
+                    let owner = owner.filter(|owner| **owner != self.scope.context.node);
                     command.answer(BatchResponse::NotOwner(owner.map(|owner| NodeId::clone(&owner))));
                 }
             }
@@ -207,14 +198,18 @@
 
     /// Whether to take over now, and how long the owner before has been silent.
     async fn look(&mut self, reason: LookReason) -> Option<Duration> {
-        let rank = rank(&self.context);
+        let rank = rank(&self.scope);
         self.looks += 1;
         if reason == LookReason::Due && !election::looks_now(rank, self.looks) {
             return None;
         }
-        let say = ask_stores(&self.context).await;
+        // The first set of the main shard is waited for; one that can't be made in its regions is not tried again and again.
+        if !self.scope.is_main() && self.scope.shortage().is_some() {
+            return None;
+        }
+        let say = ask_stores(&self.scope).await;
         if let Some(owner) = &say.owner {
-            self.context.batch_owner.store(Some(Arc::new(owner.clone())));
+            self.scope.owner.store(Some(Arc::new(owner.clone())));
         }
         if reason == LookReason::Told {
             return Some(Duration::ZERO);
@@ -222,13 +217,13 @@
         let (rank, takeover_after) = match reason {
             // Nobody else was asked: no turn need be waited for.
             LookReason::Asked => (0, ASKED_IDLE),
-            _ => (rank, self.context.settings.batch.takeover_after),
+            _ => (rank, self.scope.context.settings.batch.takeover_after),
         };
         let (answers, needed) = self.count(&say).await;
-        let verdict = election::judge(&self.context.node, rank, &answers, needed, takeover_after);
+        let verdict = election::judge(&self.scope.context.node, rank, &answers, needed, takeover_after);
         match verdict {
             Verdict::Wait(_) => None,
-            Verdict::TakeOver(None) => Some(self.context.settings.batch.order_lease),
+            Verdict::TakeOver(None) => Some(self.scope.context.settings.batch.order_lease),
             Verdict::TakeOver(Some(idle)) => Some(idle),
         }
     }
@@ -236,13 +231,13 @@
     /// The answers that count, and how many are needed: a majority of the set in force, which may be smaller or larger than
     /// the settings want. Where too few count, the set that this node has met may have been replaced since.
     async fn count(&self, say: &StoresSay) -> (Vec<Option<LeaderSeen>>, usize) {
-        let context = &self.context;
+        let (context, shard) = (&self.scope.context, &self.scope.shard);
         let least = context.settings.store.set_size.least_members();
         let needed_of = |set: Option<&ReplicaSet>| set.map_or(least, ReplicaSet::majority);
-        let mut set = replica_sets::find_among_stores(context, &shard()).await;
+        let mut set = replica_sets::find_among_stores(context, shard).await;
         if set.is_some() && say.counted(set.as_ref()).len() < needed_of(set.as_ref()) {
-            context.replica_sets.forget(&shard());
-            set = replica_sets::find_among_stores(context, &shard()).await;
+            context.replica_sets.forget(shard);
+            set = replica_sets::find_among_stores(context, shard).await;
         }
         (say.counted(set.as_ref()), needed_of(set.as_ref()))
     }
@@ -254,11 +249,11 @@
             return self.own(reason, idle, followed, None).await;
         }
         let began = Instant::now();
-        let outline = outline::read(&self.context).await;
+        let outline = outline::read(&self.scope).await;
         if outline.is_none() {
             return self.own(reason, idle, None, None).await;
         }
-        if reason == LookReason::Due && ask_stores(&self.context).await.heard_within(began.elapsed()) {
+        if reason == LookReason::Due && ask_stores(&self.scope).await.heard_within(began.elapsed()) {
             return;
         }
         let missing = outline.as_ref().map(MissingTexts::of);
@@ -274,10 +269,10 @@
     ) {
         let began = Instant::now();
         let known = followed.as_ref().map(LedgerFollower::known).unwrap_or_default();
-        let decision = Decision::new(Component::Rollout, "taking_over", reason.as_str(), shard());
+        let decision = Decision::new(Component::Rollout, "taking_over", reason.as_str(), &self.scope.shard);
         let decision = decision.with("idle_ms", idle.as_millis()).with("known_through", known.through);
-        self.context.decisions.record(decision);
-        let taken = ShardLog::take_over_knowing(&self.context, &shard(), known).await;
+        self.scope.context.decisions.record(decision);
+        let taken = ShardLog::take_over_knowing(&self.scope.context, &self.scope.shard, known).await;
         let (mut log, recovered) = match taken {
             Ok(taken) => taken,
             Err(error) => {
@@ -285,28 +280,28 @@
                 return self.follower.put_back(followed.filter(|_| missing.is_none()));
             }
         };
-        self.context.batch_owner.store(Some(Arc::new(self.context.node.clone())));
+        self.scope.owner.store(Some(Arc::new(self.scope.context.node.clone())));
         let followed_bytes = followed.as_ref().map_or(0, LedgerFollower::held_bytes);
         let ledger = recover_ledger(&mut log, &recovered, followed).await;
         let ledger = match ledger {
             Ok(ledger) => ledger,
             Err(error) => {
                 ::log::error!(target: "batch", "The log of the batch jobs can't be recovered: {error}.");
-                return self.context.batch_owner.store(None);
+                return self.scope.owner.store(None);
             }
         };
         let read_bytes = recovered.bytes();
         // A snapshot stands for all that was followed.
         let followed_bytes = if recovered.snapshot.is_some() { 0 } else { followed_bytes };
-        let decision = Decision::new(Component::Rollout, "ledger_whole", reason.as_str(), shard());
+        let decision = Decision::new(Component::Rollout, "ledger_whole", reason.as_str(), &self.scope.shard);
         let decision = decision.with("followed_bytes", followed_bytes).with("read_bytes", read_bytes);
-        self.context.decisions.record(decision.with("milliseconds", began.elapsed().as_millis()));
+        self.scope.context.decisions.record(decision.with("milliseconds", began.elapsed().as_millis()));
         let held_bytes = followed_bytes + read_bytes;
         let (latest, offer) = (recovered.latest_origin, self.offer.take());
         let takeover = Takeover { log, ledger, held_bytes, latest, idle, offer, missing };
-        let owner = Owner::new(self.context.clone(), self.pool.clone(), self.traffic.clone(), takeover);
+        let owner = Owner::new(self.scope.clone(), self.pool.clone(), self.traffic.clone(), takeover);
         let end = owner.run(&mut self.commands).await;
-        self.context.batch_owner.store(None);
+        self.scope.owner.store(None);
         match end {
             OwnerEnd::Left => self.hand_over(None).await,
             OwnerEnd::CutOff(offer) => self.hand_over(Some(offer)).await,
@@ -316,12 +311,9 @@
 
     /// Tells the next candidate that this node leaves.
     async fn hand_over(&self, offer: Option<ProgressOffer>) {
-        let Some(successor) = best_other(&self.context) else { return };
-        let told = self.context.peers.batch(
-            successor.peer_address,
-            BatchRequest::TakeOver(offer),
-            HAND_OVER_TIMEOUT,
-        );
+        let Some(successor) = best_other(&self.scope) else { return };
+        let told =
+            self.scope.ask_peer(successor.peer_address, BatchRequest::TakeOver(offer), HAND_OVER_TIMEOUT);
         if let Err(error) = told.await {
             ::log::info!(target: "batch", "{} was not told to take over: {error}.", successor.node);
         }
--- a/crates/daemon/src/batch/keeper.rs
+++ b/crates/daemon/src/batch/keeper.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::batch::regional;
+use lichenpulley_core::identity::{NodeId, ShardId};
 use lichenpulley_core::replication::entry::LogIndex;
 use lichenpulley_core::replication::message::{Operation, Outcome, ReplicaRequest};
 use lichenpulley_core::replication::placement::{Bearing, Improvement};
@@ -19,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::log::Replacement;
-use crate::context::Context;
+use super::scope::Scope;
 use crate::metadata::retirements::Retirements;
 use crate::store::{exchange, placement, replica_sets};
 
@@ -45,7 +46,7 @@
 
 /// The keeper's task, as the owner sees it.
 pub(super) struct StoreKeeper {
-    context: Context,
+    scope: Scope,
     sets: watch::Sender<ReplicaSet>,
     replacements: mpsc::UnboundedReceiver<Replacement>,
     task: AbortHandle,
@@ -55,18 +56,18 @@
     fn drop(&mut self) {
         self.task.abort();
         // Another owner shows it from now on.
-        self.context.metrics.placement().show(0, Bearing::default());
+        forget(&self.scope);
     }
 }
 
 impl StoreKeeper {
     /// Begins to look after a set.
-    pub(super) fn start(context: Context, set: ReplicaSet) -> Self {
-        show(&context, &set);
+    pub(super) fn start(scope: Scope, set: ReplicaSet) -> Self {
+        show(&scope, &set);
         let (sets, followed) = watch::channel(set);
         let (sender, replacements) = mpsc::unbounded_channel();
-        let task = tokio::spawn(Task::new(context.clone(), followed, sender).run());
-        Self { context, sets, replacements, task: task.abort_handle() }
+        let task = tokio::spawn(Task::new(scope.clone(), followed, sender).run());
+        Self { scope, sets, replacements, task: task.abort_handle() }
     }
 
     /// The next member to replace. Nothing more comes until [`Self::follow`] names the set that resulted.
@@ -79,7 +80,7 @@
 
     /// Looks after another set from now on.
     pub(super) fn follow(&self, set: ReplicaSet) {
-        show(&self.context, &set);
+        show(&self.scope, &set);
         self.sets.send_replace(set);
     }
 }
@@ -96,15 +97,24 @@
     }
 }
 
-/// Tells what a set bears.
-fn show(context: &Context, set: &ReplicaSet) {
-    let bearing = placement::policy(context).bearing(&set.members);
-    context.metrics.placement().show(set.members.len(), bearing);
-    placement::tell(context, set, "kept_by", "set_in_force");
+/// Tells what a set bears. The gauges are those of the main shard.
+fn show(scope: &Scope, set: &ReplicaSet) {
+    let bearing = placement::policy(&scope.context).bearing(&set.members);
+    if scope.is_main() {
+        scope.context.metrics.placement().show(set.members.len(), bearing);
+    }
+    placement::tell(&scope.context, set, "kept_by", "set_in_force");
+}
+
+/// Tells that this node keeps no set any more.
+fn forget(scope: &Scope) {
+    if scope.is_main() {
+        scope.context.metrics.placement().show(0, Bearing::default());
+    }
 }
 
 struct Task {
-    context: Context,
+    scope: Scope,
     sets: watch::Receiver<ReplicaSet>,
     sender: mpsc::UnboundedSender<Replacement>,
     retirements: Retirements,
@@ -120,13 +130,13 @@
 
 impl Task {
     fn new(
-        context: Context,
+        scope: Scope,
         sets: watch::Receiver<ReplicaSet>,
         sender: mpsc::UnboundedSender<Replacement>,
     ) -> Self {
-        let retirements = Retirements::start(&context);
+        let retirements = Retirements::start(&scope.context);
         Self {
-            context,
+            scope,
             sets,
             sender,
             retirements,
@@ -142,9 +152,9 @@
         loop {
             tokio::time::sleep(LOOK_INTERVAL).await;
             let set = self.sets.borrow_and_update().clone();
-            let stores = replica_sets::candidates(&self.context).await;
+            let stores = replica_sets::candidates(&self.scope.context, &set.shard).await;
             self.note(&set, &stores);
-            self.finish_retirements(&set, &stores);
+            self.finish_retirements(&set, &stores).await;
             let Some(replacement) = self.replacement(&set, &stores) else {
                 self.waiting_since = None;
                 continue;
@@ -184,8 +194,8 @@
             // No entry lies there: the answer holds the member's marks alone.
             operation: Operation::ReadDecided(LogIndex(u64::MAX)),
         };
-        let timeout = self.context.settings.store.call_timeout;
-        match exchange::ask(&self.context, member, request, timeout).await?.outcome {
+        let timeout = self.scope.context.settings.store.call_timeout;
+        match exchange::ask(&self.scope.context, member, request, timeout).await?.outcome {
             Outcome::Decided { decided_through, .. } => Some(decided_through),
             _ => None,
         }
@@ -209,7 +219,7 @@
             set.members.iter().filter(|member| member.store != leaving.store).cloned().collect();
         let free: Vec<SetMember> =
             stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
-        let joining = placement::policy(&self.context).best_addition(&set.shard, &staying, &free)?;
+        let joining = placement::policy(&self.scope.context).best_addition(&set.shard, &staying, &free)?;
         if joining.store == leaving.store {
             return None;
         }
@@ -234,7 +244,7 @@
         free.sort();
         let seen = (set.clone(), free);
         if self.improved_for.as_ref() != Some(&seen) {
-            let step = placement::policy(&self.context).improvement(set, &seen.1);
+            let step = placement::policy(&self.scope.context).improvement(set, &seen.1);
             if self.improvement.as_ref().map(|(known, _)| known) != step.as_ref() {
                 self.improvement = step.map(|step| (step, Instant::now()));
             }
@@ -262,7 +272,7 @@
         if let Some(member) = missing.iter().find(has_other_store) {
             return Some((member, REASON_DISK));
         }
-        let patience = self.context.settings.store.replace_after;
+        let patience = self.scope.context.settings.store.replace_after;
         let silent_for =
             |member: &SetMember| self.answered_at.get(&member.store).unwrap_or(&self.began).elapsed();
         if let Some(member) = missing.iter().find(|member| silent_for(member) >= patience) {
@@ -275,15 +285,30 @@
         leaving.map(|member| (member, REASON_RETIRED))
     }
 
-    /// A machine is empty once none of its stores is a member and every member answers.
-    fn finish_retirements(&self, set: &ReplicaSet, stores: &[SetMember]) {
+    /// A machine is empty once none of its stores is a member, in no shard of batch jobs, and every member answers. The
+    /// main shard's owner says so for all.
+    async fn finish_retirements(&self, set: &ReplicaSet, stores: &[SetMember]) {
+        let retired = self.retirements.nodes();
         let is_whole =
             set.members.iter().all(|member| stores.iter().any(|store| store.store == member.store));
-        let is_member = |node: &NodeId| set.members.iter().any(|member| &member.node == node);
-        for node in self.retirements.nodes() {
-            if is_whole && !is_member(&node) {
+        if retired.is_empty() || !is_whole || !self.scope.is_main() {
+            return;
+        }
+        let mut members: BTreeSet<NodeId> = set.members.iter().map(|member| member.node.clone()).collect();
+        for shard in self.regional_shards() {
+            let known = replica_sets::ask_stores(&self.scope.context, &shard).await;
+            members.extend(known.into_iter().flat_map(|set| set.members).map(|member| member.node));
+        }
+        for node in retired {
+            if !members.contains(&node) {
                 self.retirements.complete(&node);
             }
         }
     }
+
+    fn regional_shards(&self) -> Vec<ShardId> {
+        let routes = self.scope.context.metadata.routes.load_full();
+        let sets = routes.map(|table| regional::bound_sets(&table)).unwrap_or_default();
+        sets.iter().map(regional::shard_of).collect()
+    }
 }
--- a/crates/daemon/src/store/replacement.rs
+++ b/crates/daemon/src/store/replacement.rs
@@ -129,7 +129,7 @@
     if !is_small || !is_first || !set.members.iter().all(is_seen) {
         return;
     }
-    let candidates = replica_sets::candidates(context).await;
+    let candidates = replica_sets::candidates(context, &set.shard).await;
     if let Some(Improvement::Grow(joining)) = placement::policy(context).improvement(set, &candidates)
         && let Err(error) = grow(context, set, joining).await
     {
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwap;
 use futures::future::join_all;
+use lichenpulley_core::batch::regional::regions_of;
 use lichenpulley_core::identity::{Revision, ShardId};
 use lichenpulley_core::replication::placement::TooFewStores;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember, StoreId};
@@ -192,6 +193,12 @@
     pub(super) version: Revision,
 }
 
+/// Whether the platform says that it holds no set of a shard; not where it gives no answer.
+pub(crate) async fn is_unwritten(context: &Context, shard: &ShardId) -> bool {
+    let Ok(client) = DocumentClient::from_settings(&context.settings) else { return false };
+    matches!(read(&client, shard).await, Ok(None))
+}
+
 /// Reads a shard's document.
 pub(super) async fn read(
     client: &DocumentClient,
@@ -218,9 +225,9 @@
     Ok(())
 }
 
-/// Live stores that could be members of a set.
-pub(crate) async fn candidates(context: &Context) -> Vec<SetMember> {
-    let asked = store_nodes(context);
+/// Live stores that could be members of a shard's set.
+pub(crate) async fn candidates(context: &Context, shard: &ShardId) -> Vec<SetMember> {
+    let asked = store_nodes(context, shard);
     let answers = asked.iter().map(|member| candidate(context, member));
     join_all(answers).await.into_iter().flatten().collect()
 }
@@ -234,9 +241,12 @@
     shard.as_str().replace('/', ".")
 }
 
-fn store_nodes(context: &Context) -> Vec<Member> {
+/// Live stores in the regions where the shard may be kept.
+fn store_nodes(context: &Context, shard: &ShardId) -> Vec<Member> {
+    let regions = regions_of(shard);
+    let allows = |member: &&Member| regions.allows_zone(&context.settings.places.zones, member.zone.as_str());
     let cluster = context.cluster.load();
-    cluster.members.iter().filter(|member| member.roles.store).cloned().collect()
+    cluster.members.iter().filter(|member| member.roles.store).filter(allows).cloned().collect()
 }
 
 async fn candidate(context: &Context, member: &Member) -> Option<SetMember> {
@@ -258,9 +268,9 @@
 }
 
 /// The latest set that any live store knows.
-async fn ask_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+pub(crate) async fn ask_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
     let deadline = context.settings.store.call_timeout;
-    let nodes = store_nodes(context);
+    let nodes = store_nodes(context, shard);
     let answers = nodes.iter().map(|member| {
         context.peers.store(member.peer_address, StoreRequest::KnownSet(shard.clone()), deadline)
     });
@@ -276,7 +286,7 @@
     if let Some(stored) = read(&client, shard).await? {
         return Ok(stored.document.current);
     }
-    let set = choose_first(context, shard, &candidates(context).await)?;
+    let set = choose_first(context, shard, &candidates(context, shard).await)?;
     let written = write(&client, shard, None, &ReplicaSetDocument::settled(set)).await;
     // Whoever was first, or whatever became of a lost reply: what the object API holds now is the set.
     let stored = read(&client, shard).await?;
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -5,6 +5,7 @@
 mod platform_duties;
 mod platform_outline;
 mod platform_placement;
+mod platform_regions;
 mod platform_system;
 mod platform_tenants;
 
