Confirm a copy soon after the store is back, and ask whoever announced something newer

Cause: after a silence a watch that had nothing to tell counted as unconfirmed until it ran out, so that followers would leave a reader that is well. And a node whose store was silent asked a random peer even where another had announced newer evacuations.

Change: the first look after failures asks for changes without waiting; the announcer is asked before a random peer. The test of a withheld request ends by itself where the mechanism is off.

--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -83,12 +83,23 @@
         }
     }
 
-    /// Waits for changes after a revision.
+    /// Waits for changes after a revision, for as long as watches of the kind are held.
     ///
     /// # Errors
     /// When the watch breaks off.
     pub async fn watch(&self, kind: &str, after: u64) -> Result<Watched, PlatformError> {
-        let hold = self.hold(kind);
+        self.watch_for(kind, after, self.hold(kind)).await
+    }
+
+    /// Reads what changed after a revision, without waiting.
+    ///
+    /// # Errors
+    /// When no answer comes in time.
+    pub async fn changes(&self, kind: &str, after: u64) -> Result<Watched, PlatformError> {
+        self.watch_for(kind, after, Duration::ZERO).await
+    }
+
+    async fn watch_for(&self, kind: &str, after: u64, hold: Duration) -> Result<Watched, PlatformError> {
         let path = objects::watch_path(kind, after, hold.as_millis());
         let deadline = hold + self.timeout;
         match self.http.get_json(self.address, &path, deadline).await {
--- a/crates/daemon/src/metadata/news.rs
+++ b/crates/daemon/src/metadata/news.rs
@@ -38,30 +38,29 @@
     }
 }
 
+/// A peer that has announced something newer than this node has.
+pub(super) fn announcer(context: &Context, kind: MetadataKind) -> Option<Member> {
+    let heard = membership::watch_revisions(context);
+    let newer = newer(context, kind, &heard.borrow());
+    newer.map(|announced| announced.holder)
+}
+
+fn newer(context: &Context, kind: MetadataKind, heard: &HeardRevisions) -> Option<AnnouncedRevision> {
+    let announced = heard.get(announced_name(kind)?);
+    announced.filter(|announced| announced.revision.0 > held(context, kind)).cloned()
+}
+
 /// Waits until a peer has announced something newer than this node has, and its own watch had time to bring it. Returns
 /// the peer.
 pub(super) async fn heard_newer(context: &Context, kind: MetadataKind) -> Member {
-    let Some(name) = announced_name(kind) else { return std::future::pending().await };
     let mut heard = membership::watch_revisions(context);
-    let newer = |heard: &HeardRevisions| {
-        let announced = heard.get(name);
-        announced.filter(|announced| announced.revision.0 > held(context, kind)).cloned()
-    };
     loop {
-        if heard.wait_for(|heard| newer(heard).is_some()).await.is_err() {
+        if heard.wait_for(|heard| newer(context, kind, heard).is_some()).await.is_err() {
             return std::future::pending().await;
         }
         tokio::time::sleep(HEARD_PATIENCE).await;
-        let still: Option<AnnouncedRevision> = newer(&heard.borrow());
-        if let Some(announced) = still {
-            return announced.holder;
+        if let Some(announcer) = announcer(context, kind) {
+            return announcer;
         }
     }
 }
-
-/// Whether a peer has announced something newer than this node has.
-pub(super) fn is_behind(context: &Context, kind: MetadataKind) -> bool {
-    let heard = membership::watch_revisions(context);
-    let announced = announced_name(kind).and_then(|name| heard.borrow().get(name).cloned());
-    announced.is_some_and(|announced| announced.revision.0 > held(context, kind))
-}
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -213,7 +213,7 @@
         let lapses_end =
             self.lapses.deadline().map(|at| self.origin + at.saturating_since(Timestamp::ORIGIN));
         let watched = tokio::select! {
-            watched = self.client.watch(kind_name(self.kind), revision) => watched?,
+            watched = look(&self.client, self.kind, revision, self.failures) => watched?,
             // The store is silent: this watch hears nothing, whether it was sent before or since.
             Ok(()) = self.reach.changed() => return Ok(RoundEnd::Unconfirmed),
             () = sleep_until(lapses_end) => {
@@ -342,6 +342,18 @@
     Unconfirmed,
 }
 
+/// Waits for changes. After failures the first answer is asked for at once: until one came the copy counts as
+/// unconfirmed, and followers would leave a reader that is well.
+async fn look(
+    client: &MetadataClient,
+    kind: MetadataKind,
+    revision: u64,
+    failures: u32,
+) -> Result<Watched, PlatformError> {
+    let kind = kind_name(kind);
+    if failures > 0 { client.changes(kind, revision).await } else { client.watch(kind, revision).await }
+}
+
 async fn sleep_until(at: Option<Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/crates/daemon/src/metadata/watcher/away.rs
+++ b/crates/daemon/src/metadata/watcher/away.rs
@@ -42,9 +42,10 @@
         self.context.metadata.freshness.set_reading(self.kind, Reading::Failing);
     }
 
-    /// Takes the copy of a random peer, where it is newer.
+    /// Takes the copy of a peer, where it is newer: of one that announced so, else of a random one.
     pub(super) async fn ask_peer(&mut self) {
-        let Some(peer) = peers::any(&self.context) else { return };
+        let announcer = news::announcer(&self.context, self.kind);
+        let Some(peer) = announcer.or_else(|| peers::any(&self.context)) else { return };
         if let Some(given) = peers::ask(&self.context, &peer, self.kind, self.held()).await {
             self.take_given(given);
         }
@@ -68,7 +69,7 @@
         if let Some(given) = peers::ask(&self.context, holder, self.kind, self.held()).await {
             self.take_given(given);
         }
-        if !news::is_behind(&self.context, self.kind) {
+        if news::announcer(&self.context, self.kind).is_none() {
             return Ok(());
         }
         log::info!(target: "metadata", "{} gave no newer {:?} though it announced one: listing.", holder.node, self.kind);
--- a/crates/daemon/tests/replica_pool.rs
+++ b/crates/daemon/tests/replica_pool.rs
@@ -16,8 +16,9 @@
     let pool = ReplicaPool::default();
     let request = Request::new(Full::new(Bytes::from_static(b"body")));
     let timeout = Duration::from_secs(10);
-    let sent = pool.send(address, request, false, timeout, || false).await;
-    assert_eq!(sent.err(), Some(SendError::Withheld));
+    // Nobody answers: one that is sent all the same would wait without end.
+    let sent = tokio::time::timeout(timeout, pool.send(address, request, false, timeout, || false)).await;
+    assert_eq!(sent.expect("an end at once").err(), Some(SendError::Withheld));
     let (mut connection, _) = listener.accept().await.expect("a connection");
     let mut bytes = Vec::new();
     connection.read_to_end(&mut bytes).await.expect("its end");
