--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -8,3 +8,4 @@
 pub mod regions;
 pub mod trace;
 pub mod watch;
+pub mod zones;
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -18,6 +18,8 @@
 pub(super) enum Refusal {
     /// This node knows no configuration yet.
     NoConfiguration,
+    /// This node does not know yet which zones are evacuated.
+    EvacuationsUnknown,
     /// The caller needs a key and brought none that is known.
     UnknownKey,
     /// No route fits the host and path.
@@ -63,6 +65,7 @@
 impl From<Nowhere> for Refusal {
     fn from(nowhere: Nowhere) -> Self {
         match nowhere {
+            Nowhere::EvacuationsUnknown => Self::EvacuationsUnknown,
             Nowhere::NoReplica => Self::NoReplica,
             Nowhere::OutsideRegions => Self::OutsideRegions,
             Nowhere::Evacuated => Self::Evacuated,
@@ -80,6 +83,7 @@
     const fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
+            | Self::EvacuationsUnknown
             | Self::NoReplica
             | Self::OutsideRegions
             | Self::NoPlace
@@ -102,6 +106,7 @@
     const fn kind(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::EvacuationsUnknown => "evacuations_unknown",
             Self::UnknownKey => "unknown_key",
             Self::IdTaken => "id_taken",
             Self::NoRoute => "no_route",
@@ -128,6 +133,7 @@
     const fn remedy(self) -> &'static str {
         match self {
             Self::NoConfiguration => "come back once this node has read the configuration",
+            Self::EvacuationsUnknown => "come back once this node has read which zones are evacuated",
             Self::NoRoute => "check the host and the path, or add a route",
             Self::OutsideRegions => "start replicas in an allowed region, or allow another; it has not run",
             Self::NoPlace => "start stores and coordinators in an allowed region, or allow another",
@@ -155,6 +161,7 @@
             Self::NoReplica | Self::NotRun => Some(RETRY_SOON),
             Self::Warming(left) => Some(left),
             Self::NoConfiguration
+            | Self::EvacuationsUnknown
             | Self::NoOwner
             | Self::Full
             | Self::Evacuated
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -27,6 +27,7 @@
     region_refusals: IntCounterVec,
     followed_bytes: IntGauge,
     placement: PlacementMetrics,
+    evacuated_zones: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -110,6 +111,11 @@
             "Bytes of the batch jobs' log that the node which would own them next has followed",
         );
         let placement = PlacementMetrics::new(&registry).expect("valid names, registered once");
+        let evacuated_zones = gauge(
+            &registry,
+            "lichenpulley_evacuated_zones",
+            "Zones whose replicas this node sends nothing, as the operator asked",
+        );
         let dropped_lines =
             gauge(&registry, "lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
         Self {
@@ -124,6 +130,7 @@
             region_refusals,
             followed_bytes,
             placement,
+            evacuated_zones,
             dropped_lines,
         }
     }
@@ -186,6 +193,11 @@
         metrics.map(read).collect()
     }
 
+    /// How many zones are evacuated, as this node knows them.
+    pub fn set_evacuated_zones(&self, zones: usize) {
+        self.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
+    }
+
     /// Counts a peer's connection that was closed for what arrived on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.closed_connections.with_label_values(&[reason]).inc();
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -3,6 +3,7 @@
 
 mod platform_changes;
 mod platform_duties;
+mod platform_evacuations;
 mod platform_outline;
 mod platform_placement;
 mod platform_regions;
