Share what a cold replica bears among all senders

Cause: a replica that has just started, or turned cold, bears few requests a second from all senders together, and falls over beyond. The gate that all senders ask let everything through.

Change: core::ingress::warmups keeps which replicas are cold, from their records, from zones given back, and for records that say nothing; core::ingress::warming_share says what of the budget is this sender's, without a message: the owner at even intervals, and for each replica the first few gateways in its rendezvous order. Two sets of gateways that know nothing of each other stay within the bound, and a share never grows with what a node fails to see. A new owner takes the last second's budget as spent; a gateway that starts sends nothing to cold replicas until its view has settled. After the cold time each sender opens a replica at a moment of its own in half a second. Score requests that leave together are counted one after the other. The pace of a cold replica is forgotten once it is warm. Callers that meet cold replicas only are refused at once, with when to come back. Operators get `lichenpulley replicas`, `GET /v1/replicas`, a gauge and two decisions.

Ruled out: tokens leased from a holder (nothing is sent while the holder is away, and two holders give out all twice), one warming sender for each replica (a third of the use to callers), a probe of replicas whose state is in doubt (priced, and no quicker than the record unless made several times a second).

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -70,6 +70,8 @@
     JobStatus(JobId),
     /// `pool list [POOL]`
     PoolList(Option<PoolName>),
+    /// `replicas [SERVICE]`
+    Replicas(Option<String>),
     /// `drain REPLICA`
     Drain(ReplicaId),
     /// `undrain REPLICA`
@@ -136,6 +138,13 @@
         add_options: no_options,
         read: |matches| Ok(Command::JobStatus(JobId::new(one_argument(matches, "JOB")?))),
     },
+    Syntax {
+        words: &["replicas"],
+        arguments: "[SERVICE]",
+        help: "show what a gateway may send to each replica that the platform lists",
+        add_options: no_options,
+        read: read_replicas,
+    },
     Syntax {
         words: &["pool", "list"],
         arguments: "[POOL]",
@@ -364,6 +373,11 @@
     Ok(Command::PoolList(matches.free.first().map(PoolName::new)))
 }
 
+fn read_replicas(matches: &Matches) -> Result<Command, CliError> {
+    at_most(matches, 1)?;
+    Ok(Command::Replicas(matches.free.first().cloned()))
+}
+
 fn read_watch(matches: &Matches) -> Result<Command, CliError> {
     at_most(matches, 0)?;
     let number = |name: &str| match matches.opt_str(name) {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,5 +5,6 @@
 pub mod drain;
 pub mod job;
 pub mod pool;
+pub mod replicas;
 pub mod trace;
 pub mod watch;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -35,6 +35,9 @@
         Command::ConfigExplain(setting) => commands::config::explain(&operators()?, &setting, output).await,
         Command::JobSubmit(specification) => commands::job::submit(&callers()?, &specification, output).await,
         Command::JobStatus(job) => commands::job::status(&callers()?, &job, output).await,
+        Command::Replicas(service) => {
+            commands::replicas::list(&operators()?, service.as_deref(), output).await
+        }
         Command::PoolList(pool) => commands::pool::list(&operators()?, pool.as_ref(), output).await,
         Command::Drain(replica) => commands::drain::drain(&operators()?, &replica, output).await,
         Command::Undrain(replica) => commands::drain::undrain(&operators()?, &replica, output).await,
--- a/crates/cli/tests/arguments.rs
+++ b/crates/cli/tests/arguments.rs
@@ -44,7 +44,9 @@
 #[test]
 fn help_names_every_command() {
     let Command::Help(text) = parse("--help").expect("understood").command else { panic!("no help") };
-    for command in ["config get", "config set", "config explain", "job submit", "job status", "pool list"] {
+    for command in
+        ["config get", "config set", "config explain", "job submit", "job status", "pool list", "replicas"]
+    {
         assert!(text.contains(command), "{command} is missing in\n{text}");
     }
     assert!(matches!(parse("config set --help").expect("understood").command, Command::Help(_)));
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -75,6 +75,27 @@
     assert_eq!(run.results, expected);
 }
 
+#[tokio::test]
+async fn replicas_shows_what_a_gateway_may_send_to_those_of_one_service() {
+    let cold = |interval_ms: Option<u64>| json!({"cause": "recorded", "since_ms": 1_200, "left_ms": 4_800, "interval_ms": interval_ms, "sent": 1});
+    let replica = |id: &str, service: &str, state: &str, cold: serde_json::Value| json!({"replica": id, "service": service, "zone": "z1", "state": state, "cold": cold});
+    let replicas = json!([
+        replica("i-1", "engines", "cold", cold(Some(1_333))),
+        replica("i-2", "engines", "cold", cold(None)),
+        replica("i-3", "engines", "warm", json!(null)),
+        replica("i-4", "scorers", "evacuated", json!(null)),
+    ]);
+    let server = Server::start(move |_, _| Answer::Json(200, replicas.clone())).await;
+    let run = run(&["replicas", "engines", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    let expected = "SERVICE  REPLICA  ZONE  STATE  CAUSE     SINCE MS  LEFT MS  EVERY MS  SENT\n\
+                    engines  i-1      z1    cold   recorded  1200      4800     1333      1\n\
+                    engines  i-2      z1    cold   recorded  1200      4800     never     1\n\
+                    engines  i-3      z1    warm   -         -         -        -         -\n";
+    assert_eq!(run.results, expected);
+    assert_eq!(server.seen()[0].path, "/v1/replicas");
+}
+
 #[tokio::test]
 async fn drain_orders_the_replica() {
     let load = json!({
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -30,6 +30,7 @@
 use crate::ingress::admission::{AdmissionGate, EvacuatedZones};
 use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
+use crate::ingress::warmups::Warmups;
 use crate::time::Timestamp;
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
@@ -155,7 +156,7 @@
             last_run: 0,
             routes: None,
             replicas: BTreeMap::new(),
-            gate: AdmissionGate::default(),
+            gate: AdmissionGate::new(Warmups::of_owner(now)),
             slowdown: Slowdown::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
@@ -257,8 +258,12 @@
         replicas: &ReplicaTable,
         versions: &BTreeMap<String, u64>,
     ) {
-        if routes.is_some() {
-            self.routes = routes;
+        if let Some(routes) = routes {
+            self.gate.warmups_mut().set_routes(&routes);
+            self.routes = Some(routes);
+        }
+        for change in self.gate.warmups_mut().set_replicas(replicas.records.values(), now) {
+            self.decide(change.decision("owner"));
         }
         self.loads.name(versions, now);
         for record in replicas.records.values() {
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -41,9 +41,10 @@
         run.last_event_at = Some(now);
         let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
         let model = self.item(&batch, item).and_then(|item| item.model.clone());
+        let is_cold = self.gate.is_cold(&replica, now);
         if let Some(state) = self.replicas.get_mut(&replica) {
             if let Some(gap) = gap {
-                state.saw_gap(gap, &mut self.slowdown);
+                state.saw_gap(gap, is_cold, &mut self.slowdown);
             }
             if let Some(model) = &model {
                 state.saw_version(model, event.version);
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -31,17 +31,15 @@
 
     pub(super) fn start_scores(&mut self, now: Timestamp) {
         let Some(routes) = self.routes.clone() else { return };
-        let (replicas, gate) = (&self.replicas, &self.gate);
+        let replicas = &self.replicas;
         let ready = |service: &str| {
             let records = replicas.values().map(|state| &state.record);
-            let ready = records.filter(|record| record.service == service && !record.is_draining);
-            ready.filter(|record| gate.judge(record, now).is_open()).collect()
+            records.filter(|record| record.service == service && !record.is_draining).collect()
         };
-        for start in self.scores.next(&routes, ready, now) {
+        for start in self.scores.next(&routes, ready, &mut self.gate, now) {
             let decision = Decision::new(Component::Rollout, "score_requested", "whole", &start.request.id);
             let decision = decision.with("replica", &start.replica.id).with("sending", start.id.0);
             self.decide(decision.with("patience_ms", start.patience.as_millis()));
-            self.gate.sent(&start.replica, now);
             self.actions.push_back(Action::Score(Box::new(start)));
         }
     }
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -52,6 +52,8 @@
     empty_gap_ms: Option<f64>,
     /// The mean load at which pauses were seen.
     mean_load: f64,
+    /// The pause is that of a cold replica: better than none, and forgotten once the replica is warm.
+    is_provisional: bool,
 }
 
 /// How much slower a full replica is than an empty one, found from the pauses of all.
@@ -89,6 +91,7 @@
             seen_versions: BTreeMap::new(),
             empty_gap_ms: None,
             mean_load: 0.0,
+            is_provisional: false,
         }
     }
 
@@ -104,8 +107,16 @@
         *seen = version.max(*seen);
     }
 
-    /// A run here paused for so long between two events.
-    pub(super) fn saw_gap(&mut self, gap: Duration, slowdown: &mut Slowdown) {
+    /// A run here paused for so long between two events. A cold replica's pauses say nothing of its pace when it is warm,
+    /// nor of what load does to others.
+    pub(super) fn saw_gap(&mut self, gap: Duration, is_cold: bool, slowdown: &mut Slowdown) {
+        if is_cold && self.empty_gap_ms.is_some() {
+            return;
+        }
+        if self.is_provisional {
+            self.empty_gap_ms = None;
+        }
+        self.is_provisional = is_cold;
         let gap_ms = gap.as_secs_f64() * 1_000.0;
         let load = self.load();
         let Some(mean) = self.empty_gap_ms else {
@@ -174,10 +185,10 @@
         let record = &replica.record;
         replica.has_free_slot()
             && replica.avoid_until <= now
-            && self.gate.judge(record, now).is_open()
             && self.services.iter().any(|part| part.service == record.service)
             && self.has_version(replica)
             && self.has_room(replica)
+            && self.gate.judge(record, now).is_open()
     }
 
     fn has_version(&self, replica: &ReplicaState) -> bool {
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -8,6 +8,7 @@
 
 use super::job::ScoreRequest;
 use crate::identity::{BatchId, TenantName};
+use crate::ingress::admission::AdmissionGate;
 use crate::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
 use crate::ingress::routes::{Route, RouteTable};
 use crate::retry::budget::{BudgetConfig, RetryBudget};
@@ -97,6 +98,8 @@
 struct ActiveScore {
     waiting: WaitingScore,
     replica: String,
+    /// Whether the replica was cold when the request was sent.
+    is_cold: bool,
     began: Timestamp,
 }
 
@@ -150,14 +153,16 @@
         &mut self,
         routes: &RouteTable,
         replicas: impl Fn(&str) -> Vec<&'a ReplicaRecord>,
+        gate: &mut AdmissionGate,
         now: Timestamp,
     ) -> Vec<ScoreStart> {
         let mut starts = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            match self.start(&waiting, routes, &replicas, now) {
+            match self.start(&waiting, routes, &replicas, gate, now) {
                 Some(start) => {
                     let replica = start.replica.id.clone();
-                    self.active.insert(start.id, ActiveScore { waiting, replica, began: now });
+                    let is_cold = gate.is_cold(&replica, now);
+                    self.active.insert(start.id, ActiveScore { waiting, replica, is_cold, began: now });
                     starts.push(start);
                 }
                 None => self.waiting.push_back(waiting),
@@ -171,6 +176,7 @@
         waiting: &WaitingScore,
         routes: &RouteTable,
         replicas: &impl Fn(&str) -> Vec<&'a ReplicaRecord>,
+        gate: &mut AdmissionGate,
         now: Timestamp,
     ) -> Option<ScoreStart> {
         if waiting.not_before > now {
@@ -178,7 +184,9 @@
         }
         let route = routes.find(&waiting.request.host, &waiting.request.path)?;
         let service = route.service_at(self.spread())?.to_owned();
-        let chosen = self.choose(&replicas(&service), &waiting.tried, now)?;
+        let mut ready = replicas(&service);
+        ready.retain(|record| gate.judge(record, now).is_open());
+        let chosen = self.choose(&ready, &waiting.tried, now)?;
         let budget = self.budgets.entry(service).or_insert_with(|| RetryBudget::new(BUDGET, now));
         if waiting.tries == 0 {
             budget.deposit(now);
@@ -187,6 +195,7 @@
         }
         self.last += 1;
         self.chooser.sent(&chosen.id);
+        gate.sent(&chosen, now);
         let patience = patience(route);
         Some(ScoreStart {
             id: ScoreId(self.last),
@@ -229,8 +238,9 @@
         now: Timestamp,
     ) -> Option<EndedScore> {
         let active = self.active.remove(&id)?;
-        let ActiveScore { mut waiting, replica, began } = active;
+        let ActiveScore { mut waiting, replica, is_cold, began } = active;
         let experience = match end {
+            ScoreEnd::Scored(_) if is_cold => Experience::AnsweredCold,
             ScoreEnd::Scored(_) => Experience::Answered(now.saturating_since(began)),
             ScoreEnd::Failed => Experience::Failed,
             ScoreEnd::Rejected => Experience::Full,
--- a/crates/core/src/ingress/admission.rs
+++ b/crates/core/src/ingress/admission.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use super::replicas::ReplicaRecord;
+use super::warmups::Warmups;
 use crate::time::Timestamp;
 
 /// What a replica may be sent now.
@@ -37,25 +38,60 @@
 }
 
 /// What one sender may send to which replica now.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct AdmissionGate {
     evacuated: Arc<EvacuatedZones>,
+    warmups: Warmups,
 }
 
 impl AdmissionGate {
+    /// The gate of a sender with these cold replicas.
+    pub fn new(warmups: Warmups) -> Self {
+        Self { evacuated: Arc::default(), warmups }
+    }
+
+    /// The cold replicas.
+    pub const fn warmups(&self) -> &Warmups {
+        &self.warmups
+    }
+
+    /// The cold replicas, to be told what is known of replicas, services and gateways.
+    pub const fn warmups_mut(&mut self) -> &mut Warmups {
+        &mut self.warmups
+    }
+
+    /// Whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.zones.contains(zone)
+    }
+
     /// Takes the zones that are evacuated from now on. Replicas of a zone that is given back may have turned cold.
-    pub fn set_evacuated(&mut self, evacuated: Arc<EvacuatedZones>, _now: Timestamp) {
-        self.evacuated = evacuated;
+    pub fn set_evacuated(&mut self, evacuated: Arc<EvacuatedZones>, now: Timestamp) {
+        if Arc::ptr_eq(&evacuated, &self.evacuated) {
+            return;
+        }
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        let returned: BTreeSet<&String> = before.zones.difference(&self.evacuated.zones).collect();
+        if !returned.is_empty() {
+            self.warmups.zones_returned(&returned, now);
+        }
     }
 
     /// Whether a replica may be sent a request now.
-    pub fn judge(&self, replica: &ReplicaRecord, _now: Timestamp) -> Admission {
-        if self.evacuated.zones.contains(&replica.zone) {
+    pub fn judge(&self, replica: &ReplicaRecord, now: Timestamp) -> Admission {
+        if self.is_evacuated(&replica.zone) {
             return Admission::Evacuated;
         }
-        Admission::Open
+        self.warmups.closed_until(replica, now).map_or(Admission::Open, Admission::Warming)
+    }
+
+    /// Whether a replica is cold.
+    pub fn is_cold(&self, replica: &str, now: Timestamp) -> bool {
+        self.warmups.spell(replica, now).is_some()
     }
 
     /// A request is being sent to a replica.
-    pub fn sent(&mut self, _replica: &ReplicaRecord, _now: Timestamp) {}
+    pub fn sent(&mut self, replica: &ReplicaRecord, now: Timestamp) {
+        self.warmups.sent(&replica.id, now);
+    }
 }
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -7,3 +7,5 @@
 pub mod replicas;
 pub mod routes;
 pub mod tenants;
+pub mod warming_share;
+pub mod warmups;
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -23,10 +23,16 @@
     pub is_draining: bool,
     /// The version of each model that it serves.
     pub models: BTreeMap<String, u64>,
-    /// How much longer it was cold when it wrote its record; zero where it is warm.
+    /// How much longer it was cold when it wrote its record; zero where it is warm, [`Self::COLD_UNKNOWN`] where the
+    /// record does not say.
     pub cold_left: Duration,
 }
 
+impl ReplicaRecord {
+    /// The cold time of a replica whose record says nothing of it.
+    pub const COLD_UNKNOWN: Duration = Duration::MAX;
+}
+
 /// All replicas, by id.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaTable {
@@ -68,6 +74,11 @@
         let reported = self.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_FOR);
         self.in_flight.max(reported.map_or(0, |(_, busy)| busy))
     }
+
+    const fn clear_suspicion(&mut self) {
+        self.failures_in_row = 0;
+        self.suspect_until = Timestamp::ORIGIN;
+    }
 }
 
 /// How a request to a replica went, as far as its choice is concerned.
@@ -75,6 +86,8 @@
 pub enum Experience {
     /// It answered after this time.
     Answered(Duration),
+    /// It answered while it was cold, which says nothing of its pace.
+    AnsweredCold,
     /// It was too full.
     Full,
     /// It answered that it failed.
@@ -154,9 +167,9 @@
                 let took_ms = took.as_secs_f64() * 1_000.0;
                 let mean = seen.latency_ms.unwrap_or(took_ms);
                 seen.latency_ms = Some(mean + LATENCY_WEIGHT * (took_ms - mean));
-                seen.failures_in_row = 0;
-                seen.suspect_until = Timestamp::ORIGIN;
+                seen.clear_suspicion();
             }
+            Experience::AnsweredCold => seen.clear_suspicion(),
             Experience::Silent => {
                 let pause = SUSPECT_START * 2_u32.saturating_pow(seen.failures_in_row.min(6));
                 seen.failures_in_row += 1;
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -150,3 +150,17 @@
         assert_eq!(chooser.choose(&table, "a", &[], now, random).expect("a replica").id, "free");
     }
 }
+
+#[test]
+fn the_time_of_an_answer_from_a_cold_replica_is_not_learnt_and_ends_its_suspicion() {
+    let table = replicas(vec![replica("cold"), replica("other")]);
+    let now = Timestamp::from_millis(1_000);
+    let mut chooser = ReplicaChooser::default();
+    chooser.ended("other", Experience::Answered(Duration::from_millis(30)), now);
+    chooser.ended("cold", Experience::Silent, now);
+    let chosen =
+        |chooser: &ReplicaChooser| chooser.choose(&table, "a", &[], now, 0).map(|record| record.id.clone());
+    assert_eq!(chosen(&chooser).as_deref(), Some("other"));
+    chooser.ended("cold", Experience::AnsweredCold, now);
+    assert_eq!(chosen(&chooser).as_deref(), Some("cold"), "as one that was never measured");
+}
--- a/crates/daemon/src/decisions.rs
+++ b/crates/daemon/src/decisions.rs
@@ -67,6 +67,7 @@
 /// Routine steps that each request takes are for those who look closer; all else is always written.
 fn level_of(decision: &Decision) -> log::Level {
     match (decision.component, decision.action.as_str()) {
+        (Component::Routing, "replica_cold") => log::Level::Info,
         (Component::Routing | Component::Membership, _) => log::Level::Debug,
         _ => log::Level::Info,
     }
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -17,7 +17,7 @@
 use super::callers::Caller;
 use super::pool::{Exchange, SendError};
 use super::refusal::Refusal;
-use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
+use super::{CONNECT_TIMEOUT, Ingress, Nowhere, Visit, headers};
 use crate::duties::RunCount;
 use crate::http::{Body, response};
 use crate::metrics::Latency;
@@ -105,6 +105,14 @@
         ingress.context.metrics.observe(latency, action, self.began.elapsed());
     }
 
+    /// The answer where no replica can be sent the request, with what the refusal rests on.
+    pub(super) fn refuse_nowhere(&self, ingress: &Ingress, nowhere: Nowhere) -> Response<Body> {
+        let subject = self.request_id.as_deref().unwrap_or("-");
+        let decision = Decision::new(Component::Request, "nowhere_to_send", nowhere.as_str(), subject);
+        ingress.context.decisions.record(decision.with("service", &self.service));
+        self.refuse(ingress, nowhere.into())
+    }
+
     pub(super) fn refuse(&self, ingress: &Ingress, refusal: Refusal) -> Response<Body> {
         refusal.respond_to(&ingress.context, self.request_id.as_deref())
     }
@@ -174,7 +182,7 @@
     loop {
         let mut visit = match ingress.visit(&call.service, &tried) {
             Ok(visit) => visit,
-            Err(nowhere) if tried.is_empty() => return call.refuse(ingress, nowhere.into()),
+            Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
             Err(_) => return call.refuse(ingress, given_up(attempts.give_up(), &call)),
         };
         tried.push(visit.replica.id.clone());
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -9,15 +9,19 @@
 mod refusal;
 pub mod sse;
 mod stream;
+mod warming;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::{Admission, AdmissionGate};
-use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
+use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
+use lichenpulley_core::ingress::warming_share::GatewayOrder;
+use lichenpulley_core::ingress::warmups::Warmups;
 use lichenpulley_core::time::Timestamp;
 use tokio::time::Instant;
 
@@ -29,10 +33,21 @@
 use refusal::Refusal;
 
 /// What decides where a request goes.
-#[derive(Default)]
 struct ReplicaChoice {
     chooser: ReplicaChooser,
     gate: AdmissionGate,
+    /// The configuration whose bounds the gate holds.
+    routes: Option<Arc<RouteTable>>,
+    /// The replicas that the gate was told of last.
+    replicas: Arc<ReplicaTable>,
+}
+
+impl ReplicaChoice {
+    fn new(node: &NodeId) -> Self {
+        let order = GatewayOrder::new(node.clone(), Timestamp::ORIGIN);
+        let gate = AdmissionGate::new(Warmups::of_gateway(order, Timestamp::ORIGIN));
+        Self { chooser: ReplicaChooser::default(), gate, routes: None, replicas: Arc::default() }
+    }
 }
 
 /// Why no replica can be sent a request now. The greatest one tells what would have to end first.
@@ -57,9 +72,13 @@
 }
 
 impl Ingress {
-    /// An ingress that sends to replicas through `pool`, and batch jobs to their owner through `batch`.
-    pub fn new(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
-        Self { context, pool, batch, choice: Arc::default(), origin: Instant::now() }
+    /// An ingress that sends to replicas through `pool`, and batch jobs to their owner through `batch`. It looks after cold
+    /// replicas on the current runtime until the node has stopped.
+    pub fn spawn(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
+        let choice = Arc::new(Mutex::new(ReplicaChoice::new(&context.node)));
+        let ingress = Self { context, pool, batch, choice, origin: Instant::now() };
+        tokio::spawn(warming::watch(ingress.clone()));
+        ingress
     }
 
     /// Answers one request on the callers' port.
@@ -117,7 +136,9 @@
         let replica = choice.chooser.best_of(open, now, rand::random()).ok_or(nowhere)?.clone();
         choice.gate.sent(&replica, now);
         choice.chooser.sent(&replica.id);
-        Ok(Visit { ingress: self.clone(), replica, began: Instant::now(), experience: Experience::Abandoned })
+        let is_cold = choice.gate.is_cold(&replica.id, now);
+        let (ingress, began) = (self.clone(), Instant::now());
+        Ok(Visit { ingress, replica, is_cold, began, experience: Experience::Abandoned })
     }
 
     fn reported(&self, replica: &str, busy: u32) {
@@ -130,6 +151,15 @@
 }
 
 impl Nowhere {
+    /// The name used in logs and metrics.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoReplica => "no_replica",
+            Self::Evacuated => "evacuated",
+            Self::Warming(_) => "warming",
+        }
+    }
+
     /// The same, where one more replica is cold: the soonest counts.
     fn warming_for(self, left: Duration) -> Self {
         match self {
@@ -143,13 +173,16 @@
 struct Visit {
     ingress: Ingress,
     replica: ReplicaRecord,
+    /// Whether the replica was cold when it was chosen.
+    is_cold: bool,
     began: Instant,
     experience: Experience,
 }
 
 impl Visit {
     fn answered(&mut self) {
-        self.experience = Experience::Answered(self.began.elapsed());
+        let took = self.began.elapsed();
+        self.experience = if self.is_cold { Experience::AnsweredCold } else { Experience::Answered(took) };
     }
 
     fn was_full(&mut self) {
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -68,6 +68,10 @@
 /// When to come back after the owner or the configuration could not be had.
 const RETRY_LATER: Duration = Duration::from_millis(400);
 
+/// The longest until a caller comes back that met cold replicas only: this node may have no share of what they bear, and
+/// another gateway then has one more often than once in this time.
+const RETRY_WARMING: Duration = Duration::from_millis(1_000);
+
 impl Refusal {
     const fn status(self) -> StatusCode {
         match self {
@@ -132,10 +136,10 @@
         }
     }
 
-    const fn retry_after(self) -> Option<Duration> {
+    fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoReplica | Self::NotRun => Some(RETRY_SOON),
-            Self::Warming(left) => Some(left),
+            Self::Warming(left) => Some(left.clamp(RETRY_SOON, RETRY_WARMING)),
             Self::NoConfiguration | Self::NoOwner | Self::Full | Self::Evacuated => Some(RETRY_LATER),
             _ => None,
         }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -71,7 +71,7 @@
     loop {
         let mut visit = match ingress.visit(&call.service, &tried) {
             Ok(visit) => visit,
-            Err(nowhere) if tried.is_empty() => return call.refuse(ingress, nowhere.into()),
+            Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
             Err(_) => return call.refuse(ingress, refusal(attempts.give_up())),
         };
         tried.push(visit.replica.id.clone());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::decision::Decision;
+use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::transport::{Direction, FrameMeter};
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -22,6 +23,7 @@
     peer_bytes: IntCounterVec,
     latencies: HistogramVec,
     batch_items: IntGaugeVec,
+    cold_replicas: IntGaugeVec,
     followed_bytes: IntGauge,
     dropped_lines: IntGauge,
 }
@@ -93,6 +95,7 @@
         );
         let latencies = latencies(&registry);
         let batch_items = batch_items(&registry);
+        let cold_replicas = cold_replicas(&registry);
         let followed_bytes = gauge(
             &registry,
             "lichenpulley_batch_followed_bytes",
@@ -108,6 +111,7 @@
             peer_bytes,
             latencies,
             batch_items,
+            cold_replicas,
             followed_bytes,
             dropped_lines,
         }
@@ -139,6 +143,16 @@
         set("waiting", waiting);
     }
 
+    /// How many replicas are cold for this gateway, and to how many of them it may send.
+    pub fn set_cold_replicas(&self, count: ColdCount) {
+        let set = |share: &str, count: usize| {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.cold_replicas.with_label_values(&[share]).set(count);
+        };
+        set("own", count.own);
+        set("none", count.cold - count.own);
+    }
+
     /// How many bytes of the batch jobs' log this node has followed; none where another would own next.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.followed_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
@@ -222,6 +236,14 @@
     items
 }
 
+fn cold_replicas(registry: &Registry) -> IntGaugeVec {
+    let help = "Cold replicas, by whether this gateway has a share of what they bear";
+    let options = Opts::new("lichenpulley_cold_replicas", help);
+    let replicas = IntGaugeVec::new(options, &["share"]).expect("a valid name");
+    registry.register(Box::new(replicas.clone())).expect("registered once");
+    replicas
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("a valid name");
     registry.register(Box::new(gauge.clone())).expect("registered once");
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -113,7 +113,12 @@
     let peers = tokio::spawn(peer_service::serve(peers, service, stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
-    let answers = Operators::new(Arc::clone(context), dispatcher.clone(), coordinator.clone());
+    let ingress = context.settings.platform.metadata_store.is_some().then(|| {
+        tokio::spawn(duties::hand_over(Arc::clone(context), batch.clone()));
+        Ingress::spawn(Arc::clone(context), pool, batch)
+    });
+    let answers =
+        Operators::new(Arc::clone(context), dispatcher.clone(), coordinator.clone(), ingress.clone());
     let answer = move |request| {
         let answers = answers.clone();
         async move { answers.handle(request).await }
@@ -122,9 +127,7 @@
 
     let limits = SocketLimits { stall: context.settings.gateway.stall_timeout };
     let callers_stop = stop.callers.clone();
-    let callers = if context.settings.platform.metadata_store.is_some() {
-        tokio::spawn(duties::hand_over(Arc::clone(context), batch.clone()));
-        let ingress = Ingress::new(Arc::clone(context), pool, batch);
+    let callers = if let Some(ingress) = ingress {
         spawn_ingress(callers, traffic, callers_stop, limits, ingress)?
     } else {
         let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -15,7 +15,9 @@
 use crate::http::client::HttpClient;
 use crate::http::request::percent_decode;
 use crate::http::{Body, response};
+use crate::ingress::Ingress;
 use drain::DrainOrder;
+use lichenpulley_protocol::operator::ReplicaSendStatus;
 
 /// Answers operators. Cheap to clone.
 #[derive(Clone)]
@@ -24,13 +26,20 @@
     dispatcher: Dispatcher,
     coordinator: Coordinator,
     client: HttpClient,
+    /// Where the node serves callers in the platform's form.
+    ingress: Option<Ingress>,
 }
 
 impl Operators {
     /// For one node.
-    pub fn new(context: Context, dispatcher: Dispatcher, coordinator: Coordinator) -> Self {
+    pub fn new(
+        context: Context,
+        dispatcher: Dispatcher,
+        coordinator: Coordinator,
+        ingress: Option<Ingress>,
+    ) -> Self {
         let client = HttpClient::new(context.settings.gateway.connect_timeout);
-        Self { context, dispatcher, coordinator, client }
+        Self { context, dispatcher, coordinator, client, ingress }
     }
 
     /// Answers one request.
@@ -43,6 +52,7 @@
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
             (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
+            (&Method::GET, ["v1", "replicas"]) => response::json(StatusCode::OK, &self.replicas()),
             (&Method::POST, ["v1", "replicas", replica, order]) => match DrainOrder::from_path(order) {
                 Some(order) => self.order(&ReplicaId::new(percent_decode(replica)), order).await,
                 None => response::not_found(&path),
@@ -53,4 +63,8 @@
             _ => response::not_found(&path),
         }
     }
+
+    fn replicas(&self) -> Vec<ReplicaSendStatus> {
+        self.ingress.as_ref().map(Ingress::replica_states).unwrap_or_default()
+    }
 }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -9,6 +9,7 @@
 //! | `GET /v1/config/effective?path={path}&key={key}` | | [`EffectiveSetting`] |
 //! | `PUT /v1/config` | [`ChangeConfiguration`] | [`ConfigurationChanged`]; 409 with the current revision |
 //! | `GET /v1/pools` | | a list of [`PoolStatus`] |
+//! | `GET /v1/replicas` | | a list of [`ReplicaSendStatus`]; empty where the platform lists none |
 //! | `POST /v1/replicas/{replica}/drain` | | [`crate::engine::OrderAccepted`] |
 //! | `POST /v1/replicas/{replica}/undrain` | | [`crate::engine::OrderAccepted`] |
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
@@ -114,3 +115,59 @@
     /// The weights it last reported.
     pub weight_version: Option<WeightVersion>,
 }
+
+/// What a gateway may send to a replica of the platform now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaSendState {
+    /// Whatever it has room for.
+    Warm,
+    /// This gateway's share of what it bears while it is cold.
+    Cold,
+    /// Nothing: its zone is evacuated.
+    Evacuated,
+    /// Nothing: it will leave.
+    Draining,
+}
+
+impl ReplicaSendState {
+    /// The name used in the operators' interface.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Warm => "warm",
+            Self::Cold => "cold",
+            Self::Evacuated => "evacuated",
+            Self::Draining => "draining",
+        }
+    }
+}
+
+/// A replica of the platform as one gateway sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaSendStatus {
+    /// The replica.
+    pub replica: String,
+    /// Its service.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// What it may be sent.
+    pub state: ReplicaSendState,
+    /// Its cold time, where it is cold; also while its zone is evacuated.
+    pub cold: Option<ColdStatus>,
+}
+
+/// The cold time of a replica, and what one gateway makes of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStatus {
+    /// Why it is taken to be cold: `recorded`, `unknown` or `zone_returned`.
+    pub cause: String,
+    /// Milliseconds since it was found cold.
+    pub since_ms: u64,
+    /// Milliseconds until it is warm.
+    pub left_ms: u64,
+    /// Milliseconds between two requests of this gateway; none where it sends none.
+    pub interval_ms: Option<u64>,
+    /// Requests that this gateway has sent meanwhile.
+    pub sent: u64,
+}
