Test cold replicas over real nodes

Cause: the stand-in of a replica knew no cold time, so nothing over sockets showed that two gateways and the owner stay within one budget.

Change: the stand-in turns cold and falls over beyond a number of requests in one second, for good. Two gateways press plain requests on three cold replicas while a batch job runs: none falls, what they can't bear is refused with when to come back, and all items are done.

--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -1,10 +1,10 @@
 //! A stand-in for a replica of the users' platform: plain requests, streams of numbered events, reports and orders, and
 //! the ways in which replicas fail.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream;
@@ -69,6 +69,30 @@
     orders: Vec<LoadOrder>,
     /// Streams whose reader left before their end.
     abandoned: u64,
+    cold: Option<Cold>,
+}
+
+/// A replica that bears little for a while.
+struct Cold {
+    until: Instant,
+    /// Requests in one second beyond which it falls over, for good.
+    stands: usize,
+    arrivals: VecDeque<Instant>,
+    has_fallen: bool,
+}
+
+impl Cold {
+    /// Takes a request; returns whether it is borne.
+    fn bears(&mut self, now: Instant) -> bool {
+        if now < self.until {
+            self.arrivals.push_back(now);
+        }
+        while self.arrivals.front().is_some_and(|arrival| now - *arrival >= Duration::from_secs(1)) {
+            self.arrivals.pop_front();
+        }
+        self.has_fallen |= self.arrivals.len() > self.stands;
+        !self.has_fallen
+    }
 }
 
 /// Counts a stream that is dropped before its end.
@@ -105,8 +129,8 @@
 /// # Errors
 /// When no port can be had.
 pub async fn start(plan: Plan) -> Result<Replica, LabError> {
-    let state =
-        State { plan, behaviour: Behaviour::Well, seen: Vec::new(), orders: Vec::new(), abandoned: 0 };
+    let behaviour = Behaviour::Well;
+    let state = State { plan, behaviour, seen: Vec::new(), orders: Vec::new(), abandoned: 0, cold: None };
     let state = Arc::new(Mutex::new(state));
     let answering = Arc::clone(&state);
     let handler = move |request| answer(Arc::clone(&answering), request);
@@ -124,6 +148,17 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Turns cold for so long; beyond so many requests in one second it falls over.
+    pub fn turn_cold(&self, lasts: Duration, stands: usize) {
+        let until = Instant::now() + lasts;
+        lock(&self.state).cold = Some(Cold { until, stands, arrivals: VecDeque::new(), has_fallen: false });
+    }
+
+    /// Whether it got more than it stands while it was cold.
+    pub fn has_fallen(&self) -> bool {
+        lock(&self.state).cold.as_ref().is_some_and(|cold| cold.has_fallen)
+    }
+
     /// Requests that it began to run, in order.
     pub fn seen(&self) -> Vec<SeenRequest> {
         lock(&self.state).seen.clone()
@@ -142,9 +177,11 @@
     /// What it writes into the metadata store.
     pub fn record(&self, service: &str, zone: &str) -> serde_json::Value {
         let state = lock(&self.state);
+        let cold_left = state.cold.as_ref().map(|cold| cold.until.saturating_duration_since(Instant::now()));
+        let cold_left_ms = cold_left.unwrap_or_default().as_secs_f64() * 1_000.0;
         serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1", "slots": 4,
-            "state": "ready", "cold_left_ms": 0, "stage": "both", "models": models(&state.plan), "seq": 1,
+            "state": "ready", "cold_left_ms": cold_left_ms, "stage": "both", "models": models(&state.plan), "seq": 1,
         })
     }
 }
@@ -206,6 +243,10 @@
     if expected.is_some_and(|expected| expected != &plan.id) {
         return http::empty(StatusCode::MISDIRECTED_REQUEST).into();
     }
+    let is_borne = lock(state).cold.as_mut().is_none_or(|cold| cold.bears(Instant::now()));
+    if !is_borne {
+        return Reply::Hang;
+    }
     if behaviour == Behaviour::Rejects {
         return signed(StatusCode::SERVICE_UNAVAILABLE, &seen.id, &[(headers::NOT_RUN, "1")]).into();
     }
--- /dev/null
+++ b/crates/lab/tests/platform_cold/mod.rs
@@ -0,0 +1,89 @@
+//! Cold replicas over real nodes: two gateways and the owner of the batch jobs share what each bears.
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use lichenpulley_lab::platform_replica::Replica;
+use lichenpulley_platform::objects;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::platform_system::{System, ZONES, configuration};
+
+const LASTS: Duration = Duration::from_secs(4);
+const BEARS: f64 = 3.0;
+/// Half as much again as it bears, and five more.
+const STANDS: usize = 9;
+const REPLICAS: usize = 3;
+const ITEMS: usize = 24;
+
+fn cold_configuration() -> Value {
+    let mut configuration = configuration(2);
+    configuration["services"][0]["cold_s"] = json!(LASTS.as_secs_f64());
+    configuration["services"][0]["cold_per_s"] = json!(BEARS);
+    configuration
+}
+
+/// All replicas turn cold, and tell.
+fn turn_cold(system: &System) {
+    for (number, replica) in system.replicas.iter().enumerate() {
+        replica.turn_cold(LASTS, STANDS);
+        let record = replica.record("engines", ZONES[number % ZONES.len()]);
+        system.platform.put(objects::REPLICAS, &format!("replica-{number}"), record);
+    }
+}
+
+/// Callers of a gateway who come back at once, until `until`; returns how many were answered and how many refused.
+async fn press(system: &System, gateway: usize, until: Instant) -> (usize, usize) {
+    let (mut answered, mut refused) = (0, 0);
+    while Instant::now() < until {
+        let fields = [("attempt-id", "press"), ("deadline-ms", "1000")];
+        let answer = system.call(gateway, Method::GET, "/read/x", &fields, "").await;
+        match answer.status {
+            StatusCode::OK => answered += 1,
+            _ => {
+                refused += 1;
+                assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+                let after = answer.headers.get("retry-after").expect("when to come back");
+                let after: f64 = after.to_str().expect("text").parse().expect("seconds");
+                assert!((0.1..=1.0).contains(&after), "{after}");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+    (answered, refused)
+}
+
+#[tokio::test]
+async fn cold_replicas_get_no_more_than_they_stand_and_all_is_done_once_they_are_warm() {
+    let system = System::start(REPLICAS, 3).await;
+    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, cold_configuration());
+    for gateway in 0..2 {
+        system.call_until(StatusCode::OK, gateway, "/read/warm").await;
+        let node = system.gateways[gateway].as_ref().expect("a gateway").context();
+        while node.metadata.routes.load().as_ref().is_none_or(|table| table.version < 2) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    system.submit(0, "before", 1, 1).await;
+    system.results(0, "before").await;
+    turn_cold(&system);
+    let is_told = |gateway: usize| {
+        let node = system.gateways[gateway].as_ref().expect("a gateway").context();
+        let records = node.metadata.replicas.load();
+        records.records.values().all(|record| !record.cold_left.is_zero())
+    };
+    while !(is_told(0) && is_told(1)) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    let until = Instant::now() + LASTS;
+    system.submit(0, "cold", ITEMS, 1).await;
+    let ((some, refused), (more, refused_more)) =
+        tokio::join!(press(&system, 0, until), press(&system, 1, until));
+    assert!(refused + refused_more > 0, "what they can't bear is refused at once");
+    assert!(some + more > 0, "what they bear is served");
+    assert_eq!(system.results(0, "cold").await.len(), ITEMS);
+    assert!(!system.replicas.iter().any(Replica::has_fallen));
+    system.call_until(StatusCode::OK, 1, "/read/warm").await;
+}
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -1,6 +1,7 @@
 //! The platform's path over real nodes and sockets, against the stand-ins: plain requests, streams, batch jobs, orders,
 //! configuration, and what fails.
 
+mod platform_cold;
 mod platform_duties;
 mod platform_outline;
 mod platform_system;
