--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod job;
 pub mod pool;
 pub mod regions;
+pub mod replicas;
 pub mod trace;
 pub mod watch;
 pub mod zones;
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -32,18 +32,16 @@
 
     pub(super) fn start_scores(&mut self, now: Timestamp) {
         let Some(routes) = self.routes.clone() else { return };
-        let (replicas, gate, config) = (&self.replicas, &self.gate, &self.config);
+        let (replicas, config) = (&self.replicas, &self.config);
         let ready = |service: &str, regions: &AllowedRegions| {
             let records = replicas.values().map(|state| &state.record);
             let ready = records.filter(|record| record.service == service && !record.is_draining);
-            let ready = ready.filter(|record| regions.allows_zone(&config.zones, &record.zone));
-            ready.filter(|record| gate.judge(record, now).is_open()).collect()
+            ready.filter(|record| regions.allows_zone(&config.zones, &record.zone)).collect()
         };
-        for start in self.scores.next(&routes, ready, now) {
+        for start in self.scores.next(&routes, ready, &mut self.gate, now) {
             let decision = Decision::new(Component::Rollout, "score_requested", "whole", &start.request.id);
             let decision = decision.with("replica", &start.replica.id).with("sending", start.id.0);
             self.decide(decision.with("patience_ms", start.patience.as_millis()));
-            self.gate.sent(&start.replica, now);
             self.actions.push_back(Action::Score(Box::new(start)));
         }
     }
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -15,6 +15,7 @@
 use lichenpulley_core::ingress::admission::{Admission, AdmissionGate, EvacuatedZones};
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::ingress::routes::{RouteTable, ScalingBounds};
+use lichenpulley_core::ingress::warmups::Warmups;
 use lichenpulley_core::scaling::ScalingPolicy;
 use lichenpulley_core::usage::window::WallTime;
 use proptest::prelude::*;
@@ -78,7 +79,8 @@
 impl World {
     fn new() -> Self {
         let owner = Bench::new(Ledger::default(), false, &replicas());
-        let (sender, truth, told) = (AdmissionGate::default(), BTreeSet::new(), BTreeSet::new());
+        let (sender, truth, told) =
+            (AdmissionGate::new(Warmups::of_owner(at(0))), BTreeSet::new(), BTreeSet::new());
         let (ended, scored) = (BTreeSet::new(), BTreeSet::new());
         Self { owner, sender, truth, told, now_ms: 0, jobs: 0, ended, scored }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::decision::Decision;
+use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::transport::{Direction, FrameMeter};
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -25,6 +26,7 @@
     batch_items: IntGaugeVec,
     regional_items: IntGaugeVec,
     region_refusals: IntCounterVec,
+    cold_replicas: IntGaugeVec,
     followed_bytes: IntGauge,
     placement: PlacementMetrics,
     evacuated_zones: IntGauge,
@@ -105,6 +107,7 @@
             &["regions", "reason"],
         );
         let regional_items = regional_items(&registry);
+        let cold_replicas = cold_replicas(&registry);
         let followed_bytes = gauge(
             &registry,
             "lichenpulley_batch_followed_bytes",
@@ -128,6 +131,7 @@
             batch_items,
             regional_items,
             region_refusals,
+            cold_replicas,
             followed_bytes,
             placement,
             evacuated_zones,
@@ -169,6 +173,16 @@
         &self.placement
     }
 
+    /// How many replicas are cold for this gateway, and to how many of them it may send.
+    pub fn set_cold_replicas(&self, count: ColdCount) {
+        let set = |share: &str, count: usize| {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.cold_replicas.with_label_values(&[share]).set(count);
+        };
+        set("own", count.own);
+        set("none", count.cold - count.own);
+    }
+
     /// How many bytes of the batch jobs' log this node has followed; none where another would own next.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.followed_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
@@ -286,6 +300,14 @@
     items
 }
 
+fn cold_replicas(registry: &Registry) -> IntGaugeVec {
+    let help = "Cold replicas, by whether this gateway has a share of what they bear";
+    let options = Opts::new("lichenpulley_cold_replicas", help);
+    let replicas = IntGaugeVec::new(options, &["share"]).expect("a valid name");
+    registry.register(Box::new(replicas.clone())).expect("registered once");
+    replicas
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("a valid name");
     registry.register(Box::new(gauge.clone())).expect("registered once");
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -26,7 +26,7 @@
 use crate::ingress::{Ingress, readiness};
 use crate::membership::{self, StartMembership};
 use crate::metadata;
-use crate::operators::Operators;
+use crate::operators::{OperatorParts, Operators};
 use crate::settings::Settings;
 use crate::store::{self, Store};
 
@@ -113,7 +113,17 @@
     let peers = tokio::spawn(peer_service::serve(peers, service, stop.peers.clone()));
 
     let operators = TcpListener::from_std(operators).map_err(StartError::Thread)?;
-    let answers = Operators::new(Arc::clone(context), dispatcher.clone(), coordinator.clone(), batch.clone());
+    let ingress = context.settings.platform.metadata_store.is_some().then(|| {
+        tokio::spawn(duties::hand_over(Arc::clone(context), batch.clone()));
+        Ingress::spawn(Arc::clone(context), pool, batch.clone())
+    });
+    let parts = OperatorParts {
+        dispatcher: dispatcher.clone(),
+        coordinator: coordinator.clone(),
+        batch,
+        ingress: ingress.clone(),
+    };
+    let answers = Operators::new(Arc::clone(context), parts);
     let answer = move |request| {
         let answers = answers.clone();
         async move { answers.handle(request).await }
@@ -122,9 +132,7 @@
 
     let limits = SocketLimits { stall: context.settings.gateway.stall_timeout };
     let callers_stop = stop.callers.clone();
-    let callers = if context.settings.platform.metadata_store.is_some() {
-        tokio::spawn(duties::hand_over(Arc::clone(context), batch.clone()));
-        let ingress = Ingress::new(Arc::clone(context), pool, batch);
+    let callers = if let Some(ingress) = ingress {
         spawn_ingress(callers, traffic, callers_stop, limits, ingress)?
     } else {
         let gateway = Gateway::new(Arc::clone(context), dispatcher, coordinator);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -18,9 +18,23 @@
 use crate::http::client::HttpClient;
 use crate::http::request::percent_decode;
 use crate::http::{Body, response};
+use crate::ingress::Ingress;
 use drain::DrainOrder;
+use lichenpulley_protocol::operator::ReplicaSendStatus;
 use zones::ZoneChange;
 
+/// The parts of a node that operators ask about.
+pub struct OperatorParts {
+    /// The gateway of the product's own interface.
+    pub dispatcher: Dispatcher,
+    /// The owner of shards of control work.
+    pub coordinator: Coordinator,
+    /// The way to the batch jobs.
+    pub batch: BatchJobs,
+    /// Where the node serves callers in the platform's form.
+    pub ingress: Option<Ingress>,
+}
+
 /// Answers operators. Cheap to clone.
 #[derive(Clone)]
 pub struct Operators {
@@ -29,13 +43,16 @@
     coordinator: Coordinator,
     batch: BatchJobs,
     client: HttpClient,
+    /// Where the node serves callers in the platform's form.
+    ingress: Option<Ingress>,
 }
 
 impl Operators {
     /// For one node.
-    pub fn new(context: Context, dispatcher: Dispatcher, coordinator: Coordinator, batch: BatchJobs) -> Self {
+    pub fn new(context: Context, parts: OperatorParts) -> Self {
         let client = HttpClient::new(context.settings.gateway.connect_timeout);
-        Self { context, dispatcher, coordinator, batch, client }
+        let OperatorParts { dispatcher, coordinator, batch, ingress } = parts;
+        Self { context, dispatcher, coordinator, batch, client, ingress }
     }
 
     /// Answers one request.
@@ -49,6 +66,7 @@
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
             (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
             (&Method::GET, ["v1", "regions"]) => regions::answer(&self.context, &self.batch).await,
+            (&Method::GET, ["v1", "replicas"]) => response::json(StatusCode::OK, &self.replicas()),
             (&Method::POST, ["v1", "replicas", replica, order]) => match DrainOrder::from_path(order) {
                 Some(order) => self.order(&ReplicaId::new(percent_decode(replica)), order).await,
                 None => response::not_found(&path),
@@ -64,4 +82,8 @@
             _ => response::not_found(&path),
         }
     }
+
+    fn replicas(&self) -> Vec<ReplicaSendStatus> {
+        self.ingress.as_ref().map(Ingress::replica_states).unwrap_or_default()
+    }
 }
