--- a/crates/core/src/replication/bearing.rs
+++ b/crates/core/src/replication/bearing.rs
@@ -62,6 +62,27 @@
     }
 }
 
+impl fmt::Display for SetSize {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} disks, {} zones or {} regions", self.disks, self.zones, self.regions)
+    }
+}
+
+/// Why a set bears less than it should.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "its {members} members bear the loss of {bearing}, and {wanted} are wanted; start stores in other zones or \
+     regions, or lower store.tolerated_losses, store.tolerated_zones or store.tolerated_regions"
+)]
+pub struct Shortfall {
+    /// How many members it has.
+    pub members: usize,
+    /// What it bears.
+    pub bearing: Bearing,
+    /// What it should bear.
+    pub wanted: SetSize,
+}
+
 /// What a set bears, each loss by itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Bearing {
--- a/crates/core/src/replication/placement.rs
+++ b/crates/core/src/replication/placement.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::bearing::Spread;
-pub use super::bearing::{Bearing, SetSize};
+pub use super::bearing::{Bearing, SetSize, Shortfall};
 use super::replica_set::{Generation, ReplicaSet, SetMember};
 use crate::identity::{NodeId, RegionName, ShardId, ZoneName};
 use crate::ingress::places::ZoneMap;
@@ -77,6 +77,16 @@
         Bearing::of(members, &self.places)
     }
 
+    /// Whether these members bear what they should.
+    ///
+    /// # Errors
+    /// Where they bear less.
+    pub fn check(&self, members: &[SetMember]) -> Result<(), Shortfall> {
+        let (bearing, wanted) = (self.bearing(members), self.size);
+        let shortfall = Shortfall { members: members.len(), bearing, wanted };
+        if bearing.covers(wanted) { Ok(()) } else { Err(shortfall) }
+    }
+
     /// The best store to add to `members`: one by which the least is lost of what should be borne, then one in the region
     /// where most members stand, in a zone that has fewest of them, with the highest weight.
     pub fn best_addition(
--- a/crates/core/tests/replication_placement.rs
+++ b/crates/core/tests/replication_placement.rs
@@ -215,6 +215,7 @@
         };
         let counts = layout.counts(&set);
         let said = policy.bearing(&set.members);
+        prop_assert_eq!(policy.check(&set.members).is_ok(), layout.bears(&counts, wanted));
         prop_assert!(layout.bears(&counts, (said.disks, 0, 0)));
         prop_assert!(layout.bears(&counts, (0, said.zones, 0)));
         prop_assert!(layout.bears(&counts, (0, 0, said.regions)));
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -224,13 +224,7 @@
             LookReason::Asked => (0, ASKED_IDLE),
             _ => (rank, self.context.settings.batch.takeover_after),
         };
-        // A majority is one of the set in force, which may be smaller or larger than the settings want.
-        let set = replica_sets::find_among_stores(&self.context, &shard()).await;
-        let needed = match &set {
-            Some(set) => set.majority(),
-            None => self.context.settings.store.set_size.least_members(),
-        };
-        let answers = say.counted(set.as_ref());
+        let (answers, needed) = self.count(&say).await;
         let verdict = election::judge(&self.context.node, rank, &answers, needed, takeover_after);
         match verdict {
             Verdict::Wait(_) => None,
@@ -239,6 +233,20 @@
         }
     }
 
+    /// The answers that count, and how many are needed: a majority of the set in force, which may be smaller or larger than
+    /// the settings want. Where too few count, the set that this node has met may have been replaced since.
+    async fn count(&self, say: &StoresSay) -> (Vec<Option<LeaderSeen>>, usize) {
+        let context = &self.context;
+        let least = context.settings.store.set_size.least_members();
+        let needed_of = |set: Option<&ReplicaSet>| set.map_or(least, ReplicaSet::majority);
+        let mut set = replica_sets::find_among_stores(context, &shard()).await;
+        if set.is_some() && say.counted(set.as_ref()).len() < needed_of(set.as_ref()) {
+            context.replica_sets.forget(&shard());
+            set = replica_sets::find_among_stores(context, &shard()).await;
+        }
+        (say.counted(set.as_ref()), needed_of(set.as_ref()))
+    }
+
     /// Takes over from what was followed. Where nothing was, the outline of a long log is read first; another may have
     /// taken over meanwhile.
     async fn take_over(&mut self, reason: LookReason, idle: Duration, followed: Option<LedgerFollower>) {
--- a/crates/daemon/src/store/placement.rs
+++ b/crates/daemon/src/store/placement.rs
@@ -41,13 +41,8 @@
     let decision = decision.with("least_wanted", wanted).with("bears_disks", bearing.disks);
     let decision = decision.with("bears_zones", bearing.zones).with("bears_regions", bearing.regions);
     context.decisions.record(decision);
-    if !bearing.covers(policy.size) {
-        log::warn!(
-            target: "store",
-            "Shard {}: its {} stores bear the loss of {bearing}, less than store.tolerated_losses, \
-             store.tolerated_zones and store.tolerated_regions want; start stores in other zones or regions, or lower these.",
-            set.shard, set.members.len()
-        );
+    if let Err(shortfall) = policy.check(&set.members) {
+        log::warn!(target: "store", "Shard {}: {shortfall}.", set.shard);
     }
 }
 
