--- a/crates/daemon/src/batch/keeper.rs
+++ b/crates/daemon/src/batch/keeper.rs
@@ -55,7 +55,8 @@
     fn drop(&mut self) {
         self.task.abort();
         // Another owner shows it from now on.
-        self.context.metrics.placement().show(0, Bearing::default());
+        let shard = self.sets.borrow().shard.clone();
+        self.context.metrics.placement().show(&shard, 0, Bearing::default());
     }
 }
 
@@ -99,7 +100,7 @@
 /// Tells what a set bears.
 fn show(context: &Context, set: &ReplicaSet) {
     let bearing = placement::policy(context).bearing(&set.members);
-    context.metrics.placement().show(set.members.len(), bearing);
+    context.metrics.placement().show(&set.shard, set.members.len(), bearing);
     placement::tell(context, set, "kept_by", "set_in_force");
 }
 
--- a/crates/daemon/src/store/placement.rs
+++ b/crates/daemon/src/store/placement.rs
@@ -7,7 +7,7 @@
 use lichenpulley_core::replication::placement::{Bearing, PlacementPolicy};
 use lichenpulley_core::replication::quorum::majority;
 use lichenpulley_core::replication::replica_set::ReplicaSet;
-use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{IntGaugeVec, Opts, Registry};
 
 use crate::context::{Context, NodeContext};
 
@@ -69,34 +69,34 @@
     greatest.next().is_none().then(|| (region.clone(), most))
 }
 
-/// What the log of the batch jobs bears, shown by its owner; 0 elsewhere.
+/// What the logs of batch jobs bear, shown by the owner of each.
 #[derive(Clone)]
 pub struct PlacementMetrics {
-    members: IntGauge,
+    members: IntGaugeVec,
     borne: IntGaugeVec,
 }
 
 impl PlacementMetrics {
     /// Registers the gauges, once for each registry.
     pub(crate) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let members = IntGauge::new(
-            "lichenpulley_log_members",
-            "Stores that keep the log of the batch jobs, at its owner",
-        )?;
-        let options = Opts::new(
+        let members =
+            Opts::new("lichenpulley_log_members", "Stores that keep a log of batch jobs, at its owner");
+        let members = IntGaugeVec::new(members, &["shard"])?;
+        let borne = Opts::new(
             "lichenpulley_log_borne_losses",
-            "Losses that the log of the batch jobs bears, at its owner, by what is lost",
+            "Losses that a log of batch jobs bears, at its owner, by what is lost",
         );
-        let borne = IntGaugeVec::new(options, &["of"])?;
+        let borne = IntGaugeVec::new(borne, &["shard", "of"])?;
         registry.register(Box::new(members.clone()))?;
         registry.register(Box::new(borne.clone()))?;
         Ok(Self { members, borne })
     }
 
     /// Shows a set.
-    pub(crate) fn show(&self, members: usize, bearing: Bearing) {
-        let set = |of: &str, count: usize| self.borne.with_label_values(&[of]).set(to_gauge(count));
-        self.members.set(to_gauge(members));
+    pub(crate) fn show(&self, shard: &ShardId, members: usize, bearing: Bearing) {
+        let shard = shard.as_str();
+        let set = |of: &str, count: usize| self.borne.with_label_values(&[shard, of]).set(to_gauge(count));
+        self.members.with_label_values(&[shard]).set(to_gauge(members));
         set("disks", bearing.disks);
         set("zones", bearing.zones);
         set("regions", bearing.regions);
--- a/crates/lab/tests/platform_placement/mod.rs
+++ b/crates/lab/tests/platform_placement/mod.rs
@@ -26,8 +26,11 @@
 fn assert_shown(system: &System, members: usize, disks: usize) {
     let owner = system.gateways[system.owner()].as_ref().expect("an owner");
     let metrics = owner.context().metrics.encode().expect("metrics");
-    assert!(metrics.contains(&format!("lichenpulley_log_members {members}\n")), "{metrics}");
-    let borne = format!("lichenpulley_log_borne_losses{{of=\"disks\"}} {disks}\n");
+    assert!(
+        metrics.contains(&format!("lichenpulley_log_members{{shard=\"batch/main\"}} {members}\n")),
+        "{metrics}"
+    );
+    let borne = format!("lichenpulley_log_borne_losses{{of=\"disks\",shard=\"batch/main\"}} {disks}\n");
     assert!(metrics.contains(&borne), "{metrics}");
 }
 
