--- a/crates/daemon/src/batch/keeper.rs
+++ b/crates/daemon/src/batch/keeper.rs
@@ -56,7 +56,8 @@
     fn drop(&mut self) {
         self.task.abort();
         // Another owner shows it from now on.
-        forget(&self.scope);
+        let shard = self.sets.borrow().shard.clone();
+        self.scope.context.metrics.placement().show(&shard, 0, Bearing::default());
     }
 }
 
@@ -97,22 +98,13 @@
     }
 }
 
-/// Tells what a set bears. The gauges are those of the main shard.
+/// Tells what a set bears.
 fn show(scope: &Scope, set: &ReplicaSet) {
     let bearing = placement::policy(&scope.context).bearing(&set.members);
-    if scope.is_main() {
-        scope.context.metrics.placement().show(set.members.len(), bearing);
-    }
+    scope.context.metrics.placement().show(&set.shard, set.members.len(), bearing);
     placement::tell(&scope.context, set, "kept_by", "set_in_force");
 }
 
-/// Tells that this node keeps no set any more.
-fn forget(scope: &Scope) {
-    if scope.is_main() {
-        scope.context.metrics.placement().show(0, Bearing::default());
-    }
-}
-
 struct Task {
     scope: Scope,
     sets: watch::Receiver<ReplicaSet>,
