Keep decided entries from late requests, and let sealed stores promise nothing

Cause: a store that missed an owner is repaired without promising it anything. A late, doubled request of the owner before, which that store had promised, then overwrote entries known to be decided there, and the next takeover took them for decided.

Change: an accept leaves positions alone that are known to be decided. A sealed store no longer promises, since a promise after the seal is not carried into the next set; it tells a higher ballot, and the set that follows otherwise.

Ruled out: raising the promise with a repair, which would supersede owners at work.

--- a/crates/core/src/replication/acceptor.rs
+++ b/crates/core/src/replication/acceptor.rs
@@ -155,9 +155,12 @@
             Operation::Seal(next) => transfer::seal(storage, shard, record, next),
             Operation::ReadState(from) => transfer::read_state(storage, shard, &record.position, from),
             Operation::ReadDecided(from) => read_decided(storage, shard, &record, from),
-            // A sealed replica promises too: whoever brings the next set into force in order to take the shard over is
-            // known by its ballot meanwhile. A promise only excludes others; nothing is accepted under it here.
-            Operation::Prepare(ballot) => self.prepare(storage, shard, record, ballot),
+            // A sealed replica promises nothing, since the next set may not hear of it; it only tells who is ahead.
+            Operation::Prepare(ballot)
+                if self.is_sealed(&record) && !record.position.promised.admits(&ballot) =>
+            {
+                Ok(Outcome::Refused(Refusal::HigherBallot { promised: record.position.promised }))
+            }
             operation => match self.active(&record) {
                 Err(refusal) => Ok(Outcome::Refused(refusal)),
                 Ok(()) => self.operate_active(storage, now_unix_ms, shard, record, operation),
@@ -174,6 +177,7 @@
         operation: Operation,
     ) -> Result<Outcome, S::Error> {
         match operation {
+            Operation::Prepare(ballot) => self.prepare(storage, shard, record, ballot),
             Operation::Read(read) => self.read(storage, shard, &record, &read),
             Operation::Accept(accept) => self.accept(storage, shard, record, accept),
             Operation::Claim(claim) => self.claim(storage, now_unix_ms, shard, &record, claim),
@@ -198,6 +202,10 @@
         Ok(record)
     }
 
+    fn is_sealed(&self, record: &GroupRecord) -> bool {
+        self.checks.refuse_when_sealed && matches!(record.phase, GroupPhase::Sealed { .. })
+    }
+
     fn active(&self, record: &GroupRecord) -> Result<(), Refusal> {
         match &record.phase {
             GroupPhase::Sealed { next } if self.checks.refuse_when_sealed => {
@@ -270,7 +278,9 @@
         if !entries.is_empty() && !storage.has_room(bytes as u64) {
             return Ok(Outcome::Refused(Refusal::DiskFull));
         }
-        let first = record.position.first();
+        // What was repaired here is decided, though its owner was not promised anything: a late request of the owner before
+        // must not undo it.
+        let first = record.position.first().max(record.position.decided_through.next());
         let numbered = (from.0..).map(LogIndex).zip(&entries);
         for (index, entry) in numbered.filter(|(index, _)| *index >= first) {
             storage.put_entry(shard, index, entry)?;
--- a/crates/core/tests/replication_same_ballot.rs
+++ b/crates/core/tests/replication_same_ballot.rs
@@ -8,13 +8,13 @@
 use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::replication::acceptor::AcceptorChecks;
 use lichenpulley_core::replication::ballot::ProposerId;
-use lichenpulley_core::replication::entry::LogIndex;
-use lichenpulley_core::replication::message::{Operation, ReplicaResponse, TransferId};
+use lichenpulley_core::replication::entry::{LogIndex, Payload};
+use lichenpulley_core::replication::message::{Accept, Operation, Outcome, ReplicaResponse, TransferId};
 use lichenpulley_core::replication::proposer::{
     EndReason, Proposer, ProposerChecks, ProposerConfig, ProposerEvent, Transmit,
 };
 use lichenpulley_core::replication::reconfigurer::{ChangeOwner, Reconfigurer, ReconfigurerEvent};
-use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
 use lichenpulley_core::time::Timestamp;
 use proptest::prelude::{any, prop_assert, prop_assert_eq, proptest};
 use replication_support::{Stores, first_set, without_c};
@@ -302,6 +302,71 @@
     assert!(late_owner_is_acknowledged(false));
 }
 
+/// `c` missed the second owner and was repaired since; a late request of the first owner, whom alone it promised, comes.
+#[test]
+fn a_late_request_does_not_undo_what_was_repaired() {
+    let mut stores = Stores::new(&["a", "b", "c"]);
+    let mut first = Owner::new("first", &first_set(), ProposerChecks::default());
+    first.run(&mut stores);
+    let late = Operation::Accept(Accept {
+        ballot: first.proposer.ballot().clone(),
+        from: LogIndex(2),
+        payloads: vec![Payload::Record { origin: first.proposer.epoch(), bytes: b"late".to_vec() }],
+        decided_through: LogIndex(1),
+        truncate_before: LogIndex::ZERO,
+    });
+    stores.reach(&["a", "b"]);
+    let mut second = Owner::new("second", &first_set(), ProposerChecks::default());
+    second.run(&mut stores);
+    second.append();
+    second.run(&mut stores);
+    stores.reach(&["a", "b", "c"]);
+    let set = first_set();
+    let decided = stores.ask(&set, "a", Operation::ReadDecided(LogIndex(1)));
+    let Outcome::Decided { entries, .. } = decided else { panic!("{decided:?}") };
+    let (acceptor, storage) = stores.acceptors.get_mut(&StoreId::new("c")).expect("a store");
+    let Ok(_) = acceptor.repair(storage, &set.shard, set.generation, entries);
+    stores.ask(&set, "c", late);
+    stores.reach(&["b", "c"]);
+    let mut third = Owner::new("third", &set, ProposerChecks::default());
+    third.run(&mut stores);
+    assert!(!third.found.contains(&b"late".to_vec()), "{:?}", third.found);
+    assert_eq!(third.found.len(), 3);
+}
+
+/// A store that is sealed must not count as having promised: what a majority sealed before, the owner goes on without
+/// hearing of the promise.
+#[test]
+fn what_an_owner_got_acknowledged_in_the_next_set_is_kept_though_another_asked_sealed_stores() {
+    let mut stores = four_stores();
+    // `c` stays behind, so that there is nothing to be read from it.
+    stores.reach(&["a", "b"]);
+    let mut first = owner_that_chose(&mut stores, ProposerChecks::default());
+    while first.change.is_none() {
+        let transmit = first.poll().expect("the choice is not decided");
+        stores.answer(transmit.request).into_iter().for_each(|response| first.step(response));
+    }
+    // `b` hears that the choice is decided: nothing has to be accepted again.
+    let accept = Accept {
+        ballot: first.proposer.ballot().clone(),
+        from: LogIndex(3),
+        payloads: Vec::new(),
+        decided_through: LogIndex(2),
+        truncate_before: LogIndex::ZERO,
+    };
+    stores.ask(&first_set(), "b", Operation::Accept(accept));
+    stores.reach(&["a", "c", "d"]);
+    first.now = first.now + RETRANSMIT_AFTER;
+    first.run(&mut stores);
+    assert!(first.acknowledged.contains(&b"first 2".to_vec()));
+    stores.reach(&["b", "c"]);
+    let mut successor = Owner::new("second", &first_set(), ProposerChecks::default());
+    successor.run(&mut stores);
+    stores.reach(&["b", "d"]);
+    successor.run(&mut stores);
+    assert_eq!(found_afterwards(&mut stores)[..2], first.acknowledged);
+}
+
 proptest! {
     /// Two owners, both with the change in hand, in any order, with lost and late messages and a restart of the first.
     #[test]
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -325,7 +325,7 @@
 
     /// Finishes a change of the replica set that stopped this take-over. `None` where there was none.
     ///
-    /// The sealed stores that promised hear meanwhile that this node is at work, so that no other begins the same.
+    /// Stores that promised hear meanwhile that this node is at work, so that no other begins the same.
     async fn follow_replacement(&mut self) -> Option<()> {
         let next = self.replaced_by.take()?;
         let (context, set) = (&self.context, self.proposer.set());
