Test a region with too few stores for any log

Cause: the test of refusals had two stores in the region that is too small, which a smaller log may do with.

Change: one store stands there.

--- a/crates/lab/tests/platform_regions/mod.rs
+++ b/crates/lab/tests/platform_regions/mod.rs
@@ -17,7 +17,7 @@
 
 /// The region of the zones of gateways 0 and 1, replicas 0 and 1, and stores 0, 1, 3 and 4.
 const WEST: &str = "selangor";
-/// The region of the zone of gateway 2, replica 2, and stores 2 and 5: too few for a log.
+/// The region of the zone of gateway 2, replica 2, and store 2: too few for a log.
 const EAST: &str = "melaka";
 /// A body that no store holds by chance.
 const MARK: &str = "a body that stays in its region";
@@ -45,10 +45,10 @@
     configuration
 }
 
-/// Two regions of which the one has four stores and two gateways, the other two stores and one gateway.
+/// Two regions of which the one has four stores and two gateways, the other one store and one gateway.
 async fn start(events: u64) -> System {
     let mut system = System::in_regions(zones(), 3, events).await;
-    for number in 3..6 {
+    for number in 3..5 {
         system.folders.push(TempDir::new().expect("a folder"));
         system.start_store(number).await;
     }
@@ -67,7 +67,7 @@
         for gateway in system.gateways.iter().flatten() {
             let version = || gateway.context().metadata.routes.load().as_ref().map(|table| table.version);
             let members = || gateway.context().cluster.load().members.len();
-            while version() != Some(2) || members() < 9 {
+            while version() != Some(2) || members() < 8 {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
@@ -146,11 +146,7 @@
     first.await.expect("items run");
     let (owner, stores) = western_shard(&system).await;
     assert!(owner < 2, "the owner stands in the region");
-    assert!(
-        stores.len() == 3
-            && !stores.contains(&"store-2".to_owned())
-            && !stores.contains(&"store-5".to_owned())
-    );
+    assert!(stores.len() == 3 && !stores.contains(&"store-2".to_owned()), "{stores:?}");
     system.gateways[owner].take().expect("the owner").kill();
     for gateway in [2, 1 - owner] {
         let results = system.results(gateway, "job").await;
@@ -162,8 +158,8 @@
     let items: Vec<usize> = system.replicas.iter().map(|replica| seen_by(replica, "job-")).collect();
     assert!(items[0] + items[1] >= 12 && items[2] == 0, "{items:?}");
     let keepers: Vec<usize> =
-        (0..6).filter(|store| holds(system.folders[*store].path(), MARK.as_bytes())).collect();
-    assert!(keepers.len() >= 2 && !keepers.contains(&2) && !keepers.contains(&5), "{keepers:?}");
+        (0..5).filter(|store| holds(system.folders[*store].path(), MARK.as_bytes())).collect();
+    assert!(keepers.len() >= 2 && !keepers.contains(&2), "{keepers:?}");
     let ended = system.call(2, Method::DELETE, "/-/lots/job", &[], "").await;
     assert_eq!(ended.status, StatusCode::OK);
     assert_eq!(system.call(2, Method::GET, "/-/lots/nothing", &[], "").await.status, StatusCode::NOT_FOUND);
@@ -199,7 +195,7 @@
     assert!(system.replicas.iter().all(|replica| seen_by(replica, "refused") == 0));
     let document = regions(&system, 0).await;
     let east = document.regions.iter().find(|status| status.region == EAST).expect("a region");
-    assert_eq!((east.nodes, east.coordinators, east.stores, east.replicas), (3, 1, 2, 1));
+    assert_eq!((east.nodes, east.coordinators, east.stores, east.replicas), (2, 1, 1, 1));
     let lacks = |shard: &&BatchShardStatus| shard.regions == EAST && shard.shortage.is_some();
     assert!(document.shards.iter().any(|shard| lacks(&shard)), "{:?}", document.shards);
     let refused = |status: &RegionRefusals| (status.regions.clone(), status.reason.clone(), status.count);
