Say in the log which allowed regions hold no zone

Cause: a slip in allowed_regions showed only in refusals.

Change: when a configuration comes, each node names the regions of routes and tenants in which no zone lies.

Result: a test of the names; the core's tests of regions pass.

--- a/crates/core/src/batch/regional.rs
+++ b/crates/core/src/batch/regional.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use crate::identity::{RegionName, ShardId};
-use crate::ingress::places::AllowedRegions;
+use crate::ingress::places::{AllowedRegions, ZoneMap};
 use crate::ingress::routes::{RouteKind, RouteTable};
 
 /// The shard of the jobs that may be kept anywhere.
@@ -46,6 +46,15 @@
     sets.filter(|regions| !regions.is_all() && !regions.is_nowhere()).collect()
 }
 
+/// Regions that routes or tenants name and that hold no zone: nothing is served or kept there.
+pub fn unknown_regions<'a>(routes: &'a RouteTable, zones: &ZoneMap) -> BTreeSet<&'a RegionName> {
+    let tenants = routes.tenants.as_ref().map_or(&[][..], |directory| directory.tenants());
+    let of_tenants = tenants.iter().flat_map(|tenant| tenant.regions.named());
+    let named = routes.routes.iter().flat_map(|route| route.regions.named()).chain(of_tenants);
+    let known = zones.regions();
+    named.filter(|region| !known.contains(region)).collect()
+}
+
 /// The name with every sign that is no letter, digit or hyphen as its number, so that names can be told apart again.
 fn escape(name: &str) -> String {
     let is_plain = |sign: char| sign.is_ascii_alphanumeric() || sign == '-';
--- a/crates/core/tests/regions.rs
+++ b/crates/core/tests/regions.rs
@@ -8,7 +8,7 @@
 use batch_support::{Bench, at, job, replica, routes, scored_job, scorer_replica, table};
 use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd};
 use lichenpulley_core::batch::ledger::Ledger;
-use lichenpulley_core::batch::regional::{bound_sets, regions_of, shard_of};
+use lichenpulley_core::batch::regional::{bound_sets, regions_of, shard_of, unknown_regions};
 use lichenpulley_core::batch::score_plan::ScoreEnd;
 use lichenpulley_core::identity::{RegionName, TenantName};
 use lichenpulley_core::ingress::places::{AllowedRegions, ZoneMap};
@@ -89,6 +89,14 @@
     assert!(regions_of(&shard_of(&AllowedRegions::all())).is_all());
 }
 
+#[test]
+fn a_region_without_a_zone_is_told() {
+    let table = bound(&regions(&["east", "atlantis"]), &regions(&["west"]), &regions(&["lemuria"]));
+    let unknown: Vec<&str> = unknown_regions(&table, &zones()).into_iter().map(RegionName::as_str).collect();
+    assert_eq!(unknown, ["atlantis", "lemuria"]);
+    assert!(unknown_regions(&routes(false), &zones()).is_empty());
+}
+
 /// What happens to an owner.
 #[derive(Clone, Debug)]
 enum Event {
--- a/crates/daemon/src/batch/regional_jobs.rs
+++ b/crates/daemon/src/batch/regional_jobs.rs
@@ -61,6 +61,9 @@
     }
 
     fn take_part(&self, table: &RouteTable) {
+        for region in regional::unknown_regions(table, &self.context.settings.places.zones) {
+            log::warn!(target: "batch", "`allowed_regions` names {region}, where no zone of `places.zones` lies: what is bound to it alone is refused.");
+        }
         let sets = regional::bound_sets(table);
         let count = sets.len();
         if count > MOST_SHARDS {
