Let the tests of silent stores begin once the node's watches stand

Cause: with the mechanisms off, the test of a node that the store turns away and that of a lost watch still passed: the node had not begun to watch, and its first reading failed and asked a peer.

Change: the stand-in tells how many watches of a kind wait; the tests begin once each gateway's does.

--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -39,6 +39,8 @@
     condition: Mutex<Condition>,
     /// A kind of which it says nothing.
     silent_kind: Mutex<Option<String>>,
+    /// The kinds of the watches that wait.
+    waiting: Mutex<Vec<String>>,
     changed: Notify,
 }
 
@@ -59,6 +61,7 @@
         objects: Mutex::default(),
         condition: Mutex::default(),
         silent_kind: Mutex::default(),
+        waiting: Mutex::default(),
         changed: Notify::new(),
     });
     let answering = Arc::clone(&shared);
@@ -91,6 +94,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// How many watches of a kind wait for a change.
+    pub fn waiting_watches(&self, kind: &str) -> usize {
+        let waiting = self.shared.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.iter().filter(|waiting| *waiting == kind).count()
+    }
+
     /// Says nothing of this kind from now on; all else is answered.
     pub fn set_silent_kind(&self, kind: Option<&str>) {
         let mut silent = self.shared.silent_kind.lock().unwrap_or_else(PoisonError::into_inner);
@@ -103,6 +112,28 @@
     }
 }
 
+/// A watch that waits, until it is answered or dropped.
+struct WaitingWatch<'a> {
+    shared: &'a Shared,
+    kind: &'a str,
+}
+
+impl<'a> WaitingWatch<'a> {
+    fn begin(shared: &'a Shared, kind: &'a str) -> Self {
+        shared.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(kind.to_owned());
+        Self { shared, kind }
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.shared.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(position) = waiting.iter().position(|waiting| waiting == self.kind) {
+            waiting.swap_remove(position);
+        }
+    }
+}
+
 impl Shared {
     fn objects(&self) -> std::sync::MutexGuard<'_, Objects> {
         self.objects.lock().unwrap_or_else(PoisonError::into_inner)
@@ -164,6 +195,7 @@
         let list = List { items: objects.list(kind), has_more: false, at: objects.revision() };
         return http::json(StatusCode::OK, &list);
     };
+    let _waiting = WaitingWatch::begin(shared, kind);
     let wait_ms = parameter(request, "wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
     let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
--- a/crates/lab/tests/platform_evacuations/mod.rs
+++ b/crates/lab/tests/platform_evacuations/mod.rs
@@ -58,9 +58,10 @@
     settings.configuration.watch_hold = ENDLESS;
     system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
     system.call_until(StatusCode::OK, number, "/read/warm").await;
-    // Until it has settled and watches.
-    until(|| system.gateways.iter().flatten().all(|node| node.context().cluster.load().members.len() == 6))
-        .await;
+    // Its watches stand, beside those of the others.
+    for kind in [objects::REPLICAS, objects::EVACUATIONS] {
+        until(|| system.platform.waiting_watches(kind) == system.gateways.len()).await;
+    }
     proxy
 }
 
