Say of a copied member only what it holds, and let sets grow by a majority of the old one

Cause: three faults found by the review of the change of stores. (1) A member that was copied from one which works on was said to hold all that this one, or the owner, knew to be decided, also what lay in no page: a gap under its mark, which a takeover reads as damage and the next change may copy. (2) A copying that started over under the same id took its first page for one that had come before. (3) A set that grows from three to four asked for sealed sources that are a majority of four, while the driver seals a majority of three: no install was ever accepted, and growth ended only through the joining store's own repair, or not at all where one of the old members was lost.

Change: with an installed member as the source, nothing beyond its base is called decided; each pass of a copying has an id of its own; an install names how many members the set before had, and a majority of these must be among the sealed sources. A change that ends superseded is a decision, as elsewhere.

Ruled out: taking an older bound on what acceptors overwrite back; it keeps decided entries from late requests.

--- a/crates/core/src/replication/copy_target.rs
+++ b/crates/core/src/replication/copy_target.rs
@@ -16,6 +16,8 @@
     /// Sources that are done.
     done: Vec<CopiedSource>,
     skip_copying: bool,
+    /// Which pass of the copying this is.
+    pass: u64,
 }
 
 enum Step {
@@ -36,6 +38,7 @@
             number: 0,
             done: Vec::new(),
             skip_copying: false,
+            pass: 0,
         }
     }
 }
@@ -43,7 +46,8 @@
 impl CopyTarget {
     /// Begins again, not before `retry_at`.
     pub(super) fn restart(&mut self, retry_at: Option<Timestamp>) {
-        *self = Self { retry_at, skip_copying: self.skip_copying, ..Self::default() };
+        let (skip_copying, pass) = (self.skip_copying, self.pass + 1);
+        *self = Self { retry_at, skip_copying, pass, ..Self::default() };
     }
 
     pub(super) fn skip_copying(&mut self, skip: bool) {
@@ -63,6 +67,7 @@
         transfer: &TransferId,
     ) -> Option<(StoreId, Generation, Operation)> {
         self.skip_own(own, sources);
+        let transfer = &transfer.pass(self.pass);
         let Some(source) = sources.stores.get(self.source) else {
             let install = self.install(sources, set, transfer);
             return Some((own.clone(), set.generation, Operation::Install(install)));
@@ -140,6 +145,7 @@
             set: set.clone(),
             transfer: transfer.clone(),
             basis: sources.basis,
+            old_members: sources.old_members,
             sources: self.done.clone(),
             position: sources.position(),
         }
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -132,6 +132,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
 pub struct TransferId(pub String);
 
+impl TransferId {
+    /// The id of one pass of this copying. What an earlier pass brought is no page of a later one, whose sources may differ.
+    #[must_use]
+    pub fn pass(&self, number: u64) -> Self {
+        Self(format!("{}/{number}", self.0))
+    }
+
+    /// Whether this is a pass of `whole`.
+    pub fn is_pass_of(&self, whole: &Self) -> bool {
+        self.0.rsplit_once('/').is_some_and(|(copying, _)| copying == whole.0)
+    }
+}
+
 /// A page for a member of the next generation.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct CopyPage {
@@ -156,6 +169,8 @@
     pub transfer: TransferId,
     /// What was copied.
     pub basis: InstallBasis,
+    /// Members of the set before: a majority of them must be among sealed sources.
+    pub old_members: u64,
     /// How many pages came from each source.
     pub sources: Vec<CopiedSource>,
     /// The highest ballot, the latest positions and the claims' horizon among the sources.
@@ -167,7 +182,8 @@
 pub enum InstallBasis {
     /// The sources are a majority of the sealed set: any majority that decided something shares a member with it.
     SealedMajority,
-    /// The source was itself installed in the next generation, where nothing can be decided before a majority is.
+    /// The source takes part in the next generation, installed there or begun by its owner. What it knows to be decided
+    /// beyond its pages is not taken over from it.
     InstalledMember,
 }
 
--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -118,6 +118,8 @@
     pub(super) generation: Generation,
     pub(super) stores: Vec<StoreId>,
     pub(super) positions: BTreeMap<StoreId, LogPosition>,
+    /// Members of the set that was sealed.
+    pub(super) old_members: u64,
     /// What the owner knows to be decided; among the pages of a majority there is all of it.
     pub(super) known_decided: LogIndex,
 }
@@ -136,10 +138,15 @@
         PagePosition::Entries(decided.next())
     }
 
-    /// The later of each mark of the sources.
+    /// The later of each mark of the sources, as far as their pages hold what it speaks of. A member of the next set works
+    /// on while it is copied: what it knows to be decided may lie in no page, and is learnt from the owner instead.
     pub(super) fn position(&self) -> LogPosition {
-        let known = LogPosition { decided_through: self.known_decided, ..LogPosition::default() };
-        self.positions.values().cloned().fold(known, LogPosition::merged)
+        let merged = self.positions.values().cloned().fold(LogPosition::default(), LogPosition::merged);
+        let decided_through = match self.basis {
+            InstallBasis::SealedMajority => merged.decided_through.max(self.known_decided),
+            InstallBasis::InstalledMember => merged.base.previous(),
+        };
+        LogPosition { decided_through, ..merged }
     }
 }
 
@@ -171,7 +178,7 @@
     /// Begins to bring in members of `set` that have not been installed while the others have.
     pub fn catch_up(set: ReplicaSet, transfer: TransferId, retransmit_after: Duration) -> Self {
         let before = Generation(set.generation.0.saturating_sub(1));
-        // No member takes part in the generation before: those that answer are installed.
+        // Those that are installed are copied from; those that are not yet may be sealed in the generation before.
         let old = ReplicaSet { generation: before, ..set.clone() };
         let catch_up = Self::new(old, set, transfer, retransmit_after);
         Self { may_begin_old: false, ..catch_up }
@@ -225,7 +232,7 @@
             Outcome::Sealed { next, position } if next == self.next => self.after_seal(&store, position),
             Outcome::Begun => self.begun(&store),
             Outcome::StatePage { from, page } => self.page_read(&store, response.generation, &from, &page),
-            Outcome::Copied { transfer, source, next } if transfer == self.transfer => {
+            Outcome::Copied { transfer, source, next } if transfer.is_pass_of(&self.transfer) => {
                 self.copied(&store, &source, next);
             }
             Outcome::Installed(generation) if generation == self.next.generation => {
@@ -325,7 +332,8 @@
             InstallBasis::InstalledMember => BTreeMap::new(),
         };
         let known_decided = self.owner.as_ref().map(|owner| owner.decided_through).unwrap_or_default();
-        self.sources = Some(Sources { basis, generation, stores, positions, known_decided });
+        let old_members = self.old.members.len() as u64;
+        self.sources = Some(Sources { basis, generation, stores, positions, old_members, known_decided });
         for target in self.targets.values_mut() {
             target.restart(None);
             target.skip_copying(!self.checks.copy);
--- a/crates/core/src/replication/transfer.rs
+++ b/crates/core/src/replication/transfer.rs
@@ -7,7 +7,6 @@
 use super::message::{
     CopiedSource, CopyPage, Install, InstallBasis, Outcome, PagePosition, Refusal, StatePage, TransferId,
 };
-use super::quorum::majority;
 use super::replica_set::{ReplicaSet, StoreId};
 use super::storage::ShardStorage;
 use crate::identity::ShardId;
@@ -200,8 +199,9 @@
     let is_self = |source: &CopiedSource| &source.store == store && record.phase != GroupPhase::Joining;
     let complete = install.sources.iter().all(|source| is_self(source) || arrived(source));
     let needed = match install.basis {
-        InstallBasis::SealedMajority => majority(install.set.members.len()),
+        // A set that grows has a greater majority than the one before, of which a majority was sealed.
+        InstallBasis::SealedMajority => install.old_members / 2 + 1,
         InstallBasis::InstalledMember => 1,
     };
-    complete && install.sources.len() >= needed
+    complete && install.sources.len() as u64 >= needed
 }
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -226,6 +226,8 @@
     }
 
     fn superseded(&self, highest: Epoch) -> ShardLogError {
+        let decision = Decision::new(Component::Replication, "superseded", "higher_epoch", &self.shard);
+        self.context.decisions.record(decision.with("epoch", self.epoch()).with("highest", highest));
         ShardLogError::Superseded { shard: self.shard.clone(), highest }
     }
 
@@ -432,13 +434,7 @@
 
     fn ended(&mut self, reason: EndReason) -> ShardLogError {
         match reason {
-            EndReason::Superseded { highest } => {
-                let decision =
-                    Decision::new(Component::Replication, "superseded", "higher_epoch", &self.shard);
-                let decision = decision.with("epoch", self.epoch()).with("highest", highest);
-                self.context.decisions.record(decision);
-                ShardLogError::Superseded { shard: self.shard.clone(), highest }
-            }
+            EndReason::Superseded { highest } => self.superseded(highest),
             EndReason::Replaced { next } => {
                 log::info!(target: "store", "Shard {}: generation {} follows.", self.shard, next.generation);
                 self.replaced_by = Some(next);
