Log what a request has in common with its repeats, and how a send ended

Cause: the incident's logs name the id of a try only, so that one request sent again can't be told from several; and a connection that closed reads the same as a time that was over. Change: decisions on requests and runs carry a fingerprint of method, host, path, tenant and body; a send that ran out of time is timed_out, no longer broken; streams tell when they break off and are given up. Sends are decided as before.

--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -230,6 +230,7 @@
             .with("batch", batch)
             .with("replica", &replica.id)
             .with("run", run.0)
+            .with("fingerprint", request.fingerprint(&host, tenant.as_ref()))
             .with("after_event", last_event.map_or_else(|| "none".to_owned(), |number| number.to_string()));
         self.decide(decision);
         let start =
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -3,6 +3,7 @@
 use speedy::{Readable, Writable};
 
 use crate::identity::{BatchId, TenantName};
+use crate::quarantine::{Fingerprint, RequestContent};
 
 /// A request that scores an item's text once it is whole. The signature of its successful answer is the score.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -40,6 +41,29 @@
     pub scorer: Option<ScoreRequest>,
 }
 
+/// The method with which items and score requests are sent.
+const METHOD: &str = "POST";
+
+impl ScoreRequest {
+    /// What it has in common with the same request sent again.
+    pub fn fingerprint(&self, tenant: Option<&TenantName>) -> Fingerprint {
+        Fingerprint::of(&RequestContent {
+            method: METHOD,
+            host: &self.host,
+            path: &self.path,
+            tenant,
+            body: &self.body,
+        })
+    }
+}
+
+impl BatchItem {
+    /// What all its runs have in common, in a job that came under this host from this tenant.
+    pub fn fingerprint(&self, host: &str, tenant: Option<&TenantName>) -> Fingerprint {
+        Fingerprint::of(&RequestContent { method: METHOD, host, path: &self.path, tenant, body: &self.body })
+    }
+}
+
 /// A batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct BatchJob {
--- a/crates/core/src/ingress/attempts.rs
+++ b/crates/core/src/ingress/attempts.rs
@@ -15,8 +15,10 @@
     Answered,
     /// A whole answer that says that the replica failed.
     Failed,
-    /// No whole answer: the request may have run.
+    /// The connection ended before a whole answer, or another answer came on it: the request may have run.
     Broken,
+    /// No whole answer in the time that the replica was given: the request may have run.
+    TimedOut,
 }
 
 impl SendOutcome {
@@ -29,6 +31,7 @@
             Self::Answered => "answered",
             Self::Failed => "failed",
             Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
         }
     }
 }
@@ -81,7 +84,7 @@
             SendOutcome::Answered => return Next::Answer,
             SendOutcome::NotSent | SendOutcome::Withheld => self.unsent += 1,
             SendOutcome::Rejected => self.sends += 1,
-            SendOutcome::Failed | SendOutcome::Broken => {
+            SendOutcome::Failed | SendOutcome::Broken | SendOutcome::TimedOut => {
                 self.sends += 1;
                 self.may_have_run = true;
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod identity;
 pub mod ingress;
 pub mod membership;
+pub mod quarantine;
 pub mod relay;
 pub mod replication;
 pub mod request;
--- /dev/null
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -0,0 +1,75 @@
+//! What makes two requests the same one.
+
+use std::fmt;
+use std::str::FromStr;
+
+use sha2::{Digest, Sha256};
+
+use crate::identity::TenantName;
+
+/// Bytes of the digest that are kept: two requests of a day share them by chance less than once in 10^30.
+const LENGTH_BYTES: usize = 16;
+
+/// The digest of a request's method, host, path with query, tenant and body. A request that comes again, with another id, at
+/// another node or as another run, has the same one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint([u8; LENGTH_BYTES]);
+
+/// What a fingerprint is of.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host by which its route was found, without a port, in lower case.
+    pub host: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Who sent it, where callers have keys.
+    pub tenant: Option<&'a TenantName>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let tenant = content.tenant.map_or("", TenantName::as_str);
+        let mut hasher = Sha256::new();
+        for part in [content.method, content.host, content.path, tenant].map(str::as_bytes) {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(content.body);
+        let digest = hasher.finalize();
+        let mut kept = [0; LENGTH_BYTES];
+        kept.copy_from_slice(&digest[..LENGTH_BYTES]);
+        Self(kept)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a fingerprint has {} hexadecimal digits; copy it from `lichenpulley quarantine`", LENGTH_BYTES * 2)]
+pub struct FingerprintError;
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != LENGTH_BYTES * 2 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(FingerprintError);
+        }
+        let mut bytes = [0; LENGTH_BYTES];
+        for (position, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[position * 2..position * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| FingerprintError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -62,6 +62,7 @@
         Just(SendOutcome::Rejected),
         Just(SendOutcome::Failed),
         Just(SendOutcome::Broken),
+        Just(SendOutcome::TimedOut),
     ]
 }
 
@@ -77,7 +78,10 @@
         let (mut sends, mut may_have_run) = (0, 0);
         for outcome in outcomes {
             sends += u32::from(!matches!(outcome, SendOutcome::NotSent | SendOutcome::Withheld));
-            may_have_run += u32::from(matches!(outcome, SendOutcome::Failed | SendOutcome::Broken));
+            may_have_run += u32::from(matches!(
+                outcome,
+                SendOutcome::Failed | SendOutcome::Broken | SendOutcome::TimedOut
+            ));
             prop_assert!(sends <= max_sends);
             prop_assert!(is_repeatable || may_have_run <= 1);
             match attempts.after(outcome, LONG) {
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -12,6 +12,7 @@
 use lichenpulley_core::ingress::attempts::{Attempts, Next, SendOutcome};
 use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
+use lichenpulley_core::quarantine::{Fingerprint, RequestContent};
 use lichenpulley_platform::headers as names;
 use tokio::time::Instant;
 
@@ -44,6 +45,8 @@
     pub(super) caller: Caller,
     /// Where it may be served.
     pub(super) regions: AllowedRegions,
+    /// What it has in common with the same request sent again.
+    pub(super) fingerprint: Fingerprint,
     /// When it was read whole.
     began: Instant,
     /// The version of the configuration by which it was routed.
@@ -60,6 +63,7 @@
         request: Request<Incoming>,
     ) -> Result<Self, Response<Body>> {
         let began = Instant::now();
+        let host = headers::host(&request);
         let (parts, body) = request.into_parts();
         let request_id = headers::text(&parts.headers, names::REQUEST_ID).map(str::to_owned);
         let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, request_id.as_deref());
@@ -70,8 +74,26 @@
             return Err(refuse(Refusal::NoReplica));
         };
         let regions = table.allowed_regions(route, caller.tenant());
+        let fingerprint = Fingerprint::of(&RequestContent {
+            method: parts.method.as_str(),
+            host: &host,
+            path: path_and_query(&parts.uri),
+            tenant: caller.tenant(),
+            body: &body,
+        });
         let (began, configuration) = (Instant::now(), table.version);
-        Ok(Self { parts, body, request_id, limit, service, caller, regions, began, configuration })
+        Ok(Self {
+            parts,
+            body,
+            request_id,
+            limit,
+            service,
+            caller,
+            regions,
+            fingerprint,
+            began,
+            configuration,
+        })
     }
 
     pub(super) fn remaining(&self) -> Duration {
@@ -103,7 +125,8 @@
             .with("sends", sends)
             .with("milliseconds", visit.began.elapsed().as_millis())
             .with("remaining_ms", self.remaining().as_millis())
-            .with("configuration", self.configuration);
+            .with("configuration", self.configuration)
+            .with("fingerprint", self.fingerprint);
         let is_bound = !self.regions.is_all();
         let decision = if is_bound { decision.with("regions", &self.regions) } else { decision };
         ingress.context.decisions.record(decision);
@@ -124,10 +147,13 @@
     }
 }
 
+fn path_and_query(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
 /// Path and query alone, as a server that is asked directly expects them.
 fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_default()
+    path_and_query(uri).parse().unwrap_or_default()
 }
 
 /// Reads a body whole. Of one that is too long the rest is read and dropped, within bounds: a connection that is closed
@@ -260,7 +286,7 @@
         }
         Err(_) => {
             visit.was_silent();
-            return (SendOutcome::Broken, None);
+            return (SendOutcome::TimedOut, None);
         }
     };
     let (outcome, answer) = read_answer(ingress, call, visit, exchange, limit).await;
@@ -284,9 +310,16 @@
     }
     let is_own = headers::echoes(&head.headers, call.request_id.as_deref());
     let body = tokio::time::timeout_at(limit, Limited::new(body, ANSWER_LIMIT_BYTES).collect()).await;
-    let Ok(Ok(body)) = body else {
-        visit.was_silent();
-        return (SendOutcome::Broken, None);
+    let body = match body {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => {
+            visit.was_silent();
+            return (SendOutcome::Broken, None);
+        }
+        Err(_) => {
+            visit.was_silent();
+            return (SendOutcome::TimedOut, None);
+        }
     };
     if !is_own {
         return (SendOutcome::Broken, None);
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -87,7 +87,10 @@
             (Next::TryAnother, _) => {
                 call.record(ingress, &visit, "tried_another", outcome.as_str(), tried.len())
             }
-            (next, _) => return call.refuse(ingress, refusal(next)),
+            (next, _) => {
+                call.record(ingress, &visit, "given_up", outcome.as_str(), tried.len());
+                return call.refuse(ingress, refusal(next));
+            }
         }
     }
 }
@@ -116,10 +119,14 @@
             visit.was_silent();
             return (SendOutcome::NotSent, None);
         }
-        Ok(Err(SendError::Broken)) | Err(_) => {
+        Ok(Err(SendError::Broken)) => {
             visit.was_silent();
             return (SendOutcome::Broken, None);
         }
+        Err(_) => {
+            visit.was_silent();
+            return (SendOutcome::TimedOut, None);
+        }
     };
     let fields = exchange.response.headers();
     if let Some(busy) = headers::reported_busy(fields) {
@@ -168,7 +175,10 @@
     loop {
         match pass_events(&mut stream, &pieces, &mut last_event).await {
             StreamEnd::Whole | StreamEnd::CallerGone => return,
-            StreamEnd::Broken => {}
+            StreamEnd::Broken => {
+                let sends = stream.tried.len();
+                stream.call.record(&ingress, &stream.visit, "stream_broken", "broken", sends);
+            }
         }
         if !resume(&ingress, &mut stream, last_event, &pieces).await {
             // An error breaks the connection off, so that a part is not taken for the whole.
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -60,6 +60,8 @@
     pub pause: Duration,
     /// Its models.
     pub models: BTreeMap<String, u64>,
+    /// The body of requests under which it ends, like a process that crashes.
+    pub ends_on: Option<Bytes>,
 }
 
 struct State {
@@ -70,6 +72,8 @@
     /// Streams whose reader left before their end.
     abandoned: u64,
     cold: Option<Cold>,
+    /// None once it has ended.
+    server: Option<Server>,
 }
 
 /// A replica that bears little for a while.
@@ -121,7 +125,6 @@
     /// Where it answers.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    _server: Server,
 }
 
 /// Starts a replica on a free loopback port.
@@ -129,13 +132,31 @@
 /// # Errors
 /// When no port can be had.
 pub async fn start(plan: Plan) -> Result<Replica, LabError> {
+    start_at(SocketAddr::from(([127, 0, 0, 1], 0)), plan).await
+}
+
+/// Starts a replica at an address, such as that of an earlier life.
+///
+/// # Errors
+/// When the address can't be had.
+pub async fn start_at(address: SocketAddr, plan: Plan) -> Result<Replica, LabError> {
     let behaviour = Behaviour::Well;
-    let state = State { plan, behaviour, seen: Vec::new(), orders: Vec::new(), abandoned: 0, cold: None };
+    let state = State {
+        plan,
+        behaviour,
+        seen: Vec::new(),
+        orders: Vec::new(),
+        abandoned: 0,
+        cold: None,
+        server: None,
+    };
     let state = Arc::new(Mutex::new(state));
     let answering = Arc::clone(&state);
     let handler = move |request| answer(Arc::clone(&answering), request);
-    let server = http::serve(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await?;
-    Ok(Replica { address: server.address, state, _server: server })
+    let server = http::serve(address, handler).await?;
+    let address = server.address;
+    lock(&state).server = Some(server);
+    Ok(Replica { address, state })
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
@@ -159,6 +180,16 @@
         lock(&self.state).cold.as_ref().is_some_and(|cold| cold.has_fallen)
     }
 
+    /// Ends, like a process that crashes: its connections close, and new ones are refused.
+    pub fn end(&self) {
+        end(&self.state);
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        lock(&self.state).server.is_none()
+    }
+
     /// Requests that it began to run, in order.
     pub fn seen(&self) -> Vec<SeenRequest> {
         lock(&self.state).seen.clone()
@@ -186,6 +217,18 @@
     }
 }
 
+impl Drop for Replica {
+    fn drop(&mut self) {
+        // The handler of the server holds the state, and the state the server.
+        self.end();
+    }
+}
+
+fn end(state: &Mutex<State>) {
+    let server = lock(state).server.take();
+    drop(server);
+}
+
 fn models(plan: &Plan) -> Vec<ModelState> {
     plan.models.iter().map(|(name, version)| ModelState { name: name.clone(), version: *version }).collect()
 }
@@ -251,6 +294,11 @@
         return signed(StatusCode::SERVICE_UNAVAILABLE, &seen.id, &[(headers::NOT_RUN, "1")]).into();
     }
     lock(state).seen.push(seen.clone());
+    if plan.ends_on.as_ref() == Some(&seen.body) {
+        tokio::time::sleep(plan.pause).await;
+        end(state);
+        return Reply::Hang;
+    }
     match behaviour {
         Behaviour::LosesAnswers => Reply::Hang,
         Behaviour::Fails => signed(StatusCode::INTERNAL_SERVER_ERROR, &seen.id, &[]).into(),
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -73,7 +73,8 @@
     async fn add_replica(&mut self, number: usize) -> Result<(), LabError> {
         let models = BTreeMap::from([("m".to_owned(), 1)]);
         let id = format!("replica-{number}");
-        let plan = Plan { id: id.clone(), events: EVENTS, pause: Duration::from_millis(20), models };
+        let plan =
+            Plan { id: id.clone(), events: EVENTS, pause: Duration::from_millis(20), models, ends_on: None };
         let replica = platform_replica::start(plan).await?;
         let proxy = LoopbackProxy::bind(replica.address).await?;
         let mut record = replica.record("engines", ZONES[number % ZONES.len()]);
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -158,7 +158,7 @@
     pub(crate) async fn add_replica(&mut self, number: usize, events: u64) {
         let models = BTreeMap::from([("pricing".to_owned(), 1)]);
         let pause = Duration::from_millis(5);
-        let plan = Plan { id: format!("replica-{number}"), events, pause, models };
+        let plan = Plan { id: format!("replica-{number}"), events, pause, models, ends_on: None };
         let replica = platform_replica::start(plan).await.expect("a replica");
         let record = replica.record("engines", ZONES[number % ZONES.len()]);
         self.platform.put(objects::REPLICAS, &format!("replica-{number}"), record);
