Show that one request ends replicas without bound

Change: a test over real nodes: three replicas end under a request, are started anew, and the request comes again at each gateway, one of them freshly started.

--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -180,6 +180,16 @@
         lock(&self.state).cold.as_ref().is_some_and(|cold| cold.has_fallen)
     }
 
+    /// The id of this life.
+    pub fn id(&self) -> String {
+        lock(&self.state).plan.id.clone()
+    }
+
+    /// Events of each stream.
+    pub fn events(&self) -> u64 {
+        lock(&self.state).plan.events
+    }
+
     /// Ends, like a process that crashes: its connections close, and new ones are refused.
     pub fn end(&self) {
         end(&self.state);
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -7,6 +7,7 @@
 mod platform_evacuations;
 mod platform_outline;
 mod platform_placement;
+mod platform_quarantine;
 mod platform_regions;
 mod platform_system;
 mod platform_tenants;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) folders: Vec<TempDir>,
     pub(crate) http: HttpClient,
     pub(crate) plan: SystemPlan,
+    /// Replicas that were started anew.
+    lives: usize,
 }
 
 /// In what a system differs from others.
@@ -48,6 +50,8 @@
     pub(crate) duties: Option<PlatformDuties>,
     /// Which region each zone lies in.
     pub(crate) zones: ZoneMap,
+    /// The body of requests under which replicas end.
+    pub(crate) ends_on: Option<Bytes>,
 }
 
 impl Default for SystemPlan {
@@ -59,6 +63,7 @@
             follow_after: Duration::ZERO,
             duties: None,
             zones: ZoneMap::default(),
+            ends_on: None,
         }
     }
 }
@@ -129,6 +134,12 @@
         Self::with_plan(SystemPlan { zones, ..SystemPlan::default() }, replicas, events).await
     }
 
+    /// A system whose replicas end under requests with this body.
+    pub(crate) async fn ending_on(body: &'static str, replicas: usize, events: u64) -> Self {
+        let ends_on = Some(Bytes::from_static(body.as_bytes()));
+        Self::with_plan(SystemPlan { ends_on, ..SystemPlan::default() }, replicas, events).await
+    }
+
     async fn with_plan(plan: SystemPlan, replicas: usize, events: u64) -> Self {
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
@@ -140,6 +151,7 @@
             folders: Vec::new(),
             http: HttpClient::new(Duration::from_secs(1)),
             plan,
+            lives: 0,
         };
         for number in 0..replicas {
             system.add_replica(number, events).await;
@@ -156,15 +168,31 @@
     }
 
     pub(crate) async fn add_replica(&mut self, number: usize, events: u64) {
-        let models = BTreeMap::from([("pricing".to_owned(), 1)]);
-        let pause = Duration::from_millis(5);
-        let plan = Plan { id: format!("replica-{number}"), events, pause, models, ends_on: None };
+        let plan = self.replica_plan(format!("replica-{number}"), events);
         let replica = platform_replica::start(plan).await.expect("a replica");
         let record = replica.record("engines", ZONES[number % ZONES.len()]);
         self.platform.put(objects::REPLICAS, &format!("replica-{number}"), record);
         self.replicas.push(replica);
     }
 
+    fn replica_plan(&self, id: String, events: u64) -> Plan {
+        let models = BTreeMap::from([("pricing".to_owned(), 1)]);
+        Plan { id, events, pause: Duration::from_millis(5), models, ends_on: self.plan.ends_on.clone() }
+    }
+
+    /// Starts a replica that has ended anew, at its address and under a new id, and lists it in place of the old one.
+    pub(crate) async fn revive_replica(&mut self, number: usize) {
+        let ended = &self.replicas[number];
+        let (address, ended_id, events) = (ended.address, ended.id(), ended.events());
+        self.lives += 1;
+        let id = format!("replica-{number}-{}", self.lives);
+        let plan = self.replica_plan(id.clone(), events);
+        let replica = platform_replica::start_at(address, plan).await.expect("its address");
+        self.platform.put(objects::REPLICAS, &id, replica.record("engines", ZONES[number % ZONES.len()]));
+        self.platform.remove(objects::REPLICAS, &ended_id);
+        self.replicas[number] = replica;
+    }
+
     pub(crate) fn settings(&self, name: &str, number: usize) -> Settings {
         let mut settings = Settings::on_loopback(name, ZONES[number % ZONES.len()]);
         if let Some(duties) = &self.plan.duties {
