--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -8,6 +8,7 @@
 
 use getopts::{Matches, Options, ParsingStyle};
 use lichenpulley_core::identity::{JobId, PoolName, ReplicaId, Revision};
+use lichenpulley_core::quarantine::Fingerprint;
 use lichenpulley_protocol::caller::JobSpecification;
 
 use crate::client::Interface;
@@ -84,6 +85,10 @@
     Evacuate(String),
     /// `return ZONE`
     Return(String),
+    /// `quarantine`
+    Quarantine,
+    /// `release FINGERPRINT`
+    Release(Fingerprint),
     /// `account FILE...`
     Account(Account),
     /// `trace ID FILE...`
@@ -202,6 +207,20 @@
         add_options: no_options,
         read: |matches| Ok(Command::Return(one_argument(matches, "ZONE")?)),
     },
+    Syntax {
+        words: &["quarantine"],
+        arguments: "",
+        help: "show which requests a node keeps from all replicas, since replicas ended under them",
+        add_options: no_options,
+        read: |matches| at_most(matches, 0).map(|()| Command::Quarantine),
+    },
+    Syntax {
+        words: &["release"],
+        arguments: "FINGERPRINT",
+        help: "let a request through again that is kept from all replicas",
+        add_options: no_options,
+        read: |matches| read_fingerprint(matches).map(Command::Release),
+    },
     Syntax {
         words: &["account"],
         arguments: "FILE...",
@@ -438,6 +457,11 @@
     arguments.len() >= words.len() && words.iter().zip(arguments).all(|(word, argument)| word == argument)
 }
 
+fn read_fingerprint(matches: &Matches) -> Result<Fingerprint, CliError> {
+    let text = one_argument(matches, "FINGERPRINT")?;
+    Fingerprint::from_str(&text).map_err(|error| CliError::Usage(format!("`{text}`: {error}")))
+}
+
 fn one_argument(matches: &Matches, name: &str) -> Result<String, CliError> {
     match matches.free.as_slice() {
         [argument] => Ok(argument.clone()),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod drain;
 pub mod job;
 pub mod pool;
+pub mod quarantine;
 pub mod regions;
 pub mod replicas;
 pub mod trace;
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -31,6 +31,7 @@
 use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
 use crate::ingress::warmups::Warmups;
+use crate::quarantine::{Fingerprint, Quarantine};
 use crate::time::Timestamp;
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
@@ -74,6 +75,10 @@
     avoid: Option<String>,
     stage: ItemStage,
     score_failures: u32,
+    /// What all its runs have in common, once it was asked for.
+    fingerprint: Option<Fingerprint>,
+    /// Replicas ended under it: it reaches no other.
+    is_held: bool,
 }
 
 impl LiveItem {
@@ -109,6 +114,8 @@
     replicas: BTreeMap<String, ReplicaState>,
     /// What may be sent where.
     gate: AdmissionGate,
+    /// What may be sent nowhere.
+    quarantine: Arc<Quarantine>,
     slowdown: Slowdown,
     loads: LoadPlan,
     scores: ScorePlan,
@@ -157,6 +164,7 @@
             routes: None,
             replicas: BTreeMap::new(),
             gate: AdmissionGate::new(Warmups::of_owner(now)),
+            quarantine: Arc::default(),
             slowdown: Slowdown::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
@@ -294,6 +302,12 @@
         self.work_and_load(now);
     }
 
+    /// Takes the requests that reach no replica from now on.
+    pub fn set_quarantine(&mut self, now: Timestamp, quarantine: Arc<Quarantine>) {
+        self.quarantine = quarantine;
+        self.work(now);
+    }
+
     /// Takes a job.
     pub fn submit(&mut self, now: Timestamp, job: BatchJob) -> Submission {
         if let Some(kept) = self.ledger.job(&job.id) {
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -197,9 +197,13 @@
             if moves >= MOVES_PER_TICK || !self.should_move(now, id, best) {
                 continue;
             }
-            moves += 1;
             let Some(run) = self.runs.get(&id) else { continue };
             let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
+            // Stopped, it could not be started anywhere.
+            if self.is_held(&batch, item) {
+                continue;
+            }
+            moves += 1;
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
             self.decide(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -38,7 +38,7 @@
             let ready = records.filter(|record| record.service == service && !record.is_draining);
             ready.filter(|record| regions.allows_zone(&config.zones, &record.zone)).collect()
         };
-        for start in self.scores.next(&routes, ready, &mut self.gate, now) {
+        for start in self.scores.next(&routes, ready, &mut self.gate, &self.quarantine, now) {
             let decision = Decision::new(Component::Rollout, "score_requested", "whole", &start.request.id);
             let decision = decision.with("replica", &start.replica.id).with("sending", start.id.0);
             self.decide(decision.with("patience_ms", start.patience.as_millis()));
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -191,8 +191,31 @@
         routes.allowed_regions(route, tenant).intersect(&self.config.regions)
     }
 
+    /// Whether an item reaches no replica, since replicas ended under it. Asked before each of its runs, the first as well as one that is
+    /// resumed or moved.
+    pub(super) fn is_held(&mut self, batch: &BatchId, item: u32) -> bool {
+        if self.quarantine.is_empty() {
+            return false;
+        }
+        let Some(job) = self.ledger.job(batch) else { return false };
+        let Some(request) = job.job.items.get(item as usize) else { return false };
+        let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return false };
+        let of_request = || request.fingerprint(&job.job.host, job.job.tenant.as_ref());
+        let fingerprint = *live.fingerprint.get_or_insert_with(of_request);
+        let was_held = std::mem::replace(&mut live.is_held, self.quarantine.holds(&fingerprint));
+        if live.is_held && !was_held {
+            let decision = Decision::new(Component::Rollout, "item_held", "quarantined", &request.id);
+            let decision = decision.with("batch", batch).with("fingerprint", fingerprint);
+            self.actions.push_back(Action::Decide(decision));
+        }
+        self.quarantine.holds(&fingerprint)
+    }
+
     /// Starts an item where a replica has a place for it; returns whether one has.
     pub(super) fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) -> bool {
+        if self.is_held(batch, item) {
+            return false;
+        }
         let Some(mut need) = self.need(batch, item) else { return false };
         let Some(job) = self.ledger.job(batch) else { return false };
         let Some(request) = self.item(batch, item) else { return false };
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -49,7 +49,7 @@
     pub fn fingerprint(&self, tenant: Option<&TenantName>) -> Fingerprint {
         Fingerprint::of(&RequestContent {
             method: METHOD,
-            host: &self.host,
+            host: &self.host.to_ascii_lowercase(),
             path: &self.path,
             tenant,
             body: &self.body,
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -12,6 +12,7 @@
 use crate::ingress::places::AllowedRegions;
 use crate::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord};
 use crate::ingress::routes::{Route, RouteTable};
+use crate::quarantine::Quarantine;
 use crate::retry::budget::{BudgetConfig, RetryBudget};
 use crate::time::Timestamp;
 
@@ -155,10 +156,16 @@
         routes: &RouteTable,
         replicas: impl Fn(&str, &AllowedRegions) -> Vec<&'a ReplicaRecord>,
         gate: &mut AdmissionGate,
+        quarantine: &Quarantine,
         now: Timestamp,
     ) -> Vec<ScoreStart> {
         let mut starts = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
+            let fingerprint = || waiting.request.fingerprint(waiting.tenant.as_ref());
+            if !quarantine.is_empty() && quarantine.holds(&fingerprint()) {
+                self.waiting.push_back(waiting);
+                continue;
+            }
             match self.start(&waiting, routes, &replicas, gate, now) {
                 Some(start) => {
                     let replica = start.replica.id.clone();
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use sha2::{Digest, Sha256};
+use speedy::{Readable, Writable};
 
 use crate::identity::TenantName;
 
@@ -12,7 +13,7 @@
 
 /// The digest of a request's method, host, path with query, tenant and body. A request that comes again, with another id, at
 /// another node or as another run, has the same one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
 pub struct Fingerprint([u8; LENGTH_BYTES]);
 
 /// What a fingerprint is of.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,5 +1,16 @@
 //! Requests under which replicas end, told apart from those that only ran there.
+//!
+//! A request that ends each replica that runs it comes again under other ids and at other nodes. Nodes tell each other what ran
+//! where a replica ended; each holds a request back once three replicas have ended under it.
+//!
+//! Invariant: a request that ran to an end since is not held back.
 
 mod fingerprint;
+mod report;
+mod verdict;
+mod watch;
 
 pub use fingerprint::{Fingerprint, FingerprintError, RequestContent};
+pub use report::{CrashReport, REPORTED_REQUESTS, Suspect};
+pub use verdict::{CRASHES_TO_HOLD, Quarantine};
+pub use watch::{CrashWatch, RunSender, SentRun};
--- /dev/null
+++ b/crates/core/src/quarantine/watch.rs
@@ -0,0 +1,274 @@
+//! What this node saw of runs that broke off, and what it has to tell of them.
+//!
+//! A run that breaks off says nothing: connections are reset, answers are lost. It counts once its replica is known to have
+//! ended, and counts no more once the request ran to an end anywhere, or the replica answered anything.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{CrashReport, Fingerprint, Quarantine, REPORTED_REQUESTS, Suspect};
+use crate::ingress::replicas::ReplicaTable;
+use crate::time::Timestamp;
+
+/// A replica whose entry is not gone so long after a run broke off there did not end then: an entry lapses after three heartbeats of some
+/// seconds at most.
+const UNCONFIRMED_FOR: Duration = Duration::from_secs(10);
+/// A crash is told after so long: by then a plain request that only ran there has mostly been answered elsewhere.
+const TOLD_AFTER: Duration = Duration::from_millis(400);
+/// What this node saw of a crash counts here for so long; what it told lasts longer.
+const KEPT_FOR: Duration = Duration::from_secs(120);
+/// Runs that broke off, and crashes, that are kept at most.
+const KEPT_RUNS: usize = 1_024;
+
+/// Who sent a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunSender {
+    /// A gateway, for a caller. Others may send the same request.
+    Gateway,
+    /// The owner of batch jobs, the only one to send it. Many items run at a replica, most of them for seconds, and few of them are answered
+    /// before a crash is told: only what ran at two crashes is told.
+    Owner,
+}
+
+/// A run that was sent to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentRun {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The life of the replica.
+    pub replica: String,
+    /// Where that answers.
+    pub address: SocketAddr,
+    /// Who sent it.
+    pub sender: RunSender,
+    /// Whether the node knew, when it was sent, of a replica that had ended under the request.
+    pub is_repeated: bool,
+    /// When it was sent.
+    pub sent_at: Timestamp,
+}
+
+/// A replica ended while a run was there.
+#[derive(Clone, Debug)]
+struct Crash {
+    sender: RunSender,
+    is_repeated: bool,
+    at: Timestamp,
+    is_told: bool,
+}
+
+/// A request is cleared of a crash.
+#[derive(Clone, Copy, Debug)]
+struct Clearing {
+    at: Timestamp,
+    is_told: bool,
+}
+
+/// What nodes told, with the requests that it names for quick look-ups.
+#[derive(Debug, Default)]
+struct ToldCrashes {
+    reports: Vec<CrashReport>,
+    requests: HashSet<Fingerprint>,
+}
+
+impl ToldCrashes {
+    fn new(reports: Vec<CrashReport>) -> Self {
+        let suspects = reports.iter().flat_map(|report| &report.suspects);
+        let requests = suspects.map(|suspect| suspect.fingerprint).collect();
+        Self { reports, requests }
+    }
+}
+
+/// This node's part in the quarantine.
+#[derive(Debug, Default)]
+pub struct CrashWatch {
+    broken: VecDeque<(Timestamp, SentRun)>,
+    crashes: BTreeMap<(Fingerprint, String), Crash>,
+    /// What nodes told, this one included.
+    told: ToldCrashes,
+    /// What was told and is taken back.
+    clearings: BTreeMap<(Fingerprint, String), Clearing>,
+}
+
+impl CrashWatch {
+    /// Whether a replica ended, or seems to have, while the request ran there.
+    pub fn is_suspected(&self, fingerprint: &Fingerprint) -> bool {
+        self.broken.iter().any(|(_, run)| run.fingerprint == *fingerprint)
+            || self.own_crashes(fingerprint).next().is_some()
+            || self.told.requests.contains(fingerprint)
+    }
+
+    fn own_crashes(&self, fingerprint: &Fingerprint) -> impl Iterator<Item = (&String, &Crash)> {
+        let from = (*fingerprint, String::new());
+        let own = self.crashes.range(from..).take_while(move |((of, _), _)| of == fingerprint);
+        own.map(|((_, replica), crash)| (replica, crash))
+    }
+
+    /// A run gave no whole answer.
+    pub fn run_broke(&mut self, run: SentRun, now: Timestamp) {
+        self.expire(now);
+        if self.broken.len() >= KEPT_RUNS {
+            self.broken.pop_front();
+        }
+        self.broken.push_back((now, run));
+    }
+
+    /// A run ended with a whole answer of its replica, good or not: the request ended no replica, and neither did this replica end before
+    /// the run was sent. Returns whether anything is known otherwise from now on.
+    pub fn run_ended(&mut self, run: &SentRun, now: Timestamp) -> bool {
+        let is_told = self.told.requests.contains(&run.fingerprint);
+        if self.broken.is_empty() && self.crashes.is_empty() && !is_told {
+            return false;
+        }
+        let lived_on = |crash: &Crash| crash.at <= run.sent_at;
+        self.clear(
+            |fingerprint, replica, crash| {
+                *fingerprint == run.fingerprint || (*replica == run.replica && crash.is_some_and(lived_on))
+            },
+            now,
+        )
+    }
+
+    /// An operator says that a request ended no replica; tells whether any crash counted against it.
+    pub fn release(&mut self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
+        self.clear(|of, _, _| of == fingerprint, now)
+    }
+
+    /// Clears requests of crashes; of those that only other nodes saw it is not known here when they were.
+    fn clear(
+        &mut self,
+        is_cleared: impl Fn(&Fingerprint, &String, Option<&Crash>) -> bool,
+        now: Timestamp,
+    ) -> bool {
+        self.broken.retain(|(_, run)| !is_cleared(&run.fingerprint, &run.replica, None));
+        let before = (self.crashes.len(), self.clearings.len());
+        let mut told = BTreeSet::new();
+        self.crashes.retain(|(fingerprint, replica), crash| {
+            let is_kept = !is_cleared(fingerprint, replica, Some(crash));
+            if !is_kept && crash.is_told {
+                told.insert((*fingerprint, replica.clone()));
+            }
+            is_kept
+        });
+        for report in &self.told.reports {
+            let suspects = report.suspects.iter().map(|suspect| suspect.fingerprint);
+            let suspects = suspects.filter(|suspect| is_cleared(suspect, &report.replica, None));
+            told.extend(suspects.map(|fingerprint| (fingerprint, report.replica.clone())));
+        }
+        for report in &self.told.reports {
+            for fingerprint in &report.cleared {
+                told.remove(&(*fingerprint, report.replica.clone()));
+            }
+        }
+        for crash in told {
+            self.clearings.entry(crash).or_insert(Clearing { at: now, is_told: false });
+        }
+        before != (self.crashes.len(), self.clearings.len())
+    }
+
+    /// A life of a replica has ended. Returns whether runs of this node broke off there.
+    pub fn replica_ended(&mut self, replica: &str, now: Timestamp) -> bool {
+        let (ended, left) =
+            self.broken.drain(..).partition::<VecDeque<_>, _>(|(_, run)| run.replica == replica);
+        self.broken = left;
+        let runs = ended.into_iter().map(|(_, run)| run);
+        runs.fold(false, |counts, run| self.count(run, now) || counts)
+    }
+
+    fn count(&mut self, run: SentRun, now: Timestamp) -> bool {
+        // Runs of one request that were under way together, as those of a group's items, count once: replicas that end together
+        // would speak against all that runs at each of them.
+        let last = self.own_crashes(&run.fingerprint).map(|(_, crash)| crash.at).max();
+        let is_beside = run.sender == RunSender::Owner && last.is_some_and(|last| run.sent_at < last);
+        if is_beside || self.crashes.len() >= KEPT_RUNS {
+            return false;
+        }
+        let crash = Crash { sender: run.sender, is_repeated: run.is_repeated, at: now, is_told: false };
+        self.crashes.entry((run.fingerprint, run.replica)).or_insert(crash);
+        true
+    }
+
+    /// Takes the list of replicas: one that is gone from it, or whose address another has, ended. Returns whether runs of this
+    /// node broke off there.
+    pub fn set_replicas(&mut self, table: &ReplicaTable, now: Timestamp) -> bool {
+        let has_ended = |run: &SentRun| {
+            let taken = |record: &&str| **record != *run.replica;
+            let others = table.records.values().filter(|record| record.address == run.address);
+            let is_taken = others.map(|record| record.id.as_str()).any(|id| taken(&id));
+            is_taken || !table.records.contains_key(&run.replica)
+        };
+        let ended: BTreeSet<String> = self
+            .broken
+            .iter()
+            .filter(|(_, run)| has_ended(run))
+            .map(|(_, run)| run.replica.clone())
+            .collect();
+        ended.iter().fold(false, |counts, replica| self.replica_ended(replica, now) || counts)
+    }
+
+    /// Takes all that nodes told.
+    pub fn set_reports(&mut self, reports: Vec<CrashReport>) {
+        self.told = ToldCrashes::new(reports);
+    }
+
+    /// What follows from what this node knows.
+    pub fn judge(&self) -> Quarantine {
+        let own = self.crashes.iter().map(|((fingerprint, replica), crash)| {
+            let suspect = Suspect { fingerprint: *fingerprint, is_repeated: crash.is_repeated };
+            CrashReport { replica: replica.clone(), suspects: vec![suspect], cleared: Vec::new() }
+        });
+        let clearings = self.clearings.keys().map(|(fingerprint, replica)| CrashReport {
+            replica: replica.clone(),
+            suspects: Vec::new(),
+            cleared: vec![*fingerprint],
+        });
+        let own: Vec<CrashReport> = own.chain(clearings).collect();
+        Quarantine::judge(self.told.reports.iter().chain(&own))
+    }
+
+    /// What is to be told to all nodes now, one report for each replica.
+    pub fn due_reports(&mut self, now: Timestamp) -> Vec<CrashReport> {
+        self.expire(now);
+        let mut counts: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+        for (fingerprint, _) in self.crashes.keys() {
+            *counts.entry(*fingerprint).or_default() += 1;
+        }
+        let mut due: BTreeMap<String, CrashReport> = BTreeMap::new();
+        let report = |replica: &str| CrashReport {
+            replica: replica.to_owned(),
+            suspects: Vec::new(),
+            cleared: Vec::new(),
+        };
+        for ((fingerprint, replica), crash) in &mut self.crashes {
+            let is_enough = crash.sender == RunSender::Gateway || counts.get(fingerprint) > Some(&1);
+            if crash.is_told || !is_enough || now.saturating_since(crash.at) < TOLD_AFTER {
+                continue;
+            }
+            let told = due.entry(replica.clone()).or_insert_with(|| report(replica));
+            if told.suspects.len() < REPORTED_REQUESTS {
+                crash.is_told = true;
+                told.suspects.push(Suspect { fingerprint: *fingerprint, is_repeated: crash.is_repeated });
+            }
+        }
+        for ((fingerprint, replica), clearing) in &mut self.clearings {
+            if !clearing.is_told {
+                clearing.is_told = true;
+                let told = due.entry(replica.clone()).or_insert_with(|| report(replica));
+                told.cleared.push(*fingerprint);
+            }
+        }
+        due.into_values().collect()
+    }
+
+    /// Whether nothing is to be told, now or soon.
+    pub fn is_idle(&self) -> bool {
+        self.clearings.values().all(|clearing| clearing.is_told)
+            && self.crashes.values().all(|crash| crash.is_told)
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.broken.retain(|(at, _)| now.saturating_since(*at) < UNCONFIRMED_FOR);
+        self.crashes.retain(|_, crash| now.saturating_since(crash.at) < KEPT_FOR);
+        self.clearings.retain(|_, clearing| now.saturating_since(clearing.at) < KEPT_FOR);
+    }
+}
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -9,6 +9,7 @@
 use hyper::{Method, Request, Response};
 use lichenpulley_core::batch::controller::{RunEnd, RunEvent, RunId, RunStart};
 use lichenpulley_core::batch::job::KeptEvent;
+use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_platform::headers;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -18,6 +19,7 @@
 use crate::ingress::pool::{Exchange, ReplicaPool, SendError};
 use crate::ingress::sse::EventSplitter;
 use crate::metrics::Latency;
+use crate::quarantine::TracedRun;
 
 /// A connection to a replica that is not made by then is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -32,12 +34,26 @@
 ) {
     let run = start.run;
     let began = Instant::now();
+    let fingerprint = start.item.fingerprint(&start.host, start.tenant.as_ref());
+    let mut traced = TracedRun::begin(&context, fingerprint, &start.replica, RunSender::Owner);
     let end = match send(&context, &pool, &start).await {
-        Ok(exchange) => read(&pool, &start, exchange, &events).await,
+        Ok(exchange) => read(&pool, &start, exchange, &events, &mut traced).await,
         // No byte was written.
-        Err(SendError::Withheld) => RunEnd::Rejected,
-        Err(SendError::NotSent | SendError::Broken) => RunEnd::Broken,
+        Err(SendError::Withheld) => {
+            traced.has_not_run();
+            RunEnd::Rejected
+        }
+        Err(SendError::NotSent) => {
+            traced.has_not_run();
+            RunEnd::Broken
+        }
+        Err(SendError::Broken) => {
+            traced.broke().await;
+            RunEnd::Broken
+        }
     };
+    // What it ended with is known before the owner starts the item anew.
+    drop(traced);
     if end == RunEnd::Broken {
         ::log::debug!(target: "batch", "{}: the run of {} at {} broke off.", context.node, start.item.id, start.replica.id);
     }
@@ -85,9 +101,15 @@
     start: &RunStart,
     exchange: Exchange,
     events: &mpsc::Sender<(RunId, RunEvent)>,
+    traced: &mut TracedRun,
 ) -> RunEnd {
     let Exchange { response, connection } = exchange;
     if let Some(end) = end_by_head(&response, &start.item.id) {
+        match end {
+            RunEnd::Rejected | RunEnd::OtherReplica => traced.has_not_run(),
+            RunEnd::Failed | RunEnd::Never => traced.ended_whole(),
+            RunEnd::Broken | RunEnd::Complete => {}
+        }
         return end;
     }
     let (head, mut body) = response.into_parts();
@@ -95,7 +117,10 @@
     let mut version: u64 = version.and_then(|version| version.trim().parse().ok()).unwrap_or(0);
     let mut splitter = EventSplitter::default();
     while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return RunEnd::Broken };
+        let Ok(frame) = frame else {
+            traced.broke().await;
+            return RunEnd::Broken;
+        };
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
         loop {
@@ -113,8 +138,10 @@
         }
     }
     if splitter.has_rest() || !is_framed(&head.headers) {
+        traced.broke().await;
         return RunEnd::Broken;
     }
+    traced.ended_whole();
     pool.give_back(connection, &head.headers);
     RunEnd::Complete
 }
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -5,6 +5,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
+use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_platform::headers;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -13,6 +14,7 @@
 use crate::ingress::pool::{Exchange, ReplicaPool, SendError};
 use crate::ingress::{callers, headers as fields};
 use crate::metrics::Latency;
+use crate::quarantine::TracedRun;
 
 /// Longest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
@@ -43,12 +45,24 @@
 
 async fn send(context: &Context, pool: &ReplicaPool, start: &ScoreStart, busy: &mut Option<u32>) -> ScoreEnd {
     let Some(request) = build(start) else { return ScoreEnd::Broken };
+    let fingerprint = start.request.fingerprint(start.tenant.as_ref());
+    let mut traced = TracedRun::begin(context, fingerprint, &start.replica, RunSender::Owner);
     let may_send = || !context.metadata.is_closed(&start.replica);
     let sent = pool.send(start.replica.address, request, false, start.patience, may_send).await;
     let Exchange { response, connection } = match sent {
         Ok(exchange) => exchange,
-        Err(SendError::Withheld) => return ScoreEnd::Rejected,
-        Err(SendError::NotSent | SendError::Broken) => return ScoreEnd::Broken,
+        Err(SendError::Withheld) => {
+            traced.has_not_run();
+            return ScoreEnd::Rejected;
+        }
+        Err(SendError::NotSent) => {
+            traced.has_not_run();
+            return ScoreEnd::Broken;
+        }
+        Err(SendError::Broken) => {
+            traced.broke().await;
+            return ScoreEnd::Broken;
+        }
     };
     let (head, body) = response.into_parts();
     *busy = fields::reported_busy(&head.headers);
@@ -57,10 +71,16 @@
     }
     // Only a whole answer counts: one that breaks off proves nothing.
     if Limited::new(body, ANSWER_LIMIT_BYTES).collect().await.is_err() {
+        traced.broke().await;
         return ScoreEnd::Broken;
     }
     pool.give_back(connection, &head.headers);
-    judge(head.status, &head.headers)
+    let end = judge(head.status, &head.headers);
+    match end {
+        ScoreEnd::Rejected => traced.has_not_run(),
+        ScoreEnd::Scored(_) | ScoreEnd::Failed | ScoreEnd::Broken => traced.ended_whole(),
+    }
+    end
 }
 
 fn build(start: &ScoreStart) -> Option<Request<Full<Bytes>>> {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -18,6 +18,7 @@
 use crate::metadata::MetadataHandle;
 use crate::metrics::Metrics;
 use crate::peers::PeerClients;
+use crate::quarantine::QuarantineHandle;
 use crate::settings::Settings;
 use crate::store::replica_sets::ReplicaSetCache;
 
@@ -47,6 +48,8 @@
     pub replica_sets: ReplicaSetCache,
     /// The platform's metadata. Written by `metadata` only.
     pub metadata: MetadataHandle,
+    /// Requests under which replicas end.
+    pub quarantine: QuarantineHandle,
     /// Who owns the batch jobs that may be kept anywhere, as far as this node has heard.
     pub batch_owner: Arc<ArcSwapOption<NodeId>>,
     /// What this node counts for the duty of usage.
@@ -78,6 +81,7 @@
             documents: ConfigurationHandle::new(),
             replica_sets: ReplicaSetCache::default(),
             metadata: MetadataHandle::default(),
+            quarantine: QuarantineHandle::default(),
             batch_owner: Arc::default(),
             usage: NodeUsage::new(settings.node.as_str(), settings.duties.usage().is_some()),
             peers: PeerClients::new(control, settings.peers.clone()),
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -23,6 +23,7 @@
 use crate::duties::RunCount;
 use crate::http::{Body, response};
 use crate::metrics::Latency;
+use crate::quarantine::begin_trial;
 
 /// How long a request without a deadline or a time-out is held.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -47,6 +48,8 @@
     pub(super) regions: AllowedRegions,
     /// What it has in common with the same request sent again.
     pub(super) fingerprint: Fingerprint,
+    /// Whether it may reach one replica though replicas ended under it.
+    pub(super) is_trial: bool,
     /// When it was read whole.
     began: Instant,
     /// The version of the configuration by which it was routed.
@@ -91,11 +94,28 @@
             caller,
             regions,
             fingerprint,
+            is_trial: false,
             began,
             configuration,
         })
     }
 
+    /// Lets a request that is held back through once, after a long time; returns how many replicas it may be sent to.
+    pub(super) async fn sends_allowed(&mut self, ingress: &Ingress, route: &Route) -> u32 {
+        let quarantine = &ingress.context.quarantine;
+        if !quarantine.holds(&self.fingerprint) {
+            return route.max_attempts;
+        }
+        quarantine.saw(self.fingerprint);
+        let is_due = quarantine.is_trial_due(&self.fingerprint);
+        self.is_trial = is_due && begin_trial(&ingress.context, self.fingerprint).await;
+        if self.is_trial {
+            let decision = Decision::new(Component::Request, "trial", "held_for_long", self.fingerprint);
+            ingress.context.decisions.record(decision);
+        }
+        1
+    }
+
     pub(super) fn remaining(&self) -> Duration {
         self.limit.saturating_duration_since(Instant::now())
     }
@@ -138,7 +158,8 @@
     pub(super) fn refuse_nowhere(&self, ingress: &Ingress, nowhere: Nowhere) -> Response<Body> {
         let subject = self.request_id.as_deref().unwrap_or("-");
         let decision = Decision::new(Component::Request, "nowhere_to_send", nowhere.as_str(), subject);
-        ingress.context.decisions.record(decision.with("service", &self.service));
+        let decision = decision.with("service", &self.service).with("fingerprint", self.fingerprint);
+        ingress.context.decisions.record(decision);
         self.refuse(ingress, nowhere.into())
     }
 
@@ -205,14 +226,15 @@
     caller: Caller,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let call = match Call::read(ingress, table, route, caller, request).await {
+    let mut call = match Call::read(ingress, table, route, caller, request).await {
         Ok(call) => call,
         Err(refusal) => return refusal,
     };
-    let mut attempts = Attempts::new(route.is_repeatable(), route.max_attempts);
+    let max_sends = call.sends_allowed(ingress, route).await;
+    let mut attempts = Attempts::new(route.is_repeatable(), max_sends);
     let mut tried = Vec::new();
     loop {
-        let mut visit = match ingress.visit(&call.service, &call.regions, &tried) {
+        let mut visit = match ingress.visit(&call, &tried) {
             Ok(visit) => visit,
             Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
             Err(_) => return call.refuse(ingress, given_up(attempts.give_up(), &call)),
@@ -265,12 +287,14 @@
     let request = call.build(&visit.replica.id, None);
     let mut count = RunCount::begin(&ingress.context, call.caller.tenant());
     let connect_timeout = CONNECT_TIMEOUT.min(patience);
-    let may_send = || !ingress.context.metadata.is_closed(&visit.replica);
-    let sent = ingress.pool.send(visit.replica.address, request, needs_fresh, connect_timeout, may_send);
+    let (address, replica) = (visit.replica.address, visit.replica.clone());
+    let may_send = || ingress.may_send(call, &replica);
+    let sent = ingress.pool.send(address, request, needs_fresh, connect_timeout, may_send);
     let exchange = match tokio::time::timeout_at(limit, sent).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::Withheld)) => {
             count.has_not_run();
+            visit.run.has_not_run();
             return (SendOutcome::Withheld, None);
         }
         Ok(Err(error)) => {
@@ -278,9 +302,13 @@
             let outcome = match error {
                 SendError::NotSent | SendError::Withheld => {
                     count.has_not_run();
+                    visit.run.has_not_run();
                     SendOutcome::NotSent
                 }
-                SendError::Broken => SendOutcome::Broken,
+                SendError::Broken => {
+                    visit.run.broke().await;
+                    SendOutcome::Broken
+                }
             };
             return (outcome, None);
         }
@@ -314,6 +342,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
             visit.was_silent();
+            visit.run.broke().await;
             return (SendOutcome::Broken, None);
         }
         Err(_) => {
@@ -328,7 +357,10 @@
     let outcome = judge(head.status, &head.headers);
     match outcome {
         SendOutcome::Rejected => visit.was_full(),
-        _ => visit.answered(),
+        _ => {
+            visit.answered();
+            visit.run.ended_whole();
+        }
     }
     let answer = WholeAnswer { status: head.status, headers: head.headers, body: body.to_bytes() };
     (outcome, Some(answer))
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -19,18 +19,20 @@
 use hyper::{Request, Response};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::{Admission, AdmissionGate};
-use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::warming_share::GatewayOrder;
 use lichenpulley_core::ingress::warmups::Warmups;
+use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_core::time::Timestamp;
 use tokio::time::Instant;
 
 use crate::batch::BatchJobs;
 use crate::context::Context;
 use crate::http::Body;
+use crate::quarantine::TracedRun;
 use callers::Caller;
+use forward::Call;
 use pool::ReplicaPool;
 use refusal::Refusal;
 
@@ -65,6 +67,8 @@
     Evacuated,
     /// Some are cold; this node may send to one of them after so long.
     Warming(Duration),
+    /// Replicas ended under the request: it is sent to no other.
+    Quarantined,
 }
 
 /// Serves callers. Cheap to clone.
@@ -123,8 +127,22 @@
         Timestamp::ORIGIN + self.origin.elapsed()
     }
 
-    /// Chooses a replica in an allowed region and counts a request there until the returned visit is dropped.
-    fn visit(&self, service: &str, regions: &AllowedRegions, tried: &[String]) -> Result<Visit, Nowhere> {
+    /// Whether a request that would be sent to a replica now may be; asked once more just before its first byte.
+    fn may_send(&self, call: &Call, replica: &ReplicaRecord) -> bool {
+        !self.context.metadata.is_closed(replica) && !self.holds(call)
+    }
+
+    /// Whether a request must reach no replica, since replicas ended under it.
+    fn holds(&self, call: &Call) -> bool {
+        !call.is_trial && self.context.quarantine.holds(&call.fingerprint)
+    }
+
+    /// Chooses a replica for a request and counts it there until the returned visit is dropped.
+    fn visit(&self, call: &Call, tried: &[String]) -> Result<Visit, Nowhere> {
+        if self.holds(call) {
+            return Err(Nowhere::Quarantined);
+        }
+        let (service, regions) = (call.service.as_str(), &call.regions);
         let metadata = &self.context.metadata;
         if !metadata.knows_evacuations() {
             return Err(Nowhere::EvacuationsUnknown);
@@ -151,7 +169,8 @@
         choice.chooser.sent(&replica.id);
         let is_cold = choice.gate.is_cold(&replica.id, now);
         let (ingress, began) = (self.clone(), Instant::now());
-        Ok(Visit { ingress, replica, is_cold, began, experience: Experience::Abandoned })
+        let run = TracedRun::begin(&self.context, call.fingerprint, &replica, RunSender::Gateway);
+        Ok(Visit { ingress, replica, is_cold, began, experience: Experience::Abandoned, run })
     }
 
     fn reported(&self, replica: &str, busy: u32) {
@@ -172,6 +191,7 @@
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Warming(_) => "warming",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -179,9 +199,11 @@
     fn warming_for(self, left: Duration) -> Self {
         match self {
             Self::Warming(other) => Self::Warming(other.min(left)),
-            Self::EvacuationsUnknown | Self::NoReplica | Self::OutsideRegions | Self::Evacuated => {
-                Self::Warming(left)
-            }
+            Self::EvacuationsUnknown
+            | Self::NoReplica
+            | Self::OutsideRegions
+            | Self::Evacuated
+            | Self::Quarantined => Self::Warming(left),
         }
     }
 }
@@ -194,6 +216,8 @@
     is_cold: bool,
     began: Instant,
     experience: Experience,
+    /// What becomes of it, for the quarantine.
+    run: TracedRun,
 }
 
 impl Visit {
@@ -203,6 +227,7 @@
     }
 
     fn was_full(&mut self) {
+        self.run.has_not_run();
         self.experience = Experience::Full;
     }
 
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -12,6 +12,7 @@
 use super::Nowhere;
 use crate::context::Context;
 use crate::http::{Body, response};
+use crate::quarantine::TRIAL_AFTER;
 
 /// Why a request got no answer of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +35,8 @@
     ScorerRegions,
     /// All replicas of the service stand in zones that are evacuated.
     Evacuated,
+    /// Replicas ended under it: it is sent to no other.
+    Quarantined,
     /// The replicas that could take it are cold; one may be sent a request after so long.
     Warming(Duration),
     /// Every replica that was tried stated that it did not run the request.
@@ -70,6 +73,7 @@
             Nowhere::OutsideRegions => Self::OutsideRegions,
             Nowhere::Evacuated => Self::Evacuated,
             Nowhere::Warming(left) => Self::Warming(left),
+            Nowhere::Quarantined => Self::Quarantined,
         }
     }
 }
@@ -92,6 +96,7 @@
             | Self::OutsideRegions
             | Self::NoPlace
             | Self::Evacuated
+            | Self::Quarantined
             | Self::Warming(_)
             | Self::NotRun
             | Self::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
@@ -120,6 +125,7 @@
             Self::ScorerRegions => "scorer_regions",
             Self::Evacuated => "evacuated",
             Self::Warming(_) => "warming",
+            Self::Quarantined => "quarantined",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
@@ -144,6 +150,9 @@
             Self::ScorerRegions => {
                 "allow the scorer's route every region of the job's, or send the job elsewhere"
             }
+            Self::Quarantined => {
+                "replicas ended while it ran there: change it, or ask an operator to release it; it has not run"
+            }
             Self::Evacuated => "return a zone, or order replicas in another",
             Self::NoReplica | Self::Warming(_) | Self::NotRun | Self::NoOwner | Self::Full => {
                 "send it again, it has not run"
@@ -164,6 +173,7 @@
         match self {
             Self::NoReplica | Self::NotRun => Some(RETRY_SOON),
             Self::Warming(left) => Some(left.clamp(RETRY_SOON, RETRY_WARMING)),
+            Self::Quarantined => Some(TRIAL_AFTER),
             Self::NoConfiguration
             | Self::EvacuationsUnknown
             | Self::NoOwner
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -47,8 +47,10 @@
 enum StreamEnd {
     /// Well-formed, and all of them.
     Whole,
-    /// It broke off or stalled.
+    /// The connection closed before their end.
     Broken,
+    /// Nothing came for too long, or what is no event.
+    Stalled,
     /// The caller has left or given up.
     CallerGone,
 }
@@ -62,14 +64,15 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let last_event = headers::text(request.headers(), names::LAST_EVENT_ID).map(str::to_owned);
-    let call = match Call::read(ingress, table, route, caller, request).await {
+    let mut call = match Call::read(ingress, table, route, caller, request).await {
         Ok(call) => call,
         Err(refusal) => return refusal,
     };
-    let mut attempts = Attempts::new(route.is_repeatable(), route.max_attempts);
+    let max_sends = call.sends_allowed(ingress, route).await;
+    let mut attempts = Attempts::new(route.is_repeatable(), max_sends);
     let mut tried = Vec::new();
     loop {
-        let mut visit = match ingress.visit(&call.service, &call.regions, &tried) {
+        let mut visit = match ingress.visit(&call, &tried) {
             Ok(visit) => visit,
             Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
             Err(_) => return call.refuse(ingress, refusal(attempts.give_up())),
@@ -83,7 +86,10 @@
                 let stream = Stream { call, is_resumable, attempts, tried, visit, exchange };
                 return begin(ingress, stream, last_event.as_deref());
             }
-            (Next::Answer, Some(exchange)) => return pass_failure(exchange, &call).await,
+            (Next::Answer, Some(exchange)) => {
+                visit.run.ended_whole();
+                return pass_failure(exchange, &call).await;
+            }
             (Next::TryAnother, _) => {
                 call.record(ingress, &visit, "tried_another", outcome.as_str(), tried.len())
             }
@@ -110,17 +116,23 @@
     last_event: Option<&str>,
 ) -> (SendOutcome, Option<Exchange>) {
     let request = call.build(&visit.replica.id, last_event);
-    let may_send = || !ingress.context.metadata.is_closed(&visit.replica);
-    let sent = ingress.pool.send(visit.replica.address, request, true, CONNECT_TIMEOUT, may_send);
+    let (address, replica) = (visit.replica.address, visit.replica.clone());
+    let may_send = || ingress.may_send(call, &replica);
+    let sent = ingress.pool.send(address, request, true, CONNECT_TIMEOUT, may_send);
     let exchange = match tokio::time::timeout_at(call.limit, sent).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(SendError::Withheld)) => return (SendOutcome::Withheld, None),
+        Ok(Err(SendError::Withheld)) => {
+            visit.run.has_not_run();
+            return (SendOutcome::Withheld, None);
+        }
         Ok(Err(SendError::NotSent)) => {
             visit.was_silent();
+            visit.run.has_not_run();
             return (SendOutcome::NotSent, None);
         }
         Ok(Err(SendError::Broken)) => {
             visit.was_silent();
+            visit.run.broke().await;
             return (SendOutcome::Broken, None);
         }
         Err(_) => {
@@ -142,6 +154,11 @@
     }
     match outcome {
         SendOutcome::Rejected => visit.was_full(),
+        SendOutcome::Failed => {
+            visit.answered();
+            visit.run.ended_whole();
+        }
+        // The events are still to come.
         _ => visit.answered(),
     }
     (outcome, Some(exchange))
@@ -171,14 +188,22 @@
     answer
 }
 
+impl Stream {
+    fn record_break(&self, ingress: &Ingress, reason: &str) {
+        self.call.record(ingress, &self.visit, "stream_broken", reason, self.tried.len());
+    }
+}
+
 async fn forward(ingress: Ingress, mut stream: Stream, pieces: Pieces, mut last_event: Option<u64>) {
     loop {
         match pass_events(&mut stream, &pieces, &mut last_event).await {
-            StreamEnd::Whole | StreamEnd::CallerGone => return,
+            StreamEnd::Whole => return stream.visit.run.ended_whole(),
+            StreamEnd::CallerGone => return,
             StreamEnd::Broken => {
-                let sends = stream.tried.len();
-                stream.call.record(&ingress, &stream.visit, "stream_broken", "broken", sends);
+                stream.visit.run.broke().await;
+                stream.record_break(&ingress, "broken");
             }
+            StreamEnd::Stalled => stream.record_break(&ingress, "stalled"),
         }
         if !resume(&ingress, &mut stream, last_event, &pieces).await {
             // An error breaks the connection off, so that a part is not taken for the whole.
@@ -202,10 +227,14 @@
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !splitter.has_rest() => return StreamEnd::Whole,
-            Ok(None | Some(Err(_))) | Err(_) => {
+            Ok(None | Some(Err(_))) => {
                 stream.visit.was_silent();
                 return StreamEnd::Broken;
             }
+            Err(_) => {
+                stream.visit.was_silent();
+                return StreamEnd::Stalled;
+            }
         };
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
@@ -219,7 +248,7 @@
                 }
                 Ok(Some(_)) => {}
                 Ok(None) => break,
-                Err(_) => return StreamEnd::Broken,
+                Err(_) => return StreamEnd::Stalled,
             }
         }
     }
@@ -244,8 +273,7 @@
         if next != Next::TryAnother || pieces.is_closed() {
             return false;
         }
-        let (service, regions) = (&stream.call.service, &stream.call.regions);
-        let Ok(mut visit) = ingress.visit(service, regions, &stream.tried) else { return false };
+        let Ok(mut visit) = ingress.visit(&stream.call, &stream.tried) else { return false };
         stream.tried.push(visit.replica.id.clone());
         let (opened, exchange) = open(ingress, &stream.call, &mut visit, last_event.as_deref()).await;
         match exchange {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod node;
 pub mod operators;
 pub mod peers;
+pub mod quarantine;
 pub mod settings;
 pub mod store;
--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -5,14 +5,15 @@
 
 use hyper::StatusCode;
 use lichenpulley_platform::objects::{self, Events, List, Object};
+use lichenpulley_platform::quarantine::QUARANTINE;
 use serde_json::Value;
 
 use crate::configuration::platform::{PlatformError, WriteError};
 use crate::http::client::{ClientError, HttpClient};
 use crate::settings::Settings;
 
-/// A watch of evacuations is held for so many times the usual time: in half a minute of calm, one call in place of four.
-const EVACUATION_HOLDS: u32 = 4;
+/// A watch of what is rare is held for so many times the usual time: in half a minute of calm, one call in place of four.
+const RARE_HOLDS: u32 = 4;
 
 /// A client of the metadata store. Cheap to clone.
 #[derive(Clone, Debug)]
@@ -109,11 +110,11 @@
         }
     }
 
-    /// Evacuations are rare, and announced by whoever learns of one: a watch of them that is stuck does no harm, so that each
-    /// is held for longer and costs fewer calls.
+    /// Evacuations and ended replicas are rare, and announced by whoever learns of one: a watch of them that is stuck does no harm,
+    /// so that each is held for longer and costs fewer calls.
     fn hold(&self, kind: &str) -> Duration {
-        if kind == objects::EVACUATIONS {
-            (self.watch_hold * EVACUATION_HOLDS).min(objects::LONGEST_WATCH).max(self.watch_hold)
+        if [objects::EVACUATIONS, QUARANTINE].contains(&kind) {
+            (self.watch_hold * RARE_HOLDS).min(objects::LONGEST_WATCH).max(self.watch_hold)
         } else {
             self.watch_hold
         }
@@ -168,6 +169,18 @@
         written.map(drop).map_err(classify)
     }
 
+    /// Replaces what stands in an object, whatever its revision.
+    ///
+    /// # Errors
+    /// As for [`Self::write`].
+    pub async fn replace(&self, kind: &str, name: &str, spec: Value) -> Result<(), WriteError> {
+        let body = objects::write_body(name, None, spec);
+        let path = objects::object_path(kind, name);
+        let written: Result<Value, ClientError> =
+            self.http.put_json(self.address, &path, &body, self.timeout).await;
+        written.map(drop).map_err(classify)
+    }
+
     /// Removes an object.
     ///
     /// # Errors
--- a/crates/daemon/src/metadata/copy.rs
+++ b/crates/daemon/src/metadata/copy.rs
@@ -5,11 +5,12 @@
 
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
-use lichenpulley_platform::{configuration, objects, replica};
+use lichenpulley_platform::{configuration, objects, quarantine, replica};
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind};
 use serde_json::Value;
 
 use super::MetadataHandle;
+use crate::quarantine::QuarantineRecords;
 
 /// Replicas whose records did not change keep what was read of them: with thousands of replicas, one changes at a time.
 fn apply_replicas(handle: &MetadataHandle, before: Option<&MetadataCopy>, copy: &MetadataCopy) {
@@ -64,6 +65,7 @@
         MetadataKind::Replicas => {}
         MetadataKind::Versions => apply_versions(handle, &objects),
         MetadataKind::Evacuations => apply_evacuations(handle, &objects),
+        MetadataKind::Quarantine => apply_quarantine(handle, &objects),
     }
 }
 
@@ -73,6 +75,19 @@
     handle.evacuated.store(Arc::new(EvacuatedZones { zones }));
 }
 
+fn apply_quarantine(handle: &MetadataHandle, objects: &[(&str, Value)]) {
+    let mut records = BTreeMap::new();
+    for (name, spec) in objects {
+        match quarantine::read_record(spec) {
+            Ok(record) => {
+                records.insert((*name).to_owned(), record);
+            }
+            Err(error) => log::warn!(target: "metadata", "Record {name} is left out: {error}."),
+        }
+    }
+    handle.quarantine.store(Arc::new(QuarantineRecords::new(records)));
+}
+
 /// Invariant: the version in force never goes down.
 fn apply_configuration(handle: &MetadataHandle, objects: &[(&str, Value)]) {
     let main = objects.iter().find(|(name, _)| *name == objects::CONFIGURATION_NAME);
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -10,7 +10,7 @@
 mod freshness;
 mod history;
 mod news;
-mod peers;
+pub(crate) mod peers;
 mod reachability;
 mod relay;
 pub mod retirements;
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 
 use crate::context::Context;
+use crate::quarantine::{self, QuarantineRecords};
 use freshness::Freshness;
 use history::CopyHistory;
 
@@ -44,6 +45,8 @@
     pub versions: ArcSwap<BTreeMap<String, u64>>,
     /// Zones that are evacuated.
     pub evacuated: ArcSwap<EvacuatedZones>,
+    /// What nodes told of requests under which replicas ended.
+    pub(crate) quarantine: ArcSwap<QuarantineRecords>,
     evacuation_news: zones::EvacuationNews,
     copies: [ArcSwapOption<CopyHistory>; MetadataKind::ALL.len()],
     freshness: Freshness,
@@ -57,6 +60,7 @@
             replicas: ArcSwap::default(),
             versions: ArcSwap::default(),
             evacuated: ArcSwap::default(),
+            quarantine: ArcSwap::default(),
             evacuation_news: zones::EvacuationNews::default(),
             copies: Default::default(),
             freshness: Freshness::default(),
@@ -71,6 +75,11 @@
         self.changes.subscribe()
     }
 
+    /// Wakes whoever waits for a change: what follows from the metadata has changed.
+    pub(crate) fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Whether the platform's store gave no answer when this node last asked it.
     pub fn is_store_away(&self) -> bool {
         self.freshness.is_away()
@@ -125,7 +134,7 @@
         };
         self.slot(kind).store(Some(Arc::new(history)));
         if !is_same {
-            self.changes.send_modify(|count| *count += 1);
+            self.notify();
         }
         !is_same
     }
@@ -137,6 +146,7 @@
         MetadataKind::Replicas => 1,
         MetadataKind::Versions => 2,
         MetadataKind::Evacuations => 3,
+        MetadataKind::Quarantine => 4,
     }
 }
 
@@ -149,6 +159,7 @@
     }
     let Some(client) = client::MetadataClient::from_settings(&context.settings) else { return };
     let reach = reachability::start(Arc::clone(context), client.clone());
+    quarantine::start(context, client.clone());
     for kind in MetadataKind::ALL {
         tokio::spawn(watcher::run(Arc::clone(context), client.clone(), kind, reach.clone()));
     }
--- a/crates/daemon/src/metadata/news.rs
+++ b/crates/daemon/src/metadata/news.rs
@@ -17,6 +17,7 @@
     match kind {
         MetadataKind::Configuration => Some("routes"),
         MetadataKind::Evacuations => Some("evacuations"),
+        MetadataKind::Quarantine => Some("quarantine"),
         MetadataKind::Replicas | MetadataKind::Versions => None,
     }
 }
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -11,6 +11,7 @@
 use lichenpulley_core::relay::ReadSource;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_platform::objects;
+use lichenpulley_platform::quarantine::QUARANTINE;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataUpdate};
 use tokio::time::Instant;
 
@@ -52,6 +53,7 @@
         MetadataKind::Replicas => objects::REPLICAS,
         MetadataKind::Versions => objects::VERSIONS,
         MetadataKind::Evacuations => objects::EVACUATIONS,
+        MetadataKind::Quarantine => QUARANTINE,
     }
 }
 
@@ -128,9 +130,10 @@
             }
             let pause = match self.kind {
                 MetadataKind::Replicas => REPLICA_WATCH_PAUSE,
-                MetadataKind::Configuration | MetadataKind::Versions | MetadataKind::Evacuations => {
-                    WATCH_PAUSE
-                }
+                MetadataKind::Configuration
+                | MetadataKind::Versions
+                | MetadataKind::Evacuations
+                | MetadataKind::Quarantine => WATCH_PAUSE,
             };
             if let Some(rest) = pause.checked_sub(began.elapsed()) {
                 tokio::time::sleep(rest).await;
@@ -315,7 +318,8 @@
             zones::record_changes(&self.context, &evacuated, revision, through);
         }
         // A copy that says nothing new is not worth asking for.
-        if self.kind != MetadataKind::Evacuations || has_changed {
+        let is_rare = matches!(self.kind, MetadataKind::Evacuations | MetadataKind::Quarantine);
+        if !is_rare || has_changed {
             news::announce(&self.context, self.kind);
         }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,7 @@
     followed_bytes: IntGauge,
     placement: PlacementMetrics,
     evacuated_zones: IntGauge,
+    quarantined_requests: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -119,6 +120,11 @@
             "lichenpulley_evacuated_zones",
             "Zones whose replicas this node sends nothing, as the operator asked",
         );
+        let quarantined_requests = gauge(
+            &registry,
+            "lichenpulley_quarantined_requests",
+            "Requests that this node keeps from all replicas, since replicas ended under them",
+        );
         let dropped_lines =
             gauge(&registry, "lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
         Self {
@@ -135,6 +141,7 @@
             followed_bytes,
             placement,
             evacuated_zones,
+            quarantined_requests,
             dropped_lines,
         }
     }
@@ -212,6 +219,11 @@
         self.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
     }
 
+    /// How many requests are held back, since replicas ended under them.
+    pub fn set_quarantined_requests(&self, requests: usize) {
+        self.quarantined_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     /// Counts a peer's connection that was closed for what arrived on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.closed_connections.with_label_values(&[reason]).inc();
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -4,7 +4,8 @@
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
-    CoordinatorResponse, MetadataRequest, MetadataResponse, Peer, StoreRequest, StoreResponse,
+    CoordinatorResponse, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, Peer, StoreRequest,
+    StoreResponse,
 };
 use lichenpulley_protocol::transport::{self, TransportError};
 use tarpc::ChannelError;
@@ -83,6 +84,10 @@
         metadata::answer(&self.context, &request).await
     }
 
+    async fn keep_report(self, _: tarpc::context::Context, request: KeepReport) -> KeepResponse {
+        self.context.quarantine.keep(request)
+    }
+
     async fn regional_batch(
         self,
         _: tarpc::context::Context,
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod drain;
 mod health;
+mod quarantine;
 mod regions;
 mod zones;
 
@@ -76,6 +77,10 @@
                 Some(change) => zones::change(&self.context, &percent_decode(zone), change).await,
                 None => response::not_found(&path),
             },
+            (&Method::GET, ["v1", "quarantine"]) => quarantine::list(&self.context),
+            (&Method::POST, ["v1", "quarantine", fingerprint, "release"]) => {
+                quarantine::release(&self.context, fingerprint)
+            }
             (&Method::GET, ["v1", "config"]) => config::whole(&self.context),
             (&Method::GET, ["v1", "config", "effective"]) => config::effective(&self.context, &request),
             (&Method::PUT, ["v1", "config"]) => config::change(&self.context, request).await,
--- /dev/null
+++ b/crates/daemon/src/operators/quarantine.rs
@@ -0,0 +1,40 @@
+//! Requests that are kept from all replicas, since replicas ended under them, and releasing one.
+
+use hyper::{Response, StatusCode};
+use lichenpulley_core::quarantine::Fingerprint;
+use lichenpulley_protocol::error::ErrorBody;
+
+use crate::context::Context;
+use crate::http::{Body, response};
+
+/// The requests that this node holds back.
+pub(super) fn list(context: &Context) -> Response<Body> {
+    response::json(StatusCode::OK, &context.quarantine.list())
+}
+
+/// Lets a request through again; all nodes are told.
+pub(super) fn release(context: &Context, fingerprint: &str) -> Response<Body> {
+    let fingerprint: Fingerprint = match fingerprint.parse() {
+        Ok(fingerprint) => fingerprint,
+        Err(error) => {
+            let body = ErrorBody::new(
+                "bad_fingerprint",
+                format!("{fingerprint:?} is no fingerprint: {error}"),
+                "`lichenpulley quarantine` shows those that are held",
+            );
+            return response::error(StatusCode::BAD_REQUEST, &body);
+        }
+    };
+    match context.quarantine.release(context, fingerprint) {
+        Some(released) => response::json(StatusCode::OK, &released),
+        None => response::error(StatusCode::NOT_FOUND, &not_suspected(fingerprint)),
+    }
+}
+
+fn not_suspected(fingerprint: Fingerprint) -> ErrorBody {
+    ErrorBody::new(
+        "not_quarantined",
+        format!("this node knows of no replica that ended under {fingerprint}"),
+        "nothing need be done; `lichenpulley quarantine` shows what is held",
+    )
+}
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -11,7 +11,8 @@
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
-    CoordinatorResponse, MetadataRequest, MetadataResponse, StoreRequest, StoreResponse,
+    CoordinatorResponse, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, StoreRequest,
+    StoreResponse,
 };
 use tokio::runtime::Handle;
 use tokio::time::Instant;
@@ -161,6 +162,21 @@
         call.finish(call.client().metadata(call.context(), request)).await
     }
 
+    /// Asks a node to keep a report in the platform's store.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn keep_report(
+        &self,
+        address: SocketAddr,
+        request: KeepReport,
+        deadline: Duration,
+    ) -> Result<KeepResponse, PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().keep_report(call.context(), request)).await
+    }
+
     /// How many peers have an open connection.
     pub fn open_connections(&self) -> usize {
         let connections = self.shared.connections.load();
--- /dev/null
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -0,0 +1,200 @@
+//! Tells all nodes what this one saw, through the platform's metadata store, and takes what they told.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::ingress::replicas::ReplicaTable;
+use lichenpulley_core::quarantine::Fingerprint;
+use lichenpulley_platform::quarantine::{QUARANTINE, QuarantineEntry, QuarantineRecord, write_record};
+use lichenpulley_protocol::internal::{KeepReport, KeepResponse};
+use tokio::time::{Instant, MissedTickBehavior};
+
+use super::{OUTBOX_LIMIT, QuarantineRecords, lock};
+use crate::configuration::platform::WriteError;
+use crate::context::Context;
+use crate::duties::wall_time;
+use crate::metadata::client::MetadataClient;
+use crate::metadata::peers;
+
+/// The pause between two looks while something is to be told.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// The pause after a report could not be written.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// How long a peer may take to say whether it writes a report.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often one node looks for records that are over, and each for requests to renew.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+/// A record is over so long after one of its requests was last seen.
+const RECORD_LIFE: Duration = Duration::from_secs(3_600);
+/// A held request that comes again renews its records once in this time.
+const RENEW_AFTER: Duration = Duration::from_secs(600);
+/// Records that are kept at most, some hundred bytes each; the oldest give way.
+const RECORD_LIMIT: usize = 512;
+
+/// Spreads until the node has stopped.
+pub fn start(context: &Context, client: MetadataClient) {
+    let spreader = Spreader {
+        context: Arc::clone(context),
+        client,
+        replicas: Arc::default(),
+        records: Arc::default(),
+        outbox: VecDeque::new(),
+        told: 0,
+    };
+    let stopped = context.stopped.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stopped.cancelled() => {}
+            () = spreader.run() => {}
+        }
+    });
+}
+
+struct Spreader {
+    context: Context,
+    client: MetadataClient,
+    /// What the handle was told of last.
+    replicas: Arc<ReplicaTable>,
+    records: Arc<QuarantineRecords>,
+    /// Reports under the names that they get: one whose answer was lost is written again under the same.
+    outbox: VecDeque<KeepReport>,
+    told: u64,
+}
+
+impl Spreader {
+    async fn run(mut self) {
+        let context = Arc::clone(&self.context);
+        let mut metadata = context.metadata.watch();
+        let mut sweeps = tokio::time::interval_at(Instant::now() + SWEEP_INTERVAL, SWEEP_INTERVAL);
+        sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            self.take_news();
+            self.collect();
+            let is_idle = self.outbox.is_empty() && lock(&context.quarantine.watch).is_idle();
+            tokio::select! {
+                Ok(()) = metadata.changed() => {}
+                () = context.quarantine.changed.notified() => {}
+                () = tokio::time::sleep(LOOK_INTERVAL), if !is_idle => {}
+                _ = sweeps.tick() => self.sweep().await,
+            }
+            self.write_next().await;
+        }
+    }
+
+    /// Takes the lists of replicas and records where they are others than before.
+    fn take_news(&mut self) {
+        let metadata = &self.context.metadata;
+        let replicas = metadata.replicas.load_full();
+        if !Arc::ptr_eq(&replicas, &self.replicas) {
+            self.replicas = Arc::clone(&replicas);
+            let quarantine = &self.context.quarantine;
+            quarantine.update(&self.context, |watch, now| watch.set_replicas(&replicas, now));
+        }
+        let records = metadata.quarantine.load_full();
+        if !Arc::ptr_eq(&records, &self.records) {
+            self.records = Arc::clone(&records);
+            self.context.quarantine.update(&self.context, |watch, _| {
+                watch.set_reports(records.reports());
+                true
+            });
+        }
+    }
+
+    fn collect(&mut self) {
+        let quarantine = &self.context.quarantine;
+        let due = lock(&quarantine.watch).due_reports(quarantine.now());
+        for report in due {
+            self.told += 1;
+            // The time keeps the names of a node's lives apart.
+            let name = format!("{}-{}-{}-{}", report.replica, self.context.node, wall_time().0, self.told);
+            self.outbox.push_back(KeepReport { name, report });
+        }
+        self.outbox.extend(quarantine.take_handed_over());
+        while self.outbox.len() > OUTBOX_LIMIT {
+            self.outbox.pop_front();
+            log::warn!(target: "quarantine", "A report of a replica that ended is dropped: {OUTBOX_LIMIT} wait for the platform's store.");
+        }
+    }
+
+    async fn write_next(&mut self) {
+        let Some(KeepReport { name, report }) = self.outbox.front() else { return };
+        let entry = QuarantineEntry::Crash(report.clone());
+        let spec = write_record(&QuarantineRecord { entry, seen_ms: wall_time().0 });
+        match self.client.write(QUARANTINE, name, None, spec).await {
+            // A conflict: it was written when the answer to it was lost.
+            Ok(()) | Err(WriteError::Conflict { .. }) => {
+                log::info!(
+                    target: "quarantine",
+                    "Replica {} ended: {} requests that ran there are told, {} are cleared.",
+                    report.replica, report.suspects.len(), report.cleared.len()
+                );
+                self.outbox.pop_front();
+            }
+            Err(error) => {
+                log::warn!(target: "quarantine", "The end of {} can't be told yet: {error}.", report.replica);
+                self.hand_over_next().await;
+            }
+        }
+    }
+
+    /// Asks a peer to write in this node's place: the store may turn away this node alone.
+    async fn hand_over_next(&mut self) {
+        let Some(next) = self.outbox.front().cloned() else { return };
+        let Some(peer) = peers::any(&self.context) else { return tokio::time::sleep(RETRY_PAUSE).await };
+        let answered = self.context.peers.keep_report(peer.peer_address, next, PEER_TIMEOUT).await;
+        if matches!(answered, Ok(KeepResponse::Taken)) {
+            log::info!(target: "quarantine", "{} tells of an ended replica in this node's place.", peer.node);
+            self.outbox.pop_front();
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn sweep(&self) {
+        self.renew().await;
+        if !self.is_first_gateway() {
+            return;
+        }
+        let before_ms = wall_time().0.saturating_sub(millis(RECORD_LIFE));
+        for name in self.records.superfluous(before_ms, RECORD_LIMIT) {
+            // What could not be removed now is at the next look.
+            if let Err(error) = self.client.delete(QUARANTINE, &name).await {
+                log::debug!(target: "quarantine", "Record {name} can't be removed: {error}.");
+            }
+        }
+    }
+
+    /// Records of held requests that came again last longer.
+    async fn renew(&self) {
+        let now_ms = wall_time().0;
+        let before_ms = now_ms.saturating_sub(millis(RENEW_AFTER));
+        for fingerprint in self.context.quarantine.take_seen() {
+            for (name, record) in self.records.stale_of(&fingerprint, before_ms) {
+                let spec = write_record(&QuarantineRecord { seen_ms: now_ms, ..record.clone() });
+                if let Err(error) = self.client.replace(QUARANTINE, name, spec).await {
+                    log::debug!(target: "quarantine", "Record {name} can't be renewed: {error}.");
+                }
+            }
+        }
+    }
+
+    /// One node removes what is over; it does no harm where two take themselves for it.
+    fn is_first_gateway(&self) -> bool {
+        let cluster = self.context.cluster.load();
+        let gateways = cluster.members.iter().filter(|member| member.roles.gateway);
+        gateways.map(|member| &member.node).min() == Some(&self.context.node)
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Asks to let a held request through once: of all nodes, the one whose record is the first.
+pub(crate) async fn begin_trial(context: &Context, fingerprint: Fingerprint) -> bool {
+    let Some(client) = MetadataClient::from_settings(&context.settings) else { return false };
+    let record = QuarantineRecord { entry: QuarantineEntry::Trial(fingerprint), seen_ms: wall_time().0 };
+    // Where the answer is lost, nobody may: the record stands.
+    client.write(QUARANTINE, &format!("trial-{fingerprint}"), None, write_record(&record)).await.is_ok()
+}
--- /dev/null
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -0,0 +1,116 @@
+//! One run of one request at one replica, followed to its end.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::ingress::replicas::ReplicaRecord;
+use lichenpulley_core::quarantine::{Fingerprint, RunSender, SentRun};
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+
+use super::lock;
+use crate::context::Context;
+
+/// A replica that neither takes nor refuses a connection for so long may have ended or not: its entry will tell.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunState {
+    /// It may be under way, or be dropped in the middle.
+    Sent,
+    /// Nothing of it reached the replica, or the replica did not run it.
+    NotRun,
+    /// The replica gave a whole answer.
+    Whole,
+    /// That it broke off is told already.
+    Told,
+}
+
+/// A run at a replica. Dropping it tells what became of it. A caller's run that is dropped in the middle may end its replica all the same;
+/// runs that the owner of batch jobs stops are many, and replicas drop what nobody reads.
+pub(crate) struct TracedRun {
+    context: Context,
+    run: SentRun,
+    state: RunState,
+}
+
+impl TracedRun {
+    /// A run that is about to be sent.
+    pub(crate) fn begin(
+        context: &Context,
+        fingerprint: Fingerprint,
+        replica: &ReplicaRecord,
+        sender: RunSender,
+    ) -> Self {
+        let quarantine = &context.quarantine;
+        let run = SentRun {
+            fingerprint,
+            replica: replica.id.clone(),
+            address: replica.address,
+            sender,
+            is_repeated: lock(&quarantine.watch).is_suspected(&fingerprint),
+            sent_at: quarantine.now(),
+        };
+        Self { context: Arc::clone(context), run, state: RunState::Sent }
+    }
+
+    /// The replica did not run it.
+    pub(crate) const fn has_not_run(&mut self) {
+        self.state = RunState::NotRun;
+    }
+
+    /// The replica gave a whole answer, good or not.
+    pub(crate) const fn ended_whole(&mut self) {
+        self.state = RunState::Whole;
+    }
+
+    /// The connection closed before a whole answer. Returns once it is known whether the replica refuses connections, so that the
+    /// next sending of the request, here or elsewhere, is decided by that.
+    pub(crate) async fn broke(&mut self) {
+        self.tell_broken();
+        let quarantine = &self.context.quarantine;
+        let replica = &self.run.replica;
+        let probe = Arc::clone(lock(&quarantine.probes).entry(replica.clone()).or_default());
+        let refuses = *probe.get_or_init(|| refuses_connections(&self.run)).await;
+        if refuses {
+            quarantine.update(&self.context, |watch, now| watch.replica_ended(replica, now));
+        }
+        let mut probes = lock(&quarantine.probes);
+        // Whoever breaks off later asks anew.
+        if probes.get(replica).is_some_and(|kept: &Arc<OnceCell<bool>>| Arc::ptr_eq(kept, &probe)) {
+            probes.remove(replica);
+        }
+    }
+
+    fn tell_broken(&mut self) {
+        self.state = RunState::Told;
+        let run = self.run.clone();
+        self.context.quarantine.update(&self.context, |watch, now| {
+            watch.run_broke(run, now);
+            // Nothing follows before it is known that the replica ended.
+            false
+        });
+    }
+}
+
+impl Drop for TracedRun {
+    fn drop(&mut self) {
+        match self.state {
+            RunState::Sent if self.run.sender == RunSender::Gateway => self.tell_broken(),
+            RunState::Whole => {
+                self.context.quarantine.update(&self.context, |watch, now| watch.run_ended(&self.run, now));
+            }
+            RunState::Sent | RunState::NotRun | RunState::Told => {}
+        }
+    }
+}
+
+/// Whether the port is closed: a process that lives takes connections, even if it resets them for want of room.
+async fn refuses_connections(run: &SentRun) -> bool {
+    match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(run.address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
--- a/crates/protocol/src/internal/metadata.rs
+++ b/crates/protocol/src/internal/metadata.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other of the platform's metadata, for those that can't reach the platform
 //! or need not.
 
+use lichenpulley_core::quarantine::CrashReport;
 use speedy::{Readable, Writable};
 
 /// Objects of the platform that nodes watch.
@@ -14,11 +15,32 @@
     Versions,
     /// Zones that the operator wants evacuated.
     Evacuations,
+    /// What nodes told of requests under which replicas ended.
+    Quarantine,
 }
 
 impl MetadataKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Configuration, Self::Replicas, Self::Versions, Self::Evacuations];
+    pub const ALL: [Self; 5] =
+        [Self::Configuration, Self::Replicas, Self::Versions, Self::Evacuations, Self::Quarantine];
+}
+
+/// Asks a node that reaches the platform's store to keep a report there.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct KeepReport {
+    /// The name under which it is kept, once.
+    pub name: String,
+    /// The report.
+    pub report: CrashReport,
+}
+
+/// What becomes of a report that is to be kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum KeepResponse {
+    /// The receiver keeps trying in the sender's place.
+    Taken,
+    /// The receiver has no way to the store, or too much to write already.
+    Refused,
 }
 
 /// Asks for what changed in a kind.
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -10,7 +10,9 @@
 pub use configuration::{ConfigurationRequest, ConfigurationResponse, DocumentName};
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
 use lichenpulley_core::identity::ShardId;
-pub use metadata::{MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse, MetadataUpdate};
+pub use metadata::{
+    KeepReport, KeepResponse, MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse, MetadataUpdate,
+};
 pub use store::{StoreRequest, StoreResponse};
 
 /// What every node answers to its peers.
@@ -28,4 +30,6 @@
     async fn metadata(request: MetadataRequest) -> MetadataResponse;
     /// Batch jobs of a shard that is bound to some regions, answered by its owner.
     async fn regional_batch(shard: ShardId, request: BatchRequest) -> BatchResponse;
+    /// A report for the platform's store, for a node that can't reach it; answered by every node.
+    async fn keep_report(request: KeepReport) -> KeepResponse;
 }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -16,6 +16,8 @@
 //! | `GET /v1/zones` | | a list of [`ZoneStatus`] |
 //! | `POST /v1/zones/{zone}/evacuate` | | [`ZoneChanged`] |
 //! | `POST /v1/zones/{zone}/return` | | [`ZoneChanged`] |
+//! | `GET /v1/quarantine` | | a list of [`QuarantinedRequest`] |
+//! | `POST /v1/quarantine/{fingerprint}/release` | | [`QuarantineReleased`] |
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
 
 use lichenpulley_core::decision::Decision;
@@ -174,6 +176,24 @@
     pub count: u64,
 }
 
+/// A request that reaches no replica, since replicas ended under it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedRequest {
+    /// The digest of its method, host, path, tenant and body.
+    pub fingerprint: String,
+    /// The lives of replicas that ended while it ran there.
+    pub replicas: Vec<String>,
+    /// For how long the answering node has held it back, in milliseconds.
+    pub held_for_ms: u64,
+}
+
+/// A request is let through again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineReleased {
+    /// Its fingerprint.
+    pub fingerprint: String,
+}
+
 /// Whether replicas of a zone are sent work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
