--- a/crates/core/src/quarantine/watch.rs
+++ b/crates/core/src/quarantine/watch.rs
@@ -171,8 +171,11 @@
         let (ended, left) =
             self.broken.drain(..).partition::<VecDeque<_>, _>(|(_, run)| run.replica == replica);
         self.broken = left;
-        let runs = ended.into_iter().map(|(_, run)| run);
-        runs.fold(false, |counts, run| self.count(run, now) || counts)
+        let mut counts = false;
+        for (_, run) in ended {
+            counts |= self.count(run, now);
+        }
+        counts
     }
 
     fn count(&mut self, run: SentRun, now: Timestamp) -> bool {
@@ -203,7 +206,11 @@
             .filter(|(_, run)| has_ended(run))
             .map(|(_, run)| run.replica.clone())
             .collect();
-        ended.iter().fold(false, |counts, replica| self.replica_ended(replica, now) || counts)
+        let mut counts = false;
+        for replica in ended {
+            counts |= self.replica_ended(&replica, now);
+        }
+        counts
     }
 
     /// Takes all that nodes told.
