Count the time in which a machine is suspended where it decides by what others may have done

Cause: the steady clock stands still while a machine is suspended. By it an owner of batch jobs that was suspended took what its stores confirmed seconds ago for fresh: it would have shown results and given orders that another owner's made void. A watch whose answer was lost meanwhile waited on for up to thirty seconds, beyond the bounds for drains, configurations and held requests. Change: the owner's confirmation, orders, the age of metadata and resting connections go by CLOCK_BOOTTIME; a look each 100 ms compares both clocks, says that the machine was suspended, and has the metadata listed anew.

--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::owner::CONFIRMED_FOR;
+use crate::boot_clock::{BootClock, BootInstant};
 use crate::context::Context;
 use crate::http::client::{self, HttpClient};
 use crate::metrics::Latency;
@@ -62,12 +63,13 @@
     }
 
     /// Begins a load; the order goes out only while the authority confirmed at `confirmed_at` holds.
-    pub(super) fn begin(&self, load: Load, confirmed_at: Instant) {
+    pub(super) fn begin(&self, load: Load, confirmed_at: BootInstant) {
         let record = self.context.metadata.replicas.load().records.get(&load.replica).cloned();
         let order = Order {
             http: self.http.clone(),
             holder: self.context.node.to_string(),
             epoch: self.epoch,
+            clock: self.context.boot_clock.clone(),
             confirmed_at,
             load,
             usual_ms: Arc::clone(&self.usual_ms),
@@ -105,7 +107,8 @@
     http: HttpClient,
     holder: String,
     epoch: Epoch,
-    confirmed_at: Instant,
+    clock: BootClock,
+    confirmed_at: BootInstant,
     load: Load,
     usual_ms: Arc<AtomicU64>,
 }
@@ -119,7 +122,7 @@
                 return Some(LoadEnd { versions: before.versions(), time: None });
             }
             // An order that was given up may have been lost, or is under way after all.
-            let may_order = self.confirmed_at.elapsed() < CONFIRMED_FOR;
+            let may_order = self.clock.since(self.confirmed_at) < CONFIRMED_FOR;
             let taken = if before.num_busy {
                 OrderTaken::Perhaps
             } else if may_order {
--- a/crates/daemon/src/batch/log.rs
+++ b/crates/daemon/src/batch/log.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
+use crate::boot_clock::{BootClock, BootInstant};
 use crate::store::heard_clock::HeardClock;
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
@@ -32,7 +32,7 @@
     /// So many appends are kept by a majority; the first of them was begun at `began`.
     Appended {
         appends: usize,
-        began: Instant,
+        began: BootInstant,
         /// Whether the log should be compacted.
         is_long: bool,
     },
@@ -51,11 +51,11 @@
 
 impl LogWriter {
     /// Starts to write to a log that has been taken over and holds so many bytes.
-    pub(super) fn start(log: ShardLog, held_bytes: usize) -> Self {
+    pub(super) fn start(log: ShardLog, held_bytes: usize, clock: BootClock) -> Self {
         let (writes, received) = mpsc::unbounded_channel();
         let (sender, written) = mpsc::unbounded_channel();
         let heard = log.heard();
-        tokio::spawn(Task { log, received, sender, held_bytes }.run());
+        tokio::spawn(Task { log, received, sender, held_bytes, clock }.run());
         Self { writes, written, heard }
     }
 
@@ -92,6 +92,7 @@
     received: mpsc::UnboundedReceiver<Write>,
     sender: mpsc::UnboundedSender<Written>,
     held_bytes: usize,
+    clock: BootClock,
 }
 
 impl Task {
@@ -150,7 +151,7 @@
     }
 
     async fn append(&mut self, appends: Vec<Vec<Record>>) -> Result<(), ShardLogError> {
-        let began = Instant::now();
+        let began = self.clock.now();
         let records = appends.iter().flatten().filter_map(|record| match record.encode() {
             Ok(bytes) => Some(bytes),
             Err(error) => {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -29,6 +29,7 @@
 use super::scope::Scope;
 use super::score::{self, ScoreEnded};
 use super::{Command, candidate, run};
+use crate::boot_clock::{BootClock, BootInstant};
 use crate::context::Context;
 use crate::duties::{self, DutyCalls, DutyEnded};
 use crate::ingress::pool::ReplicaPool;
@@ -80,8 +81,10 @@
     origin: Instant,
     log: LogWriter,
     epoch: Epoch,
+    /// Counts the time in which the machine is suspended: others take over meanwhile.
+    clock: BootClock,
     /// When the last append that is known to be decided was begun.
-    confirmed_at: Instant,
+    confirmed_at: BootInstant,
     runs: HashMap<RunId, AbortHandle>,
     run_events: mpsc::Receiver<(RunId, RunEvent)>,
     run_sender: mpsc::Sender<(RunId, RunEvent)>,
@@ -157,6 +160,7 @@
         let (duty_sender, duty_ends) = mpsc::unbounded_channel();
         let epoch = log.epoch();
         let now = Instant::now();
+        let clock = context.boot_clock.clone();
         Self {
             duty_calls: DutyCalls::new(context.clone(), epoch, duty_sender),
             duty_ends,
@@ -170,9 +174,10 @@
             traffic,
             controller,
             origin: now,
-            log: LogWriter::start(log, held_bytes),
+            log: LogWriter::start(log, held_bytes, clock.clone()),
             epoch,
-            confirmed_at: now,
+            confirmed_at: clock.now(),
+            clock,
             runs: HashMap::new(),
             run_events,
             run_sender,
@@ -288,7 +293,7 @@
 
     /// Asks the stores where none has answered for long. While a store is replaced, they answer to the signs of life.
     fn watch_silence(&mut self) {
-        let is_unconfirmed = self.confirmed_at.elapsed() >= CUT_OFF_AFTER;
+        let is_unconfirmed = self.clock.since(self.confirmed_at) >= CUT_OFF_AFTER;
         let is_silent = is_unconfirmed && self.log.silent_for() >= CUT_OFF_AFTER;
         if self.cut_off.look(is_silent) != CutOffStep::Ask {
             return;
@@ -309,7 +314,7 @@
 
     /// Invariant: nothing is shown, started or ordered on an authority that was not confirmed lately.
     fn is_confirmed(&self) -> bool {
-        self.confirmed_at.elapsed() < CONFIRMED_FOR
+        self.clock.since(self.confirmed_at) < CONFIRMED_FOR
     }
 
     fn update(&mut self) {
@@ -367,7 +372,7 @@
     fn handle_written(&mut self, written: Written) {
         match written {
             Written::Appended { appends, began, is_long } => {
-                self.context.metrics.observe(Latency::Append, "decided", began.elapsed());
+                self.context.metrics.observe(Latency::Append, "decided", self.clock.since(began));
                 self.confirmed_at = self.confirmed_at.max(began);
                 self.controller.set_confirmed(self.is_confirmed());
                 let now = self.now();
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -9,6 +9,7 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 
+use crate::boot_clock::BootClock;
 use crate::cluster::ClusterView;
 use crate::configuration::{ConfigurationHandle, ConfigurationView};
 use crate::decisions::DecisionLog;
@@ -21,6 +22,7 @@
 use crate::quarantine::QuarantineHandle;
 use crate::settings::Settings;
 use crate::store::replica_sets::ReplicaSetCache;
+use crate::suspension::SuspensionCount;
 
 /// One node's shared state.
 pub struct NodeContext {
@@ -28,6 +30,10 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
+    /// The clock by which an authority is judged.
+    pub boot_clock: BootClock,
+    /// How often the machine was suspended.
+    pub suspensions: SuspensionCount,
     /// The checked settings file with flags over it.
     pub settings: Settings,
     /// Decisions, as they are made.
@@ -69,9 +75,13 @@
     /// The context of a node whose control runtime is `control`: no members, replicas or configuration yet.
     pub fn new(settings: Settings, control: Handle) -> Context {
         let metrics = Metrics::new();
+        let boot_clock = BootClock::default();
         Arc::new(Self {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
+            metadata: MetadataHandle::new(boot_clock.clone()),
+            boot_clock,
+            suspensions: SuspensionCount::default(),
             decisions: DecisionLog::new(settings.node.clone(), metrics.clone()),
             metrics,
             cluster: ArcSwap::default(),
@@ -80,7 +90,6 @@
             configuration: ArcSwap::default(),
             documents: ConfigurationHandle::new(),
             replica_sets: ReplicaSetCache::default(),
-            metadata: MetadataHandle::default(),
             quarantine: QuarantineHandle::default(),
             batch_owner: Arc::default(),
             usage: NodeUsage::new(settings.node.as_str(), settings.duties.usage().is_some()),
--- a/crates/daemon/src/ingress/pool.rs
+++ b/crates/daemon/src/ingress/pool.rs
@@ -19,7 +19,8 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+
+use crate::boot_clock::{BootClock, BootInstant};
 
 /// How long a connection is kept where the replica does not say how long it keeps it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(2);
@@ -33,14 +34,16 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Idle connections by replica address. Cheap to clone.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ReplicaPool {
+    clock: BootClock,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 struct IdleConnection {
     connection: Connection,
-    expires_at: Instant,
+    /// Replicas close idle connections also while this machine is suspended.
+    expires_at: BootInstant,
 }
 
 /// An open connection; dropping it closes it.
@@ -76,6 +79,11 @@
 }
 
 impl ReplicaPool {
+    /// An empty pool whose connections expire by this clock.
+    pub fn new(clock: BootClock) -> Self {
+        Self { clock, idle: Arc::default() }
+    }
+
     /// Sends a request and waits for the head of its answer. `needs_fresh` asks for a connection of its own, which the
     /// replica can't be closing just now. `may_send` is asked just before the first byte: a request that waited for a
     /// connection may have been let through under what no longer holds.
@@ -108,7 +116,7 @@
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(candidate) = kept.pop() {
             if candidate.expires_at > now && candidate.connection.sender.is_ready() {
                 return Some(candidate.connection);
@@ -123,10 +131,11 @@
         if connection.sender.is_closed() {
             return;
         }
-        let expires_at = Instant::now() + idle_for;
+        let now = self.clock.now();
+        let expires_at = now + idle_for;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.entry(connection.address).or_default();
-        kept.retain(|kept| kept.expires_at > Instant::now() && !kept.connection.sender.is_closed());
+        kept.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
         if kept.len() < IDLE_CONNECTIONS {
             kept.push(IdleConnection { connection, expires_at });
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arguments;
 pub mod batch;
+pub mod boot_clock;
 pub mod cluster;
 pub mod configuration;
 pub mod context;
@@ -25,3 +26,4 @@
 pub mod quarantine;
 pub mod settings;
 pub mod store;
+pub mod suspension;
--- a/crates/daemon/src/metadata/freshness.rs
+++ b/crates/daemon/src/metadata/freshness.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use lichenpulley_protocol::internal::MetadataKind;
-use tokio::time::Instant;
 
 use super::kind_index;
+use crate::boot_clock::{BootClock, BootInstant};
 
 /// The age of a copy that was never confirmed.
 const NEVER: u64 = u64::MAX;
@@ -17,7 +17,8 @@
 /// stands; a copy that came from a peer is as old as the peer said.
 #[derive(Debug)]
 pub(super) struct Freshness {
-    origin: Instant,
+    clock: BootClock,
+    origin: BootInstant,
     confirmed_ms: [AtomicU64; MetadataKind::ALL.len()],
     reads: [AtomicU8; MetadataKind::ALL.len()],
     is_away: AtomicBool,
@@ -35,19 +36,18 @@
     Watched = 2,
 }
 
-impl Default for Freshness {
-    fn default() -> Self {
+impl Freshness {
+    /// Nothing is confirmed yet. Copies age by this clock while the machine is suspended, too.
+    pub(super) fn new(clock: BootClock) -> Self {
         let confirmed_ms = std::array::from_fn(|_| AtomicU64::new(NEVER));
         let is_away = AtomicBool::new(false);
-        Self { origin: Instant::now(), confirmed_ms, reads: Default::default(), is_away }
+        Self { origin: clock.now(), clock, confirmed_ms, reads: Default::default(), is_away }
     }
-}
 
-impl Freshness {
     /// A copy of this kind was confirmed so long ago.
     pub(super) fn confirm(&self, kind: MetadataKind, age: Duration) {
         // A time before this process began can't be noted: such a copy is of unknown age.
-        let at = self.origin.elapsed().checked_sub(age);
+        let at = self.clock.since(self.origin).checked_sub(age);
         let at_ms = at.and_then(|at| u64::try_from(at.as_millis()).ok()).unwrap_or(NEVER);
         self.confirmed_ms[kind_index(kind)].store(at_ms, Ordering::Relaxed);
     }
@@ -85,7 +85,7 @@
     pub(super) fn age(&self, kind: MetadataKind) -> Duration {
         match self.confirmed_ms[kind_index(kind)].load(Ordering::Relaxed) {
             NEVER => Duration::MAX,
-            at_ms => self.origin.elapsed().saturating_sub(Duration::from_millis(at_ms)),
+            at_ms => self.clock.since(self.origin).saturating_sub(Duration::from_millis(at_ms)),
         }
     }
 }
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::boot_clock::BootClock;
 use crate::context::Context;
 use crate::quarantine::{self, QuarantineRecords};
 use freshness::Freshness;
@@ -53,8 +54,9 @@
     changes: watch::Sender<u64>,
 }
 
-impl Default for MetadataHandle {
-    fn default() -> Self {
+impl MetadataHandle {
+    /// Nothing is known yet.
+    pub fn new(clock: BootClock) -> Self {
         Self {
             routes: ArcSwapOption::empty(),
             replicas: ArcSwap::default(),
@@ -63,13 +65,11 @@
             quarantine: ArcSwap::default(),
             evacuation_news: zones::EvacuationNews::default(),
             copies: Default::default(),
-            freshness: Freshness::default(),
+            freshness: Freshness::new(clock),
             changes: watch::Sender::new(0),
         }
     }
-}
 
-impl MetadataHandle {
     /// Wakes whenever anything changes.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -13,6 +13,7 @@
 use lichenpulley_platform::objects;
 use lichenpulley_platform::quarantine::QUARANTINE;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataUpdate};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::client::{MetadataClient, Watched};
@@ -62,6 +63,7 @@
     let stopped = context.stopped.clone();
     let follower = Follower::new(Arc::clone(&context), kind);
     let lapses = LapseKeeper::new(context.settings.configuration.lapse_grace);
+    let suspensions = context.suspensions.watch();
     let mut watcher = Watcher {
         lapses,
         origin: Instant::now(),
@@ -69,6 +71,7 @@
         client,
         kind,
         reach,
+        suspensions,
         follower,
         objects: BTreeMap::new(),
         revision: None,
@@ -85,6 +88,8 @@
     client: MetadataClient,
     kind: MetadataKind,
     reach: Reachability,
+    /// Changes when the machine was suspended.
+    suspensions: watch::Receiver<u64>,
     follower: Follower,
     objects: BTreeMap<String, String>,
     /// What `objects` is of; none where it must be listed anew.
@@ -183,6 +188,7 @@
         let began = Instant::now();
         let response = tokio::select! {
             response = self.follower.ask(self.revision) => response,
+            Ok(()) = self.suspensions.changed() => return,
             holder = news::heard_newer(&self.context, self.kind) => {
                 if let Err(error) = self.take_news(&holder).await {
                     log::info!(target: "metadata", "{:?} can't be listed: {error}.", self.kind);
@@ -220,6 +226,11 @@
             watched = look(&self.client, self.kind, revision, self.failures) => watched?,
             // The store is silent: this watch hears nothing, whether it was sent before or since.
             Ok(()) = self.reach.changed() => return Ok(RoundEnd::Unconfirmed),
+            // What it waits for may have been answered while the machine was suspended.
+            Ok(()) = self.suspensions.changed() => {
+                self.revision = None;
+                return self.list().await.map(|()| RoundEnd::Confirmed);
+            }
             () = sleep_until(lapses_end) => {
                 self.drop_lapsed();
                 return Ok(RoundEnd::Unconfirmed);
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -29,6 +29,7 @@
 use crate::operators::{OperatorParts, Operators};
 use crate::settings::Settings;
 use crate::store::{self, Store};
+use crate::suspension;
 
 /// Runs a node on this thread until it has stopped or `abort` is cancelled.
 pub(super) fn run(
@@ -100,12 +101,13 @@
     let membership = UdpSocket::from_std(membership).map_err(StartError::Thread)?;
     start_membership(context, membership, addresses);
     configuration::start(context);
+    suspension::start(context);
     metadata::start(context);
 
     let store = start_store(context)?;
     let dispatcher = Dispatcher::new(Arc::clone(context), traffic.clone());
     let coordinator = coordinator::start(Arc::clone(context), dispatcher.clone(), store.clone());
-    let pool = ReplicaPool::default();
+    let pool = ReplicaPool::new(context.boot_clock.clone());
     let batch = batch::start(context, pool.clone(), traffic.clone());
     let service = PeerService::new(Arc::clone(context), coordinator.clone(), batch.clone(), store);
     let stop = stop::StopSignals::new(context);
--- /dev/null
+++ b/crates/daemon/src/suspension.rs
@@ -0,0 +1,83 @@
+//! Finds out that the machine was suspended, and tells those whose waiting was cut short by it.
+//!
+//! Timers don't count a suspension: a watch that was held when it began waits on as though nothing had happened, though its answer may
+//! have been given and lost meanwhile.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lichenpulley_core::decision::{Component, Decision};
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior};
+
+use crate::boot_clock::{BootClock, BootInstant};
+use crate::context::Context;
+
+/// The pause between two looks at both clocks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Clocks that are read one after the other differ by less than this, also on a busy machine.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(250);
+
+/// How often the machine was suspended in the life of this process.
+#[derive(Debug)]
+pub struct SuspensionCount(watch::Sender<u64>);
+
+impl Default for SuspensionCount {
+    fn default() -> Self {
+        Self(watch::Sender::new(0))
+    }
+}
+
+impl SuspensionCount {
+    /// Changes each time that the machine was suspended.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.0.subscribe()
+    }
+}
+
+/// Looks until the node has stopped.
+pub fn start(context: &Context) {
+    let context = Arc::clone(context);
+    tokio::spawn(async move {
+        let mut looks = tokio::time::interval(LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut clocks = ClockPair::read(&context.boot_clock);
+        loop {
+            tokio::select! {
+                () = context.stopped.cancelled() => return,
+                _ = looks.tick() => {}
+            }
+            let now = ClockPair::read(&context.boot_clock);
+            let suspended = now.suspended_since(&clocks);
+            clocks = now;
+            if suspended >= LEAST_SUSPENSION {
+                resumed(&context, suspended);
+            }
+        }
+    });
+}
+
+fn resumed(context: &Context, suspended: Duration) {
+    log::warn!(target: "node", "The machine was suspended for {} ms: what it watches is read anew.", suspended.as_millis());
+    let decision = Decision::new(Component::Membership, "resumed", "was_suspended", &context.node);
+    context.decisions.record(decision.with("milliseconds", suspended.as_millis()));
+    context.suspensions.0.send_modify(|count| *count += 1);
+}
+
+/// Both clocks, read one after the other.
+struct ClockPair {
+    boot: BootInstant,
+    steady: Instant,
+}
+
+impl ClockPair {
+    fn read(clock: &BootClock) -> Self {
+        Self { boot: clock.now(), steady: Instant::now() }
+    }
+
+    /// By how much more the clock that counts suspensions has moved on.
+    fn suspended_since(&self, earlier: &Self) -> Duration {
+        let steady = self.steady.saturating_duration_since(earlier.steady);
+        self.boot.saturating_since(earlier.boot).saturating_sub(steady)
+    }
+}
--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -39,6 +39,8 @@
     condition: Mutex<Condition>,
     /// A kind of which it says nothing.
     silent_kind: Mutex<Option<String>>,
+    /// The kinds that were listed, each time.
+    listed: Mutex<Vec<String>>,
     /// The kinds of the watches that wait.
     waiting: Mutex<Vec<String>>,
     changed: Notify,
@@ -61,6 +63,7 @@
         objects: Mutex::default(),
         condition: Mutex::default(),
         silent_kind: Mutex::default(),
+        listed: Mutex::default(),
         waiting: Mutex::default(),
         changed: Notify::new(),
     });
@@ -105,6 +108,12 @@
         waiting.iter().filter(|waiting| *waiting == kind).count()
     }
 
+    /// How often a kind was listed.
+    pub fn lists(&self, kind: &str) -> usize {
+        let listed = self.shared.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        listed.iter().filter(|listed| *listed == kind).count()
+    }
+
     /// Says nothing of this kind from now on; all else is answered.
     pub fn set_silent_kind(&self, kind: Option<&str>) {
         let mut silent = self.shared.silent_kind.lock().unwrap_or_else(PoisonError::into_inner);
@@ -196,6 +205,7 @@
 async fn read_kind(shared: &Shared, kind: &str, request: &Request<Incoming>) -> Response<Body> {
     let after: Option<u64> = parameter(request, "watch").and_then(|revision| revision.parse().ok());
     let Some(after) = after else {
+        shared.listed.lock().unwrap_or_else(PoisonError::into_inner).push(kind.to_owned());
         let objects = shared.objects();
         let list = List { items: objects.list(kind), has_more: false, at: objects.revision() };
         return http::json(StatusCode::OK, &list);
--- /dev/null
+++ b/crates/lab/tests/platform_suspension/mod.rs
@@ -0,0 +1,56 @@
+//! A machine that is suspended for seconds while all others go on. The steady clock, and with it every timer, stands still meanwhile.
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use lichenpulley_daemon::node::Node;
+use lichenpulley_platform::objects;
+use tokio::time::Instant;
+
+use crate::platform_system::{PATIENCE, System};
+
+/// Longer than any authority lasts.
+const SUSPENDED: Duration = Duration::from_secs(5);
+
+fn suspend(node: &Node) {
+    node.context().boot_clock.skip(SUSPENDED);
+}
+
+#[tokio::test]
+async fn an_owner_shows_nothing_on_what_was_confirmed_before_its_machine_was_suspended() {
+    let mut system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    assert_eq!(system.results(0, "job").await.len(), 4);
+    let owner = system.owner();
+    for number in 0..system.stores.len() {
+        let lost = system.stores[number].take().expect("a store");
+        lost.kill();
+        lost.stopped().await;
+    }
+    // Without stores nothing confirms it any more; what the last of them confirmed is seconds old, although hardly a moment has passed.
+    suspend(system.gateways[owner].as_ref().expect("the owner"));
+    let answer = system.call(owner, Method::GET, "/-/lots/job?after_rev=0", &[], "").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
+#[tokio::test]
+async fn a_node_whose_machine_was_suspended_reads_the_platform_anew() {
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let node = system.gateways[0].as_ref().expect("a gateway");
+    // Both watch by now, and would list nothing any more.
+    let stands = Instant::now() + PATIENCE;
+    while system.platform.waiting_watches(objects::REPLICAS) < 2 {
+        assert!(Instant::now() < stands, "the watches stand in time");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let before = system.platform.lists(objects::REPLICAS);
+    suspend(node);
+    let listed = async {
+        while system.platform.lists(objects::REPLICAS) == before {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, listed).await.expect("it lists anew");
+}
