Let the soak end replicas, and send a request under which they end

Change: a request under which replicas end comes each 0.7 s at another gateway, and before a part of the faults a replica ends by itself (drawn apart, so that a seed gives the faults it always gave); ended replicas come back under new ids. In the end at most three more may end under it, and no other request may be held at any gateway, though all items of the soak have one content.

--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
+use lichenpulley_core::quarantine::{Fingerprint, RequestContent};
 use lichenpulley_daemon::http::client::{HttpClient, build};
+use lichenpulley_protocol::operator::QuarantinedRequest;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -17,6 +19,12 @@
 pub const HOST: &str = "soak.example";
 /// Items of one job.
 const ITEMS: usize = 6;
+/// The body of the request under which replicas end.
+pub const ENDING_BODY: &[u8] = b"ends";
+/// Its path.
+const ENDING_PATH: &str = "/read/ending";
+/// Pause between two times that it comes.
+const ENDING_PAUSE: Duration = Duration::from_millis(700);
 /// How long one call may take.
 const CALL_LIMIT: Duration = Duration::from_secs(4);
 /// A job is known for so long after it was sent (`status_s` of the platform's pages).
@@ -100,6 +108,35 @@
         }
     }
 
+    /// Sends the request under which replicas end, again and again, until `until`.
+    pub async fn keep_ending(self, until: Instant) {
+        let mut turn = 0;
+        while Instant::now() < until {
+            turn += 1;
+            self.send_ending(turn).await;
+            tokio::time::sleep(ENDING_PAUSE).await;
+        }
+    }
+
+    /// Sends it once. It earns nothing, whatever the answer.
+    pub async fn send_ending(&self, turn: usize) {
+        let id = format!("ending-{turn}");
+        let _ = self.call(turn, Method::POST, ENDING_PATH, &id, ENDING_BODY.to_vec()).await;
+    }
+
+    /// What the request under which replicas end has in common each time.
+    pub fn ending_fingerprint() -> Fingerprint {
+        let (method, tenant) = ("POST", None);
+        Fingerprint::of(&RequestContent { method, host: HOST, path: ENDING_PATH, tenant, body: ENDING_BODY })
+    }
+
+    /// The fingerprints that a node holds back; none where it gives no answer.
+    pub async fn held_at(&self, operators: SocketAddr) -> Vec<String> {
+        let held =
+            self.http.get_json::<Vec<QuarantinedRequest>>(operators, "/v1/quarantine", CALL_LIMIT).await;
+        held.unwrap_or_default().into_iter().map(|held| held.fingerprint).collect()
+    }
+
     fn note_write(&self, id: String, answer: Option<CallAnswer>) {
         let at_ms = self.now_ms();
         let status = answer.as_ref().map(|answer| answer.status);
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use getopts::Options;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -26,6 +26,9 @@
 use history::Violation;
 use system::SoakSystem;
 
+/// The part of the faults before which a replica ends by itself.
+const REPLICA_ENDS: f64 = 0.3;
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct SoakConfig {
@@ -78,8 +81,15 @@
     let until = Instant::now() + config.duration;
     let jobs: Vec<_> = (0..3).map(|name| tokio::spawn(callers.clone().run_jobs(name, until))).collect();
     let writes: Vec<_> = (0..2).map(|name| tokio::spawn(callers.clone().write(name, until))).collect();
+    let ending = tokio::spawn(callers.clone().keep_ending(until));
+    // Draws of their own, so that a seed gives the faults that it always gave.
+    let mut ends = Pcg64Mcg::seed_from_u64(!config.seed);
     let mut faults = Vec::new();
     while Instant::now() < until {
+        system.revive().await?;
+        if ends.random_bool(REPLICA_ENDS) {
+            system.end_replica(ends.random_range(0..system.size().replicas));
+        }
         let planned = PlannedFault::draw(system.size(), &mut random);
         let at_ms = callers.now_ms();
         system.play(planned).await?;
@@ -87,10 +97,13 @@
         faults.push(FaultRecord { at_ms, lasted_ms, fault: planned.to_string() });
         tokio::time::sleep(planned.pause).await;
     }
+    system.revive().await?;
     for task in jobs.into_iter().chain(writes) {
         // A task that panicked has failed the soak.
         task.await.map_err(|error| LabError::CheckFailed(error.to_string()))?;
     }
+    ending.await.map_err(|error| LabError::CheckFailed(error.to_string()))?;
+    system.check_ending().await?;
     system.check_all_again().await;
     let mut history = callers.history();
     history.check_runs(callers.now_ms(), &system.seen());
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -5,11 +5,12 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use bytes::Bytes;
 use lichenpulley_platform::objects;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
-use super::caller::{Callers, HOST};
+use super::caller::{Callers, ENDING_BODY, HOST};
 use super::fault::{Fault, PlannedFault, SystemSize};
 use super::history::EVENTS;
 use super::node::{NodePlan, NodeProcess, data_folder};
@@ -23,6 +24,12 @@
 /// Every node that runs and reaches the platform or a peer keeps to an evacuation after so long (`evac_ms` of the
 /// platform's pages).
 const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
+/// What one node learns of ended replicas is known to all others after so long (`contact_ms` of the platform's pages).
+const SPREADS_WITHIN: Duration = Duration::from_secs(3);
+/// Replicas that a request may reach after that once three have ended under it.
+const ENDING_SENDS: usize = 3;
+/// How often it is sent to each gateway in the end.
+const ENDING_ROUNDS: usize = 3;
 /// How long a planned stop may take.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
@@ -32,6 +39,8 @@
     folder: PathBuf,
     platform: MetadataStore,
     replicas: Vec<Replica>,
+    /// Those that have ended, with the places where their successors stand.
+    ended_replicas: Vec<(usize, Replica)>,
     replica_proxies: Vec<LoopbackProxy>,
     platform_proxies: Vec<LoopbackProxy>,
     stores: Vec<Option<NodeProcess>>,
@@ -49,6 +58,7 @@
             folder: folder.to_owned(),
             platform,
             replicas: Vec::new(),
+            ended_replicas: Vec::new(),
             replica_proxies: Vec::new(),
             platform_proxies: Vec::new(),
             stores: Vec::new(),
@@ -71,20 +81,81 @@
     }
 
     async fn add_replica(&mut self, number: usize) -> Result<(), LabError> {
-        let models = BTreeMap::from([("m".to_owned(), 1)]);
         let id = format!("replica-{number}");
-        let plan =
-            Plan { id: id.clone(), events: EVENTS, pause: Duration::from_millis(20), models, ends_on: None };
-        let replica = platform_replica::start(plan).await?;
+        let replica = platform_replica::start(replica_plan(&id)).await?;
         let proxy = LoopbackProxy::bind(replica.address).await?;
-        let mut record = replica.record("engines", ZONES[number % ZONES.len()]);
-        record["address"] = json!(proxy.address.to_string());
-        self.platform.put(objects::REPLICAS, &id, record);
+        self.list_replica(number, &replica, &proxy);
         self.replicas.push(replica);
         self.replica_proxies.push(proxy);
         Ok(())
     }
 
+    fn list_replica(&self, number: usize, replica: &Replica, proxy: &LoopbackProxy) {
+        let mut record = replica.record("engines", ZONES[number % ZONES.len()]);
+        record["address"] = json!(proxy.address.to_string());
+        self.platform.put(objects::REPLICAS, &replica.id(), record);
+    }
+
+    /// Starts the replicas that have ended anew, each under a new id at its address; returns how many there were.
+    ///
+    /// # Errors
+    /// When an address can't be had again.
+    pub(super) async fn revive(&mut self) -> Result<usize, LabError> {
+        let ended: Vec<usize> =
+            (0..self.replicas.len()).filter(|number| self.replicas[*number].has_ended()).collect();
+        for number in &ended {
+            let id = format!("replica-{number}-{}", self.ended_replicas.len());
+            let replica =
+                platform_replica::start_at(self.replicas[*number].address, replica_plan(&id)).await?;
+            self.platform.remove(objects::REPLICAS, &self.replicas[*number].id());
+            self.list_replica(*number, &replica, &self.replica_proxies[*number]);
+            let before = std::mem::replace(&mut self.replicas[*number], replica);
+            self.ended_replicas.push((*number, before));
+        }
+        Ok(ended.len())
+    }
+
+    /// A replica ends by itself, whatever runs there.
+    pub(super) fn end_replica(&self, number: usize) {
+        self.replicas[number].end();
+    }
+
+    /// Now that everything is well: a request under which replicas ended reaches no more of them than the platform's pages allow, at
+    /// any gateway, and nothing else is held back.
+    ///
+    /// # Errors
+    /// When a replica can't be started anew.
+    pub(super) async fn check_ending(&mut self) -> Result<(), LabError> {
+        self.revive().await?;
+        tokio::time::sleep(SPREADS_WITHIN).await;
+        let mut ended = 0;
+        for turn in 0..ENDING_ROUNDS * self.gateways.len() {
+            self.callers.send_ending(turn).await;
+            ended += self.revive().await?;
+        }
+        if ended > ENDING_SENDS {
+            let seen = format!("{ended} more replicas ended");
+            self.note("a request under which replicas end is kept from all others", "ending", seen);
+        }
+        for number in 0..self.gateways.len() {
+            let Some(operators) = self.gateways[number].as_ref().and_then(|node| node.address("operators"))
+            else {
+                continue;
+            };
+            for held in self.callers.held_at(operators).await {
+                if held != Callers::ending_fingerprint().to_string() {
+                    self.note("no other request is held back", &held, format!("held at gateway {number}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn note(&self, promise: &'static str, id: &str, seen: String) {
+        let at_ms = self.callers.now_ms();
+        self.callers.history().broken(at_ms, promise, id, seen);
+    }
+
     /// Where others can be found: every node that runs.
     fn seeds(&self) -> Vec<SocketAddr> {
         let running = self.stores.iter().chain(&self.gateways).flatten();
@@ -121,7 +192,8 @@
 
     /// What all replicas ran.
     pub(super) fn seen(&self) -> Vec<SeenRequest> {
-        self.replicas.iter().flat_map(Replica::seen).collect()
+        let ended = self.ended_replicas.iter().map(|(_, replica)| replica);
+        self.replicas.iter().chain(ended).flat_map(Replica::seen).collect()
     }
 
     /// Plays a fault to its end, while a zone is evacuated where the plan says so.
@@ -142,7 +214,8 @@
 
     /// How many requests the replicas of a zone began to run.
     fn seen_in(&self, zone: usize) -> usize {
-        let replicas = self.replicas.iter().enumerate();
+        let ended = self.ended_replicas.iter().map(|(number, replica)| (*number, replica));
+        let replicas = self.replicas.iter().enumerate().chain(ended);
         let replicas = replicas.filter(|(number, _)| number % ZONES.len() == zone);
         replicas.map(|(_, replica)| replica.seen().len()).sum()
     }
@@ -152,8 +225,7 @@
         let later = self.seen_in(zone) - before;
         if later > 0 {
             let seen = format!("{later} requests began there");
-            let at_ms = self.callers.now_ms();
-            self.callers.history().broken(at_ms, "nothing goes to an evacuated zone", ZONES[zone], seen);
+            self.note("nothing goes to an evacuated zone", ZONES[zone], seen);
         }
     }
 
@@ -256,6 +328,12 @@
     Ok(())
 }
 
+fn replica_plan(id: &str) -> Plan {
+    let models = BTreeMap::from([("m".to_owned(), 1)]);
+    let ends_on = Some(Bytes::from_static(ENDING_BODY));
+    Plan { id: id.to_owned(), events: EVENTS, pause: Duration::from_millis(20), models, ends_on }
+}
+
 fn configuration() -> Value {
     let route = |name: &str, prefix: &str, kind: &str| {
         json!({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 3_000,
