Tell a second crash at once, and find watches that hear nothing of what was told

A crash was told 0.4 s later also where it was the second under a request; a record written while the watches of all nodes were stuck, as when all connections fall silent together, would have been read after 30 s. Change: a second crash is told without waiting; a node that does not read back what it wrote within half a second lists the records anew, and announces them. Probes of an ended replica are kept by weak references; a request that is held back in the middle of a try and has not run gets the answer that says so. Suspensions use the same way to have a kind listed.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -180,6 +180,32 @@
     assert_eq!((refused.kind(), refused.exit_code()), ("unknown_zone", 1));
 }
 
+#[tokio::test]
+async fn quarantine_shows_what_is_held_and_release_names_it() {
+    let fingerprint = "93855f52fce4cd53d9d1ef4b5334c338";
+    let held = json!([{"fingerprint": fingerprint, "replicas": ["r-1", "r-2", "r-3"], "held_for_ms": 1200}]);
+    let server = Server::start(move |_, seen| match seen.path.as_str() {
+        "/v1/quarantine" => Answer::Json(200, held.clone()),
+        "/v1/quarantine/93855f52fce4cd53d9d1ef4b5334c338/release" => {
+            Answer::Json(200, json!({"fingerprint": fingerprint}))
+        }
+        _ => Answer::Json(404, json!({"kind": "not_quarantined", "message": "m", "remedy": "r"})),
+    })
+    .await;
+    let address = server.address.to_string();
+    let shown = run(&["quarantine", "-o", &address]).await;
+    shown.result.expect("success");
+    let expected = "FINGERPRINT                       HELD FOR MS  REPLICAS ENDED\n\
+                    93855f52fce4cd53d9d1ef4b5334c338  1200         r-1 r-2 r-3\n";
+    assert_eq!(shown.results, expected);
+    let released = run(&["release", fingerprint, "-o", &address]).await;
+    assert!(released.results.starts_with(fingerprint), "{}", released.results);
+    let other = run(&["release", &"0".repeat(32), "-o", &address]).await.result.expect_err("refused");
+    assert_eq!(other.kind(), "not_quarantined");
+    let usage = run(&["release", "r-1", "-o", &address]).await.result.expect_err("refused");
+    assert!(usage.to_string().contains("hexadecimal"), "{usage}");
+}
+
 #[tokio::test]
 async fn the_next_address_is_asked_where_one_takes_no_connection() {
     let server = Server::start(|_, _| job_status()).await;
--- a/crates/core/src/quarantine/watch.rs
+++ b/crates/core/src/quarantine/watch.rs
@@ -14,7 +14,7 @@
 /// A replica whose entry is not gone so long after a run broke off there did not end then: an entry lapses after three heartbeats of some
 /// seconds at most.
 const UNCONFIRMED_FOR: Duration = Duration::from_secs(10);
-/// A crash is told after so long: by then a plain request that only ran there has mostly been answered elsewhere.
+/// The first crash under a request is told after so long: by then a plain request that only ran there has mostly been answered elsewhere.
 const TOLD_AFTER: Duration = Duration::from_millis(400);
 /// What this node saw of a crash counts here for so long; what it told lasts longer.
 const KEPT_FOR: Duration = Duration::from_secs(120);
@@ -247,8 +247,12 @@
             cleared: Vec::new(),
         };
         for ((fingerprint, replica), crash) in &mut self.crashes {
-            let is_enough = crash.sender == RunSender::Gateway || counts.get(fingerprint) > Some(&1);
-            if crash.is_told || !is_enough || now.saturating_since(crash.at) < TOLD_AFTER {
+            let is_second = counts.get(fingerprint) > Some(&1);
+            let is_enough = crash.sender == RunSender::Gateway || is_second;
+            // Few innocent requests meet two crashes.
+            let is_urgent = is_second || self.told.requests.contains(fingerprint);
+            let is_due = is_urgent || now.saturating_since(crash.at) >= TOLD_AFTER;
+            if crash.is_told || !is_enough || !is_due {
                 continue;
             }
             let told = due.entry(replica.clone()).or_insert_with(|| report(replica));
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -22,7 +22,6 @@
 use crate::quarantine::QuarantineHandle;
 use crate::settings::Settings;
 use crate::store::replica_sets::ReplicaSetCache;
-use crate::suspension::SuspensionCount;
 
 /// One node's shared state.
 pub struct NodeContext {
@@ -32,8 +31,6 @@
     pub zone: ZoneName,
     /// The clock by which an authority is judged.
     pub boot_clock: BootClock,
-    /// How often the machine was suspended.
-    pub suspensions: SuspensionCount,
     /// The checked settings file with flags over it.
     pub settings: Settings,
     /// Decisions, as they are made.
@@ -81,7 +78,6 @@
             zone: settings.zone.clone(),
             metadata: MetadataHandle::new(boot_clock.clone()),
             boot_clock,
-            suspensions: SuspensionCount::default(),
             decisions: DecisionLog::new(settings.node.clone(), metrics.clone()),
             metrics,
             cluster: ArcSwap::default(),
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -236,7 +236,9 @@
     loop {
         let mut visit = match ingress.visit(&call, &tried) {
             Ok(visit) => visit,
-            Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
+            Err(nowhere) if is_reason(nowhere, &tried, &attempts) => {
+                return call.refuse_nowhere(ingress, nowhere);
+            }
             Err(_) => return call.refuse(ingress, given_up(attempts.give_up(), &call)),
         };
         tried.push(visit.replica.id.clone());
@@ -259,6 +261,11 @@
     }
 }
 
+/// Whether it is the whole reason for a refusal that there is nowhere to send a request: it was not sent, or is held back and has not run.
+pub(super) fn is_reason(nowhere: Nowhere, tried: &[String], attempts: &Attempts) -> bool {
+    tried.is_empty() || (nowhere == Nowhere::Quarantined && attempts.give_up() == Next::GiveUpNotRun)
+}
+
 fn given_up(next: Next, call: &Call) -> Refusal {
     match next {
         Next::GiveUpNotRun => Refusal::NotRun,
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -16,7 +16,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::callers::Caller;
-use super::forward::{Call, judge};
+use super::forward::{Call, is_reason, judge};
 use super::pool::{Exchange, SendError};
 use super::refusal::Refusal;
 use super::sse::{Event, EventSplitter};
@@ -74,7 +74,9 @@
     loop {
         let mut visit = match ingress.visit(&call, &tried) {
             Ok(visit) => visit,
-            Err(nowhere) if tried.is_empty() => return call.refuse_nowhere(ingress, nowhere),
+            Err(nowhere) if is_reason(nowhere, &tried, &attempts) => {
+                return call.refuse_nowhere(ingress, nowhere);
+            }
             Err(_) => return call.refuse(ingress, refusal(attempts.give_up())),
         };
         tried.push(visit.replica.id.clone());
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -52,6 +52,7 @@
     copies: [ArcSwapOption<CopyHistory>; MetadataKind::ALL.len()],
     freshness: Freshness,
     changes: watch::Sender<u64>,
+    rereads: [watch::Sender<u64>; MetadataKind::ALL.len()],
 }
 
 impl MetadataHandle {
@@ -67,6 +68,7 @@
             copies: Default::default(),
             freshness: Freshness::new(clock),
             changes: watch::Sender::new(0),
+            rereads: std::array::from_fn(|_| watch::Sender::new(0)),
         }
     }
 
@@ -80,6 +82,11 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Has a kind listed anew: what its watch waits for may have been answered, and the answer lost.
+    pub(crate) fn read_anew(&self, kind: MetadataKind) {
+        self.rereads[kind_index(kind)].send_modify(|count| *count += 1);
+    }
+
     /// Whether the platform's store gave no answer when this node last asked it.
     pub fn is_store_away(&self) -> bool {
         self.freshness.is_away()
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -18,6 +18,7 @@
 
 use super::client::{MetadataClient, Watched};
 use super::freshness::Reading;
+use super::kind_index;
 use super::reachability::{Reachability, StoreReach};
 use super::relay::Follower;
 use super::{news, peers, zones};
@@ -63,7 +64,7 @@
     let stopped = context.stopped.clone();
     let follower = Follower::new(Arc::clone(&context), kind);
     let lapses = LapseKeeper::new(context.settings.configuration.lapse_grace);
-    let suspensions = context.suspensions.watch();
+    let rereads = context.metadata.rereads[kind_index(kind)].subscribe();
     let mut watcher = Watcher {
         lapses,
         origin: Instant::now(),
@@ -71,7 +72,7 @@
         client,
         kind,
         reach,
-        suspensions,
+        rereads,
         follower,
         objects: BTreeMap::new(),
         revision: None,
@@ -88,8 +89,8 @@
     client: MetadataClient,
     kind: MetadataKind,
     reach: Reachability,
-    /// Changes when the machine was suspended.
-    suspensions: watch::Receiver<u64>,
+    /// Changes when the kind is to be listed anew.
+    rereads: watch::Receiver<u64>,
     follower: Follower,
     objects: BTreeMap<String, String>,
     /// What `objects` is of; none where it must be listed anew.
@@ -188,7 +189,12 @@
         let began = Instant::now();
         let response = tokio::select! {
             response = self.follower.ask(self.revision) => response,
-            Ok(()) = self.suspensions.changed() => return,
+            Ok(()) = self.rereads.changed() => {
+                if let Err(error) = self.list().await {
+                    log::info!(target: "metadata", "{:?} can't be listed anew: {error}.", self.kind);
+                }
+                return;
+            }
             holder = news::heard_newer(&self.context, self.kind) => {
                 if let Err(error) = self.take_news(&holder).await {
                     log::info!(target: "metadata", "{:?} can't be listed: {error}.", self.kind);
@@ -226,8 +232,7 @@
             watched = look(&self.client, self.kind, revision, self.failures) => watched?,
             // The store is silent: this watch hears nothing, whether it was sent before or since.
             Ok(()) = self.reach.changed() => return Ok(RoundEnd::Unconfirmed),
-            // What it waits for may have been answered while the machine was suspended.
-            Ok(()) = self.suspensions.changed() => {
+            Ok(()) = self.rereads.changed() => {
                 self.revision = None;
                 return self.list().await.map(|()| RoundEnd::Confirmed);
             }
--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -8,7 +8,7 @@
 mod traced_run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -44,7 +44,7 @@
     /// Held requests that came again.
     seen: Mutex<BTreeSet<Fingerprint>>,
     /// Replicas of which it is being found out whether they ended: one connection for all runs that broke off there.
-    probes: Mutex<HashMap<String, Arc<OnceCell<bool>>>>,
+    probes: Mutex<HashMap<String, Weak<OnceCell<bool>>>>,
     /// Reports that peers could not write, for as long as this node spreads any.
     handed_over: Mutex<Option<VecDeque<KeepReport>>>,
     changed: Notify,
@@ -113,6 +113,18 @@
         lock(&self.held_since).get(fingerprint).is_some_and(|since| since.elapsed() >= TRIAL_AFTER)
     }
 
+    /// The probe of a replica that is under way, or a new one.
+    fn probe_of(&self, replica: &str) -> Arc<OnceCell<bool>> {
+        let mut probes = lock(&self.probes);
+        if let Some(probe) = probes.get(replica).and_then(Weak::upgrade) {
+            return probe;
+        }
+        probes.retain(|_, probe| probe.strong_count() > 0);
+        let probe = Arc::default();
+        probes.insert(replica.to_owned(), Arc::downgrade(&probe));
+        probe
+    }
+
     fn now(&self) -> Timestamp {
         Timestamp::ORIGIN + self.origin.elapsed()
     }
--- a/crates/daemon/src/quarantine/records.rs
+++ b/crates/daemon/src/quarantine/records.rs
@@ -16,6 +16,11 @@
         Self { records }
     }
 
+    /// Whether a record is among them.
+    pub(super) fn contains(&self, name: &str) -> bool {
+        self.records.contains_key(name)
+    }
+
     /// What nodes told of replicas that ended.
     pub(super) fn reports(&self) -> Vec<CrashReport> {
         let entries = self.records.values().filter_map(|record| match &record.entry {
--- a/crates/daemon/src/quarantine/spread.rs
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -7,7 +7,7 @@
 use lichenpulley_core::ingress::replicas::ReplicaTable;
 use lichenpulley_core::quarantine::Fingerprint;
 use lichenpulley_platform::quarantine::{QUARANTINE, QuarantineEntry, QuarantineRecord, write_record};
-use lichenpulley_protocol::internal::{KeepReport, KeepResponse};
+use lichenpulley_protocol::internal::{KeepReport, KeepResponse, MetadataKind};
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::{OUTBOX_LIMIT, QuarantineRecords, lock};
@@ -21,6 +21,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// The pause after a report could not be written.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// A watch that stands brings what was written well within this time: some pauses between two watches.
+const READ_WITHIN: Duration = Duration::from_millis(500);
 /// How long a peer may take to say whether it writes a report.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// How often one node looks for records that are over, and each for requests to renew.
@@ -40,6 +42,7 @@
         replicas: Arc::default(),
         records: Arc::default(),
         outbox: VecDeque::new(),
+        unread: None,
         told: 0,
     };
     let stopped = context.stopped.clone();
@@ -59,6 +62,8 @@
     records: Arc<QuarantineRecords>,
     /// Reports under the names that they get: one whose answer was lost is written again under the same.
     outbox: VecDeque<KeepReport>,
+    /// A record that this node wrote last and has not read yet, and since when.
+    unread: Option<(String, Instant)>,
     told: u64,
 }
 
@@ -71,7 +76,9 @@
         loop {
             self.take_news();
             self.collect();
-            let is_idle = self.outbox.is_empty() && lock(&context.quarantine.watch).is_idle();
+            self.watch_own();
+            let is_told = self.outbox.is_empty() && self.unread.is_none();
+            let is_idle = is_told && lock(&context.quarantine.watch).is_idle();
             tokio::select! {
                 Ok(()) = metadata.changed() => {}
                 () = context.quarantine.changed.notified() => {}
@@ -117,6 +124,19 @@
         }
     }
 
+    /// What this node wrote comes back by its watch. Where it does not, the watch is stuck, and perhaps those of all nodes, as when their
+    /// connections fell silent together: listed anew, it is announced to them.
+    fn watch_own(&mut self) {
+        let Some((name, written_at)) = &self.unread else { return };
+        if self.records.contains(name) {
+            self.unread = None;
+        } else if written_at.elapsed() >= READ_WITHIN {
+            log::info!(target: "quarantine", "Record {name} does not come back: the records are listed anew.");
+            self.unread = None;
+            self.context.metadata.read_anew(MetadataKind::Quarantine);
+        }
+    }
+
     async fn write_next(&mut self) {
         let Some(KeepReport { name, report }) = self.outbox.front() else { return };
         let entry = QuarantineEntry::Crash(report.clone());
@@ -129,6 +149,7 @@
                     "Replica {} ended: {} requests that ran there are told, {} are cleared.",
                     report.replica, report.suspects.len(), report.cleared.len()
                 );
+                self.unread = Some((name.clone(), Instant::now()));
                 self.outbox.pop_front();
             }
             Err(error) => {
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -7,7 +7,6 @@
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::quarantine::{Fingerprint, RunSender, SentRun};
 use tokio::net::TcpStream;
-use tokio::sync::OnceCell;
 
 use super::lock;
 use crate::context::Context;
@@ -72,16 +71,10 @@
         self.tell_broken();
         let quarantine = &self.context.quarantine;
         let replica = &self.run.replica;
-        let probe = Arc::clone(lock(&quarantine.probes).entry(replica.clone()).or_default());
-        let refuses = *probe.get_or_init(|| refuses_connections(&self.run)).await;
-        if refuses {
+        let probe = quarantine.probe_of(replica);
+        if *probe.get_or_init(|| refuses_connections(&self.run)).await {
             quarantine.update(&self.context, |watch, now| watch.replica_ended(replica, now));
         }
-        let mut probes = lock(&quarantine.probes);
-        // Whoever breaks off later asks anew.
-        if probes.get(replica).is_some_and(|kept: &Arc<OnceCell<bool>>| Arc::ptr_eq(kept, &probe)) {
-            probes.remove(replica);
-        }
     }
 
     fn tell_broken(&mut self) {
--- a/crates/daemon/src/suspension.rs
+++ b/crates/daemon/src/suspension.rs
@@ -1,4 +1,4 @@
-//! Finds out that the machine was suspended, and tells those whose waiting was cut short by it.
+//! Finds out that the machine was suspended, and has what it watches read anew.
 //!
 //! Timers don't count a suspension: a watch that was held when it began waits on as though nothing had happened, though its answer may
 //! have been given and lost meanwhile.
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::decision::{Component, Decision};
-use tokio::sync::watch;
+use lichenpulley_protocol::internal::MetadataKind;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::boot_clock::{BootClock, BootInstant};
@@ -18,23 +18,6 @@
 /// Clocks that are read one after the other differ by less than this, also on a busy machine.
 const LEAST_SUSPENSION: Duration = Duration::from_millis(250);
 
-/// How often the machine was suspended in the life of this process.
-#[derive(Debug)]
-pub struct SuspensionCount(watch::Sender<u64>);
-
-impl Default for SuspensionCount {
-    fn default() -> Self {
-        Self(watch::Sender::new(0))
-    }
-}
-
-impl SuspensionCount {
-    /// Changes each time that the machine was suspended.
-    pub fn watch(&self) -> watch::Receiver<u64> {
-        self.0.subscribe()
-    }
-}
-
 /// Looks until the node has stopped.
 pub fn start(context: &Context) {
     let context = Arc::clone(context);
@@ -61,7 +44,9 @@
     log::warn!(target: "node", "The machine was suspended for {} ms: what it watches is read anew.", suspended.as_millis());
     let decision = Decision::new(Component::Membership, "resumed", "was_suspended", &context.node);
     context.decisions.record(decision.with("milliseconds", suspended.as_millis()));
-    context.suspensions.0.send_modify(|count| *count += 1);
+    for kind in MetadataKind::ALL {
+        context.metadata.read_anew(kind);
+    }
 }
 
 /// Both clocks, read one after the other.
--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -39,6 +39,8 @@
     condition: Mutex<Condition>,
     /// A kind of which it says nothing.
     silent_kind: Mutex<Option<String>>,
+    /// A kind whose watches hear nothing.
+    deaf_kind: Mutex<Option<String>>,
     /// The kinds that were listed, each time.
     listed: Mutex<Vec<String>>,
     /// The kinds of the watches that wait.
@@ -63,6 +65,7 @@
         objects: Mutex::default(),
         condition: Mutex::default(),
         silent_kind: Mutex::default(),
+        deaf_kind: Mutex::default(),
         listed: Mutex::default(),
         waiting: Mutex::default(),
         changed: Notify::new(),
@@ -120,6 +123,12 @@
         *silent = kind.map(str::to_owned);
     }
 
+    /// Watches of this kind hear nothing from now on, as on connections that fell silent; lists are answered.
+    pub fn set_deaf_kind(&self, kind: Option<&str>) {
+        let mut deaf = self.shared.deaf_kind.lock().unwrap_or_else(PoisonError::into_inner);
+        *deaf = kind.map(str::to_owned);
+    }
+
     /// Answers in another way from now on.
     pub fn set_condition(&self, condition: Condition) {
         *self.shared.condition.lock().unwrap_or_else(PoisonError::into_inner) = condition;
@@ -158,6 +167,11 @@
         silent.as_deref() == Some(kind)
     }
 
+    fn is_deaf(&self, kind: &str) -> bool {
+        let deaf = self.deaf_kind.lock().unwrap_or_else(PoisonError::into_inner);
+        deaf.as_deref() == Some(kind)
+    }
+
     fn condition(&self) -> Condition {
         *self.condition.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -217,6 +231,9 @@
         let changed = shared.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
+        if shared.is_deaf(kind) {
+            return std::future::pending().await;
+        }
         {
             let objects = shared.objects();
             let Some(events) = objects.events_after(kind, after) else {
--- a/crates/lab/tests/platform_quarantine/mod.rs
+++ b/crates/lab/tests/platform_quarantine/mod.rs
@@ -45,6 +45,16 @@
     ended
 }
 
+/// Whether every gateway holds a request back.
+fn all_hold(system: &System) -> bool {
+    system.gateways.iter().flatten().all(|node| !node.context().quarantine.list().is_empty())
+}
+
+/// Whether no gateway holds any request back.
+fn none_holds(system: &System) -> bool {
+    system.gateways.iter().flatten().all(|node| node.context().quarantine.list().is_empty())
+}
+
 /// Waits until every gateway knows the replicas that live, and no other.
 async fn until_listed(system: &System) {
     let living: Vec<String> = system.replicas.iter().map(Replica::id).collect();
@@ -163,9 +173,7 @@
     system.submit_items(0, "job", 1, items).await;
     let ended = revive_until(&mut system, async |system| listed(system, 1, "job").await == ITEMS).await;
     assert!(ended <= 3 + MORE_SENDS, "{ended} replicas ended");
-    let held = async |system: &System| {
-        system.gateways.iter().flatten().all(|node| !node.context().quarantine.list().is_empty())
-    };
+    let held = async |system: &System| all_hold(system);
     let ended = revive_until(&mut system, held).await + wait_for_more(&mut system).await;
     assert!(ended <= MORE_SENDS, "{ended} more replicas ended");
     let owner = system.owner();
@@ -190,9 +198,7 @@
     scored["scorer"] = json!({"id": "score-ending", "host": "Shop.Example", "path": "/read/score",
         "body": base64_of_ending_body()});
     system.submit_items(0, "job", 1, vec![scored, item("plain", "Ym9keQ==")]).await;
-    let held = async |system: &System| {
-        system.gateways.iter().flatten().all(|node| !node.context().quarantine.list().is_empty())
-    };
+    let held = async |system: &System| all_hold(system);
     let ended = revive_until(&mut system, held).await;
     assert!(ended <= 3 + MORE_SENDS, "{ended} replicas ended");
     assert_eq!(wait_for_more(&mut system).await, 0);
@@ -218,7 +224,7 @@
         revive(&mut system).await;
         until_listed(&system).await;
     }
-    assert!(system.gateways.iter().flatten().all(|node| node.context().quarantine.list().is_empty()));
+    assert!(none_holds(&system));
 }
 
 #[tokio::test]
@@ -232,9 +238,7 @@
         system.call_until(StatusCode::OK, cut_off, "/read/warm").await;
     }
     // Two more, that another gateway sees, reach it through its peers.
-    let knows = async |system: &System| {
-        system.gateways.iter().flatten().all(|node| !node.context().quarantine.list().is_empty())
-    };
+    let knows = async |system: &System| all_hold(system);
     revive_until(&mut system, knows).await;
     let refused = system.call(0, Method::POST, "/read/x", &[("attempt-id", "again")], ENDING_BODY).await;
     assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
@@ -256,9 +260,7 @@
     let released: Result<QuarantineReleased, _> =
         system.http.post_json(operators, &path, &json!({}), PATIENCE).await;
     assert_eq!(released.expect("released").fingerprint, held.fingerprint);
-    let forgets = async |system: &System| {
-        system.gateways.iter().flatten().all(|node| node.context().quarantine.list().is_empty())
-    };
+    let forgets = async |system: &System| none_holds(system);
     revive_until(&mut system, forgets).await;
     assert!(send_ending(&mut system, 1, "/read/x").await > 0, "it reaches replicas again");
 }
@@ -282,3 +284,14 @@
     let ended = send_ending(&mut system, 2, "/read/x").await + send_ending(&mut system, 3, "/read/x").await;
     assert_eq!(ended, 0);
 }
+
+#[tokio::test]
+async fn what_a_gateway_tells_reaches_all_though_no_watch_of_it_hears_anything() {
+    let mut system = started().await;
+    let stand = async |system: &System| system.platform.waiting_watches(QUARANTINE) == 2;
+    revive_until(&mut system, stand).await;
+    system.platform.set_deaf_kind(Some(QUARANTINE));
+    end_three(&mut system, "/read/x").await;
+    let knows = async |system: &System| all_hold(system);
+    revive_until(&mut system, knows).await;
+}
