--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -8,6 +8,8 @@
 mod config;
 mod duties;
 mod handing_over;
+mod inputs;
+mod live_item;
 mod retention;
 mod runs;
 mod scoring;
@@ -17,7 +19,7 @@
 use std::sync::Arc;
 
 use super::group_tally::GroupTally;
-use super::job::{BatchItem, BatchJob, KeptEvent};
+use super::job::{BatchItem, BatchJob};
 use super::ledger::{JobState, Ledger};
 use super::order_lease::OrderLease;
 use super::record::Record;
@@ -27,14 +29,14 @@
 use crate::decision::{Component, Decision};
 use crate::duties::{DutyCall, DutyPlan};
 use crate::identity::{BatchId, TenantName};
-use crate::ingress::admission::{AdmissionGate, EvacuatedZones};
-use crate::ingress::replicas::ReplicaTable;
+use crate::ingress::admission::AdmissionGate;
 use crate::ingress::routes::{Route, RouteTable};
 use crate::ingress::warmups::Warmups;
-use crate::quarantine::{Fingerprint, Quarantine};
+use crate::quarantine::Quarantine;
 use crate::time::Timestamp;
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
+use live_item::{ItemStage, LiveItem};
 
 struct Run {
     batch: BatchId,
@@ -45,58 +47,6 @@
     last_event_at: Option<Timestamp>,
 }
 
-/// How far an item that is not listed yet has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum ItemStage {
-    /// Its text is being made.
-    #[default]
-    Generating,
-    /// Its whole text is on its way to the stores.
-    Keeping,
-    /// Its whole text is kept and being scored.
-    Scoring,
-    /// Its result is on its way to the stores.
-    Listing,
-}
-
-/// What the owner knows of an item beyond the ledger.
-#[derive(Default)]
-struct LiveItem {
-    run: Option<RunId>,
-    /// Events that have come, those of the ledger included.
-    events: Vec<KeptEvent>,
-    /// How many of them are on the stores or on their way there.
-    written: usize,
-    /// It was begun anew: what the stores keep of it is no beginning of its events.
-    is_anew: bool,
-    written_at: Timestamp,
-    failures: u32,
-    /// The replica that let the last run down.
-    avoid: Option<String>,
-    stage: ItemStage,
-    score_failures: u32,
-    /// What all its runs have in common, once it was asked for.
-    fingerprint: Option<Fingerprint>,
-    /// Replicas ended under it: it reaches no other.
-    is_held: bool,
-}
-
-impl LiveItem {
-    /// The events that are not on their way to the stores yet; from now on they are.
-    fn take_unwritten(&mut self) -> Vec<KeptEvent> {
-        let events = self.events[self.written..].to_vec();
-        self.written = self.events.len();
-        events
-    }
-
-    /// Begins the text anew.
-    fn restart(&mut self) {
-        self.events.clear();
-        self.written = 0;
-        self.is_anew = true;
-    }
-}
-
 /// The owner's state machine.
 pub struct Controller {
     config: ControllerConfig,
@@ -258,56 +208,6 @@
         }
     }
 
-    /// Takes the operator's configuration, the platform's list of replicas, and the versions that trainers named.
-    pub fn update(
-        &mut self,
-        now: Timestamp,
-        routes: Option<Arc<RouteTable>>,
-        replicas: &ReplicaTable,
-        versions: &BTreeMap<String, u64>,
-    ) {
-        if let Some(routes) = routes {
-            self.gate.warmups_mut().set_routes(&routes);
-            self.routes = Some(routes);
-        }
-        for change in self.gate.warmups_mut().set_replicas(replicas.records.values(), now) {
-            self.decide(change.decision("owner"));
-        }
-        self.loads.name(versions, now);
-        for record in replicas.records.values() {
-            match self.replicas.get_mut(&record.id) {
-                Some(state) => state.record = record.clone(),
-                None => {
-                    self.replicas.insert(record.id.clone(), ReplicaState::new(record.clone()));
-                }
-            }
-        }
-        let gone: Vec<String> =
-            self.replicas.keys().filter(|id| !replicas.records.contains_key(*id)).cloned().collect();
-        for id in gone {
-            // Its runs go on: a replica that left the list may still serve what it has.
-            if let Some(state) = self.replicas.get_mut(&id) {
-                state.record.is_draining = true;
-            }
-            if !self.runs.values().any(|run| run.replica == id) {
-                self.replicas.remove(&id);
-            }
-        }
-        self.work_and_load(now);
-    }
-
-    /// Takes the zones that are evacuated from now on.
-    pub fn set_evacuated(&mut self, now: Timestamp, evacuated: Arc<EvacuatedZones>) {
-        self.gate.set_evacuated(evacuated, now);
-        self.work_and_load(now);
-    }
-
-    /// Takes the requests that reach no replica from now on.
-    pub fn set_quarantine(&mut self, now: Timestamp, quarantine: Arc<Quarantine>) {
-        self.quarantine = quarantine;
-        self.work(now);
-    }
-
     /// Takes a job.
     pub fn submit(&mut self, now: Timestamp, job: BatchJob) -> Submission {
         if let Some(kept) = self.ledger.job(&job.id) {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -1,11 +1,13 @@
 //! Drives the state machine of the batch jobs that this node owns.
 
+mod actions;
 mod callers;
+mod leaving;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use lichenpulley_core::batch::controller::{Action, Controller, ControllerConfig, RunEvent, RunId};
+use lichenpulley_core::batch::controller::{Controller, ControllerConfig, RunEvent, RunId};
 use lichenpulley_core::batch::cut_off::{CutOffStep, CutOffWatch, StoresReply};
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::order_lease::OrderLease;
@@ -14,7 +16,6 @@
 use lichenpulley_core::duties::DutyConfig;
 use lichenpulley_core::identity::{BatchId, Epoch, NodeId};
 use lichenpulley_core::time::Timestamp;
-use lichenpulley_protocol::internal::BatchResponse;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -22,13 +23,13 @@
 
 use callers::Reader;
 
+use super::Command;
 use super::keeper::StoreKeeper;
 use super::load::{LoadEnded, LoadOrders};
 use super::log::{LogWriter, Written};
 use super::outline::{self, MissingTexts};
 use super::scope::Scope;
-use super::score::{self, ScoreEnded};
-use super::{Command, candidate, run};
+use super::score::ScoreEnded;
 use crate::boot_clock::{BootClock, BootInstant};
 use crate::context::Context;
 use crate::duties::{self, DutyCalls, DutyEnded};
@@ -38,14 +39,8 @@
 
 /// What was read under a confirmation may be shown for so long: any later owner began after it.
 pub(super) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
-/// An owner to which no store has answered for so long asks whether any can be reached, and leaves if not.
-const CUT_OFF_AFTER: Duration = Duration::from_millis(300);
-/// How long an owner that leaves waits for the stores to keep its progress.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Events of runs that wait for the owner.
 const EVENT_BACKLOG: usize = 4_096;
-/// A much more capable node is left the batch jobs once it has been seen for so long.
-const LEAVE_AFTER: Duration = Duration::from_millis(2_000);
 /// The part of the machine's memory that items and results may take.
 const HELD_PERCENT: usize = 35;
 /// The same for the jobs that are bound to some regions: a machine may own these beside the main shard.
@@ -253,61 +248,6 @@
         end
     }
 
-    /// Has the stores keep all progress, within bounds.
-    async fn flush(&mut self) {
-        self.controller.set_confirmed(false);
-        self.controller.flush_progress(self.now());
-        self.act();
-        let limit = Instant::now() + FLUSH_TIMEOUT;
-        while !self.controller.is_settled() && self.failure.is_none() {
-            match tokio::time::timeout_at(limit, self.log.next()).await {
-                Ok(written) => self.handle_written(written),
-                Err(_) => return,
-            }
-            self.act();
-        }
-    }
-
-    /// Whether a machine that is much more capable has been there for long enough to own in this one's place.
-    ///
-    /// Ownership is sticky otherwise: machines that are alike never take it from each other.
-    fn should_leave(&mut self) -> bool {
-        let own = self.context.settings.machine.capacity();
-        let better =
-            candidate::best_other(&self.scope).filter(|other| own.is_worth_leaving_for(other.capacity));
-        let Some(better) = better else {
-            self.better = None;
-            return false;
-        };
-        let (node, since) = self.better.get_or_insert_with(|| (better.node.clone(), Instant::now()));
-        if *node != better.node {
-            self.better = Some((better.node, Instant::now()));
-            return false;
-        }
-        let is_due = since.elapsed() >= LEAVE_AFTER && self.is_confirmed();
-        if is_due {
-            ::log::info!(target: "batch", "The batch jobs are left to {} ({} against {own}).", better.node, better.capacity);
-        }
-        is_due
-    }
-
-    /// Asks the stores where none has answered for long. While a store is replaced, they answer to the signs of life.
-    fn watch_silence(&mut self) {
-        let is_unconfirmed = self.clock.since(self.confirmed_at) >= CUT_OFF_AFTER;
-        let is_silent = is_unconfirmed && self.log.silent_for() >= CUT_OFF_AFTER;
-        if self.cut_off.look(is_silent) != CutOffStep::Ask {
-            return;
-        }
-        let (scope, replies) = (self.scope.clone(), self.stores_asked.clone());
-        tokio::spawn(async move {
-            let began = Instant::now();
-            let answered = candidate::ask_stores(&scope).await.answered();
-            let reply = StoresReply { answered, took: began.elapsed(), timeout: candidate::STORE_TIMEOUT };
-            // An error only says that the owner has ended.
-            let _ = replies.send(reply);
-        });
-    }
-
     fn now(&self) -> Timestamp {
         Timestamp::ORIGIN + self.origin.elapsed()
     }
@@ -401,63 +341,6 @@
             Err(error) => ::log::error!(target: "batch", "The log can't be compacted: {error}."),
         }
     }
-
-    fn act(&mut self) {
-        while let Some(action) = self.controller.poll_action() {
-            match action {
-                Action::Append(records) => self.log.append(records),
-                Action::Start(start) => {
-                    let run = start.run;
-                    let task =
-                        run::run(self.context.clone(), self.pool.clone(), *start, self.run_sender.clone());
-                    let handle = self.traffic.spawn(task).abort_handle();
-                    self.runs.insert(run, handle);
-                }
-                Action::Stop(run) => {
-                    if let Some(handle) = self.runs.remove(&run) {
-                        handle.abort();
-                    }
-                }
-                Action::Score(start) => {
-                    let id = start.id;
-                    let task = score::score(
-                        self.context.clone(),
-                        self.pool.clone(),
-                        *start,
-                        self.score_sender.clone(),
-                    );
-                    let handle = self.traffic.spawn(task).abort_handle();
-                    self.scores.insert(id, handle);
-                }
-                Action::StopScore(id) => {
-                    if let Some(handle) = self.scores.remove(&id) {
-                        handle.abort();
-                    }
-                }
-                Action::Load(load) => self.loads.begin(load, self.confirmed_at),
-                Action::Duty(call) => self.duty_calls.begin(call, self.is_confirmed()),
-                Action::Decide(decision) => self.context.decisions.record(decision),
-            }
-        }
-    }
-
-    fn finish(mut self) {
-        self.context.metrics.set_batch_items(self.scope.metric_label(), 0, 0);
-        if let Some(error) = &self.failure {
-            ::log::warn!(target: "batch", "The batch jobs are given up: {error}.");
-        }
-        let runs = self.runs.drain().map(|(_, handle)| handle);
-        let scores = self.scores.drain().map(|(_, handle)| handle);
-        runs.chain(scores).for_each(|handle| handle.abort());
-        let waiting = self.submissions.drain(..).chain(self.ends.drain(..));
-        let waiting = waiting.map(|(_, command)| command);
-        for command in waiting.chain(self.usages.drain(..).map(|(_, _, command)| command)) {
-            command.answer(BatchResponse::InDoubt);
-        }
-        for reader in self.readers.drain(..) {
-            reader.command.answer(BatchResponse::Unavailable);
-        }
-    }
 }
 
 /// Reads the texts that an owner lacks and hands them to it, unless it ends before.
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -10,7 +10,7 @@
 use lichenpulley_core::ingress::lapse::LapseKeeper;
 use lichenpulley_core::relay::ReadSource;
 use lichenpulley_core::time::Timestamp;
-use lichenpulley_platform::objects;
+use lichenpulley_platform::objects::{self, Object};
 use lichenpulley_platform::quarantine::QUARANTINE;
 use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataUpdate};
 use tokio::sync::watch;
@@ -155,9 +155,7 @@
         }
         match self.client.list_stale(kind_name(self.kind)).await {
             Ok(list) => {
-                let listed =
-                    list.items.into_iter().map(|object| (object.metadata.name, object.spec.to_string()));
-                self.objects = listed.collect();
+                self.objects = by_name(list.items);
                 self.publish(list.at, PLATFORM);
             }
             Err(error) => log::info!(target: "metadata", "No first {:?} yet: {error}.", self.kind),
@@ -279,8 +277,7 @@
     async fn list(&mut self) -> Result<(), PlatformError> {
         let list = self.client.list(kind_name(self.kind)).await?;
         self.store_answered();
-        let listed = list.items.into_iter().map(|object| (object.metadata.name, object.spec.to_string()));
-        let listed: BTreeMap<String, String> = listed.collect();
+        let listed = by_name(list.items);
         let missing: Vec<String> =
             self.objects.keys().filter(|name| !listed.contains_key(*name)).cloned().collect();
         listed.keys().for_each(|name| self.lapses.is_there(name));
@@ -354,6 +351,11 @@
     }
 }
 
+/// What stands in each object, as text.
+fn by_name(objects: Vec<Object>) -> BTreeMap<String, String> {
+    objects.into_iter().map(|object| (object.metadata.name, object.spec.to_string())).collect()
+}
+
 /// How a look at the platform ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RoundEnd {
--- a/crates/lab/tests/platform_evacuations/mod.rs
+++ b/crates/lab/tests/platform_evacuations/mod.rs
@@ -13,20 +13,11 @@
 use lichenpulley_protocol::operator::{ZoneChanged, ZoneState, ZoneStatus};
 use serde_json::json;
 
-use crate::platform_system::{PATIENCE, System, ZONES};
+use crate::platform_system::{PATIENCE, System, ZONES, until};
 
 /// A watch that nothing ends holds for longer than any test lasts.
 const ENDLESS: Duration = Duration::from_secs(300);
 
-async fn until(mut holds: impl FnMut() -> bool) {
-    let wait = async {
-        while !holds() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, wait).await.expect("in time");
-}
-
 fn evacuate(system: &System, zone: &str) {
     system.platform.put(objects::EVACUATIONS, zone, json!({}));
 }
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -26,7 +26,7 @@
 use tempfile::TempDir;
 use tokio::time::Instant;
 
-use platform_system::{PATIENCE, STORES, System, configuration};
+use platform_system::{PATIENCE, STORES, System, configuration, until};
 
 fn whole_text(events: u64) -> String {
     let pieces: Vec<String> = (0..events).map(|number| format!("piece {number}")).collect();
@@ -466,12 +466,7 @@
     let mut settings = system.settings("gateway-3", 3);
     settings.machine.processor_share = 2.0;
     system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
-    let moved = async {
-        while system.find_owner() != Some(3) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, moved).await.expect("the capable machine owns");
+    until(|| system.find_owner() == Some(3)).await;
     assert_eq!(system.results(0, "first").await, first);
     system.submit(1, "third", 2, 1).await;
     assert_eq!(system.results(3, "third").await.len(), 2);
@@ -558,12 +553,7 @@
     assert!(!is_complete(&system), "nobody can take its place yet");
     system.folders.push(TempDir::new().expect("a folder"));
     system.start_store(STORES).await;
-    let told = async {
-        while !is_complete(&system) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, told).await.expect("the machine is told empty");
+    until(|| is_complete(&system)).await;
     let emptied = system.stores[0].take().expect("the emptied store");
     emptied.kill();
     emptied.stopped().await;
@@ -581,12 +571,7 @@
     let mut body = response.expect("an answer").into_body();
     body.frame().await.expect("an event").expect("a whole event");
     drop(body);
-    let stopped = async {
-        while system.replicas[0].abandoned_streams() == 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, stopped).await.expect("the replica stops");
+    until(|| system.replicas[0].abandoned_streams() > 0).await;
     assert_eq!(
         system.replicas[0].seen().iter().filter(|seen| seen.id == "s-1").count(),
         1,
--- a/crates/lab/tests/platform_quarantine/mod.rs
+++ b/crates/lab/tests/platform_quarantine/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use crate::platform_evacuations::add_proxied;
-use crate::platform_system::{PATIENCE, System};
+use crate::platform_system::{PATIENCE, System, until};
 
 /// Ends the replicas that run a request with it.
 const ENDING_BODY: &str = "ends";
@@ -62,12 +62,7 @@
         let table = node.context().metadata.replicas.load();
         table.records.len() == living.len() && living.iter().all(|id| table.records.contains_key(id))
     };
-    let known = async {
-        while !system.gateways.iter().flatten().all(knows_them) {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, known).await.expect("all are known in time");
+    until(|| system.gateways.iter().flatten().all(knows_them)).await;
 }
 
 /// A system whose replicas end under [`ENDING_BODY`], and which serves.
--- a/crates/lab/tests/platform_suspension/mod.rs
+++ b/crates/lab/tests/platform_suspension/mod.rs
@@ -5,9 +5,8 @@
 use hyper::{Method, StatusCode};
 use lichenpulley_daemon::node::Node;
 use lichenpulley_platform::objects;
-use tokio::time::Instant;
 
-use crate::platform_system::{PATIENCE, System};
+use crate::platform_system::{System, until};
 
 /// Longer than any authority lasts.
 const SUSPENDED: Duration = Duration::from_secs(5);
@@ -40,17 +39,8 @@
     system.call_until(StatusCode::OK, 0, "/read/warm").await;
     let node = system.gateways[0].as_ref().expect("a gateway");
     // Both watch by now, and would list nothing any more.
-    let stands = Instant::now() + PATIENCE;
-    while system.platform.waiting_watches(objects::REPLICAS) < 2 {
-        assert!(Instant::now() < stands, "the watches stand in time");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    until(|| system.platform.waiting_watches(objects::REPLICAS) == 2).await;
     let before = system.platform.lists(objects::REPLICAS);
     suspend(node);
-    let listed = async {
-        while system.platform.lists(objects::REPLICAS) == before {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, listed).await.expect("it lists anew");
+    until(|| system.platform.lists(objects::REPLICAS) > before).await;
 }
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -68,6 +68,16 @@
     }
 }
 
+/// Waits until something holds, looking often.
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("it holds in time");
+}
+
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: hyper::HeaderMap,
