Count a run that breaks off at a replica that is listed no more, and write all reports that wait

A run that is given up for time after its replica's entry had lapsed was compared with the next list only; each report waited for a look of its own; what is shown of a verdict could be that of an earlier one. Change: a run at a replica that is not listed counts at once; reports that wait are written one after the other; a verdict is shown under the lock under which it was made.

--- a/crates/core/src/quarantine/watch.rs
+++ b/crates/core/src/quarantine/watch.rs
@@ -125,10 +125,13 @@
         own.map(|((_, replica), crash)| (replica, crash))
     }
 
-    /// A run gave no whole answer. Returns whether anything follows before it is known that its replica ended: a request that
-    /// lacks one crash to be held is not sent on meanwhile.
-    pub fn run_broke(&mut self, run: SentRun, cause: BreakCause, now: Timestamp) -> bool {
+    /// A run gave no whole answer at a replica that is still listed or not. Returns whether anything follows at once: one that is gone
+    /// from the list has ended, and a request that lacks one crash to be held is not sent on until it is known whether it did.
+    pub fn run_broke(&mut self, run: SentRun, cause: BreakCause, is_listed: bool, now: Timestamp) -> bool {
         self.expire(now);
+        if !is_listed {
+            return self.count(BrokenRun { run, at: now, cause }, now);
+        }
         if self.broken.len() >= KEPT_RUNS {
             self.broken.pop_front();
         }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -60,7 +60,7 @@
 /// A run that breaks off at a replica that ends then.
 fn ends_under(watch: &mut CrashWatch, number: usize, at_replica: usize, now: Timestamp) {
     let run = sent(number, at_replica, RunSender::Gateway, watch, now);
-    watch.run_broke(run, BreakCause::Closed, now);
+    watch.run_broke(run, BreakCause::Closed, true, now);
     watch.replica_ended(&replica(at_replica), now);
 }
 
@@ -144,7 +144,7 @@
     let mut watch = CrashWatch::default();
     for number in 0..5 {
         let run = sent(7, number, RunSender::Gateway, &watch, at(0));
-        watch.run_broke(run, BreakCause::Closed, at(0));
+        watch.run_broke(run, BreakCause::Closed, true, at(0));
     }
     assert!(watch.is_suspected(&request(7)));
     let record = |number: usize, id: usize| ReplicaRecord {
@@ -163,6 +163,13 @@
     // They are all there.
     watch.set_replicas(&table((0..5).map(|number| record(number, number)).collect()), at(100));
     assert!(watch.judge().is_empty());
+    // One that is not listed when the run breaks off there has ended.
+    let mut late = CrashWatch::default();
+    for number in 0..3 {
+        let run = sent(8, number, RunSender::Gateway, &late, at(0));
+        assert!(late.run_broke(run, BreakCause::GivenUp, false, at(0)));
+    }
+    assert!(late.judge().holds(&request(8)));
     // One is gone, two have their addresses taken by new lives beside the old entries: that is three.
     let mut records: Vec<ReplicaRecord> = (1..5).map(|number| record(number, number)).collect();
     records.extend([record(1, 11), record(2, 12)]);
@@ -177,10 +184,10 @@
         ends_under(&mut watch, 7, number, at(0));
     }
     let given_up = sent(7, 2, RunSender::Gateway, &watch, at(100));
-    assert!(!watch.run_broke(given_up, BreakCause::GivenUp, at(200)));
+    assert!(!watch.run_broke(given_up, BreakCause::GivenUp, true, at(200)));
     assert!(watch.judge().is_empty());
     let closed = sent(7, 3, RunSender::Gateway, &watch, at(300));
-    assert!(watch.run_broke(closed, BreakCause::Closed, at(400)));
+    assert!(watch.run_broke(closed, BreakCause::Closed, true, at(400)));
     assert!(watch.judge().holds(&request(7)));
     // Nothing is told of what is not known.
     let told = watch.due_reports(at(500));
@@ -193,7 +200,7 @@
     assert!(watch.judge().is_empty());
     // Of one that met no crash yet a closed connection says nothing.
     let first = sent(8, 3, RunSender::Gateway, &watch, at(300));
-    assert!(!watch.run_broke(first, BreakCause::Closed, at(400)));
+    assert!(!watch.run_broke(first, BreakCause::Closed, true, at(400)));
 }
 
 #[test]
@@ -223,14 +230,14 @@
     // Three runs of one request were under way together when three replicas ended.
     let runs: Vec<SentRun> = (0..3).map(|number| sent(7, number, RunSender::Owner, &watch, at(0))).collect();
     for (number, run) in runs.into_iter().enumerate() {
-        watch.run_broke(run, BreakCause::Closed, at(50));
+        watch.run_broke(run, BreakCause::Closed, true, at(50));
         watch.replica_ended(&replica(number), at(50));
     }
     assert!(watch.due_reports(at(2_000)).is_empty());
     for number in 3..5 {
         let now = at(3_000 + number as u64);
         let run = sent(7, number, RunSender::Owner, &watch, now);
-        watch.run_broke(run, BreakCause::Closed, now);
+        watch.run_broke(run, BreakCause::Closed, true, now);
         watch.replica_ended(&replica(number), now);
     }
     assert!(watch.judge().holds(&request(7)));
@@ -242,7 +249,7 @@
     let mut watch = CrashWatch::default();
     for number in 0..3 {
         let run = sent(7, number, RunSender::Owner, &watch, at(100 * number as u64));
-        watch.run_broke(run, BreakCause::Closed, at(100 * number as u64 + 50));
+        watch.run_broke(run, BreakCause::Closed, true, at(100 * number as u64 + 50));
     }
     // That the first ended is known last, and after all runs were sent.
     for number in (0..3).rev() {
@@ -256,7 +263,7 @@
     let mut watch = CrashWatch::default();
     for number in 0..5_000 {
         let run = SentRun { replica: replica(number), ..sent(number, 0, RunSender::Gateway, &watch, at(0)) };
-        watch.run_broke(run, BreakCause::Closed, at(0));
+        watch.run_broke(run, BreakCause::Closed, true, at(0));
     }
     let kept = (0..5_000).filter(|number| watch.is_suspected(&request(*number))).count();
     assert_eq!(kept, 1_024);
--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -136,10 +136,9 @@
         if !take(&mut watch, now) {
             return;
         }
-        // Under the lock, so that a later verdict is never replaced by an earlier one.
+        // All under the lock, so that a later verdict is never replaced by an earlier one.
         let after = watch.judge();
         let before = self.verdict.swap(Arc::new(after.clone()));
-        drop(watch);
         self.changed.notify_one();
         if before.held() != after.held() {
             self.show(context, &before, &after);
--- a/crates/daemon/src/quarantine/spread.rs
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -76,6 +76,7 @@
         loop {
             self.take_news();
             self.collect();
+            while self.write_next().await {}
             self.watch_own();
             let is_told = self.outbox.is_empty() && self.unread.is_none();
             let is_idle = is_told && lock(&context.quarantine.watch).is_idle();
@@ -85,7 +86,6 @@
                 () = tokio::time::sleep(LOOK_INTERVAL), if !is_idle => {}
                 _ = sweeps.tick() => self.sweep().await,
             }
-            self.write_next().await;
         }
     }
 
@@ -138,8 +138,9 @@
         }
     }
 
-    async fn write_next(&mut self) {
-        let Some(KeepReport { name, report }) = self.outbox.front() else { return };
+    /// Writes the next report; returns whether another may follow at once.
+    async fn write_next(&mut self) -> bool {
+        let Some(KeepReport { name, report }) = self.outbox.front() else { return false };
         let entry = QuarantineEntry::Crash(report.clone());
         let spec = write_record(&QuarantineRecord { entry, seen_ms: wall_time().0 });
         match self.client.write(QUARANTINE, name, None, spec).await {
@@ -152,10 +153,12 @@
                 );
                 self.unread = Some((name.clone(), Instant::now()));
                 self.outbox.pop_front();
+                true
             }
             Err(error) => {
                 log::warn!(target: "quarantine", "The end of {} can't be told yet: {error}.", report.replica);
                 self.hand_over_next().await;
+                false
             }
         }
     }
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -80,7 +80,10 @@
     fn tell_broken(&mut self, cause: BreakCause) {
         self.state = RunState::Told;
         let run = self.run.clone();
-        self.context.quarantine.update(&self.context, |watch, now| watch.run_broke(run, cause, now));
+        let is_listed = self.context.metadata.replicas.load().records.contains_key(&run.replica);
+        self.context
+            .quarantine
+            .update(&self.context, |watch, now| watch.run_broke(run, cause, is_listed, now));
     }
 }
 
