--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -1,6 +1,6 @@
 //! Requests under which replicas end: what this node saw of them, and which reach no replica any more.
 //!
-//! Every sender of this node, for plain requests, streams, items and scores, follows its runs by a [`TracedRun`]; what they
+//! Every sender of this node, for plain requests, streams, items and scores, follows its runs by a `TracedRun`; what they
 //! amount to is told to all nodes through the platform's metadata store.
 
 mod records;
