Hold no request back that replicas answered lately

Change: each node remembers the requests that it saw answered whole in the last 15 to 30 s, 8,192 at most. A request that ends each replica that runs it is never among them; one that is counts no crash, and what others told of it is taken back.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,9 +3,10 @@
 //! A request that ends each replica that runs it comes again under other ids and at other nodes. Nodes tell each other what ran
 //! where a replica ended; each holds a request back once three replicas have ended under it.
 //!
-//! Invariant: a request that ran to an end since is not held back.
+//! Invariant: a request that ran to an end since, or lately, is not held back.
 
 mod fingerprint;
+mod recent_requests;
 mod report;
 mod verdict;
 mod watch;
--- a/crates/core/src/quarantine/watch.rs
+++ b/crates/core/src/quarantine/watch.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::recent_requests::RecentRequests;
 use super::{CRASHES_TO_HOLD, CrashReport, Fingerprint, Quarantine, REPORTED_REQUESTS, Suspect};
 use crate::ingress::replicas::ReplicaTable;
 use crate::time::Timestamp;
@@ -107,6 +108,8 @@
     crashes: BTreeMap<(Fingerprint, String), Crash>,
     /// What nodes told, this one included.
     told: ToldCrashes,
+    /// Requests that a replica answered whole lately: they don't end each replica that runs them, however often they are met by an end.
+    answered: RecentRequests,
     /// What was told and is taken back.
     clearings: BTreeMap<(Fingerprint, String), Clearing>,
 }
@@ -129,6 +132,9 @@
     /// from the list has ended, and a request that lacks one crash to be held is not sent on until it is known whether it did.
     pub fn run_broke(&mut self, run: SentRun, cause: BreakCause, is_listed: bool, now: Timestamp) -> bool {
         self.expire(now);
+        if self.answered.contains(&run.fingerprint) {
+            return false;
+        }
         if !is_listed {
             return self.count(BrokenRun { run, at: now, cause }, now);
         }
@@ -143,6 +149,7 @@
     /// A run ended with a whole answer of its replica, good or not: the request ended no replica, and neither did this replica end before
     /// the run was sent. Returns whether anything is known otherwise from now on.
     pub fn run_ended(&mut self, run: &SentRun, now: Timestamp) -> bool {
+        self.answered.insert(run.fingerprint, now);
         let is_told = self.told.requests.contains(&run.fingerprint);
         if self.broken.is_empty() && self.crashes.is_empty() && !is_told {
             return false;
@@ -239,9 +246,15 @@
         counts
     }
 
-    /// Takes all that nodes told.
-    pub fn set_reports(&mut self, reports: Vec<CrashReport>) {
+    /// Takes all that nodes told. What this node knows to be answered lately, it clears.
+    pub fn set_reports(&mut self, reports: Vec<CrashReport>, now: Timestamp) {
         self.told = ToldCrashes::new(reports);
+        self.answered.turn(now);
+        let answered: Vec<Fingerprint> =
+            self.told.requests.iter().filter(|request| self.answered.contains(request)).copied().collect();
+        for fingerprint in answered {
+            self.clear(|of, _, _| *of == fingerprint, now);
+        }
     }
 
     /// What follows from what this node knows.
@@ -323,6 +336,7 @@
 
     /// Forgets what is over; returns whether it was any run that broke off.
     pub fn expire(&mut self, now: Timestamp) -> bool {
+        self.answered.turn(now);
         let before = self.broken.len();
         self.broken.retain(|broken| now.saturating_since(broken.at) < UNCONFIRMED_FOR);
         self.crashes.retain(|_, crash| now.saturating_since(crash.at) < KEPT_FOR);
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -128,7 +128,7 @@
     crashes.push(cleared);
     assert_eq!(held(&crashes), [0; 0]);
     let mut watch = CrashWatch::default();
-    watch.set_reports(crashes);
+    watch.set_reports(crashes, at(0));
     ends_under(&mut watch, 7, 3, at(0));
     assert!(watch.judge().holds(&request(7)));
     assert!(watch.release(&request(7), at(10)));
@@ -139,6 +139,26 @@
     assert!(watch.due_reports(at(30)).is_empty());
 }
 
+#[test]
+fn a_request_that_is_answered_often_is_not_held_however_many_replicas_end_while_it_runs() {
+    let mut watch = CrashWatch::default();
+    let answered = sent(7, 0, RunSender::Gateway, &watch, at(0));
+    watch.run_ended(&answered, at(10));
+    for number in 0..5 {
+        ends_under(&mut watch, 7, number, at(100));
+    }
+    assert!(watch.judge().is_empty() && watch.due_reports(at(2_000)).is_empty());
+    // Other nodes did not see it answered, and told of it: this one takes it back.
+    watch.set_reports((0..5).map(|number| crash(number, &[7])).collect(), at(3_000));
+    assert!(watch.judge().is_empty());
+    assert_eq!(watch.due_reports(at(3_100)).iter().map(|report| report.cleared.len()).sum::<usize>(), 5);
+    // It is not answered any more, and ends replicas: half a minute later it is held.
+    for number in 5..8 {
+        ends_under(&mut watch, 7, number, at(31_000));
+    }
+    assert!(watch.judge().holds(&request(7)));
+}
+
 #[test]
 fn a_run_that_breaks_off_counts_only_where_its_replica_ended() {
     let mut watch = CrashWatch::default();
--- a/crates/daemon/src/quarantine/spread.rs
+++ b/crates/daemon/src/quarantine/spread.rs
@@ -101,8 +101,8 @@
         let records = metadata.quarantine.load_full();
         if !Arc::ptr_eq(&records, &self.records) {
             self.records = Arc::clone(&records);
-            self.context.quarantine.update(&self.context, |watch, _| {
-                watch.set_reports(records.reports());
+            self.context.quarantine.update(&self.context, |watch, now| {
+                watch.set_reports(records.reports(), now);
                 true
             });
         }
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -5,14 +5,25 @@
 
 use lichenpulley_lab::soak::{SoakConfig, soak};
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn the_promises_hold_while_processes_and_connections_fail() {
+/// Soaks the real processes under the faults of a seed, for so many seconds.
+async fn soak_with(seed: u64, seconds: u64) {
     let folder = tempfile::tempdir().expect("a folder");
     let binary = Path::new(env!("CARGO_BIN_EXE_lichenpulley-lab")).with_file_name("lichenpulleyd");
     assert!(binary.exists(), "{} is missing; run `cargo build --workspace --bins`", binary.display());
-    let config =
-        SoakConfig { seed: 1, duration: Duration::from_secs(12), binary, folder: folder.path().to_owned() };
+    let duration = Duration::from_secs(seconds);
+    let config = SoakConfig { seed, duration, binary, folder: folder.path().to_owned() };
     let report = soak(&config).await.expect("a report");
     assert!(report.violations.is_empty(), "{report:#?}");
     assert!(report.results > 0 && report.writes_answered > 0 && !report.faults.is_empty(), "{report:#?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_promises_hold_while_processes_and_connections_fail() {
+    soak_with(1, 12).await;
+}
+
+/// A write that many callers send alike was held back with the request under which replicas ended: it had been at the same four replicas.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_often_answered_is_not_held_back_beside_a_request_that_ends_replicas() {
+    soak_with(210, 15).await;
+}
