Tell when an end of a batch job is read, how it is answered and when it is kept, and which items leave late

Before, an end left one line, at the owner that took it: an end that a gateway read and lost, one that no owner kept and one whose caller had left looked alike. Decisions: end_read, end_answered (kept, unknown, in_doubt, no_owner), end_unanswered (caller_left), end_kept; a warning for an item that leaves half a second after it was decided.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -270,6 +270,7 @@
             Scoring(BatchId, u32),
             Listing(BatchId, u32),
             Order(String),
+            End(BatchId),
         }
         let follows = match &record {
             Record::Accepted(job) => Follows::Acceptance(job.id.clone()),
@@ -279,6 +280,7 @@
             }
             Record::Ordered { replica, .. } => Follows::Order(replica.clone()),
             Record::Listed { batch, result } => Follows::Listing(batch.clone(), result.item),
+            Record::Ended(batch) => Follows::End(batch.clone()),
             _ => Follows::Nothing,
         };
         self.ledger.apply(record);
@@ -291,6 +293,9 @@
                 self.actions.extend(self.ordering.remove(&replica).map(Action::Load));
                 self.call_duty(&replica);
             }
+            Follows::End(batch) => {
+                self.decide(Decision::new(Component::Rollout, "end_kept", "decided", &batch));
+            }
         }
     }
 
--- a/crates/daemon/src/batch/owner/actions.rs
+++ b/crates/daemon/src/batch/owner/actions.rs
@@ -13,8 +13,9 @@
                 Action::Append(records) => self.log.append(records),
                 Action::Start(start) => {
                     let run = start.run;
-                    let task =
-                        run::run(self.context.clone(), self.pool.clone(), *start, self.run_sender.clone());
+                    let decided_at = self.clock.now();
+                    let (context, pool) = (self.context.clone(), self.pool.clone());
+                    let task = run::run(context, pool, *start, decided_at, self.run_sender.clone());
                     let handle = self.traffic.spawn(task).abort_handle();
                     self.runs.insert(run, handle);
                 }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::boot_clock::BootInstant;
 use crate::context::Context;
 use crate::ingress::callers;
 use crate::ingress::pool::{Exchange, ReplicaPool, SendError};
@@ -23,6 +24,8 @@
 
 /// A connection to a replica that is not made by then is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// An item that leaves so long after it was decided is worth a line: its job may have ended since.
+const LATE_AFTER: Duration = Duration::from_millis(500);
 
 /// Runs an item and tells the owner of its events. Dropping it closes the connection, by which the replica drops the
 /// item.
@@ -30,13 +33,14 @@
     context: Context,
     pool: ReplicaPool,
     start: RunStart,
+    decided_at: BootInstant,
     events: mpsc::Sender<(RunId, RunEvent)>,
 ) {
     let run = start.run;
     let began = Instant::now();
     let fingerprint = start.item.fingerprint(&start.host, start.tenant.as_ref());
     let mut traced = TracedRun::begin(&context, fingerprint, &start.replica, RunSender::Owner);
-    let end = match send(&context, &pool, &start).await {
+    let end = match send(&context, &pool, &start, decided_at).await {
         Ok(exchange) => read(&pool, &start, exchange, &events, &mut traced).await,
         // No byte was written.
         Err(SendError::Withheld) => {
@@ -62,9 +66,20 @@
     let _ = events.send((run, RunEvent::Ended(end))).await;
 }
 
-async fn send(context: &Context, pool: &ReplicaPool, start: &RunStart) -> Result<Exchange, SendError> {
+async fn send(
+    context: &Context,
+    pool: &ReplicaPool,
+    start: &RunStart,
+    decided_at: BootInstant,
+) -> Result<Exchange, SendError> {
     let request = build(start).ok_or(SendError::NotSent)?;
-    let may_send = || !context.metadata.is_closed(&start.replica);
+    let may_send = || {
+        let waited = context.boot_clock.since(decided_at);
+        if waited >= LATE_AFTER {
+            ::log::warn!(target: "batch", "{} is sent to {} {} ms after that was decided.", start.item.id, start.replica.id, waited.as_millis());
+        }
+        !context.metadata.is_closed(&start.replica)
+    };
     pool.send(start.replica.address, request, false, CONNECT_TIMEOUT, may_send).await
 }
 
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::callers::Caller;
+use super::end_trace::EndTrace;
 use super::forward::read_body;
 use super::refusal::Refusal;
 use super::{Ingress, headers, job_places};
@@ -159,8 +160,11 @@
 
 async fn end(ingress: &Ingress, caller: &Caller, batch: BatchId) -> Response<Body> {
     let subject = batch.to_string();
+    let mut trace = EndTrace::begin(&ingress.context, &batch);
     let request = BatchRequest::End { batch: batch.clone(), caller: caller.tenant().cloned() };
-    match ingress.batch.ask_about(&batch, request).await {
+    let response = ingress.batch.ask_about(&batch, request).await;
+    trace.answered(&response);
+    match response {
         BatchResponse::Ended => answer_empty(StatusCode::OK, &subject),
         other => refuse(ingress, &subject, &other),
     }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 
 mod batch_calls;
 pub(crate) mod callers;
+mod end_trace;
 mod forward;
 pub(crate) mod headers;
 mod job_places;
