Show that jobs go on after their end: over nodes, and in a soak that ends jobs beside overlapping faults

The soak now ends jobs while they are open (insisting, or leaving after 0 to 2.5 s), lets a second fault begin while the first lasts, and stops all stores at once; replicas note when each item and score request came.

--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -47,6 +47,8 @@
     pub headers: BTreeMap<String, String>,
     /// Its body.
     pub body: Bytes,
+    /// When it was read whole.
+    pub at: Instant,
 }
 
 /// What a replica is made of.
@@ -338,7 +340,7 @@
     let fields: BTreeMap<String, String> = fields.collect();
     let id = fields.get(headers::REQUEST_ID).cloned().unwrap_or_default();
     let line = format!("{} {}", parts.method, parts.uri);
-    Ok(SeenRequest { id, line, headers: fields, body: body.to_bytes() })
+    Ok(SeenRequest { id, line, headers: fields, body: body.to_bytes(), at: Instant::now() })
 }
 
 /// Requests whose ids begin so get a signature that names them, so that a score shows which request it came of.
--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -30,7 +30,7 @@
 /// A job is known for so long after it was sent (`status_s` of the platform's pages).
 const KNOWN_FOR: Duration = Duration::from_secs(120);
 /// Pause between two tries.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the callers share.
 #[derive(Clone)]
@@ -59,6 +59,19 @@
         self.gateways.lock().unwrap_or_else(PoisonError::into_inner)[number] = address;
     }
 
+    /// A gateway is killed.
+    pub fn note_kill(&self, number: usize) {
+        let gateway = self.gateways.lock().unwrap_or_else(PoisonError::into_inner)[number];
+        if let Some(gateway) = gateway {
+            self.history().ends.killed(gateway);
+        }
+    }
+
+    /// A gateway begins to stand still, or goes on.
+    pub fn note_freeze(&self) {
+        self.history().ends.froze();
+    }
+
     /// What was seen so far.
     pub fn history(&self) -> MutexGuard<'_, SoakHistory> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
@@ -69,7 +82,7 @@
         u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn gateway(&self, turn: usize) -> Option<SocketAddr> {
+    pub(super) fn gateway(&self, turn: usize) -> Option<SocketAddr> {
         let gateways = self.gateways.lock().unwrap_or_else(PoisonError::into_inner);
         let live: Vec<SocketAddr> = gateways.iter().flatten().copied().collect();
         live.get(turn % live.len().max(1)).copied()
@@ -172,12 +185,17 @@
         let items: Vec<Value> = (0..ITEMS).map(item).collect();
         let body =
             json!({"step": 0, "model": "m", "min_version": 1, "desired": 3, "items": items}).to_string();
+        self.submit_body(job, "/rollouts/x", &body, until).await
+    }
+
+    /// Hands a job in until it is taken, or until `until`.
+    pub(super) async fn submit_body(&self, job: &str, path: &str, body: &str, until: Instant) -> bool {
         let mut turn = 0;
         let sent_at_ms = self.now_ms();
         self.history().sent(job, sent_at_ms);
         loop {
             turn += 1;
-            let answer = self.call(turn, Method::POST, "/rollouts/x", job, body.clone().into_bytes()).await;
+            let answer = self.call(turn, Method::POST, path, job, body.as_bytes().to_vec()).await;
             match answer.map(|answer| answer.status) {
                 Some(StatusCode::ACCEPTED) => return true,
                 Some(status) if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS => {
--- a/crates/lab/src/soak/fault.rs
+++ b/crates/lab/src/soak/fault.rs
@@ -22,6 +22,8 @@
     FreezeGateway(usize),
     /// A store stands still.
     FreezeStore(usize),
+    /// All stores stand still.
+    FreezeStores,
     /// A gateway is stopped as planned and started again.
     StopGateway(usize),
     /// The platform's metadata store fails for all.
@@ -63,6 +65,35 @@
 /// The part of the faults that strike while a zone is evacuated.
 const EVACUATED_SHARE: f64 = 0.25;
 
+impl Fault {
+    /// Whether two faults can't last at the same time: they strike the same process or connection, or would take more stores
+    /// than may be lost at once.
+    pub fn clashes_with(&self, other: &Self) -> bool {
+        let gateway = |fault: &Self| match fault {
+            Self::KillGateway(number) | Self::FreezeGateway(number) | Self::StopGateway(number) => {
+                Some(*number)
+            }
+            _ => None,
+        };
+        let replica = |fault: &Self| match fault {
+            Self::ReplicaCut(number, _) | Self::Replica(number, _) => Some(*number),
+            _ => None,
+        };
+        let strikes_store = |fault: &Self| {
+            matches!(
+                fault,
+                Self::KillStore(_) | Self::WipeStore(_) | Self::FreezeStore(_) | Self::FreezeStores
+            )
+        };
+        let strikes_platform = |fault: &Self| matches!(fault, Self::Platform(_) | Self::PlatformCut(..));
+        let same = |left: Option<usize>, right: Option<usize>| left.is_some() && left == right;
+        same(gateway(self), gateway(other))
+            || same(replica(self), replica(other))
+            || (strikes_store(self) && strikes_store(other))
+            || (strikes_platform(self) && strikes_platform(other))
+    }
+}
+
 impl fmt::Display for PlannedFault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:?}", self.fault)?;
@@ -115,4 +146,18 @@
         let evacuated = is_evacuated.then(|| random.random_range(0..size.zones));
         Self { fault, lasts, pause, evacuated }
     }
+
+    /// Draws a fault that comes while another lasts: a node that may own the jobs is lost or stands still, or what it needs is away.
+    pub fn draw_beside<R: Rng>(size: SystemSize, random: &mut R) -> Self {
+        let gateway = random.random_range(0..size.gateways);
+        let fault = match random.random_range(0..8) {
+            0..=2 => Fault::KillGateway(gateway),
+            3 | 4 => Fault::FreezeGateway(gateway),
+            5 => Fault::StopGateway(gateway),
+            6 => Fault::FreezeStores,
+            _ => Fault::PlatformCut(gateway, ProxyMode::Silent),
+        };
+        let lasts = Duration::from_millis(random.random_range(200..2_500));
+        Self { fault, lasts, pause: Duration::ZERO, evacuated: None }
+    }
 }
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use super::job_ends::EndHistory;
 use crate::platform_replica::SeenRequest;
 
 /// A promise that did not hold.
@@ -43,6 +44,8 @@
     sent_at_ms: BTreeMap<String, u64>,
     /// What did not hold.
     pub violations: Vec<Violation>,
+    /// Ends of jobs.
+    pub ends: EndHistory,
 }
 
 /// The events of every stream of the stand-in's replicas.
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod fault;
 pub mod history;
+pub mod job_ends;
 pub mod node;
 pub mod proxy;
 mod system;
@@ -24,10 +25,15 @@
 use crate::error::LabError;
 use fault::PlannedFault;
 use history::Violation;
-use system::SoakSystem;
+use job_ends::{ACKNOWLEDGED_WITHIN, CANCELLED_WITHIN};
+use system::{SoakSystem, WATCHED_FOR};
 
 /// The part of the faults before which a replica ends by itself.
 const REPLICA_ENDS: f64 = 0.3;
+/// The part of the faults during which a second one begins.
+const STORM_SHARE: f64 = 0.6;
+/// Callers that end jobs.
+const ENDERS: usize = 3;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -40,6 +46,8 @@
     pub binary: PathBuf,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
+    /// Whether faults overlap, and jobs are ended while they are open.
+    pub has_storms: bool,
 }
 
 /// A fault as it happened.
@@ -66,6 +74,8 @@
     pub writes: usize,
     /// Those that were answered with success.
     pub writes_answered: usize,
+    /// Jobs that were ended while they were open.
+    pub jobs_ended: usize,
     /// Promises that did not hold.
     pub violations: Vec<Violation>,
 }
@@ -77,13 +87,20 @@
 pub async fn soak(config: &SoakConfig) -> Result<SoakReport, LabError> {
     let mut random = Pcg64Mcg::seed_from_u64(config.seed);
     let mut system = SoakSystem::spawn(&config.binary, &config.folder).await?;
+    if config.has_storms {
+        system.spare_replicas().await?;
+    }
     let callers = system.callers();
     let until = Instant::now() + config.duration;
+    let enders = if config.has_storms { ENDERS } else { 0 };
+    let enders: Vec<_> =
+        (0..enders).map(|name| tokio::spawn(callers.clone().end_jobs(name, config.seed, until))).collect();
     let jobs: Vec<_> = (0..3).map(|name| tokio::spawn(callers.clone().run_jobs(name, until))).collect();
     let writes: Vec<_> = (0..2).map(|name| tokio::spawn(callers.clone().write(name, until))).collect();
     let ending = tokio::spawn(callers.clone().keep_ending(until));
     // Draws of their own, so that a seed gives the faults that it always gave.
     let mut ends = Pcg64Mcg::seed_from_u64(!config.seed);
+    let mut storms = Pcg64Mcg::seed_from_u64(config.seed.rotate_left(32));
     let mut faults = Vec::new();
     while Instant::now() < until {
         system.revive().await?;
@@ -91,21 +108,39 @@
             system.end_replica(ends.random_range(0..system.size().replicas));
         }
         let planned = PlannedFault::draw(system.size(), &mut random);
+        let beside = (config.has_storms && storms.random_bool(STORM_SHARE))
+            .then(|| PlannedFault::draw_beside(system.size(), &mut storms))
+            .filter(|beside| !beside.fault.clashes_with(&planned.fault));
         let at_ms = callers.now_ms();
-        system.play(planned).await?;
+        let fault = match beside {
+            None => {
+                system.play(planned).await?;
+                planned.to_string()
+            }
+            Some(beside) => {
+                system.play_storm(&[planned, beside]).await?;
+                format!("{:?}, then {:?}", planned.fault, beside.fault)
+            }
+        };
         let lasted_ms = callers.now_ms() - at_ms;
-        faults.push(FaultRecord { at_ms, lasted_ms, fault: planned.to_string() });
+        faults.push(FaultRecord { at_ms, lasted_ms, fault });
         tokio::time::sleep(planned.pause).await;
     }
     system.revive().await?;
-    for task in jobs.into_iter().chain(writes) {
+    let well_since = std::time::Instant::now();
+    for task in jobs.into_iter().chain(writes).chain(enders) {
         // A task that panicked has failed the soak.
         task.await.map_err(|error| LabError::CheckFailed(error.to_string()))?;
     }
     ending.await.map_err(|error| LabError::CheckFailed(error.to_string()))?;
     system.check_ending().await?;
     system.check_all_again().await;
+    if config.has_storms {
+        let watched_until = well_since + ACKNOWLEDGED_WITHIN + CANCELLED_WITHIN + WATCHED_FOR;
+        tokio::time::sleep_until(watched_until.into()).await;
+    }
     let mut history = callers.history();
+    history.check_ends(callers.now_ms(), &system.seen(), well_since);
     history.check_runs(callers.now_ms(), &system.seen());
     let writes_answered = history.writes.iter().filter(|write| write.status.is_some_and(|s| s.is_success()));
     let writes_answered = writes_answered.count();
@@ -115,6 +150,7 @@
         results: history.results_read(),
         writes: history.writes.len(),
         writes_answered,
+        jobs_ended: history.ends.count(),
         violations: history.violations.clone(),
     })
 }
@@ -128,6 +164,7 @@
     options.optopt("", "seed", "draws the faults (default: a fresh one)", "S");
     options.optopt("", "minutes", "how long faults go on (default 5)", "M");
     options.optopt("", "keep", "keep settings, data and logs in this folder", "FOLDER");
+    options.optflag("", "single", "play one fault at a time, and end no job");
     options.optflag("h", "help", "print this help and end");
     let matches = options.parse(arguments).map_err(|error| LabError::Usage(error.to_string()))?;
     if matches.opt_present("help") {
@@ -156,7 +193,9 @@
     std::fs::create_dir_all(&folder).map_err(problem)?;
     let own = std::env::current_exe().map_err(problem)?;
     let binary = own.with_file_name("lichenpulleyd");
-    let config = SoakConfig { seed, duration: Duration::from_secs_f64(minutes * 60.0), binary, folder };
+    let duration = Duration::from_secs_f64(minutes * 60.0);
+    let has_storms = !matches.opt_present("single");
+    let config = SoakConfig { seed, duration, binary, folder, has_storms };
     let report = soak(&config).await?;
     let text =
         serde_json::to_string_pretty(&report).map_err(|error| LabError::CheckFailed(error.to_string()))?;
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -1,5 +1,7 @@
 //! The processes, stand-ins and proxies of a soak.
 
+mod storm;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -18,6 +20,7 @@
 use crate::error::LabError;
 use crate::metadata_store::{self, Condition, MetadataStore};
 use crate::platform_replica::{self, Behaviour, Plan, Replica, SeenRequest};
+pub(super) use storm::WATCHED_FOR;
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const SIZE: SystemSize = SystemSize { gateways: 3, stores: 3, replicas: 3, zones: ZONES.len() };
@@ -46,6 +49,8 @@
     stores: Vec<Option<NodeProcess>>,
     gateways: Vec<Option<NodeProcess>>,
     callers: Callers,
+    /// Replicas that no fault strikes: they serve jobs that are ended while they are open.
+    spared: Vec<Replica>,
 }
 
 impl SoakSystem {
@@ -64,6 +69,7 @@
             stores: Vec::new(),
             gateways: Vec::new(),
             callers: Callers::new(SIZE.gateways),
+            spared: Vec::new(),
         };
         for number in 0..SIZE.replicas {
             system.add_replica(number).await?;
@@ -190,10 +196,27 @@
         SIZE
     }
 
+    /// Starts the replicas of jobs that are ended while they are open: engines, and a scorer whose answers are all lost.
+    ///
+    /// # Errors
+    /// When no port can be had.
+    pub(super) async fn spare_replicas(&mut self) -> Result<(), LabError> {
+        for (number, service) in ["ended", "ended", "lossy"].into_iter().enumerate() {
+            let id = format!("spared-{number}");
+            let replica = platform_replica::start(replica_plan(&id)).await?;
+            if service == "lossy" {
+                replica.set_behaviour(Behaviour::LosesAnswers);
+            }
+            self.platform.put(objects::REPLICAS, &id, replica.record(service, ZONES[number]));
+            self.spared.push(replica);
+        }
+        Ok(())
+    }
+
     /// What all replicas ran.
     pub(super) fn seen(&self) -> Vec<SeenRequest> {
         let ended = self.ended_replicas.iter().map(|(_, replica)| replica);
-        self.replicas.iter().chain(ended).flat_map(Replica::seen).collect()
+        self.replicas.iter().chain(ended).chain(&self.spared).flat_map(Replica::seen).collect()
     }
 
     /// Plays a fault to its end, while a zone is evacuated where the plan says so.
@@ -237,6 +260,7 @@
             Fault::WipeStore(number) => self.restart_store(number, lasts, true).await,
             Fault::FreezeGateway(number) => freeze(self.gateways[number].as_ref(), lasts).await,
             Fault::FreezeStore(number) => freeze(self.stores[number].as_ref(), lasts).await,
+            Fault::FreezeStores => self.play_storm(&[planned]).await,
             Fault::StopGateway(number) => self.stop_gateway(number).await,
             Fault::Platform(condition) => {
                 self.platform.set_condition(condition);
@@ -267,9 +291,7 @@
     }
 
     async fn restart_gateway(&mut self, number: usize, lasts: Duration) -> Result<(), LabError> {
-        self.callers.set_gateway(number, None);
-        // Dropping a process kills it.
-        self.gateways[number] = None;
+        self.kill_gateway(number);
         tokio::time::sleep(lasts).await;
         self.start_gateway(number).await
     }
@@ -335,17 +357,22 @@
 }
 
 fn configuration() -> Value {
-    let route = |name: &str, prefix: &str, kind: &str| {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "timeout_ms": 3_000,
-            "target_ms": 300, "service": "engines", "max_attempts": 3, "resumable": false, "max_queue_s": 300.0,
+            "target_ms": 300, "service": service, "max_attempts": 3, "resumable": false, "max_queue_s": 300.0,
             "due_ms": 7_500})
     };
+    let engines = |name: &str| {
+        json!({"name": name,
+            "engine": {"slots": 4, "kv_cap_tokens": 100_000, "models": [{"name": "m"}]}})
+    };
     json!({
         "version": 1,
-        "routes": [route("read", "/read/", "idempotent"), route("write", "/write/", "non_idempotent"),
-            route("rollouts", "/rollouts/", "rollout")],
-        "services": [{"name": "engines", "engine": {"slots": 4, "kv_cap_tokens": 100_000,
-            "models": [{"name": "m"}]}}],
+        "routes": [route("read", "/read/", "idempotent", "engines"),
+            route("write", "/write/", "non_idempotent", "engines"),
+            route("rollouts", "/rollouts/", "rollout", "engines"),
+            route("ended", "/ended/", "rollout", "ended"), route("lossy", "/lossy/", "idempotent", "lossy")],
+        "services": [engines("engines"), engines("ended"), {"name": "lossy"}],
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 2_000_000, "header_timeout_ms": 3_000,
             "idle_timeout_ms": 15_000},
     })
--- /dev/null
+++ b/crates/lab/src/soak/system/storm.rs
@@ -0,0 +1,109 @@
+//! Faults that come in series and overlap: each begins while those before it last.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use super::{STOP_LIMIT, SoakSystem};
+use crate::error::LabError;
+use crate::metadata_store::Condition;
+use crate::platform_replica::Behaviour;
+use crate::soak::fault::{Fault, PlannedFault};
+use crate::soak::node::{NodeProcess, data_folder};
+use crate::soak::proxy::ProxyMode;
+
+/// How long a system without faults is watched for what must not come any more, beyond the bounds of the promise.
+pub(in crate::soak) const WATCHED_FOR: Duration = Duration::from_secs(3);
+
+impl SoakSystem {
+    /// Plays faults so that each begins while the one before lasts. Callers go on using a node that is asked to stop until it is
+    /// gone.
+    ///
+    /// # Errors
+    /// When a process ended by itself or can't be started again.
+    pub(in crate::soak) async fn play_storm(&mut self, faults: &[PlannedFault]) -> Result<(), LabError> {
+        self.find_ended()?;
+        for planned in faults {
+            self.begin(planned.fault);
+            tokio::time::sleep(planned.lasts / 2).await;
+        }
+        for planned in faults {
+            tokio::time::sleep(planned.lasts / 2).await;
+            self.finish(planned.fault).await?;
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::KillGateway(number) => self.kill_gateway(number),
+            Fault::KillStore(number) => self.stores[number] = None,
+            Fault::WipeStore(number) => self.wipe_store(number),
+            Fault::FreezeGateway(number) => {
+                self.callers.note_freeze();
+                signal(self.gateways[number].as_ref(), Signal::STOP);
+            }
+            Fault::FreezeStore(number) => signal(self.stores[number].as_ref(), Signal::STOP),
+            Fault::FreezeStores => self.stores.iter().for_each(|store| signal(store.as_ref(), Signal::STOP)),
+            Fault::StopGateway(number) => signal(self.gateways[number].as_ref(), Signal::TERM),
+            Fault::Platform(condition) => self.platform.set_condition(condition),
+            Fault::PlatformCut(number, mode) => self.platform_proxies[number].set_mode(mode),
+            Fault::ReplicaCut(number, mode) => self.replica_proxies[number].set_mode(mode),
+            Fault::Replica(number, behaviour) => self.replicas[number].set_behaviour(behaviour),
+        }
+    }
+
+    async fn finish(&mut self, fault: Fault) -> Result<(), LabError> {
+        match fault {
+            Fault::KillGateway(number) => return self.start_gateway(number).await,
+            Fault::KillStore(number) | Fault::WipeStore(number) => return self.start_store(number).await,
+            Fault::FreezeGateway(number) => {
+                signal(self.gateways[number].as_ref(), Signal::CONT);
+                self.callers.note_freeze();
+            }
+            Fault::FreezeStore(number) => signal(self.stores[number].as_ref(), Signal::CONT),
+            Fault::FreezeStores => self.stores.iter().for_each(|store| signal(store.as_ref(), Signal::CONT)),
+            Fault::StopGateway(number) => return self.replace_stopping(number).await,
+            Fault::Platform(_) => self.platform.set_condition(Condition::Well),
+            Fault::PlatformCut(number, _) => self.platform_proxies[number].set_mode(ProxyMode::Open),
+            Fault::ReplicaCut(number, _) => self.replica_proxies[number].set_mode(ProxyMode::Open),
+            Fault::Replica(number, _) => self.replicas[number].set_behaviour(Behaviour::Well),
+        }
+        Ok(())
+    }
+
+    /// Kills a gateway: what it had read and told nobody is lost.
+    pub(super) fn kill_gateway(&mut self, number: usize) {
+        self.callers.note_kill(number);
+        self.callers.set_gateway(number, None);
+        // Dropping a process kills it.
+        self.gateways[number] = None;
+    }
+
+    fn wipe_store(&mut self, number: usize) {
+        let Some(store) = self.stores[number].take() else { return };
+        let name = store.plan.name.clone();
+        drop(store);
+        // A folder that is not there yet is as good as an emptied one.
+        let _ = std::fs::remove_dir_all(data_folder(&self.folder, &name));
+    }
+
+    /// Waits until a gateway that was asked to stop has ended, and starts it again.
+    async fn replace_stopping(&mut self, number: usize) -> Result<(), LabError> {
+        if let Some(node) = &mut self.gateways[number]
+            && !node.wait(STOP_LIMIT).await
+        {
+            let message = format!("{} does not end when it is asked to", node.plan.name);
+            return Err(LabError::CheckFailed(message));
+        }
+        self.callers.set_gateway(number, None);
+        self.gateways[number] = None;
+        self.start_gateway(number).await
+    }
+}
+
+fn signal(node: Option<&NodeProcess>, signal: Signal) {
+    if let Some(node) = node {
+        node.signal(signal);
+    }
+}
