Hold an end of a job from when it is read until it is kept, whatever becomes of its caller and of the owner

Cause: an end lived in the call that asked for it. A caller that left, an owner that was lost before the record was decided, or 1.5 s without an owner ended it, and the successor's log had the job open. Shown by decisions, the metric lichenpulley_pending_ends and lichenpulley ends.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -86,6 +86,8 @@
     Evacuate(String),
     /// `return ZONE`
     Return(String),
+    /// `ends`
+    Ends,
     /// `quarantine`
     Quarantine,
     /// `release FINGERPRINT`
--- a/crates/cli/src/arguments/syntax.rs
+++ b/crates/cli/src/arguments/syntax.rs
@@ -125,6 +125,13 @@
         add_options: no_options,
         read: |matches| at_most(matches, 0).map(|()| Command::Quarantine),
     },
+    Syntax {
+        words: &["ends"],
+        arguments: "",
+        help: "show which ends of jobs a node has read that are not known to be kept",
+        add_options: no_options,
+        read: |matches| at_most(matches, 0).map(|()| Command::Ends),
+    },
     Syntax {
         words: &["release"],
         arguments: "FINGERPRINT",
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod account;
 pub mod config;
 pub mod drain;
+pub mod ends;
 pub mod job;
 pub mod pool;
 pub mod quarantine;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -45,6 +45,7 @@
         Command::Zones => commands::zones::list(&operators()?, output).await,
         Command::Evacuate(zone) => commands::zones::evacuate(&operators()?, &zone, output).await,
         Command::Return(zone) => commands::zones::give_back(&operators()?, &zone, output).await,
+        Command::Ends => commands::ends::list(&operators()?, output).await,
         Command::Quarantine => commands::quarantine::list(&operators()?, output).await,
         Command::Release(fingerprint) => {
             commands::quarantine::release(&operators()?, &fingerprint, output).await
--- /dev/null
+++ b/crates/daemon/src/batch/ends.rs
@@ -0,0 +1,242 @@
+//! Ends of jobs that this node has read, brought to the owner whatever becomes of their callers.
+//!
+//! An end is held here before it is asked for the first time, and told to other nodes at once: it outlasts its caller's connection, owners that
+//! are lost before they kept it, and the node that read it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use lichenpulley_core::batch::end_pursuit::{EndAnswer, EndKey, EndPursuit, EndSource, SettledEnd};
+use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::time::Timestamp;
+use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, HoldEnd};
+use lichenpulley_protocol::operator::PendingEndStatus;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use super::BatchJobs;
+use crate::cluster::{Member, rendezvous_weight};
+use crate::context::Context;
+
+/// Other nodes that are told of an end: with the one that read it, two may be lost.
+const COPIES: usize = 2;
+/// How long another node may take to hold an end.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a caller waits for the owner's word; the end is held on.
+const CALLER_PATIENCE: Duration = Duration::from_millis(1_600);
+
+/// The ends that a node holds. Cheap to clone; usable from any runtime.
+#[derive(Clone)]
+pub(crate) struct EndHolder {
+    context: Context,
+    held: Arc<Mutex<HeldEnds>>,
+    changed: Arc<Notify>,
+    origin: Instant,
+}
+
+#[derive(Default)]
+struct HeldEnds {
+    pursuit: EndPursuit,
+    /// Callers that wait for the owner's word.
+    waiting: BTreeMap<EndKey, Vec<oneshot::Sender<BatchResponse>>>,
+    /// Ends of which other nodes are to be told.
+    untold: Vec<EndKey>,
+}
+
+impl EndHolder {
+    pub(super) fn new(context: &Context) -> Self {
+        let (context, origin) = (Arc::clone(context), Instant::now());
+        Self { context, held: Arc::default(), changed: Arc::default(), origin }
+    }
+
+    /// Holds an end that a caller asks for; what is returned waits for the owner's word. The end is held also where that is dropped.
+    pub(crate) fn end(&self, key: EndKey) -> impl Future<Output = BatchResponse> + use<> {
+        let (reply, answer) = oneshot::channel();
+        {
+            let mut held = self.lock();
+            let waiting = held.waiting.entry(key.clone()).or_default();
+            waiting.retain(|earlier| !earlier.is_closed());
+            waiting.push(reply);
+            if !held.pursuit.holds(&key) {
+                held.untold.push(key.clone());
+            }
+        }
+        self.hold(key, EndSource::Caller);
+        async move {
+            let answered = tokio::time::timeout(CALLER_PATIENCE, answer).await;
+            answered.ok().and_then(Result::ok).unwrap_or(BatchResponse::Unavailable)
+        }
+    }
+
+    /// Holds an end of which another node told.
+    pub(crate) fn told(&self, request: HoldEnd) {
+        self.hold(EndKey { batch: request.batch, caller: request.caller }, EndSource::Peer);
+    }
+
+    fn hold(&self, key: EndKey, source: EndSource) {
+        let displaced = self.lock().pursuit.hold(self.now(), key, source);
+        if let Some(displaced) = displaced {
+            self.lock().waiting.remove(&displaced.key);
+            self.settled(&displaced);
+        }
+        self.changed.notify_one();
+    }
+
+    /// The ends that are held, for operators.
+    pub(crate) fn list(&self) -> Vec<PendingEndStatus> {
+        let now = self.now();
+        let held = self.lock();
+        let status =
+            |(key, source, held_for, questions): (&EndKey, EndSource, Duration, u32)| PendingEndStatus {
+                batch: key.batch.to_string(),
+                source: source.as_str().to_owned(),
+                held_for_ms: u64::try_from(held_for.as_millis()).unwrap_or(u64::MAX),
+                questions,
+            };
+        held.pursuit.list(now).map(status).collect()
+    }
+
+    /// Brings ends to their owners until the node has stopped.
+    pub(super) async fn run(self, jobs: BatchJobs) {
+        let stopped = self.context.stopped.clone();
+        tokio::select! {
+            () = stopped.cancelled() => {}
+            () = self.pursue(jobs) => {}
+        }
+    }
+
+    async fn pursue(&self, jobs: BatchJobs) {
+        let mut asked = FuturesUnordered::new();
+        let mut told: FuturesUnordered<BoxFuture<'_, (EndKey, usize)>> = FuturesUnordered::new();
+        loop {
+            let (due, untold, deadline) = self.take_due();
+            asked.extend(due.into_iter().map(|key| ask(&jobs, key)));
+            told.extend(untold.into_iter().map(|key| -> BoxFuture<'_, _> { Box::pin(self.tell(key)) }));
+            let wait = async {
+                match deadline {
+                    Some(deadline) => tokio::time::sleep_until(deadline).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = self.changed.notified() => {}
+                Some((key, response)) = asked.next() => self.answered(&key, response),
+                Some((key, copies)) = told.next() => self.note_told(key, copies),
+                () = wait => {}
+            }
+            self.context.metrics.set_pending_ends(self.lock().pursuit.count());
+        }
+    }
+
+    fn take_due(&self) -> (Vec<EndKey>, Vec<EndKey>, Option<Instant>) {
+        let now = self.now();
+        let mut held = self.lock();
+        let due = held.pursuit.due(now);
+        let untold = std::mem::take(&mut held.untold);
+        let deadline = held.pursuit.deadline();
+        let deadline = deadline.map(|at| self.origin + at.saturating_since(Timestamp::ORIGIN));
+        (due, untold, deadline)
+    }
+
+    fn answered(&self, key: &EndKey, response: BatchResponse) {
+        let answer = match response {
+            BatchResponse::Ended => EndAnswer::Kept,
+            BatchResponse::Unknown => EndAnswer::Unknown,
+            _ => EndAnswer::Unsure,
+        };
+        let (settled, waiting) = {
+            let mut held = self.lock();
+            (held.pursuit.answered(self.now(), key, answer), held.waiting.remove(key))
+        };
+        for reply in waiting.into_iter().flatten() {
+            // A caller that has left is no matter.
+            let _ = reply.send(response.clone());
+        }
+        if let Some(settled) = settled {
+            self.settled(&settled);
+        }
+    }
+
+    /// Tells why an end is not held any more.
+    fn settled(&self, settled: &SettledEnd) {
+        let decision =
+            Decision::new(Component::Rollout, "end_settled", settled.outcome.as_str(), &settled.key.batch);
+        let decision = decision.with("held_ms", settled.held_for.as_millis());
+        self.context.decisions.record(decision.with("questions", settled.questions));
+    }
+
+    /// An end that too few nodes hold is told again, for as long as it is held here.
+    fn note_told(&self, key: EndKey, copies: usize) {
+        let mut held = self.lock();
+        if copies < COPIES && held.pursuit.holds(&key) {
+            held.untold.push(key);
+        }
+    }
+
+    /// Tells other nodes of an end; returns how many hold it.
+    async fn tell(&self, key: EndKey) -> (EndKey, usize) {
+        let others = self.others(&key);
+        if others.is_empty() {
+            // Nobody else is known yet, or ever.
+            tokio::time::sleep(TELL_TIMEOUT).await;
+            return (key, 0);
+        }
+        let mut copies = 0;
+        let mut others = others.into_iter();
+        while copies < COPIES {
+            let next: Vec<Member> = others.by_ref().take(COPIES - copies).collect();
+            if next.is_empty() {
+                break;
+            }
+            let tells = next.iter().map(|member| self.tell_one(member, &key));
+            copies += futures::future::join_all(tells).await.into_iter().filter(|is_held| *is_held).count();
+        }
+        if copies < COPIES {
+            tokio::time::sleep(TELL_TIMEOUT).await;
+        }
+        (key, copies)
+    }
+
+    async fn tell_one(&self, member: &Member, key: &EndKey) -> bool {
+        let request = HoldEnd { batch: key.batch.clone(), caller: key.caller.clone() };
+        let told = self.context.peers.hold_end(member.peer_address, request, TELL_TIMEOUT).await;
+        if let Err(error) = &told {
+            ::log::info!(target: "batch", "{} was not told of the end of {}: {error}.", member.node, key.batch);
+        }
+        told.is_ok()
+    }
+
+    /// Other nodes that can hold an end, in an order that differs from job to job: gateways of this region, whose callers could have
+    /// asked them as well.
+    fn others(&self, key: &EndKey) -> Vec<Member> {
+        let context = &self.context;
+        let region = |zone: &str| context.settings.places.zones.region(zone).cloned();
+        let own_region = region(context.zone.as_str());
+        let cluster = context.cluster.load();
+        let others = cluster.members.iter().filter(|member| {
+            member.node != context.node && member.roles.gateway && region(member.zone.as_str()) == own_region
+        });
+        let mut others: Vec<Member> = others.cloned().collect();
+        let shard = lichenpulley_core::identity::ShardId::new(key.batch.as_str());
+        others.sort_by_cached_key(|member| rendezvous_weight(&member.node, &shard));
+        others
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ORIGIN + self.origin.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HeldEnds> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn ask(jobs: &BatchJobs, key: EndKey) -> (EndKey, BatchResponse) {
+    let request = BatchRequest::End { batch: key.batch.clone(), caller: key.caller.clone() };
+    let response = jobs.ask_about(&key.batch, request).await;
+    (key, response)
+}
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! replicas, which its owner alone gives. The candidates for ownership ask the stores whether the owner still appends.
 
 pub(crate) mod candidate;
+mod ends;
 mod follower;
 mod job_shard;
 mod keeper;
@@ -30,6 +31,7 @@
 
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
+pub(crate) use ends::EndHolder;
 pub(crate) use job_shard::JobShard;
 use regional_jobs::RegionalJobs;
 use scope::Scope;
@@ -51,6 +53,7 @@
 #[derive(Clone)]
 pub struct BatchJobs {
     main: JobShard,
+    ends: EndHolder,
     regional: Arc<RegionalJobs>,
 }
 
@@ -63,7 +66,9 @@
         let regional = Arc::clone(&regional);
         tokio::spawn(async move { regional.follow().await });
     }
-    BatchJobs { main, regional }
+    let jobs = BatchJobs { main, ends: EndHolder::new(context), regional };
+    tokio::spawn(jobs.ends.clone().run(jobs.clone()));
+    jobs
 }
 
 impl BatchJobs {
@@ -80,6 +85,11 @@
         }
     }
 
+    /// The ends of jobs that this node holds.
+    pub(crate) const fn ends(&self) -> &EndHolder {
+        &self.ends
+    }
+
     /// Asks the owner of the main shard, which has the duties.
     pub async fn ask(&self, request: BatchRequest) -> BatchResponse {
         self.main.ask(request).await
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -3,6 +3,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_core::batch::end_pursuit::EndKey;
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
@@ -161,8 +162,8 @@
 async fn end(ingress: &Ingress, caller: &Caller, batch: BatchId) -> Response<Body> {
     let subject = batch.to_string();
     let mut trace = EndTrace::begin(&ingress.context, &batch);
-    let request = BatchRequest::End { batch: batch.clone(), caller: caller.tenant().cloned() };
-    let response = ingress.batch.ask_about(&batch, request).await;
+    let key = EndKey { batch, caller: caller.tenant().cloned() };
+    let response = ingress.batch.ends().end(key).await;
     trace.answered(&response);
     match response {
         BatchResponse::Ended => answer_empty(StatusCode::OK, &subject),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -31,6 +31,7 @@
     placement: PlacementMetrics,
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
+    pending_ends: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -125,6 +126,11 @@
             "lichenpulley_quarantined_requests",
             "Requests that this node keeps from all replicas, since replicas ended under them",
         );
+        let pending_ends = gauge(
+            &registry,
+            "lichenpulley_pending_ends",
+            "Ends of batch jobs that this node has read and that are not known to be kept",
+        );
         let dropped_lines =
             gauge(&registry, "lichenpulley_log_lines_dropped", "Lines of the log that were dropped");
         Self {
@@ -142,6 +148,7 @@
             placement,
             evacuated_zones,
             quarantined_requests,
+            pending_ends,
             dropped_lines,
         }
     }
@@ -224,6 +231,11 @@
         self.quarantined_requests.set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
+    /// Says how many ends of batch jobs are held.
+    pub fn set_pending_ends(&self, ends: usize) {
+        self.pending_ends.set(i64::try_from(ends).unwrap_or(i64::MAX));
+    }
+
     /// Counts a peer's connection that was closed for what arrived on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.closed_connections.with_label_values(&[reason]).inc();
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -4,8 +4,8 @@
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
-    CoordinatorResponse, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, Peer, StoreRequest,
-    StoreResponse,
+    CoordinatorResponse, HoldEnd, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, Peer,
+    StoreRequest, StoreResponse,
 };
 use lichenpulley_protocol::transport::{self, TransportError};
 use tarpc::ChannelError;
@@ -88,6 +88,10 @@
         self.context.quarantine.keep(request)
     }
 
+    async fn hold_end(self, _: tarpc::context::Context, request: HoldEnd) {
+        self.batch.ends().told(request);
+    }
+
     async fn regional_batch(
         self,
         _: tarpc::context::Context,
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -77,6 +77,7 @@
                 Some(change) => zones::change(&self.context, &percent_decode(zone), change).await,
                 None => response::not_found(&path),
             },
+            (&Method::GET, ["v1", "ends"]) => response::json(StatusCode::OK, &self.batch.ends().list()),
             (&Method::GET, ["v1", "quarantine"]) => quarantine::list(&self.context),
             (&Method::POST, ["v1", "quarantine", fingerprint, "release"]) => {
                 quarantine::release(&self.context, fingerprint)
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -11,7 +11,7 @@
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
-    CoordinatorResponse, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, StoreRequest,
+    CoordinatorResponse, HoldEnd, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, StoreRequest,
     StoreResponse,
 };
 use tokio::runtime::Handle;
@@ -177,6 +177,21 @@
         call.finish(call.client().keep_report(call.context(), request)).await
     }
 
+    /// Asks a node to bring the end of a batch job to its owner.
+    ///
+    /// # Errors
+    /// When no answer comes within `deadline`.
+    pub async fn hold_end(
+        &self,
+        address: SocketAddr,
+        request: HoldEnd,
+        deadline: Duration,
+    ) -> Result<(), PeerError> {
+        let limit = Instant::now() + deadline;
+        let call = self.connection(address).begin(limit).await?;
+        call.finish(call.client().hold_end(call.context(), request)).await
+    }
+
     /// How many peers have an open connection.
     pub fn open_connections(&self) -> usize {
         let connections = self.shared.connections.load();
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -84,3 +84,12 @@
     /// The log failed while the request was on its way to the stores: it may be kept or not.
     InDoubt,
 }
+
+/// An end that the sender read, for the receiver to bring to the owner too: it outlasts the sender then.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct HoldEnd {
+    /// The job.
+    pub batch: BatchId,
+    /// Who ends it; `None` where callers need no key.
+    pub caller: Option<TenantName>,
+}
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -6,7 +6,7 @@
 pub mod metadata;
 pub mod store;
 
-pub use batch::{BatchRequest, BatchResponse, ListedResult};
+pub use batch::{BatchRequest, BatchResponse, HoldEnd, ListedResult};
 pub use configuration::{ConfigurationRequest, ConfigurationResponse, DocumentName};
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
 use lichenpulley_core::identity::ShardId;
@@ -32,4 +32,6 @@
     async fn regional_batch(shard: ShardId, request: BatchRequest) -> BatchResponse;
     /// A report for the platform's store, for a node that can't reach it; answered by every node.
     async fn keep_report(request: KeepReport) -> KeepResponse;
+    /// The end of a batch job, for a node that may be lost before the owner keeps it; answered by every node.
+    async fn hold_end(request: HoldEnd);
 }
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -18,6 +18,7 @@
 //! | `POST /v1/zones/{zone}/return` | | [`ZoneChanged`] |
 //! | `GET /v1/quarantine` | | a list of [`QuarantinedRequest`] |
 //! | `POST /v1/quarantine/{fingerprint}/release` | | [`QuarantineReleased`] |
+//! | `GET /v1/ends` | | a list of [`PendingEndStatus`] |
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
 
 use lichenpulley_core::decision::Decision;
@@ -298,3 +299,16 @@
     /// Requests that this gateway has sent meanwhile.
     pub sent: u64,
 }
+
+/// An end of a batch job that a node has read and that is not known to be kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PendingEndStatus {
+    /// The job.
+    pub batch: String,
+    /// From whom the node has it: `caller` or `peer`.
+    pub source: String,
+    /// For how long it has been held, in milliseconds.
+    pub held_for_ms: u64,
+    /// How often the owner was asked.
+    pub questions: u32,
+}
