Hold an end as soon as its request is read, and before the first configuration

Cause: the HTTP library makes the answer to a request and, where it finds the close of the connection beside it, drops the answer unpolled. A gateway that stood still, or was late, never looked at such an end. Ends are held now before the handler returns its future. A node without a configuration can't tell whose end it is: it asks the caller to come back, as before, and holds the end once it can.

--- a/crates/core/tests/end_pursuit.rs
+++ b/crates/core/tests/end_pursuit.rs
@@ -26,7 +26,7 @@
 ) -> (EndOutcome, u32) {
     loop {
         let now = pursuit.deadline().expect("something is held");
-        assert_eq!(pursuit.due(now), [key.clone()]);
+        assert_eq!(pursuit.due(now), std::slice::from_ref(key));
         if let Some(settled) = pursuit.answered(now, key, answer(now)) {
             return (settled.outcome, settled.questions);
         }
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -3,7 +3,6 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use lichenpulley_core::batch::end_pursuit::EndKey;
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
@@ -13,7 +12,6 @@
 use tokio::time::Instant;
 
 use super::callers::Caller;
-use super::end_trace::EndTrace;
 use super::forward::read_body;
 use super::refusal::Refusal;
 use super::{Ingress, headers, job_places};
@@ -102,7 +100,8 @@
         let id = BatchId::new(id);
         return match method {
             Method::GET => read(ingress, caller, id, &call).await,
-            Method::DELETE => end(ingress, caller, id).await,
+            // The first configuration came after this end was read: it is held, and nobody waits for it.
+            Method::DELETE => Refusal::NoConfiguration.respond(&ingress.context, &call),
             _ => Refusal::NoRoute.respond(&ingress.context, &call),
         };
     }
@@ -159,18 +158,6 @@
     }
 }
 
-async fn end(ingress: &Ingress, caller: &Caller, batch: BatchId) -> Response<Body> {
-    let subject = batch.to_string();
-    let mut trace = EndTrace::begin(&ingress.context, &batch);
-    let key = EndKey { batch, caller: caller.tenant().cloned() };
-    let response = ingress.batch.ends().end(key).await;
-    trace.answered(&response);
-    match response {
-        BatchResponse::Ended => answer_empty(StatusCode::OK, &subject),
-        other => refuse(ingress, &subject, &other),
-    }
-}
-
 async fn item_body(ingress: &Ingress, caller: &Caller, batch: BatchId, item: String) -> Response<Body> {
     let subject = item.clone();
     let request = BatchRequest::ItemBody { batch: batch.clone(), item, caller: caller.tenant().cloned() };
@@ -181,7 +168,7 @@
 }
 
 /// Reading and ending can always be repeated: whoever can't be sure says "come back".
-fn refuse(ingress: &Ingress, subject: &str, response: &BatchResponse) -> Response<Body> {
+pub(super) fn refuse(ingress: &Ingress, subject: &str, response: &BatchResponse) -> Response<Body> {
     let refusal = match response {
         BatchResponse::Unknown => Refusal::UnknownBatch,
         _ => Refusal::NoOwner,
@@ -189,7 +176,7 @@
     refusal.respond_to(&ingress.context, Some(subject))
 }
 
-fn answer_empty(status: StatusCode, id: &str) -> Response<Body> {
+pub(super) fn answer_empty(status: StatusCode, id: &str) -> Response<Body> {
     let mut answer = response::empty(status);
     if let Ok(id) = HeaderValue::from_str(id) {
         answer.headers_mut().insert(names::REQUEST_ID, id);
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 mod batch_calls;
 pub(crate) mod callers;
 mod end_trace;
+mod ends;
 mod forward;
 pub(crate) mod headers;
 mod job_places;
@@ -26,6 +27,7 @@
 use lichenpulley_core::ingress::warmups::Warmups;
 use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_core::time::Timestamp;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::batch::BatchJobs;
@@ -79,6 +81,8 @@
     pool: ReplicaPool,
     batch: BatchJobs,
     choice: Arc<Mutex<ReplicaChoice>>,
+    /// Places for ends that wait for the first configuration.
+    early_ends: Arc<Semaphore>,
     origin: Instant,
 }
 
@@ -87,13 +91,26 @@
     /// replicas on the current runtime until the node has stopped.
     pub fn spawn(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
         let choice = Arc::new(Mutex::new(ReplicaChoice::new(&context.node)));
-        let ingress = Self { context, pool, batch, choice, origin: Instant::now() };
+        let early_ends = Arc::new(Semaphore::new(ends::MOST_EARLY));
+        let ingress = Self { context, pool, batch, choice, early_ends, origin: Instant::now() };
         tokio::spawn(warming::watch(ingress.clone()));
         ingress
     }
 
-    /// Answers one request on the callers' port.
-    pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Answers one request on the callers' port. What must not be lost with its caller is held before this returns: where the close of a
+    /// connection is read beside the request, the answer is dropped without having been polled.
+    pub fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send + use<> {
+        let end = ends::begin(self, &request);
+        let ingress = self.clone();
+        async move {
+            match end {
+                Some(end) => end.answer().await,
+                None => ingress.answer(request).await,
+            }
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(table) = self.context.metadata.routes.load_full() else {
             return Refusal::NoConfiguration.respond(&self.context, &request);
         };
--- a/crates/daemon/src/node/control.rs
+++ b/crates/daemon/src/node/control.rs
@@ -209,10 +209,7 @@
             bytes: limits.header_bytes,
         })
     };
-    let answer = move |request| {
-        let ingress = ingress.clone();
-        async move { ingress.handle(request).await }
-    };
+    let answer = move |request| ingress.handle(request);
     Ok(traffic.spawn(server::serve_within(listener, stop, limits, head_limits, answer)))
 }
 
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -7,10 +7,11 @@
 
 use std::time::Duration;
 
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use lichenpulley_core::decision::Decision;
 use lichenpulley_daemon::node::Node;
-use lichenpulley_protocol::operator::DecisionEvent;
+use lichenpulley_platform::objects;
+use lichenpulley_protocol::operator::{DecisionEvent, PendingEndStatus};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::Receiver;
@@ -45,6 +46,22 @@
     tokio::time::timeout(PATIENCE, found).await.expect("the decision in time")
 }
 
+/// Waits until a gateway tells operators that it holds so many ends.
+async fn wait_for_pending(system: &System, gateway: usize, count: usize) {
+    let operators = system.gateways[gateway].as_ref().expect("a gateway").addresses().operators;
+    let told = async {
+        loop {
+            let pending: Result<Vec<PendingEndStatus>, _> =
+                system.http.get_json(operators, "/v1/ends", PATIENCE).await;
+            if pending.expect("a list").len() == count {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, told).await.expect("so many in time");
+}
+
 async fn kill(node: Option<Node>) {
     let node = node.expect("a living node");
     node.kill();
@@ -68,3 +85,75 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert_eq!(runs(&system), before);
 }
+
+async fn read_by(system: &System, gateway: usize, batch: &str) -> Receiver<DecisionEvent> {
+    let decisions = watch(system, gateway);
+    end_and_leave(system, gateway, batch).await;
+    decisions
+}
+
+#[tokio::test]
+async fn an_end_outlasts_the_gateway_that_read_it() {
+    let mut system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    let owner = system.owner();
+    let other = 1 - owner;
+    // Without a majority of stores nothing is kept.
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    let mut told = watch(&system, owner);
+    end_and_leave(&system, other, "job").await;
+    wait_for_pending(&system, owner, 1).await;
+    kill(system.gateways[other].take()).await;
+    for number in 0..2 {
+        system.start_store(number).await;
+    }
+    wait_for(&mut told, "end_kept", "job").await;
+    wait_for_pending(&system, owner, 0).await;
+}
+
+#[tokio::test]
+async fn an_end_that_a_gateway_reads_before_it_has_a_configuration_is_held() {
+    let mut system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    for number in 0..2 {
+        kill(system.gateways[number].take()).await;
+    }
+    system.platform.set_silent_kind(Some(objects::CONFIGURATION));
+    system.gateways.clear();
+    system.start_gateway(0).await;
+    let mut decisions = read_by(&system, 0, "job").await;
+    system.platform.set_silent_kind(None);
+    wait_for(&mut decisions, "end_kept", "job").await;
+}
+
+#[tokio::test]
+async fn an_end_that_overtakes_its_job_ends_it_once_it_comes() {
+    let system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "first", 1, 1).await;
+    let mut decisions = watch(&system, system.owner());
+    let answer = system.call(0, Method::DELETE, "/-/lots/job", &[("attempt-id", "end")], "").await;
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    system.submit(0, "job", 4, 1).await;
+    wait_for(&mut decisions, "end_kept", "job").await;
+}
+
+#[tokio::test]
+async fn an_end_that_is_answered_is_held_by_nobody() {
+    let system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for number in 0..4 {
+        let job = format!("job-{number}");
+        system.submit(number % 2, &job, 2, 1).await;
+        let path = format!("/-/lots/{job}");
+        let answer = system.call(number % 2, Method::DELETE, &path, &[("attempt-id", "end")], "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    for number in 0..2 {
+        wait_for_pending(&system, number, 0).await;
+    }
+}
