Believe nothing of a replica's earlier life, and let no entry of another writer name a replica

A replica may start again under its id; what it says of itself carries the time of its start. A record's id is that of a life now (name and start), so that versions, loads, orders, memory of prompts, connections that rest, suspicion and what ended there belong to it; its name is what requests ask for and what turns of order holders are kept by. A report of another life than the listed one says nothing. An entry whose named fields are missing or of another type, with another state or text that can't be read is left out, and hides none of the others in a list or watch: formerly one that was no UTF-8 hid them all, and one without a state passed for ready. Tests: each form over the reader, entries among good ones over two nodes (watch and list), a replaced entry, connections, orders and items over a restart under the same id.

--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -60,7 +60,10 @@
         let clock_ms = self.clock_ms(now);
         for service in routes.services.keys() {
             let (ledger, lease) = (&self.ledger, &self.lease);
-            let may_order = |replica: &str| lease.allows(ledger.last_order(replica), clock_ms);
+            let replicas = &self.replicas;
+            let name =
+                |life: &str| replicas.get(life).map_or(life.to_owned(), |state| state.record.name.clone());
+            let may_order = |life: &str| lease.allows(ledger.last_order(&name(life)), clock_ms);
             for load in self.loads.next(service, &self.replicas, &self.gate, may_order, now) {
                 self.begin_load(service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
@@ -72,7 +75,10 @@
 
     /// Invariant: an order leaves only after a majority of stores keeps that it was given.
     fn order(&mut self, now: Timestamp, clock_ms: u64, load: Load) {
-        let (replica, holder) = (load.replica.clone(), self.lease.holder.clone());
+        let holder = self.lease.holder.clone();
+        // Holders take turns at a replica, whichever of its lives is ordered.
+        let record = self.replicas.get(&load.replica).map(|state| &state.record);
+        let replica = record.map_or_else(|| load.replica.clone(), |record| record.name.clone());
         self.ordering.insert(replica.clone(), load);
         self.append(now, vec![Record::Ordered { replica, holder, at_ms: clock_ms }]);
     }
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -1,16 +1,38 @@
 //! Replicas as the platform lists them.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::time::Timestamp;
 
+/// Names one life of a replica: one that starts again under its name holds nothing of before, so that nothing that was believed of it may
+/// be believed of its next life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaLife<'a> {
+    /// The replica's name.
+    pub name: &'a str,
+    /// When this life began, in milliseconds since the Unix epoch; `None` where the replica does not say.
+    pub born_ms: Option<u64>,
+}
+
+impl fmt::Display for ReplicaLife<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born_ms {
+            Some(born_ms) => write!(formatter, "{}@{born_ms}", self.name),
+            None => formatter.write_str(self.name),
+        }
+    }
+}
+
 /// One life of one replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaRecord {
-    /// The id of this life; a restart has another.
+    /// The id of this life, by which all that is believed of it is kept: a [`ReplicaLife`]. A restart has another.
     pub id: String,
+    /// The name under which it is listed, and which a request may ask for. A restart may keep it.
+    pub name: String,
     /// The service it serves.
     pub service: String,
     /// Where it answers.
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) fn replica(id: &str, version: u64) -> ReplicaRecord {
     ReplicaRecord {
         id: id.to_owned(),
+        name: id.to_owned(),
         service: "engines".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "kajang".to_owned(),
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -104,6 +104,7 @@
 fn replica(id: &str) -> ReplicaRecord {
     ReplicaRecord {
         id: id.to_owned(),
+        name: id.to_owned(),
         service: "a".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "z".to_owned(),
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -169,6 +169,7 @@
     assert!(watch.is_suspected(&request(7)));
     let record = |number: usize, id: usize| ReplicaRecord {
         id: replica(id),
+        name: replica(id),
         service: "engines".to_owned(),
         address: address(number),
         zone: "a".to_owned(),
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -176,7 +176,8 @@
 
     async fn report(&self, replica: &ReplicaRecord) -> Option<Report> {
         let request = client::build(Method::GET, replica.address, REPORT_PATH, bytes::Bytes::new()).ok()?;
-        self.call(replica, request).await.ok()
+        // What a later life reports says nothing of this one: its orders are counted anew.
+        self.call(replica, request).await.ok().filter(|report| report.is_of(replica))
     }
 
     /// Gives the order.
@@ -189,8 +190,8 @@
         let Ok(mut request) = client::build(Method::POST, replica.address, ORDER_PATH, body.into()) else {
             return OrderTaken::No;
         };
-        if let Ok(id) = replica.id.parse() {
-            request.headers_mut().insert(headers::EXPECT_REPLICA, id);
+        if let Ok(name) = replica.name.parse() {
+            request.headers_mut().insert(headers::EXPECT_REPLICA, name);
         }
         let limit = Instant::now() + CALL_TIMEOUT;
         match self.http.send(replica.address, request, limit).await {
@@ -212,8 +213,8 @@
         replica: &ReplicaRecord,
         mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Result<Report, client::ClientError> {
-        if let Ok(id) = replica.id.parse() {
-            request.headers_mut().insert(headers::EXPECT_REPLICA, id);
+        if let Ok(name) = replica.name.parse() {
+            request.headers_mut().insert(headers::EXPECT_REPLICA, name);
         }
         self.http.request_json(replica.address, request, CALL_TIMEOUT).await
     }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -80,7 +80,7 @@
         }
         !context.metadata.is_closed(&start.replica)
     };
-    pool.send(start.replica.address, request, false, CONNECT_TIMEOUT, may_send).await
+    pool.send(&start.replica, request, false, CONNECT_TIMEOUT, may_send).await
 }
 
 fn build(start: &RunStart) -> Option<Request<Full<Bytes>>> {
@@ -98,7 +98,7 @@
     }
     fields.insert(HOST, start.host.parse().ok()?);
     fields.insert(headers::REQUEST_ID, start.item.id.parse().ok()?);
-    fields.insert(headers::EXPECT_REPLICA, start.replica.id.parse().ok()?);
+    fields.insert(headers::EXPECT_REPLICA, start.replica.name.parse().ok()?);
     if let Some(number) = start.last_event {
         fields.insert(headers::LAST_EVENT_ID, HeaderValue::from(number));
     }
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -48,7 +48,7 @@
     let fingerprint = start.request.fingerprint(start.tenant.as_ref());
     let mut traced = TracedRun::begin(context, fingerprint, &start.replica, RunSender::Owner);
     let may_send = || !context.metadata.is_closed(&start.replica);
-    let sent = pool.send(start.replica.address, request, false, start.patience, may_send).await;
+    let sent = pool.send(&start.replica, request, false, start.patience, may_send).await;
     let Exchange { response, connection } = match sent {
         Ok(exchange) => exchange,
         Err(SendError::Withheld) => {
@@ -91,7 +91,7 @@
     head.insert(HOST, start.request.host.parse().ok()?);
     head.insert(headers::REQUEST_ID, start.request.id.parse().ok()?);
     callers::put_tenant(head, start.tenant.as_ref());
-    fields::address_to(head, &start.replica.id, start.patience);
+    fields::address_to(head, &start.replica.name, start.patience);
     Some(request)
 }
 
--- a/crates/daemon/src/http/client/mod.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -201,7 +201,8 @@
         let response = self.send(address, request, limit).await?;
         let response = successful(address, response, limit).await?;
         let bytes = read_whole(address, response, limit).await?;
-        serde_json::from_slice(&bytes)
+        // One text that is no UTF-8 must not hide all others in the answer: it is read with marks in its place.
+        serde_json::from_str(&String::from_utf8_lossy(&bytes))
             .map_err(|error| ClientError::BadAnswer { address, reason: error.to_string() })
     }
 
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -291,12 +291,12 @@
     patience: Duration,
 ) -> (SendOutcome, Option<WholeAnswer>) {
     let limit = Instant::now() + patience;
-    let request = call.build(&visit.replica.id, None);
+    let request = call.build(&visit.replica.name, None);
     let mut count = RunCount::begin(&ingress.context, call.caller.tenant());
     let connect_timeout = CONNECT_TIMEOUT.min(patience);
-    let (address, replica) = (visit.replica.address, visit.replica.clone());
+    let replica = visit.replica.clone();
     let may_send = || ingress.may_send(call, &replica);
-    let sent = ingress.pool.send(address, request, needs_fresh, connect_timeout, may_send);
+    let sent = ingress.pool.send(&replica, request, needs_fresh, connect_timeout, may_send);
     let exchange = match tokio::time::timeout_at(limit, sent).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::Withheld)) => {
--- a/crates/daemon/src/ingress/pool.rs
+++ b/crates/daemon/src/ingress/pool.rs
@@ -5,7 +5,6 @@
 //! its answer is not wanted any more.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -33,11 +33,12 @@
 /// A replica that acknowledges nothing for so long is taken as gone.
 const STALL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Idle connections by replica address. Cheap to clone.
+/// Idle connections by the life of the replica that they were made to: a connection to an earlier life is dead, though it may not show yet.
+/// Cheap to clone.
 #[derive(Clone)]
 pub struct ReplicaPool {
     clock: BootClock,
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Arc<Mutex<HashMap<String, Vec<IdleConnection>>>>,
 }
 
 struct IdleConnection {
@@ -48,7 +49,8 @@
 
 /// An open connection; dropping it closes it.
 pub struct Connection {
-    address: SocketAddr,
+    /// The life of the replica to which it was made.
+    replica: String,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -92,16 +94,16 @@
     /// Tells apart whether anything was written.
     pub async fn send(
         &self,
-        address: SocketAddr,
+        replica: &ReplicaRecord,
         request: Request<Full<Bytes>>,
         needs_fresh: bool,
         connect_timeout: Duration,
         may_send: impl Fn() -> bool,
     ) -> Result<Exchange, SendError> {
-        let idle = if needs_fresh { None } else { self.take(address) };
+        let idle = if needs_fresh { None } else { self.take(&replica.id) };
         let mut connection = match idle {
             Some(connection) => connection,
-            None => connect(address, connect_timeout).await?,
+            None => connect(replica, connect_timeout).await?,
         };
         if !may_send() {
             return Err(SendError::Withheld);
@@ -113,9 +115,9 @@
         }
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    fn take(&self, replica: &str) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = idle.get_mut(&address)?;
+        let kept = idle.get_mut(replica)?;
         let now = self.clock.now();
         while let Some(candidate) = kept.pop() {
             if candidate.expires_at > now && candidate.connection.sender.is_ready() {
@@ -134,8 +136,13 @@
         let now = self.clock.now();
         let expires_at = now + idle_for;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = idle.entry(connection.address).or_default();
-        kept.retain(|kept| kept.expires_at > now && !kept.connection.sender.is_closed());
+        let is_kept = |kept: &IdleConnection| kept.expires_at > now && !kept.connection.sender.is_closed();
+        if !idle.contains_key(&connection.replica) {
+            // Lives that have ended leave nothing behind.
+            idle.retain(|_, kept| kept.iter().any(is_kept));
+        }
+        let kept = idle.entry(connection.replica.clone()).or_default();
+        kept.retain(is_kept);
         if kept.len() < IDLE_CONNECTIONS {
             kept.push(IdleConnection { connection, expires_at });
         }
@@ -159,8 +166,8 @@
     timeout.checked_sub(IDLE_MARGIN).filter(|left| !left.is_zero())
 }
 
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, SendError> {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+async fn connect(replica: &ReplicaRecord, timeout: Duration) -> Result<Connection, SendError> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(replica.address)).await;
     let Ok(Ok(stream)) = stream else { return Err(SendError::NotSent) };
     if stream.set_nodelay(true).is_err() {
         return Err(SendError::NotSent);
@@ -175,5 +182,5 @@
         // How it ended is told by whoever waits on it.
         let _ = driver.await;
     });
-    Ok(Connection { address, sender, task: task.abort_handle() })
+    Ok(Connection { replica: replica.id.clone(), sender, task: task.abort_handle() })
 }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -117,10 +117,10 @@
     visit: &mut Visit,
     last_event: Option<&str>,
 ) -> (SendOutcome, Option<Exchange>) {
-    let request = call.build(&visit.replica.id, last_event);
-    let (address, replica) = (visit.replica.address, visit.replica.clone());
+    let request = call.build(&visit.replica.name, last_event);
+    let replica = visit.replica.clone();
     let may_send = || ingress.may_send(call, &replica);
-    let sent = ingress.pool.send(address, request, true, CONNECT_TIMEOUT, may_send);
+    let sent = ingress.pool.send(&replica, request, true, CONNECT_TIMEOUT, may_send);
     let exchange = match tokio::time::timeout_at(call.limit, sent).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(SendError::Withheld)) => {
--- a/crates/daemon/src/metadata/copy.rs
+++ b/crates/daemon/src/metadata/copy.rs
@@ -15,28 +15,30 @@
 /// Replicas whose records did not change keep what was read of them: with thousands of replicas, one changes at a time.
 fn apply_replicas(handle: &MetadataHandle, before: Option<&MetadataCopy>, copy: &MetadataCopy) {
     let held = handle.replicas.load();
+    let held: HashMap<&str, &ReplicaRecord> =
+        held.records.values().map(|record| (record.name.as_str(), record)).collect();
     let texts: HashMap<&str, &str> = before
         .into_iter()
         .flat_map(|copy| &copy.objects)
-        .map(|(id, text)| (id.as_str(), text.as_str()))
+        .map(|(name, text)| (name.as_str(), text.as_str()))
         .collect();
     let mut table = ReplicaTable::default();
-    for (id, text) in &copy.objects {
-        let is_same = texts.get(id.as_str()) == Some(&text.as_str());
-        let known = held.records.get(id).filter(|_| is_same).cloned();
-        if let Some(record) = known.or_else(|| read_replica(id, text)) {
-            table.records.insert(id.clone(), record);
+    for (name, text) in &copy.objects {
+        let is_same = texts.get(name.as_str()) == Some(&text.as_str());
+        let known = held.get(name.as_str()).filter(|_| is_same).map(|record| (*record).clone());
+        if let Some(record) = known.or_else(|| read_replica(name, text)) {
+            table.records.insert(record.id.clone(), record);
         }
     }
     handle.replicas.store(Arc::new(table));
 }
 
-fn read_replica(id: &str, text: &str) -> Option<ReplicaRecord> {
+fn read_replica(name: &str, text: &str) -> Option<ReplicaRecord> {
     let record = serde_json::from_str(text).map_err(|error| error.to_string());
-    match record.and_then(|spec| replica::read_record(id, &spec).map_err(|error| error.to_string())) {
+    match record.and_then(|spec| replica::read_record(name, &spec).map_err(|error| error.to_string())) {
         Ok(record) => Some(record),
         Err(error) => {
-            log::warn!(target: "metadata", "Replica {id} is left out: {error}.");
+            log::warn!(target: "metadata", "Entry {name} names no replica: {error}.");
             None
         }
     }
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -140,7 +140,11 @@
 
 /// A JSON answer.
 pub fn json<Value: Serialize>(status: StatusCode, value: &Value) -> Response<Body> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
+    raw_json(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// An answer with bytes that pass for JSON.
+pub fn raw_json(status: StatusCode, body: Vec<u8>) -> Response<Body> {
     let mut response = Response::new(whole(body));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -20,6 +20,9 @@
 /// The path under which all objects lie.
 const PREFIX: &str = "/-/objects/";
 
+/// Stands for bytes that are no text, in what is put into the store.
+pub const UNREADABLE: &str = "(unreadable)";
+
 /// How the store answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
@@ -41,6 +44,8 @@
     silent_kind: Mutex<Option<String>>,
     /// A kind whose watches hear nothing.
     deaf_kind: Mutex<Option<String>>,
+    /// What stands in place of each [`UNREADABLE`] in answers.
+    unreadable: Mutex<Vec<u8>>,
     /// The kinds that were listed, each time.
     listed: Mutex<Vec<String>>,
     /// The kinds of the watches that wait.
@@ -66,6 +71,7 @@
         condition: Mutex::default(),
         silent_kind: Mutex::default(),
         deaf_kind: Mutex::default(),
+        unreadable: Mutex::default(),
         listed: Mutex::default(),
         waiting: Mutex::default(),
         changed: Notify::new(),
@@ -83,6 +89,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Answers with these bytes wherever [`UNREADABLE`] stands as a text, as where a writer put them there.
+    pub fn set_unreadable(&self, bytes: &[u8]) {
+        *self.shared.unreadable.lock().unwrap_or_else(PoisonError::into_inner) = bytes.to_vec();
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.objects().remove(kind, name);
@@ -172,6 +183,20 @@
         deaf.as_deref() == Some(kind)
     }
 
+    /// JSON with the unreadable bytes in their places.
+    fn raw_json(&self, value: &impl serde::Serialize) -> Response<Body> {
+        let text = serde_json::to_string(value).unwrap_or_default();
+        let unreadable = self.unreadable.lock().unwrap_or_else(PoisonError::into_inner);
+        let placeholder = format!("\"{UNREADABLE}\"");
+        let mut parts = text.split(&placeholder);
+        let mut body = parts.next().unwrap_or_default().as_bytes().to_vec();
+        for part in parts {
+            body.extend_from_slice(&unreadable);
+            body.extend_from_slice(part.as_bytes());
+        }
+        http::raw_json(StatusCode::OK, body)
+    }
+
     fn condition(&self) -> Condition {
         *self.condition.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -222,7 +247,7 @@
         shared.listed.lock().unwrap_or_else(PoisonError::into_inner).push(kind.to_owned());
         let objects = shared.objects();
         let list = List { items: objects.list(kind), has_more: false, at: objects.revision() };
-        return http::json(StatusCode::OK, &list);
+        return shared.raw_json(&list);
     };
     let _waiting = WaitingWatch::begin(shared, kind);
     let wait_ms = parameter(request, "wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
@@ -241,7 +266,7 @@
             };
             if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                 let events: Vec<Event> = events;
-                return http::json(StatusCode::OK, &Events { events, at: objects.revision() });
+                return shared.raw_json(&Events { events, at: objects.revision() });
             }
         }
         // Whether it was woken or the time is over, the loop looks again.
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_daemon::decisions::unix_milliseconds;
 use lichenpulley_platform::headers;
 use lichenpulley_platform::replica::{LoadOrder, ModelState, ORDER_PATH, REPORT_PATH, Report};
 
@@ -71,6 +72,8 @@
     behaviour: Behaviour,
     seen: Vec<SeenRequest>,
     orders: Vec<LoadOrder>,
+    /// When it started, in milliseconds since the Unix epoch.
+    born_ms: u64,
     /// Streams whose reader left before their end.
     abandoned: u64,
     cold: Option<Cold>,
@@ -150,6 +153,7 @@
         behaviour,
         seen: Vec::new(),
         orders: Vec::new(),
+        born_ms: unix_milliseconds(),
         abandoned: 0,
         cold: None,
         server: None,
@@ -227,6 +231,7 @@
         serde_json::json!({
             "service": service, "address": self.address.to_string(), "zone": zone, "version": "v1", "slots": 4,
             "state": "ready", "cold_left_ms": cold_left_ms, "stage": "both", "models": models(&state.plan), "seq": 1,
+            "born": state.born_ms,
         })
     }
 }
@@ -265,6 +270,7 @@
         num_running: 0,
         kv_used: 0,
         kv_total: 100_000,
+        born: Some(state.born_ms),
     };
     http::json(StatusCode::OK, &report)
 }
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -5,6 +5,7 @@
 mod platform_cold;
 mod platform_duties;
 mod platform_ends;
+mod platform_entries;
 mod platform_evacuations;
 mod platform_outline;
 mod platform_placement;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -203,6 +203,25 @@
         self.replicas[number] = replica;
     }
 
+    /// Starts a replica that has ended anew under its own id: it holds and knows nothing of before.
+    pub(crate) async fn restart_replica(&mut self, number: usize) {
+        let ended = &self.replicas[number];
+        let (address, id, events) = (ended.address, ended.id(), ended.events());
+        let plan = self.replica_plan(id.clone(), events);
+        let started = async {
+            loop {
+                // The port is free once the last connection of the life before is closed.
+                if let Ok(replica) = platform_replica::start_at(address, plan.clone()).await {
+                    return replica;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let replica = tokio::time::timeout(PATIENCE, started).await.expect("its address");
+        self.platform.put(objects::REPLICAS, &id, replica.record("engines", ZONES[number % ZONES.len()]));
+        self.replicas[number] = replica;
+    }
+
     pub(crate) fn settings(&self, name: &str, number: usize) -> Settings {
         let mut settings = Settings::on_loopback(name, ZONES[number % ZONES.len()]);
         if let Some(duties) = &self.plan.duties {
