--- a/crates/core/tests/batch_scoring.rs
+++ b/crates/core/tests/batch_scoring.rs
@@ -68,6 +68,23 @@
     assert_eq!(next.scores.len(), 1);
 }
 
+/// The record of a whole text is on its way when the job is ended: what follows from it must not bring the job back.
+#[test]
+fn no_score_is_requested_for_a_text_that_is_kept_after_the_end_of_its_job() {
+    let mut bench = bench(&["s"]);
+    bench.submit(at(1), scored_job("j", 1));
+    bench.decide(at(1));
+    let run = bench.started[0].run;
+    bench.event(at(2), run, 0, 1);
+    bench.end(at(3), run, RunEnd::Complete);
+    assert_eq!(bench.controller.end(at(4), &BatchId::new("j")), Some(false));
+    bench.take();
+    bench.decide(at(5));
+    bench.controller.tick(at(500));
+    bench.take();
+    assert!(bench.scores.is_empty() && bench.started.len() == 1);
+}
+
 #[test]
 fn a_snapshot_keeps_what_waits_for_its_score() {
     let mut first = bench(&["s"]);
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -42,18 +42,9 @@
     let mut traced = TracedRun::begin(&context, fingerprint, &start.replica, RunSender::Owner);
     let end = match send(&context, &pool, &start, decided_at).await {
         Ok(exchange) => read(&pool, &start, exchange, &events, &mut traced).await,
-        // No byte was written.
-        Err(SendError::Withheld) => {
-            traced.has_not_run();
-            RunEnd::Rejected
-        }
-        Err(SendError::NotSent) => {
-            traced.has_not_run();
-            RunEnd::Broken
-        }
-        Err(SendError::Broken) => {
-            traced.broke().await;
-            RunEnd::Broken
+        Err(error) => {
+            traced.got_no_answer(error).await;
+            if error == SendError::Withheld { RunEnd::Rejected } else { RunEnd::Broken }
         }
     };
     // What it ended with is known before the owner starts the item anew.
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -51,17 +51,9 @@
     let sent = pool.send(&start.replica, request, false, start.patience, may_send).await;
     let Exchange { response, connection } = match sent {
         Ok(exchange) => exchange,
-        Err(SendError::Withheld) => {
-            traced.has_not_run();
-            return ScoreEnd::Rejected;
-        }
-        Err(SendError::NotSent) => {
-            traced.has_not_run();
-            return ScoreEnd::Broken;
-        }
-        Err(SendError::Broken) => {
-            traced.broke().await;
-            return ScoreEnd::Broken;
+        Err(error) => {
+            traced.got_no_answer(error).await;
+            return if error == SendError::Withheld { ScoreEnd::Rejected } else { ScoreEnd::Broken };
         }
     };
     let (head, body) = response.into_parts();
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -299,25 +299,11 @@
     let sent = ingress.pool.send(&replica, request, needs_fresh, connect_timeout, may_send);
     let exchange = match tokio::time::timeout_at(limit, sent).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(SendError::Withheld)) => {
-            count.has_not_run();
-            visit.run.has_not_run();
-            return (SendOutcome::Withheld, None);
-        }
         Ok(Err(error)) => {
-            visit.was_silent();
-            let outcome = match error {
-                SendError::NotSent | SendError::Withheld => {
-                    count.has_not_run();
-                    visit.run.has_not_run();
-                    SendOutcome::NotSent
-                }
-                SendError::Broken => {
-                    visit.run.broke().await;
-                    SendOutcome::Broken
-                }
-            };
-            return (outcome, None);
+            if error != SendError::Broken {
+                count.has_not_run();
+            }
+            return (visit.got_no_answer(error).await, None);
         }
         Err(_) => {
             visit.was_silent();
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -21,6 +21,7 @@
 use hyper::{Request, Response};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::{Admission, AdmissionGate};
+use lichenpulley_core::ingress::attempts::SendOutcome;
 use lichenpulley_core::ingress::replicas::{Experience, ReplicaChooser, ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::warming_share::GatewayOrder;
@@ -36,7 +37,7 @@
 use crate::quarantine::TracedRun;
 use callers::Caller;
 use forward::Call;
-use pool::ReplicaPool;
+use pool::{ReplicaPool, SendError};
 use refusal::Refusal;
 
 /// What decides where a request goes.
@@ -252,6 +253,16 @@
     fn was_silent(&mut self) {
         self.experience = Experience::Silent;
     }
+
+    /// No head of an answer came.
+    async fn got_no_answer(&mut self, error: SendError) -> SendOutcome {
+        self.run.got_no_answer(error).await;
+        match error {
+            SendError::Withheld => return SendOutcome::Withheld,
+            SendError::NotSent | SendError::Broken => self.was_silent(),
+        }
+        if error == SendError::Broken { SendOutcome::Broken } else { SendOutcome::NotSent }
+    }
 }
 
 impl Drop for Visit {
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -17,7 +17,7 @@
 
 use super::callers::Caller;
 use super::forward::{Call, is_reason, judge};
-use super::pool::{Exchange, SendError};
+use super::pool::Exchange;
 use super::refusal::Refusal;
 use super::sse::{Event, EventSplitter};
 use super::{CONNECT_TIMEOUT, Ingress, Visit, headers};
@@ -123,20 +123,7 @@
     let sent = ingress.pool.send(&replica, request, true, CONNECT_TIMEOUT, may_send);
     let exchange = match tokio::time::timeout_at(call.limit, sent).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(SendError::Withheld)) => {
-            visit.run.has_not_run();
-            return (SendOutcome::Withheld, None);
-        }
-        Ok(Err(SendError::NotSent)) => {
-            visit.was_silent();
-            visit.run.has_not_run();
-            return (SendOutcome::NotSent, None);
-        }
-        Ok(Err(SendError::Broken)) => {
-            visit.was_silent();
-            visit.run.broke().await;
-            return (SendOutcome::Broken, None);
-        }
+        Ok(Err(error)) => return (visit.got_no_answer(error).await, None),
         Err(_) => {
             visit.was_silent();
             return (SendOutcome::TimedOut, None);
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -10,6 +10,7 @@
 
 use super::lock;
 use crate::context::Context;
+use crate::ingress::pool::SendError;
 
 /// A replica that neither takes nor refuses a connection for so long may have ended or not: its entry will tell.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -61,6 +62,14 @@
         self.state = RunState::NotRun;
     }
 
+    /// No head of an answer came. Where no byte was written it has not run; otherwise see [`Self::broke`].
+    pub(crate) async fn got_no_answer(&mut self, error: SendError) {
+        match error {
+            SendError::Withheld | SendError::NotSent => self.has_not_run(),
+            SendError::Broken => self.broke().await,
+        }
+    }
+
     /// The replica gave a whole answer, good or not.
     pub(crate) const fn ended_whole(&mut self) {
         self.state = RunState::Whole;
--- a/crates/lab/tests/platform_suspension/mod.rs
+++ b/crates/lab/tests/platform_suspension/mod.rs
@@ -31,6 +31,10 @@
     suspend(system.gateways[owner].as_ref().expect("the owner"));
     let answer = system.call(owner, Method::GET, "/-/lots/job?after_rev=0", &[], "").await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    // Nor does it say that a job is unknown which its successor may have.
+    let fields = [("attempt-id", "end")];
+    let answer = system.call(owner, Method::DELETE, "/-/lots/another", &fields, "").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
 }
 
 #[tokio::test]
