--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -206,6 +206,17 @@
     assert!(usage.to_string().contains("hexadecimal"), "{usage}");
 }
 
+#[tokio::test]
+async fn ends_shows_what_is_held_and_for_how_long() {
+    let pending = json!([{"batch": "job-1", "source": "peer", "held_for_ms": 1200, "questions": 2}]);
+    let server = Server::start(move |_, _| Answer::Json(200, pending.clone())).await;
+    let address = server.address.to_string();
+    let shown = run(&["ends", "-o", &address]).await;
+    shown.result.expect("success");
+    let expected = "JOB    FROM  HELD FOR MS  TIMES ASKED\njob-1  peer  1200         2\n";
+    assert_eq!(shown.results, expected);
+}
+
 #[tokio::test]
 async fn the_next_address_is_asked_where_one_takes_no_connection() {
     let server = Server::start(|_, _| job_status()).await;
