--- a/crates/core/src/rollout/controller/attempts.rs
+++ b/crates/core/src/rollout/controller/attempts.rs
@@ -1,5 +1,7 @@
 //! Attempts at slots: when they start, how they end, and which of them decides a slot.
 
+use std::time::Duration;
+
 use crate::decision::{Component, Decision};
 use crate::identity::{AttemptId, WeightVersion};
 use crate::time::Timestamp;
@@ -11,6 +13,15 @@
 use super::JobController;
 use super::event::{Action, AttemptOutcome, AttemptStart};
 
+/// The longest pause after an attempt that failed: a slot under which engines end takes one down no more often than this, and has to be
+/// decided some day.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
+/// The pause after so many failures in a row, doubled with each.
+fn pause_after(first: Duration, failures: u32) -> Duration {
+    (first * 2_u32.saturating_pow(failures.saturating_sub(1).min(16))).min(LONGEST_PAUSE.max(first))
+}
+
 /// An attempt that this owner started.
 #[derive(Clone, Debug)]
 pub(super) struct RunningAttempt {
@@ -136,7 +147,9 @@
                 self.actions.push_back(Action::Decide(decision));
             }
             AttemptOutcome::Failed { reason, retry_after } => {
-                let delay = retry_after.unwrap_or(self.config.retry_delay);
+                let failures = self.failures.entry(running.slot).or_default();
+                *failures += 1;
+                let delay = retry_after.unwrap_or(pause_after(self.config.retry_delay, *failures));
                 self.queue.push_delayed(running.slot, now + delay);
                 let decision = Decision::new(Component::Rollout, "attempt_failed", &reason, attempt)
                     .with("slot", running.slot)
@@ -145,6 +158,7 @@
             }
             AttemptOutcome::Completed { tokens, spans, reward } => {
                 self.window.completed();
+                self.failures.remove(&running.slot);
                 let prompt = self.ledger.specification().prompts[running.slot.prompt as usize].clone();
                 let sample = Sample { slot: running.slot, prompt, tokens, spans, reward };
                 self.decide(attempt, &running, sample, now);
--- a/crates/core/src/rollout/controller/mod.rs
+++ b/crates/core/src/rollout/controller/mod.rs
@@ -16,6 +16,7 @@
 use super::queue::SlotQueue;
 use super::record::{JobRecord, RecordError};
 use super::sample::JobStatus;
+use super::slot::Slot;
 use super::specification::JobSpecification;
 use attempts::RunningAttempt;
 pub use config::{ControllerChecks, ControllerConfig};
@@ -70,6 +71,8 @@
     /// Steps below this one have been put into the queue.
     opened_steps: u32,
     running: BTreeMap<AttemptId, RunningAttempt>,
+    /// Attempts that failed in a row, by slot.
+    failures: BTreeMap<Slot, u32>,
     window: DispatchWindow,
     attempts_started: u64,
     /// Whether the log held the specification when this owner began.
@@ -142,6 +145,7 @@
             ledger,
             queue: SlotQueue::default(),
             running: BTreeMap::new(),
+            failures: BTreeMap::new(),
             window: DispatchWindow::new(config.max_in_flight),
             attempts_started: 0,
             is_recovered: true,
