Show over nodes that a request which was held for long is let through once

How long a request is held goes by the clock that counts suspensions, so that a test can let five minutes pass: of six sendings at two gateways one reaches a replica, and the request stays held.

--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, OnceCell};
 use tokio::time::Instant;
 
+use crate::boot_clock::{BootClock, BootInstant};
 use crate::context::Context;
 pub(crate) use records::QuarantineRecords;
 pub(crate) use spread::begin_trial;
@@ -39,8 +40,9 @@
 pub struct QuarantineHandle {
     watch: Mutex<CrashWatch>,
     verdict: ArcSwap<Quarantine>,
-    /// When this node learnt that a request is to be held.
-    held_since: Mutex<BTreeMap<Fingerprint, Instant>>,
+    /// When this node learnt that a request is to be held, by `clock`.
+    held_since: Mutex<BTreeMap<Fingerprint, BootInstant>>,
+    clock: BootClock,
     /// Held requests that came again.
     seen: Mutex<BTreeSet<Fingerprint>>,
     /// Replicas of which it is being found out whether they ended: one connection for all runs that broke off there.
@@ -51,9 +53,11 @@
     origin: Instant,
 }
 
-impl Default for QuarantineHandle {
-    fn default() -> Self {
+impl QuarantineHandle {
+    /// Nothing is known yet; how long requests are held goes by this clock.
+    pub fn new(clock: BootClock) -> Self {
         Self {
+            clock,
             watch: Mutex::default(),
             verdict: ArcSwap::default(),
             held_since: Mutex::default(),
@@ -110,7 +114,7 @@
 
     /// Whether a request was held back for so long that it may be let through once.
     pub(crate) fn is_trial_due(&self, fingerprint: &Fingerprint) -> bool {
-        lock(&self.held_since).get(fingerprint).is_some_and(|since| since.elapsed() >= TRIAL_AFTER)
+        lock(&self.held_since).get(fingerprint).is_some_and(|since| self.clock.since(*since) >= TRIAL_AFTER)
     }
 
     /// The probe of a replica that is under way, or a new one.
@@ -151,7 +155,7 @@
         let mut held_since = lock(&self.held_since);
         held_since.retain(|fingerprint, _| after.holds(fingerprint));
         for fingerprint in after.held() {
-            held_since.entry(*fingerprint).or_insert_with(Instant::now);
+            held_since.entry(*fingerprint).or_insert_with(|| self.clock.now());
         }
         drop(held_since);
         context.metrics.set_quarantined_requests(after.held().len());
@@ -178,7 +182,7 @@
             replicas: verdict.crashes(fingerprint).map(str::to_owned).collect(),
             held_for_ms: held_since
                 .get(fingerprint)
-                .map_or(0, |since| u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)),
+                .map_or(0, |since| u64::try_from(self.clock.since(*since).as_millis()).unwrap_or(u64::MAX)),
         };
         verdict.held().iter().map(status).collect()
     }
--- a/crates/lab/tests/platform_quarantine/mod.rs
+++ b/crates/lab/tests/platform_quarantine/mod.rs
@@ -313,3 +313,27 @@
     let knows = async |system: &System| all_hold(system);
     revive_until(&mut system, knows).await;
 }
+
+/// Longer than a request is held before it is let through once.
+const HELD_FOR_LONG: Duration = Duration::from_secs(301);
+
+#[tokio::test]
+async fn a_request_that_was_held_for_long_is_let_through_once_and_at_one_gateway() {
+    let mut system = started().await;
+    end_three(&mut system, "/read/x").await;
+    until(|| all_hold(&system)).await;
+    for node in system.gateways.iter().flatten() {
+        node.context().boot_clock.skip(HELD_FOR_LONG);
+    }
+    // A skip counts as a suspension: all is read anew.
+    for gateway in 0..2 {
+        system.call_until(StatusCode::OK, gateway, "/read/warm").await;
+    }
+    let mut ended = 0;
+    for turn in 0..6 {
+        ended += send_ending(&mut system, turn % 2, "/read/x").await;
+        system.call_until(StatusCode::OK, turn % 2, "/read/warm").await;
+    }
+    assert_eq!(ended, 1);
+    assert!(all_hold(&system));
+}
