Play all faults of the soak by one pair of functions, and name the holder's file by its type

Single faults were begun and ended by a second copy of what storms do; callers now go on using a gateway that is asked to stop until it is gone in both.

--- a/crates/daemon/src/batch/ends.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -12,6 +12,7 @@
 use futures::stream::FuturesUnordered;
 use lichenpulley_core::batch::end_pursuit::{EndAnswer, EndKey, EndPursuit, EndSource, SettledEnd};
 use lichenpulley_core::decision::{Component, Decision};
+use lichenpulley_core::identity::ShardId;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, HoldEnd};
 use lichenpulley_protocol::operator::PendingEndStatus;
@@ -221,8 +222,8 @@
             member.node != context.node && member.roles.gateway && region(member.zone.as_str()) == own_region
         });
         let mut others: Vec<Member> = others.cloned().collect();
-        let shard = lichenpulley_core::identity::ShardId::new(key.batch.as_str());
-        others.sort_by_cached_key(|member| rendezvous_weight(&member.node, &shard));
+        let order = ShardId::new(key.batch.as_str());
+        others.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
         others
     }
 
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -5,7 +5,7 @@
 //! replicas, which its owner alone gives. The candidates for ownership ask the stores whether the owner still appends.
 
 pub(crate) mod candidate;
-mod ends;
+mod end_holder;
 mod follower;
 mod job_shard;
 mod keeper;
@@ -31,7 +31,7 @@
 
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
-pub(crate) use ends::EndHolder;
+pub(crate) use end_holder::EndHolder;
 pub(crate) use job_shard::JobShard;
 use regional_jobs::RegionalJobs;
 use scope::Scope;
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -9,16 +9,15 @@
 
 use bytes::Bytes;
 use lichenpulley_platform::objects;
-use rustix::process::Signal;
 use serde_json::{Value, json};
 
 use super::caller::{Callers, ENDING_BODY, HOST};
-use super::fault::{Fault, PlannedFault, SystemSize};
+use super::fault::{PlannedFault, SystemSize};
 use super::history::EVENTS;
-use super::node::{NodePlan, NodeProcess, data_folder};
-use super::proxy::{LoopbackProxy, ProxyMode};
+use super::node::{NodePlan, NodeProcess};
+use super::proxy::LoopbackProxy;
 use crate::error::LabError;
-use crate::metadata_store::{self, Condition, MetadataStore};
+use crate::metadata_store::{self, MetadataStore};
 use crate::platform_replica::{self, Behaviour, Plan, Replica, SeenRequest};
 pub(super) use storm::WATCHED_FOR;
 
@@ -230,11 +229,11 @@
     /// When a process ended by itself or can't be started again.
     pub(super) async fn play(&mut self, planned: PlannedFault) -> Result<(), LabError> {
         self.find_ended()?;
-        let Some(zone) = planned.evacuated else { return self.play_fault(planned).await };
+        let Some(zone) = planned.evacuated else { return self.play_storm(&[planned]).await };
         self.platform.put(objects::EVACUATIONS, ZONES[zone], json!({}));
         tokio::time::sleep(EVACUATED_WITHIN).await;
         let before = self.seen_in(zone);
-        let played = self.play_fault(planned).await;
+        let played = self.play_storm(&[planned]).await;
         self.check_evacuated(zone, before);
         self.platform.remove(objects::EVACUATIONS, ZONES[zone]);
         played
@@ -257,33 +256,6 @@
         }
     }
 
-    async fn play_fault(&mut self, planned: PlannedFault) -> Result<(), LabError> {
-        let lasts = planned.lasts;
-        match planned.fault {
-            Fault::KillGateway(number) => self.restart_gateway(number, lasts).await,
-            Fault::KillStore(number) => self.restart_store(number, lasts, false).await,
-            Fault::WipeStore(number) => self.restart_store(number, lasts, true).await,
-            Fault::FreezeGateway(number) => freeze(self.gateways[number].as_ref(), lasts).await,
-            Fault::FreezeStore(number) => freeze(self.stores[number].as_ref(), lasts).await,
-            Fault::FreezeStores => self.play_storm(&[planned]).await,
-            Fault::StopGateway(number) => self.stop_gateway(number).await,
-            Fault::Platform(condition) => {
-                self.platform.set_condition(condition);
-                tokio::time::sleep(lasts).await;
-                self.platform.set_condition(Condition::Well);
-                Ok(())
-            }
-            Fault::PlatformCut(number, mode) => cut(&self.platform_proxies[number], mode, lasts).await,
-            Fault::ReplicaCut(number, mode) => cut(&self.replica_proxies[number], mode, lasts).await,
-            Fault::Replica(number, behaviour) => {
-                self.replicas[number].set_behaviour(behaviour);
-                tokio::time::sleep(lasts).await;
-                self.replicas[number].set_behaviour(Behaviour::Well);
-                Ok(())
-            }
-        }
-    }
-
     /// A process that ended by itself fails the soak.
     fn find_ended(&mut self) -> Result<(), LabError> {
         for node in self.stores.iter_mut().chain(&mut self.gateways).flatten() {
@@ -295,41 +267,6 @@
         Ok(())
     }
 
-    async fn restart_gateway(&mut self, number: usize, lasts: Duration) -> Result<(), LabError> {
-        self.kill_gateway(number);
-        tokio::time::sleep(lasts).await;
-        self.start_gateway(number).await
-    }
-
-    async fn restart_store(
-        &mut self,
-        number: usize,
-        lasts: Duration,
-        loses_data: bool,
-    ) -> Result<(), LabError> {
-        let name = self.stores[number].as_ref().map(|node| node.plan.name.clone());
-        self.stores[number] = None;
-        if let Some(name) = name.filter(|_| loses_data) {
-            // A folder that is not there yet is as good as an emptied one.
-            let _ = std::fs::remove_dir_all(data_folder(&self.folder, &name));
-        }
-        tokio::time::sleep(lasts).await;
-        self.start_store(number).await
-    }
-
-    async fn stop_gateway(&mut self, number: usize) -> Result<(), LabError> {
-        self.callers.set_gateway(number, None);
-        if let Some(node) = &mut self.gateways[number] {
-            node.signal(Signal::TERM);
-            if !node.wait(STOP_LIMIT).await {
-                let message = format!("{} does not end when it is asked to", node.plan.name);
-                return Err(LabError::CheckFailed(message));
-            }
-        }
-        self.gateways[number] = None;
-        self.start_gateway(number).await
-    }
-
     /// Reads every job once more from its start, now that everything is well.
     pub(super) async fn check_all_again(&self) {
         let jobs = self.callers.history().jobs();
@@ -339,22 +276,6 @@
     }
 }
 
-async fn freeze(node: Option<&NodeProcess>, lasts: Duration) -> Result<(), LabError> {
-    if let Some(node) = node {
-        node.signal(Signal::STOP);
-        tokio::time::sleep(lasts).await;
-        node.signal(Signal::CONT);
-    }
-    Ok(())
-}
-
-async fn cut(proxy: &LoopbackProxy, mode: ProxyMode, lasts: Duration) -> Result<(), LabError> {
-    proxy.set_mode(mode);
-    tokio::time::sleep(lasts).await;
-    proxy.set_mode(ProxyMode::Open);
-    Ok(())
-}
-
 fn replica_plan(id: &str) -> Plan {
     let models = BTreeMap::from([("m".to_owned(), 1)]);
     let ends_on = Some(Bytes::from_static(ENDING_BODY));
