--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -2,11 +2,12 @@
 
 mod membership_support;
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use lichenpulley_core::identity::{NodeId, Revision, ZoneName};
 use lichenpulley_core::membership::{
-    Config, Incarnation, MemberInfo, Membership, Message, StartError, Update,
+    Body, Config, Incarnation, MemberInfo, Membership, Message, StartError, Update,
 };
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_simulation::LinkQuality;
@@ -167,3 +168,36 @@
         });
     }
 }
+
+/// A store was known to all nodes but the one that placed the jobs' log, for 27 seconds: it had heard of all others from a list made before
+/// that store came, and missed the news of it. The store probed it all the while, as a member like any other. The log was placed on the two
+/// stores that were known, and was lost with one of them.
+#[test]
+fn a_member_that_is_not_known_is_asked_who_it_is_when_it_probes() {
+    let info = |name: &str, port: u16| MemberInfo {
+        node: NodeId::new(name),
+        zone: ZoneName::new("zone"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        attributes: 0,
+    };
+    let start = |info: &MemberInfo| {
+        Membership::new(Config::default(), info.clone(), Incarnation(1), Vec::new(), 1, Timestamp::ORIGIN)
+            .expect("a valid configuration")
+    };
+    let (here, store) = (info("here", 1), info("store", 2));
+    let (mut membership, mut unknown) = (start(&here), start(&store));
+    let ping = Body::Ping { target: here.node.clone() };
+    let probe = Message::new(store.node.clone(), 1, ping, Vec::new()).encode();
+    membership.handle_datagram(Timestamp::ORIGIN, store.address, &probe);
+    // What they send each other follows from that probe alone: no time passes.
+    for _ in 0..4 {
+        while let Some(sent) = membership.poll_transmit() {
+            unknown.handle_datagram(Timestamp::ORIGIN, here.address, &sent.payload);
+        }
+        while let Some(sent) = unknown.poll_transmit() {
+            membership.handle_datagram(Timestamp::ORIGIN, store.address, &sent.payload);
+        }
+    }
+    assert!(membership.member(&store.node).is_some(), "the store is known");
+    assert!(unknown.member(&here.node).is_some());
+}
