--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -69,6 +69,8 @@
     pub(super) next_probe_at: Timestamp,
     pub(super) next_sync_at: Timestamp,
     pub(super) next_reconnect_at: Timestamp,
+    /// When a member that is not known may be asked who it is again.
+    pub(super) next_inquiry_at: Timestamp,
     pub(super) leaving: bool,
     pub(super) events: VecDeque<Event>,
     pub(super) counters: Counters,
@@ -118,6 +120,7 @@
             next_probe_at,
             next_sync_at,
             next_reconnect_at: now + config.reconnect_interval,
+            next_inquiry_at: now,
             leaving: false,
             events: VecDeque::new(),
             counters: Counters::default(),
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -62,6 +62,9 @@
         match body {
             Body::Ping { target } if target == self.own => {
                 self.send(now, from, Some(&sender), sequence, Body::Acknowledge, None);
+                if self.table.get(&sender).is_none() {
+                    self.inquire(now, from);
+                }
             }
             // The address has passed from another node to this one.
             Body::Ping { .. } | Body::Notice => {}
--- a/crates/core/src/membership/repair.rs
+++ b/crates/core/src/membership/repair.rs
@@ -150,6 +150,19 @@
         self.send(now, seed, None, sequence, body, introduction);
     }
 
+    /// Compares tables with a member that is not known here and probes this node: to all others it is a member like any, so that no
+    /// news of it need ever come again.
+    pub(super) fn inquire(&mut self, now: Timestamp, from: SocketAddr) {
+        if !self.config.mechanisms.anti_entropy || self.next_inquiry_at > now {
+            return;
+        }
+        self.next_inquiry_at = now + self.config.probe_interval;
+        let body = Body::Digest { buckets: self.table.digest() };
+        let sequence = self.next_sequence();
+        let introduction = self.own_update();
+        self.send(now, from, None, sequence, body, introduction);
+    }
+
     fn start_sync(&mut self, now: Timestamp) {
         let spread = self.random.random_range(0.5..1.5);
         self.next_sync_at = now + self.config.sync_interval.mul_f64(spread);
