Make the fingerprint of an item once, and look a replica's name up without a copy

Cause: each run of an item digested its body twice more, for its line and for the run, although the owner keeps the digest once it was asked for; and each look at loads copied the name of every replica that may be ordered. Change: the digest that the owner keeps goes along with the run; one function gives the name of a life, for the look and for the order. The time saved was not measured.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -8,6 +8,7 @@
 use crate::duties::DutyCall;
 use crate::identity::TenantName;
 use crate::ingress::replicas::ReplicaRecord;
+use crate::quarantine::Fingerprint;
 
 /// Names one run of one item within the life of an owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,6 +27,8 @@
     pub tenant: Option<TenantName>,
     /// The item.
     pub item: BatchItem,
+    /// What all its runs have in common.
+    pub fingerprint: Fingerprint,
     /// The last event that is kept: the run begins after it.
     pub last_event: Option<u64>,
     /// How urgent it is: 0 to 9, 0 first.
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -1,6 +1,6 @@
 //! Which items are started and which versions are loaded, once all events at hand are taken in.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use super::{Action, Controller, DueWork, ItemStage, Run, RunId, RunStart, expected_tokens};
 use crate::batch::ledger::JobState;
@@ -61,9 +61,7 @@
         for service in routes.services.keys() {
             let (ledger, lease) = (&self.ledger, &self.lease);
             let replicas = &self.replicas;
-            let name =
-                |life: &str| replicas.get(life).map_or(life.to_owned(), |state| state.record.name.clone());
-            let may_order = |life: &str| lease.allows(ledger.last_order(&name(life)), clock_ms);
+            let may_order = |life: &str| lease.allows(ledger.last_order(name_of(replicas, life)), clock_ms);
             for load in self.loads.next(service, &self.replicas, &self.gate, may_order, now) {
                 self.begin_load(service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
@@ -76,9 +74,7 @@
     /// Invariant: an order leaves only after a majority of stores keeps that it was given.
     fn order(&mut self, now: Timestamp, clock_ms: u64, load: Load) {
         let holder = self.lease.holder.clone();
-        // Holders take turns at a replica, whichever of its lives is ordered.
-        let record = self.replicas.get(&load.replica).map(|state| &state.record);
-        let replica = record.map_or_else(|| load.replica.clone(), |record| record.name.clone());
+        let replica = name_of(&self.replicas, &load.replica).to_owned();
         self.ordering.insert(replica.clone(), load);
         self.append(now, vec![Record::Ordered { replica, holder, at_ms: clock_ms }]);
     }
@@ -214,7 +210,7 @@
             let decision = decision.with("batch", batch).with("fingerprint", fingerprint);
             self.actions.push_back(Action::Decide(decision));
         }
-        self.quarantine.holds(&fingerprint)
+        live.is_held
     }
 
     /// Starts an item where a replica has a place for it; returns whether one has.
@@ -239,19 +235,20 @@
         let (tokens, request) = (need.tokens, request.clone());
         let (host, tenant) = (job.job.host.clone(), job.job.tenant.clone());
         let Some(state) = self.replicas.get_mut(&chosen) else { return false };
+        let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return false };
         state.running += 1;
         state.tokens += tokens;
         let replica = state.record.clone();
         self.gate.sent(&replica, now);
         self.last_run += 1;
         let run = RunId(self.last_run);
-        if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
-            live.run = Some(run);
-            live.written_at = now;
-            if starts_anew {
-                live.restart();
-            }
+        live.run = Some(run);
+        live.written_at = now;
+        if starts_anew {
+            live.restart();
         }
+        let of_request = || request.fingerprint(&host, tenant.as_ref());
+        let fingerprint = *live.fingerprint.get_or_insert_with(of_request);
         let started =
             Run { batch: batch.clone(), item, replica: chosen, tokens, started_at: now, last_event_at: None };
         self.runs.insert(run, started);
@@ -259,16 +256,21 @@
             .with("batch", batch)
             .with("replica", &replica.id)
             .with("run", run.0)
-            .with("fingerprint", request.fingerprint(&host, tenant.as_ref()))
+            .with("fingerprint", fingerprint)
             .with("after_event", last_event.map_or_else(|| "none".to_owned(), |number| number.to_string()));
         self.decide(decision);
-        let start =
-            RunStart { run, replica, host, tenant, item: request, last_event, urgency: DEFAULT_URGENCY };
+        let (item, urgency) = (request, DEFAULT_URGENCY);
+        let start = RunStart { run, replica, host, tenant, item, fingerprint, last_event, urgency };
         self.actions.push_back(Action::Start(Box::new(start)));
         true
     }
 }
 
+/// The name of the replica that a life is of. Holders of orders take turns at a replica, whichever of its lives is ordered.
+fn name_of<'a>(replicas: &'a BTreeMap<String, ReplicaState>, life: &'a str) -> &'a str {
+    replicas.get(life).map_or(life, |state| &state.record.name)
+}
+
 /// An item to start.
 struct WaitingItem {
     batch: BatchId,
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -38,8 +38,7 @@
 ) {
     let run = start.run;
     let began = Instant::now();
-    let fingerprint = start.item.fingerprint(&start.host, start.tenant.as_ref());
-    let mut traced = TracedRun::begin(&context, fingerprint, &start.replica, RunSender::Owner);
+    let mut traced = TracedRun::begin(&context, start.fingerprint, &start.replica, RunSender::Owner);
     let end = match send(&context, &pool, &start, decided_at).await {
         Ok(exchange) => read(&pool, &start, exchange, &events, &mut traced).await,
         Err(error) => {
