Let one piece serve what stood twice: introductions, calls of a replica, whether lives can be told apart

Change: introduce_and_compare, build, ReplicaRecord::may_restart, EndPursuit::asked; the outcome of an unanswered send is one match.

--- a/crates/core/src/batch/end_pursuit.rs
+++ b/crates/core/src/batch/end_pursuit.rs
@@ -166,7 +166,7 @@
 
     /// Ends to ask the owner for now.
     pub fn due(&mut self, now: Timestamp) -> Vec<EndKey> {
-        let asked = self.pending.values().filter(|held| held.is_asked).count();
+        let room = MOST_ASKED.saturating_sub(self.asked());
         let is_due = |held: &PendingEnd| !held.is_asked && held.next_at <= now;
         let mut due: Vec<(Timestamp, EndKey)> = self
             .pending
@@ -175,7 +175,7 @@
             .map(|(key, held)| (held.next_at, key.clone()))
             .collect();
         due.sort();
-        due.truncate(MOST_ASKED.saturating_sub(asked));
+        due.truncate(room);
         for (_, key) in &due {
             if let Some(held) = self.pending.get_mut(key) {
                 held.is_asked = true;
@@ -187,8 +187,7 @@
 
     /// When the next end is due; `None` while as many are asked for as may be, or none waits.
     pub fn deadline(&self) -> Option<Timestamp> {
-        let asked = self.pending.values().filter(|held| held.is_asked).count();
-        if asked >= MOST_ASKED {
+        if self.asked() >= MOST_ASKED {
             return None;
         }
         self.pending.values().filter(|held| !held.is_asked).map(|held| held.next_at).min()
@@ -221,6 +220,11 @@
         self.settle(now, key, outcome)
     }
 
+    /// For how many the owner is being asked.
+    fn asked(&self) -> usize {
+        self.pending.values().filter(|held| held.is_asked).count()
+    }
+
     fn oldest(&self) -> Option<EndKey> {
         self.pending.iter().min_by_key(|(_, held)| held.since).map(|(key, _)| key.clone())
     }
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -53,6 +53,11 @@
 impl ReplicaRecord {
     /// The cold time of a replica whose record says nothing of it.
     pub const COLD_UNKNOWN: Duration = Duration::MAX;
+
+    /// Whether it may start again under its name: it says when it started, so that its lives can be told apart.
+    pub fn may_restart(&self) -> bool {
+        self.id != self.name
+    }
 }
 
 /// All replicas, by id.
--- a/crates/core/src/membership/repair.rs
+++ b/crates/core/src/membership/repair.rs
@@ -143,11 +143,9 @@
     /// Compares tables with a seed that is not known as a live member. Where all seeds were restarted, they find only each
     /// other, and whoever was not restarted holds them for left: only this brings the two together.
     fn try_silent_seed(&mut self, now: Timestamp) {
-        let Some(seed) = self.silent_seed() else { return };
-        let body = Body::Digest { buckets: self.table.digest() };
-        let sequence = self.next_sequence();
-        let introduction = self.own_update();
-        self.send(now, seed, None, sequence, body, introduction);
+        if let Some(seed) = self.silent_seed() {
+            self.introduce_and_compare(now, seed);
+        }
     }
 
     /// Compares tables with a member that is not known here and probes this node: to all others it is a member like any, so that no
@@ -157,10 +155,15 @@
             return;
         }
         self.next_inquiry_at = now + self.config.probe_interval;
+        self.introduce_and_compare(now, from);
+    }
+
+    /// Compares tables with whoever is at an address, who may not know this node.
+    fn introduce_and_compare(&mut self, now: Timestamp, to: SocketAddr) {
         let body = Body::Digest { buckets: self.table.digest() };
         let sequence = self.next_sequence();
         let introduction = self.own_update();
-        self.send(now, from, None, sequence, body, introduction);
+        self.send(now, to, None, sequence, body, introduction);
     }
 
     fn start_sync(&mut self, now: Timestamp) {
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -7,7 +7,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
 use lichenpulley_core::batch::load_limit::LoadTime;
 use lichenpulley_core::batch::weights::{Load, LoadEnd};
 use lichenpulley_core::identity::Epoch;
@@ -175,9 +177,10 @@
     }
 
     async fn report(&self, replica: &ReplicaRecord) -> Option<Report> {
-        let request = client::build(Method::GET, replica.address, REPORT_PATH, bytes::Bytes::new()).ok()?;
+        let request = build(replica, Method::GET, REPORT_PATH, Bytes::new())?;
+        let report: Report = self.http.request_json(replica.address, request, CALL_TIMEOUT).await.ok()?;
         // What a later life reports says nothing of this one: its orders are counted anew.
-        self.call(replica, request).await.ok().filter(|report| report.is_of(replica))
+        report.is_of(replica).then_some(report)
     }
 
     /// Gives the order.
@@ -187,12 +190,9 @@
         let order =
             LoadOrder::new(&load.model, load.version, mode, &self.holder, self.epoch.0, orders_before);
         let Ok(body) = serde_json::to_vec(&order) else { return OrderTaken::No };
-        let Ok(mut request) = client::build(Method::POST, replica.address, ORDER_PATH, body.into()) else {
+        let Some(request) = build(replica, Method::POST, ORDER_PATH, body.into()) else {
             return OrderTaken::No;
         };
-        if let Ok(name) = replica.name.parse() {
-            request.headers_mut().insert(headers::EXPECT_REPLICA, name);
-        }
         let limit = Instant::now() + CALL_TIMEOUT;
         match self.http.send(replica.address, request, limit).await {
             Ok(answer) => {
@@ -207,15 +207,13 @@
             Err(_) => OrderTaken::Perhaps,
         }
     }
+}
 
-    async fn call(
-        &self,
-        replica: &ReplicaRecord,
-        mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
-    ) -> Result<Report, client::ClientError> {
-        if let Ok(name) = replica.name.parse() {
-            request.headers_mut().insert(headers::EXPECT_REPLICA, name);
-        }
-        self.http.request_json(replica.address, request, CALL_TIMEOUT).await
+/// A call that no other replica answers.
+fn build(replica: &ReplicaRecord, method: Method, path: &str, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    let mut request = client::build(method, replica.address, path, body).ok()?;
+    if let Ok(name) = replica.name.parse() {
+        request.headers_mut().insert(headers::EXPECT_REPLICA, name);
     }
+    Some(request)
 }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -257,11 +257,14 @@
     /// No head of an answer came.
     async fn got_no_answer(&mut self, error: SendError) -> SendOutcome {
         self.run.got_no_answer(error).await;
+        if error != SendError::Withheld {
+            self.was_silent();
+        }
         match error {
-            SendError::Withheld => return SendOutcome::Withheld,
-            SendError::NotSent | SendError::Broken => self.was_silent(),
+            SendError::Withheld => SendOutcome::Withheld,
+            SendError::NotSent => SendOutcome::NotSent,
+            SendError::Broken => SendOutcome::Broken,
         }
-        if error == SendError::Broken { SendOutcome::Broken } else { SendOutcome::NotSent }
     }
 }
 
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -48,7 +48,7 @@
         let run = SentRun {
             fingerprint,
             replica: replica.id.clone(),
-            may_restart: replica.id != replica.name,
+            may_restart: replica.may_restart(),
             address: replica.address,
             sender,
             is_repeated: lock(&quarantine.watch).is_suspected(&fingerprint),
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -228,7 +228,6 @@
     /// # Errors
     /// When a process ended by itself or can't be started again.
     pub(super) async fn play(&mut self, planned: PlannedFault) -> Result<(), LabError> {
-        self.find_ended()?;
         let Some(zone) = planned.evacuated else { return self.play_storm(&[planned]).await };
         self.platform.put(objects::EVACUATIONS, ZONES[zone], json!({}));
         tokio::time::sleep(EVACUATED_WITHIN).await;
