Write the nodes' log and each call's status in tests of the platform's path

Cause: a failing run of the usage test could not be told apart: its calls drop their statuses and its nodes log nowhere. Change: with RUST_LOG set, the in-process nodes write their log as a daemon does, and each call of a test one line with its status. Result: no check changes; without RUST_LOG nothing is written.

--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -9,6 +9,7 @@
 use lichenpulley_core::replication::placement::ToleranceTarget;
 use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::http::client::{HttpClient, build};
+use lichenpulley_daemon::logging;
 use lichenpulley_daemon::node::Node;
 use lichenpulley_daemon::settings::{DutySettings, Settings};
 use lichenpulley_lab::metadata_store::{self, MetadataStore};
@@ -52,6 +53,14 @@
     tokio::time::timeout(PATIENCE, wait).await.expect("it holds in time");
 }
 
+/// Writes the nodes' log lines and the status of each call to standard output if `RUST_LOG` is set.
+fn log_on_request() {
+    if std::env::var_os("RUST_LOG").is_some() {
+        // Only the first system of a process starts the log; later ones share it.
+        let _ = logging::start();
+    }
+}
+
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: hyper::HeaderMap,
@@ -108,6 +117,7 @@
     }
 
     async fn with_plan(plan: SystemPlan, replicas: usize, events: u64) -> Self {
+        log_on_request();
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
         let mut system = Self {
@@ -240,9 +250,14 @@
         body: impl Into<Bytes>,
     ) -> Answer {
         let request = self.request(gateway, method, path, fields, body.into());
+        let began = Instant::now();
         let response = self.http.send(self.gateway(gateway), request, Instant::now() + PATIENCE).await;
         let (head, body) = response.expect("an answer").into_parts();
         let body = body.collect().await.expect("a whole answer").to_bytes();
+        log::info!(
+            target: "test", status = head.status.as_u16(), gateway, milliseconds = began.elapsed().as_millis() as u64;
+            "{path}"
+        );
         Answer { status: head.status, headers: head.headers, body }
     }
 
