Hold requests until a started gateway has read its metadata

Callers saw: a gateway that had just started, and knew its configuration, answered 503 (evacuations_unknown, no_replica) to requests that a replica could have run; it was ready for load balancers before it had read the list of replicas. Cause: configuration, replicas and evacuated zones are read independently, and a list that was not read yet counted as an empty one. Change: an unread list of replicas is told apart from an empty one (ReplicasUnknown). The test of the selection covers the new reason; its calls pass the list as an option, their checks are the same.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 pub mod attempts;
 pub mod chooser;
 pub mod lapse;
+pub mod metadata_wait;
 pub mod places;
 pub mod replicas;
 pub mod routes;
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -3,7 +3,7 @@
 //! The rules apply in this order:
 //!
 //! 1. The request must not be quarantined.
-//! 2. The node must know which zones are evacuated.
+//! 2. The node must know which zones are evacuated, and must have read the list of replicas.
 //! 3. A candidate serves the service, is not draining, has not been tried, is in an allowed region, and is
 //!    admitted by the gate (its zone is not evacuated, and it is not cold beyond this node's share).
 //! 4. Among the candidates, [`super::chooser`] takes the one with the lowest expected response time.
@@ -28,6 +28,8 @@
 pub enum NoCandidate {
     /// The node does not know yet which zones are evacuated.
     EvacuationsUnknown,
+    /// The node has not read the list of replicas yet.
+    ReplicasUnknown,
     /// No replica of the service is listed, or all have been tried.
     NoReplica,
     /// No replica is in a region in which the request may be served.
@@ -45,6 +47,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::EvacuationsUnknown => "evacuations_unknown",
+            Self::ReplicasUnknown => "replicas_unknown",
             Self::NoReplica => "no_replica",
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
@@ -139,15 +142,15 @@
         &mut self.gate
     }
 
-    /// Selects a replica of `table` and counts the request as in flight there. `evacuated` is `None` while the
-    /// node does not know which zones are evacuated. `random` breaks ties.
+    /// Selects a replica of `table` and counts the request as in flight there. `table` and `evacuated` are `None`
+    /// until the node has read the replicas and the evacuated zones. `random` breaks ties.
     ///
     /// # Errors
     /// Returns the reason if no replica can be sent the request now.
     pub fn select(
         &mut self,
         query: &SelectionQuery<'_>,
-        table: &ReplicaTable,
+        table: Option<&ReplicaTable>,
         evacuated: Option<Arc<EvacuatedZones>>,
         now: Timestamp,
         random: u64,
@@ -169,7 +172,7 @@
         &mut self,
         query: &SelectionQuery<'_>,
         waits_at_cold: bool,
-        table: &ReplicaTable,
+        table: Option<&ReplicaTable>,
         evacuated: Option<Arc<EvacuatedZones>>,
         now: Timestamp,
         random: u64,
@@ -199,7 +202,7 @@
     fn candidates<'a>(
         &mut self,
         query: &SelectionQuery<'a>,
-        table: &'a ReplicaTable,
+        table: Option<&'a ReplicaTable>,
         evacuated: Option<Arc<EvacuatedZones>>,
         now: Timestamp,
     ) -> Result<Vec<&'a ReplicaRecord>, NoCandidate> {
@@ -208,6 +211,7 @@
         }
         let evacuated = evacuated.ok_or(NoCandidate::EvacuationsUnknown)?;
         self.gate.set_evacuated(evacuated, now);
+        let table = table.ok_or(NoCandidate::ReplicasUnknown)?;
         self.chooser.retain_listed(table);
         let has_allowed =
             query.regions.is_all() || table.ready(query.service).any(|record| query.allows(record));
--- a/crates/core/tests/selection.rs
+++ b/crates/core/tests/selection.rs
@@ -91,7 +91,7 @@
 ) -> Result<SelectedReplica, NoCandidate> {
     let zones = zones();
     let query = SelectionQuery { service: "a", regions, zones: &zones, tried, is_quarantined: false };
-    selector.select(&query, table, evacuated(zones_evacuated), NOW, 0)
+    selector.select(&query, Some(table), evacuated(zones_evacuated), NOW, 0)
 }
 
 fn only(region: &str) -> AllowedRegions {
@@ -109,7 +109,7 @@
         SelectionQuery { service: "a", regions: &regions, zones: &zones, tried: &[], is_quarantined: true };
     let table = table(vec![replica("east", "east")]);
     for known in [None, evacuated(&[])] {
-        let selected = selector().select(&query, &table, known, NOW, 0);
+        let selected = selector().select(&query, Some(&table), known, NOW, 0);
         assert_eq!(selected, Err(NoCandidate::Quarantined));
     }
 }
@@ -121,8 +121,22 @@
         SelectionQuery { service: "a", regions: &regions, zones: &zones, tried: &[], is_quarantined: false };
     let table = table(vec![replica("east", "east")]);
     let mut selector = selector();
-    assert_eq!(selector.select(&query, &table, None, NOW, 0), Err(NoCandidate::EvacuationsUnknown));
-    assert_eq!(id(&selector.select(&query, &table, evacuated(&[]), NOW, 0)), Some("east"));
+    let table = Some(&table);
+    assert_eq!(selector.select(&query, table, None, NOW, 0), Err(NoCandidate::EvacuationsUnknown));
+    assert_eq!(id(&selector.select(&query, table, evacuated(&[]), NOW, 0)), Some("east"));
+}
+
+/// Guards against a refusal that states that no replica is listed while the list has not been read.
+#[test]
+fn an_unread_list_of_replicas_is_told_apart_from_an_empty_one() {
+    let (zones, regions) = (zones(), AllowedRegions::all());
+    let query =
+        SelectionQuery { service: "a", regions: &regions, zones: &zones, tried: &[], is_quarantined: false };
+    let mut selector = selector();
+    let selected = selector.select(&query, None, evacuated(&[]), NOW, 0);
+    assert_eq!(selected, Err(NoCandidate::ReplicasUnknown));
+    let selected = selector.select(&query, Some(&table(Vec::new())), evacuated(&[]), NOW, 0);
+    assert_eq!(selected, Err(NoCandidate::NoReplica));
 }
 
 #[test]
@@ -213,7 +227,7 @@
         tried: &tried,
         is_quarantined: false,
     };
-    selector.select_alternative(&query, current.is_cold, table, evacuated(zones_evacuated), NOW, 0)
+    selector.select_alternative(&query, current.is_cold, Some(table), evacuated(zones_evacuated), NOW, 0)
 }
 
 #[test]
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -230,8 +230,8 @@
     fn update(&mut self) {
         let now = self.now();
         let metadata = &self.context.metadata;
-        // Without the evacuated zones it is unknown which replicas may receive requests.
-        if !metadata.knows_evacuations() {
+        // Without them it is unknown which replicas there are and which of them may receive requests.
+        if !metadata.is_routable() {
             return;
         }
         let routes = metadata.routes.load_full();
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -17,7 +17,7 @@
 use super::callers::Caller;
 use super::refusal::Refusal;
 use super::request_body::read_body;
-use super::{Ingress, headers, job_placement};
+use super::{Ingress, headers, job_placement, metadata_wait};
 use crate::batch::JobShard;
 use crate::http::{Body, request, response};
 
@@ -59,6 +59,9 @@
         }
     };
     let regions = table.allowed_regions(route, job.tenant.as_ref());
+    if !regions.is_all() {
+        metadata_wait::wait_until_routable(ingress, Some(&id), deadline).await;
+    }
     let shard = match job_placement::shard(ingress, table, route, &regions, &job) {
         Ok(shard) => shard,
         Err(refusal) => return refusal.respond_with_regions(&ingress.context, Some(&id), &regions),
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -23,7 +23,7 @@
 use super::in_flight::InFlightRequest;
 use super::refusal::Refusal;
 use super::request_body::read_body;
-use super::{Ingress, headers};
+use super::{Ingress, headers, metadata_wait};
 use crate::http::Body;
 use crate::metrics::Latency;
 use crate::quarantine::begin_trial;
@@ -111,6 +111,11 @@
         1
     }
 
+    /// Waits until the node has read the metadata that routing needs, within the limits of `metadata_wait`.
+    pub(super) async fn wait_until_routable(&self, ingress: &Ingress) {
+        metadata_wait::wait_until_routable(ingress, self.request_id.as_deref(), self.deadline).await;
+    }
+
     pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/daemon/src/ingress/job_placement.rs
+++ b/crates/daemon/src/ingress/job_placement.rs
@@ -12,7 +12,7 @@
 /// Selects the shard that stores a job with these allowed regions.
 ///
 /// # Errors
-/// Returns the refusal if the regions lack a replica, a coordinator or enough stores, or if a scorer's route
+/// Returns the refusal if the replicas are not known yet, if the regions lack a replica, a coordinator or enough stores, or if a scorer's route
 /// doesn't allow all of them.
 pub(super) fn shard(
     ingress: &Ingress,
@@ -24,6 +24,9 @@
     if !scorers_fit(table, regions, job) {
         return Err(Refusal::ScorerRegions);
     }
+    if !regions.is_all() && !ingress.context.metadata.knows_replicas() {
+        return Err(Refusal::ReplicasUnknown);
+    }
     if !regions.is_all() && !has_replica(ingress, route, regions) {
         return Err(Refusal::OutsideRegions);
     }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! [`Ingress::handle`] finds the route of a request. `forward` or `stream` reads it into a `CallerRequest`
 //! and runs the `attempt_loop`, which selects a replica by the core's `ingress::selection` and sends the
-//! request through the [`pool`]. Routes, replicas and evacuated zones come from the node's metadata; the
+//! request through the [`pool`]. `metadata_wait` holds requests that arrive before the node has read its
+//! metadata. Routes, replicas and evacuated zones come from the node's metadata; the
 //! quarantine excludes requests that crash replicas.
 
 mod attempt_loop;
@@ -16,6 +17,7 @@
 pub(crate) mod headers;
 mod in_flight;
 mod job_placement;
+mod metadata_wait;
 pub mod pool;
 pub mod readiness;
 mod refusal;
@@ -30,6 +32,7 @@
 use hyper::{Request, Response};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
+use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::selection::{NoCandidate, ReplicaSelector, SelectionQuery, StayReason};
@@ -75,6 +78,8 @@
     selection: Arc<Mutex<SelectionState>>,
     /// Permits for ends that wait for the first configuration.
     early_ends: Arc<Semaphore>,
+    /// Permits for requests that wait for the node's first metadata.
+    metadata_waits: Arc<Semaphore>,
     origin: Instant,
 }
 
@@ -84,7 +89,9 @@
     pub fn spawn(context: Context, pool: ReplicaPool, batch: BatchJobs) -> Self {
         let selection = Arc::new(Mutex::new(SelectionState::new(&context.node)));
         let early_ends = Arc::new(Semaphore::new(ends::MAX_EARLY_ENDS));
-        let ingress = Self { context, pool, batch, selection, early_ends, origin: Instant::now() };
+        let metadata_waits = Arc::new(Semaphore::new(MAX_WAITING_REQUESTS));
+        let origin = Instant::now();
+        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, origin };
         tokio::spawn(selector_update::run(ingress.clone()));
         ingress
     }
@@ -178,7 +185,7 @@
         select: impl FnOnce(
             &mut ReplicaSelector,
             &SelectionQuery<'_>,
-            &ReplicaTable,
+            Option<&ReplicaTable>,
             Option<Arc<EvacuatedZones>>,
             Timestamp,
         ) -> Selected,
@@ -191,11 +198,12 @@
             tried,
             is_quarantined: self.is_quarantined(request),
         };
-        let (table, now) = (metadata.replicas.load(), self.now());
+        let table = metadata.knows_replicas().then(|| metadata.replicas.load());
+        let now = self.now();
         let mut selection = self.selection();
         // Loaded under the lock, so that older zones never replace newer ones.
         let evacuated = metadata.knows_evacuations().then(|| metadata.evacuated.load_full());
-        select(&mut selection.selector, &query, &table, evacuated, now)
+        select(&mut selection.selector, &query, table.as_deref().map(Arc::as_ref), evacuated, now)
     }
 
     /// Records that a replica exceeded the attempt timeout of a request that stays there.
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -26,6 +26,8 @@
     NoConfiguration,
     /// This node does not know yet which zones are evacuated.
     EvacuationsUnknown,
+    /// This node has not read the list of replicas yet.
+    ReplicasUnknown,
     /// The route requires a key, and the caller presented none that is known.
     UnknownKey,
     /// No route matches the host and path.
@@ -74,6 +76,7 @@
     fn from(no_candidate: NoCandidate) -> Self {
         match no_candidate {
             NoCandidate::EvacuationsUnknown => Self::EvacuationsUnknown,
+            NoCandidate::ReplicasUnknown => Self::ReplicasUnknown,
             NoCandidate::NoReplica => Self::NoReplica,
             NoCandidate::OutsideRegions => Self::OutsideRegions,
             NoCandidate::Evacuated => Self::Evacuated,
@@ -88,6 +91,7 @@
         match self {
             Self::NoConfiguration
             | Self::EvacuationsUnknown
+            | Self::ReplicasUnknown
             | Self::NoReplica
             | Self::OutsideRegions
             | Self::NoPlace
@@ -112,6 +116,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::EvacuationsUnknown => "evacuations_unknown",
+            Self::ReplicasUnknown => "replicas_unknown",
             Self::UnknownKey => "unknown_key",
             Self::IdTaken => "id_taken",
             Self::NoRoute => "no_route",
@@ -140,6 +145,7 @@
         match self {
             Self::NoConfiguration => "come back once this node has read the configuration",
             Self::EvacuationsUnknown => "come back once this node has read which zones are evacuated",
+            Self::ReplicasUnknown => "come back once this node has read the list of replicas",
             Self::NoRoute => "check the host and the path, or add a route",
             Self::OutsideRegions => "start replicas in an allowed region, or allow another; it has not run",
             Self::NoPlace => "start stores and coordinators in an allowed region, or allow another",
@@ -173,6 +179,7 @@
             Self::Quarantined => Some(RetryCause::Quarantined),
             Self::NoConfiguration
             | Self::EvacuationsUnknown
+            | Self::ReplicasUnknown
             | Self::NoOwner
             | Self::Full
             | Self::Evacuated
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -74,6 +74,7 @@
         Ok(request) => request,
         Err(refusal) => return refusal,
     };
+    request.wait_until_routable(ingress).await;
     let max_sends = request.sends_allowed(ingress, route).await;
     let mut attempts = AttemptLoop::new(route, max_sends);
     let attempt = StreamAttempt { ingress, last_event: last_event.as_deref() };
--- a/crates/daemon/src/metadata/handle.rs
+++ b/crates/daemon/src/metadata/handle.rs
@@ -89,6 +89,16 @@
         self.slot(MetadataKind::Evacuations).load().is_some()
     }
 
+    /// Returns whether the list of replicas is known. An unread list is empty like one without replicas.
+    pub(crate) fn knows_replicas(&self) -> bool {
+        self.slot(MetadataKind::Replicas).load().is_some()
+    }
+
+    /// Returns whether all metadata is known that the choice of a replica depends on.
+    pub(crate) fn is_routable(&self) -> bool {
+        self.knows_replicas() && self.knows_evacuations()
+    }
+
     /// Returns whether a replica may receive no requests. Checked again just before a request's first byte is
     /// sent.
     pub(crate) fn is_closed(&self, replica: &ReplicaRecord) -> bool {
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -13,6 +13,7 @@
 mod platform_quarantine;
 mod platform_regions;
 mod platform_slow;
+mod platform_starting;
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
