Close a port only once all established connections are accepted

Callers saw: on a planned restart a request on a new connection was reset without an answer, so that it may have run. Cause: the server asked the runtime whether connections are queued. The runtime does not know of those that came since it last polled for events, and others came between that question and the close of the listener; closing resets both. Change: http/closing_port makes the listener ignore packets that open a connection, lets handshakes in progress complete for 2 ms, accepts from the operating system until the queue is empty, and closes. A caller that opens a connection in these 2 ms repeats its first packet after a second and is then refused, which is known not to have run. Two new tests fail on each time and pass.

--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! module.
 
 pub mod client;
+mod closing_port;
 pub mod events;
 pub mod request;
 pub mod response;
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,7 +8,6 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use futures::FutureExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -20,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::Body;
+use super::closing_port;
 use super::socket::{self, SocketLimits};
 
 /// Default time within which a request head must be complete.
@@ -104,12 +104,7 @@
             }
         }
     }
-    // Callers whose connections are still in the accept queue may already have sent their requests; closing
-    // the listener would reset them.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        start_connection(stream);
-    }
-    drop(listener);
+    closing_port::close(listener, start_connection);
     connections.close();
     connections.wait().await;
 }
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -1,6 +1,9 @@
 //! Tests the HTTP server, client and event streams over TCP connections.
 
+use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -18,6 +21,10 @@
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const BODY_LIMIT_BYTES: usize = 64;
+/// How often a port is closed under load.
+const CLOSING_ROUNDS: u64 = 8;
+/// A request to [`echo`].
+const ONE_REQUEST: &[u8] = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n[1]";
 
 fn client() -> HttpClient {
     HttpClient::new(Duration::from_secs(5))
@@ -54,11 +61,12 @@
     address
 }
 
-async fn read_head(stream: &mut TcpStream) {
+async fn read_head(stream: &mut TcpStream) -> Vec<u8> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.expect("a byte of the head"));
     }
+    head
 }
 
 #[tokio::test]
@@ -253,6 +261,75 @@
     tokio::time::timeout(TEST_TIMEOUT, server).await.expect("the server ends").expect("without a panic");
 }
 
+/// Sends requests on new connections without giving the runtime a chance to notice them.
+fn send_unnoticed(address: SocketAddr, count: usize) -> Vec<std::net::TcpStream> {
+    let send = |_| {
+        let mut caller = std::net::TcpStream::connect(address).expect("a connection");
+        caller.write_all(ONE_REQUEST).expect("written");
+        caller
+    };
+    (0..count).map(send).collect()
+}
+
+async fn assert_answered(caller: std::net::TcpStream) {
+    caller.set_nonblocking(true).expect("a non-blocking socket");
+    let mut caller = TcpStream::from_std(caller).expect("a socket of the runtime");
+    let mut answer = String::new();
+    let read = tokio::time::timeout(TEST_TIMEOUT, caller.read_to_string(&mut answer)).await;
+    read.expect("the connection ends").expect("the answer is complete");
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+}
+
+/// Guards against resetting connections of which the runtime has not been notified yet when the port closes, as
+/// on a busy machine.
+#[tokio::test]
+async fn a_connection_that_the_runtime_has_not_noticed_is_answered_when_the_port_closes() {
+    let (address, stop) = start_echo_server().await;
+    let first: Vec<u32> = client().post_json(address, "/", &[1], TEST_TIMEOUT).await.expect("an answer");
+    assert_eq!(first, [1]);
+    let callers = send_unnoticed(address, 8);
+    stop.draining.cancel();
+    stop.closing.cancel();
+    for caller in callers {
+        assert_answered(caller).await;
+    }
+}
+
+/// Sends requests on one new connection after the other until the port is closed, and counts the answers.
+fn send_until_closed(address: SocketAddr, answers: &AtomicUsize) {
+    while let Ok(mut caller) = std::net::TcpStream::connect(address) {
+        caller.write_all(ONE_REQUEST).expect("written");
+        let mut answer = [0; 12];
+        caller.read_exact(&mut answer).expect("an answer on each connection that was established");
+        assert_eq!(&answer, b"HTTP/1.1 200");
+        answers.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Guards against resetting connections that are established between the last accept and the close of the port.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_connection_that_is_established_while_the_port_closes_is_answered() {
+    for round in 0..CLOSING_ROUNDS {
+        let (address, stop) = start_echo_server().await;
+        let answers: [Arc<AtomicUsize>; 4] = Default::default();
+        let start = |answers: &Arc<AtomicUsize>| {
+            let answers = Arc::clone(answers);
+            std::thread::spawn(move || send_until_closed(address, &answers))
+        };
+        let callers: Vec<_> = answers.iter().map(start).collect();
+        while answers.iter().any(|answers| answers.load(Ordering::Relaxed) == 0) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(round)).await;
+        stop.draining.cancel();
+        stop.closing.cancel();
+        for caller in callers {
+            let ended = tokio::task::spawn_blocking(move || caller.join()).await.expect("joined");
+            ended.expect("no connection without an answer");
+        }
+    }
+}
+
 /// Guards against resetting a keep-alive connection on which a request arrives just after the port has
 /// closed.
 #[tokio::test]
