--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -330,6 +330,36 @@
     }
 }
 
+/// Guards against closing a kept connection whose next request arrives in the instant in which the server gives
+/// up waiting for one.
+#[tokio::test]
+async fn a_request_that_arrives_when_a_kept_connection_is_to_be_closed_is_answered() {
+    let (address, stop) = start_echo_server().await;
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        caller.write_all(ONE_REQUEST).await.expect("written");
+        let head_bytes = read_head(&mut caller).await;
+        assert!(head_bytes.starts_with(b"HTTP/1.1 200 OK"));
+        assert_eq!(caller.read_u8().await.expect("the body"), b'[');
+        caller.read_exact(&mut [0; 2]).await.expect("the body");
+        callers.push(caller.into_std().expect("a socket"));
+    }
+    stop.draining.cancel();
+    stop.closing.cancel();
+    let port_closed = async { while TcpStream::connect(address).await.is_ok() {} };
+    tokio::time::timeout(TEST_TIMEOUT, port_closed).await.expect("the port closes");
+    for caller in &mut callers {
+        caller.set_nonblocking(false).expect("a blocking socket");
+        caller.write_all(ONE_REQUEST).expect("written");
+    }
+    // Blocks the runtime until the time for idle connections is over, so that it notices both at once.
+    std::thread::sleep(Duration::from_secs(1));
+    for caller in callers {
+        assert_answered(caller).await;
+    }
+}
+
 /// Guards against resetting a keep-alive connection on which a request arrives just after the port has
 /// closed.
 #[tokio::test]
