Ask callers to retry while a gateway has not read the machine list

Callers saw: a gateway of the product's own interface that had just restarted answered 404 unknown_pool, without a time to retry, for pools that exist. Cause: a list of machines that was not read yet counted as one without pools, as on the platform's path. Change: until the list is read the refusal is 503 directory_unknown with a time to retry. Result: the new test had 404 before and passes.

--- a/crates/core/src/request/outcome.rs
+++ b/crates/core/src/request/outcome.rs
@@ -50,6 +50,9 @@
     /// The pool is unknown to this node.
     #[error("the pool is not known to this node")]
     UnknownPool,
+    /// This node has not read the list of machines yet, so that it knows no pool.
+    #[error("this node has not read the list of machines yet")]
+    DirectoryUnknown,
     /// No replica of the pool is eligible.
     #[error("no replica of the pool has confirmed that it takes work")]
     NoEligibleReplica,
@@ -75,6 +78,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::UnknownPool => "unknown_pool",
+            Self::DirectoryUnknown => "directory_unknown",
             Self::NoEligibleReplica => "no_eligible_replica",
             Self::ConcurrencyLimit => "concurrency_limit",
             Self::RetryBudgetExhausted => "retry_budget_exhausted",
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -50,6 +50,12 @@
         directory
     }
 
+    /// Returns whether a list of machines has been read. Until then no pool is known, which does not mean that it
+    /// does not exist.
+    pub fn is_read(&self) -> bool {
+        self.revision > Revision(0)
+    }
+
     fn add(&mut self, machine: Machine, address: SocketAddr) {
         match (machine.kind, machine.pool) {
             (MachineKind::Node, _) => {
--- a/crates/daemon/src/gateway/dispatcher.rs
+++ b/crates/daemon/src/gateway/dispatcher.rs
@@ -137,8 +137,11 @@
     }
 
     async fn run(&self, generation: Generation, chunks: Option<mpsc::Sender<Chunk>>) -> RequestOutcome {
+        // Checked first: the directory may be read between the two.
+        let is_read = self.shared.context.directory.load().is_read();
         let Some(pool) = self.shared.pool(&generation.pool) else {
-            return self.refuse(&generation, RefusalReason::UnknownPool);
+            let reason = if is_read { RefusalReason::UnknownPool } else { RefusalReason::DirectoryUnknown };
+            return self.refuse(&generation, reason);
         };
         let run = runner::run(Arc::clone(&self.shared), pool, generation, chunks);
         let task = AbortOnDropHandle::new(self.shared.traffic.spawn(run));
--- a/crates/daemon/src/gateway/refusal.rs
+++ b/crates/daemon/src/gateway/refusal.rs
@@ -34,7 +34,8 @@
         RefusalReason::UnknownPool => StatusCode::NOT_FOUND,
         RefusalReason::ConcurrencyLimit => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::DeadlineTooNear => StatusCode::GATEWAY_TIMEOUT,
-        RefusalReason::NoEligibleReplica
+        RefusalReason::DirectoryUnknown
+        | RefusalReason::NoEligibleReplica
         | RefusalReason::RetryBudgetExhausted
         | RefusalReason::EnginesRefused
         | RefusalReason::NodeDraining => StatusCode::SERVICE_UNAVAILABLE,
@@ -56,6 +57,9 @@
 const fn remedy_of_refusal(reason: RefusalReason) -> &'static str {
     match reason {
         RefusalReason::UnknownPool => "name a pool that `lichenpulley pool list` shows",
+        RefusalReason::DirectoryUnknown => {
+            "come back after the time given; if it lasts, bring up the machine list"
+        }
         RefusalReason::NoEligibleReplica => {
             "come back later; `lichenpulley pool list` shows why none takes work"
         }
--- a/crates/lab/tests/gateway.rs
+++ b/crates/lab/tests/gateway.rs
@@ -233,6 +233,19 @@
     assert_eq!(rig.admitted(), admitted, "it truly did not run");
 }
 
+/// Guards against a started gateway that tells its first callers that their pool does not exist.
+#[tokio::test]
+async fn a_gateway_that_has_not_read_the_machine_list_asks_callers_to_retry() {
+    let rig = Rig::with_engines(1).await;
+    let read = rig.context.directory.swap(Arc::default());
+    let (status, body) = refusal(rig.complete(&request("too early")).await);
+    assert_eq!((status, body.kind.as_str()), (StatusCode::SERVICE_UNAVAILABLE, "directory_unknown"));
+    assert_eq!(body.execution, Some(Execution::NotRun));
+    assert!(body.retry_after_ms.is_some());
+    rig.context.directory.store(read);
+    rig.complete(&request("in time")).await.expect("an answer");
+}
+
 #[tokio::test]
 async fn refuses_with_typed_bodies() {
     let rig = Rig::with_engines(1).await;
