Show that a job bound to regions waits for the list of replicas

Cause: the wait covers jobs bound to regions, and no test showed it. Change: a test with a gateway that starts while lists of replicas are held back; comments read more plainly.

--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -230,7 +230,7 @@
     fn update(&mut self) {
         let now = self.now();
         let metadata = &self.context.metadata;
-        // Without them it is unknown which replicas there are and which of them may receive requests.
+        // Without this metadata it is unknown which replicas exist and which of them may receive requests.
         if !metadata.is_routable() {
             return;
         }
--- a/crates/daemon/src/ingress/job_placement.rs
+++ b/crates/daemon/src/ingress/job_placement.rs
@@ -12,8 +12,8 @@
 /// Selects the shard that stores a job with these allowed regions.
 ///
 /// # Errors
-/// Returns the refusal if the replicas are not known yet, if the regions lack a replica, a coordinator or enough stores, or if a scorer's route
-/// doesn't allow all of them.
+/// Returns the refusal if the replicas are not known yet, if the regions lack a replica, a coordinator or
+/// enough stores, or if a scorer's route doesn't allow all of them.
 pub(super) fn shard(
     ingress: &Ingress,
     table: &RouteTable,
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! [`Ingress::handle`] finds the route of a request. `forward` or `stream` reads it into a `CallerRequest`
 //! and runs the `attempt_loop`, which selects a replica by the core's `ingress::selection` and sends the
-//! request through the [`pool`]. `metadata_wait` holds requests that arrive before the node has read its
-//! metadata. Routes, replicas and evacuated zones come from the node's metadata; the
-//! quarantine excludes requests that crash replicas.
+//! request through the [`pool`]. Routes, replicas and evacuated zones come from the node's metadata;
+//! `metadata_wait` holds requests that arrive before it is read. The quarantine excludes requests that crash
+//! replicas.
 
 mod attempt_loop;
 mod batch_calls;
--- a/crates/lab/tests/platform_regions/mod.rs
+++ b/crates/lab/tests/platform_regions/mod.rs
@@ -46,7 +46,7 @@
 }
 
 /// Two regions of which the one has four stores and two gateways, the other one store and one gateway.
-async fn start(events: u64) -> System {
+pub(crate) async fn start(events: u64) -> System {
     let mut system = System::in_regions(zones(), 3, events).await;
     for number in 3..5 {
         system.folders.push(TempDir::new().expect("a folder"));
--- a/crates/lab/tests/platform_starting/mod.rs
+++ b/crates/lab/tests/platform_starting/mod.rs
@@ -9,11 +9,13 @@
 use lichenpulley_daemon::ingress::readiness;
 use lichenpulley_daemon::node::Node;
 use lichenpulley_platform::objects;
+use serde_json::json;
 use tokio::time::Instant;
 
+use crate::platform_regions;
 use crate::platform_system::{Answer, System, until};
 
-/// The gateway that starts after the others.
+/// The gateway that starts after the others, unless a test has more of them.
 const STARTED: usize = 2;
 /// A deadline of callers.
 const DEADLINE: Duration = Duration::from_millis(1_000);
@@ -62,6 +64,23 @@
     }
 }
 
+/// Guards against a gateway that tells the sender of a job that no region has a replica before it has read the
+/// list of replicas.
+#[tokio::test]
+async fn a_job_that_is_bound_to_regions_waits_for_the_replicas() {
+    let mut system = platform_regions::start(3).await;
+    let started = system.gateways.len();
+    system.platform.set_unresponsive_kind(Some(objects::REPLICAS));
+    system.start_gateway(started).await;
+    let node = system.gateways[started].as_ref().expect("the started gateway").context();
+    until(|| node.metadata.routes.load().is_some() && node.cluster.load().members.len() == 9).await;
+    let item = json!({"id": "i", "path": "/stream/x", "headers": {"Model": "pricing"}, "body": "Ym9keQ==",
+        "tokens": 10});
+    let job = json!({"step": 0, "min_version": 1, "items": [item]}).to_string();
+    let answer = system.call(started, Method::POST, "/rollouts/x", &[("attempt-id", "job")], job).await;
+    assert_eq!(answer.status, StatusCode::ACCEPTED, "{:?}", answer.body);
+}
+
 /// Guards against holding requests until their deadline if a gateway learns nothing.
 #[tokio::test]
 async fn a_request_that_waits_in_vain_is_refused_in_time_for_another_gateway() {
