--- a/crates/core/src/batch/controller/duties.rs
+++ b/crates/core/src/batch/controller/duties.rs
@@ -10,7 +10,6 @@
 
 use super::{Action, Controller, ItemStage, LiveItem};
 use crate::batch::record::Record;
-use crate::batch::schedule::ReplicaState;
 use crate::decision::{Component, Decision};
 use crate::duties::{DutyCall, DutyOutcome, USAGE_SUBJECT};
 use crate::identity::BatchId;
@@ -118,11 +117,11 @@
     /// is listed. Evacuated zones are left out: their capacity is ordered in other zones where it is needed,
     /// and nothing is ordered in them.
     fn observed(&self, routes: &RouteTable, service: &str) -> Option<ObservedService> {
-        let is_open = |state: &&ReplicaState| !self.gate.is_evacuated(&state.record);
-        let members = self.replicas.values().filter(|state| state.record.service == service).filter(is_open);
+        let members = self.listed.records.values().filter(|record| record.service == service);
+        let members = members.filter(|record| !self.gate.is_evacuated(record));
         let mut ready: BTreeMap<String, u32> = BTreeMap::new();
         let mut slots = 0;
-        for ReplicaState { record, .. } in members {
+        for record in members {
             slots = slots.max(record.slots);
             *ready.entry(record.zone.clone()).or_default() += u32::from(!record.is_draining);
         }
@@ -146,7 +145,10 @@
             is_generating(live) && of_service.get(batch).copied().unwrap_or(false)
         });
         let demand = u32::try_from(demand.count()).unwrap_or(u32::MAX);
-        let renewable = self.loads.renewable(service, &self.replicas, &self.gate);
+        let renewable = self
+            .pools
+            .get(service)
+            .and_then(|pool| self.loads.renewable(service, &self.replicas, &self.gate, *pool));
         Some(ObservedService { ready, slots, demand, renewable })
     }
 
--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -99,7 +99,7 @@
 
     /// Makes the items of a committed job available to run and counts them towards the demand for their
     /// models.
-    pub(super) fn accepted(&mut self, batch: &BatchId) {
+    pub(super) fn accepted(&mut self, now: Timestamp, batch: &BatchId) {
         self.pending_jobs.remove(batch);
         let Some(state) = self.ledger.job(batch).filter(|_| !self.ending_jobs.contains(batch)) else {
             return;
@@ -116,6 +116,9 @@
         for (model, tokens) in demand {
             self.loads.add_demand(model, tokens);
         }
+        self.measure_demand(now);
+        self.refresh_replicas(now);
+        self.mark_items_and_loads_due(now);
     }
 }
 
--- a/crates/core/src/batch/controller/loading.rs
+++ b/crates/core/src/batch/controller/loading.rs
@@ -22,7 +22,8 @@
             let (ledger, lease) = (&self.ledger, &self.lease);
             let replicas = &self.replicas;
             let may_order = |id: &str| lease.allows(ledger.last_order(replica_name(replicas, id)), clock_ms);
-            for load in self.loads.next(service, &self.replicas, &self.gate, may_order, now) {
+            let Some(pool) = self.pools.get(service).copied() else { continue };
+            for load in self.loads.next(service, pool, &self.replicas, &self.gate, may_order, now) {
                 self.begin_load(service, &load);
                 let decision = Decision::new(Component::Weights, "load_ordered", "behind", &load.replica);
                 self.record_decision(decision.with("model", &load.model).with("version", load.version));
@@ -65,7 +66,9 @@
         let Some(state) = self.replicas.get(replica) else { return };
         let Some(loading) = &state.loading else { return };
         let Some(time) = end.time.filter(|_| end.confirms(&loading.model, loading.version)) else { return };
-        self.loads.load_done(&state.record.service, loading, time, &self.replicas);
+        let service = &state.record.service;
+        let Some(pool) = self.pools.get(service).copied() else { return };
+        self.loads.load_done(service, loading, time, pool);
     }
 }
 
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -25,15 +25,18 @@
 use super::group_tally::GroupTally;
 use super::job::BatchItem;
 use super::ledger::Ledger;
+use super::load_limit::PoolSize;
 use super::order_lease::OrderLease;
 use super::record::Record;
 use super::schedule::{ReplicaState, Slowdown};
 use super::score_plan::ScorePlan;
 use super::weights::{Load, LoadPlan};
+use super::working_set::ItemDemand;
 use crate::decision::Decision;
 use crate::duties::{DutyCall, DutyPlan};
 use crate::identity::BatchId;
 use crate::ingress::admission::AdmissionGate;
+use crate::ingress::replicas::ReplicaTable;
 use crate::ingress::routes::{Route, RouteTable};
 use crate::ingress::warmups::WarmupTracker;
 use crate::quarantine::Quarantine;
@@ -65,7 +68,13 @@
     runs: BTreeMap<RunId, Run>,
     last_run: u64,
     routes: Option<Arc<RouteTable>>,
+    /// All listed replicas.
+    listed: Arc<ReplicaTable>,
+    /// The replicas that this owner works with, and others on which it still has runs.
     replicas: BTreeMap<String, ReplicaState>,
+    demand: ItemDemand,
+    /// Sizes of the services with model weights, without evacuated replicas.
+    pools: BTreeMap<String, PoolSize>,
     /// Decides which replicas admit new work.
     gate: AdmissionGate,
     /// Requests that must not be sent to any replica.
@@ -116,7 +125,10 @@
             runs: BTreeMap::new(),
             last_run: 0,
             routes: None,
+            listed: Arc::default(),
             replicas: BTreeMap::new(),
+            demand: ItemDemand::default(),
+            pools: BTreeMap::new(),
             gate: AdmissionGate::new(WarmupTracker::for_owner(now)),
             quarantine: Arc::default(),
             slowdown: Slowdown::default(),
--- a/crates/core/src/batch/controller/records.rs
+++ b/crates/core/src/batch/controller/records.rs
@@ -16,7 +16,7 @@
         for record in records {
             self.apply(now, record);
         }
-        self.mark_items_and_loads_due(now);
+        self.mark_items_due(now);
     }
 
     /// Applies a committed record and does what it makes possible.
@@ -43,7 +43,7 @@
         self.ledger.apply(record);
         match follow_up {
             FollowUp::Nothing => {}
-            FollowUp::Acceptance(batch) => self.accepted(&batch),
+            FollowUp::Acceptance(batch) => self.accepted(now, &batch),
             FollowUp::Scoring(batch, item) => self.begin_scoring(now, &batch, item),
             FollowUp::Listing(batch, item) => self.update_group(&batch, item),
             FollowUp::Order(replica) => {
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -35,7 +35,7 @@
         let Some(routes) = self.routes.clone() else { return };
         let (replicas, config) = (&self.replicas, &self.config);
         let ready = |service: &str, regions: &AllowedRegions| {
-            let records = replicas.values().map(|state| &state.record);
+            let records = replicas.values().map(|state| &*state.record);
             let ready = records.filter(|record| record.service == service && !record.is_draining);
             ready.filter(|record| regions.allows_zone(&config.zones, &record.zone)).collect()
         };
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -3,12 +3,13 @@
 use std::collections::{HashMap, HashSet};
 
 use super::jobs::expected_tokens;
-use super::{Action, Controller, DueWork, ItemStage, Run, RunId, RunStart};
+use super::{Action, Controller, DueWork, ItemStage, LiveItem, Run, RunId, RunStart};
 use crate::batch::ledger::JobState;
 use crate::batch::schedule::{self, ReplicaState, Requirements};
 use crate::decision::{Component, Decision};
 use crate::identity::{BatchId, TenantName};
 use crate::ingress::places::AllowedRegions;
+use crate::ingress::replicas::ReplicaRecord;
 use crate::ingress::routes::{Route, WeightedService};
 use crate::time::{Timestamp, whole_millis};
 
@@ -58,6 +59,10 @@
         if !self.replicas.values().any(ReplicaState::has_free_slot) {
             return;
         }
+        let is_waiting = |live: &LiveItem| live.run.is_none() && live.stage == ItemStage::Generating;
+        if !self.items.values().any(is_waiting) {
+            return;
+        }
         let mut full_classes = HashSet::new();
         for WaitingItem { batch, item, class } in self.waiting(now) {
             if full_classes.contains(&class) || self.start_item(now, &batch, item) {
@@ -211,7 +216,7 @@
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return false };
         state.running += 1;
         state.tokens += tokens;
-        let replica = state.record.clone();
+        let replica = ReplicaRecord::clone(&state.record);
         self.gate.record_sent(&replica, now);
         self.last_run += 1;
         let run = RunId(self.last_run);
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -26,3 +26,4 @@
 mod schedule;
 pub mod score_plan;
 pub mod weights;
+mod working_set;
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -10,6 +10,7 @@
 //! seconds, the pace of its events decides.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::ingress::admission::AdmissionGate;
@@ -52,7 +53,7 @@
 /// since.
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaState {
-    pub(super) record: ReplicaRecord,
+    pub(super) record: Arc<ReplicaRecord>,
     /// Number of this owner's runs on the replica.
     pub(super) running: u32,
     /// Memory, in tokens, that these runs are expected to need.
@@ -97,7 +98,7 @@
 }
 
 impl ReplicaState {
-    pub(super) fn new(record: ReplicaRecord) -> Self {
+    pub(super) fn new(record: Arc<ReplicaRecord>) -> Self {
         Self {
             record,
             running: 0,
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -31,6 +31,8 @@
 /// Weight of the newest job in the moving average of a model's demand.
 const DEMAND_WEIGHT: f64 = 0.3;
 
+/// Divisor of a model's replicas that may load at a time, where only some replicas of the service are used.
+const MAX_LOADING_DIVISOR: usize = 2;
 /// Minimum surplus of one model and shortage of another, in replicas, before a replica is reassigned. Below
 /// one half, replicas would oscillate between models.
 const MIN_IMBALANCE: f64 = 0.75;
@@ -105,23 +107,17 @@
         *mean += DEMAND_WEIGHT * (tokens - *mean);
     }
 
-    /// Records the duration of a completed load.
-    pub(super) fn load_done(
-        &mut self,
-        service: &str,
-        loading: &Loading,
-        time: LoadTime,
-        replicas: &BTreeMap<String, ReplicaState>,
-    ) {
-        let size = pool_size(&members(service, replicas));
-        self.limits.entry(service.to_owned()).or_default().observe(time, loading.concurrent_loads, size);
+    /// Records the duration of a completed load in a service of this size.
+    pub(super) fn load_done(&mut self, service: &str, loading: &Loading, time: LoadTime, pool: PoolSize) {
+        self.limits.entry(service.to_owned()).or_default().observe(time, loading.concurrent_loads, pool);
     }
 
-    /// Returns the loads to start now in one service, among the replicas that may be ordered. Replicas that
-    /// are furthest behind come first, and among these the fullest.
+    /// Returns the loads to start now in one service of this size, among the replicas that may be ordered.
+    /// Replicas that are furthest behind come first, and among these the fullest.
     pub(super) fn next(
         &mut self,
         service: &str,
+        pool: PoolSize,
         replicas: &BTreeMap<String, ReplicaState>,
         gate: &AdmissionGate,
         may_order: impl Fn(&str) -> bool,
@@ -131,15 +127,17 @@
         let under_way = all.iter().filter(|replica| replica.loading.is_some()).count();
         let members = open_members(all, gate);
         self.assign_models(replicas, &members);
-        let limit = self.limits.entry(service.to_owned()).or_default().get(pool_size(&members));
+        let limit = self.limits.entry(service.to_owned()).or_default().get(pool);
         let free = limit.saturating_sub(under_way);
+        let mut model_limits = self.model_limits(&members, pool);
         let mut wanted: Vec<(u64, u32, Load)> =
             members.iter().filter_map(|replica| self.wanted(replica, now)).collect();
         wanted.retain(|(_, _, load)| may_order(&load.replica));
         wanted.sort_by(|left, right| {
             right.0.cmp(&left.0).then(right.1.cmp(&left.1)).then_with(|| left.2.replica.cmp(&right.2.replica))
         });
-        wanted.into_iter().take(free).map(|(_, _, load)| load).collect()
+        let loads = wanted.into_iter().map(|(_, _, load)| load);
+        loads.filter(|load| model_limits.take(&load.model)).take(free).collect()
     }
 
     /// Returns how many replicas of a service can be updated within the shortest interval between versions,
@@ -150,12 +148,13 @@
         service: &str,
         replicas: &BTreeMap<String, ReplicaState>,
         gate: &AdmissionGate,
+        pool: PoolSize,
     ) -> Option<u32> {
         let members = open_members(members(service, replicas), gate);
         let models = models_of(&members);
         let intervals = models.iter().filter_map(|model| self.announced.get(*model)?.interval_s);
         let shortest = intervals.min_by(f64::total_cmp)?;
-        let loads_per_second = self.limits.get(service)?.loads_per_second(pool_size(&members))?;
+        let loads_per_second = self.limits.get(service)?.loads_per_second(pool)?;
         Some((shortest * loads_per_second) as u32)
     }
 
@@ -179,6 +178,30 @@
         Some((lag, replica.running, load))
     }
 
+    /// Limits the concurrent loads of each model where the owner works with few of a service's replicas. The
+    /// service's limit alone would then let all replicas of a model load at once, which leaves none for its
+    /// items.
+    fn model_limits(&self, members: &[&ReplicaState], pool: PoolSize) -> ModelLimits {
+        if members.len() >= pool.replicas {
+            return ModelLimits(None);
+        }
+        let mut limits: BTreeMap<String, usize> = BTreeMap::new();
+        for member in members {
+            let assigned = self.assigned.get(&member.record.id);
+            let models = member.record.models.keys();
+            for model in models.filter(|model| assigned.is_none_or(|assigned| assigned == *model)) {
+                *limits.entry(model.clone()).or_default() += 1;
+            }
+        }
+        limits.values_mut().for_each(|limit| *limit = limit.div_ceil(MAX_LOADING_DIVISOR));
+        for loading in members.iter().filter_map(|member| member.loading.as_ref()) {
+            if let Some(limit) = limits.get_mut(&loading.model) {
+                *limit = limit.saturating_sub(1);
+            }
+        }
+        ModelLimits(Some(limits))
+    }
+
     /// Assigns a model to each replica in proportion to demand, changing as few assignments as possible.
     fn assign_models(&mut self, replicas: &BTreeMap<String, ReplicaState>, members: &[&ReplicaState]) {
         let models = models_of(members);
@@ -191,7 +214,8 @@
         let mut surplus = self.surplus(&shares, members);
         for replica in members {
             if !self.assigned.contains_key(&replica.record.id) {
-                let model = least_surplus_model(&surplus);
+                let model = self.newest_short_model(replica, &surplus);
+                let model = model.unwrap_or_else(|| least_surplus_model(&surplus));
                 *surplus.entry(model.clone()).or_default() += 1.0;
                 self.assigned.insert(replica.record.id.clone(), model);
             }
@@ -199,6 +223,19 @@
         self.reassign_one(&surplus, members);
     }
 
+    /// Returns the model of which a replica has the newest version, among those that lack replicas. `None` if it
+    /// is as far behind with all of them, as when nothing was loaded yet.
+    fn newest_short_model(&self, replica: &ReplicaState, surplus: &BTreeMap<String, f64>) -> Option<String> {
+        let lag = |model: &String| {
+            let announced = self.announced.get(model).map_or(0, |announced| announced.version);
+            announced.saturating_sub(replica.version(model).unwrap_or(0))
+        };
+        let short = surplus.iter().filter(|(_, surplus)| **surplus < 0.0).map(|(model, _)| model);
+        let lags: Vec<(u64, &String)> = short.map(|model| (lag(model), model)).collect();
+        let (least, most) = (lags.iter().min()?, lags.iter().max()?);
+        (least.0 < most.0).then(|| least.1.clone())
+    }
+
     /// Returns how many replicas each model should have, at least one.
     fn shares(&self, models: &[&String], replicas: usize) -> BTreeMap<String, f64> {
         let known: Vec<f64> = models.iter().filter_map(|model| self.demand.get(*model).copied()).collect();
@@ -259,8 +296,22 @@
     models
 }
 
-fn pool_size(members: &[&ReplicaState]) -> PoolSize {
-    PoolSize { replicas: members.len(), models: models_of(members).len() }
+/// How many more loads of each model may start; unlimited without a map.
+struct ModelLimits(Option<BTreeMap<String, usize>>);
+
+impl ModelLimits {
+    /// Counts a load against the limit of its model; returns whether it may start.
+    fn take(&mut self, model: &str) -> bool {
+        let Some(limits) = &mut self.0 else { return true };
+        match limits.get_mut(model) {
+            Some(0) => false,
+            Some(limit) => {
+                *limit -= 1;
+                true
+            }
+            None => true,
+        }
+    }
 }
 
 /// Returns the model with the smallest surplus.
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`selection`] selects replicas and [`attempts`] decides on retries. [`admission`] decides whether a replica
 //! may be sent requests now, with [`warmups`] and [`warming_share`] for cold replicas, and [`chooser`] ranks the
-//! admitted ones. The daemon's `ingress` supplies sockets, clock and locking.
+//! admitted ones. [`replica_subset`] divides the replicas of a large deployment among its gateways. The daemon's `ingress` supplies sockets, clock and locking.
 
 pub mod admission;
 pub mod attempts;
@@ -11,6 +11,7 @@
 pub mod lapse;
 pub mod metadata_wait;
 pub mod places;
+pub mod replica_subset;
 pub mod replicas;
 pub mod routes;
 pub mod selection;
--- a/crates/core/src/ingress/replicas.rs
+++ b/crates/core/src/ingress/replicas.rs
@@ -6,8 +6,12 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::Bound;
+use std::sync::Arc;
 use std::time::Duration;
 
+use super::replica_subset::LayoutId;
+
 /// Identifies one incarnation of a replica. A replica loses its state when it restarts under its name, so
 /// observations of one incarnation don't apply to the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,21 +74,45 @@
     }
 }
 
-/// All replicas, by id.
+/// The replicas that a node knows, by id: all of them, or the subset that it uses.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaTable {
-    /// The records by id.
-    pub records: BTreeMap<String, ReplicaRecord>,
+    /// The records by id. Successive tables share the unchanged ones.
+    pub records: BTreeMap<String, Arc<ReplicaRecord>>,
+    /// The layout that the subset belongs to; `None` if these are all replicas.
+    pub layout: Option<LayoutId>,
 }
 
 impl ReplicaTable {
+    /// Creates a table of all replicas.
+    pub fn new(records: impl IntoIterator<Item = ReplicaRecord>) -> Self {
+        let mut table = Self::default();
+        records.into_iter().for_each(|record| table.insert(record));
+        table
+    }
+
+    /// Adds or replaces the record of an incarnation.
+    pub fn insert(&mut self, record: ReplicaRecord) {
+        self.records.insert(record.id.clone(), Arc::new(record));
+    }
+
+    /// Removes the incarnation listed under a name and returns its record.
+    pub fn remove_named(&mut self, name: &str) -> Option<Arc<ReplicaRecord>> {
+        let id = self.named(name)?.id.clone();
+        self.records.remove(&id)
+    }
+
     /// Returns the incarnation listed under a name.
-    pub fn named(&self, name: &str) -> Option<&ReplicaRecord> {
-        self.records.values().find(|record| record.name == name)
+    pub fn named(&self, name: &str) -> Option<&Arc<ReplicaRecord>> {
+        // The id of an incarnation begins with its name.
+        let from = self.records.range::<str, _>((Bound::Included(name), Bound::Unbounded));
+        let mut same_prefix = from.take_while(|(id, _)| id.starts_with(name)).map(|(_, record)| record);
+        same_prefix.find(|record| record.name == name)
     }
 
     /// Iterates over the replicas of a service that accept new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaRecord> {
-        self.records.values().filter(move |record| record.service == service && !record.is_draining)
+        let records = self.records.values().map(Arc::as_ref);
+        records.filter(move |record| record.service == service && !record.is_draining)
     }
 }
--- a/crates/core/src/quarantine/monitor.rs
+++ b/crates/core/src/quarantine/monitor.rs
@@ -13,6 +13,7 @@
 
 use super::recent_requests::RecentRequests;
 use super::{CRASHES_TO_QUARANTINE, CrashReport, Fingerprint, MAX_REPORTED_REQUESTS, Quarantine, Suspect};
+use crate::ingress::replica_subset::LayoutId;
 use crate::ingress::replicas::ReplicaTable;
 use crate::time::Timestamp;
 
@@ -122,6 +123,8 @@
     answered: RecentRequests,
     /// Reported crashes of which a request is cleared.
     clearings: BTreeMap<(Fingerprint, String), Clearing>,
+    /// The subset of the replicas that this node knows.
+    layout: Option<LayoutId>,
 }
 
 impl CrashMonitor {
@@ -250,7 +253,14 @@
 
     /// Applies a new list of replicas. A replica that is missing from it, or whose address belongs to another
     /// one, has ended. Returns whether that counts as a crash for any run of this node.
+    ///
+    /// When the table changes to another subset of the replicas, the interrupted runs are no longer traced, since a
+    /// replica that is missing from it need not have ended.
     pub fn set_replicas(&mut self, table: &ReplicaTable, now: Timestamp) -> bool {
+        if self.layout != table.layout {
+            self.layout = table.layout;
+            self.interrupted.clear();
+        }
         let has_ended = |run: &SentRun| {
             let is_other = |record: &&str| **record != *run.replica;
             let others = table.records.values().filter(|record| record.address == run.address);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -13,8 +13,11 @@
 /// Settings of the read source selection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayConfig {
-    /// Number of nodes, by rank, that always read the platform.
+    /// Minimum number of nodes, by rank, that always read the platform.
     pub readers: usize,
+    /// Maximum average number of nodes that follow one reader. The work of a reader therefore does not grow with the
+    /// deployment.
+    pub max_followers: usize,
     /// Minimum number of nodes for following. In smaller deployments all nodes read the platform.
     pub min_nodes: usize,
     /// Age above which a copy is stale, measured from its last confirmation by the platform.
@@ -25,6 +28,11 @@
     pub tolerated_failures: u32,
     /// Minimum interval between probes. Limits the load on the platform during an outage.
     pub probe_interval: Duration,
+    /// How long a node must rank among the readers before it reads a list of several pages from the platform. Nodes
+    /// that start together know few of the others and would all rank themselves among the first.
+    pub settle_time: Duration,
+    /// Time after the start in which readers may not have read the platform themselves and are not counted as failed.
+    pub start_grace: Duration,
     /// Number of consecutive successful probes required before a follower reads the platform directly. Gives
     /// readers time to recover after an outage of the platform.
     pub required_probes: u32,
@@ -34,16 +42,26 @@
     fn default() -> Self {
         Self {
             readers: 6,
+            max_followers: 64,
             min_nodes: 24,
             stale_after: Duration::from_millis(1_500),
             direct_read_duration: Duration::from_secs(3),
             tolerated_failures: 1,
             probe_interval: Duration::from_millis(600),
+            settle_time: Duration::from_millis(1_500),
+            start_grace: Duration::from_secs(5),
             required_probes: 2,
         }
     }
 }
 
+impl RelayConfig {
+    /// Returns the number of readers among this many nodes.
+    pub fn readers_among(&self, nodes: usize) -> usize {
+        self.readers.max(nodes.div_ceil(self.max_followers.max(1)))
+    }
+}
+
 /// Where to read next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadSource {
@@ -68,17 +86,55 @@
     probed_at: Option<Timestamp>,
     /// Consecutive successful probes.
     successful_probes: u32,
+    /// When the list was found to have several pages.
+    long_list_since: Option<Timestamp>,
+    /// Since when the node ranks among the readers.
+    ranked_since: Option<Timestamp>,
 }
 
 impl ReadSourceSelector {
     /// Creates a selector for a node that has not read yet.
     pub fn new(config: RelayConfig) -> Self {
-        Self { config, direct_until: None, failures: 0, probed_at: None, successful_probes: 0 }
+        Self {
+            config,
+            direct_until: None,
+            failures: 0,
+            probed_at: None,
+            successful_probes: 0,
+            long_list_since: None,
+            ranked_since: None,
+        }
+    }
+
+    /// Records that the list has several pages, so that reading it from the platform is expensive.
+    pub const fn set_long_list(&mut self, now: Timestamp) {
+        self.long_list_since = Some(now);
+    }
+
+    /// Records the node's zero-based rank among the live nodes.
+    pub fn observe_rank(&mut self, now: Timestamp, rank: usize, nodes: usize) {
+        let since = self.ranked_since.unwrap_or(now);
+        self.ranked_since = self.ranks_among_readers(rank, nodes).then_some(since);
+    }
+
+    fn ranks_among_readers(&self, rank: usize, nodes: usize) -> bool {
+        nodes < self.config.min_nodes || rank < self.config.readers_among(nodes)
+    }
+
+    /// Whether the node has ranked among the readers for long enough to read a list of this length.
+    fn is_settled_reader(&self, now: Timestamp) -> bool {
+        let has_settled = |since: Timestamp| now >= since + self.config.settle_time;
+        self.long_list_since.is_none() || self.ranked_since.is_some_and(has_settled)
+    }
+
+    /// Whether readers of a long list may still be reading it for the first time.
+    fn is_starting(&self, now: Timestamp) -> bool {
+        self.long_list_since.is_some_and(|since| now < since + self.config.start_grace)
     }
 
     /// Returns the source for the node with a zero-based rank among the live nodes.
     pub fn source(&self, now: Timestamp, rank: usize, nodes: usize) -> ReadSource {
-        let reads_always = nodes < self.config.min_nodes || rank < self.config.readers;
+        let reads_always = self.ranks_among_readers(rank, nodes) && self.is_settled_reader(now);
         let reads_directly = self.direct_until.is_some_and(|until| now < until);
         if reads_always || reads_directly {
             return ReadSource::Platform;
@@ -107,6 +163,9 @@
     /// Records a reader that failed or returned a stale copy. After the required probes have succeeded, switches
     /// to direct reads.
     pub fn record_failure(&mut self, now: Timestamp) {
+        if self.is_starting(now) {
+            return;
+        }
         self.failures = self.failures.saturating_add(1);
         if self.successful_probes >= self.config.required_probes {
             self.successful_probes = 0;
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -38,9 +38,8 @@
     }
 }
 
-pub(crate) fn table(replicas: &[ReplicaRecord]) -> ReplicaTable {
-    let records = replicas.iter().map(|record| (record.id.clone(), record.clone()));
-    ReplicaTable { records: records.collect() }
+pub(crate) fn table(replicas: &[ReplicaRecord]) -> Arc<ReplicaTable> {
+    Arc::new(ReplicaTable::new(replicas.iter().cloned()))
 }
 
 pub(crate) fn routes(needs_single_version: bool) -> Arc<RouteTable> {
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -129,7 +129,7 @@
 }
 
 fn replicas(records: Vec<ReplicaRecord>) -> ReplicaTable {
-    ReplicaTable { records: records.into_iter().map(|record| (record.id.clone(), record)).collect() }
+    ReplicaTable::new(records)
 }
 
 /// Chooses among the ready replicas of service `a` that are not in `tried`.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -187,9 +187,7 @@
         models: BTreeMap::new(),
         cold_left: Duration::ZERO,
     };
-    let table = |records: Vec<ReplicaRecord>| ReplicaTable {
-        records: records.into_iter().map(|record| (record.id.clone(), record)).collect(),
-    };
+    let table = |records: Vec<ReplicaRecord>| ReplicaTable::new(records);
     // All replicas are still listed.
     monitor.set_replicas(&table((0..5).map(|number| record(number, number)).collect()), at(100));
     assert!(monitor.quarantine().is_empty());
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -95,3 +95,46 @@
     selector.record_failure(at(630));
     assert_eq!(selector.source(at(1_300), 40, 300), ReadSource::Probe, "earlier probes do not count");
 }
+
+/// The work of a reader must not grow with the deployment.
+#[test]
+fn readers_increase_with_the_nodes() {
+    let config = RelayConfig::default();
+    assert_eq!(config.readers_among(75), 6);
+    assert_eq!(config.readers_among(384), 6);
+    for nodes in [835_usize, 1_670] {
+        let followers = nodes.div_ceil(config.readers_among(nodes));
+        assert!(followers <= config.max_followers, "{followers} followers a reader of {nodes} nodes");
+    }
+}
+
+/// Nodes that start together know few of the others, so that most of them rank among the first for a moment. If each
+/// read a list of many pages then, the calls would grow with the product of nodes and replicas.
+#[test]
+fn a_starting_node_reads_a_long_list_only_after_it_has_ranked_first_for_a_while() {
+    let mut selector = selector();
+    selector.set_long_list(at(0));
+    selector.observe_rank(at(0), 0, 1);
+    assert_eq!(selector.source(at(0), 0, 1), ReadSource::Peer);
+    selector.observe_rank(at(1_000), 2, 400);
+    assert_eq!(selector.source(at(1_000), 2, 400), ReadSource::Peer);
+    selector.observe_rank(at(1_500), 3, 700);
+    assert_eq!(selector.source(at(1_500), 3, 700), ReadSource::Platform);
+    selector.observe_rank(at(2_000), 90, 835);
+    assert_eq!(selector.source(at(2_000), 90, 835), ReadSource::Peer);
+    selector.observe_rank(at(2_500), 5, 835);
+    assert_eq!(selector.source(at(2_500), 5, 835), ReadSource::Peer, "the time begins anew");
+}
+
+#[test]
+fn readers_that_are_still_reading_a_long_list_for_the_first_time_are_not_counted_as_failed() {
+    let mut selector = selector();
+    selector.set_long_list(at(0));
+    for round in 0..8 {
+        selector.record_failure(at(round * 500));
+        assert_eq!(selector.source(at(round * 500), 40, 75), ReadSource::Peer);
+    }
+    selector.record_failure(at(5_000));
+    selector.record_failure(at(5_000));
+    assert_eq!(selector.source(at(5_000), 40, 75), ReadSource::Probe);
+}
--- a/crates/core/tests/selection.rs
+++ b/crates/core/tests/selection.rs
@@ -40,7 +40,7 @@
 }
 
 fn table(records: Vec<ReplicaRecord>) -> ReplicaTable {
-    ReplicaTable { records: records.into_iter().map(|record| (record.id.clone(), record)).collect() }
+    ReplicaTable::new(records)
 }
 
 /// Maps zone `east` to region `e` and zone `west` to region `w`.
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -48,14 +48,15 @@
 /// polling.
 const OWNERSHIP_HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Asks every live store that may hold the shard who leads.
+/// Asks the stores that may hold the shard who leads.
 pub(crate) async fn ask_stores(scope: &Scope) -> LeaderAnswers {
-    let answers = join_all(scope.stores().into_iter().map(|store| ask_store(scope, store))).await;
+    let stores = replica_sets::likely_stores(&scope.context, &scope.shard);
+    let answers = join_all(stores.into_iter().map(|store| ask_store(scope, store))).await;
     LeaderAnswers(answers.into_iter().flatten().collect())
 }
 
 /// Asks one store; returns `None` if it does not answer in time.
-async fn ask_store(scope: &Scope, store: Member) -> Option<LeaderAnswer> {
+async fn ask_store(scope: &Scope, store: Arc<Member>) -> Option<LeaderAnswer> {
     let request = StoreRequest::Leadership(scope.shard.clone());
     let peers = &scope.context.peers;
     // A store that fails in any way counts as missing.
@@ -68,7 +69,7 @@
         owner: node_of_proposer(seen.proposer.as_str()),
         idle: Duration::from_millis(seen.idle_ms),
     });
-    Some(LeaderAnswer { store: store.node, leader })
+    Some(LeaderAnswer { store: store.node.clone(), leader })
 }
 
 /// Extracts the node from a proposer's id, which is the node's name, a slash and a random number.
@@ -157,7 +158,7 @@
         }
         let (rank, takeover_after) =
             reason.rank_and_delay(rank, self.scope.context.settings.batch.takeover_after);
-        let (counted, needed) = self.count_answers(&answers).await;
+        let (counted, needed) = self.count_answers(&answers, rank).await;
         let takeover_decision =
             election::decide_takeover(&self.scope.context.node, rank, &counted, needed, takeover_after);
         match takeover_decision {
@@ -169,12 +170,22 @@
 
     /// Returns the answers of members of the replica set in force, and the majority that is needed. The set
     /// may be smaller or larger than the settings require. If too few answers count, the cached set may be
-    /// outdated and is looked up again.
-    async fn count_answers(&self, answers: &LeaderAnswers) -> (Vec<Option<ObservedLeader>>, usize) {
+    /// outdated and is looked up again. Only the first candidates ask all stores for a set that the likely ones
+    /// don't know; for others a set that is not found may exist, so that nothing is enough.
+    async fn count_answers(
+        &self,
+        answers: &LeaderAnswers,
+        rank: usize,
+    ) -> (Vec<Option<ObservedLeader>>, usize) {
         let (context, shard) = (&self.scope.context, &self.scope.shard);
         let least = context.settings.store.set_size.minimum_members();
         let needed_of = |set: Option<&ReplicaSet>| set.map_or(least, ReplicaSet::majority);
-        let mut set = replica_sets::find_among_stores(context, shard).await;
+        let mut set = replica_sets::find_among_likely(context, shard).await;
+        if set.is_none() && rank < election::CANDIDATES {
+            set = replica_sets::find_among_stores(context, shard).await;
+        } else if set.is_none() {
+            return (Vec::new(), usize::MAX);
+        }
         if set.is_some() && answers.counted(set.as_ref()).len() < needed_of(set.as_ref()) {
             context.replica_sets.remove(shard);
             set = replica_sets::find_among_stores(context, shard).await;
@@ -238,6 +249,8 @@
 
     /// Runs the owner until it ends, and hands over to the next candidate if it left or was cut off.
     async fn run_owner(&mut self, takeover: Takeover) {
+        let context = Arc::clone(&self.scope.context);
+        let _all_replicas = context.metadata.require_all_replicas();
         let owner = Owner::new(self.scope.clone(), self.pool.clone(), self.traffic.clone(), takeover);
         let end = owner.run(&mut self.commands).await;
         self.scope.owner.store(None);
--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -195,7 +195,7 @@
         let mut copies = 0;
         let mut others = others.into_iter();
         while copies < COPIES {
-            let next: Vec<Member> = others.by_ref().take(COPIES - copies).collect();
+            let next: Vec<Arc<Member>> = others.by_ref().take(COPIES - copies).collect();
             if next.is_empty() {
                 break;
             }
@@ -219,7 +219,7 @@
 
     /// Returns the other nodes that may hold an end: the gateways of this region, in an order that depends on
     /// the job.
-    fn copy_holders(&self, key: &EndKey) -> Vec<Member> {
+    fn copy_holders(&self, key: &EndKey) -> Vec<Arc<Member>> {
         let context = &self.context;
         let region = |zone: &str| context.settings.places.zones.region(zone).cloned();
         let own_region = region(context.zone.as_str());
@@ -227,7 +227,7 @@
         let others = cluster.members.iter().filter(|member| {
             member.node != context.node && member.roles.gateway && region(member.zone.as_str()) == own_region
         });
-        let mut others: Vec<Member> = others.cloned().collect();
+        let mut others: Vec<Arc<Member>> = others.cloned().collect();
         let order = ShardId::new(key.batch.as_str());
         others.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
         others
--- a/crates/daemon/src/cluster.rs
+++ b/crates/daemon/src/cluster.rs
@@ -5,8 +5,11 @@
 //! module of the node.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 
+use lichenpulley_core::batch::regional;
 use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
+use lichenpulley_core::ingress::places::AllowedRegions;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Computing capacity of a node's machine in eighths of a core, at most 31. Sent in membership messages.
@@ -118,24 +121,79 @@
 /// The members considered alive, including this node. Replaced as a whole, never modified in place.
 #[derive(Clone, Debug, Default)]
 pub struct ClusterView {
-    /// The members, sorted by node id.
-    pub members: Vec<Member>,
+    /// The members, sorted by node id. A view shares the unchanged ones with the view before.
+    pub members: Vec<Arc<Member>>,
+    /// The order of the metadata readers, computed on first use.
+    readers: OnceLock<Vec<RankedReader>>,
+}
+
+/// Preference for a coordinator as a metadata reader, the same on every node: by machine capacity, then by
+/// rendezvous weight for the main shard.
+type ReaderPreference = (NodeCapacity, u64, NodeId);
+
+/// A coordinator with its preference as a metadata reader.
+#[derive(Clone, Debug)]
+struct RankedReader {
+    preference: ReaderPreference,
+    member: Arc<Member>,
+}
+
+fn reader_preference(node: &NodeId, capacity: NodeCapacity, shard: &ShardId) -> ReaderPreference {
+    (capacity, rendezvous_weight(node, shard), node.clone())
 }
 
 impl ClusterView {
+    /// Creates a view of these members, which are sorted by node id.
+    pub const fn new(members: Vec<Arc<Member>>) -> Self {
+        Self { members, readers: OnceLock::new() }
+    }
+
+    /// Returns the coordinators in the order in which they read metadata for the others.
+    pub(crate) fn readers(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.ranked_readers().iter().map(|ranked| &ranked.member)
+    }
+
+    /// Returns the number of coordinators that are preferred as metadata readers to a node of this capacity,
+    /// and the number of all. Regions are ignored, since metadata readers exist in all of them.
+    pub(crate) fn reader_rank(&self, node: &NodeId, capacity: NodeCapacity) -> (usize, usize) {
+        let readers = self.ranked_readers();
+        let own = reader_preference(node, capacity, &main_shard());
+        (readers.partition_point(|ranked| ranked.preference > own), readers.len())
+    }
+
+    fn ranked_readers(&self) -> &[RankedReader] {
+        self.readers.get_or_init(|| {
+            let shard = main_shard();
+            let coordinators = self.members.iter().filter(|member| member.roles.coordinator);
+            let mut readers: Vec<RankedReader> = coordinators
+                .map(|member| {
+                    let preference = reader_preference(&member.node, member.capacity, &shard);
+                    RankedReader { preference, member: Arc::clone(member) }
+                })
+                .collect();
+            readers.sort_unstable_by(|left, right| right.preference.cmp(&left.preference));
+            readers
+        })
+    }
+
     /// Returns the coordinator that should own a shard: the live coordinator with the highest rendezvous weight.
     /// Returns `None` if there is no live coordinator.
-    pub fn owner_of(&self, shard: &ShardId) -> Option<&Member> {
+    pub fn owner_of(&self, shard: &ShardId) -> Option<&Arc<Member>> {
         let coordinators = self.members.iter().filter(|member| member.roles.coordinator);
         coordinators.max_by_key(|member| (rendezvous_weight(&member.node, shard), member.node.clone()))
     }
 
     /// Returns the member with this id.
-    pub fn member(&self, node: &NodeId) -> Option<&Member> {
-        self.members.iter().find(|member| &member.node == node)
+    pub fn member(&self, node: &NodeId) -> Option<&Arc<Member>> {
+        let position = self.members.binary_search_by(|member| member.node.cmp(node)).ok()?;
+        self.members.get(position)
     }
 }
 
+fn main_shard() -> ShardId {
+    regional::shard_of(&AllowedRegions::all())
+}
+
 /// Returns the rendezvous weight of a node for a shard (highest random weight hashing, Thaler and Ravishankar
 /// 1998). All nodes compute the same weight.
 pub fn rendezvous_weight(node: &NodeId, shard: &ShardId) -> u64 {
--- a/crates/daemon/src/coordinator/forward.rs
+++ b/crates/daemon/src/coordinator/forward.rs
@@ -4,6 +4,7 @@
 //! without harm. Batch jobs use `batch::job_shard` instead, because their owner is found by a query to the
 //! stores, and the outcome of a submission that gets no answer is unknown.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use lichenpulley_core::identity::{NodeId, ShardId};
@@ -25,7 +26,7 @@
 const SHARD_OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Returns the member that owns a shard according to this node's cluster view.
-pub(super) fn owner(context: &Context, shard: &ShardId) -> Option<Member> {
+pub(super) fn owner(context: &Context, shard: &ShardId) -> Option<Arc<Member>> {
     context.cluster.load().owner_of(shard).cloned()
 }
 
@@ -62,7 +63,7 @@
     }
 }
 
-fn member(context: &Context, node: &NodeId) -> Option<Member> {
+fn member(context: &Context, node: &NodeId) -> Option<Arc<Member>> {
     context.cluster.load().member(node).cloned()
 }
 
--- a/crates/daemon/src/coordinator/supervisor.rs
+++ b/crates/daemon/src/coordinator/supervisor.rs
@@ -99,7 +99,7 @@
     }
 
     fn owner(&self, shard: &ShardId) -> Option<NodeId> {
-        forward::owner(&self.context, shard).map(|member| member.node)
+        forward::owner(&self.context, shard).map(|member| member.node.clone())
     }
 
     /// Returns whether this node owns a shard. A draining node owns none.
--- a/crates/daemon/src/ingress/selector_update.rs
+++ b/crates/daemon/src/ingress/selector_update.rs
@@ -49,7 +49,7 @@
         if !warmups.is_needed() || (!is_changed && !warmups.has_cold()) {
             return;
         }
-        let changes = warmups.set_replicas(replicas.records.values(), now);
+        let changes = warmups.set_replicas(replicas.records.values().map(Arc::as_ref), now);
         context.metrics.set_cold_replicas(warmups.count(now));
         selection.replicas = replicas;
         drop(selection);
--- a/crates/daemon/src/membership/driver.rs
+++ b/crates/daemon/src/membership/driver.rs
@@ -157,8 +157,9 @@
         let view_changed = self.published_view != view_version;
         if view_changed {
             self.published_view = view_version;
-            let members = self.membership.live_members().map(member).collect();
-            self.context.cluster.store(Arc::new(ClusterView { members }));
+            let previous = self.context.cluster.load();
+            let members = self.membership.live_members().map(|info| shared_member(&previous, info)).collect();
+            self.context.cluster.store(Arc::new(ClusterView::new(members)));
         }
         let documents_version = Some(self.membership.documents_version());
         if view_changed || self.published_documents != documents_version {
@@ -171,7 +172,7 @@
         let announced = self.membership.announced_revisions().iter();
         let reachable = announced.filter_map(|(document, announced)| {
             let record = self.membership.member(&announced.holder)?;
-            let holder = member(&record.info);
+            let holder = shared_member(&self.context.cluster.load(), &record.info);
             Some((document.clone(), AnnouncedRevision { revision: announced.revision, holder }))
         });
         reachable.collect()
@@ -188,6 +189,18 @@
     }
 }
 
+/// Returns a member, shared with `previous` if it is unchanged there: in a large cluster each view change
+/// affects few of the members.
+fn shared_member(previous: &ClusterView, info: &MemberInfo) -> Arc<Member> {
+    let is_unchanged = |known: &&Arc<Member>| {
+        known.zone == info.zone
+            && known.peer_address == info.address
+            && known.roles == Roles::from_bits(info.attributes)
+            && known.capacity == NodeCapacity::from_attributes(info.attributes)
+    };
+    previous.member(&info.node).filter(is_unchanged).map_or_else(|| Arc::new(member(info)), Arc::clone)
+}
+
 fn member(info: &MemberInfo) -> Member {
     Member {
         node: info.node.clone(),
--- a/crates/daemon/src/membership/handle.rs
+++ b/crates/daemon/src/membership/handle.rs
@@ -20,7 +20,7 @@
     /// The revision.
     pub revision: Revision,
     /// A live member that holds it and can be asked for it.
-    pub holder: Member,
+    pub holder: Arc<Member>,
 }
 
 /// The highest announced revision of each document, by the document's name.
--- a/crates/daemon/src/membership/mod.rs
+++ b/crates/daemon/src/membership/mod.rs
@@ -54,7 +54,7 @@
 /// Spawns the membership task on the current runtime, which must be the control thread's. If the protocol
 /// rejects the settings, the node logs the reason and remains the only member of its view.
 pub fn start(context: Context, socket: UdpSocket, start: StartMembership) {
-    context.cluster.store(Arc::new(ClusterView { members: vec![start.member.clone()] }));
+    context.cluster.store(Arc::new(ClusterView::new(vec![Arc::new(start.member.clone())])));
     match create_driver(context, socket, start) {
         Ok(driver) => drop(tokio::spawn(driver.run())),
         Err(error) => log::error!(target: "membership", "This node can't join the cluster: {error}."),
--- a/crates/daemon/src/metadata/announcements.rs
+++ b/crates/daemon/src/metadata/announcements.rs
@@ -1,6 +1,7 @@
 //! Metadata revisions announced on the membership protocol's messages. A node whose own watch is stuck learns
 //! from them that it must read again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use lichenpulley_core::identity::Revision;
@@ -44,7 +45,7 @@
 }
 
 /// Returns a peer that has announced a newer revision than this node holds.
-pub(super) fn announcer(context: &Context, kind: MetadataKind) -> Option<Member> {
+pub(super) fn announcer(context: &Context, kind: MetadataKind) -> Option<Arc<Member>> {
     let heard = membership::watch_revisions(context);
     let newer = find_newer(context, kind, &heard.borrow());
     newer.map(|announced| announced.holder)
@@ -61,7 +62,7 @@
 
 /// Waits until a peer has announced a newer revision that this node's own watch has not delivered within
 /// [`OWN_WATCH_GRACE`]. Returns the peer.
-pub(super) async fn wait_for_newer(context: &Context, kind: MetadataKind) -> Member {
+pub(super) async fn wait_for_newer(context: &Context, kind: MetadataKind) -> Arc<Member> {
     let mut heard = membership::watch_revisions(context);
     loop {
         if heard.wait_for(|heard| find_newer(context, kind, heard).is_some()).await.is_err() {
--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -46,32 +46,24 @@
         Some(Self { http, address, timeout, watch_hold })
     }
 
-    /// Reads all objects of a kind. Every object is at least as new as the list's revision.
+    /// Reads the first page of a kind's objects from the store's cache. The list may be some seconds old, but
+    /// costs the store little.
     ///
     /// # Errors
     /// When no answer comes in time.
-    pub async fn list(&self, kind: &str) -> Result<List, PlatformError> {
-        self.list_pages(kind, objects::list_path).await
+    pub(crate) async fn list_stale_page(&self, kind: &str) -> Result<List, PlatformError> {
+        Ok(self.http.get_json(self.address, &objects::stale_list_path(kind), self.timeout).await?)
     }
 
-    /// Reads all objects of a kind from the store's cache. The list may be some seconds old, but costs the
-    /// store little.
+    /// Reads all objects of a kind. Every object is at least as new as the list's revision.
     ///
     /// # Errors
     /// When no answer comes in time.
-    pub(crate) async fn list_stale(&self, kind: &str) -> Result<List, PlatformError> {
-        self.list_pages(kind, objects::stale_list_path).await
-    }
-
-    async fn list_pages(
-        &self,
-        kind: &str,
-        path_after: impl Fn(&str, Option<&str>) -> String,
-    ) -> Result<List, PlatformError> {
+    pub async fn list(&self, kind: &str) -> Result<List, PlatformError> {
         let mut all: Option<List> = None;
         loop {
             let after = all.as_ref().and_then(|list| list.items.last());
-            let path = path_after(kind, after.map(|object| object.metadata.name.as_str()));
+            let path = objects::list_path(kind, after.map(|object| object.metadata.name.as_str()));
             let page: List = self.http.get_json(self.address, &path, self.timeout).await?;
             let is_last = !page.has_more || page.items.is_empty();
             match &mut all {
--- a/crates/daemon/src/metadata/copy.rs
+++ b/crates/daemon/src/metadata/copy.rs
@@ -3,38 +3,35 @@
 //! The `platform` crate defines the formats. An object that can't be decoded is skipped with a log line. The
 //! version of the configuration in force never decreases.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_platform::{configuration, objects, quarantine, replica};
-use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind};
+use lichenpulley_protocol::internal::MetadataKind;
 use serde_json::Value;
 
 use super::handle::MetadataHandle;
+use super::history::CopyHistory;
 use crate::quarantine::records::QuarantineRecords;
 
-/// Applies a copy of the replicas. Records whose text is unchanged are not decoded again, since typically
-/// only one of thousands of replicas changes at a time.
-fn apply_replicas(handle: &MetadataHandle, before: Option<&MetadataCopy>, copy: &MetadataCopy) {
-    let held = handle.replicas.load();
-    let held: HashMap<&str, &ReplicaRecord> =
-        held.records.values().map(|record| (record.name.as_str(), record)).collect();
-    let texts: HashMap<&str, &str> = before
-        .into_iter()
-        .flat_map(|copy| &copy.objects)
-        .map(|(name, text)| (name.as_str(), text.as_str()))
-        .collect();
-    let mut table = ReplicaTable::default();
-    for (name, text) in &copy.objects {
-        let is_same = texts.get(name.as_str()) == Some(&text.as_str());
-        let known = held.get(name.as_str()).filter(|_| is_same).map(|record| (*record).clone());
-        if let Some(record) = known.or_else(|| read_replica(name, text)) {
-            table.records.insert(record.id.clone(), record);
-        }
+/// Applies a copy of the replicas. Decodes only the changed records, since typically few of thousands change at a
+/// time. Returns whether a name now stands for a replica of another service or zone.
+pub(super) fn apply_replicas(handle: &MetadataHandle, copy: &CopyHistory, changed: &[Arc<str>]) -> bool {
+    let mut has_moved = false;
+    let mut table = ReplicaTable::clone(&handle.replicas.load());
+    table.layout = copy.layout();
+    for name in changed {
+        let before = table.remove_named(name);
+        let record = copy.objects().get(name).and_then(|text| read_replica(name, text));
+        let Some(record) = record else { continue };
+        has_moved |=
+            before.is_some_and(|before| before.service != record.service || before.zone != record.zone);
+        table.insert(record);
     }
     handle.replicas.store(Arc::new(table));
+    has_moved
 }
 
 fn read_replica(name: &str, text: &str) -> Option<ReplicaRecord> {
@@ -48,18 +45,10 @@
     }
 }
 
-/// Decodes a copy and publishes it. Objects that can't be decoded are skipped and logged.
-pub(super) fn apply(
-    handle: &MetadataHandle,
-    kind: MetadataKind,
-    before: Option<&MetadataCopy>,
-    copy: &MetadataCopy,
-) {
-    if kind == MetadataKind::Replicas {
-        return apply_replicas(handle, before, copy);
-    }
-    let objects = copy.objects.iter().filter_map(|(name, text)| match serde_json::from_str(text) {
-        Ok(spec) => Some((name.as_str(), spec)),
+/// Decodes a copy of another kind than replicas and publishes it. Objects that can't be decoded are skipped and logged.
+pub(super) fn apply(handle: &MetadataHandle, kind: MetadataKind, copy: &CopyHistory) {
+    let objects = copy.objects().iter().filter_map(|(name, text)| match serde_json::from_str(text) {
+        Ok(spec) => Some((&**name, spec)),
         Err(error) => {
             log::warn!(target: "metadata", "Object {name} is not JSON and is ignored; correct it in the metadata store: {error}.");
             None
--- a/crates/daemon/src/metadata/handle.rs
+++ b/crates/daemon/src/metadata/handle.rs
@@ -5,20 +5,22 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::RouteTable;
-use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind};
+use lichenpulley_protocol::internal::MetadataKind;
 use tokio::sync::watch;
 
 use super::copy;
 use super::evacuations::EvacuationTimes;
 use super::freshness::Freshness;
-use super::history::CopyHistory;
+use super::history::{CopyChange, CopyHistory};
 use super::kind_index::kind_index;
+use super::subset_layouts::SubsetLayouts;
 use crate::boot_clock::BootClock;
 use crate::quarantine::records::QuarantineRecords;
 
@@ -38,6 +40,10 @@
     pub(super) evacuation_times: EvacuationTimes,
     copies: [ArcSwapOption<CopyHistory>; MetadataKind::ALL.len()],
     pub(super) freshness: Freshness,
+    /// Divides the replicas among the gateways that follow this node.
+    pub(super) subset_layouts: SubsetLayouts,
+    /// Number of tasks on this node that need all replicas.
+    complete_list_users: AtomicUsize,
     changes: watch::Sender<u64>,
     pub(super) relist_requests: [watch::Sender<u64>; MetadataKind::ALL.len()],
 }
@@ -54,6 +60,8 @@
             evacuation_times: EvacuationTimes::default(),
             copies: Default::default(),
             freshness: Freshness::new(clock),
+            subset_layouts: SubsetLayouts::default(),
+            complete_list_users: AtomicUsize::new(0),
             changes: watch::Sender::new(0),
             relist_requests: std::array::from_fn(|_| watch::Sender::new(0)),
         }
@@ -120,28 +128,62 @@
     }
 
     pub(super) fn revision(&self, kind: MetadataKind) -> Option<u64> {
-        self.history(kind).map(|history| history.copy.revision)
+        self.history(kind).map(|history| history.revision())
     }
 
-    /// Stores a copy unless a later one is held. Returns whether any object changed.
-    pub(super) fn put(&self, kind: MetadataKind, copy: MetadataCopy) -> bool {
+    /// Makes this node read all replicas until the returned guard is dropped.
+    pub(crate) fn require_all_replicas(&self) -> CompleteListGuard<'_> {
+        self.complete_list_users.fetch_add(1, Ordering::Relaxed);
+        CompleteListGuard { metadata: self }
+    }
+
+    /// Returns whether a task on this node needs all replicas.
+    pub(super) fn needs_all_replicas(&self) -> bool {
+        self.complete_list_users.load(Ordering::Relaxed) > 0
+    }
+
+    /// Applies a change unless a later copy is held.
+    pub(super) fn apply(&self, kind: MetadataKind, change: CopyChange) -> ApplyOutcome {
         let held = self.history(kind);
-        let held_copy = held.as_ref().map(|held| &held.copy);
-        if held_copy.is_some_and(|held| held.revision > copy.revision) {
-            return false;
+        if held.as_ref().is_some_and(|held| held.revision() > change.revision) {
+            return ApplyOutcome::Outdated;
         }
-        let is_same = held_copy.is_some_and(|held| held.objects == copy.objects);
-        if !is_same {
-            copy::apply(self, kind, held_copy, &copy);
+        let has_same_layout = held.as_ref().is_some_and(|held| held.layout() == change.layout);
+        let (mut next, changed) = held.as_deref().cloned().unwrap_or_default().with_change(change);
+        let is_changed = !has_same_layout || !changed.is_empty();
+        if is_changed && kind != MetadataKind::Replicas {
+            copy::apply(self, kind, &next);
+        } else if is_changed && copy::apply_replicas(self, &next, &changed) {
+            // Followers can't tell from an update that the replica has left their subsets.
+            next = next.without_earlier_revisions();
         }
-        let history = match &held {
-            Some(held) => held.with_copy(copy),
-            None => CopyHistory::new(copy),
-        };
-        self.slot(kind).store(Some(Arc::new(history)));
-        if !is_same {
-            self.notify();
+        self.slot(kind).store(Some(Arc::new(next)));
+        if !is_changed {
+            return ApplyOutcome::Unchanged;
         }
-        !is_same
+        self.notify();
+        ApplyOutcome::Changed
+    }
+}
+
+/// Result of a change of a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ApplyOutcome {
+    /// Objects have changed.
+    Changed,
+    /// The copy has a later revision and the same objects.
+    Unchanged,
+    /// A later copy is held, and the change was ignored.
+    Outdated,
+}
+
+/// Makes a node read all replicas while it exists.
+pub(crate) struct CompleteListGuard<'a> {
+    metadata: &'a MetadataHandle,
+}
+
+impl Drop for CompleteListGuard<'_> {
+    fn drop(&mut self) {
+        self.metadata.complete_list_users.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -2,7 +2,7 @@
 //! published by trainers, evacuations and quarantine records.
 //!
 //! In a small deployment every node watches the platform itself; in a large one a few nodes do, and the
-//! others follow them (see `lichenpulley_core::relay`). A node that can't reach the platform uses a peer's
+//! others follow them (see `lichenpulley_core::relay`) and hold a [`subset`] of the replicas. A node that can't reach the platform uses a peer's
 //! copy. Invariant: within the life of a process, the copy of a kind never goes back to an earlier revision,
 //! nor the configuration to an earlier version.
 
@@ -18,6 +18,8 @@
 mod reachability;
 mod relay;
 pub mod retirements;
+mod subset;
+mod subset_layouts;
 mod watcher;
 pub mod zones;
 
@@ -28,6 +30,7 @@
 use tokio::time::Instant;
 
 pub use self::handle::MetadataHandle;
+pub(crate) use self::subset::answer as answer_subset;
 use crate::context::Context;
 use crate::quarantine;
 use lichenpulley_core::time::whole_millis;
@@ -57,7 +60,8 @@
     let until = Instant::now() + MAX_ANSWER_WAIT.min(Duration::from_millis(request.wait_ms));
     let mut changes = metadata.watch();
     let update = loop {
-        let history = metadata.history(request.kind);
+        // A subset of the replicas is of no use to another node.
+        let history = metadata.history(request.kind).filter(|history| history.layout().is_none());
         let update = history.and_then(|history| history.update_since(request.newer_than));
         if update.is_some() || Instant::now() >= until {
             break update;
@@ -65,6 +69,7 @@
         // After a change, a timeout or the end of the handle alike, the history is checked again.
         let _ = tokio::time::timeout_at(until, changes.changed()).await;
     };
-    let age = metadata.freshness.age(request.kind);
+    let holds_all = metadata.history(request.kind).is_some_and(|history| history.layout().is_none());
+    let age = if holds_all { metadata.freshness.age(request.kind) } else { Duration::MAX };
     MetadataResponse { update, age_ms: whole_millis(age) }
 }
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -2,16 +2,19 @@
 //!
 //! Selects the reader to ask next; the core's `relay` decides when to follow a reader and when to leave it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::relay::{ReadSource, ReadSourceSelector, RelayConfig};
 use lichenpulley_core::time::Timestamp;
-use lichenpulley_protocol::internal::{MetadataKind, MetadataRequest, MetadataResponse};
+use lichenpulley_protocol::internal::MetadataKind;
 use tokio::time::Instant;
 
 use super::client::MetadataClient;
-use crate::cluster::Member;
+use super::history::CopyChange;
+use super::peers::{self, CopyQuery, PeerCopy};
+use crate::cluster::{ClusterView, Member};
 use crate::context::Context;
 use crate::ownership::order;
 use crate::ownership::scope::Scope;
@@ -21,6 +24,9 @@
 /// Additional time for a reader's answer to arrive before the request is given up.
 const READER_ANSWER_SLACK: Duration = Duration::from_millis(350);
 
+/// Pause while no reader is known.
+const NO_READER_PAUSE: Duration = Duration::from_millis(100);
+
 /// Follows readers for one kind of metadata.
 pub(super) struct Follower {
     context: Context,
@@ -37,9 +43,7 @@
 impl Follower {
     /// Creates a follower that has not read yet.
     pub(super) fn new(context: Context, kind: MetadataKind) -> Self {
-        let settings = &context.settings.configuration;
-        let (readers, min_nodes) = (settings.readers, settings.follow_from_nodes);
-        let config = RelayConfig { readers, min_nodes, ..RelayConfig::default() };
+        let config = peers::relay_config(&context.settings);
         let selector = ReadSourceSelector::new(config.clone());
         Self {
             context,
@@ -53,55 +57,65 @@
     }
 
     /// Returns the source to read from next.
-    pub(super) fn source(&self) -> ReadSource {
-        let (rank, nodes) = order::preference_rank(&Scope::main(&self.context));
-        if order::is_candidate(&Scope::main(&self.context)) {
+    pub(super) fn source(&mut self) -> ReadSource {
+        let scope = Scope::main(&self.context);
+        if order::is_owner(&scope) {
             return ReadSource::Platform;
         }
-        self.selector.source(self.now(), rank, nodes)
+        let (rank, nodes) = self.rank_among(&self.context.cluster.load());
+        let rank = if order::is_candidate(&scope) { 0 } else { rank };
+        let now = self.now();
+        self.selector.observe_rank(now, rank, nodes);
+        self.selector.source(now, rank, nodes)
+    }
+
+    /// Records that the list has several pages.
+    pub(super) fn set_long_list(&mut self) {
+        self.selector.set_long_list(self.now());
     }
 
     /// Asks a reader for changes since the held revision; `None` if it gave no answer.
     pub(super) async fn poll_reader(
         &mut self,
         newer_than: Option<u64>,
-    ) -> Option<(NodeId, MetadataResponse)> {
-        let reader = self.current_reader()?;
+    ) -> Option<(NodeId, Option<CopyChange>)> {
+        let Some(reader) = self.current_reader() else {
+            tokio::time::sleep(NO_READER_PAUSE).await;
+            return None;
+        };
         // After a stale or missing answer, the next reader is asked to answer without waiting.
         let may_wait = newer_than.is_some() && !self.last_was_stale;
-        let wait_ms = if may_wait { READER_HOLD_TIME.as_millis() as u64 } else { 0 };
-        let request = MetadataRequest { kind: self.kind, newer_than, wait_ms };
-        let answer = self
-            .context
-            .peers
-            .metadata(reader.peer_address, request, READER_HOLD_TIME + READER_ANSWER_SLACK)
-            .await;
-        let now = self.now();
-        match answer {
-            Ok(response) => {
-                let age = Duration::from_millis(response.age_ms);
-                self.context.metadata.freshness.confirm(self.kind, age);
-                let is_fresh = self.selector.record_answer(now, age);
-                if !is_fresh && !self.last_was_stale {
-                    log::info!(target: "metadata", "{:?} of {} is {} ms old: asking another.", self.kind, reader.node, response.age_ms);
-                }
-                self.reader_offset += usize::from(!is_fresh);
-                self.last_was_stale = !is_fresh;
-                if self.source() == ReadSource::Platform {
-                    log::info!(target: "metadata", "{:?} of all readers is old and the platform answers: reading it.", self.kind);
-                }
-                Some((reader.node, response))
+        let wait = if may_wait { READER_HOLD_TIME } else { Duration::ZERO };
+        let query =
+            CopyQuery { kind: self.kind, newer_than, wait, timeout: READER_HOLD_TIME + READER_ANSWER_SLACK };
+        match peers::query_reader(&self.context, &reader, query).await {
+            Ok(copy) => {
+                self.record_answer(&copy);
+                Some((copy.from, copy.change))
             }
             Err(error) => {
                 self.reader_offset += 1;
                 self.last_was_stale = true;
-                self.selector.record_failure(now);
+                self.selector.record_failure(self.now());
                 log::info!(target: "metadata", "{} did not answer a request for {:?}, asking another: {error}.", reader.node, self.kind);
                 None
             }
         }
     }
 
+    fn record_answer(&mut self, copy: &PeerCopy) {
+        self.context.metadata.freshness.confirm(self.kind, copy.age);
+        let is_fresh = self.selector.record_answer(self.now(), copy.age);
+        if !is_fresh && !self.last_was_stale {
+            log::info!(target: "metadata", "{:?} of {} is {} ms old: asking another.", self.kind, copy.from, copy.age.as_millis());
+        }
+        self.reader_offset += usize::from(!is_fresh);
+        self.last_was_stale = !is_fresh;
+        if self.source() == ReadSource::Platform {
+            log::info!(target: "metadata", "{:?} of all readers is old and the platform answers: reading it.", self.kind);
+        }
+    }
+
     /// Probes the platform while all readers are stale.
     pub(super) async fn probe(&mut self, client: &MetadataClient) {
         let is_reached = client.probe().await.is_ok();
@@ -109,12 +123,25 @@
     }
 
     /// Returns the reader to ask. Followers start with different readers, by their rank.
-    fn current_reader(&self) -> Option<Member> {
-        let mut readers = order::first_coordinators(&Scope::main(&self.context), self.config.readers);
-        readers.retain(|member| member.node != self.context.node);
-        let (rank, _) = order::preference_rank(&Scope::main(&self.context));
-        let position = (rank + self.reader_offset).checked_rem(readers.len())?;
-        Some(readers.swap_remove(position))
+    fn current_reader(&self) -> Option<Arc<Member>> {
+        let cluster = self.context.cluster.load();
+        let (rank, nodes) = self.rank_among(&cluster);
+        let owner = self.context.batch_owner.load();
+        let is_owner = |member: &Member| owner.as_ref().is_some_and(|owner| **owner == member.node);
+        let readers = cluster.readers().take(self.config.readers_among(nodes));
+        let others = readers.filter(|member| member.node != self.context.node);
+        // The owner of the batch jobs is asked last, since it has the most other work.
+        let (owners, mut others): (Vec<&Arc<Member>>, Vec<&Arc<Member>>) =
+            others.partition(|member| is_owner(member));
+        if others.is_empty() {
+            others = owners;
+        }
+        let position = (rank + self.reader_offset).checked_rem(others.len())?;
+        others.get(position).map(|reader| Arc::clone(reader))
+    }
+
+    fn rank_among(&self, cluster: &ClusterView) -> (usize, usize) {
+        cluster.reader_rank(&self.context.node, self.context.settings.machine.capacity())
     }
 
     fn now(&self) -> Timestamp {
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -8,22 +8,25 @@
 mod outage;
 mod starting;
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::lapse::LapsedEntries;
+use lichenpulley_core::ingress::replica_subset::LayoutId;
 use lichenpulley_core::relay::ReadSource;
 use lichenpulley_core::time::Timestamp;
 use lichenpulley_platform::objects::{self, Events, Object};
 use lichenpulley_platform::quarantine::QUARANTINE;
-use lichenpulley_protocol::internal::{MetadataCopy, MetadataKind, MetadataUpdate};
+use lichenpulley_protocol::internal::MetadataKind;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::client::{MetadataClient, WatchResult};
 use super::freshness::ReadState;
+use super::handle::ApplyOutcome;
+use super::history::{CopyChange, ObjectTexts};
 use super::kind_index::kind_index;
 use super::peers::PeerCopy;
 use super::reachability::{Reachability, StoreReach};
@@ -75,7 +78,6 @@
         reach,
         relist_requests,
         follower,
-        objects: BTreeMap::new(),
         revision: None,
         failures: 0,
     };
@@ -93,8 +95,7 @@
     /// Changes when the kind is to be listed again.
     relist_requests: watch::Receiver<u64>,
     follower: Follower,
-    objects: BTreeMap<String, String>,
-    /// Revision of `objects`; `None` if they must be listed again.
+    /// Revision from which to continue; `None` if all objects must be read again.
     revision: Option<u64>,
     failures: u32,
     /// Entries of replicas that lapsed while the store was unreachable.
@@ -154,6 +155,11 @@
         let response = tokio::select! {
             response = self.follower.poll_reader(self.revision) => response,
             Ok(()) = self.relist_requests.changed() => {
+                if self.kind == MetadataKind::Replicas {
+                    // The readers have the list; reading it from the platform takes a call for each page.
+                    self.revision = None;
+                    return;
+                }
                 if let Err(error) = self.list().await {
                     log::info!(target: "metadata", "Listing {:?} again failed: {error}.", self.kind);
                 }
@@ -167,30 +173,33 @@
                 return;
             }
         };
-        let Some((reader, response)) = response else { return };
-        let Some(update) = response.update else {
+        let Some((reader, change)) = response else { return };
+        let is_applied = change.is_some_and(|change| self.apply_change(change, &reader));
+        if !is_applied {
             // Limits the rate of requests to a peer that answers at once, such as one without a copy of its
             // own.
             let rest = FOLLOW_PAUSE.saturating_sub(began.elapsed());
-            return tokio::time::sleep(rest).await;
-        };
-        self.apply_update(update, &reader);
+            tokio::time::sleep(rest).await;
+        }
     }
 
-    fn apply_update(&mut self, update: MetadataUpdate, from: &NodeId) {
-        if update.is_whole {
-            self.objects.clear();
-        }
-        for name in &update.removed {
-            self.objects.remove(name);
-        }
-        self.objects.extend(update.objects);
-        self.revision = Some(update.revision);
-        self.publish(update.revision, from.as_str());
+    /// Applies a change from a peer; returns whether the copy is now as late as the peer's.
+    fn apply_change(&mut self, change: CopyChange, from: &NodeId) -> bool {
+        let (revision, layout) = (change.revision, change.layout);
+        let is_outdated = self.publish(change, from.as_str()) == ApplyOutcome::Outdated;
+        // A copy that was ignored leaves the held one in its layout, to which later changes of the other layout
+        // would not apply.
+        let continues = !is_outdated || layout == self.held_layout();
+        self.revision = continues.then_some(revision);
+        !is_outdated
     }
 
     /// Performs one watch, or one list if the revision is not known.
     async fn watch_or_list(&mut self) -> Result<RoundEnd, PlatformError> {
+        if self.held_layout().is_some() {
+            // The changes of all replicas don't apply to a subset.
+            self.revision = None;
+        }
         let Some(revision) = self.revision else { return self.list_all().await };
         match self.wait_for_change(revision).await? {
             WatchEnd::Answered(watched) => self.apply_watch_result(watched).await,
@@ -239,20 +248,23 @@
 
     fn apply_events(&mut self, events: Events) {
         self.store_answered();
-        let has_changes = !events.events.is_empty();
+        self.revision = Some(events.at);
+        if events.events.is_empty() {
+            return;
+        }
+        let mut change = CopyChange { revision: events.at, ..CopyChange::default() };
         for event in events.events {
-            let name = event.object.metadata.name;
-            if event.is_removed {
-                self.remove(&name);
-            } else {
+            let name: Arc<str> = event.object.metadata.name.into();
+            if !event.is_removed {
                 self.lapses.mark_listed(&name);
-                self.objects.insert(name, event.object.spec.to_string());
+                change.removed.remove(&name);
+                change.objects.insert(name, event.object.spec.to_string().into());
+            } else if self.should_remove(&name, change.objects.contains_key(&name)) {
+                change.objects.remove(&name);
+                change.removed.insert(name);
             }
         }
-        self.revision = Some(events.at);
-        if has_changes {
-            self.publish(events.at, PLATFORM);
-        }
+        self.publish(change, PLATFORM);
     }
 
     /// Lists all objects again. If that fails, the revision stays unset and the next round lists again.
@@ -264,14 +276,21 @@
     async fn list(&mut self) -> Result<(), PlatformError> {
         let list = self.client.list(kind_name(self.kind)).await?;
         self.store_answered();
-        let listed = by_name(list.items);
-        let missing: Vec<String> =
-            self.objects.keys().filter(|name| !listed.contains_key(*name)).cloned().collect();
-        listed.keys().for_each(|name| self.lapses.mark_listed(name));
-        missing.iter().for_each(|name| self.remove(name));
-        self.objects.extend(listed);
+        let objects = texts_by_name(list.items);
+        objects.keys().for_each(|name| self.lapses.mark_listed(name));
+        let held = self.context.metadata.history(self.kind);
+        let change = match held.filter(|held| held.layout().is_none()) {
+            Some(held) => {
+                let missing = held.objects().keys().filter(|name| !objects.contains_key(*name)).cloned();
+                let missing: Vec<Arc<str>> = missing.collect();
+                let removed: BTreeSet<Arc<str>> =
+                    missing.into_iter().filter(|name| self.should_remove(name, true)).collect();
+                CopyChange { revision: list.at, objects, removed, ..CopyChange::default() }
+            }
+            None => CopyChange { revision: list.at, is_whole: true, objects, ..CopyChange::default() },
+        };
         self.revision = Some(list.at);
-        self.publish(list.at, PLATFORM);
+        self.publish(change, PLATFORM);
         Ok(())
     }
 
@@ -279,11 +298,11 @@
         Timestamp::ORIGIN + self.origin.elapsed()
     }
 
-    fn publish(&self, revision: u64, through: &str) {
-        let objects = self.objects.iter().map(|(name, spec)| (name.clone(), spec.clone())).collect();
+    fn publish(&self, change: CopyChange, through: &str) -> ApplyOutcome {
         let metadata = &self.context.metadata;
-        let evacuated = metadata.evacuated.load_full();
-        let has_changed = metadata.put(self.kind, MetadataCopy { revision, objects });
+        let (revision, evacuated) = (change.revision, metadata.evacuated.load_full());
+        let outcome = metadata.apply(self.kind, change);
+        let has_changed = outcome == ApplyOutcome::Changed;
         if self.kind == MetadataKind::Evacuations && has_changed {
             zones::record_changes(&self.context, &evacuated, revision, through);
         }
@@ -292,12 +311,18 @@
         if !is_rare || has_changed {
             announcements::announce(&self.context, self.kind);
         }
+        outcome
     }
 
     fn held_revision(&self) -> Option<u64> {
         self.context.metadata.revision(self.kind)
     }
 
+    /// Returns the layout of the subset of replicas that this node holds.
+    fn held_layout(&self) -> Option<LayoutId> {
+        self.context.metadata.history(self.kind).and_then(|held| held.layout())
+    }
+
     fn watch_succeeded(&mut self) {
         self.context.metadata.freshness.set_read_state(self.kind, ReadState::Watched);
         self.context.metadata.freshness.confirm(self.kind, Duration::ZERO);
@@ -309,8 +334,8 @@
 }
 
 /// Returns the content of each object as text, by name.
-fn by_name(objects: Vec<Object>) -> BTreeMap<String, String> {
-    objects.into_iter().map(|object| (object.metadata.name, object.spec.to_string())).collect()
+fn texts_by_name(objects: Vec<Object>) -> ObjectTexts {
+    objects.into_iter().map(|object| (object.metadata.name.into(), object.spec.to_string().into())).collect()
 }
 
 /// Reason for the end of a watch.
@@ -324,7 +349,7 @@
     /// The time in which lapsed entries may come back is over.
     LapsesExpired,
     /// A peer announced a newer revision.
-    Announced(Member),
+    Announced(Arc<Member>),
     /// Another reader has held a newer copy for longer than a working watch takes.
     PeerAhead(PeerCopy),
 }
--- a/crates/daemon/src/metadata/watcher/lapsed.rs
+++ b/crates/daemon/src/metadata/watcher/lapsed.rs
@@ -14,16 +14,20 @@
         }
     }
 
-    /// Removes an object unless it is a replica's entry that lapsed while the store was unreachable.
-    pub(super) fn remove(&mut self, name: &str) {
+    /// Returns whether an object that is gone from the platform is to be removed. The entry of a replica that
+    /// lapsed while the store was unreachable is retained. `is_known` tells whether the object was known just
+    /// before.
+    pub(super) fn should_remove(&mut self, name: &str, is_known: bool) -> bool {
         if self.lapses.retains(name) {
-            return;
+            return false;
         }
-        if self.objects.contains_key(name) && self.lapses.entry_removed(name) {
+        let held = self.context.metadata.history(self.kind);
+        let is_known = is_known || held.is_some_and(|held| held.objects().contains_key(name));
+        if is_known && self.lapses.entry_removed(name) {
             log::info!(target: "metadata", "The entry of {name} lapsed while the store was unreachable; it is retained for now.");
-            return;
+            return false;
         }
-        self.objects.remove(name);
+        true
     }
 
     /// Removes lapsed entries that did not come back in time. The kind is then listed again, so that the
--- a/crates/daemon/src/metadata/watcher/outage.rs
+++ b/crates/daemon/src/metadata/watcher/outage.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::retry::backoff::Backoff;
+use lichenpulley_protocol::internal::MetadataKind;
 
 use super::{MAX_RETRY_PAUSE, Watcher};
 use crate::cluster::Member;
@@ -51,7 +52,12 @@
     /// random one.
     pub(super) async fn ask_peer(&mut self) {
         let announcer = announcements::announcer(&self.context, self.kind);
-        let Some(peer) = announcer.or_else(|| peers::random_member(&self.context)) else { return };
+        let peer = announcer.or_else(|| match self.kind {
+            // Only the readers hold all replicas.
+            MetadataKind::Replicas => peers::other_reader(&self.context),
+            _ => peers::random_member(&self.context),
+        });
+        let Some(peer) = peer else { return };
         if let Some(copy) = peers::request_copy(&self.context, &peer, self.kind, self.held_revision()).await {
             self.apply_peer_copy(copy);
         }
@@ -63,9 +69,9 @@
         if self.lapses.record_peer_confirmation(self.now(), copy.age) {
             self.context.metadata.freshness.confirm(self.kind, copy.age);
         }
-        if let Some(update) = copy.update {
-            log::info!(target: "metadata", "{:?} of revision {} came from {}.", self.kind, update.revision, copy.from);
-            self.apply_update(update, &copy.from);
+        if let Some(change) = copy.change {
+            log::info!(target: "metadata", "{:?} of revision {} came from {}.", self.kind, change.revision, copy.from);
+            self.apply_change(change, &copy.from);
         }
     }
 
--- a/crates/daemon/src/metadata/watcher/starting.rs
+++ b/crates/daemon/src/metadata/watcher/starting.rs
@@ -6,7 +6,7 @@
 use lichenpulley_protocol::internal::MetadataKind;
 use tokio::time::Instant;
 
-use super::{PLATFORM, Watcher, by_name, kind_name};
+use super::{CopyChange, PLATFORM, Watcher, kind_name, texts_by_name};
 
 /// Interval between two counts of the members, a few rounds of gossip; an unchanged count is taken as
 /// complete.
@@ -18,15 +18,23 @@
 
 impl Watcher {
     /// Publishes a stale list, which costs the platform little, until the source to read from is known. The
-    /// revision stays unset, so that all objects are read again from that source.
+    /// revision stays unset, so that all objects are read again from that source. Of a list with several pages
+    /// only the first is read: if every node read all of them, the calls would grow with the product of nodes and
+    /// replicas.
     pub(super) async fn list_initial(&mut self) {
         if self.kind == MetadataKind::Versions {
             return;
         }
-        match self.client.list_stale(kind_name(self.kind)).await {
-            Ok(list) => {
-                self.objects = by_name(list.items);
-                self.publish(list.at, PLATFORM);
+        match self.client.list_stale_page(kind_name(self.kind)).await {
+            Ok(page) if page.has_more => {
+                log::info!(target: "metadata", "The list of {:?} has several pages and is read from a peer.", self.kind);
+                self.follower.set_long_list();
+            }
+            Ok(page) => {
+                let objects = texts_by_name(page.items);
+                let change =
+                    CopyChange { revision: page.at, is_whole: true, objects, ..CopyChange::default() };
+                self.publish(change, PLATFORM);
             }
             Err(error) => log::info!(target: "metadata", "Initial list of {:?} failed: {error}.", self.kind),
         }
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -8,7 +8,7 @@
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
     CoordinatorResponse, HoldEnd, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, Peer,
-    StoreRequest, StoreResponse,
+    ReplicaSubsetRequest, ReplicaSubsetResponse, StoreRequest, StoreResponse,
 };
 use lichenpulley_protocol::transport::{self, TransportError};
 use tarpc::ChannelError;
@@ -95,6 +95,14 @@
         self.batch.ends().hold_copy(request);
     }
 
+    async fn replica_subset(
+        self,
+        _: tarpc::context::Context,
+        request: ReplicaSubsetRequest,
+    ) -> ReplicaSubsetResponse {
+        metadata::answer_subset(&self.context, &request).await
+    }
+
     async fn regional_batch(
         self,
         _: tarpc::context::Context,
--- a/crates/daemon/src/ownership/order.rs
+++ b/crates/daemon/src/ownership/order.rs
@@ -1,7 +1,6 @@
-//! Order in which coordinators become owners of a shard of batch jobs, and in which they read metadata for
-//! the others.
+//! Order in which coordinators become owners of a shard of batch jobs.
 
-use std::cmp::Reverse;
+use std::sync::Arc;
 
 use lichenpulley_core::batch::election::CANDIDATES;
 use lichenpulley_core::identity::{NodeId, RegionName, ZoneName};
@@ -12,24 +11,19 @@
 
 /// Returns whether this node owns the shard or is a candidate for it.
 pub(crate) fn is_candidate(scope: &Scope) -> bool {
-    let owns = scope.owner.load().as_ref().is_some_and(|owner| **owner == scope.context.node);
-    owns || (scope.context.settings.roles.coordinator && rank(scope) < CANDIDATES)
+    is_owner(scope) || (scope.context.settings.roles.coordinator && is_among_first(scope, CANDIDATES))
 }
 
-/// Preference for a node as a metadata reader, the same on every node: by machine capacity, then by
-/// rendezvous weight.
-type Preference = (NodeCapacity, u64, NodeId);
-
-fn preference(scope: &Scope, node: &NodeId, capacity: NodeCapacity) -> Preference {
-    (capacity, rendezvous_weight(node, &scope.shard), node.clone())
-}
-
-fn preference_of(scope: &Scope, member: &Member) -> Preference {
-    preference(scope, &member.node, member.capacity)
+/// Returns whether this node owns the shard.
+pub(crate) fn is_owner(scope: &Scope) -> bool {
+    scope.owner.load().as_ref().is_some_and(|owner| **owner == scope.context.node)
 }
 
-/// Preference for a node as the owner of a shard.
-type OwnerKey = (bool, NodeCapacity, bool, u64, NodeId);
+/// The part of a node's preference as the owner of a shard that needs no hash: whether it does not own the
+/// main shard, its capacity, and whether it is in the home region.
+type OwnerClass = (bool, NodeCapacity, bool);
+/// Preference for a node as the owner of a shard; within a class, the rendezvous weight decides.
+type OwnerKey = (OwnerClass, u64, NodeId);
 
 /// Order of coordinators as owners of a shard. Of machines with equal capacity, those in the home region come
 /// first, since their appends don't cross regions. The owner of the main shard comes last for other shards,
@@ -56,22 +50,37 @@
         self.scope.is_main() || !owns_main()
     }
 
+    fn class(&self, node: &NodeId, capacity: NodeCapacity, zone: &ZoneName) -> OwnerClass {
+        (self.is_not_main_owner(node), capacity, self.is_home(zone))
+    }
+
     fn key(&self, node: &NodeId, capacity: NodeCapacity, zone: &ZoneName) -> OwnerKey {
-        let (capacity, weight, name) = preference(self.scope, node, capacity);
-        (self.is_not_main_owner(node), capacity, self.is_home(zone), weight, name)
+        (self.class(node, capacity, zone), rendezvous_weight(node, &self.scope.shard), node.clone())
     }
 
     fn key_of(&self, member: &Member) -> OwnerKey {
         self.key(&member.node, member.capacity, &member.zone)
     }
 
+    /// Returns whether a member is preferred to the owner of `key`. Hashes only members of the same class.
+    fn is_preferred(&self, member: &Member, key: &OwnerKey) -> bool {
+        let class = self.class(&member.node, member.capacity, &member.zone);
+        class > key.0 || (class == key.0 && self.key_of(member) > *key)
+    }
+
+    /// Iterates over the coordinators that are preferred to this node.
+    fn preferred(&self) -> impl Iterator<Item = Arc<Member>> {
+        let own = self.own_key();
+        self.scope.coordinators().into_iter().filter(move |member| self.is_preferred(member, &own))
+    }
+
     fn own_key(&self) -> OwnerKey {
         let context = &self.scope.context;
         self.key(&context.node, context.settings.machine.capacity(), &context.zone)
     }
 
     /// Returns the most preferred coordinator other than `excluded`.
-    fn first_except(&self, excluded: &NodeId) -> Option<Member> {
+    fn first_except(&self, excluded: &NodeId) -> Option<Arc<Member>> {
         let others = self.scope.coordinators().into_iter().filter(|member| member.node != *excluded);
         others.max_by_key(|member| self.key_of(member))
     }
@@ -79,30 +88,16 @@
 
 /// Returns the number of coordinators that are preferred to this node as owners.
 pub(crate) fn rank(scope: &Scope) -> usize {
-    let order = OwnerOrder::new(scope);
-    let own = order.own_key();
-    scope.coordinators().iter().filter(|member| order.key_of(member) > own).count()
-}
-
-/// Returns the number of coordinators that are preferred to this node as metadata readers, and the number of
-/// all. Regions are ignored, since metadata readers exist in all of them.
-pub(crate) fn preference_rank(scope: &Scope) -> (usize, usize) {
-    let own = preference(scope, &scope.context.node, scope.context.settings.machine.capacity());
-    let coordinators = scope.coordinators();
-    let before = coordinators.iter().filter(|member| preference_of(scope, member) > own).count();
-    (before, coordinators.len())
+    OwnerOrder::new(scope).preferred().count()
 }
 
-/// Returns the `count` most preferred coordinators as metadata readers.
-pub(crate) fn first_coordinators(scope: &Scope, count: usize) -> Vec<Member> {
-    let mut coordinators = scope.coordinators();
-    coordinators.sort_by_cached_key(|member| Reverse(preference_of(scope, member)));
-    coordinators.truncate(count);
-    coordinators
+/// Returns whether fewer than `count` coordinators are preferred to this node as owners.
+fn is_among_first(scope: &Scope, count: usize) -> bool {
+    OwnerOrder::new(scope).preferred().take(count).count() < count
 }
 
 /// Returns the most preferred coordinator other than this node.
-pub(crate) fn preferred_successor(scope: &Scope) -> Option<Member> {
+pub(crate) fn preferred_successor(scope: &Scope) -> Option<Arc<Member>> {
     OwnerOrder::new(scope).first_except(&scope.context.node)
 }
 
--- a/crates/daemon/src/ownership/scope.rs
+++ b/crates/daemon/src/ownership/scope.rs
@@ -75,14 +75,14 @@
     }
 
     /// Returns the members that can become its owner.
-    pub(crate) fn coordinators(&self) -> Vec<Member> {
+    pub(crate) fn coordinators(&self) -> Vec<Arc<Member>> {
         let cluster = self.context.cluster.load();
         let coordinators = cluster.members.iter().filter(|member| member.roles.coordinator);
         coordinators.filter(|member| self.allows(member)).cloned().collect()
     }
 
     /// Returns the stores that may store its log.
-    pub(crate) fn stores(&self) -> Vec<Member> {
+    pub(crate) fn stores(&self) -> Vec<Arc<Member>> {
         let cluster = self.context.cluster.load();
         let stores = cluster.members.iter().filter(|member| member.roles.store);
         stores.filter(|member| self.allows(member)).cloned().collect()
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -13,8 +13,8 @@
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
     BatchRequest, BatchResponse, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest,
-    CoordinatorResponse, HoldEnd, KeepReport, KeepResponse, MetadataRequest, MetadataResponse, StoreRequest,
-    StoreResponse,
+    CoordinatorResponse, HoldEnd, KeepReport, KeepResponse, MetadataRequest, MetadataResponse,
+    ReplicaSubsetRequest, ReplicaSubsetResponse, StoreRequest, StoreResponse,
 };
 use tokio::runtime::Handle;
 use tokio::time::Instant;
@@ -164,6 +164,21 @@
         call.finish(call.client().metadata(call.context(), request)).await
     }
 
+    /// Requests the replicas that a gateway uses.
+    ///
+    /// # Errors
+    /// When no answer arrives within `timeout`.
+    pub(crate) async fn replica_subset(
+        &self,
+        address: SocketAddr,
+        request: ReplicaSubsetRequest,
+        timeout: Duration,
+    ) -> Result<ReplicaSubsetResponse, PeerError> {
+        let deadline = Instant::now() + timeout;
+        let call = self.connection(address).start_call(deadline).await?;
+        call.finish(call.client().replica_subset(call.context(), request)).await
+    }
+
     /// Asks a node to store a report in the platform's metadata store.
     ///
     /// # Errors
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lichenpulley_core::ingress::replica_subset::LayoutId;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::quarantine::{BreakCause, Fingerprint, RunSender, SentRun};
 use tokio::net::TcpStream;
@@ -39,6 +40,8 @@
     context: Context,
     run: SentRun,
     state: RunState,
+    /// The subset of the replicas that this node knew when the run was sent.
+    layout: Option<LayoutId>,
 }
 
 impl TracedRun {
@@ -59,7 +62,8 @@
             is_repeated: lock(&quarantine.monitor).is_suspected(&fingerprint),
             sent_at: quarantine.now(),
         };
-        Self { context: Arc::clone(context), run, state: RunState::Sent }
+        let layout = context.metadata.replicas.load().layout;
+        Self { context: Arc::clone(context), run, state: RunState::Sent, layout }
     }
 
     /// Records that the replica did not run the request.
@@ -96,7 +100,9 @@
     fn report_broken(&mut self, cause: BreakCause) {
         self.state = RunState::Reported;
         let run = self.run.clone();
-        let is_listed = self.context.metadata.replicas.load().records.contains_key(&run.replica);
+        let replicas = self.context.metadata.replicas.load();
+        // A replica that is missing from another subset need not have ended.
+        let is_listed = replicas.layout != self.layout || replicas.records.contains_key(&run.replica);
         self.context
             .quarantine
             .update(&self.context, |monitor, now| monitor.run_broken(run, cause, is_listed, now));
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -7,18 +7,25 @@
 mod document;
 mod error;
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use futures::future::join_all;
 use lichenpulley_core::batch::regional::regions_of;
-use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::identity::{NodeId, ShardId, ZoneName};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, ReplicaSetDocument, SetMember};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 
 pub(super) use self::document::{DocumentClient, StoredDocument, read, write};
 pub use self::error::ReplicaSetError;
 use super::placement;
-use crate::cluster::Member;
+use crate::cluster::{Member, rendezvous_weight};
 use crate::context::Context;
 
+/// Number of stores of each zone that are asked about a shard, besides the members of its set. Leaves a choice
+/// when some of them are lost or retired.
+const STORES_PER_ZONE: usize = 4;
+
 /// Returns the replica set of a shard; chooses one if it has none.
 ///
 /// # Errors
@@ -39,17 +46,42 @@
     matches!(read(&client, shard).await, Ok(None))
 }
 
-/// Returns the live stores that are candidates for a shard's set.
+/// Returns the live stores that are candidates for a shard's set, including the members of the known set.
 pub(crate) async fn candidates(context: &Context, shard: &ShardId) -> Vec<SetMember> {
-    let asked = store_nodes(context, shard);
+    let asked = likely_stores(context, shard);
     let answers = asked.iter().map(|member| candidate(context, member));
     join_all(answers).await.into_iter().flatten().collect()
 }
 
+/// Returns the stores that are asked about a shard: the members of the known set, and in each zone the
+/// [`STORES_PER_ZONE`] first ones by rendezvous weight. First sets and replacements are chosen among these, so
+/// their number does not grow with the deployment, and they know the sets that other nodes chose.
+pub(crate) fn likely_stores(context: &Context, shard: &ShardId) -> Vec<Arc<Member>> {
+    let mut zones: BTreeMap<ZoneName, Vec<(u64, Arc<Member>)>> = BTreeMap::new();
+    for store in store_nodes(context, shard) {
+        let weight = rendezvous_weight(&store.node, shard);
+        zones.entry(store.zone.clone()).or_default().push((weight, store));
+    }
+    let set = context.replica_sets.get(shard);
+    let is_member =
+        |node: &NodeId| set.as_ref().is_some_and(|set| set.members.iter().any(|member| member.node == *node));
+    let mut likely = Vec::new();
+    for mut stores in zones.into_values() {
+        stores.sort_unstable_by(|left, right| {
+            right.0.cmp(&left.0).then_with(|| left.1.node.cmp(&right.1.node))
+        });
+        let first = stores.into_iter().enumerate();
+        let first = first.filter(|(rank, (_, store))| *rank < STORES_PER_ZONE || is_member(&store.node));
+        likely.extend(first.map(|(_, (_, store))| store));
+    }
+    likely
+}
+
 /// Returns the nodes of live stores in the regions where the shard may be stored.
-fn store_nodes(context: &Context, shard: &ShardId) -> Vec<Member> {
+fn store_nodes(context: &Context, shard: &ShardId) -> Vec<Arc<Member>> {
     let regions = regions_of(shard);
-    let allows = |member: &&Member| regions.allows_zone(&context.settings.places.zones, member.zone.as_str());
+    let allows =
+        |member: &&Arc<Member>| regions.allows_zone(&context.settings.places.zones, member.zone.as_str());
     let cluster = context.cluster.load();
     cluster.members.iter().filter(|member| member.roles.store).filter(allows).cloned().collect()
 }
@@ -62,7 +94,17 @@
     Some(SetMember { store, node, zone, address: member.peer_address.to_string() })
 }
 
-/// Returns the replica set of a shard that this node or a live store knows; does not ask the platform.
+/// Returns the replica set of a shard that this node or a likely store knows; does not ask the platform.
+pub(crate) async fn find_among_likely(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+    if let Some(set) = context.replica_sets.get(shard) {
+        return Some(set);
+    }
+    let set = query(context, shard, &likely_stores(context, shard)).await?;
+    context.replica_sets.put(&set);
+    Some(set)
+}
+
+/// Returns the replica set of a shard that this node or any live store knows; does not ask the platform.
 pub(crate) async fn find_among_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
     if let Some(set) = context.replica_sets.get(shard) {
         return Some(set);
@@ -72,10 +114,20 @@
     Some(set)
 }
 
-/// Returns the latest set that any live store knows.
+/// Returns the latest set that the likely stores know, or else any other live store.
 pub(crate) async fn query_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+    let likely = likely_stores(context, shard);
+    if let Some(set) = query(context, shard, &likely).await {
+        return Some(set);
+    }
+    let mut others = store_nodes(context, shard);
+    others.retain(|store| !likely.iter().any(|asked| asked.node == store.node));
+    query(context, shard, &others).await
+}
+
+/// Returns the latest set that one of these nodes knows.
+async fn query(context: &Context, shard: &ShardId, nodes: &[Arc<Member>]) -> Option<ReplicaSet> {
     let deadline = context.settings.store.call_timeout;
-    let nodes = store_nodes(context, shard);
     let answers = nodes.iter().map(|member| {
         context.peers.store(member.peer_address, StoreRequest::KnownSet(shard.clone()), deadline)
     });
--- a/crates/protocol/src/internal/metadata.rs
+++ b/crates/protocol/src/internal/metadata.rs
@@ -2,6 +2,8 @@
 //!
 //! Objects are sent as the platform's original JSON; the receiver decodes them with the `platform` crate.
 
+use lichenpulley_core::identity::NodeId;
+use lichenpulley_core::ingress::replica_subset::LayoutId;
 use lichenpulley_core::quarantine::CrashReport;
 use speedy::{Readable, Writable};
 
@@ -55,15 +57,6 @@
     pub wait_ms: u64,
 }
 
-/// A copy of all objects of a kind.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
-pub struct MetadataCopy {
-    /// The platform revision of the copy.
-    pub revision: u64,
-    /// The name and JSON text of each object, sorted by name.
-    pub objects: Vec<(String, String)>,
-}
-
 /// The difference between a copy and a later one.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct MetadataUpdate {
@@ -85,3 +78,27 @@
     /// Time since the platform last confirmed the responding node's copy, in milliseconds.
     pub age_ms: u64,
 }
+
+/// Requests changes to the subset of the replicas that a gateway uses.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaSubsetRequest {
+    /// The gateway.
+    pub gateway: NodeId,
+    /// The platform revision of its subset, if it has one.
+    pub newer_than: Option<u64>,
+    /// The layout of its subset; `None` if it holds all replicas.
+    pub layout: Option<LayoutId>,
+    /// Longest wait for a change, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// The response to a [`ReplicaSubsetRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct ReplicaSubsetResponse {
+    /// The changes, if the responding node holds all replicas, and at a later revision or in another layout.
+    pub update: Option<MetadataUpdate>,
+    /// The layout after the update; `None` if every gateway holds all replicas.
+    pub layout: Option<LayoutId>,
+    /// Time since the platform last confirmed the responding node's copy, in milliseconds.
+    pub age_ms: u64,
+}
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -14,7 +14,8 @@
 pub use coordinator::{CoordinatorRequest, CoordinatorResponse};
 use lichenpulley_core::identity::ShardId;
 pub use metadata::{
-    KeepReport, KeepResponse, MetadataCopy, MetadataKind, MetadataRequest, MetadataResponse, MetadataUpdate,
+    KeepReport, KeepResponse, MetadataKind, MetadataRequest, MetadataResponse, MetadataUpdate,
+    ReplicaSubsetRequest, ReplicaSubsetResponse,
 };
 pub use store::{StoreRequest, StoreResponse};
 
@@ -37,4 +38,6 @@
     async fn keep_report(request: KeepReport) -> KeepResponse;
     /// Holds the end of a batch job until the owner has committed it, in case the sender fails; served by every node.
     async fn hold_end(request: HoldEnd);
+    /// Reads the replicas that one gateway uses from this node's copy; served by nodes that hold all replicas.
+    async fn replica_subset(request: ReplicaSubsetRequest) -> ReplicaSubsetResponse;
 }
