Answer subsets from an index, and let followers of a long list read no platform

Cause: a whole subset cost a reader a walk of all replicas, so that followers timed out, asked another reader, and after two probes read all 10,000 replicas themselves. Readers index the replicas by partition; only readers list a list of several pages; kinds whose revisions are announced are held for 1 s.

--- a/crates/core/src/ingress/replica_subset.rs
+++ b/crates/core/src/ingress/replica_subset.rs
@@ -24,10 +24,19 @@
 /// Identifies a layout. Updates of a subset apply only to a subset of the same layout.
 pub type LayoutId = u64;
 
+/// Identifies a partition of the replicas of a service and zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartitionKey {
+    /// Hash of the service and zone.
+    group: u64,
+    /// Index of the partition among those of the service and zone.
+    partition: u64,
+}
+
 /// The number of partitions of each service and zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SubsetLayout {
-    /// Binary logarithm of the number of partitions, by service and zone. One partition is left out.
+    /// Binary logarithm of the number of partitions, by service and zone.
     exponents: BTreeMap<String, BTreeMap<String, u32>>,
 }
 
@@ -43,9 +52,7 @@
             for (zone, replicas) in zones {
                 let partitions = (replicas / MIN_REPLICAS).min(gateways / MIN_GATEWAYS);
                 let exponent = partitions.checked_ilog2().unwrap_or(0);
-                if exponent > 0 {
-                    layout.exponents.entry(service.to_owned()).or_default().insert(zone.to_owned(), exponent);
-                }
+                layout.exponents.entry(service.to_owned()).or_default().insert(zone.to_owned(), exponent);
             }
         }
         layout
@@ -53,20 +60,40 @@
 
     /// Returns the id of this layout, or `None` if every gateway holds all replicas.
     pub fn id(&self) -> Option<LayoutId> {
-        if self.exponents.is_empty() {
-            return None;
-        }
-        let zones = |(service, zones): (&String, &BTreeMap<String, u32>)| format!("{service}: {zones:?}");
-        let text: Vec<String> = self.exponents.iter().map(zones).collect();
-        Some(xxh3_64(text.join("\n").as_bytes()))
+        let zones = self
+            .exponents
+            .iter()
+            .flat_map(|(service, zones)| zones.iter().map(move |(zone, exponent)| (service, zone, exponent)));
+        let divided = zones.filter(|(_, _, exponent)| **exponent > 0);
+        let parts: Vec<String> =
+            divided.map(|(service, zone, exponent)| format!("{service} {zone} {exponent}")).collect();
+        (!parts.is_empty()).then(|| xxh3_64(parts.join("\n").as_bytes()))
+    }
+
+    /// Returns the partition that a replica is in.
+    pub fn partition_of(&self, replica: &ReplicaRecord) -> PartitionKey {
+        self.key(&replica.service, &replica.zone, &replica.name)
     }
 
     /// Returns whether a replica belongs to the subset of a gateway.
     pub fn includes(&self, gateway: &NodeId, replica: &ReplicaRecord) -> bool {
-        let zones = self.exponents.get(&replica.service);
-        let Some(exponent) = zones.and_then(|zones| zones.get(&replica.zone)) else { return true };
-        let seed = xxh3_64_with_seed(replica.zone.as_bytes(), xxh3_64(replica.service.as_bytes()));
-        let partition = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed) & ((1 << exponent) - 1);
-        partition(gateway.as_str()) == partition(&replica.name)
+        self.partition_of(replica) == self.key(&replica.service, &replica.zone, gateway.as_str())
+    }
+
+    /// Returns the partitions that form the subset of a gateway.
+    pub fn partitions_for(&self, gateway: &NodeId) -> Vec<PartitionKey> {
+        let zones = |(service, zones): (&'_ String, &'_ BTreeMap<String, u32>)| {
+            let keys = zones.keys().map(|zone| self.key(service, zone, gateway.as_str()));
+            keys.collect::<Vec<PartitionKey>>()
+        };
+        self.exponents.iter().flat_map(zones).collect()
+    }
+
+    /// Returns the partition of a service and zone that the hash of a name selects.
+    fn key(&self, service: &str, zone: &str, name: &str) -> PartitionKey {
+        let exponent = self.exponents.get(service).and_then(|zones| zones.get(zone)).copied().unwrap_or(0);
+        let seed = xxh3_64_with_seed(zone.as_bytes(), xxh3_64(service.as_bytes()));
+        let mask = (1 << exponent) - 1;
+        PartitionKey { group: seed, partition: xxh3_64_with_seed(name.as_bytes(), seed) & mask }
     }
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -31,8 +31,6 @@
     /// How long a node must rank among the readers before it reads a list of several pages from the platform. Nodes
     /// that start together know few of the others and would all rank themselves among the first.
     pub settle_time: Duration,
-    /// Time after the start in which readers may not have read the platform themselves and are not counted as failed.
-    pub start_grace: Duration,
     /// Number of consecutive successful probes required before a follower reads the platform directly. Gives
     /// readers time to recover after an outage of the platform.
     pub required_probes: u32,
@@ -49,7 +47,6 @@
             tolerated_failures: 1,
             probe_interval: Duration::from_millis(600),
             settle_time: Duration::from_millis(1_500),
-            start_grace: Duration::from_secs(5),
             required_probes: 2,
         }
     }
@@ -76,7 +73,8 @@
 /// Selects the read source for one kind of metadata on one node.
 ///
 /// Invariant: if the node can reach the platform, it uses stale copies for no longer than `stale_after` plus the
-/// time of the tolerated failures and the required probes.
+/// time of the tolerated failures and the required probes. Of a list with several pages it may use a stale copy for
+/// as long as no reader reaches the platform.
 #[derive(Clone, Debug)]
 pub struct ReadSourceSelector {
     config: RelayConfig,
@@ -86,8 +84,8 @@
     probed_at: Option<Timestamp>,
     /// Consecutive successful probes.
     successful_probes: u32,
-    /// When the list was found to have several pages.
-    long_list_since: Option<Timestamp>,
+    /// Whether the list has several pages.
+    is_list_long: bool,
     /// Since when the node ranks among the readers.
     ranked_since: Option<Timestamp>,
 }
@@ -101,14 +99,15 @@
             failures: 0,
             probed_at: None,
             successful_probes: 0,
-            long_list_since: None,
+            is_list_long: false,
             ranked_since: None,
         }
     }
 
-    /// Records that the list has several pages, so that reading it from the platform is expensive.
-    pub const fn set_long_list(&mut self, now: Timestamp) {
-        self.long_list_since = Some(now);
+    /// Records that the list has several pages. Only readers then read it from the platform: if overloaded readers
+    /// made their followers read it themselves, the platform and the followers would be overloaded as well.
+    pub const fn set_long_list(&mut self) {
+        self.is_list_long = true;
     }
 
     /// Records the node's zero-based rank among the live nodes.
@@ -121,20 +120,21 @@
         nodes < self.config.min_nodes || rank < self.config.readers_among(nodes)
     }
 
-    /// Whether the node has ranked among the readers for long enough to read a list of this length.
+    /// Whether the node has ranked among the readers for long enough to read a list of several pages.
     fn is_settled_reader(&self, now: Timestamp) -> bool {
-        let has_settled = |since: Timestamp| now >= since + self.config.settle_time;
-        self.long_list_since.is_none() || self.ranked_since.is_some_and(has_settled)
-    }
-
-    /// Whether readers of a long list may still be reading it for the first time.
-    fn is_starting(&self, now: Timestamp) -> bool {
-        self.long_list_since.is_some_and(|since| now < since + self.config.start_grace)
+        self.ranked_since.is_some_and(|since| now >= since + self.config.settle_time)
     }
 
     /// Returns the source for the node with a zero-based rank among the live nodes.
     pub fn source(&self, now: Timestamp, rank: usize, nodes: usize) -> ReadSource {
-        let reads_always = self.ranks_among_readers(rank, nodes) && self.is_settled_reader(now);
+        let reads_always = self.ranks_among_readers(rank, nodes);
+        if self.is_list_long {
+            return if reads_always && self.is_settled_reader(now) {
+                ReadSource::Platform
+            } else {
+                ReadSource::Peer
+            };
+        }
         let reads_directly = self.direct_until.is_some_and(|until| now < until);
         if reads_always || reads_directly {
             return ReadSource::Platform;
@@ -163,9 +163,6 @@
     /// Records a reader that failed or returned a stale copy. After the required probes have succeeded, switches
     /// to direct reads.
     pub fn record_failure(&mut self, now: Timestamp) {
-        if self.is_starting(now) {
-            return;
-        }
         self.failures = self.failures.saturating_add(1);
         if self.successful_probes >= self.config.required_probes {
             self.successful_probes = 0;
--- a/crates/daemon/src/metadata/announcements.rs
+++ b/crates/daemon/src/metadata/announcements.rs
@@ -26,6 +26,11 @@
     }
 }
 
+/// Returns whether revisions of a kind are announced.
+pub(super) const fn is_announced(kind: MetadataKind) -> bool {
+    announced_name(kind).is_some()
+}
+
 /// Returns the revision that this node holds of a kind, as announced: for the configuration its own version.
 /// 0 means that nothing is held; it is lower than any announced revision and is never announced.
 fn held_revision(context: &Context, kind: MetadataKind) -> u64 {
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -11,6 +11,7 @@
 use lichenpulley_protocol::internal::MetadataKind;
 use tokio::time::Instant;
 
+use super::announcements;
 use super::client::MetadataClient;
 use super::history::CopyChange;
 use super::peers::{self, CopyQuery, PeerCopy};
@@ -19,10 +20,13 @@
 use crate::ownership::order;
 use crate::ownership::scope::Scope;
 
-/// How long a reader may wait for a change before it answers.
+/// How long a reader may wait for a change of the replicas or the versions before it answers.
 const READER_HOLD_TIME: Duration = Duration::from_millis(500);
+/// How long a reader may wait for a change of a kind whose revisions are announced, so that a follower learns of a
+/// change also while a request is lost.
+const ANNOUNCED_HOLD_TIME: Duration = Duration::from_millis(1_000);
 /// Additional time for a reader's answer to arrive before the request is given up.
-const READER_ANSWER_SLACK: Duration = Duration::from_millis(350);
+const READER_ANSWER_SLACK: Duration = Duration::from_millis(700);
 
 /// Pause while no reader is known.
 const NO_READER_PAUSE: Duration = Duration::from_millis(100);
@@ -71,7 +75,7 @@
 
     /// Records that the list has several pages.
     pub(super) fn set_long_list(&mut self) {
-        self.selector.set_long_list(self.now());
+        self.selector.set_long_list();
     }
 
     /// Asks a reader for changes since the held revision; `None` if it gave no answer.
@@ -85,9 +89,8 @@
         };
         // After a stale or missing answer, the next reader is asked to answer without waiting.
         let may_wait = newer_than.is_some() && !self.last_was_stale;
-        let wait = if may_wait { READER_HOLD_TIME } else { Duration::ZERO };
-        let query =
-            CopyQuery { kind: self.kind, newer_than, wait, timeout: READER_HOLD_TIME + READER_ANSWER_SLACK };
+        let wait = if may_wait { self.hold_time() } else { Duration::ZERO };
+        let query = CopyQuery { kind: self.kind, newer_than, wait, timeout: wait + READER_ANSWER_SLACK };
         match peers::query_reader(&self.context, &reader, query).await {
             Ok(copy) => {
                 self.record_answer(&copy);
@@ -103,6 +106,10 @@
         }
     }
 
+    fn hold_time(&self) -> Duration {
+        if announcements::is_announced(self.kind) { ANNOUNCED_HOLD_TIME } else { READER_HOLD_TIME }
+    }
+
     fn record_answer(&mut self, copy: &PeerCopy) {
         self.context.metadata.freshness.confirm(self.kind, copy.age);
         let is_fresh = self.selector.record_answer(self.now(), copy.age);
--- a/crates/daemon/src/metadata/subset.rs
+++ b/crates/daemon/src/metadata/subset.rs
@@ -5,8 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lichenpulley_core::ingress::replica_subset::SubsetLayout;
-use lichenpulley_core::ingress::replicas::ReplicaTable;
+use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::time::whole_millis;
 use lichenpulley_protocol::internal::{
     MetadataKind, MetadataUpdate, ReplicaSubsetRequest, ReplicaSubsetResponse,
@@ -15,16 +14,16 @@
 
 use super::MAX_ANSWER_WAIT;
 use super::history::CopyHistory;
+use super::subset_layouts::DividedTable;
 use crate::context::Context;
 
-/// All replicas, and how they are divided among the gateways.
-struct DividedReplicas {
+/// A copy of all replicas, and how they are divided among the gateways.
+struct DividedCopy {
     history: Arc<CopyHistory>,
-    table: Arc<ReplicaTable>,
-    layout: Arc<SubsetLayout>,
+    divided: Arc<DividedTable>,
 }
 
-impl DividedReplicas {
+impl DividedCopy {
     /// Returns this node's replicas, or `None` if it does not hold all of them.
     fn of(context: &Context) -> Option<Self> {
         let metadata = &context.metadata;
@@ -34,20 +33,22 @@
         let table = metadata.replicas.load_full();
         let cluster = context.cluster.load();
         let gateways = cluster.members.iter().filter(|member| member.roles.gateway).count();
-        let layout = metadata.subset_layouts.layout(&table, gateways);
-        Some(Self { history, table, layout })
+        let divided = metadata.subset_layouts.divide(&table, gateways);
+        Some(Self { history, divided })
     }
 
     /// Returns the changes of the requested subset; `None` if there are none.
     fn update(&self, request: &ReplicaSubsetRequest) -> Option<MetadataUpdate> {
-        let mut update = if request.layout == self.layout.id() {
-            self.history.update_since(request.newer_than)?
-        } else {
-            self.history.whole()
-        };
+        if request.layout != self.divided.layout.id() {
+            return Some(self.whole_subset(&request.gateway));
+        }
+        let mut update = self.history.update_since(request.newer_than)?;
+        if update.is_whole {
+            return Some(self.whole_subset(&request.gateway));
+        }
         let MetadataUpdate { objects, removed, .. } = &mut update;
-        objects.retain(|(name, _)| match self.table.named(name) {
-            Some(record) => self.layout.includes(&request.gateway, record),
+        objects.retain(|(name, _)| match self.divided.table.named(name) {
+            Some(record) => self.divided.layout.includes(&request.gateway, record),
             // The record became invalid: the gateway may hold an earlier one.
             None => {
                 removed.push(name.clone());
@@ -56,6 +57,13 @@
         });
         Some(update)
     }
+
+    fn whole_subset(&self, gateway: &NodeId) -> MetadataUpdate {
+        let partitions = self.divided.layout.partitions_for(gateway);
+        let text = |name: &str| Some((name.to_owned(), self.history.objects().get(name)?.to_string()));
+        let objects = self.divided.names_in(&partitions).filter_map(text).collect();
+        MetadataUpdate { revision: self.history.revision(), is_whole: true, objects, removed: Vec::new() }
+    }
 }
 
 /// Answers a gateway. A node that does not hold all replicas answers without an update and with the greatest age,
@@ -64,7 +72,7 @@
     let until = Instant::now() + MAX_ANSWER_WAIT.min(Duration::from_millis(request.wait_ms));
     let mut changes = context.metadata.watch();
     loop {
-        let Some(replicas) = DividedReplicas::of(context) else {
+        let Some(replicas) = DividedCopy::of(context) else {
             return ReplicaSubsetResponse { update: None, layout: None, age_ms: u64::MAX };
         };
         let update = replicas.update(request);
@@ -72,7 +80,7 @@
         // An empty update only saves the gateway from falling behind the history, so it can wait.
         if is_due || update.as_ref().is_some_and(changes_subset) {
             let age_ms = whole_millis(context.metadata.age(MetadataKind::Replicas));
-            return ReplicaSubsetResponse { update, layout: replicas.layout.id(), age_ms };
+            return ReplicaSubsetResponse { update, layout: replicas.divided.layout.id(), age_ms };
         }
         // After a change, a timeout or the end of the handle alike, the history is checked again.
         let _ = tokio::time::timeout_at(until, changes.changed()).await;
