Treat an unread list of replicas as long, and wake idle nodes less often

Cause: a node whose first page failed took its list for short and read all of it. Also each idle node woke 17 times a second for checks whose result rarely changes: the clocks, the rank among candidates and the successor's log.

--- a/crates/core/src/batch/election.rs
+++ b/crates/core/src/batch/election.rs
@@ -14,6 +14,9 @@
 /// Number of nodes that poll the stores in every round. With three, losing two at once delays a takeover only
 /// by their rank delays; each additional one adds a request to every store in every round.
 pub const CANDIDATES: usize = 3;
+/// Maximum number of rounds that a node waits. After the loss of the nodes before it, it notices its new rank within
+/// this time.
+const MAX_ROUNDS_TO_WAIT: u64 = 4;
 /// Additional delay for each lower rank. Exceeds the poll interval of 250 ms plus the time of a takeover's
 /// first append, so that two candidates do not take the log from each other.
 const RANK_DELAY: Duration = Duration::from_millis(400);
@@ -28,8 +31,18 @@
 /// poll less often the lower they are, so that a simultaneous loss of all nodes before them is still noticed,
 /// while 410 nodes poll less than four times as often as 7.
 pub fn should_poll(rank: usize, round: u64) -> bool {
-    let period = (rank / CANDIDATES + 1) as u64;
-    round.is_multiple_of(period)
+    round.is_multiple_of(poll_period(rank))
+}
+
+/// Returns the number of rounds after which a node of this rank polls next or checks its rank again.
+pub fn rounds_to_wait(rank: usize, round: u64) -> u64 {
+    let period = poll_period(rank);
+    (period - round % period).min(MAX_ROUNDS_TO_WAIT)
+}
+
+/// Returns the number of rounds between two polls of a node of this rank.
+const fn poll_period(rank: usize) -> u64 {
+    (rank / CANDIDATES + 1) as u64
 }
 
 /// Why a candidate polls the stores.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -104,10 +104,10 @@
         }
     }
 
-    /// Records that the list has several pages. Only readers then read it from the platform: if overloaded readers
+    /// Records whether the list has several pages. If so, only readers read it from the platform: if overloaded readers
     /// made their followers read it themselves, the platform and the followers would be overloaded as well.
-    pub const fn set_long_list(&mut self) {
-        self.is_list_long = true;
+    pub const fn set_long_list(&mut self, is_long: bool) {
+        self.is_list_long = is_long;
     }
 
     /// Records the node's zero-based rank among the live nodes.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -113,7 +113,7 @@
 #[test]
 fn a_starting_node_reads_a_long_list_only_after_it_has_ranked_first_for_a_while() {
     let mut selector = selector();
-    selector.set_long_list();
+    selector.set_long_list(true);
     selector.observe_rank(at(0), 0, 1);
     assert_eq!(selector.source(at(0), 0, 1), ReadSource::Peer);
     selector.observe_rank(at(1_000), 2, 400);
@@ -131,7 +131,7 @@
 #[test]
 fn a_follower_never_reads_a_long_list_from_the_platform() {
     let mut selector = selector();
-    selector.set_long_list();
+    selector.set_long_list(true);
     for round in 0..20 {
         selector.observe_rank(at(round * 500), 40, 75);
         selector.record_failure(at(round * 500));
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -81,7 +81,8 @@
 pub(super) async fn run(scope: Scope, pool: ReplicaPool, traffic: Handle, commands: mpsc::Receiver<Command>) {
     let stopped = scope.context.stopped.clone();
     let follower = LogFollower::spawn(scope.clone());
-    let mut candidate = Candidate { scope, pool, traffic, commands, polls: 0, offer: None, follower };
+    let mut candidate =
+        Candidate { scope, pool, traffic, commands, rounds: 0, rounds_to_wait: 1, offer: None, follower };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -93,8 +94,10 @@
     pool: ReplicaPool,
     traffic: Handle,
     commands: mpsc::Receiver<Command>,
-    /// Polls so far, including those at which the stores were not asked.
-    polls: u64,
+    /// Rounds so far, including those in which the stores were not asked.
+    rounds: u64,
+    /// Number of rounds to wait until the next poll.
+    rounds_to_wait: u64,
     /// Uncommitted progress received from an owner that could not reach its stores.
     offer: Option<ProgressOffer>,
     follower: LogFollower,
@@ -118,7 +121,7 @@
     /// Waits until the next poll is due or an owner asks this node to take over. Answers all other commands
     /// with the known owner.
     async fn wait(&mut self) -> PollReason {
-        let next = tokio::time::sleep(ELECTION_POLL_INTERVAL);
+        let next = tokio::time::sleep(ELECTION_POLL_INTERVAL.mul_f64(self.rounds_to_wait as f64));
         tokio::pin!(next);
         loop {
             tokio::select! {
@@ -141,8 +144,9 @@
     /// Decides whether to take over now; if so, returns how long the previous owner has been silent.
     async fn poll(&mut self, reason: PollReason) -> Option<Duration> {
         let rank = order::rank(&self.scope);
-        self.polls += 1;
-        if reason == PollReason::Due && !election::should_poll(rank, self.polls) {
+        self.rounds += self.rounds_to_wait;
+        self.rounds_to_wait = election::rounds_to_wait(rank, self.rounds);
+        if reason == PollReason::Due && !election::should_poll(rank, self.rounds) {
             return None;
         }
         // A regional shard whose regions have too few stores for a replica set is not attempted.
--- a/crates/daemon/src/batch/follower.rs
+++ b/crates/daemon/src/batch/follower.rs
@@ -23,6 +23,8 @@
 /// Interval between two reads once all decided entries have been read. Bounds how much is left to read at a
 /// takeover.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a node that follows nothing checks whether it has become the first successor.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Share of the machine's memory for the followed log, in percent. Lower than the owner's share, so that a
 /// log that can be followed here can also be owned here.
 const FOLLOWED_MEMORY_PERCENT: usize = 30;
@@ -109,7 +111,8 @@
 impl Task {
     async fn run(mut self) {
         loop {
-            match self.next_action() {
+            let action = self.next_action();
+            match action {
                 FollowAction::Follow if self.read_page().await => continue,
                 FollowAction::Follow | FollowAction::Wait => {}
                 FollowAction::Drop => *self.shared.lock() = None,
@@ -118,7 +121,8 @@
             if self.scope.is_main() {
                 self.scope.context.metrics.set_followed_bytes(followed_bytes);
             }
-            tokio::time::sleep(FOLLOW_INTERVAL).await;
+            let follows_nothing = action == FollowAction::Drop;
+            tokio::time::sleep(if follows_nothing { ROLE_CHECK_INTERVAL } else { FOLLOW_INTERVAL }).await;
         }
     }
 
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -73,9 +73,9 @@
         self.selector.source(now, rank, nodes)
     }
 
-    /// Records that the list has several pages.
-    pub(super) fn set_long_list(&mut self) {
-        self.selector.set_long_list();
+    /// Records whether the list has several pages.
+    pub(super) const fn set_long_list(&mut self, is_long: bool) {
+        self.selector.set_long_list(is_long);
     }
 
     /// Asks a reader for changes since the held revision; `None` if it gave no answer.
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -186,6 +186,9 @@
     /// Applies a change from a peer; returns whether the copy is now as late as the peer's.
     fn apply_change(&mut self, change: CopyChange, from: &NodeId) -> bool {
         let (revision, layout) = (change.revision, change.layout);
+        if change.is_whole && self.kind == MetadataKind::Replicas {
+            self.follower.set_long_list(layout.is_some());
+        }
         let is_outdated = self.publish(change, from.as_str()) == ApplyOutcome::Outdated;
         // A copy that was ignored leaves the held one in its layout, to which later changes of the other layout
         // would not apply.
--- a/crates/daemon/src/metadata/watcher/starting.rs
+++ b/crates/daemon/src/metadata/watcher/starting.rs
@@ -28,7 +28,7 @@
         match self.client.list_stale_page(kind_name(self.kind)).await {
             Ok(page) if page.has_more => {
                 log::info!(target: "metadata", "The list of {:?} has several pages and is read from a peer.", self.kind);
-                self.follower.set_long_list();
+                self.follower.set_long_list(true);
             }
             Ok(page) => {
                 let objects = texts_by_name(page.items);
@@ -36,7 +36,11 @@
                     CopyChange { revision: page.at, is_whole: true, objects, ..CopyChange::default() };
                 self.publish(change, PLATFORM);
             }
-            Err(error) => log::info!(target: "metadata", "Initial list of {:?} failed: {error}.", self.kind),
+            Err(error) => {
+                log::info!(target: "metadata", "Initial list of {:?} failed: {error}.", self.kind);
+                // The list of replicas may be long; the first copy from a reader tells.
+                self.follower.set_long_list(self.kind == MetadataKind::Replicas);
+            }
         }
     }
 
--- a/crates/daemon/src/suspension.rs
+++ b/crates/daemon/src/suspension.rs
@@ -13,8 +13,8 @@
 use crate::boot_clock::{BootClock, BootInstant};
 use crate::context::Context;
 
-/// Interval between comparisons of the clocks.
-const CLOCK_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between comparisons of the clocks. Every node wakes for each.
+const CLOCK_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum difference of the clocks that counts as a suspension. On a busy machine, time also passes between the two
 /// clock reads.
 const MIN_SUSPENSION: Duration = Duration::from_millis(250);
