--- a/crates/daemon/src/membership/driver.rs
+++ b/crates/daemon/src/membership/driver.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lichenpulley_core::membership::{Event, MemberInfo, Membership};
+use lichenpulley_core::membership::{MemberInfo, Membership};
 use lichenpulley_core::time::Timestamp;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -15,7 +15,7 @@
 
 use super::handle::{AnnouncedRevision, Command};
 use super::meter::ProtocolMetrics;
-use super::report;
+use super::report::{self, EventLog};
 use crate::cluster::{ClusterView, Member, NodeCapacity, Roles};
 use crate::context::Context;
 
@@ -38,6 +38,7 @@
     origin: Instant,
     published_view: Option<u64>,
     published_documents: Option<u64>,
+    event_log: EventLog,
     buffer: Vec<u8>,
 }
 
@@ -59,6 +60,7 @@
             origin,
             published_view: None,
             published_documents: None,
+            event_log: EventLog::default(),
             buffer: vec![0; RECEIVE_BUFFER_BYTES],
         }
     }
@@ -141,16 +143,13 @@
             }
         }
         while let Some(event) = self.membership.poll_event() {
-            self.record(&event);
+            self.event_log.record(&event);
+            self.context.decisions.record(report::decision(&event));
         }
+        self.event_log.report_joins(self.membership.live_count());
         self.metrics.record(self.membership.counters(), self.membership.live_count());
     }
 
-    fn record(&self, event: &Event) {
-        report::log(event);
-        self.context.decisions.record(report::decision(event));
-    }
-
     /// Publishes the view and the announced revisions if they have changed.
     fn publish(&mut self) {
         let view_version = Some(self.membership.view_version());
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -14,6 +14,7 @@
 mod platform_regions;
 mod platform_slow;
 mod platform_starting;
+mod platform_subsets;
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
