--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -28,7 +28,7 @@
 use super::load_limit::PoolSize;
 use super::order_lease::OrderLease;
 use super::record::Record;
-use super::schedule::{ReplicaState, Slowdown};
+use super::schedule::{PaceModel, ReplicaState};
 use super::score_plan::ScorePlan;
 use super::weights::{Load, LoadPlan};
 use super::working_set::ItemDemand;
@@ -79,7 +79,7 @@
     gate: AdmissionGate,
     /// Requests that must not be sent to any replica.
     quarantine: Arc<Quarantine>,
-    slowdown: Slowdown,
+    paces: PaceModel,
     loads: LoadPlan,
     scores: ScorePlan,
     /// The shard's clock when this owner took over, in milliseconds.
@@ -131,7 +131,7 @@
             pools: BTreeMap::new(),
             gate: AdmissionGate::new(WarmupTracker::for_owner(now)),
             quarantine: Arc::default(),
-            slowdown: Slowdown::default(),
+            paces: PaceModel::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
             began_at: now,
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -35,7 +35,7 @@
         let is_cold = self.gate.is_cold(&replica, now);
         if let Some(state) = self.replicas.get_mut(&replica) {
             if let Some(gap) = gap {
-                state.observe_gap(gap, is_cold, &mut self.slowdown);
+                state.observe_gap(gap, is_cold, &mut self.paces);
             }
             if let Some(model) = &model {
                 state.observe_version(model, event.version);
@@ -183,7 +183,7 @@
         }
         // Compares with the fastest free replica first, since choosing a replica for each run is expensive.
         let free = self.replicas.values().filter(|state| state.has_free_slot());
-        let Some(best_pace) = free.map(|state| state.expected_pace(self.slowdown)).min_by(f64::total_cmp)
+        let Some(best_pace) = free.map(|state| state.expected_pace(&self.paces)).min_by(f64::total_cmp)
         else {
             return;
         };
@@ -218,18 +218,18 @@
             return false;
         }
         let Some(state) = self.replicas.get(&run.replica) else { return false };
-        let pace = state.gap(self.slowdown).as_secs_f64();
+        let pace = state.gap(&self.paces).as_secs_f64();
         let events = self.items.get(&(run.batch.clone(), run.item)).map_or(0, |live| live.events.len());
         if !is_worth_moving(pace, best_pace, events) {
             return false;
         }
         let Some(requirements) = self.requirements(&run.batch, run.item) else { return false };
         let others = Requirements { avoid: Some(&run.replica), ..requirements };
-        let Some(other) = schedule::choose(&self.replicas, &others, self.slowdown, now) else { return false };
+        let Some(other) = schedule::choose(&self.replicas, &others, &self.paces, now) else { return false };
         let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
             return false;
         };
-        is_worth_moving(pace, other.expected_pace(self.slowdown), events)
+        is_worth_moving(pace, other.expected_pace(&self.paces), events)
     }
 
     pub(super) fn stop(&mut self, id: RunId) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -240,12 +240,12 @@
     /// Chooses the replica that should finish an item first. If no replica has the model version of the
     /// item's events, chooses one with another version and restarts the text.
     fn choose(&self, requirements: Requirements<'_>, now: Timestamp) -> Option<Placement> {
-        if let Some(replica) = schedule::choose(&self.replicas, &requirements, self.slowdown, now) {
+        if let Some(replica) = schedule::choose(&self.replicas, &requirements, &self.paces, now) {
             return Some(Placement { replica, restarts_text: false });
         }
         requirements.exact_version?;
         let requirements = Requirements { exact_version: None, ..requirements };
-        let replica = schedule::choose(&self.replicas, &requirements, self.slowdown, now)?;
+        let replica = schedule::choose(&self.replicas, &requirements, &self.paces, now)?;
         Some(Placement { replica, restarts_text: true })
     }
 }
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -19,11 +19,13 @@
 use crate::ingress::routes::WeightedService;
 use crate::time::Timestamp;
 
-/// Pause between two events assumed for a replica without measurements.
+/// Pause between two events assumed while none was measured in the service.
 const DEFAULT_GAP: Duration = Duration::from_millis(40);
 /// Weight of the newest pause in the moving average: about thirty pauses, or a quarter of a second on a full
 /// replica.
 const GAP_WEIGHT: f64 = 0.03;
+/// Weight of the newest pause in the typical pause of a service.
+const TYPICAL_GAP_WEIGHT: f64 = 0.01;
 /// Relative slowdown of a full replica compared with an empty one, assumed before any measurement.
 const INITIAL_SLOWDOWN: f64 = 0.5;
 /// Upper bound of the estimated slowdown; longer pauses have other causes than load.
@@ -72,28 +74,48 @@
     is_cold_estimate: bool,
 }
 
-/// Relative slowdown of a full replica compared with an empty one, estimated from the pauses on all replicas.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Slowdown(f64);
+/// What the pauses on all replicas show: the effect of load, and the pause to expect of a replica without
+/// measurements.
+#[derive(Clone, Debug)]
+pub(super) struct PaceModel {
+    /// Relative slowdown of a full replica compared with an empty one.
+    slowdown: f64,
+    /// Mean pause without load, in milliseconds, by service.
+    typical_gaps: BTreeMap<String, f64>,
+}
 
-impl Default for Slowdown {
+impl Default for PaceModel {
     fn default() -> Self {
-        Self(INITIAL_SLOWDOWN)
+        Self { slowdown: INITIAL_SLOWDOWN, typical_gaps: BTreeMap::new() }
     }
 }
 
-impl Slowdown {
+impl PaceModel {
     /// Returns the factor by which pauses lengthen at a load between 0 and 1.
-    fn factor(self, load: f64) -> f64 {
-        1.0 + self.0 * load
+    fn factor(&self, load: f64) -> f64 {
+        1.0 + self.slowdown * load
+    }
+
+    /// Returns the pause to expect of a replica without measurements. It must not look faster than those of its
+    /// service that are known, or runs would move to it for nothing.
+    fn typical_gap(&self, service: &str) -> Duration {
+        self.typical_gaps.get(service).map_or(DEFAULT_GAP, |gap| Duration::from_secs_f64(gap / 1_000.0))
+    }
+
+    /// Updates the typical pause of a service.
+    fn observe_unloaded_gap(&mut self, service: &str, gap_ms: f64) {
+        match self.typical_gaps.get_mut(service) {
+            Some(mean) => *mean += TYPICAL_GAP_WEIGHT * (gap_ms - *mean),
+            None => _ = self.typical_gaps.insert(service.to_owned(), gap_ms),
+        }
     }
 
     /// Updates the estimate with a pause that was `ratio` times as long as without load. Loads near
     /// `mean_load` carry no information and change little.
     fn observe(&mut self, ratio: f64, load: f64, mean_load: f64) {
         let error = (ratio - self.factor(load)).clamp(-MAX_RATIO_ERROR, MAX_RATIO_ERROR);
-        let moved = self.0 + SLOWDOWN_RATE * error * (load - mean_load);
-        self.0 = moved.clamp(0.0, MAX_SLOWDOWN);
+        let moved = self.slowdown + SLOWDOWN_RATE * error * (load - mean_load);
+        self.slowdown = moved.clamp(0.0, MAX_SLOWDOWN);
     }
 }
 
@@ -127,7 +149,7 @@
 
     /// Updates the mean pause with a pause between two events of a run. Pauses of a cold replica say nothing
     /// about its pace when warm, nor about the effect of load.
-    pub(super) fn observe_gap(&mut self, gap: Duration, is_cold: bool, slowdown: &mut Slowdown) {
+    pub(super) fn observe_gap(&mut self, gap: Duration, is_cold: bool, paces: &mut PaceModel) {
         if is_cold && self.unloaded_gap_ms.is_some() {
             return;
         }
@@ -137,15 +159,18 @@
         self.is_cold_estimate = is_cold;
         let gap_ms = gap.as_secs_f64() * 1_000.0;
         let load = self.load();
+        if !is_cold {
+            paces.observe_unloaded_gap(&self.record.service, gap_ms / paces.factor(load));
+        }
         let Some(mean) = self.unloaded_gap_ms else {
-            self.unloaded_gap_ms = Some(gap_ms / slowdown.factor(load));
+            self.unloaded_gap_ms = Some(gap_ms / paces.factor(load));
             self.mean_load = load;
             return;
         };
         if mean > 0.0 {
-            slowdown.observe(gap_ms / mean, load, self.mean_load);
+            paces.observe(gap_ms / mean, load, self.mean_load);
         }
-        self.unloaded_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms / slowdown.factor(load) - mean));
+        self.unloaded_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms / paces.factor(load) - mean));
         self.mean_load += GAP_WEIGHT * (load - self.mean_load);
     }
 
@@ -157,14 +182,14 @@
         f64::from(runs) / f64::from(self.record.slots.max(1))
     }
 
-    fn gap_at(&self, load: f64, slowdown: Slowdown) -> Duration {
+    fn gap_at(&self, load: f64, paces: &PaceModel) -> Duration {
         let unloaded_gap = self.unloaded_gap_ms.map(|gap| Duration::from_secs_f64(gap / 1_000.0));
-        unloaded_gap.unwrap_or(DEFAULT_GAP).mul_f64(slowdown.factor(load))
+        unloaded_gap.unwrap_or_else(|| paces.typical_gap(&self.record.service)).mul_f64(paces.factor(load))
     }
 
     /// Returns the mean pause between events of one run at the current load.
-    pub(super) fn gap(&self, slowdown: Slowdown) -> Duration {
-        self.gap_at(self.load(), slowdown)
+    pub(super) fn gap(&self, paces: &PaceModel) -> Duration {
+        self.gap_at(self.load(), paces)
     }
 
     pub(super) fn has_free_slot(&self) -> bool {
@@ -172,8 +197,8 @@
     }
 
     /// Returns the mean pause, in seconds, between events of one run if one more run is added.
-    pub(super) fn expected_pace(&self, slowdown: Slowdown) -> f64 {
-        self.gap_at(self.load_of(self.running + 1), slowdown).as_secs_f64()
+    pub(super) fn expected_pace(&self, paces: &PaceModel) -> f64 {
+        self.gap_at(self.load_of(self.running + 1), paces).as_secs_f64()
     }
 }
 
@@ -245,13 +270,13 @@
 pub(super) fn choose(
     replicas: &BTreeMap<String, ReplicaState>,
     requirements: &Requirements<'_>,
-    slowdown: Slowdown,
+    paces: &PaceModel,
     now: Timestamp,
 ) -> Option<String> {
     let candidates = replicas.values().filter(|replica| requirements.is_met_by(replica, now));
     let key = |replica: &ReplicaState| {
         let is_avoided = requirements.avoid == Some(replica.record.id.as_str());
-        (is_avoided, replica.expected_pace(slowdown))
+        (is_avoided, replica.expected_pace(paces))
     };
     let best = candidates.min_by(|left, right| {
         let (left, right) = (key(left), key(right));
--- a/crates/core/tests/batch_moves.rs
+++ b/crates/core/tests/batch_moves.rs
@@ -60,3 +60,21 @@
     let (harness, slow, _) = slow_and_quick(200, 50, 4);
     assert!(harness.stopped.contains(&slow));
 }
+
+/// In a large service most replicas have no measurements. They must not look faster than the measured ones, or long
+/// runs would move from one to the next and lose the time of each move.
+#[test]
+fn a_run_does_not_move_to_a_replica_without_measurements_for_a_pace_that_is_usual() {
+    let replicas: Vec<_> = (0..40).map(|number| replica(&format!("r{number}"), 1)).collect();
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.submit(at(0), job("j", 4, 1));
+    let runs: Vec<RunId> = harness.started.iter().map(|start| start.run).collect();
+    for number in 0..60 {
+        let now = at(80 * (number + 1));
+        runs.iter().for_each(|run| harness.event(now, *run, number, 1));
+        harness.commit_appends(now);
+        harness.controller.tick(now);
+        harness.drain_actions();
+    }
+    assert_eq!(harness.stopped, []);
+}
