--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -183,7 +183,7 @@
         }
         // Compares with the fastest free replica first, since choosing a replica for each run is expensive.
         let free = self.replicas.values().filter(|state| state.has_free_slot());
-        let Some(best_pace) = free.map(|state| state.expected_pace(&self.paces)).min_by(f64::total_cmp)
+        let Some(best_pace) = free.map(|state| state.reliable_pace(&self.paces)).min_by(f64::total_cmp)
         else {
             return;
         };
@@ -229,7 +229,7 @@
         let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
             return false;
         };
-        is_worth_moving(pace, other.expected_pace(&self.paces), events)
+        is_worth_moving(pace, other.reliable_pace(&self.paces), events)
     }
 
     pub(super) fn stop(&mut self, id: RunId) {
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -24,6 +24,8 @@
 /// Weight of the newest pause in the moving average: about thirty pauses, or a quarter of a second on a full
 /// replica.
 const GAP_WEIGHT: f64 = 0.03;
+/// Number of pauses after which the mean of a replica is reliable.
+const RELIABLE_GAPS: u32 = 30;
 /// Weight of the newest pause in the typical pause of a service.
 const TYPICAL_GAP_WEIGHT: f64 = 0.01;
 /// Relative slowdown of a full replica compared with an empty one, assumed before any measurement.
@@ -65,8 +67,8 @@
     pub(super) loading: Option<Loading>,
     /// Highest version of each model that a report or an answer showed.
     pub(super) seen_versions: BTreeMap<String, u64>,
-    /// Mean pause between events of one run in milliseconds, corrected to zero load.
-    unloaded_gap_ms: Option<f64>,
+    /// Mean pause between events of one run, corrected to zero load.
+    unloaded_gap: Option<MeanGap>,
     /// Mean load at which pauses were observed.
     mean_load: f64,
     /// Whether the mean pause was measured while the replica was cold; it is discarded once the replica is
@@ -80,8 +82,28 @@
 pub(super) struct PaceModel {
     /// Relative slowdown of a full replica compared with an empty one.
     slowdown: f64,
-    /// Mean pause without load, in milliseconds, by service.
-    typical_gaps: BTreeMap<String, f64>,
+    /// Mean pause without load, by service.
+    typical_gaps: BTreeMap<String, MeanGap>,
+}
+
+/// A moving average of pauses: the mean of the first ones, then weighted towards the newest.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanGap {
+    milliseconds: f64,
+    /// Number of pauses seen.
+    count: u32,
+}
+
+impl MeanGap {
+    fn observe(&mut self, gap_ms: f64, least_weight: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = least_weight.max(1.0 / f64::from(self.count));
+        self.milliseconds += weight * (gap_ms - self.milliseconds);
+    }
+
+    fn duration(self) -> Duration {
+        Duration::from_secs_f64(self.milliseconds / 1_000.0)
+    }
 }
 
 impl Default for PaceModel {
@@ -99,14 +121,16 @@
     /// Returns the pause to expect of a replica without measurements. It must not look faster than those of its
     /// service that are known, or runs would move to it for nothing.
     fn typical_gap(&self, service: &str) -> Duration {
-        self.typical_gaps.get(service).map_or(DEFAULT_GAP, |gap| Duration::from_secs_f64(gap / 1_000.0))
+        self.typical_gaps.get(service).map_or(DEFAULT_GAP, |gap| gap.duration())
     }
 
     /// Updates the typical pause of a service.
     fn observe_unloaded_gap(&mut self, service: &str, gap_ms: f64) {
-        match self.typical_gaps.get_mut(service) {
-            Some(mean) => *mean += TYPICAL_GAP_WEIGHT * (gap_ms - *mean),
-            None => _ = self.typical_gaps.insert(service.to_owned(), gap_ms),
+        if !self.typical_gaps.contains_key(service) {
+            self.typical_gaps.insert(service.to_owned(), MeanGap::default());
+        }
+        if let Some(typical) = self.typical_gaps.get_mut(service) {
+            typical.observe(gap_ms, TYPICAL_GAP_WEIGHT);
         }
     }
 
@@ -128,7 +152,7 @@
             avoid_until: Timestamp::ORIGIN,
             loading: None,
             seen_versions: BTreeMap::new(),
-            unloaded_gap_ms: None,
+            unloaded_gap: None,
             mean_load: 0.0,
             is_cold_estimate: false,
         }
@@ -150,11 +174,11 @@
     /// Updates the mean pause with a pause between two events of a run. Pauses of a cold replica say nothing
     /// about its pace when warm, nor about the effect of load.
     pub(super) fn observe_gap(&mut self, gap: Duration, is_cold: bool, paces: &mut PaceModel) {
-        if is_cold && self.unloaded_gap_ms.is_some() {
+        if is_cold && self.unloaded_gap.is_some() {
             return;
         }
         if self.is_cold_estimate {
-            self.unloaded_gap_ms = None;
+            self.unloaded_gap = None;
         }
         self.is_cold_estimate = is_cold;
         let gap_ms = gap.as_secs_f64() * 1_000.0;
@@ -162,15 +186,14 @@
         if !is_cold {
             paces.observe_unloaded_gap(&self.record.service, gap_ms / paces.factor(load));
         }
-        let Some(mean) = self.unloaded_gap_ms else {
-            self.unloaded_gap_ms = Some(gap_ms / paces.factor(load));
+        if self.unloaded_gap.is_none() {
             self.mean_load = load;
-            return;
-        };
-        if mean > 0.0 {
-            paces.observe(gap_ms / mean, load, self.mean_load);
         }
-        self.unloaded_gap_ms = Some(mean + GAP_WEIGHT * (gap_ms / paces.factor(load) - mean));
+        let mean = self.unloaded_gap.get_or_insert_default();
+        if mean.milliseconds > 0.0 {
+            paces.observe(gap_ms / mean.milliseconds, load, self.mean_load);
+        }
+        mean.observe(gap_ms / paces.factor(load), GAP_WEIGHT);
         self.mean_load += GAP_WEIGHT * (load - self.mean_load);
     }
 
@@ -183,8 +206,9 @@
     }
 
     fn gap_at(&self, load: f64, paces: &PaceModel) -> Duration {
-        let unloaded_gap = self.unloaded_gap_ms.map(|gap| Duration::from_secs_f64(gap / 1_000.0));
-        unloaded_gap.unwrap_or_else(|| paces.typical_gap(&self.record.service)).mul_f64(paces.factor(load))
+        self.unloaded_gap
+            .map_or_else(|| paces.typical_gap(&self.record.service), MeanGap::duration)
+            .mul_f64(paces.factor(load))
     }
 
     /// Returns the mean pause between events of one run at the current load.
@@ -202,6 +226,19 @@
     }
 }
 
+impl ReplicaState {
+    /// Returns [`Self::expected_pace`] as far as a run may be moved for it. After few pauses the mean may be short by
+    /// chance, and among hundreds of replicas one always is.
+    pub(super) fn reliable_pace(&self, paces: &PaceModel) -> f64 {
+        let expected = self.expected_pace(paces);
+        if self.unloaded_gap.is_some_and(|gap| gap.count >= RELIABLE_GAPS) {
+            return expected;
+        }
+        let typical = paces.typical_gap(&self.record.service).as_secs_f64();
+        expected.max(typical * paces.factor(self.load_of(self.running + 1)))
+    }
+}
+
 /// What an item requires of a replica.
 #[derive(Clone, Debug)]
 pub(super) struct Requirements<'a> {
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -53,6 +53,16 @@
     Install(Install),
 }
 
+impl Operation {
+    /// Returns the size of the entries that it carries, in bytes.
+    pub fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Accept(accept) => accept.payloads.iter().map(Payload::len).sum(),
+            _ => 0,
+        }
+    }
+}
+
 /// Parameters of [`Operation::Read`].
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Read {
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use self::append::Truncation;
-pub use self::config::{ProposerChecks, ProposerConfig};
+pub use self::config::{ProposerChecks, ProposerConfig, transfer_time};
 pub use self::event::{AppendError, EndReason, ProposerEvent, Transmit};
 use super::ballot::{Ballot, ProposerId};
 use super::entry::LogIndex;
--- a/crates/core/src/replication/proposer/config.rs
+++ b/crates/core/src/replication/proposer/config.rs
@@ -2,10 +2,20 @@
 
 use std::time::Duration;
 
+/// Least rate at which entries are expected to reach a replica, in bytes per second. The link of an owner is shared
+/// by all replicas and its other traffic.
+const MINIMUM_TRANSFER_RATE: f64 = 1_000_000.0;
+
+/// Returns how much longer a request may take because of the entries that it carries. A large request that is given
+/// up and sent again while the link still carries it doubles the load that made it slow.
+pub fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MINIMUM_TRANSFER_RATE)
+}
+
 /// Limits and time-outs of a proposer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProposerConfig {
-    /// Time after which a request without a response is sent again.
+    /// Time after which a request without a response is sent again, in addition to its [`transfer_time`].
     pub retransmit_after: Duration,
     /// Maximum size of the entries in one request, in bytes. A larger record is sent alone.
     pub maximum_batch_bytes: usize,
--- a/crates/core/src/replication/proposer/transmit.rs
+++ b/crates/core/src/replication/proposer/transmit.rs
@@ -3,7 +3,7 @@
 //! Each member has at most one outstanding request, which is sent again after a time-out. Only the retry
 //! times of members are changed here.
 
-use super::{Phase, Proposer, Transmit};
+use super::{Phase, Proposer, Transmit, transfer_time};
 use crate::replication::member_progress::MemberProgress;
 use crate::replication::message::{Accept, Operation, Read, ReplicaRequest};
 use crate::replication::replica_set::{Generation, StoreId};
@@ -13,7 +13,7 @@
     /// Returns the next request to send.
     pub fn poll_transmit(&mut self, now: Timestamp) -> Option<Transmit> {
         let (to, operation) = self.next_operation(now)?;
-        let retry_at = now + self.config.retransmit_after;
+        let retry_at = now + self.config.retransmit_after + transfer_time(operation.payload_bytes());
         if let Some(member) = self.members.get_mut(&to) {
             member.mark_sent(retry_at);
         }
--- a/crates/core/tests/batch_moves.rs
+++ b/crates/core/tests/batch_moves.rs
@@ -78,3 +78,25 @@
     }
     assert_eq!(harness.stopped, []);
 }
+
+/// Events that are read together show a pause of zero. A replica that was seen for a few events is not faster for it.
+#[test]
+fn a_run_does_not_move_to_a_replica_that_looks_fast_after_few_events() {
+    let replicas: Vec<_> = (0..40).map(|number| replica(&format!("r{number}"), 1)).collect();
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.submit(at(0), job("j", 4, 1));
+    let runs: Vec<RunId> = harness.started.iter().map(|start| start.run).collect();
+    let (burst, steady) = runs.split_first().expect("a run");
+    for number in 0..5 {
+        harness.event(at(100), *burst, number, 1);
+    }
+    harness.end(at(100), *burst, RunEnd::Complete);
+    for number in 0..60 {
+        let now = at(100 + 80 * (number + 1));
+        steady.iter().for_each(|run| harness.event(now, *run, number, 1));
+        harness.commit_appends(now);
+        harness.controller.tick(now);
+        harness.drain_actions();
+    }
+    assert_eq!(harness.stopped, [*burst], "only the run that has ended was stopped");
+}
--- a/crates/daemon/src/store/exchange.rs
+++ b/crates/daemon/src/store/exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use lichenpulley_core::replication::message::{ReplicaRequest, ReplicaResponse};
+use lichenpulley_core::replication::proposer::transfer_time;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use lichenpulley_protocol::internal::{StoreRequest, StoreResponse};
 use tokio::sync::mpsc;
@@ -103,7 +104,8 @@
         request: ReplicaRequest,
     ) {
         let member = sets.iter().find_map(|set| set.member(to)).cloned();
-        let (context, sender, deadline) = (self.context.clone(), self.sender.clone(), self.deadline);
+        let (context, sender) = (self.context.clone(), self.sender.clone());
+        let deadline = self.deadline + transfer_time(request.operation.payload_bytes());
         let store = to.clone();
         tokio::spawn(async move {
             if !pause.is_zero() {
--- a/crates/daemon/src/store/log_writer.rs
+++ b/crates/daemon/src/store/log_writer.rs
@@ -3,6 +3,7 @@
 //! The task owns the log from the takeover until its owner ends or a write fails; [`AppendMode`] decides how
 //! queued appends are written. The owner receives the result of each write as an [`AppendOutcome`].
 
+mod batch;
 mod write_queue;
 
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use super::last_answer::LastAnswer;
 use super::shard_log::{ShardLog, ShardLogError};
 use crate::boot_clock::{BootClock, BootInstant};
+use batch::{Batch, batches};
 use write_queue::{Write, WriteQueue, WriteStep};
 
 /// Bytes appended after the last snapshot at which the owner is asked to compact its log. An owner is not
@@ -46,7 +48,7 @@
 /// How appends are written that are queued while another one is in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AppendMode {
-    /// All queued appends go into one write. Those of an owner that has ended are still written, until
+    /// All queued appends are written together, in as few writes as their size allows. Those of an owner that has ended are still written, until
     /// another owner takes over, so that accepted work is committed where possible.
     Batched,
     /// Each append is a separate write. Once the owner has ended, no further append begins.
@@ -169,16 +171,22 @@
     }
 
     async fn append(&mut self, appends: Vec<Vec<R>>) -> Result<(), ShardLogError> {
+        let encode = |records: Vec<R>| records.into_iter().filter_map(self.format.encode).collect();
+        for batch in batches(appends.into_iter().map(encode)) {
+            self.append_batch(batch).await?;
+        }
+        Ok(())
+    }
+
+    async fn append_batch(&mut self, batch: Batch) -> Result<(), ShardLogError> {
         let began = self.clock.now();
-        let count = appends.len();
-        let records: Vec<Vec<u8>> = appends.into_iter().flatten().filter_map(self.format.encode).collect();
-        self.log_bytes += records.iter().map(Vec::len).sum::<usize>();
-        self.log.append(records).await?;
+        self.log_bytes += batch.bytes;
+        self.log.append(batch.records).await?;
         let needs_compaction = self.log_bytes >= COMPACT_BYTES;
         if needs_compaction {
             self.log_bytes = 0;
         }
-        self.report(AppendOutcome::Appended { appends: count, began, needs_compaction });
+        self.report(AppendOutcome::Appended { appends: batch.appends, began, needs_compaction });
         Ok(())
     }
 
