--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -224,9 +224,7 @@
     pub(super) fn expected_pace(&self, paces: &PaceModel) -> f64 {
         self.gap_at(self.load_of(self.running + 1), paces).as_secs_f64()
     }
-}
 
-impl ReplicaState {
     /// Returns [`Self::expected_pace`] as far as a run may be moved for it. After few pauses the mean may be short by
     /// chance, and among hundreds of replicas one always is.
     pub(super) fn reliable_pace(&self, paces: &PaceModel) -> f64 {
--- a/crates/daemon/src/metadata/mod.rs
+++ b/crates/daemon/src/metadata/mod.rs
@@ -2,7 +2,7 @@
 //! published by trainers, evacuations and quarantine records.
 //!
 //! In a small deployment every node watches the platform itself; in a large one a few nodes do, and the
-//! others follow them (see `lichenpulley_core::relay`) and hold a [`subset`] of the replicas. A node that can't reach the platform uses a peer's
+//! others follow them (see `lichenpulley_core::relay`) and hold a subset of the replicas. A node that can't reach the platform uses a peer's
 //! copy. Invariant: within the life of a process, the copy of a kind never goes back to an earlier revision,
 //! nor the configuration to an earlier version.
 
