--- a/crates/core/src/batch/controller/config.rs
+++ b/crates/core/src/batch/controller/config.rs
@@ -5,12 +5,15 @@
 use crate::duties::DutyConfig;
 use crate::ingress::places::{AllowedRegions, ZoneMap};
 
-/// Allows for the queueing and cold start of a replica.
+/// Allows for the queueing and cold start of a replica. A shorter one takes runs away from replicas that are full or
+/// cold, a longer one holds an item at a replica that is gone.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// About twenty times the typical pause between two events (40 ms).
+/// About twenty times the typical pause between two events (40 ms). A shorter one takes runs from replicas that
+/// paused for a moment, a longer one holds an item at a replica that is gone.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(900);
+/// With 400 ms jobs were no faster and more was written.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Gives callers time to read their results.
+/// Gives callers time to read their results. A longer time fills the capacity with texts.
 const JOB_RETENTION: Duration = Duration::from_secs(125);
 /// Upper bound; the driver lowers it to a share of the machine's memory.
 const CAPACITY_BYTES: usize = 96 << 20;
--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -14,7 +14,8 @@
 use crate::identity::{BatchId, TenantName};
 use crate::time::Timestamp;
 
-/// Divides an item's maximum length to estimate its length where the caller gave no estimate.
+/// Divides an item's maximum length to estimate its length where the caller gave no estimate. The estimate only
+/// weighs models against each other and counts towards a replica's memory.
 const EXPECTED_DIVISOR: u64 = 3;
 
 impl Controller {
--- a/crates/core/src/batch/load_limit.rs
+++ b/crates/core/src/batch/load_limit.rs
@@ -12,14 +12,17 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Share of a service's replicas that load concurrently before any measurement.
+/// Share of a service's replicas that load concurrently before any measurement. On one deployment the limit allowed
+/// 156 loads a day where two at a time gave 51 (docs/decisions/platform.md).
 const INITIAL_SHARE: f64 = 0.2;
-/// Lower bound of the initial limit, so that concurrent loads occur and can be measured.
+/// Lower bound of the initial limit, so that concurrent loads occur and can be measured. With one, a service with few
+/// replicas learns nothing of contention.
 const MIN_INITIAL_LIMIT: usize = 2;
 /// Loads up to this multiple of the shortest one count as not slowed. Allows for reports being read about 60
 /// ms apart while a load takes about a second.
 const UNSLOWED_RATIO: f64 = 1.15;
-/// Loads beyond this multiple of the shortest one count as slowed by contention.
+/// Loads beyond this multiple of the shortest one count as slowed by contention. A ratio closer to 1 takes the spread
+/// of reports for contention.
 const SLOWED_RATIO: f64 = 1.35;
 /// Loads started at a lower share of the limit say nothing about it and are ignored.
 const MIN_LIMIT_USE: f64 = 0.75;
@@ -28,7 +31,8 @@
 const MIN_ROUND: usize = 3;
 /// Maximum loads in a round, so that large limits still adapt quickly.
 const MAX_ROUND: usize = 8;
-/// Number of recent loads among which the shortest is taken as the baseline.
+/// Number of recent loads among which the shortest is taken as the baseline. With fewer, the time of an idle platform
+/// is forgotten; with more, a time is kept that no longer holds.
 const HISTORY: usize = 64;
 
 /// Bounds of a load's duration. Reports are polled, so the end lies between two of them.
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -21,14 +21,15 @@
 
 /// Pause between two events assumed while none was measured in the service.
 const DEFAULT_GAP: Duration = Duration::from_millis(40);
-/// Weight of the newest pause in the moving average: about thirty pauses, or a quarter of a second on a full
-/// replica.
+/// Weight of the newest pause in the moving average: about thirty pauses, or a quarter of a second on a full replica.
+/// With 0.1 the fastest of many similar replicas looked a tenth faster than it was.
 const GAP_WEIGHT: f64 = 0.03;
 /// Number of pauses after which the mean of a replica is reliable.
 const RELIABLE_GAPS: u32 = 30;
 /// Weight of the newest pause in the typical pause of a service.
 const TYPICAL_GAP_WEIGHT: f64 = 0.01;
-/// Relative slowdown of a full replica compared with an empty one, assumed before any measurement.
+/// Relative slowdown of a full replica compared with an empty one, assumed before any measurement. The pauses of
+/// deployments seen so far showed some hundredths.
 const INITIAL_SLOWDOWN: f64 = 0.5;
 /// Upper bound of the estimated slowdown; longer pauses have other causes than load.
 const MAX_SLOWDOWN: f64 = 4.0;
@@ -37,8 +38,8 @@
 const SLOWDOWN_RATE: f64 = 0.01;
 /// Bound on the deviation of one pause ratio from its expected value, so that outliers have little effect.
 const MAX_RATIO_ERROR: f64 = 1.0;
-/// How long a replica gets no new items after a run on it broke; by then the list of replicas shows whether
-/// it is gone.
+/// How long a replica gets no new items after a run on it broke; by then the list of replicas shows whether it is
+/// gone. A longer time leaves a good replica idle after one broken connection.
 pub(super) const BROKEN_RUN_COOLDOWN: Duration = Duration::from_millis(600);
 /// How long a replica gets no new items after it rejected one; live requests that hold its slots may be done
 /// by then.
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -24,7 +24,8 @@
 use crate::retry::budget::{BudgetConfig, RetryBudget};
 use crate::time::Timestamp;
 
-/// Share of a replica's slots reserved for live requests.
+/// Share of a replica's slots reserved for live requests. A smaller share makes live requests wait behind scores, a
+/// larger one makes complete texts wait for theirs.
 const RESERVED_SHARE: f64 = 0.25;
 /// Backoff before retries; the first retry goes to another replica without delay. The upper limit bounds how
 /// late a recovered scorer is noticed.
--- a/crates/core/src/batch/weights.rs
+++ b/crates/core/src/batch/weights.rs
@@ -23,8 +23,9 @@
 /// Minimum number of replicas per model for assigning models; with fewer, losing one replica could leave a
 /// model without its newest version.
 const MIN_REPLICAS_PER_MODEL: usize = 2;
-/// Delay between the announcement of a version and its loads. The items submitted with the new version fill
-/// the slots first; a full replica loses nothing by loading, since its runs continue.
+/// Delay between the announcement of a version and its loads. The items submitted with the new version fill the slots
+/// first; a full replica loses nothing by loading, since its runs continue. Loading at once on the emptiest replicas
+/// served less.
 const LOAD_DELAY: Duration = Duration::from_millis(300);
 /// Weight of the newest interval between two versions of a model in the moving average.
 const INTERVAL_WEIGHT: f64 = 0.3;
--- a/crates/core/src/ingress/attempts.rs
+++ b/crates/core/src/ingress/attempts.rs
@@ -72,7 +72,8 @@
     may_have_run: bool,
 }
 
-/// Maximum number of sends that may end unsent before the request is given up.
+/// Maximum number of sends that may end unsent before the request is given up. Fewer give up while the replicas of a
+/// lost zone are still listed, more spend the caller's time on connections.
 const MAX_UNSENT: u32 = 4;
 /// Minimum remaining time for a further send; another replica rarely answers in less.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(20);
--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -17,11 +17,15 @@
 use crate::retry::backoff::Backoff;
 use crate::time::Timestamp;
 
-/// Weight of the latest sample in the moving average of the latency.
+/// Weight of the latest sample in the moving average of the latency. The average follows a change within some five
+/// answers. A greater weight lets one slow answer turn requests away, a smaller one keeps sending to a replica that
+/// has slowed down.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
-/// Latency assumed for a replica without samples, in milliseconds; low, so that new replicas are tried soon.
+/// Latency assumed for a replica without samples, in milliseconds; low, so that new replicas are tried soon. A lower
+/// one would send a new replica a burst until its first answer.
 const UNMEASURED_LATENCY_MS: f64 = 20.0;
-/// Time for which a reported load is used.
+/// Time for which a reported load is used. A longer time keeps requests away from a replica whose queue has drained,
+/// a shorter one forgets a queue that only other nodes fill.
 const REPORTED_LOAD_VALIDITY: Duration = Duration::from_millis(400);
 /// Load assumed for a replica that refused for lack of capacity: more than any real load, and small enough not
 /// to overflow in sums.
--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -9,7 +9,7 @@
 
 use crate::identity::TenantName;
 
-/// Length of the truncated digest, in bytes.
+/// Length of the truncated digest, in bytes. Two requests of a day share a digest by chance less than once in 10^30.
 const LENGTH_BYTES: usize = 16;
 
 /// The digest of a request's method, host, path with query, tenant and body. It is the same for each attempt,
--- a/crates/core/src/quarantine/recent_requests.rs
+++ b/crates/core/src/quarantine/recent_requests.rs
@@ -8,7 +8,8 @@
 use crate::time::Timestamp;
 
 /// Minimum time for which a completed request is kept; the maximum is twice as long. See
-/// docs/decisions/quarantine.md.
+/// docs/decisions/quarantine.md. Without this memory one of 50 seeds of the soak quarantined a popular write at all
+/// gateways.
 const MIN_RETENTION: Duration = Duration::from_secs(15);
 /// Maximum number of requests in each generation.
 const MAX_GENERATION_SIZE: usize = 4_096;
--- a/crates/core/src/replication/transfer.rs
+++ b/crates/core/src/replication/transfer.rs
@@ -15,8 +15,9 @@
 use super::storage::ShardStorage;
 use crate::identity::ShardId;
 
-/// Maximum size of the log entries in a page, in bytes; a larger entry is sent alone. Small requests queue
-/// behind pages, so larger pages increase their latency.
+/// Maximum size of the log entries in a page, in bytes; a larger entry is sent alone. Small requests queue behind
+/// pages, so larger pages increase their latency. On one deployment small requests behind larger pages waited 460 ms
+/// instead of 4 ms.
 pub(super) const PAGE_BYTES: usize = 1 << 20;
 /// Maximum number of claims in a page, which keeps a response within the call timeout.
 const MAX_PAGE_CLAIMS: usize = 4_096;
--- a/crates/core/src/retry/attempt_timeout.rs
+++ b/crates/core/src/retry/attempt_timeout.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-/// Share of the remaining time given to one replica.
+/// Share of the remaining time given to one replica. Three tries fit, each with a third of what is left.
 const REMAINING_SHARE: f64 = 0.35;
 /// Minimum time for one replica: twice the usual target answer time of plain routes (150 ms).
 const MIN_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/core/src/retry/drain_rate.rs
+++ b/crates/core/src/retry/drain_rate.rs
@@ -15,9 +15,9 @@
 const MIN_COMPLETIONS: u32 = 16;
 /// Retry time while the rate is unknown.
 const UNKNOWN_RATE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Minimum retry time.
+/// Minimum retry time. With a shorter one, callers of a full pool ask in a loop.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Maximum retry time.
+/// Maximum retry time. A longer one keeps callers away from a pool that has recovered.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// Completions per second, averaged with exponential decay.
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -39,8 +39,9 @@
 
 /// Interval between two polls of the stores; delays a takeover by at most this much.
 const ELECTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of one request to a store, after which the store counts as missing. Bounds how late an owner that
-/// is cut off notices it.
+/// Timeout of one request to a store, after which the store counts as missing. Bounds how late an owner
+/// that is cut off notices it. With a shorter one, busy stores make an owner leave; with a longer one, an
+/// owner that is cut off leaves after others have taken over.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between heartbeat appends while the ledger is recovered, so that no other candidate takes over.
 const RECOVERY_HEARTBEAT: Duration = Duration::from_millis(200);
--- a/crates/daemon/src/batch/follower.rs
+++ b/crates/daemon/src/batch/follower.rs
@@ -21,7 +21,7 @@
 use crate::store::{exchange, replica_sets};
 
 /// Interval between two reads once all decided entries have been read. Bounds how much is left to read at a
-/// takeover.
+/// takeover. A takeover that followed took 16 ms after 6,709 records, where reading all of them took 1.5 s.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a node that follows nothing checks whether it has become the first successor.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -40,7 +40,8 @@
 const EARLY_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Fraction of the last load's duration after which a load may be complete.
 const POLL_START_FRACTION: f64 = 0.9;
-/// An order that the replica's report does not show after this time counts as lost. Reports may lag.
+/// An order that the replica's report does not show after this time counts as lost. Reports may lag. A
+/// shorter time repeats orders that were taken, a longer one blocks the replica.
 const ORDER_LOST_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum number of times that a load is ordered.
 const MAX_ORDER_ATTEMPTS: u32 = 4;
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -47,7 +47,8 @@
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// Share of the machine's memory for items and results of the main shard, in percent. Leaves room for a
-/// followed log of nearly the same size on the same machine.
+/// followed log of nearly the same size on the same machine. With more, a machine that also follows a log
+/// runs out of memory; with less, jobs are refused early.
 const MAIN_MEMORY_PERCENT: usize = 35;
 /// Share of the machine's memory for items and results of a regional shard, in percent. A machine may own
 /// regional shards in addition to the main shard.
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -18,7 +18,8 @@
 use super::{Ingress, headers};
 use crate::quarantine::TracedRun;
 
-/// Timeout for connecting to a replica.
+/// Timeout for connecting to a replica. A shorter one gives up replicas that are merely far, a longer one
+/// keeps a request from the next replica while this one is dead.
 pub(super) const REPLICA_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Options for sending a request.
--- a/crates/daemon/src/metadata/watcher.rs
+++ b/crates/daemon/src/metadata/watcher.rs
@@ -41,7 +41,7 @@
 /// Minimum time between the starts of two watches, so that a burst of changes costs few calls.
 const WATCH_PAUSE: Duration = Duration::from_millis(80);
 /// Minimum time between the starts of two watches of replicas. A draining replica keeps serving for longer
-/// than this.
+/// than this. A longer pause sends requests to draining replicas, a shorter one costs calls.
 const REPLICA_WATCH_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which a node that can't own batch jobs checks whether it has become a candidate.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/metadata/watcher/starting.rs
+++ b/crates/daemon/src/metadata/watcher/starting.rs
@@ -11,7 +11,8 @@
 /// Interval between two counts of the members, a few rounds of gossip; an unchanged count is taken as
 /// complete.
 const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Minimum wait, so that hundreds of nodes that start together learn of their first members.
+/// Minimum wait, so that hundreds of nodes that start together learn of their first members. Each learns of
+/// them after some 0.7 s.
 const MIN_MEMBERS_WAIT: Duration = Duration::from_millis(1_000);
 /// Maximum wait, for deployments whose members keep changing.
 const MAX_MEMBERS_WAIT: Duration = Duration::from_millis(2_000);
--- a/crates/daemon/src/store/reconfiguration.rs
+++ b/crates/daemon/src/store/reconfiguration.rs
@@ -23,7 +23,7 @@
 const RECONFIGURATION_TIMEOUTS: u32 = 30;
 /// Timeout of a store's answer during a change, in call timeouts. Others may read the whole log at the same
 /// time, so an answer can take longer than one call timeout; with too short a timeout requests are repeated
-/// without progress.
+/// without progress. With one call timeout a change of two disks was not done after six seconds.
 const STORE_ANSWER_TIMEOUTS: u32 = 4;
 /// Maximum number of attempts to write a document that others may write at the same time.
 const SETTLE_TRIES: u32 = 3;
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -22,10 +22,12 @@
 use super::last_answer::LastAnswer;
 use crate::context::Context;
 
-/// Number of call timeouts without any answer after which a takeover or an append fails.
+/// Number of call timeouts without any answer after which a takeover or an append fails. With fewer, a
+/// burst of slow answers ends an owner; with more, one that is cut off keeps its callers waiting.
 const SILENCE_TIMEOUTS: u32 = 4;
 /// Number of call timeouts after which a takeover or an append fails although stores answer. A long log is
-/// read in many pages and a snapshot is written in many parts.
+/// read in many pages and a snapshot is written in many parts. A log of 55 MB took 3.2 to 9 s to read on
+/// one deployment.
 const STEP_TIMEOUTS: u32 = 60;
 
 /// Handle of an owner to its shard's log.
--- a/crates/daemon/src/store/shard_log/set_change.rs
+++ b/crates/daemon/src/store/shard_log/set_change.rs
@@ -19,10 +19,12 @@
 use crate::store::reconfiguration::{self, ReconfigurationError};
 
 /// Number of call timeouts after which a replica set change fails; a later owner can finish it. Readers of
-/// the whole log slow a change down, so the limit is generous.
+/// the whole log slow a change down, so the limit is generous. Beside such readers a change took 6 to 9 s
+/// on one deployment.
 const SET_CHANGE_TIMEOUTS: u32 = 24;
 /// Interval of the owner's heartbeats during a replica set change, and the timeout of each. Several of them
-/// fit into the time after which candidates take over from a silent owner.
+/// fit into the time after which candidates take over from a silent owner. A change took 3.6 s on one
+/// deployment, and without heartbeats candidates took the log over after 1.4 s.
 const SET_CHANGE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 impl ShardLog {
