Keep a regional owner's replicas within its regions

Cause, found by reading: an owner of a shard that is bound to regions chose its part of a large service among all zones, and could use only those in its own. Test: a_regional_owner_works_with_replicas_of_its_region.

--- a/crates/core/src/batch/controller/inputs.rs
+++ b/crates/core/src/batch/controller/inputs.rs
@@ -40,7 +40,9 @@
     /// Chooses again with which replicas to work, and takes their records over from the list.
     pub(super) fn refresh_replicas(&mut self, now: Timestamp) {
         let listed = Arc::clone(&self.listed);
-        let chosen = working_set::choose(&listed, &self.demand, &self.gate, now);
+        let (zones, regions) = (&self.config.zones, &self.config.regions);
+        let allows_zone = |zone: &str| regions.allows_zone(zones, zone);
+        let chosen = working_set::choose(&listed, &self.demand, &self.gate, allows_zone, now);
         for record in chosen.iter().filter_map(|id| listed.records.get(*id)) {
             match self.replicas.get_mut(&record.id) {
                 Some(state) => state.record = Arc::clone(record),
@@ -81,10 +83,11 @@
         for batch in self.tallies.keys() {
             let Some(job) = self.ledger.job(batch) else { continue };
             let Some(route) = routes.by_name(&job.job.route) else { continue };
-            let items = job.job.items.iter().zip(0..).filter(|(_, position)| job.is_open(*position));
-            for (item, _) in items {
+            let items = job.job.items.iter().zip(0..);
+            let models = items.filter(|(_, position)| job.is_open(*position)).map(|(item, _)| &item.model);
+            for model in models {
                 for part in &route.services {
-                    *open.entry((&part.service, item.model.as_deref())).or_default() += 1;
+                    *open.entry((&part.service, model.as_deref())).or_default() += 1;
                 }
             }
         }
--- a/crates/core/src/batch/working_set.rs
+++ b/crates/core/src/batch/working_set.rs
@@ -1,7 +1,7 @@
 //! Chooses the replicas that the owner of the batch jobs works with.
 //!
-//! Inputs: the listed replicas, the slots of each, and the items that were recently open at a time, by service and
-//! model.
+//! Inputs: the listed replicas, the slots of each, the regions of the shard, and the items that were recently open at a
+//! time, by service and model.
 //!
 //! The owner orders loads for all replicas that it works with, and considers them for each item. Both would grow with
 //! the service, even while its jobs need few of the replicas. The owner therefore works with as many as the items need,
@@ -64,11 +64,13 @@
     }
 }
 
-/// Returns the ids of the replicas to work with.
+/// Returns the ids of the replicas to work with. Where a service has more than it needs, only those are chosen that
+/// accept new work in an allowed zone.
 pub(super) fn choose<'a>(
     listed: &'a ReplicaTable,
     demand: &ItemDemand,
     gate: &AdmissionGate,
+    allows_zone: impl Fn(&str) -> bool,
     now: Timestamp,
 ) -> BTreeSet<&'a str> {
     let mut services: BTreeMap<&str, Vec<&ReplicaRecord>> = BTreeMap::new();
@@ -80,7 +82,9 @@
         let slots = records.iter().map(|record| record.slots).min().unwrap_or_default();
         let needed = demand.replicas(service, slots, now);
         if records.len() > needed {
-            records.retain(|record| !record.is_draining && !gate.is_evacuated(record));
+            records.retain(|record| {
+                !record.is_draining && !gate.is_evacuated(record) && allows_zone(&record.zone)
+            });
             take_first(&mut records, needed);
         }
         chosen.extend(records.into_iter().map(|record| record.id.as_str()));
--- a/crates/core/tests/batch_working_set.rs
+++ b/crates/core/tests/batch_working_set.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 
 use batch_support::{MODEL, OwnerHarness, at, job, replica, routes, table};
-use lichenpulley_core::batch::controller::RunEnd;
+use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd};
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::weights::LoadEnd;
-use lichenpulley_core::identity::ZoneName;
+use lichenpulley_core::identity::{RegionName, ZoneName};
 use lichenpulley_core::ingress::admission::EvacuatedZones;
+use lichenpulley_core::ingress::places::{AllowedRegions, ZoneMap};
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 
 /// Replicas of the service, with two slots each.
@@ -130,3 +131,21 @@
     assert_eq!(harness.started.len(), ITEMS);
     assert!(harness.started.iter().all(|start| start.replica.zone == "klang"));
 }
+
+/// The owner of a shard that is bound to a region would otherwise choose most of its replicas elsewhere.
+#[test]
+fn a_regional_owner_works_with_replicas_of_its_region() {
+    let mut records = fleet(1);
+    for (number, record) in records.iter_mut().enumerate() {
+        record.zone = if number % 10 == 0 { "kajang".to_owned() } else { "klang".to_owned() };
+    }
+    let zones = [("kajang", "south"), ("klang", "north")];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), RegionName::new(region)));
+    let zones = ZoneMap::new(zones.into_iter().collect());
+    let regions = AllowedRegions::of([RegionName::new("south")]);
+    let config = ControllerConfig { zones, regions, ..ControllerConfig::default() };
+    let mut harness = OwnerHarness::with_config(config, Ledger::default(), false, &records);
+    harness.submit(at(0), job("j", ITEMS, 1));
+    assert_eq!(harness.started.len(), ITEMS, "every item starts at once");
+    assert!(harness.started.iter().all(|start| start.replica.zone == "kajang"));
+}
