Look a log's stores up among all where the likely ones know of no live leader

Cause: a set that was chosen while few stores were known need not be among the likely ones, so that a gateway without it in its cache found no owner.

--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -49,8 +49,28 @@
 /// polling.
 const OWNERSHIP_HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Asks the stores that may hold the shard who leads.
+/// Time without an append after which the leader that the likely stores name may have been succeeded in a set of
+/// which they know nothing.
+const STALE_LEADER_AGE: Duration = Duration::from_millis(1_000);
+
+/// Asks the stores that may hold the shard who leads. If the likely ones know of no leader that has appended lately,
+/// the set is looked up among all stores, at most once a second: it may have been chosen before this node knew all
+/// stores, or replaced as a whole.
 pub(crate) async fn ask_stores(scope: &Scope) -> LeaderAnswers {
+    let (context, shard) = (&scope.context, &scope.shard);
+    let answers = ask_likely_stores(scope).await;
+    if answers.appended_within(STALE_LEADER_AGE) || !context.replica_sets.claim_lookup(shard) {
+        return answers;
+    }
+    match replica_sets::query_all_stores(context, shard).await {
+        Some(set) => context.replica_sets.put(&set),
+        None => return answers,
+    }
+    ask_likely_stores(scope).await
+}
+
+/// Asks the members of the known set and the likely stores who leads.
+async fn ask_likely_stores(scope: &Scope) -> LeaderAnswers {
     let stores = replica_sets::likely_stores(&scope.context, &scope.shard);
     let answers = join_all(stores.into_iter().map(|store| ask_store(scope, store))).await;
     LeaderAnswers(answers.into_iter().flatten().collect())
@@ -154,7 +174,9 @@
         if !self.scope.is_main() && self.scope.shortage().is_some() {
             return None;
         }
-        let answers = ask_stores(&self.scope).await;
+        let is_first = rank < election::CANDIDATES;
+        let answers =
+            if is_first { ask_stores(&self.scope).await } else { ask_likely_stores(&self.scope).await };
         if let Some(owner) = answers.owner() {
             self.scope.owner.store(Some(Arc::new(owner.clone())));
         }
--- a/crates/daemon/src/store/replica_set_cache.rs
+++ b/crates/daemon/src/store/replica_set_cache.rs
@@ -12,11 +12,16 @@
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
 use tokio::time::Instant;
 
+/// Minimum time between two lookups of a shard's set among all stores.
+const LOOKUP_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Cache of replica sets by shard.
 #[derive(Debug, Default)]
 pub struct ReplicaSetCache {
     sets: ArcSwap<HashMap<ShardId, ReplicaSet>>,
     shortages: Mutex<HashMap<ShardId, Shortage>>,
+    /// When the set of each shard was last looked up among all stores.
+    lookups: Mutex<HashMap<ShardId, Instant>>,
 }
 
 impl ReplicaSetCache {
@@ -46,6 +51,17 @@
         });
     }
 
+    /// Returns whether the set of a shard may be looked up among all stores now, and counts that as a lookup. There
+    /// is one at most per [`LOOKUP_INTERVAL`], since each asks every store.
+    pub(crate) fn claim_lookup(&self, shard: &ShardId) -> bool {
+        let mut lookups = self.lookups.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = lookups.get(shard).is_none_or(|at| at.elapsed() >= LOOKUP_INTERVAL);
+        if is_due {
+            lookups.insert(shard.clone(), Instant::now());
+        }
+        is_due
+    }
+
     /// Returns how long a shard with too few stores has seen no new store. `stores` are the live ones.
     pub(super) fn shortage_duration(&self, shard: &ShardId, stores: &[SetMember]) -> Duration {
         let mut shortages = self.shortages.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/store/replica_sets.rs
+++ b/crates/daemon/src/store/replica_sets.rs
@@ -114,6 +114,11 @@
     Some(set)
 }
 
+/// Returns the latest set that any live store knows.
+pub(crate) async fn query_all_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
+    query(context, shard, &store_nodes(context, shard)).await
+}
+
 /// Returns the latest set that the likely stores know, or else any other live store.
 pub(crate) async fn query_stores(context: &Context, shard: &ShardId) -> Option<ReplicaSet> {
     let likely = likely_stores(context, shard);
