Poll a connection before its idle timer

Callers saw: on a planned stop a request that had arrived on a kept connection ended without an answer. Cause: once the time for idle connections is over, connection and timer are ready at once if the runtime was busy; the select took either at random, and the shutdown of an idle connection drops what has arrived.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -132,6 +132,8 @@
         tokio::time::sleep(CLOSING_LINGER).await;
     };
     let result = tokio::select! {
+        // The connection first: a request that has arrived by now is served, where a shutdown would drop it.
+        biased;
         result = connection.as_mut() => result,
         () = linger_elapsed => {
             connection.as_mut().graceful_shutdown();
