Answer requests that cross the close of their connection

Callers saw: on a planned restart a request on a kept connection got no answer, so that it may have run. Cause: the server closed connections on which their callers could still send, and had told them nothing. Whatever is written after the server's last look is lost, so that no order of looks closes the gap; and a caller that is busy writes on a connection whose end it has not noticed. A connection with unread data was reset, which destroys answers that the caller has not read. Change: connection closes every connection in one way. Where no response announced the close, a final response is sent first: 503 on a planned stop, 408 at the idle timeout, as not run. A request that crosses reads it as its answer. Then the sending side ends, and what arrives is discarded until the caller closes too, for a second at most. Idle connections stay open for a second after the port has closed.

--- /dev/null
+++ b/crates/daemon/src/http/connection.rs
@@ -0,0 +1,219 @@
+//! Serves one HTTP/1 connection and closes it so that no request on it is left in doubt.
+//!
+//! A request that crosses the close of its connection would get no answer, and its caller could not know whether it
+//! ran. Where the server closes a connection that its caller may still use, it therefore sends a final response first
+//! (RFC 9112, 9.5 and RFC 9110, 15.5.9): a request that crosses the close reads it as its answer, and a caller that
+//! sent nothing closes the connection. The answer "not run" is true, since the server reads no further request.
+//!
+//! Every connection is closed in two steps. The sending side ends first, and what still arrives is discarded for a
+//! bounded time, since closing a socket that holds unread data resets the connection, and a reset can destroy
+//! responses that the caller has not read yet.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lichenpulley_protocol::error::{ErrorBody, Execution};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use super::Body;
+use super::server::HeadLimits;
+use super::server_socket::ServerSocket;
+
+/// Smallest maximum buffer size that `hyper` accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Maximum number of header fields of a request.
+const MAX_HEAD_FIELDS: usize = 256;
+/// Time for which idle connections stay open after the port has closed, so that requests already on their way
+/// are served. The answer closes the connection.
+const IDLE_LINGER: Duration = Duration::from_secs(1);
+/// Time for a caller to read what was sent last and to close its side of the connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of the buffer for discarded data, in bytes.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
+/// Signals of the server to its connections.
+#[derive(Clone)]
+pub(super) struct ConnectionStop {
+    /// Responses announce that the connection closes.
+    pub(super) draining: CancellationToken,
+    /// No connection is accepted any more; idle ones are closed.
+    pub(super) port_closed: CancellationToken,
+}
+
+/// Whether the caller may send another request on its connection: no response or request announced its close.
+#[derive(Clone)]
+struct ReuseFlag(Arc<AtomicBool>);
+
+/// Serves a connection until the caller or the server closes it.
+pub(super) async fn serve<Handler, Answer>(
+    stream: TcpStream,
+    stop: ConnectionStop,
+    head_limits: HeadLimits,
+    handler: Handler,
+) where
+    Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
+    Answer: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut socket = ServerSocket::new(stream);
+    let reuse = ReuseFlag(Arc::new(AtomicBool::new(true)));
+    let result = serve_requests(&mut socket, stop, head_limits, reuse.clone(), handler).await;
+    if let Err(error) = &result {
+        log::debug!(target: "http", "A connection ended early: {error}.");
+    }
+    let may_reuse = reuse.0.load(Ordering::Relaxed) && socket.is_between_responses();
+    let final_status = final_status(&result).filter(|_| may_reuse);
+    let closing = close(socket.into_stream(), final_status);
+    if let Ok(Err(error)) = tokio::time::timeout(CLOSE_TIMEOUT, closing).await {
+        log::debug!(target: "http", "A connection broke while it was closed: {error}.");
+    }
+}
+
+/// Answers requests until the connection is to be closed, which is left to the caller of this function.
+async fn serve_requests<Handler, Answer>(
+    socket: &mut ServerSocket,
+    stop: ConnectionStop,
+    head_limits: HeadLimits,
+    reuse: ReuseFlag,
+    handler: Handler,
+) -> hyper::Result<()>
+where
+    Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
+    Answer: Future<Output = Response<Body>> + Send + 'static,
+{
+    let ConnectionStop { draining, port_closed } = stop;
+    let service = service_fn(move |request: Request<Incoming>| {
+        let keeps_alive = request.version() == Version::HTTP_11 && !announces_close(request.headers());
+        finish_response(handler(request), keeps_alive, draining.clone(), reuse.clone())
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(head_limits.timeout)
+        .max_buf_size(head_limits.bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(MAX_HEAD_FIELDS)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut connection = pin!(connection);
+    let linger_elapsed = async {
+        port_closed.cancelled().await;
+        tokio::time::sleep(IDLE_LINGER).await;
+    };
+    tokio::select! {
+        // The connection first: a request that has arrived by now is served.
+        biased;
+        result = connection.as_mut() => result,
+        () = linger_elapsed => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    }
+}
+
+/// Returns the handler's response, with `Connection: close` if the server is draining, and notes whether the
+/// connection may be used again.
+async fn finish_response(
+    answer: impl Future<Output = Response<Body>>,
+    keeps_alive: bool,
+    draining: CancellationToken,
+    reuse: ReuseFlag,
+) -> Result<Response<Body>, Infallible> {
+    let mut response = answer.await;
+    if draining.is_cancelled() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reuse.0.store(keeps_alive && !announces_close(response.headers()), Ordering::Relaxed);
+    Ok(response)
+}
+
+fn announces_close(headers: &HeaderMap) -> bool {
+    let mut options = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    options.any(|value| value.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")))
+}
+
+/// Returns the status for a request that crosses the close of the connection, or `None` if the connection broke.
+fn final_status(result: &hyper::Result<()>) -> Option<StatusCode> {
+    match result {
+        Ok(()) => Some(StatusCode::SERVICE_UNAVAILABLE),
+        Err(error) if error.is_timeout() => Some(StatusCode::REQUEST_TIMEOUT),
+        Err(_) => None,
+    }
+}
+
+/// Builds the response for a request that crosses the close of the connection.
+fn final_response(status: StatusCode) -> Vec<u8> {
+    let body = ErrorBody {
+        execution: Some(Execution::NotRun),
+        retry_after_ms: Some(0),
+        ..ErrorBody::new(
+            "connection_closed",
+            "the connection was closed before the request was read",
+            "send it again on a new connection, it has not run",
+        )
+    };
+    // A struct of strings and numbers can always be encoded.
+    let body = serde_json::to_string(&body).unwrap_or_default();
+    let reason = status.canonical_reason().unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {} {reason}\r\ncontent-type: application/json\r\ncontent-length: {}\r\nretry-after: 0\r\n\
+         connection: close\r\n\r\n",
+        status.as_u16(),
+        body.len(),
+    );
+    (head + &body).into_bytes()
+}
+
+/// Sends the final response, if any, ends the sending side, and discards what arrives until the caller ends its side.
+async fn close(mut stream: TcpStream, final_status: Option<StatusCode>) -> io::Result<()> {
+    if let Some(status) = final_status {
+        stream.write_all(&final_response(status)).await?;
+    }
+    stream.shutdown().await?;
+    let mut is_crossed = false;
+    loop {
+        stream.readable().await?;
+        match discard_available(&stream)? {
+            Discarded::End => return Ok(()),
+            Discarded::Nothing => {}
+            Discarded::Data if is_crossed => {}
+            Discarded::Data => {
+                is_crossed = true;
+                log_crossing(final_status);
+            }
+        }
+    }
+}
+
+fn log_crossing(final_status: Option<StatusCode>) {
+    if let Some(status) = final_status {
+        log::info!(target: "http", "A request that arrived as its connection was closed was answered {status}, not run.");
+    }
+}
+
+/// What a read on a connection that is being closed found.
+enum Discarded {
+    Nothing,
+    Data,
+    /// The peer has ended its side.
+    End,
+}
+
+fn discard_available(stream: &TcpStream) -> io::Result<Discarded> {
+    let mut buffer = [0; DISCARD_BUFFER_BYTES];
+    match stream.try_read(&mut buffer) {
+        Ok(0) => Ok(Discarded::End),
+        Ok(_) => Ok(Discarded::Data),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Discarded::Nothing),
+        Err(error) => Err(error),
+    }
+}
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod client;
 mod closing_port;
+mod connection;
 pub mod events;
 pub mod request;
 pub mod response;
 pub mod server;
+mod server_socket;
 pub mod socket;
 
 use std::io;
