Let late handshakes and short descriptors end when a port closes

Callers saw: a connection that was established for its caller was reset when the port closed, after the request was written. Cause: handshakes in progress had 2 ms, less than a round trip between regions or the repeat of a lost packet; and the accept queue was given up at the first error, for instance without a free descriptor, which reset the rest. Change: handshakes have 500 ms, in which connections are accepted as before, and an accept that fails is repeated for 5 s while connections end. The test of callers that connect while the port closes takes a port outside the ephemeral range: its repeated handshakes come a second later, and another process may listen on a port of that range by then, whose answer the test would take for the server's. Its checks and counts are as they were.

--- a/crates/daemon/src/http/closing_port.rs
+++ b/crates/daemon/src/http/closing_port.rs
@@ -11,20 +11,26 @@
 use socket2::SockFilter;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
-/// Time for handshakes in progress to complete: some round trips between the machines of a site.
-const HANDSHAKE_TIME: Duration = Duration::from_millis(2);
+use super::accept::{RETRY_PAUSE, accept_until, concerns_one_connection};
+
+/// Time for handshakes in progress to complete, also where a packet is lost: TCP repeats it after 200 ms and a round
+/// trip.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(500);
+/// Time for which the accept queue is emptied although `accept` fails, for instance because no file descriptor is
+/// free: connections that end release some.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Accepts all connections that callers have established and closes the port. A caller that begins a handshake
 /// meanwhile repeats it a second later and is then refused.
-pub(super) fn close(listener: TcpListener, start_connection: impl Fn(TcpStream)) {
+pub(crate) async fn close(listener: TcpListener, start_connection: impl Fn(TcpStream)) {
     if let Err(error) = ignore_new_handshakes(&listener) {
         log::warn!(target: "http", "A connection that arrives while its port closes may be reset: {error}.");
     }
-    // Blocks the thread, since a timer of a busy runtime would prolong the time in which handshakes are ignored.
-    std::thread::sleep(HANDSHAKE_TIME);
-    if let Err(error) = accept_queued(listener, start_connection) {
-        log::warn!(target: "http", "Connections in the queue of a closing port may be reset: {error}.");
+    accept_until(&listener, tokio::time::sleep(HANDSHAKE_TIME), &start_connection).await;
+    if let Err(error) = accept_queued(listener, start_connection).await {
+        log::warn!(target: "http", "Connections in the queue of a closing port were reset: {error}.");
     }
 }
 
@@ -56,19 +62,24 @@
 ///
 /// Asks the operating system instead of the runtime, which doesn't know of connections that arrived since it
 /// last polled for events. On a busy machine these are many.
-fn accept_queued(listener: TcpListener, start_connection: impl Fn(TcpStream)) -> io::Result<()> {
+async fn accept_queued(listener: TcpListener, start_connection: impl Fn(TcpStream)) -> io::Result<()> {
     let listener = listener.into_std()?;
+    let give_up_at = Instant::now() + ACCEPT_TIMEOUT;
     loop {
         match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                start_connection(TcpStream::from_std(stream)?);
-            }
+            Ok((stream, _)) => match into_async(stream) {
+                Ok(stream) => start_connection(stream),
+                Err(error) => log::warn!(target: "http", "A connection was closed unserved: {error}."),
+            },
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            // The peer gave up its connection while it was queued, or a signal arrived.
-            Err(error)
-                if matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
-            Err(error) => return Err(error),
+            Err(error) if concerns_one_connection(&error) => {}
+            Err(error) if Instant::now() >= give_up_at => return Err(error),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
+
+fn into_async(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! responses; [`client`] calls engines and the platform's store. Routes are defined by the users of this
 //! module.
 
+pub(crate) mod accept;
 pub mod client;
 mod closing_port;
 mod connection;
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -13,6 +13,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::Body;
+use super::accept::accept_until;
 use super::connection::ConnectionStop;
 use super::socket::{self, SocketLimits};
 use super::{closing_port, connection};
@@ -21,9 +22,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Default maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Delay after a failed `accept`, for instance because no file descriptor is free; keeps the accept loop from
-/// spinning.
-pub(crate) const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Signals that stop a server.
 #[derive(Clone, Debug, Default)]
@@ -81,20 +79,8 @@
         }
         Err(error) => log::debug!(target: "http", "A connection was closed before it was served: {error}."),
     };
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.closing.cancelled() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => start_connection(stream),
-            Err(error) => {
-                log::warn!(target: "http", "A connection can't be accepted: {error}.");
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-            }
-        }
-    }
-    closing_port::close(listener, start_connection);
+    accept_until(&listener, stop.closing.cancelled(), &start_connection).await;
+    closing_port::close(listener, start_connection).await;
     port_closed.cancel();
     log::info!(target: "http", "A port is closed, {} connections are open.", connections.len());
     connections.close();
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -20,6 +20,7 @@
 use crate::configuration;
 use crate::context::Context;
 use crate::coordinator::Coordinator;
+use crate::http::accept::accept_until;
 use crate::http::socket::{self, SocketLimits};
 use crate::metadata;
 use crate::store::Store;
@@ -115,21 +116,10 @@
 
 /// Serves peers until `closing` is cancelled.
 pub(super) async fn serve(listener: TcpListener, service: PeerService, closing: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = closing.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
-            }
-            Err(error) => {
-                log::warn!(target: "peers", "Failed to accept a connection: {error}.");
-                tokio::time::sleep(crate::http::server::ACCEPT_RETRY_PAUSE).await;
-            }
-        }
-    }
+    accept_until(&listener, closing.cancelled(), |stream| {
+        tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
+    })
+    .await;
 }
 
 /// Serves one connection. An error on it closes only this connection.
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -36,6 +36,17 @@
     (listener, address)
 }
 
+/// Listens on a port that the operating system gives to nobody by itself, so that no other process takes it once it
+/// is closed.
+async fn listen_outside_ephemeral_range() -> TcpListener {
+    loop {
+        let port = rand::random_range(10_000..32_000);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener;
+        }
+    }
+}
+
 async fn echo(request: Request<Incoming>) -> Response<Body> {
     match read_json::<Vec<u32>>(request, BODY_LIMIT_BYTES).await {
         Ok(numbers) => response::json(StatusCode::OK, &numbers),
@@ -310,7 +321,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_connection_that_is_established_while_the_port_closes_is_answered() {
     for round in 0..CLOSING_ROUNDS {
-        let (address, stop) = start_echo_server().await;
+        let listener = listen_outside_ephemeral_range().await;
+        let address = listener.local_addr().expect("an address");
+        let stop = ServerStop::default();
+        tokio::spawn(serve(listener, stop.clone(), echo));
         let answers: [Arc<AtomicUsize>; 4] = Default::default();
         let start = |answers: &Arc<AtomicUsize>| {
             let answers = Arc::clone(answers);
