Wait some seconds for a port that is in use when a node starts

Callers saw: less capacity until somebody looks, since a node that found its port taken on a planned restart did not start at all. Cause: each port was bound once.

--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -74,12 +74,13 @@
 }
 
 impl Node {
-    /// Starts a node on its own threads and returns once all servers listen.
+    /// Starts a node on its own threads and returns once all servers listen. Waits some seconds for ports that are in
+    /// use.
     ///
     /// # Errors
     /// Returns an error if an address, a thread or the data folder is unavailable.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
-        let listeners = Listeners::bind(&settings.addresses, settings.readiness)?;
+        let listeners = Listeners::bind(&settings.addresses, settings.readiness).await?;
         let abort = CancellationToken::new();
         let (started_sender, started) = oneshot::channel();
         let (ended_sender, ended) = watch::channel(false);
