Reserve ports outside the ephemeral range for nodes that are restarted

Callers saw: nothing; the listed test found the operators' port of a node taken on its restart. Cause: the system of the demonstration and the tests binds again ports that the operating system chose, and which it gives to any process while the node is down. The operators' port has no connection left then. Change: ports from 10,000 to 32,000, held by a socket that never listens. The test is unchanged.

--- a/crates/lab/src/demo/system.rs
+++ b/crates/lab/src/demo/system.rs
@@ -7,7 +7,7 @@
 use lichenpulley_core::identity::{PoolName, ZoneName};
 use lichenpulley_daemon::cluster::Roles;
 use lichenpulley_daemon::node::Node;
-use lichenpulley_daemon::settings::{PlatformAddresses, Settings};
+use lichenpulley_daemon::settings::{ListenAddresses, PlatformAddresses, Settings};
 use tempfile::TempDir;
 
 use crate::engine::{self, Engine, EngineOptions};
@@ -15,6 +15,7 @@
 use crate::http::ANY_PORT;
 use crate::machine_list::{self, MachineListServer};
 use crate::object_api::{self, ObjectApi};
+use crate::ports::ReservedPort;
 use crate::scorer::{self, Scorer};
 use crate::weight_store::{self, WeightStore};
 
@@ -57,6 +58,7 @@
     /// The service that scores answers.
     pub scorer: Scorer,
     _data_folder: TempDir,
+    _ports: Vec<ReservedPort>,
 }
 
 impl System {
@@ -82,7 +84,8 @@
             scorer: Some(scorer.address()),
         };
         let engines = start_engines(plan, &platform).await?;
-        let nodes = start_nodes(plan, platform, data_folder.path()).await?;
+        let mut ports = Vec::new();
+        let nodes = start_nodes(plan, platform, data_folder.path(), &mut ports).await?;
         let system = Self {
             nodes,
             engines,
@@ -91,6 +94,7 @@
             weight_store,
             scorer,
             _data_folder: data_folder,
+            _ports: ports,
         };
         system.wait_until_ready(plan).await?;
         Ok(system)
@@ -159,17 +163,20 @@
     Ok(engines)
 }
 
-/// The first node is the seed of the others.
+/// The first node is the seed of the others. Their ports are reserved, so that each can be started again at its
+/// addresses.
 async fn start_nodes(
     plan: &SystemPlan,
     platform: PlatformAddresses,
     data_folder: &Path,
+    ports: &mut Vec<ReservedPort>,
 ) -> Result<Vec<Node>, LabError> {
     let mut nodes: Vec<Node> = Vec::new();
     for zone in &plan.zones {
         let name = format!("node-{zone}");
         let mut settings = Settings::on_loopback(&name, zone.as_str());
         settings.roles = Roles { gateway: true, coordinator: true, store: true };
+        settings.addresses = reserve_addresses(ports)?;
         settings.data_folder = Some(data_folder.join(&name));
         settings.platform = platform;
         settings.peers.seeds = nodes.first().map(|node| node.addresses().peers).into_iter().collect();
@@ -178,3 +185,13 @@
     }
     Ok(nodes)
 }
+
+fn reserve_addresses(ports: &mut Vec<ReservedPort>) -> Result<ListenAddresses, LabError> {
+    let mut reserve = || {
+        let port = ReservedPort::reserve()?;
+        let address = port.address();
+        ports.push(port);
+        Ok(address)
+    };
+    Ok(ListenAddresses { callers: reserve()?, operators: reserve()?, peers: reserve()? })
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod object_api;
 pub mod platform_duties;
 pub mod platform_replica;
+pub mod ports;
 pub mod scorer;
 pub mod simulations;
 pub mod soak;
