Show the limit up to which rollouts are admitted

Seen: a job that is held back for concurrency_limit looks the same whether its replicas are full or admit no rollouts. Cause: /v1/pools told the limit of all requests only. Change: rollout_limit beside concurrency_limit; `pool list` prints the same table as before.

--- a/crates/daemon/src/gateway/pools.rs
+++ b/crates/daemon/src/gateway/pools.rs
@@ -10,6 +10,7 @@
 
 use lichenpulley_core::configuration::schema::{LIVE_RESERVED_PERCENT, RETRY_BUDGET_PERCENT};
 use lichenpulley_core::identity::{NodeId, PoolName, ReplicaId};
+use lichenpulley_core::request::answer::Priority;
 use lichenpulley_core::retry::budget::BudgetConfig;
 use lichenpulley_core::routing::concurrency::{ConcurrencyConfig, MAX_RESERVED_PERCENT};
 use lichenpulley_core::routing::eligibility::Eligibility;
@@ -191,6 +192,7 @@
             eligibility: displayed_eligibility(eligibility, replica.in_subset).to_owned(),
             in_flight: replica.load.in_flight(),
             concurrency_limit: replica.concurrency.limit(),
+            rollout_limit: replica.concurrency.limit_for(Priority::Rollout),
             weight_version: replica.load.report().and_then(|report| report.weight_version),
         }
     });
--- a/crates/lab/tests/operators.rs
+++ b/crates/lab/tests/operators.rs
@@ -102,6 +102,18 @@
     assert_eq!(error.status(), Some(StatusCode::NOT_FOUND));
 }
 
+/// Operators can't tell replicas that admit no rollouts from ones that admit no requests at all.
+#[tokio::test]
+async fn pools_show_the_limit_up_to_which_rollouts_are_admitted() {
+    let system = start_system().await;
+    let operators = system.nodes[0].addresses().operators;
+    let pools: Vec<PoolStatus> =
+        client().get_json(operators, "/v1/pools", PATIENCE).await.expect("the pools");
+    for replica in &pools[0].replicas {
+        assert!((1..replica.concurrency_limit).contains(&replica.rollout_limit), "{replica:?}");
+    }
+}
+
 const SAMPLES: u64 = 48;
 
 fn job() -> JobSpecification {
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -119,6 +119,9 @@
     pub in_flight: u32,
     /// Maximum number of concurrent requests from this node.
     pub concurrency_limit: u32,
+    /// Limit on those requests up to which rollouts are admitted.
+    #[serde(default)]
+    pub rollout_limit: u32,
     /// The weight version that the replica last reported.
     pub weight_version: Option<WeightVersion>,
 }
