Let live requests that start in time raise the limit of rollouts

Seen: a replica that had been slow for seconds takes no rollouts afterwards for as long as live requests of the same node always run there. Cause: the limit of rollouts counts all requests in flight and falls with slow first tokens of any, but rose with those of rollouts alone; at a limit of 1 none starts beside a live request. Change: a live request in time raises the limit while the requests in flight reach it. Only the native rollout path routes by this limit.

--- a/crates/core/src/routing/concurrency.rs
+++ b/crates/core/src/routing/concurrency.rs
@@ -49,9 +49,10 @@
 
 /// Concurrency limits for one replica: one for all requests, and one for rollouts.
 ///
-/// Rollouts are shed first. Congestion of any request lowers the rollout limit. The overall limit decreases
-/// only if live requests are congested while the rollout limit is already at the minimum. A high TTFT of
-/// rollouts never lowers the overall limit, because engines serve live requests first.
+/// Rollouts are shed first. Congestion of any request lowers the rollout limit. A live request without
+/// congestion raises it while the requests in flight reach it. The overall limit decreases only if live
+/// requests are congested while the rollout limit is already at the minimum. A high TTFT of rollouts never
+/// lowers the overall limit, because engines serve live requests first.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimit {
     config: ConcurrencyConfig,
@@ -114,10 +115,15 @@
         let best = *best.insert(best.map_or(ttft, |best| best.min(ttft)));
         let tolerated = best.mul_f64(self.config.congestion_ratio).max(self.config.tolerated_ttft);
         if ttft > tolerated {
-            self.decrease_for_congestion(priority, now);
-        } else if in_flight * 2 >= self.limit_for(priority) {
+            return self.decrease_for_congestion(priority, now);
+        }
+        if in_flight * 2 >= self.limit_for(priority) {
             self.increase(priority);
         }
+        // While live requests fill the rollout limit, no rollout is admitted whose first token could raise it.
+        if priority == Priority::Live && in_flight >= self.rollout_limit as u32 {
+            self.increase_rollout_limit();
+        }
     }
 
     /// Decreases both limits after the replica refused a request for load, or failed.
@@ -145,7 +151,7 @@
         match priority {
             Priority::Live => self.limit = (self.limit + 1.0 / self.limit).min(maximum),
             Priority::Rollout => {
-                self.rollout_limit = (self.rollout_limit + 1.0 / self.rollout_limit).min(maximum);
+                self.increase_rollout_limit();
                 // Without this, the overall limit could not grow under a load of rollouts alone.
                 if self.limit_for(Priority::Rollout) < self.rollout_limit as u32 {
                     self.limit = (self.limit + 1.0 / self.limit).min(maximum);
@@ -154,6 +160,11 @@
         }
     }
 
+    fn increase_rollout_limit(&mut self) {
+        let maximum = f64::from(self.config.maximum);
+        self.rollout_limit = (self.rollout_limit + 1.0 / self.rollout_limit).min(maximum);
+    }
+
     fn decreased(&self, limit: f64) -> f64 {
         (limit * DECREASE_FACTOR).max(f64::from(self.config.minimum))
     }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -158,6 +158,44 @@
     assert!(limit.limit_for(Priority::Rollout) > 1);
 }
 
+/// Rollouts stay shut out after congestion has passed, for as long as live requests run.
+#[test]
+fn rollouts_are_admitted_again_after_congestion_while_live_requests_run() {
+    let replica = ReplicaId::new("replica-0");
+    let mut pool = pool(1, at(0));
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    for group in 0..4 {
+        assert!(pool.reserve(&query(group, Priority::Live), &mut random, at(1)).is_ok());
+    }
+    pool.record_first_token(&replica, Priority::Live, LOW_TTFT, at(1));
+    for second in 1..=13 {
+        pool.record_first_token(&replica, Priority::Live, HIGH_TTFT, at(1_000 * second));
+    }
+    pool.observe(&replica, at(14_000), report(4), at(14_000));
+    let rollout = query(9, Priority::Rollout);
+    assert_eq!(pool.reserve(&rollout, &mut random, at(14_000)), Err(RouteRefusal::AtLimit));
+    for tenth in 140..200 {
+        pool.record_first_token(&replica, Priority::Live, LOW_TTFT, at(100 * tenth));
+    }
+    pool.observe(&replica, at(20_000), report(4), at(20_000));
+    assert!(pool.reserve(&rollout, &mut random, at(20_000)).is_ok());
+}
+
+/// Live requests alone raise the limit of rollouts beyond what they show the replica to bear.
+#[test]
+fn live_requests_raise_the_limit_of_rollouts_only_past_their_own_number() {
+    let mut limit = ConcurrencyLimit::new(ConcurrencyConfig::default());
+    limit.record_first_token(Priority::Live, LOW_TTFT, 4, at(0));
+    for second in 1..=13 {
+        limit.record_first_token(Priority::Live, HIGH_TTFT, 4, at(1_000 * second));
+    }
+    assert_eq!(limit.limit_for(Priority::Rollout), 1);
+    for millisecond in 0..10_000 {
+        limit.record_first_token(Priority::Live, LOW_TTFT, 4, at(20_000 + millisecond));
+    }
+    assert_eq!(limit.limit_for(Priority::Rollout), 5);
+}
+
 #[test]
 fn slow_rollouts_do_not_lower_the_limit_of_live_requests() {
     let mut limit = ConcurrencyLimit::new(ConcurrencyConfig::default());
