Answer a page without results under an authority confirmed afterwards

Callers saw: a batch job's list with a result at one gateway, then 200 with an empty list at another, for up to 0.2 s.

Cause: a superseded owner whose last append confirmed it answers from its ledger until its next append fails. That a job is absent is said only after an append that began after the question; that results are absent was said at once.

Change: a reader without results is answered once an append that began after its question is decided. Readers with results, and those that wait longer than that, are answered as before.

--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -1,8 +1,9 @@
 //! Handles requests of callers and other nodes at the owner.
 //!
 //! Invariants: requests are answered only while the owner's authority is confirmed. `Unknown` for a job that
-//! is absent is returned only after a confirmation that began after the request arrived, since a later owner
-//! may have accepted the job while the previous confirmation is still valid.
+//! is absent, and a page without results, are returned only after a confirmation that began after the request
+//! arrived, since a later owner may have accepted the job, or listed results, while the previous confirmation
+//! is still valid.
 //! [`WaitingCallers`](super::waiting::WaitingCallers) holds the requests that have to wait.
 
 use std::time::Duration;
@@ -32,7 +33,8 @@
             BatchRequest::Read { batch, from, wait_ms, caller } => {
                 let (batch, from, caller) = (batch.clone(), *from, caller.clone());
                 let wait = Duration::from_millis(*wait_ms);
-                self.callers.add_reader(batch, from, wait, caller, command);
+                let asked_at = self.stores.clock().now();
+                self.callers.add_reader(asked_at, batch, from, wait, caller, command);
                 self.answer_readers();
             }
             BatchRequest::ItemBody { batch, item, caller } => {
@@ -120,6 +122,7 @@
 
     /// Answers readers whose results are available or whose wait has expired.
     pub(super) fn answer_readers(&mut self) {
-        self.callers.answer_readers(self.controller.ledger(), self.stores.is_confirmed());
+        let confirmed_at = self.stores.is_confirmed().then(|| self.stores.confirmed_at());
+        self.callers.answer_readers(self.controller.ledger(), confirmed_at);
     }
 }
--- a/crates/daemon/src/batch/owner/waiting.rs
+++ b/crates/daemon/src/batch/owner/waiting.rs
@@ -1,8 +1,8 @@
 //! Callers that wait for a response of the owner.
 //!
 //! Invariants: a submission, an end or a usage report is acknowledged only once it is committed. Results of a
-//! job are not returned to another tenant, nor while its texts are missing. A job is reported as unknown only
-//! once an append that began after the lookup is committed.
+//! job are not returned to another tenant, nor while its texts are missing. A job is reported as unknown, and a
+//! read as having no results, only once an append that began after the request is committed.
 
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 
 /// A caller that waits for results of a job.
 struct Reader {
+    asked_at: BootInstant,
     batch: BatchId,
     from: u64,
     until: Instant,
@@ -79,16 +80,18 @@
         ready.map(|lookup| lookup.command).collect()
     }
 
-    /// Adds a caller that reads results from position `from` on and waits up to `wait` for the first one.
+    /// Adds a caller that reads results from position `from` on, since `asked_at`, and waits up to `wait` for
+    /// the first one.
     pub(super) fn add_reader(
         &mut self,
+        asked_at: BootInstant,
         batch: BatchId,
         from: u64,
         wait: Duration,
         caller: Option<TenantName>,
         command: Command,
     ) {
-        self.readers.push(Reader { batch, from, until: Instant::now() + wait, caller, command });
+        self.readers.push(Reader { asked_at, batch, from, until: Instant::now() + wait, caller, command });
     }
 
     /// Answers callers whose writes are committed.
@@ -129,10 +132,11 @@
         }
     }
 
-    /// Answers readers whose results are available or whose wait has expired. Without a confirmed authority,
-    /// answers all readers and lookups with `Unavailable`.
-    pub(super) fn answer_readers(&mut self, ledger: &Ledger, is_confirmed: bool) {
-        if !is_confirmed {
+    /// Answers readers whose results are available or whose wait has expired. `confirmed_at` is when the last
+    /// committed append began; without a confirmed authority (`None`), answers all readers and lookups with
+    /// `Unavailable`.
+    pub(super) fn answer_readers(&mut self, ledger: &Ledger, confirmed_at: Option<BootInstant>) {
+        if confirmed_at.is_none() {
             self.refuse_lookups();
         }
         if self.readers.is_empty() {
@@ -140,11 +144,11 @@
         }
         let now = Instant::now();
         for reader in std::mem::take(&mut self.readers) {
-            if !is_confirmed {
+            let Some(confirmed_at) = confirmed_at else {
                 reader.command.answer(BatchResponse::Unavailable);
                 continue;
-            }
-            match reader.response(ledger, now) {
+            };
+            match reader.response(ledger, confirmed_at, now) {
                 Some(response) => reader.command.answer(response),
                 None => self.readers.push(reader),
             }
@@ -175,7 +179,7 @@
 
 impl Reader {
     /// Returns the response, or `None` while the reader should wait.
-    fn response(&self, ledger: &Ledger, now: Instant) -> Option<BatchResponse> {
+    fn response(&self, ledger: &Ledger, confirmed_at: BootInstant, now: Instant) -> Option<BatchResponse> {
         let may_wait = now < self.until;
         let Some(job) = ledger.job(&self.batch) else { return Some(BatchResponse::Unknown) };
         if !job.job.is_open_to(self.caller.as_ref()) {
@@ -185,7 +189,9 @@
             return (!may_wait).then_some(BatchResponse::Unavailable);
         }
         let has_none = job.results.len() as u64 <= self.from;
-        if has_none && may_wait {
+        // A later owner may have listed results since the last confirmation.
+        let may_be_outdated = confirmed_at < self.asked_at;
+        if has_none && (may_wait || may_be_outdated) {
             return None;
         }
         Some(results(job, self.from))
--- a/crates/lab/tests/platform_owners/mod.rs
+++ b/crates/lab/tests/platform_owners/mod.rs
@@ -11,9 +11,12 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use lichenpulley_lab::platform_replica::ReplicaBehaviour;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
+use tokio::time::Instant;
 
-use crate::platform_system::{System, until};
+use crate::platform_slow::{all_take, runs};
+use crate::platform_system::{PATIENCE, System, until};
 
 /// How often the ownership moves.
 const MOVES: usize = 8;
@@ -65,6 +68,46 @@
     }
 }
 
+/// Reads the list of a job; `None` if the answer is not 200.
+async fn listed(system: &System, gateway: usize, job: &str) -> Option<usize> {
+    let path = format!("/-/lots/{job}?after_rev=0");
+    let answer = system.call(gateway, Method::GET, &path, &[], "").await;
+    let results =
+        (answer.status == StatusCode::OK).then(|| answer.json()["results"].as_array().map_or(0, Vec::len));
+    assert!(results.is_some() || answer.status == StatusCode::SERVICE_UNAVAILABLE, "{}", answer.status);
+    results
+}
+
+/// A superseded owner answered 200 with an empty list for a job whose result its successor had listed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_list_with_a_result_is_never_empty_at_the_owner_before() {
+    let system = System::start(1, 1).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "first", 1, 1).await;
+    for number in 0..MOVES {
+        until(|| system.find_owner().is_some()).await;
+        let owner = system.owner();
+        let successor = 1 - owner;
+        // The successor's task has to be a candidate again.
+        system.call_until(StatusCode::OK, successor, "/-/lots/first?after_rev=0").await;
+        // The run of the first owner doesn't end, so that it appends nothing but heartbeats.
+        all_take(&system, PATIENCE);
+        let job = format!("job-{number}");
+        system.submit(owner, &job, 1, 1).await;
+        until(|| runs(&system, &format!("{job}-0")) > 0).await;
+        system.replicas[0].set_behaviour(ReplicaBehaviour::Well);
+        take_over(&system, successor).await;
+        until(|| owns(&system, successor)).await;
+        let first_read = async { while listed(&system, successor, &job).await != Some(1) {} };
+        tokio::time::timeout(PATIENCE, first_read).await.expect("the successor lists it in time");
+        let is_listed = Instant::now();
+        while is_listed.elapsed() < CONFIRMED {
+            let count = listed(&system, owner, &job).await;
+            assert_ne!(count, Some(0), "move {number}, {:?} after the first read", is_listed.elapsed());
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_job_that_nobody_took_is_unknown_at_every_gateway() {
     let system = System::start(1, 3).await;
