Refuse a request whose time passed before its first byte as not run

Callers saw: 504, or 502 for a stream, "it may have run", for a request that reached no replica. One that must not run twice could not be repeated.

Cause: the deadline of a send ended it as timed out also while it was still connecting, and a request whose deadline had passed was still written.

Change: a send whose deadline passes before its connection stands ends as not sent; nothing is written after the deadline.

--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -4,6 +4,7 @@
 //! An [`InFlightRequest`] occupies one slot in the selector's count of the replica's requests. Dropping it
 //! frees the slot and reports the feedback that was set last, [`ReplicaFeedback::Abandoned`] initially.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use lichenpulley_core::ingress::attempts::SendOutcome;
@@ -58,7 +59,7 @@
         Self { ingress: ingress.clone(), replica, is_cold, started_at: Instant::now(), feedback, run }
     }
 
-    /// Sends the request and waits for the response head.
+    /// Sends the request and waits for the response head. Writes no byte after the deadline.
     ///
     /// # Errors
     /// Returns the outcome of the send if no response head arrived.
@@ -68,7 +69,12 @@
         options: SendOptions<'_>,
     ) -> Result<HttpExchange, SendOutcome> {
         let message = request.build(&self.replica.name, options.last_event);
-        let may_send = || self.ingress.may_send(request, &self.replica);
+        let may_be_written = AtomicBool::new(false);
+        let may_send = || {
+            let may_send = Instant::now() < options.deadline && self.ingress.may_send(request, &self.replica);
+            may_be_written.store(may_send, Ordering::Relaxed);
+            may_send
+        };
         let pool = &self.ingress.pool;
         let sent = pool.send(
             &self.replica,
@@ -80,6 +86,10 @@
         let exchange = match tokio::time::timeout_at(options.deadline, sent).await {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(error)) => return Err(self.record_send_error(error).await),
+            // The deadline passed while the connection was being opened.
+            Err(_) if !may_be_written.load(Ordering::Relaxed) => {
+                return Err(self.record_send_error(SendError::NotSent).await);
+            }
             Err(_) => {
                 self.record_no_answer();
                 return Err(SendOutcome::TimedOut);
--- a/crates/lab/tests/platform_slow/mod.rs
+++ b/crates/lab/tests/platform_slow/mod.rs
@@ -8,6 +8,7 @@
 //! Why: the time alone ended a send, as long as the route allowed another one; the selector was asked afterwards. Now a place at
 //! another replica is reserved first. A resumable stream that paused for 1.2 s was broken off in the same way.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +16,8 @@
 use lichenpulley_lab::platform_replica::{Replica, ReplicaBehaviour};
 use lichenpulley_platform::objects;
 use serde_json::json;
-use tokio::time::Instant;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, timeout};
 
 use crate::platform_system::{Answer, PATIENCE, System, ZONES, until};
 
@@ -93,3 +95,41 @@
     assert_eq!(text.matches("data: piece").count(), 2, "{text}");
     assert_eq!(runs(&system, "s"), 1);
 }
+
+/// Listens on a port that takes no more connections, as a machine that is gone: kept while the returned sockets live.
+async fn unconnectable() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let listener = socket.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut queued = Vec::new();
+    while let Ok(connected) = timeout(Duration::from_millis(500), TcpStream::connect(address)).await {
+        queued.push(connected.expect("a connection"));
+    }
+    (listener, queued)
+}
+
+/// A caller was told that its request may have run, though its time had passed before any replica was connected.
+#[tokio::test]
+async fn a_request_whose_replica_could_not_be_connected_in_its_time_is_refused_as_not_run() {
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let (listener, _queued) = unconnectable().await;
+    let mut record = system.replicas[0].record("engines", ZONES[0]);
+    record["address"] = json!(listener.local_addr().expect("an address").to_string());
+    system.platform.put(objects::REPLICAS, "gone", record);
+    system.platform.remove(objects::REPLICAS, "replica-0");
+    let node = system.gateways[0].as_ref().expect("a gateway").context();
+    until(|| {
+        let table = node.metadata.replicas.load();
+        table.records.len() == 1 && table.named("gone").is_some()
+    })
+    .await;
+    for path in ["/stream/x", "/read/x", "/write/x"] {
+        let fields = [("attempt-id", "r"), ("deadline-ms", "100")];
+        let refused = system.call(0, Method::POST, path, &fields, "x").await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert_eq!(refused.json()["kind"], "not_run");
+        assert!(refused.headers.contains_key("retry-after"));
+    }
+}
