Abort the streams that an ending gateway cuts

Callers saw: where a gateway ended at once, a stream of the platform's path that it cut could end well-formed, so that its caller took a part of an answer for the whole. Cause: the body ended well-formed when the task that forwards a stream dropped its channel. A runtime that shuts down drops this task while a thread may still serve the connection, which then writes the last chunk. A panic of the task would do the same. Change: streams of replicas are sent by http::events, whose streams end well-formed only where the sender says so. The slot at the replica is freed before the end is sent.

--- a/crates/daemon/src/http/events.rs
+++ b/crates/daemon/src/http/events.rs
@@ -76,7 +76,16 @@
         self.sender.closed().await;
     }
 
-    async fn send_bytes(&self, bytes: Bytes) -> Result<(), ReaderDisconnected> {
+    /// Returns whether the reader has disconnected.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends an encoded event unchanged.
+    ///
+    /// # Errors
+    /// When the reader has disconnected.
+    pub(crate) async fn send_bytes(&self, bytes: Bytes) -> Result<(), ReaderDisconnected> {
         self.sender.send(StreamItem::Event(bytes)).await.map_err(|_| ReaderDisconnected)
     }
 }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -4,20 +4,16 @@
 //! After the response head, each stream runs in a task of its own. [`AttemptLoop`] selects replicas and
 //! retries; [`EventSplitter`] finds complete events.
 
-use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, Collected, Limited};
+use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_core::retry::attempt_timeout;
 use lichenpulley_platform::headers as names;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio_stream::wrappers::ReceiverStream;
 
 use super::attempt_loop::{AttemptLoop, ReplicaAttempt};
 use super::caller_request::CallerRequest;
@@ -28,6 +24,7 @@
 use super::sse::{Event, EventSplitter};
 use super::{Ingress, headers};
 use crate::duties::RunCount;
+use crate::http::events::{EventSender, event_stream};
 use crate::http::{Body, response};
 
 /// Maximum number of events buffered for a slow caller before reading from the replica pauses.
@@ -37,8 +34,6 @@
 /// A resumable stream without a new event for this time is resumed at another replica, if one is available.
 const EVENT_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-type FrameSender = mpsc::Sender<io::Result<Frame<Bytes>>>;
-
 /// A stream in progress at a replica.
 struct Stream {
     request: CallerRequest,
@@ -170,10 +165,9 @@
 ) -> Response<Body> {
     let status = exchange.response.status();
     let fields = headers::end_to_end(exchange.response.headers());
-    let (frames, received) = mpsc::channel(CALLER_EVENT_BACKLOG);
+    let (events, mut answer) = event_stream(CALLER_EVENT_BACKLOG);
     let last_event = last_event.and_then(|number| number.parse().ok());
-    tokio::spawn(forward_stream(ingress.clone(), stream, exchange, frames, last_event));
-    let mut answer = Response::new(StreamBody::new(ReceiverStream::new(received)).boxed_unsync());
+    tokio::spawn(forward_stream(ingress.clone(), stream, exchange, events, last_event));
     *answer.status_mut() = status;
     *answer.headers_mut() = fields;
     answer
@@ -204,12 +198,19 @@
     ingress: Ingress,
     mut stream: Stream,
     mut exchange: HttpExchange,
-    frames: FrameSender,
+    events: EventSender,
     mut last_event: Option<u64>,
 ) {
     loop {
-        match forward_events(&ingress, &mut stream, &mut exchange, &frames, &mut last_event).await {
-            StreamEnd::Complete => return stream.in_flight.run.record_complete(),
+        match forward_events(&ingress, &mut stream, &mut exchange, &events, &mut last_event).await {
+            StreamEnd::Complete => {
+                stream.in_flight.run.record_complete();
+                // Frees the replica's slot, however slowly the caller reads.
+                drop((stream, exchange));
+                // Sending fails only if the caller disconnected.
+                let _ = events.finish().await;
+                return;
+            }
             StreamEnd::CallerDisconnected => return,
             StreamEnd::Broken => {
                 stream.in_flight.run.record_broken().await;
@@ -220,13 +221,9 @@
         }
         // Closes the connection, so that the previous replica stops before the next one starts.
         drop(exchange);
-        let Some(resumed) = resume(&ingress, &mut stream, last_event, &frames).await else {
-            // The error aborts the connection, so that the caller can't mistake a partial response for a
-            // complete one.
-            let broken =
-                io::Error::new(io::ErrorKind::UnexpectedEof, "the stream ended before it was complete");
-            // The send fails only if the caller disconnected.
-            let _ = frames.send(Err(broken)).await;
+        let Some(resumed) = resume(&ingress, &mut stream, last_event, &events).await else {
+            // Dropping the unfinished sender aborts the connection, so that the caller can't mistake a partial
+            // response for a complete one.
             return;
         };
         exchange = resumed;
@@ -237,7 +234,7 @@
     ingress: &Ingress,
     stream: &mut Stream,
     exchange: &mut HttpExchange,
-    frames: &FrameSender,
+    events: &EventSender,
     last_event: &mut Option<u64>,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
@@ -246,7 +243,7 @@
         let body = exchange.response.body_mut();
         let frame = tokio::select! {
             frame = tokio::time::timeout_at(stalls_at, body.frame()) => frame,
-            () = frames.closed() => return StreamEnd::CallerDisconnected,
+            () = events.closed() => return StreamEnd::CallerDisconnected,
         };
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
@@ -267,7 +264,7 @@
         stalls_at = stream.stall_deadline();
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
-        if let Err(end) = forward_complete_events(&mut splitter, frames, last_event).await {
+        if let Err(end) = forward_complete_events(&mut splitter, events, last_event).await {
             return end;
         }
     }
@@ -279,14 +276,14 @@
 /// Returns how the stream ended if the caller disconnected or an event is invalid.
 async fn forward_complete_events(
     splitter: &mut EventSplitter,
-    frames: &FrameSender,
+    events: &EventSender,
     last_event: &mut Option<u64>,
 ) -> Result<(), StreamEnd> {
     loop {
         match splitter.next_event() {
             Ok(Some(event)) if is_new(&event, *last_event) => {
                 *last_event = event.number.or(*last_event);
-                let sent = frames.send(Ok(Frame::data(event.raw))).await;
+                let sent = events.send_bytes(event.raw).await;
                 sent.map_err(|_| StreamEnd::CallerDisconnected)?;
             }
             Ok(Some(_)) => {}
@@ -308,7 +305,7 @@
     ingress: &Ingress,
     stream: &mut Stream,
     last_event: Option<u64>,
-    frames: &FrameSender,
+    events: &EventSender,
 ) -> Option<HttpExchange> {
     if !stream.is_resumable {
         return None;
@@ -318,7 +315,7 @@
     let mut outcome = SendOutcome::Broken;
     loop {
         let next = stream.attempts.next_step(&stream.request, outcome);
-        if next != NextStep::TryAnother || frames.is_closed() {
+        if next != NextStep::TryAnother || events.is_closed() {
             return None;
         }
         let sent = stream.attempts.send_next(ingress, &stream.request, &attempt).await.ok()?;
