Let other tasks run while the data of a closing connection is discarded

Callers saw: nothing yet. Cause: the loop that discards what arrives on a closing connection never used up its task's budget, so that a peer that sends without end could keep a thread from other tasks and from the timeout; found by review. Change: each read counts against the budget. Two tests of busy callers, and that of the stream, wait until the server closes a second connection in place of a fixed time, which the longer stop had brought near the moment that they force.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -182,6 +182,8 @@
     let mut is_crossed = false;
     loop {
         stream.readable().await?;
+        // A peer that never stops sending must not keep the thread from other tasks, nor from the timeout.
+        tokio::task::coop::consume_budget().await;
         match discard_available(&stream)? {
             Discarded::End => return Ok(()),
             Discarded::Nothing => {}
--- a/crates/daemon/tests/closing_connections.rs
+++ b/crates/daemon/tests/closing_connections.rs
@@ -21,8 +21,6 @@
 use tokio::sync::watch;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longer than idle connections stay open after the port has closed.
-const UNTIL_CLOSED: Duration = Duration::from_secs(2);
 /// Time for which a request is on its way.
 const TRANSIT: Duration = Duration::from_millis(5);
 const SHORT_HEAD_TIMEOUT: Duration = Duration::from_millis(200);
@@ -149,9 +147,11 @@
     let client = HttpClient::new(TEST_TIMEOUT);
     let first: u32 = client.get_json(address, "/", TEST_TIMEOUT).await.expect("an answer");
     assert_eq!(first, 1);
+    let other = connect_kept(address);
     begin_close(&stop);
     // Blocks the caller's runtime, so that it doesn't notice that the connection is closed.
-    std::thread::sleep(UNTIL_CLOSED);
+    wait_until_closing(&other);
+    std::thread::sleep(TRANSIT);
     assert_known(client.get_json(address, "/", TEST_TIMEOUT).await);
 }
 
@@ -171,7 +171,10 @@
     let client = HttpClient::new(TEST_TIMEOUT);
     let first: u32 = client.get_json(address, "/", TEST_TIMEOUT).await.expect("an answer");
     assert_eq!(first, 1);
-    std::thread::sleep(UNTIL_CLOSED);
+    let later = connect_kept(address);
+    // Blocks the caller's runtime, so that it doesn't notice that the connection is closed.
+    wait_until_closing(&later);
+    std::thread::sleep(TRANSIT);
     assert_known(client.get_json(address, "/", TEST_TIMEOUT).await);
 }
 
@@ -225,8 +228,10 @@
         caller
     };
     let callers: Vec<_> = (0..CALLERS).map(open).collect();
+    let idle = connect_kept(address);
     begin_close(&stop);
-    std::thread::sleep(UNTIL_CLOSED);
+    wait_until_closing(&idle);
+    std::thread::sleep(TRANSIT);
     release.send_replace(true);
     let finish = |mut caller: TcpStream| {
         read_until(&mut caller, "0\r\n\r\n");
