--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,7 +1,7 @@
 //! Serves HTTP/1 on a listener until a stop is requested, then completes the responses that have begun.
 //!
-//! Runs a task for each connection, which [`super::connection`] serves and closes. Relies on [`super::socket`] to
-//! close connections whose peer has disappeared.
+//! Runs a task for each connection, which `connection` serves and closes. Relies on [`super::socket`] to close
+//! connections whose peer has disappeared.
 
 use std::future::Future;
 use std::time::Duration;
