--- a/crates/daemon/tests/closing_port.rs
+++ b/crates/daemon/tests/closing_port.rs
@@ -1,23 +1,14 @@
 //! Tests that a connection which its caller holds for established when a port closes gets a complete response.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener as StdListener, TcpStream};
-use std::time::Duration;
+mod one_request;
+
+use std::net::{SocketAddr, TcpListener as StdListener};
 
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use lichenpulley_daemon::http::server::{ServerStop, serve};
-use lichenpulley_daemon::http::{Body, response};
 use socket2::{SockFilter, SockRef};
 use tokio::net::TcpListener;
 
-const TEST_TIMEOUT: Duration = Duration::from_secs(10);
-const CALLERS: usize = 8;
-const ONE_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
-
-async fn answer_one(_: Request<Incoming>) -> Response<Body> {
-    response::json(StatusCode::OK, &1)
-}
+use one_request::{CALLERS, answer_one, assert_all_answered, send};
 
 fn listen() -> (StdListener, SocketAddr) {
     let listener = StdListener::bind("127.0.0.1:0").expect("a port");
@@ -26,29 +17,6 @@
     (listener, address)
 }
 
-/// Sends a request on a new connection.
-fn send(address: SocketAddr) -> TcpStream {
-    let mut caller = TcpStream::connect(address).expect("a connection");
-    caller.set_read_timeout(Some(TEST_TIMEOUT)).expect("a timeout");
-    caller.write_all(ONE_REQUEST).expect("written");
-    caller
-}
-
-fn read_answer(mut caller: TcpStream) -> Result<(), String> {
-    let mut answer = String::new();
-    let read = caller.read_to_string(&mut answer);
-    match read {
-        Ok(_) if answer.starts_with("HTTP/1.1 200") => Ok(()),
-        _ => Err(format!("{read:?}: {answer:?}")),
-    }
-}
-
-fn assert_all_answered(callers: Vec<TcpStream>) {
-    let count = callers.len();
-    let unanswered: Vec<_> = callers.into_iter().filter_map(|caller| read_answer(caller).err()).collect();
-    assert!(unanswered.is_empty(), "{} of {count}: {unanswered:?}", unanswered.len());
-}
-
 fn begin_close(stop: &ServerStop) {
     stop.draining.cancel();
     stop.closing.cancel();
