--- a/crates/daemon/src/http/closing_port.rs
+++ b/crates/daemon/src/http/closing_port.rs
@@ -24,7 +24,7 @@
 
 /// Accepts all connections that callers have established and closes the port. A caller that begins a handshake
 /// meanwhile repeats it a second later and is then refused.
-pub(crate) async fn close(listener: TcpListener, start_connection: impl Fn(TcpStream)) {
+pub(super) async fn close(listener: TcpListener, start_connection: impl Fn(TcpStream)) {
     if let Err(error) = ignore_new_handshakes(&listener) {
         log::warn!(target: "http", "A connection that arrives while its port closes may be reset: {error}.");
     }
