--- a/crates/core/src/batch/group_tally.rs
+++ b/crates/core/src/batch/group_tally.rs
@@ -15,6 +15,8 @@
     /// Number of items of each group that are not listed yet.
     remaining: Vec<u32>,
     names: Vec<String>,
+    /// Whether the trainer waits for each group, whichever others are complete.
+    required: Vec<bool>,
     complete_groups: usize,
 }
 
@@ -42,6 +44,7 @@
             let number = *numbers.entry(name).or_insert_with(|| {
                 tally.names.push(name.to_owned());
                 tally.remaining.push(0);
+                tally.required.push(false);
                 tally.remaining.len() - 1
             });
             tally.groups.push(Some(number));
@@ -61,6 +64,20 @@
         self.remaining.get(group).copied().unwrap_or(0)
     }
 
+    /// Marks a group as one that the trainer waits for, whichever others are complete.
+    #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
+    pub fn mark_required(&mut self, group: usize) {
+        if let Some(is_required) = self.required.get_mut(group) {
+            *is_required = true;
+        }
+    }
+
+    /// Returns whether the trainer waits for a group, whichever others are complete.
+    #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
+    pub fn is_required(&self, group: usize) -> bool {
+        self.required.get(group).copied().unwrap_or(false)
+    }
+
     /// Returns the number of groups.
     pub(crate) fn groups(&self) -> usize {
         self.remaining.len()
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -20,6 +20,7 @@
 pub mod outline;
 pub mod pending_ends;
 pub mod progress_offer;
+pub mod queue_report;
 pub mod record;
 pub mod recovery;
 pub mod regional;
