Serve groups that can be in time first while a service is short of slots

Cause: waiting items start job by job, longest first, so with more work than the slots can do nearly all groups complete late together, and the lowest priority is served last.

Change: where open jobs or routes of a service differ in priority and the waiting work drains too slowly, items start group by group, groups that can be in time first, in shares by priority level and in turns between trainers. The work of an item is estimated from completed items. Otherwise the order is unchanged. All new state is a hint that is lost with the owner.

--- /dev/null
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -0,0 +1,206 @@
+//! Starts the items of services with a shortage: groups that can be in time first, in shares and turns.
+//!
+//! The order applies only where open jobs or routes of a service have different priorities and the waiting work drains
+//! too slowly ([`crate::batch::shortage`]). All state here is a hint that is lost with the owner; a new owner uses the
+//! usual order until its first items complete.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use super::Controller;
+use super::backlog::{Pool, priority};
+use super::jobs::expected_tokens;
+use super::starting::JobClasses;
+use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane};
+use crate::batch::fair_share::{Contender, FairQueue, Trainer};
+use crate::batch::schedule::ReplicaState;
+use crate::batch::work_estimate::WorkEstimates;
+use crate::identity::BatchId;
+use crate::time::Timestamp;
+
+/// Urgency of an item where all jobs have the same priority (0 is the most urgent, 9 the least).
+const DEFAULT_URGENCY: u8 = 5;
+/// Urgency of the items of the highest priority level; the other levels follow.
+const HIGHEST_URGENCY: u8 = 4;
+const LOWEST_URGENCY: u8 = 9;
+
+/// What the owner remembers between passes over the waiting items.
+#[derive(Default)]
+pub(super) struct Dispatch {
+    pub(super) estimates: WorkEstimates,
+    /// For each pool of services, the queue of each group state.
+    queues: BTreeMap<String, BTreeMap<GroupState, FairQueue>>,
+    /// The priority levels of services with more than one, as of the last pass.
+    levels: BTreeMap<String, BTreeSet<u32>>,
+}
+
+/// The waiting items of a pool in the order in which they are started.
+struct PoolPlan {
+    name: String,
+    services: BTreeSet<String>,
+    /// The jobs, by the indices that the lanes use.
+    batches: Vec<BatchId>,
+    lanes: BTreeMap<GroupState, Vec<(Contender, Lane)>>,
+    capacity_s: f64,
+    quantum_s: f64,
+}
+
+impl Controller {
+    /// Starts waiting items of pools with a shortage, and returns the jobs of these pools.
+    pub(super) fn start_items_of_short_pools(&mut self, now: Timestamp) -> HashSet<BatchId> {
+        let plans = self.plan_short_pools(now);
+        let mut planned = HashSet::new();
+        for plan in plans {
+            planned.extend(plan.batches.iter().cloned());
+            self.start_planned(now, plan);
+        }
+        planned
+    }
+
+    fn plan_short_pools(&mut self, now: Timestamp) -> Vec<PoolPlan> {
+        let mut pools = self.pools_with_jobs(now);
+        pools.retain(Pool::has_levels);
+        let levels = |pool: &Pool<'_>| {
+            let services = pool.services.iter().map(|service| (*service).to_owned());
+            let priorities = pool.priorities.clone();
+            services.map(move |service| (service, priorities.clone())).collect::<Vec<_>>()
+        };
+        let levels = pools.iter().flat_map(levels).collect();
+        let mut plans = Vec::new();
+        if !pools.is_empty() {
+            let classes = self.open_classes(now);
+            self.add_items(now, &mut pools, &classes);
+            pools.retain(|pool| pool.backlog().is_short());
+            plans.extend(pools.into_iter().map(|pool| PoolPlan::new(pool, &classes)));
+        }
+        self.dispatch.levels = levels;
+        plans
+    }
+
+    fn start_planned(&mut self, now: Timestamp, plan: PoolPlan) {
+        let PoolPlan { name, services, batches, lanes, capacity_s, quantum_s } = plan;
+        let mut queues = self.dispatch.queues.remove(&name).unwrap_or_default();
+        let mut pass = Pass { services, batches, full_classes: HashSet::new() };
+        for (state, lanes) in lanes {
+            let (contenders, mut lanes): (Vec<_>, Vec<_>) = lanes.into_iter().unzip();
+            let queue = queues.entry(state).or_default();
+            queue.begin(contenders, capacity_s, quantum_s);
+            self.serve(now, &mut pass, queue, &mut lanes);
+        }
+        self.dispatch.queues.insert(name, queues);
+    }
+
+    /// Starts items in the order of a queue while there are free slots.
+    fn serve(&mut self, now: Timestamp, pass: &mut Pass, queue: &mut FairQueue, lanes: &mut [Lane]) {
+        while self.has_free_slot_in(&pass.services) {
+            let Some(contender) = queue.next_contender() else { return };
+            let next = lanes.get_mut(contender).and_then(Lane::next_item);
+            let Some((job, waiting)) = next else {
+                queue.exhaust(contender);
+                continue;
+            };
+            let Some(class) = waiting.class.filter(|class| !pass.full_classes.contains(class)) else {
+                continue;
+            };
+            let Some(batch) = pass.batches.get(job) else { continue };
+            if self.start_item(now, batch, waiting.item) {
+                queue.charge(contender, waiting.work_s);
+            } else if !self.has_capacity_for_class(now, batch, waiting.item) {
+                pass.full_classes.insert(class);
+            }
+        }
+    }
+
+    fn has_free_slot_in(&self, services: &BTreeSet<String>) -> bool {
+        let mut states = self.replicas.values().filter(|state| services.contains(&state.record.service));
+        states.any(ReplicaState::has_free_slot)
+    }
+
+    /// Returns the urgency that is sent with the items of a job.
+    pub(super) fn urgency(&self, batch: &BatchId) -> u8 {
+        let level = || {
+            let (state, route) = (self.ledger.job(batch)?, self.route(batch)?);
+            let levels = self.dispatch.levels.get(&route.services.first()?.service)?;
+            let priority = priority(self.routes.as_deref()?, route, state);
+            Some(levels.range(..priority).count())
+        };
+        level().map_or(DEFAULT_URGENCY, |level| {
+            let level = u8::try_from(level).unwrap_or(LOWEST_URGENCY);
+            HIGHEST_URGENCY.saturating_add(level).min(LOWEST_URGENCY)
+        })
+    }
+
+    /// Learns from an item whose text is complete how much work its expected tokens are.
+    pub(super) fn observe_work(&mut self, now: Timestamp, replica: &str, batch: &BatchId, item: u32) {
+        let Some(request) = self.item(batch, item) else { return };
+        let tokens = expected_tokens(request);
+        let Some(live) = self.items.get(&(batch.clone(), item)) else { return };
+        let Some(state) = self.replicas.get(replica).filter(|_| !live.has_earlier_events) else { return };
+        self.dispatch.estimates.observe(&state.record.service, tokens, live.ran, now);
+    }
+
+    /// Learns from a listed item how long scoring takes.
+    pub(super) fn observe_scoring(&mut self, now: Timestamp, batch: &BatchId, item: u32) {
+        let has_scorer = self.item(batch, item).is_some_and(|item| item.scorer.is_some());
+        let live = self.items.get(&(batch.clone(), item)).filter(|_| has_scorer);
+        if let Some(completed_at) = live.and_then(|live| live.completed_at) {
+            self.dispatch.estimates.observe_scoring(now.saturating_since(completed_at));
+        }
+    }
+}
+
+/// What one pass over a pool keeps.
+struct Pass {
+    services: BTreeSet<String>,
+    batches: Vec<BatchId>,
+    /// Classes of items for which no replica has capacity.
+    full_classes: HashSet<usize>,
+}
+
+impl PoolPlan {
+    fn new(pool: Pool<'_>, classes: &HashMap<&BatchId, JobClasses<'_>>) -> Self {
+        let backlog = pool.backlog();
+        let mut plan = Self {
+            name: pool.name().to_owned(),
+            services: pool.services.iter().map(|service| (*service).to_owned()).collect(),
+            batches: pool.jobs.iter().map(|job| job.batch.clone()).collect(),
+            lanes: BTreeMap::new(),
+            capacity_s: backlog.capacity_s(),
+            quantum_s: backlog.capacity_s() / pool.trainers().max(1) as f64,
+        };
+        for state in GroupState::ALL {
+            plan.lanes.insert(state, Vec::new());
+        }
+        for (index, job) in pool.jobs.into_iter().enumerate() {
+            // Nothing of this job can be started, so its trainer does not take turns.
+            if !classes.contains_key(job.batch) {
+                continue;
+            }
+            let accepted_at_ms = job.state.accepted_at_ms;
+            let mut by_state: BTreeMap<GroupState, Vec<IncompleteGroup>> = BTreeMap::new();
+            for (group, state) in job.groups.into_iter().zip(job.states) {
+                if !group.waiting.is_empty() {
+                    by_state.entry(state).or_default().push(group);
+                }
+            }
+            for (state, groups) in by_state {
+                plan.lane(state, job.priority, &job.trainer).add(accepted_at_ms, index, groups);
+            }
+        }
+        for (contender, lane) in plan.lanes.values_mut().flatten() {
+            contender.work_s = lane.work_s();
+        }
+        plan
+    }
+
+    /// Returns the lane of a trainer, a new one if it has none.
+    fn lane(&mut self, state: GroupState, priority: u32, trainer: &Trainer) -> &mut Lane {
+        let lanes = self.lanes.entry(state).or_default();
+        let is_own = |(one, _): &(Contender, Lane)| one.priority == priority && one.trainer == *trainer;
+        let position = lanes.iter().position(is_own).unwrap_or_else(|| {
+            let contender = Contender { priority, trainer: trainer.clone(), work_s: 0.0 };
+            lanes.push((contender, Lane::default()));
+            lanes.len() - 1
+        });
+        &mut lanes[position].1
+    }
+}
--- a/crates/core/src/batch/controller/live_item.rs
+++ b/crates/core/src/batch/controller/live_item.rs
@@ -1,5 +1,7 @@
 //! In-memory state of an open item, in addition to its state in the ledger.
 
+use std::time::Duration;
+
 use super::RunId;
 use crate::batch::job::OutputEvent;
 use crate::quarantine::Fingerprint;
@@ -31,6 +33,12 @@
     pub(super) is_restarted: bool,
     pub(super) written_at: Timestamp,
     pub(super) failures: u32,
+    /// Total time of the runs that have ended.
+    pub(super) ran: Duration,
+    /// Whether events were received before this owner ran the item, so that `ran` is not the time of its whole text.
+    pub(super) has_earlier_events: bool,
+    /// When its text was complete.
+    pub(super) completed_at: Option<Timestamp>,
     /// The replica to avoid, because the last run there ended early or was slow.
     pub(super) avoid: Option<String>,
     pub(super) stage: ItemStage,
@@ -42,6 +50,17 @@
 }
 
 impl LiveItem {
+    /// Returns whether the item waits to be started.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.run.is_none() && self.stage == ItemStage::Generating
+    }
+
+    /// Returns whether the item was started before, by this owner or an earlier one.
+    pub(super) fn was_started(&self) -> bool {
+        let has_run = self.run.is_some() || !self.ran.is_zero() || self.failures > 0;
+        has_run || !self.events.is_empty() || self.stage != ItemStage::Generating
+    }
+
     /// Returns the events that were not appended yet and counts them as appended.
     pub(super) fn take_unwritten(&mut self) -> Vec<OutputEvent> {
         let events = self.events[self.written..].to_vec();
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -6,7 +6,9 @@
 //! started.
 
 mod action;
+mod backlog;
 mod config;
+mod dispatch;
 mod duties;
 mod handover;
 mod inputs;
@@ -43,6 +45,7 @@
 use crate::time::{Timestamp, whole_millis};
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
+use dispatch::Dispatch;
 use live_item::{ItemStage, LiveItem};
 
 struct Run {
@@ -82,6 +85,7 @@
     paces: PaceModel,
     loads: LoadPlan,
     scores: ScorePlan,
+    dispatch: Dispatch,
     /// The shard's clock when this owner took over, in milliseconds.
     clock_base_ms: u64,
     began_at: Timestamp,
@@ -134,6 +138,7 @@
             paces: PaceModel::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
+            dispatch: Dispatch::default(),
             began_at: now,
             last_append_at: now,
             lease,
@@ -183,8 +188,7 @@
 
     /// Returns the number of running items and of waiting items.
     pub fn item_counts(&self) -> (usize, usize) {
-        let is_waiting = |item: &&LiveItem| item.run.is_none() && item.stage == ItemStage::Generating;
-        let waiting = self.items.values().filter(is_waiting).count();
+        let waiting = self.items.values().filter(|item| item.is_waiting()).count();
         (self.runs.len(), waiting)
     }
 
--- a/crates/core/src/batch/controller/records.rs
+++ b/crates/core/src/batch/controller/records.rs
@@ -45,7 +45,10 @@
             FollowUp::Nothing => {}
             FollowUp::Acceptance(batch) => self.accepted(now, &batch),
             FollowUp::Scoring(batch, item) => self.begin_scoring(now, &batch, item),
-            FollowUp::Listing(batch, item) => self.update_group(&batch, item),
+            FollowUp::Listing(batch, item) => {
+                self.observe_scoring(now, &batch, item);
+                self.update_group(&batch, item);
+            }
             FollowUp::Order(replica) => {
                 self.actions.extend(self.pending_loads.remove(&replica).map(Action::Load));
                 self.call_duty(&replica);
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -70,7 +70,7 @@
     pub(super) fn remove_items(&mut self, now: Timestamp, batch: &BatchId) {
         let runs: Vec<RunId> =
             self.runs.iter().filter(|(_, run)| &run.batch == batch).map(|(id, _)| *id).collect();
-        runs.into_iter().for_each(|run| self.stop(run));
+        runs.into_iter().for_each(|run| self.stop(now, run));
         self.stop_scores(now, |(owner, _)| owner == batch);
         self.items.retain(|(owner, _), _| owner != batch);
         self.tallies.remove(batch);
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -81,14 +81,14 @@
         self.record_decision(
             Decision::new(Component::Rollout, "run_stopped", "wrong_version", batch).with("item", item),
         );
-        self.stop(id);
+        self.stop(now, id);
         self.mark_items_due(now);
     }
 
     pub(super) fn run_ended(&mut self, now: Timestamp, id: RunId, end: RunEnd) {
         let Some(run) = self.runs.get(&id) else { return };
         let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
-        self.stop(id);
+        self.stop(now, id);
         let key = (batch.clone(), item);
         if let Some(state) = self.replicas.get_mut(&replica) {
             match end {
@@ -107,7 +107,10 @@
         let max_attempts = self.route(&batch).map_or(1, |route| route.max_attempts);
         let Some(live) = self.items.get_mut(&key) else { return };
         match end {
-            RunEnd::Complete => self.complete_text(now, &batch, item),
+            RunEnd::Complete => {
+                self.observe_work(now, &replica, &batch, item);
+                self.complete_text(now, &batch, item);
+            }
             RunEnd::Unprocessable => self.give_up(now, &batch, item, "never"),
             RunEnd::Failed => {
                 live.failures += 1;
@@ -128,6 +131,7 @@
         let needs_score = self.item(batch, item).is_some_and(|item| item.scorer.is_some());
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return };
         live.stage = if needs_score { ItemStage::Persisting } else { ItemStage::Listing };
+        live.completed_at = Some(now);
         let mut events = std::mem::take(&mut live.events);
         let batch = batch.clone();
         let line_feeds = events.len().saturating_sub(1);
@@ -152,7 +156,7 @@
         live.stage = ItemStage::Listing;
         let run = live.run.take();
         if let Some(run) = run {
-            self.stop(run);
+            self.stop(now, run);
         }
         self.stop_scores(now, |key| key.0 == *batch && key.1 == item);
         let subject = self.item(batch, item).map_or_else(String::new, |item| item.id.clone());
@@ -203,7 +207,7 @@
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
             self.record_decision(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
-            self.stop(id);
+            self.stop(now, id);
             if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
                 live.avoid = Some(replica);
             }
@@ -232,10 +236,11 @@
         is_worth_moving(pace, other.reliable_pace(&self.paces), events)
     }
 
-    pub(super) fn stop(&mut self, id: RunId) {
+    pub(super) fn stop(&mut self, now: Timestamp, id: RunId) {
         let Some(run) = self.runs.remove(&id) else { return };
         if let Some(live) = self.items.get_mut(&(run.batch.clone(), run.item)) {
             live.run = None;
+            live.ran += now.saturating_since(run.started_at);
         }
         if let Some(state) = self.replicas.get_mut(&run.replica) {
             state.running = state.running.saturating_sub(1);
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -13,9 +13,6 @@
 use crate::ingress::routes::{Route, WeightedService};
 use crate::time::{Timestamp, whole_millis};
 
-/// Default urgency of an item (0 is the most urgent, 9 the least).
-const DEFAULT_URGENCY: u8 = 5;
-
 impl Controller {
     /// Schedules a pass over the waiting items.
     pub(super) fn mark_items_due(&mut self, now: Timestamp) {
@@ -59,33 +56,39 @@
         if !self.replicas.values().any(ReplicaState::has_free_slot) {
             return;
         }
-        let is_waiting = |live: &LiveItem| live.run.is_none() && live.stage == ItemStage::Generating;
-        if !self.items.values().any(is_waiting) {
+        if !self.items.values().any(LiveItem::is_waiting) {
             return;
         }
+        let planned = self.start_items_of_short_pools(now);
         let mut full_classes = HashSet::new();
-        for WaitingItem { batch, item, class } in self.waiting(now) {
+        for WaitingItem { batch, item, class } in self.waiting(now, &planned) {
             if full_classes.contains(&class) || self.start_item(now, &batch, item) {
                 continue;
             }
-            let requirements = self.requirements(&batch, item).map(Requirements::minimal);
-            if !requirements.is_some_and(|requirements| {
-                schedule::has_matching_replica(&self.replicas, &requirements, now)
-            }) {
+            if !self.has_capacity_for_class(now, &batch, item) {
                 full_classes.insert(class);
             }
         }
     }
 
-    /// Returns the waiting items that a replica may have capacity for, most urgent first.
+    /// Returns whether a replica has capacity for any item of the same class.
+    pub(super) fn has_capacity_for_class(&self, now: Timestamp, batch: &BatchId, item: u32) -> bool {
+        let requirements = self.requirements(batch, item).map(Requirements::minimal);
+        requirements
+            .is_some_and(|requirements| schedule::has_matching_replica(&self.replicas, &requirements, now))
+    }
+
+    /// Returns the waiting items that a replica may have capacity for, most urgent first, except those of jobs that
+    /// are served in the order for a shortage.
     ///
     /// What the items of one job and model share is computed once for all of them: there may be a thousand
     /// waiting items, most of which need replicas without a free slot.
-    fn waiting(&self, now: Timestamp) -> Vec<WaitingItem> {
-        let classes = self.open_classes(now);
+    fn waiting(&self, now: Timestamp, planned: &HashSet<BatchId>) -> Vec<WaitingItem> {
+        let mut classes = self.open_classes(now);
+        classes.retain(|batch, _| !planned.contains(*batch));
         let mut waiting = Vec::new();
         for ((batch, item), live) in &self.items {
-            if live.run.is_some() || live.stage != ItemStage::Generating {
+            if !live.is_waiting() {
                 continue;
             }
             let Some(job_classes) = classes.get(batch) else { continue };
@@ -108,7 +111,7 @@
     }
 
     /// Returns the open jobs that have at least one model with capacity on a replica.
-    fn open_classes(&self, now: Timestamp) -> HashMap<&BatchId, JobClasses<'_>> {
+    pub(super) fn open_classes(&self, now: Timestamp) -> HashMap<&BatchId, JobClasses<'_>> {
         let clock_ms = self.clock_ms(now);
         let mut next_class = 0;
         let mut classes = HashMap::new();
@@ -222,6 +225,7 @@
         let run = RunId(self.last_run);
         live.run = Some(run);
         live.written_at = now;
+        live.has_earlier_events |= live.ran.is_zero() && !live.events.is_empty();
         if restarts_text {
             live.restart();
         }
@@ -230,7 +234,7 @@
         let started =
             Run { batch: batch.clone(), item, replica: chosen, tokens, started_at: now, last_event_at: None };
         self.runs.insert(run, started);
-        let (item, urgency) = (request, DEFAULT_URGENCY);
+        let (item, urgency) = (request, self.urgency(batch));
         let start = RunStart { run, replica, host, tenant, item, fingerprint, last_event, urgency };
         self.record_decision(start_decision(batch, &start));
         self.actions.push_back(Action::Start(Box::new(start)));
@@ -277,7 +281,7 @@
 }
 
 /// What the waiting items of a job have in common.
-struct JobClasses<'a> {
+pub(super) struct JobClasses<'a> {
     job: &'a JobState,
     is_late: bool,
     /// The job's models for which a replica has capacity; each is one class.
@@ -287,7 +291,7 @@
 }
 
 impl JobClasses<'_> {
-    fn class(&self, model: Option<&str>) -> Option<usize> {
+    pub(super) fn class(&self, model: Option<&str>) -> Option<usize> {
         let position = self.models.iter().position(|open| *open == model)?;
         Some(self.first_class + position)
     }
--- /dev/null
+++ b/crates/core/src/batch/dispatch_order.rs
@@ -0,0 +1,169 @@
+//! Order of the groups of a job under a shortage.
+//!
+//! Load pattern: a job has more waiting items than can start soon. A trainer can only use complete groups, so starting
+//! the longest items of all groups first would complete nearly all groups late. Instead, the items of one group are
+//! started together, and groups that can no longer be in time never delay groups that can.
+
+use std::cmp::Reverse;
+
+/// What can still become of an incomplete group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum GroupState {
+    /// The trainer needs it, and it can be complete when the job is due.
+    InTime,
+    /// The trainer needs it, but it can't be complete when the job is due.
+    Late,
+    /// It exceeds the number of groups that the trainer waits for.
+    Surplus,
+}
+
+impl GroupState {
+    /// All states, in the order in which groups are served.
+    pub const ALL: [Self; 3] = [Self::InTime, Self::Late, Self::Surplus];
+}
+
+/// An item that waits to be started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WaitingItem {
+    /// Its position in the job.
+    pub item: u32,
+    /// Its estimated work in slot-seconds.
+    pub work_s: f64,
+    /// Its class: items of one class can use the same replicas. `None` if no replica has capacity for it.
+    pub class: Option<usize>,
+}
+
+/// An incomplete group, or an item without a group.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct IncompleteGroup {
+    /// Whether it is a group; an item without one does not count towards the number that the trainer waits for.
+    pub is_group: bool,
+    /// Whether the trainer waits for it, whichever others are complete.
+    pub is_required: bool,
+    /// Whether one of its items was started or listed.
+    pub is_started: bool,
+    /// Time until its longest unfinished item can be listed, in seconds.
+    pub finish_s: f64,
+    /// Its items that wait to be started.
+    pub waiting: Vec<WaitingItem>,
+}
+
+impl IncompleteGroup {
+    /// Returns the estimated work of the waiting items in slot-seconds.
+    pub fn waiting_s(&self) -> f64 {
+        self.waiting.iter().map(|waiting| waiting.work_s).sum()
+    }
+
+    /// Puts the longest waiting item last, from where items are removed.
+    fn sort_waiting(&mut self) {
+        let order = |one: &WaitingItem, other: &WaitingItem| {
+            one.work_s.total_cmp(&other.work_s).then(other.item.cmp(&one.item))
+        };
+        self.waiting.sort_by(order);
+    }
+}
+
+/// Returns the state of each group of a job. `missing` is the number of groups that must still become complete,
+/// `None` if the trainer waits for all; `left_s` is the time until the job is due, in seconds.
+///
+/// Required and started groups are needed even beyond `missing`. The others are needed in the order of their
+/// positions, those that can be in time first, until there are enough.
+pub fn group_states(groups: &[IncompleteGroup], missing: Option<u64>, left_s: f64) -> Vec<GroupState> {
+    let is_fixed = |group: &IncompleteGroup| !group.is_group || group.is_required || group.is_started;
+    let fixed = groups.iter().filter(|group| group.is_group && is_fixed(group)).count();
+    let mut open = missing.map_or(usize::MAX, |missing| usize::try_from(missing).unwrap_or(usize::MAX));
+    open = open.saturating_sub(fixed);
+    let is_in_time = |group: &IncompleteGroup| group.finish_s <= left_s;
+    let needed_state = |group| if is_in_time(group) { GroupState::InTime } else { GroupState::Late };
+    let initial = |group| if is_fixed(group) { needed_state(group) } else { GroupState::Surplus };
+    let mut states: Vec<GroupState> = groups.iter().map(initial).collect();
+    for is_pass_in_time in [true, false] {
+        for (group, state) in groups.iter().zip(&mut states) {
+            if open > 0 && !is_fixed(group) && is_in_time(group) == is_pass_in_time {
+                *state = needed_state(group);
+                open -= 1;
+            }
+        }
+    }
+    states
+}
+
+/// Sorts the groups of a job in the order in which they are served: required ones, started ones, those with the least
+/// slack, and then by position. Positions are those in `groups`.
+pub fn sort_groups(positions: &mut [usize], groups: &[IncompleteGroup]) {
+    positions.sort_by(|left, right| {
+        let key = |position: usize| groups.get(position).map(|group| (!group.is_required, !group.is_started));
+        let finish = |position: usize| groups.get(position).map_or(0.0, |group| group.finish_s);
+        let by_slack = finish(*right).total_cmp(&finish(*left));
+        key(*left).cmp(&key(*right)).then(by_slack).then(left.cmp(right))
+    });
+}
+
+/// The waiting items of a trainer's groups in one state, generated one by one: groups and items are sorted only when
+/// their turn comes, because far fewer items can start in one pass than wait.
+#[derive(Clone, Debug, Default)]
+pub struct Lane {
+    /// Jobs that are still to come, in reverse order.
+    jobs: Vec<LaneJob>,
+}
+
+/// The waiting groups of one job in a lane.
+#[derive(Clone, Debug)]
+struct LaneJob {
+    accepted_at_ms: u64,
+    /// Index of the job, as given by the caller.
+    job: usize,
+    groups: Vec<IncompleteGroup>,
+    is_sorted: bool,
+}
+
+impl Lane {
+    /// Adds the groups of a job in the order of their positions. Older jobs are served first.
+    pub fn add(&mut self, accepted_at_ms: u64, job: usize, groups: Vec<IncompleteGroup>) {
+        self.jobs.push(LaneJob { accepted_at_ms, job, groups, is_sorted: false });
+        self.jobs.sort_by_key(|one| Reverse((one.accepted_at_ms, one.job)));
+    }
+
+    /// Returns the estimated work of all items, in slot-seconds.
+    pub fn work_s(&self) -> f64 {
+        self.jobs.iter().flat_map(|job| &job.groups).map(IncompleteGroup::waiting_s).sum()
+    }
+
+    /// Removes and returns the next item, with the index of its job.
+    pub fn next_item(&mut self) -> Option<(usize, WaitingItem)> {
+        loop {
+            let job = self.jobs.last_mut()?;
+            if !job.is_sorted {
+                job.sort();
+            }
+            let Some(group) = job.groups.last_mut() else {
+                self.jobs.pop();
+                continue;
+            };
+            match group.waiting.pop() {
+                Some(waiting) => return Some((job.job, waiting)),
+                None => {
+                    job.groups.pop();
+                    if let Some(next) = job.groups.last_mut() {
+                        next.sort_waiting();
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl LaneJob {
+    /// Sorts the groups in reverse order, so that the next one is removed from the end.
+    fn sort(&mut self) {
+        let mut positions: Vec<usize> = (0..self.groups.len()).collect();
+        sort_groups(&mut positions, &self.groups);
+        let mut groups = std::mem::take(&mut self.groups);
+        self.groups =
+            positions.into_iter().rev().map(|position| std::mem::take(&mut groups[position])).collect();
+        if let Some(next) = self.groups.last_mut() {
+            next.sort_waiting();
+        }
+        self.is_sorted = true;
+    }
+}
--- a/crates/core/src/batch/group_tally.rs
+++ b/crates/core/src/batch/group_tally.rs
@@ -14,6 +14,8 @@
     groups: Vec<Option<usize>>,
     /// Number of items of each group that are not listed yet.
     remaining: Vec<u32>,
+    /// Number of items of each group.
+    sizes: Vec<u32>,
     names: Vec<String>,
     /// Whether the trainer waits for each group, whichever others are complete.
     required: Vec<bool>,
@@ -44,11 +46,13 @@
             let number = *numbers.entry(name).or_insert_with(|| {
                 tally.names.push(name.to_owned());
                 tally.remaining.push(0);
+                tally.sizes.push(0);
                 tally.required.push(false);
                 tally.remaining.len() - 1
             });
             tally.groups.push(Some(number));
             tally.remaining[number] += u32::from(!kept.is_listed);
+            tally.sizes[number] += 1;
         }
         tally.complete_groups = tally.remaining.iter().filter(|remaining| **remaining == 0).count();
         tally
@@ -64,6 +68,16 @@
         self.remaining.get(group).copied().unwrap_or(0)
     }
 
+    /// Returns whether an item of a group is listed.
+    pub(crate) fn has_listed(&self, group: usize) -> bool {
+        self.sizes.get(group).is_some_and(|size| self.remaining(group) < *size)
+    }
+
+    /// Returns the number of complete groups.
+    pub(crate) const fn complete_groups(&self) -> usize {
+        self.complete_groups
+    }
+
     /// Marks a group as one that the trainer waits for, whichever others are complete.
     #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
     pub fn mark_required(&mut self, group: usize) {
@@ -73,7 +87,6 @@
     }
 
     /// Returns whether the trainer waits for a group, whichever others are complete.
-    #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
     pub fn is_required(&self, group: usize) -> bool {
         self.required.get(group).copied().unwrap_or(false)
     }
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -8,7 +8,9 @@
 
 pub mod controller;
 pub mod cut_off;
+pub mod dispatch_order;
 pub mod election;
+pub mod fair_share;
 mod group_tally;
 pub mod job;
 pub mod leaving;
@@ -26,5 +28,7 @@
 pub mod regional;
 mod schedule;
 pub mod score_plan;
+pub mod shortage;
 pub mod weights;
+pub mod work_estimate;
 mod working_set;
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod load;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
