Report the waiting work of a batch shard

Cause: operators can't see which trainer waits for slots, and whether a service is short of them.

Change: Controller::queue_report counts the items and groups of each trainer by state, and states the drain time and the share of the recently started work.

--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -13,7 +13,7 @@
 use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane};
 use crate::batch::fair_share::{Contender, FairQueue, Trainer};
 use crate::batch::schedule::ReplicaState;
-use crate::batch::work_estimate::WorkEstimates;
+use crate::batch::work_estimate::{DecayingSum, WorkEstimates};
 use crate::identity::BatchId;
 use crate::time::Timestamp;
 
@@ -31,6 +31,10 @@
     queues: BTreeMap<String, BTreeMap<GroupState, FairQueue>>,
     /// The priority levels of services with more than one, as of the last pass.
     levels: BTreeMap<String, BTreeSet<u32>>,
+    /// Work recently given to each trainer, by the first service of its route.
+    pub(super) grants: BTreeMap<String, BTreeMap<Trainer, DecayingSum>>,
+    /// Number of jobs refused since this owner took over.
+    pub(super) refused_jobs: u64,
 }
 
 /// The waiting items of a pool in the order in which they are started.
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod live_item;
 mod loading;
+mod queue;
 mod records;
 mod retention;
 mod runs;
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -234,6 +234,7 @@
         let started =
             Run { batch: batch.clone(), item, replica: chosen, tokens, started_at: now, last_event_at: None };
         self.runs.insert(run, started);
+        self.count_grant(now, batch, item);
         let (item, urgency) = (request, self.urgency(batch));
         let start = RunStart { run, replica, host, tenant, item, fingerprint, last_event, urgency };
         self.record_decision(start_decision(batch, &start));
