Compare an item's memory with that of the replica's own service

Cause: on a split route, the memory of the first service was taken for all of them. Replicas of a service with more memory were left idle, and those of one with less were sent too much.

Change: the memory is looked up by the service of the replica.

--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -10,7 +10,7 @@
 use crate::identity::{BatchId, TenantName};
 use crate::ingress::places::AllowedRegions;
 use crate::ingress::replicas::ReplicaRecord;
-use crate::ingress::routes::{Route, WeightedService};
+use crate::ingress::routes::Route;
 use crate::time::{Timestamp, whole_millis};
 
 impl Controller {
@@ -156,15 +156,13 @@
         job: &JobState,
         model: Option<&'a str>,
     ) -> Requirements<'a> {
-        let service = |part: &WeightedService| self.routes.as_ref()?.services.get(&part.service);
-        let first_service = route.services.first().and_then(service);
         Requirements {
             services: &route.services,
             model,
             min_version: job.job.min_version,
             exact_version: None,
             tokens: 0,
-            memory_tokens: first_service.and_then(|service| service.memory_tokens),
+            memory: self.routes.as_deref().map(|routes| &routes.services),
             avoid: None,
             gate: &self.gate,
             regions: self.allowed_regions(route, job.job.tenant.as_ref()),
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -16,7 +16,7 @@
 use crate::ingress::admission::AdmissionGate;
 use crate::ingress::places::{AllowedRegions, ZoneMap};
 use crate::ingress::replicas::ReplicaRecord;
-use crate::ingress::routes::WeightedService;
+use crate::ingress::routes::{Service, WeightedService};
 use crate::time::Timestamp;
 
 /// Pause between two events assumed while none was measured in the service.
@@ -247,7 +247,8 @@
     /// Requires exactly this version, where the events of an item must not mix versions.
     pub(super) exact_version: Option<u64>,
     pub(super) tokens: u64,
-    pub(super) memory_tokens: Option<u64>,
+    /// The services with their memory, by name. The services of one route may differ.
+    pub(super) memory: Option<&'a BTreeMap<String, Service>>,
     /// Replica to avoid if another one qualifies.
     pub(super) avoid: Option<&'a str>,
     /// Decides which replicas admit new work.
@@ -288,7 +289,8 @@
     }
 
     fn has_memory(&self, replica: &ReplicaState) -> bool {
-        let Some(memory) = self.memory_tokens else { return true };
+        let service = self.memory.and_then(|services| services.get(&replica.record.service));
+        let Some(memory) = service.and_then(|service| service.memory_tokens) else { return true };
         replica.running == 0 || replica.tokens + self.tokens <= memory
     }
 }
