--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -6,10 +6,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use super::Controller;
 use super::backlog::{Pool, priority};
 use super::jobs::expected_tokens;
 use super::starting::JobClasses;
+use super::{Controller, LiveItem};
 use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane};
 use crate::batch::fair_share::{Contender, FairQueue, Trainer};
 use crate::batch::schedule::ReplicaState;
@@ -31,12 +31,23 @@
     queues: BTreeMap<String, BTreeMap<GroupState, FairQueue>>,
     /// The priority levels of services with more than one, as of the last pass.
     levels: BTreeMap<String, BTreeSet<u32>>,
+    /// The services with a shortage in which the last pass left slots idle, because no waiting item can use them.
+    idle_services: BTreeSet<String>,
+    /// The services in which items wait for the next free slot, as of the last search for runs to move.
+    awaited_services: BTreeSet<String>,
     /// Work recently given to each trainer, by the first service of its route.
     pub(super) grants: BTreeMap<String, BTreeMap<Trainer, DecayingSum>>,
     /// Number of jobs refused since this owner took over.
     pub(super) refused_jobs: u64,
 }
 
+impl Dispatch {
+    /// Notes that all slots are in use.
+    pub(super) fn clear_idle_services(&mut self) {
+        self.idle_services.clear();
+    }
+}
+
 /// The waiting items of a pool in the order in which they are started.
 struct PoolPlan {
     name: String,
@@ -77,6 +88,7 @@
             plans.extend(pools.into_iter().map(|pool| PoolPlan::new(pool, &classes)));
         }
         self.dispatch.levels = levels;
+        self.dispatch.idle_services.clear();
         plans
     }
 
@@ -90,6 +102,9 @@
             queue.begin(contenders, capacity_s, quantum_s);
             self.serve(now, &mut pass, queue, &mut lanes);
         }
+        if self.has_free_slot_in(&pass.services) {
+            self.dispatch.idle_services.append(&mut pass.services);
+        }
         self.dispatch.queues.insert(name, queues);
     }
 
@@ -133,6 +148,27 @@
         })
     }
 
+    /// Determines in which services items wait for the next free slot. A run that moves would take it from them.
+    pub(super) fn find_awaited_services(&mut self, now: Timestamp) {
+        let mut pools = self.pools_with_jobs(now);
+        pools.retain(Pool::has_levels);
+        if !pools.is_empty() && self.items.values().any(LiveItem::is_waiting) {
+            self.add_items(now, &mut pools, &HashMap::new());
+            pools.retain(|pool| pool.backlog().is_short());
+        } else {
+            pools.clear();
+        }
+        let services = pools.iter().flat_map(|pool| &pool.services).copied();
+        let is_awaited = |service: &&str| !self.dispatch.idle_services.contains(*service);
+        self.dispatch.awaited_services = services.filter(is_awaited).map(str::to_owned).collect();
+    }
+
+    /// Returns whether items wait for the next free slot that this job could use.
+    pub(super) fn is_slot_awaited(&self, batch: &BatchId) -> bool {
+        let services = self.route(batch).map(|route| route.services.as_slice()).unwrap_or_default();
+        services.iter().any(|part| self.dispatch.awaited_services.contains(&part.service))
+    }
+
     /// Learns from an item whose text is complete how much work its expected tokens are.
     pub(super) fn observe_work(&mut self, now: Timestamp, replica: &str, batch: &BatchId, item: u32) {
         let Some(request) = self.item(batch, item) else { return };
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, Controller, ItemStage, Run, RunEnd, RunEvent, RunId};
 use crate::batch::job::{ItemResult, OutputEvent};
-use crate::batch::moves::{MAX_MOVES_PER_TICK, MIN_TIME_ON_REPLICA, is_worth_moving};
+use crate::batch::moves::{MAX_MOVES_PER_TICK, MIN_TIME_ON_REPLICA, is_worth_awaited_slot, is_worth_moving};
 use crate::batch::record::Record;
 use crate::batch::schedule::{self, BROKEN_RUN_COOLDOWN, REJECTION_COOLDOWN, Requirements};
 use crate::decision::{Component, Decision};
@@ -191,6 +191,7 @@
         else {
             return;
         };
+        self.find_awaited_services(now);
         let mut moves = 0;
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for id in runs {
@@ -233,7 +234,9 @@
         let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
             return false;
         };
-        is_worth_moving(pace, other.reliable_pace(&self.paces), events)
+        let other_pace = other.reliable_pace(&self.paces);
+        let is_allowed = !self.is_slot_awaited(&run.batch) || is_worth_awaited_slot(pace, other_pace);
+        is_allowed && is_worth_moving(pace, other_pace, events)
     }
 
     pub(super) fn stop(&mut self, now: Timestamp, id: RunId) {
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -54,6 +54,7 @@
 
     fn start_items(&mut self, now: Timestamp) {
         if !self.replicas.values().any(ReplicaState::has_free_slot) {
+            self.dispatch.clear_idle_services();
             return;
         }
         if !self.items.values().any(LiveItem::is_waiting) {
--- a/crates/core/src/batch/moves.rs
+++ b/crates/core/src/batch/moves.rs
@@ -10,6 +10,9 @@
 /// Minimum speedup for a move. Measured paces vary by some percent, and the fastest of many similar replicas
 /// looks faster than it is.
 const MIN_SPEEDUP: f64 = 1.18;
+/// Minimum speedup for a move into a slot for which other items wait. The slow replica's slot is left to a waiting item,
+/// so a smaller speedup only exchanges which of the two items is slow, at the cost of the move.
+const MIN_SPEEDUP_UNDER_SHORTAGE: f64 = 2.0;
 /// Cost of a move in seconds: connecting, reading the prompt and the previous output again, and the first
 /// event.
 const MOVE_COST_S: f64 = 0.2;
@@ -24,3 +27,9 @@
     let gain = (pace - other) * events as f64;
     other * MIN_SPEEDUP < pace && gain > MOVE_COST_S
 }
+
+/// Returns whether a run may move from a pace of `pace` to one of `other` seconds per event, into a slot for which
+/// other items wait.
+pub(super) fn is_worth_awaited_slot(pace: f64, other: f64) -> bool {
+    other * MIN_SPEEDUP_UNDER_SHORTAGE <= pace
+}
