Refuse jobs that can't start before they are due

Cause: a trainer that submits jobs faster than its share of the slots completes them makes all of them late, and learns of it only then.

Change: where priorities differ and there is a shortage, a job is refused with reason no_time if the groups of the trainer's own earlier jobs that can be in time take its share until the job is due. Classes of items are looked up only for services with a shortage, and items without a free replica are skipped without a new choice of the trainer.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -104,7 +104,7 @@
     Committed,
     /// The job is accepted once its record is committed.
     Pending,
-    /// The job exceeds the capacity and is refused.
+    /// The job exceeds the capacity, or its trainer's earlier jobs leave no time for it; it is refused.
     Full,
     /// Another tenant's job has the same id; the job is refused.
     IdTaken,
--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -1,15 +1,14 @@
 //! The open work of the services, grouped by jobs and groups.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::jobs::expected_tokens;
-use super::starting::JobClasses;
 use super::{Controller, ItemStage, LiveItem};
 use crate::batch::dispatch_order::{GroupState, IncompleteGroup, WaitingItem, group_states};
-use crate::batch::fair_share::Trainer;
+use crate::batch::fair_share::{Trainer, level_shares};
 use crate::batch::group_tally::GroupTally;
-use crate::batch::job::BatchItem;
+use crate::batch::job::{BatchItem, BatchJob};
 use crate::batch::ledger::JobState;
 use crate::batch::shortage::Backlog;
 use crate::batch::work_estimate::remaining_s;
@@ -40,8 +39,6 @@
     /// Slot-seconds per expected token, once known.
     seconds_per_token: Option<f64>,
     pub(super) running: u32,
-    /// Estimated work left of the running items, in slot-seconds.
-    pub(super) running_s: f64,
     /// Its incomplete groups in the order of their positions, then the items without a group.
     pub(super) groups: Vec<IncompleteGroup>,
     /// The state of each of these.
@@ -68,6 +65,27 @@
         Backlog { work_s: is_known.then_some(work), slots: self.slots, due_s: due.as_secs_f64() }
     }
 
+    /// Returns the part of the slots that each trainer can count on while all trainers have work, by priority and
+    /// trainer: the share of its level, split evenly between the trainers of the level.
+    pub(super) fn trainer_shares(&self) -> BTreeMap<(u32, &Trainer), f64> {
+        let mut levels: BTreeMap<u32, (f64, BTreeSet<&Trainer>)> = BTreeMap::new();
+        for job in self.jobs.iter().filter(|job| job.needed_s() > 0.0) {
+            let (work, trainers) = levels.entry(job.priority).or_default();
+            *work += job.needed_s();
+            trainers.insert(&job.trainer);
+        }
+        let total: f64 = levels.values().map(|(work, _)| work).sum();
+        let demands: Vec<f64> = levels.values().map(|(work, _)| work / total).collect();
+        let shares = level_shares(&demands, self.backlog().capacity_s() / total);
+        let served: f64 = shares.iter().sum();
+        let mut trainer_shares = BTreeMap::new();
+        for ((priority, (_, trainers)), share) in levels.iter().zip(shares) {
+            let each = share / served / trainers.len() as f64;
+            trainer_shares.extend(trainers.iter().map(|trainer| ((*priority, *trainer), each)));
+        }
+        trainer_shares
+    }
+
     /// Returns the number of trainers with waiting work that they need.
     pub(super) fn trainers(&self) -> usize {
         let needing = self.jobs.iter().filter(|job| job.needed_s() > 0.0);
@@ -81,31 +99,34 @@
         self.groups.iter().zip(self.states.iter().copied())
     }
 
+    /// Returns the estimated work of the waiting items of groups that can be in time, in slot-seconds.
+    pub(super) fn in_time_s(&self) -> f64 {
+        let in_time = self.groups_with_states().filter(|(_, state)| *state == GroupState::InTime);
+        in_time.map(|(group, _)| group.waiting_s()).sum()
+    }
+
     /// Returns the estimated work of the waiting items that the trainer needs, in slot-seconds.
     pub(super) fn needed_s(&self) -> f64 {
         let needed = self.groups_with_states().filter(|(_, state)| *state != GroupState::Surplus);
         needed.map(|(group, _)| group.waiting_s()).sum()
     }
 
-    /// Adds an item. Items without a group are appended behind the groups.
-    fn add(&mut self, item: u32, request: &BatchItem, live: &LiveItem, facts: ItemFacts) {
+    /// Adds an item, of which all runs together took `ran` so far. Items without a group are appended behind the groups.
+    fn add(&mut self, item: u32, request: &BatchItem, live: &LiveItem, ran: Duration, scoring_delay_s: f64) {
         let position = self.tally.group(item).unwrap_or_else(|| {
             self.groups.push(IncompleteGroup::default());
             self.groups.len() - 1
         });
         let is_generating = live.stage == ItemStage::Generating;
         let estimate_s = self.seconds_per_token.unwrap_or(0.0) * expected_tokens(request) as f64;
-        let work_s = if is_generating { remaining_s(estimate_s, facts.ran) } else { 0.0 };
-        let scoring_s = if request.scorer.is_some() { facts.scoring_delay_s } else { 0.0 };
+        let work_s = if is_generating { remaining_s(estimate_s, ran) } else { 0.0 };
+        let scoring_s = if request.scorer.is_some() { scoring_delay_s } else { 0.0 };
         self.running += u32::from(live.run.is_some());
-        if live.run.is_some() {
-            self.running_s += work_s;
-        }
         let Some(group) = self.groups.get_mut(position) else { return };
         group.is_started |= live.was_started();
         group.finish_s = group.finish_s.max(work_s + scoring_s);
         if live.is_waiting() {
-            group.waiting.push(WaitingItem { item, work_s, class: facts.class });
+            group.waiting.push(WaitingItem { item, work_s, class: None });
         }
     }
 
@@ -126,14 +147,6 @@
     }
 }
 
-/// What an item's place in the backlog depends on besides its state.
-#[derive(Clone, Copy)]
-struct ItemFacts {
-    ran: Duration,
-    scoring_delay_s: f64,
-    class: Option<usize>,
-}
-
 impl Controller {
     /// Returns the pools of services that have open jobs, without the items of the jobs.
     pub(super) fn pools_with_jobs(&self, now: Timestamp) -> Vec<Pool<'_>> {
@@ -176,24 +189,18 @@
             state,
             route,
             tally,
-            priority: priority(routes, route, state),
-            trainer: trainer_of(state),
+            priority: priority(routes, route, &state.job),
+            trainer: trainer_of(&state.job),
             left_s: (whole_millis(route.due) as f64 - age_ms as f64) / 1_000.0,
             seconds_per_token: self.dispatch.estimates.seconds_per_token(services),
             running: 0,
-            running_s: 0.0,
             groups: (0..tally.groups()).map(groups).collect(),
             states: Vec::new(),
         })
     }
 
     /// Adds the open items to the jobs of the pools, and determines the states of their groups.
-    pub(super) fn add_items(
-        &self,
-        now: Timestamp,
-        pools: &mut [Pool<'_>],
-        classes: &HashMap<&BatchId, JobClasses<'_>>,
-    ) {
+    pub(super) fn add_items(&self, now: Timestamp, pools: &mut [Pool<'_>]) {
         let mut jobs: HashMap<&BatchId, &mut OpenJob<'_>> = HashMap::new();
         for job in pools.iter_mut().flat_map(|pool| &mut pool.jobs) {
             jobs.insert(job.batch, job);
@@ -204,9 +211,7 @@
             let Some(request) = job.state.job.items.get(*item as usize) else { continue };
             let run = live.run.and_then(|run| self.runs.get(&run));
             let current = run.map(|run| now.saturating_since(run.started_at)).unwrap_or_default();
-            let class = classes.get(batch).and_then(|classes| classes.class(request.model.as_deref()));
-            let facts = ItemFacts { ran: live.ran + current, scoring_delay_s, class };
-            job.add(*item, request, live, facts);
+            job.add(*item, request, live, live.ran + current, scoring_delay_s);
         }
         jobs.into_values().for_each(OpenJob::finish);
     }
@@ -248,14 +253,14 @@
 }
 
 /// Returns the priority of a job: that of its tenant, or else that of its route.
-pub(super) fn priority(routes: &RouteTable, route: &Route, state: &JobState) -> u32 {
-    let tenant = state.job.tenant.as_ref();
+pub(super) fn priority(routes: &RouteTable, route: &Route, job: &BatchJob) -> u32 {
+    let tenant = job.tenant.as_ref();
     let tenant = tenant.and_then(|name| routes.tenants.as_ref()?.by_name(name));
     tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
 }
 
 /// Returns the trainer that submitted a job.
-pub(super) fn trainer_of(state: &JobState) -> Trainer {
-    let model = state.job.items.first().and_then(|item| item.model.clone());
-    Trainer { tenant: state.job.tenant.clone(), route: state.job.route.clone(), model }
+pub(super) fn trainer_of(job: &BatchJob) -> Trainer {
+    let model = job.items.first().and_then(|item| item.model.clone());
+    Trainer { tenant: job.tenant.clone(), route: job.route.clone(), model }
 }
--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -10,7 +10,7 @@
 use super::jobs::expected_tokens;
 use super::starting::JobClasses;
 use super::{Controller, LiveItem};
-use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane};
+use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane, WaitingItem};
 use crate::batch::fair_share::{Contender, FairQueue, Trainer};
 use crate::batch::schedule::ReplicaState;
 use crate::batch::work_estimate::{DecayingSum, WorkEstimates};
@@ -82,9 +82,11 @@
         let levels = pools.iter().flat_map(levels).collect();
         let mut plans = Vec::new();
         if !pools.is_empty() {
-            let classes = self.open_classes(now);
-            self.add_items(now, &mut pools, &classes);
+            self.add_items(now, &mut pools);
             pools.retain(|pool| pool.backlog().is_short());
+        }
+        if !pools.is_empty() {
+            let classes = self.open_classes(now);
             plans.extend(pools.into_iter().map(|pool| PoolPlan::new(pool, &classes)));
         }
         self.dispatch.levels = levels;
@@ -112,14 +114,11 @@
     fn serve(&mut self, now: Timestamp, pass: &mut Pass, queue: &mut FairQueue, lanes: &mut [Lane]) {
         while self.has_free_slot_in(&pass.services) {
             let Some(contender) = queue.next_contender() else { return };
-            let next = lanes.get_mut(contender).and_then(Lane::next_item);
-            let Some((job, waiting)) = next else {
+            let next = lanes.get_mut(contender).and_then(|lane| pass.next_startable(lane));
+            let Some((job, waiting, class)) = next else {
                 queue.exhaust(contender);
                 continue;
             };
-            let Some(class) = waiting.class.filter(|class| !pass.full_classes.contains(class)) else {
-                continue;
-            };
             let Some(batch) = pass.batches.get(job) else { continue };
             if self.start_item(now, batch, waiting.item) {
                 queue.charge(contender, waiting.work_s);
@@ -139,7 +138,7 @@
         let level = || {
             let (state, route) = (self.ledger.job(batch)?, self.route(batch)?);
             let levels = self.dispatch.levels.get(&route.services.first()?.service)?;
-            let priority = priority(self.routes.as_deref()?, route, state);
+            let priority = priority(self.routes.as_deref()?, route, &state.job);
             Some(levels.range(..priority).count())
         };
         level().map_or(DEFAULT_URGENCY, |level| {
@@ -153,7 +152,7 @@
         let mut pools = self.pools_with_jobs(now);
         pools.retain(Pool::has_levels);
         if !pools.is_empty() && self.items.values().any(LiveItem::is_waiting) {
-            self.add_items(now, &mut pools, &HashMap::new());
+            self.add_items(now, &mut pools);
             pools.retain(|pool| pool.backlog().is_short());
         } else {
             pools.clear();
@@ -196,6 +195,19 @@
     full_classes: HashSet<usize>,
 }
 
+impl Pass {
+    /// Removes items from a lane up to the first one that a replica may have capacity for, and returns that one with
+    /// the index of its job and its class.
+    fn next_startable(&self, lane: &mut Lane) -> Option<(usize, WaitingItem, usize)> {
+        loop {
+            let (job, waiting) = lane.next_item()?;
+            if let Some(class) = waiting.class.filter(|class| !self.full_classes.contains(class)) {
+                return Some((job, waiting, class));
+            }
+        }
+    }
+}
+
 impl PoolPlan {
     fn new(pool: Pool<'_>, classes: &HashMap<&BatchId, JobClasses<'_>>) -> Self {
         let backlog = pool.backlog();
@@ -212,12 +224,14 @@
         }
         for (index, job) in pool.jobs.into_iter().enumerate() {
             // Nothing of this job can be started, so its trainer does not take turns.
-            if !classes.contains_key(job.batch) {
-                continue;
-            }
+            let Some(classes) = classes.get(job.batch) else { continue };
             let accepted_at_ms = job.state.accepted_at_ms;
             let mut by_state: BTreeMap<GroupState, Vec<IncompleteGroup>> = BTreeMap::new();
-            for (group, state) in job.groups.into_iter().zip(job.states) {
+            for (mut group, state) in job.groups.into_iter().zip(job.states) {
+                for waiting in &mut group.waiting {
+                    let request = job.state.job.items.get(waiting.item as usize);
+                    waiting.class = request.and_then(|request| classes.class(request.model.as_deref()));
+                }
                 if !group.waiting.is_empty() {
                     by_state.entry(state).or_default().push(group);
                 }
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -17,6 +17,7 @@
 mod loading;
 mod queue;
 mod records;
+mod refusal;
 mod retention;
 mod runs;
 mod scoring;
--- a/crates/core/src/batch/controller/queue.rs
+++ b/crates/core/src/batch/controller/queue.rs
@@ -1,6 +1,6 @@
 //! Reports the waiting work to operators, and counts what each trainer was given.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use super::Controller;
 use super::backlog::{OpenJob, Pool, trainer_of};
@@ -18,7 +18,7 @@
     /// Returns a snapshot of the waiting work. Services that share routes are reported as one, under the first name.
     pub fn queue_report(&self, now: Timestamp) -> QueueReport {
         let mut pools = self.pools_with_jobs(now);
-        self.add_items(now, &mut pools, &HashMap::new());
+        self.add_items(now, &mut pools);
         let services = pools.iter().map(|pool| self.service_queue(now, pool)).collect();
         QueueReport { services, refused_jobs: self.dispatch.refused_jobs }
     }
@@ -85,7 +85,7 @@
         let Some(request) = state.job.items.get(item as usize) else { return };
         let work_s = per_token * expected_tokens(request) as f64;
         let Some(service) = route.services.first().map(|part| part.service.clone()) else { return };
-        let trainer = trainer_of(state);
+        let trainer = trainer_of(&state.job);
         let grants = self.dispatch.grants.entry(service).or_default();
         if !grants.contains_key(&trainer) {
             grants.retain(|_, grant| grant.value(now) > MIN_GRANT_S);
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -61,6 +61,9 @@
             return;
         }
         let planned = self.start_items_of_short_pools(now);
+        if planned.len() == self.tallies.len() {
+            return;
+        }
         let mut full_classes = HashSet::new();
         for WaitingItem { batch, item, class } in self.waiting(now, &planned) {
             if full_classes.contains(&class) || self.start_item(now, &batch, item) {
--- a/crates/core/tests/batch_overload.rs
+++ b/crates/core/tests/batch_overload.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use batch_support::load::{JobOutcome, Load, SLOTS_PER_REPLICA, lengths};
+use batch_support::at;
+use batch_support::load::{JobOutcome, Load, SLOTS_PER_REPLICA, lengths, trainer_job};
+use lichenpulley_core::batch::controller::Submission;
+use lichenpulley_core::identity::BatchId;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -137,3 +140,44 @@
     assert!(graded.len() >= 3 * 3 * ITEMS, "all items were started");
     assert_eq!(graded, starts(&[1, 1, 1]));
 }
+
+/// Submits a job and returns whether it was accepted.
+fn is_accepted(load: &mut Load, trainer: usize, id: &str, groups: usize) -> bool {
+    let mut random = Pcg64Mcg::seed_from_u64(5);
+    let lengths_ms = lengths(&mut random, groups, ITEMS);
+    let job = trainer_job(trainer, id, &lengths_ms, groups as u64);
+    if load.harness.controller.submit(at(load.now_ms), job.clone()) == Submission::Full {
+        load.harness.drain_actions();
+        return false;
+    }
+    load.accept(&job, &lengths_ms);
+    true
+}
+
+/// Jobs that a trainer submits faster than its share completes them would all be late. Other trainers, and those with
+/// one job at a time, must not be refused for it.
+#[test]
+fn a_job_is_refused_only_if_its_trainers_own_jobs_leave_no_time_for_it() {
+    let mut load = Load::new(&[0, 1], REPLICAS);
+    warm_up(&mut load);
+    assert!(is_accepted(&mut load, 0, "huge", 20 * GROUPS), "however large, if it is the only job");
+    assert!(is_accepted(&mut load, 1, "other", GROUPS), "work of other trainers does not count");
+    load.step();
+    assert!(!is_accepted(&mut load, 0, "second", 1), "the first job takes all of the time");
+    let refusal = load.harness.decisions.iter().find(|decision| decision.action == "batch_refused");
+    assert_eq!(refusal.expect("a decision").reason, "no_time");
+    assert_eq!(load.harness.controller.queue_report(at(load.now_ms)).refused_jobs, 1);
+    load.harness.controller.end(at(load.now_ms), &BatchId::new("huge"));
+    load.harness.commit_appends(at(load.now_ms));
+    assert!(is_accepted(&mut load, 0, "second", 1), "the earlier job has ended");
+    assert!(is_accepted(&mut load, 0, "third", 1), "the earlier job is small");
+}
+
+#[test]
+fn no_job_is_refused_for_time_where_priorities_are_equal() {
+    let mut load = Load::new(&[1, 1], REPLICAS);
+    warm_up(&mut load);
+    assert!(is_accepted(&mut load, 0, "huge", 20 * GROUPS));
+    load.step();
+    assert!(is_accepted(&mut load, 0, "second", 1));
+}
--- a/crates/core/tests/batch_support/load.rs
+++ b/crates/core/tests/batch_support/load.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd, RunId};
+use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd, RunId, Submission};
 use lichenpulley_core::batch::job::{BatchItem, BatchJob};
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::identity::BatchId;
@@ -118,10 +118,16 @@
     /// Submits a job whose items run for these times.
     pub(crate) fn submit(&mut self, trainer: usize, id: &str, lengths_ms: &[Vec<u64>], desired: u64) {
         let job = trainer_job(trainer, id, lengths_ms, desired);
+        assert_eq!(self.harness.controller.submit(at(self.now_ms), job.clone()), Submission::Pending);
+        self.accept(&job, lengths_ms);
+    }
+
+    /// Commits the acceptance of a job that was just submitted.
+    pub(crate) fn accept(&mut self, job: &BatchJob, lengths_ms: &[Vec<u64>]) {
         for (item, length) in job.items.iter().zip(lengths_ms.iter().flatten()) {
             self.lengths.insert(item.id.clone(), *length);
         }
-        self.harness.submit(at(self.now_ms), job);
+        self.harness.commit_appends(at(self.now_ms));
         self.take_starts();
     }
 
