Keep the credit of trainers whose turn did not come

Cause: trainers submit at the same time, and are due at the same time.

Change: a trainer that was without work keeps up to one quantum of what it was behind.

--- a/crates/core/src/batch/fair_share.rs
+++ b/crates/core/src/batch/fair_share.rs
@@ -50,12 +50,13 @@
 
 impl<K: Clone + Ord> VirtualTimes<K> {
     /// Sets which parties have work. One that becomes active begins at the minimum virtual time of those that stayed
-    /// active, or, when there are none, at the maximum of all: it is not owed anything for the time without work.
-    pub fn set_active(&mut self, active: BTreeSet<K>) {
+    /// active, or, when there are none, at the maximum of all: it is not owed anything for the time without work,
+    /// except for at most `credit` that it was behind before.
+    pub fn set_active(&mut self, active: BTreeSet<K>, credit: f64) {
         let staying = active.intersection(&self.active).filter_map(|key| self.times.get(key).copied());
         let minimum = staying.min_by(f64::total_cmp);
         let maximum = || self.times.values().copied().max_by(f64::total_cmp);
-        let floor = minimum.or_else(maximum).unwrap_or(0.0);
+        let floor = (minimum.or_else(maximum).unwrap_or(0.0) - credit).max(0.0);
         for key in active.difference(&self.active) {
             let time = self.times.entry(key.clone()).or_insert(floor);
             *time = time.max(floor);
@@ -116,9 +117,12 @@
 }
 
 impl LevelTurns {
-    fn set_active(&mut self, trainers: BTreeSet<Trainer>) {
-        self.tenants.set_active(trainers.iter().map(|trainer| trainer.tenant.clone()).collect());
-        self.trainers.set_active(trainers);
+    /// Sets which trainers have work. One whose job was due before its turn came keeps up to one quantum of credit, or
+    /// else the same trainer would have the first turn each time and take all of the time until the jobs are due.
+    fn set_active(&mut self, trainers: BTreeSet<Trainer>, quantum_s: f64) {
+        let tenants = trainers.iter().map(|trainer| trainer.tenant.clone()).collect();
+        self.tenants.set_active(tenants, quantum_s);
+        self.trainers.set_active(trainers, quantum_s);
     }
 
     /// Returns the trainer whose turn it is; the turn passes on if its quantum is used up or it has no work.
@@ -177,10 +181,12 @@
         let parts: Vec<f64> = demands.values().map(|work| work / total.max(f64::MIN_POSITIVE)).collect();
         let shares = level_shares(&parts, capacity_s / total.max(f64::MIN_POSITIVE));
         self.weights = demands.keys().copied().zip(shares).collect();
-        self.levels.set_active(demands.keys().copied().collect());
-        self.turns.retain(|level, _| trainers.contains_key(level));
+        self.levels.set_active(demands.keys().copied().collect(), 0.0);
+        for (level, turns) in &mut self.turns {
+            turns.set_active(trainers.remove(level).unwrap_or_default(), quantum_s);
+        }
         for (level, trainers) in trainers {
-            self.turns.entry(level).or_default().set_active(trainers);
+            self.turns.entry(level).or_default().set_active(trainers, quantum_s);
         }
         self.ready = vec![true; contenders.len()];
         self.contenders = contenders;
--- a/crates/core/tests/batch_dispatch_order.rs
+++ b/crates/core/tests/batch_dispatch_order.rs
@@ -82,15 +82,15 @@
 #[test]
 fn a_party_that_becomes_active_begins_at_the_minimum_virtual_time() {
     let mut times = VirtualTimes::default();
-    times.set_active(BTreeSet::from([1, 2]));
+    times.set_active(BTreeSet::from([1, 2]), 0.0);
     times.charge(&1, 10.0, 1.0);
     times.charge(&2, 10.0, 2.0);
     assert!(close(times.time(&2), 5.0), "twice the weight");
-    times.set_active(BTreeSet::from([1, 2, 3]));
+    times.set_active(BTreeSet::from([1, 2, 3]), 0.0);
     assert!(close(times.time(&3), 5.0));
     assert_eq!(times.least([1, 2, 3].iter()), Some(&2));
-    times.set_active(BTreeSet::new());
-    times.set_active(BTreeSet::from([1, 4]));
+    times.set_active(BTreeSet::new(), 0.0);
+    times.set_active(BTreeSet::from([1, 4]), 0.0);
     assert!(close(times.time(&1), times.time(&4)), "after all were idle, none is owed anything");
 }
 
@@ -135,6 +135,18 @@
     assert_eq!(serve(&mut queue, &contenders[1..], 10.0, 3), [3]);
 }
 
+/// Jobs that are submitted at the same time are also due at the same time. If the first turn always went to the same
+/// trainer, the groups of the other one would be late before its turn, each time.
+#[test]
+fn a_trainer_whose_turn_did_not_come_has_the_first_turn_next_time() {
+    let contender = |route| Contender { priority: 0, trainer: trainer(None, route), work_s: 100.0 };
+    let contenders = [contender("a"), contender("b")];
+    let mut queue = FairQueue::default();
+    assert_eq!(serve(&mut queue, &contenders, 10.0, 10), [10, 0]);
+    queue.begin(Vec::new(), 10.0, 10.0);
+    assert_eq!(serve(&mut queue, &contenders, 10.0, 10), [0, 10]);
+}
+
 /// A tenant with many trainers must not get more than one with a single trainer.
 #[test]
 fn turns_are_fair_between_tenants() {
--- a/crates/core/tests/batch_overload.rs
+++ b/crates/core/tests/batch_overload.rs
@@ -141,6 +141,34 @@
     assert_eq!(graded, starts(&[1, 1, 1]));
 }
 
+/// Estimates, shares and turns are lost with the owner. The next one must still complete groups in time: it recovers the
+/// jobs from the log, and learns from the first items how long they take.
+#[test]
+fn a_new_owner_detects_the_shortage_again() {
+    let priorities = [0, 1, 2];
+    let mut load = Load::new(&priorities, REPLICAS);
+    warm_up(&mut load);
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let ids = ["job-0", "job-1", "job-2"];
+    for (trainer, id) in ids.iter().enumerate() {
+        load.submit(trainer, id, &lengths(&mut random, GROUPS, ITEMS), DESIRED);
+    }
+    (0..100).for_each(|_| load.step());
+    let service = |load: &Load| load.harness.controller.queue_report(at(load.now_ms)).services[0].clone();
+    assert!(service(&load).is_short);
+    let mut load = load.replace_owner(&priorities, REPLICAS);
+    assert_eq!((service(&load).drain_ms, service(&load).is_short), (None, false), "nothing was measured");
+    // In the usual order the longest items start first, so that the first one takes some seconds.
+    let is_short = (0..600).any(|_| {
+        load.step();
+        service(&load).is_short
+    });
+    assert!(is_short, "the shortage is detected within 6 s");
+    let jobs = load.run_and_end(&ids, Duration::from_secs(6));
+    let complete: Vec<usize> = jobs.iter().map(|job| job.groups_ms.len()).collect();
+    assert!(complete[0] >= GROUPS / 2 && complete[0] > complete[1], "{complete:?}");
+}
+
 /// Submits a job and returns whether it was accepted.
 fn is_accepted(load: &mut Load, trainer: usize, id: &str, groups: usize) -> bool {
     let mut random = Pcg64Mcg::seed_from_u64(5);
--- a/crates/core/tests/batch_support/load.rs
+++ b/crates/core/tests/batch_support/load.rs
@@ -98,10 +98,23 @@
 
 impl Load {
     pub(crate) fn new(priorities: &[u32], replicas: usize) -> Self {
+        Self::with_ledger(Ledger::default(), priorities, replicas)
+    }
+
+    /// Replaces the owner by a new one that recovers what was appended to the log. All runs are lost, and the clock
+    /// begins anew.
+    pub(crate) fn replace_owner(self, priorities: &[u32], replicas: usize) -> Self {
+        let ledger = self.harness.ledger_of_records();
+        let mut load = Self::with_ledger(ledger, priorities, replicas);
+        load.lengths = self.lengths;
+        load.take_starts();
+        load
+    }
+
+    fn with_ledger(ledger: Ledger, priorities: &[u32], replicas: usize) -> Self {
         let record = |number| ReplicaRecord { slots: SLOTS_PER_REPLICA, ..replica(&format!("r{number}"), 1) };
         let replicas: Vec<ReplicaRecord> = (0..replicas).map(record).collect();
-        let mut harness =
-            OwnerHarness::with_config(ControllerConfig::default(), Ledger::default(), false, &replicas);
+        let mut harness = OwnerHarness::with_config(ControllerConfig::default(), ledger, false, &replicas);
         let routes = trainer_routes(priorities);
         harness.controller.update(at(0), Some(routes), &table(&replicas), &BTreeMap::new());
         harness.drain_actions();
