--- a/crates/core/tests/batch_priorities.rs
+++ b/crates/core/tests/batch_priorities.rs
@@ -3,12 +3,17 @@
 mod batch_support;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use batch_support::load::{trainer_job, trainer_routes};
 use batch_support::{OwnerHarness, at, replica, table};
 use lichenpulley_core::batch::controller::{RunEnd, RunEvent};
+use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::identity::TenantName;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
+use lichenpulley_core::ingress::routes::RouteTable;
+use lichenpulley_core::ingress::tenants::{Tenant, TenantDirectory};
 
 /// Returns an owner for trainers with these priorities.
 fn owner(priorities: &[u32], replicas: &[ReplicaRecord]) -> OwnerHarness {
@@ -36,6 +41,31 @@
     assert_eq!(urgencies(&many), [4, 5, 6, 7, 8, 9, 9, 9], "9 is the least urgent");
 }
 
+/// A tenant's own priority replaces that of the route, also where all routes have the same.
+#[test]
+fn the_priority_of_a_tenant_replaces_that_of_the_route() {
+    let tenant =
+        |name: &str, priority| Tenant::new(TenantName::new(name), [name], priority).expect("a tenant");
+    let tenants = vec![tenant("first", Some(0)), tenant("second", None), tenant("third", Some(9))];
+    let mut routes = RouteTable::clone(&trainer_routes(&[3, 3]));
+    routes.tenants = Some(TenantDirectory::new(tenants).expect("a directory"));
+    let replicas = [replica("a", 1), replica("b", 1)];
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.controller.update(at(0), Some(Arc::new(routes)), &table(&replicas), &BTreeMap::new());
+    harness.drain_actions();
+    for name in ["first", "second", "third"] {
+        let tenant = Some(TenantName::new(name));
+        harness.submit(at(0), BatchJob { tenant, ..trainer_job(0, name, &[vec![100]], 1) });
+    }
+    let report = harness.controller.queue_report(at(0));
+    let trainers = report.services[0].trainers.iter();
+    let trainers: Vec<_> =
+        trainers.map(|one| (one.priority, one.tenant.as_ref().map_or("", TenantName::as_str))).collect();
+    assert_eq!(trainers, [(0, "first"), (3, "second"), (9, "third")]);
+    let urgencies: Vec<u8> = harness.started.iter().map(|start| start.urgency).collect();
+    assert_eq!(urgencies, [4, 5, 6]);
+}
+
 /// Runs an item on a slow and another one on a quick replica, with more items waiting. Ends the quick one, and returns
 /// whether the slow one was moved to the slot that this frees.
 fn moves(priorities: &[u32], slow_ms: u64, quick_ms: u64, slow_events: u64) -> bool {
