Add up the work of groups in a fixed order

Cause: the items come from a hash map, and sums of floating-point numbers depend on the order, so that two runs of the same load could start items in different orders.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -133,6 +133,10 @@
     /// Removes complete groups and determines the states of the others.
     fn finish(&mut self) {
         let tally = self.tally;
+        // Sums of floating-point numbers depend on the order, and the items are added in the order of a hash map.
+        for group in &mut self.groups {
+            group.waiting.sort_unstable_by_key(|waiting| waiting.item);
+        }
         if let Some(ungrouped) = self.groups.get_mut(tally.groups()..) {
             ungrouped.sort_by_key(|group| group.waiting.first().map(|waiting| waiting.item));
         }
