Use texts and scores of earlier jobs for items that appear again

Cause: a trainer submits the groups that were incomplete at the end of a job again under the same item ids. The owner generated and scored them from the start, although the log still held their texts and scores.

Change: `batch::reuse` decides what an item uses of the same request in an earlier job: its result, its complete text, or the events so far. The controller applies the rule when a job is accepted, when the routes change (which includes the first ones that a new owner gets) and after texts are filled in. An index by item id finds the earlier job. The end of a job writes the events of its incomplete groups first. Groups with items that appeared before are required and start first in their job.

The bytes that count towards the capacity are now those of committed texts, also of items that were never listed. Before, a text that waited for its score at the end of its job stayed counted after the job was dropped, and a job whose drop took several ticks was subtracted several times.

A restarted text of which nothing was written before is written like any other, so that the end of a job keeps it on a route with a single version.

--- a/crates/core/src/batch/controller/handover.rs
+++ b/crates/core/src/batch/controller/handover.rs
@@ -20,7 +20,7 @@
                 continue;
             }
             let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { continue };
-            if live.stage != ItemStage::Generating || live.is_restarted || live.written == live.events.len() {
+            if live.stage != ItemStage::Generating || !live.has_unwritten() {
                 continue;
             }
             let events = live.take_unwritten();
--- a/crates/core/src/batch/controller/inputs.rs
+++ b/crates/core/src/batch/controller/inputs.rs
@@ -25,6 +25,7 @@
     ) {
         if let Some(routes) = routes {
             self.gate.warmups_mut().set_routes(&routes);
+            self.is_reuse_due |= self.routes.as_ref().is_none_or(|earlier| !Arc::ptr_eq(earlier, &routes));
             self.routes = Some(routes);
         }
         self.loads.announce(versions, now);
--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -1,14 +1,13 @@
 //! Job submission, acceptance and end, and the items that a new owner restores from the ledger.
 //!
-//! A job is refused when its items would exceed the bytes that the owner may hold. The texts of results count
-//! too.
+//! A job is refused when its items would exceed the bytes that the owner may hold. The committed texts of all
+//! jobs count too.
 
 use std::collections::BTreeMap;
 
-use super::{Controller, LiveItem, Submission};
-use crate::batch::group_tally::GroupTally;
+use super::{Controller, ItemStage, LiveItem, Submission};
 use crate::batch::job::{BatchItem, BatchJob};
-use crate::batch::ledger::JobState;
+use crate::batch::ledger::{ItemState, JobState};
 use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
 use crate::identity::{BatchId, TenantName};
@@ -24,7 +23,7 @@
         for (batch, state) in self.ledger.jobs() {
             self.held_bytes += held_bytes(state);
             if !state.is_ended {
-                self.tallies.insert(batch.clone(), GroupTally::of(state));
+                self.tallies.insert(batch.clone(), self.tally(state));
             }
             for (item, position) in state.items.iter().zip(0..) {
                 if !state.is_open(position) {
@@ -90,6 +89,7 @@
             // A new owner that read the end from the log has not recorded this decision before.
             self.record_decision(Decision::new(Component::Rollout, "end_kept", "in_log", batch));
         } else if self.ending_jobs.insert(batch.clone()) {
+            self.flush_incomplete_groups(now, batch);
             self.append(now, vec![Record::Ended(batch.clone())]);
             self.remove_items(now, batch);
             self.record_decision(Decision::new(Component::Rollout, "batch_ended", "caller", batch));
@@ -105,12 +105,17 @@
         let Some(state) = self.ledger.job(batch).filter(|_| !self.ending_jobs.contains(batch)) else {
             return;
         };
-        self.tallies.insert(batch.clone(), GroupTally::of(state));
-        let job = &state.job;
+        self.tallies.insert(batch.clone(), self.tally(state));
+        for position in (0..).take(state.items.len()) {
+            self.items.insert((batch.clone(), position), LiveItem::default());
+        }
+        self.reuse_earlier(now, batch);
+        let Some(state) = self.ledger.job(batch) else { return };
         let mut demand: BTreeMap<&str, u64> = BTreeMap::new();
-        for (item, position) in job.items.iter().zip(0..) {
-            self.items.insert((job.id.clone(), position), LiveItem::default());
-            if let Some(model) = &item.model {
+        for (item, position) in state.job.items.iter().zip(0..) {
+            let live = self.items.get(&(batch.clone(), position));
+            let is_generating = live.is_some_and(|live| live.stage == ItemStage::Generating);
+            if let Some(model) = item.model.as_deref().filter(|_| is_generating) {
                 *demand.entry(model).or_default() += expected_tokens(item);
             }
         }
@@ -128,10 +133,12 @@
     item.expected_tokens.unwrap_or(item.tokens / EXPECTED_DIVISOR).min(item.tokens.max(1))
 }
 
-/// Returns the bytes that a job counts towards the capacity: its items and the texts of its results.
+/// Returns the bytes that a job counts towards the capacity: its items, the texts of its results, and the
+/// committed events of its other items, which are retained after its end for later jobs.
 pub(super) fn held_bytes(state: &JobState) -> usize {
     let texts: usize = state.results.iter().map(|result| result.text.len()).sum();
-    job_bytes(&state.job) + texts
+    let events: usize = state.items.iter().map(ItemState::event_bytes).sum();
+    job_bytes(&state.job) + texts + events
 }
 
 pub(super) fn job_bytes(job: &BatchJob) -> usize {
--- a/crates/core/src/batch/controller/live_item.rs
+++ b/crates/core/src/batch/controller/live_item.rs
@@ -27,7 +27,8 @@
     pub(super) events: Vec<OutputEvent>,
     /// Number of `events` that were appended to the log, committed or not.
     pub(super) written: usize,
-    /// Whether the text was restarted, so that the committed events are not a prefix of `events`.
+    /// Whether the text was restarted after events had been appended, so that these are not a prefix of
+    /// `events`.
     pub(super) is_restarted: bool,
     pub(super) written_at: Timestamp,
     pub(super) failures: u32,
@@ -49,10 +50,15 @@
         events
     }
 
+    /// Returns whether there are events that were not appended yet and continue those that were.
+    pub(super) fn has_unwritten(&self) -> bool {
+        !self.is_restarted && self.written < self.events.len()
+    }
+
     /// Discards all events, so that the text starts from the beginning.
     pub(super) fn restart(&mut self) {
         self.events.clear();
+        self.is_restarted |= self.written > 0;
         self.written = 0;
-        self.is_restarted = true;
     }
 }
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -15,6 +15,7 @@
 mod loading;
 mod records;
 mod retention;
+mod reusing;
 mod runs;
 mod scoring;
 mod starting;
@@ -44,6 +45,7 @@
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
 use live_item::{ItemStage, LiveItem};
+pub use reusing::ReuseCounts;
 
 struct Run {
     batch: BatchId,
@@ -93,6 +95,9 @@
     pending_calls: HashMap<String, DutyCall>,
     duties: DutyPlan,
     held_bytes: usize,
+    /// Whether the rule for reusing earlier texts is to be applied to all open jobs.
+    is_reuse_due: bool,
+    reuse_counts: ReuseCounts,
     /// Whether the stores confirmed this owner's authority recently; otherwise nothing is started or ordered.
     is_confirmed: bool,
     actions: VecDeque<Action>,
@@ -139,6 +144,8 @@
             lease,
             pending_loads: HashMap::new(),
             held_bytes: 0,
+            is_reuse_due: false,
+            reuse_counts: ReuseCounts::default(),
             is_confirmed: true,
             actions: VecDeque::new(),
             due: DueWork::default(),
@@ -178,7 +185,14 @@
 
     /// Fills in the event texts that were not read when this owner took over.
     pub fn fill_texts(&mut self, whole: Ledger) {
-        self.held_bytes += self.ledger.fill_texts(whole);
+        let outlined: Vec<BatchId> = self.ledger.outlined.iter().cloned().collect();
+        let held_bytes = |ledger: &Ledger| {
+            outlined.iter().filter_map(|batch| ledger.job(batch)).map(jobs::held_bytes).sum::<usize>()
+        };
+        let before = held_bytes(&self.ledger);
+        self.ledger.fill_texts(whole);
+        self.held_bytes = (self.held_bytes + held_bytes(&self.ledger)).saturating_sub(before);
+        self.is_reuse_due = true;
     }
 
     /// Returns the number of running items and of waiting items.
--- a/crates/core/src/batch/controller/records.rs
+++ b/crates/core/src/batch/controller/records.rs
@@ -3,7 +3,9 @@
 //! Invariant: appends are committed in the order in which they were made, and a record changes the ledger
 //! only then.
 
+use super::jobs::held_bytes;
 use super::{Action, Controller};
+use crate::batch::ledger::ItemState;
 use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
@@ -40,7 +42,7 @@
             Record::Ended(batch) => FollowUp::End(batch.clone()),
             _ => FollowUp::Nothing,
         };
-        self.ledger.apply(record);
+        self.apply_and_count(record);
         match follow_up {
             FollowUp::Nothing => {}
             FollowUp::Acceptance(batch) => self.accepted(now, &batch),
@@ -56,6 +58,30 @@
         }
     }
 
+    /// Applies a record to the ledger and counts the bytes that the ledger holds more or less after it.
+    fn apply_and_count(&mut self, record: Record) {
+        if let Record::Dropped(batch) = &record {
+            let dropped_bytes = self.ledger.job(batch).map_or(0, held_bytes);
+            self.held_bytes = self.held_bytes.saturating_sub(dropped_bytes);
+        }
+        let subject = record.item();
+        let (bytes_before, results_before) = self.text_bytes(subject.as_ref());
+        self.ledger.apply(record);
+        let (bytes_after, results_after) = self.text_bytes(subject.as_ref());
+        let job = subject.as_ref().and_then(|(batch, _)| self.ledger.job(batch));
+        let listed = job.and_then(|job| job.results.last()).filter(|_| results_after > results_before);
+        let added = bytes_after + listed.map_or(0, |result| result.text.len());
+        self.held_bytes = (self.held_bytes + added).saturating_sub(bytes_before);
+    }
+
+    /// Returns the bytes of an item's committed events and the number of results of its job.
+    fn text_bytes(&self, subject: Option<&(BatchId, u32)>) -> (usize, usize) {
+        let Some((batch, item)) = subject else { return (0, 0) };
+        let Some(job) = self.ledger.job(batch) else { return (0, 0) };
+        let bytes = job.items.get(*item as usize).map_or(0, ItemState::event_bytes);
+        (bytes, job.results.len())
+    }
+
     /// Counts a listed item in its group and records a decision if the group is now complete.
     fn update_group(&mut self, batch: &BatchId, item: u32) {
         let Some(group) = self.tallies.get_mut(batch).and_then(|tally| tally.listed(item)) else { return };
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::jobs::held_bytes;
 use super::{Controller, RunId};
 use crate::batch::ledger::JobState;
 use crate::batch::record::Record;
@@ -59,9 +58,6 @@
             .filter(|job| is_done(job) && clock_ms.saturating_sub(job.accepted_at_ms) > retention_ms);
         let expired: Vec<BatchId> = expired.map(|job| job.job.id.clone()).collect();
         for batch in expired {
-            if let Some(job) = self.ledger.job(&batch) {
-                self.held_bytes = self.held_bytes.saturating_sub(held_bytes(job));
-            }
             self.remove_items(now, &batch);
             self.append(now, vec![Record::Dropped(batch)]);
         }
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -130,8 +130,6 @@
         live.stage = if needs_score { ItemStage::Persisting } else { ItemStage::Listing };
         let mut events = std::mem::take(&mut live.events);
         let batch = batch.clone();
-        let line_feeds = events.len().saturating_sub(1);
-        self.held_bytes += events.iter().map(|event| event.data.len()).sum::<usize>() + line_feeds;
         let replaces = live.is_restarted;
         let record = match (needs_score, replaces) {
             (true, true) => Record::Generated { batch, item, events, replaces },
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -41,6 +41,7 @@
             self.start_loads(now);
         }
         if items {
+            self.reuse_if_due(now);
             self.start_items(now);
             self.start_scores(now);
         }
@@ -92,11 +93,14 @@
             let Some(request) = job_classes.job.job.items.get(*item as usize) else { continue };
             let Some(class) = job_classes.class(request.model.as_deref()) else { continue };
             let tally = self.tallies.get(batch);
-            let group_left = tally.and_then(|tally| tally.group(*item).map(|group| tally.remaining(group)));
+            let group = tally.and_then(|tally| tally.group(*item).map(|group| (tally, group)));
+            let is_required = group.is_some_and(|(tally, group)| tally.is_required(group));
+            let group_left = group.map(|(tally, group)| tally.remaining(group));
             let expected = expected_tokens(request).saturating_sub(live.events.len() as u64);
             let rank = (
                 job_classes.is_late,
                 job_classes.job.accepted_at_ms,
+                !is_required,
                 u64::MAX - expected,
                 group_left.unwrap_or(0),
             );
--- a/crates/core/src/batch/group_tally.rs
+++ b/crates/core/src/batch/group_tally.rs
@@ -65,7 +65,6 @@
     }
 
     /// Marks a group as one that the trainer waits for, whichever others are complete.
-    #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
     pub fn mark_required(&mut self, group: usize) {
         if let Some(is_required) = self.required.get_mut(group) {
             *is_required = true;
@@ -73,7 +72,6 @@
     }
 
     /// Returns whether the trainer waits for a group, whichever others are complete.
-    #[expect(dead_code, reason = "called once items of earlier jobs are reused")]
     pub fn is_required(&self, group: usize) -> bool {
         self.required.get(group).copied().unwrap_or(false)
     }
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -8,6 +8,7 @@
 
 use speedy::{Readable, Writable};
 
+use super::item_index::ItemIndex;
 use super::job::{BatchJob, ItemResult, OutputEvent};
 use super::record::Record;
 use crate::identity::{BatchId, NodeId};
@@ -36,6 +37,11 @@
     pub fn last_event(&self) -> Option<u64> {
         self.events.last().map(|event| event.number)
     }
+
+    /// Returns the bytes of the committed events' texts.
+    pub(super) fn event_bytes(&self) -> usize {
+        self.events.iter().map(|event| event.data.len()).sum()
+    }
 }
 
 /// State of one job.
@@ -85,6 +91,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
     pub(super) jobs: BTreeMap<BatchId, JobState>,
+    item_index: ItemIndex,
     /// Jobs with missing event texts.
     pub(super) outlined: BTreeSet<BatchId>,
     clock_ms: u64,
@@ -111,6 +118,11 @@
         self.jobs.get(batch)
     }
 
+    /// Returns the index of the jobs by item id.
+    pub(super) const fn item_index(&self) -> &ItemIndex {
+        &self.item_index
+    }
+
     /// Returns the shard's clock in milliseconds.
     pub(crate) const fn clock_ms(&self) -> u64 {
         self.clock_ms
@@ -173,8 +185,10 @@
     }
 
     fn accept(&mut self, job: BatchJob) {
-        let accepted_at_ms = self.clock_ms;
-        self.jobs.entry(job.id.clone()).or_insert_with(|| JobState::new(job, accepted_at_ms));
+        if !self.jobs.contains_key(&job.id) {
+            self.item_index.insert(&job);
+            self.jobs.insert(job.id.clone(), JobState::new(job, self.clock_ms));
+        }
     }
 
     fn end(&mut self, batch: &BatchId) {
@@ -184,7 +198,9 @@
     }
 
     fn drop_job(&mut self, batch: &BatchId) {
-        self.jobs.remove(batch);
+        if let Some(state) = self.jobs.remove(batch) {
+            self.item_index.remove(&state.job);
+        }
         self.outlined.remove(batch);
     }
 
--- a/crates/core/src/batch/outline.rs
+++ b/crates/core/src/batch/outline.rs
@@ -94,28 +94,25 @@
         !self.outlined.is_empty()
     }
 
-    /// Fills in missing texts from a ledger of the same log that has them. Returns the number of bytes added.
-    pub fn fill_texts(&mut self, mut whole: Self) -> usize {
-        let mut filled_bytes = 0;
+    /// Fills in missing texts from a ledger of the same log that has them.
+    pub fn fill_texts(&mut self, mut whole: Self) {
         for batch in std::mem::take(&mut self.outlined) {
             let Some(job) = self.jobs.get_mut(&batch) else { continue };
             match whole.jobs.remove(&batch) {
-                Some(source) => filled_bytes += fill_job(job, source),
+                Some(source) => fill_job(job, source),
                 None => {
                     self.outlined.insert(batch);
                 }
             }
         }
-        filled_bytes
     }
 }
 
-fn fill_job(job: &mut JobState, source: JobState) -> usize {
+fn fill_job(job: &mut JobState, source: JobState) {
     let mut listed: HashMap<u32, String> =
         source.results.into_iter().map(|result| (result.item, result.text)).collect();
     let results: HashMap<u32, usize> =
         job.results.iter().enumerate().map(|(position, result)| (result.item, position)).collect();
-    let mut filled_bytes = 0;
     for ((state, source), item) in job.items.iter_mut().zip(source.items).zip(0..) {
         if !std::mem::take(&mut state.is_outlined) {
             continue;
@@ -129,10 +126,8 @@
         let events = std::mem::take(&mut state.events);
         if result.is_complete {
             result.text = known.unwrap_or_else(|| ItemResult::complete(item, &events, None).text);
-            filled_bytes += result.text.len();
         }
     }
-    filled_bytes
 }
 
 fn fill_events(state: &mut ItemState, source: ItemState) {
--- a/crates/core/src/batch/record.rs
+++ b/crates/core/src/batch/record.rs
@@ -141,6 +141,30 @@
         self.write_to_vec()
     }
 
+    /// Returns the job and the position of the item that the record changes, if it changes one.
+    pub(super) fn item(&self) -> Option<(BatchId, u32)> {
+        match self {
+            Self::Progress { batch, item, .. }
+            | Self::Failed { batch, item, .. }
+            | Self::Completed { batch, item, .. }
+            | Self::Generated { batch, item, .. }
+            | Self::ScoreFailed { batch, item, .. }
+            | Self::Scored { batch, item, .. }
+            | Self::Outlined { batch, item, .. } => Some((batch.clone(), *item)),
+            Self::Listed { batch, result } => Some((batch.clone(), result.item)),
+            Self::Accepted(_)
+            | Self::Ended(_)
+            | Self::Dropped(_)
+            | Self::Clock(_)
+            | Self::Ordered { .. }
+            | Self::UsageCounted { .. }
+            | Self::UsageClosed(_)
+            | Self::UsageDelivered(_)
+            | Self::Usage(_)
+            | Self::Scaled { .. } => None,
+        }
+    }
+
     /// Decodes a record.
     ///
     /// # Errors
