--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -89,7 +89,7 @@
             // A new owner that read the end from the log has not recorded this decision before.
             self.record_decision(Decision::new(Component::Rollout, "end_kept", "in_log", batch));
         } else if self.ending_jobs.insert(batch.clone()) {
-            self.flush_incomplete_groups(now, batch);
+            self.flush_open_items(now, batch);
             self.append(now, vec![Record::Ended(batch.clone())]);
             self.remove_items(now, batch);
             self.record_decision(Decision::new(Component::Rollout, "batch_ended", "caller", batch));
--- a/crates/core/src/batch/controller/reusing.rs
+++ b/crates/core/src/batch/controller/reusing.rs
@@ -148,14 +148,11 @@
         self.append(now, vec![record]);
     }
 
-    /// Appends the events of a job's incomplete groups that were received but not written, so that a later job
-    /// can continue them.
-    pub(super) fn flush_incomplete_groups(&mut self, now: Timestamp, batch: &BatchId) {
-        let Some(tally) = self.tallies.get(batch) else { return };
-        let is_incomplete = |item| tally.group(item).is_none_or(|group| tally.remaining(group) > 0);
+    /// Appends the events of a job's open items that were received but not written, so that a later job can
+    /// continue them. All items of a complete group are listed and have none.
+    pub(super) fn flush_open_items(&mut self, now: Timestamp, batch: &BatchId) {
         let mut items: Vec<u32> =
             self.items.keys().filter(|(owner, _)| owner == batch).map(|(_, item)| *item).collect();
-        items.retain(|item| is_incomplete(*item));
         items.sort_unstable();
         for item in items {
             let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { continue };
