Count the items that use texts of earlier jobs

Cause: the decision `item_reused` is counted once for each job, so that its counter does not say how many items were reused.

--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -248,6 +248,7 @@
         self.controller.tick_duties(self.now(), duties::wall_time());
         let (running, waiting) = self.controller.item_counts();
         self.context.metrics.set_batch_items(self.scope.metric_label(), running, waiting);
+        self.context.metrics.count_reused_items(self.controller.take_reuse_counts());
         self.answer_readers();
     }
 
--- a/crates/daemon/src/metrics/batch.rs
+++ b/crates/daemon/src/metrics/batch.rs
@@ -1,14 +1,16 @@
-//! Metrics of batch jobs: items at the owner, progress of following a log, and pending ends.
+//! Metrics of batch jobs: items at the owner, reused texts, progress of following a log, and pending ends.
 
-use prometheus::{IntGauge, IntGaugeVec, Registry};
+use lichenpulley_core::batch::controller::ReuseCounts;
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::registration::{self, to_gauge};
 
-/// Gauges of the batch jobs.
+/// Metrics of the batch jobs.
 #[derive(Clone)]
 pub(super) struct BatchMetrics {
     items: IntGaugeVec,
     regional_items: IntGaugeVec,
+    reused_items: IntCounterVec,
     followed_bytes: IntGauge,
     pending_ends: IntGauge,
 }
@@ -28,6 +30,12 @@
                 "Items of batch jobs that are bound to some regions at their owner, by shard and state",
                 &["shard", "state"],
             ),
+            reused_items: registration::counter_vec(
+                registry,
+                "lichenpulley_batch_items_reused_total",
+                "Items of batch jobs that used the text of an earlier job, by what was used",
+                &["reason"],
+            ),
             followed_bytes: registration::gauge(
                 registry,
                 "lichenpulley_batch_followed_bytes",
@@ -50,6 +58,13 @@
         set("waiting", waiting);
     }
 
+    pub(super) fn count_reused_items(&self, counts: ReuseCounts) {
+        let ReuseCounts { scored, complete, partial } = counts;
+        for (reason, items) in [("scored", scored), ("complete", complete), ("partial", partial)] {
+            self.reused_items.with_label_values(&[reason]).inc_by(items);
+        }
+    }
+
     pub(super) fn set_followed_bytes(&self, bytes: usize) {
         self.followed_bytes.set(to_gauge(bytes));
     }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use lichenpulley_core::batch::controller::ReuseCounts;
 use lichenpulley_core::decision::Decision;
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::operator::RegionRefusals;
@@ -90,6 +91,11 @@
         self.batch.set_items(shard, running, waiting);
     }
 
+    /// Counts items of batch jobs that used the text of an earlier job.
+    pub fn count_reused_items(&self, counts: ReuseCounts) {
+        self.batch.count_reused_items(counts);
+    }
+
     /// Sets the bytes of the batch log that this node has followed; 0 if it is not the next candidate.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.batch.set_followed_bytes(bytes);
