Let jobs of the soak contain items of an ended job

Cause: no soak submitted the same items in two jobs.

Change: four of ten jobs that run to their end are ended after 0 to 0.6 s, and four of their six items appear again in the next job. A result must now be of an item that its job was submitted with, instead of one whose id begins with that of the job.

--- a/crates/lab/src/soak/caller.rs
+++ b/crates/lab/src/soak/caller.rs
@@ -11,6 +11,8 @@
 use lichenpulley_core::quarantine::{Fingerprint, RequestContent};
 use lichenpulley_daemon::http::client::{HttpClient, build};
 use lichenpulley_protocol::operator::QuarantinedRequest;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -21,6 +23,12 @@
 pub const HOST: &str = "soak.example";
 /// Items in each job that runs to its end.
 const ITEMS_PER_JOB: usize = 6;
+/// Probability that a job is ended early and some of its items appear again in the next job.
+const REPEATED_PROBABILITY: f64 = 0.4;
+/// Number of items of a job that appear again: two of its three groups.
+const REPEATED_ITEMS: usize = 4;
+/// Upper bound of the time after which such a job is ended. A stream takes 240 ms, so items are in all states.
+const MAX_OPEN_TIME: Duration = Duration::from_millis(600);
 /// Body of the request that ends each replica that runs it.
 pub const CRASHING_BODY: &[u8] = b"ends";
 /// Path of the request that ends replicas.
@@ -177,26 +185,40 @@
 
     /// Submits jobs one after the other until `until` and reads all results of each. A job accepted before `until` is read to
     /// its end.
-    pub async fn run_jobs(self, index: usize, until: Instant) {
+    pub async fn run_jobs(self, index: usize, seed: u64, until: Instant) {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_right(16).wrapping_add(index as u64));
         let mut number = 0;
         while Instant::now() < until {
             number += 1;
-            let job = format!("j{index}-{number}-");
-            if self.submit(&job, until).await {
+            let mut job = format!("j{index}-{number}-");
+            let mut items: Vec<String> = (0..ITEMS_PER_JOB).map(|item| format!("{job}{item}")).collect();
+            if random.random_bool(REPEATED_PROBABILITY) {
+                let open_for = random.random_range(Duration::ZERO..MAX_OPEN_TIME);
+                if !self.submit(&job, &items, until).await {
+                    continue;
+                }
+                tokio::time::sleep(open_for).await;
+                self.end_until_acknowledged(&job).await;
+                job = format!("j{index}-{number}-again-");
+                for (item, id) in items.iter_mut().enumerate().skip(REPEATED_ITEMS) {
+                    *id = format!("{job}{item}");
+                }
+                self.history().jobs_repeated += 1;
+            }
+            if self.submit(&job, &items, until).await {
                 self.read_all_results(&job, Duration::from_secs(60)).await;
             }
         }
     }
 
-    async fn submit(&self, job: &str, until: Instant) -> bool {
-        let item = |number: usize| {
-            let id = format!("{job}{number}");
-            let scorer =
-                json!({"id": score_id(&id), "host": HOST, "path": "/read/score", "body": "c2NvcmU="});
+    async fn submit(&self, job: &str, items: &[String], until: Instant) -> bool {
+        self.history().record_items(job, items);
+        let item = |(number, id): (usize, &String)| {
+            let scorer = json!({"id": score_id(id), "host": HOST, "path": "/read/score", "body": "c2NvcmU="});
             json!({"id": id, "path": "/stream/x", "headers": {"Model": "m"}, "body": "Ym9keQ==", "tokens": 100,
                 "group": format!("g{}", number / 2), "scorer": scorer})
         };
-        let items: Vec<Value> = (0..ITEMS_PER_JOB).map(item).collect();
+        let items: Vec<Value> = items.iter().enumerate().map(item).collect();
         let body =
             json!({"step": 0, "model": "m", "min_version": 1, "desired": 3, "items": items}).to_string();
         self.submit_body(job, "/rollouts/x", &body, until).await
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -41,6 +41,10 @@
     pub writes: Vec<WriteOutcome>,
     /// First result read at each position, by job.
     results: BTreeMap<String, BTreeMap<u64, Value>>,
+    /// Ids of the items of the jobs that run to their end.
+    items: BTreeMap<String, BTreeSet<String>>,
+    /// Number of jobs with items of an earlier job.
+    pub jobs_repeated: usize,
     /// When each job was first submitted, in milliseconds since the soak began.
     sent_at_ms: BTreeMap<String, u64>,
     /// Guarantees that did not hold.
@@ -68,6 +72,11 @@
         self.sent_at_ms.insert(job.to_owned(), at_ms);
     }
 
+    /// Records the ids of a job's items.
+    pub fn record_items(&mut self, job: &str, items: &[String]) {
+        self.items.insert(job.to_owned(), items.iter().cloned().collect());
+    }
+
     /// Returns when a job was first submitted, in milliseconds since the soak began, or 0 if it never was.
     pub fn sent_at_ms(&self, job: &str) -> u64 {
         self.sent_at_ms.get(job).copied().unwrap_or(0)
@@ -106,7 +115,7 @@
         if same > 1 {
             self.record_violation(at_ms, "an item is listed once", &item, format!("{same} positions"));
         }
-        if !item.starts_with(job) {
+        if !self.items.get(job).is_some_and(|items| items.contains(&item)) {
             self.record_violation(at_ms, "a result is of its own job", &item, job);
         }
         if result["state"] != "complete" {
--- a/crates/lab/src/soak/job_ends.rs
+++ b/crates/lab/src/soak/job_ends.rs
@@ -172,8 +172,19 @@
         }
     }
 
-    /// Ends a job. With either strategy, a request that could not be written to a gateway is retried.
+    /// Ends a job whose items appear again in a later one, so that requests of them may still arrive.
+    pub(super) async fn end_until_acknowledged(&self, job: &str) {
+        let strategy = EndStrategy::RetryUntilAcknowledged;
+        let _ = self.request_end(job, strategy).await;
+    }
+
     async fn end_job(&self, job: &str, strategy: EndStrategy) {
+        let end = self.request_end(job, strategy).await;
+        self.history().ends.ends.push(end);
+    }
+
+    /// Sends the end of a job. With either strategy, a request that could not be written to a gateway is retried.
+    async fn request_end(&self, job: &str, strategy: EndStrategy) -> JobEnd {
         let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
         let mut end = JobEnd { job: job.to_owned(), sent: Vec::new(), acknowledged_at: None };
         let mut turn = job.len();
@@ -192,7 +203,7 @@
             let seen = format!("not after {ACKNOWLEDGEMENT_TIMEOUT:?}");
             self.history().record_violation(self.now_ms(), "an end is acknowledged", job, seen);
         }
-        self.history().ends.ends.push(end);
+        end
     }
 
     /// Sends an end on a new connection and closes it after `timeout`, with or without a response. Returns `None` if the request
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -83,6 +83,8 @@
     pub writes_answered: usize,
     /// Number of jobs that were ended while they were open.
     pub jobs_ended: usize,
+    /// Number of jobs with items of a job that was ended early.
+    pub jobs_repeated: usize,
     /// Guarantees that did not hold.
     pub violations: Vec<Violation>,
 }
@@ -120,7 +122,9 @@
     let enders = if config.overlaps_faults { JOB_ENDERS } else { 0 };
     let mut calls = Vec::new();
     calls.extend((0..enders).map(|index| tokio::spawn(callers.clone().end_jobs(index, config.seed, until))));
-    calls.extend((0..JOB_RUNNERS).map(|index| tokio::spawn(callers.clone().run_jobs(index, until))));
+    calls.extend(
+        (0..JOB_RUNNERS).map(|index| tokio::spawn(callers.clone().run_jobs(index, config.seed, until))),
+    );
     calls.extend((0..WRITERS).map(|index| tokio::spawn(callers.clone().send_writes(index, until))));
     calls.push(tokio::spawn(callers.clone().repeat_crashing_request(until)));
     calls
@@ -189,6 +193,7 @@
         writes: history.writes.len(),
         writes_answered: writes_answered.count(),
         jobs_ended: history.ends.count(),
+        jobs_repeated: history.jobs_repeated,
         violations: history.violations.clone(),
     }
 }
