Check that a dropped job leaves nothing in the index of items

Cause: entries that stay behind would not be found by any other test, since jobs that are gone are skipped.

Change: the ledger after the drop equals one without the job.

Tests: batch_reuse passes, and fails without the removal from the index.

--- a/crates/core/tests/batch_reuse.rs
+++ b/crates/core/tests/batch_reuse.rs
@@ -545,6 +545,7 @@
     let first = job("j", 1, 0);
     let mut records = ended(&first, &[1, 1], Progress::Partial);
     records.push(Record::Dropped(first.id.clone()));
+    assert_eq!(ledger_of(&records), ledger_of(&[Record::Clock(5)]), "nothing of the job is held");
     let mut harness = owner_of(ledger_of(&records));
     harness.submit(at(10), again(&first, "k"));
     assert_eq!(starts(&harness), [("j-0", None)]);
