Parse the whole load that replicas report

Cause: of the header Replica-Load only the sum of the first two figures was kept. The pace (fourth figure) and the number of waiting requests are needed by the choice of replicas and by the moves of plain requests.

Change: ReplicaLoad in the core, its format in platform::headers. The ingress and the owner's score requests pass it on. The chooser answers reports_pace, expected_response, base_latency and reported_waiting; the choice itself is unchanged. Existing tests construct ReplicaLoad in place of a number.

Tests run: lichenpulley-platform (formats), lichenpulley-core (ingress, batch_scoring, selection): pass. All targets of the workspace build.

--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -10,6 +10,7 @@
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::ingress::places::AllowedRegions;
+use crate::ingress::replica_load::ReplicaLoad;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -47,11 +48,11 @@
         }
     }
 
-    /// Handles the end of a score request. `busy` is the number of requests that the replica reported to have
-    /// in hand, if it did.
-    pub fn score_ended(&mut self, now: Timestamp, id: ScoreId, end: &ScoreEnd, busy: Option<u32>) {
-        if let Some(busy) = busy {
-            self.scores.reported(id, busy, now);
+    /// Handles the end of a score request. `load` is the load that the replica reported, if it
+    /// did; it still includes this request.
+    pub fn score_ended(&mut self, now: Timestamp, id: ScoreId, end: &ScoreEnd, load: Option<ReplicaLoad>) {
+        if let Some(load) = load {
+            self.scores.reported(id, load, now);
         }
         let ended = self.scores.ended(id, end, self.routes.as_deref(), now);
         let Some(EndedScore { key, request, replica, route_attempts }) = ended else { return };
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -16,6 +16,7 @@
 use crate::ingress::admission::AdmissionGate;
 use crate::ingress::chooser::{ReplicaChooser, ReplicaFeedback};
 use crate::ingress::places::AllowedRegions;
+use crate::ingress::replica_load::ReplicaLoad;
 use crate::ingress::replicas::ReplicaRecord;
 use crate::ingress::routes::RouteTable;
 use crate::quarantine::Quarantine;
@@ -240,11 +241,11 @@
         (self.last + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 16
     }
 
-    /// Records how many requests a replica reported to be running or queued.
-    pub(super) fn reported(&mut self, id: ScoreId, busy: u32, now: Timestamp) {
+    /// Records the load that a replica reported with the answer to an attempt.
+    pub(super) fn reported(&mut self, id: ScoreId, load: ReplicaLoad, now: Timestamp) {
         if let Some(active) = self.active.get(&id) {
             // The attempt itself is still counted until its end is handled.
-            self.chooser.record_reported_load(&active.replica, busy.saturating_sub(1), now);
+            self.chooser.record_reported_load(&active.replica, load.without_one(), now);
         }
     }
 
--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -13,7 +13,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::replica_load::ReplicaLoad;
 use super::replicas::{ReplicaRecord, ReplicaTable};
+use super::response_model::ResponseModel;
 use crate::retry::backoff::Backoff;
 use crate::time::Timestamp;
 
@@ -38,7 +40,11 @@
 struct ReplicaStats {
     in_flight: u32,
     latency_ms: Option<f64>,
+    /// Requests in hand at the replica, by its latest report or refusal.
     reported: Option<(Timestamp, u32)>,
+    /// Requests waiting at the replica, by its latest report.
+    waiting: Option<(Timestamp, u32)>,
+    model: ResponseModel,
     suspect_until: Timestamp,
     failures_in_row: u32,
 }
@@ -46,8 +52,7 @@
 impl ReplicaStats {
     /// Returns the requests in flight: those of this node, or the reported number if it is greater.
     fn busy(&self, now: Timestamp) -> u32 {
-        let reported = self.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_VALIDITY);
-        self.in_flight.max(reported.map_or(0, |(_, busy)| busy))
+        self.in_flight.max(fresh(self.reported, now).unwrap_or(0))
     }
 
     /// Suspects the replica for a time that grows with its consecutive failures.
@@ -62,6 +67,12 @@
     }
 }
 
+/// Returns a reported figure if it is recent enough to be used.
+fn fresh(reported: Option<(Timestamp, u32)>, now: Timestamp) -> Option<u32> {
+    let (at, figure) = reported?;
+    (now.saturating_since(at) < REPORTED_LOAD_VALIDITY).then_some(figure)
+}
+
 /// The end of a request, as far as it affects later choices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplicaFeedback {
@@ -142,6 +153,11 @@
                 let took_ms = took.as_secs_f64() * 1_000.0;
                 let mean = stats.latency_ms.unwrap_or(took_ms);
                 stats.latency_ms = Some(mean + LATENCY_SAMPLE_WEIGHT * (took_ms - mean));
+                let busy = stats.busy(now);
+                // The load at a replica that just refused is unknown.
+                if busy < FULL_LOAD {
+                    stats.model.record_response(took, busy, now);
+                }
                 stats.clear_suspicion();
             }
             ReplicaFeedback::AnsweredCold => stats.clear_suspicion(),
@@ -157,9 +173,37 @@
         self.stats.entry(replica.to_owned()).or_default().suspect(now);
     }
 
-    /// Records the number of running and queued requests that a replica reports.
-    pub fn record_reported_load(&mut self, replica: &str, busy: u32, now: Timestamp) {
-        self.stats.entry(replica.to_owned()).or_default().reported = Some((now, busy));
+    /// Records the load that a replica reports. The load of an answer must be recorded before its end.
+    pub fn record_reported_load(&mut self, replica: &str, load: ReplicaLoad, now: Timestamp) {
+        let stats = self.stats.entry(replica.to_owned()).or_default();
+        stats.reported = Some((now, load.in_hand()));
+        stats.waiting = Some((now, load.waiting));
+        stats.model.record_load(load, now);
+    }
+
+    /// Whether any of the replicas, given by their ids, has reported a pace to this node.
+    pub fn reports_pace<'a>(&self, replicas: impl IntoIterator<Item = &'a str>) -> bool {
+        replicas.into_iter().any(|id| self.stats.get(id).is_some_and(|stats| stats.model.reports_pace()))
+    }
+
+    /// Returns the time after which a replica is expected to respond to a request sent now. `None` if it reports no
+    /// pace or its base latency is unknown.
+    pub fn expected_response(&self, record: &ReplicaRecord, now: Timestamp) -> Option<Duration> {
+        let stats = self.stats.get(&record.id)?;
+        let base_ms = stats.model.base_ms()?;
+        let factor = stats.model.present_factor(stats.busy(now), now)?;
+        Some(Duration::from_secs_f64(base_ms * factor / 1_000.0))
+    }
+
+    /// Returns the response time of a replica at its usual pace and without load, if it reports its pace.
+    pub fn base_latency(&self, record: &ReplicaRecord) -> Option<Duration> {
+        let base_ms = self.stats.get(&record.id)?.model.base_ms()?;
+        Some(Duration::from_secs_f64(base_ms / 1_000.0))
+    }
+
+    /// Returns how many requests wait at a replica, if it reported that recently.
+    pub fn reported_waiting(&self, replica: &str, now: Timestamp) -> Option<u32> {
+        fresh(self.stats.get(replica)?.waiting, now)
     }
 
     /// Drops replicas that are no longer listed and have no requests of this node in flight.
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -19,6 +19,7 @@
 use super::admission::{Admission, AdmissionGate, EvacuatedZones};
 use super::chooser::{ReplicaChooser, ReplicaFeedback};
 use super::places::{AllowedRegions, ZoneMap};
+use super::replica_load::ReplicaLoad;
 use super::replicas::{ReplicaRecord, ReplicaTable};
 use super::warmups::WarmupTracker;
 use crate::time::Timestamp;
@@ -234,9 +235,30 @@
         self.chooser.mark_late(replica, now);
     }
 
-    /// Records the number of running and queued requests that a replica reports.
-    pub fn record_reported_load(&mut self, replica: &str, busy: u32, now: Timestamp) {
-        self.chooser.record_reported_load(replica, busy, now);
+    /// Records the load that a replica reports. The load of an answer must be recorded before its end.
+    pub fn record_reported_load(&mut self, replica: &str, load: ReplicaLoad, now: Timestamp) {
+        self.chooser.record_reported_load(replica, load, now);
+    }
+
+    /// Whether any of the replicas, given by their ids, has reported a pace to this node.
+    pub fn reports_pace<'a>(&self, replicas: impl IntoIterator<Item = &'a str>) -> bool {
+        self.chooser.reports_pace(replicas)
+    }
+
+    /// Returns the time after which a replica is expected to respond to a request sent now. `None` if it reports no
+    /// pace or its base latency is unknown.
+    pub fn expected_response(&self, record: &ReplicaRecord, now: Timestamp) -> Option<Duration> {
+        self.chooser.expected_response(record, now)
+    }
+
+    /// Returns the response time of a replica at its usual pace and without load, if it reports its pace.
+    pub fn base_latency(&self, record: &ReplicaRecord) -> Option<Duration> {
+        self.chooser.base_latency(record)
+    }
+
+    /// Returns how many requests wait at a replica, if it reported that recently.
+    pub fn reported_waiting(&self, replica: &str, now: Timestamp) -> Option<u32> {
+        self.chooser.reported_waiting(replica, now)
     }
 
     /// Records the end of a request at a replica.
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -18,6 +18,7 @@
 use lichenpulley_core::duties::DutyCall;
 use lichenpulley_core::identity::{BatchId, NodeId};
 use lichenpulley_core::ingress::places::AllowedRegions;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, Service, WeightedService};
 use lichenpulley_core::time::Timestamp;
@@ -250,7 +251,7 @@
         self.score_end_with(now, position, end, None);
     }
 
-    /// Ends a score request; `busy` is the number of requests that the replica reported to have in hand.
+    /// Ends a score request; `busy` is the number of running requests that the replica reported.
     pub(crate) fn score_end_with(
         &mut self,
         now: Timestamp,
@@ -259,7 +260,8 @@
         busy: Option<u32>,
     ) {
         let id = self.scores[position].id;
-        self.controller.score_ended(now, id, &end, busy);
+        let load = busy.map(|running| ReplicaLoad { running, ..ReplicaLoad::default() });
+        self.controller.score_ended(now, id, &end, load);
         self.drain_actions();
     }
 
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -6,6 +6,7 @@
 use lichenpulley_core::ingress::attempts::{Attempts, NextStep, SendOutcome};
 use lichenpulley_core::ingress::chooser::{ReplicaChooser, ReplicaFeedback};
 use lichenpulley_core::ingress::places::AllowedRegions;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, Route, RouteKind, RouteTable, WeightedService};
 use lichenpulley_core::time::Timestamp;
@@ -176,7 +177,8 @@
     let table = replicas(vec![replica("full"), replica("free")]);
     let now = Timestamp::from_millis(1_000);
     let mut chooser = ReplicaChooser::default();
-    chooser.record_reported_load("full", 12, now);
+    let load = ReplicaLoad { running: 4, waiting: 8, slots: 4, pace_percent: None };
+    chooser.record_reported_load("full", load, now);
     for random in 0..8 {
         assert_eq!(choose(&chooser, &table, &[], now, random).expect("a replica").id, "free");
     }
@@ -195,3 +197,39 @@
     chooser.record_end("cold", ReplicaFeedback::AnsweredCold, now);
     assert_eq!(chosen(&chooser).as_deref(), Some("cold"), "like a replica without samples");
 }
+
+/// Guards against a base latency that contains the load or a slowdown at the time of the answer.
+#[test]
+fn the_expected_response_follows_the_reported_pace_and_load() {
+    let record = replica("a");
+    let mut chooser = ReplicaChooser::default();
+    let load = |running, pace| ReplicaLoad { running, waiting: 0, slots: 4, pace_percent: Some(pace) };
+    let now = Timestamp::from_millis(1_000);
+    assert!(!chooser.reports_pace(["a"]));
+    chooser.record_reported_load("a", load(2, 250), now);
+    assert!(chooser.reports_pace(["b", "a"]));
+    assert_eq!(chooser.expected_response(&record, now), None, "no answer yet");
+    // 20 ms, times 2.5 for the slowdown, times 1.5 for two requests on four slots.
+    chooser.record_end("a", ReplicaFeedback::Answered(Duration::from_millis(75)), now);
+    assert_eq!(chooser.base_latency(&record), Some(Duration::from_millis(20)));
+    assert_eq!(chooser.expected_response(&record, now), Some(Duration::from_millis(75)));
+    // The pace is as usual again once it is older than it may be used, and so is the load.
+    let later = now + Duration::from_millis(500);
+    assert_eq!(chooser.expected_response(&record, later), Some(Duration::from_millis(20)));
+    let halfway = now + Duration::from_millis(250);
+    let expected = chooser.expected_response(&record, halfway).expect("a time").as_secs_f64();
+    assert!((expected - 0.020 * 1.75 * 1.5).abs() < 1e-6, "the pace approaches 100 %: {expected}");
+}
+
+/// Guards against a queue that is assumed long after it was reported.
+#[test]
+fn the_reported_queue_is_known_only_while_it_is_recent() {
+    let mut chooser = ReplicaChooser::default();
+    let now = Timestamp::from_millis(1_000);
+    assert_eq!(chooser.reported_waiting("a", now), None);
+    let load = ReplicaLoad { running: 4, waiting: 3, slots: 4, pace_percent: None };
+    chooser.record_reported_load("a", load, now);
+    assert_eq!(chooser.reported_waiting("a", now), Some(3));
+    assert_eq!(chooser.reported_waiting("a", now + Duration::from_secs(1)), None);
+    assert!(!chooser.reports_pace(["a"]), "three figures contain no pace");
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -265,7 +265,7 @@
         self.running.forget_score(ended.id);
         let now = self.now();
         self.controller.set_confirmed(self.stores.is_confirmed());
-        self.controller.score_ended(now, ended.id, &ended.end, ended.busy);
+        self.controller.score_ended(now, ended.id, &ended.end, ended.load);
     }
 
     fn handle_load(&mut self, ended: &LoadEnded) {
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -8,6 +8,7 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_platform::headers;
 use tokio::sync::mpsc;
@@ -26,8 +27,8 @@
 pub(super) struct ScoreEnded {
     pub(super) id: ScoreId,
     pub(super) end: ScoreEnd,
-    /// Requests in progress at the replica, if it reported them.
-    pub(super) busy: Option<u32>,
+    /// Load that the replica reported, if it did.
+    pub(super) load: Option<ReplicaLoad>,
 }
 
 /// Sends a score request and reports its end to the owner. Dropping the future closes the connection.
@@ -38,16 +39,21 @@
     ends: mpsc::UnboundedSender<ScoreEnded>,
 ) {
     let began = Instant::now();
-    let mut busy = None;
-    let answer = tokio::time::timeout(start.timeout, send(&context, &pool, &start, &mut busy)).await;
+    let mut load = None;
+    let answer = tokio::time::timeout(start.timeout, send(&context, &pool, &start, &mut load)).await;
     // An answer that is incomplete at the timeout counts as broken off.
     let end = answer.unwrap_or(ScoreEnd::Broken);
     context.metrics.observe(Latency::Score, end.as_str(), began.elapsed());
     // Sending fails only once the owner has ended.
-    let _ = ends.send(ScoreEnded { id: start.id, end, busy });
+    let _ = ends.send(ScoreEnded { id: start.id, end, load });
 }
 
-async fn send(context: &Context, pool: &ReplicaPool, start: &ScoreStart, busy: &mut Option<u32>) -> ScoreEnd {
+async fn send(
+    context: &Context,
+    pool: &ReplicaPool,
+    start: &ScoreStart,
+    load: &mut Option<ReplicaLoad>,
+) -> ScoreEnd {
     let request = match build(start) {
         Ok(request) => request,
         Err(error) => {
@@ -67,7 +73,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    *busy = fields::reported_load(&head.headers);
+    *load = fields::reported_load(&head.headers);
     if !fields::echoes_request_id(&head.headers, Some(&start.request.id)) {
         return ScoreEnd::Broken;
     }
--- a/crates/daemon/src/ingress/headers.rs
+++ b/crates/daemon/src/ingress/headers.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use lichenpulley_core::ingress::attempts::SendOutcome;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::time::whole_millis;
 use lichenpulley_platform::headers;
 
@@ -77,12 +78,9 @@
     fields.contains_key(headers::SIGNATURE) && !fields.contains_key(CONTENT_ENCODING)
 }
 
-/// Returns the number of requests running and queued at the replica, if it reports its load.
-pub(crate) fn reported_load(fields: &HeaderMap) -> Option<u32> {
-    let mut numbers = text(fields, headers::LOAD)?.split(',').map(|number| number.trim().parse::<u32>());
-    let running = numbers.next()?.ok()?;
-    let waiting = numbers.next()?.ok()?;
-    Some(running.saturating_add(waiting))
+/// Returns the load that the replica reports, if it does.
+pub(crate) fn reported_load(fields: &HeaderMap) -> Option<ReplicaLoad> {
+    headers::parse_load(text(fields, headers::LOAD)?)
 }
 
 /// Returns the outcome of a send by the response head. Only an explicit statement of the replica proves that
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -95,8 +95,8 @@
                 return Err(SendOutcome::TimedOut);
             }
         };
-        if let Some(busy) = headers::reported_load(exchange.response.headers()) {
-            self.ingress.record_reported_load(&self.replica.id, busy);
+        if let Some(load) = headers::reported_load(exchange.response.headers()) {
+            self.ingress.record_reported_load(&self.replica.id, load);
         }
         Ok(exchange)
     }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -33,6 +33,7 @@
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::selection::{NoCandidate, ReplicaSelector, SelectionQuery, StayReason};
@@ -211,8 +212,8 @@
         self.selection().selector.mark_late(replica, self.now());
     }
 
-    fn record_reported_load(&self, replica: &str, busy: u32) {
-        self.selection().selector.record_reported_load(replica, busy, self.now());
+    fn record_reported_load(&self, replica: &str, load: ReplicaLoad) {
+        self.selection().selector.record_reported_load(replica, load, self.now());
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
