Move plain requests early and refuse those that no queue lets through in time

Cause: a plain request at a silent replica moved after 300 ms at the earliest, later than the usual target of 150 ms. A request that no replica could serve in time was offered to full replicas or waited until its deadline, and its refusal carried a fixed Retry-After.

Change: the selector has select_early (reported pace, no shortage, an expected response within the rest of the target, budget), select_in_time (refuses with no_time if every candidate's fresh queue takes longer than the request has) and shortest_queue (Retry-After after rejections). The attempt loop moves a request early at most once, at least half of the target after its first byte was written. After an early move that was answered late, a service pauses them, since the budget of one a second is more than the requests of one gateway of many. Metrics and decisions show early moves, denials and refusals. All of it is off for services of which no replica has reported a pace.

--- a/crates/core/src/ingress/attempts.rs
+++ b/crates/core/src/ingress/attempts.rs
@@ -70,6 +70,8 @@
     sends: u32,
     unsent: u32,
     may_have_run: bool,
+    was_rejected: bool,
+    has_moved_early: bool,
 }
 
 /// Maximum number of sends that may end unsent before the request is given up. Fewer give up while the replicas of a
@@ -81,7 +83,15 @@
 impl Attempts {
     /// Creates the state of a request that has not been sent.
     pub const fn new(is_repeatable: bool, max_sends: u32) -> Self {
-        Self { is_repeatable, max_sends, sends: 0, unsent: 0, may_have_run: false }
+        Self {
+            is_repeatable,
+            max_sends,
+            sends: 0,
+            unsent: 0,
+            may_have_run: false,
+            was_rejected: false,
+            has_moved_early: false,
+        }
     }
 
     /// Whether a request that waits at a replica may move to another one, given the remaining time.
@@ -89,12 +99,36 @@
         self.is_repeatable && self.sends + 1 < self.max_sends && remaining >= MIN_REMAINING_TIME
     }
 
+    /// Whether a request that waits at a replica may move to another one before its attempt timeout, to be answered
+    /// within its target. One request moves early at most once, so that it takes at most one slot from others.
+    pub fn may_move_early(&self, remaining: Duration) -> bool {
+        !self.has_moved_early && self.may_move(remaining)
+    }
+
+    /// Records that the request moves early.
+    pub const fn record_early_move(&mut self) {
+        self.has_moved_early = true;
+    }
+
+    /// Whether the request has moved early.
+    pub const fn has_moved_early(&self) -> bool {
+        self.has_moved_early
+    }
+
+    /// Whether no send may have run the request, and at least one replica rejected it.
+    pub const fn is_only_rejected(&self) -> bool {
+        self.was_rejected && !self.may_have_run
+    }
+
     /// Records the outcome of a send and returns what to do next.
     pub fn next_step(&mut self, outcome: SendOutcome, remaining: Duration) -> NextStep {
         match outcome {
             SendOutcome::Answered => return NextStep::Answer,
             SendOutcome::NotSent | SendOutcome::Withheld => self.unsent += 1,
-            SendOutcome::Rejected => self.sends += 1,
+            SendOutcome::Rejected => {
+                self.sends += 1;
+                self.was_rejected = true;
+            }
             SendOutcome::Failed | SendOutcome::Broken | SendOutcome::TimedOut => {
                 self.sends += 1;
                 self.may_have_run = true;
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -11,6 +11,10 @@
 //! A request that waits too long at a replica may move to a better one
 //! ([`ReplicaSelector::select_alternative`]). The work at the first replica is then lost.
 //!
+//! Where replicas report their pace, a plain request may move earlier, to be answered within its target
+//! ([`ReplicaSelector::select_early`]), and a plain request is refused if every candidate reports a queue that takes
+//! longer than the time that it has left ([`ReplicaSelector::select_in_time`]).
+//!
 //! The caller must report the end of each request by [`ReplicaSelector::record_end`].
 
 use std::sync::Arc;
@@ -22,6 +26,8 @@
 use super::replica_load::ReplicaLoad;
 use super::replicas::{ReplicaRecord, ReplicaTable};
 use super::warmups::WarmupTracker;
+use crate::retry::early_moves::{EarlyMoveDenial, EarlyMoves};
+use crate::retry::retry_after::QueueDrain;
 use crate::time::Timestamp;
 
 /// Why no replica can be sent a request now. If several reasons apply, the greatest one is reported.
@@ -39,6 +45,8 @@
     Evacuated,
     /// Replicas are cold; this node may send to one of them after this time.
     Warming(Duration),
+    /// The queue of each candidate takes longer than the time that the request has left.
+    NoTime(QueueDrain),
     /// The request is quarantined, since replicas crashed while running it.
     Quarantined,
 }
@@ -53,6 +61,7 @@
             Self::OutsideRegions => "outside_regions",
             Self::Evacuated => "evacuated",
             Self::Warming(_) => "warming",
+            Self::NoTime(_) => "no_time",
             Self::Quarantined => "quarantined",
         }
     }
@@ -125,12 +134,22 @@
 pub struct ReplicaSelector {
     chooser: ReplicaChooser,
     gate: AdmissionGate,
+    early_moves: EarlyMoves,
 }
 
 impl ReplicaSelector {
     /// Creates a selector without observations.
     pub fn new(warmups: WarmupTracker) -> Self {
-        Self { chooser: ReplicaChooser::default(), gate: AdmissionGate::new(warmups) }
+        Self {
+            chooser: ReplicaChooser::default(),
+            gate: AdmissionGate::new(warmups),
+            early_moves: EarlyMoves::default(),
+        }
+    }
+
+    /// Returns the limits on early moves, to record requests and answers.
+    pub const fn early_moves_mut(&mut self) -> &mut EarlyMoves {
+        &mut self.early_moves
     }
 
     /// Returns the gate that admits requests to replicas.
@@ -160,6 +179,101 @@
         self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
     }
 
+    /// Like [`Self::select`], for a plain request that has not run and has `remaining` time left.
+    ///
+    /// # Errors
+    /// Also returns [`NoCandidate::NoTime`] if each candidate recently reported a queue that takes longer than that.
+    /// Once the reports are too old, requests are sent again, and their answers bring new reports.
+    pub fn select_in_time(
+        &mut self,
+        query: &SelectionQuery<'_>,
+        remaining: Duration,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+        random: u64,
+    ) -> Result<SelectedReplica, NoCandidate> {
+        let candidates = self.candidates(query, table, evacuated, now)?;
+        let drain_times = candidates.iter().map(|record| self.drain_time(record, now));
+        // `None` if any queue is unknown. There is at least one candidate.
+        let shortest = drain_times.collect::<Option<Vec<_>>>().and_then(|times| times.into_iter().min());
+        if let Some(drain_time) = shortest.filter(|drain_time| *drain_time > remaining) {
+            return Err(NoCandidate::NoTime(QueueDrain { drain_time, remaining }));
+        }
+        self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
+    }
+
+    /// Returns the shortest queue that a replica of the service, tried or not, recently reported. `None` if none did.
+    pub fn shortest_queue(
+        &self,
+        query: &SelectionQuery<'_>,
+        remaining: Duration,
+        table: Option<&ReplicaTable>,
+        now: Timestamp,
+    ) -> Option<QueueDrain> {
+        let allowed = table?.ready(query.service).filter(|record| query.allows(record));
+        let open = allowed.filter(|record| !self.gate.is_evacuated(record));
+        let drain_time = open.filter_map(|record| self.drain_time(record, now)).min()?;
+        Some(QueueDrain { drain_time, remaining })
+    }
+
+    /// Returns the time in which the queue that a replica recently reported drains at its usual pace: the number of
+    /// waiting requests times the base latency, divided by the slots. `None` if it is unknown or the replica reports no
+    /// pace.
+    fn drain_time(&self, record: &ReplicaRecord, now: Timestamp) -> Option<Duration> {
+        let waiting = self.chooser.reported_waiting(&record.id, now)?;
+        let base_latency = self.chooser.base_latency(record)?;
+        Some(base_latency.mul_f64(f64::from(waiting) / f64::from(record.slots.max(1))))
+    }
+
+    /// Selects another replica for a plain request that waits at one and has `target_left` of its target left, and
+    /// counts the request as in flight there.
+    ///
+    /// The other replica must be warm, must not be suspected, full or known to have waiting requests, and must be
+    /// expected to answer within `target_left`.
+    ///
+    /// # Errors
+    /// Returns the reason if the request should stay where it is for now.
+    pub fn select_early(
+        &mut self,
+        query: &SelectionQuery<'_>,
+        target_left: Duration,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+        random: u64,
+    ) -> Result<SelectedReplica, EarlyMoveDenial> {
+        let listed = table.into_iter().flat_map(|table| table.ready(query.service));
+        let replicas = listed.map(|record| record.id.as_str()).chain(query.tried.iter().map(String::as_str));
+        if !self.chooser.reports_pace(replicas) {
+            return Err(EarlyMoveDenial::NoPace);
+        }
+        if self.early_moves.is_short(query.service, now) {
+            return Err(EarlyMoveDenial::Shortage);
+        }
+        if self.early_moves.is_futile(query.service, now) {
+            return Err(EarlyMoveDenial::Futile);
+        }
+        let candidates = self.candidates(query, table, evacuated, now);
+        let mut candidates = candidates.map_err(|_| EarlyMoveDenial::NoCandidate)?;
+        candidates.retain(|record| {
+            let expected = self.chooser.expected_response(record, now);
+            let has_waiting =
+                self.chooser.reported_waiting(&record.id, now).is_some_and(|waiting| waiting > 0);
+            expected.is_some_and(|expected| expected <= target_left)
+                && !has_waiting
+                && self.chooser.is_move_target(&record.id, now)
+                && !self.gate.is_cold(&record.id, now)
+        });
+        if candidates.is_empty() {
+            return Err(EarlyMoveDenial::NoneInTime);
+        }
+        if !self.early_moves.withdraw(query.service, now) {
+            return Err(EarlyMoveDenial::BudgetExhausted);
+        }
+        self.reserve_best(candidates, now, random).ok_or(EarlyMoveDenial::NoCandidate)
+    }
+
     /// Selects another replica for a request that waits at one, and counts the request as in flight there.
     /// `waits_at_cold` states whether the first replica was cold when it was selected.
     ///
--- a/crates/core/src/retry/early_moves.rs
+++ b/crates/core/src/retry/early_moves.rs
@@ -3,16 +3,20 @@
 //!
 //! Load pattern: one replica of several is silent or much slower than the others. Its requests move to another replica,
 //! which repeats their work there. If all replicas are slow instead, every request exceeds the timeout, and repeats
-//! would take slots from first attempts. Two limits apply to each service:
+//! would take slots from first attempts. Three limits apply to each service:
 //!
 //! - A [`RetryBudget`]: a tenth of this gateway's requests plus one a second.
 //! - No early moves while recent answers of the service show waiting requests ([`EarlyMoves::is_short`]).
+//! - No early moves for some seconds after one that was answered late ([`EarlyMoves::is_futile`]): the other replicas
+//!   are slow too. This limits gateways with few requests, which the budget of one a second does not.
 //!
-//! The state is a hint of one gateway and is lost with it. A new gateway begins with the budget of one second.
+//! The state is a hint of one gateway and is lost with it. A new gateway begins with the budget of one second. A gateway
+//! that is cut off from the others keeps its own state.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::backoff::Backoff;
 use super::budget::{BudgetConfig, RetryBudget};
 use crate::time::Timestamp;
 
@@ -33,6 +37,10 @@
 /// for 15 % of the time and then has waiting requests without a shortage; a third is twice that share.
 const SHORTAGE_DIVISOR: usize = 3;
 
+/// Time without early moves after one that was answered late, by the number of such moves in a row. A gateway may see
+/// one request in five seconds; after a shorter time, each of its requests would move.
+const FUTILE_MOVE_PAUSE: Backoff = Backoff::new(Duration::from_secs(5), Duration::from_secs(40));
+
 /// Why a request does not move early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlyMoveDenial {
@@ -40,6 +48,8 @@
     NoPace,
     /// Recent answers of the service show waiting requests.
     Shortage,
+    /// An early move was answered late a short time ago.
+    Futile,
     /// No other replica may be sent the request.
     NoCandidate,
     /// No other replica is expected to answer within the target.
@@ -54,6 +64,7 @@
         match self {
             Self::NoPace => "no_pace",
             Self::Shortage => "shortage",
+            Self::Futile => "futile",
             Self::NoCandidate => "no_candidate",
             Self::NoneInTime => "none_in_time",
             Self::BudgetExhausted => "budget_exhausted",
@@ -98,11 +109,20 @@
     budget: RetryBudget,
     /// Whether requests were waiting when a replica answered, newest last.
     answers: VecDeque<(Timestamp, bool)>,
+    /// Early moves in a row that were not answered within the target.
+    late_moves: u32,
+    /// No early moves before this time.
+    paused_until: Timestamp,
 }
 
 impl ServiceLimits {
     fn new(now: Timestamp) -> Self {
-        Self { budget: RetryBudget::new(BUDGET, now), answers: VecDeque::with_capacity(MAX_ANSWERS) }
+        Self {
+            budget: RetryBudget::new(BUDGET, now),
+            answers: VecDeque::with_capacity(MAX_ANSWERS),
+            late_moves: 0,
+            paused_until: Timestamp::ORIGIN,
+        }
     }
 
     fn is_short(&self, now: Timestamp) -> bool {
@@ -140,6 +160,22 @@
         self.services.get(service).is_some_and(|limits| limits.is_short(now))
     }
 
+    /// Records how a request that moved early ended.
+    pub fn record_result(&mut self, service: &str, result: EarlyMoveResult, now: Timestamp) {
+        let limits = self.service(service, now);
+        if result == EarlyMoveResult::InTarget {
+            limits.late_moves = 0;
+            return;
+        }
+        limits.late_moves = limits.late_moves.saturating_add(1);
+        limits.paused_until = now + FUTILE_MOVE_PAUSE.pause(limits.late_moves);
+    }
+
+    /// Whether an early move of a service was answered late a short time ago.
+    pub fn is_futile(&self, service: &str, now: Timestamp) -> bool {
+        self.services.get(service).is_some_and(|limits| now < limits.paused_until)
+    }
+
     /// Withdraws one early move from the budget of a service; returns `false` if it is exhausted.
     pub fn withdraw(&mut self, service: &str, now: Timestamp) -> bool {
         self.service(service, now).budget.withdraw(now)
--- a/crates/core/src/retry/retry_after.rs
+++ b/crates/core/src/retry/retry_after.rs
@@ -34,7 +34,7 @@
 const RESOLUTION: Duration = Duration::from_millis(100);
 
 /// The queues of the replicas that could have served a refused request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueDrain {
     /// Expected time until the queue of one of the replicas has drained.
     pub drain_time: Duration,
--- a/crates/core/tests/early_moves.rs
+++ b/crates/core/tests/early_moves.rs
@@ -99,6 +99,25 @@
     assert!(!moves.is_short("a", START), "the shortage is over");
 }
 
+/// Guards against early moves of each request of a gateway with few requests while all replicas are slow.
+#[test]
+fn early_moves_pause_after_one_that_was_answered_late() {
+    let mut moves = EarlyMoves::default();
+    assert!(!moves.is_futile("a", START));
+    let mut previous = Duration::ZERO;
+    let mut now = START;
+    for _ in 0..3 {
+        moves.record_result("a", EarlyMoveResult::Late, now);
+        let futile = (1..100).find(|seconds| !moves.is_futile("a", now + Duration::from_secs(*seconds)));
+        let pause = Duration::from_secs(futile.expect("an end"));
+        assert!(pause > previous && pause >= Duration::from_secs(5), "{pause:?}");
+        previous = pause;
+        now = now + pause;
+    }
+    moves.record_result("a", EarlyMoveResult::InTarget, now);
+    assert!(!moves.is_futile("a", now) && !moves.is_futile("b", now));
+}
+
 #[test]
 fn the_result_of_an_early_move_is_judged_by_the_target() {
     assert_eq!(EarlyMoveResult::of(Some(TARGET), TARGET), EarlyMoveResult::InTarget);
--- a/crates/daemon/src/ingress/attempt_loop.rs
+++ b/crates/daemon/src/ingress/attempt_loop.rs
@@ -3,17 +3,24 @@
 //!
 //! The loop tracks the replicas that were tried, the attempts so far and the slot reserved for the next
 //! attempt. The policy is in the core: `ingress::selection` selects the next replica, `ingress::attempts`
-//! decides whether another may be tried, and `retry::attempt_timeout` when a waiting request may move.
+//! decides whether another may be tried, `retry::attempt_timeout` when a waiting request may move, and
+//! `retry::early_moves` limits moves within the target of the route.
 //! [`ReplicaAttempt`] implements what differs between plain requests and streams: a single send, and the
 //! refusal after the last one.
 //!
 //! Invariant: a send is cancelled early only once a slot at another replica is reserved for its request.
 
+use std::time::Duration;
+
 use hyper::Response;
 use lichenpulley_core::ingress::attempts::{Attempts, NextStep, SendOutcome};
 use lichenpulley_core::ingress::routes::Route;
 use lichenpulley_core::ingress::selection::{NoCandidate, StayReason};
 use lichenpulley_core::retry::attempt_timeout;
+use lichenpulley_core::retry::early_moves::EarlyMoveDenial;
+use lichenpulley_core::time::Timestamp;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::Ingress;
 use super::caller_request::CallerRequest;
@@ -29,6 +36,10 @@
     /// Whether a request that waits too long for its answer may move to another replica.
     const MAY_MOVE: bool;
 
+    /// Whether a request is refused if the queues of all replicas take longer than the time that it has left, and told
+    /// when they have drained.
+    const IS_BOUND_BY_QUEUES: bool;
+
     /// Sends the request to the replica selected in `in_flight`. Dropping the future closes the connection.
     fn send(
         &self,
@@ -53,6 +64,8 @@
 /// State of the attempts to get one request answered.
 pub(super) struct AttemptLoop {
     attempts: Attempts,
+    /// Target answer time of the route.
+    target: Duration,
     /// Ids of the replicas to which the request was sent, in order.
     tried: Vec<String>,
     /// The slot reserved at another replica, to which the request moves next.
@@ -67,6 +80,7 @@
     pub(super) fn new(route: &Route, max_sends: u32) -> Self {
         Self {
             attempts: Attempts::new(route.is_repeatable(), max_sends),
+            target: route.target,
             tried: Vec::new(),
             reserved: None,
             is_stay_recorded: false,
@@ -78,6 +92,11 @@
         self.tried.len()
     }
 
+    /// Whether the request has moved early.
+    pub(super) const fn has_moved_early(&self) -> bool {
+        self.attempts.has_moved_early()
+    }
+
     /// Sends the request to one replica after another until one answers.
     ///
     /// # Errors
@@ -95,7 +114,7 @@
                     return Err(request.refuse_no_candidate(ingress, reason));
                 }
                 Err(_) => {
-                    let refusal = attempt.refusal(request, self.attempts.give_up());
+                    let refusal = self.refusal(ingress, request, attempt, self.attempts.give_up());
                     return Err(request.refuse(ingress, refusal));
                 }
             };
@@ -107,7 +126,7 @@
                 }
                 (next, _) => {
                     request.record(ingress, &in_flight, "given_up", outcome.as_str(), self.sends());
-                    return Err(request.refuse(ingress, attempt.refusal(request, next)));
+                    return Err(request.refuse(ingress, self.refusal(ingress, request, attempt, next)));
                 }
             }
         }
@@ -125,15 +144,23 @@
     ) -> Result<SentAttempt<Attempt::Answer>, NoCandidate> {
         let mut in_flight = match self.reserved.take() {
             Some(reserved) => reserved,
+            // A request that may have run is sent again as before, since it could not be refused as "not run".
+            None if Attempt::IS_BOUND_BY_QUEUES && self.attempts.give_up() == NextStep::GiveUpNotRun => {
+                ingress.select_in_time(request, &self.tried)?
+            }
             None => ingress.select(request, &self.tried)?,
         };
         self.tried.push(in_flight.replica.id.clone());
         self.is_stay_recorded = false;
-        let waits_at_cold = in_flight.is_cold;
+        let waits = WaitingSend {
+            is_at_cold: in_flight.is_cold,
+            selected_at: in_flight.started_at,
+            written_at: in_flight.written_at(),
+        };
         let ended = tokio::select! {
             biased;
             ended = attempt.send(request, &mut in_flight) => Some(ended),
-            () = self.reserve_after_timeout(ingress, request, waits_at_cold), if Attempt::MAY_MOVE => None,
+            () = self.reserve_after_timeout(ingress, request, waits), if Attempt::MAY_MOVE => None,
         };
         let (outcome, answer) = ended.unwrap_or_else(|| {
             in_flight.record_no_answer();
@@ -149,14 +176,38 @@
         &mut self,
         ingress: &Ingress,
         request: &CallerRequest,
-        waits_at_cold: bool,
+        mut waits: WaitingSend,
     ) {
-        tokio::time::sleep(attempt_timeout::for_request(request.remaining())).await;
-        while !self.reserve(ingress, request, waits_at_cold) {
+        let times_out_at = Instant::now() + attempt_timeout::for_request(request.remaining());
+        let may_move_early = tokio::time::timeout_at(times_out_at, waits.until_early_move(self.target)).await;
+        if may_move_early.is_ok() && self.reserve_early(ingress, request) {
+            return;
+        }
+        tokio::time::sleep_until(times_out_at).await;
+        while !self.reserve(ingress, request, waits.is_at_cold) {
             tokio::time::sleep(attempt_timeout::MOVE_RETRY_INTERVAL).await;
         }
     }
 
+    /// Tries to reserve a slot at a replica that is expected to answer within the target. Returns whether a slot is
+    /// reserved.
+    fn reserve_early(&mut self, ingress: &Ingress, request: &CallerRequest) -> bool {
+        if !self.attempts.may_move_early(request.remaining()) {
+            return false;
+        }
+        let target_left = self.target.saturating_sub(request.elapsed());
+        match ingress.select_early(request, &self.tried, target_left) {
+            Ok(reserved) => {
+                request.record_early_move(ingress, self.tried.last(), &reserved.replica.id);
+                self.attempts.record_early_move();
+                self.reserved = Some(reserved);
+            }
+            Err(EarlyMoveDenial::NoPace) => {}
+            Err(denial) => request.record_early_move_denial(ingress, denial),
+        }
+        self.reserved.is_some()
+    }
+
     /// Tries to reserve a slot at another replica for a request that waits at the last tried one. Returns
     /// whether a slot is reserved.
     pub(super) fn reserve(
@@ -188,10 +239,50 @@
         self.attempts.next_step(outcome, request.remaining())
     }
 
-    /// Whether a refusal reports only the missing candidate: the request was not sent at all, or it is
-    /// quarantined and has not run.
+    /// Whether a refusal reports only the missing candidate: the request was not sent at all, or it has not run and
+    /// is quarantined or would wait for too long.
     fn is_only_reason(&self, reason: NoCandidate) -> bool {
-        let is_quarantined = reason == NoCandidate::Quarantined;
-        self.tried.is_empty() || (is_quarantined && self.attempts.give_up() == NextStep::GiveUpNotRun)
+        let is_final = matches!(reason, NoCandidate::Quarantined | NoCandidate::NoTime(_));
+        self.tried.is_empty() || (is_final && self.attempts.give_up() == NextStep::GiveUpNotRun)
+    }
+
+    /// Returns the refusal for a request that is given up. If all replicas rejected it and report their queues, the
+    /// caller is told when a queue has drained.
+    fn refusal<Attempt: ReplicaAttempt>(
+        &self,
+        ingress: &Ingress,
+        request: &CallerRequest,
+        attempt: &Attempt,
+        next: NextStep,
+    ) -> Refusal {
+        let refusal = attempt.refusal(request, next);
+        if !Attempt::IS_BOUND_BY_QUEUES || refusal != Refusal::NotRun || !self.attempts.is_only_rejected() {
+            return refusal;
+        }
+        ingress.shortest_queue(request).map_or(refusal, Refusal::Rejected)
+    }
+}
+
+/// A send that waits for its answer.
+struct WaitingSend {
+    /// Whether the replica was cold when it was selected.
+    is_at_cold: bool,
+    /// When the replica was selected.
+    selected_at: Instant,
+    /// When the first byte was written; `None` until then.
+    written_at: watch::Receiver<Option<Instant>>,
+}
+
+impl WaitingSend {
+    /// Waits until the request may move early. Doesn't return before its first byte is written.
+    async fn until_early_move(&mut self, target: Duration) {
+        let written_at = self.written_at.wait_for(Option::is_some).await.ok().and_then(|written| *written);
+        let Some(written_at) = written_at else {
+            // The send has ended, so that nothing is left to be moved.
+            return std::future::pending().await;
+        };
+        let written = Timestamp::ORIGIN + written_at.saturating_duration_since(self.selected_at);
+        let moves_at = attempt_timeout::early_move_at(target, Timestamp::ORIGIN, written);
+        tokio::time::sleep_until(self.selected_at + moves_at.saturating_since(Timestamp::ORIGIN)).await;
     }
 }
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -16,6 +16,7 @@
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_core::ingress::selection::{NoCandidate, StayReason};
 use lichenpulley_core::quarantine::{Fingerprint, RequestContent};
+use lichenpulley_core::retry::early_moves::EarlyMoveDenial;
 use lichenpulley_platform::headers as names;
 use tokio::time::Instant;
 
@@ -120,6 +121,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time since the body was complete.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.received_at.elapsed()
+    }
+
     /// Builds the request to one replica. A stream is requested from the event after `last_event`.
     pub(super) fn build(&self, replica: &str, last_event: Option<&str>) -> Request<Full<Bytes>> {
         let mut fields = headers::end_to_end(&self.parts.headers);
@@ -172,6 +178,32 @@
         ingress.context.decisions.record(decision);
     }
 
+    /// Records that the request moves from a replica to another one to be answered within its target.
+    pub(super) fn record_early_move(&self, ingress: &Ingress, from: Option<&String>, to: &str) {
+        let subject = self.request_id.as_deref().unwrap_or("-");
+        let decision = Decision::new(Component::Request, "moved_early", "answer_overdue", subject)
+            .with("replica", from.map_or("-", String::as_str))
+            .with("to", to)
+            .with("service", &self.service)
+            .with("milliseconds", self.elapsed().as_millis())
+            .with("remaining_ms", self.remaining().as_millis());
+        ingress.context.decisions.record(decision);
+    }
+
+    /// Counts that the request does not move early. An exhausted budget is also recorded as a decision; the other
+    /// reasons apply to most slow requests of a shortage, and a line for each would displace other lines.
+    pub(super) fn record_early_move_denial(&self, ingress: &Ingress, denial: EarlyMoveDenial) {
+        ingress.context.metrics.count_early_move_denial(denial);
+        if denial != EarlyMoveDenial::BudgetExhausted {
+            return;
+        }
+        let subject = self.request_id.as_deref().unwrap_or("-");
+        let decision = Decision::new(Component::Request, "early_move_denied", denial.as_str(), subject)
+            .with("service", &self.service)
+            .with("milliseconds", self.elapsed().as_millis());
+        ingress.context.decisions.record(decision);
+    }
+
     /// Refuses the request because no replica can be selected, and records the reason.
     pub(super) fn refuse_no_candidate(&self, ingress: &Ingress, no_candidate: NoCandidate) -> Response<Body> {
         let subject = self.request_id.as_deref().unwrap_or("-");
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
+use lichenpulley_core::retry::early_moves::EarlyMoveResult;
 use tokio::time::Instant;
 
 use super::attempt_loop::{AttemptLoop, ReplicaAttempt};
@@ -46,7 +47,13 @@
     let max_sends = request.sends_allowed(ingress, route).await;
     let mut attempts = AttemptLoop::new(route, max_sends);
     let attempt = PlainAttempt { ingress, needs_new_connection: !route.is_repeatable() };
-    match attempts.run(ingress, &request, &attempt).await {
+    ingress.record_plain_request(&request.service);
+    let ended = attempts.run(ingress, &request, &attempt).await;
+    if attempts.has_moved_early() {
+        let elapsed = ended.is_ok().then(|| request.elapsed());
+        ingress.record_early_move_result(&request.service, EarlyMoveResult::of(elapsed, route.target));
+    }
+    match ended {
         Ok((in_flight, answer)) => {
             request.record(ingress, &in_flight, "answered", answer.status.as_str(), attempts.sends());
             build_response(answer)
@@ -68,6 +75,8 @@
 
     const MAY_MOVE: bool = true;
 
+    const IS_BOUND_BY_QUEUES: bool = true;
+
     async fn send(
         &self,
         request: &CallerRequest,
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -12,6 +12,7 @@
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::ingress::selection::SelectedReplica;
 use lichenpulley_core::quarantine::RunSender;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::caller_request::CallerRequest;
@@ -45,6 +46,8 @@
     pub(super) is_cold: bool,
     /// When the replica was selected.
     pub(super) started_at: Instant,
+    /// When the first byte was written; `None` until then.
+    written_at: watch::Sender<Option<Instant>>,
     feedback: ReplicaFeedback,
     /// Reports the end of the run to the quarantine.
     pub(super) run: TracedRun,
@@ -55,8 +58,20 @@
     pub(super) fn begin(ingress: &Ingress, request: &CallerRequest, selected: SelectedReplica) -> Self {
         let SelectedReplica { record: replica, is_cold } = selected;
         let run = TracedRun::begin(&ingress.context, request.fingerprint, &replica, RunSender::Gateway);
-        let feedback = ReplicaFeedback::Abandoned;
-        Self { ingress: ingress.clone(), replica, is_cold, started_at: Instant::now(), feedback, run }
+        Self {
+            ingress: ingress.clone(),
+            replica,
+            is_cold,
+            started_at: Instant::now(),
+            written_at: watch::Sender::new(None),
+            feedback: ReplicaFeedback::Abandoned,
+            run,
+        }
+    }
+
+    /// Returns when the first byte of the request was written, as soon as it is.
+    pub(super) fn written_at(&self) -> watch::Receiver<Option<Instant>> {
+        self.written_at.subscribe()
     }
 
     /// Sends the request and waits for the response head. Writes no byte after the deadline.
@@ -73,6 +88,9 @@
         let may_send = || {
             let may_send = Instant::now() < options.deadline && self.ingress.may_send(request, &self.replica);
             may_be_written.store(may_send, Ordering::Relaxed);
+            if may_send {
+                self.written_at.send_replace(Some(Instant::now()));
+            }
             may_send
         };
         let pool = &self.ingress.pool;
@@ -96,7 +114,7 @@
             }
         };
         if let Some(load) = headers::reported_load(exchange.response.headers()) {
-            self.ingress.record_reported_load(&self.replica.id, load);
+            self.ingress.record_reported_load(&self.replica, load);
         }
         Ok(exchange)
     }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -27,6 +27,7 @@
 mod stream;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -39,6 +40,8 @@
 use lichenpulley_core::ingress::selection::{NoCandidate, ReplicaSelector, SelectionQuery, StayReason};
 use lichenpulley_core::ingress::warming_share::GatewayOrder;
 use lichenpulley_core::ingress::warmups::WarmupTracker;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
+use lichenpulley_core::retry::retry_after::QueueDrain;
 use lichenpulley_core::time::Timestamp;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -164,6 +167,53 @@
         Ok(InFlightRequest::begin(self, request, selected))
     }
 
+    /// Like [`Self::select`], for a plain request that has not run: it is refused if the queues of all replicas take
+    /// longer than the time that it has left.
+    fn select_in_time(
+        &self,
+        request: &CallerRequest,
+        tried: &[String],
+    ) -> Result<InFlightRequest, NoCandidate> {
+        let remaining = request.remaining();
+        let selected = self.select_with(request, tried, |selector, query, table, evacuated, now| {
+            selector.select_in_time(query, remaining, table, evacuated, now, rand::random())
+        })?;
+        Ok(InFlightRequest::begin(self, request, selected))
+    }
+
+    /// Selects another replica that is expected to answer a request within `target_left`, the rest of its target.
+    /// The request waits at the last of `tried` and counts at both replicas.
+    fn select_early(
+        &self,
+        request: &CallerRequest,
+        tried: &[String],
+        target_left: Duration,
+    ) -> Result<InFlightRequest, EarlyMoveDenial> {
+        let selected = self.select_with(request, tried, |selector, query, table, evacuated, now| {
+            selector.select_early(query, target_left, table, evacuated, now, rand::random())
+        })?;
+        Ok(InFlightRequest::begin(self, request, selected))
+    }
+
+    /// Returns the shortest queue that a replica of the request's service recently reported.
+    fn shortest_queue(&self, request: &CallerRequest) -> Option<QueueDrain> {
+        let remaining = request.remaining();
+        self.select_with(request, &[], |selector, query, table, _, now| {
+            selector.shortest_queue(query, remaining, table, now)
+        })
+    }
+
+    /// Adds a plain request to the budget of early moves of its service.
+    fn record_plain_request(&self, service: &str) {
+        self.selection().selector.early_moves_mut().record_request(service, self.now());
+    }
+
+    /// Records how a plain request that moved early ended.
+    fn record_early_move_result(&self, service: &str, result: EarlyMoveResult) {
+        self.context.metrics.count_early_move(result);
+        self.selection().selector.early_moves_mut().record_result(service, result, self.now());
+    }
+
     /// Selects another replica for a request that waits at the last of `tried`. `waits_at_cold` tells
     /// whether that replica was cold. The request counts at both replicas.
     fn select_alternative(
@@ -212,8 +262,11 @@
         self.selection().selector.mark_late(replica, self.now());
     }
 
-    fn record_reported_load(&self, replica: &str, load: ReplicaLoad) {
-        self.selection().selector.record_reported_load(replica, load, self.now());
+    fn record_reported_load(&self, replica: &ReplicaRecord, load: ReplicaLoad) {
+        let now = self.now();
+        let mut selection = self.selection();
+        selection.selector.record_reported_load(&replica.id, load, now);
+        selection.selector.early_moves_mut().record_answer(&replica.service, load.waiting, now);
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -12,7 +12,7 @@
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_core::ingress::selection::NoCandidate;
-use lichenpulley_core::retry::retry_after::RetryCause;
+use lichenpulley_core::retry::retry_after::{QueueDrain, RetryCause};
 use lichenpulley_platform::headers;
 use lichenpulley_protocol::error::ErrorBody;
 
@@ -48,6 +48,10 @@
     Warming(Duration),
     /// No replica ran the request.
     NotRun,
+    /// All replicas that were tried rejected the request, and replicas report these queues.
+    Rejected(QueueDrain),
+    /// The queue of each replica takes longer than the time that the request has left; it was sent to none that ran it.
+    NoTime(QueueDrain),
     /// A replica may have run the request, and no complete answer arrived.
     Unknown,
     /// The deadline passed, and a replica may have run the request.
@@ -81,6 +85,7 @@
             NoCandidate::OutsideRegions => Self::OutsideRegions,
             NoCandidate::Evacuated => Self::Evacuated,
             NoCandidate::Warming(left) => Self::Warming(left),
+            NoCandidate::NoTime(queues) => Self::NoTime(queues),
             NoCandidate::Quarantined => Self::Quarantined,
         }
     }
@@ -99,6 +104,8 @@
             | Self::Quarantined
             | Self::Warming(_)
             | Self::NotRun
+            | Self::Rejected(_)
+            | Self::NoTime(_)
             | Self::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::IdTaken => StatusCode::CONFLICT,
@@ -127,7 +134,8 @@
             Self::Evacuated => "evacuated",
             Self::Warming(_) => "warming",
             Self::Quarantined => "quarantined",
-            Self::NotRun => "not_run",
+            Self::NotRun | Self::Rejected(_) => "not_run",
+            Self::NoTime(_) => "no_time",
             Self::Unknown => "unknown",
             Self::TimedOut => "timed_out",
             Self::BodyTooLong => "body_too_long",
@@ -156,9 +164,13 @@
                 "replicas ended while it ran there: change it, or ask an operator to release it; it has not run"
             }
             Self::Evacuated => "return a zone, or order replicas in another",
-            Self::NoReplica | Self::Warming(_) | Self::NotRun | Self::NoOwner | Self::Full => {
-                "send it again, it has not run"
-            }
+            Self::NoReplica
+            | Self::Warming(_)
+            | Self::NotRun
+            | Self::Rejected(_)
+            | Self::NoOwner
+            | Self::Full => "send it again, it has not run",
+            Self::NoTime(_) => "send it again after `Retry-After`, or with a longer deadline; it has not run",
             Self::Unknown | Self::TimedOut => "it may have run; send it again only if it may run twice",
             Self::BodyTooLong => "send a shorter body, or raise the configuration's limit",
             Self::BodyTooSlow => "send the body at once",
@@ -175,6 +187,7 @@
     const fn retry_cause(self) -> Option<RetryCause> {
         match self {
             Self::NoReplica | Self::NotRun => Some(RetryCause::NoReplica),
+            Self::Rejected(queues) | Self::NoTime(queues) => Some(RetryCause::Queues(queues)),
             Self::Warming(left) => Some(RetryCause::Warming(left)),
             Self::Quarantined => Some(RetryCause::Quarantined),
             Self::NoConfiguration
@@ -247,7 +260,18 @@
         if is_region_bound {
             context.metrics.count_region_refusal(&regions.to_string(), self.kind());
         }
-        context.decisions.record(if is_region_bound { decision.with("regions", regions) } else { decision });
+        let decision = if is_region_bound { decision.with("regions", regions) } else { decision };
+        let queues = match self {
+            Self::Rejected(queues) | Self::NoTime(queues) => Some(queues),
+            _ => None,
+        };
+        context.metrics.count_refusal(self.kind());
+        context.decisions.record(match queues {
+            Some(queues) => decision
+                .with("drain_ms", queues.drain_time.as_millis())
+                .with("remaining_ms", queues.remaining.as_millis()),
+            None => decision,
+        });
         let body = ErrorBody::new(self.kind(), format!("the request was refused: {cause}"), self.remedy());
         let mut answer = response::json(self.status(), &body);
         if let Some(id) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -99,6 +99,9 @@
     /// The time to process the prompt before the response head is not known in advance.
     const MAY_MOVE: bool = false;
 
+    /// A stream waits for its first event within a deadline that covers all events.
+    const IS_BOUND_BY_QUEUES: bool = false;
+
     async fn send(
         &self,
         request: &CallerRequest,
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,7 +1,8 @@
-//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, and refusals
-//! because of the regions that a request is restricted to.
+//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, early moves,
+//! and refusals.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
 use lichenpulley_protocol::operator::RegionRefusals;
 use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
@@ -14,6 +15,9 @@
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
     region_refusals: IntCounterVec,
+    refusals: IntCounterVec,
+    early_moves: IntCounterVec,
+    early_move_denials: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -41,6 +45,24 @@
                 "Requests refused that are bound to some regions, by these and by reason",
                 &["regions", "reason"],
             ),
+            refusals: registration::counter_vec(
+                registry,
+                "lichenpulley_refusals_total",
+                "Requests of callers refused, by reason",
+                &["reason"],
+            ),
+            early_moves: registration::counter_vec(
+                registry,
+                "lichenpulley_early_moves_total",
+                "Plain requests that moved to another replica to be answered within their target, by result",
+                &["result"],
+            ),
+            early_move_denials: registration::counter_vec(
+                registry,
+                "lichenpulley_early_moves_denied_total",
+                "Plain requests that were overdue and did not move early, by reason",
+                &["reason"],
+            ),
         }
     }
 
@@ -64,6 +86,18 @@
         self.region_refusals.with_label_values(&[regions, reason]).inc();
     }
 
+    pub(super) fn count_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(super) fn count_early_move(&self, result: EarlyMoveResult) {
+        self.early_moves.with_label_values(&[result.as_str()]).inc();
+    }
+
+    pub(super) fn count_early_move_denial(&self, denial: EarlyMoveDenial) {
+        self.early_move_denials.with_label_values(&[denial.as_str()]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -15,6 +15,7 @@
 
 use lichenpulley_core::decision::Decision;
 use lichenpulley_core::ingress::warmups::ColdCount;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
 use lichenpulley_protocol::operator::RegionRefusals;
 use lichenpulley_protocol::transport::FrameMeter;
 use prometheus::{IntCounterVec, IntGauge, Registry, TextEncoder};
@@ -125,6 +126,21 @@
         self.ingress.count_region_refusal(regions, reason);
     }
 
+    /// Counts a refused request of a caller.
+    pub fn count_refusal(&self, reason: &str) {
+        self.ingress.count_refusal(reason);
+    }
+
+    /// Counts a plain request that moved early, once it has ended.
+    pub fn count_early_move(&self, result: EarlyMoveResult) {
+        self.ingress.count_early_move(result);
+    }
+
+    /// Counts an overdue plain request that did not move early.
+    pub fn count_early_move_denial(&self, denial: EarlyMoveDenial) {
+        self.ingress.count_early_move_denial(denial);
+    }
+
     /// Returns the counts of [`Self::count_region_refusal`].
     pub fn region_refusals(&self) -> Vec<RegionRefusals> {
         self.ingress.region_refusals()
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -20,7 +20,13 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, REPORT_PATH) => report(&state).into(),
         (&Method::POST, ORDER_PATH) => order(&state, request).await.into(),
-        _ => run(&state, request).await,
+        _ => {
+            let mut reply = run(&state, request).await;
+            if let (Reply::Send(answer), Some(load)) = (&mut reply, lock(&state).reported_load.clone()) {
+                answer.headers_mut().insert(headers::LOAD, load);
+            }
+            reply
+        }
     }
 }
 
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::header::HeaderValue;
 use lichenpulley_core::ingress::replicas::ReplicaIncarnation;
 use lichenpulley_daemon::decisions::unix_milliseconds;
 use lichenpulley_platform::replica::{LoadOrder, ModelState};
@@ -75,6 +76,8 @@
 struct State {
     plan: ReplicaPlan,
     behaviour: ReplicaBehaviour,
+    /// Value of the load header of each answer.
+    reported_load: Option<HeaderValue>,
     seen: Vec<SeenRequest>,
     orders: Vec<LoadOrder>,
     /// When it started, in milliseconds since the Unix epoch.
@@ -110,6 +113,7 @@
     let state = State {
         plan,
         behaviour,
+        reported_load: None,
         seen: Vec::new(),
         orders: Vec::new(),
         started_at_ms: unix_milliseconds(),
@@ -132,6 +136,12 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Sets the figures that the replica reports with each answer, separated by commas: requests running and waiting,
+    /// slots and pace.
+    pub fn report_load(&self, figures: &'static str) {
+        lock(&self.state).reported_load = Some(HeaderValue::from_static(figures));
+    }
+
     /// Makes the replica cold for `duration`; it fails if it receives more than `max_requests_per_s` requests in one second.
     pub fn turn_cold(&self, duration: Duration, max_requests_per_s: usize) {
         let until = Instant::now() + duration;
--- a/crates/lab/tests/platform_slow/mod.rs
+++ b/crates/lab/tests/platform_slow/mod.rs
@@ -8,6 +8,8 @@
 //! Why: the time alone ended a send, as long as the route allowed another one; the selector was asked afterwards. Now a place at
 //! another replica is reserved first. A resumable stream that paused for 1.2 s was broken off in the same way.
 
+mod early_moves;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
