--- a/crates/lab/tests/platform_slow/early_moves.rs
+++ b/crates/lab/tests/platform_slow/early_moves.rs
@@ -8,12 +8,13 @@
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use lichenpulley_lab::platform_replica::{Replica, ReplicaBehaviour};
+use lichenpulley_lab::platform_replica::{Replica, ReplicaBehaviour, SeenRequest};
 use lichenpulley_platform::objects;
+use serde_json::json;
 use tokio::time::Instant;
 
-use super::{all_take, runs};
-use crate::platform_system::{Answer, PATIENCE, System, configuration, until};
+use super::{all_take, runs, unconnectable};
+use crate::platform_system::{Answer, PATIENCE, System, ZONES, configuration, until};
 
 /// The target of the routes here. 0.6 of it is far from the time after which a request moves otherwise.
 const TARGET: Duration = Duration::from_secs(3);
@@ -27,10 +28,14 @@
 /// A system whose gateway has routes with [`TARGET`] and whose replicas report these figures. Each replica has answered
 /// the gateway.
 async fn system(replicas: usize, figures: &'static str) -> System {
+    system_with_target(replicas, figures, TARGET).await
+}
+
+async fn system_with_target(replicas: usize, figures: &'static str, target: Duration) -> System {
     let system = System::start(replicas, 3).await;
     let mut changed = configuration(2);
     for route in changed["routes"].as_array_mut().expect("routes") {
-        route["target_ms"] = u64::try_from(TARGET.as_millis()).expect("a number").into();
+        route["target_ms"] = u64::try_from(target.as_millis()).expect("a number").into();
         route["timeout_ms"] = 60_000.into();
     }
     system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, changed);
@@ -71,12 +76,23 @@
     (answer, sent_at.elapsed())
 }
 
+/// Returns the sends of the request, in order.
+fn sends(system: &System) -> Vec<SeenRequest> {
+    let seen = system.replicas.iter().flat_map(Replica::seen);
+    let mut sends: Vec<SeenRequest> = seen.filter(|seen| seen.id == "r").collect();
+    sends.sort_by_key(|seen| seen.at);
+    sends
+}
+
 /// Returns the time between the first two sends of the request.
 fn time_at_first_replica(system: &System) -> Duration {
-    let seen = system.replicas.iter().flat_map(Replica::seen).filter(|seen| seen.id == "r");
-    let mut times: Vec<_> = seen.map(|seen| seen.at).collect();
-    times.sort();
-    times[1] - times[0]
+    let sends = sends(system);
+    sends[1].at - sends[0].at
+}
+
+/// Returns the deadline that a send carried.
+fn deadline(sent: &SeenRequest) -> Duration {
+    Duration::from_millis(sent.headers["deadline-ms"].parse().expect("milliseconds"))
 }
 
 fn metrics(system: &System) -> String {
@@ -92,10 +108,36 @@
     assert_eq!(runs(&system, "r"), 2);
     assert!(took < MOVES_AFTER, "it moved after {took:?}");
     assert!(time_at_first_replica(&system) >= TARGET / 2, "a shorter send does not count as an attempt");
+    let sends = sends(&system);
+    assert!(deadline(&sends[1]) + TARGET / 2 <= deadline(&sends[0]), "only the rest of the caller's time");
     let metrics = metrics(&system);
     assert!(metrics.contains("lichenpulley_early_moves_total{result="), "{metrics}");
 }
 
+/// Guards against a request that is taken from a replica to which it was not sent yet, and then counts as one that may
+/// have run. Connecting is given up after 200 ms, later than 0.6 of this target.
+#[tokio::test]
+async fn a_request_does_not_move_early_while_its_connection_is_being_opened() {
+    let system = system_with_target(1, IDLE, Duration::from_millis(200)).await;
+    let (listener, _queued) = unconnectable().await;
+    let mut record = system.replicas[0].record("engines", ZONES[0]);
+    record["address"] = json!(listener.local_addr().expect("an address").to_string());
+    // Without measurements, it is expected to answer sooner than the other one.
+    system.platform.put(objects::REPLICAS, "gone", record);
+    let node = system.gateways[0].as_ref().expect("a gateway").context();
+    until(|| node.metadata.replicas.load().named("gone").is_some()).await;
+    let fields = [("attempt-id", "r"), ("deadline-ms", LONG_DEADLINE_MS)];
+    let answer = system.call(0, Method::GET, "/read/x", &fields, "").await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(runs(&system, "r"), 1);
+    let metrics = metrics(&system);
+    assert!(
+        metrics.contains("action=\"tried_another\",component=\"request\",reason=\"not_sent\""),
+        "{metrics}"
+    );
+    assert!(!metrics.contains("lichenpulley_early_moves_total"), "{metrics}");
+}
+
 /// Guards against early moves where replicas don't report a pace.
 #[tokio::test]
 async fn a_request_moves_as_before_if_replicas_report_no_pace() {
