Make the test of a connection being opened fail without its guard

Cause: the other replica was too slow to be a target of an early move, so that the test passed also when the time before the first byte counted.

Change: a faster replica and a target whose 0.6 is below the connect timeout.

--- a/crates/lab/tests/platform_slow/early_moves.rs
+++ b/crates/lab/tests/platform_slow/early_moves.rs
@@ -45,7 +45,7 @@
         replica.report_load(figures);
     }
     // A replica without measurements is expected to answer within 20 ms, so that each of them is tried.
-    all_take(&system, Duration::from_millis(100));
+    all_take(&system, Duration::from_millis(50));
     let has_answered_all = |system: &System| system.replicas.iter().all(|replica| !replica.seen().is_empty());
     while !has_answered_all(&system) {
         system.call_until(StatusCode::OK, 0, "/read/warm").await;
@@ -118,7 +118,7 @@
 /// have run. Connecting is given up after 200 ms, later than 0.6 of this target.
 #[tokio::test]
 async fn a_request_does_not_move_early_while_its_connection_is_being_opened() {
-    let system = system_with_target(1, IDLE, Duration::from_millis(200)).await;
+    let system = system_with_target(1, IDLE, Duration::from_millis(300)).await;
     let (listener, _queued) = unconnectable().await;
     let mut record = system.replicas[0].record("engines", ZONES[0]);
     record["address"] = json!(listener.local_addr().expect("an address").to_string());
@@ -166,7 +166,7 @@
     system.call(0, Method::GET, "/read/x", &fields, "").await
 }
 
-/// A system whose only replica takes 100 ms for a request, and then reports these figures.
+/// A system whose only replica takes 50 ms for a request, and then reports these figures.
 async fn queued(figures: &'static str) -> System {
     let system = system(1, IDLE).await;
     for _ in 0..20 {
@@ -178,7 +178,7 @@
 
 #[tokio::test]
 async fn a_request_is_refused_as_not_run_while_the_reported_queue_takes_longer_than_its_time() {
-    // The queue drains in about 100 s.
+    // The queue drains in about 50 s.
     let system = queued("4,4000,4,100").await;
     let mut tries = 0;
     // A slow machine may take longer from one call to the next than a report is used.
