Rank replicas that report a pace by base latency, pace and load

Cause: a gateway sees one answer of a service in seconds, so its mean response times contain the slowdowns of the moment. A fast replica that was first seen during a slowdown was avoided from then on.

Change: the chooser divides each response time by the pace and load reported with it, and multiplies the mean (base latency) by the present pace and load. Replicas that report no pace are ranked as before. Score requests use the same chooser.

--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -1,7 +1,8 @@
 //! Chooses the admitted replica with the lowest expected response time.
 //!
 //! The expected response time is `latency * (1 + busy / slots)`, from the average latency observed by this node
-//! and the greater of its own requests in flight and the load that the replica reports. Replicas that recently
+//! and the greater of its own requests in flight and the load that the replica reports. For a replica that reports
+//! its pace, the latency is its base latency times its present pace (`response_model`). Replicas that recently
 //! failed to answer rank last, and ties are broken at random. The caller must report each send and its end.
 //!
 //! This policy serves plain requests, streams and score requests of the platform's services. Engines of this
@@ -120,11 +121,15 @@
     /// Returns whether the replica is suspected, and its expected response time in milliseconds.
     fn cost(&self, record: &ReplicaRecord, now: Timestamp) -> (bool, f64) {
         let Some(stats) = self.stats.get(&record.id) else { return (false, UNMEASURED_LATENCY_MS) };
+        let is_suspect = stats.suspect_until > now;
         let busy = stats.busy(now);
+        if let Some(factor) = stats.model.present_factor(busy, now) {
+            return (is_suspect, stats.model.base_ms().unwrap_or(UNMEASURED_LATENCY_MS) * factor);
+        }
         let slots = f64::from(record.slots.max(1));
         let load = f64::from(busy) / slots;
         let latency = stats.latency_ms.unwrap_or(UNMEASURED_LATENCY_MS);
-        (stats.suspect_until > now, latency * (1.0 + load))
+        (is_suspect, latency * (1.0 + load))
     }
 
     /// Whether a request that waits at another replica may move to this one: it is not suspected and did not just
