Move runs only from replicas that are slow for longer than a slowdown

Cause: a replica that shares its machine is 2.5 times slower for some 600 ms at a time. The mean pause over a quarter of a second shows that, and runs moved away although the slowdown usually ended before the move paid off.

Change: where replicas of the service report a pace with the heads of the runs' answers (RunEvent::Load), a run moves only if its replica was slow in each of four consecutive periods of 300 ms. A mean over the 1.2 s would rise by 43 % through one slowdown, more than the minimum speedup of 18 %. Without a reported pace, runs move as before.

Tests run: all tests of lichenpulley-core before a last reordering of the two conditions in should_move (pass), batch_moves and batch_controller after it (pass). The new test moves the slowdown in steps of 50 ms and shows that without a reported pace each of them causes a move. The daemon builds.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -7,6 +7,7 @@
 use crate::decision::Decision;
 use crate::duties::DutyCall;
 use crate::identity::TenantName;
+use crate::ingress::replica_load::ReplicaLoad;
 use crate::ingress::replicas::ReplicaRecord;
 use crate::quarantine::Fingerprint;
 
@@ -69,6 +70,8 @@
 /// A progress report of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEvent {
+    /// The head of the answer reported the replica's load.
+    Load(ReplicaLoad),
     /// An event of the answer.
     Event(OutputEvent),
     /// The run has ended.
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -8,9 +8,10 @@
 use crate::batch::job::{ItemResult, OutputEvent};
 use crate::batch::moves::{MAX_MOVES_PER_TICK, MIN_TIME_ON_REPLICA, is_worth_moving};
 use crate::batch::record::Record;
-use crate::batch::schedule::{self, BROKEN_RUN_COOLDOWN, REJECTION_COOLDOWN, Requirements};
+use crate::batch::schedule::{self, BROKEN_RUN_COOLDOWN, REJECTION_COOLDOWN, ReplicaState, Requirements};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
+use crate::ingress::replica_load::ReplicaLoad;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -21,11 +22,19 @@
             return;
         }
         match event {
+            RunEvent::Load(load) => self.take_load(run, load),
             RunEvent::Event(event) => self.take_event(now, run, event),
             RunEvent::Ended(end) => self.run_ended(now, run, end),
         }
     }
 
+    fn take_load(&mut self, id: RunId, load: ReplicaLoad) {
+        let Some(run) = self.runs.get(&id) else { return };
+        if let Some(state) = self.replicas.get_mut(&run.replica) {
+            state.reports_pace |= load.pace_percent.is_some();
+        }
+    }
+
     fn take_event(&mut self, now: Timestamp, id: RunId, event: OutputEvent) {
         let Some(run) = self.runs.get_mut(&id) else { return };
         let gap = run.last_event_at.map(|earlier| now.saturating_since(earlier));
@@ -35,7 +44,7 @@
         let is_cold = self.gate.is_cold(&replica, now);
         if let Some(state) = self.replicas.get_mut(&replica) {
             if let Some(gap) = gap {
-                state.observe_gap(gap, is_cold, &mut self.paces);
+                state.observe_gap(now, gap, is_cold, &mut self.paces);
             }
             if let Some(model) = &model {
                 state.observe_version(model, event.version);
@@ -223,6 +232,7 @@
         if !is_worth_moving(pace, best_pace, events) {
             return false;
         }
+        let Some(pace) = self.lasting_pace(state, pace) else { return false };
         let Some(requirements) = self.requirements(&run.batch, run.item) else { return false };
         let others = Requirements { avoid: Some(&run.replica), ..requirements };
         let Some(other) = schedule::choose(&self.replicas, &others, &self.paces, now) else { return false };
@@ -232,6 +242,17 @@
         is_worth_moving(pace, other.reliable_pace(&self.paces), events)
     }
 
+    /// Returns the pace of a replica, in seconds per event, as far as it lasts for longer than a slowdown. Where
+    /// replicas of the service report their pace, they have slowdowns that end before a move pays off. `None` if the
+    /// replica was not observed for long enough there.
+    fn lasting_pace(&self, state: &ReplicaState, pace: f64) -> Option<f64> {
+        let same_service = |other: &&ReplicaState| other.record.service == state.record.service;
+        if !self.replicas.values().filter(same_service).any(|other| other.reports_pace) {
+            return Some(pace);
+        }
+        state.sustained_gap(&self.paces).map(|sustained| pace.min(sustained.as_secs_f64()))
+    }
+
     pub(super) fn stop(&mut self, id: RunId) {
         let Some(run) = self.runs.remove(&id) else { return };
         if let Some(live) = self.items.get_mut(&(run.batch.clone(), run.item)) {
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -26,5 +26,6 @@
 pub mod regional;
 mod schedule;
 pub mod score_plan;
+mod sustained_pace;
 pub mod weights;
 mod working_set;
--- a/crates/core/src/batch/moves.rs
+++ b/crates/core/src/batch/moves.rs
@@ -2,7 +2,8 @@
 //!
 //! Inputs: the pace (seconds per event) on the current and on the other replica, each including the run
 //! itself (`schedule`), and the number of events the run has produced. The item that completes a training
-//! step last is usually a long one on a slow replica. A lower bound on the speedup alone would move short
+//! step last is usually a long one on a slow replica. Where replicas report their pace, the pace on the current one
+//! is the one it kept for longer than a slowdown (`sustained_pace`). A lower bound on the speedup alone would move short
 //! runs as well, which costs more than it gains.
 
 use std::time::Duration;
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::sustained_pace::SustainedPace;
 use crate::ingress::admission::AdmissionGate;
 use crate::ingress::places::{AllowedRegions, ZoneMap};
 use crate::ingress::replicas::ReplicaRecord;
@@ -75,6 +76,9 @@
     /// Whether the mean pause was measured while the replica was cold; it is discarded once the replica is
     /// warm.
     is_cold_estimate: bool,
+    sustained_pace: SustainedPace,
+    /// Whether an answer of the replica reported its pace.
+    pub(super) reports_pace: bool,
 }
 
 /// What the pauses on all replicas show: the effect of load, and the pause to expect of a replica without
@@ -156,6 +160,8 @@
             unloaded_gap: None,
             mean_load: 0.0,
             is_cold_estimate: false,
+            sustained_pace: SustainedPace::default(),
+            reports_pace: false,
         }
     }
 
@@ -174,7 +180,15 @@
 
     /// Updates the mean pause with a pause between two events of a run. Pauses of a cold replica say nothing
     /// about its pace when warm, nor about the effect of load.
-    pub(super) fn observe_gap(&mut self, gap: Duration, is_cold: bool, paces: &mut PaceModel) {
+    pub(super) fn observe_gap(
+        &mut self,
+        now: Timestamp,
+        gap: Duration,
+        is_cold: bool,
+        paces: &mut PaceModel,
+    ) {
+        let unloaded_ms = gap.as_secs_f64() * 1_000.0 / paces.factor(self.load());
+        self.sustained_pace.observe(now, gap, unloaded_ms);
         if is_cold && self.unloaded_gap.is_some() {
             return;
         }
@@ -217,6 +231,13 @@
         self.gap_at(self.load(), paces)
     }
 
+    /// Returns the shortest mean pause, at the current load, that the replica kept for longer than one slowdown;
+    /// `None` if it was not observed for that long.
+    pub(super) fn sustained_gap(&self, paces: &PaceModel) -> Option<Duration> {
+        let unloaded_ms = self.sustained_pace.shortest_mean_ms()?;
+        Some(Duration::from_secs_f64(unloaded_ms * paces.factor(self.load()) / 1_000.0))
+    }
+
     pub(super) fn has_free_slot(&self) -> bool {
         self.running < self.record.slots && !self.record.is_draining
     }
--- a/crates/core/tests/batch_moves.rs
+++ b/crates/core/tests/batch_moves.rs
@@ -3,8 +3,9 @@
 mod batch_support;
 
 use batch_support::{OwnerHarness, at, job, replica};
-use lichenpulley_core::batch::controller::{RunEnd, RunId};
+use lichenpulley_core::batch::controller::{RunEnd, RunEvent, RunId};
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 
 /// Starts two runs on two replicas with different pauses between events and ends the quick one. Returns the
 /// harness after the next tick, the slow run, and the time in milliseconds.
@@ -100,3 +101,71 @@
     }
     assert_eq!(harness.stopped, [*burst], "only the run that has ended was stopped");
 }
+
+/// How the slow replica of [`is_moved`] behaves.
+struct Slowness {
+    /// Pauses between events, in milliseconds, before, during and after a slowdown.
+    pauses_ms: [u64; 3],
+    /// When the slowdown begins and ends, in milliseconds.
+    slowdown_ms: std::ops::Range<u64>,
+}
+
+/// Starts a run on each of two replicas and ends the quick one after 1.2 s. Returns whether the other run was moved
+/// within 4 s. Replicas report a pace if `reports_pace`.
+fn is_moved(slowness: &Slowness, reports_pace: bool) -> bool {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1), replica("b", 1)]);
+    harness.submit(at(0), job("j", 2, 1));
+    let [slow, quick] = [harness.started[0].run, harness.started[1].run];
+    let load = ReplicaLoad { running: 1, waiting: 0, slots: 2, pace_percent: reports_pace.then_some(100) };
+    // The replica of the other run is the one to be judged: one that reports is enough.
+    harness.controller.run_event(at(1), quick, RunEvent::Load(load));
+    let (mut events, mut next_event_ms) = (0, 20);
+    for now_ms in 1..4_000 {
+        if now_ms == next_event_ms && !harness.stopped.contains(&slow) {
+            harness.event(at(now_ms), slow, events, 1);
+            events += 1;
+            let phase = if now_ms < slowness.slowdown_ms.start {
+                0
+            } else if now_ms < slowness.slowdown_ms.end {
+                1
+            } else {
+                2
+            };
+            next_event_ms += slowness.pauses_ms[phase];
+        }
+        if now_ms <= 1_200 && now_ms % 20 == 0 {
+            harness.event(at(now_ms), quick, now_ms / 20 - 1, 1);
+        }
+        if now_ms == 1_200 {
+            harness.end(at(now_ms), quick, RunEnd::Complete);
+        }
+        if now_ms % 20 == 0 {
+            harness.commit_appends(at(now_ms));
+            harness.controller.tick(at(now_ms));
+            harness.drain_actions();
+        }
+    }
+    harness.stopped.contains(&slow)
+}
+
+/// Guards against moves away from a slowdown, which ends before the move pays off, at any time within the periods
+/// over which the pace is measured. Without a reported pace, runs move as before.
+#[test]
+fn a_run_does_not_move_because_of_one_slowdown() {
+    for start_ms in (1_500..2_100).step_by(50) {
+        let slowness = Slowness { pauses_ms: [20, 50, 20], slowdown_ms: start_ms..start_ms + 600 };
+        assert!(!is_moved(&slowness, true), "slowdown from {start_ms} ms");
+        assert!(is_moved(&slowness, false), "slowdown from {start_ms} ms, no pace reported");
+    }
+}
+
+/// Guards against a run that stays on a replica that is slow for good.
+#[test]
+fn a_run_moves_from_a_replica_that_is_always_slow() {
+    for reports_pace in [true, false] {
+        let slowness = Slowness { pauses_ms: [32, 32, 32], slowdown_ms: 0..0 };
+        assert!(is_moved(&slowness, reports_pace), "reports a pace: {reports_pace}");
+        let becomes_slow = Slowness { pauses_ms: [20, 50, 50], slowdown_ms: 1_500..4_000 };
+        assert!(is_moved(&becomes_slow, reports_pace), "reports a pace: {reports_pace}");
+    }
+}
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -20,6 +20,7 @@
 use crate::boot_clock::BootInstant;
 use crate::context::Context;
 use crate::ingress::callers;
+use crate::ingress::headers::reported_load;
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
 use crate::ingress::sse::EventSplitter;
 use crate::metrics::Latency;
@@ -123,6 +124,10 @@
         return end;
     }
     let (head, mut body) = response.into_parts();
+    if let Some(load) = reported_load(&head.headers) {
+        // Sending fails only once the owner has ended.
+        let _ = events.send((start.run, RunEvent::Load(load))).await;
+    }
     let version = version_of_head(&head.headers, start);
     let mut reader = EventReader { start, events, version, splitter: EventSplitter::default() };
     if let Err(end) = reader.read_all(&mut body, traced).await {
