Share the owner's base latencies of replicas with gateways

Cause: a gateway sees one answer of a service in seconds and needs minutes to measure its replicas, while the owner of the batch jobs, which sends score requests, sees each of them several times a second.

Change: a gateway whose replicas report a pace asks the owner of the main shard every 5 s (jittered) for base latencies: BatchRequest::BaseLatencies, answered by BatchResponse::BaseLatencies. They are converted by the ratio observed at replicas that both measured, weigh as much as four own samples, and expire after 30 s. An owner of the previous release can't decode the question and closes the connection, which would interrupt other calls, so questions use connections of their own, and such an owner is asked again after 30 s to 5 min, its successor at once. The counter lichenpulley_shared_base_latency_questions_total shows the answers. The stand-in replica reports a load on request.

Tests run: lichenpulley-core replica_pace and batch_scoring, lichenpulley-lab platform_path platform_pace (3 tests, one against a peer that closes the connection as the previous release does): pass.

--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -4,6 +4,8 @@
 //! only with that text; an item is given up because of its scorer only after as many failures as the route
 //! allows, including those counted by earlier owners.
 
+use std::time::Duration;
+
 use super::{Action, Controller, ItemStage};
 use crate::batch::record::Record;
 use crate::batch::score_plan::{EndedScore, ItemKey, ScoreEnd, ScoreId};
@@ -11,6 +13,7 @@
 use crate::identity::BatchId;
 use crate::ingress::places::AllowedRegions;
 use crate::ingress::replica_load::ReplicaLoad;
+use crate::ingress::shared_bases::MAX_ANSWERED_REPLICAS;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -68,6 +71,14 @@
         self.mark_items_due(now);
     }
 
+    /// Returns the base latencies, in microseconds, of replicas that score requests were sent to, in the order of their
+    /// ids; `None` for those that report no pace or were measured too rarely.
+    pub fn base_latencies(&self, replicas: &[String]) -> Vec<Option<u32>> {
+        let micros = |base: Duration| u32::try_from(base.as_micros()).unwrap_or(u32::MAX);
+        let asked = replicas.iter().take(MAX_ANSWERED_REPLICAS);
+        asked.map(|replica| self.scores.base_latency(replica).map(micros)).collect()
+    }
+
     fn list_scored(&mut self, now: Timestamp, key: ItemKey, score: &str) {
         let Some(live) = self.items.get_mut(&key).filter(|live| live.stage == ItemStage::Scoring) else {
             return;
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -249,6 +249,11 @@
         }
     }
 
+    /// Returns the base latency of a replica, given by its id, if it was measured well enough for other nodes.
+    pub(super) fn base_latency(&self, replica: &str) -> Option<Duration> {
+        self.chooser.base_latency_to_share(replica)
+    }
+
     /// Handles the end of an attempt. A request without a score is queued again. Returns `None` if the
     /// request was dropped meanwhile.
     pub(super) fn ended(
--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -17,6 +17,7 @@
 use super::replica_load::ReplicaLoad;
 use super::replicas::{ReplicaRecord, ReplicaTable};
 use super::response_model::ResponseModel;
+use super::shared_bases::SharedBases;
 use crate::retry::backoff::Backoff;
 use crate::time::Timestamp;
 
@@ -96,6 +97,16 @@
 pub struct ReplicaChooser {
     /// By id of the replica's incarnation.
     stats: BTreeMap<String, ReplicaStats>,
+    /// Base latencies that the owner of the batch jobs measured, by service.
+    shared: BTreeMap<String, SharedBases>,
+}
+
+/// Base latency of a replica that reports its pace.
+#[derive(Clone, Copy, Debug)]
+struct BaseLatency {
+    milliseconds: f64,
+    /// Whether it holds for the requests of this node, and not only relative to other replicas.
+    is_own_scale: bool,
 }
 
 impl ReplicaChooser {
@@ -120,11 +131,15 @@
 
     /// Returns whether the replica is suspected, and its expected response time in milliseconds.
     fn cost(&self, record: &ReplicaRecord, now: Timestamp) -> (bool, f64) {
-        let Some(stats) = self.stats.get(&record.id) else { return (false, UNMEASURED_LATENCY_MS) };
+        let base = self.base(record).map(|base| base.milliseconds);
+        let Some(stats) = self.stats.get(&record.id) else {
+            return (false, base.unwrap_or(UNMEASURED_LATENCY_MS));
+        };
         let is_suspect = stats.suspect_until > now;
         let busy = stats.busy(now);
-        if let Some(factor) = stats.model.present_factor(busy, now) {
-            return (is_suspect, stats.model.base_ms().unwrap_or(UNMEASURED_LATENCY_MS) * factor);
+        if base.is_some() || stats.model.reports_pace() {
+            let factor = stats.model.present_factor(busy, record.slots, now);
+            return (is_suspect, base.unwrap_or(UNMEASURED_LATENCY_MS) * factor);
         }
         let slots = f64::from(record.slots.max(1));
         let load = f64::from(busy) / slots;
@@ -132,6 +147,23 @@
         (is_suspect, latency * (1.0 + load))
     }
 
+    /// Returns the base latency of a replica. Without one, the mean response time ranks the replica.
+    fn base(&self, record: &ReplicaRecord) -> Option<BaseLatency> {
+        let shared = self.shared.get(&record.service).and_then(|shared| shared.base_ms(&record.id));
+        let shared_ms = shared.map(|(shared_ms, _)| shared_ms);
+        let is_shared_scaled = shared.is_some_and(|(_, is_scaled)| is_scaled);
+        let Some(stats) = self.stats.get(&record.id) else {
+            return shared_ms
+                .map(|milliseconds| BaseLatency { milliseconds, is_own_scale: is_shared_scaled });
+        };
+        // This node measured the replica without a pace; that figure can't be combined with a base latency.
+        if stats.latency_ms.is_some() && !stats.model.reports_pace() {
+            return None;
+        }
+        let is_own_scale = is_shared_scaled || stats.model.measured_ms().is_some();
+        stats.model.base_ms(shared_ms).map(|milliseconds| BaseLatency { milliseconds, is_own_scale })
+    }
+
     /// Whether a request that waits at another replica may move to this one: it is not suspected and did not just
     /// refuse for lack of capacity.
     pub(crate) fn is_move_target(&self, replica: &str, now: Timestamp) -> bool {
@@ -194,18 +226,43 @@
     /// Returns the time after which a replica is expected to respond to a request sent now. `None` if it reports no
     /// pace or its base latency is unknown.
     pub fn expected_response(&self, record: &ReplicaRecord, now: Timestamp) -> Option<Duration> {
-        let stats = self.stats.get(&record.id)?;
-        let base_ms = stats.model.base_ms()?;
-        let factor = stats.model.present_factor(stats.busy(now), now)?;
-        Some(Duration::from_secs_f64(base_ms * factor / 1_000.0))
+        let base = self.base(record).filter(|base| base.is_own_scale)?;
+        let stats = self.stats.get(&record.id);
+        let factor =
+            stats.map_or(1.0, |stats| stats.model.present_factor(stats.busy(now), record.slots, now));
+        Some(Duration::from_secs_f64(base.milliseconds * factor / 1_000.0))
     }
 
     /// Returns the response time of a replica at its usual pace and without load, if it reports its pace.
     pub fn base_latency(&self, record: &ReplicaRecord) -> Option<Duration> {
-        let base_ms = self.stats.get(&record.id)?.model.base_ms()?;
+        let base = self.base(record).filter(|base| base.is_own_scale)?;
+        Some(Duration::from_secs_f64(base.milliseconds / 1_000.0))
+    }
+
+    /// Returns the base latency of a replica, given by its id, if this node measured it well enough for other nodes.
+    pub fn base_latency_to_share(&self, replica: &str) -> Option<Duration> {
+        let base_ms = self.stats.get(replica)?.model.ms_to_share()?;
         Some(Duration::from_secs_f64(base_ms / 1_000.0))
     }
 
+    /// Records base latencies of replicas of a service, by their ids, that the owner of the batch jobs measured.
+    pub fn record_shared_bases(
+        &mut self,
+        service: &str,
+        bases: impl IntoIterator<Item = (String, Duration)>,
+        now: Timestamp,
+    ) {
+        let bases = bases.into_iter().map(|(replica, base)| (replica, base.as_secs_f64() * 1_000.0));
+        let shared = self.shared.entry(service.to_owned()).or_default();
+        shared.add(bases, now);
+        shared.update_scale(|replica| self.stats.get(replica)?.model.measured_ms());
+    }
+
+    /// Drops shared base latencies that are too old to be used. To be called every second or more often.
+    pub fn expire_shared_bases(&mut self, now: Timestamp) {
+        self.shared.retain(|_, shared| shared.expire(now));
+    }
+
     /// Returns how many requests wait at a replica, if it reported that recently.
     pub fn reported_waiting(&self, replica: &str, now: Timestamp) -> Option<u32> {
         fresh(self.stats.get(replica)?.waiting, now)
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -17,6 +17,7 @@
 mod response_model;
 pub mod routes;
 pub mod selection;
+pub mod shared_bases;
 pub mod tenants;
 pub mod warming_share;
 pub mod warmups;
--- a/crates/core/src/ingress/response_model.rs
+++ b/crates/core/src/ingress/response_model.rs
@@ -18,6 +18,14 @@
 /// percent, since the pace may change while a request runs.
 const BASE_SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Number of samples from which the mean base latency gets no more accurate, since the latest ones outweigh the others.
+const MAX_EFFECTIVE_SAMPLES: u32 = 9;
+/// Weight of a base latency that the owner of the batch jobs shared, in samples. The owner's figure is the mean of
+/// many samples, but of other requests; after five own samples, these outweigh it.
+const SHARED_BASE_SAMPLES: f64 = 4.0;
+/// Number of samples from which a base latency is shared.
+const MIN_SHARED_SAMPLES: u32 = 5;
+
 /// The pace that a replica reported last.
 #[derive(Clone, Copy, Debug)]
 struct ReportedPace {
@@ -77,16 +85,31 @@
         measured.mean_ms += weight * (sample - measured.mean_ms);
     }
 
-    /// Returns the base latency in milliseconds, if it is known.
-    pub(super) fn base_ms(&self) -> Option<f64> {
-        self.pace?;
-        self.measured.map(|measured| measured.mean_ms)
+    /// Returns the base latency measured by this node in milliseconds and its weight in samples.
+    pub(super) fn measured_ms(&self) -> Option<(f64, f64)> {
+        let measured = self.measured?;
+        Some((measured.mean_ms, f64::from(measured.samples.min(MAX_EFFECTIVE_SAMPLES))))
+    }
+
+    /// Returns the base latency in milliseconds, given the one that the owner of the batch jobs shared, if any.
+    pub(super) fn base_ms(&self, shared_ms: Option<f64>) -> Option<f64> {
+        let Some((own_ms, weight)) = self.measured_ms() else { return shared_ms };
+        let Some(shared_ms) = shared_ms else { return Some(own_ms) };
+        Some((own_ms * weight + shared_ms * SHARED_BASE_SAMPLES) / (weight + SHARED_BASE_SAMPLES))
     }
 
-    /// Returns the factor by which the present pace and load lengthen the base latency, if the replica reports its
-    /// pace.
-    pub(super) fn present_factor(&self, busy: u32, now: Timestamp) -> Option<f64> {
-        self.pace.map(|pace| pace.factor(now) * load_factor(busy, pace.slots))
+    /// Returns the base latency in milliseconds if it is accurate enough for other nodes.
+    pub(super) fn ms_to_share(&self) -> Option<f64> {
+        self.measured.filter(|measured| measured.samples >= MIN_SHARED_SAMPLES).map(|base| base.mean_ms)
+    }
+
+    /// Returns the factor by which the present pace and load lengthen the base latency. `slots` are those of the
+    /// replica's record, for a replica that did not report them.
+    pub(super) fn present_factor(&self, busy: u32, slots: u32, now: Timestamp) -> f64 {
+        match self.pace {
+            Some(pace) => pace.factor(now) * load_factor(busy, pace.slots),
+            None => load_factor(busy, slots),
+        }
     }
 }
 
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -256,6 +256,21 @@
         self.chooser.base_latency(record)
     }
 
+    /// Records base latencies of replicas of a service, by their ids, that the owner of the batch jobs measured.
+    pub fn record_shared_bases(
+        &mut self,
+        service: &str,
+        bases: impl IntoIterator<Item = (String, Duration)>,
+        now: Timestamp,
+    ) {
+        self.chooser.record_shared_bases(service, bases, now);
+    }
+
+    /// Drops shared base latencies that are too old to be used. To be called every second or more often.
+    pub fn expire_shared_bases(&mut self, now: Timestamp) {
+        self.chooser.expire_shared_bases(now);
+    }
+
     /// Returns how many requests wait at a replica, if it reported that recently.
     pub fn reported_waiting(&self, replica: &str, now: Timestamp) -> Option<u32> {
         self.chooser.reported_waiting(replica, now)
--- a/crates/core/tests/batch_scoring.rs
+++ b/crates/core/tests/batch_scoring.rs
@@ -10,6 +10,7 @@
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::batch::score_plan::ScoreEnd;
 use lichenpulley_core::identity::BatchId;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 
 fn harness(scorers: &[&str]) -> OwnerHarness {
     bench_of(Ledger::default(), scorers)
@@ -257,3 +258,29 @@
         "a rejection does not extend the timeout"
     );
 }
+
+/// Guards against an owner that sends score requests to a slow replica although a fast one is free, and that does not
+/// know the base latencies that gateways ask for.
+#[test]
+fn score_requests_prefer_fast_replicas_and_measure_their_base_latencies() {
+    let mut harness = harness(&["fast", "slow"]);
+    let mut now = 1;
+    for number in 0..30 {
+        harness.run_to_completion(at(now), scored_job(&format!("j{number}"), 1));
+        let replica = harness.scores[number].replica.id.clone();
+        let (base_ms, is_slowed) = if replica == "fast" { (40, number % 5 == 0) } else { (120, false) };
+        let pace = if is_slowed { 250 } else { 100 };
+        now += base_ms * pace / 100;
+        let load = ReplicaLoad { running: 1, waiting: 0, slots: 6, pace_percent: Some(pace as u32) };
+        let id = harness.scores[number].id;
+        harness.controller.score_ended(at(now), id, &scored("seal"), Some(load));
+        harness.drain_actions();
+        // The next request comes after the reported pace has expired.
+        now += 1_000;
+    }
+    let fast = harness.scores.iter().filter(|start| start.replica.id == "fast").count();
+    assert!(fast >= 28, "{fast} of 30 went to the fast replica");
+    let asked = ["slow", "fast", "unknown"].map(str::to_owned);
+    let bases = harness.controller.base_latencies(&asked);
+    assert_eq!(bases, [None, Some(40_000), None], "one answer of the slow replica is too few");
+}
--- a/crates/core/tests/replica_pace.rs
+++ b/crates/core/tests/replica_pace.rs
@@ -6,9 +6,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::chooser::{ReplicaChooser, ReplicaFeedback};
 use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
+use lichenpulley_core::ingress::shared_bases::{SharingAnswer, SharingSchedule};
 use lichenpulley_core::time::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -153,3 +155,132 @@
         }
     }
 }
+
+fn shared(bases: &[(&str, u64)]) -> Vec<(String, Duration)> {
+    bases.iter().map(|(id, base_ms)| ((*id).to_owned(), Duration::from_millis(*base_ms))).collect()
+}
+
+/// Guards against a gateway that tries each replica for itself, although the owner knows which ones are slow.
+#[test]
+fn shared_base_latencies_rank_replicas_that_this_node_has_not_measured() {
+    let records = [replica("slow"), replica("fast"), replica("usual")];
+    let mut chooser = ReplicaChooser::default();
+    answer(&mut chooser, "usual", Duration::from_millis(20), Some(100), at(1_000));
+    // The owner's requests need four times the work.
+    let bases = shared(&[("slow", 128), ("fast", 48), ("usual", 80)]);
+    chooser.record_shared_bases("plain", bases, at(2_000));
+    for random in 0..8 {
+        let best = chooser.best_of(records.iter().collect(), at(2_000), random);
+        assert_eq!(best.expect("a replica").id, "fast");
+    }
+    assert_eq!(chooser.expected_response(&records[0], at(2_000)), Some(Duration::from_millis(32)));
+    assert_eq!(chooser.expected_response(&records[1], at(2_000)), Some(Duration::from_millis(12)));
+    assert!(!chooser.reports_pace(["slow", "fast"]), "they have not reported it to this node");
+}
+
+/// Guards against an expected response in the scale of the owner's requests.
+#[test]
+fn shared_base_latencies_give_no_expected_response_before_their_scale_is_known() {
+    let records = [replica("slow"), replica("fast")];
+    let mut chooser = ReplicaChooser::default();
+    chooser.record_shared_bases("plain", shared(&[("slow", 128), ("fast", 48)]), at(1_000));
+    assert_eq!(chosen(&chooser, &records, at(1_000)), "fast");
+    assert_eq!(chooser.expected_response(&records[1], at(1_000)), None);
+    assert_eq!(chooser.base_latency(&records[1]), None);
+}
+
+/// Guards against hints that outweigh what this node measures itself, and against hints of an owner that this node no
+/// longer reaches.
+#[test]
+fn own_measurements_outweigh_shared_ones_and_shared_ones_expire() {
+    let record = replica("a");
+    let mut chooser = ReplicaChooser::default();
+    let base_ms = |chooser: &ReplicaChooser| {
+        chooser.base_latency(&record).expect("a base latency").as_secs_f64() * 1_000.0
+    };
+    // Another replica determines the scale, which is one.
+    for number in 0..20 {
+        answer(&mut chooser, "other", Duration::from_millis(20), Some(100), at(1_000 + number));
+    }
+    let hint = || shared(&[("a", 40), ("other", 20)]);
+    chooser.record_shared_bases("plain", hint(), at(1_100));
+    assert!((base_ms(&chooser) - 40.0).abs() < 0.01);
+    for number in 0..20 {
+        answer(&mut chooser, "a", Duration::from_millis(20), Some(100), at(2_000 + number));
+    }
+    let mixed = base_ms(&chooser);
+    assert!(20.0 < mixed && mixed < 30.0, "closer to its own 20 ms: {mixed}");
+    chooser.expire_shared_bases(at(31_000));
+    assert!((base_ms(&chooser) - mixed).abs() < 0.01, "29.9 s old");
+    chooser.expire_shared_bases(at(31_100));
+    assert!((base_ms(&chooser) - 20.0).abs() < 0.01, "30 s old");
+}
+
+/// Guards against a hint that replaces the mean response time of a replica that reports no pace to this node.
+#[test]
+fn a_shared_base_latency_is_not_used_for_a_replica_measured_without_a_pace() {
+    let records = [replica("a"), replica("b")];
+    let mut chooser = ReplicaChooser::default();
+    answer(&mut chooser, "a", Duration::from_millis(30), None, at(1_000));
+    answer(&mut chooser, "b", Duration::from_millis(40), None, at(1_000));
+    chooser.record_shared_bases("plain", shared(&[("a", 80), ("b", 20)]), at(1_000));
+    assert_eq!(chosen(&chooser, &records, at(2_000)), "a");
+    assert_eq!(chooser.expected_response(&records[0], at(2_000)), None);
+}
+
+/// Guards against figures of one or two answers that are sent to all gateways.
+#[test]
+fn a_base_latency_is_shared_only_after_several_answers() {
+    let mut chooser = ReplicaChooser::default();
+    for number in 0..4 {
+        answer(&mut chooser, "a", Duration::from_millis(20), Some(100), at(1_000 + number));
+        answer(&mut chooser, "b", Duration::from_millis(20), None, at(1_000 + number));
+    }
+    assert_eq!(chooser.base_latency_to_share("a"), None);
+    answer(&mut chooser, "a", Duration::from_millis(20), Some(100), at(1_100));
+    answer(&mut chooser, "b", Duration::from_millis(20), None, at(1_100));
+    assert_eq!(chooser.base_latency_to_share("a"), Some(Duration::from_millis(20)));
+    assert_eq!(chooser.base_latency_to_share("b"), None, "it reports no pace");
+}
+
+/// Questions that a schedule allows within `length` if each of them gets `result`.
+fn questions(result: SharingAnswer, length: Duration, seed: u64) -> u32 {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let owner = NodeId::new("owner");
+    let mut schedule = SharingSchedule::new(at(0), &mut random);
+    let (mut now, mut asked) = (at(0), 0);
+    while now < at(0) + length {
+        if schedule.is_due(Some(&owner), now) {
+            asked += 1;
+            schedule.record(Some(&owner), result, now, &mut random);
+        }
+        now = now + Duration::from_secs(1);
+    }
+    asked
+}
+
+/// Guards against a gateway that keeps asking an owner of the previous release, which closes the connection each time.
+#[test]
+fn an_owner_that_does_not_answer_is_asked_rarely() {
+    for seed in 0..16 {
+        let hour = Duration::from_secs(3_600);
+        assert!((500..=900).contains(&questions(SharingAnswer::Some, hour, seed)));
+        assert!((90..=170).contains(&questions(SharingAnswer::Empty, hour, seed)));
+        assert!((90..=170).contains(&questions(SharingAnswer::NotOwner, hour, seed)));
+        assert!((10..=24).contains(&questions(SharingAnswer::None, hour, seed)));
+    }
+}
+
+/// Guards against a successor of a later release that is not asked for minutes.
+#[test]
+fn the_successor_of_an_owner_that_did_not_answer_is_asked_at_once() {
+    let mut random = Pcg64::seed_from_u64(1);
+    let (old, new) = (NodeId::new("old"), NodeId::new("new"));
+    let mut schedule = SharingSchedule::new(at(0), &mut random);
+    schedule.record(Some(&old), SharingAnswer::None, at(6_000), &mut random);
+    assert!(!schedule.is_due(Some(&old), at(16_000)));
+    assert!(!schedule.is_due(None, at(16_000)));
+    assert!(schedule.is_due(Some(&new), at(16_000)));
+    schedule.record(Some(&new), SharingAnswer::Some, at(16_000), &mut random);
+    assert!(!schedule.is_due(Some(&new), at(16_001)));
+}
--- a/crates/daemon/src/batch/job_shard.rs
+++ b/crates/daemon/src/batch/job_shard.rs
@@ -16,6 +16,7 @@
 use super::{Command, candidate};
 use crate::ingress::pool::ReplicaPool;
 use crate::ownership::scope::Scope;
+use crate::peers::PeerClients;
 
 /// Capacity of the channel to the owner, in requests.
 const OWNER_COMMAND_BACKLOG: usize = 1_024;
@@ -114,6 +115,36 @@
         }
     }
 
+    /// Sends a request once to the known owner, through `peers`, so that an owner that can't decode it interrupts no
+    /// other call by closing the connection. Returns `None` if there was no answer. A node that is not the owner may
+    /// name it, and the next request goes there.
+    pub(super) async fn ask_once(
+        &self,
+        peers: &PeerClients,
+        request: BatchRequest,
+        timeout: Duration,
+    ) -> Option<BatchResponse> {
+        let response = match self.scope.known_owner() {
+            Some(owner) if owner == self.scope.context.node => {
+                tokio::time::timeout(timeout, self.answer(request)).await.ok()?
+            }
+            Some(owner) => {
+                let member = self.scope.context.cluster.load().member(&owner).cloned();
+                match member.filter(|member| self.scope.allows(member)) {
+                    Some(member) => {
+                        self.scope.call_through(peers, member.peer_address, request, timeout).await.ok()?
+                    }
+                    None => BatchResponse::NotOwner(None),
+                }
+            }
+            None => BatchResponse::NotOwner(None),
+        };
+        if let BatchResponse::NotOwner(other) = &response {
+            self.update_owner(other.clone()).await;
+        }
+        Some(response)
+    }
+
     /// Updates the known owner: to the one that another node named, or else to the one that the stores
     /// report.
     async fn update_owner(&self, named: Option<NodeId>) {
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -18,10 +18,11 @@
 mod set_maintenance;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use lichenpulley_core::identity::{BatchId, ShardId};
+use lichenpulley_core::identity::{BatchId, NodeId, ShardId};
 use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
 use tokio::runtime::Handle;
@@ -30,6 +31,7 @@
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
 use crate::ownership::scope::Scope;
+use crate::peers::PeerClients;
 pub(crate) use end_holder::EndHolder;
 pub(crate) use job_shard::JobShard;
 use regional_jobs::RegionalJobs;
@@ -93,6 +95,22 @@
         self.main.ask(request).await
     }
 
+    /// Returns the owner of the main shard, as far as this node knows.
+    pub(crate) fn main_owner(&self) -> Option<NodeId> {
+        self.main.scope.known_owner()
+    }
+
+    /// Sends a request that the owner's release may not know to the owner of the main shard, through connections
+    /// that are used for nothing else. Returns `None` if there was no answer.
+    pub(crate) async fn ask_main_once(
+        &self,
+        peers: &PeerClients,
+        request: BatchRequest,
+        timeout: Duration,
+    ) -> Option<BatchResponse> {
+        self.main.ask_once(peers, request, timeout).await
+    }
+
     /// Returns the shard for jobs bound to `regions`, or `None` if there are too many sets of regions.
     pub(crate) fn shard(&self, regions: &AllowedRegions) -> Option<JobShard> {
         if regions.is_all() { Some(self.main.clone()) } else { self.regional.shard(regions) }
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -54,6 +54,10 @@
                 self.callers.add_usage(source, through, command);
                 self.answer_writers();
             }
+            BatchRequest::BaseLatencies(replicas) => {
+                let latencies = self.controller.base_latencies(replicas);
+                command.answer(BatchResponse::BaseLatencies(latencies));
+            }
             // This node owns the shard already.
             BatchRequest::TakeOver(_) => command.answer(BatchResponse::Ended),
         }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 //! replicas.
 
 mod attempt_loop;
+mod base_latencies;
 mod batch_calls;
 mod caller_request;
 pub(crate) mod callers;
@@ -94,6 +95,7 @@
         let origin = Instant::now();
         let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, origin };
         tokio::spawn(selector_update::run(ingress.clone()));
+        tokio::spawn(base_latencies::run(ingress.clone()));
         ingress
     }
 
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,5 +1,5 @@
-//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, and refusals
-//! because of the regions that a request is restricted to.
+//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, refusals
+//! because of the regions that a request is restricted to, and questions for base latencies.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::operator::RegionRefusals;
@@ -14,6 +14,7 @@
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
     region_refusals: IntCounterVec,
+    shared_base_answers: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -41,6 +42,12 @@
                 "Requests refused that are bound to some regions, by these and by reason",
                 &["regions", "reason"],
             ),
+            shared_base_answers: registration::counter_vec(
+                registry,
+                "lichenpulley_shared_base_latency_questions_total",
+                "Questions for base latencies of replicas to the owner of the batch jobs, by answer",
+                &["answer"],
+            ),
         }
     }
 
@@ -64,6 +71,10 @@
         self.region_refusals.with_label_values(&[regions, reason]).inc();
     }
 
+    pub(super) fn count_shared_base_question(&self, answer: &str) {
+        self.shared_base_answers.with_label_values(&[answer]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -130,6 +130,11 @@
         self.ingress.region_refusals()
     }
 
+    /// Counts a question for base latencies to the owner of the batch jobs.
+    pub fn count_shared_base_question(&self, answer: &str) {
+        self.ingress.count_shared_base_question(answer);
+    }
+
     /// Counts a peer's connection that was closed because of an error on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.peers.count_closed(reason);
--- a/crates/daemon/src/ownership/scope.rs
+++ b/crates/daemon/src/ownership/scope.rs
@@ -13,7 +13,7 @@
 
 use crate::cluster::Member;
 use crate::context::Context;
-use crate::peers::PeerError;
+use crate::peers::{PeerClients, PeerError};
 use crate::store::replica_sets;
 
 /// Lack of live coordinators or stores in the regions of a shard.
@@ -116,7 +116,17 @@
         request: BatchRequest,
         deadline: Duration,
     ) -> Result<BatchResponse, PeerError> {
-        let peers = &self.context.peers;
+        self.call_through(&self.context.peers, address, request, deadline).await
+    }
+
+    /// Like [`Self::call_peer`], through other connections than those of this node's other calls.
+    pub(crate) async fn call_through(
+        &self,
+        peers: &PeerClients,
+        address: SocketAddr,
+        request: BatchRequest,
+        deadline: Duration,
+    ) -> Result<BatchResponse, PeerError> {
         if self.is_main() {
             return peers.batch(address, request, deadline).await;
         }
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -20,10 +20,21 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, REPORT_PATH) => report(&state).into(),
         (&Method::POST, ORDER_PATH) => order(&state, request).await.into(),
-        _ => run(&state, request).await,
+        _ => with_load(&state, run(&state, request).await),
     }
 }
 
+/// Adds the reported load to an answer.
+fn with_load(state: &Mutex<State>, mut reply: Reply) -> Reply {
+    let load = lock(state).load;
+    if let (Reply::Send(answer), Some(load)) = (&mut reply, load)
+        && let Ok(load) = HeaderValue::from_str(&headers::format_load(&load))
+    {
+        answer.headers_mut().insert(headers::LOAD, load);
+    }
+    reply
+}
+
 fn report(state: &Mutex<State>) -> Response<Body> {
     let state = lock(state);
     let report = ReplicaReport {
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::ReplicaIncarnation;
 use lichenpulley_daemon::decisions::unix_milliseconds;
 use lichenpulley_platform::replica::{LoadOrder, ModelState};
@@ -82,6 +83,8 @@
     /// Number of streams whose reader disconnected before the end.
     abandoned: u64,
     cold: Option<ColdPeriod>,
+    /// Load reported with each answer to a request; `None` if the replica does not report it.
+    load: Option<ReplicaLoad>,
     /// `None` once the replica has ended.
     server: Option<Server>,
 }
@@ -115,6 +118,7 @@
         started_at_ms: unix_milliseconds(),
         abandoned: 0,
         cold: None,
+        load: None,
         server: None,
     };
     let state = Arc::new(Mutex::new(state));
@@ -132,6 +136,11 @@
         lock(&self.state).behaviour = behaviour;
     }
 
+    /// Sets the load that the replica reports with each answer from now on.
+    pub fn report_load(&self, load: Option<ReplicaLoad>) {
+        lock(&self.state).load = load;
+    }
+
     /// Makes the replica cold for `duration`; it fails if it receives more than `max_requests_per_s` requests in one second.
     pub fn turn_cold(&self, duration: Duration, max_requests_per_s: usize) {
         let until = Instant::now() + duration;
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -10,6 +10,7 @@
 mod platform_evacuations;
 mod platform_outline;
 mod platform_owners;
+mod platform_pace;
 mod platform_placement;
 mod platform_quarantine;
 mod platform_regions;
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -46,6 +46,8 @@
     TakeOver(Option<ProgressOffer>),
     /// Reports the usage that a node has metered.
     Usage(UsageReport),
+    /// Asks for the base latencies of replicas, given by their ids, as far as the owner has measured them.
+    BaseLatencies(Vec<String>),
 }
 
 impl BatchRequest {
@@ -53,7 +55,7 @@
     pub const fn job(&self) -> Option<&BatchId> {
         match self {
             Self::Read { batch, .. } | Self::ItemBody { batch, .. } | Self::End { batch, .. } => Some(batch),
-            Self::Submit(_) | Self::TakeOver(_) | Self::Usage(_) => None,
+            Self::Submit(_) | Self::TakeOver(_) | Self::Usage(_) | Self::BaseLatencies(_) => None,
         }
     }
 }
@@ -97,6 +99,9 @@
     Unavailable,
     /// The log failed while the request was being replicated; it may or may not be committed.
     InDoubt,
+    /// Base latencies in microseconds, in the order of the request; `None` for replicas that the owner has not
+    /// measured. Replicas beyond the owner's limit are missing at the end.
+    BaseLatencies(Vec<Option<u32>>),
 }
 
 /// The end of a job, which the receiver forwards to the owner too, so that it isn't lost if the sender fails.
