--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,5 +1,5 @@
 //! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, early moves,
-//! and refusals.
+//! refusals, and questions for base latencies.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
@@ -18,6 +18,7 @@
     refusals: IntCounterVec,
     early_moves: IntCounterVec,
     early_move_denials: IntCounterVec,
+    shared_base_answers: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -63,6 +64,12 @@
                 "Plain requests that were overdue and did not move early, by reason",
                 &["reason"],
             ),
+            shared_base_answers: registration::counter_vec(
+                registry,
+                "lichenpulley_shared_base_latency_questions_total",
+                "Questions for base latencies of replicas to the owner of the batch jobs, by answer",
+                &["answer"],
+            ),
         }
     }
 
@@ -98,6 +105,10 @@
         self.early_move_denials.with_label_values(&[denial.as_str()]).inc();
     }
 
+    pub(super) fn count_shared_base_question(&self, answer: &str) {
+        self.shared_base_answers.with_label_values(&[answer]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::header::HeaderValue;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::ReplicaIncarnation;
 use lichenpulley_daemon::decisions::unix_milliseconds;
 use lichenpulley_platform::replica::{LoadOrder, ModelState};
@@ -76,8 +76,6 @@
 struct State {
     plan: ReplicaPlan,
     behaviour: ReplicaBehaviour,
-    /// Value of the load header of each answer.
-    reported_load: Option<HeaderValue>,
     seen: Vec<SeenRequest>,
     orders: Vec<LoadOrder>,
     /// When it started, in milliseconds since the Unix epoch.
@@ -85,6 +83,8 @@
     /// Number of streams whose reader disconnected before the end.
     abandoned: u64,
     cold: Option<ColdPeriod>,
+    /// Load reported with each answer to a request; `None` if the replica does not report it.
+    load: Option<ReplicaLoad>,
     /// `None` once the replica has ended.
     server: Option<Server>,
 }
@@ -113,12 +113,12 @@
     let state = State {
         plan,
         behaviour,
-        reported_load: None,
         seen: Vec::new(),
         orders: Vec::new(),
         started_at_ms: unix_milliseconds(),
         abandoned: 0,
         cold: None,
+        load: None,
         server: None,
     };
     let state = Arc::new(Mutex::new(state));
@@ -136,10 +136,9 @@
         lock(&self.state).behaviour = behaviour;
     }
 
-    /// Sets the figures that the replica reports with each answer, separated by commas: requests running and waiting,
-    /// slots and pace.
-    pub fn report_load(&self, figures: &'static str) {
-        lock(&self.state).reported_load = Some(HeaderValue::from_static(figures));
+    /// Sets the load that the replica reports with each answer from now on.
+    pub fn report_load(&self, load: Option<ReplicaLoad>) {
+        lock(&self.state).load = load;
     }
 
     /// Makes the replica cold for `duration`; it fails if it receives more than `max_requests_per_s` requests in one second.
--- a/crates/lab/tests/platform_slow/early_moves.rs
+++ b/crates/lab/tests/platform_slow/early_moves.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use lichenpulley_lab::platform_replica::{Replica, ReplicaBehaviour, SeenRequest};
-use lichenpulley_platform::objects;
+use lichenpulley_platform::{headers, objects};
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -42,7 +42,7 @@
     let node = system.gateways[0].as_ref().expect("a gateway").context();
     until(|| node.metadata.routes.load().as_ref().is_some_and(|routes| routes.version == 2)).await;
     for replica in &system.replicas {
-        replica.report_load(figures);
+        replica.report_load(headers::parse_load(figures));
     }
     // A replica without measurements is expected to answer within 20 ms, so that each of them is tried.
     all_take(&system, Duration::from_millis(50));
@@ -172,7 +172,7 @@
     for _ in 0..20 {
         system.call_until(StatusCode::OK, 0, "/read/warm").await;
     }
-    system.replicas[0].report_load(figures);
+    system.replicas[0].report_load(headers::parse_load(figures));
     system
 }
 
