Leave the answers of tried replicas out of the shortage that stops early moves

Cause: in a service of few replicas, the waiting requests at the one slow replica counted as a shortage, so that requests stayed there. The condition is meant for the candidates.

Change: recent answers are kept with their replica, and those of replicas that the request was sent to do not count. A test of Retry-After after rejections with a reported queue.

--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -248,7 +248,7 @@
         if !self.chooser.reports_pace(replicas) {
             return Err(EarlyMoveDenial::NoPace);
         }
-        if self.early_moves.is_short(query.service, now) {
+        if self.early_moves.is_short(query.service, query.tried, now) {
             return Err(EarlyMoveDenial::Shortage);
         }
         if self.early_moves.is_futile(query.service, now) {
--- a/crates/core/src/retry/early_moves.rs
+++ b/crates/core/src/retry/early_moves.rs
@@ -103,12 +103,21 @@
     }
 }
 
+/// What an answer showed.
+#[derive(Clone, Debug)]
+struct RecentAnswer {
+    at: Timestamp,
+    /// Id of the replica.
+    replica: String,
+    has_waiting: bool,
+}
+
 /// The limits of one service.
 #[derive(Clone, Debug)]
 struct ServiceLimits {
     budget: RetryBudget,
-    /// Whether requests were waiting when a replica answered, newest last.
-    answers: VecDeque<(Timestamp, bool)>,
+    /// The recent answers, newest last.
+    answers: VecDeque<RecentAnswer>,
     /// Early moves in a row that were not answered within the target.
     late_moves: u32,
     /// No early moves before this time.
@@ -125,10 +134,12 @@
         }
     }
 
-    fn is_short(&self, now: Timestamp) -> bool {
-        let recent = self.answers.iter().filter(|(at, _)| now.saturating_since(*at) < ANSWER_VALIDITY);
-        let (answers, waiting) = recent.fold((0, 0), |(answers, waiting), (_, has_waiting)| {
-            (answers + 1, waiting + usize::from(*has_waiting))
+    fn is_short(&self, tried: &[String], now: Timestamp) -> bool {
+        let recent = self.answers.iter().filter(|answer| {
+            now.saturating_since(answer.at) < ANSWER_VALIDITY && !tried.contains(&answer.replica)
+        });
+        let (answers, waiting) = recent.fold((0, 0), |(answers, waiting), answer| {
+            (answers + 1, waiting + usize::from(answer.has_waiting))
         });
         waiting > 0 && waiting * SHORTAGE_DIVISOR >= answers
     }
@@ -147,17 +158,18 @@
     }
 
     /// Records the number of waiting requests that a replica of a service reported with an answer.
-    pub fn record_answer(&mut self, service: &str, waiting: u32, now: Timestamp) {
+    pub fn record_answer(&mut self, service: &str, replica: &str, waiting: u32, now: Timestamp) {
         let answers = &mut self.service(service, now).answers;
         if answers.len() == MAX_ANSWERS {
             answers.pop_front();
         }
-        answers.push_back((now, waiting > 0));
+        answers.push_back(RecentAnswer { at: now, replica: replica.to_owned(), has_waiting: waiting > 0 });
     }
 
-    /// Whether recent answers of a service show waiting requests.
-    pub fn is_short(&self, service: &str, now: Timestamp) -> bool {
-        self.services.get(service).is_some_and(|limits| limits.is_short(now))
+    /// Whether recent answers of a service show waiting requests. The answers of the `tried` replicas, which the request
+    /// can't move to, do not count: waiting requests at one slow replica are a reason to leave it.
+    pub fn is_short(&self, service: &str, tried: &[String], now: Timestamp) -> bool {
+        self.services.get(service).is_some_and(|limits| limits.is_short(tried, now))
     }
 
     /// Records how a request that moved early ended.
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -268,7 +268,8 @@
         let now = self.now();
         let mut selection = self.selection();
         selection.selector.record_reported_load(&replica.id, load, now);
-        selection.selector.early_moves_mut().record_answer(&replica.service, load.waiting, now);
+        let early_moves = selection.selector.early_moves_mut();
+        early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
--- a/crates/lab/tests/platform_slow/early_moves.rs
+++ b/crates/lab/tests/platform_slow/early_moves.rs
@@ -201,6 +201,21 @@
     assert!(metrics(&system).contains("lichenpulley_refusals_total{reason=\"no_time\"}"));
 }
 
+/// Guards against a fixed `Retry-After` after which the queue has not drained.
+#[tokio::test]
+async fn a_rejected_request_is_told_when_the_reported_queue_has_drained() {
+    // The queue drains in about 1.2 s, within the time of the request.
+    let system = queued("4,100,4,100").await;
+    system.replicas[0].set_behaviour(ReplicaBehaviour::Rejects);
+    let refused = send_after_report(&system, "rejected").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.json()["kind"], "not_run");
+    assert_eq!(runs(&system, "rejected"), 0);
+    let retry_after =
+        refused.headers["retry-after"].to_str().expect("text").parse::<f64>().expect("a number");
+    assert!((0.2..=1.0).contains(&retry_after), "at most a third of 3 s: {retry_after}");
+}
+
 /// Guards against refusals by queues where replicas don't report a pace.
 #[tokio::test]
 async fn no_request_is_refused_by_queues_if_replicas_report_no_pace() {
