Query the load of two replicas before sends during a shortage

Cause: during a shortage some replicas have queues and others do not, and a gateway that sees one answer in seconds does not know which.

Change: where the service names a health_path and its replicas report a pace, a gateway that saw a queue or an answer later than the route's target within the last 10 s queries the health path of two candidates before every other send, for at most 10 ms: the replica it would select and another one at random. The better one gets the request. Without both answers, the selection is the usual one, and probes pause for 1 s to 60 s. Cold, suspected and full replicas are not queried. The counter lichenpulley_load_probes_total shows the results. Two tests construct the new field of Service.

What probes gain under a real shortage is not measured.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 pub mod lapse;
 pub mod metadata_wait;
 pub mod places;
+pub mod probing;
 pub mod replica_load;
 pub mod replica_subset;
 pub mod replicas;
--- a/crates/core/src/ingress/routes.rs
+++ b/crates/core/src/ingress/routes.rs
@@ -105,6 +105,8 @@
     pub scaling: Option<ScalingBounds>,
     /// Limits on its replicas while they are cold; `None` if they need no warm-up.
     pub cold: Option<ColdBounds>,
+    /// Path at which each replica answers at once and may report its load; `None` if there is none.
+    pub health_path: Option<String>,
 }
 
 /// The rate that a replica can handle while it is cold.
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -160,6 +160,50 @@
         self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
     }
 
+    /// Selects one of the replicas `among`, given by their ids, like [`Self::select`].
+    ///
+    /// # Errors
+    /// Returns the reason if none of them can be sent the request now.
+    pub fn select_among(
+        &mut self,
+        among: &[&str],
+        query: &SelectionQuery<'_>,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+        random: u64,
+    ) -> Result<SelectedReplica, NoCandidate> {
+        let mut candidates = self.candidates(query, table, evacuated, now)?;
+        if candidates.iter().any(|record| among.contains(&record.id.as_str())) {
+            candidates.retain(|record| among.contains(&record.id.as_str()));
+        }
+        self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
+    }
+
+    /// Returns the two replicas whose load should be queried before a request is sent: the one that would be selected,
+    /// and another one at random. `None` unless the service reports a pace and there are two such replicas. Cold
+    /// replicas are not queried, since they bear few requests, nor are those that did not answer.
+    pub fn probe_pair(
+        &mut self,
+        query: &SelectionQuery<'_>,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+        random: u64,
+    ) -> Option<[ReplicaRecord; 2]> {
+        let mut candidates = self.candidates(query, table, evacuated, now).ok()?;
+        if !self.reports_pace(candidates.iter().map(|record| record.id.as_str())) {
+            return None;
+        }
+        candidates.retain(|record| {
+            self.chooser.is_move_target(&record.id, now) && !self.gate.is_cold(&record.id, now)
+        });
+        let first = self.chooser.best_of(candidates.clone(), now, random)?;
+        candidates.retain(|record| record.id != first.id);
+        let second = candidates.get((random as usize).checked_rem(candidates.len())?)?;
+        Some([first.clone(), ReplicaRecord::clone(second)])
+    }
+
     /// Selects another replica for a request that waits at one, and counts the request as in flight there.
     /// `waits_at_cold` states whether the first replica was cold when it was selected.
     ///
--- a/crates/core/tests/batch_support/mod.rs
+++ b/crates/core/tests/batch_support/mod.rs
@@ -77,6 +77,7 @@
         models: vec![MODEL.to_owned()],
         scaling: None,
         cold: None,
+        health_path: None,
     };
     let limits = Limits {
         header_bytes: 16 << 10,
--- a/crates/core/tests/replica_pace.rs
+++ b/crates/core/tests/replica_pace.rs
@@ -8,6 +8,7 @@
 
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::chooser::{ReplicaChooser, ReplicaFeedback};
+use lichenpulley_core::ingress::probing::ProbePolicy;
 use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::ingress::shared_bases::{SharingAnswer, SharingSchedule};
@@ -284,3 +285,40 @@
     schedule.record(Some(&new), SharingAnswer::Some, at(16_000), &mut random);
     assert!(!schedule.is_due(Some(&new), at(16_001)));
 }
+
+/// Counts the requests that are probed among `requests`, one every 100 ms from `start_ms`.
+fn probed(policy: &mut ProbePolicy, requests: u64, start_ms: u64) -> usize {
+    (0..requests).filter(|number| policy.should_probe("plain", at(start_ms + number * 100))).count()
+}
+
+/// Guards against probes outside a shortage, and against more than one probed request out of two.
+#[test]
+fn every_other_request_is_probed_during_a_shortage_only() {
+    let mut policy = ProbePolicy::default();
+    assert_eq!(probed(&mut policy, 10, 0), 0);
+    policy.record_answer("plain", Some(0), false, at(1_000));
+    policy.record_answer("plain", None, false, at(1_000));
+    policy.record_answer("other", Some(3), true, at(1_000));
+    assert_eq!(probed(&mut policy, 10, 1_000), 0, "no queue and not late");
+    policy.record_answer("plain", Some(1), false, at(2_000));
+    assert_eq!(probed(&mut policy, 10, 2_000), 5);
+    assert_eq!(probed(&mut policy, 10, 12_000), 0, "the queue was seen 10 s ago");
+    policy.record_answer("plain", None, true, at(20_000));
+    assert_eq!(probed(&mut policy, 10, 20_000), 5, "a late answer");
+}
+
+/// Guards against requests that are delayed by probes of a health path that does not answer or reports no load.
+#[test]
+fn probes_that_show_no_load_are_repeated_rarely() {
+    let mut policy = ProbePolicy::default();
+    let mut probes = 0;
+    for number in 0..600 {
+        let now = at(1_000 + number * 100);
+        policy.record_answer("plain", Some(1), false, now);
+        if policy.should_probe("plain", now) {
+            probes += 1;
+            policy.record_probes("plain", false, now);
+        }
+    }
+    assert!((4..=7).contains(&probes), "{probes} within a minute");
+}
--- a/crates/core/tests/selection.rs
+++ b/crates/core/tests/selection.rs
@@ -62,6 +62,7 @@
         models: Vec::new(),
         scaling: None,
         cold: Some(ColdBounds { per_second: 10.0, duration: COLD_TIME }),
+        health_path: None,
     };
     let limits =
         Limits { header_bytes: 1, body_bytes: 1, header_timeout: COLD_TIME, idle_timeout: COLD_TIME };
--- a/crates/daemon/src/ingress/attempt_loop.rs
+++ b/crates/daemon/src/ingress/attempt_loop.rs
@@ -125,7 +125,7 @@
     ) -> Result<SentAttempt<Attempt::Answer>, NoCandidate> {
         let mut in_flight = match self.reserved.take() {
             Some(reserved) => reserved,
-            None => ingress.select(request, &self.tried)?,
+            None => ingress.probe_and_select(request, &self.tried).await?,
         };
         self.tried.push(in_flight.replica.id.clone());
         self.is_stay_recorded = false;
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -38,6 +38,8 @@
     pub(super) request_id: Option<String>,
     /// The deadline: the earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    /// Response time that the route aims for.
+    pub(super) target: Duration,
     pub(super) service: String,
     /// The authenticated caller.
     pub(super) caller: Caller,
@@ -84,6 +86,7 @@
             body,
             request_id,
             deadline,
+            target: route.target,
             service,
             caller,
             regions,
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -95,9 +95,9 @@
                 return Err(SendOutcome::TimedOut);
             }
         };
-        if let Some(load) = headers::reported_load(exchange.response.headers()) {
-            self.ingress.record_reported_load(&self.replica.id, load);
-        }
+        let load = headers::reported_load(exchange.response.headers());
+        let is_late = self.started_at.elapsed() > request.target;
+        self.ingress.record_response_head(&self.replica, load, is_late);
         Ok(exchange)
     }
 
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod job_placement;
 mod metadata_wait;
 pub mod pool;
+mod probes;
 pub mod readiness;
 mod refusal;
 mod request_body;
@@ -34,6 +35,7 @@
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
+use lichenpulley_core::ingress::probing::ProbePolicy;
 use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
@@ -57,6 +59,7 @@
 /// await.
 struct SelectionState {
     selector: ReplicaSelector,
+    probing: ProbePolicy,
     /// The route table whose bounds for cold replicas the selector uses.
     routes: Option<Arc<RouteTable>>,
     /// The replicas that the selector was last updated from.
@@ -67,7 +70,7 @@
     fn new(node: &NodeId) -> Self {
         let order = GatewayOrder::new(node.clone(), Timestamp::ORIGIN);
         let selector = ReplicaSelector::new(WarmupTracker::for_gateway(order, Timestamp::ORIGIN));
-        Self { selector, routes: None, replicas: Arc::default() }
+        Self { selector, probing: ProbePolicy::default(), routes: None, replicas: Arc::default() }
     }
 }
 
@@ -214,8 +217,14 @@
         self.selection().selector.mark_late(replica, self.now());
     }
 
-    fn record_reported_load(&self, replica: &str, load: ReplicaLoad) {
-        self.selection().selector.record_reported_load(replica, load, self.now());
+    /// Records the load that came with a response head, and whether the response was later than the route's target.
+    fn record_response_head(&self, replica: &ReplicaRecord, load: Option<ReplicaLoad>, is_late: bool) {
+        let now = self.now();
+        let mut selection = self.selection();
+        if let Some(load) = load {
+            selection.selector.record_reported_load(&replica.id, load, now);
+        }
+        selection.probing.record_answer(&replica.service, load.map(|load| load.waiting), is_late, now);
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,5 +1,5 @@
 //! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, refusals
-//! because of the regions that a request is restricted to, and questions for base latencies.
+//! because of the regions that a request is restricted to, questions for base latencies, and probes.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::operator::RegionRefusals;
@@ -15,6 +15,7 @@
     quarantined_requests: IntGauge,
     region_refusals: IntCounterVec,
     shared_base_answers: IntCounterVec,
+    probes: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -48,6 +49,12 @@
                 "Questions for base latencies of replicas to the owner of the batch jobs, by answer",
                 &["answer"],
             ),
+            probes: registration::counter_vec(
+                registry,
+                "lichenpulley_load_probes_total",
+                "Requests before which the load of two replicas was queried, by result",
+                &["result"],
+            ),
         }
     }
 
@@ -75,6 +82,10 @@
         self.shared_base_answers.with_label_values(&[answer]).inc();
     }
 
+    pub(super) fn count_probes(&self, result: &str) {
+        self.probes.with_label_values(&[result]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -135,6 +135,11 @@
         self.ingress.count_shared_base_question(answer);
     }
 
+    /// Counts a request before which the load of two replicas was queried.
+    pub fn count_probes(&self, result: &str) {
+        self.ingress.count_probes(result);
+    }
+
     /// Counts a peer's connection that was closed because of an error on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.peers.count_closed(reason);
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -12,7 +12,7 @@
 use lichenpulley_platform::replica::{LoadOrder, ORDER_PATH, REPORT_PATH, ReplicaReport};
 
 use super::event_stream::{StreamGuard, events};
-use super::{ReplicaBehaviour, SeenRequest, State, crash, models};
+use super::{HEALTH_PATH, ReplicaBehaviour, SeenRequest, State, crash, models};
 use crate::http::{self, Body, Reply};
 use crate::locked::lock;
 
@@ -20,6 +20,10 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, REPORT_PATH) => report(&state).into(),
         (&Method::POST, ORDER_PATH) => order(&state, request).await.into(),
+        (&Method::GET, HEALTH_PATH) => {
+            lock(&state).health_checks += 1;
+            with_load(&state, http::empty(StatusCode::OK).into())
+        }
         _ => with_load(&state, run(&state, request).await),
     }
 }
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -23,6 +23,9 @@
 use crate::locked::lock;
 use cold::ColdPeriod;
 
+/// Path of health checks, which are answered at once.
+pub const HEALTH_PATH: &str = "/-/health";
+
 /// How a replica treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReplicaBehaviour {
@@ -85,6 +88,8 @@
     cold: Option<ColdPeriod>,
     /// Load reported with each answer to a request; `None` if the replica does not report it.
     load: Option<ReplicaLoad>,
+    /// Number of health checks answered.
+    health_checks: u64,
     /// `None` once the replica has ended.
     server: Option<Server>,
 }
@@ -119,6 +124,7 @@
         abandoned: 0,
         cold: None,
         load: None,
+        health_checks: 0,
         server: None,
     };
     let state = Arc::new(Mutex::new(state));
@@ -141,6 +147,11 @@
         lock(&self.state).load = load;
     }
 
+    /// Returns the number of health checks that the replica has answered.
+    pub fn health_checks(&self) -> u64 {
+        lock(&self.state).health_checks
+    }
+
     /// Makes the replica cold for `duration`; it fails if it receives more than `max_requests_per_s` requests in one second.
     pub fn turn_cold(&self, duration: Duration, max_requests_per_s: usize) {
         let until = Instant::now() + duration;
--- a/crates/lab/tests/platform_pace/mod.rs
+++ b/crates/lab/tests/platform_pace/mod.rs
@@ -6,14 +6,17 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_daemon::cluster::{ClusterView, Member};
 use lichenpulley_daemon::node::Node;
+use lichenpulley_lab::platform_replica::{HEALTH_PATH, Replica, ReplicaBehaviour};
+use lichenpulley_platform::objects;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::platform_system::{PATIENCE, System, until};
+use crate::platform_system::{PATIENCE, System, configuration, until};
 
 /// Items of a job whose score requests measure each of two replicas often enough.
 const ITEMS: usize = 40;
@@ -183,3 +186,63 @@
     assert_eq!(questions(&system, gateway, "none"), 1, "it is not asked again soon");
     assert_eq!(previous.interrupted.load(Ordering::Relaxed), 0, "questions use connections of their own");
 }
+
+/// Has the gateways read a configuration whose service names its health path.
+async fn configure_health_path(system: &System) {
+    let mut document = configuration(2);
+    document["services"][0]["health_path"] = json!(HEALTH_PATH);
+    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, document);
+    let is_read = |gateway: usize| {
+        let routes = node(system, gateway).context().metadata.routes.load();
+        routes.as_ref().is_some_and(|routes| routes.version == 2)
+    };
+    until(|| (0..2).all(is_read)).await;
+}
+
+fn health_checks(system: &System) -> u64 {
+    system.replicas.iter().map(Replica::health_checks).sum()
+}
+
+/// Sends requests through the first gateway, each after a pause, and returns how many ran at each replica.
+async fn requests_by_replica(system: &System, requests: usize, pause: Duration, prefix: &str) -> Vec<usize> {
+    for number in 0..requests {
+        tokio::time::sleep(pause).await;
+        let id = format!("{prefix}-{number}");
+        let answer = system.call(0, Method::GET, "/read/x", &[("attempt-id", &id)], "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let ran_at = |replica: &Replica| replica.seen().iter().filter(|seen| seen.id.starts_with(prefix)).count();
+    system.replicas.iter().map(ran_at).collect()
+}
+
+/// Guards against probes outside a shortage or of more than every other request, and against requests that go to a
+/// replica with a queue because the queue was not seen for some time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn probed_requests_avoid_a_queue_that_was_not_seen_for_some_time() {
+    let system = system(Some(100)).await;
+    configure_health_path(&system).await;
+    // The second replica is much slower, so that it gets requests only if the first one has a queue.
+    system.replicas[1].set_behaviour(ReplicaBehaviour::Takes(Duration::from_millis(60)));
+    let calm = requests_by_replica(&system, 30, Duration::ZERO, "calm").await;
+    assert!(calm[1] <= 1, "{calm:?}");
+    assert_eq!(health_checks(&system), 0, "no shortage");
+    let queue = ReplicaLoad { running: 4, waiting: 4_000, slots: 4, pace_percent: Some(100) };
+    system.replicas[0].report_load(Some(queue));
+    // A reported load is used for 400 ms.
+    let pause = Duration::from_millis(450);
+    let short = requests_by_replica(&system, 9, pause, "short").await;
+    // The first request finds the queue. Of the others, every other one is probed and avoids it.
+    assert_eq!(short, [5, 4]);
+    assert_eq!(health_checks(&system), 8, "two for each probed request");
+}
+
+/// Guards against probes where the configuration names no health path.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nothing_is_probed_without_a_health_path() {
+    let system = system(Some(100)).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let load = ReplicaLoad { running: 4, waiting: 9, slots: 4, pace_percent: Some(100) };
+    system.replicas.iter().for_each(|replica| replica.report_load(Some(load)));
+    requests_by_replica(&system, 20, Duration::ZERO, "short").await;
+    assert_eq!(health_checks(&system), 0);
+}
