--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -13,7 +13,7 @@
 //!
 //! Where replicas report their pace, a plain request may move earlier, to be answered within its target
 //! ([`ReplicaSelector::select_early`]), and a plain request is refused if every candidate reports a queue that takes
-//! longer than the time that it has left ([`ReplicaSelector::select_in_time`]).
+//! longer than the time that it has left ([`ReplicaSelector::check_queues`]).
 //!
 //! The caller must report the end of each request by [`ReplicaSelector::record_end`].
 
@@ -179,28 +179,73 @@
         self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
     }
 
-    /// Like [`Self::select`], for a plain request that has not run and has `remaining` time left.
+    /// Selects one of the replicas `among`, given by their ids, like [`Self::select`].
     ///
     /// # Errors
-    /// Also returns [`NoCandidate::NoTime`] if each candidate recently reported a queue that takes longer than that.
-    /// Once the reports are too old, requests are sent again, and their answers bring new reports.
-    pub fn select_in_time(
+    /// Returns the reason if none of them can be sent the request now.
+    pub fn select_among(
         &mut self,
+        among: &[&str],
         query: &SelectionQuery<'_>,
-        remaining: Duration,
         table: Option<&ReplicaTable>,
         evacuated: Option<Arc<EvacuatedZones>>,
         now: Timestamp,
         random: u64,
     ) -> Result<SelectedReplica, NoCandidate> {
+        let mut candidates = self.candidates(query, table, evacuated, now)?;
+        if candidates.iter().any(|record| among.contains(&record.id.as_str())) {
+            candidates.retain(|record| among.contains(&record.id.as_str()));
+        }
+        self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
+    }
+
+    /// Returns the two replicas whose load should be queried before a request is sent: the one that would be selected,
+    /// and another one at random. `None` unless the service reports a pace and there are two such replicas. Cold
+    /// replicas are not queried, since they bear few requests, nor are those that did not answer.
+    pub fn probe_pair(
+        &mut self,
+        query: &SelectionQuery<'_>,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+        random: u64,
+    ) -> Option<[ReplicaRecord; 2]> {
+        let mut candidates = self.candidates(query, table, evacuated, now).ok()?;
+        if !self.reports_pace(candidates.iter().map(|record| record.id.as_str())) {
+            return None;
+        }
+        candidates.retain(|record| {
+            self.chooser.is_move_target(&record.id, now) && !self.gate.is_cold(&record.id, now)
+        });
+        let first = self.chooser.best_of(candidates.clone(), now, random)?;
+        candidates.retain(|record| record.id != first.id);
+        let second = candidates.get((random as usize).checked_rem(candidates.len())?)?;
+        Some([first.clone(), ReplicaRecord::clone(second)])
+    }
+
+    /// Checks whether a plain request that has not run and has `remaining` time left can be served in time. To be called
+    /// before a replica is selected.
+    ///
+    /// # Errors
+    /// Returns [`NoCandidate::NoTime`] if each candidate recently reported a queue that takes longer than that. Once the
+    /// reports are too old, requests are sent again, and their answers bring new reports. Returns the reason if there is
+    /// no candidate.
+    pub fn check_queues(
+        &mut self,
+        query: &SelectionQuery<'_>,
+        remaining: Duration,
+        table: Option<&ReplicaTable>,
+        evacuated: Option<Arc<EvacuatedZones>>,
+        now: Timestamp,
+    ) -> Result<(), NoCandidate> {
         let candidates = self.candidates(query, table, evacuated, now)?;
         let drain_times = candidates.iter().map(|record| self.drain_time(record, now));
         // `None` if any queue is unknown. There is at least one candidate.
         let shortest = drain_times.collect::<Option<Vec<_>>>().and_then(|times| times.into_iter().min());
-        if let Some(drain_time) = shortest.filter(|drain_time| *drain_time > remaining) {
-            return Err(NoCandidate::NoTime(QueueDrain { drain_time, remaining }));
+        match shortest.filter(|drain_time| *drain_time > remaining) {
+            Some(drain_time) => Err(NoCandidate::NoTime(QueueDrain { drain_time, remaining })),
+            None => Ok(()),
         }
-        self.reserve_best(candidates, now, random).ok_or(NoCandidate::NoReplica)
     }
 
     /// Returns the shortest queue that a replica of the service, tried or not, recently reported. `None` if none did.
--- a/crates/core/tests/early_move_selection.rs
+++ b/crates/core/tests/early_move_selection.rs
@@ -99,7 +99,8 @@
     fn select_in_time(&mut self, tried: &[&str], now: Timestamp) -> Result<SelectedReplica, NoCandidate> {
         let evacuated = Some(Arc::clone(&self.evacuated));
         self.with_query(tried, |selector, query, table| {
-            selector.select_in_time(query, REMAINING, Some(table), evacuated, now, 0)
+            selector.check_queues(query, REMAINING, Some(table), evacuated.clone(), now)?;
+            selector.select(query, Some(table), evacuated, now, 0)
         })
     }
 
--- a/crates/core/tests/early_moves_replay.rs
+++ b/crates/core/tests/early_moves_replay.rs
@@ -212,7 +212,8 @@
         self.outcome.requests += u64::from(is_counted);
         self.selector.early_moves_mut().record_request("plain", at(now));
         let selected = self.select(&[], now, |selector, query, table, evacuated, random| {
-            selector.select_in_time(query, DEADLINE, table, evacuated, at(now), random)
+            selector.check_queues(query, DEADLINE, table, evacuated.clone(), at(now))?;
+            selector.select(query, table, evacuated, at(now), random)
         });
         match selected {
             Ok(selected) => {
--- a/crates/daemon/src/ingress/attempt_loop.rs
+++ b/crates/daemon/src/ingress/attempt_loop.rs
@@ -64,8 +64,6 @@
 /// State of the attempts to get one request answered.
 pub(super) struct AttemptLoop {
     attempts: Attempts,
-    /// Target answer time of the route.
-    target: Duration,
     /// Ids of the replicas to which the request was sent, in order.
     tried: Vec<String>,
     /// The slot reserved at another replica, to which the request moves next.
@@ -80,7 +78,6 @@
     pub(super) fn new(route: &Route, max_sends: u32) -> Self {
         Self {
             attempts: Attempts::new(route.is_repeatable(), max_sends),
-            target: route.target,
             tried: Vec::new(),
             reserved: None,
             is_stay_recorded: false,
@@ -144,11 +141,13 @@
     ) -> Result<SentAttempt<Attempt::Answer>, NoCandidate> {
         let mut in_flight = match self.reserved.take() {
             Some(reserved) => reserved,
-            // A request that may have run is sent again as before, since it could not be refused as "not run".
-            None if Attempt::IS_BOUND_BY_QUEUES && self.attempts.give_up() == NextStep::GiveUpNotRun => {
-                ingress.select_in_time(request, &self.tried)?
+            None => {
+                // A request that may have run is sent again as before, since it could not be refused as "not run".
+                if Attempt::IS_BOUND_BY_QUEUES && self.attempts.give_up() == NextStep::GiveUpNotRun {
+                    ingress.check_queues(request, &self.tried)?;
+                }
+                ingress.probe_and_select(request, &self.tried).await?
             }
-            None => ingress.select(request, &self.tried)?,
         };
         self.tried.push(in_flight.replica.id.clone());
         self.is_stay_recorded = false;
@@ -179,7 +178,8 @@
         mut waits: WaitingSend,
     ) {
         let times_out_at = Instant::now() + attempt_timeout::for_request(request.remaining());
-        let may_move_early = tokio::time::timeout_at(times_out_at, waits.until_early_move(self.target)).await;
+        let may_move_early =
+            tokio::time::timeout_at(times_out_at, waits.until_early_move(request.target)).await;
         if may_move_early.is_ok() && self.reserve_early(ingress, request) {
             return;
         }
@@ -195,7 +195,7 @@
         if !self.attempts.may_move_early(request.remaining()) {
             return false;
         }
-        let target_left = self.target.saturating_sub(request.elapsed());
+        let target_left = request.target.saturating_sub(request.elapsed());
         match ingress.select_early(request, &self.tried, target_left) {
             Ok(reserved) => {
                 request.record_early_move(ingress, self.tried.last(), &reserved.replica.id);
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -39,6 +39,8 @@
     pub(super) request_id: Option<String>,
     /// The deadline: the earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    /// Response time that the route aims for.
+    pub(super) target: Duration,
     pub(super) service: String,
     /// The authenticated caller.
     pub(super) caller: Caller,
@@ -85,6 +87,7 @@
             body,
             request_id,
             deadline,
+            target: route.target,
             service,
             caller,
             regions,
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod job_placement;
 mod metadata_wait;
 pub mod pool;
+mod probes;
 pub mod readiness;
 mod refusal;
 mod request_body;
@@ -35,6 +36,7 @@
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
+use lichenpulley_core::ingress::probing::ProbePolicy;
 use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
@@ -60,6 +62,7 @@
 /// await.
 struct SelectionState {
     selector: ReplicaSelector,
+    probing: ProbePolicy,
     /// The route table whose bounds for cold replicas the selector uses.
     routes: Option<Arc<RouteTable>>,
     /// The replicas that the selector was last updated from.
@@ -70,7 +73,7 @@
     fn new(node: &NodeId) -> Self {
         let order = GatewayOrder::new(node.clone(), Timestamp::ORIGIN);
         let selector = ReplicaSelector::new(WarmupTracker::for_gateway(order, Timestamp::ORIGIN));
-        Self { selector, routes: None, replicas: Arc::default() }
+        Self { selector, probing: ProbePolicy::default(), routes: None, replicas: Arc::default() }
     }
 }
 
@@ -169,18 +172,12 @@
         Ok(InFlightRequest::begin(self, request, selected))
     }
 
-    /// Like [`Self::select`], for a plain request that has not run: it is refused if the queues of all replicas take
-    /// longer than the time that it has left.
-    fn select_in_time(
-        &self,
-        request: &CallerRequest,
-        tried: &[String],
-    ) -> Result<InFlightRequest, NoCandidate> {
+    /// Checks whether a plain request that has not run can be served in the time that it has left.
+    fn check_queues(&self, request: &CallerRequest, tried: &[String]) -> Result<(), NoCandidate> {
         let remaining = request.remaining();
-        let selected = self.select_with(request, tried, |selector, query, table, evacuated, now| {
-            selector.select_in_time(query, remaining, table, evacuated, now, rand::random())
-        })?;
-        Ok(InFlightRequest::begin(self, request, selected))
+        self.select_with(request, tried, |selector, query, table, evacuated, now| {
+            selector.check_queues(query, remaining, table, evacuated, now)
+        })
     }
 
     /// Selects another replica that is expected to answer a request within `target_left`, the rest of its target.
@@ -264,12 +261,16 @@
         self.selection().selector.mark_late(replica, self.now());
     }
 
-    fn record_reported_load(&self, replica: &ReplicaRecord, load: ReplicaLoad) {
+    /// Records the load that came with a response head, and whether the response was later than the route's target.
+    fn record_response_head(&self, replica: &ReplicaRecord, load: Option<ReplicaLoad>, is_late: bool) {
         let now = self.now();
         let mut selection = self.selection();
-        selection.selector.record_reported_load(&replica.id, load, now);
-        let early_moves = selection.selector.early_moves_mut();
-        early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
+        if let Some(load) = load {
+            selection.selector.record_reported_load(&replica.id, load, now);
+            let early_moves = selection.selector.early_moves_mut();
+            early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
+        }
+        selection.probing.record_answer(&replica.service, load.map(|load| load.waiting), is_late, now);
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,5 +1,5 @@
 //! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, early moves,
-//! refusals, and questions for base latencies.
+//! refusals, questions for base latencies, and probes.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
@@ -19,6 +19,7 @@
     early_moves: IntCounterVec,
     early_move_denials: IntCounterVec,
     shared_base_answers: IntCounterVec,
+    probes: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -70,6 +71,12 @@
                 "Questions for base latencies of replicas to the owner of the batch jobs, by answer",
                 &["answer"],
             ),
+            probes: registration::counter_vec(
+                registry,
+                "lichenpulley_load_probes_total",
+                "Requests before which the load of two replicas was queried, by result",
+                &["result"],
+            ),
         }
     }
 
@@ -109,6 +116,10 @@
         self.shared_base_answers.with_label_values(&[answer]).inc();
     }
 
+    pub(super) fn count_probes(&self, result: &str) {
+        self.probes.with_label_values(&[result]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
