Say in the log that a copy was never read instead of stating an age

The log line about a stale copy of a reader printed the mark of an unknown age (u64::MAX) as a number of milliseconds. freshness::describe_age now says that the copy was never read since that node started; known ages are stated as before.

--- a/crates/daemon/src/metadata/freshness.rs
+++ b/crates/daemon/src/metadata/freshness.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
+use lichenpulley_core::time::whole_millis;
 use lichenpulley_protocol::internal::MetadataKind;
 
 use super::kind_index::kind_index;
@@ -13,6 +14,15 @@
 /// Time of confirmation of a copy whose age is not known.
 const UNCONFIRMED: u64 = u64::MAX;
 
+/// Describes the age of a copy for the log. An unknown age is [`Duration::MAX`] on the node itself and `u64::MAX`
+/// milliseconds in the answer of a peer.
+pub(super) fn describe_age(age: Duration) -> String {
+    match whole_millis(age) {
+        u64::MAX => "was never read since that node started".to_owned(),
+        age_ms => format!("is {age_ms} ms old"),
+    }
+}
+
 /// Time of the last confirmation and read state of each kind.
 ///
 /// Invariant: the reported age is never less than the true one. A successful probe of the platform confirms
@@ -92,3 +102,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/metadata/relay.rs
+++ b/crates/daemon/src/metadata/relay.rs
@@ -13,6 +13,7 @@
 
 use super::announcements;
 use super::client::MetadataClient;
+use super::freshness;
 use super::history::CopyChange;
 use super::peers::{self, CopyQuery, PeerCopy};
 use crate::cluster::{ClusterView, Member};
@@ -114,7 +115,8 @@
         self.context.metadata.freshness.confirm(self.kind, copy.age);
         let is_fresh = self.selector.record_answer(self.now(), copy.age);
         if !is_fresh && !self.last_was_stale {
-            log::info!(target: "metadata", "{:?} of {} is {} ms old: asking another.", self.kind, copy.from, copy.age.as_millis());
+            let age = freshness::describe_age(copy.age);
+            log::info!(target: "metadata", "{:?} of {} {age}: asking another.", self.kind, copy.from);
         }
         self.reader_offset += usize::from(!is_fresh);
         self.last_was_stale = !is_fresh;
