Reserve part of the log for shortages, refusals, owner changes and errors

In a shortage the owner logged hundreds of lines of single runs in a second and dropped lines at the limit of 400, among them those that explain the shortage. LineBudget divides the rate limit and the queue by the importance of a line: three quarters for all lines, an eighth for reports, an eighth for vital lines alone. The totals are as before (400 lines a second, 2,048 in the queue), and writing still never blocks. Ordinary lines now stop at 300 a second and 1,536 in the queue.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,7 +1,10 @@
 //! Structured logging: one JSON object per line on standard output, rate-limited and non-blocking.
 //!
 //! A queue passes the lines to a writer thread. Lines are dropped while the queue is full or the rate limit is
-//! exceeded. The next line written is preceded by a line with the number of dropped ones.
+//! exceeded; [`line_budget`] reserves a part of both for the lines that explain a shortage. The next line written is
+//! preceded by a line with the number of dropped ones.
+
+pub mod line_budget;
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
@@ -15,12 +18,14 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::Map;
 
+use line_budget::{LineBudget, LineClass, QUEUE_LINES};
+
 /// The filter used if `RUST_LOG` is not set. At the level info, `tarpc` logs every call.
 const DEFAULT_FILTER: &str = "info,tarpc=warn";
-/// Capacity of the queue, in lines.
-const QUEUE_LINES: usize = 2_048;
-/// Maximum number of lines per second. Bounds the processor time spent on logging.
-const LINES_PER_SECOND: u64 = 400;
+/// First byte of a line that a [`QueuedWriter`] takes as vital; not written. Lines of JSON never begin with it.
+pub const VITAL_MARK: u8 = 0x01;
+/// First byte of a line that a [`QueuedWriter`] takes as a report; not written.
+pub const REPORT_MARK: u8 = 0x02;
 
 /// The name of this process's node.
 static NODE: OnceLock<String> = OnceLock::new();
@@ -67,18 +72,24 @@
 
 fn format(buffer: &mut env_logger::fmt::Formatter, record: &Record<'_>) -> io::Result<()> {
     let time = buffer.timestamp_millis();
-    let line = line(&time.to_string(), record);
+    let mut message = String::new();
+    // Writing to a `String` never fails.
+    let _ = write!(message, "{}", record.args());
+    let module = record.module_path().unwrap_or_default();
+    match LineClass::of(record.level(), record.target(), module, &message) {
+        LineClass::Ordinary => {}
+        LineClass::Report => buffer.write_all(&[REPORT_MARK])?,
+        LineClass::Vital => buffer.write_all(&[VITAL_MARK])?,
+    }
+    let line = line(&time.to_string(), record, message);
     writeln!(buffer, "{line}")
 }
 
 /// Formats a record as one JSON object: time, node, level, target, message, and the fields of the record.
-fn line(time: &str, record: &Record<'_>) -> String {
+fn line(time: &str, record: &Record<'_>, message: String) -> String {
     let mut fields = Fields(Map::new());
     // Fields that can't be formatted are omitted; the rest of the line is still useful.
     let _ = record.key_values().visit(&mut fields);
-    let mut message = String::new();
-    // Writing to a `String` never fails.
-    let _ = write!(message, "{}", record.args());
     let mut line = Map::new();
     line.insert("time".to_owned(), time.into());
     if let Some(node) = NODE.get() {
@@ -105,9 +116,18 @@
 /// Passes lines to a writer thread. Drops lines while the queue is full or the rate limit is exceeded.
 pub struct QueuedWriter {
     lines: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
-    second_start: Instant,
-    lines_in_second: u64,
+    counts: Arc<LineCounts>,
+    origin: Instant,
+    budget: LineBudget,
+}
+
+/// Counts that a [`QueuedWriter`] shares with its thread.
+#[derive(Default)]
+struct LineCounts {
+    /// Lines dropped since the last line was written.
+    dropped: AtomicU64,
+    /// Lines in the queue.
+    queued: AtomicU64,
 }
 
 impl QueuedWriter {
@@ -117,32 +137,47 @@
     /// When the thread can't be started.
     pub fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
         let (lines, received) = sync_channel(QUEUE_LINES);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let dropped_in_writer = Arc::clone(&dropped);
+        let counts = Arc::new(LineCounts::default());
+        let counts_in_writer = Arc::clone(&counts);
         std::thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(output, &received, &dropped_in_writer))?;
-        Ok(Self { lines, dropped, second_start: Instant::now(), lines_in_second: 0 })
+            .spawn(move || write_lines(output, &received, &counts_in_writer))?;
+        Ok(Self { lines, counts, origin: Instant::now(), budget: LineBudget::default() })
     }
 
-    /// Counts a line against the rate limit and returns whether it may be written.
-    fn is_within_rate_limit(&mut self) -> bool {
-        if self.second_start.elapsed() >= Duration::from_secs(1) {
-            self.second_start = Instant::now();
-            self.lines_in_second = 0;
+    /// Queues a line if the budget admits it.
+    fn queue(&mut self, class: LineClass, line: &[u8]) -> bool {
+        let queued = self.counts.queued.load(Ordering::Relaxed);
+        if !self.budget.admit(self.origin.elapsed(), class, queued) {
+            return false;
+        }
+        // Counted before it is sent, so that the writer never subtracts a line that is not counted.
+        self.counts.queued.fetch_add(1, Ordering::Relaxed);
+        QUEUED_LINES.fetch_add(1, Ordering::Relaxed);
+        let is_queued = self.lines.try_send(line.to_vec()).is_ok();
+        if !is_queued {
+            self.counts.subtract_queued();
         }
-        self.lines_in_second += 1;
-        self.lines_in_second <= LINES_PER_SECOND
+        is_queued
+    }
+}
+
+impl LineCounts {
+    fn subtract_queued(&self) {
+        self.queued.fetch_sub(1, Ordering::Relaxed);
+        QUEUED_LINES.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl Write for QueuedWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let is_queued = self.is_within_rate_limit() && self.lines.try_send(line.to_vec()).is_ok();
-        if is_queued {
-            QUEUED_LINES.fetch_add(1, Ordering::Relaxed);
-        } else {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        let (class, text) = match line.split_first() {
+            Some((&VITAL_MARK, text)) => (LineClass::Vital, text),
+            Some((&REPORT_MARK, text)) => (LineClass::Report, text),
+            _ => (LineClass::Ordinary, line),
+        };
+        if !self.queue(class, text) {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -153,9 +188,9 @@
     }
 }
 
-fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(mut output: impl Write, lines: &Receiver<Vec<u8>>, counts: &LineCounts) {
     while let Ok(line) = lines.recv() {
-        let dropped_count = dropped.swap(0, Ordering::Relaxed);
+        let dropped_count = counts.dropped.swap(0, Ordering::Relaxed);
         if dropped_count > 0 {
             let note = format!(
                 r#"{{"level":"warn","part":"log","message":"lines were dropped","lines":{dropped_count}}}"#
@@ -165,8 +200,6 @@
         }
         let _ = output.write_all(&line);
         let _ = output.flush();
-        // The line may be written before its sender has counted it, so the subtraction saturates.
-        let _ = QUEUED_LINES
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |queued| Some(queued.saturating_sub(1)));
+        counts.subtract_queued();
     }
 }
