Add the decision that bounds answers which callers do not read

A gateway keeps up to 64 events of each stream and whole answers until the caller reads them, and nothing bounds the sum. Not used yet.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! [`selection`] selects replicas and [`attempts`] decides on retries. [`admission`] decides whether a replica
 //! may be sent requests now, with [`warmups`] and [`warming_share`] for cold replicas, and [`chooser`] ranks the
-//! admitted ones. [`replica_subset`] divides the replicas of a large deployment among its gateways. The daemon's `ingress` supplies sockets, clock and locking.
+//! admitted ones. [`replica_subset`] divides the replicas of a large deployment among its gateways. [`unread`] bounds the
+//! answers kept for callers that do not read them. The daemon's `ingress` supplies sockets, clock and locking.
 
 pub mod admission;
 pub mod attempts;
@@ -16,5 +17,6 @@
 pub mod routes;
 pub mod selection;
 pub mod tenants;
+pub mod unread;
 pub mod warming_share;
 pub mod warmups;
