Bound the answers that a gateway keeps for callers that do not read

Whole answers and up to 64 events of each stream stayed in a gateway's memory until their callers read them, without any bound on the sum: a machine of 120 MB is killed beyond its limit. The callers' port now counts these bytes until their memory is freed. Above a quarter of the machine's memory, new streams and reads of result pages are refused (503 unread_answers, not run, Retry-After), and connections without progress for 5 s are reset, the longest first, until the sum is within the bound. The kernel takes at most 16 KB ahead of what it sends on these connections, since the progress of a slow reader would otherwise show only in steps of a third of its send buffer. Metric lichenpulley_unread_answer_bytes, decisions request refused unread_answers and request connection_aborted unread_answers.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -31,6 +31,8 @@
 use super::Body;
 use super::server::HeadLimits;
 use super::server_socket::ServerSocket;
+use super::socket;
+use super::unread::{ConnectionMeter, UnreadMeter};
 
 /// Smallest maximum buffer size that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -62,14 +64,31 @@
     stream: TcpStream,
     stop: ConnectionStop,
     head_limits: HeadLimits,
+    unread: Option<UnreadMeter>,
     handler: Handler,
 ) where
     Handler: Fn(Request<Incoming>) -> Answer + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    let mut socket = ServerSocket::new(stream);
+    let counted = unread.map(|unread| unread.connection(stream.peer_addr().ok()));
+    let meter = counted.as_ref().map(|counted| counted.meter());
+    if meter.is_some() && socket::prepare_metered(&stream).is_err() {
+        return;
+    }
+    let mut socket = ServerSocket::new(stream, meter.clone());
     let reuse = ReuseFlag(Arc::new(AtomicBool::new(true)));
-    let result = serve_requests(&mut socket, stop, head_limits, reuse.clone(), handler).await;
+    let serving = serve_requests(&mut socket, stop, head_limits, reuse.clone(), meter.clone(), handler);
+    let result = match &meter {
+        None => serving.await,
+        Some(meter) => tokio::select! {
+            result = serving => result,
+            () = meter.aborted() => Ok(()),
+        },
+    };
+    if meter.is_some_and(|meter| meter.is_aborted()) {
+        // A caller that does not read would not read a final response either.
+        return socket::set_reset_on_drop(&socket.into_stream());
+    }
     if let Err(error) = &result {
         log::debug!(target: "http", "A connection ended early: {error}.");
     }
@@ -87,6 +106,7 @@
     stop: ConnectionStop,
     head_limits: HeadLimits,
     reuse: ReuseFlag,
+    meter: Option<ConnectionMeter>,
     handler: Handler,
 ) -> hyper::Result<()>
 where
@@ -94,7 +114,10 @@
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
     let ConnectionStop { draining, port_closed } = stop;
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        if let Some(meter) = &meter {
+            request.extensions_mut().insert(meter.clone());
+        }
         let keeps_alive = request.version() == Version::HTTP_11 && !announces_close(request.headers());
         finish_response(handler(request), keeps_alive, draining.clone(), reuse.clone())
     });
--- a/crates/daemon/src/http/events.rs
+++ b/crates/daemon/src/http/events.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use super::Body;
+use super::unread::ConnectionMeter;
 
 /// Maximum size of an event that is read, in bytes; bounds the memory of one stream.
 const EVENT_LIMIT_BYTES: usize = 16 << 20;
@@ -44,6 +45,8 @@
 #[derive(Debug)]
 pub struct EventSender {
     sender: mpsc::Sender<StreamItem>,
+    /// Counts the events that the reader has not read, if set.
+    meter: Option<ConnectionMeter>,
 }
 
 impl EventSender {
@@ -86,19 +89,31 @@
     /// # Errors
     /// When the reader has disconnected.
     pub(crate) async fn send_bytes(&self, bytes: Bytes) -> Result<(), ReaderDisconnected> {
+        let bytes = match &self.meter {
+            Some(meter) => meter.keep(bytes),
+            None => bytes,
+        };
         self.sender.send(StreamItem::Event(bytes)).await.map_err(|_| ReaderDisconnected)
     }
 }
 
 /// Creates a response that streams events, buffering up to `capacity` of them, and the sender for the events.
 pub fn event_stream(capacity: usize) -> (EventSender, Response<Body>) {
+    metered_event_stream(capacity, None)
+}
+
+/// Creates a response like [`event_stream`] whose unread events are counted with `meter`.
+pub fn metered_event_stream(
+    capacity: usize,
+    meter: Option<ConnectionMeter>,
+) -> (EventSender, Response<Body>) {
     let (sender, receiver) = mpsc::channel(capacity.max(1));
     let frames = stream::unfold(Some(receiver), next_frame);
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    (EventSender { sender }, response)
+    (EventSender { sender, meter }, response)
 }
 
 /// Returns the next frame of a stream and the rest of the stream; the frame is an error if the sender was
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP/1 server and client, based on `hyper`, for all interfaces of the node.
 //!
 //! [`server`] accepts connections; [`request`], [`response`] and [`events`] decode requests and build
-//! responses; [`client`] calls engines and the platform's store. Routes are defined by the users of this
+//! responses; [`unread`] bounds what is kept for callers that do not read; [`client`] calls engines and the platform's store. Routes are defined by the users of this
 //! module.
 
 pub(crate) mod accept;
@@ -14,6 +14,7 @@
 pub mod server;
 mod server_socket;
 pub mod socket;
+pub mod unread;
 
 use std::io;
 
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -16,6 +16,7 @@
 use super::accept::accept_until;
 use super::connection::ConnectionStop;
 use super::socket::{self, SocketLimits};
+use super::unread::UnreadMeter;
 use super::{closing_port, connection};
 
 /// Default time within which a request head must be complete.
@@ -68,6 +69,23 @@
     Heads: Fn() -> HeadLimits,
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_metered(listener, stop, limits, head_limits, None, handler).await;
+}
+
+/// Serves like [`serve_with_limits`] and counts unread responses with `unread`. Each request then has the extension
+/// [`ConnectionMeter`](super::unread::ConnectionMeter).
+pub async fn serve_metered<Heads, Handler, Answer>(
+    listener: TcpListener,
+    stop: ServerStop,
+    limits: SocketLimits,
+    head_limits: Heads,
+    unread: Option<UnreadMeter>,
+    handler: Handler,
+) where
+    Heads: Fn() -> HeadLimits,
+    Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    Answer: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
     let port_closed = CancellationToken::new();
@@ -75,7 +93,8 @@
     let start_connection = |stream: TcpStream| match socket::prepare(&stream, limits) {
         Ok(()) => {
             let (stop, handler) = (connection_stop.clone(), handler.clone());
-            drop(connections.spawn(connection::serve(stream, stop, head_limits(), handler)));
+            let serving = connection::serve(stream, stop, head_limits(), unread.clone(), handler);
+            drop(connections.spawn(serving));
         }
         Err(error) => log::debug!(target: "http", "A connection was closed before it was served: {error}."),
     };
--- a/crates/daemon/src/http/server_socket.rs
+++ b/crates/daemon/src/http/server_socket.rs
@@ -9,17 +9,21 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::unread::ConnectionMeter;
+
 /// A socket that stays open when the HTTP library shuts it down.
 pub(super) struct ServerSocket {
     stream: TcpStream,
     /// Whether all that the library had to write is written: it flushes the socket only then.
     is_flushed: bool,
     has_peer_ended: bool,
+    /// Learns of the caller's progress, if unread responses are counted.
+    meter: Option<ConnectionMeter>,
 }
 
 impl ServerSocket {
-    pub(super) const fn new(stream: TcpStream) -> Self {
-        Self { stream, is_flushed: true, has_peer_ended: false }
+    pub(super) const fn new(stream: TcpStream, meter: Option<ConnectionMeter>) -> Self {
+        Self { stream, is_flushed: true, has_peer_ended: false, meter }
     }
 
     /// Returns whether no response is written in part and the peer can still send a request. Valid once the HTTP
@@ -28,6 +32,12 @@
         self.is_flushed && !self.has_peer_ended
     }
 
+    fn record_progress(&self, written: &Poll<io::Result<usize>>) {
+        if let (Some(meter), Poll::Ready(Ok(1..))) = (&self.meter, written) {
+            meter.record_progress();
+        }
+    }
+
     pub(super) fn into_stream(self) -> TcpStream {
         self.stream
     }
@@ -53,7 +63,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_progress(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -62,7 +74,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.is_flushed = false;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_progress(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -10,6 +10,12 @@
 /// Minimum keep-alive time and interval; the operating system counts them in whole seconds.
 const MIN_KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Maximum number of bytes that the kernel takes from a metered connection before it sends them. The kernel accepts
+/// further bytes once half of them are sent, so that a caller's progress shows in steps of 8 KB and not of the third
+/// of a send buffer of megabytes. Larger values make slow readers look stalled, smaller ones cost more system calls.
+#[cfg(target_os = "linux")]
+const METERED_UNSENT_BYTES: u32 = 16 << 10;
+
 /// Default stall timeout; within the time of a planned stop (docs/decisions/planned-stop.md).
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -27,6 +33,22 @@
     }
 }
 
+/// Sets the options of an accepted connection whose unread responses are counted.
+///
+/// # Errors
+/// When the connection is already closed.
+pub(crate) fn prepare_metered(stream: &TcpStream) -> io::Result<()> {
+    #[cfg(target_os = "linux")]
+    SockRef::from(stream).set_tcp_notsent_lowat(METERED_UNSENT_BYTES)?;
+    Ok(())
+}
+
+/// Resets a connection when it is dropped, so that the kernel frees what the caller has not read.
+pub(crate) fn set_reset_on_drop(stream: &TcpStream) {
+    // Fails only if the connection is already closed.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 /// Sets the options of an accepted connection.
 ///
 /// # Errors
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -151,6 +151,9 @@
     // A missing or invalid wait time means no wait.
     let wait_ms = headers::text(call.headers(), names::WAIT_MS).and_then(|wait| wait.trim().parse().ok());
     let wait_ms = wait_ms.unwrap_or(0).min(MAX_READ_WAIT_MS);
+    if !ingress.unread.admits() {
+        return Refusal::UnreadAnswers.respond(&ingress.context, call);
+    }
     let subject = batch.to_string();
     let caller = caller.tenant().cloned();
     let request = BatchRequest::Read { batch: batch.clone(), from, wait_ms, caller };
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -30,12 +30,14 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::selection::{NoCandidate, ReplicaSelector, SelectionQuery, StayReason};
+use lichenpulley_core::ingress::unread::UnreadLimit;
 use lichenpulley_core::ingress::warming_share::GatewayOrder;
 use lichenpulley_core::ingress::warmups::WarmupTracker;
 use lichenpulley_core::time::Timestamp;
@@ -45,6 +47,7 @@
 use crate::batch::BatchJobs;
 use crate::context::Context;
 use crate::http::Body;
+use crate::http::unread::{AbortedConnection, ConnectionMeter, UnreadMeter};
 use caller_request::CallerRequest;
 use callers::Caller;
 use in_flight::InFlightRequest;
@@ -80,6 +83,8 @@
     early_ends: Arc<Semaphore>,
     /// Permits for requests that wait for the node's first metadata.
     metadata_waits: Arc<Semaphore>,
+    /// Counts the bytes kept for callers that have not read their answers.
+    unread: UnreadMeter,
     origin: Instant,
 }
 
@@ -91,8 +96,11 @@
         let early_ends = Arc::new(Semaphore::new(ends::MAX_EARLY_ENDS));
         let metadata_waits = Arc::new(Semaphore::new(MAX_WAITING_REQUESTS));
         let origin = Instant::now();
-        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, origin };
+        let memory_bytes = context.settings.machine.memory_bytes as u64;
+        let unread = UnreadMeter::new(UnreadLimit::for_memory(memory_bytes));
+        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, unread, origin };
         tokio::spawn(selector_update::run(ingress.clone()));
+        tokio::spawn(keep_unread_bounded(ingress.clone()));
         ingress
     }
 
@@ -102,14 +110,24 @@
     pub fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send + use<> {
         let end = ends::hold(self, &request);
         let ingress = self.clone();
+        let meter = request.extensions().get::<ConnectionMeter>().cloned();
         async move {
-            match end {
+            let response = match end {
                 Some(end) => end.answer().await,
                 None => ingress.answer(request).await,
+            };
+            match meter {
+                Some(meter) => meter.keep_response(response),
+                None => response,
             }
         }
     }
 
+    /// Returns the meter of the bytes kept for callers, for the server of the callers' port.
+    pub(crate) fn unread_meter(&self) -> UnreadMeter {
+        self.unread.clone()
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(table) = self.context.metadata.routes.load_full() else {
             return Refusal::NoConfiguration.respond(&self.context, &request);
@@ -219,3 +237,18 @@
         self.selection.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Aborts the connections of callers that do not read while too much is kept for them, until the node has stopped.
+async fn keep_unread_bounded(ingress: Ingress) {
+    let context = &ingress.context;
+    let report = |kept_bytes| context.metrics.set_unread_answer_bytes(kept_bytes);
+    let record = |aborted: AbortedConnection| {
+        let peer = aborted.peer.map_or_else(|| "-".to_owned(), |peer| peer.to_string());
+        let decision = Decision::new(Component::Request, "connection_aborted", "unread_answers", peer)
+            .with("bytes", aborted.bytes)
+            .with("stalled_ms", aborted.stalled_for.as_millis())
+            .with("kept_bytes", aborted.kept_bytes);
+        context.decisions.record(decision);
+    };
+    ingress.unread.keep_bounded(context.stopped.clone(), report, record).await;
+}
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -70,6 +70,8 @@
     IdTaken,
     /// It is unknown whether the batch job was accepted.
     InDoubt,
+    /// Too many bytes are kept for callers that do not read their answers.
+    UnreadAnswers,
 }
 
 impl From<NoCandidate> for Refusal {
@@ -99,7 +101,8 @@
             | Self::Quarantined
             | Self::Warming(_)
             | Self::NotRun
-            | Self::NoOwner => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NoOwner
+            | Self::UnreadAnswers => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::IdTaken => StatusCode::CONFLICT,
             Self::NoRoute | Self::UnknownBatch => StatusCode::NOT_FOUND,
@@ -138,6 +141,7 @@
             Self::NoOwner => "no_owner",
             Self::Full => "full",
             Self::InDoubt => "in_doubt",
+            Self::UnreadAnswers => "unread_answers",
         }
     }
 
@@ -159,6 +163,7 @@
             Self::NoReplica | Self::Warming(_) | Self::NotRun | Self::NoOwner | Self::Full => {
                 "send it again, it has not run"
             }
+            Self::UnreadAnswers => "read the answers that you asked for, and send it again; it has not run",
             Self::Unknown | Self::TimedOut => "it may have run; send it again only if it may run twice",
             Self::BodyTooLong => "send a shorter body, or raise the configuration's limit",
             Self::BodyTooSlow => "send the body at once",
@@ -182,6 +187,7 @@
             | Self::ReplicasUnknown
             | Self::NoOwner
             | Self::Full
+            | Self::UnreadAnswers
             | Self::Evacuated
             | Self::OutsideRegions
             | Self::NoPlace => Some(RetryCause::NodeShortage),
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -24,7 +24,8 @@
 use super::sse::{Event, EventSplitter};
 use super::{Ingress, headers};
 use crate::duties::RunCount;
-use crate::http::events::{EventSender, event_stream};
+use crate::http::events::{EventSender, metered_event_stream};
+use crate::http::unread::ConnectionMeter;
 use crate::http::{Body, response};
 
 /// Maximum number of events buffered for a slow caller before reading from the replica pauses.
@@ -64,7 +65,11 @@
     caller: Caller,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    if !ingress.unread.admits() {
+        return Refusal::UnreadAnswers.respond(&ingress.context, &request);
+    }
     let last_event = headers::text(request.headers(), names::LAST_EVENT_ID).map(str::to_owned);
+    let meter = request.extensions().get::<ConnectionMeter>().cloned();
     let mut request = match CallerRequest::read(ingress, table, route, caller, request).await {
         Ok(request) => request,
         Err(refusal) => return refusal,
@@ -83,7 +88,7 @@
     }
     request.record(ingress, &in_flight, "stream_begun", "answered", attempts.sends());
     let stream = Stream { request, is_resumable: route.is_resumable, attempts, in_flight };
-    start_forwarding(ingress, stream, exchange, last_event.as_deref())
+    start_forwarding(ingress, stream, exchange, last_event.as_deref(), meter)
 }
 
 /// Sends a streaming request and waits for the response head.
@@ -162,10 +167,11 @@
     stream: Stream,
     exchange: HttpExchange,
     last_event: Option<&str>,
+    meter: Option<ConnectionMeter>,
 ) -> Response<Body> {
     let status = exchange.response.status();
     let fields = headers::end_to_end(exchange.response.headers());
-    let (events, mut answer) = event_stream(CALLER_EVENT_BACKLOG);
+    let (events, mut answer) = metered_event_stream(CALLER_EVENT_BACKLOG, meter);
     let last_event = last_event.and_then(|number| number.parse().ok());
     tokio::spawn(forward_stream(ingress.clone(), stream, exchange, events, last_event));
     *answer.status_mut() = status;
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -13,6 +13,7 @@
     cold_replicas: IntGaugeVec,
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
+    unread_answer_bytes: IntGauge,
     region_refusals: IntCounterVec,
 }
 
@@ -35,6 +36,11 @@
                 "lichenpulley_quarantined_requests",
                 "Requests that this node keeps from all replicas, since replicas ended under them",
             ),
+            unread_answer_bytes: registration::gauge(
+                registry,
+                "lichenpulley_unread_answer_bytes",
+                "Bytes kept for callers that have not read them yet",
+            ),
             region_refusals: registration::counter_vec(
                 registry,
                 "lichenpulley_region_refusals_total",
@@ -60,6 +66,10 @@
         self.quarantined_requests.set(to_gauge(requests));
     }
 
+    pub(super) fn set_unread_answer_bytes(&self, bytes: u64) {
+        self.unread_answer_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn count_region_refusal(&self, regions: &str, reason: &str) {
         self.region_refusals.with_label_values(&[regions, reason]).inc();
     }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -120,6 +120,11 @@
         self.ingress.set_quarantined_requests(requests);
     }
 
+    /// Sets the number of bytes kept for callers that have not read them.
+    pub fn set_unread_answer_bytes(&self, bytes: u64) {
+        self.ingress.set_unread_answer_bytes(bytes);
+    }
+
     /// Counts a refused request that is restricted to some regions.
     pub fn count_region_refusal(&self, regions: &str, reason: &str) {
         self.ingress.count_region_refusal(regions, reason);
--- a/crates/daemon/src/node/servers.rs
+++ b/crates/daemon/src/node/servers.rs
@@ -121,8 +121,9 @@
             bytes: limits.header_bytes,
         })
     };
+    let unread = Some(ingress.unread_meter());
     let answer = move |request| ingress.handle(request);
-    Ok(traffic.spawn(server::serve_with_limits(listener, stop, limits, head_limits, answer)))
+    Ok(traffic.spawn(server::serve_metered(listener, stop, limits, head_limits, unread, answer)))
 }
 
 /// Starts the server for readiness checks of load balancers.
