Add lichenpulley tenants and GET /v1/tenants

Operators could not see which tenants a node has in force. The list shows the name, priority, regions and number of keys of each tenant of the configuration in force, and never a key or a digest.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -84,6 +84,8 @@
     Drain(ReplicaId),
     /// `undrain REPLICA`
     Undrain(ReplicaId),
+    /// `tenants`
+    Tenants,
     /// `zones`
     Zones,
     /// `evacuate ZONE`
--- a/crates/cli/src/arguments/syntax.rs
+++ b/crates/cli/src/arguments/syntax.rs
@@ -97,6 +97,13 @@
         add_options: no_options,
         read: |matches| Ok(Command::Undrain(ReplicaId::new(one_argument(matches, "REPLICA")?))),
     },
+    Syntax {
+        words: &["tenants"],
+        arguments: "",
+        help: "show the tenants of the configuration that a node has in force",
+        add_options: no_options,
+        read: |matches| at_most(matches, 0).map(|()| Command::Tenants),
+    },
     Syntax {
         words: &["zones"],
         arguments: "",
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod quarantine;
 pub(crate) mod regions;
 pub(crate) mod replicas;
+pub(crate) mod tenants;
 pub mod trace;
 pub(crate) mod watch;
 pub(crate) mod zones;
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -154,6 +154,30 @@
     assert_eq!(server.requests()[0].path, "/v1/regions");
 }
 
+#[tokio::test]
+async fn tenants_shows_priorities_regions_and_numbers_of_keys() {
+    let document = json!({"version": 7, "tenants": [
+        {"tenant": "anna", "priority": null, "regions": [], "keys": 2},
+        {"tenant": "bert", "priority": 0, "regions": ["east", "west"], "keys": 1}
+    ]});
+    let server = Server::start(move |_, _| Answer::Json(200, document.clone())).await;
+    let run = run(&["tenants", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    let expected = "TENANT  PRIORITY  REGIONS    KEYS\n\
+                    anna    -         all        2\n\
+                    bert    0         east west  1\n";
+    assert_eq!(run.results, expected);
+    assert_eq!(server.requests()[0].path, "/v1/tenants");
+}
+
+#[tokio::test]
+async fn tenants_says_that_callers_need_no_keys() {
+    let server = Server::start(|_, _| Answer::Json(200, json!({"version": 7, "tenants": null}))).await;
+    let run = run(&["tenants", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    assert!(run.results.contains("callers need no keys"), "{}", run.results);
+}
+
 #[tokio::test]
 async fn zones_shows_the_state_age_and_source_of_evacuations() {
     let zones = json!([
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod quarantine;
 mod regions;
+mod tenants;
 mod zones;
 
 use hyper::body::Incoming;
@@ -75,6 +76,7 @@
                 Some(order) => self.send_order(&ReplicaId::new(percent_decode(replica)), order).await,
                 None => response::not_found(&path),
             },
+            (&Method::GET, ["v1", "tenants"]) => tenants::list(&self.context),
             (&Method::GET, ["v1", "zones"]) => zones::list(&self.context),
             (&Method::POST, ["v1", "zones", zone, change]) => match ZoneChange::from_path(change) {
                 Some(change) => zones::change(&self.context, &percent_decode(zone), change).await,
--- a/crates/lab/tests/platform_tenants/mod.rs
+++ b/crates/lab/tests/platform_tenants/mod.rs
@@ -3,6 +3,7 @@
 use hyper::{Method, StatusCode};
 use lichenpulley_lab::platform_replica::Replica;
 use lichenpulley_platform::objects;
+use lichenpulley_protocol::operator::TenantsDocument;
 use serde_json::{Value, json};
 use std::time::Duration;
 
@@ -141,3 +142,18 @@
         "{items:?}"
     );
 }
+
+/// Fails if the operators' list of tenants is not the one in force, or if it shows a key.
+#[tokio::test]
+async fn operators_see_the_tenants_in_force_without_their_keys() {
+    let system = start(1).await;
+    let operators = system.gateways[0].as_ref().expect("a gateway").addresses().operators;
+    let document: TenantsDocument =
+        system.http.get_json(operators, "/v1/tenants", PATIENCE).await.expect("the tenants");
+    let tenants = document.tenants.as_ref().expect("callers need keys");
+    let shown: Vec<_> =
+        tenants.iter().map(|status| (status.tenant.as_str(), status.priority, status.keys)).collect();
+    assert_eq!((document.version, shown), (2, vec![("anna", None, 2), ("bert", Some(0), 1)]));
+    let text = serde_json::to_string(&document).expect("JSON");
+    assert!(!text.contains("key-of") && !text.contains("second-key"), "{text}");
+}
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -13,6 +13,7 @@
 //! | `GET /v1/replicas` | | a list of [`ReplicaSendStatus`]; empty if the platform lists none |
 //! | `POST /v1/replicas/{replica}/drain` | | [`crate::engine::OrderAccepted`] |
 //! | `POST /v1/replicas/{replica}/undrain` | | [`crate::engine::OrderAccepted`] |
+//! | `GET /v1/tenants` | | [`TenantsDocument`]; 503 without a configuration |
 //! | `GET /v1/zones` | | a list of [`ZoneStatus`] |
 //! | `POST /v1/zones/{zone}/evacuate` | | [`ZoneChanged`] |
 //! | `POST /v1/zones/{zone}/return` | | [`ZoneChanged`] |
@@ -22,7 +23,9 @@
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
 
 use lichenpulley_core::decision::Decision;
-use lichenpulley_core::identity::{NodeId, PoolName, ReplicaId, Revision, WeightVersion, ZoneName};
+use lichenpulley_core::identity::{
+    NodeId, PoolName, ReplicaId, Revision, TenantName, WeightVersion, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 
 /// A decision with the node and time at which it was made.
@@ -303,6 +306,28 @@
     pub sent: u64,
 }
 
+/// The tenants of the configuration in force on a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantsDocument {
+    /// Version of the configuration.
+    pub version: u64,
+    /// The tenants, in the order of the configuration; `None` if callers need no keys.
+    pub tenants: Option<Vec<TenantStatus>>,
+}
+
+/// A tenant, without its keys.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantStatus {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Its priority, 0 being the highest; `None` if the priority of the route applies.
+    pub priority: Option<u32>,
+    /// Regions in which its requests may be served and stored; empty if all are allowed.
+    pub regions: Vec<String>,
+    /// Number of its keys.
+    pub keys: usize,
+}
+
 /// The end of a batch job that a node has received and does not know to be committed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingEndStatus {
