Add lichenpulley queue and GET /v1/queue

Operators could not see what waits at the owners of the batch jobs. Any node asks the owners of all shards that it knows (BatchRequest::Queue) and shows what they report; an owner without an answer is shown as unknown. A node of the previous release can't decode the request and closes the connection, so it is sent on a connection of its own and not repeated.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -78,6 +78,8 @@
     PoolList(Option<PoolName>),
     /// `regions`
     Regions,
+    /// `queue [SERVICE]`
+    Queue(Option<String>),
     /// `replicas [SERVICE]`
     Replicas(Option<String>),
     /// `drain REPLICA`
--- a/crates/cli/src/arguments/syntax.rs
+++ b/crates/cli/src/arguments/syntax.rs
@@ -76,6 +76,13 @@
         add_options: no_options,
         read: read_pool_list,
     },
+    Syntax {
+        words: &["queue"],
+        arguments: "[SERVICE]",
+        help: "show the waiting work of batch jobs by service, priority and trainer, as the owners report it",
+        add_options: no_options,
+        read: read_queue,
+    },
     Syntax {
         words: &["regions"],
         arguments: "",
@@ -265,6 +272,11 @@
     Ok(Command::Replicas(matches.free.first().cloned()))
 }
 
+fn read_queue(matches: &Matches) -> Result<Command, CliError> {
+    at_most(matches, 1)?;
+    Ok(Command::Queue(matches.free.first().cloned()))
+}
+
 fn read_watch(matches: &Matches) -> Result<Command, CliError> {
     at_most(matches, 0)?;
     let number = |name: &str| match matches.opt_str(name) {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod job;
 pub(crate) mod pool;
 pub(crate) mod quarantine;
+pub(crate) mod queue;
 pub(crate) mod regions;
 pub(crate) mod replicas;
 pub(crate) mod tenants;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -39,6 +39,7 @@
             commands::replicas::list(&operators()?, service.as_deref(), output).await
         }
         Command::PoolList(pool) => commands::pool::list(&operators()?, pool.as_ref(), output).await,
+        Command::Queue(service) => commands::queue::list(&operators()?, service.as_deref(), output).await,
         Command::Regions => commands::regions::list(&operators()?, output).await,
         Command::Drain(replica) => commands::drain::drain(&operators()?, &replica, output).await,
         Command::Undrain(replica) => commands::drain::undrain(&operators()?, &replica, output).await,
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -154,6 +154,40 @@
     assert_eq!(server.requests()[0].path, "/v1/regions");
 }
 
+#[tokio::test]
+async fn queue_shows_one_service_by_priority_and_an_owner_without_an_answer_as_unknown() {
+    let trainer = |priority: u32, tenant: Option<&str>, waiting: u32| {
+        json!({"priority": priority, "tenant": tenant, "route": "train", "model": "pricing", "jobs": 2, "running": 3,
+            "waiting": waiting, "groups_in_time": 4, "groups_late": 5, "groups_surplus": 6, "oldest_waiting_ms": 700,
+            "share_percent": 33})
+    };
+    let service = |name: &str, drain: Option<u64>| {
+        json!({"service": name, "slots": 24, "used_slots": 6, "drain_ms": drain, "is_short": drain.is_some(),
+            "trainers": [trainer(1, None, 9), trainer(0, Some("anna"), 8)]})
+    };
+    let shards = json!([
+        {"shard": "batch/main", "regions": "all", "owner": "node-2",
+            "report": {"services": [service("plain", None), service("pricing", Some(5200))], "refused_jobs": 12}},
+        {"shard": "batch/in/east", "regions": "east", "owner": "node-4", "report": null}
+    ]);
+    let server = Server::start(move |_, _| Answer::Json(200, shards.clone())).await;
+    let run = run(&["queue", "pricing", "-o", &server.address.to_string()]).await;
+    run.result.expect("success");
+    let expected = "SHARD          REGIONS  OWNER   STATE     REFUSED JOBS\n\
+                    batch/main     all      node-2  reported  12\n\
+                    batch/in/east  east     node-4  unknown   -\n\
+                    SHARD       SERVICE  SLOTS  USED  DRAIN MS  SHORTAGE\n\
+                    batch/main  pricing  24     6     5200      yes\n\
+                    SERVICE  PRIORITY  TENANT  ROUTE  MODEL    JOBS  RUNNING  WAITING  IN TIME  LATE  SURPLUS  \
+                    OLDEST MS  SHARE %\n\
+                    pricing  0         anna    train  pricing  2     3        8        4        5     6        \
+                    700        33\n\
+                    pricing  1         -       train  pricing  2     3        9        4        5     6        \
+                    700        33\n";
+    assert_eq!(run.results, expected);
+    assert_eq!(server.requests()[0].path, "/v1/queue");
+}
+
 #[tokio::test]
 async fn tenants_shows_priorities_regions_and_numbers_of_keys() {
     let document = json!({"version": 7, "tenants": [
--- a/crates/core/src/batch/queue_report.rs
+++ b/crates/core/src/batch/queue_report.rs
@@ -1,14 +1,15 @@
 //! Snapshot of the waiting work of a batch shard, for operators and metrics.
 //!
 //! Created by the owner ([`super::controller::Controller`]) and sent to other nodes, so the order and types of
-//! the fields must not change; new ones are added at the end.
+//! the fields must not change; new ones are added at the end. The operators' interface shows it as JSON.
 
+use serde::{Deserialize, Serialize};
 use speedy::{Readable, Writable};
 
 use crate::identity::TenantName;
 
 /// The waiting work of a shard.
-#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Readable, Writable)]
 pub struct QueueReport {
     /// One entry for each service with open batch work.
     pub services: Vec<ServiceQueue>,
@@ -17,7 +18,7 @@
 }
 
 /// The waiting work of one service.
-#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Readable, Writable)]
 pub struct ServiceQueue {
     /// The service.
     pub service: String,
@@ -34,7 +35,7 @@
 }
 
 /// The waiting work of one trainer: the open jobs of one tenant, route and model.
-#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Readable, Writable)]
 pub struct TrainerQueue {
     /// Priority, 0 being the highest.
     pub priority: u32,
--- a/crates/daemon/src/batch/job_shard.rs
+++ b/crates/daemon/src/batch/job_shard.rs
@@ -9,6 +9,7 @@
 
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
+use lichenpulley_protocol::operator::ShardQueue;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -23,6 +24,8 @@
 const JOB_OWNER_SEARCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout of one request to the owner, in addition to the time for which a reader waits.
 const OWNER_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Number of nodes that are asked for the waiting work while each names another owner.
+const QUEUE_ATTEMPTS: usize = 3;
 /// Delay between two attempts to reach the owner.
 const JOB_OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -89,6 +92,52 @@
         }
     }
 
+    /// Asks the owner for the waiting work. Tried again only where a node names another owner, since an owner of an
+    /// earlier release gives no answer however often it is asked.
+    pub(super) async fn queue(&self) -> ShardQueue {
+        let mut owner = self.scope.known_owner();
+        let mut report = None;
+        for _ in 0..QUEUE_ATTEMPTS {
+            if owner.is_none() {
+                self.update_owner(None).await;
+                owner = self.scope.known_owner();
+            }
+            let Some(asked) = &owner else { break };
+            match self.ask_queue(asked).await {
+                Some(BatchResponse::Queue(answer)) => {
+                    report = Some(answer);
+                    break;
+                }
+                Some(BatchResponse::NotOwner(named)) => {
+                    self.update_owner(named).await;
+                    owner = self.scope.known_owner();
+                }
+                _ => break,
+            }
+        }
+        let (shard, regions) = (self.scope.shard.to_string(), self.scope.regions.to_string());
+        ShardQueue { shard, regions, owner, report }
+    }
+
+    async fn ask_queue(&self, node: &NodeId) -> Option<BatchResponse> {
+        if node == &self.scope.context.node {
+            return tokio::time::timeout(OWNER_ANSWER_TIMEOUT, self.answer(BatchRequest::Queue)).await.ok();
+        }
+        let member = self.scope.context.cluster.load().member(node).cloned();
+        let Some(member) = member.filter(|member| self.scope.allows(member)) else {
+            return Some(BatchResponse::NotOwner(None));
+        };
+        let shard = (!self.scope.is_main()).then(|| self.scope.shard.clone());
+        let peers = &self.scope.context.peers;
+        match peers.batch_queue(member.peer_address, shard, OWNER_ANSWER_TIMEOUT).await {
+            Ok(response) => Some(response),
+            Err(error) => {
+                ::log::info!(target: "batch", "The owner of {} reported no queue: {error}.", self.scope.shard);
+                None
+            }
+        }
+    }
+
     /// Sends a request to one node. Returns `None` if it did not answer and may have accepted the request.
     /// Invariant: no request is sent to a node outside the regions in which the shard may be stored.
     async fn ask_node(
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -20,10 +20,12 @@
 use std::sync::Arc;
 
 use futures::StreamExt;
+use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 use lichenpulley_core::identity::{BatchId, ShardId};
 use lichenpulley_core::ingress::places::AllowedRegions;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
+use lichenpulley_protocol::operator::ShardQueue;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
@@ -104,6 +106,12 @@
         [self.main.scope.clone()].into_iter().chain(regional).collect()
     }
 
+    /// Returns the waiting work of all shards known to this node, the main shard first.
+    pub(crate) async fn queues(&self) -> Vec<ShardQueue> {
+        let shards: Vec<JobShard> = [self.main.clone()].into_iter().chain(self.regional.all()).collect();
+        join_all(shards.iter().map(JobShard::queue)).await
+    }
+
     /// Remembers the shard that accepted a job.
     pub(crate) fn remember(&self, batch: &BatchId, shard: &JobShard) {
         if !shard.scope.is_main() {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod fenced_calls;
 mod leaving;
+mod queue;
 mod running;
 mod stores;
 mod waiting;
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -54,6 +54,10 @@
                 self.callers.add_usage(source, through, command);
                 self.answer_writers();
             }
+            BatchRequest::Queue => {
+                let report = self.queue_report();
+                command.answer(BatchResponse::Queue(report));
+            }
             // This node owns the shard already.
             BatchRequest::TakeOver(_) => command.answer(BatchResponse::Ended),
         }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod health;
 mod quarantine;
+mod queue;
 mod regions;
 mod tenants;
 mod zones;
@@ -70,6 +71,7 @@
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
             (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
+            (&Method::GET, ["v1", "queue"]) => queue::list(&self.batch).await,
             (&Method::GET, ["v1", "regions"]) => regions::list(&self.context, &self.batch).await,
             (&Method::GET, ["v1", "replicas"]) => response::json(StatusCode::OK, &self.replica_states()),
             (&Method::POST, ["v1", "replicas", replica, order]) => match DrainOrder::from_path(order) {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -10,7 +10,7 @@
 use lichenpulley_daemon::peers::{PeerClients, PeerError};
 use lichenpulley_daemon::settings::Settings;
 use lichenpulley_protocol::internal::{
-    ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, DocumentName, StoreRequest,
+    BatchRequest, ConfigurationRequest, ConfigurationResponse, CoordinatorRequest, DocumentName, StoreRequest,
 };
 use lichenpulley_protocol::transport::FRAME_LIMIT_BYTES;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -175,3 +175,30 @@
     tokio::time::timeout(TIMEOUT, stalled_closed).await.expect("the stalled connection is closed");
     assert_eq!(long_timeout.open_connections(), 1, "the connection must end by the stall timeout only");
 }
+
+/// Fails if a node of an earlier release, which closes the connection on a request that it can't decode, leaves the
+/// outcome of other calls to it unknown.
+#[tokio::test]
+async fn request_that_an_earlier_release_cannot_decode_affects_no_other_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (accepted, mut first_accepted) = tokio::sync::mpsc::channel(1);
+    tokio::spawn(async move {
+        let (held, _) = listener.accept().await.expect("the connection of the other call");
+        accepted.send(held).await.expect("the test waits");
+        let (mut closed, _) = listener.accept().await.expect("a connection of its own");
+        closed.read_exact(&mut [0]).await.expect("a request");
+    });
+    let clients = clients();
+    let other = {
+        let clients = clients.clone();
+        tokio::spawn(async move { clients.batch(address, BatchRequest::TakeOver(None), TIMEOUT).await })
+    };
+    let _held = first_accepted.recv().await.expect("the other call is sent");
+    let began = tokio::time::Instant::now();
+    let answer = clients.batch_queue(address, None, TIMEOUT).await;
+    assert!(matches!(answer, Err(PeerError::NoAnswer { .. })), "{answer:?}");
+    assert!(began.elapsed() < TIMEOUT, "the end of the connection is the end of the wait");
+    assert!(!other.is_finished());
+    assert_eq!(clients.open_connections(), 1);
+}
--- a/crates/protocol/src/internal/batch.rs
+++ b/crates/protocol/src/internal/batch.rs
@@ -5,6 +5,7 @@
 
 use lichenpulley_core::batch::job::{BatchJob, ItemResult};
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
+use lichenpulley_core::batch::queue_report::QueueReport;
 use lichenpulley_core::identity::{BatchId, NodeId, TenantName};
 use lichenpulley_core::usage::meter::UsageReport;
 use speedy::{Readable, Writable};
@@ -46,6 +47,9 @@
     TakeOver(Option<ProgressOffer>),
     /// Reports the usage that a node has metered.
     Usage(UsageReport),
+    /// Asks for the waiting work. A peer that can't decode it closes the connection, so it is sent on a connection of its
+    /// own.
+    Queue,
 }
 
 impl BatchRequest {
@@ -53,7 +57,7 @@
     pub const fn job(&self) -> Option<&BatchId> {
         match self {
             Self::Read { batch, .. } | Self::ItemBody { batch, .. } | Self::End { batch, .. } => Some(batch),
-            Self::Submit(_) | Self::TakeOver(_) | Self::Usage(_) => None,
+            Self::Submit(_) | Self::TakeOver(_) | Self::Usage(_) | Self::Queue => None,
         }
     }
 }
@@ -97,6 +101,8 @@
     Unavailable,
     /// The log failed while the request was being replicated; it may or may not be committed.
     InDoubt,
+    /// The waiting work.
+    Queue(QueueReport),
 }
 
 /// The end of a job, which the receiver forwards to the owner too, so that it isn't lost if the sender fails.
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -9,6 +9,7 @@
 //! | `GET /v1/config/effective?path={path}&key={key}` | | [`EffectiveSetting`] |
 //! | `PUT /v1/config` | [`ChangeConfiguration`] | [`ConfigurationChanged`]; 409 with the current revision |
 //! | `GET /v1/pools` | | a list of [`PoolStatus`] |
+//! | `GET /v1/queue` | | a list of [`ShardQueue`] |
 //! | `GET /v1/regions` | | [`RegionsDocument`] |
 //! | `GET /v1/replicas` | | a list of [`ReplicaSendStatus`]; empty if the platform lists none |
 //! | `POST /v1/replicas/{replica}/drain` | | [`crate::engine::OrderAccepted`] |
@@ -22,6 +23,7 @@
 //! | `GET /v1/ends` | | a list of [`PendingEndStatus`] |
 //! | `GET /v1/decisions` | | server-sent [`DecisionEvent`]s |
 
+use lichenpulley_core::batch::queue_report::QueueReport;
 use lichenpulley_core::decision::Decision;
 use lichenpulley_core::identity::{
     NodeId, PoolName, ReplicaId, Revision, TenantName, WeightVersion, ZoneName,
@@ -306,6 +308,19 @@
     pub sent: u64,
 }
 
+/// The waiting work of a shard of batch jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardQueue {
+    /// The shard.
+    pub shard: String,
+    /// The regions that its jobs are bound to.
+    pub regions: String,
+    /// The node that was asked; `None` if no owner is known.
+    pub owner: Option<NodeId>,
+    /// What the owner reports; `None` if it gave no answer, as one of an earlier release gives none.
+    pub report: Option<QueueReport>,
+}
+
 /// The tenants of the configuration in force on a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TenantsDocument {
