Report the queues of the batch owner as metrics and as summaries of shortages

In a shortage the owner's metrics had only sums over all services, and its decisions were about single runs. Once a second the owner now makes the report of the waiting work that lichenpulley queue shows, sets gauges by shard, service and priority from it, and records the decision rollout shortage when a shortage begins, every 5 s while it lasts and when it ends. The placeholder of the report is replaced by Controller::queue_report.

--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -29,6 +29,7 @@
 mod schedule;
 pub mod score_plan;
 pub mod shortage;
+pub mod shortage_summary;
 pub mod weights;
 pub mod work_estimate;
 mod working_set;
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use fenced_calls::FencedCalls;
+use queue::QueueReporter;
 use running::RunningWork;
 pub(super) use stores::CONFIRMED_FOR;
 use stores::OwnedStores;
@@ -90,6 +91,7 @@
     /// Receives ledgers with the texts that were missing at the takeover.
     texts: mpsc::Receiver<Ledger>,
     leave_monitor: LeaveMonitor,
+    queue_reporter: QueueReporter,
     /// The error after which the log can't be written any more.
     failure: Option<ShardLogError>,
 }
@@ -149,6 +151,7 @@
             texts: read_missing(&scope, missing),
             stores: OwnedStores::new(scope.clone(), log, held_bytes),
             leave_monitor: LeaveMonitor::default(),
+            queue_reporter: QueueReporter::default(),
             failure: None,
             scope,
             context,
@@ -249,6 +252,7 @@
         self.controller.tick_duties(self.now(), duties::wall_time());
         let (running, waiting) = self.controller.item_counts();
         self.context.metrics.set_batch_items(self.scope.metric_label(), running, waiting);
+        self.report_queue();
         self.answer_readers();
     }
 
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -55,7 +55,7 @@
                 self.answer_writers();
             }
             BatchRequest::Queue => {
-                let report = self.queue_report();
+                let report = self.controller.queue_report(self.now());
                 command.answer(BatchResponse::Queue(report));
             }
             // This node owns the shard already.
--- a/crates/daemon/src/batch/owner/leaving.rs
+++ b/crates/daemon/src/batch/owner/leaving.rs
@@ -46,6 +46,7 @@
     /// Stops all runs and score requests, and answers all waiting callers.
     pub(super) fn stop_all_work(mut self) {
         self.context.metrics.set_batch_items(self.scope.metric_label(), 0, 0);
+        self.clear_queue_metrics();
         if let Some(error) = &self.failure {
             ::log::warn!(target: "batch", "The batch jobs are given up: {error}.");
         }
--- a/crates/daemon/src/batch/owner/queue.rs
+++ b/crates/daemon/src/batch/owner/queue.rs
@@ -1,28 +1,42 @@
-//! The owner's report of waiting work for operators.
+//! The owner's reports of waiting work: metrics and the decisions about shortages.
 
-use lichenpulley_core::batch::queue_report::{QueueReport, ServiceQueue, TrainerQueue};
+use std::time::Duration;
+
+use lichenpulley_core::batch::queue_report::QueueReport;
+use lichenpulley_core::batch::shortage_summary::ShortageSummaries;
+use lichenpulley_core::time::Timestamp;
 
 use super::Owner;
 
-/// Stands for a service or a route that the controller does not name.
-const UNNAMED: &str = "-";
+/// Interval between two reports. A report looks at every item, of which there may be thousands, so it is not made for
+/// each event; a shortage lasts for seconds.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// When the last report was made, and the shortages that it showed.
+#[derive(Default)]
+pub(super) struct QueueReporter {
+    reported_at: Option<Timestamp>,
+    shortages: ShortageSummaries,
+}
 
 impl Owner {
-    /// Returns the waiting work of this shard. The controller only counts all items, so the report has one entry
-    /// without a service.
-    pub(super) fn queue_report(&self) -> QueueReport {
-        let (running, waiting) = self.controller.item_counts();
-        if running + waiting == 0 {
-            return QueueReport::default();
+    /// Reports the waiting work if a report is due.
+    pub(super) fn report_queue(&mut self) {
+        let now = self.now();
+        let last = self.queue_reporter.reported_at;
+        if last.is_some_and(|last| now.saturating_since(last) < REPORT_INTERVAL) {
+            return;
         }
-        let [running, waiting] = [running, waiting].map(|count| u32::try_from(count).unwrap_or(u32::MAX));
-        let trainer = TrainerQueue { route: UNNAMED.to_owned(), running, waiting, ..TrainerQueue::default() };
-        let service = ServiceQueue {
-            service: UNNAMED.to_owned(),
-            used_slots: running,
-            trainers: vec![trainer],
-            ..ServiceQueue::default()
-        };
-        QueueReport { services: vec![service], refused_jobs: 0 }
+        self.queue_reporter.reported_at = Some(now);
+        let report = self.controller.queue_report(now);
+        self.context.metrics.set_batch_queue(self.scope.metric_label(), &report);
+        for decision in self.queue_reporter.shortages.observe(now, &report) {
+            self.context.decisions.record(decision);
+        }
+    }
+
+    /// Removes the metrics of the waiting work, which another owner reports from now on.
+    pub(super) fn clear_queue_metrics(&self) {
+        self.context.metrics.set_batch_queue(self.scope.metric_label(), &QueueReport::default());
     }
 }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use lichenpulley_core::batch::queue_report::QueueReport;
 use lichenpulley_core::decision::Decision;
 use lichenpulley_core::ingress::warmups::ColdCount;
 use lichenpulley_protocol::operator::RegionRefusals;
@@ -90,6 +91,11 @@
         self.batch.set_items(shard, running, waiting);
     }
 
+    /// Sets the waiting work of a shard that this node owns; `None` is the main shard.
+    pub fn set_batch_queue(&self, shard: Option<&str>, report: &QueueReport) {
+        self.batch.set_queue(shard, report);
+    }
+
     /// Sets the bytes of the batch log that this node has followed; 0 if it is not the next candidate.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.batch.set_followed_bytes(bytes);
--- a/crates/lab/tests/platform_owners/mod.rs
+++ b/crates/lab/tests/platform_owners/mod.rs
@@ -13,6 +13,7 @@
 use hyper::{Method, StatusCode};
 use lichenpulley_lab::platform_replica::ReplicaBehaviour;
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
+use lichenpulley_protocol::operator::ShardQueue;
 use tokio::time::Instant;
 
 use crate::platform_slow::{all_take, runs};
@@ -119,3 +120,42 @@
         }
     }
 }
+
+/// Fails if a node that doesn't own the batch jobs shows no queue, or if the owner's metrics lack the waiting items.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn any_node_shows_the_queue_that_the_owner_reports() {
+    let system = System::start(1, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    all_take(&system, PATIENCE);
+    system.submit(0, "long", 40, 1).await;
+    until(|| system.find_owner().is_some()).await;
+    let owner = system.gateways[system.owner()].as_ref().expect("the owner");
+    for gateway in &system.gateways {
+        let operators = gateway.as_ref().expect("a gateway").addresses().operators;
+        let shows_items = async {
+            loop {
+                let shards: Vec<ShardQueue> =
+                    system.http.get_json(operators, "/v1/queue", PATIENCE).await.expect("the queue");
+                let [shard] = shards.as_slice() else { panic!("one shard: {shards:?}") };
+                assert_eq!(shard.owner.as_ref(), Some(&owner.context().node));
+                let report = shard.report.as_ref().expect("the owner reports");
+                let trainers = report.services.iter().flat_map(|service| &service.trainers);
+                if trainers.map(|trainer| trainer.running + trainer.waiting).sum::<u32>() == 40 {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, shows_items).await.expect("the items of the job");
+    }
+    let has_metrics = || {
+        let metrics = owner.context().metrics.encode().expect("metrics");
+        let mut lines = metrics.lines();
+        lines.any(|line| {
+            line.starts_with("lichenpulley_batch_queue_items{")
+                && line.contains("state=\"waiting\"")
+                && !line.ends_with(" 0")
+        })
+    };
+    until(has_metrics).await;
+}
