Test at a real gateway that unread answers are bounded

A gateway with 6 MB of memory and two callers that read nothing refuses streams and result pages as not run, serves plain requests, aborts one of the two connections after 5 s, and then takes streams again.

--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -19,6 +19,7 @@
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
+mod platform_unread;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -116,7 +116,7 @@
         Self::with_plan(SystemPlan { crash_on_body, ..SystemPlan::default() }, replicas, events).await
     }
 
-    async fn with_plan(plan: SystemPlan, replicas: usize, events: u64) -> Self {
+    pub(crate) async fn with_plan(plan: SystemPlan, replicas: usize, events: u64) -> Self {
         log_on_request();
         let platform = metadata_store::start().await.expect("a metadata store");
         platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, configuration(1));
@@ -203,6 +203,9 @@
         if let Some(duties) = &self.plan.duties {
             settings.duties = DutySettings::on_loopback(duties.address);
         }
+        if let Some(memory_bytes) = self.plan.memory_bytes {
+            settings.machine.memory_bytes = memory_bytes;
+        }
         settings.places.zones = self.plan.zones.clone();
         settings.platform.metadata_store = Some(self.platform.address);
         settings.configuration.platform_timeout = Duration::from_millis(500);
--- a/crates/lab/tests/platform_system/plan.rs
+++ b/crates/lab/tests/platform_system/plan.rs
@@ -23,6 +23,8 @@
     pub(crate) crash_on_body: Option<Bytes>,
     /// Whether replicas that have ended start again under their ids.
     pub(crate) keeps_ids: bool,
+    /// Memory of each machine, where it differs from the default.
+    pub(crate) memory_bytes: Option<usize>,
 }
 
 impl Default for SystemPlan {
@@ -36,6 +38,7 @@
             zones: ZoneMap::default(),
             crash_on_body: None,
             keeps_ids: false,
+            memory_bytes: None,
         }
     }
 }
