--- a/crates/core/src/batch/shortage_summary.rs
+++ b/crates/core/src/batch/shortage_summary.rs
@@ -51,12 +51,15 @@
                 }
             }
         }
-        let is_over = |shortage: &Shortage| now.saturating_since(shortage.last_seen_at) >= END_DELAY;
-        for (service, shortage) in self.by_service.extract_if(.., |_, shortage| is_over(shortage)) {
-            let queue = report.services.iter().find(|queue| queue.service == service);
-            let idle = ServiceQueue { service, ..ServiceQueue::default() };
-            decisions.push(summary("ended", report, queue.unwrap_or(&idle), shortage, now));
-        }
+        self.by_service.retain(|service, shortage| {
+            if now.saturating_since(shortage.last_seen_at) < END_DELAY {
+                return true;
+            }
+            let queue = report.services.iter().find(|queue| queue.service == *service);
+            let idle = ServiceQueue { service: service.clone(), ..ServiceQueue::default() };
+            decisions.push(summary("ended", report, queue.unwrap_or(&idle), *shortage, now));
+            false
+        });
         decisions
     }
 }
