--- a/crates/daemon/tests/unread_answers.rs
+++ b/crates/daemon/tests/unread_answers.rs
@@ -172,3 +172,31 @@
     assert_eq!(aborted.try_iter().count(), 0);
     assert_eq!(read_answer(stopped, Duration::ZERO).expect("a complete answer"), ANSWER_BYTES);
 }
+
+/// Fails if the progress of a slow caller is hidden by the buffers of the kernels: without a limit of what the sender's
+/// kernel takes ahead, it takes nothing further until megabytes are read.
+#[test]
+fn caller_that_reads_slowly_from_large_buffers_is_not_cut_off() {
+    const LONG_ANSWER_BYTES: usize = 24 << 20;
+    const SLOW_PERIOD: Duration = Duration::from_secs(5);
+    let answer = |request: Request<Incoming>| async move {
+        let meter = request.extensions().get::<ConnectionMeter>().cloned().expect("a metered connection");
+        meter.keep_response(response::text(StatusCode::OK, "x".repeat(LONG_ANSWER_BYTES)))
+    };
+    let (address, meter, aborted) = start_server(limit(LONG_ANSWER_BYTES as u64 / 2), answer);
+    let mut caller = TcpStream::connect(address).expect("a connection");
+    caller.set_read_timeout(Some(TEST_TIMEOUT)).expect("a timeout");
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").expect("written");
+    let mut buffer = vec![0; 64 << 10];
+    let mut read = 0;
+    let began = Instant::now();
+    while began.elapsed() < SLOW_PERIOD {
+        read += caller.read(&mut buffer).expect("the answer goes on");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(!meter.admits(), "the sum is above the bound all the time");
+    assert_eq!(aborted.try_iter().count(), 0);
+    while read < LONG_ANSWER_BYTES {
+        read += caller.read(&mut buffer).expect("the answer goes on");
+    }
+}
