Merge the parts of serving under overload

Merges the dispatch order under shortage, the reuse of items that were submitted before, the load and pace that replicas report, early moves and queue refusals of plain requests, and the operators' view with the bound on unread answers. Both new request variants stay: BaseLatencies before Queue.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -78,12 +78,16 @@
     PoolList(Option<PoolName>),
     /// `regions`
     Regions,
+    /// `queue [SERVICE]`
+    Queue(Option<String>),
     /// `replicas [SERVICE]`
     Replicas(Option<String>),
     /// `drain REPLICA`
     Drain(ReplicaId),
     /// `undrain REPLICA`
     Undrain(ReplicaId),
+    /// `tenants`
+    Tenants,
     /// `zones`
     Zones,
     /// `evacuate ZONE`
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -6,15 +6,20 @@
 //! started.
 
 mod action;
+mod backlog;
 mod config;
+mod dispatch;
 mod duties;
 mod handover;
 mod inputs;
 mod jobs;
 mod live_item;
 mod loading;
+mod queue;
 mod records;
+mod refusal;
 mod retention;
+mod reusing;
 mod runs;
 mod scoring;
 mod starting;
@@ -43,7 +48,9 @@
 use crate::time::{Timestamp, whole_millis};
 pub use action::{Action, RunEnd, RunEvent, RunId, RunStart, Submission};
 pub use config::ControllerConfig;
+use dispatch::Dispatch;
 use live_item::{ItemStage, LiveItem};
+pub use reusing::ReuseCounts;
 
 struct Run {
     batch: BatchId,
@@ -82,6 +89,7 @@
     paces: PaceModel,
     loads: LoadPlan,
     scores: ScorePlan,
+    dispatch: Dispatch,
     /// The shard's clock when this owner took over, in milliseconds.
     clock_base_ms: u64,
     began_at: Timestamp,
@@ -93,6 +101,9 @@
     pending_calls: HashMap<String, DutyCall>,
     duties: DutyPlan,
     held_bytes: usize,
+    /// Whether the rule for reusing earlier texts is to be applied to all open jobs.
+    is_reuse_due: bool,
+    reuse_counts: ReuseCounts,
     /// Whether the stores confirmed this owner's authority recently; otherwise nothing is started or ordered.
     is_confirmed: bool,
     actions: VecDeque<Action>,
@@ -134,11 +145,14 @@
             paces: PaceModel::default(),
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
+            dispatch: Dispatch::default(),
             began_at: now,
             last_append_at: now,
             lease,
             pending_loads: HashMap::new(),
             held_bytes: 0,
+            is_reuse_due: false,
+            reuse_counts: ReuseCounts::default(),
             is_confirmed: true,
             actions: VecDeque::new(),
             due: DueWork::default(),
@@ -178,13 +192,19 @@
 
     /// Fills in the event texts that were not read when this owner took over.
     pub fn fill_texts(&mut self, whole: Ledger) {
-        self.held_bytes += self.ledger.fill_texts(whole);
+        let outlined: Vec<BatchId> = self.ledger.outlined.iter().cloned().collect();
+        let held_bytes = |ledger: &Ledger| {
+            outlined.iter().filter_map(|batch| ledger.job(batch)).map(jobs::held_bytes).sum::<usize>()
+        };
+        let before = held_bytes(&self.ledger);
+        self.ledger.fill_texts(whole);
+        self.held_bytes = (self.held_bytes + held_bytes(&self.ledger)).saturating_sub(before);
+        self.is_reuse_due = true;
     }
 
     /// Returns the number of running items and of waiting items.
     pub fn item_counts(&self) -> (usize, usize) {
-        let is_waiting = |item: &&LiveItem| item.run.is_none() && item.stage == ItemStage::Generating;
-        let waiting = self.items.values().filter(is_waiting).count();
+        let waiting = self.items.values().filter(|item| item.is_waiting()).count();
         (self.runs.len(), waiting)
     }
 
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -6,11 +6,12 @@
 
 use super::{Action, Controller, ItemStage, Run, RunEnd, RunEvent, RunId};
 use crate::batch::job::{ItemResult, OutputEvent};
-use crate::batch::moves::{MAX_MOVES_PER_TICK, MIN_TIME_ON_REPLICA, is_worth_moving};
+use crate::batch::moves::{MAX_MOVES_PER_TICK, MIN_TIME_ON_REPLICA, is_worth_awaited_slot, is_worth_moving};
 use crate::batch::record::Record;
-use crate::batch::schedule::{self, BROKEN_RUN_COOLDOWN, REJECTION_COOLDOWN, Requirements};
+use crate::batch::schedule::{self, BROKEN_RUN_COOLDOWN, REJECTION_COOLDOWN, ReplicaState, Requirements};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
+use crate::ingress::replica_load::ReplicaLoad;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -21,11 +22,19 @@
             return;
         }
         match event {
+            RunEvent::Load(load) => self.take_load(run, load),
             RunEvent::Event(event) => self.take_event(now, run, event),
             RunEvent::Ended(end) => self.run_ended(now, run, end),
         }
     }
 
+    fn take_load(&mut self, id: RunId, load: ReplicaLoad) {
+        let Some(run) = self.runs.get(&id) else { return };
+        if let Some(state) = self.replicas.get_mut(&run.replica) {
+            state.reports_pace |= load.pace_percent.is_some();
+        }
+    }
+
     fn take_event(&mut self, now: Timestamp, id: RunId, event: OutputEvent) {
         let Some(run) = self.runs.get_mut(&id) else { return };
         let gap = run.last_event_at.map(|earlier| now.saturating_since(earlier));
@@ -35,7 +44,7 @@
         let is_cold = self.gate.is_cold(&replica, now);
         if let Some(state) = self.replicas.get_mut(&replica) {
             if let Some(gap) = gap {
-                state.observe_gap(gap, is_cold, &mut self.paces);
+                state.observe_gap(now, gap, is_cold, &mut self.paces);
             }
             if let Some(model) = &model {
                 state.observe_version(model, event.version);
@@ -81,14 +90,14 @@
         self.record_decision(
             Decision::new(Component::Rollout, "run_stopped", "wrong_version", batch).with("item", item),
         );
-        self.stop(id);
+        self.stop(now, id);
         self.mark_items_due(now);
     }
 
     pub(super) fn run_ended(&mut self, now: Timestamp, id: RunId, end: RunEnd) {
         let Some(run) = self.runs.get(&id) else { return };
         let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
-        self.stop(id);
+        self.stop(now, id);
         let key = (batch.clone(), item);
         if let Some(state) = self.replicas.get_mut(&replica) {
             match end {
@@ -107,7 +116,10 @@
         let max_attempts = self.route(&batch).map_or(1, |route| route.max_attempts);
         let Some(live) = self.items.get_mut(&key) else { return };
         match end {
-            RunEnd::Complete => self.complete_text(now, &batch, item),
+            RunEnd::Complete => {
+                self.observe_work(now, &replica, &batch, item);
+                self.complete_text(now, &batch, item);
+            }
             RunEnd::Unprocessable => self.give_up(now, &batch, item, "never"),
             RunEnd::Failed => {
                 live.failures += 1;
@@ -128,10 +140,9 @@
         let needs_score = self.item(batch, item).is_some_and(|item| item.scorer.is_some());
         let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return };
         live.stage = if needs_score { ItemStage::Persisting } else { ItemStage::Listing };
+        live.completed_at = Some(now);
         let mut events = std::mem::take(&mut live.events);
         let batch = batch.clone();
-        let line_feeds = events.len().saturating_sub(1);
-        self.held_bytes += events.iter().map(|event| event.data.len()).sum::<usize>() + line_feeds;
         let replaces = live.is_restarted;
         let record = match (needs_score, replaces) {
             (true, true) => Record::Generated { batch, item, events, replaces },
@@ -152,7 +163,7 @@
         live.stage = ItemStage::Listing;
         let run = live.run.take();
         if let Some(run) = run {
-            self.stop(run);
+            self.stop(now, run);
         }
         self.stop_scores(now, |key| key.0 == *batch && key.1 == item);
         let subject = self.item(batch, item).map_or_else(String::new, |item| item.id.clone());
@@ -187,6 +198,7 @@
         else {
             return;
         };
+        self.find_awaited_services(now);
         let mut moves = 0;
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
         for id in runs {
@@ -203,7 +215,7 @@
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
             self.record_decision(decision.with("batch", &batch).with("replica", &replica).with("run", id.0));
-            self.stop(id);
+            self.stop(now, id);
             if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
                 live.avoid = Some(replica);
             }
@@ -223,19 +235,34 @@
         if !is_worth_moving(pace, best_pace, events) {
             return false;
         }
+        let Some(pace) = self.lasting_pace(state, pace) else { return false };
         let Some(requirements) = self.requirements(&run.batch, run.item) else { return false };
         let others = Requirements { avoid: Some(&run.replica), ..requirements };
         let Some(other) = schedule::choose(&self.replicas, &others, &self.paces, now) else { return false };
         let Some(other) = self.replicas.get(&other).filter(|other| other.record.id != run.replica) else {
             return false;
         };
-        is_worth_moving(pace, other.reliable_pace(&self.paces), events)
+        let other_pace = other.reliable_pace(&self.paces);
+        let is_allowed = !self.is_slot_awaited(&run.batch) || is_worth_awaited_slot(pace, other_pace);
+        is_allowed && is_worth_moving(pace, other_pace, events)
+    }
+
+    /// Returns the pace of a replica, in seconds per event, as far as it lasts for longer than a slowdown. Where
+    /// replicas of the service report their pace, they have slowdowns that end before a move pays off. `None` if the
+    /// replica was not observed for long enough there.
+    fn lasting_pace(&self, state: &ReplicaState, pace: f64) -> Option<f64> {
+        let same_service = |other: &&ReplicaState| other.record.service == state.record.service;
+        if !self.replicas.values().filter(same_service).any(|other| other.reports_pace) {
+            return Some(pace);
+        }
+        state.sustained_gap(&self.paces).map(|sustained| pace.min(sustained.as_secs_f64()))
     }
 
-    pub(super) fn stop(&mut self, id: RunId) {
+    pub(super) fn stop(&mut self, now: Timestamp, id: RunId) {
         let Some(run) = self.runs.remove(&id) else { return };
         if let Some(live) = self.items.get_mut(&(run.batch.clone(), run.item)) {
             live.run = None;
+            live.ran += now.saturating_since(run.started_at);
         }
         if let Some(state) = self.replicas.get_mut(&run.replica) {
             state.running = state.running.saturating_sub(1);
--- a/crates/core/src/batch/controller/scoring.rs
+++ b/crates/core/src/batch/controller/scoring.rs
@@ -4,12 +4,16 @@
 //! only with that text; an item is given up because of its scorer only after as many failures as the route
 //! allows, including those counted by earlier owners.
 
+use std::time::Duration;
+
 use super::{Action, Controller, ItemStage};
 use crate::batch::record::Record;
 use crate::batch::score_plan::{EndedScore, ItemKey, ScoreEnd, ScoreId};
 use crate::decision::{Component, Decision};
 use crate::identity::BatchId;
 use crate::ingress::places::AllowedRegions;
+use crate::ingress::replica_load::ReplicaLoad;
+use crate::ingress::shared_bases::MAX_ANSWERED_REPLICAS;
 use crate::time::Timestamp;
 
 impl Controller {
@@ -47,11 +51,11 @@
         }
     }
 
-    /// Handles the end of a score request. `busy` is the number of requests that the replica reported to have
-    /// in hand, if it did.
-    pub fn score_ended(&mut self, now: Timestamp, id: ScoreId, end: &ScoreEnd, busy: Option<u32>) {
-        if let Some(busy) = busy {
-            self.scores.reported(id, busy, now);
+    /// Handles the end of a score request. `load` is the load that the replica reported, if it
+    /// did; it still includes this request.
+    pub fn score_ended(&mut self, now: Timestamp, id: ScoreId, end: &ScoreEnd, load: Option<ReplicaLoad>) {
+        if let Some(load) = load {
+            self.scores.reported(id, load, now);
         }
         let ended = self.scores.ended(id, end, self.routes.as_deref(), now);
         let Some(EndedScore { key, request, replica, route_attempts }) = ended else { return };
@@ -67,6 +71,14 @@
         self.mark_items_due(now);
     }
 
+    /// Returns the base latencies, in microseconds, of replicas that score requests were sent to, in the order of their
+    /// ids; `None` for those that report no pace or were measured too rarely.
+    pub fn base_latencies(&self, replicas: &[String]) -> Vec<Option<u32>> {
+        let micros = |base: Duration| u32::try_from(base.as_micros()).unwrap_or(u32::MAX);
+        let asked = replicas.iter().take(MAX_ANSWERED_REPLICAS);
+        asked.map(|replica| self.scores.base_latency(replica).map(micros)).collect()
+    }
+
     fn list_scored(&mut self, now: Timestamp, key: ItemKey, score: &str) {
         let Some(live) = self.items.get_mut(&key).filter(|live| live.stage == ItemStage::Scoring) else {
             return;
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -8,8 +8,11 @@
 
 pub mod controller;
 pub mod cut_off;
+pub mod dispatch_order;
 pub mod election;
+pub mod fair_share;
 mod group_tally;
+mod item_index;
 pub mod job;
 pub mod leaving;
 pub mod ledger;
@@ -24,7 +27,12 @@
 pub mod record;
 pub mod recovery;
 pub mod regional;
+mod reuse;
 mod schedule;
 pub mod score_plan;
+pub mod shortage;
+pub mod shortage_summary;
+mod sustained_pace;
 pub mod weights;
+pub mod work_estimate;
 mod working_set;
--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -1,7 +1,8 @@
 //! Chooses the admitted replica with the lowest expected response time.
 //!
 //! The expected response time is `latency * (1 + busy / slots)`, from the average latency observed by this node
-//! and the greater of its own requests in flight and the load that the replica reports. Replicas that recently
+//! and the greater of its own requests in flight and the load that the replica reports. For a replica that reports
+//! its pace, the latency is its base latency times its present pace (`response_model`). Replicas that recently
 //! failed to answer rank last, and ties are broken at random. The caller must report each send and its end.
 //!
 //! This policy serves plain requests, streams and score requests of the platform's services. Engines of this
@@ -13,7 +14,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::replica_load::ReplicaLoad;
 use super::replicas::{ReplicaRecord, ReplicaTable};
+use super::response_model::ResponseModel;
+use super::shared_bases::SharedBases;
 use crate::retry::backoff::Backoff;
 use crate::time::Timestamp;
 
@@ -38,7 +42,11 @@
 struct ReplicaStats {
     in_flight: u32,
     latency_ms: Option<f64>,
+    /// Requests in hand at the replica, by its latest report or refusal.
     reported: Option<(Timestamp, u32)>,
+    /// Requests waiting at the replica, by its latest report.
+    waiting: Option<(Timestamp, u32)>,
+    model: ResponseModel,
     suspect_until: Timestamp,
     failures_in_row: u32,
 }
@@ -46,8 +54,7 @@
 impl ReplicaStats {
     /// Returns the requests in flight: those of this node, or the reported number if it is greater.
     fn busy(&self, now: Timestamp) -> u32 {
-        let reported = self.reported.filter(|(at, _)| now.saturating_since(*at) < REPORTED_LOAD_VALIDITY);
-        self.in_flight.max(reported.map_or(0, |(_, busy)| busy))
+        self.in_flight.max(fresh(self.reported, now).unwrap_or(0))
     }
 
     /// Suspects the replica for a time that grows with its consecutive failures.
@@ -62,6 +69,12 @@
     }
 }
 
+/// Returns a reported figure if it is recent enough to be used.
+fn fresh(reported: Option<(Timestamp, u32)>, now: Timestamp) -> Option<u32> {
+    let (at, figure) = reported?;
+    (now.saturating_since(at) < REPORTED_LOAD_VALIDITY).then_some(figure)
+}
+
 /// The end of a request, as far as it affects later choices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplicaFeedback {
@@ -84,6 +97,16 @@
 pub struct ReplicaChooser {
     /// By id of the replica's incarnation.
     stats: BTreeMap<String, ReplicaStats>,
+    /// Base latencies that the owner of the batch jobs measured, by service.
+    shared: BTreeMap<String, SharedBases>,
+}
+
+/// Base latency of a replica that reports its pace.
+#[derive(Clone, Copy, Debug)]
+struct BaseLatency {
+    milliseconds: f64,
+    /// Whether it holds for the requests of this node, and not only relative to other replicas.
+    is_own_scale: bool,
 }
 
 impl ReplicaChooser {
@@ -108,12 +131,37 @@
 
     /// Returns whether the replica is suspected, and its expected response time in milliseconds.
     fn cost(&self, record: &ReplicaRecord, now: Timestamp) -> (bool, f64) {
-        let Some(stats) = self.stats.get(&record.id) else { return (false, UNMEASURED_LATENCY_MS) };
+        let base = self.base(record).map(|base| base.milliseconds);
+        let Some(stats) = self.stats.get(&record.id) else {
+            return (false, base.unwrap_or(UNMEASURED_LATENCY_MS));
+        };
+        let is_suspect = stats.suspect_until > now;
         let busy = stats.busy(now);
+        if base.is_some() || stats.model.reports_pace() {
+            let factor = stats.model.present_factor(busy, record.slots, now);
+            return (is_suspect, base.unwrap_or(UNMEASURED_LATENCY_MS) * factor);
+        }
         let slots = f64::from(record.slots.max(1));
         let load = f64::from(busy) / slots;
         let latency = stats.latency_ms.unwrap_or(UNMEASURED_LATENCY_MS);
-        (stats.suspect_until > now, latency * (1.0 + load))
+        (is_suspect, latency * (1.0 + load))
+    }
+
+    /// Returns the base latency of a replica. Without one, the mean response time ranks the replica.
+    fn base(&self, record: &ReplicaRecord) -> Option<BaseLatency> {
+        let shared = self.shared.get(&record.service).and_then(|shared| shared.base_ms(&record.id));
+        let shared_ms = shared.map(|(shared_ms, _)| shared_ms);
+        let is_shared_scaled = shared.is_some_and(|(_, is_scaled)| is_scaled);
+        let Some(stats) = self.stats.get(&record.id) else {
+            return shared_ms
+                .map(|milliseconds| BaseLatency { milliseconds, is_own_scale: is_shared_scaled });
+        };
+        // This node measured the replica without a pace; that figure can't be combined with a base latency.
+        if stats.latency_ms.is_some() && !stats.model.reports_pace() {
+            return None;
+        }
+        let is_own_scale = is_shared_scaled || stats.model.measured_ms().is_some();
+        stats.model.base_ms(shared_ms).map(|milliseconds| BaseLatency { milliseconds, is_own_scale })
     }
 
     /// Whether a request that waits at another replica may move to this one: it is not suspected and did not just
@@ -142,6 +190,11 @@
                 let took_ms = took.as_secs_f64() * 1_000.0;
                 let mean = stats.latency_ms.unwrap_or(took_ms);
                 stats.latency_ms = Some(mean + LATENCY_SAMPLE_WEIGHT * (took_ms - mean));
+                let busy = stats.busy(now);
+                // The load at a replica that just refused is unknown.
+                if busy < FULL_LOAD {
+                    stats.model.record_response(took, busy, now);
+                }
                 stats.clear_suspicion();
             }
             ReplicaFeedback::AnsweredCold => stats.clear_suspicion(),
@@ -157,9 +210,62 @@
         self.stats.entry(replica.to_owned()).or_default().suspect(now);
     }
 
-    /// Records the number of running and queued requests that a replica reports.
-    pub fn record_reported_load(&mut self, replica: &str, busy: u32, now: Timestamp) {
-        self.stats.entry(replica.to_owned()).or_default().reported = Some((now, busy));
+    /// Records the load that a replica reports. The load of an answer must be recorded before its end.
+    pub fn record_reported_load(&mut self, replica: &str, load: ReplicaLoad, now: Timestamp) {
+        let stats = self.stats.entry(replica.to_owned()).or_default();
+        stats.reported = Some((now, load.in_hand()));
+        stats.waiting = Some((now, load.waiting));
+        stats.model.record_load(load, now);
+    }
+
+    /// Whether any of the replicas, given by their ids, has reported a pace to this node.
+    pub fn reports_pace<'a>(&self, replicas: impl IntoIterator<Item = &'a str>) -> bool {
+        replicas.into_iter().any(|id| self.stats.get(id).is_some_and(|stats| stats.model.reports_pace()))
+    }
+
+    /// Returns the time after which a replica is expected to respond to a request sent now. `None` if it reports no
+    /// pace or its base latency is unknown.
+    pub fn expected_response(&self, record: &ReplicaRecord, now: Timestamp) -> Option<Duration> {
+        let base = self.base(record).filter(|base| base.is_own_scale)?;
+        let stats = self.stats.get(&record.id);
+        let factor =
+            stats.map_or(1.0, |stats| stats.model.present_factor(stats.busy(now), record.slots, now));
+        Some(Duration::from_secs_f64(base.milliseconds * factor / 1_000.0))
+    }
+
+    /// Returns the response time of a replica at its usual pace and without load, if it reports its pace.
+    pub fn base_latency(&self, record: &ReplicaRecord) -> Option<Duration> {
+        let base = self.base(record).filter(|base| base.is_own_scale)?;
+        Some(Duration::from_secs_f64(base.milliseconds / 1_000.0))
+    }
+
+    /// Returns the base latency of a replica, given by its id, if this node measured it well enough for other nodes.
+    pub fn base_latency_to_share(&self, replica: &str) -> Option<Duration> {
+        let base_ms = self.stats.get(replica)?.model.ms_to_share()?;
+        Some(Duration::from_secs_f64(base_ms / 1_000.0))
+    }
+
+    /// Records base latencies of replicas of a service, by their ids, that the owner of the batch jobs measured.
+    pub fn record_shared_bases(
+        &mut self,
+        service: &str,
+        bases: impl IntoIterator<Item = (String, Duration)>,
+        now: Timestamp,
+    ) {
+        let bases = bases.into_iter().map(|(replica, base)| (replica, base.as_secs_f64() * 1_000.0));
+        let shared = self.shared.entry(service.to_owned()).or_default();
+        shared.add(bases, now);
+        shared.update_scale(|replica| self.stats.get(replica)?.model.measured_ms());
+    }
+
+    /// Drops shared base latencies that are too old to be used. To be called every second or more often.
+    pub fn expire_shared_bases(&mut self, now: Timestamp) {
+        self.shared.retain(|_, shared| shared.expire(now));
+    }
+
+    /// Returns how many requests wait at a replica, if it reported that recently.
+    pub fn reported_waiting(&self, replica: &str, now: Timestamp) -> Option<u32> {
+        fresh(self.stats.get(replica)?.waiting, now)
     }
 
     /// Drops replicas that are no longer listed and have no requests of this node in flight.
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -54,6 +54,14 @@
                 self.callers.add_usage(source, through, command);
                 self.answer_writers();
             }
+            BatchRequest::BaseLatencies(replicas) => {
+                let latencies = self.controller.base_latencies(replicas);
+                command.answer(BatchResponse::BaseLatencies(latencies));
+            }
+            BatchRequest::Queue => {
+                let report = self.controller.queue_report(self.now());
+                command.answer(BatchResponse::Queue(report));
+            }
             // This node owns the shard already.
             BatchRequest::TakeOver(_) => command.answer(BatchResponse::Ended),
         }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 //! replicas.
 
 mod attempt_loop;
+mod base_latencies;
 mod batch_calls;
 mod caller_request;
 pub(crate) mod callers;
@@ -19,6 +20,7 @@
 mod job_placement;
 mod metadata_wait;
 pub mod pool;
+mod probes;
 pub mod readiness;
 mod refusal;
 mod request_body;
@@ -27,17 +29,24 @@
 mod stream;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::NodeId;
 use lichenpulley_core::ingress::admission::EvacuatedZones;
 use lichenpulley_core::ingress::metadata_wait::MAX_WAITING_REQUESTS;
+use lichenpulley_core::ingress::probing::ProbePolicy;
+use lichenpulley_core::ingress::replica_load::ReplicaLoad;
 use lichenpulley_core::ingress::replicas::{ReplicaRecord, ReplicaTable};
 use lichenpulley_core::ingress::routes::{Limits, RouteKind, RouteTable};
 use lichenpulley_core::ingress::selection::{NoCandidate, ReplicaSelector, SelectionQuery, StayReason};
+use lichenpulley_core::ingress::unread::UnreadLimit;
 use lichenpulley_core::ingress::warming_share::GatewayOrder;
 use lichenpulley_core::ingress::warmups::WarmupTracker;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
+use lichenpulley_core::retry::retry_after::QueueDrain;
 use lichenpulley_core::time::Timestamp;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -45,6 +54,7 @@
 use crate::batch::BatchJobs;
 use crate::context::Context;
 use crate::http::Body;
+use crate::http::unread::{AbortedConnection, ConnectionMeter, UnreadMeter};
 use caller_request::CallerRequest;
 use callers::Caller;
 use in_flight::InFlightRequest;
@@ -55,6 +65,7 @@
 /// await.
 struct SelectionState {
     selector: ReplicaSelector,
+    probing: ProbePolicy,
     /// The route table whose bounds for cold replicas the selector uses.
     routes: Option<Arc<RouteTable>>,
     /// The replicas that the selector was last updated from.
@@ -65,7 +76,7 @@
     fn new(node: &NodeId) -> Self {
         let order = GatewayOrder::new(node.clone(), Timestamp::ORIGIN);
         let selector = ReplicaSelector::new(WarmupTracker::for_gateway(order, Timestamp::ORIGIN));
-        Self { selector, routes: None, replicas: Arc::default() }
+        Self { selector, probing: ProbePolicy::default(), routes: None, replicas: Arc::default() }
     }
 }
 
@@ -80,6 +91,8 @@
     early_ends: Arc<Semaphore>,
     /// Permits for requests that wait for the node's first metadata.
     metadata_waits: Arc<Semaphore>,
+    /// Counts the bytes kept for callers that have not read their answers.
+    unread: UnreadMeter,
     origin: Instant,
 }
 
@@ -91,8 +104,12 @@
         let early_ends = Arc::new(Semaphore::new(ends::MAX_EARLY_ENDS));
         let metadata_waits = Arc::new(Semaphore::new(MAX_WAITING_REQUESTS));
         let origin = Instant::now();
-        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, origin };
+        let memory_bytes = context.settings.machine.memory_bytes as u64;
+        let unread = UnreadMeter::new(UnreadLimit::for_memory(memory_bytes));
+        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, unread, origin };
         tokio::spawn(selector_update::run(ingress.clone()));
+        tokio::spawn(base_latencies::run(ingress.clone()));
+        tokio::spawn(keep_unread_bounded(ingress.clone()));
         ingress
     }
 
@@ -102,14 +119,24 @@
     pub fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send + use<> {
         let end = ends::hold(self, &request);
         let ingress = self.clone();
+        let meter = request.extensions().get::<ConnectionMeter>().cloned();
         async move {
-            match end {
+            let response = match end {
                 Some(end) => end.answer().await,
                 None => ingress.answer(request).await,
+            };
+            match meter {
+                Some(meter) => meter.keep_response(response),
+                None => response,
             }
         }
     }
 
+    /// Returns the meter of the bytes kept for callers, for the server of the callers' port.
+    pub(crate) fn unread_meter(&self) -> UnreadMeter {
+        self.unread.clone()
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(table) = self.context.metadata.routes.load_full() else {
             return Refusal::NoConfiguration.respond(&self.context, &request);
@@ -163,6 +190,47 @@
         Ok(InFlightRequest::begin(self, request, selected))
     }
 
+    /// Checks whether a plain request that has not run can be served in the time that it has left.
+    fn check_queues(&self, request: &CallerRequest, tried: &[String]) -> Result<(), NoCandidate> {
+        let remaining = request.remaining();
+        self.select_with(request, tried, |selector, query, table, evacuated, now| {
+            selector.check_queues(query, remaining, table, evacuated, now)
+        })
+    }
+
+    /// Selects another replica that is expected to answer a request within `target_left`, the rest of its target.
+    /// The request waits at the last of `tried` and counts at both replicas.
+    fn select_early(
+        &self,
+        request: &CallerRequest,
+        tried: &[String],
+        target_left: Duration,
+    ) -> Result<InFlightRequest, EarlyMoveDenial> {
+        let selected = self.select_with(request, tried, |selector, query, table, evacuated, now| {
+            selector.select_early(query, target_left, table, evacuated, now, rand::random())
+        })?;
+        Ok(InFlightRequest::begin(self, request, selected))
+    }
+
+    /// Returns the shortest queue that a replica of the request's service recently reported.
+    fn shortest_queue(&self, request: &CallerRequest) -> Option<QueueDrain> {
+        let remaining = request.remaining();
+        self.select_with(request, &[], |selector, query, table, _, now| {
+            selector.shortest_queue(query, remaining, table, now)
+        })
+    }
+
+    /// Adds a plain request to the budget of early moves of its service.
+    fn record_plain_request(&self, service: &str) {
+        self.selection().selector.early_moves_mut().record_request(service, self.now());
+    }
+
+    /// Records how a plain request that moved early ended.
+    fn record_early_move_result(&self, service: &str, result: EarlyMoveResult) {
+        self.context.metrics.count_early_move(result);
+        self.selection().selector.early_moves_mut().record_result(service, result, self.now());
+    }
+
     /// Selects another replica for a request that waits at the last of `tried`. `waits_at_cold` tells
     /// whether that replica was cold. The request counts at both replicas.
     fn select_alternative(
@@ -211,11 +279,34 @@
         self.selection().selector.mark_late(replica, self.now());
     }
 
-    fn record_reported_load(&self, replica: &str, busy: u32) {
-        self.selection().selector.record_reported_load(replica, busy, self.now());
+    /// Records the load that came with a response head, and whether the response was later than the route's target.
+    fn record_response_head(&self, replica: &ReplicaRecord, load: Option<ReplicaLoad>, is_late: bool) {
+        let now = self.now();
+        let mut selection = self.selection();
+        if let Some(load) = load {
+            selection.selector.record_reported_load(&replica.id, load, now);
+            let early_moves = selection.selector.early_moves_mut();
+            early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
+        }
+        selection.probing.record_answer(&replica.service, load.map(|load| load.waiting), is_late, now);
     }
 
     fn selection(&self) -> MutexGuard<'_, SelectionState> {
         self.selection.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Aborts the connections of callers that do not read while too much is kept for them, until the node has stopped.
+async fn keep_unread_bounded(ingress: Ingress) {
+    let context = &ingress.context;
+    let report = |kept_bytes| context.metrics.set_unread_answer_bytes(kept_bytes);
+    let record = |aborted: AbortedConnection| {
+        let peer = aborted.peer.map_or_else(|| "-".to_owned(), |peer| peer.to_string());
+        let decision = Decision::new(Component::Request, "connection_aborted", "unread_answers", peer)
+            .with("bytes", aborted.bytes)
+            .with("stalled_ms", aborted.stalled_for.as_millis())
+            .with("kept_bytes", aborted.kept_bytes);
+        context.decisions.record(decision);
+    };
+    ingress.unread.keep_bounded(context.stopped.clone(), report, record).await;
+}
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -1,7 +1,8 @@
-//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, and refusals
-//! because of the regions that a request is restricted to.
+//! Metrics of a gateway that serves the platform API: cold replicas, evacuated zones, quarantined requests, early moves,
+//! refusals, questions for base latencies, and probes.
 
 use lichenpulley_core::ingress::warmups::ColdCount;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
 use lichenpulley_protocol::operator::RegionRefusals;
 use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
@@ -13,7 +14,13 @@
     cold_replicas: IntGaugeVec,
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
+    unread_answer_bytes: IntGauge,
     region_refusals: IntCounterVec,
+    refusals: IntCounterVec,
+    early_moves: IntCounterVec,
+    early_move_denials: IntCounterVec,
+    shared_base_answers: IntCounterVec,
+    probes: IntCounterVec,
 }
 
 impl IngressMetrics {
@@ -35,12 +42,47 @@
                 "lichenpulley_quarantined_requests",
                 "Requests that this node keeps from all replicas, since replicas ended under them",
             ),
+            unread_answer_bytes: registration::gauge(
+                registry,
+                "lichenpulley_unread_answer_bytes",
+                "Bytes kept for callers that have not read them yet",
+            ),
             region_refusals: registration::counter_vec(
                 registry,
                 "lichenpulley_region_refusals_total",
                 "Requests refused that are bound to some regions, by these and by reason",
                 &["regions", "reason"],
             ),
+            refusals: registration::counter_vec(
+                registry,
+                "lichenpulley_refusals_total",
+                "Requests of callers refused, by reason",
+                &["reason"],
+            ),
+            early_moves: registration::counter_vec(
+                registry,
+                "lichenpulley_early_moves_total",
+                "Plain requests that moved to another replica to be answered within their target, by result",
+                &["result"],
+            ),
+            early_move_denials: registration::counter_vec(
+                registry,
+                "lichenpulley_early_moves_denied_total",
+                "Plain requests that were overdue and did not move early, by reason",
+                &["reason"],
+            ),
+            shared_base_answers: registration::counter_vec(
+                registry,
+                "lichenpulley_shared_base_latency_questions_total",
+                "Questions for base latencies of replicas to the owner of the batch jobs, by answer",
+                &["answer"],
+            ),
+            probes: registration::counter_vec(
+                registry,
+                "lichenpulley_load_probes_total",
+                "Requests before which the load of two replicas was queried, by result",
+                &["result"],
+            ),
         }
     }
 
@@ -60,10 +102,34 @@
         self.quarantined_requests.set(to_gauge(requests));
     }
 
+    pub(super) fn set_unread_answer_bytes(&self, bytes: u64) {
+        self.unread_answer_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn count_region_refusal(&self, regions: &str, reason: &str) {
         self.region_refusals.with_label_values(&[regions, reason]).inc();
     }
 
+    pub(super) fn count_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub(super) fn count_early_move(&self, result: EarlyMoveResult) {
+        self.early_moves.with_label_values(&[result.as_str()]).inc();
+    }
+
+    pub(super) fn count_early_move_denial(&self, denial: EarlyMoveDenial) {
+        self.early_move_denials.with_label_values(&[denial.as_str()]).inc();
+    }
+
+    pub(super) fn count_shared_base_question(&self, answer: &str) {
+        self.shared_base_answers.with_label_values(&[answer]).inc();
+    }
+
+    pub(super) fn count_probes(&self, result: &str) {
+        self.probes.with_label_values(&[result]).inc();
+    }
+
     /// Returns the number of refusals by regions and reason.
     pub(super) fn region_refusals(&self) -> Vec<RegionRefusals> {
         let families = prometheus::core::Collector::collect(&self.region_refusals);
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -13,8 +13,11 @@
 
 use std::time::Duration;
 
+use lichenpulley_core::batch::controller::ReuseCounts;
+use lichenpulley_core::batch::queue_report::QueueReport;
 use lichenpulley_core::decision::Decision;
 use lichenpulley_core::ingress::warmups::ColdCount;
+use lichenpulley_core::retry::early_moves::{EarlyMoveDenial, EarlyMoveResult};
 use lichenpulley_protocol::operator::RegionRefusals;
 use lichenpulley_protocol::transport::FrameMeter;
 use prometheus::{IntCounterVec, IntGauge, Registry, TextEncoder};
@@ -90,6 +93,16 @@
         self.batch.set_items(shard, running, waiting);
     }
 
+    /// Counts items of batch jobs that used the text of an earlier job.
+    pub fn count_reused_items(&self, counts: ReuseCounts) {
+        self.batch.count_reused_items(counts);
+    }
+
+    /// Sets the waiting work of a shard that this node owns; `None` is the main shard.
+    pub fn set_batch_queue(&self, shard: Option<&str>, report: &QueueReport) {
+        self.batch.set_queue(shard, report);
+    }
+
     /// Sets the bytes of the batch log that this node has followed; 0 if it is not the next candidate.
     pub fn set_followed_bytes(&self, bytes: usize) {
         self.batch.set_followed_bytes(bytes);
@@ -120,16 +133,46 @@
         self.ingress.set_quarantined_requests(requests);
     }
 
+    /// Sets the number of bytes kept for callers that have not read them.
+    pub fn set_unread_answer_bytes(&self, bytes: u64) {
+        self.ingress.set_unread_answer_bytes(bytes);
+    }
+
     /// Counts a refused request that is restricted to some regions.
     pub fn count_region_refusal(&self, regions: &str, reason: &str) {
         self.ingress.count_region_refusal(regions, reason);
     }
 
+    /// Counts a refused request of a caller.
+    pub fn count_refusal(&self, reason: &str) {
+        self.ingress.count_refusal(reason);
+    }
+
+    /// Counts a plain request that moved early, once it has ended.
+    pub fn count_early_move(&self, result: EarlyMoveResult) {
+        self.ingress.count_early_move(result);
+    }
+
+    /// Counts an overdue plain request that did not move early.
+    pub fn count_early_move_denial(&self, denial: EarlyMoveDenial) {
+        self.ingress.count_early_move_denial(denial);
+    }
+
     /// Returns the counts of [`Self::count_region_refusal`].
     pub fn region_refusals(&self) -> Vec<RegionRefusals> {
         self.ingress.region_refusals()
     }
 
+    /// Counts a question for base latencies to the owner of the batch jobs.
+    pub fn count_shared_base_question(&self, answer: &str) {
+        self.ingress.count_shared_base_question(answer);
+    }
+
+    /// Counts a request before which the load of two replicas was queried.
+    pub fn count_probes(&self, result: &str) {
+        self.ingress.count_probes(result);
+    }
+
     /// Counts a peer's connection that was closed because of an error on it.
     pub fn count_closed_connection(&self, reason: &str) {
         self.peers.count_closed(reason);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -8,7 +8,9 @@
 mod drain;
 mod health;
 mod quarantine;
+mod queue;
 mod regions;
+mod tenants;
 mod zones;
 
 use hyper::body::Incoming;
@@ -69,12 +71,14 @@
             (&Method::GET, ["metrics"]) => health::metrics(&self.context),
             (&Method::GET, ["v1", "decisions"]) => decisions::watch(&self.context),
             (&Method::GET, ["v1", "pools"]) => response::json(StatusCode::OK, &self.dispatcher.pools()),
+            (&Method::GET, ["v1", "queue"]) => queue::list(&self.batch).await,
             (&Method::GET, ["v1", "regions"]) => regions::list(&self.context, &self.batch).await,
             (&Method::GET, ["v1", "replicas"]) => response::json(StatusCode::OK, &self.replica_states()),
             (&Method::POST, ["v1", "replicas", replica, order]) => match DrainOrder::from_path(order) {
                 Some(order) => self.send_order(&ReplicaId::new(percent_decode(replica)), order).await,
                 None => response::not_found(&path),
             },
+            (&Method::GET, ["v1", "tenants"]) => tenants::list(&self.context),
             (&Method::GET, ["v1", "zones"]) => zones::list(&self.context),
             (&Method::POST, ["v1", "zones", zone, change]) => match ZoneChange::from_path(change) {
                 Some(change) => zones::change(&self.context, &percent_decode(zone), change).await,
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -10,6 +10,7 @@
 mod platform_evacuations;
 mod platform_outline;
 mod platform_owners;
+mod platform_pace;
 mod platform_placement;
 mod platform_quarantine;
 mod platform_regions;
@@ -19,6 +20,7 @@
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
+mod platform_unread;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
