Start groups by slack from the first job on, and give slow replicas short items

Change: until items were measured, an item is assumed to take a second. A started group that is late no longer counts towards the missing ones. An item that exceeds its estimate is expected to run for half as long again. Of the next group, a slow replica is given the shortest item. Pools without free slots are skipped before their waiting items are read.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -11,7 +11,7 @@
 use crate::batch::job::{BatchItem, BatchJob};
 use crate::batch::ledger::JobState;
 use crate::batch::shortage::Backlog;
-use crate::batch::work_estimate::remaining_s;
+use crate::batch::work_estimate::{DEFAULT_ITEM_S, remaining_s};
 use crate::identity::BatchId;
 use crate::ingress::routes::{Route, RouteKind, RouteTable};
 use crate::time::{Timestamp, whole_millis};
@@ -36,8 +36,10 @@
     pub(super) trainer: Trainer,
     /// Time until it is due in seconds; negative afterwards.
     left_s: f64,
-    /// Slot-seconds per expected token, once known.
-    seconds_per_token: Option<f64>,
+    /// Slot-seconds per expected token.
+    seconds_per_token: f64,
+    /// Whether that was measured; otherwise it is a guess.
+    is_measured: bool,
     pub(super) running: u32,
     /// Its incomplete groups in the order of their positions, then the items without a group.
     pub(super) groups: Vec<IncompleteGroup>,
@@ -59,10 +61,14 @@
     /// Returns the waiting work that the open jobs need.
     pub(super) fn backlog(&self) -> Backlog {
         let open = || self.jobs.iter().filter(|job| !job.groups.is_empty());
-        let is_known = open().any(|job| job.seconds_per_token.is_some());
         let due = open().map(|job| job.route.due).min().unwrap_or_default();
         let work: f64 = open().map(OpenJob::needed_s).sum();
-        Backlog { work_s: is_known.then_some(work), slots: self.slots, due_s: due.as_secs_f64() }
+        Backlog { work_s: work, slots: self.slots, due_s: due.as_secs_f64() }
+    }
+
+    /// Returns whether the work of items was measured.
+    pub(super) fn is_measured(&self) -> bool {
+        self.jobs.iter().any(|job| job.is_measured)
     }
 
     /// Returns the part of the slots that each trainer can count on while all trainers have work, by priority and
@@ -118,7 +124,7 @@
             self.groups.len() - 1
         });
         let is_generating = live.stage == ItemStage::Generating;
-        let estimate_s = self.seconds_per_token.unwrap_or(0.0) * expected_tokens(request) as f64;
+        let estimate_s = self.seconds_per_token * expected_tokens(request) as f64;
         let work_s = if is_generating { remaining_s(estimate_s, ran) } else { 0.0 };
         let scoring_s = if request.scorer.is_some() { scoring_delay_s } else { 0.0 };
         self.running += u32::from(live.run.is_some());
@@ -188,6 +194,7 @@
             is_started: tally.has_listed(number),
             ..IncompleteGroup::default()
         };
+        let measured = self.dispatch.estimates.seconds_per_token(services);
         Some(OpenJob {
             batch,
             state,
@@ -196,7 +203,8 @@
             priority: priority(routes, route, &state.job),
             trainer: trainer_of(&state.job),
             left_s: (whole_millis(route.due) as f64 - age_ms as f64) / 1_000.0,
-            seconds_per_token: self.dispatch.estimates.seconds_per_token(services),
+            seconds_per_token: measured.unwrap_or_else(|| default_seconds_per_token(state)),
+            is_measured: measured.is_some(),
             running: 0,
             groups: (0..tally.groups()).map(groups).collect(),
             states: Vec::new(),
@@ -230,6 +238,13 @@
     }
 }
 
+/// Returns the slot-seconds per expected token of a job if nothing was measured: its items take the default time on
+/// average.
+fn default_seconds_per_token(state: &JobState) -> f64 {
+    let tokens: u64 = state.job.items.iter().map(expected_tokens).sum();
+    DEFAULT_ITEM_S * state.job.items.len() as f64 / tokens.max(1) as f64
+}
+
 /// Returns the sets of services that batch routes share, with the priorities of the routes.
 fn pools_of(routes: &RouteTable) -> Vec<Pool<'_>> {
     let mut pools: Vec<Pool<'_>> = Vec::new();
--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -1,16 +1,17 @@
 //! Starts the items of services with a shortage: groups that can be in time first, in shares and turns.
 //!
 //! The order applies only where open jobs or routes of a service have different priorities and the waiting work drains
-//! too slowly ([`crate::batch::shortage`]). All state here is a hint that is lost with the owner; a new owner uses the
-//! usual order until its first items complete.
+//! too slowly ([`crate::batch::shortage`]). All state here is a hint that is lost with the owner; a new owner assumes a
+//! usual time for each item until its first items complete.
 
+use std::borrow::Borrow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use super::backlog::{Pool, priority};
 use super::jobs::expected_tokens;
 use super::starting::JobClasses;
 use super::{Controller, LiveItem};
-use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane, WaitingItem};
+use crate::batch::dispatch_order::{GroupState, IncompleteGroup, Lane, Pick, WaitingItem};
 use crate::batch::fair_share::{Contender, FairQueue, Trainer};
 use crate::batch::schedule::ReplicaState;
 use crate::batch::work_estimate::{DecayingSum, WorkEstimates};
@@ -22,6 +23,9 @@
 /// Urgency of the items of the highest priority level; the other levels follow.
 const HIGHEST_URGENCY: u8 = 4;
 const LOWEST_URGENCY: u8 = 9;
+/// Pace of a replica, relative to the mean of its service, from which on it is not given the longest items. Measured
+/// paces of similar replicas vary by some percent.
+const SLOW_REPLICA_RATIO: f64 = 1.15;
 
 /// What the owner remembers between passes over the waiting items.
 #[derive(Default)]
@@ -62,8 +66,9 @@
 impl Controller {
     /// Starts waiting items of pools with a shortage, and returns the jobs of these pools.
     pub(super) fn start_items_of_short_pools(&mut self, now: Timestamp) -> HashSet<BatchId> {
-        let plans = self.plan_short_pools(now);
-        let mut planned = HashSet::new();
+        let mut full = HashSet::new();
+        let plans = self.plan_short_pools(now, &mut full);
+        let mut planned = full;
         for plan in plans {
             planned.extend(plan.batches.iter().cloned());
             self.start_planned(now, plan);
@@ -71,7 +76,9 @@
         planned
     }
 
-    fn plan_short_pools(&mut self, now: Timestamp) -> Vec<PoolPlan> {
+    /// Plans the pools with a shortage and free slots. Adds the jobs of pools without free slots to `full`: nothing of
+    /// theirs can start, so their waiting items, of which there may be thousands, are not looked at.
+    fn plan_short_pools(&mut self, now: Timestamp, full: &mut HashSet<BatchId>) -> Vec<PoolPlan> {
         let mut pools = self.pools_with_jobs(now);
         pools.retain(Pool::has_levels);
         let levels = |pool: &Pool<'_>| {
@@ -80,6 +87,13 @@
             services.map(move |service| (service, priorities.clone())).collect::<Vec<_>>()
         };
         let levels = pools.iter().flat_map(levels).collect();
+        pools.retain(|pool| {
+            let has_free_slot = self.has_free_slot_in(&pool.services);
+            if !has_free_slot {
+                full.extend(pool.jobs.iter().map(|job| job.batch.clone()));
+            }
+            has_free_slot
+        });
         let mut plans = Vec::new();
         if !pools.is_empty() {
             self.add_items(now, &mut pools);
@@ -112,9 +126,9 @@
 
     /// Starts items in the order of a queue while there are free slots.
     fn serve(&mut self, now: Timestamp, pass: &mut Pass, queue: &mut FairQueue, lanes: &mut [Lane]) {
-        while self.has_free_slot_in(&pass.services) {
+        while let Some(pick) = self.pick_for_free_slot(&pass.services) {
             let Some(contender) = queue.next_contender() else { return };
-            let next = lanes.get_mut(contender).and_then(|lane| pass.next_startable(lane));
+            let next = lanes.get_mut(contender).and_then(|lane| pass.next_startable(lane, pick));
             let Some((job, waiting, class)) = next else {
                 queue.exhaust(contender);
                 continue;
@@ -128,8 +142,22 @@
         }
     }
 
-    fn has_free_slot_in(&self, services: &BTreeSet<String>) -> bool {
-        let mut states = self.replicas.values().filter(|state| services.contains(&state.record.service));
+    /// Returns which items suit the fastest replica with a free slot, or `None` if no slot is free.
+    fn pick_for_free_slot(&self, services: &BTreeSet<String>) -> Option<Pick> {
+        let states = || self.replicas.values().filter(|state| services.contains(&state.record.service));
+        let free = states().filter(|state| state.has_free_slot());
+        let fastest = free.map(|state| state.expected_pace(&self.paces)).min_by(f64::total_cmp)?;
+        let (sum, count) = states()
+            .fold((0.0, 0.0), |(sum, count), state| (sum + state.expected_pace(&self.paces), count + 1.0));
+        Some(if fastest > sum / count * SLOW_REPLICA_RATIO { Pick::Shortest } else { Pick::Longest })
+    }
+
+    fn has_free_slot_in<S>(&self, services: &BTreeSet<S>) -> bool
+    where
+        S: Borrow<str> + Ord,
+    {
+        let service = |state: &&ReplicaState| services.contains(state.record.service.as_str());
+        let mut states = self.replicas.values().filter(service);
         states.any(ReplicaState::has_free_slot)
     }
 
@@ -198,9 +226,9 @@
 impl Pass {
     /// Removes items from a lane up to the first one that a replica may have capacity for, and returns that one with
     /// the index of its job and its class.
-    fn next_startable(&self, lane: &mut Lane) -> Option<(usize, WaitingItem, usize)> {
+    fn next_startable(&self, lane: &mut Lane, pick: Pick) -> Option<(usize, WaitingItem, usize)> {
         loop {
-            let (job, waiting) = lane.next_item()?;
+            let (job, waiting) = lane.next_item(pick)?;
             if let Some(class) = waiting.class.filter(|class| !self.full_classes.contains(class)) {
                 return Some((job, waiting, class));
             }
--- a/crates/core/src/batch/controller/queue.rs
+++ b/crates/core/src/batch/controller/queue.rs
@@ -39,11 +39,12 @@
             });
             self.add_job(now, queue, job);
         }
+        let drain_s = backlog.drain_s().filter(|_| pool.is_measured());
         ServiceQueue {
             service: pool.name().to_owned(),
             slots: pool.slots,
             used_slots: of_pool.map(|state| state.running).sum(),
-            drain_ms: backlog.drain_s().map(|seconds| (seconds * 1_000.0) as u64),
+            drain_ms: drain_s.map(|seconds| (seconds * 1_000.0) as u64),
             is_short: backlog.is_short(),
             trainers: trainers.into_values().collect(),
         }
--- a/crates/core/src/batch/dispatch_order.rs
+++ b/crates/core/src/batch/dispatch_order.rs
@@ -54,12 +54,17 @@
         self.waiting.iter().map(|waiting| waiting.work_s).sum()
     }
 
-    /// Puts the longest waiting item last, from where items are removed.
-    fn sort_waiting(&mut self) {
-        let order = |one: &WaitingItem, other: &WaitingItem| {
+    /// Removes and returns a waiting item.
+    fn take(&mut self, pick: Pick) -> Option<WaitingItem> {
+        let order = |(_, one): &(usize, &WaitingItem), (_, other): &(usize, &WaitingItem)| {
             one.work_s.total_cmp(&other.work_s).then(other.item.cmp(&one.item))
         };
-        self.waiting.sort_by(order);
+        let waiting = self.waiting.iter().enumerate();
+        let (position, _) = match pick {
+            Pick::Longest => waiting.max_by(order),
+            Pick::Shortest => waiting.min_by(order),
+        }?;
+        Some(self.waiting.swap_remove(position))
     }
 }
 
@@ -67,13 +72,15 @@
 /// `None` if the trainer waits for all; `left_s` is the time until the job is due, in seconds.
 ///
 /// Required and started groups are needed even beyond `missing`. The others are needed in the order of their
-/// positions, those that can be in time first, until there are enough.
+/// positions, those that can be in time first, until there are enough. A started group that can't be in time does not
+/// count: one straggler must not keep a trainer waiting while another group could be complete before it.
 pub fn group_states(groups: &[IncompleteGroup], missing: Option<u64>, left_s: f64) -> Vec<GroupState> {
     let is_fixed = |group: &IncompleteGroup| !group.is_group || group.is_required || group.is_started;
-    let fixed = groups.iter().filter(|group| group.is_group && is_fixed(group)).count();
+    let is_in_time = |group: &IncompleteGroup| group.finish_s <= left_s;
+    let counts = |group: &&IncompleteGroup| group.is_group && (group.is_required || is_in_time(group));
+    let fixed = groups.iter().filter(|group| is_fixed(group)).filter(counts).count();
     let mut open = missing.map_or(usize::MAX, |missing| usize::try_from(missing).unwrap_or(usize::MAX));
     open = open.saturating_sub(fixed);
-    let is_in_time = |group: &IncompleteGroup| group.finish_s <= left_s;
     let needed_state = |group| if is_in_time(group) { GroupState::InTime } else { GroupState::Late };
     let initial = |group| if is_fixed(group) { needed_state(group) } else { GroupState::Surplus };
     let mut states: Vec<GroupState> = groups.iter().map(initial).collect();
@@ -89,16 +96,23 @@
 }
 
 /// Sorts the groups of a job in the order in which they are served: required ones, started ones, those with the least
-/// slack, and then by position. Positions are those in `groups`.
-pub fn sort_groups(positions: &mut [usize], groups: &[IncompleteGroup]) {
-    positions.sort_by(|left, right| {
-        let key = |position: usize| groups.get(position).map(|group| (!group.is_required, !group.is_started));
-        let finish = |position: usize| groups.get(position).map_or(0.0, |group| group.finish_s);
-        let by_slack = finish(*right).total_cmp(&finish(*left));
-        key(*left).cmp(&key(*right)).then(by_slack).then(left.cmp(right))
+/// slack, and then by position.
+pub fn sort_groups(groups: &mut [IncompleteGroup]) {
+    groups.sort_by(|one, other| {
+        let key = |group: &IncompleteGroup| (!group.is_required, !group.is_started);
+        key(one).cmp(&key(other)).then(other.finish_s.total_cmp(&one.finish_s))
     });
 }
 
+/// Which item of a group is next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// The longest one, which determines when the group is complete.
+    Longest,
+    /// The shortest one. Suits a slow replica, where a long item would delay its group.
+    Shortest,
+}
+
 /// The waiting items of a trainer's groups in one state, generated one by one: groups and items are sorted only when
 /// their turn comes, because far fewer items can start in one pass than wait.
 #[derive(Clone, Debug, Default)]
@@ -113,6 +127,7 @@
     accepted_at_ms: u64,
     /// Index of the job, as given by the caller.
     job: usize,
+    /// Its groups in the order of their positions until they are sorted, and in reverse order of service then.
     groups: Vec<IncompleteGroup>,
     is_sorted: bool,
 }
@@ -130,40 +145,30 @@
     }
 
     /// Removes and returns the next item, with the index of its job.
-    pub fn next_item(&mut self) -> Option<(usize, WaitingItem)> {
+    pub fn next_item(&mut self, pick: Pick) -> Option<(usize, WaitingItem)> {
         loop {
             let job = self.jobs.last_mut()?;
-            if !job.is_sorted {
-                job.sort();
-            }
+            job.sort();
             let Some(group) = job.groups.last_mut() else {
                 self.jobs.pop();
                 continue;
             };
-            match group.waiting.pop() {
+            match group.take(pick) {
                 Some(waiting) => return Some((job.job, waiting)),
-                None => {
-                    job.groups.pop();
-                    if let Some(next) = job.groups.last_mut() {
-                        next.sort_waiting();
-                    }
-                }
+                None => drop(job.groups.pop()),
             }
         }
     }
 }
 
 impl LaneJob {
-    /// Sorts the groups in reverse order, so that the next one is removed from the end.
+    /// Sorts the groups, once, in reverse order of service, so that the next one is removed from the end.
     fn sort(&mut self) {
-        let mut positions: Vec<usize> = (0..self.groups.len()).collect();
-        sort_groups(&mut positions, &self.groups);
-        let mut groups = std::mem::take(&mut self.groups);
-        self.groups =
-            positions.into_iter().rev().map(|position| std::mem::take(&mut groups[position])).collect();
-        if let Some(next) = self.groups.last_mut() {
-            next.sort_waiting();
+        if self.is_sorted {
+            return;
         }
+        sort_groups(&mut self.groups);
+        self.groups.reverse();
         self.is_sorted = true;
     }
 }
--- a/crates/core/src/batch/shortage.rs
+++ b/crates/core/src/batch/shortage.rs
@@ -10,8 +10,8 @@
 /// The waiting work of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Backlog {
-    /// Estimated work of the waiting items that open jobs need, in slot-seconds; `None` while no estimate is known.
-    pub work_s: Option<f64>,
+    /// Estimated work of the waiting items that open jobs need, in slot-seconds.
+    pub work_s: f64,
     /// Number of usable slots.
     pub slots: u32,
     /// Shortest time from submission in which one of the jobs is due, in seconds.
@@ -22,7 +22,7 @@
     /// Returns the time in which the work drains, in seconds. Without slots it does not drain, and there is nothing
     /// to share either.
     pub fn drain_s(&self) -> Option<f64> {
-        self.work_s.filter(|_| self.slots > 0).map(|work| work / f64::from(self.slots))
+        (self.slots > 0).then(|| self.work_s / f64::from(self.slots))
     }
 
     /// Returns whether there is a shortage.
--- a/crates/core/src/batch/work_estimate.rs
+++ b/crates/core/src/batch/work_estimate.rs
@@ -15,6 +15,12 @@
 /// Minimum remaining work of an item that has already run, as a share of its estimate. Lengths have a long tail, so
 /// an item that exceeds its estimate is not nearly done.
 const MIN_REMAINING_SHARE: f64 = 0.25;
+/// Minimum remaining work of an item that has already run, as a share of the time that it has run: the longer an item
+/// of a long-tailed distribution has run, the longer it is expected to run on.
+const MIN_CONTINUED_SHARE: f64 = 0.5;
+/// Mean work of an item in slot-seconds that is assumed until an item was completed. Jobs that come before then would
+/// otherwise begin all of their groups.
+pub const DEFAULT_ITEM_S: f64 = 1.0;
 /// Time from a complete text to its listing that is assumed until it is measured.
 const DEFAULT_SCORING_DELAY: Duration = Duration::from_millis(300);
 /// Weight of the newest observation in the mean scoring delay.
@@ -93,5 +99,6 @@
 
 /// Returns the work left of an item with this estimate that has run for a time.
 pub fn remaining_s(estimate_s: f64, ran: Duration) -> f64 {
-    (estimate_s - ran.as_secs_f64()).max(estimate_s * MIN_REMAINING_SHARE)
+    let ran_s = ran.as_secs_f64();
+    (estimate_s - ran_s).max(estimate_s * MIN_REMAINING_SHARE).max(ran_s * MIN_CONTINUED_SHARE)
 }
