--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -58,6 +58,13 @@
         now < self.next_pass_at
     }
 
+    /// Lets the next pass begin now, and returns whether it would have had to wait.
+    pub(super) fn end_deferral(&mut self, now: Timestamp) -> bool {
+        let is_deferred = self.defers_pass(now);
+        self.next_pass_at = self.next_pass_at.min(now);
+        is_deferred
+    }
+
     /// Notes that all slots are in use.
     pub(super) fn clear_idle_services(&mut self) {
         self.idle_services.clear();
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -16,6 +16,7 @@
     /// [`super::ControllerConfig::heartbeat_interval`].
     pub fn tick(&mut self, now: Timestamp) {
         self.stop_stalled(now);
+        self.run_deferred_pass(now);
         self.move_slow(now);
         self.give_up_expired(now);
         self.drop_expired(now);
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Does a pass that was deferred, so that no run moves to a slot for which an item waits.
+    pub(super) fn run_deferred_pass(&mut self, now: Timestamp) {
+        if self.dispatch.end_deferral(now) {
+            self.mark_items_due(now);
+            self.run_due_work();
+        }
+    }
+
     /// Drops the in-memory state of items that are listed.
     fn remove_listed_items(&mut self) {
         let ledger = &self.ledger;
