Leave late work out of the shares used to refuse jobs

Cause: `trainer_shares` derived the share of a trainer from all needed work, including late groups. A large late job of another priority level reduced the share, and a job was refused with `no_time` although late work takes no share from work that can be in time.

Change: only the waiting work of groups that can be in time counts.

Result: a trainer is no longer refused because of late work of others. The new test in `batch_overload` fails without the change.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -66,13 +66,16 @@
     }
 
     /// Returns the part of the slots that each trainer can count on while all trainers have work, by priority and
-    /// trainer: the share of its level, split evenly between the trainers of the level.
+    /// trainer: the share of its level, split evenly between the trainers of the level. Only work that can be in time
+    /// counts, because late work takes no share from it.
     pub(super) fn trainer_shares(&self) -> BTreeMap<(u32, &Trainer), f64> {
         let mut levels: BTreeMap<u32, (f64, BTreeSet<&Trainer>)> = BTreeMap::new();
-        for job in self.jobs.iter().filter(|job| job.needed_s() > 0.0) {
-            let (work, trainers) = levels.entry(job.priority).or_default();
-            *work += job.needed_s();
-            trainers.insert(&job.trainer);
+        for (job, work_s) in self.jobs.iter().map(|job| (job, job.in_time_s())) {
+            if work_s > 0.0 {
+                let (work, trainers) = levels.entry(job.priority).or_default();
+                *work += work_s;
+                trainers.insert(&job.trainer);
+            }
         }
         let total: f64 = levels.values().map(|(work, _)| work).sum();
         let demands: Vec<f64> = levels.values().map(|(work, _)| work / total).collect();
--- a/crates/core/tests/batch_overload.rs
+++ b/crates/core/tests/batch_overload.rs
@@ -201,6 +201,22 @@
     assert!(is_accepted(&mut load, 0, "third", 1), "the earlier job is small");
 }
 
+/// Late work takes no share from work that can be in time. Guards against a refusal because of another trainer's job
+/// that is late already.
+#[test]
+fn no_job_is_refused_because_of_late_work_of_other_trainers() {
+    let mut load = Load::new(&[0, 1], REPLICAS);
+    warm_up(&mut load);
+    assert!(is_accepted(&mut load, 0, "late", 20 * GROUPS));
+    (0..900).for_each(|_| load.step());
+    assert!(is_accepted(&mut load, 1, "first", GROUPS));
+    load.step();
+    let report = load.harness.controller.queue_report(at(load.now_ms));
+    let in_time: Vec<u32> = report.services[0].trainers.iter().map(|trainer| trainer.groups_in_time).collect();
+    assert!(report.services[0].is_short && in_time[0] == 0 && in_time[1] > 0, "{report:?}");
+    assert!(is_accepted(&mut load, 1, "second", 1), "all slots serve the first job's groups");
+}
+
 #[test]
 fn no_job_is_refused_for_time_where_priorities_are_equal() {
     let mut load = Load::new(&[1, 1], REPLICAS);
