Check that reused texts leave no item waiting for ever

Cause: the random schedules of reuse checked only results that were listed. An item that is never listed after a reuse went unnoticed.

Change: at the end of each schedule, all runs and score requests are completed, and every item of the open jobs must be listed.

--- a/crates/core/tests/batch_reuse_schedules.rs
+++ b/crates/core/tests/batch_reuse_schedules.rs
@@ -18,6 +18,10 @@
 
 /// Number of items that the jobs share.
 const ITEMS: usize = 4;
+/// Number of slots of the replicas that generate texts.
+const MAX_ACTIVE_RUNS: usize = 4;
+/// Rounds in which all open items must be listed. Each round completes all runs, of which there are few at a time.
+const FINISH_ROUNDS: usize = 100;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -229,6 +233,34 @@
         counts.scored + counts.complete + counts.partial
     }
 
+    /// Completes all runs and score requests until every item of the open jobs is listed. Guards against items that
+    /// wait for ever because of a text that was reused.
+    fn finish(&mut self) {
+        for _ in 0..FINISH_ROUNDS {
+            self.play(&Step::FillTexts);
+            self.play(&Step::Commit);
+            for choice in (0..MAX_ACTIVE_RUNS).rev() {
+                self.play(&Step::Event(choice));
+                self.play(&Step::Complete(choice));
+            }
+            self.play(&Step::Commit);
+            (0..self.owner.scores.len()).for_each(|position| self.play(&Step::Score(position)));
+            self.play(&Step::Commit);
+            self.play(&Step::Tick);
+            if self.unlisted().is_empty() {
+                return;
+            }
+        }
+        panic!("items that are never listed: {:?}", self.unlisted());
+    }
+
+    /// Returns the open jobs with their numbers of items that are not listed.
+    fn unlisted(&self) -> Vec<(BatchId, usize)> {
+        let jobs = self.owner.controller.ledger().jobs().iter().filter(|(_, state)| !state.is_ended);
+        let left = jobs.map(|(batch, state)| (batch.clone(), state.job.items.len() - state.results.len()));
+        left.filter(|(_, left)| *left > 0).collect()
+    }
+
     /// Checks the results that callers can see.
     fn check(&mut self) {
         let ledger = self.owner.controller.ledger();
@@ -284,6 +316,7 @@
         }
         schedule.play(&Step::Commit);
         schedule.play(&Step::Lose { kept: 0, is_outlined: false });
+        schedule.finish();
     }
 }
 
