Track idle slots by service where services share routes

Cause: a pass that left a slot idle in one service marked all services of the pool as idle. Runs then moved as usual in a service whose items wait for the next free slot.

Change: only the services with a free slot are marked, and a move is judged by the service whose slot it would take.

The new test in `batch_priorities` fails without the change.

--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -104,9 +104,10 @@
             queue.begin(contenders, capacity_s, quantum_s);
             self.serve(now, &mut pass, queue, &mut lanes);
         }
-        if self.has_free_slot_in(&pass.services) {
-            self.dispatch.idle_services.append(&mut pass.services);
-        }
+        let free = self.replicas.values().filter(|state| state.has_free_slot());
+        let idle: BTreeSet<&str> = free.map(|state| state.record.service.as_str()).collect();
+        pass.services.retain(|service| idle.contains(service.as_str()));
+        self.dispatch.idle_services.append(&mut pass.services);
         self.dispatch.queues.insert(name, queues);
     }
 
@@ -162,10 +163,9 @@
         self.dispatch.awaited_services = services.filter(is_awaited).map(str::to_owned).collect();
     }
 
-    /// Returns whether items wait for the next free slot that this job could use.
-    pub(super) fn is_slot_awaited(&self, batch: &BatchId) -> bool {
-        let services = self.route(batch).map(|route| route.services.as_slice()).unwrap_or_default();
-        services.iter().any(|part| self.dispatch.awaited_services.contains(&part.service))
+    /// Returns whether items wait for the next free slot of a service.
+    pub(super) fn is_slot_awaited(&self, service: &str) -> bool {
+        self.dispatch.awaited_services.contains(service)
     }
 
     /// Learns from an item whose text is complete how much work its expected tokens are.
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -243,7 +243,8 @@
             return false;
         };
         let other_pace = other.reliable_pace(&self.paces);
-        let is_allowed = !self.is_slot_awaited(&run.batch) || is_worth_awaited_slot(pace, other_pace);
+        let is_allowed =
+            !self.is_slot_awaited(&other.record.service) || is_worth_awaited_slot(pace, other_pace);
         is_allowed && is_worth_moving(pace, other_pace, events)
     }
 
--- a/crates/core/tests/batch_overload.rs
+++ b/crates/core/tests/batch_overload.rs
@@ -212,7 +212,8 @@
     assert!(is_accepted(&mut load, 1, "first", GROUPS));
     load.step();
     let report = load.harness.controller.queue_report(at(load.now_ms));
-    let in_time: Vec<u32> = report.services[0].trainers.iter().map(|trainer| trainer.groups_in_time).collect();
+    let in_time: Vec<u32> =
+        report.services[0].trainers.iter().map(|trainer| trainer.groups_in_time).collect();
     assert!(report.services[0].is_short && in_time[0] == 0 && in_time[1] > 0, "{report:?}");
     assert!(is_accepted(&mut load, 1, "second", 1), "all slots serve the first job's groups");
 }
--- a/crates/core/tests/batch_priorities.rs
+++ b/crates/core/tests/batch_priorities.rs
@@ -12,7 +12,7 @@
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::identity::TenantName;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
-use lichenpulley_core::ingress::routes::RouteTable;
+use lichenpulley_core::ingress::routes::{RouteTable, WeightedService};
 use lichenpulley_core::ingress::tenants::{Tenant, TenantDirectory};
 
 /// Returns an owner for trainers with these priorities.
@@ -70,7 +70,11 @@
 /// whether the slow one was moved to the slot that this frees.
 fn moves(priorities: &[u32], slow_ms: u64, quick_ms: u64, slow_events: u64) -> bool {
     let single = |id| ReplicaRecord { slots: 1, ..replica(id, 1) };
-    let mut harness = owner(priorities, &[single("a"), single("b")]);
+    let harness = owner(priorities, &[single("a"), single("b")]);
+    moves_of(harness, slow_ms, quick_ms, slow_events)
+}
+
+fn moves_of(mut harness: OwnerHarness, slow_ms: u64, quick_ms: u64, slow_events: u64) -> bool {
     harness.submit(at(0), trainer_job(0, "warm-up", &[vec![1_000]], 1));
     let run = harness.started[0].run;
     harness.event(at(1_000), run, 0, 1);
@@ -102,3 +106,20 @@
     assert!(moves(&[0, 1], 200, 50, 12));
     assert!(moves(&[1, 1], 65, 50, 40), "without levels, runs move as usual");
 }
+
+/// Idle slots of another service, which the waiting items can't use, must not hide that items wait for the slot that a
+/// moved run would take.
+#[test]
+fn idle_slots_that_waiting_items_cannot_use_allow_no_more_moves() {
+    let single = |id| ReplicaRecord { slots: 1, ..replica(id, 1) };
+    let other = ReplicaRecord { service: "others".to_owned(), models: BTreeMap::new(), ..single("c") };
+    let replicas = [single("a"), single("b"), other];
+    let mut routes = RouteTable::clone(&trainer_routes(&[0, 1]));
+    routes.services.insert("others".to_owned(), routes.services["engines"].clone());
+    let first = routes.routes.iter_mut().find(|route| route.name == "trainer-0").expect("the route");
+    first.services.push(WeightedService { service: "others".to_owned(), weight: 1 });
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.controller.update(at(0), Some(Arc::new(routes)), &table(&replicas), &BTreeMap::new());
+    harness.drain_actions();
+    assert!(!moves_of(harness, 65, 50, 40));
+}
