Give the highest level half of the slots whatever work it has left

Cause: found in review. Shares were capped at the remaining work of a level, so the last items of the highest level's jobs waited for the longest: with 100 s of work beside 900 s, its last item was start 843 of 1,000.

Change: half of the slots are shared in proportion to the needed work, the other half goes to the highest level with work.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -85,7 +85,7 @@
         }
         let total: f64 = levels.values().map(|(work, _)| work).sum();
         let demands: Vec<f64> = levels.values().map(|(work, _)| work / total).collect();
-        let shares = level_shares(&demands, self.backlog().capacity_s() / total);
+        let shares = level_shares(&demands);
         let served: f64 = shares.iter().sum();
         let mut trainer_shares = BTreeMap::new();
         for ((priority, (_, trainers)), share) in levels.iter().zip(shares) {
--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -78,7 +78,6 @@
     /// The jobs, by the indices that the lanes use.
     batches: Vec<BatchId>,
     lanes: BTreeMap<GroupState, Vec<(Contender, Lane)>>,
-    capacity_s: f64,
     quantum_s: f64,
 }
 
@@ -131,13 +130,13 @@
     }
 
     fn start_planned(&mut self, now: Timestamp, plan: PoolPlan) {
-        let PoolPlan { name, services, batches, lanes, capacity_s, quantum_s } = plan;
+        let PoolPlan { name, services, batches, lanes, quantum_s } = plan;
         let mut queues = self.dispatch.queues.remove(&name).unwrap_or_default();
         let mut pass = Pass { services, batches, full_classes: HashSet::new() };
         for (state, lanes) in lanes {
             let (contenders, mut lanes): (Vec<_>, Vec<_>) = lanes.into_iter().unzip();
             let queue = queues.entry(state).or_default();
-            queue.begin(contenders, capacity_s, quantum_s);
+            queue.begin(contenders, quantum_s);
             self.serve(now, &mut pass, queue, &mut lanes);
         }
         let free = self.replicas.values().filter(|state| state.has_free_slot());
@@ -266,7 +265,6 @@
             services: pool.services.iter().map(|service| (*service).to_owned()).collect(),
             batches: pool.jobs.iter().map(|job| job.batch.clone()).collect(),
             lanes: BTreeMap::new(),
-            capacity_s: backlog.capacity_s(),
             quantum_s: backlog.capacity_s() / pool.trainers().max(1) as f64,
         };
         for state in GroupState::ALL {
--- a/crates/core/src/batch/fair_share.rs
+++ b/crates/core/src/batch/fair_share.rs
@@ -3,8 +3,9 @@
 //! Load pattern: trainers of different priority together need more than the slots can do in time. Strict priority would
 //! starve the lowest level, and an even split would make the jobs of all trainers late.
 //!
-//! - Each level gets a third of its proportional share; the rest goes to the levels in the order of priority, up to
-//!   their demands. Levels are interleaved by weighted virtual time (start-time fair queueing, Goyal et al. 1996).
+//! - Half of the slots are shared in proportion to the needed work of the levels; the other half goes to the highest
+//!   level that has work. Levels are interleaved by weighted virtual time (start-time fair queueing, Goyal et al. 1996),
+//!   so what a level does not use goes to the others.
 //! - Within a level, trainers take turns. The next turn goes to the tenant that was given the least, and there to the
 //!   trainer that was given the least.
 //!
@@ -14,25 +15,22 @@
 
 use crate::identity::TenantName;
 
-/// The part of its proportional share that each level gets whatever its priority. No kind of request may be served
-/// less than a quarter as often as all together; a third leaves a margin for errors of the estimates.
-const GUARANTEED_SHARE: f64 = 1.0 / 3.0;
+/// The part of the slots that is shared in proportion to the needed work, whatever the priority. No kind of request may
+/// be served less than a quarter as often as all together; with a half, the lowest level is not, even where the levels
+/// above it take all of the rest.
+const PROPORTIONAL_SHARE: f64 = 0.5;
 /// Minimum weight of a level, so that rounding never gives a level with work no share at all.
 const MIN_WEIGHT: f64 = 1e-6;
 
-/// Returns the part of the total needed work that is done of each level. `demands` are the levels' parts of the needed
-/// work, highest priority first, with sum 1; `capacity` is the part of the needed work that can be done.
-pub fn level_shares(demands: &[f64], capacity: f64) -> Vec<f64> {
-    let capacity = capacity.clamp(0.0, 1.0);
-    let mut left = capacity * (1.0 - GUARANTEED_SHARE);
-    let mut shares = Vec::with_capacity(demands.len());
-    for demand in demands {
-        let guaranteed = capacity * demand * GUARANTEED_SHARE;
-        let more = (demand - guaranteed).clamp(0.0, left);
-        left -= more;
-        shares.push(guaranteed + more);
-    }
-    shares
+/// Returns each level's share of the slots, with sum 1. `demands` are the levels' parts of the needed work, highest
+/// priority first, with sum 1. The share of the highest level does not shrink with its remaining work: the last items
+/// of its jobs would wait for the longest.
+pub fn level_shares(demands: &[f64]) -> Vec<f64> {
+    let share = |(level, demand): (usize, &f64)| {
+        let by_priority = if level == 0 { 1.0 - PROPORTIONAL_SHARE } else { 0.0 };
+        demand * PROPORTIONAL_SHARE + by_priority
+    };
+    demands.iter().enumerate().map(share).collect()
 }
 
 /// Weighted virtual times of the parties that compete for something.
@@ -168,9 +166,8 @@
 }
 
 impl FairQueue {
-    /// Begins a pass over the free slots. `capacity_s` is the work that can be done of that of all contenders
-    /// together, and `quantum_s` the work that a trainer is given in one turn.
-    pub fn begin(&mut self, contenders: Vec<Contender>, capacity_s: f64, quantum_s: f64) {
+    /// Begins a pass over the free slots. `quantum_s` is the work that a trainer is given in one turn.
+    pub fn begin(&mut self, contenders: Vec<Contender>, quantum_s: f64) {
         let mut demands: BTreeMap<u32, f64> = BTreeMap::new();
         let mut trainers: BTreeMap<u32, BTreeSet<Trainer>> = BTreeMap::new();
         for contender in &contenders {
@@ -179,7 +176,7 @@
         }
         let total: f64 = demands.values().sum();
         let parts: Vec<f64> = demands.values().map(|work| work / total.max(f64::MIN_POSITIVE)).collect();
-        let shares = level_shares(&parts, capacity_s / total.max(f64::MIN_POSITIVE));
+        let shares = level_shares(&parts);
         self.weights = demands.keys().copied().zip(shares).collect();
         self.levels.set_active(demands.keys().copied().collect(), 0.0);
         for (level, turns) in &mut self.turns {
