Handle the run events of 10 ms together during a shortage

Thousands of events arrive in a second, and nearly each woke the control thread.

Change: after a pass that saw a shortage, the owner takes run events every 10 ms.

--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -28,6 +28,8 @@
 /// thousands, while hundreds of runs end in a second; a slot that waits half of this time loses one or two percent of
 /// a run.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a shortage counts after a pass that saw one. Passes with free slots are far more frequent in a shortage.
+const SHORTAGE_VALIDITY: Duration = Duration::from_millis(500);
 /// Pace of a replica, relative to the mean of its service, from which on it is not given the longest items. Measured
 /// paces of similar replicas vary by some percent.
 const SLOW_REPLICA_RATIO: f64 = 1.15;
@@ -50,6 +52,8 @@
     pub(super) refused_jobs: u64,
     /// When the next pass may begin, as long as the shortage lasts.
     next_pass_at: Timestamp,
+    /// Until when the shortage seen by the last pass counts.
+    short_until: Timestamp,
 }
 
 impl Dispatch {
@@ -82,6 +86,11 @@
 }
 
 impl Controller {
+    /// Returns whether there is a shortage in which work is started in shares.
+    pub fn is_short(&self, now: Timestamp) -> bool {
+        now < self.dispatch.short_until
+    }
+
     /// Starts waiting items of pools with a shortage, and returns the jobs of these pools.
     pub(super) fn start_items_of_short_pools(&mut self, now: Timestamp) -> HashSet<BatchId> {
         let mut full = HashSet::new();
@@ -89,6 +98,7 @@
         let mut planned = full;
         if !plans.is_empty() {
             self.dispatch.next_pass_at = now + MIN_PASS_INTERVAL;
+            self.dispatch.short_until = now + SHORTAGE_VALIDITY;
         }
         for plan in plans {
             planned.extend(plan.batches.iter().cloned());
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -183,7 +183,9 @@
             () = inputs.draining.cancelled() => return ControlFlow::Break(StopReason::Leaves),
             Some(command) = inputs.commands.recv() => self.handle_command(command),
             outcome = self.stores.log.next() => self.handle_append(outcome),
-            Some((run, event)) = self.running.run_events.recv() => self.handle_run(run, event),
+            Some((run, event)) = running::next_event(&mut self.running.run_events, self.running.resume_at) => {
+                self.handle_run(run, event);
+            }
             Some(ended) = self.running.score_ends.recv() => self.handle_score(&ended),
             Some(ended) = self.calls.load_ends.recv() => self.handle_load(&ended),
             Some(ended) = self.calls.duty_ends.recv() => self.handle_duty(&ended),
@@ -265,6 +267,9 @@
         while let Ok((run, event)) = self.running.run_events.try_recv() {
             self.controller.run_event(now, run, event);
         }
+        if self.controller.is_short(now) {
+            self.running.pause_events();
+        }
     }
 
     fn handle_score(&mut self, ended: &ScoreEnded) {
--- a/crates/daemon/src/batch/owner/running.rs
+++ b/crates/daemon/src/batch/owner/running.rs
@@ -4,12 +4,14 @@
 //! controller decides which of them to start and stop.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use lichenpulley_core::batch::controller::{RunEvent, RunId, RunStart};
 use lichenpulley_core::batch::score_plan::{ScoreId, ScoreStart};
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::batch::run;
 use crate::batch::score::{self, ScoreEnded};
@@ -19,6 +21,9 @@
 
 /// Capacity of the channel for run events; connections are not read while it is full.
 const RUN_EVENT_BACKLOG: usize = 4_096;
+/// During a shortage, the events of this time are handled together. Thousands of events arrive in a second then, and a
+/// wake-up of the control thread for each would take a large part of its processor time.
+const EVENT_BATCH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Tasks in progress at replicas. Dropping it does not stop them; see [`Self::stop_all`].
 pub(super) struct RunningWork {
@@ -29,6 +34,8 @@
     run_sender: mpsc::Sender<(RunId, RunEvent)>,
     /// Receives events of runs; the events of one run arrive in order.
     pub(super) run_events: mpsc::Receiver<(RunId, RunEvent)>,
+    /// Before this time no further run events are taken.
+    pub(super) resume_at: Instant,
     scores: HashMap<ScoreId, AbortHandle>,
     score_sender: mpsc::UnboundedSender<ScoreEnded>,
     /// Receives the ends of score requests.
@@ -41,7 +48,24 @@
         let (run_sender, run_events) = mpsc::channel(RUN_EVENT_BACKLOG);
         let (score_sender, score_ends) = mpsc::unbounded_channel();
         let (runs, scores) = (HashMap::new(), HashMap::new());
-        Self { context, pool, traffic, runs, run_sender, run_events, scores, score_sender, score_ends }
+        let resume_at = Instant::now();
+        Self {
+            context,
+            pool,
+            traffic,
+            runs,
+            run_sender,
+            run_events,
+            resume_at,
+            scores,
+            score_sender,
+            score_ends,
+        }
+    }
+
+    /// Lets run events gather for a short time.
+    pub(super) fn pause_events(&mut self) {
+        self.resume_at = Instant::now() + EVENT_BATCH_INTERVAL;
     }
 
     /// Spawns a task that sends an item to its replica.
@@ -86,3 +110,14 @@
         runs.chain(scores).for_each(|handle| handle.abort());
     }
 }
+
+/// Returns the next run event, not before `resume_at`. Cancel safe: no event is lost if the future is dropped.
+pub(super) async fn next_event(
+    events: &mut mpsc::Receiver<(RunId, RunEvent)>,
+    resume_at: Instant,
+) -> Option<(RunId, RunEvent)> {
+    if Instant::now() < resume_at {
+        tokio::time::sleep_until(resume_at).await;
+    }
+    events.recv().await
+}
