Keep a plain request where its answer is arriving

Cause: an early move did not look at whether the response head had arrived.

Change: the send reports its progress (not written, written, answering), and a request whose answer has begun does not move early. Later moves are as before.

--- a/crates/daemon/src/ingress/attempt_loop.rs
+++ b/crates/daemon/src/ingress/attempt_loop.rs
@@ -24,7 +24,7 @@
 
 use super::Ingress;
 use super::caller_request::CallerRequest;
-use super::in_flight::InFlightRequest;
+use super::in_flight::{InFlightRequest, SendProgress};
 use super::refusal::Refusal;
 use crate::http::Body;
 
@@ -154,7 +154,7 @@
         let waits = WaitingSend {
             is_at_cold: in_flight.is_cold,
             selected_at: in_flight.started_at,
-            written_at: in_flight.written_at(),
+            progress: in_flight.progress(),
         };
         let ended = tokio::select! {
             biased;
@@ -269,20 +269,24 @@
     is_at_cold: bool,
     /// When the replica was selected.
     selected_at: Instant,
-    /// When the first byte was written; `None` until then.
-    written_at: watch::Receiver<Option<Instant>>,
+    progress: watch::Receiver<SendProgress>,
 }
 
 impl WaitingSend {
-    /// Waits until the request may move early. Doesn't return before its first byte is written.
+    /// Waits until the request may move early. Never returns if its first byte is not written, or if its answer has begun
+    /// to arrive by then.
     async fn until_early_move(&mut self, target: Duration) {
-        let written_at = self.written_at.wait_for(Option::is_some).await.ok().and_then(|written| *written);
-        let Some(written_at) = written_at else {
-            // The send has ended, so that nothing is left to be moved.
+        let is_written = |progress: &SendProgress| *progress != SendProgress::NotWritten;
+        let progress = self.progress.wait_for(is_written).await.map(|progress| *progress);
+        let Ok(SendProgress::Written(written_at)) = progress else {
+            // The answer is arriving, or the send has ended.
             return std::future::pending().await;
         };
         let written = Timestamp::ORIGIN + written_at.saturating_duration_since(self.selected_at);
         let moves_at = attempt_timeout::early_move_at(target, Timestamp::ORIGIN, written);
         tokio::time::sleep_until(self.selected_at + moves_at.saturating_since(Timestamp::ORIGIN)).await;
+        if *self.progress.borrow() == SendProgress::Answering {
+            std::future::pending::<()>().await;
+        }
     }
 }
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -37,6 +37,17 @@
     pub(super) deadline: Instant,
 }
 
+/// How far the send of a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendProgress {
+    /// No byte was written.
+    NotWritten,
+    /// The first byte was written at this time.
+    Written(Instant),
+    /// The response head has arrived.
+    Answering,
+}
+
 /// A request in flight at one replica, from the selection of the replica until the request ends.
 pub(super) struct InFlightRequest {
     ingress: Ingress,
@@ -46,8 +57,7 @@
     pub(super) is_cold: bool,
     /// When the replica was selected.
     pub(super) started_at: Instant,
-    /// When the first byte was written; `None` until then.
-    written_at: watch::Sender<Option<Instant>>,
+    progress: watch::Sender<SendProgress>,
     feedback: ReplicaFeedback,
     /// Reports the end of the run to the quarantine.
     pub(super) run: TracedRun,
@@ -63,15 +73,15 @@
             replica,
             is_cold,
             started_at: Instant::now(),
-            written_at: watch::Sender::new(None),
+            progress: watch::Sender::new(SendProgress::NotWritten),
             feedback: ReplicaFeedback::Abandoned,
             run,
         }
     }
 
-    /// Returns when the first byte of the request was written, as soon as it is.
-    pub(super) fn written_at(&self) -> watch::Receiver<Option<Instant>> {
-        self.written_at.subscribe()
+    /// Returns a receiver of the progress of the send.
+    pub(super) fn progress(&self) -> watch::Receiver<SendProgress> {
+        self.progress.subscribe()
     }
 
     /// Sends the request and waits for the response head. Writes no byte after the deadline.
@@ -89,7 +99,7 @@
             let may_send = Instant::now() < options.deadline && self.ingress.may_send(request, &self.replica);
             may_be_written.store(may_send, Ordering::Relaxed);
             if may_send {
-                self.written_at.send_replace(Some(Instant::now()));
+                self.progress.send_replace(SendProgress::Written(Instant::now()));
             }
             may_send
         };
@@ -113,6 +123,7 @@
                 return Err(SendOutcome::TimedOut);
             }
         };
+        self.progress.send_replace(SendProgress::Answering);
         let load = headers::reported_load(exchange.response.headers());
         let is_late = self.started_at.elapsed() > request.target;
         self.ingress.record_response_head(&self.replica, load, is_late);
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use lichenpulley_platform::headers;
@@ -113,12 +115,23 @@
                 tokio::time::sleep(time).await;
             }
             let mut answer = signed(StatusCode::OK, &seen.id, &[]);
-            *answer.body_mut() = http_body_util::Full::new(seen.body).map_err(|never| match never {}).boxed();
+            *answer.body_mut() = match behaviour {
+                ReplicaBehaviour::DelaysBody(time) => delayed_body(seen.body, time),
+                _ => http_body_util::Full::new(seen.body).map_err(|never| match never {}).boxed(),
+            };
             answer.into()
         }
     }
 }
 
+fn delayed_body(body: Bytes, time: Duration) -> Body {
+    let frame = async move {
+        tokio::time::sleep(time).await;
+        Ok(Frame::data(body))
+    };
+    StreamBody::new(stream::once(frame)).boxed()
+}
+
 async fn read(request: Request<Incoming>) -> Result<SeenRequest, Response<Body>> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|error| http::bad_request(&error.to_string()))?;
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -38,6 +38,8 @@
     LosesAnswers,
     /// Takes this long for each plain response and before each event of a stream.
     Takes(Duration),
+    /// Sends the head of each plain response at once and its body after this time.
+    DelaysBody(Duration),
     /// Responds that each request failed.
     Fails,
     /// Breaks each stream after this many events.
--- a/crates/lab/tests/platform_slow/early_moves.rs
+++ b/crates/lab/tests/platform_slow/early_moves.rs
@@ -138,6 +138,20 @@
     assert!(!metrics.contains("lichenpulley_early_moves_total"), "{metrics}");
 }
 
+/// Guards against a move that closes the connection on which an answer is arriving, and runs the request again.
+#[tokio::test]
+async fn a_request_whose_answer_is_arriving_does_not_move_early() {
+    let system = system(3, IDLE).await;
+    for replica in &system.replicas {
+        replica.set_behaviour(ReplicaBehaviour::DelaysBody(TARGET));
+    }
+    let fields = [("attempt-id", "r"), ("deadline-ms", LONG_DEADLINE_MS)];
+    let answer = system.call(0, Method::POST, "/read/x", &fields, Bytes::from_static(b"x")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(runs(&system, "r"), 1);
+    assert!(!metrics(&system).contains("lichenpulley_early_moves_total"), "it moved early");
+}
+
 /// Guards against early moves where replicas don't report a pace.
 #[tokio::test]
 async fn a_request_moves_as_before_if_replicas_report_no_pace() {
