Forget the shortages of services that are no longer configured

Cause: the policy of probes kept an entry for each service that ever had a shortage.

Change: ProbePolicy::retain_services, called with the limits on early moves when the configuration changes.

Result: the state is bounded by the configured services; a test checks that a removed service is forgotten.

--- a/crates/core/src/ingress/probing.rs
+++ b/crates/core/src/ingress/probing.rs
@@ -65,4 +65,9 @@
         state.failures = state.failures.saturating_add(1);
         state.not_before = now + NO_LOAD_BACKOFF.pause(state.failures);
     }
+
+    /// Drops the services that are no longer configured.
+    pub fn retain_services(&mut self, is_configured: impl Fn(&str) -> bool) {
+        self.services.retain(|service, _| is_configured(service));
+    }
 }
--- a/crates/core/tests/replica_pace.rs
+++ b/crates/core/tests/replica_pace.rs
@@ -322,3 +322,12 @@
     }
     assert!((4..=7).contains(&probes), "{probes} within a minute");
 }
+
+/// Guards against state that is kept for services that are no longer configured.
+#[test]
+fn the_shortage_of_a_removed_service_is_forgotten() {
+    let mut policy = ProbePolicy::default();
+    policy.record_answer("plain", Some(1), false, at(1_000));
+    policy.retain_services(|service| service != "plain");
+    assert!(!policy.should_probe("plain", at(1_001)));
+}
--- a/crates/daemon/src/ingress/selector_update.rs
+++ b/crates/daemon/src/ingress/selector_update.rs
@@ -78,6 +78,7 @@
         self.selector.gate_mut().warmups_mut().set_routes(&routes);
         let early_moves = self.selector.early_moves_mut();
         early_moves.retain_services(|service| routes.services.contains_key(service));
+        self.probing.retain_services(|service| routes.services.contains_key(service));
         self.routes = Some(routes);
         // Forces an update with all replicas, since services that have bounds from now on were not tracked
         // before.
