Do no work for paces where no replica has reported one

Cause: in deployments without paces, each plain request searched the candidates a second time for the check of queues, and allocated names for the budget of early moves; probes during a shortage searched a third time, and every second all replicas were grouped by service.

Change: the chooser remembers whether any replica has reported a pace, and these steps are skipped until then. A health path is copied only for a request that is probed.

Result: the new test, in which a search for candidates would fail, failed before and passes now; requests of these deployments are selected once.

--- a/crates/core/src/ingress/chooser.rs
+++ b/crates/core/src/ingress/chooser.rs
@@ -99,6 +99,8 @@
     stats: BTreeMap<String, ReplicaStats>,
     /// Base latencies that the owner of the batch jobs measured, by service.
     shared: BTreeMap<String, SharedBases>,
+    /// Whether any replica has reported a pace to this node. Never reset.
+    has_paces: bool,
 }
 
 /// Base latency of a replica that reports its pace.
@@ -216,11 +218,21 @@
         stats.reported = Some((now, load.in_hand()));
         stats.waiting = Some((now, load.waiting));
         stats.model.record_load(load, now);
+        self.has_paces |= load.pace_percent.is_some();
+    }
+
+    /// Whether any replica has ever reported a pace to this node. Where none has, requests need no work for what depends
+    /// on paces.
+    pub const fn has_paces(&self) -> bool {
+        self.has_paces
     }
 
     /// Whether any of the replicas, given by their ids, has reported a pace to this node.
     pub fn reports_pace<'a>(&self, replicas: impl IntoIterator<Item = &'a str>) -> bool {
-        replicas.into_iter().any(|id| self.stats.get(id).is_some_and(|stats| stats.model.reports_pace()))
+        self.has_paces
+            && replicas
+                .into_iter()
+                .any(|id| self.stats.get(id).is_some_and(|stats| stats.model.reports_pace()))
     }
 
     /// Returns the time after which a replica is expected to respond to a request sent now. `None` if it reports no
--- a/crates/core/src/ingress/selection.rs
+++ b/crates/core/src/ingress/selection.rs
@@ -210,6 +210,9 @@
         now: Timestamp,
         random: u64,
     ) -> Option<[ReplicaRecord; 2]> {
+        if !self.has_paces() {
+            return None;
+        }
         let mut candidates = self.candidates(query, table, evacuated, now).ok()?;
         if !self.reports_pace(candidates.iter().map(|record| record.id.as_str())) {
             return None;
@@ -229,7 +232,7 @@
     /// # Errors
     /// Returns [`NoCandidate::NoTime`] if each candidate recently reported a queue that takes longer than that. Once the
     /// reports are too old, requests are sent again, and their answers bring new reports. Returns the reason if there is
-    /// no candidate.
+    /// no candidate, unless no replica has reported a pace.
     pub fn check_queues(
         &mut self,
         query: &SelectionQuery<'_>,
@@ -238,6 +241,9 @@
         evacuated: Option<Arc<EvacuatedZones>>,
         now: Timestamp,
     ) -> Result<(), NoCandidate> {
+        if !self.has_paces() {
+            return Ok(());
+        }
         let candidates = self.candidates(query, table, evacuated, now)?;
         let drain_times = candidates.iter().map(|record| self.drain_time(record, now));
         // `None` if any queue is unknown. There is at least one candidate.
@@ -399,6 +405,11 @@
         self.chooser.record_reported_load(replica, load, now);
     }
 
+    /// Whether any replica has ever reported a pace to this node.
+    pub const fn has_paces(&self) -> bool {
+        self.chooser.has_paces()
+    }
+
     /// Whether any of the replicas, given by their ids, has reported a pace to this node.
     pub fn reports_pace<'a>(&self, replicas: impl IntoIterator<Item = &'a str>) -> bool {
         self.chooser.reports_pace(replicas)
--- a/crates/core/tests/early_move_selection.rs
+++ b/crates/core/tests/early_move_selection.rs
@@ -127,6 +127,19 @@
     assert_ne!(second.record.id, first.record.id);
 }
 
+/// Guards against a second search for candidates for each request where replicas report no pace. That search would find
+/// that the evacuated zones are unknown.
+#[test]
+fn queues_cost_no_search_for_candidates_if_no_replica_has_reported_a_pace() {
+    for (pace_percent, expected) in [(None, Ok(())), (Some(100), Err(NoCandidate::EvacuationsUnknown))] {
+        let mut gateway = Gateway::new(pace_percent);
+        let checked = gateway.with_query(&[], |selector, query, table| {
+            selector.check_queues(query, REMAINING, Some(table), None, NOW)
+        });
+        assert_eq!(checked, expected, "{pace_percent:?}");
+    }
+}
+
 /// Guards against early moves in deployments whose replicas report no pace.
 #[test]
 fn no_request_moves_early_if_no_replica_has_reported_a_pace() {
--- a/crates/daemon/src/ingress/base_latencies.rs
+++ b/crates/daemon/src/ingress/base_latencies.rs
@@ -67,6 +67,9 @@
     /// Returns replicas of the services that report a pace, at most [`MAX_SHARED_REPLICAS`] of each. Which of them is
     /// random, so that all are asked about in turn where there are more.
     fn replicas_with_pace(&self) -> AskedReplicas {
+        if !self.selection().selector.has_paces() {
+            return AskedReplicas::new();
+        }
         let replicas = self.context.metadata.replicas.load_full();
         let mut by_service: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
         for record in replicas.records.values() {
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -222,7 +222,10 @@
 
     /// Adds a plain request to the budget of early moves of its service.
     fn record_plain_request(&self, service: &str) {
-        self.selection().selector.early_moves_mut().record_request(service, self.now());
+        let mut selection = self.selection();
+        if selection.selector.has_paces() {
+            selection.selector.early_moves_mut().record_request(service, self.now());
+        }
     }
 
     /// Records how a plain request that moved early ended.
@@ -285,8 +288,10 @@
         let mut selection = self.selection();
         if let Some(load) = load {
             selection.selector.record_reported_load(&replica.id, load, now);
-            let early_moves = selection.selector.early_moves_mut();
-            early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
+            if selection.selector.has_paces() {
+                let early_moves = selection.selector.early_moves_mut();
+                early_moves.record_answer(&replica.service, &replica.id, load.waiting, now);
+            }
         }
         selection.probing.record_answer(&replica.service, load.map(|load| load.waiting), is_late, now);
     }
--- a/crates/daemon/src/ingress/probes.rs
+++ b/crates/daemon/src/ingress/probes.rs
@@ -63,14 +63,14 @@
         tried: &[String],
     ) -> Option<(String, [ReplicaRecord; 2])> {
         let routes = self.context.metadata.routes.load_full()?;
-        let path = routes.services.get(&request.service)?.health_path.clone()?;
+        let path = routes.services.get(&request.service)?.health_path.as_ref()?;
         if !self.selection().probing.should_probe(&request.service, self.now()) {
             return None;
         }
         let pair = self.select_with(request, tried, |selector, query, table, evacuated, now| {
             selector.probe_pair(query, table, evacuated, now, rand::random())
         })?;
-        Some((path, pair))
+        Some((path.clone(), pair))
     }
 
     /// Returns the load that a replica reports by its health path, if it answers in time.
