Send the owner no load event where a replica reports no pace

Cause: each run of a batch item sent the owner an event with the load of the response head, of which the owner uses only whether there is a pace.

Change: the event is sent only if the load has a pace.

Result: replicas without a pace cost the owner no event; the behaviour is unchanged (Controller::take_load only looks at the pace), and the tests of platform_pace pass.

--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -124,7 +124,8 @@
         return end;
     }
     let (head, mut body) = response.into_parts();
-    if let Some(load) = reported_load(&head.headers) {
+    // The owner uses only the pace, so that replicas without one cost no event.
+    if let Some(load) = reported_load(&head.headers).filter(|load| load.pace_percent.is_some()) {
         // Sending fails only once the owner has ended.
         let _ = events.send((start.run, RunEvent::Load(load))).await;
     }
