Name private constants without links in public documentation

Cause: rustdoc reports links from public items to private constants. Change: the time of early moves names its constants without links. Result: rustdoc reports no link in retry; the one in batch/work_estimate remains.

--- a/crates/core/src/retry/attempt_timeout.rs
+++ b/crates/core/src/retry/attempt_timeout.rs
@@ -38,8 +38,8 @@
     remaining.mul_f64(REMAINING_SHARE).max(MIN_TIMEOUT).min(remaining)
 }
 
-/// Returns when a request may move early: [`EARLY_MOVE_TARGET_SHARE`] of the target after its replica was selected,
-/// and at least [`MIN_ATTEMPT_TARGET_SHARE`] of the target after its first byte was written. The time that was spent on
+/// Returns when a request may move early: `EARLY_MOVE_TARGET_SHARE` of the target after its replica was selected,
+/// and at least `MIN_ATTEMPT_TARGET_SHARE` of the target after its first byte was written. The time that was spent on
 /// opening a connection does not count as an attempt.
 pub fn early_move_at(target: Duration, selected_at: Timestamp, written_at: Timestamp) -> Timestamp {
     let by_target = selected_at + target.mul_f64(EARLY_MOVE_TARGET_SHARE);
