--- a/crates/core/src/batch/work_estimate.rs
+++ b/crates/core/src/batch/work_estimate.rs
@@ -26,7 +26,7 @@
 /// Weight of the newest observation in the mean scoring delay.
 const SCORING_DELAY_WEIGHT: f64 = 0.05;
 
-/// A sum whose parts lose half of their weight in every [`HALF_LIFE`].
+/// A sum whose parts lose half of their weight every ten seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DecayingSum {
     sum: f64,
