Look for competing priorities before the groups of open jobs

Cause: each pass over waiting items built the groups of all open jobs and scanned all replicas, also where no priorities compete, which is the usual case, and dropped them then.

Change: pools_with_levels compares the priorities first. The division by shares whose sum is always one is removed. Behaviour is the same.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -14,6 +14,7 @@
 use crate::batch::work_estimate::{DEFAULT_ITEM_S, remaining_s};
 use crate::identity::BatchId;
 use crate::ingress::routes::{Route, RouteKind, RouteTable};
+use crate::ingress::tenants::Tenant;
 use crate::time::{Timestamp, whole_millis};
 
 /// The services that share routes, and thus their open jobs. Usually a single one.
@@ -86,10 +87,9 @@
         let total: f64 = levels.values().map(|(work, _)| work).sum();
         let demands: Vec<f64> = levels.values().map(|(work, _)| work / total).collect();
         let shares = level_shares(&demands);
-        let served: f64 = shares.iter().sum();
         let mut trainer_shares = BTreeMap::new();
         for ((priority, (_, trainers)), share) in levels.iter().zip(shares) {
-            let each = share / served / trainers.len() as f64;
+            let each = share / trainers.len() as f64;
             trainer_shares.extend(trainers.iter().map(|trainer| ((*priority, *trainer), each)));
         }
         trainer_shares
@@ -163,12 +163,38 @@
 impl Controller {
     /// Returns the pools of services that have open jobs, without the items of the jobs.
     pub(super) fn pools_with_jobs(&self, now: Timestamp) -> Vec<Pool<'_>> {
+        let Some(routes) = self.routes.as_deref() else { return Vec::new() };
+        self.with_jobs(now, routes, pools_of(routes))
+    }
+
+    /// Returns the pools with open jobs in which jobs of different priorities compete, without the items of the jobs.
+    /// Where there are none, which is usual, the groups of the jobs are not looked at.
+    pub(super) fn pools_with_levels(&self, now: Timestamp) -> Vec<Pool<'_>> {
         let Some(routes) = self.routes.as_deref() else { return Vec::new() };
         let mut pools = pools_of(routes);
+        for batch in self.tallies.keys() {
+            let Some((state, route)) = self.ledger.job(batch).zip(self.route(batch)) else { continue };
+            if let Some(pool) = pool_of(&mut pools, route) {
+                pool.priorities.insert(priority(routes, route, &state.job));
+            }
+        }
+        pools.retain(Pool::has_levels);
+        self.with_jobs(now, routes, pools)
+    }
+
+    /// Adds the open jobs to their pools, and drops pools without any.
+    fn with_jobs<'a>(
+        &'a self,
+        now: Timestamp,
+        routes: &'a RouteTable,
+        mut pools: Vec<Pool<'a>>,
+    ) -> Vec<Pool<'a>> {
+        if pools.is_empty() {
+            return pools;
+        }
         for batch in self.tallies.keys() {
             let Some(job) = self.open_job(now, routes, batch) else { continue };
-            let first = job.route.services.first().map_or("", |part| part.service.as_str());
-            if let Some(pool) = pools.iter_mut().find(|pool| pool.services.contains(first)) {
+            if let Some(pool) = pool_of(&mut pools, job.route) {
                 pool.priorities.insert(job.priority);
                 pool.jobs.push(job);
             }
@@ -267,10 +293,15 @@
     pools
 }
 
+/// Returns the pool to which the jobs of a route belong.
+fn pool_of<'a, 'b>(pools: &'b mut [Pool<'a>], route: &Route) -> Option<&'b mut Pool<'a>> {
+    let first = route.services.first()?.service.as_str();
+    pools.iter_mut().find(|pool| pool.services.contains(first))
+}
+
 /// Returns whether there are callers to whose jobs the priority of the route itself applies.
 fn uses_own_priority(routes: &RouteTable, route: &Route) -> bool {
-    let has_none =
-        |tenants: &[crate::ingress::tenants::Tenant]| tenants.iter().any(|tenant| tenant.priority.is_none());
+    let has_none = |tenants: &[Tenant]| tenants.iter().any(|tenant| tenant.priority.is_none());
     route.is_public || routes.tenants.as_ref().is_none_or(|directory| has_none(directory.tenants()))
 }
 
--- a/crates/core/src/batch/controller/dispatch.rs
+++ b/crates/core/src/batch/controller/dispatch.rs
@@ -110,8 +110,7 @@
     /// Plans the pools with a shortage and free slots. Adds the jobs of pools without free slots to `full`: nothing of
     /// theirs can start, so their waiting items, of which there may be thousands, are not looked at.
     fn plan_short_pools(&mut self, now: Timestamp, full: &mut HashSet<BatchId>) -> Vec<PoolPlan> {
-        let mut pools = self.pools_with_jobs(now);
-        pools.retain(Pool::has_levels);
+        let mut pools = self.pools_with_levels(now);
         let levels = |pool: &Pool<'_>| {
             let services = pool.services.iter().map(|service| (*service).to_owned());
             let priorities = pool.priorities.clone();
@@ -209,8 +208,7 @@
 
     /// Determines in which services items wait for the next free slot. A run that moves would take it from them.
     pub(super) fn find_awaited_services(&mut self, now: Timestamp) {
-        let mut pools = self.pools_with_jobs(now);
-        pools.retain(Pool::has_levels);
+        let mut pools = self.pools_with_levels(now);
         if !pools.is_empty() && self.items.values().any(LiveItem::is_waiting) {
             self.add_items(now, &mut pools);
             pools.retain(|pool| pool.backlog().is_short());
--- a/crates/core/src/batch/controller/refusal.rs
+++ b/crates/core/src/batch/controller/refusal.rs
@@ -32,11 +32,8 @@
         let routes = self.routes.as_deref()?;
         let route = routes.by_name(&job.route)?;
         let (priority, trainer) = (priority(routes, route, job), trainer_of(job));
-        let mut pools = self.pools_with_jobs(now);
-        pools.retain(|pool| {
-            pool.has_levels()
-                && pool.jobs.iter().any(|job| job.priority == priority && job.trainer == trainer)
-        });
+        let mut pools = self.pools_with_levels(now);
+        pools.retain(|pool| pool.jobs.iter().any(|job| job.priority == priority && job.trainer == trainer));
         if pools.is_empty() {
             return None;
         }
