Ask for the queue the way other new requests are asked

Cause: JobShard had two ways to send a request that an owner of an earlier release can't decode, each with connections of its own.

Change: queue calls ask_once, and PeerClients::separate makes the connections for both; batch_queue and ask_queue are gone. The test keeps its assertions and sends the request through separate connections.

--- a/crates/daemon/src/batch/job_shard.rs
+++ b/crates/daemon/src/batch/job_shard.rs
@@ -17,7 +17,7 @@
 use super::{Command, candidate};
 use crate::ingress::pool::ReplicaPool;
 use crate::ownership::scope::Scope;
-use crate::peers::PeerClients;
+use crate::peers::{PeerClients, PeerError};
 
 /// Capacity of the channel to the owner, in requests.
 const OWNER_COMMAND_BACKLOG: usize = 1_024;
@@ -96,23 +96,22 @@
     /// Asks the owner for the waiting work. Tried again only where a node names another owner, since an owner of an
     /// earlier release gives no answer however often it is asked.
     pub(super) async fn queue(&self) -> ShardQueue {
-        let mut owner = self.scope.known_owner();
-        let mut report = None;
+        let peers = self.scope.context.peers.separate();
+        let (mut owner, mut report) = (None, None);
         for _ in 0..QUEUE_ATTEMPTS {
-            if owner.is_none() {
+            if self.scope.known_owner().is_none() {
                 self.update_owner(None).await;
-                owner = self.scope.known_owner();
             }
-            let Some(asked) = &owner else { break };
-            match self.ask_queue(asked).await {
+            owner = self.scope.known_owner();
+            if owner.is_none() {
+                break;
+            }
+            match self.ask_once(&peers, BatchRequest::Queue, OWNER_ANSWER_TIMEOUT).await {
                 Some(BatchResponse::Queue(answer)) => {
                     report = Some(answer);
                     break;
                 }
-                Some(BatchResponse::NotOwner(named)) => {
-                    self.update_owner(named).await;
-                    owner = self.scope.known_owner();
-                }
+                Some(BatchResponse::NotOwner(_)) => owner = self.scope.known_owner(),
                 _ => break,
             }
         }
@@ -120,25 +119,6 @@
         ShardQueue { shard, regions, owner, report }
     }
 
-    async fn ask_queue(&self, node: &NodeId) -> Option<BatchResponse> {
-        if node == &self.scope.context.node {
-            return tokio::time::timeout(OWNER_ANSWER_TIMEOUT, self.answer(BatchRequest::Queue)).await.ok();
-        }
-        let member = self.scope.context.cluster.load().member(node).cloned();
-        let Some(member) = member.filter(|member| self.scope.allows(member)) else {
-            return Some(BatchResponse::NotOwner(None));
-        };
-        let shard = (!self.scope.is_main()).then(|| self.scope.shard.clone());
-        let peers = &self.scope.context.peers;
-        match peers.batch_queue(member.peer_address, shard, OWNER_ANSWER_TIMEOUT).await {
-            Ok(response) => Some(response),
-            Err(error) => {
-                ::log::info!(target: "batch", "The owner of {} reported no queue: {error}.", self.scope.shard);
-                None
-            }
-        }
-    }
-
     /// Sends a request to one node. Returns `None` if it did not answer and may have accepted the request.
     /// Invariant: no request is sent to a node outside the regions in which the shard may be stored.
     async fn ask_node(
@@ -181,7 +161,12 @@
                 let member = self.scope.context.cluster.load().member(&owner).cloned();
                 match member.filter(|member| self.scope.allows(member)) {
                     Some(member) => {
-                        self.scope.call_through(peers, member.peer_address, request, timeout).await.ok()?
+                        let answer =
+                            self.scope.call_through(peers, member.peer_address, request, timeout).await;
+                        let report = |error: &PeerError| {
+                            ::log::info!(target: "batch", "The owner of {} did not answer: {error}.", self.scope.shard);
+                        };
+                        answer.inspect_err(report).ok()?
                     }
                     None => BatchResponse::NotOwner(None),
                 }
--- a/crates/daemon/src/ingress/base_latencies.rs
+++ b/crates/daemon/src/ingress/base_latencies.rs
@@ -9,11 +9,9 @@
     MAX_ANSWERED_REPLICAS, MAX_SHARED_REPLICAS, SharingAnswer, SharingSchedule,
 };
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
-use tokio::runtime::Handle;
 use tokio::time::MissedTickBehavior;
 
 use super::Ingress;
-use crate::peers::PeerClients;
 
 /// Interval between checks whether a question is due.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -49,9 +47,7 @@
         if asked.is_empty() {
             continue;
         }
-        let peers = peers.get_or_insert_with(|| {
-            PeerClients::new(Handle::current(), ingress.context.settings.peers.clone())
-        });
+        let peers = peers.get_or_insert_with(|| ingress.context.peers.separate());
         let request = BatchRequest::BaseLatencies(asked.iter().map(|(id, _)| id.clone()).collect());
         let answer = match ingress.batch.ask_main_once(peers, request, ANSWER_TIMEOUT).await {
             Some(BatchResponse::BaseLatencies(latencies)) => ingress.record_shared_bases(asked, &latencies),
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -73,6 +73,13 @@
         Self { shared }
     }
 
+    /// Returns a set without connections, for requests that a peer of an earlier release can't decode: it closes the
+    /// connection without an answer, which would leave the outcome of other calls on it unknown.
+    #[must_use]
+    pub fn separate(&self) -> Self {
+        Self::new(self.shared.runtime.clone(), self.shared.settings.clone())
+    }
+
     /// Sends a request to a node with the store role.
     ///
     /// # Errors
@@ -149,30 +156,6 @@
         call.finish(call.client().regional_batch(call.context(), shard, request)).await
     }
 
-    /// Asks the owner of a shard of batch jobs for the waiting work; of the main shard if `shard` is `None`.
-    ///
-    /// Uses a connection of its own: a peer of an earlier release can't decode the request and closes the connection
-    /// without an answer, which would leave the outcome of other calls on it unknown.
-    ///
-    /// # Errors
-    /// When no answer arrives within `timeout`.
-    pub async fn batch_queue(
-        &self,
-        address: SocketAddr,
-        shard: Option<ShardId>,
-        timeout: Duration,
-    ) -> Result<BatchResponse, PeerError> {
-        let deadline = Instant::now() + timeout;
-        let connection = Connection::new(address, self.shared.runtime.clone(), self.shared.settings.clone());
-        let call = connection.start_call(deadline).await?;
-        match shard {
-            None => call.finish(call.client().batch(call.context(), BatchRequest::Queue)).await,
-            Some(shard) => {
-                call.finish(call.client().regional_batch(call.context(), shard, BatchRequest::Queue)).await
-            }
-        }
-    }
-
     /// Requests a copy of the platform's metadata.
     ///
     /// # Errors
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -196,7 +196,7 @@
     };
     let _held = first_accepted.recv().await.expect("the other call is sent");
     let began = tokio::time::Instant::now();
-    let answer = clients.batch_queue(address, None, TIMEOUT).await;
+    let answer = clients.separate().batch(address, BatchRequest::Queue, TIMEOUT).await;
     assert!(matches!(answer, Err(PeerError::NoAnswer { .. })), "{answer:?}");
     assert!(began.elapsed() < TIMEOUT, "the end of the connection is the end of the wait");
     assert!(!other.is_finished());
