Review: the processes of a script end with it, also when it is killed

Cause: a script cleaned up on SIGTERM only; killed by SIGKILL, case 3 left twelve processes running.

Change: children get the parent-death signal, and SIGTERM, SIGINT and SIGHUP run the clean-up once and exit with 2. Checks and bounds are as they were.

Measured: each script ended in the middle by each of the four signals left no process.

--- a/review/stand_ins/system.py
+++ b/review/stand_ins/system.py
@@ -3,6 +3,7 @@
 The settings of a process are `deploy/settings.toml`, filled as DEPLOY.md describes, with the figures of a small
 deployment. All addresses are on loopback, all ports are free ones, and all files lie in a temporary folder.
 """
+import ctypes
 import json
 import os
 import re
@@ -10,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -18,6 +20,31 @@
 ZONES = ["zone-a", "zone-b", "zone-c"]
 
 
+LIBC = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_script():
+    """Makes a child end with the script that started it, also if the script is killed.
+
+    The kernel sends the signal when the thread that started the child ends, so only the main thread may start processes.
+    """
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def clean_up_on_signals():
+    """Makes the signals that end a script run its clean-up once. It then exits with 2, which is not a broken rule."""
+    ending = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def end(*_):
+        for number in ending:
+            signal.signal(number, signal.SIG_IGN)
+        sys.exit(2)
+
+    for number in ending:
+        signal.signal(number, end)
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -111,7 +138,7 @@
         command = self.system.deploy["roles"][self.role]["run"].split()
         command = [self.settings if word == "/etc/lichenpulley/boot.json" else word for word in command]
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
+            self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, preexec_fn=end_with_script)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -228,7 +255,8 @@
         program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "replica.py")
         record = os.path.join(self.system.folder, "replicas.jsonl")
         self.process = subprocess.Popen(
-            ["python3", program, str(self.port), self.name, record, "--born", str(born), *self.arguments])
+            ["python3", program, str(self.port), self.name, record, "--born", str(born), *self.arguments],
+            preexec_fn=end_with_script)
         self.store.put("servers", self.name, {
             "service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": self.zone, "version": "v1",
             "slots": 8, "state": "ready", "cold_left_ms": 0, "stage": "both",
