Report items that wait beside free slots, with the reason

Change: an owner looks at its open items once a second and records item_waiting, once in 5 s for each job, with the reason and how long the item has waited.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -23,6 +23,7 @@
 mod runs;
 mod scoring;
 mod starting;
+mod waiting;
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -51,6 +52,7 @@
 use dispatch::Dispatch;
 use live_item::{ItemStage, LiveItem};
 pub use reusing::ReuseCounts;
+use waiting::WaitingMonitor;
 
 struct Run {
     batch: BatchId,
@@ -90,6 +92,7 @@
     loads: LoadPlan,
     scores: ScorePlan,
     dispatch: Dispatch,
+    waiting: WaitingMonitor,
     /// The shard's clock when this owner took over, in milliseconds.
     clock_base_ms: u64,
     began_at: Timestamp,
@@ -146,6 +149,7 @@
             loads: LoadPlan::default(),
             scores: ScorePlan::default(),
             dispatch: Dispatch::default(),
+            waiting: WaitingMonitor::default(),
             began_at: now,
             last_append_at: now,
             lease,
--- a/crates/core/src/batch/controller/retention.rs
+++ b/crates/core/src/batch/controller/retention.rs
@@ -20,6 +20,7 @@
         self.move_slow(now);
         self.give_up_expired(now);
         self.drop_expired(now);
+        self.report_waiting(now);
         if self.pending_appends.is_empty()
             && now.saturating_since(self.last_append_at) >= self.config.heartbeat_interval
         {
