Show that a replica set change copies the whole log to members that have it

Callers saw 503 for reads of accepted jobs, and no new item started, for the 12 to 28 s that a change took after two of five disks were lost.

Cause (shown here without I/O): once another run of the same change has installed one staying member, a run copies from that member and starts each remaining member at the first position, though it has the decided entries.

Test: a set of five with 48 records of 100 kB, two disks lost, one replaced; one run installs a member, then a second run installs a majority. The bound is 0.

--- /dev/null
+++ b/crates/core/tests/replication_repeated_copies.rs
@@ -0,0 +1,151 @@
+//! A replica set change must not send a member entries that it has. The members that stay have nearly the
+//! whole log, and several nodes may run the same change at the same time.
+
+mod replication_support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichenpulley_core::identity::Epoch;
+use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::message::{
+    Operation, ReplicaAnswer, ReplicaRequest, ReplicaResponse, TransferId,
+};
+use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig};
+use lichenpulley_core::replication::reconfigurer::{Reconfigurer, ReconfigurerEvent};
+use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
+use lichenpulley_core::replication::storage::ShardStorage;
+use lichenpulley_core::time::Timestamp;
+use replication_support::{Stores, member, set_of_five};
+
+const RETRANSMIT_AFTER: Duration = Duration::from_millis(500);
+/// Maximum retransmissions, more than any change here needs.
+const ROUNDS: u32 = 40;
+/// The log has several pages of state.
+const RECORDS: usize = 48;
+const RECORD_BYTES: usize = 100_000;
+
+/// A set of five with a long log that lost the disks of `d` and `e`, of which `e` is replaced by `f`.
+struct TwoLostDisks {
+    stores: Stores,
+    old: ReplicaSet,
+    next: ReplicaSet,
+    /// The last position that every staying member knows to be decided before the change.
+    decided: LogIndex,
+    /// The number of times that each store was sent each entry up to `decided`.
+    sent: BTreeMap<(StoreId, LogIndex), u32>,
+}
+
+impl TwoLostDisks {
+    fn new() -> Self {
+        let mut stores = Stores::new(&["a", "b", "c", "d", "e", "f"]);
+        let old = set_of_five();
+        let owner = ProposerId::new("first");
+        let mut owner = Proposer::new(old.clone(), owner, Epoch(1), ProposerConfig::default());
+        exchange(&mut owner, &mut stores);
+        for _ in 0..RECORDS {
+            owner.append(vec![vec![7; RECORD_BYTES]]).expect("the owner leads");
+            exchange(&mut owner, &mut stores);
+        }
+        stores.set_reachable(&["a", "b", "c", "f"]);
+        let next = old.with_replaced(&StoreId::new("e"), member("f")).expect("e is a member and f is not");
+        let mut lost = Self { stores, old, next, decided: LogIndex::ZERO, sent: BTreeMap::new() };
+        lost.decided =
+            ["a", "b", "c"].map(|name| lost.decided_through(name)).into_iter().min().expect("three");
+        assert!(lost.decided >= LogIndex(RECORDS as u64 - 1), "{}", lost.decided);
+        lost
+    }
+
+    fn decided_through(&self, name: &str) -> LogIndex {
+        let (_, storage) = &self.stores.acceptors[&StoreId::new(name)];
+        let group = storage.group(&self.old.shard).expect("memory does not fail").expect("a member");
+        group.position.decided_through
+    }
+
+    fn change(&self, name: &str) -> Reconfigurer {
+        let transfer = TransferId(name.to_owned());
+        Reconfigurer::new(self.old.clone(), self.next.clone(), transfer, RETRANSMIT_AFTER)
+    }
+
+    fn send(&mut self, request: ReplicaRequest) -> Option<ReplicaResponse> {
+        if let Operation::Copy(copy) = &request.operation
+            && self.stores.reachable.contains(&request.store)
+        {
+            let decided = copy.page.entries.iter().map(|entry| entry.index).filter(|at| *at <= self.decided);
+            for index in decided {
+                *self.sent.entry((request.store.clone(), index)).or_default() += 1;
+            }
+        }
+        self.stores.send(request)
+    }
+
+    /// Sends the next request of a run. Returns whether there was one, and the response.
+    fn exchange(&mut self, run: &mut Reconfigurer, round: u32) -> (bool, Option<ReplicaResponse>) {
+        let now = Timestamp::ORIGIN + RETRANSMIT_AFTER * round;
+        let Some(transmit) = run.poll_transmit(now) else { return (false, None) };
+        let response = self.send(transmit.request);
+        if let Some(response) = response.clone() {
+            run.step(response);
+        }
+        (true, response)
+    }
+
+    /// Drives a run until a response for which `until` holds. Returns whether there was one.
+    fn drive_until(&mut self, run: &mut Reconfigurer, until: impl Fn(&ReplicaResponse) -> bool) -> bool {
+        for round in 0..ROUNDS {
+            loop {
+                let (sent, response) = self.exchange(run, round);
+                if response.is_some_and(|response| until(&response)) {
+                    return true;
+                }
+                if !sent {
+                    break;
+                }
+            }
+        }
+        false
+    }
+
+    /// Drives a run until a majority is installed.
+    fn install_majority(&mut self, run: &mut Reconfigurer) -> bool {
+        for round in 0..ROUNDS {
+            while self.exchange(run, round).0 {
+                if run.poll_event() == Some(ReconfigurerEvent::Installed) {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Returns the number of decided entries that members with the whole log were sent.
+    fn sent_to_staying(&self) -> u32 {
+        let staying = self.sent.iter().filter(|((store, _), _)| store != &StoreId::new("f"));
+        staying.map(|(_, times)| times).sum()
+    }
+}
+
+fn exchange(owner: &mut Proposer, stores: &mut Stores) {
+    while let Some(transmit) = owner.poll_transmit(Timestamp::ORIGIN) {
+        if let Some(response) = stores.send(transmit.request) {
+            owner.step(Timestamp::ORIGIN, response);
+        }
+        while owner.poll_event().is_some() {}
+    }
+}
+
+fn is_installed(response: &ReplicaResponse) -> bool {
+    matches!(response.outcome, ReplicaAnswer::Installed(_))
+}
+
+/// Another run has installed one member, so its log is copied to the others.
+#[test]
+fn staying_members_get_no_entry_again_after_another_run_installed_one() {
+    let mut lost = TwoLostDisks::new();
+    let mut first = lost.change("first");
+    assert!(lost.drive_until(&mut first, is_installed));
+    let mut second = lost.change("second");
+    assert!(lost.install_majority(&mut second));
+    assert_eq!(lost.sent_to_staying(), 0);
+}
