--- a/crates/daemon/src/store/disk/tests.rs
+++ b/crates/daemon/src/store/disk/tests.rs
@@ -11,6 +11,8 @@
 
 use super::*;
 
+mod full_volume;
+
 const CAPACITY_BYTES: u64 = 1 << 20;
 const ENTRIES: u64 = 4;
 
--- /dev/null
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -0,0 +1,185 @@
+//! Tests of a replica on a volume that refuses to let the store file grow beyond its size.
+
+use lichenpulley_core::identity::{NodeId, ZoneName};
+use lichenpulley_core::replication::acceptor::Acceptor;
+use lichenpulley_core::replication::ballot::ProposerId;
+use lichenpulley_core::replication::claims::ClaimWindow;
+use lichenpulley_core::replication::message::{ReplicaAnswer, ReplicaRequest, ReplicaResponse, StoreRefusal};
+use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig};
+use lichenpulley_core::replication::replica_set::{Generation, ReplicaSet, SetMember};
+use lichenpulley_core::time::Timestamp;
+
+use super::*;
+
+const MIB: usize = 1 << 20;
+const VOLUME_BYTES: usize = 26 * MIB;
+const RECORDS_PER_APPEND: usize = 4;
+
+/// File on a volume that counts the length of its files.
+#[derive(Clone, Debug)]
+struct LimitedFile {
+    bytes: Arc<Mutex<Vec<u8>>>,
+    volume_bytes: usize,
+}
+
+impl LimitedFile {
+    fn new(volume_bytes: usize) -> Self {
+        Self { bytes: Arc::default(), volume_bytes }
+    }
+
+    fn resize(&self, bytes: &mut Vec<u8>, len: usize) -> io::Result<()> {
+        if len > self.volume_bytes {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        bytes.resize(len, 0);
+        Ok(())
+    }
+}
+
+impl StorageBackend for LimitedFile {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.bytes.lock().expect("no panic inside").len() as u64)
+    }
+
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        let bytes = self.bytes.lock().expect("no panic inside");
+        let start = usize::try_from(offset).expect("a small file");
+        let read = bytes.get(start..start + len).map(<[u8]>::to_vec);
+        read.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        let mut bytes = self.bytes.lock().expect("no panic inside");
+        self.resize(&mut bytes, usize::try_from(len).expect("a small file"))
+    }
+
+    fn sync_data(&self, _eventual: bool) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        let mut bytes = self.bytes.lock().expect("no panic inside");
+        let start = usize::try_from(offset).expect("a small file");
+        if start + data.len() > bytes.len() {
+            self.resize(&mut bytes, start + data.len())?;
+        }
+        bytes[start..start + data.len()].copy_from_slice(data);
+        Ok(())
+    }
+}
+
+/// The only replica of a log, on a limited volume.
+struct Replica {
+    file: LimitedFile,
+    disk: Option<Disk>,
+    acceptor: Acceptor,
+}
+
+impl Replica {
+    fn new(volume_bytes: usize) -> Self {
+        let file = LimitedFile::new(volume_bytes);
+        let disk = Self::open(&file, true);
+        let acceptor = Acceptor::new(disk.store().clone(), ClaimWindow::default());
+        Self { file, disk: Some(disk), acceptor }
+    }
+
+    fn open(file: &LimitedFile, is_new: bool) -> Disk {
+        let database = Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(file.clone());
+        let database = database.expect("opens");
+        if is_new {
+            write_identity(&database).expect("enough space");
+        }
+        let disk = Disk::from_database(database, PathBuf::from("memory"), file.volume_bytes as u64);
+        disk.expect("readable")
+    }
+
+    fn set(&self) -> ReplicaSet {
+        let members = vec![SetMember {
+            store: self.acceptor.store().clone(),
+            node: NodeId::new("node-1"),
+            zone: ZoneName::new("zone-1"),
+            address: String::new(),
+        }];
+        ReplicaSet { shard: shard(), generation: Generation::FIRST, members }
+    }
+
+    /// Handles a request as the store thread does: after a failed transaction it reopens the file.
+    fn answer(&mut self, request: ReplicaRequest) -> Result<ReplicaAnswer, DiskError> {
+        let disk = self.disk.as_ref().expect("open");
+        match disk.transact(|transaction| self.acceptor.answer(transaction, 0, request)) {
+            Ok(response) => Ok(response.outcome),
+            Err(error) => {
+                drop(self.disk.take());
+                self.disk = Some(Self::open(&self.file, false));
+                Err(error)
+            }
+        }
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&mut Transaction<'_>) -> Result<T, DiskError>) -> T {
+        self.disk.as_ref().expect("open").transact(read).expect("readable")
+    }
+}
+
+/// An owner and the only replica of its log.
+struct Owner {
+    proposer: Proposer,
+    replica: Replica,
+    random: u64,
+}
+
+impl Owner {
+    fn take_over(replica: Replica) -> Self {
+        let proposer = ProposerId::new("owner");
+        let proposer = Proposer::new(replica.set(), proposer, Epoch(1), ProposerConfig::default());
+        let mut owner = Self { proposer, replica, random: 1 };
+        owner.exchange().expect("taken over");
+        owner
+    }
+
+    /// Exchanges requests and responses until none are left.
+    fn exchange(&mut self) -> Result<(), DiskError> {
+        let now = Timestamp::ORIGIN;
+        while let Some(transmit) = self.proposer.poll_transmit(now) {
+            let (shard, generation) = (transmit.request.shard.clone(), transmit.request.generation);
+            let outcome = self.replica.answer(transmit.request)?;
+            if outcome == ReplicaAnswer::Refused(StoreRefusal::DiskFull) {
+                return Err(DiskError::Full);
+            }
+            let response = ReplicaResponse { shard, generation, store: transmit.to, outcome };
+            self.proposer.step(now, response);
+        }
+        Ok(())
+    }
+
+    /// Appends records of 100 to 7,000 bytes, a few at a time, until they fill `bytes`.
+    fn append(&mut self, bytes: usize) -> Result<LogIndex, DiskError> {
+        let mut appended = 0;
+        let mut last = LogIndex::ZERO;
+        while appended < bytes {
+            let records: Vec<Vec<u8>> = (0..RECORDS_PER_APPEND).map(|_| self.record()).collect();
+            appended += records.iter().map(Vec::len).sum::<usize>();
+            last = self.proposer.append(records).map_err(|_| DiskError::Full)?;
+            self.exchange()?;
+        }
+        assert_eq!(self.proposer.decided_through(), last);
+        Ok(last)
+    }
+
+    fn record(&mut self) -> Vec<u8> {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        vec![7; 100 + (self.random >> 33) as usize % 6_900]
+    }
+}
+
+#[test]
+fn a_log_of_a_quarter_of_the_volume_is_replaced_by_a_snapshot_of_its_size() {
+    let mut owner = Owner::take_over(Replica::new(VOLUME_BYTES));
+    let last_record = owner.append(VOLUME_BYTES / 4).expect("room for the log");
+    let last_part = owner.proposer.compact(&vec![9; VOLUME_BYTES / 4]).expect("leads");
+    owner.exchange().expect("room for the snapshot and the truncation");
+    assert_eq!(owner.proposer.decided_through(), last_part);
+    let first = owner.replica.read(|disk| disk.entries_from(&shard(), LogIndex::FIRST, 1));
+    assert_eq!(first.first().map(|first| first.index), Some(last_record.next()));
+    owner.append(VOLUME_BYTES / 8).expect("room after the truncation");
+}
