--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -7,6 +7,10 @@
 use super::replica_set::ReplicaSet;
 use crate::identity::Epoch;
 
+/// Size of a part of a snapshot, in bytes. Stores keep an entry in a page whose size is a power of two. The part
+/// leaves room in a page of 256 KiB for the entry's key and encoding and for a leaf of small entries beside it.
+pub const SNAPSHOT_PART_BYTES: usize = (256 << 10) - (8 << 10);
+
 /// The log that an owner recovers when it takes a shard over.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RecoveredLog {
--- a/crates/core/src/replication/proposer/append.rs
+++ b/crates/core/src/replication/proposer/append.rs
@@ -5,7 +5,7 @@
 
 use super::{AppendError, Phase, Proposer, ProposerEvent};
 use crate::replication::entry::{ENTRY_OVERHEAD_BYTES, LogIndex, Payload};
-use crate::replication::log::split_snapshot;
+use crate::replication::log::{SNAPSHOT_PART_BYTES, split_snapshot};
 use crate::replication::member_progress::MemberProgress;
 use crate::replication::quorum::majority;
 use crate::replication::replica_set::{ReplicaSet, StoreId};
@@ -94,7 +94,8 @@
     pub fn compact(&mut self, snapshot: &[u8]) -> Result<LogIndex, AppendError> {
         self.check_leading()?;
         let first = self.window.last().next();
-        for part in split_snapshot(snapshot, self.config.maximum_batch_bytes, self.ballot.epoch) {
+        let part_bytes = SNAPSHOT_PART_BYTES.min(self.config.maximum_batch_bytes);
+        for part in split_snapshot(snapshot, part_bytes, self.ballot.epoch) {
             self.window.push(part);
         }
         self.truncation.pending = Some((first, self.window.last()));
--- a/crates/daemon/src/store/disk/tests/full_volume.rs
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Returns the size of the pages in use.
+    fn allocated_bytes(&self) -> u64 {
+        let write = self.disk.as_ref().expect("open").database.begin_write().expect("begins");
+        let stats = write.stats().expect("readable");
+        stats.allocated_pages() * stats.page_size() as u64
+    }
+
     fn read<T>(&self, read: impl FnOnce(&mut Transaction<'_>) -> Result<T, DiskError>) -> T {
         self.disk.as_ref().expect("open").transact(read).expect("readable")
     }
@@ -183,3 +190,15 @@
     assert_eq!(first.first().map(|first| first.index), Some(last_record.next()));
     owner.append(VOLUME_BYTES / 8).expect("room after the truncation");
 }
+
+#[test]
+fn a_snapshot_takes_little_more_than_its_size() {
+    let mut owner = Owner::take_over(Replica::new(VOLUME_BYTES));
+    owner.append(MIB / 8).expect("room for records");
+    let before = owner.replica.allocated_bytes();
+    let snapshot = vec![9; 4 * MIB];
+    owner.proposer.compact(&snapshot).expect("leads");
+    owner.exchange().expect("room for the snapshot");
+    let taken = owner.replica.allocated_bytes() - before;
+    assert!(taken <= snapshot.len() as u64 / 8 * 9, "{taken} bytes");
+}
