Remove a truncated log in small steps, so that the store file does not grow

All entries were removed with one iterator, which took the space of several logs. An iterator now removes 16 entries, and the pages that it copied are used again by the next one within the same transaction; the file keeps its length.

--- a/crates/daemon/src/store/disk/tests/full_volume.rs
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -202,3 +202,15 @@
     let taken = owner.replica.allocated_bytes() - before;
     assert!(taken <= snapshot.len() as u64 / 8 * 9, "{taken} bytes");
 }
+
+#[test]
+fn removing_a_log_does_not_grow_the_file() {
+    let mut owner = Owner::take_over(Replica::new(usize::MAX));
+    let last = owner.append(6 * MIB).expect("room for records");
+    let before = owner.replica.file.len().expect("a length");
+    owner.replica.read(|disk| disk.remove_entries_before(&shard(), last));
+    let after = owner.replica.file.len().expect("a length");
+    assert!(after <= before, "{before} bytes became {after}");
+    let left = owner.replica.read(|disk| disk.entries_from(&shard(), LogIndex::FIRST, MIB));
+    assert_eq!(left.iter().map(|left| left.index).collect::<Vec<_>>(), [last]);
+}
--- a/crates/daemon/src/store/transaction.rs
+++ b/crates/daemon/src/store/transaction.rs
@@ -27,6 +27,10 @@
 /// Bytes counted for a claim in addition to its strings: two keys, checksums and page overhead, rounded up.
 const CLAIM_OVERHEAD_BYTES: u64 = 192;
 
+/// Entries removed at once. `redb` copies a page for each removal from it, and the pages that an iterator copies are
+/// free again only once it is dropped.
+const REMOVAL_STEP: usize = 16;
+
 /// Open transaction with its tables.
 pub(super) struct Transaction<'a> {
     groups: Table<'a, &'static str, &'static [u8]>,
@@ -160,13 +164,18 @@
     }
 
     fn remove_entries_before(&mut self, shard: &ShardId, before: LogIndex) -> Result<(), DiskError> {
-        let mut freed = 0;
         let range = (shard.as_str(), 0)..(shard.as_str(), before.0);
-        for row in self.entries.extract_from_if(range, |_, _| true)? {
-            freed += decode::<Entry>(row?.1.value())?.cost() as u64;
+        loop {
+            let (mut freed, mut removed) = (0, 0);
+            for row in self.entries.extract_from_if(range.clone(), |_, _| true)?.take(REMOVAL_STEP) {
+                freed += decode::<Entry>(row?.1.value())?.cost() as u64;
+                removed += 1;
+            }
+            if removed == 0 {
+                return Ok(());
+            }
+            self.shrink(freed);
         }
-        self.shrink(freed);
-        Ok(())
     }
 
     fn claim(&self, shard: &ShardId, request: &RequestId) -> Result<Option<ClaimRecord>, DiskError> {
