Count scorers, groups, models and scores towards the capacity of an owner

Callers saw jobs accepted with 202 although the owner and the stores had no room for them; later no accepted job could be read any more. `job_bytes` counted an item's id, path, headers and body, but not its scorer, group and model, and `held_bytes` left out the scores and versions of results and the numbers of events. A job whose scorers are six times as large as its bodies was admitted up to seven times the capacity.

Each type now counts its own bytes: everything that the caller submitted, and everything that a result or an event keeps. The same functions count a job when it is submitted, restored from the log and dropped, so that the sum stays consistent.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -1,12 +1,11 @@
 //! Job submission, acceptance and end, and the items that a new owner restores from the ledger.
 //!
-//! A job is refused when its items would exceed the bytes that the owner may hold. The committed texts of all
-//! jobs count too.
+//! A job is refused when it would exceed the bytes that the owner may hold. The committed texts of all jobs count too.
 
 use std::collections::BTreeMap;
 
 use super::{Controller, ItemStage, LiveItem, Submission};
-use crate::batch::job::{BatchItem, BatchJob};
+use crate::batch::job::{BatchItem, BatchJob, ItemResult};
 use crate::batch::ledger::{ItemState, JobState};
 use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
@@ -58,7 +57,7 @@
         if self.pending_jobs.contains(&job.id) {
             return Submission::Pending;
         }
-        let bytes = job_bytes(&job);
+        let bytes = job.held_bytes();
         if self.held_bytes + bytes > self.config.capacity_bytes {
             let decision = Decision::new(Component::Rollout, "batch_refused", "no_room", &job.id);
             self.record_decision(decision.with("held_bytes", self.held_bytes));
@@ -137,18 +136,10 @@
     item.expected_tokens.unwrap_or(item.tokens / EXPECTED_DIVISOR).min(item.tokens.max(1))
 }
 
-/// Returns the bytes that a job counts towards the capacity: its items, the texts of its results, and the
-/// committed events of its other items, which are retained after its end for later jobs.
+/// Returns the bytes that a job counts towards the capacity: its items, its results, and the committed events of its
+/// other items, which are retained after its end for later jobs.
 pub(super) fn held_bytes(state: &JobState) -> usize {
-    let texts: usize = state.results.iter().map(|result| result.text.len()).sum();
+    let results: usize = state.results.iter().map(ItemResult::held_bytes).sum();
     let events: usize = state.items.iter().map(ItemState::event_bytes).sum();
-    job_bytes(&state.job) + texts + events
-}
-
-pub(super) fn job_bytes(job: &BatchJob) -> usize {
-    let item_bytes = |item: &BatchItem| {
-        let headers: usize = item.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
-        item.body.len() + item.path.len() + headers + item.id.len()
-    };
-    job.items.iter().map(item_bytes).sum()
+    state.job.held_bytes() + results + events
 }
--- a/crates/core/src/batch/controller/records.rs
+++ b/crates/core/src/batch/controller/records.rs
@@ -5,6 +5,7 @@
 
 use super::jobs::held_bytes;
 use super::{Action, Controller};
+use crate::batch::job::ItemResult;
 use crate::batch::ledger::ItemState;
 use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
@@ -73,7 +74,7 @@
         let (bytes_after, results_after) = self.text_bytes(subject.as_ref());
         let job = subject.as_ref().and_then(|(batch, _)| self.ledger.job(batch));
         let listed = job.and_then(|job| job.results.last()).filter(|_| results_after > results_before);
-        let added = bytes_after + listed.map_or(0, |result| result.text.len());
+        let added = bytes_after + listed.map_or(0, ItemResult::held_bytes);
         self.held_bytes = (self.held_bytes + added).saturating_sub(bytes_before);
     }
 
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -56,9 +56,20 @@
             body: &self.body,
         })
     }
+
+    fn held_bytes(&self) -> usize {
+        self.id.len() + self.host.len() + self.path.len() + self.body.len()
+    }
 }
 
 impl BatchItem {
+    fn held_bytes(&self) -> usize {
+        let headers: usize = self.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let names = [&self.group, &self.model].into_iter().flatten().map(String::len).sum::<usize>();
+        let scorer = self.scorer.as_ref().map_or(0, ScoreRequest::held_bytes);
+        self.id.len() + self.path.len() + headers + self.body.len() + names + scorer
+    }
+
     /// Returns the fingerprint, which is the same for every run of the item. `host` and `tenant` are those of
     /// its job.
     pub(crate) fn fingerprint(&self, host: &str, tenant: Option<&TenantName>) -> Fingerprint {
@@ -88,6 +99,13 @@
 }
 
 impl BatchJob {
+    /// Returns the bytes of everything that the caller submitted.
+    pub(super) fn held_bytes(&self) -> usize {
+        let tenant = self.tenant.as_ref().map_or(0, |tenant| tenant.as_str().len());
+        let items: usize = self.items.iter().map(BatchItem::held_bytes).sum();
+        self.id.as_str().len() + self.route.len() + self.host.len() + tenant + items
+    }
+
     /// Returns whether a caller of this tenant may see and end the job. Where callers need no key, everyone
     /// may.
     pub fn is_open_to(&self, caller: Option<&TenantName>) -> bool {
@@ -109,6 +127,13 @@
     pub data: String,
 }
 
+impl OutputEvent {
+    /// Returns the bytes of the text and of its two numbers.
+    pub(super) fn held_bytes(&self) -> usize {
+        size_of_val(&self.number) + size_of_val(&self.version) + self.data.len()
+    }
+}
+
 /// The result of an item.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ItemResult {
@@ -125,6 +150,12 @@
 }
 
 impl ItemResult {
+    /// Returns the bytes of the text, its versions and its score.
+    pub(super) fn held_bytes(&self) -> usize {
+        let score = self.score.as_ref().map_or(0, String::len);
+        self.text.len() + score + size_of_val(self.versions.as_slice())
+    }
+
     /// Creates the result of a complete item.
     pub fn complete(item: u32, events: &[OutputEvent], score: Option<String>) -> Self {
         let mut versions: Vec<u64> = events.iter().map(|event| event.version).collect();
--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -38,9 +38,9 @@
         self.events.last().map(|event| event.number)
     }
 
-    /// Returns the bytes of the committed events' texts.
+    /// Returns the bytes of the committed events.
     pub(super) fn event_bytes(&self) -> usize {
-        self.events.iter().map(|event| event.data.len()).sum()
+        self.events.iter().map(OutputEvent::held_bytes).sum()
     }
 }
 
