Compact a full log instead of ending its owner, and refuse only new jobs

Callers got 503 for every accepted job once the stores' disks were full, at every edge and for good: the append that found no room ended the owner, the first append of each next owner (its heartbeat) was refused in the same way, so that none was ever confirmed, and none compacted the log, which was asked for only after an append. A compaction that was skipped because appends were pending was forgotten until another 96 MiB were appended, and a state of 96 MiB or more made it due at every append.

Where there still is no room, appends of new jobs are refused (429) and all other records, heartbeats above all, use the space that the stores reserve. Nothing waits for room, so that there is no loop. An owner that leaves declines.

--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -180,14 +180,18 @@
         self.is_confirmed = is_confirmed;
     }
 
-    /// Encodes a snapshot that replaces all earlier records of the log. Returns `None` while appends are
-    /// pending or event texts are missing.
+    /// Encodes a snapshot that replaces all committed records of the log. No pending append may have been written to
+    /// it; they follow the snapshot. Returns `None` while event texts are missing.
     ///
     /// # Errors
     /// Fails when the ledger is too long for the codec.
     pub fn snapshot(&self) -> Result<Option<Vec<u8>>, speedy::Error> {
-        let is_settled = self.pending_appends.is_empty() && !self.ledger.is_outline();
-        if is_settled { self.ledger.to_snapshot().map(Some) } else { Ok(None) }
+        if self.ledger.is_outline() { Ok(None) } else { self.ledger.to_snapshot().map(Some) }
+    }
+
+    /// Returns the bytes that count towards the capacity.
+    pub const fn held_bytes(&self) -> usize {
+        self.held_bytes
     }
 
     /// Fills in the event texts that were not read when this owner took over.
--- a/crates/core/src/batch/controller/records.rs
+++ b/crates/core/src/batch/controller/records.rs
@@ -22,6 +22,23 @@
         self.mark_items_due(now);
     }
 
+    /// Handles the refusal of the oldest pending append, for which the stores have no room, and returns the jobs that
+    /// are refused with it.
+    pub fn append_refused(&mut self) -> Vec<BatchId> {
+        let mut refused = Vec::new();
+        for record in self.pending_appends.pop_front().into_iter().flatten() {
+            let Record::Accepted(job) = record else { continue };
+            self.held_bytes = self.held_bytes.saturating_sub(job.held_bytes());
+            self.pending_jobs.remove(&job.id);
+            self.ending_jobs.remove(&job.id);
+            self.dispatch.refused_jobs += 1;
+            let decision = Decision::new(Component::Rollout, "batch_refused", "disk_full", &job.id);
+            self.record_decision(decision.with("held_bytes", self.held_bytes));
+            refused.push(job.id);
+        }
+        refused
+    }
+
     /// Applies a committed record and does what it makes possible.
     fn apply(&mut self, now: Timestamp, record: Record) {
         enum FollowUp {
--- a/crates/core/src/replication/entry.rs
+++ b/crates/core/src/replication/entry.rs
@@ -106,7 +106,7 @@
 
 /// Bytes that an entry takes in a message or on disk besides its body, rounded up. Limits on message size and
 /// disk use include it.
-pub(crate) const ENTRY_OVERHEAD_BYTES: usize = 64;
+pub const ENTRY_OVERHEAD_BYTES: usize = 64;
 
 impl Entry {
     /// Returns the bytes that count against the limits on message size and disk use.
--- a/crates/core/src/replication/member_progress.rs
+++ b/crates/core/src/replication/member_progress.rs
@@ -19,7 +19,7 @@
     promise: Option<Promise>,
     accepted_through: LogIndex,
     base: LogIndex,
-    free_bytes: u64,
+    free_bytes: Option<u64>,
     retry_at: Option<Timestamp>,
     must_begin: bool,
     answered: bool,
@@ -92,7 +92,7 @@
     pub(super) fn record_promise(&mut self, position: LogPosition, last: LogIndex, free_bytes: u64) {
         self.mark_answered();
         self.base = position.base;
-        self.free_bytes = free_bytes;
+        self.free_bytes = Some(free_bytes);
         self.promise = Some(Promise { position, last });
     }
 
@@ -117,11 +117,12 @@
         self.mark_answered();
         self.accepted_through = self.accepted_through.max(through);
         self.base = self.base.max(base);
-        self.free_bytes = free_bytes;
+        self.free_bytes = Some(free_bytes);
     }
 
-    pub(super) fn has_room(&self, bytes: u64) -> bool {
-        self.free_bytes >= bytes
+    /// Returns the free room that it last reported, or `None` before its first report.
+    pub(super) fn free_bytes(&self) -> Option<u64> {
+        self.free_bytes
     }
 
     pub(super) fn must_truncate(&self, before: LogIndex) -> bool {
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -66,6 +66,7 @@
 pub mod ballot;
 pub mod claim_tally;
 pub mod claims;
+pub mod compaction;
 mod copy_target;
 pub mod entry;
 pub mod fault_tolerance;
--- a/crates/core/src/replication/proposer/append.rs
+++ b/crates/core/src/replication/proposer/append.rs
@@ -27,17 +27,38 @@
     /// When the proposer does not lead or the disks are full. Nothing is sent then.
     pub fn append(&mut self, records: Vec<Vec<u8>>) -> Result<LogIndex, AppendError> {
         self.check_leading()?;
-        let bytes: usize = records.iter().map(|record| record.len() + ENTRY_OVERHEAD_BYTES).sum();
-        let with_room = self.members.values().filter(|member| member.has_room(bytes as u64)).count();
-        if with_room < majority(self.members.len()) {
+        if !self.has_room(&records) {
             return Err(AppendError::DiskFull);
         }
+        self.append_to_reserve(records)
+    }
+
+    /// Appends records also where only the space that is reserved for snapshots is left. For records without which
+    /// the owner can't go on.
+    ///
+    /// # Errors
+    /// When the proposer does not lead. Nothing is sent then.
+    pub fn append_to_reserve(&mut self, records: Vec<Vec<u8>>) -> Result<LogIndex, AppendError> {
+        self.check_leading()?;
         for record in records {
             self.window.push(Payload::Record { origin: self.ballot.epoch, bytes: record });
         }
         Ok(self.window.last())
     }
 
+    /// Returns whether a majority of the replicas has space for records, without the reserved space.
+    pub fn has_room(&self, records: &[Vec<u8>]) -> bool {
+        let bytes: usize = records.iter().map(|record| record.len() + ENTRY_OVERHEAD_BYTES).sum();
+        self.free_bytes().is_none_or(|free_bytes| free_bytes >= bytes as u64)
+    }
+
+    /// Returns the space for records that a majority of the replicas has, or `None` if too few have reported theirs.
+    pub fn free_bytes(&self) -> Option<u64> {
+        let mut free: Vec<u64> = self.members.values().filter_map(MemberProgress::free_bytes).collect();
+        free.sort_unstable_by(|left, right| right.cmp(left));
+        free.get(majority(self.members.len()) - 1).copied()
+    }
+
     /// Appends the next replica set. Once it is decided, no other set can become the next generation, and the
     /// reconfiguration may begin. The owner must append nothing more until [`Self::continue_in`].
     ///
--- a/crates/core/tests/batch_capacity.rs
+++ b/crates/core/tests/batch_capacity.rs
@@ -44,3 +44,42 @@
     let mut harness = OwnerHarness::with_config(config, ledger, false, &[replica("a", 1)]);
     assert_eq!(harness.controller.submit(at(1), job("k", 1, 0)), Submission::Full);
 }
+
+/// Guards against a job that has no room in the stores and still counts towards the capacity, or is never asked again.
+#[test]
+fn a_job_whose_append_is_refused_leaves_nothing_behind() {
+    let config = ControllerConfig { capacity_bytes: 200, ..ControllerConfig::default() };
+    let mut harness = OwnerHarness::with_config(config, Ledger::default(), false, &[replica("a", 1)]);
+    for _ in 0..20 {
+        assert_eq!(harness.controller.submit(at(1), job("j", 1, 0)), Submission::Pending);
+        harness.controller.end(at(1), &BatchId::new("j"));
+        assert_eq!(harness.controller.append_refused(), [BatchId::new("j")]);
+        harness.controller.appended(at(1));
+        assert!(harness.controller.ledger().jobs().is_empty());
+        assert_eq!(harness.controller.held_bytes(), 0);
+    }
+    assert_eq!(harness.controller.submit(at(2), job("j", 1, 0)), Submission::Pending);
+    harness.controller.appended(at(3));
+    assert!(harness.controller.ledger().job(&BatchId::new("j")).is_some());
+}
+
+/// Guards against a snapshot that is never written under steady load, or that holds what was not committed before it.
+#[test]
+fn a_snapshot_beside_pending_appends_and_the_records_after_it_yield_the_same_ledger() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1)]);
+    harness.submit(at(1), job("j", 2, 0));
+    let committed_records = harness.records.len();
+    assert_eq!(harness.controller.submit(at(2), job("pending", 1, 0)), Submission::Pending);
+    harness.drain_actions();
+    let snapshot = harness.controller.snapshot().expect("a ledger that can be encoded");
+    let snapshot = snapshot.expect("a snapshot beside a pending append");
+    let committed = Ledger::recover(Some(&snapshot), &[]).expect("a ledger");
+    assert!(committed.job(&BatchId::new("pending")).is_none());
+    assert_eq!(&committed, harness.controller.ledger());
+    let encode = |record: &Record| record.encode().expect("a record");
+    let pending: Vec<Vec<u8>> = harness.records[committed_records..].iter().map(encode).collect();
+    assert!(!pending.is_empty());
+    let recovered = Ledger::recover(Some(&snapshot), &pending).expect("a ledger");
+    harness.controller.appended(at(3));
+    assert_eq!(&recovered, harness.controller.ledger());
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -45,7 +45,7 @@
 use crate::ingress::pool::ReplicaPool;
 use crate::metrics::Latency;
 use crate::ownership::scope::Scope;
-use crate::store::log_writer::AppendOutcome;
+use crate::store::log_writer::{AppendOutcome, SnapshotRequest};
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// Share of the machine's memory for items and results of the main shard, in percent. Leaves room for a
@@ -249,6 +249,7 @@
     }
 
     fn tick(&mut self) {
+        self.stores.log.set_state_bytes(self.controller.held_bytes());
         self.controller.set_confirmed(self.stores.is_confirmed());
         self.controller.tick(self.now());
         self.controller.tick_duties(self.now(), duties::wall_time());
@@ -293,7 +294,7 @@
 
     fn handle_append(&mut self, outcome: AppendOutcome) {
         match outcome {
-            AppendOutcome::Appended { appends, began, needs_compaction } => {
+            AppendOutcome::Appended { appends, began } => {
                 self.context.metrics.observe(Latency::Append, "decided", self.stores.clock().since(began));
                 self.stores.confirm(began);
                 self.controller.set_confirmed(self.stores.is_confirmed());
@@ -304,19 +305,22 @@
                 self.answer_writers();
                 self.answer_lookups();
                 self.answer_readers();
-                if needs_compaction {
-                    self.compact();
+            }
+            AppendOutcome::Refused { appends } => {
+                for _ in 0..appends {
+                    self.controller.append_refused().iter().for_each(|batch| self.callers.refuse_job(batch));
                 }
             }
+            AppendOutcome::SnapshotDue(request) => self.answer_snapshot(request),
             AppendOutcome::Replaced(set) => self.stores.maintainer.follow(set),
             AppendOutcome::Failed(error) => self.failure = Some(error),
         }
     }
 
-    fn compact(&mut self) {
+    fn answer_snapshot(&self, request: SnapshotRequest) {
         match self.controller.snapshot() {
-            Ok(Some(snapshot)) => self.stores.log.compact(snapshot),
-            // Appends are pending; compaction is retried after the next one.
+            Ok(Some(snapshot)) => request.answer(snapshot),
+            // Declined: the writer asks again before its next write.
             Ok(None) => {}
             Err(error) => ::log::error!(target: "batch", "Failed to compact the log of batch jobs: {error}."),
         }
--- a/crates/daemon/src/batch/owner/leaving.rs
+++ b/crates/daemon/src/batch/owner/leaving.rs
@@ -9,6 +9,7 @@
 
 use super::Owner;
 use crate::ownership::order;
+use crate::store::log_writer::AppendOutcome;
 
 /// How long an owner that leaves waits until its progress is committed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
@@ -22,6 +23,8 @@
         let limit = Instant::now() + FLUSH_TIMEOUT;
         while !self.controller.is_settled() && self.failure.is_none() {
             match tokio::time::timeout_at(limit, self.stores.log.next()).await {
+                // Declined by being dropped: a snapshot would delay the flush.
+                Ok(AppendOutcome::SnapshotDue(_)) => {}
                 Ok(outcome) => self.handle_append(outcome),
                 Err(_) => return,
             }
--- a/crates/daemon/src/batch/owner/stores.rs
+++ b/crates/daemon/src/batch/owner/stores.rs
@@ -24,7 +24,12 @@
 pub(in crate::batch) const CONFIRMED_FOR: Duration = Duration::from_millis(600);
 
 /// Encoding of batch-job records in the log.
-const RECORD_FORMAT: RecordFormat<Record> = RecordFormat { log_target: "batch", encode };
+const RECORD_FORMAT: RecordFormat<Record> = RecordFormat { log_target: "batch", encode, is_refusable };
+
+/// Only new jobs may be refused.
+const fn is_refusable(record: &Record) -> bool {
+    matches!(record, Record::Accepted(_))
+}
 
 /// Encodes a record. One that can't be encoded is left out of its append; the others are appended.
 fn encode(record: Record) -> Option<Vec<u8>> {
--- a/crates/daemon/src/batch/owner/waiting.rs
+++ b/crates/daemon/src/batch/owner/waiting.rs
@@ -101,6 +101,16 @@
         self.answer_ends(ledger);
     }
 
+    /// Answers the callers that submitted a job for which there was no room, and those that ended it already.
+    pub(super) fn refuse_job(&mut self, batch: &BatchId) {
+        for (_, command) in self.submissions.extract_if(.., |(submitted, _)| submitted == batch) {
+            command.answer(BatchResponse::Full);
+        }
+        for (_, command) in self.ends.extract_if(.., |(ended, _)| ended == batch) {
+            command.answer(BatchResponse::Unknown);
+        }
+    }
+
     fn answer_submissions(&mut self, ledger: &Ledger) {
         for (batch, command) in std::mem::take(&mut self.submissions) {
             match ledger.job(&batch) {
--- a/crates/daemon/src/store/log_writer.rs
+++ b/crates/daemon/src/store/log_writer.rs
@@ -2,26 +2,30 @@
 //!
 //! The task owns the log from the takeover until its owner ends or a write fails; [`AppendMode`] decides how
 //! queued appends are written. The owner receives the result of each write as an [`AppendOutcome`].
+//!
+//! When the log is to be compacted (`core::replication::compaction`), the task asks the owner for a snapshot and writes
+//! nothing until it has an answer. The owner has then handled all earlier outcomes, so its committed state is exactly
+//! the log's. Without a snapshot, or where it frees too little, the task goes on: appends that may be refused are, and
+//! all others use the space that the stores reserve.
 
 mod batch;
 mod write_queue;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use lichenpulley_core::replication::compaction::LogUsage;
+use lichenpulley_core::replication::entry::ENTRY_OVERHEAD_BYTES;
 use lichenpulley_core::replication::replica_set::{ReplicaSet, SetMember, StoreId};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::last_answer::LastAnswer;
 use super::shard_log::{ShardLog, ShardLogError};
 use crate::boot_clock::{BootClock, BootInstant};
-use batch::{Batch, batches};
+use batch::{Batch, EncodedAppend, batches};
 use write_queue::{Write, WriteQueue, WriteStep};
 
-/// Bytes appended after the last snapshot at which the owner is asked to compact its log. An owner is not
-/// confirmed while it writes a snapshot, so compaction should be rare, but must come before a small disk is
-/// full.
-const COMPACT_BYTES: usize = 96 << 20;
-
 /// Replacement of a member of the replica set by another store.
 pub(crate) struct Replacement {
     pub(crate) leaving: StoreId,
@@ -36,12 +40,14 @@
     pub(crate) log_target: &'static str,
     /// Encodes a record. `None` skips the record; the encoder logs the failure.
     pub(crate) encode: fn(R) -> Option<Vec<u8>>,
+    /// Whether an append with this record may be refused when the disks are full. Others then use the reserved space.
+    pub(crate) is_refusable: fn(&R) -> bool,
 }
 
 impl RecordFormat<Vec<u8>> {
     /// Format for records that are already encoded.
     pub(crate) const fn bytes(log_target: &'static str) -> Self {
-        Self { log_target, encode: Some }
+        Self { log_target, encode: Some, is_refusable: |_| false }
     }
 }
 
@@ -49,21 +55,32 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AppendMode {
     /// All queued appends are written together, in as few writes as their size allows. Those of an owner that has ended are still written, until
-    /// another owner takes over, so that accepted work is committed where possible.
+    /// another owner takes over, so that accepted work is committed where possible. The owner is asked for snapshots.
     Batched,
-    /// Each append is a separate write. Once the owner has ended, no further append begins.
+    /// Each append is a separate write. Once the owner has ended, no further append begins. The owner decides when to
+    /// compact, and a full disk ends it.
     Single,
 }
 
+/// Request for a snapshot of the state that all appends so far have produced.
+pub(crate) struct SnapshotRequest(oneshot::Sender<Vec<u8>>);
+
+impl SnapshotRequest {
+    /// Has the snapshot written.
+    pub(crate) fn answer(self, snapshot: Vec<u8>) {
+        // Fails only after the writer has ended, which was reported as an outcome.
+        let _ = self.0.send(snapshot);
+    }
+}
+
 /// Result of one or more writes.
 pub(crate) enum AppendOutcome {
     /// This number of appends is committed; the first of them was started at `began`.
-    Appended {
-        appends: usize,
-        began: BootInstant,
-        /// Whether the log should be compacted.
-        needs_compaction: bool,
-    },
+    Appended { appends: usize, began: BootInstant },
+    /// The disks are full, and this number of appends is given up. Nothing of them was written.
+    Refused { appends: usize },
+    /// The log is to be compacted. Dropping the request declines it.
+    SnapshotDue(SnapshotRequest),
     /// The log continues in another replica set under the same epoch.
     Replaced(ReplicaSet),
     /// The log is unusable; nothing more is written.
@@ -76,6 +93,7 @@
     writes: mpsc::UnboundedSender<Write<R>>,
     outcomes: mpsc::UnboundedReceiver<AppendOutcome>,
     last_answer: LastAnswer,
+    state_bytes: Arc<AtomicU64>,
 }
 
 impl<R: Send + 'static> LogWriter<R> {
@@ -91,8 +109,15 @@
         let (sender, outcomes) = mpsc::unbounded_channel();
         let last_answer = log.last_answer();
         let queue = WriteQueue::new(mode, received, sender.clone());
-        tokio::spawn(WriterTask { log, format, queue, sender, log_bytes, clock }.run());
-        Self { writes, outcomes, last_answer }
+        let state_bytes = Arc::default();
+        let (usage, state) = (LogUsage::of_log(log_bytes as u64), Arc::clone(&state_bytes));
+        tokio::spawn(WriterTask { log, format, mode, queue, sender, usage, state, clock }.run());
+        Self { writes, outcomes, last_answer, state_bytes }
+    }
+
+    /// Sets the size of the owner's state, which decides when the log is to be compacted.
+    pub(crate) fn set_state_bytes(&self, bytes: usize) {
+        self.state_bytes.store(bytes as u64, Ordering::Relaxed);
     }
 
     /// Returns the time since a store last answered.
@@ -132,9 +157,12 @@
 struct WriterTask<R> {
     log: ShardLog,
     format: RecordFormat<R>,
+    mode: AppendMode,
     queue: WriteQueue<R>,
     sender: mpsc::UnboundedSender<AppendOutcome>,
-    log_bytes: usize,
+    usage: LogUsage,
+    /// Size of the owner's state in bytes.
+    state: Arc<AtomicU64>,
     clock: BootClock,
 }
 
@@ -171,28 +199,54 @@
     }
 
     async fn append(&mut self, appends: Vec<Vec<R>>) -> Result<(), ShardLogError> {
-        let encode = |records: Vec<R>| records.into_iter().filter_map(self.format.encode).collect();
-        for batch in batches(appends.into_iter().map(encode)) {
+        let RecordFormat { encode, is_refusable, .. } = self.format;
+        let encoded = appends.into_iter().map(|records| EncodedAppend {
+            is_refusable: records.iter().any(is_refusable),
+            records: records.into_iter().filter_map(encode).collect(),
+        });
+        for batch in batches(encoded) {
             self.append_batch(batch).await?;
         }
         Ok(())
     }
 
     async fn append_batch(&mut self, batch: Batch) -> Result<(), ShardLogError> {
+        if self.mode == AppendMode::Batched {
+            self.compact_if_due(batch.bytes).await?;
+        }
         let began = self.clock.now();
-        self.log_bytes += batch.bytes;
-        self.log.append(batch.records).await?;
-        let needs_compaction = self.log_bytes >= COMPACT_BYTES;
-        if needs_compaction {
-            self.log_bytes = 0;
+        let appended_bytes = batch.bytes + batch.records.len() * ENTRY_OVERHEAD_BYTES;
+        if self.mode == AppendMode::Single || self.log.has_room(&batch.records) {
+            self.log.append(batch.records).await?;
+        } else if batch.is_refusable {
+            self.report(AppendOutcome::Refused { appends: batch.appends });
+            return Ok(());
+        } else {
+            self.log.append_to_reserve(batch.records).await?;
         }
-        self.report(AppendOutcome::Appended { appends: batch.appends, began, needs_compaction });
+        self.usage.appended(appended_bytes as u64);
+        self.report(AppendOutcome::Appended { appends: batch.appends, began });
         Ok(())
     }
 
+    /// Asks the owner for a snapshot and writes it, if one is due. It stays due until one is written.
+    async fn compact_if_due(&mut self, next_bytes: usize) -> Result<(), ShardLogError> {
+        self.usage.set_state(self.state.load(Ordering::Relaxed));
+        self.usage.set_free(self.log.free_bytes());
+        let Some(cause) = self.usage.compaction_due(next_bytes as u64) else { return Ok(()) };
+        let (request, snapshot) = oneshot::channel();
+        self.report(AppendOutcome::SnapshotDue(SnapshotRequest(request)));
+        // An error means that the owner declined or has ended.
+        let Ok(snapshot) = snapshot.await else { return Ok(()) };
+        log::info!(target: self.format.log_target, "Compacting the log to {} bytes: {}.", snapshot.len(), cause.as_str());
+        self.compact(snapshot).await
+    }
+
     async fn compact(&mut self, snapshot: Vec<u8>) -> Result<(), ShardLogError> {
-        self.log_bytes = snapshot.len();
-        self.log.compact(snapshot).await
+        let snapshot_bytes = snapshot.len();
+        self.log.compact(snapshot).await?;
+        self.usage.compacted(snapshot_bytes as u64);
+        Ok(())
     }
 
     fn report(&self, outcome: AppendOutcome) {
--- a/crates/daemon/src/store/log_writer/batch/tests.rs
+++ b/crates/daemon/src/store/log_writer/batch/tests.rs
@@ -2,8 +2,12 @@
 
 use super::*;
 
-fn append(records: usize, bytes: usize) -> Vec<Vec<u8>> {
-    vec![vec![0; bytes]; records]
+fn append(records: usize, bytes: usize) -> EncodedAppend {
+    EncodedAppend { is_refusable: false, records: vec![vec![0; bytes]; records] }
+}
+
+fn refusable(records: usize, bytes: usize) -> EncodedAppend {
+    EncodedAppend { is_refusable: true, ..append(records, bytes) }
 }
 
 #[test]
@@ -31,3 +35,11 @@
     let sizes: Vec<(usize, usize)> = batches.iter().map(|batch| (batch.appends, batch.bytes)).collect();
     assert_eq!(sizes, [(1, 10), (1, 600 << 10), (1, 20)]);
 }
+
+/// Guards against a heartbeat or a result that is given up with a job for which there is no room.
+#[test]
+fn appends_that_may_be_refused_are_not_written_with_others() {
+    let batches = batches([append(1, 10), refusable(1, 20), refusable(2, 5), append(1, 30)].into_iter());
+    let kinds: Vec<(bool, usize)> = batches.iter().map(|batch| (batch.is_refusable, batch.bytes)).collect();
+    assert_eq!(kinds, [(false, 10), (true, 30), (false, 30)]);
+}
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -64,6 +64,26 @@
         self.wait_until_decided(through).await
     }
 
+    /// Appends records also where only the space that the stores reserve for snapshots is left.
+    ///
+    /// # Errors
+    /// Returns the same errors as [`Self::append`].
+    pub(crate) async fn append_to_reserve(&mut self, records: Vec<Vec<u8>>) -> Result<(), ShardLogError> {
+        let appended = self.proposer.append_to_reserve(records);
+        let through = appended.map_err(|refusal| self.append_error(refusal))?;
+        self.wait_until_decided(through).await
+    }
+
+    /// Returns whether a majority of the stores has room for records, without the space that they reserve.
+    pub(crate) fn has_room(&self, records: &[Vec<u8>]) -> bool {
+        self.proposer.has_room(records)
+    }
+
+    /// Returns the room for records that a majority of the stores has, in bytes; `None` if it is unknown.
+    pub(crate) fn free_bytes(&self) -> Option<u64> {
+        self.proposer.free_bytes()
+    }
+
     fn superseded_error(&self, highest: Epoch) -> ShardLogError {
         let decision = Decision::new(Component::Replication, "superseded", "higher_epoch", &self.shard);
         self.context.decisions.record(decision.with("epoch", self.epoch()).with("highest", highest));
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -8,6 +8,7 @@
 mod platform_ends;
 mod platform_entries;
 mod platform_evacuations;
+mod platform_full_stores;
 mod platform_outline;
 mod platform_owners;
 mod platform_pace;
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -217,6 +217,7 @@
         settings.batch.follow_after = self.plan.follow_after;
         settings.store.small_set_after = Duration::from_millis(500);
         settings.store.replace_after = Duration::from_secs(3_600);
+        settings.store.capacity_bytes = self.plan.store_capacity_bytes;
         settings.store.set_size = ToleranceTarget::tolerating(self.plan.tolerated_losses);
         let seeds = self.stores.iter().flatten().map(|node| node.addresses().peers);
         settings.peers.seeds = seeds.take(1).collect();
--- a/crates/lab/tests/platform_system/plan.rs
+++ b/crates/lab/tests/platform_system/plan.rs
@@ -25,6 +25,8 @@
     pub(crate) keeps_ids: bool,
     /// Memory of each machine, where it differs from the default.
     pub(crate) memory_bytes: Option<usize>,
+    /// Size of each store.
+    pub(crate) store_capacity_bytes: u64,
 }
 
 impl Default for SystemPlan {
@@ -39,6 +41,7 @@
             crash_on_body: None,
             keeps_ids: false,
             memory_bytes: None,
+            store_capacity_bytes: 1 << 30,
         }
     }
 }
