Count the texts of a log towards its size after a takeover by its outline

An owner also assumed an empty state until its first tick, which made a large log due at once.

Cause: `become_owner` takes `held_bytes` of the follower of the outline. The texts are read later, and nobody added them.

The reader of the texts now reports how many bytes the outline left out, once it has read the log from its beginning, and the writer adds them to the log's size. The owner reports the size of its state before the first write.

Evidence: the new test follows 20 records of 10 kB as an outline and whole. The outline alone, which is what counted before, has less than 10 kB of the 200 kB; with the reported bytes the sizes are equal. There was no function to test before, so that the test itself has no failing run on the old code.

--- a/crates/daemon/src/batch/outline.rs
+++ b/crates/daemon/src/batch/outline.rs
@@ -18,6 +18,9 @@
 use crate::ownership::scope::Scope;
 use crate::store::{exchange, replica_sets};
 
+#[cfg(test)]
+mod tests;
+
 /// Minimum number of entries for which the outline is read first; a shorter log is read completely at once.
 const MIN_OUTLINE_ENTRIES: u64 = 1_000;
 /// Maximum number of decided entries by which a reader may lag behind the most recent member.
@@ -114,28 +117,50 @@
     pub(super) open_after: LogIndex,
     /// The last position whose texts are missing.
     pub(super) through: LogIndex,
+    /// Size of the outline in bytes.
+    outline_bytes: usize,
 }
 
 impl MissingTexts {
     /// Returns the range that an outline leaves out.
     pub(super) fn of(outline: &LedgerFollower) -> Self {
-        Self { open_after: outline.before_open_jobs().unwrap_or_default(), through: outline.through() }
+        Self {
+            open_after: outline.before_open_jobs().unwrap_or_default(),
+            through: outline.through(),
+            outline_bytes: outline.held_bytes(),
+        }
+    }
+
+    /// Returns the bytes of the log that the outline left out, given the log with its texts. A reader that did not
+    /// begin at the first entry does not know.
+    fn left_out_bytes(&self, whole: &LedgerFollower) -> Option<usize> {
+        whole.is_complete().then(|| whole.held_bytes().saturating_sub(self.outline_bytes))
     }
 }
 
+/// Texts that were read after the takeover.
+pub(super) struct ReadTexts {
+    /// A ledger that has them.
+    pub(super) ledger: Ledger,
+    /// Bytes of the log that the outline left out, once they are known.
+    pub(super) left_out_bytes: Option<usize>,
+}
+
 /// Reads the missing texts and sends them on `texts`: first those from the first open job on, since callers
 /// wait for them, then all.
-pub(super) async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<Ledger>) {
+pub(super) async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<ReadTexts>) {
     for after in [missing.open_after, LogIndex::ZERO] {
-        let ledger = read_between(&scope, after, missing.through).await;
-        if texts.send(ledger).await.is_err() || after == LogIndex::ZERO {
+        let follower = read_between(&scope, after, missing.through).await;
+        let left_out_bytes = missing.left_out_bytes(&follower);
+        let read = ReadTexts { ledger: follower.into_ledger(), left_out_bytes };
+        if texts.send(read).await.is_err() || after == LogIndex::ZERO {
             return;
         }
     }
 }
 
 /// Reads a range of the log with its texts, and retries until it is complete.
-async fn read_between(scope: &Scope, after: LogIndex, through: LogIndex) -> Ledger {
+async fn read_between(scope: &Scope, after: LogIndex, through: LogIndex) -> LedgerFollower {
     let began = Instant::now();
     let mut follower = LedgerFollower::beginning_after(after);
     let mut turn = 0;
@@ -157,7 +182,7 @@
         }
     }
     record(scope, "texts_read", &follower, began);
-    follower.into_ledger()
+    follower
 }
 
 fn record(scope: &Scope, action: &str, follower: &LedgerFollower, began: Instant) {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -38,7 +38,7 @@
 
 use super::Command;
 use super::load::LoadEnded;
-use super::outline::{self, MissingTexts};
+use super::outline::{self, MissingTexts, ReadTexts};
 use super::score::ScoreEnded;
 use crate::context::Context;
 use crate::duties::{self, DutyEnded};
@@ -64,7 +64,7 @@
     pub(super) log: ShardLog,
     /// The state recovered from the log.
     pub(super) ledger: Ledger,
-    /// Size of the log in bytes.
+    /// Size of the log in bytes, without missing texts.
     pub(super) held_bytes: usize,
     /// The epoch of the last owner that appended.
     pub(super) last_epoch: Epoch,
@@ -89,7 +89,7 @@
     calls: FencedCalls,
     callers: WaitingCallers,
     /// Receives ledgers with the texts that were missing at the takeover.
-    texts: mpsc::Receiver<Ledger>,
+    texts: mpsc::Receiver<ReadTexts>,
     leave_monitor: LeaveMonitor,
     queue_reporter: QueueReporter,
     /// The error after which the log can't be written any more.
@@ -164,6 +164,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (metadata, draining) = (self.context.metadata.watch(), self.context.draining.clone());
         let mut inputs = OwnerInputs { commands, metadata, ticks, draining };
+        self.stores.log.set_state_bytes(self.controller.held_bytes());
         self.update();
         let mut stop = None;
         while self.failure.is_none() && stop.is_none() {
@@ -189,7 +190,7 @@
             Some(ended) = self.running.score_ends.recv() => self.handle_score(&ended),
             Some(ended) = self.calls.load_ends.recv() => self.handle_load(&ended),
             Some(ended) = self.calls.duty_ends.recv() => self.handle_duty(&ended),
-            Some(ledger) = self.texts.recv() => self.fill_texts(ledger),
+            Some(read) = self.texts.recv() => self.fill_texts(read),
             // Nothing is committed while the replica set changes, and reading missing texts at the same
             // time would make the change slow.
             replacement = self.stores.maintainer.next(), if !self.controller.ledger().is_outline() => {
@@ -229,8 +230,9 @@
         Timestamp::ORIGIN + self.origin.elapsed()
     }
 
-    fn fill_texts(&mut self, ledger: Ledger) {
-        self.controller.fill_texts(ledger);
+    fn fill_texts(&mut self, read: ReadTexts) {
+        self.controller.fill_texts(read.ledger);
+        self.stores.log.count_log_bytes(read.left_out_bytes.unwrap_or(0));
         self.answer_readers();
     }
 
@@ -340,7 +342,7 @@
 }
 
 /// Starts reading the missing texts, if any, and returns the channel on which they arrive.
-fn read_missing(scope: &Scope, missing: Option<MissingTexts>) -> mpsc::Receiver<Ledger> {
+fn read_missing(scope: &Scope, missing: Option<MissingTexts>) -> mpsc::Receiver<ReadTexts> {
     let (sender, texts) = mpsc::channel(1);
     if let Some(missing) = missing {
         tokio::spawn(read_texts(scope.clone(), missing, sender));
@@ -349,7 +351,7 @@
 }
 
 /// Reads the missing texts and sends them to the owner; stops when the owner ends.
-async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<Ledger>) {
+async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<ReadTexts>) {
     tokio::select! {
         () = outline::read_texts(scope, missing, texts.clone()) => {}
         () = texts.closed() => {}
--- a/crates/daemon/src/store/log_writer.rs
+++ b/crates/daemon/src/store/log_writer.rs
@@ -93,7 +93,16 @@
     writes: mpsc::UnboundedSender<Write<R>>,
     outcomes: mpsc::UnboundedReceiver<AppendOutcome>,
     last_answer: LastAnswer,
-    state_bytes: Arc<AtomicU64>,
+    sizes: Arc<OwnerSizes>,
+}
+
+/// Sizes that the owner reports to the writer, in bytes.
+#[derive(Default)]
+struct OwnerSizes {
+    /// The owner's state.
+    state: AtomicU64,
+    /// Parts of the log that were not counted at the takeover, and not by the writer yet.
+    uncounted: AtomicU64,
 }
 
 impl<R: Send + 'static> LogWriter<R> {
@@ -109,15 +118,20 @@
         let (sender, outcomes) = mpsc::unbounded_channel();
         let last_answer = log.last_answer();
         let queue = WriteQueue::new(mode, received, sender.clone());
-        let state_bytes = Arc::default();
-        let (usage, state) = (LogUsage::of_log(log_bytes as u64), Arc::clone(&state_bytes));
-        tokio::spawn(WriterTask { log, format, mode, queue, sender, usage, state, clock }.run());
-        Self { writes, outcomes, last_answer, state_bytes }
+        let sizes = Arc::<OwnerSizes>::default();
+        let (usage, owner) = (LogUsage::of_log(log_bytes as u64), Arc::clone(&sizes));
+        tokio::spawn(WriterTask { log, format, mode, queue, sender, usage, owner, clock }.run());
+        Self { writes, outcomes, last_answer, sizes }
     }
 
     /// Sets the size of the owner's state, which decides when the log is to be compacted.
     pub(crate) fn set_state_bytes(&self, bytes: usize) {
-        self.state_bytes.store(bytes as u64, Ordering::Relaxed);
+        self.sizes.state.store(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that the log held at the takeover in addition to those given to [`Self::start`].
+    pub(crate) fn count_log_bytes(&self, bytes: usize) {
+        self.sizes.uncounted.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     /// Returns the time since a store last answered.
@@ -161,8 +175,7 @@
     queue: WriteQueue<R>,
     sender: mpsc::UnboundedSender<AppendOutcome>,
     usage: LogUsage,
-    /// Size of the owner's state in bytes.
-    state: Arc<AtomicU64>,
+    owner: Arc<OwnerSizes>,
     clock: BootClock,
 }
 
@@ -231,7 +244,8 @@
 
     /// Asks the owner for a snapshot and writes it, if one is due. It stays due until one is written.
     async fn compact_if_due(&mut self, next_bytes: usize) -> Result<(), ShardLogError> {
-        self.usage.set_state(self.state.load(Ordering::Relaxed));
+        self.usage.set_state(self.owner.state.load(Ordering::Relaxed));
+        self.usage.appended(self.owner.uncounted.swap(0, Ordering::Relaxed));
         self.usage.set_free(self.log.free_bytes());
         let Some(cause) = self.usage.compaction_due(next_bytes as u64) else { return Ok(()) };
         let (request, snapshot) = oneshot::channel();
