--- /dev/null
+++ b/crates/core/tests/batch_capacity.rs
@@ -0,0 +1,85 @@
+//! What counts towards the capacity of the owner of batch jobs.
+
+mod batch_support;
+
+use batch_support::{MODEL, OwnerHarness, at, job, replica, scored_job};
+use lichenpulley_core::batch::controller::{ControllerConfig, Submission};
+use lichenpulley_core::batch::job::OutputEvent;
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::record::Record;
+use lichenpulley_core::identity::BatchId;
+
+/// Guards against accepting jobs whose scorers, groups and models alone exceed the capacity.
+#[test]
+fn jobs_with_scorers_are_refused_beyond_the_capacity() {
+    const CAPACITY_BYTES: usize = 100_000;
+    const SCORER_BYTES: usize = 10_000;
+    let config = ControllerConfig { capacity_bytes: CAPACITY_BYTES, ..ControllerConfig::default() };
+    let mut harness = OwnerHarness::with_config(config, Ledger::default(), false, &[replica("a", 1)]);
+    let oversized = |id: &str| {
+        let mut job = scored_job(id, 1);
+        let item = &mut job.items[0];
+        item.scorer.as_mut().expect("a scorer").body = vec![0; SCORER_BYTES];
+        item.group = Some("g".repeat(SCORER_BYTES));
+        item.model = Some(MODEL.repeat(SCORER_BYTES / MODEL.len()));
+        job
+    };
+    let outcomes: Vec<Submission> =
+        (0..10).map(|number| harness.controller.submit(at(1), oversized(&format!("j{number}")))).collect();
+    assert_eq!(outcomes.iter().filter(|outcome| **outcome == Submission::Pending).count(), 3);
+    assert!(outcomes[3..].iter().all(|outcome| *outcome == Submission::Full));
+}
+
+/// Guards against scores that are kept but not counted: with them the state is larger than the capacity.
+#[test]
+fn scores_and_versions_of_results_count_towards_the_capacity() {
+    const SCORE_BYTES: usize = 10_000;
+    let config = ControllerConfig { capacity_bytes: SCORE_BYTES, ..ControllerConfig::default() };
+    let mut ledger = Ledger::default();
+    ledger.apply(Record::Accepted(scored_job("j", 1)));
+    let events = vec![OutputEvent { number: 0, version: 1, data: "text".to_owned() }];
+    ledger.apply(Record::Generated { batch: BatchId::new("j"), item: 0, events, replaces: false });
+    let score = "1".repeat(SCORE_BYTES);
+    ledger.apply(Record::Scored { batch: BatchId::new("j"), item: 0, score });
+    let mut harness = OwnerHarness::with_config(config, ledger, false, &[replica("a", 1)]);
+    assert_eq!(harness.controller.submit(at(1), job("k", 1, 0)), Submission::Full);
+}
+
+/// Guards against a job that has no room in the stores and still counts towards the capacity, or is never asked again.
+#[test]
+fn a_job_whose_append_is_refused_leaves_nothing_behind() {
+    let config = ControllerConfig { capacity_bytes: 200, ..ControllerConfig::default() };
+    let mut harness = OwnerHarness::with_config(config, Ledger::default(), false, &[replica("a", 1)]);
+    for _ in 0..20 {
+        assert_eq!(harness.controller.submit(at(1), job("j", 1, 0)), Submission::Pending);
+        harness.controller.end(at(1), &BatchId::new("j"));
+        assert_eq!(harness.controller.append_refused(), [BatchId::new("j")]);
+        harness.controller.appended(at(1));
+        assert!(harness.controller.ledger().jobs().is_empty());
+        assert_eq!(harness.controller.held_bytes(), 0);
+    }
+    assert_eq!(harness.controller.submit(at(2), job("j", 1, 0)), Submission::Pending);
+    harness.controller.appended(at(3));
+    assert!(harness.controller.ledger().job(&BatchId::new("j")).is_some());
+}
+
+/// Guards against a snapshot that is never written under steady load, or that holds what was not committed before it.
+#[test]
+fn a_snapshot_beside_pending_appends_and_the_records_after_it_yield_the_same_ledger() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1)]);
+    harness.submit(at(1), job("j", 2, 0));
+    let committed_records = harness.records.len();
+    assert_eq!(harness.controller.submit(at(2), job("pending", 1, 0)), Submission::Pending);
+    harness.drain_actions();
+    let snapshot = harness.controller.snapshot().expect("a ledger that can be encoded");
+    let snapshot = snapshot.expect("a snapshot beside a pending append");
+    let committed = Ledger::recover(Some(&snapshot), &[]).expect("a ledger");
+    assert!(committed.job(&BatchId::new("pending")).is_none());
+    assert_eq!(&committed, harness.controller.ledger());
+    let encode = |record: &Record| record.encode().expect("a record");
+    let pending: Vec<Vec<u8>> = harness.records[committed_records..].iter().map(encode).collect();
+    assert!(!pending.is_empty());
+    let recovered = Ledger::recover(Some(&snapshot), &pending).expect("a ledger");
+    harness.controller.appended(at(3));
+    assert_eq!(&recovered, harness.controller.ledger());
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -38,14 +38,14 @@
 
 use super::Command;
 use super::load::LoadEnded;
-use super::outline::{self, MissingTexts};
+use super::outline::{self, MissingTexts, ReadTexts};
 use super::score::ScoreEnded;
 use crate::context::Context;
 use crate::duties::{self, DutyEnded};
 use crate::ingress::pool::ReplicaPool;
 use crate::metrics::Latency;
 use crate::ownership::scope::Scope;
-use crate::store::log_writer::AppendOutcome;
+use crate::store::log_writer::{AppendOutcome, SnapshotRequest};
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
 /// Share of the machine's memory for items and results of the main shard, in percent. Leaves room for a
@@ -64,7 +64,7 @@
     pub(super) log: ShardLog,
     /// The state recovered from the log.
     pub(super) ledger: Ledger,
-    /// Size of the log in bytes.
+    /// Size of the log in bytes, without missing texts.
     pub(super) held_bytes: usize,
     /// The epoch of the last owner that appended.
     pub(super) last_epoch: Epoch,
@@ -89,7 +89,7 @@
     calls: FencedCalls,
     callers: WaitingCallers,
     /// Receives ledgers with the texts that were missing at the takeover.
-    texts: mpsc::Receiver<Ledger>,
+    texts: mpsc::Receiver<ReadTexts>,
     leave_monitor: LeaveMonitor,
     queue_reporter: QueueReporter,
     /// The error after which the log can't be written any more.
@@ -164,6 +164,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (metadata, draining) = (self.context.metadata.watch(), self.context.draining.clone());
         let mut inputs = OwnerInputs { commands, metadata, ticks, draining };
+        self.stores.log.set_state_bytes(self.controller.held_bytes());
         self.update();
         let mut stop = None;
         while self.failure.is_none() && stop.is_none() {
@@ -189,7 +190,7 @@
             Some(ended) = self.running.score_ends.recv() => self.handle_score(&ended),
             Some(ended) = self.calls.load_ends.recv() => self.handle_load(&ended),
             Some(ended) = self.calls.duty_ends.recv() => self.handle_duty(&ended),
-            Some(ledger) = self.texts.recv() => self.fill_texts(ledger),
+            Some(read) = self.texts.recv() => self.fill_texts(read),
             // Nothing is committed while the replica set changes, and reading missing texts at the same
             // time would make the change slow.
             replacement = self.stores.maintainer.next(), if !self.controller.ledger().is_outline() => {
@@ -229,8 +230,9 @@
         Timestamp::ORIGIN + self.origin.elapsed()
     }
 
-    fn fill_texts(&mut self, ledger: Ledger) {
-        self.controller.fill_texts(ledger);
+    fn fill_texts(&mut self, read: ReadTexts) {
+        self.controller.fill_texts(read.ledger);
+        self.stores.log.count_log_bytes(read.left_out_bytes.unwrap_or(0));
         self.answer_readers();
     }
 
@@ -249,6 +251,7 @@
     }
 
     fn tick(&mut self) {
+        self.stores.log.set_state_bytes(self.controller.held_bytes());
         self.controller.set_confirmed(self.stores.is_confirmed());
         self.controller.tick(self.now());
         self.controller.tick_duties(self.now(), duties::wall_time());
@@ -293,7 +296,7 @@
 
     fn handle_append(&mut self, outcome: AppendOutcome) {
         match outcome {
-            AppendOutcome::Appended { appends, began, needs_compaction } => {
+            AppendOutcome::Appended { appends, began } => {
                 self.context.metrics.observe(Latency::Append, "decided", self.stores.clock().since(began));
                 self.stores.confirm(began);
                 self.controller.set_confirmed(self.stores.is_confirmed());
@@ -304,19 +307,22 @@
                 self.answer_writers();
                 self.answer_lookups();
                 self.answer_readers();
-                if needs_compaction {
-                    self.compact();
+            }
+            AppendOutcome::Refused { appends } => {
+                for _ in 0..appends {
+                    self.controller.append_refused().iter().for_each(|batch| self.callers.refuse_job(batch));
                 }
             }
+            AppendOutcome::SnapshotDue(request) => self.answer_snapshot(request),
             AppendOutcome::Replaced(set) => self.stores.maintainer.follow(set),
             AppendOutcome::Failed(error) => self.failure = Some(error),
         }
     }
 
-    fn compact(&mut self) {
+    fn answer_snapshot(&self, request: SnapshotRequest) {
         match self.controller.snapshot() {
-            Ok(Some(snapshot)) => self.stores.log.compact(snapshot),
-            // Appends are pending; compaction is retried after the next one.
+            Ok(Some(snapshot)) => request.answer(snapshot),
+            // Declined: the writer asks again before its next write.
             Ok(None) => {}
             Err(error) => ::log::error!(target: "batch", "Failed to compact the log of batch jobs: {error}."),
         }
@@ -336,7 +342,7 @@
 }
 
 /// Starts reading the missing texts, if any, and returns the channel on which they arrive.
-fn read_missing(scope: &Scope, missing: Option<MissingTexts>) -> mpsc::Receiver<Ledger> {
+fn read_missing(scope: &Scope, missing: Option<MissingTexts>) -> mpsc::Receiver<ReadTexts> {
     let (sender, texts) = mpsc::channel(1);
     if let Some(missing) = missing {
         tokio::spawn(read_texts(scope.clone(), missing, sender));
@@ -345,7 +351,7 @@
 }
 
 /// Reads the missing texts and sends them to the owner; stops when the owner ends.
-async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<Ledger>) {
+async fn read_texts(scope: Scope, missing: MissingTexts, texts: mpsc::Sender<ReadTexts>) {
     tokio::select! {
         () = outline::read_texts(scope, missing, texts.clone()) => {}
         () = texts.closed() => {}
