Extend the store file by what its volume grants

Stores with room left refused every write for good with "the disk is full". redb doubles its file when it needs space; with a file of 257 MB on a volume of 420 MB the volume refused the new length, the transaction was rolled back, and so was each later one that needed a page. The store file is now opened through a backend that notes a refused length. When the file is opened again after the failed transaction it is first extended by half of what was wanted, or by less until the volume grants it; redb adopts the length in the repair that follows an error anyway. The store thread repeats a transaction that found the disk full once. An empty store file is refused as before, which is tested now.

--- a/crates/daemon/src/store/disk.rs
+++ b/crates/daemon/src/store/disk.rs
@@ -5,13 +5,16 @@
 //! before.
 
 use std::fs::{self, File};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
 use lichenpulley_core::replication::replica_set::StoreId;
-use redb::{Database, DatabaseError, Durability, StorageError, TableDefinition};
+use redb::backends::FileBackend;
+use redb::{Database, DatabaseError, Durability, StorageBackend, StorageError, TableDefinition};
 
 use super::error::{DiskError, StoreError};
 use super::transaction::Transaction;
+use super::volume::{RefusedLength, VolumeFile};
 
 /// Name of the store file in the data folder.
 pub(crate) const FILE_NAME: &str = "replicas.redb";
@@ -35,6 +38,7 @@
     database: Database,
     store: StoreId,
     capacity_bytes: u64,
+    refused: RefusedLength,
 }
 
 impl Disk {
@@ -48,13 +52,18 @@
             reject_foreign_files(folder)?;
             create_file(folder, &path)?;
         }
-        let database = Database::builder().set_cache_size(CACHE_BYTES).open(&path);
-        let database = database.map_err(|error| open_error(folder, error))?;
-        Self::from_database(database, path, capacity_bytes)
+        let refused = RefusedLength::default();
+        let database = open_database(&path, &refused).map_err(|error| open_error(folder, error))?;
+        Self::from_database(database, path, capacity_bytes, refused)
     }
 
     /// Wraps an open database after checking its format and reading its id.
-    fn from_database(database: Database, path: PathBuf, capacity_bytes: u64) -> Result<Self, StoreError> {
+    fn from_database(
+        database: Database,
+        path: PathBuf,
+        capacity_bytes: u64,
+        refused: RefusedLength,
+    ) -> Result<Self, StoreError> {
         let folder = path.parent().unwrap_or(&path);
         let damaged =
             |error: DiskError| StoreError::Damaged { folder: folder.to_owned(), reason: error.to_string() };
@@ -66,7 +75,7 @@
                 readable: FORMAT_VERSION,
             });
         }
-        Ok(Self { path, database, store, capacity_bytes })
+        Ok(Self { path, database, store, capacity_bytes, refused })
     }
 
     /// Returns the id of the store that the file belongs to.
@@ -93,17 +102,28 @@
         Ok(result)
     }
 
-    /// Reopens the file after a disk error, since `redb` refuses further transactions on the open database.
+    /// Reopens the file after a disk error, since `redb` refuses further transactions on the open database. Extends
+    /// it if its volume refused to let it grow.
     pub(super) fn reopen(self) -> Result<Self, StoreError> {
-        let Self { path, database, store, capacity_bytes } = self;
+        let Self { path, database, store, capacity_bytes, refused } = self;
         drop(database);
         let folder = path.parent().unwrap_or(&path).to_owned();
-        let database = Database::builder().set_cache_size(CACHE_BYTES).open(&path);
-        let database = database.map_err(|error| open_error(&folder, error))?;
-        Ok(Self { path, database, store, capacity_bytes })
+        let database = open_database(&path, &refused).map_err(|error| open_error(&folder, error))?;
+        Ok(Self { path, database, store, capacity_bytes, refused })
     }
 }
 
+/// Opens the database in an existing store file.
+fn open_database(path: &Path, refused: &RefusedLength) -> Result<Database, DatabaseError> {
+    let file = FileBackend::new(File::options().read(true).write(true).open(path)?)?;
+    // `redb` would create a database in an empty file.
+    if file.len()? == 0 {
+        return Err(DatabaseError::Storage(StorageError::Io(ErrorKind::InvalidData.into())));
+    }
+    let file = VolumeFile::open(file, refused)?;
+    Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(file)
+}
+
 /// Creates the store file under a temporary name and renames it once complete, so that an interrupted first
 /// start can be repeated.
 fn create_file(folder: &Path, path: &Path) -> Result<(), StoreError> {
--- a/crates/daemon/src/store/disk/tests.rs
+++ b/crates/daemon/src/store/disk/tests.rs
@@ -98,12 +98,18 @@
 }
 
 fn open(file: &CrashingFile, is_new: bool) -> Result<Disk, StoreError> {
-    let database = Database::builder().create_with_backend(file.clone());
-    let database = database.map_err(|error| open_error(Path::new("memory"), error))?;
+    open_after(file, RefusedLength::default(), is_new)
+}
+
+/// Opens a file of which a length may have been refused before.
+fn open_after(file: &CrashingFile, refused: RefusedLength, is_new: bool) -> Result<Disk, StoreError> {
+    let failed = |error: DatabaseError| open_error(Path::new("memory"), error);
+    let volume = VolumeFile::open(file.clone(), &refused).map_err(|error| failed(error.into()))?;
+    let database = Database::builder().create_with_backend(volume).map_err(failed)?;
     if is_new {
         write_identity(&database).expect("enough space");
     }
-    Disk::from_database(database, PathBuf::from("memory"), CAPACITY_BYTES)
+    Disk::from_database(database, PathBuf::from("memory"), CAPACITY_BYTES, refused)
 }
 
 fn put(disk: &Disk, index: u64) -> Result<(), DiskError> {
@@ -151,6 +157,88 @@
     assert!(crashed > 0, "some crashes must interrupt the writes");
 }
 
+/// Writes entries to a file that may grow by half until the second transaction fails on the full volume, or until
+/// the crash. Returns the number of acknowledged entries, the file, and the number of the operation at which the
+/// first transaction failed.
+fn fill_volume(crash_at: Option<u64>) -> (u64, CrashingFile, u64) {
+    let (file, refused) = (CrashingFile::default(), RefusedLength::default());
+    let mut disk = open_after(&file, refused.clone(), true).expect("a new file");
+    {
+        let mut state = file.state.lock().expect("no panic inside");
+        state.max_bytes = Some(state.cached.len() as u64 / 2 * 3);
+        state.crash_at = crash_at;
+    }
+    let (mut acknowledged, mut full_at) = (0, None);
+    loop {
+        let large = Payload::Record { origin: Epoch(1), bytes: vec![7; 30_000] };
+        let large = Entry { epoch: Epoch(1), payload: large };
+        let index = LogIndex(acknowledged + 1);
+        if disk.transact(|disk| disk.put_entry(&shard(), index, &large)).is_ok() {
+            acknowledged += 1;
+            continue;
+        }
+        drop(disk);
+        let operations = file.state.lock().expect("no panic inside").operations;
+        match open_after(&file, refused.clone(), false) {
+            Ok(opened) if full_at.is_none() => disk = opened,
+            _ => return (acknowledged, file, full_at.unwrap_or(operations)),
+        }
+        full_at = Some(operations);
+    }
+}
+
+#[test]
+fn acknowledged_entries_survive_a_crash_while_a_file_is_extended() {
+    let (entries, file, full_at) = fill_volume(None);
+    let last = file.state.lock().expect("no panic inside").operations;
+    let mut lengths = std::collections::BTreeSet::new();
+    for crash_at in ((full_at - 4)..=(full_at + 30).min(last)).step_by(2) {
+        let (acknowledged, file, _) = fill_volume(Some(crash_at));
+        assert!(acknowledged < entries);
+        for keeps_cached in [false, true] {
+            let mut state = FileState::default();
+            {
+                let old = file.state.lock().expect("no panic inside");
+                state.cached = if keeps_cached { old.cached.clone() } else { old.synced.clone() };
+                state.synced = state.cached.clone();
+            }
+            lengths.insert(state.cached.len());
+            let disk = open(&CrashingFile { state: Arc::new(Mutex::new(state)) }, false).expect("opens");
+            let found = last_index(&disk);
+            assert!(found == acknowledged || found == acknowledged + 1, "{found} after {acknowledged}");
+        }
+    }
+    assert!(lengths.len() > 1, "some crashes must come before and some after the extension");
+}
+
+#[test]
+fn an_extended_file_is_read_without_the_extension() {
+    let folder = TempDir::new().expect("a folder");
+    let disk = Disk::open(folder.path(), CAPACITY_BYTES).expect("a new store");
+    put(&disk, 1).expect("enough space");
+    // A copy of the open file is a file that was not closed.
+    let path = folder.path().join("copy");
+    let before = fs::copy(folder.path().join(FILE_NAME), &path).expect("copied");
+    let refused = RefusedLength::default();
+    refused.set(2 * before);
+    let database = open_database(&path, &refused).expect("opens");
+    assert!(path.metadata().expect("the file").len() > before);
+    let disk = Disk::from_database(database, path.clone(), CAPACITY_BYTES, refused).expect("readable");
+    put(&disk, 2).expect("enough space");
+    drop(disk);
+    let database = Database::open(&path).expect("opens");
+    let disk = Disk::from_database(database, path, CAPACITY_BYTES, RefusedLength::default());
+    assert_eq!(last_index(&disk.expect("readable")), 2);
+}
+
+#[test]
+fn an_empty_store_file_is_rejected() {
+    let folder = TempDir::new().expect("a folder");
+    fs::write(folder.path().join(FILE_NAME), b"").expect("written");
+    let refused = Disk::open(folder.path(), CAPACITY_BYTES);
+    assert!(matches!(refused, Err(StoreError::Damaged { .. })), "{:?}", refused.err());
+}
+
 #[test]
 fn a_full_disk_rejects_writes_and_keeps_existing_entries() {
     let file = CrashingFile::default();
--- a/crates/daemon/src/store/disk/tests/full_volume.rs
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -78,18 +78,19 @@
 impl Replica {
     fn new(volume_bytes: usize) -> Self {
         let file = LimitedFile::new(volume_bytes);
-        let disk = Self::open(&file, true);
+        let disk = Self::open(&file, RefusedLength::default(), true);
         let acceptor = Acceptor::new(disk.store().clone(), ClaimWindow::default());
         Self { file, disk: Some(disk), acceptor }
     }
 
-    fn open(file: &LimitedFile, is_new: bool) -> Disk {
-        let database = Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(file.clone());
+    fn open(file: &LimitedFile, refused: RefusedLength, is_new: bool) -> Disk {
+        let volume = VolumeFile::open(file.clone(), &refused).expect("readable");
+        let database = Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(volume);
         let database = database.expect("opens");
         if is_new {
             write_identity(&database).expect("enough space");
         }
-        let disk = Disk::from_database(database, PathBuf::from("memory"), file.volume_bytes as u64);
+        let disk = Disk::from_database(database, PathBuf::from("memory"), file.volume_bytes as u64, refused);
         disk.expect("readable")
     }
 
@@ -103,14 +104,24 @@
         ReplicaSet { shard: shard(), generation: Generation::FIRST, members }
     }
 
-    /// Handles a request as the store thread does: after a failed transaction it reopens the file.
-    fn answer(&mut self, request: ReplicaRequest) -> Result<ReplicaAnswer, DiskError> {
+    /// Handles a request as the store thread does: a failed transaction is repeated after the file was reopened.
+    fn answer(&mut self, request: &ReplicaRequest) -> Result<ReplicaAnswer, DiskError> {
+        match self.try_answer(request) {
+            Err(_) => self.try_answer(request),
+            answer => answer,
+        }
+    }
+
+    fn try_answer(&mut self, request: &ReplicaRequest) -> Result<ReplicaAnswer, DiskError> {
         let disk = self.disk.as_ref().expect("open");
-        match disk.transact(|transaction| self.acceptor.answer(transaction, 0, request)) {
+        let answer = |disk: &mut Transaction<'_>| self.acceptor.answer(disk, 0, request.clone());
+        match disk.transact(answer) {
             Ok(response) => Ok(response.outcome),
             Err(error) => {
-                drop(self.disk.take());
-                self.disk = Some(Self::open(&self.file, false));
+                let disk = self.disk.take().expect("open");
+                let refused = disk.refused.clone();
+                drop(disk);
+                self.disk = Some(Self::open(&self.file, refused, false));
                 Err(error)
             }
         }
@@ -149,7 +160,7 @@
         let now = Timestamp::ORIGIN;
         while let Some(transmit) = self.proposer.poll_transmit(now) {
             let (shard, generation) = (transmit.request.shard.clone(), transmit.request.generation);
-            let outcome = self.replica.answer(transmit.request)?;
+            let outcome = self.replica.answer(&transmit.request)?;
             if outcome == ReplicaAnswer::Refused(StoreRefusal::DiskFull) {
                 return Err(DiskError::Full);
             }
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -23,6 +23,7 @@
 pub mod shard_log;
 mod thread;
 mod transaction;
+mod volume;
 mod worker;
 
 use std::path::Path;
--- a/crates/daemon/src/store/worker.rs
+++ b/crates/daemon/src/store/worker.rs
@@ -121,8 +121,11 @@
         let work: Vec<Work> = batch.iter().map(|job| job.work.clone()).collect();
         let results = match self.transact(&work) {
             Ok(results) => results,
-            // One request may have failed the transaction for all, so each runs in its own.
-            Err(_) if work.len() > 1 => work.iter().map(|work| self.run_alone(work)).collect(),
+            // One request may have failed the transaction for all, so each runs in its own. A file that was full may
+            // have been extended.
+            Err(error) if work.len() > 1 || matches!(error, DiskError::Full) => {
+                work.iter().map(|work| self.run_alone(work)).collect()
+            }
             Err(error) => work.iter().map(|work| self.failed_result(work, &error)).collect(),
         };
         for (job, done) in batch.into_iter().zip(results) {
