Place items again under which replicas crashed

Callers saw that an item under which several replicas had crashed was never placed again, though all was calm and replicas had room.

Cause: the owner reported runs of items as suspect and held an item back for as long as its fingerprint was quarantined: until its job ended. Items that are handed in for later never crash replicas by themselves, and each is owed.

Change: runs of items are neither reported nor held. An item whose run broke is resumed at once, after the next breaks with a delay from 0.1 s to 2 s, and prefers replicas where no run of it broke. Without reports items no longer account for crashes that a plain request caused; gateways report that one.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -9,7 +9,6 @@
 use crate::identity::TenantName;
 use crate::ingress::replica_load::ReplicaLoad;
 use crate::ingress::replicas::ReplicaRecord;
-use crate::quarantine::Fingerprint;
 
 /// Identifies one run of one item during one ownership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -28,8 +27,6 @@
     pub tenant: Option<TenantName>,
     /// The item to run.
     pub item: BatchItem,
-    /// Fingerprint of the request, the same for all runs of the item.
-    pub fingerprint: Fingerprint,
     /// Number of the last event received so far; the run resumes after it. `None` starts from the beginning.
     pub last_event: Option<u64>,
     /// Urgency from 0 (highest) to 9.
--- a/crates/core/src/batch/controller/inputs.rs
+++ b/crates/core/src/batch/controller/inputs.rs
@@ -123,7 +123,7 @@
         self.mark_items_and_loads_due(now);
     }
 
-    /// Replaces the quarantine: the requests that must not be sent to any replica.
+    /// Replaces the quarantine, which holds score requests back for a time.
     pub fn set_quarantine(&mut self, now: Timestamp, quarantine: Arc<Quarantine>) {
         self.quarantine = quarantine;
         self.mark_items_due(now);
--- a/crates/core/src/batch/controller/live_item.rs
+++ b/crates/core/src/batch/controller/live_item.rs
@@ -4,9 +4,17 @@
 
 use super::RunId;
 use crate::batch::job::OutputEvent;
-use crate::quarantine::Fingerprint;
+use crate::retry::backoff::Backoff;
 use crate::time::Timestamp;
 
+/// Delay before an item is started again after its second consecutive run that broke; the first one is resumed at once.
+/// Bounds how fast an item can crash replicas. The limit leaves time to place an item within 5 s once they stop crashing.
+const BROKEN_RUN_BACKOFF: Backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(2));
+/// Time after which a run that breaks is no longer taken to follow from the ones before it.
+const UNRELATED_RUN_TIME: Duration = Duration::from_secs(2);
+/// Maximum number of replicas kept as broken for an item; the oldest are dropped.
+const MAX_BROKEN_REPLICAS: usize = 16;
+
 /// Processing stage of an item that is not listed yet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum ItemStage {
@@ -44,10 +52,12 @@
     pub(super) avoid: Option<String>,
     pub(super) stage: ItemStage,
     pub(super) score_failures: u32,
-    /// Fingerprint of the request, computed on first use.
-    pub(super) fingerprint: Option<Fingerprint>,
-    /// Whether the request is quarantined, because replicas crashed while they ran it.
-    pub(super) is_quarantined: bool,
+    /// Replicas at which runs broke, oldest first.
+    pub(super) broke_at: Vec<String>,
+    /// Number of consecutive runs that broke soon.
+    pub(super) broken_runs: u32,
+    /// The item is not started before this time.
+    pub(super) not_before: Timestamp,
 }
 
 impl LiveItem {
@@ -62,6 +72,22 @@
         has_run || !self.events.is_empty() || self.stage != ItemStage::Generating
     }
 
+    /// Records that a run at `replica` broke after `run_time`. Another replica is preferred from now on, and the next
+    /// start is delayed if the run before broke as well.
+    pub(super) fn record_broken_run(&mut self, replica: String, run_time: Duration, now: Timestamp) {
+        if run_time >= UNRELATED_RUN_TIME {
+            self.broken_runs = 0;
+        }
+        self.not_before = now + BROKEN_RUN_BACKOFF.pause(self.broken_runs);
+        self.broken_runs = self.broken_runs.saturating_add(1);
+        self.broke_at.retain(|earlier| *earlier != replica);
+        if self.broke_at.len() >= MAX_BROKEN_REPLICAS {
+            self.broke_at.remove(0);
+        }
+        self.broke_at.push(replica.clone());
+        self.avoid = Some(replica);
+    }
+
     /// Returns the events that were not appended yet and counts them as appended.
     pub(super) fn take_unwritten(&mut self) -> Vec<OutputEvent> {
         let events = self.events[self.written..].to_vec();
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -84,7 +84,7 @@
     pools: BTreeMap<String, PoolSize>,
     /// Decides which replicas admit new work.
     gate: AdmissionGate,
-    /// Requests that must not be sent to any replica.
+    /// Requests under which replicas crashed. Score requests among them are held back, items are not.
     quarantine: Arc<Quarantine>,
     paces: PaceModel,
     loads: LoadPlan,
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -97,6 +97,7 @@
     pub(super) fn run_ended(&mut self, now: Timestamp, id: RunId, end: RunEnd) {
         let Some(run) = self.runs.get(&id) else { return };
         let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
+        let started_at = run.started_at;
         self.stop(now, id);
         let key = (batch.clone(), item);
         if let Some(state) = self.replicas.get_mut(&replica) {
@@ -130,7 +131,8 @@
                     self.give_up(now, &batch, item, "failures");
                 }
             }
-            RunEnd::Broken | RunEnd::Rejected | RunEnd::OtherReplica => live.avoid = Some(replica),
+            RunEnd::Broken => live.record_broken_run(replica, now.saturating_since(started_at), now),
+            RunEnd::Rejected | RunEnd::OtherReplica => live.avoid = Some(replica),
         }
         self.mark_items_due(now);
     }
@@ -207,10 +209,6 @@
             }
             let Some(run) = self.runs.get(&id) else { continue };
             let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
-            // A quarantined item could not be started again.
-            if self.is_quarantined(&batch, item) {
-                continue;
-            }
             moves += 1;
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -166,6 +166,7 @@
             exact_version: first_event.map(|event| event.version),
             tokens: expected_tokens(request),
             avoid: live.avoid.as_deref(),
+            broke_at: &live.broke_at,
             ..self.minimal_requirements(route, job, request.model.as_deref())
         })
     }
@@ -185,6 +186,7 @@
             tokens: 0,
             memory: self.routes.as_deref().map(|routes| &routes.services),
             avoid: None,
+            broke_at: &[],
             gate: &self.gate,
             regions: self.allowed_regions(route, job.job.tenant.as_ref()),
             zones: &self.config.zones,
@@ -197,36 +199,13 @@
         routes.allowed_regions(route, tenant).intersect(&self.config.regions)
     }
 
-    /// Returns whether an item is quarantined. Checked before every run of it, also before one that is
-    /// resumed or moved.
-    pub(super) fn is_quarantined(&mut self, batch: &BatchId, item: u32) -> bool {
-        if self.quarantine.is_empty() {
-            return false;
-        }
-        let Some(job) = self.ledger.job(batch) else { return false };
-        let Some(request) = job.job.items.get(item as usize) else { return false };
-        let Some(live) = self.items.get_mut(&(batch.clone(), item)) else { return false };
-        let compute_fingerprint = || request.fingerprint(&job.job.host, job.job.tenant.as_ref());
-        let fingerprint = *live.fingerprint.get_or_insert_with(compute_fingerprint);
-        let was_quarantined =
-            std::mem::replace(&mut live.is_quarantined, self.quarantine.contains(&fingerprint));
-        if live.is_quarantined && !was_quarantined {
-            let decision = Decision::new(Component::Rollout, "item_held", "quarantined", &request.id);
-            let decision = decision.with("batch", batch).with("fingerprint", fingerprint);
-            self.actions.push_back(Action::Decide(decision));
-        }
-        live.is_quarantined
-    }
-
     /// Starts an item if a replica has capacity for it, and returns whether it did.
     pub(super) fn start_item(&mut self, now: Timestamp, batch: &BatchId, item: u32) -> bool {
-        if self.is_quarantined(batch, item) {
-            return false;
-        }
         let Some(requirements) = self.requirements(batch, item) else { return false };
         let Some(job) = self.ledger.job(batch) else { return false };
         let Some(request) = self.item(batch, item) else { return false };
-        let Some(live) = self.items.get(&(batch.clone(), item)) else { return false };
+        let live = self.items.get(&(batch.clone(), item)).filter(|live| live.not_before <= now);
+        let Some(live) = live else { return false };
         let tokens = requirements.tokens;
         let Some(Placement { replica: chosen, restarts_text }) = self.choose(requirements, now) else {
             return false;
@@ -248,14 +227,12 @@
         if restarts_text {
             live.restart();
         }
-        let compute_fingerprint = || request.fingerprint(&host, tenant.as_ref());
-        let fingerprint = *live.fingerprint.get_or_insert_with(compute_fingerprint);
         let started =
             Run { batch: batch.clone(), item, replica: chosen, tokens, started_at: now, last_event_at: None };
         self.runs.insert(run, started);
         self.count_grant(now, batch, item);
         let (item, urgency) = (request, self.urgency(batch));
-        let start = RunStart { run, replica, host, tenant, item, fingerprint, last_event, urgency };
+        let start = RunStart { run, replica, host, tenant, item, last_event, urgency };
         self.record_decision(start_decision(batch, &start));
         self.actions.push_back(Action::Start(Box::new(start)));
         true
@@ -288,7 +265,6 @@
         .with("batch", batch)
         .with("replica", &start.replica.id)
         .with("run", start.run.0)
-        .with("fingerprint", start.fingerprint)
         .with("after_event", after_event)
 }
 
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -42,7 +42,7 @@
     pub scorer: Option<ScoreRequest>,
 }
 
-/// HTTP method of items and score requests.
+/// HTTP method of score requests.
 const METHOD: &str = "POST";
 
 impl ScoreRequest {
@@ -58,14 +58,6 @@
     }
 }
 
-impl BatchItem {
-    /// Returns the fingerprint, which is the same for every run of the item. `host` and `tenant` are those of
-    /// its job.
-    pub(crate) fn fingerprint(&self, host: &str, tenant: Option<&TenantName>) -> Fingerprint {
-        Fingerprint::of(&RequestContent { method: METHOD, host, path: &self.path, tenant, body: &self.body })
-    }
-}
-
 /// A batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct BatchJob {
--- a/crates/core/src/batch/schedule.rs
+++ b/crates/core/src/batch/schedule.rs
@@ -272,6 +272,8 @@
     pub(super) memory: Option<&'a BTreeMap<String, Service>>,
     /// Replica to avoid if another one qualifies.
     pub(super) avoid: Option<&'a str>,
+    /// Replicas at which runs of the item broke; avoided even more.
+    pub(super) broke_at: &'a [String],
     /// Decides which replicas admit new work.
     pub(super) gate: &'a AdmissionGate,
     /// Regions in which the job's items may run.
@@ -280,6 +282,12 @@
 }
 
 impl Requirements<'_> {
+    /// Returns how much a replica is to be avoided; 0 if it is not.
+    fn reluctance(&self, replica: &str) -> u8 {
+        let has_broken = self.broke_at.iter().any(|broken| broken == replica);
+        2 * u8::from(has_broken) + u8::from(self.avoid == Some(replica))
+    }
+
     /// Returns the minimum requirements of any item of the same class.
     pub(super) fn minimal(self) -> Self {
         Self { exact_version: None, tokens: 0, ..self }
@@ -333,10 +341,8 @@
     now: Timestamp,
 ) -> Option<String> {
     let candidates = replicas.values().filter(|replica| requirements.is_met_by(replica, now));
-    let key = |replica: &ReplicaState| {
-        let is_avoided = requirements.avoid == Some(replica.record.id.as_str());
-        (is_avoided, replica.expected_pace(paces))
-    };
+    let key =
+        |replica: &ReplicaState| (requirements.reluctance(&replica.record.id), replica.expected_pace(paces));
     let best = candidates.min_by(|left, right| {
         let (left, right) = (key(left), key(right));
         left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
--- a/crates/core/src/quarantine/monitor.rs
+++ b/crates/core/src/quarantine/monitor.rs
@@ -33,9 +33,7 @@
 pub enum RunSender {
     /// A gateway, for a caller. Other gateways may send the same request.
     Gateway,
-    /// The owner of batch jobs, the only sender of the request. Many items run on a replica for seconds, and
-    /// few of them complete before a crash would be reported, so an item is reported only from its second
-    /// crash on.
+    /// The owner of batch jobs, the only sender of the score request. It is reported only from its second crash on.
     Owner,
 }
 
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -12,7 +12,6 @@
 use hyper::{Method, Request, Response};
 use lichenpulley_core::batch::controller::{RunEnd, RunEvent, RunId, RunStart};
 use lichenpulley_core::batch::job::OutputEvent;
-use lichenpulley_core::quarantine::RunSender;
 use lichenpulley_platform::headers;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,7 +23,6 @@
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
 use crate::ingress::sse::EventSplitter;
 use crate::metrics::Latency;
-use crate::quarantine::TracedRun;
 
 /// Timeout for connecting to a replica.
 const RUN_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -42,16 +40,11 @@
 ) {
     let run = start.run;
     let began = Instant::now();
-    let mut traced = TracedRun::begin(&context, start.fingerprint, &start.replica, RunSender::Owner);
     let end = match send(&context, &pool, &start, decided_at).await {
-        Ok(exchange) => read(&pool, &start, exchange, &events, &mut traced).await,
-        Err(error) => {
-            traced.record_send_error(error).await;
-            if error == SendError::Withheld { RunEnd::Rejected } else { RunEnd::Broken }
-        }
+        Ok(exchange) => read(&pool, &start, exchange, &events).await,
+        Err(SendError::Withheld) => RunEnd::Rejected,
+        Err(SendError::NotSent | SendError::Broken) => RunEnd::Broken,
     };
-    // Records the outcome for quarantine before the owner may start the item again.
-    drop(traced);
     if end == RunEnd::Broken {
         ::log::debug!(target: "batch", "{}: the run of {} at {} ended early.", context.node, start.item.id, start.replica.id);
     }
@@ -116,11 +109,9 @@
     start: &RunStart,
     exchange: HttpExchange,
     events: &mpsc::Sender<(RunId, RunEvent)>,
-    traced: &mut TracedRun,
 ) -> RunEnd {
     let HttpExchange { response, connection } = exchange;
     if let Some(end) = end_by_head(&response, &start.item.id) {
-        trace_head(traced, &end);
         return end;
     }
     let (head, mut body) = response.into_parts();
@@ -131,27 +122,16 @@
     }
     let version = version_of_head(&head.headers, start);
     let mut reader = EventReader { start, events, version, splitter: EventSplitter::default() };
-    if let Err(end) = reader.read_all(&mut body, traced).await {
+    if let Err(end) = reader.read_all(&mut body).await {
         return end;
     }
     if reader.splitter.has_partial_event() || !is_framed(&head.headers) {
-        traced.record_broken().await;
         return RunEnd::Broken;
     }
-    traced.record_complete();
     pool.give_back(connection, &head.headers);
     RunEnd::Complete
 }
 
-/// Records in the trace how a run ended whose answer has no events.
-fn trace_head(traced: &mut TracedRun, end: &RunEnd) {
-    match end {
-        RunEnd::Rejected | RunEnd::OtherReplica => traced.record_not_run(),
-        RunEnd::Failed | RunEnd::Unprocessable => traced.record_complete(),
-        RunEnd::Broken | RunEnd::Complete => {}
-    }
-}
-
 /// Forwards the events of one answer to the owner.
 struct EventReader<'a> {
     start: &'a RunStart,
@@ -164,13 +144,10 @@
 impl EventReader<'_> {
     /// Reads until the body ends. Returns the run's end as the error if the connection breaks, an event can't
     /// be parsed, or the owner has ended.
-    async fn read_all(&mut self, body: &mut Incoming, traced: &mut TracedRun) -> Result<(), RunEnd> {
+    async fn read_all(&mut self, body: &mut Incoming) -> Result<(), RunEnd> {
         while let Some(frame) = body.frame().await {
             // The cause is irrelevant: the run is resumed elsewhere.
-            let Ok(frame) = frame else {
-                traced.record_broken().await;
-                return Err(RunEnd::Broken);
-            };
+            let Ok(frame) = frame else { return Err(RunEnd::Broken) };
             // Trailers contain no events.
             let Ok(bytes) = frame.into_data() else { continue };
             self.splitter.push(&bytes);
--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that crash replicas.
 //!
-//! Every sender on this node (plain requests, streams, items and scores) traces its runs with a `TracedRun`.
+//! Senders of plain requests, streams and scores on this node trace their runs with a `TracedRun`; items are never
+//! suspected.
 //! `reporter` publishes the observed crashes to all nodes through the platform's metadata store. The handle
 //! holds the crash monitor and the current quarantine; the policy is in the core's `quarantine`. Replicas and
 //! reports of other nodes come from the node's metadata.
@@ -38,7 +39,7 @@
         self.changed.notify_one();
         if before.requests() != after.requests() {
             self.record_changes(context, &before, &after);
-            // Wakes the owner of batch jobs, which may have to hold an item.
+            // Wakes the owner of batch jobs, which may have to hold a score request.
             context.metadata.notify();
         }
     }
