Send quarantined score requests again after a calm time

Callers saw that an item whose score request had met a burst of crashes was not scored until it was given up: the request stayed quarantined.

Cause: the owner held a quarantined score request until the quarantine ended, which needs an answer, and the owner never sent it.

Change: the owner sends a held request once after 6 s without a crash under it, and doubles the time after each trial that breaks, up to a minute. One trial of a request runs at a time. An answer clears it everywhere, as before.

--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -29,6 +29,7 @@
 pub mod regional;
 mod reuse;
 mod schedule;
+mod score_hold;
 pub mod score_plan;
 pub mod shortage;
 pub mod shortage_summary;
--- a/crates/core/src/batch/score_plan.rs
+++ b/crates/core/src/batch/score_plan.rs
@@ -3,7 +3,7 @@
 //! Inputs: the route of the scorer, its replicas with their slots, the requests that this owner sent, and the
 //! load that replicas reported. `ingress::chooser::ReplicaChooser` chooses among the replicas with capacity.
 //! This module sets the number of requests per replica, avoids replicas that were tried before, and limits
-//! retries.
+//! retries. `batch::score_hold` decides when a quarantined request is tried again.
 //!
 //! Scorers are ordinary services that also serve live requests, so score requests never use all slots of a
 //! replica. Each service has a retry budget, which keeps a failing service from being overloaded by retries.
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use super::job::ScoreRequest;
+use super::score_hold::ScoreHold;
 use crate::identity::{BatchId, TenantName};
 use crate::ingress::admission::AdmissionGate;
 use crate::ingress::chooser::{ReplicaChooser, ReplicaFeedback};
@@ -126,6 +127,7 @@
     chooser: ReplicaChooser,
     waiting: VecDeque<WaitingScore>,
     active: BTreeMap<ScoreId, ActiveScore>,
+    hold: ScoreHold,
     budgets: BTreeMap<String, RetryBudget>,
     last: u64,
 }
@@ -168,14 +170,22 @@
         now: Timestamp,
     ) -> Vec<ScoreStart> {
         let mut starts = Vec::new();
+        self.hold.retain(quarantine);
         for waiting in std::mem::take(&mut self.waiting) {
-            let fingerprint = || waiting.request.fingerprint(waiting.tenant.as_ref());
-            if !quarantine.is_empty() && quarantine.contains(&fingerprint()) {
+            let compute_fingerprint = || waiting.request.fingerprint(waiting.tenant.as_ref());
+            let fingerprint = (!quarantine.is_empty()).then(compute_fingerprint);
+            let quarantined = fingerprint.filter(|fingerprint| quarantine.contains(fingerprint));
+            let is_active = |id: &ScoreId| self.active.contains_key(id);
+            let is_held = quarantined.is_some_and(|request| !self.hold.is_trial_due(request, is_active, now));
+            if is_held {
                 self.waiting.push_back(waiting);
                 continue;
             }
             match self.start(&waiting, routes, &replicas, gate, now) {
                 Some(start) => {
+                    if let Some(fingerprint) = quarantined {
+                        self.hold.begin_trial(&fingerprint, start.id);
+                    }
                     let replica = start.replica.id.clone();
                     let is_cold = gate.is_cold(&replica, now);
                     self.active.insert(start.id, ActiveScore { waiting, replica, is_cold, began: now });
@@ -284,6 +294,8 @@
             waiting.attempts += 1;
             if *end == ScoreEnd::Broken {
                 *waiting.broken_attempts.entry(replica.clone()).or_default() += 1;
+                let (request, tenant) = (&waiting.request, waiting.tenant.as_ref());
+                self.hold.record_broken(|| request.fingerprint(tenant), now);
             }
             waiting.tried.push(replica);
             // The first retry is sent to another replica without delay.
--- a/crates/core/tests/batch_crashes.rs
+++ b/crates/core/tests/batch_crashes.rs
@@ -1,13 +1,14 @@
-//! Items under which replicas crashed: each is placed again, at a bounded rate.
+//! Items and score requests under which replicas crashed: each is placed again, at a bounded rate.
 
 mod batch_support;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use batch_support::{OwnerHarness, at, job, replica, table};
+use batch_support::{OwnerHarness, at, job, replica, scored_job, scorer_replica, table};
 use lichenpulley_core::batch::controller::RunEnd;
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::score_plan::ScoreEnd;
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_core::quarantine::{CrashReport, Fingerprint, Quarantine, RequestContent, Suspect};
 
@@ -112,3 +113,68 @@
         assert_eq!(harness.started.len() as u64, crash + 1, "the item is at another replica");
     }
 }
+
+/// Returns a harness with scorers that holds the score request of one item, after its first attempt broke.
+fn harness_with_held_score(items: usize) -> OwnerHarness {
+    let scorers = ["s", "t", "u", "v", "w"].map(scorer_replica);
+    let replicas = [&[replica("a", 1)], &scorers[..]].concat();
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.submit(at(1), scored_job("j", items));
+    while harness.started.len() < items {
+        finish_texts(&mut harness, 0);
+    }
+    finish_texts(&mut harness, 0);
+    let held = quarantine_of(fingerprint("/score/x", b"text"), &["x", "y", "z"]);
+    harness.controller.set_quarantine(at(20), held);
+    for position in 0..harness.scores.len() {
+        harness.score_end(at(20), position, ScoreEnd::Broken);
+    }
+    harness
+}
+
+/// Completes the texts of all started items.
+fn finish_texts(harness: &mut OwnerHarness, now: u64) {
+    for run in harness.started.iter().map(|start| start.run).collect::<Vec<_>>() {
+        harness.event(at(now), run, 0, 1);
+        harness.end(at(now), run, RunEnd::Complete);
+    }
+    harness.commit_appends(at(now));
+}
+
+/// A sound score request that a burst of crashes had put into quarantine was never sent again.
+#[test]
+fn a_quarantined_score_request_is_sent_again_after_seconds_without_a_crash() {
+    let mut harness = harness_with_held_score(1);
+    let sent = harness.scores.len();
+    tick_until(&mut harness, 50, 5_000);
+    assert_eq!(harness.scores.len(), sent, "held while replicas may still crash");
+    tick_until(&mut harness, 5_050, 7_000);
+    assert_eq!(harness.scores.len(), sent + 1);
+    harness.score_end(at(7_000), sent, ScoreEnd::Scored("seal".to_owned()));
+    harness.commit_appends(at(7_010));
+    assert_eq!(harness.results("j"), 1);
+}
+
+#[test]
+fn a_quarantined_score_request_is_tried_one_at_a_time_with_growing_delay() {
+    let mut harness = harness_with_held_score(2);
+    let first = harness.scores.len();
+    let (mut seen, mut sent_at) = (first, Vec::new());
+    for now in (50..60_000).step_by(TICK_MS as usize) {
+        harness.controller.tick(at(now));
+        harness.commit_appends(at(now));
+        assert!(harness.scores.len() <= seen + 1, "two trials at a time");
+        if harness.scores.len() > seen {
+            sent_at.push(now);
+            harness.score_end(at(now), seen, ScoreEnd::Broken);
+            seen += 1;
+        }
+        if harness.results("j") == 2 {
+            break;
+        }
+    }
+    assert!((2..=3).contains(&sent_at.len()), "{sent_at:?}");
+    let gaps: Vec<u64> = sent_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps.iter().all(|gap| *gap >= 11_000), "{sent_at:?}");
+    assert!(gaps.is_sorted(), "{sent_at:?}");
+}
