Continue a run stopped for its version at another replica

An item was sent to one replica again and again where that replica is listed with a newer version than its answers have.

Cause: a run that is stopped for its version did not mark its replica as one to avoid, so the same one was the best choice for the next run.

Change: the replica is avoided while another qualifies, as after other runs that end early. The only replica with the version is still used.

--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -90,7 +90,11 @@
         self.record_decision(
             Decision::new(Component::Rollout, "run_stopped", "wrong_version", batch).with("item", item),
         );
+        let replica = self.runs.get(&id).map(|run| run.replica.clone());
         self.stop(now, id);
+        if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
+            live.avoid = replica;
+        }
         self.mark_items_due(now);
     }
 
--- a/crates/core/tests/batch_crashes.rs
+++ b/crates/core/tests/batch_crashes.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// A replica that was listed with a newer version than it has was chosen again and again.
+#[test]
+fn a_run_stopped_for_its_version_continues_at_another_replica() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 2), replica("b", 2)]);
+    harness.submit(at(1), job("j", 1, 2));
+    let first = harness.started[0].clone();
+    harness.event(at(10), first.run, 0, 1);
+    let second = harness.started.last().expect("a run");
+    assert_ne!(second.replica.id, first.replica.id);
+}
+
 /// Returns a harness with scorers that holds the score request of one item, after its first attempt broke.
 fn harness_with_held_score(items: usize) -> OwnerHarness {
     let scorers = ["s", "t", "u", "v", "w"].map(scorer_replica);
