--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -90,13 +90,18 @@
         self.record_decision(
             Decision::new(Component::Rollout, "run_stopped", "wrong_version", batch).with("item", item),
         );
+        let replica = self.runs.get(&id).map(|run| run.replica.clone());
         self.stop(now, id);
+        if let Some(live) = self.items.get_mut(&(batch.clone(), item)) {
+            live.avoid = replica;
+        }
         self.mark_items_due(now);
     }
 
     pub(super) fn run_ended(&mut self, now: Timestamp, id: RunId, end: RunEnd) {
         let Some(run) = self.runs.get(&id) else { return };
         let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
+        let started_at = run.started_at;
         self.stop(now, id);
         let key = (batch.clone(), item);
         if let Some(state) = self.replicas.get_mut(&replica) {
@@ -130,7 +135,8 @@
                     self.give_up(now, &batch, item, "failures");
                 }
             }
-            RunEnd::Broken | RunEnd::Rejected | RunEnd::OtherReplica => live.avoid = Some(replica),
+            RunEnd::Broken => live.record_broken_run(replica, now.saturating_since(started_at), now),
+            RunEnd::Rejected | RunEnd::OtherReplica => live.avoid = Some(replica),
         }
         self.mark_items_due(now);
     }
@@ -207,10 +213,6 @@
             }
             let Some(run) = self.runs.get(&id) else { continue };
             let (batch, item, replica) = (run.batch.clone(), run.item, run.replica.clone());
-            // A quarantined item could not be started again.
-            if self.is_quarantined(&batch, item) {
-                continue;
-            }
             moves += 1;
             let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
             let decision = Decision::new(Component::Rollout, "run_stopped", "slow_replica", subject);
--- a/crates/core/src/batch/controller/waiting.rs
+++ b/crates/core/src/batch/controller/waiting.rs
@@ -76,7 +76,7 @@
         };
         Some(match () {
             () if !self.is_confirmed => "not_confirmed",
-            () if live.is_quarantined => "quarantined",
+            () if live.not_before > now => "backoff",
             () if is_met(&requirements) => "not_chosen",
             () if is_met(&requirements.minimal()) => "no_replica_for_item",
             () => "no_replica_for_job",
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -42,7 +42,7 @@
     pub scorer: Option<ScoreRequest>,
 }
 
-/// HTTP method of items and score requests.
+/// HTTP method of score requests.
 const METHOD: &str = "POST";
 
 impl ScoreRequest {
@@ -69,12 +69,6 @@
         let scorer = self.scorer.as_ref().map_or(0, ScoreRequest::held_bytes);
         self.id.len() + self.path.len() + headers + self.body.len() + names + scorer
     }
-
-    /// Returns the fingerprint, which is the same for every run of the item. `host` and `tenant` are those of
-    /// its job.
-    pub(crate) fn fingerprint(&self, host: &str, tenant: Option<&TenantName>) -> Fingerprint {
-        Fingerprint::of(&RequestContent { method: METHOD, host, path: &self.path, tenant, body: &self.body })
-    }
 }
 
 /// A batch job.
