Keep reading lists of the metadata store whose entries can't be decoded

Callers saw nodes that stopped following a kind of object: one entry of another writer made each list and watch fail, so that the node listed again forever, and a node that started learned of no replica.

Cause: `spec` and `status` were decoded one by one, the metadata was not. Finalizers that are no list of strings, or hold a number out of range, made the answer unreadable as a whole. A name with `&`, `/`, `%`, a space or a letter outside ASCII went into paths as it is: the next page was refused or was the same page again, without end, and the list in memory grew. The sum of the replicas' slots overflowed.

The sum of slots saturates. Nested entries, numbers out of range, lone surrogates, repeated keys and invalid UTF-8 in `spec` and `status` were borne before; the tests that show it stay. The stand-in of the store serves pages and finalizers.

--- a/crates/core/src/batch/controller/backlog.rs
+++ b/crates/core/src/batch/controller/backlog.rs
@@ -263,7 +263,8 @@
         let records = records.filter(|record| services.contains(record.service.as_str()));
         let is_usable = |zone: &str| self.config.regions.allows_zone(&self.config.zones, zone);
         let usable = records.filter(|record| !record.is_draining && is_usable(&record.zone));
-        usable.filter(|record| !self.gate.is_evacuated(record)).map(|record| record.slots).sum()
+        let open = usable.filter(|record| !self.gate.is_evacuated(record));
+        open.map(|record| record.slots).fold(0, u32::saturating_add)
     }
 }
 
--- a/crates/core/tests/batch_queue_report.rs
+++ b/crates/core/tests/batch_queue_report.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use batch_support::load::Load;
+use batch_support::{OwnerHarness, at, job, replica};
+use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::ingress::replicas::ReplicaRecord;
 
 #[test]
 fn the_report_counts_items_and_groups_by_trainer() {
@@ -33,3 +36,12 @@
     assert_eq!((second.running, second.waiting, second.share_percent), (0, 4, 0));
     assert_eq!((second.groups_in_time, second.groups_late), (1, 1), "a run of 9 s can't be in time");
 }
+
+#[test]
+fn slots_of_all_replicas_together_do_not_overflow() {
+    let replicas = ["r-0", "r-1"].map(|id| ReplicaRecord { slots: u32::MAX, ..replica(id, 6) });
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &replicas);
+    harness.submit(at(0), job("a", 2, 6));
+    let report = harness.controller.queue_report(at(0));
+    assert_eq!(report.services[0].slots, u32::MAX);
+}
--- a/crates/daemon/src/metadata/client.rs
+++ b/crates/daemon/src/metadata/client.rs
@@ -62,10 +62,11 @@
     pub async fn list(&self, kind: &str) -> Result<List, PlatformError> {
         let mut all: Option<List> = None;
         loop {
-            let after = all.as_ref().and_then(|list| list.items.last());
-            let path = objects::list_path(kind, after.map(|object| object.metadata.name.as_str()));
+            let after = all.as_ref().and_then(last_name);
+            let path = objects::list_path(kind, after);
             let page: List = self.http.get_json(self.address, &path, self.timeout).await?;
-            let is_last = !page.has_more || page.items.is_empty();
+            // A store that does not find its place by a foreign writer's name would repeat a page forever.
+            let is_last = !page.has_more || last_name(&page).is_none() || last_name(&page) == after;
             match &mut all {
                 Some(list) => {
                     // Pages may have different revisions; the list is only as new as its oldest page.
@@ -205,6 +206,10 @@
     }
 }
 
+fn last_name(list: &List) -> Option<&str> {
+    list.items.last().map(|object| object.metadata.name.as_str())
+}
+
 /// Classifies a failed write. `NotWritten` is returned only if no byte was sent or the platform refused the
 /// write.
 fn classify(error: ClientError) -> WriteError {
--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -9,6 +9,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use lichenpulley_daemon::http::request::{percent_decode, query_parameter};
 use lichenpulley_platform::objects::{Event, Events, List, Object};
 use serde_json::Value;
 use tokio::sync::Notify;
@@ -47,6 +48,8 @@
     unresponsive_kind: Option<String>,
     /// Kind whose watches are never answered.
     stalled_watch_kind: Option<String>,
+    /// Maximum number of objects in one page of a list; `None` answers with all objects at once.
+    page_size: Option<usize>,
     /// Raw bytes that replace each quoted [`UNREADABLE_PLACEHOLDER`] in responses.
     unreadable: Vec<u8>,
     /// Kind of each list request so far.
@@ -94,6 +97,17 @@
         self.shared.lock().unreadable = bytes.to_vec();
     }
 
+    /// Sets the maximum number of objects in one page of a list.
+    pub fn set_page_size(&self, objects: usize) {
+        self.shared.lock().page_size = Some(objects);
+    }
+
+    /// Replaces the finalizers of an object, as any writer may.
+    pub fn set_finalizers(&self, kind: &str, name: &str, finalizers: Vec<String>) {
+        self.shared.lock().objects.set_finalizers(kind, name, finalizers);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.lock().objects.remove(kind, name);
@@ -179,6 +193,16 @@
         self.stalled_watch_kind.as_deref() == Some(kind)
     }
 
+    /// Returns the page of a list that begins after a name.
+    fn page(&self, kind: &str, after: Option<&str>) -> List {
+        let mut items = self.objects.list(kind);
+        items.retain(|object| after.is_none_or(|after| object.metadata.name.as_str() > after));
+        let page_size = self.page_size.unwrap_or(usize::MAX);
+        let has_more = items.len() > page_size;
+        items.truncate(page_size);
+        List { items, has_more, at: self.objects.revision() }
+    }
+
     /// Serializes `value` and replaces each quoted placeholder by the unreadable bytes.
     fn raw_json(&self, value: &impl serde::Serialize) -> Response<Body> {
         let text = serde_json::to_string(value).unwrap_or_default();
@@ -203,7 +227,8 @@
     }
     let path = request.uri().path().to_owned();
     let Some(rest) = path.strip_prefix(OBJECTS_PREFIX) else { return http::not_found(&path).into() };
-    let parts: Vec<&str> = rest.split('/').collect();
+    let parts: Vec<String> = rest.split('/').map(percent_decode).collect();
+    let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     if parts.first().is_some_and(|kind| shared.lock().is_unresponsive(kind)) {
         return std::future::pending().await;
     }
@@ -228,21 +253,17 @@
     response.into()
 }
 
-fn parameter(request: &Request<Incoming>, name: &str) -> Option<String> {
-    let mut pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
-}
-
 async fn read_kind(shared: &Shared, kind: &str, request: &Request<Incoming>) -> Response<Body> {
-    let after_revision: Option<u64> = parameter(request, "watch").and_then(|revision| revision.parse().ok());
+    let after_revision: Option<u64> =
+        query_parameter(request, "watch").and_then(|revision| revision.parse().ok());
     let Some(after_revision) = after_revision else {
         let mut state = shared.lock();
         state.listed.push(kind.to_owned());
-        let list = List { items: state.objects.list(kind), has_more: false, at: state.objects.revision() };
+        let list = state.page(kind, query_parameter(request, "after_rev").as_deref());
         return state.raw_json(&list);
     };
     let _waiting = WaitingWatch::begin(shared, kind);
-    let wait_ms = parameter(request, "wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+    let wait_ms = query_parameter(request, "wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
     let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
         let changed = shared.changed.notified();
--- a/crates/lab/src/metadata_store/objects.rs
+++ b/crates/lab/src/metadata_store/objects.rs
@@ -64,6 +64,15 @@
         self.store(kind, name, spec, status);
     }
 
+    pub(super) fn set_finalizers(&mut self, kind: &str, name: &str, finalizers: Vec<String>) {
+        let Some(object) = self.objects.get_mut(&(kind.to_owned(), name.to_owned())) else { return };
+        self.revision += 1;
+        object.metadata.rev = Some(self.revision);
+        object.metadata.finalizers = finalizers;
+        let object = object.clone();
+        self.record(kind, Event { is_removed: false, object });
+    }
+
     /// Removes an object and returns whether it existed.
     pub(super) fn remove(&mut self, kind: &str, name: &str) -> bool {
         let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) else { return false };
--- a/crates/lab/tests/platform_entries/mod.rs
+++ b/crates/lab/tests/platform_entries/mod.rs
@@ -5,6 +5,7 @@
 use hyper::{Method, StatusCode};
 use lichenpulley_lab::metadata_store::UNREADABLE_PLACEHOLDER;
 use lichenpulley_platform::objects;
+use lichenpulley_platform::quarantine::QUARANTINE;
 use serde_json::{Value, json};
 
 use crate::platform_system::{System, until};
@@ -104,3 +105,109 @@
     system.restart_replica(0).await;
     assert_eq!(system.results(0, "job").await.len(), 2);
 }
+
+/// JSON texts that a decoder may refuse: nested too deeply, out of range, or not text.
+fn undecodable_values() -> Vec<Vec<u8>> {
+    const DEPTH: usize = 20_000;
+    let nested = [vec![b'['; DEPTH], vec![b']'; DEPTH]].concat();
+    let texts = [
+        "1e400",
+        "99999999999999999999999",
+        "-1",
+        "1e18",
+        "\"\\ud800\"",
+        "\"127.0.0.1:99999\"",
+        "{\"a\":1,\"a\":1e400}",
+    ];
+    let texts = texts.iter().map(|text| text.as_bytes().to_vec());
+    texts.chain([nested, b"\"\xff\xfe\"".to_vec()]).collect()
+}
+
+/// Writes entries with an undecodable value under names that also need escaping in a path.
+fn put_undecodable(system: &System, kind: &str) {
+    for name in ["a&x=1", "m odd/#%", "y-\u{e9}?"] {
+        system.platform.put(kind, name, json!(UNREADABLE_PLACEHOLDER));
+        system.platform.put(kind, name, json!({"service": "engines", "slots": UNREADABLE_PLACEHOLDER}));
+        system.platform.set_finalizers(kind, name, vec![UNREADABLE_PLACEHOLDER.to_owned()]);
+    }
+}
+
+/// Waits until all gateways follow the list: they learn of a new entry, and know the same replicas as before.
+async fn follow(system: &System, service: &str) {
+    let mut other = system.replicas[0].record(service, "kajang");
+    other["address"] = json!("127.0.0.1:9");
+    system.platform.put(objects::REPLICAS, &format!("z-{service}"), other);
+    for gateway in (0..system.gateways.len()).filter(|gateway| system.gateways[*gateway].is_some()) {
+        until(|| known(system, gateway, service).len() == 1).await;
+        assert_eq!(known(system, gateway, "engines"), replicas());
+    }
+}
+
+#[tokio::test]
+async fn nodes_follow_the_list_while_an_undecodable_entry_comes_changes_and_goes() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for (number, value) in undecodable_values().into_iter().enumerate() {
+        system.platform.set_unreadable_bytes(&value);
+        put_undecodable(&system, objects::REPLICAS);
+        follow(&system, &format!("there-{number}")).await;
+        for name in ["a&x=1", "m odd/#%", "y-\u{e9}?"] {
+            system.platform.remove(objects::REPLICAS, name);
+        }
+        follow(&system, &format!("gone-{number}")).await;
+    }
+}
+
+#[tokio::test]
+async fn nodes_start_and_list_again_with_undecodable_entries_on_several_pages() {
+    let mut system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let values: Vec<Vec<u8>> = undecodable_values();
+    system
+        .platform
+        .set_unreadable_bytes(&[b"[".to_vec(), values.join(b",".as_slice()), b"]".to_vec()].concat());
+    put_undecodable(&system, objects::REPLICAS);
+    system.platform.set_page_size(1);
+    // Every node lists again, since the history is gone.
+    system.platform.compact();
+    follow(&system, "listed").await;
+    system.gateways[1].take().expect("a gateway").kill();
+    system.start_gateway(1).await;
+    follow(&system, "started").await;
+    until(|| system.platform.waiting_watch_count(objects::REPLICAS) > 0).await;
+}
+
+#[tokio::test]
+async fn undecodable_objects_of_other_kinds_hide_no_others() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for (number, value) in undecodable_values().into_iter().enumerate() {
+        system.platform.set_unreadable_bytes(&value);
+        for kind in [objects::VERSIONS, objects::EVACUATIONS, objects::RETIREMENTS, QUARANTINE] {
+            put_undecodable(&system, kind);
+        }
+        let zone = format!("zone-{number}");
+        system.platform.put(objects::EVACUATIONS, &zone, objects::evacuation_spec());
+        let version = number as u64 + 2;
+        system.platform.put(objects::VERSIONS, "model", json!({"model": "model", "version": version}));
+        let nodes = || system.gateways.iter().flatten().map(|node| &node.context().metadata);
+        until(|| nodes().all(|metadata| metadata.evacuated.load().zones.contains(&zone))).await;
+        until(|| nodes().any(|metadata| metadata.versions.load().get("model") == Some(&version))).await;
+    }
+    until(|| system.platform.waiting_watch_count(objects::RETIREMENTS) > 0).await;
+    until(|| system.platform.waiting_watch_count(QUARANTINE) > 0).await;
+}
+
+#[tokio::test]
+async fn an_entry_with_the_largest_number_of_slots_does_not_stop_the_owner() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let mut entry = system.replicas[0].record("engines", "kajang");
+    entry["address"] = json!("127.0.0.1:9");
+    entry["slots"] = json!(u32::MAX);
+    system.platform.put(objects::REPLICAS, "a-largest", entry);
+    until(|| known(&system, 0, "engines").contains("a-largest")).await;
+    system.submit(0, "job", 2, 1).await;
+    system.platform.remove(objects::REPLICAS, "a-largest");
+    assert_eq!(system.results(0, "job").await.len(), 2);
+}
