Send a member of the next replica set only the entries that it lacks

Callers saw 503 for reads of accepted jobs, and no new item started, for the 12 to 28 s that a change took after two of five disks were lost: links were full of pages of the log for staying members, which had it.

Cause: once a run met a member that another run had installed, all remaining targets began a new pass at the first position, staying members and members with part of a copy alike. A target that was sealed after its copy began was not moved to its own position, and a member copied from an installed one did not learn what is decided, so its repair read the log again.

Change: a target keeps which decided entries it holds (`HeldEntries`): those that it reported when sealed, and those in pages of this run that it confirmed. Each pass, of either basis, starts after them. A member of the old set is copied to only after its first answer to its seal; a seal answered later starts a new pass from the member's position. The install request carries the held entries.

Why it is safe: a decided entry is the same on all replicas, and entries at decided positions have at least the epoch of the decision, so storing the higher epoch never replaces one by another value. A target counts an entry as held only if its source knew it to be decided in that page and in all earlier pages of the pass, and if the target confirmed that page of that pass (an older pass's answer is no longer taken for it). Earlier entries were truncated by a source: the held base goes into the install request, so a later source with a lower base leaves no gap. Undecided entries are read again in every pass. A joining member, or one of an earlier generation, has no known position and starts at the first one. A member that began late waits for its seal again; waiting targets report no time-out, since the driver would spin.

--- a/crates/core/src/replication/copy_target.rs
+++ b/crates/core/src/replication/copy_target.rs
@@ -1,7 +1,13 @@
 //! Copying state to one member of the next generation.
 //!
-//! Tracks the next page to copy from each source, and restarts when the member reports pages out of order.
+//! Tracks the next page to copy from each source, and starts a new pass when the member reports pages out of
+//! order or the sources change.
+//!
+//! Invariant: the member has every decided entry of its [`HeldEntries`] on its disk. A decided entry is the
+//! same on all replicas, so each pass reads only the entries after them.
 
+use super::entry::LogIndex;
+use super::group::LogPosition;
 use super::message::{CopiedSource, CopyPage, Install, Operation, PagePosition, StatePage, TransferId};
 use super::reconfigurer::Sources;
 use super::replica_set::{Generation, ReplicaSet, StoreId};
@@ -20,6 +26,27 @@
     skip_copying: bool,
     /// The number of the current pass.
     pass: u64,
+    /// Kept when a new pass starts.
+    held: HeldEntries,
+    /// The last position that the current source knew to be decided in all of its pages so far. An installed
+    /// source accepts entries meanwhile, and a page that arrives late is from an earlier state.
+    source_decided: Option<LogIndex>,
+}
+
+/// The decided entries that a member has: those from `base` to `through`.
+#[derive(Clone, Copy, Default)]
+struct HeldEntries {
+    /// Earlier positions are covered by a decided snapshot.
+    base: LogIndex,
+    /// The last position.
+    through: LogIndex,
+}
+
+impl HeldEntries {
+    fn extend(&mut self, base: LogIndex, through: LogIndex) {
+        self.base = self.base.max(base);
+        self.through = self.through.max(through).max(self.base.previous());
+    }
 }
 
 enum Step {
@@ -41,6 +68,8 @@
             done: Vec::new(),
             skip_copying: false,
             pass: 0,
+            held: HeldEntries::default(),
+            source_decided: None,
         }
     }
 }
@@ -48,8 +77,18 @@
 impl CopyTarget {
     /// Starts a new pass, not before `retry_at`.
     pub(super) fn restart(&mut self, retry_at: Option<Timestamp>) {
-        let (skip_copying, pass) = (self.skip_copying, self.pass + 1);
-        *self = Self { retry_at, skip_copying, pass, ..Self::default() };
+        let (skip_copying, pass, held) = (self.skip_copying, self.pass + 1, self.held);
+        *self = Self { retry_at, skip_copying, pass, held, ..Self::default() };
+    }
+
+    /// Records the position that the member reported when it was sealed. Starts a new pass if the current one
+    /// reads entries that the member has.
+    pub(super) fn handle_sealed(&mut self, position: &LogPosition) {
+        let known = self.held.through;
+        self.held.extend(position.base, position.decided_through);
+        if self.held.through > known && !matches!(self.step, Step::Begin) {
+            self.restart(None);
+        }
     }
 
     pub(super) fn skip_copying(&mut self, skip: bool) {
@@ -75,7 +114,7 @@
             return Some((target.clone(), set.generation, Operation::Install(install)));
         };
         if matches!(self.step, Step::Begin) {
-            self.step = Step::Read(sources.start(self.source, target));
+            self.step = Step::Read(self.start());
         }
         match &self.step {
             Step::Begin => None,
@@ -95,6 +134,14 @@
         }
     }
 
+    /// Returns the position at which reading from a source starts.
+    fn start(&self) -> PagePosition {
+        match self.held.through {
+            LogIndex::ZERO => PagePosition::START,
+            through => PagePosition::Entries(through.next()),
+        }
+    }
+
     /// Handles a page that was read from a source. Ignores it if it is not the page needed next.
     pub(super) fn handle_page(
         &mut self,
@@ -106,11 +153,18 @@
         let is_current = sources.stores.get(self.source) == Some(source);
         let Step::Read(position) = &self.step else { return };
         if is_current && position == from {
+            let decided = page.position.decided_through;
+            self.source_decided = Some(self.source_decided.map_or(decided, |known| known.min(decided)));
             self.step = Step::Store(page.clone());
             self.retry_at = None;
         }
     }
 
+    /// Returns whether `copied` is the current pass of `transfer`. Another pass had other pages.
+    pub(super) fn is_current_pass(&self, transfer: &TransferId, copied: &TransferId) -> bool {
+        &transfer.pass(self.pass) == copied
+    }
+
     /// Handles the target's confirmation that it stored the pages of a source before number `next`.
     pub(super) fn handle_copied(&mut self, sources: &Sources, source: &StoreId, next: u64) {
         let is_current = sources.stores.get(self.source) == Some(source);
@@ -118,6 +172,10 @@
         if !is_current || next != self.number + 1 {
             return;
         }
+        let decided = self.source_decided.unwrap_or_default();
+        // Pages of claims follow the last entry.
+        let last = page.entries.last().map_or(decided, |last| last.index.min(decided));
+        self.held.extend(page.position.base, last);
         self.number = next;
         self.retry_at = None;
         match page.next.clone() {
@@ -131,6 +189,7 @@
         self.source += 1;
         self.number = 0;
         self.step = Step::Begin;
+        self.source_decided = None;
     }
 
     /// Skips the target itself as a source, since it already has its own state.
@@ -143,13 +202,15 @@
     }
 
     fn install(&self, sources: &Sources, set: &ReplicaSet, transfer: &TransferId) -> Install {
+        let HeldEntries { base, through } = self.held;
+        let held = LogPosition { base, decided_through: through, ..LogPosition::default() };
         Install {
             set: set.clone(),
             transfer: transfer.clone(),
             basis: sources.basis,
             old_members: sources.old_members,
             sources: self.done.clone(),
-            position: sources.position(),
+            position: sources.position().merged(held),
         }
     }
 }
--- a/crates/core/src/replication/message.rs
+++ b/crates/core/src/replication/message.rs
@@ -152,11 +152,6 @@
     pub fn pass(&self, number: u64) -> Self {
         Self(format!("{}/{number}", self.0))
     }
-
-    /// Returns whether this is a pass of the transfer `whole`.
-    pub(crate) fn is_pass_of(&self, whole: &Self) -> bool {
-        self.0.rsplit_once('/').is_some_and(|(transfer, _)| transfer == whole.0)
-    }
 }
 
 /// Parameters of [`Operation::Copy`].
@@ -198,7 +193,7 @@
     /// an entry.
     SealedMajority,
     /// The source is an active member of the next generation, either installed or begun by its owner. Its
-    /// `decided_through` is not copied, since it may be beyond the pages that were read.
+    /// later `decided_through` is not copied, since it may be beyond the pages that were read.
     InstalledMember,
 }
 
--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -158,7 +158,8 @@
     /// Returns when [`Self::poll_transmit`] next has a request to send.
     pub fn poll_timeout(&self) -> Option<Timestamp> {
         let sealing = self.sealing.values().filter_map(|sealing| sealing.retry_at);
-        let copying = self.targets.values().filter_map(|target| target.retry_at);
+        let copying = self.targets.iter().filter(|(store, _)| !self.is_waiting(store));
+        let copying = copying.filter_map(|(_, target)| target.retry_at);
         let delayed = match self.joiner_delay {
             JoinerDelay::Until(until) => Some(until),
             JoinerDelay::Pending | JoinerDelay::Ended => None,
@@ -188,8 +189,8 @@
             ReplicaAnswer::StatePage { from, page } => {
                 self.handle_page(&store, response.generation, &from, &page)
             }
-            ReplicaAnswer::Copied { transfer, source, next } if transfer.is_pass_of(&self.transfer) => {
-                self.handle_copied(&store, &source, next);
+            ReplicaAnswer::Copied { transfer, source, next } => {
+                self.handle_copied(&store, &transfer, &source, next);
             }
             ReplicaAnswer::Installed(generation) if generation == self.next.generation => {
                 self.handle_installed(&store);
@@ -210,7 +211,7 @@
             StoreRefusal::NewerGeneration { current } if current.generation > self.next.generation => {
                 self.end(ReconfigurerEvent::AlreadyReplaced(current));
             }
-            StoreRefusal::NotInstalled if self.may_begin_old => self.handle_not_installed(store),
+            StoreRefusal::NotInstalled => self.handle_not_installed(store),
             StoreRefusal::OutOfOrder => {
                 if let Some(target) = self.targets.get_mut(store) {
                     target.restart(target.retry_at);
--- a/crates/core/src/replication/reconfigurer/copying.rs
+++ b/crates/core/src/replication/reconfigurer/copying.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use super::joiner_delay::JoinerDelay;
 use super::{Reconfigurer, ReconfigurerEvent, Sources, Transmit};
-use crate::replication::message::{InstallBasis, PagePosition, StatePage};
+use crate::replication::message::{InstallBasis, PagePosition, StatePage, TransferId};
 use crate::replication::replica_set::{Generation, StoreId};
 use crate::time::Timestamp;
 
@@ -11,11 +12,13 @@
     pub(super) fn poll_copy(&mut self, now: Timestamp) -> Option<Transmit> {
         self.sources.as_ref()?;
         let retry_at = now + self.retransmit_after;
-        let delay_joiners = self.update_joiner_delay(now);
+        self.update_joiner_delay(now);
+        let waiting: Vec<StoreId> =
+            self.targets.keys().filter(|store| self.is_waiting(store)).cloned().collect();
         let sources = self.sources.as_ref()?;
-        let (next, transfer, staying) = (&self.next, &self.transfer, &self.sealed_positions);
+        let (next, transfer) = (&self.next, &self.transfer);
         let found = self.targets.iter_mut().find_map(|(store, target)| {
-            if !target.is_due(now) || (delay_joiners && !staying.contains_key(store)) {
+            if !target.is_due(now) || waiting.contains(store) {
                 return None;
             }
             let (to, generation, operation) = target.next_request(store, sources, next, transfer)?;
@@ -26,6 +29,13 @@
         Some(self.request(to, generation, operation))
     }
 
+    /// Returns whether copying to a member waits, for the answer to its seal or for staying members.
+    pub(super) fn is_waiting(&self, store: &StoreId) -> bool {
+        let is_delayed =
+            self.joiner_delay != JoinerDelay::Ended && !self.sealed_positions.contains_key(store);
+        self.awaits_position(store) || is_delayed
+    }
+
     pub(super) fn copy_from(&mut self, basis: InstallBasis, generation: Generation, stores: Vec<StoreId>) {
         let positions = match basis {
             InstallBasis::SealedMajority => self.sealed_positions.clone(),
@@ -54,14 +64,23 @@
         if generation != sources.generation || !sources.stores.contains(store) {
             return;
         }
-        sources.positions.insert(store.clone(), page.position.clone());
+        // Pages for several targets may arrive out of order, but a position never goes back.
+        let known = sources.positions.entry(store.clone()).or_default();
+        *known = known.clone().merged(page.position.clone());
         for target in self.targets.values_mut() {
             target.handle_page(sources, store, from, page);
         }
     }
 
-    pub(super) fn handle_copied(&mut self, store: &StoreId, source: &StoreId, next: u64) {
+    pub(super) fn handle_copied(
+        &mut self,
+        store: &StoreId,
+        transfer: &TransferId,
+        source: &StoreId,
+        next: u64,
+    ) {
         let target = self.targets.get_mut(store);
+        let target = target.filter(|target| target.is_current_pass(&self.transfer, transfer));
         if let (Some(sources), Some(target)) = (&self.sources, target) {
             target.handle_copied(sources, source, next);
         }
--- a/crates/core/src/replication/reconfigurer/joiner_delay.rs
+++ b/crates/core/src/replication/reconfigurer/joiner_delay.rs
@@ -24,11 +24,11 @@
 const JOINER_DELAY: Duration = Duration::from_millis(1_500);
 
 impl Reconfigurer {
-    /// Returns whether joining members wait at `now`.
+    /// Updates whether joining members wait at `now`.
     ///
     /// Invariant: once the delay has ended it is no longer reported as a time-out, so the driver does not
     /// wake up for it repeatedly.
-    pub(super) fn update_joiner_delay(&mut self, now: Timestamp) -> bool {
+    pub(super) fn update_joiner_delay(&mut self, now: Timestamp) {
         if self.joiner_delay == JoinerDelay::Pending {
             self.joiner_delay = JoinerDelay::Until(now + JOINER_DELAY);
         }
@@ -36,7 +36,6 @@
         if !is_waiting || !self.awaits_staying_majority() {
             self.joiner_delay = JoinerDelay::Ended;
         }
-        self.joiner_delay != JoinerDelay::Ended
     }
 
     /// Returns whether staying members that are sealed form a majority of the next set that is not installed
--- a/crates/core/src/replication/reconfigurer/sealing.rs
+++ b/crates/core/src/replication/reconfigurer/sealing.rs
@@ -11,6 +11,8 @@
 pub(super) struct SealProgress {
     pub(super) retry_at: Option<Timestamp>,
     pub(super) must_begin: bool,
+    /// Whether it has answered that it was never active in the old set.
+    pub(super) not_installed: bool,
 }
 
 impl Reconfigurer {
@@ -31,15 +33,25 @@
     }
 
     pub(super) fn handle_not_installed(&mut self, store: &StoreId) {
-        if let Some(sealing) = self.sealing.get_mut(store).filter(|sealing| !sealing.must_begin) {
-            *sealing = SealProgress { retry_at: None, must_begin: true };
+        let Some(sealing) = self.sealing.get_mut(store) else { return };
+        sealing.not_installed = true;
+        if self.may_begin_old && !sealing.must_begin {
+            (sealing.retry_at, sealing.must_begin) = (None, true);
         }
     }
 
+    /// Returns whether the log position of a member of the old set may still become known.
+    pub(super) fn awaits_position(&self, store: &StoreId) -> bool {
+        self.sealing.get(store).is_some_and(|sealing| !sealing.not_installed)
+    }
+
     pub(super) fn handle_sealed(&mut self, store: &StoreId, position: LogPosition) {
         if self.is_superseded(&position.promised) || self.sealing.remove(store).is_none() {
             return;
         }
+        if let Some(target) = self.targets.get_mut(store) {
+            target.handle_sealed(&position);
+        }
         self.sealed.add(store);
         self.sealed_positions.insert(store.clone(), position);
         let needed = if self.checks.seal_majority { self.old.majority() } else { 1 };
--- a/crates/core/tests/replication_reconfiguration.rs
+++ b/crates/core/tests/replication_reconfiguration.rs
@@ -302,3 +302,32 @@
         now = timeout;
     }
 }
+
+/// A member that begins after copying to it has started waits for its seal, without a time-out in the past.
+#[test]
+fn member_that_begins_late_causes_no_past_timeout() {
+    let mut stores = Stores::new(&["a", "b", "c", "d", "e", "f"]);
+    let old = set_of_five();
+    let next = old.with_replaced(&StoreId::new("e"), member("f")).expect("e is a member and f is not");
+    stores.set_reachable(&["a", "b", "c"]);
+    stores.take_over_and_append(&old, "first", &[b"one"]).expect("taken over");
+    let transfer = TransferId("to 2".to_owned());
+    let mut reconfigurer = Reconfigurer::new(old, next, transfer, Duration::from_millis(500));
+    let mut now = Timestamp::ORIGIN;
+    for step in 0..100 {
+        while let Some(transmit) = reconfigurer.poll_transmit(now) {
+            let answers = match transmit.request.operation {
+                Operation::Seal(_) => step == 0,
+                Operation::Begin(_) => step > 10,
+                _ => false,
+            };
+            stores.set_reachable(if answers { &["a", "b", "c", "d"] } else { &["a", "b", "c"] });
+            if let Some(response) = stores.send(transmit.request) {
+                reconfigurer.step(response);
+            }
+        }
+        let timeout = reconfigurer.poll_timeout().expect("a request is outstanding");
+        assert!(timeout > now, "{timeout:?} at {now:?}");
+        now = timeout;
+    }
+}
--- a/crates/core/tests/replication_repeated_copies.rs
+++ b/crates/core/tests/replication_repeated_copies.rs
@@ -68,6 +68,10 @@
         Reconfigurer::new(self.old.clone(), self.next.clone(), transfer, RETRANSMIT_AFTER)
     }
 
+    fn catch_up(&self, name: &str) -> Reconfigurer {
+        Reconfigurer::catch_up(self.next.clone(), TransferId(name.to_owned()), RETRANSMIT_AFTER)
+    }
+
     fn send(&mut self, request: ReplicaRequest) -> Option<ReplicaResponse> {
         if let Operation::Copy(copy) = &request.operation
             && self.stores.reachable.contains(&request.store)
@@ -124,6 +128,11 @@
         let staying = self.sent.iter().filter(|((store, _), _)| store != &StoreId::new("f"));
         staying.map(|(_, times)| times).sum()
     }
+
+    fn sent_to_joining(&self) -> u32 {
+        let joining = self.sent.iter().filter(|((store, _), _)| store == &StoreId::new("f"));
+        joining.map(|(_, times)| times).sum()
+    }
 }
 
 fn exchange(owner: &mut Proposer, stores: &mut Stores) {
@@ -139,6 +148,11 @@
     matches!(response.outcome, ReplicaAnswer::Installed(_))
 }
 
+fn is_sealed(name: &str) -> impl Fn(&ReplicaResponse) -> bool {
+    let store = StoreId::new(name);
+    move |response| response.store == store && matches!(response.outcome, ReplicaAnswer::Sealed { .. })
+}
+
 /// Another run has installed one member, so its log is copied to the others.
 #[test]
 fn staying_members_get_no_entry_again_after_another_run_installed_one() {
@@ -149,3 +163,78 @@
     assert!(lost.install_majority(&mut second));
     assert_eq!(lost.sent_to_staying(), 0);
 }
+
+/// A run that has sealed all members finds one of them installed by another run.
+#[test]
+fn staying_members_get_no_entry_again_when_a_source_is_installed_meanwhile() {
+    let mut lost = TwoLostDisks::new();
+    let mut second = lost.change("second");
+    assert!(lost.drive_until(&mut second, is_sealed("c")));
+    let mut first = lost.change("first");
+    assert!(lost.drive_until(&mut first, is_installed));
+    assert!(lost.install_majority(&mut second));
+    assert_eq!(lost.sent_to_staying(), 0);
+}
+
+/// A member that is sealed late must not be sent the log before its position is known.
+#[test]
+fn member_that_answers_its_seal_late_gets_no_entry_again() {
+    let mut lost = TwoLostDisks::new();
+    let mut first = lost.change("first");
+    assert!(lost.drive_until(&mut first, is_installed));
+    let mut second = lost.change("second");
+    lost.stores.set_reachable(&["a", "b", "f"]);
+    while lost.exchange(&mut second, 0).0 {}
+    lost.stores.set_reachable(&["a", "b", "c", "f"]);
+    assert!(lost.install_majority(&mut second));
+    assert_eq!(lost.sent_to_staying(), 0);
+}
+
+/// The stores of a sealed set and the owner run the same change at the same time.
+#[test]
+fn concurrent_runs_send_staying_members_no_entry_again() {
+    let mut lost = TwoLostDisks::new();
+    let mut runs = ["owner", "a", "b", "c"].map(|name| lost.change(name));
+    for round in 0..ROUNDS {
+        while runs.iter_mut().map(|run| lost.exchange(run, round).0).fold(false, |any, sent| any | sent) {}
+    }
+    let mut runs = ["a again", "b again", "c again", "f"].map(|name| lost.catch_up(name));
+    for round in 0..ROUNDS {
+        while runs.iter_mut().map(|run| lost.exchange(run, round).0).fold(false, |any, sent| any | sent) {}
+    }
+    assert_eq!(lost.sent_to_staying(), 0);
+    assert_eq!(lost.decided_through("f"), lost.decided);
+}
+
+/// A joining member has part of the log when a staying member is found to be installed.
+#[test]
+fn joining_member_keeps_the_entries_that_it_has_when_a_source_is_installed() {
+    let mut lost = TwoLostDisks::new();
+    let mut slow = lost.change("slow");
+    assert!(lost.drive_until(&mut slow, is_sealed("c")));
+    lost.stores.set_reachable(&["a", "f"]);
+    let stored = |response: &ReplicaResponse| matches!(response.outcome, ReplicaAnswer::Copied { next, .. } if next == 2);
+    assert!(lost.drive_until(&mut slow, stored));
+    lost.stores.set_reachable(&["a", "b", "c", "f"]);
+    let mut other = lost.change("other");
+    assert!(lost.drive_until(&mut other, is_installed));
+    assert!(lost.sent_to_joining() > 0);
+    let installed =
+        |response: &ReplicaResponse| is_installed(response) && response.store == StoreId::new("f");
+    assert!(lost.drive_until(&mut slow, installed));
+    let twice = lost.sent.iter().filter(|(_, times)| **times > 1).count();
+    assert_eq!(twice, 0);
+}
+
+/// Otherwise its repair reads the whole log a second time.
+#[test]
+fn member_copied_from_an_installed_one_knows_which_entries_are_decided() {
+    let mut lost = TwoLostDisks::new();
+    let mut change = lost.change("change");
+    assert!(lost.install_majority(&mut change));
+    let mut catch_up = lost.catch_up("catch-up");
+    let installed =
+        |response: &ReplicaResponse| is_installed(response) && response.store == StoreId::new("f");
+    assert!(lost.drive_until(&mut catch_up, installed));
+    assert!(lost.decided_through("f") >= lost.decided, "{}", lost.decided_through("f"));
+}
--- a/crates/core/tests/replication_transfer.rs
+++ b/crates/core/tests/replication_transfer.rs
@@ -7,7 +7,7 @@
 use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::entry::LogIndex;
-use lichenpulley_core::replication::message::{Accept, Operation, PagePosition, TransferId};
+use lichenpulley_core::replication::message::{Accept, Operation, PagePosition, ReplicaRequest, TransferId};
 use lichenpulley_core::replication::proposer::{Proposer, ProposerConfig};
 use lichenpulley_core::replication::reconfigurer::{ChangeOwner, Reconfigurer, ReconfigurerEvent};
 use lichenpulley_core::replication::replica_set::{ReplicaSet, StoreId};
@@ -223,3 +223,67 @@
     }
     assert_eq!(missing_decided_positions(&stores, &next, "d"), Vec::<u64>::new());
 }
+
+/// Sends all requests of a run that are due, except those for which `withhold` holds, and returns these.
+fn send_due(
+    run: &mut Reconfigurer,
+    stores: &mut Stores,
+    withhold: impl Fn(&ReplicaRequest) -> bool,
+) -> Vec<ReplicaRequest> {
+    let mut withheld = Vec::new();
+    while let Some(transmit) = run.poll_transmit(round(0)) {
+        if withhold(&transmit.request) {
+            withheld.push(transmit.request);
+        } else if let Some(response) = stores.send(transmit.request) {
+            run.step(response);
+        }
+    }
+    withheld
+}
+
+/// A page that was read for one member arrives late and is used for another, whose first page was read after
+/// the owner had appended.
+#[test]
+fn late_page_of_an_earlier_state_does_not_count_for_entries_decided_since() {
+    let mut stores = Stores::new(&["a", "b", "c", "d", "e", "f"]);
+    let old = set_of_five();
+    let next = old.with_replaced(&StoreId::new("e"), member("f")).expect("another set");
+    let mut owner = owner(&old, &mut stores);
+    // The first page of the log has room for these and for an empty entry, but for no other record.
+    for _ in 0..10 {
+        owner.append(vec![vec![7; 100_000]]).expect("the owner leads");
+        exchange(&mut owner, &mut stores, 0);
+    }
+    let is_for = |request: &ReplicaRequest, name: &str| request.store == StoreId::new(name);
+    let mut change = owner_reconfigurer(&owner, &old, &next);
+    send_due(&mut change, &mut stores, |request| {
+        let is_copy = matches!(request.operation, Operation::Copy(_) | Operation::Install(_));
+        is_for(request, "e") || is_copy && (is_for(request, "b") || is_for(request, "f"))
+    });
+    stores.set_reachable(&["a", "c", "d"]);
+    owner.continue_in(next.clone()).expect("all appended entries are decided");
+    exchange(&mut owner, &mut stores, 1);
+
+    stores.set_reachable(&["a", "b", "c", "d", "f"]);
+    let is_read_from = |request: &ReplicaRequest, from: &PagePosition| matches!(&request.operation, Operation::ReadState(at) if at == from);
+    let after = PagePosition::Entries(LogIndex(12));
+    let mut catch_up = Reconfigurer::catch_up(next.clone(), TransferId("f".to_owned()), RETRANSMIT_AFTER);
+    let reads = send_due(&mut catch_up, &mut stores, |request| {
+        is_read_from(request, &PagePosition::START) || is_read_from(request, &after)
+    });
+    let [for_b, for_f] = &reads[..] else { panic!("{reads:?}") };
+    assert!(is_read_from(for_b, &after) && is_read_from(for_f, &PagePosition::START), "{reads:?}");
+    let late = stores.send(for_b.clone()).expect("a reachable store");
+    stores.set_reachable(&["a", "c", "d"]);
+    for _ in 0..2 {
+        owner.append(vec![vec![7; 100_000]]).expect("the owner leads");
+        exchange(&mut owner, &mut stores, 2);
+    }
+    stores.set_reachable(&["a", "b", "c", "d", "f"]);
+    catch_up.step(stores.send(for_f.clone()).expect("a reachable store"));
+    let reads = send_due(&mut catch_up, &mut stores, |request| is_read_from(request, &after));
+    assert_eq!(reads.len(), 1, "{reads:?}");
+    catch_up.step(late);
+    send_due(&mut catch_up, &mut stores, |_| false);
+    assert_eq!(missing_decided_positions(&stores, &next, "f"), Vec::<u64>::new());
+}
