--- a/crates/core/src/replication/log.rs
+++ b/crates/core/src/replication/log.rs
@@ -5,8 +5,13 @@
 
 use super::entry::{LogIndex, Payload};
 use super::replica_set::ReplicaSet;
+use super::snapshot_parts::SnapshotParts;
 use crate::identity::Epoch;
 
+/// Size of a part of a snapshot, in bytes. Stores keep an entry in a page whose size is a power of two. The part
+/// leaves room in a page of 256 KiB for the entry's key and encoding and for a leaf of small entries beside it.
+pub const SNAPSHOT_PART_BYTES: usize = (256 << 10) - (8 << 10);
+
 /// The log that an owner recovers when it takes a shard over.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RecoveredLog {
@@ -123,19 +128,7 @@
 
 /// Splits a snapshot into parts of at most `part_bytes` bytes. An empty snapshot is one empty part.
 pub fn split_snapshot(snapshot: &[u8], part_bytes: usize, origin: Epoch) -> Vec<Payload> {
-    if snapshot.is_empty() {
-        return vec![Payload::SnapshotPart { origin, number: 0, count: 1, bytes: Vec::new() }];
-    }
-    let chunks = snapshot.chunks(part_bytes.max(1));
-    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
-    let numbered = (0..count).zip(chunks);
-    let part = |(number, bytes): (u32, &[u8])| Payload::SnapshotPart {
-        origin,
-        number,
-        count,
-        bytes: bytes.to_vec(),
-    };
-    numbered.map(part).collect()
+    SnapshotParts::new(snapshot.to_vec(), part_bytes, origin).collect()
 }
 
 /// The consecutive parts of a snapshot that were read so far.
--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -81,6 +81,8 @@
 pub mod reconfigurer;
 mod recovery;
 pub mod replica_set;
+mod snapshot_parts;
 pub mod storage;
 mod transfer;
 mod window;
+pub mod write_times;
--- a/crates/core/src/replication/proposer.rs
+++ b/crates/core/src/replication/proposer.rs
@@ -27,6 +27,7 @@
 use super::message::{ReplicaAnswer, ReplicaResponse, StoreRefusal};
 use super::recovery::Recovery;
 use super::replica_set::{ReplicaSet, StoreId};
+use super::snapshot_parts::SnapshotParts;
 use super::window::SendWindow;
 use crate::identity::Epoch;
 use crate::time::Timestamp;
@@ -52,6 +53,8 @@
     /// The prefix of the log that the driver has read, which a take-over does not read again.
     known: KnownLog,
     truncation: Truncation,
+    /// Parts of a snapshot that are not appended yet.
+    snapshot: Option<SnapshotParts>,
     events: VecDeque<ProposerEvent>,
 }
 
@@ -71,6 +74,7 @@
             decided_through: LogIndex::ZERO,
             known: KnownLog::default(),
             truncation: Truncation::default(),
+            snapshot: None,
             events: VecDeque::new(),
         }
     }
--- a/crates/core/src/replication/proposer/append.rs
+++ b/crates/core/src/replication/proposer/append.rs
@@ -5,12 +5,17 @@
 
 use super::{AppendError, Phase, Proposer, ProposerEvent};
 use crate::replication::entry::{ENTRY_OVERHEAD_BYTES, LogIndex, Payload};
-use crate::replication::log::split_snapshot;
+use crate::replication::log::SNAPSHOT_PART_BYTES;
 use crate::replication::member_progress::MemberProgress;
 use crate::replication::quorum::majority;
 use crate::replication::replica_set::{ReplicaSet, StoreId};
+use crate::replication::snapshot_parts::SnapshotParts;
 use crate::replication::window::SendWindow;
 
+/// Maximum size of the undecided parts of a snapshot, in bytes. Each decided part confirms the owner from the time at
+/// which it was appended, so it must not wait behind many others.
+const SNAPSHOT_IN_FLIGHT_BYTES: usize = 512 << 10;
+
 /// The positions that replicas may remove.
 #[derive(Default)]
 pub(super) struct Truncation {
@@ -24,9 +29,9 @@
     /// Appends records. They are decided once [`ProposerEvent::Decided`] reaches the returned position.
     ///
     /// # Errors
-    /// When the proposer does not lead or the disks are full. Nothing is sent then.
+    /// When the proposer does not lead, appends a snapshot or the disks are full. Nothing is sent then.
     pub fn append(&mut self, records: Vec<Vec<u8>>) -> Result<LogIndex, AppendError> {
-        self.check_leading()?;
+        self.check_ready()?;
         if !self.has_room(&records) {
             return Err(AppendError::DiskFull);
         }
@@ -37,9 +42,9 @@
     /// the owner can't go on.
     ///
     /// # Errors
-    /// When the proposer does not lead. Nothing is sent then.
+    /// When the proposer does not lead or appends a snapshot. Nothing is sent then.
     pub fn append_to_reserve(&mut self, records: Vec<Vec<u8>>) -> Result<LogIndex, AppendError> {
-        self.check_leading()?;
+        self.check_ready()?;
         for record in records {
             self.window.push(Payload::Record { origin: self.ballot.epoch, bytes: record });
         }
@@ -63,9 +68,9 @@
     /// reconfiguration may begin. The owner must append nothing more until [`Self::continue_in`].
     ///
     /// # Errors
-    /// When the proposer does not lead.
+    /// When the proposer does not lead or appends a snapshot.
     pub fn append_next_set(&mut self, set: ReplicaSet) -> Result<LogIndex, AppendError> {
-        self.check_leading()?;
+        self.check_ready()?;
         self.window.push(Payload::NextSet { origin: self.ballot.epoch, set });
         Ok(self.window.last())
     }
@@ -82,7 +87,7 @@
     /// # Errors
     /// When the proposer does not lead, or an appended entry is not decided yet.
     pub fn continue_in(&mut self, next: ReplicaSet) -> Result<LogIndex, AppendError> {
-        self.check_leading()?;
+        self.check_ready()?;
         if self.window.last() > self.decided_through {
             return Err(AppendError::Undecided);
         }
@@ -108,18 +113,52 @@
         Ok(self.window.last())
     }
 
-    /// Appends a snapshot that replaces all earlier entries. They are removed once it is decided.
+    /// Appends a snapshot that replaces all earlier entries. They are removed once it is decided, which is when
+    /// [`ProposerEvent::Decided`] reaches the returned position. Its parts are appended as earlier ones are decided;
+    /// nothing else can be appended until the last one is.
     ///
     /// # Errors
-    /// When the proposer does not lead. A full disk is not an error here, since space is reserved for snapshots.
-    pub fn compact(&mut self, snapshot: &[u8]) -> Result<LogIndex, AppendError> {
-        self.check_leading()?;
-        let first = self.window.last().next();
-        for part in split_snapshot(snapshot, self.config.maximum_batch_bytes, self.ballot.epoch) {
-            self.window.push(part);
+    /// When the proposer does not lead, or appends another snapshot. A full disk is not an error here, since space is
+    /// reserved for snapshots.
+    pub fn compact(&mut self, snapshot: Vec<u8>) -> Result<LogIndex, AppendError> {
+        self.check_ready()?;
+        let part_bytes = SNAPSHOT_PART_BYTES.min(self.config.maximum_batch_bytes);
+        let parts = SnapshotParts::new(snapshot, part_bytes, self.ballot.epoch);
+        let before = self.window.last();
+        let last = LogIndex(before.0 + u64::from(parts.total()));
+        self.truncation.pending = Some((before.next(), last));
+        self.snapshot = Some(parts);
+        self.push_snapshot_parts();
+        Ok(last)
+    }
+
+    /// Returns the last appended position.
+    pub fn last_index(&self) -> LogIndex {
+        self.window.last()
+    }
+
+    /// Appends parts of the snapshot up to [`SNAPSHOT_IN_FLIGHT_BYTES`], but at least one. Invariant: the parts are
+    /// consecutive entries.
+    fn push_snapshot_parts(&mut self) {
+        while let Some(parts) = &mut self.snapshot {
+            let undecided = self.window.last().0.saturating_sub(self.decided_through.0);
+            let undecided_bytes = (undecided as usize).saturating_mul(parts.part_bytes());
+            if undecided > 0 && undecided_bytes + parts.part_bytes() > SNAPSHOT_IN_FLIGHT_BYTES {
+                return;
+            }
+            if let Some(part) = parts.next() {
+                self.window.push(part);
+            }
+            if parts.is_empty() {
+                self.snapshot = None;
+            }
         }
-        self.truncation.pending = Some((first, self.window.last()));
-        Ok(self.window.last())
+    }
+
+    /// Checks that entries can be appended: the proposer leads, and no part of a snapshot is still to be appended.
+    fn check_ready(&self) -> Result<(), AppendError> {
+        self.check_leading()?;
+        if self.snapshot.is_some() { Err(AppendError::Undecided) } else { Ok(()) }
     }
 
     fn check_leading(&self) -> Result<(), AppendError> {
@@ -139,6 +178,7 @@
             self.decided_through = decided;
             self.advance_truncation();
             self.finish_confirming();
+            self.push_snapshot_parts();
             self.events.push_back(ProposerEvent::Decided(decided));
         }
         let accepted_by_all = accepted.last().copied().unwrap_or_default();
--- a/crates/core/src/replication/proposer/event.rs
+++ b/crates/core/src/replication/proposer/event.rs
@@ -58,7 +58,7 @@
     /// Fewer than a majority of the replicas have space left.
     #[error("the store disks are full; free space under the data folder and try again")]
     DiskFull,
-    /// An appended entry is not decided yet.
-    #[error("some appended entries are not decided yet; wait until they are")]
+    /// An appended entry is not decided yet, or a part of a snapshot is not appended yet.
+    #[error("some entries are not decided yet; wait until they are")]
     Undecided,
 }
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -305,8 +305,12 @@
                     self.controller.appended(now);
                 }
                 self.answer_writers();
-                self.answer_lookups();
-                self.answer_readers();
+                self.answer_confirmed();
+            }
+            AppendOutcome::Confirmed { began } => {
+                self.stores.confirm(began);
+                self.controller.set_confirmed(self.stores.is_confirmed());
+                self.answer_confirmed();
             }
             AppendOutcome::Refused { appends } => {
                 for _ in 0..appends {
@@ -319,6 +323,12 @@
         }
     }
 
+    /// Answers the callers for whom a later confirmation was needed.
+    fn answer_confirmed(&mut self) {
+        self.answer_lookups();
+        self.answer_readers();
+    }
+
     fn answer_snapshot(&self, request: SnapshotRequest) {
         match self.controller.snapshot() {
             Ok(Some(snapshot)) => request.answer(snapshot),
--- a/crates/daemon/src/coordinator/job_owner.rs
+++ b/crates/daemon/src/coordinator/job_owner.rs
@@ -155,8 +155,9 @@
                 self.answer_submissions();
             }
             // This owner never replaces a store.
+            AppendOutcome::Confirmed { .. } | AppendOutcome::Replaced(_) => {}
             // Only a writer of batched appends refuses appends and asks for snapshots.
-            AppendOutcome::Replaced(_) | AppendOutcome::Refused { .. } | AppendOutcome::SnapshotDue(_) => {}
+            AppendOutcome::Refused { .. } | AppendOutcome::SnapshotDue(_) => {}
             AppendOutcome::Failed(error) => self.failure = Some(error),
         }
     }
--- a/crates/daemon/src/coordinator/weights_shard.rs
+++ b/crates/daemon/src/coordinator/weights_shard.rs
@@ -196,8 +196,9 @@
                 (0..appends).for_each(|_| self.handle(Event::Appended))
             }
             // This owner never replaces a store.
+            AppendOutcome::Confirmed { .. } | AppendOutcome::Replaced(_) => {}
             // Only a writer of batched appends refuses appends and asks for snapshots.
-            AppendOutcome::Replaced(_) | AppendOutcome::Refused { .. } | AppendOutcome::SnapshotDue(_) => {}
+            AppendOutcome::Refused { .. } | AppendOutcome::SnapshotDue(_) => {}
             AppendOutcome::Failed(error) => self.end_reason = Some(EndReason::Log(error)),
         }
     }
--- a/crates/daemon/src/store/log_writer.rs
+++ b/crates/daemon/src/store/log_writer.rs
@@ -77,6 +77,8 @@
 pub(crate) enum AppendOutcome {
     /// This number of appends is committed; the first of them was started at `began`.
     Appended { appends: usize, began: BootInstant },
+    /// A part of a snapshot is decided whose write began at `began`.
+    Confirmed { began: BootInstant },
     /// The disks are full, and this number of appends is given up. Nothing of them was written.
     Refused { appends: usize },
     /// The log is to be compacted. Dropping the request declines it.
@@ -258,7 +260,10 @@
 
     async fn compact(&mut self, snapshot: Vec<u8>) -> Result<(), ShardLogError> {
         let snapshot_bytes = snapshot.len();
-        self.log.compact(snapshot).await?;
+        let owner = self.sender.clone();
+        // Sending fails only if the owner has ended.
+        let confirm = |began| drop(owner.send(AppendOutcome::Confirmed { began }));
+        self.log.compact(snapshot, confirm).await?;
         self.usage.compacted(snapshot_bytes as u64);
         Ok(())
     }
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -15,11 +15,13 @@
 pub use lichenpulley_core::replication::log::{KnownLog, RecoveredLog};
 use lichenpulley_core::replication::proposer::{AppendError, EndReason, Proposer};
 use lichenpulley_core::replication::replica_set::ReplicaSet;
+use lichenpulley_core::replication::write_times::WriteTimes;
 use tokio::time::Instant;
 
 pub use self::error::ShardLogError;
 use super::exchange::StoreExchange;
 use super::last_answer::LastAnswer;
+use crate::boot_clock::BootInstant;
 use crate::context::Context;
 
 /// Number of call timeouts without any answer after which a takeover or an append fails. With fewer, a
@@ -100,13 +102,31 @@
         self.proposer.set()
     }
 
-    /// Replaces all records appended so far by a snapshot of the state that they produce.
+    /// Replaces all records appended so far by a snapshot of the state that they produce. Calls `confirm` with the time
+    /// at which the write of a part began, whenever one is decided.
     ///
     /// # Errors
     /// Returns the same errors as `append`.
-    pub async fn compact(&mut self, snapshot: Vec<u8>) -> Result<(), ShardLogError> {
-        let through = self.proposer.compact(&snapshot).map_err(|refusal| self.append_error(refusal))?;
-        self.wait_until_decided(through).await
+    pub async fn compact(
+        &mut self,
+        snapshot: Vec<u8>,
+        mut confirm: impl FnMut(BootInstant),
+    ) -> Result<(), ShardLogError> {
+        let clock = self.context.boot_clock.clone();
+        let mut times = WriteTimes::after(self.proposer.last_index());
+        let began = clock.now();
+        let through = self.proposer.compact(snapshot).map_err(|refusal| self.append_error(refusal))?;
+        times.appended(self.proposer.last_index(), began);
+        let step_timeout = self.begin_step();
+        while self.proposer.decided_through() < through {
+            self.next_event(step_timeout).await?;
+            // The event is returned before the parts that were appended with it are sent.
+            times.appended(self.proposer.last_index(), clock.now());
+            if let Some(began) = times.decided(self.proposer.decided_through()) {
+                confirm(began);
+            }
+        }
+        Ok(())
     }
 
     fn append_error(&self, refusal: AppendError) -> ShardLogError {
--- a/crates/daemon/src/store/shard_log/driver.rs
+++ b/crates/daemon/src/store/shard_log/driver.rs
@@ -28,12 +28,17 @@
 }
 
 impl ShardLog {
-    pub(super) async fn wait_until_decided(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
+    /// Begins a step and returns its time limits.
+    pub(super) fn begin_step(&mut self) -> StepTimeout {
         let timeout = self.context.settings.store.call_timeout;
         self.last_answered_at = Instant::now();
         // A snapshot needs many requests, so it may continue as long as stores answer.
         let limit = Instant::now() + timeout * STEP_TIMEOUTS;
-        let step_timeout = StepTimeout { silence: timeout * SILENCE_TIMEOUTS, limit };
+        StepTimeout { silence: timeout * SILENCE_TIMEOUTS, limit }
+    }
+
+    pub(super) async fn wait_until_decided(&mut self, through: LogIndex) -> Result<(), ShardLogError> {
+        let step_timeout = self.begin_step();
         while self.proposer.decided_through() < through {
             self.next_event(step_timeout).await?;
         }
--- a/crates/lab/src/simulations/replication/owner/mod.rs
+++ b/crates/lab/src/simulations/replication/owner/mod.rs
@@ -209,7 +209,7 @@
         self.appends += 1;
         if self.appends.is_multiple_of(APPENDS_PER_SNAPSHOT) {
             // A refusal says that it does not lead yet.
-            let _ = proposer.compact(&encode(&self.decided));
+            let _ = proposer.compact(encode(&self.decided));
             return;
         }
         let count = self.random.random_range(1..=3_u64);
--- a/crates/lab/src/simulations/rollout/owner.rs
+++ b/crates/lab/src/simulations/rollout/owner.rs
@@ -168,7 +168,7 @@
                 Action::Start(start) => self.start_attempt(&start, now, outbox),
                 Action::Cancel(attempt) => self.cancel_attempt(&attempt, outbox),
                 Action::Append(records) => self.append(&records),
-                Action::Compact(snapshot) => self.compact(&snapshot),
+                Action::Compact(snapshot) => self.compact(snapshot),
                 Action::Answer { ticket, answer } => {
                     let pull = self.term.as_mut().and_then(|term| term.pulls.remove(&ticket));
                     if let Some((trainer, request_id)) = pull {
@@ -198,7 +198,7 @@
         }
     }
 
-    fn compact(&mut self, snapshot: &[u8]) {
+    fn compact(&mut self, snapshot: Vec<u8>) {
         let Some(term) = &mut self.term else { return };
         if term.proposer.compact(snapshot).is_err() {
             self.end_term();
--- a/crates/lab/tests/replication.rs
+++ b/crates/lab/tests/replication.rs
@@ -142,7 +142,7 @@
     assert!(matches!(refused, Err(ShardLogError::Superseded { .. })), "{refused:?}");
     second.append(records(&["c"])).await.expect("appended");
 
-    second.compact(b"a+b+c".to_vec()).await.expect("compacted");
+    second.compact(b"a+b+c".to_vec(), |_| {}).await.expect("compacted");
     second.append(records(&["d"])).await.expect("appended");
     let (_, recovered) = ShardLog::take_over(cluster.context(2), &shard).await.expect("taken over");
     assert_eq!(recovered.snapshot.as_deref(), Some(b"a+b+c".as_slice()));
