--- a/crates/daemon/src/store/disk/tests/full_volume.rs
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -194,7 +194,7 @@
 fn a_log_of_a_quarter_of_the_volume_is_replaced_by_a_snapshot_of_its_size() {
     let mut owner = Owner::take_over(Replica::new(VOLUME_BYTES));
     let last_record = owner.append(VOLUME_BYTES / 4).expect("room for the log");
-    let last_part = owner.proposer.compact(&vec![9; VOLUME_BYTES / 4]).expect("leads");
+    let last_part = owner.proposer.compact(vec![9; VOLUME_BYTES / 4]).expect("leads");
     owner.exchange().expect("room for the snapshot and the truncation");
     assert_eq!(owner.proposer.decided_through(), last_part);
     let first = owner.replica.read(|disk| disk.entries_from(&shard(), LogIndex::FIRST, 1));
@@ -208,7 +208,7 @@
     owner.append(MIB / 8).expect("room for records");
     let before = owner.replica.allocated_bytes();
     let snapshot = vec![9; 4 * MIB];
-    owner.proposer.compact(&snapshot).expect("leads");
+    owner.proposer.compact(snapshot.clone()).expect("leads");
     owner.exchange().expect("room for the snapshot");
     let taken = owner.replica.allocated_bytes() - before;
     assert!(taken <= snapshot.len() as u64 / 8 * 9, "{taken} bytes");
