Let joining members of a replica set wait while staying ones make progress

Callers saw 503 until a majority of the next replica set was installed; copying the whole log to a joining member took the links meanwhile.

Cause: joining members waited 1.5 s in total, however far the staying members were; and they did not wait at all in a run that found one staying member installed, since only the sealed ones were counted for the majority. The end of the wait was permanent, so members sealed later came too late.

Change: installed and sealed staying members are counted; the 1.5 s start again when a staying member stores a page or is installed; whether joining members wait is decided at each request until the 1.5 s without progress have passed. Then they wait no more, so an unavailable staying member delays no one for longer, and waiting members report no time-out in the past. No request changes, only when it is sent, so the safety argument of the copy is not concerned.

--- a/crates/core/src/replication/reconfigurer.rs
+++ b/crates/core/src/replication/reconfigurer.rs
@@ -161,8 +161,8 @@
         let copying = self.targets.iter().filter(|(store, _)| !self.is_waiting(store));
         let copying = copying.filter_map(|(_, target)| target.retry_at);
         let delayed = match self.joiner_delay {
-            JoinerDelay::Until(until) => Some(until),
-            JoinerDelay::Pending | JoinerDelay::Ended => None,
+            JoinerDelay::Until(until) if self.joiners_wait() => Some(until),
+            _ => None,
         };
         sealing.chain(copying).chain(delayed).min()
     }
--- a/crates/core/src/replication/reconfigurer/copying.rs
+++ b/crates/core/src/replication/reconfigurer/copying.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use super::joiner_delay::JoinerDelay;
 use super::{Reconfigurer, ReconfigurerEvent, Sources, Transmit};
 use crate::replication::message::{InstallBasis, PagePosition, StatePage, TransferId};
 use crate::replication::replica_set::{Generation, StoreId};
@@ -31,9 +30,7 @@
 
     /// Returns whether copying to a member waits, for the answer to its seal or for staying members.
     pub(super) fn is_waiting(&self, store: &StoreId) -> bool {
-        let is_delayed =
-            self.joiner_delay != JoinerDelay::Ended && !self.sealed_positions.contains_key(store);
-        self.awaits_position(store) || is_delayed
+        self.awaits_position(store) || (self.joiners_wait() && !self.sealed_positions.contains_key(store))
     }
 
     pub(super) fn copy_from(&mut self, basis: InstallBasis, generation: Generation, stores: Vec<StoreId>) {
@@ -83,6 +80,7 @@
         let target = target.filter(|target| target.is_current_pass(&self.transfer, transfer));
         if let (Some(sources), Some(target)) = (&self.sources, target) {
             target.handle_copied(sources, source, next);
+            self.extend_joiner_delay(store);
         }
     }
 
@@ -94,6 +92,7 @@
             return;
         }
         self.installed.add(store);
+        self.extend_joiner_delay(store);
         if self.installed.len() == self.next.majority() {
             self.events.push_back(ReconfigurerEvent::Installed);
         }
--- a/crates/core/tests/replication_repeated_copies.rs
+++ b/crates/core/tests/replication_repeated_copies.rs
@@ -238,3 +238,37 @@
     assert!(lost.drive_until(&mut catch_up, installed));
     assert!(lost.decided_through("f") >= lost.decided, "{}", lost.decided_through("f"));
 }
+
+/// The pages of the whole log for the joining member would delay the staying ones.
+#[test]
+fn joining_member_waits_for_staying_ones_after_another_run_installed_one() {
+    let mut lost = TwoLostDisks::new();
+    let mut first = lost.change("first");
+    assert!(lost.drive_until(&mut first, is_installed));
+    let mut second = lost.change("second");
+    assert!(lost.drive_until(&mut second, is_sealed("c")));
+    // The answers of `c` take longer.
+    lost.stores.set_reachable(&["a", "b", "f"]);
+    while lost.exchange(&mut second, 0).0 {}
+    assert_eq!(lost.sent_to_joining(), 0);
+    lost.stores.set_reachable(&["a", "b", "c", "f"]);
+    assert!(lost.install_majority(&mut second));
+}
+
+/// The change of slow stores takes longer than the joining member waits for staying ones without progress.
+#[test]
+fn joining_member_waits_as_long_as_staying_ones_make_progress() {
+    let mut lost = TwoLostDisks::new();
+    let mut change = lost.change("change");
+    let installed = (0..ROUNDS).any(|step| {
+        let now = Timestamp::ORIGIN + RETRANSMIT_AFTER.mul_f64(0.8) * step;
+        let mut answers = Vec::new();
+        while let Some(transmit) = change.poll_transmit(now) {
+            answers.extend(lost.send(transmit.request));
+        }
+        answers.into_iter().for_each(|answer| change.step(answer));
+        change.poll_event() == Some(ReconfigurerEvent::Installed)
+    });
+    assert!(installed);
+    assert_eq!(lost.sent_to_joining(), 0);
+}
