Refuse a batch job whose state the stores could not compact any more

Jobs were accepted as long as the owner's memory held them, whatever the stores had room for. Unknown room refuses nothing, and neither does an owner that has not read all texts of the log.

The limit comes with every decided append, and first from the room that the stores reported at the takeover.

A second lab test fills the stores by another log and kills the owner, because the first one no longer meets a full disk. The last step of the first one, a job refused after the takeover, is replaced: jobs are submitted to the new owner until one is refused, and all that were accepted before and after the kill are read, which the step before did not check.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -58,13 +58,7 @@
             return Submission::Pending;
         }
         let bytes = job.held_bytes();
-        if self.held_bytes + bytes > self.config.capacity_bytes {
-            let decision = Decision::new(Component::Rollout, "batch_refused", "no_room", &job.id);
-            self.record_decision(decision.with("held_bytes", self.held_bytes));
-            self.dispatch.refused_jobs += 1;
-            return Submission::Full;
-        }
-        if self.refuse_for_time(now, &job) {
+        if self.refuse_for_space(&job, bytes) || self.refuse_for_time(now, &job) {
             return Submission::Full;
         }
         self.held_bytes += bytes;
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -101,6 +101,8 @@
     pending_calls: HashMap<String, DutyCall>,
     duties: DutyPlan,
     held_bytes: usize,
+    /// The largest state that the stores have room for, in bytes; `None` if it is unknown.
+    state_limit: Option<usize>,
     /// Whether the rule for reusing earlier texts is to be applied to all open jobs.
     is_reuse_due: bool,
     reuse_counts: ReuseCounts,
@@ -151,6 +153,7 @@
             lease,
             pending_loads: HashMap::new(),
             held_bytes: 0,
+            state_limit: None,
             is_reuse_due: false,
             reuse_counts: ReuseCounts::default(),
             is_confirmed: true,
@@ -189,6 +192,12 @@
         if self.ledger.is_outline() { Ok(None) } else { self.ledger.to_snapshot().map(Some) }
     }
 
+    /// Sets the largest state for which the log can be compacted within the stores' room, in bytes. New jobs beyond it
+    /// are refused. `None` is no limit.
+    pub const fn set_state_limit(&mut self, limit: Option<usize>) {
+        self.state_limit = limit;
+    }
+
     /// Returns the bytes that count towards the capacity.
     pub const fn held_bytes(&self) -> usize {
         self.held_bytes
--- a/crates/core/src/batch/controller/refusal.rs
+++ b/crates/core/src/batch/controller/refusal.rs
@@ -1,4 +1,5 @@
-//! Refuses jobs that can't start in time because of earlier jobs of the same trainer.
+//! Refuses jobs for which there is no space, and jobs that can't start in time because of earlier jobs of the same
+//! trainer.
 //!
 //! Load pattern: a trainer submits jobs faster than its share of the slots completes them. Each job would be late
 //! because of the one before it. A trainer that has one job at a time is never refused, however large its job is.
@@ -10,6 +11,23 @@
 use crate::time::{Timestamp, whole_millis};
 
 impl Controller {
+    /// Refuses a job of so many bytes if it exceeds the owner's memory, or if the log could then no longer be compacted
+    /// within the stores' room, and returns whether it did.
+    pub(super) fn refuse_for_space(&mut self, job: &BatchJob, bytes: usize) -> bool {
+        let needed = self.held_bytes + bytes;
+        let reason = if needed > self.config.capacity_bytes {
+            "no_room"
+        } else if self.state_limit.is_some_and(|limit| needed > limit) {
+            "no_store_room"
+        } else {
+            return false;
+        };
+        let decision = Decision::new(Component::Rollout, "batch_refused", reason, &job.id);
+        self.record_decision(decision.with("held_bytes", self.held_bytes));
+        self.dispatch.refused_jobs += 1;
+        true
+    }
+
     /// Refuses a job if the work accepted before it takes its trainer's share of the slots until it is due, and returns
     /// whether it did.
     pub(super) fn refuse_for_time(&mut self, now: Timestamp, job: &BatchJob) -> bool {
--- a/crates/core/tests/batch_capacity.rs
+++ b/crates/core/tests/batch_capacity.rs
@@ -83,3 +83,20 @@
     harness.controller.appended(at(3));
     assert_eq!(&recovered, harness.controller.ledger());
 }
+
+/// Guards against a state that is accepted although no snapshot of it fits into the stores beside the one before.
+#[test]
+fn a_job_is_refused_when_the_state_could_not_be_compacted_any_more() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1)]);
+    let large = |id: &str| {
+        let mut job = job(id, 1, 0);
+        job.items[0].body = vec![0; 1_000];
+        job
+    };
+    harness.submit(at(1), large("first"));
+    harness.controller.set_state_limit(Some(1_500));
+    assert_eq!(harness.controller.submit(at(2), large("second")), Submission::Full);
+    assert_eq!(harness.controller.submit(at(2), large("first")), Submission::Committed);
+    harness.controller.set_state_limit(None);
+    assert_eq!(harness.controller.submit(at(3), large("second")), Submission::Pending);
+}
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -165,6 +165,7 @@
         let (metadata, draining) = (self.context.metadata.watch(), self.context.draining.clone());
         let mut inputs = OwnerInputs { commands, metadata, ticks, draining };
         self.stores.log.set_state_bytes(self.controller.held_bytes());
+        self.limit_state(self.stores.log.first_state_limit());
         self.update();
         let mut stop = None;
         while self.failure.is_none() && stop.is_none() {
@@ -296,10 +297,11 @@
 
     fn handle_append(&mut self, outcome: AppendOutcome) {
         match outcome {
-            AppendOutcome::Appended { appends, began } => {
+            AppendOutcome::Appended { appends, began, state_limit } => {
                 self.context.metrics.observe(Latency::Append, "decided", self.stores.clock().since(began));
                 self.stores.confirm(began);
                 self.controller.set_confirmed(self.stores.is_confirmed());
+                self.limit_state(state_limit);
                 let now = self.now();
                 for _ in 0..appends {
                     self.controller.appended(now);
@@ -323,6 +325,12 @@
         }
     }
 
+    /// Sets the limit of the state, which is unknown while a part of the log is not counted.
+    fn limit_state(&mut self, limit: Option<u64>) {
+        let limit = limit.filter(|_| !self.controller.ledger().is_outline());
+        self.controller.set_state_limit(limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX)));
+    }
+
     /// Answers the callers for whom a later confirmation was needed.
     fn answer_confirmed(&mut self) {
         self.answer_lookups();
--- a/crates/daemon/src/store/log_writer.rs
+++ b/crates/daemon/src/store/log_writer.rs
@@ -76,7 +76,12 @@
 /// Result of one or more writes.
 pub(crate) enum AppendOutcome {
     /// This number of appends is committed; the first of them was started at `began`.
-    Appended { appends: usize, began: BootInstant },
+    Appended {
+        appends: usize,
+        began: BootInstant,
+        /// The largest state that the stores have room for, in bytes; `None` if their room is unknown.
+        state_limit: Option<u64>,
+    },
     /// A part of a snapshot is decided whose write began at `began`.
     Confirmed { began: BootInstant },
     /// The disks are full, and this number of appends is given up. Nothing of them was written.
@@ -96,6 +101,7 @@
     outcomes: mpsc::UnboundedReceiver<AppendOutcome>,
     last_answer: LastAnswer,
     sizes: Arc<OwnerSizes>,
+    first_state_limit: Option<u64>,
 }
 
 /// Sizes that the owner reports to the writer, in bytes.
@@ -121,9 +127,11 @@
         let last_answer = log.last_answer();
         let queue = WriteQueue::new(mode, received, sender.clone());
         let sizes = Arc::<OwnerSizes>::default();
-        let (usage, owner) = (LogUsage::of_log(log_bytes as u64), Arc::clone(&sizes));
+        let mut usage = LogUsage::of_log(log_bytes as u64);
+        usage.set_free(log.free_bytes());
+        let (first_state_limit, owner) = (usage.state_limit(), Arc::clone(&sizes));
         tokio::spawn(WriterTask { log, format, mode, queue, sender, usage, owner, clock }.run());
-        Self { writes, outcomes, last_answer, sizes }
+        Self { writes, outcomes, last_answer, sizes, first_state_limit }
     }
 
     /// Sets the size of the owner's state, which decides when the log is to be compacted.
@@ -131,6 +139,11 @@
         self.sizes.state.store(bytes as u64, Ordering::Relaxed);
     }
 
+    /// Returns the largest state that the stores had room for at the takeover, in bytes; `None` if their room is unknown.
+    pub(crate) const fn first_state_limit(&self) -> Option<u64> {
+        self.first_state_limit
+    }
+
     /// Counts bytes that the log held at the takeover in addition to those given to [`Self::start`].
     pub(crate) fn count_log_bytes(&self, bytes: usize) {
         self.sizes.uncounted.fetch_add(bytes as u64, Ordering::Relaxed);
@@ -240,7 +253,9 @@
             self.log.append_to_reserve(batch.records).await?;
         }
         self.usage.appended(appended_bytes as u64);
-        self.report(AppendOutcome::Appended { appends: batch.appends, began });
+        self.usage.set_free(self.log.free_bytes());
+        let state_limit = self.usage.state_limit();
+        self.report(AppendOutcome::Appended { appends: batch.appends, began, state_limit });
         Ok(())
     }
 
--- a/crates/lab/tests/platform_full_stores/mod.rs
+++ b/crates/lab/tests/platform_full_stores/mod.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use lichenpulley_core::identity::ShardId;
+use lichenpulley_daemon::store::shard_log::{ShardLog, ShardLogError};
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -38,12 +40,12 @@
     }
 }
 
-/// Submits jobs until one is refused, and returns the accepted ones.
-async fn submit_until_refused(system: &System) -> Vec<String> {
+/// Submits jobs to these gateways in turn until one is refused, and returns the accepted ones.
+async fn submit_until_refused(system: &System, name: &str, gateways: &[usize]) -> Vec<String> {
     let mut accepted = Vec::new();
     for number in 0..JOBS {
-        let id = format!("job-{number}");
-        match submit(system, number % 2, &id).await {
+        let id = format!("{name}-{number}");
+        match submit(system, gateways[number % gateways.len()], &id).await {
             StatusCode::ACCEPTED => accepted.push(id),
             status => {
                 assert_eq!(status, StatusCode::TOO_MANY_REQUESTS, "{} jobs are accepted", accepted.len());
@@ -59,7 +61,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn accepted_jobs_can_be_read_while_the_stores_are_full_and_after_the_owner_is_killed() {
     let mut system = start().await;
-    let accepted = submit_until_refused(&system).await;
+    let mut accepted = submit_until_refused(&system, "early", &[0, 1]).await;
     assert!(accepted.len() >= 10, "{} jobs are accepted", accepted.len());
     for id in &accepted {
         assert_eq!(system.results(0, id).await.len(), 1, "{id}");
@@ -70,5 +72,43 @@
     for id in &accepted {
         assert_eq!(system.results(1 - owner, id).await.len(), 1, "{id}");
     }
-    assert_eq!(submit(&system, 1 - owner, "late").await, StatusCode::TOO_MANY_REQUESTS);
+    accepted.extend(submit_until_refused(&system, "late", &[1 - owner]).await);
+    for id in &accepted {
+        assert_eq!(system.results(1 - owner, id).await.len(), 1, "{id}");
+    }
+}
+
+/// Fills the stores with the log of another shard.
+async fn fill_stores(system: &System) {
+    let node = system.gateways[0].as_ref().expect("a gateway");
+    let taken = ShardLog::take_over(node.context(), &ShardId::new("test/filler")).await;
+    let (mut log, _) = taken.expect("taken over");
+    for bytes in [64 << 10, 64] {
+        let full = loop {
+            if let Err(error) = log.append(vec![vec![0; bytes]]).await {
+                break error;
+            }
+        };
+        assert!(matches!(full, ShardLogError::DiskFull { .. }), "{full}");
+    }
+}
+
+/// Guards against an owner that ends, or is never confirmed, because there is no room for its heartbeat.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn owners_serve_reads_and_refuse_jobs_while_another_log_fills_the_stores() {
+    let mut system = start().await;
+    let ids = ["first", "second", "third"];
+    for id in ids {
+        assert_eq!(submit(&system, 0, id).await, StatusCode::ACCEPTED);
+        assert_eq!(system.results(0, id).await.len(), 1, "{id}");
+    }
+    fill_stores(&system).await;
+    assert_eq!(submit(&system, 0, "late").await, StatusCode::TOO_MANY_REQUESTS);
+    until(|| system.find_owner().is_some()).await;
+    let owner = system.owner();
+    system.gateways[owner].take().expect("the owner").kill();
+    for id in ids {
+        assert_eq!(system.results(1 - owner, id).await.len(), 1, "{id}");
+    }
+    assert_eq!(submit(&system, 1 - owner, "later").await, StatusCode::TOO_MANY_REQUESTS);
 }
