Replace lost stores also by those of machines that are to be emptied

Callers could read no accepted job any more: a machine that was to be emptied, with no store to take its place, lost its disk and was not made a member again, and the next loss of one disk left no majority of the log's stores.

Cause: stores of such machines were never candidates, not even in place of a lost member. The set thus kept a store without a disk instead of one that answers.

Change: `core/replication/member_replacement` chooses the member and its successor as a function of what is known of the stores. A lost member is replaced by a store of a machine that stays, else by one of a machine that is to be emptied unless that was reported as empty; it leaves again once another store answers. A lost member without a successor no longer hides another one. Since an earlier set may now lack a store that a later one has, a machine is reported as empty only after a majority of the members answered for the owner's set. A set still doesn't grow or move to such machines. The product's own interface excludes no store when a member was lost, and is as it was.

--- a/crates/core/src/replication/mod.rs
+++ b/crates/core/src/replication/mod.rs
@@ -72,6 +72,7 @@
 pub mod group;
 pub mod log;
 mod member_progress;
+pub mod member_replacement;
 pub mod memory_storage;
 pub mod message;
 pub mod placement;
--- a/crates/daemon/src/batch/set_maintenance.rs
+++ b/crates/daemon/src/batch/set_maintenance.rs
@@ -1,9 +1,8 @@
 //! Maintains the replica set that stores the log of the batch jobs.
 //!
-//! A member is replaced when its disk was lost, when it has not answered for long, or when the operator
-//! retires its machine. A set with too few members grows, and a member moves to another store where the set
-//! then tolerates more of the losses that the settings require. Changes of the set are decided through the
-//! log itself and don't depend on the platform.
+//! The core's `replication::member_replacement` chooses the member that is replaced. A set with too few members
+//! grows, and a member moves to another store where the set then tolerates more of the losses that the
+//! settings require. Changes of the set are decided through the log itself and don't depend on the platform.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use lichenpulley_core::batch::regional;
 use lichenpulley_core::identity::{NodeId, ShardId};
 use lichenpulley_core::replication::entry::LogIndex;
+use lichenpulley_core::replication::member_replacement::StoreView;
 use lichenpulley_core::replication::message::{Operation, ReplicaAnswer, ReplicaRequest};
 use lichenpulley_core::replication::placement::{FaultTolerance, Improvement};
 use lichenpulley_core::replication::quorum::majority;
@@ -32,13 +32,6 @@
 const MAX_LAG_ENTRIES: u64 = 1_000;
 /// How long a change of the set waits for staying members to catch up before it starts anyway.
 const MEMBER_CATCH_UP_TIMEOUT: Duration = Duration::from_secs(10);
-/// The node has a new store: its disk was replaced.
-const REASON_DISK_REPLACED: &str = "disk_replaced";
-/// The store has not answered for long.
-const REASON_SILENT: &str = "not_seen";
-/// The operator retires the machine.
-const REASON_RETIRED: &str = "machine_leaves";
-
 /// The set is smaller than required, and another store is available.
 const REASON_GROWTH: &str = "set_grows";
 /// A store at another location lets the set tolerate more losses.
@@ -115,6 +108,8 @@
     sets: watch::Receiver<ReplicaSet>,
     sender: mpsc::UnboundedSender<Replacement>,
     retirements: Retirements,
+    /// Open retirements whose machines were reported as empty.
+    emptied: BTreeSet<NodeId>,
     answered_at: HashMap<StoreId, Instant>,
     began: Instant,
     /// Since when a change has waited for staying members to catch up.
@@ -137,6 +132,7 @@
             sets,
             sender,
             retirements,
+            emptied: BTreeSet::new(),
             answered_at: HashMap::new(),
             began: Instant::now(),
             waiting_since: None,
@@ -209,19 +205,25 @@
 
     /// Returns the next change of the set: first a member that must leave, then an improvement.
     fn replacement(&mut self, set: &ReplicaSet, stores: &[SetMember]) -> Option<Replacement> {
-        let retired = self.retirements.nodes();
-        let Some((leaving, reason)) = self.leaving(set, stores, &retired) else {
-            return self.improvement(set, stores, &retired);
-        };
-        let staying: Vec<SetMember> =
-            set.members.iter().filter(|member| member.store != leaving.store).cloned().collect();
-        let free: Vec<SetMember> =
-            stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
-        let joining = placement::policy(&self.scope.context).best_addition(&set.shard, &staying, &free)?;
-        if joining.store == leaving.store {
-            return None;
+        let retiring = self.retirements.nodes();
+        self.emptied.retain(|node| retiring.contains(node));
+        let silent = self.silent_members(set);
+        let view =
+            StoreView { answering: stores, silent: &silent, retiring: &retiring, emptied: &self.emptied };
+        if let Some(next) = placement::policy(&self.scope.context).replacement(set, &view) {
+            let reason = next.reason.as_str();
+            return Some(Replacement { leaving: next.leaving, joining: next.joining, reason });
         }
-        Some(Replacement { leaving: leaving.store.clone(), joining, reason })
+        let staying = view.staying_stores();
+        self.improvement(set, stores, staying)
+    }
+
+    /// Returns the members that have not answered for `store.replace_after_ms`.
+    fn silent_members(&self, set: &ReplicaSet) -> BTreeSet<StoreId> {
+        let patience = self.scope.context.settings.store.replace_after;
+        let last_answer = |store: &StoreId| *self.answered_at.get(store).unwrap_or(&self.began);
+        let stores = set.members.iter().map(|member| &member.store);
+        stores.filter(|store| last_answer(store).elapsed() >= patience).cloned().collect()
     }
 
     /// Returns a change by which the set tolerates more losses, if all members answer and the same change has
@@ -230,7 +232,7 @@
         &mut self,
         set: &ReplicaSet,
         stores: &[SetMember],
-        retired: &BTreeSet<NodeId>,
+        mut free: Vec<SetMember>,
     ) -> Option<Replacement> {
         let answers = |member: &SetMember| stores.iter().any(|store| store.store == member.store);
         if !set.members.iter().all(answers) {
@@ -238,8 +240,6 @@
             self.improvement = None;
             return None;
         }
-        let mut free: Vec<SetMember> =
-            stores.iter().filter(|store| !retired.contains(&store.node)).cloned().collect();
         free.sort();
         let seen = (set.clone(), free);
         if self.improved_for.as_ref() != Some(&seen) {
@@ -253,41 +253,10 @@
         (since.elapsed() >= IMPROVEMENT_DELAY).then(|| to_replacement(step.clone()))
     }
 
-    /// Returns the member to replace first and the reason. Returns `None` if fewer than a majority answer. A
-    /// member whose machine is retired leaves only if all members answer.
-    fn leaving<'a>(
-        &self,
-        set: &'a ReplicaSet,
-        stores: &[SetMember],
-        retired: &BTreeSet<NodeId>,
-    ) -> Option<(&'a SetMember, &'static str)> {
-        let answers = |member: &SetMember| stores.iter().any(|store| store.store == member.store);
-        let missing: Vec<&SetMember> = set.members.iter().filter(|member| !answers(member)).collect();
-        if set.members.len() - missing.len() < set.majority() {
-            return None;
-        }
-        let has_other_store = |member: &&&SetMember| {
-            stores.iter().any(|store| store.node == member.node && store.store != member.store)
-        };
-        if let Some(member) = missing.iter().find(has_other_store) {
-            return Some((member, REASON_DISK_REPLACED));
-        }
-        let patience = self.scope.context.settings.store.replace_after;
-        let silent_for =
-            |member: &SetMember| self.answered_at.get(&member.store).unwrap_or(&self.began).elapsed();
-        if let Some(member) = missing.iter().find(|member| silent_for(member) >= patience) {
-            return Some((member, REASON_SILENT));
-        }
-        if !missing.is_empty() {
-            return None;
-        }
-        let leaving = set.members.iter().find(|member| retired.contains(&member.node));
-        leaving.map(|member| (member, REASON_RETIRED))
-    }
-
     /// Completes the retirement of machines that have no member in any shard of batch jobs, once every member
-    /// of this set answers. Only the main shard's owner does this, for all shards.
-    async fn finish_retirements(&self, set: &ReplicaSet, stores: &[SetMember]) {
+    /// of this set answers. Only the main shard's owner does this, for all shards, and only while the set is in
+    /// force: a superseded owner may not know that a later set has such a member.
+    async fn finish_retirements(&mut self, set: &ReplicaSet, stores: &[SetMember]) {
         let retired = self.retirements.nodes();
         let is_whole =
             set.members.iter().all(|member| stores.iter().any(|store| store.store == member.store));
@@ -299,11 +268,20 @@
             let known = replica_sets::query_stores(&self.scope.context, &shard).await;
             members.extend(known.into_iter().flat_map(|set| set.members).map(|member| member.node));
         }
-        for node in retired {
-            if !members.contains(&node) {
-                self.retirements.complete(&node);
-            }
+        let empty: Vec<NodeId> = retired.into_iter().filter(|node| !members.contains(node)).collect();
+        if empty.is_empty() || !self.is_in_force(set).await {
+            return;
         }
+        for node in empty {
+            self.retirements.complete(&node);
+            self.emptied.insert(node);
+        }
+    }
+
+    /// Returns whether a majority of the members still serves this set.
+    async fn is_in_force(&self, set: &ReplicaSet) -> bool {
+        let serving = join_all(set.members.iter().map(|member| self.decided_through(set, member))).await;
+        serving.iter().flatten().count() >= set.majority()
     }
 
     fn regional_shards(&self) -> Vec<ShardId> {
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -14,6 +14,7 @@
 mod platform_placement;
 mod platform_quarantine;
 mod platform_regions;
+mod platform_retirements;
 mod platform_slow;
 mod platform_starting;
 mod platform_subsets;
