Keep a reserve on a full volume for take-over, sealing and truncation

A store whose disk had really run full answered nothing any more: also a take-over, a seal, a new shard's begin and the truncation that would free space need a few pages and were rolled back, so no job could be read. redb copies on write, and appends used the file up to the last page, since the settings may name more capacity than the volume has. The new test fills a volume of 8 MiB under a capacity of 80 MiB until appends are refused, then takes the shard over, begins and seals another one, truncates and appends again. The file is now extended only while a reserve of a 32nd of its length, at least 512 KiB, stays free on the volume. The reserve is granted when nothing else is; the bytes in use then become the capacity, kept under keys of their own beside the counter until the capacity in the settings changes. Owners are told that the disk is full, and 128 KiB more of entries are accepted for a take-over. The crash test of the extension covers its operations.

--- a/crates/daemon/src/store/disk.rs
+++ b/crates/daemon/src/store/disk.rs
@@ -14,7 +14,7 @@
 
 use super::error::{DiskError, StoreError};
 use super::transaction::Transaction;
-use super::volume::{RefusedLength, VolumeFile};
+use super::volume::{Growth, VolumeFile};
 
 /// Name of the store file in the data folder.
 pub(crate) const FILE_NAME: &str = "replicas.redb";
@@ -38,7 +38,7 @@
     database: Database,
     store: StoreId,
     capacity_bytes: u64,
-    refused: RefusedLength,
+    growth: Growth,
 }
 
 impl Disk {
@@ -52,9 +52,9 @@
             reject_foreign_files(folder)?;
             create_file(folder, &path)?;
         }
-        let refused = RefusedLength::default();
-        let database = open_database(&path, &refused).map_err(|error| open_error(folder, error))?;
-        Self::from_database(database, path, capacity_bytes, refused)
+        let growth = Growth::default();
+        let database = open_database(&path, &growth).map_err(|error| open_error(folder, error))?;
+        Self::from_database(database, path, capacity_bytes, growth)
     }
 
     /// Wraps an open database after checking its format and reading its id.
@@ -62,7 +62,7 @@
         database: Database,
         path: PathBuf,
         capacity_bytes: u64,
-        refused: RefusedLength,
+        growth: Growth,
     ) -> Result<Self, StoreError> {
         let folder = path.parent().unwrap_or(&path);
         let damaged =
@@ -75,7 +75,7 @@
                 readable: FORMAT_VERSION,
             });
         }
-        Ok(Self { path, database, store, capacity_bytes, refused })
+        Ok(Self { path, database, store, capacity_bytes, growth })
     }
 
     /// Returns the id of the store that the file belongs to.
@@ -92,10 +92,14 @@
         let mut write = self.database.begin_write()?;
         write.set_durability(Durability::Immediate);
         let mut transaction = Transaction::open(&write, self.capacity_bytes)?;
+        if self.growth.is_exhausted() {
+            transaction.limit_to_used()?;
+        }
         let result = work(&mut transaction)?;
         let changed = transaction.finish()?;
         if changed {
             write.commit()?;
+            self.growth.acknowledge();
         } else {
             write.abort()?;
         }
@@ -105,22 +109,22 @@
     /// Reopens the file after a disk error, since `redb` refuses further transactions on the open database. Extends
     /// it if its volume refused to let it grow.
     pub(super) fn reopen(self) -> Result<Self, StoreError> {
-        let Self { path, database, store, capacity_bytes, refused } = self;
+        let Self { path, database, store, capacity_bytes, growth } = self;
         drop(database);
         let folder = path.parent().unwrap_or(&path).to_owned();
-        let database = open_database(&path, &refused).map_err(|error| open_error(&folder, error))?;
-        Ok(Self { path, database, store, capacity_bytes, refused })
+        let database = open_database(&path, &growth).map_err(|error| open_error(&folder, error))?;
+        Ok(Self { path, database, store, capacity_bytes, growth })
     }
 }
 
 /// Opens the database in an existing store file.
-fn open_database(path: &Path, refused: &RefusedLength) -> Result<Database, DatabaseError> {
+fn open_database(path: &Path, growth: &Growth) -> Result<Database, DatabaseError> {
     let file = FileBackend::new(File::options().read(true).write(true).open(path)?)?;
     // `redb` would create a database in an empty file.
     if file.len()? == 0 {
         return Err(DatabaseError::Storage(StorageError::Io(ErrorKind::InvalidData.into())));
     }
-    let file = VolumeFile::open(file, refused)?;
+    let file = VolumeFile::open(file, growth)?;
     Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(file)
 }
 
--- a/crates/daemon/src/store/transaction.rs
+++ b/crates/daemon/src/store/transaction.rs
@@ -20,10 +20,17 @@
 const CLAIMS_BY_ISSUE: TableDefinition<(&str, u64, &str), ()> = TableDefinition::new("claims_by_issue");
 const USAGE: TableDefinition<&str, u64> = TableDefinition::new("usage");
 const USED_BYTES_KEY: &str = "used_bytes";
+/// Used bytes at which the volume was full although the capacity was not reached.
+const FULL_AT_KEY: &str = "full_at_bytes";
+/// Capacity in the settings when the volume was full. With another one the volume may have changed as well.
+const FULL_AT_CAPACITY_KEY: &str = "full_at_capacity_bytes";
 
 /// Share of the capacity for records, in quarters. The rest is reserved for the snapshots that free a full
 /// disk, and for recovery.
 const RECORD_QUARTERS: u64 = 3;
+/// Bytes of entries that are accepted beyond the bytes in use when the volume was full, so that an owner can still
+/// take a shard over. They fit into the reserve of the store file with room for further small writes.
+const RECOVERY_BYTES: u64 = 128 << 10;
 /// Bytes counted for a claim in addition to its strings: two keys, checksums and page overhead, rounded up.
 const CLAIM_OVERHEAD_BYTES: u64 = 192;
 
@@ -38,6 +45,9 @@
     claims: Table<'a, (&'static str, &'static str), &'static [u8]>,
     claims_by_issue: Table<'a, (&'static str, u64, &'static str), ()>,
     usage: Table<'a, &'static str, u64>,
+    /// Capacity in the settings.
+    settings_bytes: u64,
+    /// Capacity in use, less than that in the settings if the volume was full before.
     capacity_bytes: u64,
     used_bytes: u64,
     changed: bool,
@@ -52,19 +62,34 @@
 
     pub(super) fn open(write: &'a WriteTransaction, capacity_bytes: u64) -> Result<Self, DiskError> {
         let usage = write.open_table(USAGE)?;
-        let used_bytes = usage.get(USED_BYTES_KEY)?.map_or(0, |used| used.value());
+        let number = |key: &str| Ok::<_, DiskError>(usage.get(key)?.map(|number| number.value()));
+        let used_bytes = number(USED_BYTES_KEY)?.unwrap_or(0);
+        let full_at = match number(FULL_AT_CAPACITY_KEY)? {
+            Some(capacity) if capacity == capacity_bytes => number(FULL_AT_KEY)?,
+            _ => None,
+        };
         Ok(Self {
             groups: write.open_table(GROUPS)?,
             entries: write.open_table(ENTRIES)?,
             claims: write.open_table(CLAIMS)?,
             claims_by_issue: write.open_table(CLAIMS_BY_ISSUE)?,
             usage,
-            capacity_bytes,
+            settings_bytes: capacity_bytes,
+            capacity_bytes: full_at.map_or(capacity_bytes, |full_at| full_at.min(capacity_bytes)),
             used_bytes,
             changed: false,
         })
     }
 
+    /// Limits the capacity to the bytes in use, since the volume has no more.
+    pub(super) fn limit_to_used(&mut self) -> Result<(), DiskError> {
+        self.capacity_bytes = self.capacity_bytes.min(self.used_bytes);
+        self.usage.insert(FULL_AT_KEY, self.capacity_bytes)?;
+        self.usage.insert(FULL_AT_CAPACITY_KEY, self.settings_bytes)?;
+        self.changed = true;
+        Ok(())
+    }
+
     /// Writes the count of used bytes and returns whether there is anything to commit.
     pub(super) fn finish(mut self) -> Result<bool, DiskError> {
         if self.changed {
@@ -243,6 +268,7 @@
     }
 
     fn has_room(&self, bytes: u64) -> bool {
-        self.used_bytes.saturating_add(bytes) <= self.capacity_bytes
+        let recovery = if self.capacity_bytes < self.settings_bytes { RECOVERY_BYTES } else { 0 };
+        self.used_bytes.saturating_add(bytes) <= self.capacity_bytes.saturating_add(recovery)
     }
 }
--- a/crates/daemon/src/store/volume.rs
+++ b/crates/daemon/src/store/volume.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use redb::StorageBackend;
 
@@ -16,17 +16,36 @@
 /// adopts each length.
 const MAXIMUM_LENGTH_BYTES: u64 = 4 << 30;
 
-/// Length that the volume refused last, zero if there is none. Shared with the open file.
+/// Share of the file's length that is reserved on the volume until nothing else is granted.
+const RESERVE_SHARE: u64 = 32;
+/// Least reserve, in bytes.
+const MINIMUM_RESERVE_BYTES: u64 = 512 << 10;
+
+/// Growth of a store file, shared by the open file and its owner.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RefusedLength(Arc<AtomicU64>);
+pub(super) struct Growth(Arc<GrowthState>);
+
+#[derive(Debug, Default)]
+struct GrowthState {
+    /// Length that the volume refused, zero if there is none.
+    refused: AtomicU64,
+    is_exhausted: AtomicBool,
+}
+
+impl Growth {
+    /// Records a length that the volume refused.
+    pub(super) fn refuse(&self, len: u64) {
+        self.0.refused.store(len, Ordering::Relaxed);
+    }
 
-impl RefusedLength {
-    pub(super) fn set(&self, len: u64) {
-        self.0.store(len, Ordering::Relaxed);
+    /// Returns whether the volume has granted nothing but the reserve, until this is acknowledged.
+    pub(super) fn is_exhausted(&self) -> bool {
+        self.0.is_exhausted.load(Ordering::Relaxed)
     }
 
-    fn take(&self) -> u64 {
-        self.0.swap(0, Ordering::Relaxed)
+    /// Records that the volume is known to be exhausted.
+    pub(super) fn acknowledge(&self) {
+        self.0.is_exhausted.store(false, Ordering::Relaxed);
     }
 }
 
@@ -34,39 +53,51 @@
 #[derive(Debug)]
 pub(super) struct VolumeFile<F> {
     file: F,
-    refused: RefusedLength,
+    growth: Growth,
 }
 
 impl<F: StorageBackend> VolumeFile<F> {
     /// Wraps an open store file. Extends it if a length was refused while it was open before: `redb` does not close
     /// a file after an error, and adopts the greater length while it repairs it.
-    pub(super) fn open(file: F, refused: &RefusedLength) -> io::Result<Self> {
-        let wanted = refused.take();
-        if wanted > 0 {
-            extend(&file, wanted)?;
+    pub(super) fn open(file: F, growth: &Growth) -> io::Result<Self> {
+        let wanted = growth.0.refused.swap(0, Ordering::Relaxed);
+        if wanted > 0 && !extend(&file, wanted)? {
+            growth.0.is_exhausted.store(true, Ordering::Relaxed);
         }
-        Ok(Self { file, refused: refused.clone() })
+        Ok(Self { file, growth: growth.clone() })
+    }
+}
+
+/// Extends a file by half of what is wanted, or by the greatest smaller part that the volume grants beside the
+/// reserve. Extends it by the reserve and returns `false` if it grants nothing else.
+fn extend(file: &impl StorageBackend, wanted: u64) -> io::Result<bool> {
+    let len = file.len()?;
+    let reserve = (len / RESERVE_SHARE).max(MINIMUM_RESERVE_BYTES);
+    let is_extended = try_extend(file, wanted.saturating_sub(len) / 2, reserve)?;
+    if !is_extended {
+        try_extend(file, reserve, 0)?;
     }
+    // `redb` adopts the length by a write, which must not reach the disk before it.
+    file.sync_data(false)?;
+    Ok(is_extended)
 }
 
-/// Extends a file by half of what is wanted, or by the greatest smaller part that the volume grants.
-fn extend(file: &impl StorageBackend, wanted: u64) -> io::Result<()> {
+/// Extends a file by at most `extension` bytes so that the volume still grants `reserve` bytes.
+fn try_extend(file: &impl StorageBackend, mut extension: u64, reserve: u64) -> io::Result<bool> {
     let len = file.len()?;
-    let mut extension = wanted.saturating_sub(len) / 2;
     while extension >= MINIMUM_EXTENSION_BYTES {
         extension -= extension % MINIMUM_EXTENSION_BYTES;
         let extended = len.saturating_add(extension);
         if extended <= MAXIMUM_LENGTH_BYTES {
-            match file.set_len(extended) {
-                // `redb` adopts the length by a write, which must not reach the disk before it.
-                Ok(()) => return file.sync_data(false),
+            match file.set_len(extended.saturating_add(reserve)) {
+                Ok(()) => return file.set_len(extended).map(|()| true),
                 Err(error) if is_full(&error) => {}
                 Err(error) => return Err(error),
             }
         }
         extension /= 2;
     }
-    Ok(())
+    Ok(false)
 }
 
 fn is_full(error: &io::Error) -> bool {
@@ -85,7 +116,7 @@
     fn set_len(&self, len: u64) -> io::Result<()> {
         let result = self.file.set_len(len);
         if result.as_ref().is_err_and(is_full) {
-            self.refused.set(len);
+            self.growth.refuse(len);
         }
         result
     }
