Stop reading an answer of a replica that has no end

Callers of a replica that sends bytes without end waited until their deadline, and a node read as long as it sent: a chunk size of zeros, blanks after a chunk size and a body without a length have no bound in the HTTP library. A plain answer could take 64 MB, a few of them the memory of a machine of 120 MB.

A plain answer has at most 8 MiB, and long ones share an eighth of the machine's memory; 64 KiB of each are not counted. Scores are read without being kept, a report of a replica has at most 1 MiB and an event 1 MiB. Comments and blank lines no longer count as progress of a resumable stream, so it is resumed elsewhere.

--- a/crates/core/src/ingress/unread.rs
+++ b/crates/core/src/ingress/unread.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: callers that ask and then stop reading (a trainer that is stopped in a debugger, or a network that
 //! drops packets) while others read at their usual pace. Each keeps up to 64 events of a stream, a page of results of
-//! about 1 MB or a plain answer of up to 64 MB in the gateway, whose machine may have 120 MB and is killed beyond that.
+//! about 1 MB or a plain answer of up to 8 MB in the gateway, whose machine may have 120 MB and is killed beyond that.
 //!
 //! Above the bound, a gateway takes no new streams and no new reads of result pages, and aborts the connections whose
 //! callers have taken nothing for the longest time. Below the bound nothing is refused or aborted.
--- a/crates/daemon/src/batch/load.rs
+++ b/crates/daemon/src/batch/load.rs
@@ -33,6 +33,8 @@
 
 /// Timeout of one call to a replica.
 const REPLICA_CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum size of a replica's report, in bytes: thousands of models. Many replicas load at a time.
+const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Interval between two reads of the report once a load may be complete. Limits the precision of the load
 /// times from which `core::batch::load_limit` derives the limit.
 const REPORT_INTERVAL: Duration = Duration::from_millis(60);
@@ -68,7 +70,7 @@
 
 impl LoadOrders {
     pub(super) fn new(context: Context, epoch: Epoch, ends: mpsc::UnboundedSender<LoadEnded>) -> Self {
-        let http = HttpClient::new(context.settings.gateway.connect_timeout);
+        let http = HttpClient::new(context.settings.gateway.connect_timeout).with_max_body(MAX_REPORT_BYTES);
         Self { context, http, epoch, ends, last_load_ms: Arc::default() }
     }
 
--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use lichenpulley_core::batch::score_plan::{ScoreEnd, ScoreId, ScoreStart};
@@ -20,7 +21,7 @@
 use crate::metrics::Latency;
 use crate::quarantine::TracedRun;
 
-/// Maximum size of a scorer's answer, in bytes. The body is not used; it only has to be complete.
+/// Maximum size of a scorer's answer, in bytes. The body is not kept; it only has to be complete.
 const MAX_SCORE_ANSWER_BYTES: usize = 8 << 20;
 
 /// The end of a score request.
@@ -78,7 +79,8 @@
         return ScoreEnd::Broken;
     }
     // An incomplete answer does not prove that the request was scored.
-    if Limited::new(body, MAX_SCORE_ANSWER_BYTES).collect().await.is_err() {
+    if !is_complete(body).await {
+        drop(connection);
         traced.record_broken().await;
         return ScoreEnd::Broken;
     }
@@ -91,6 +93,17 @@
     end
 }
 
+/// Reads a body to its end without keeping it. Returns whether it is complete and not too long.
+async fn is_complete(body: Incoming) -> bool {
+    let mut body = Limited::new(body, MAX_SCORE_ANSWER_BYTES);
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 fn build(start: &ScoreStart) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let mut request = Request::new(Full::new(Bytes::from(start.request.body.clone())));
     *request.method_mut() = Method::POST;
--- a/crates/daemon/src/http/client/mod.rs
+++ b/crates/daemon/src/http/client/mod.rs
@@ -44,6 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
+    max_body_bytes: usize,
 }
 
 impl HttpClient {
@@ -63,7 +64,13 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .build(connector);
-        Self { inner }
+        Self { inner, max_body_bytes: MAX_BODY_BYTES }
+    }
+
+    /// Fails calls whose response body has more than this many bytes.
+    #[must_use]
+    pub fn with_max_body(self, max_body_bytes: usize) -> Self {
+        Self { max_body_bytes, ..self }
     }
 
     /// Sends a `GET` and decodes the JSON response.
@@ -133,7 +140,7 @@
         let request = build(Method::DELETE, address, path, Bytes::new())?;
         let deadline = Instant::now() + timeout;
         let response = self.send(address, request, deadline).await?;
-        check_status(address, response, deadline).await.map(drop)
+        self.check_status(address, response, deadline).await.map(drop)
     }
 
     /// Sends a `GET` and returns the response body.
@@ -149,8 +156,8 @@
         let request = build(Method::GET, address, path, Bytes::new())?;
         let deadline = Instant::now() + timeout;
         let response = self.send(address, request, deadline).await?;
-        let response = check_status(address, response, deadline).await?;
-        read_body(address, response, deadline).await
+        let response = self.check_status(address, response, deadline).await?;
+        self.read_body(address, response, deadline).await
     }
 
     /// Opens a stream of events by `GET`. `timeout` applies to the head of the response; the events may take
@@ -192,7 +199,7 @@
     ) -> Result<EventReader, ClientError> {
         let deadline = Instant::now() + timeout;
         let response = self.send(address, request, deadline).await?;
-        let response = check_status(address, response, deadline).await?;
+        let response = self.check_status(address, response, deadline).await?;
         Ok(EventReader::new(response.into_body()))
     }
 
@@ -208,8 +215,8 @@
     ) -> Result<ResponseBody, ClientError> {
         let deadline = Instant::now() + timeout;
         let response = self.send(address, request, deadline).await?;
-        let response = check_status(address, response, deadline).await?;
-        let bytes = read_body(address, response, deadline).await?;
+        let response = self.check_status(address, response, deadline).await?;
+        let bytes = self.read_body(address, response, deadline).await?;
         // Invalid UTF-8 in one string must not make the whole response unreadable: it is replaced by U+FFFD.
         serde_json::from_str(&String::from_utf8_lossy(&bytes))
             .map_err(|error| ClientError::BadAnswer { address, reason: error.to_string() })
@@ -265,31 +272,35 @@
     bytes.map(Bytes::from).map_err(|error| ClientError::BadRequest { reason: error.to_string() })
 }
 
-async fn check_status(
-    address: SocketAddr,
-    response: Response<Incoming>,
-    deadline: Instant,
-) -> Result<Response<Incoming>, ClientError> {
-    let status = response.status();
-    if status.is_success() {
-        return Ok(response);
+impl HttpClient {
+    async fn check_status(
+        &self,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let body = self.read_body(address, response, deadline).await?;
+        Err(ClientError::Status { address, status, body })
     }
-    let body = read_body(address, response, deadline).await?;
-    Err(ClientError::Status { address, status, body })
-}
 
-async fn read_body(
-    address: SocketAddr,
-    response: Response<Incoming>,
-    deadline: Instant,
-) -> Result<Bytes, ClientError> {
-    let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
-    match tokio::time::timeout_at(deadline, body).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: error.to_string() }),
-        Err(_) => Err(ClientError::NoAnswer {
-            address,
-            reason: "the response was not complete by the deadline".to_owned(),
-        }),
+    async fn read_body(
+        &self,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Bytes, ClientError> {
+        let body = Limited::new(response.into_body(), self.max_body_bytes).collect();
+        match tokio::time::timeout_at(deadline, body).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) => Err(ClientError::NoAnswer { address, reason: error.to_string() }),
+            Err(_) => Err(ClientError::NoAnswer {
+                address,
+                reason: "the response was not complete by the deadline".to_owned(),
+            }),
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/ingress/answer_body.rs
@@ -0,0 +1,79 @@
+//! Reads the bodies of replicas' plain answers within bounds, for each answer and for all that are being read.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Maximum size of a plain answer's body, in bytes. The body is buffered in memory before it is returned.
+pub const MAX_PLAIN_ANSWER_BYTES: usize = 8 << 20;
+/// Bytes of each answer that are not counted against the memory of all, so that usual answers are read also while
+/// others exceed it.
+const UNCOUNTED_BYTES: usize = 64 << 10;
+/// Divisor of the machine's memory for the counted bytes of all answers. The largest answer fits once on the smallest
+/// machine of 120 MB.
+const MEMORY_DIVISOR: usize = 8;
+/// Bytes for one permit.
+const PERMIT_BYTES: usize = 64 << 10;
+
+/// Why the body of an answer was not read.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// The connection closed or the framing is invalid.
+    #[error("it broke off: {0}; check the replica")]
+    Broken(hyper::Error),
+    /// The body is too long.
+    #[error(
+        "it has more than {MAX_PLAIN_ANSWER_BYTES} bytes; check the replica, or let it send less at a time"
+    )]
+    TooLong,
+    /// Other long answers are being read.
+    #[error("long answers take all the memory for them; check the replicas, or give the machine more memory")]
+    NoMemory,
+}
+
+/// The memory for answers that are being read. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct AnswerMemory(Arc<Semaphore>);
+
+impl AnswerMemory {
+    /// Returns the memory for answers on a machine with this memory.
+    pub fn for_machine(memory_bytes: u64) -> Self {
+        let memory_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX);
+        let permits = memory_bytes / MEMORY_DIVISOR / PERMIT_BYTES;
+        Self(Arc::new(Semaphore::new(permits.min(Semaphore::MAX_PERMITS))))
+    }
+
+    /// Reads a body to its end.
+    ///
+    /// # Errors
+    /// When the body breaks off or exceeds a bound.
+    pub async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let mut first = None;
+        let mut buffer = BytesMut::new();
+        let mut held: Vec<OwnedSemaphorePermit> = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
+            let length = first.as_ref().map_or(buffer.len(), Bytes::len) + data.len();
+            if length > MAX_PLAIN_ANSWER_BYTES {
+                return Err(BodyError::TooLong);
+            }
+            while length.saturating_sub(UNCOUNTED_BYTES) > held.len() * PERMIT_BYTES {
+                let permit = Arc::clone(&self.0).try_acquire_owned().map_err(|_| BodyError::NoMemory)?;
+                held.push(permit);
+            }
+            // Most answers arrive as one piece, which is passed on without a copy.
+            match first.take() {
+                None if buffer.is_empty() => first = Some(data),
+                Some(earlier) => {
+                    buffer.extend_from_slice(&earlier);
+                    buffer.extend_from_slice(&data);
+                }
+                None => buffer.extend_from_slice(&data),
+            }
+        }
+        Ok(first.unwrap_or_else(|| buffer.freeze()))
+    }
+}
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -3,7 +3,6 @@
 //! [`AttemptLoop`] selects replicas and retries.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
@@ -21,9 +20,6 @@
 use crate::duties::RunCount;
 use crate::http::{Body, response};
 
-/// Maximum size of a plain response body, in bytes. The body is buffered in memory before it is returned.
-const MAX_PLAIN_ANSWER_BYTES: usize = 64 << 20;
-
 /// A replica's response with its complete body.
 struct BufferedAnswer {
     status: StatusCode,
@@ -120,10 +116,13 @@
     ) -> (SendOutcome, Option<BufferedAnswer>) {
         let HttpExchange { response, connection } = exchange;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_PLAIN_ANSWER_BYTES).collect();
+        let body = self.ingress.answer_memory.read(body);
         let body = match tokio::time::timeout_at(deadline, body).await {
             Ok(Ok(body)) => body,
-            Ok(Err(_)) => {
+            Ok(Err(error)) => {
+                ::log::debug!(target: "ingress", "The answer of replica {} was not read: {error}.", in_flight.replica.id);
+                // Closed before the probe, so that a replica that sends without end stops.
+                drop(connection);
                 in_flight.record_no_answer();
                 in_flight.run.record_broken().await;
                 return (SendOutcome::Broken, None);
@@ -144,7 +143,7 @@
             in_flight.record_answered();
             in_flight.run.record_complete();
         }
-        let answer = BufferedAnswer { status: head.status, headers: head.headers, body: body.to_bytes() };
+        let answer = BufferedAnswer { status: head.status, headers: head.headers, body };
         (outcome, Some(answer))
     }
 }
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -7,11 +7,13 @@
 //! `metadata_wait` holds requests that arrive before it is read. The quarantine excludes requests that crash
 //! replicas.
 
+pub mod answer_body;
 mod attempt_loop;
 mod base_latencies;
 mod batch_calls;
 mod caller_request;
 pub(crate) mod callers;
+pub mod counted_stream;
 mod end_trace;
 mod ends;
 mod forward;
@@ -55,6 +57,7 @@
 use crate::context::Context;
 use crate::http::Body;
 use crate::http::unread::{AbortedConnection, ConnectionMeter, UnreadMeter};
+use answer_body::AnswerMemory;
 use caller_request::CallerRequest;
 use callers::Caller;
 use in_flight::InFlightRequest;
@@ -93,6 +96,7 @@
     metadata_waits: Arc<Semaphore>,
     /// Counts the bytes kept for callers that have not read their answers.
     unread: UnreadMeter,
+    answer_memory: AnswerMemory,
     origin: Instant,
 }
 
@@ -106,7 +110,18 @@
         let origin = Instant::now();
         let memory_bytes = context.settings.machine.memory_bytes as u64;
         let unread = UnreadMeter::new(UnreadLimit::for_memory(memory_bytes));
-        let ingress = Self { context, pool, batch, selection, early_ends, metadata_waits, unread, origin };
+        let answer_memory = AnswerMemory::for_machine(memory_bytes);
+        let ingress = Self {
+            context,
+            pool,
+            batch,
+            selection,
+            early_ends,
+            metadata_waits,
+            unread,
+            answer_memory,
+            origin,
+        };
         tokio::spawn(selector_update::run(ingress.clone()));
         tokio::spawn(base_latencies::run(ingress.clone()));
         tokio::spawn(keep_unread_bounded(ingress.clone()));
--- a/crates/daemon/src/ingress/pool.rs
+++ b/crates/daemon/src/ingress/pool.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::counted_stream::{AnswerBytes, CountedStream};
 use crate::boot_clock::{BootClock, BootInstant};
 
 /// Idle timeout of a connection whose replica states none.
@@ -59,6 +60,7 @@
     /// Id of the replica incarnation at the other end.
     replica: String,
     sender: SendRequest<Full<Bytes>>,
+    received: AnswerBytes,
     task: AbortHandle,
 }
 
@@ -115,6 +117,7 @@
         if !may_send() {
             return Err(SendError::Withheld);
         }
+        connection.received.restart();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(HttpExchange { response, connection }),
             Err(error) if error.message().is_some() => Err(SendError::NotSent),
@@ -183,11 +186,12 @@
     if SockRef::from(&stream).set_tcp_user_timeout(Some(REPLICA_UNACKNOWLEDGED_TIMEOUT)).is_err() {
         return Err(SendError::NotSent);
     }
+    let (stream, received) = CountedStream::new(stream);
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let Ok((sender, driver)) = handshake else { return Err(SendError::NotSent) };
     let task = tokio::spawn(async move {
         // An error also fails the request or body read on this connection, which reports it.
         let _ = driver.await;
     });
-    Ok(Connection { replica: replica.id.clone(), sender, task: task.abort_handle() })
+    Ok(Connection { replica: replica.id.clone(), sender, received, task: task.abort_handle() })
 }
--- a/crates/daemon/src/ingress/sse.rs
+++ b/crates/daemon/src/ingress/sse.rs
@@ -7,8 +7,9 @@
 use bytes::{Buf, Bytes, BytesMut};
 use lichenpulley_platform::headers;
 
-/// Maximum size of an event, in bytes. Bounds the memory used by an unterminated event.
-const MAX_EVENT_BYTES: usize = 4 << 20;
+/// Maximum size of an event, in bytes. Bounds the memory used by an unterminated event, of which each stream and run of
+/// a node may have one.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -270,16 +270,18 @@
                 return StreamEnd::Stalled;
             }
         };
-        stalls_at = stream.stall_deadline();
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
-        if let Err(end) = forward_complete_events(&mut splitter, events, last_event).await {
-            return end;
+        match forward_complete_events(&mut splitter, events, last_event).await {
+            Ok(true) => stalls_at = stream.stall_deadline(),
+            Ok(false) => {}
+            Err(end) => return end,
         }
     }
 }
 
-/// Forwards the complete events that have arrived, except those that the caller already has.
+/// Forwards the complete events that have arrived, except those that the caller already has. Returns whether there were
+/// any, not counting comments and blank lines.
 ///
 /// # Errors
 /// Returns how the stream ended if the caller disconnected or an event is invalid.
@@ -287,16 +289,18 @@
     splitter: &mut EventSplitter,
     events: &EventSender,
     last_event: &mut Option<u64>,
-) -> Result<(), StreamEnd> {
+) -> Result<bool, StreamEnd> {
+    let mut has_new = false;
     loop {
         match splitter.next_event() {
             Ok(Some(event)) if is_new(&event, *last_event) => {
+                has_new |= event.number.is_some() || !event.data.is_empty();
                 *last_event = event.number.or(*last_event);
                 let sent = events.send_bytes(event.raw).await;
                 sent.map_err(|_| StreamEnd::CallerDisconnected)?;
             }
             Ok(Some(_)) => {}
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(has_new),
             Err(_) => return Err(StreamEnd::Malformed),
         }
     }
