Resume streams without a length before they count as complete

Callers saw resumable streams end as complete before their last piece: the replica sent its answer without a length and was killed.

Cause: a body that ended between two events counted as the end of the stream, with or without a length. A killed process closes its connections, which is how an answer without a length ends. Runs of batch items count that end as broken.

Change: a resumable stream whose answer has no length goes on at another replica after its last event. It is complete once a resumption brings nothing and the replica that gave it still accepts connections, or the answer is framed. The route's `max_attempts` bounds it; where none is left, or no other replica, the stream breaks off and the caller's own resumption ends it in the same way. A stream that isn't resumable is complete at a clean close, since nothing tells a crash from the end, and broken at a reset; so are plain answers and scores. Events with data and without a number can't be resumed and end the stream as before. The product's own interface ends streams by an event of their own.

--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -19,6 +19,7 @@
 
 use crate::boot_clock::BootInstant;
 use crate::context::Context;
+use crate::http::response;
 use crate::ingress::callers;
 use crate::ingress::headers::reported_load;
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
@@ -134,7 +135,7 @@
     if let Err(end) = reader.read_all(&mut body, traced).await {
         return end;
     }
-    if reader.splitter.has_partial_event() || !is_framed(&head.headers) {
+    if reader.splitter.has_partial_event() || !response::is_framed(&head.headers) {
         traced.record_broken().await;
         return RunEnd::Broken;
     }
@@ -234,9 +235,3 @@
         _ => Some(RunEnd::Broken),
     }
 }
-
-/// Returns whether the end of the body can be distinguished from a broken connection.
-fn is_framed(fields: &hyper::HeaderMap) -> bool {
-    fields.contains_key(hyper::header::CONTENT_LENGTH)
-        || fields.contains_key(hyper::header::TRANSFER_ENCODING)
-}
--- a/crates/daemon/src/http/response.rs
+++ b/crates/daemon/src/http/response.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Response, StatusCode};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
 use lichenpulley_protocol::error::ErrorBody;
 use serde::Serialize;
 
@@ -75,3 +75,9 @@
     response.headers_mut().insert(CONTENT_TYPE, content_type);
     response
 }
+
+/// Returns whether the end of a response's body can be told from a connection that closed early: the body has a length or
+/// ends with a last chunk.
+pub fn is_framed(fields: &HeaderMap) -> bool {
+    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -39,6 +39,8 @@
 struct Stream {
     request: CallerRequest,
     is_resumable: bool,
+    /// Whether an event without a number was forwarded, after which no resumption can continue.
+    has_unnumbered: bool,
     attempts: AttemptLoop,
     in_flight: InFlightRequest,
 }
@@ -49,6 +51,8 @@
     Complete,
     /// The connection closed before the end of the stream.
     Broken,
+    /// A resumable response without a length ended between two events: it is complete or its replica crashed.
+    Unframed,
     /// No event arrived for too long, and a slot at another replica is reserved or the deadline passed.
     Stalled,
     /// The replica sent an invalid event.
@@ -57,6 +61,12 @@
     CallerDisconnected,
 }
 
+/// Whether all forwarded events with data had a number.
+enum Numbering {
+    Complete,
+    Missing,
+}
+
 /// Answers one streaming request.
 pub(super) async fn handle(
     ingress: &Ingress,
@@ -87,7 +97,8 @@
         return forward_error_response(exchange, &request).await;
     }
     request.record(ingress, &in_flight, "stream_begun", "answered", attempts.sends());
-    let stream = Stream { request, is_resumable: route.is_resumable, attempts, in_flight };
+    let stream =
+        Stream { request, is_resumable: route.is_resumable, has_unnumbered: false, attempts, in_flight };
     start_forwarding(ingress, stream, exchange, last_event.as_deref(), meter)
 }
 
@@ -197,6 +208,25 @@
         has_time && !self.attempts.reserve(ingress, &self.request, self.in_flight.is_cold)
     }
 
+    /// Returns how a stream ended whose body ended between two events. A response without a length ends in the
+    /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing.
+    async fn end_between_events(
+        &self,
+        exchange: &HttpExchange,
+        began_after: Option<u64>,
+        last_event: Option<u64>,
+    ) -> StreamEnd {
+        let is_certain = response::is_framed(exchange.response.headers());
+        if is_certain || !self.is_resumable || self.has_unnumbered {
+            return StreamEnd::Complete;
+        }
+        let brought_nothing = began_after.is_some() && began_after == last_event;
+        if brought_nothing && !self.in_flight.run.has_replica_ended().await {
+            return StreamEnd::Complete;
+        }
+        StreamEnd::Unframed
+    }
+
     fn record_break(&self, ingress: &Ingress, reason: &str) {
         let sends = self.attempts.sends();
         self.request.record(ingress, &self.in_flight, "stream_broken", reason, sends);
@@ -225,6 +255,10 @@
                 stream.in_flight.run.record_broken().await;
                 stream.record_break(&ingress, "broken");
             }
+            StreamEnd::Unframed => {
+                stream.in_flight.run.record_broken().await;
+                stream.record_break(&ingress, "unframed");
+            }
             StreamEnd::Stalled => stream.record_break(&ingress, "stalled"),
             StreamEnd::Malformed => stream.record_break(&ingress, "malformed"),
         }
@@ -247,6 +281,7 @@
     last_event: &mut Option<u64>,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
+    let began_after = *last_event;
     let mut stalls_at = stream.stall_deadline();
     loop {
         let body = exchange.response.body_mut();
@@ -256,7 +291,9 @@
         };
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) if !splitter.has_partial_event() => return StreamEnd::Complete,
+            Ok(None) if !splitter.has_partial_event() => {
+                return stream.end_between_events(exchange, began_after, *last_event).await;
+            }
             Ok(None | Some(Err(_))) => {
                 stream.in_flight.record_no_answer();
                 return StreamEnd::Broken;
@@ -273,7 +310,9 @@
         stalls_at = stream.stall_deadline();
         let Ok(bytes) = frame.into_data() else { continue };
         splitter.push(&bytes);
-        if let Err(end) = forward_complete_events(&mut splitter, events, last_event).await {
+        let forwarded = forward_complete_events(&mut splitter, events, last_event).await;
+        stream.has_unnumbered |= matches!(forwarded, Ok(Numbering::Missing));
+        if let Err(end) = forwarded {
             return end;
         }
     }
@@ -287,16 +326,20 @@
     splitter: &mut EventSplitter,
     events: &EventSender,
     last_event: &mut Option<u64>,
-) -> Result<(), StreamEnd> {
+) -> Result<Numbering, StreamEnd> {
+    let mut numbering = Numbering::Complete;
     loop {
         match splitter.next_event() {
             Ok(Some(event)) if is_new(&event, *last_event) => {
                 *last_event = event.number.or(*last_event);
+                if event.number.is_none() && !event.data.is_empty() {
+                    numbering = Numbering::Missing;
+                }
                 let sent = events.send_bytes(event.raw).await;
                 sent.map_err(|_| StreamEnd::CallerDisconnected)?;
             }
             Ok(Some(_)) => {}
-            Ok(None) => return Ok(()),
+            Ok(None) => return Ok(numbering),
             Err(_) => return Err(StreamEnd::Malformed),
         }
     }
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -89,14 +89,18 @@
     /// replica refuses connections, so that the next send of the request takes the result into account.
     pub(crate) async fn record_broken(&mut self) {
         self.report_broken(BreakCause::Closed);
-        let quarantine = &self.context.quarantine;
-        let replica = &self.run.replica;
-        let probe = quarantine.probe_for(replica);
-        if *probe.get_or_init(|| refuses_connections(&self.run)).await {
-            quarantine.update(&self.context, |monitor, now| monitor.replica_ended(replica, now));
+        if self.has_replica_ended().await {
+            let quarantine = &self.context.quarantine;
+            quarantine.update(&self.context, |monitor, now| monitor.replica_ended(&self.run.replica, now));
         }
     }
 
+    /// Returns whether the replica has ended, after probing whether it refuses connections.
+    pub(crate) async fn has_replica_ended(&self) -> bool {
+        let probe = self.context.quarantine.probe_for(&self.run.replica);
+        *probe.get_or_init(|| refuses_connections(&self.run)).await
+    }
+
     fn report_broken(&mut self, cause: BreakCause) {
         self.state = RunState::Reported;
         let run = self.run.clone();
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -21,6 +21,7 @@
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
+mod platform_unframed;
 mod platform_unread;
 
 use bytes::Bytes;
