--- a/crates/daemon/src/ingress/answer_body.rs
+++ b/crates/daemon/src/ingress/answer_body.rs
@@ -8,12 +8,12 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Maximum size of a plain answer's body, in bytes. The body is buffered in memory before it is returned.
-pub const MAX_PLAIN_ANSWER_BYTES: usize = 8 << 20;
+pub const MAX_PLAIN_ANSWER_BYTES: usize = 32 << 20;
 /// Bytes of each answer that are not counted against the memory of all, so that usual answers are read also while
 /// others exceed it.
 const UNCOUNTED_BYTES: usize = 64 << 10;
-/// Divisor of the machine's memory for the counted bytes of all answers. The largest answer fits once on the smallest
-/// machine of 120 MB.
+/// Divisor of the machine's memory for the counted bytes of all answers. A machine of 256 MiB reads one answer of the
+/// largest size at a time.
 const MEMORY_DIVISOR: usize = 8;
 /// Bytes for one permit.
 const PERMIT_BYTES: usize = 64 << 10;
--- a/crates/daemon/src/ingress/counted_stream.rs
+++ b/crates/daemon/src/ingress/counted_stream.rs
@@ -14,7 +14,7 @@
 
 /// Maximum number of bytes of one answer with its head and framing. Twice the largest plain answer, and far more than a
 /// stream of the longest text.
-pub const MAX_ANSWER_BYTES: u64 = 16 << 20;
+pub const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
 /// Counts the bytes that arrived since the last request was sent.
 #[derive(Clone, Debug, Default)]
