--- a/crates/core/src/batch/ledger.rs
+++ b/crates/core/src/batch/ledger.rs
@@ -6,8 +6,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use speedy::{Readable, Writable};
-
 use super::item_index::ItemIndex;
 use super::job::{BatchJob, ItemResult, OutputEvent};
 use super::record::Record;
@@ -95,18 +93,12 @@
     /// Jobs with missing event texts.
     pub(super) outlined: BTreeSet<BatchId>,
     clock_ms: u64,
-    orders: BTreeMap<String, LastOrder>,
+    pub(super) orders: BTreeMap<String, LastOrder>,
     usage: UsageAccount,
     /// Desired number of replicas by service and zone.
     scaled: BTreeMap<(String, String), u32>,
 }
 
-/// A snapshot: records that reproduce the ledger.
-#[derive(Debug, Readable, Writable)]
-struct Snapshot {
-    records: Vec<Record>,
-}
-
 impl Ledger {
     /// Returns all jobs.
     pub const fn jobs(&self) -> &BTreeMap<BatchId, JobState> {
@@ -273,38 +265,6 @@
         self.list(batch, result);
     }
 
-    /// Encodes the ledger as a snapshot.
-    ///
-    /// # Errors
-    /// Fails when the ledger is too long for the codec.
-    pub fn to_snapshot(&self) -> Result<Vec<u8>, speedy::Error> {
-        let mut records = Vec::new();
-        let mut by_age: Vec<&JobState> = self.jobs.values().collect();
-        by_age.sort_by_key(|job| job.accepted_at_ms);
-        for job in by_age {
-            records.push(Record::Clock(job.accepted_at_ms));
-            job_records(job, &mut records);
-        }
-        let mut orders: Vec<(&String, &LastOrder)> = self.orders.iter().collect();
-        orders.sort_by_key(|(_, order)| order.at_ms);
-        records.extend(orders.into_iter().map(|(replica, order)| {
-            let (replica, holder) = (replica.clone(), order.holder.clone());
-            Record::Ordered { replica, holder, at_ms: order.at_ms }
-        }));
-        records.extend(self.scaled.iter().map(|((service, zone), desired)| {
-            let (service, zone) = (service.clone(), zone.clone());
-            Record::Scaled { service, zone, desired: *desired }
-        }));
-        records.push(Record::Usage(self.usage.parts()));
-        records.push(Record::Clock(self.clock_ms));
-        Snapshot { records }.write_to_vec()
-    }
-
-    /// Decodes the records of a snapshot.
-    pub(super) fn snapshot_records(bytes: &[u8]) -> Result<Vec<Record>, speedy::Error> {
-        Ok(Snapshot::read_from_buffer(bytes)?.records)
-    }
-
     /// Rebuilds the ledger from a snapshot and the records after it.
     ///
     /// # Errors
@@ -344,29 +304,3 @@
         }
     }
 }
-
-fn job_records(job: &JobState, records: &mut Vec<Record>) {
-    let batch = &job.job.id;
-    records.push(Record::Accepted(job.job.clone()));
-    for result in &job.results {
-        records.push(Record::Listed { batch: batch.clone(), result: result.clone() });
-    }
-    for (state, item) in job.items.iter().zip(0..) {
-        if state.failures > 0 {
-            records.push(Record::Failed { batch: batch.clone(), item, failures: state.failures });
-        }
-        if state.is_generated {
-            let events = state.events.clone();
-            records.push(Record::Generated { batch: batch.clone(), item, events, replaces: true });
-        } else if !state.events.is_empty() {
-            records.push(Record::Progress { batch: batch.clone(), item, events: state.events.clone() });
-        }
-    }
-    for (state, item) in job.items.iter().zip(0..).filter(|(state, _)| state.score_failures > 0) {
-        let failures = state.score_failures;
-        records.push(Record::ScoreFailed { batch: batch.clone(), item, failures });
-    }
-    if job.is_ended {
-        records.push(Record::Ended(batch.clone()));
-    }
-}
--- a/crates/core/src/batch/mod.rs
+++ b/crates/core/src/batch/mod.rs
@@ -17,6 +17,7 @@
 pub mod leaving;
 pub mod ledger;
 pub mod ledger_follower;
+mod ledger_snapshot;
 pub mod load_limit;
 mod moves;
 pub mod order_lease;
--- a/crates/core/tests/batch_capacity.rs
+++ b/crates/core/tests/batch_capacity.rs
@@ -8,6 +8,7 @@
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::identity::BatchId;
+use speedy::{Readable, Writable};
 
 /// Guards against accepting jobs whose scorers, groups and models alone exceed the capacity.
 #[test]
@@ -100,3 +101,24 @@
     harness.controller.set_state_limit(None);
     assert_eq!(harness.controller.submit(at(3), large("second")), Submission::Pending);
 }
+
+/// The records of a snapshot as the codec encodes a list.
+#[derive(Debug, speedy::Readable, speedy::Writable)]
+struct EncodedSnapshot {
+    records: Vec<Record>,
+}
+
+/// Guards against a snapshot that another release can't read because its records are encoded one at a time.
+#[test]
+fn a_snapshot_is_the_encoded_list_of_its_records() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1)]);
+    harness.submit(at(1), scored_job("j", 3));
+    let run = harness.started[0].run;
+    harness.event(at(2), run, 0, 1);
+    harness.controller.end(at(3), &BatchId::new("j"));
+    harness.commit_appends(at(4));
+    let snapshot = harness.controller.ledger().to_snapshot().expect("a ledger that can be encoded");
+    let decoded = EncodedSnapshot::read_from_buffer(&snapshot).expect("a list of records");
+    assert!(decoded.records.len() >= 4, "{:?}", decoded.records);
+    assert_eq!(decoded.write_to_vec().expect("a list that can be encoded"), snapshot);
+}
