--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -18,6 +18,7 @@
 
 use crate::boot_clock::BootInstant;
 use crate::context::Context;
+use crate::http::response;
 use crate::ingress::callers;
 use crate::ingress::headers::reported_load;
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
@@ -125,7 +126,7 @@
     if let Err(end) = reader.read_all(&mut body).await {
         return end;
     }
-    if reader.splitter.has_partial_event() || !is_framed(&head.headers) {
+    if reader.splitter.has_partial_event() || !response::is_framed(&head.headers) {
         return RunEnd::Broken;
     }
     pool.give_back(connection, &head.headers);
@@ -211,9 +212,3 @@
         _ => Some(RunEnd::Broken),
     }
 }
-
-/// Returns whether the end of the body can be distinguished from a broken connection.
-fn is_framed(fields: &hyper::HeaderMap) -> bool {
-    fields.contains_key(hyper::header::CONTENT_LENGTH)
-        || fields.contains_key(hyper::header::TRANSFER_ENCODING)
-}
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -15,12 +15,14 @@
 mod platform_placement;
 mod platform_quarantine;
 mod platform_regions;
+mod platform_retirements;
 mod platform_slow;
 mod platform_starting;
 mod platform_subsets;
 mod platform_suspension;
 mod platform_system;
 mod platform_tenants;
+mod platform_unframed;
 mod platform_unread;
 
 use bytes::Bytes;
