Limit the bytes before the head of an answer apart from its body

Change: 1 MiB may arrive before the head of an answer is complete. A body whose length is declared is read up to 32 MiB, as a request's body may be; one without a length up to 8 MiB, since only the bound ends it.

--- a/crates/daemon/src/ingress/answer_body.rs
+++ b/crates/daemon/src/ingress/answer_body.rs
@@ -4,11 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// Maximum size of a plain answer's body, in bytes. The body is buffered in memory before it is returned.
+/// Maximum size of a plain answer's body whose length is declared, in bytes. The body is buffered in memory before it is
+/// returned.
 pub const MAX_PLAIN_ANSWER_BYTES: usize = 32 << 20;
+/// Maximum size of a plain answer's body without a declared length, in bytes. Only this bound ends it if it has no end.
+pub const MAX_UNDECLARED_ANSWER_BYTES: usize = 8 << 20;
 /// Bytes of each answer that are not counted against the memory of all, so that usual answers are read also while
 /// others exceed it.
 const UNCOUNTED_BYTES: usize = 64 << 10;
@@ -26,9 +29,12 @@
     Broken(hyper::Error),
     /// The body is too long.
     #[error(
-        "it has more than {MAX_PLAIN_ANSWER_BYTES} bytes; check the replica, or let it send less at a time"
+        "it has more than {limit_bytes} bytes; check the replica, or let it declare a length or send less at a time"
     )]
-    TooLong,
+    TooLong {
+        /// The limit in bytes.
+        limit_bytes: usize,
+    },
     /// Other long answers are being read.
     #[error("long answers take all the memory for them; check the replicas, or give the machine more memory")]
     NoMemory,
@@ -51,14 +57,16 @@
     /// # Errors
     /// When the body breaks off or exceeds a bound.
     pub async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let is_declared = body.size_hint().exact().is_some();
+        let limit_bytes = if is_declared { MAX_PLAIN_ANSWER_BYTES } else { MAX_UNDECLARED_ANSWER_BYTES };
         let mut first = None;
         let mut buffer = BytesMut::new();
         let mut held: Vec<OwnedSemaphorePermit> = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
             let length = first.as_ref().map_or(buffer.len(), Bytes::len) + data.len();
-            if length > MAX_PLAIN_ANSWER_BYTES {
-                return Err(BodyError::TooLong);
+            if length > limit_bytes {
+                return Err(BodyError::TooLong { limit_bytes });
             }
             while length.saturating_sub(UNCOUNTED_BYTES) > held.len() * PERMIT_BYTES {
                 let permit = Arc::clone(&self.0).try_acquire_owned().map_err(|_| BodyError::NoMemory)?;
--- a/crates/daemon/src/ingress/counted_stream.rs
+++ b/crates/daemon/src/ingress/counted_stream.rs
@@ -1,7 +1,8 @@
 //! A TCP stream to a replica that fails once one answer has taken too many bytes.
 //!
 //! `hyper` bounds a head, chunk extensions and trailers, but reads interim responses, leading zeros of a chunk size and
-//! blanks after it without end. All of them count here, as do the bytes of the body.
+//! blanks after it without end. All of them count here, as do the bytes of the body. The limit before the head is small, so
+//! that the caller's time is left for another replica.
 
 use std::io;
 use std::pin::Pin;
@@ -12,18 +13,39 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Maximum number of bytes of one answer with its head and framing. Twice the largest plain answer, and far more than a
-/// stream of the longest text.
-pub const MAX_ANSWER_BYTES: u64 = 64 << 20;
+/// Maximum number of bytes that arrive before the head of an answer is complete, interim responses included.
+pub const MAX_HEAD_BYTES: u64 = 1 << 20;
+/// Maximum number of bytes after the head of an answer that declares no length: a plain answer or a stream of the longest
+/// text, with their framing.
+pub const MAX_UNDECLARED_BYTES: u64 = 16 << 20;
 
-/// Counts the bytes that arrived since the last request was sent.
+/// Counts the bytes of the current answer, and limits them.
 #[derive(Clone, Debug, Default)]
-pub(super) struct AnswerBytes(Arc<AtomicU64>);
+pub(super) struct AnswerBytes(Arc<Count>);
+
+#[derive(Debug, Default)]
+struct Count {
+    received: AtomicU64,
+    limit: AtomicU64,
+}
 
 impl AnswerBytes {
-    /// Starts to count anew, for the answer to the next request.
-    pub(super) fn restart(&self) {
-        self.0.store(0, Ordering::Relaxed);
+    /// Starts to count anew, before a request is sent. A head may follow.
+    pub(super) fn await_head(&self) {
+        self.0.limit.store(MAX_HEAD_BYTES, Ordering::Relaxed);
+        self.0.received.store(0, Ordering::Relaxed);
+    }
+
+    /// Allows the body that follows the head, of this length if it is declared.
+    pub(super) fn await_body(&self, declared_bytes: Option<u64>) {
+        let body_bytes = declared_bytes.unwrap_or(MAX_UNDECLARED_BYTES);
+        self.0.limit.store(MAX_HEAD_BYTES.saturating_add(body_bytes), Ordering::Relaxed);
+    }
+
+    /// Counts bytes. Returns whether they are within the limit.
+    fn count(&self, bytes: u64) -> bool {
+        let received = self.0.received.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes);
+        received <= self.0.limit.load(Ordering::Relaxed)
     }
 }
 
@@ -36,6 +58,7 @@
 impl CountedStream {
     pub(super) fn new(stream: TcpStream) -> (Self, AnswerBytes) {
         let received = AnswerBytes::default();
+        received.await_head();
         (Self { stream, received: received.clone() }, received)
     }
 }
@@ -49,8 +72,8 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = (buffer.filled().len() - before) as u64;
-        if self.received.0.fetch_add(read, Ordering::Relaxed) + read > MAX_ANSWER_BYTES {
-            let error = format!("the answer has more than {MAX_ANSWER_BYTES} bytes; check the replica");
+        if !self.received.count(read) {
+            let error = "the answer has no end within its limit; check the replica";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
         Poll::Ready(Ok(()))
--- a/crates/daemon/src/ingress/pool.rs
+++ b/crates/daemon/src/ingress/pool.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::CONNECTION;
 use hyper::{HeaderMap, Request, Response};
@@ -117,9 +117,12 @@
         if !may_send() {
             return Err(SendError::Withheld);
         }
-        connection.received.restart();
+        connection.received.await_head();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(HttpExchange { response, connection }),
+            Ok(response) => {
+                connection.received.await_body(response.body().size_hint().exact());
+                Ok(HttpExchange { response, connection })
+            }
             Err(error) if error.message().is_some() => Err(SendError::NotSent),
             Err(_) => Err(SendError::Broken),
         }
--- a/crates/daemon/tests/endless_answers.rs
+++ b/crates/daemon/tests/endless_answers.rs
@@ -11,7 +11,7 @@
 use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_daemon::boot_clock::BootClock;
 use lichenpulley_daemon::ingress::answer_body::{AnswerMemory, BodyError, MAX_PLAIN_ANSWER_BYTES};
-use lichenpulley_daemon::ingress::counted_stream::MAX_ANSWER_BYTES;
+use lichenpulley_daemon::ingress::counted_stream::{MAX_HEAD_BYTES, MAX_UNDECLARED_BYTES};
 use lichenpulley_daemon::ingress::pool::{HttpExchange, ReplicaPool, SendError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -107,7 +107,7 @@
 
 #[tokio::test]
 async fn blank_lines_before_an_answer_are_read_in_part() {
-    assert_bounded("", "\r\n", MAX_ANSWER_BYTES).await;
+    assert_bounded("", "\r\n", MAX_HEAD_BYTES).await;
 }
 
 #[tokio::test]
@@ -122,17 +122,22 @@
 
 #[tokio::test]
 async fn interim_responses_without_end_are_read_in_part() {
-    assert_bounded("", "HTTP/1.1 100 Continue\r\n\r\n", MAX_ANSWER_BYTES).await;
+    assert_bounded("", "HTTP/1.1 100 Continue\r\n\r\n", MAX_HEAD_BYTES).await;
 }
 
 #[tokio::test]
 async fn a_chunk_size_of_zeros_without_end_is_read_in_part() {
-    assert_bounded(CHUNKED, "0", MAX_ANSWER_BYTES).await;
+    assert_bounded(CHUNKED, "0", MAX_HEAD_BYTES + MAX_UNDECLARED_BYTES).await;
 }
 
 #[tokio::test]
 async fn blanks_without_end_after_a_chunk_size_are_read_in_part() {
-    assert_bounded("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5", " ", MAX_ANSWER_BYTES).await;
+    assert_bounded(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5",
+        " ",
+        MAX_HEAD_BYTES + MAX_UNDECLARED_BYTES,
+    )
+    .await;
 }
 
 #[tokio::test]
@@ -148,12 +153,12 @@
 
 #[tokio::test]
 async fn a_body_without_a_length_and_without_end_is_read_in_part() {
-    assert_bounded("HTTP/1.1 200 OK\r\n\r\n", "x", MAX_ANSWER_BYTES).await;
+    assert_bounded("HTTP/1.1 200 OK\r\n\r\n", "x", MAX_HEAD_BYTES + MAX_UNDECLARED_BYTES).await;
 }
 
 #[tokio::test]
 async fn chunks_without_end_are_read_in_part() {
-    assert_bounded(CHUNKED, "1\r\nx\r\n", MAX_ANSWER_BYTES).await;
+    assert_bounded(CHUNKED, "1\r\nx\r\n", MAX_HEAD_BYTES + MAX_UNDECLARED_BYTES).await;
 }
 
 /// The bytes belong to no request: the next one goes over another connection.
@@ -220,7 +225,7 @@
     let memory = AnswerMemory::for_machine(8 * MAX_PLAIN_ANSWER_BYTES as u64);
     let longest = read_plain(&memory, MAX_PLAIN_ANSWER_BYTES).await;
     assert_eq!(longest.expect("the longest answer").len(), MAX_PLAIN_ANSWER_BYTES);
-    assert!(matches!(read_plain(&memory, MAX_PLAIN_ANSWER_BYTES + 1).await, Err(BodyError::TooLong)));
+    assert!(matches!(read_plain(&memory, MAX_PLAIN_ANSWER_BYTES + 1).await, Err(BodyError::TooLong { .. })));
     // Freed after each of them.
     let longest = read_plain(&memory, MAX_PLAIN_ANSWER_BYTES).await;
     assert_eq!(longest.expect("the longest answer").len(), MAX_PLAIN_ANSWER_BYTES);
--- a/crates/lab/tests/platform_endless.rs
+++ b/crates/lab/tests/platform_endless.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use hyper::{Method, StatusCode};
-use lichenpulley_daemon::ingress::counted_stream::MAX_ANSWER_BYTES;
+use lichenpulley_daemon::ingress::counted_stream::{MAX_HEAD_BYTES, MAX_UNDECLARED_BYTES};
 use lichenpulley_platform::objects;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -92,7 +92,7 @@
     async fn assert_bounded(&self, endless: Endless) {
         until(|| self.counts.open.load(Ordering::Relaxed) == 0).await;
         let sent = self.counts.most_sent.load(Ordering::Relaxed);
-        assert!(sent <= MAX_ANSWER_BYTES + SOCKET_BYTES, "{endless:?}: {sent} bytes");
+        assert!(sent <= MAX_HEAD_BYTES + MAX_UNDECLARED_BYTES + SOCKET_BYTES, "{endless:?}: {sent} bytes");
     }
 }
 
