--- a/crates/core/src/replication/compaction.rs
+++ b/crates/core/src/replication/compaction.rs
@@ -1,7 +1,8 @@
 //! Decides when an owner replaces its log by a snapshot, and how large its state may become.
 //!
-//! Invariant: while the state is within [`LogUsage::state_limit`], the stores have room for one more snapshot beside
-//! the log after every append that they accept.
+//! Invariant: while the state is within [`LogUsage::state_limit`], the stores have room for two more snapshots beside
+//! the log after every append that they accept. The parts of a snapshot whose owner ends before the last one stay until
+//! a later snapshot is decided, so that one alone would leave no room for the next owner's.
 
 /// Size of the log since the last snapshot below which rewriting it is not worth its cost, in bytes.
 const MIN_REWRITE_BYTES: u64 = 96 << 20;
@@ -12,9 +13,11 @@
 const MIN_GAIN_DIVISOR: u64 = 4;
 /// Divides the bytes of the state to estimate how much larger its snapshot is, because of lengths and numbers.
 const SNAPSHOT_OVERHEAD_DIVISOR: u64 = 4;
-/// Divides the room for the log to get the room that is kept free beside the log and a snapshot, for the records
+/// Divides the room for the log to get the room that is kept free beside the log and the snapshots, for the records
 /// appended until the snapshot is written.
 const MARGIN_DIVISOR: u64 = 16;
+/// Number of further snapshots for which room is kept: one that is interrupted, and the one that replaces it.
+const RESERVED_SNAPSHOTS: u64 = 2;
 
 /// Why a log is to be compacted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +48,10 @@
     state_bytes: u64,
     /// Free room as last reported by a majority of the stores.
     free_bytes: Option<u64>,
-    /// The largest room seen, which the log takes in part. Stores free the room of removed records with a delay.
+    /// The room that the log takes in part.
     room_bytes: u64,
+    /// Whether the stores may not have removed the records that the last snapshot replaced.
+    awaits_removal: bool,
 }
 
 impl LogUsage {
@@ -63,8 +68,12 @@
     /// Sets the free room that a majority of the stores reported, if they did.
     pub fn set_free(&mut self, free_bytes: Option<u64>) {
         self.free_bytes = free_bytes;
-        let room_bytes = free_bytes.map_or(0, |free_bytes| self.log_bytes().saturating_add(free_bytes));
-        self.room_bytes = self.room_bytes.max(room_bytes);
+        let Some(free_bytes) = free_bytes else { return };
+        let room_bytes = self.log_bytes().saturating_add(free_bytes);
+        self.awaits_removal &= room_bytes < self.room_bytes && self.appended_bytes < self.margin();
+        if !self.awaits_removal {
+            self.room_bytes = room_bytes;
+        }
     }
 
     /// Counts records that were appended.
@@ -76,27 +85,31 @@
     pub const fn compacted(&mut self, snapshot_bytes: u64) {
         self.snapshot_bytes = snapshot_bytes;
         self.appended_bytes = 0;
+        self.awaits_removal = true;
     }
 
     /// Returns why the log is to be compacted before `next_bytes` are appended, if it is.
     pub fn compaction_due(&self, next_bytes: u64) -> Option<CompactionCause> {
-        let snapshot_bytes = self.snapshot_estimate();
+        let snapshot_bytes = snapshot_estimate(self.state_bytes);
         if self.appended_bytes >= MIN_REWRITE_BYTES.max(snapshot_bytes.saturating_mul(MIN_REWRITE_STATES)) {
             return Some(CompactionCause::LongLog);
         }
-        let needed_bytes = snapshot_bytes.saturating_add(self.margin()).saturating_add(next_bytes);
+        // The records may add as much to the state.
+        let reserved_bytes = snapshot_estimate(self.state_bytes + next_bytes) * RESERVED_SNAPSHOTS;
+        let needed_bytes = reserved_bytes.saturating_add(self.margin()).saturating_add(next_bytes);
         let lacks_room = self.free_bytes? < needed_bytes;
         let gain = self.log_bytes().saturating_sub(snapshot_bytes);
         let is_worth_it = self.appended_bytes > 0 && gain > snapshot_bytes / MIN_GAIN_DIVISOR;
         (lacks_room && is_worth_it).then_some(CompactionCause::LowRoom)
     }
 
-    /// Returns the largest state for which the stores have room for two snapshots, the one in force and the next one,
-    /// and for which compacting frees room. `None` if the room is unknown.
+    /// Returns the largest state for which the stores have room for the snapshot in force and the reserved ones, and for
+    /// which compacting frees room. `None` if the room is unknown.
     pub fn state_limit(&self) -> Option<u64> {
         self.free_bytes?;
         let room_bytes = self.room_bytes.saturating_sub(2 * self.margin());
-        let snapshot_bytes = room_bytes / (2 * MIN_GAIN_DIVISOR + 1) * MIN_GAIN_DIVISOR;
+        let snapshots = (RESERVED_SNAPSHOTS + 1) * MIN_GAIN_DIVISOR + 1;
+        let snapshot_bytes = room_bytes / snapshots * MIN_GAIN_DIVISOR;
         Some(snapshot_bytes / (SNAPSHOT_OVERHEAD_DIVISOR + 1) * SNAPSHOT_OVERHEAD_DIVISOR)
     }
 
@@ -104,11 +117,12 @@
         self.snapshot_bytes.saturating_add(self.appended_bytes)
     }
 
-    const fn snapshot_estimate(&self) -> u64 {
-        self.state_bytes.saturating_add(self.state_bytes / SNAPSHOT_OVERHEAD_DIVISOR)
-    }
-
     const fn margin(&self) -> u64 {
         self.room_bytes / MARGIN_DIVISOR
     }
 }
+
+/// Estimates the size of a snapshot of a state with this many bytes.
+const fn snapshot_estimate(state_bytes: u64) -> u64 {
+    state_bytes.saturating_add(state_bytes / SNAPSHOT_OVERHEAD_DIVISOR)
+}
--- a/crates/core/tests/compaction.rs
+++ b/crates/core/tests/compaction.rs
@@ -36,7 +36,7 @@
     fn append(&mut self, bytes: u64) -> bool {
         self.observe();
         if self.usage.compaction_due(bytes).is_some() {
-            assert!(self.free() >= self.snapshot_bytes(), "the snapshot has no room");
+            assert!(self.free() >= 2 * self.snapshot_bytes(), "two snapshots have no room");
             self.log = self.snapshot_bytes();
             self.usage.compacted(self.log);
             self.snapshots += 1;
@@ -52,9 +52,10 @@
 }
 
 proptest! {
-    /// Guards against a log that fills the stores before it is compacted: no snapshot fits any more.
+    /// Guards against a log that fills the stores before it is compacted, also when the first owner that writes a
+    /// snapshot does not finish it: no snapshot fits any more.
     #[test]
-    fn room_for_a_snapshot_is_left_after_every_accepted_append(
+    fn room_for_two_snapshots_is_left_after_every_accepted_append(
         room in 3 * MIB..1_000 * MIB,
         steps in prop::collection::vec((1..=1_000_u64, any::<bool>(), 0..=100_u64), 1..400),
     ) {
@@ -69,7 +70,7 @@
             } else if !keeps {
                 log.state -= log.state / 100 * (ended_percent / 10);
             }
-            prop_assert!(log.free() >= log.snapshot_bytes(), "{} free, state {}", log.free(), log.state);
+            prop_assert!(log.free() >= 2 * log.snapshot_bytes(), "{} free, state {}", log.free(), log.state);
         }
     }
 
@@ -140,3 +141,19 @@
     usage.set_state(MIB / 4);
     assert_eq!(usage.compaction_due(MIB), Some(CompactionCause::LowRoom));
 }
+
+/// Guards against jobs that are accepted for room that other logs of the same stores have taken meanwhile.
+#[test]
+fn the_limit_of_the_state_falls_with_the_room_except_until_replaced_records_are_removed() {
+    let mut usage = LogUsage::of_log(100 * MIB);
+    usage.set_state(20 * MIB);
+    usage.set_free(Some(300 * MIB));
+    let limit = usage.state_limit().expect("the room is known");
+    usage.compacted(25 * MIB);
+    usage.set_free(Some(275 * MIB));
+    assert_eq!(usage.state_limit(), Some(limit), "the stores have not removed the records yet");
+    usage.set_free(Some(375 * MIB));
+    assert_eq!(usage.state_limit(), Some(limit));
+    usage.set_free(Some(100 * MIB));
+    assert!(usage.state_limit().is_some_and(|lower| lower < limit / 2));
+}
--- a/crates/daemon/src/store/disk/tests/full_volume.rs
+++ b/crates/daemon/src/store/disk/tests/full_volume.rs
@@ -4,6 +4,7 @@
 use lichenpulley_core::replication::acceptor::Acceptor;
 use lichenpulley_core::replication::ballot::ProposerId;
 use lichenpulley_core::replication::claims::ClaimWindow;
+use lichenpulley_core::replication::compaction::LogUsage;
 use lichenpulley_core::replication::message::{
     Accept, Operation, ReplicaAnswer, ReplicaRequest, ReplicaResponse, StoreRefusal,
 };
@@ -174,8 +175,15 @@
 
     /// Exchanges requests and responses until none are left.
     fn exchange(&mut self) -> Result<(), DiskError> {
+        self.exchange_until(LogIndex(u64::MAX))
+    }
+
+    /// Exchanges requests and responses until none are left, or until a position is decided.
+    fn exchange_until(&mut self, decided: LogIndex) -> Result<(), DiskError> {
         let now = Timestamp::ORIGIN;
-        while let Some(transmit) = self.proposer.poll_transmit(now) {
+        while self.proposer.decided_through() < decided
+            && let Some(transmit) = self.proposer.poll_transmit(now)
+        {
             let (shard, generation) = (transmit.request.shard.clone(), transmit.request.generation);
             let outcome = self.replica.answer(&transmit.request)?;
             if outcome == ReplicaAnswer::Refused(StoreRefusal::DiskFull) {
@@ -276,3 +284,27 @@
     owner.proposer.step(Timestamp::ORIGIN, response);
     owner.append(MIB).expect("room after the truncation");
 }
+
+/// The parts of a snapshot that an owner did not finish stay in the log, and the next owner's had no room beside them.
+#[test]
+fn a_snapshot_has_room_after_another_owner_was_interrupted_while_it_wrote_one() {
+    let mut owner = Owner::take_over(Replica::new(40 * MIB));
+    let mut usage = LogUsage::default();
+    usage.set_free(owner.proposer.free_bytes());
+    let state = usage.state_limit().expect("the room is known");
+    usage.set_state(state);
+    let snapshot = vec![9; state as usize / 8 * 9];
+    while usage.compaction_due(0).is_none() {
+        owner.append(MIB / 4).expect("room until a compaction is due");
+        usage.appended(MIB as u64 / 4);
+        usage.set_free(owner.proposer.free_bytes());
+    }
+    let last_part = owner.proposer.compact(snapshot.clone()).expect("leads");
+    owner.exchange_until(last_part.previous()).expect("room for the first snapshot");
+
+    let mut owner = Owner::take_over_under(owner.replica, Epoch(2));
+    let last_part = owner.proposer.compact(snapshot).expect("leads");
+    owner.exchange().expect("room for the second snapshot");
+    assert_eq!(owner.proposer.decided_through(), last_part);
+    owner.append(MIB).expect("room after the truncation");
+}
--- a/crates/daemon/src/store/shard_log.rs
+++ b/crates/daemon/src/store/shard_log.rs
@@ -117,8 +117,9 @@
         let began = clock.now();
         let through = self.proposer.compact(snapshot).map_err(|refusal| self.append_error(refusal))?;
         times.appended(self.proposer.last_index(), began);
-        let step_timeout = self.begin_step();
         while self.proposer.decided_through() < through {
+            // The size of a snapshot is not bounded, so the time limit applies to each part.
+            let step_timeout = self.begin_step();
             self.next_event(step_timeout).await?;
             // The event is returned before the parts that were appended with it are sent.
             times.appended(self.proposer.last_index(), clock.now());
