Slow the other replica down in the tests of endless answers

The tests waited 60 s for a request to reach the endless replica and failed at a low load: the known replica answers within a millisecond and is always preferred.

Change: six requests at a time, more than its slots, and an answer takes it 300 ms. The assertions stay.

--- a/crates/lab/tests/platform_endless.rs
+++ b/crates/lab/tests/platform_endless.rs
@@ -7,9 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use hyper::{Method, StatusCode};
 use lichenpulley_daemon::ingress::counted_stream::{MAX_HEAD_BYTES, MAX_UNDECLARED_BYTES};
+use lichenpulley_lab::platform_replica::ReplicaBehaviour;
 use lichenpulley_platform::objects;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -25,6 +27,11 @@
 const SOCKET_BYTES: u64 = 16 << 20;
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
+/// Number of requests at a time: more than the slots of one replica, and no more than those of both.
+const CALLS: usize = 6;
+/// How long the other replica takes for an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// What such a replica sends: fields after those of each answer, or `None` for no head; then a piece without end.
 type Endless = (Option<&'static str>, &'static str);
 
@@ -121,15 +128,16 @@
     counts.open.fetch_sub(1, Ordering::Relaxed);
 }
 
-/// Sends requests, several at a time so that no replica is left out, until the endless replica has got one. Each is
-/// answered by the other replica.
+/// Sends requests, several at a time, until the endless replica has got one. Each is answered by the other replica, which
+/// takes its time, so that the unknown one is not left out.
 async fn call_until_sent(system: &System, replica: &EndlessReplica, path: &str) {
+    system.replicas[0].set_behaviour(ReplicaBehaviour::Takes(ANSWER_TIME));
     let until = Instant::now() + PATIENCE;
     let mut round = 0;
     while replica.requests() == 0 {
         assert!(Instant::now() < until, "{path}: the replica got no request");
         round += 1;
-        let calls = (0..4).map(|number| call(system, path, format!("r-{round}-{number}")));
+        let calls = (0..CALLS).map(|number| call(system, path, format!("r-{round}-{number}")));
         futures::future::join_all(calls).await;
     }
 }
@@ -179,7 +187,7 @@
         let until = Instant::now() + PATIENCE;
         while system.results(0, "job").await.len() < 8 {
             assert!(Instant::now() < until, "{endless:?}: the job isn't done");
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
         assert!(replica.requests() > 0);
         replica.assert_bounded(endless).await;
