Renew the copies of an end while it is pending

What callers could see: a job goes on although a gateway read its end, where there is no owner that commits it for seconds while gateways are restarted one after the other.

Cause: the gateway that reads an end copies it to two others, once. The holders of copies made none, and the first gateway stopped as soon as two had one, so that an end was lost when the three had been replaced.

Change: each holder copies a pending end again every second (the retry after too few copies stays at 0.3 s), at most 32 at a time, for five minutes of the ten after which it expires, so that two holders don't keep an expired end alive. An end that only waits for its job to arrive isn't copied. When copies are due is decided in the core.

Evidence: `an_end_outlasts_all_nodes_that_held_it_at_first` fails on the code before (60 s without a copy at the new gateway) and passes with the change, with the 5 other tests of platform_ends; four tests of the state machine.

--- a/crates/core/src/batch/pending_ends.rs
+++ b/crates/core/src/batch/pending_ends.rs
@@ -1,7 +1,8 @@
 //! Requests to end jobs that this node has received and that are not known to be committed.
 //!
 //! Invariants: an end is sent to the owner repeatedly until it is committed or the job is known not to exist,
-//! even if its caller has disconnected; the number of pending ends is bounded, and each expires.
+//! even if its caller has disconnected; while it is pending, copies are sent to other nodes again and again, so
+//! that holders that have failed are replaced; the number of pending ends is bounded, and each expires.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,7 +13,8 @@
 
 /// Maximum number of pending ends; many times the number of trainers of a deployment.
 pub const MAX_PENDING: usize = 4_096;
-/// Maximum number of ends sent to the owner at a time, so that an unavailable owner is not flooded.
+/// Maximum number of ends sent to the owner at a time, so that an unavailable owner is not flooded, and of ends copied
+/// at a time.
 pub const MAX_IN_FLIGHT: usize = 32;
 /// Age after which an end expires. By then the job has finished, since items wait no longer than their route
 /// allows.
@@ -25,6 +27,13 @@
 pub const UNKNOWN_JOB_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay before a node with a replicated end contacts the owner itself; usually the end is committed before.
 pub const COPY_DELAY: Duration = Duration::from_millis(1_000);
+/// Interval at which a holder copies a pending end again.
+pub const COPY_RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Delay after which an end is copied again that too few nodes took.
+pub const COPY_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Age after which a holder no longer renews copies. Well below [`EXPIRES_AFTER`], so that two holders don't keep an
+/// expired end alive by copying it to each other.
+pub const RENEWS_COPIES_FOR: Duration = Duration::from_secs(300);
 
 /// Identifies an end by its job and its caller.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -114,10 +123,17 @@
     attempts: u32,
     is_in_flight: bool,
     unknown_since: Option<Timestamp>,
+    /// When copies are due next.
+    copy_at: Timestamp,
+    is_copying: bool,
 }
 
 impl PendingEnd {
-    const fn new(source: EndSource, now: Timestamp, next_at: Timestamp) -> Self {
+    fn new(source: EndSource, now: Timestamp) -> Self {
+        let (next_at, copy_at) = match source {
+            EndSource::Caller => (now, now),
+            EndSource::Peer => (now + COPY_DELAY, now + COPY_DELAY + COPY_RENEWAL_INTERVAL),
+        };
         Self {
             source,
             since: now,
@@ -126,12 +142,20 @@
             attempts: 0,
             is_in_flight: false,
             unknown_since: None,
+            copy_at,
+            is_copying: false,
         }
     }
+
+    /// Returns whether copies are still sent. An end that only waits for its job to arrive needs none.
+    fn needs_copies(&self) -> bool {
+        let age = self.copy_at.saturating_since(self.since);
+        !self.is_copying && self.unknown_since.is_none() && age < RENEWS_COPIES_FOR
+    }
 }
 
 /// All pending ends of this node.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PendingEnds {
     pending: BTreeMap<EndKey, PendingEnd>,
 }
@@ -149,11 +173,7 @@
         }
         let displaced = if self.pending.len() >= MAX_PENDING { self.oldest() } else { None };
         let displaced = displaced.and_then(|oldest| self.settle(now, &oldest, EndOutcome::Displaced));
-        let next_at = match source {
-            EndSource::Caller => now,
-            EndSource::Peer => now + COPY_DELAY,
-        };
-        self.pending.insert(key, PendingEnd::new(source, now, next_at));
+        self.pending.insert(key, PendingEnd::new(source, now));
         displaced
     }
 
@@ -196,6 +216,33 @@
         due.into_iter().map(|(_, key)| key).collect()
     }
 
+    /// Returns the ends to copy to other nodes now and marks them as being copied.
+    pub fn copies_due(&mut self, now: Timestamp) -> Vec<EndKey> {
+        let available = MAX_IN_FLIGHT.saturating_sub(self.copying());
+        let is_due = |held: &PendingEnd| held.needs_copies() && held.copy_at <= now;
+        let mut due: Vec<(Timestamp, EndKey)> = self
+            .pending
+            .iter()
+            .filter(|(_, held)| is_due(held))
+            .map(|(key, held)| (held.copy_at, key.clone()))
+            .collect();
+        due.sort();
+        due.truncate(available);
+        for (_, key) in &due {
+            if let Some(held) = self.pending.get_mut(key) {
+                held.is_copying = true;
+            }
+        }
+        due.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Handles the end of copying. `is_complete` tells whether enough nodes hold a copy.
+    pub fn copied(&mut self, now: Timestamp, key: &EndKey, is_complete: bool) {
+        let Some(held) = self.pending.get_mut(key) else { return };
+        held.is_copying = false;
+        held.copy_at = now + if is_complete { COPY_RENEWAL_INTERVAL } else { COPY_RETRY_DELAY };
+    }
+
     /// Returns when the next end is due, or `None` while the maximum is in flight or nothing waits.
     pub fn deadline(&self) -> Option<Timestamp> {
         if self.in_flight() >= MAX_IN_FLIGHT {
@@ -204,6 +251,14 @@
         self.pending.values().filter(|held| !held.is_in_flight).map(|held| held.next_at).min()
     }
 
+    /// Returns when the next end is to be copied, or `None` while the maximum is being copied or nothing waits.
+    pub fn copy_deadline(&self) -> Option<Timestamp> {
+        if self.copying() >= MAX_IN_FLIGHT {
+            return None;
+        }
+        self.pending.values().filter(|held| held.needs_copies()).map(|held| held.copy_at).min()
+    }
+
     /// Handles the owner's answer. Returns the end if it is no longer pending.
     pub fn answered(&mut self, now: Timestamp, key: &EndKey, answer: EndAnswer) -> Option<SettledEnd> {
         let held = self.pending.get_mut(key)?;
@@ -236,6 +291,11 @@
         self.pending.values().filter(|held| held.is_in_flight).count()
     }
 
+    /// Returns the number of ends that are being copied.
+    fn copying(&self) -> usize {
+        self.pending.values().filter(|held| held.is_copying).count()
+    }
+
     fn oldest(&self) -> Option<EndKey> {
         self.pending.iter().min_by_key(|(_, held)| held.since).map(|(key, _)| key.clone())
     }
--- a/crates/core/tests/batch_pending_ends.rs
+++ b/crates/core/tests/batch_pending_ends.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use lichenpulley_core::batch::pending_ends::{
-    COPY_DELAY, EXPIRES_AFTER, EndAnswer, EndKey, EndOutcome, EndSource, MAX_IN_FLIGHT, MAX_PENDING,
-    PendingEnds, UNKNOWN_JOB_TIMEOUT,
+    COPY_DELAY, COPY_RENEWAL_INTERVAL, COPY_RETRY_DELAY, EXPIRES_AFTER, EndAnswer, EndKey, EndOutcome,
+    EndSource, MAX_IN_FLIGHT, MAX_PENDING, PendingEnds, RENEWS_COPIES_FOR, UNKNOWN_JOB_TIMEOUT,
 };
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::time::Timestamp;
@@ -88,6 +88,70 @@
     assert_eq!(ends.due(at(20)), []);
 }
 
+/// Returns when the next copies of an end are due, if it is never sent to the owner.
+fn next_copy(ends: &PendingEnds, key: &EndKey, from: Timestamp) -> Option<Timestamp> {
+    let mut ends = ends.clone();
+    let step = Duration::from_millis(50);
+    (0..200).map(|number| from + step * number).find(|now| ends.copies_due(*now).contains(key))
+}
+
+#[test]
+fn copies_are_renewed_while_an_end_is_pending() {
+    let mut ends = PendingEnds::default();
+    ends.hold(at(0), key(1), EndSource::Caller);
+    assert_eq!(ends.copies_due(at(0)), [key(1)]);
+    // An end that is being copied is not copied a second time.
+    assert_eq!(ends.copies_due(at(5_000)), []);
+    ends.copied(at(100), &key(1), false);
+    assert_eq!(next_copy(&ends, &key(1), at(100)), Some(at(100) + COPY_RETRY_DELAY));
+    assert_eq!(ends.copies_due(at(400)), [key(1)]);
+    ends.copied(at(400), &key(1), true);
+    assert_eq!(next_copy(&ends, &key(1), at(400)), Some(at(400) + COPY_RENEWAL_INTERVAL));
+    ends.answered(at(500), &key(1), EndAnswer::Committed);
+    assert_eq!(next_copy(&ends, &key(1), at(500)), None);
+}
+
+#[test]
+fn a_holder_of_a_copy_copies_an_end_that_stays_pending() {
+    let mut ends = PendingEnds::default();
+    ends.hold(at(0), key(1), EndSource::Peer);
+    let due = ends.due(at(0) + COPY_DELAY);
+    ends.answered(at(1_100), &due[0], EndAnswer::Inconclusive);
+    assert_eq!(next_copy(&ends, &key(1), at(0)), Some(at(0) + COPY_DELAY + COPY_RENEWAL_INTERVAL));
+}
+
+#[test]
+fn an_end_that_waits_for_its_job_is_not_copied() {
+    let mut ends = PendingEnds::default();
+    ends.hold(at(0), key(1), EndSource::Caller);
+    let due = ends.due(at(0));
+    assert_eq!(ends.copies_due(at(0)), [key(1)]);
+    ends.copied(at(10), &key(1), true);
+    ends.answered(at(20), &due[0], EndAnswer::Unknown);
+    assert_eq!(next_copy(&ends, &key(1), at(20)), None);
+}
+
+#[test]
+fn holders_do_not_keep_an_expired_end_alive_by_copying_it_to_each_other() {
+    // Each holder copies the end to the other, which takes it if it holds none.
+    let mut holders = [PendingEnds::default(), PendingEnds::default()];
+    holders[0].hold(at(0), key(1), EndSource::Caller);
+    let mut now = at(0);
+    while now < at(0) + EXPIRES_AFTER + RENEWS_COPIES_FOR + EXPIRES_AFTER {
+        for holder in 0..holders.len() {
+            for due in holders[holder].due(now) {
+                holders[holder].answered(now, &due, EndAnswer::Inconclusive);
+            }
+            for copied in holders[holder].copies_due(now) {
+                holders[1 - holder].hold(now, copied.clone(), EndSource::Peer);
+                holders[holder].copied(now, &copied, true);
+            }
+        }
+        now = now + Duration::from_millis(100);
+    }
+    assert_eq!(holders.map(|holder| holder.count()), [0, 0]);
+}
+
 #[test]
 fn the_oldest_end_is_evicted_at_the_limit() {
     let mut ends = PendingEnds::default();
--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -1,8 +1,9 @@
 //! Delivers ends of jobs to the shards' owners, independently of the callers that requested them.
 //!
 //! An end is stored here before the owner is first asked, and copied to other nodes at once, so that it
-//! survives its caller's connection, an owner that fails before the end is committed, and this node.
-//! `core::batch::pending_ends` decides when the owner is asked.
+//! survives its caller's connection, an owner that fails before the end is committed, and this node. Every
+//! holder renews the copies.
+//! `core::batch::pending_ends` decides when the owner is asked and when copies are sent.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -46,8 +47,6 @@
     ends: PendingEnds,
     /// Callers that wait for the owner's answer, by end.
     waiting: BTreeMap<EndKey, Vec<oneshot::Sender<BatchResponse>>>,
-    /// Ends that too few other nodes hold.
-    uncopied: Vec<EndKey>,
 }
 
 impl EndHolder {
@@ -65,9 +64,6 @@
             let waiting = held.waiting.entry(key.clone()).or_default();
             waiting.retain(|earlier| !earlier.is_closed());
             waiting.push(reply);
-            if !held.ends.holds(&key) {
-                held.uncopied.push(key.clone());
-            }
         }
         self.hold(key, EndSource::Caller);
         async move {
@@ -132,7 +128,9 @@
             tokio::select! {
                 () = self.changed.notified() => {}
                 Some((key, response)) = requests.next() => self.handle_answer(&key, response),
-                Some((key, copies)) = copied.next() => self.copy_finished(key, copies),
+                Some((key, copies)) = copied.next() => {
+                    self.lock().ends.copied(self.now(), &key, copies >= COPIES);
+                }
                 () = wait => {}
             }
             self.context.metrics.set_pending_ends(self.lock().ends.count());
@@ -143,8 +141,8 @@
         let now = self.now();
         let mut held = self.lock();
         let due = held.ends.due(now);
-        let uncopied = std::mem::take(&mut held.uncopied);
-        let deadline = held.ends.deadline();
+        let uncopied = held.ends.copies_due(now);
+        let deadline = held.ends.deadline().into_iter().chain(held.ends.copy_deadline()).min();
         let deadline = deadline.map(|at| self.origin + at.saturating_since(Timestamp::ORIGIN));
         (due, uncopied, deadline)
     }
@@ -176,24 +174,10 @@
         self.context.decisions.record(decision.with("questions", settled.attempts));
     }
 
-    /// Schedules another copy of an end that too few nodes hold, while it is still pending here.
-    fn copy_finished(&self, key: EndKey, copies: usize) {
-        let mut held = self.lock();
-        if copies < COPIES && held.ends.holds(&key) {
-            held.uncopied.push(key);
-        }
-    }
-
     /// Copies an end to other nodes; returns how many of them hold it.
     async fn copy_to_peers(&self, key: EndKey) -> (EndKey, usize) {
-        let others = self.copy_holders(&key);
-        if others.is_empty() {
-            // No other node is known.
-            tokio::time::sleep(COPY_TIMEOUT).await;
-            return (key, 0);
-        }
         let mut copies = 0;
-        let mut others = others.into_iter();
+        let mut others = self.copy_holders(&key).into_iter();
         while copies < COPIES {
             let next: Vec<Arc<Member>> = others.by_ref().take(COPIES - copies).collect();
             if next.is_empty() {
@@ -202,9 +186,6 @@
             let calls = next.iter().map(|member| self.copy_to(member, &key));
             copies += futures::future::join_all(calls).await.into_iter().filter(|is_held| *is_held).count();
         }
-        if copies < COPIES {
-            tokio::time::sleep(COPY_TIMEOUT).await;
-        }
         (key, copies)
     }
 
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -116,6 +116,29 @@
     wait_for_pending(&system, owner, 0).await;
 }
 
+#[tokio::test]
+async fn an_end_outlasts_all_nodes_that_held_it_at_first() {
+    let mut system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    // Without a majority of stores nothing is kept.
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    end_and_leave(&system, 0, "job").await;
+    wait_for_pending(&system, 1, 1).await;
+    kill(system.gateways[0].take()).await;
+    system.start_gateway(2).await;
+    wait_for_pending(&system, 2, 1).await;
+    kill(system.gateways[1].take()).await;
+    let mut held = watch(&system, 2);
+    for number in 0..2 {
+        system.start_store(number).await;
+    }
+    let settled = wait_for(&mut held, "end_settled", "job").await;
+    assert_eq!(settled.reason, "kept");
+}
+
 #[tokio::test]
 async fn an_end_that_a_gateway_reads_before_it_has_a_configuration_is_held() {
     let mut system = System::start(2, ENDLESS).await;
