Take ends of jobs while the owner waits for its stores

What callers saw: the end of a job was read and answered 503 for as long as the stores of its owner were slow, and an item of the job reached a replica seconds later.

Cause: an owner whose last confirmation is older than 0.6 s refused all requests, ends among them, without noting them. It may remain the owner for long: its appends are decided late, or its stores answer without a majority. The job stayed open in its memory, so that its runs went on, and the first moment with a confirmation started further items. The gateway's next question had to arrive in such a moment to end the job.

Change: an end is handled with or without a confirmation. Its record is appended and the items are stopped at once; the caller is answered once the record is committed, which an owner that was superseded never reports. A job that is absent is still reported as unknown only after a confirmation.

Evidence: the new test waits in vain for `batch_ended` on the code before (62.9 s, `the decision in time: Elapsed`) and passes with the change, with the five other tests of `platform_ends` (3.9 s). That this is what the users' record shows is suspected: there are no logs of it.

--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -1,9 +1,9 @@
 //! Handles requests of callers and other nodes at the owner.
 //!
-//! Invariants: requests are answered only while the owner's authority is confirmed. `Unknown` for a job that
-//! is absent, and a page without results, are returned only after a confirmation that began after the request
-//! arrived, since a later owner may have accepted the job, or listed results, while the previous confirmation
-//! is still valid.
+//! Invariants: requests other than ends are answered only while the owner's authority is confirmed. `Unknown` for
+//! a job that is absent, and a page without results, are returned only after a confirmation that began after the
+//! request arrived, since a later owner may have accepted the job, or listed results, while the previous
+//! confirmation is still valid.
 //! [`WaitingCallers`](super::waiting::WaitingCallers) holds the requests that have to wait.
 
 use std::time::Duration;
@@ -19,7 +19,10 @@
 impl Owner {
     /// Answers a command, or queues it until its response is available.
     pub(super) fn handle_command(&mut self, command: Command) {
-        if !self.stores.is_confirmed() {
+        // An end is answered once it is committed, which needs no confirmation, and the owner must not start the
+        // job's items when it is confirmed again.
+        let is_end = matches!(command.request, BatchRequest::End { .. });
+        if !is_end && !self.stores.is_confirmed() {
             return command.answer(BatchResponse::Unavailable);
         }
         if self.lacks_job_of(&command.request) {
@@ -86,7 +89,10 @@
         match self.controller.end(self.now(), &batch) {
             Some(true) => command.answer(BatchResponse::Ended),
             Some(false) => self.callers.add_end(batch, command),
-            None => self.callers.add_lookup(self.stores.clock().now(), command),
+            None if self.stores.is_confirmed() => {
+                self.callers.add_lookup(self.stores.clock().now(), command);
+            }
+            None => command.answer(BatchResponse::Unavailable),
         }
     }
 
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -159,3 +159,19 @@
         wait_for_pending(&system, number, 0).await;
     }
 }
+
+#[tokio::test]
+async fn an_owner_that_waits_for_its_stores_stops_the_items_of_an_ended_job() {
+    let mut system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    let owner = system.owner();
+    let mut decisions = watch(&system, owner);
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    // Longer than a confirmation by the stores is valid.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    end_and_leave(&system, 1 - owner, "job").await;
+    wait_for(&mut decisions, "batch_ended", "job").await;
+}
