Collect held ends at a takeover before items are started

What callers saw: the end of a job was read while the job had no owner, or one that could not commit, and an item of the job reached a replica many seconds later, as soon as another node owned the job.

Cause: a new owner restores the open jobs of the log and starts their items in its first pass. The ends that gateways hold reach it later: a gateway asks again after up to 0.8 s and then looks for the owner, and what is queued at the new owner already is read after that pass.

Change: a new owner asks all gateways, and its own node, for the ends that they hold, ends these jobs, and then starts items and score requests. `ends_collected` tells what was found.

That this is what the users' record shows is suspected: there are no logs of it.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -7,6 +7,7 @@
 use super::{Controller, ItemStage, LiveItem, Submission};
 use crate::batch::job::{BatchItem, BatchJob, ItemResult};
 use crate::batch::ledger::{ItemState, JobState};
+use crate::batch::pending_ends::EndKey;
 use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
 use crate::identity::{BatchId, TenantName};
@@ -95,6 +96,24 @@
         Some(is_ended)
     }
 
+    /// Starts no item and no score request until [`Self::end_held`]. A job may have been ended while there was no
+    /// owner that could commit it.
+    pub const fn await_ends(&mut self) {
+        self.awaits_ends = true;
+    }
+
+    /// Ends the jobs whose ends gateways hold, and lets the items of the others start.
+    pub fn end_held(&mut self, now: Timestamp, ends: &[EndKey]) {
+        self.awaits_ends = false;
+        for EndKey { batch, caller } in ends {
+            let is_open = |state: &JobState| !state.is_ended && state.job.is_open_to(caller.as_ref());
+            if self.ledger.job(batch).is_some_and(is_open) {
+                self.end(now, batch);
+            }
+        }
+        self.mark_items_due(now);
+    }
+
     /// Makes the items of a committed job available to run and counts them towards the demand for their
     /// models.
     pub(super) fn accepted(&mut self, now: Timestamp, batch: &BatchId) {
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -109,6 +109,8 @@
     /// Whether the rule for reusing earlier texts is to be applied to all open jobs.
     is_reuse_due: bool,
     reuse_counts: ReuseCounts,
+    /// Whether ends that gateways hold are still to be collected; no item is started until then.
+    awaits_ends: bool,
     /// Whether the stores confirmed this owner's authority recently; otherwise nothing is started or ordered.
     is_confirmed: bool,
     actions: VecDeque<Action>,
@@ -160,6 +162,7 @@
             state_limit: None,
             is_reuse_due: false,
             reuse_counts: ReuseCounts::default(),
+            awaits_ends: false,
             is_confirmed: true,
             actions: VecDeque::new(),
             due: DueWork::default(),
--- a/crates/core/src/batch/controller/starting.rs
+++ b/crates/core/src/batch/controller/starting.rs
@@ -32,7 +32,7 @@
         if is_deferred {
             self.mark_items_due(now);
         }
-        let items = items && !is_deferred;
+        let items = items && !is_deferred && !self.awaits_ends;
         if items {
             self.remove_listed_items();
         }
--- a/crates/core/tests/batch_controller.rs
+++ b/crates/core/tests/batch_controller.rs
@@ -7,6 +7,7 @@
 use batch_support::{MODEL, OwnerHarness, at, job, replica, table};
 use lichenpulley_core::batch::controller::{ControllerConfig, RunEnd, Submission};
 use lichenpulley_core::batch::ledger::Ledger;
+use lichenpulley_core::batch::pending_ends::EndKey;
 use lichenpulley_core::batch::record::Record;
 use lichenpulley_core::batch::weights::LoadEnd;
 use lichenpulley_core::identity::BatchId;
@@ -87,6 +88,26 @@
     assert_eq!(harness.controller.end(at(600), &BatchId::new("other")), None);
 }
 
+#[test]
+fn an_owner_that_awaits_held_ends_starts_only_items_of_jobs_without_one() {
+    let mut harness = OwnerHarness::new(Ledger::default(), false, &[]);
+    for id in ["ended", "open"] {
+        harness.submit(at(1), job(id, 1, 0));
+    }
+    harness.controller.await_ends();
+    harness.controller.update(at(2), None, &table(&[replica("a", 1)]), &BTreeMap::new());
+    harness.drain_actions();
+    assert!(harness.started.is_empty());
+    let end = EndKey { batch: BatchId::new("ended"), caller: None };
+    harness.controller.end_held(at(3), &[end.clone(), end]);
+    harness.drain_actions();
+    let started: Vec<&str> = harness.started.iter().map(|start| start.item.id.as_str()).collect();
+    assert_eq!(started, ["open-0"]);
+    harness.commit_appends(at(4));
+    let ended = harness.records.iter().filter(|record| matches!(record, Record::Ended(_))).count();
+    assert_eq!(ended, 1);
+}
+
 #[test]
 fn replicas_and_events_below_the_minimum_version_are_rejected() {
     let mut harness = OwnerHarness::new(Ledger::default(), false, &[replica("a", 1)]);
--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -26,10 +26,10 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::Command;
 use super::follower::LogFollower;
 use super::outline::{self, MissingTexts};
 use super::owner::{Owner, OwnerEnd, Takeover};
+use super::{Command, EndHolder, held_ends};
 use crate::cluster::Member;
 use crate::ingress::pool::ReplicaPool;
 use crate::ownership::order;
@@ -99,11 +99,26 @@
 }
 
 /// Runs a candidate until the node has stopped.
-pub(super) async fn run(scope: Scope, pool: ReplicaPool, traffic: Handle, commands: mpsc::Receiver<Command>) {
+pub(super) async fn run(
+    scope: Scope,
+    pool: ReplicaPool,
+    ends: EndHolder,
+    traffic: Handle,
+    commands: mpsc::Receiver<Command>,
+) {
     let stopped = scope.context.stopped.clone();
     let follower = LogFollower::spawn(scope.clone());
-    let mut candidate =
-        Candidate { scope, pool, traffic, commands, rounds: 0, rounds_to_wait: 1, offer: None, follower };
+    let mut candidate = Candidate {
+        scope,
+        pool,
+        ends,
+        traffic,
+        commands,
+        rounds: 0,
+        rounds_to_wait: 1,
+        offer: None,
+        follower,
+    };
     tokio::select! {
         () = stopped.cancelled() => {}
         () = candidate.run() => {}
@@ -113,6 +128,8 @@
 struct Candidate {
     scope: Scope,
     pool: ReplicaPool,
+    /// The ends that this node holds.
+    ends: EndHolder,
     traffic: Handle,
     commands: mpsc::Receiver<Command>,
     /// Rounds so far, including those in which the stores were not asked.
@@ -271,7 +288,9 @@
         self.record_recovery(reason, followed_bytes, read_bytes, began);
         let held_bytes = followed_bytes + read_bytes;
         let (last_epoch, offer) = (recovered.latest_origin, self.offer.take());
-        self.run_owner(Takeover { log, ledger, held_bytes, last_epoch, idle, offer, missing }).await;
+        let held_ends = held_ends::collect(Arc::clone(&self.scope.context), self.ends.clone());
+        let takeover = Takeover { log, ledger, held_bytes, last_epoch, idle, offer, missing, held_ends };
+        self.run_owner(takeover).await;
     }
 
     /// Runs the owner until it ends, and hands over to the next candidate if it left or was cut off.
--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -82,6 +82,14 @@
         self.hold(EndKey { batch: request.batch, caller: request.caller }, EndSource::Peer);
     }
 
+    /// Returns the ends that this node holds.
+    pub(crate) fn pending(&self) -> Vec<HoldEnd> {
+        let now = self.now();
+        let held = self.lock();
+        let ends = held.ends.list(now).map(|(key, ..)| key);
+        ends.map(|key| HoldEnd { batch: key.batch.clone(), caller: key.caller.clone() }).collect()
+    }
+
     fn hold(&self, key: EndKey, source: EndSource) {
         let displaced = self.lock().ends.hold(self.now(), key, source);
         if let Some(displaced) = displaced {
--- a/crates/daemon/src/batch/job_shard.rs
+++ b/crates/daemon/src/batch/job_shard.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::{Command, candidate};
+use super::{Command, EndHolder, candidate};
 use crate::ingress::pool::ReplicaPool;
 use crate::ownership::scope::Scope;
 use crate::peers::{PeerClients, PeerError};
@@ -41,12 +41,18 @@
 impl JobShard {
     /// Starts this node's candidate on `control` if the node may own the shard. Runs of items are spawned on
     /// `traffic`.
-    pub(super) fn start(scope: Scope, pool: ReplicaPool, control: &Handle, traffic: Handle) -> Self {
+    pub(super) fn start(
+        scope: Scope,
+        pool: ReplicaPool,
+        ends: EndHolder,
+        control: &Handle,
+        traffic: Handle,
+    ) -> Self {
         let settings = &scope.context.settings;
         let can_own = settings.roles.coordinator && settings.platform.metadata_store.is_some();
         let commands = (can_own && scope.allows_this_node()).then(|| {
             let (commands, received) = mpsc::channel(OWNER_COMMAND_BACKLOG);
-            control.spawn(candidate::run(scope.clone(), pool, traffic, received));
+            control.spawn(candidate::run(scope.clone(), pool, ends, traffic, received));
             commands
         });
         Self { scope, commands }
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod candidate;
 mod end_holder;
 mod follower;
+mod held_ends;
 mod job_shard;
 mod load;
 mod outline;
@@ -62,13 +63,14 @@
 /// Starts this node's batch-job tasks on the current runtime. Runs of items are spawned on `traffic`.
 pub fn start(context: &Context, pool: ReplicaPool, traffic: Handle) -> BatchJobs {
     let control = Handle::current();
-    let main = JobShard::start(Scope::main(context), pool.clone(), &control, traffic.clone());
-    let regional = Arc::new(RegionalJobs::new(Arc::clone(context), pool, control, traffic));
+    let ends = EndHolder::new(context);
+    let main = JobShard::start(Scope::main(context), pool.clone(), ends.clone(), &control, traffic.clone());
+    let regional = Arc::new(RegionalJobs::new(Arc::clone(context), pool, ends.clone(), control, traffic));
     if !context.settings.places.zones.regions().is_empty() {
         let regional = Arc::clone(&regional);
         tokio::spawn(async move { regional.follow().await });
     }
-    let jobs = BatchJobs { main, ends: EndHolder::new(context), regional };
+    let jobs = BatchJobs { main, ends, regional };
     tokio::spawn(jobs.ends.clone().run(jobs.clone()));
     jobs
 }
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -37,6 +37,7 @@
 use waiting::WaitingCallers;
 
 use super::Command;
+use super::held_ends::HeldEnds;
 use super::load::LoadEnded;
 use super::outline::{self, MissingTexts, ReadTexts};
 use super::score::ScoreEnded;
@@ -74,6 +75,8 @@
     pub(super) offer: Option<ProgressOffer>,
     /// Range of the log whose texts are still to be read; `None` if the log was read completely.
     pub(super) missing: Option<MissingTexts>,
+    /// Receives the ends that gateways hold.
+    pub(super) held_ends: mpsc::Receiver<HeldEnds>,
 }
 
 /// The owner of a shard of batch jobs.
@@ -90,6 +93,7 @@
     callers: WaitingCallers,
     /// Receives ledgers with the texts that were missing at the takeover.
     texts: mpsc::Receiver<ReadTexts>,
+    held_ends: mpsc::Receiver<HeldEnds>,
     leave_monitor: LeaveMonitor,
     queue_reporter: QueueReporter,
     /// The error after which the log can't be written any more.
@@ -128,7 +132,7 @@
     /// Creates the owner from the state that it took over.
     pub(super) fn new(scope: Scope, pool: ReplicaPool, traffic: Handle, takeover: Takeover) -> Self {
         let context = scope.context.clone();
-        let Takeover { log, ledger, held_bytes, last_epoch, idle, offer, missing } = takeover;
+        let Takeover { log, ledger, held_bytes, last_epoch, idle, offer, missing, held_ends } = takeover;
         let lease = OrderLease {
             holder: context.node.clone(),
             length: context.settings.batch.order_lease + CONFIRMED_FOR + LEASE_MARGIN,
@@ -139,6 +143,7 @@
             let adopted = controller.adopt(offer, last_epoch);
             ::log::info!(target: "batch", "Adopted {adopted} events from the previous owner.");
         }
+        controller.await_ends();
         let missing = missing.filter(|_| controller.ledger().is_outline());
         let epoch = log.epoch();
         Self {
@@ -149,6 +154,7 @@
             calls: FencedCalls::new(&context, epoch),
             callers: WaitingCallers::default(),
             texts: read_missing(&scope, missing),
+            held_ends,
             stores: OwnedStores::new(scope.clone(), log, held_bytes),
             leave_monitor: LeaveMonitor::default(),
             queue_reporter: QueueReporter::default(),
@@ -192,6 +198,7 @@
             Some(ended) = self.calls.load_ends.recv() => self.handle_load(&ended),
             Some(ended) = self.calls.duty_ends.recv() => self.handle_duty(&ended),
             Some(read) = self.texts.recv() => self.fill_texts(read),
+            Some(held) = self.held_ends.recv() => self.end_held_jobs(&held),
             // Nothing is committed while the replica set changes, and reading missing texts at the same
             // time would make the change slow.
             replacement = self.stores.maintainer.next(), if !self.controller.ledger().is_outline() => {
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -10,11 +10,13 @@
 
 use lichenpulley_core::batch::controller::Submission;
 use lichenpulley_core::batch::job::BatchJob;
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{BatchId, TenantName};
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
 
 use super::Owner;
 use crate::batch::Command;
+use crate::batch::held_ends::HeldEnds;
 
 impl Owner {
     /// Answers a command, or queues it until its response is available.
@@ -96,6 +98,16 @@
         }
     }
 
+    /// Ends the jobs whose ends gateways held while the shard was taken over.
+    pub(super) fn end_held_jobs(&mut self, held: &HeldEnds) {
+        let decision =
+            Decision::new(Component::Rollout, "ends_collected", "taken_over", self.scope.shard.as_str());
+        let decision = decision.with("asked", held.asked).with("answered", held.answered);
+        let decision = decision.with("held", held.ends.len()).with("milliseconds", held.took.as_millis());
+        self.context.decisions.record(decision);
+        self.controller.end_held(self.now(), &held.ends);
+    }
+
     /// Returns whether a request reads a job that is not in the ledger.
     fn lacks_job_of(&self, request: &BatchRequest) -> bool {
         let reads = matches!(request, BatchRequest::Read { .. } | BatchRequest::ItemBody { .. });
--- a/crates/daemon/src/batch/regional_jobs.rs
+++ b/crates/daemon/src/batch/regional_jobs.rs
@@ -14,6 +14,7 @@
 use lichenpulley_core::ingress::routes::RouteTable;
 use tokio::runtime::Handle;
 
+use super::EndHolder;
 use super::job_shard::JobShard;
 use crate::context::Context;
 use crate::ingress::pool::ReplicaPool;
@@ -26,6 +27,7 @@
 pub(super) struct RegionalJobs {
     context: Context,
     pool: ReplicaPool,
+    ends: EndHolder,
     control: Handle,
     traffic: Handle,
     known: Mutex<KnownShards>,
@@ -40,8 +42,14 @@
 }
 
 impl RegionalJobs {
-    pub(super) fn new(context: Context, pool: ReplicaPool, control: Handle, traffic: Handle) -> Self {
-        Self { context, pool, control, traffic, known: Mutex::default() }
+    pub(super) fn new(
+        context: Context,
+        pool: ReplicaPool,
+        ends: EndHolder,
+        control: Handle,
+        traffic: Handle,
+    ) -> Self {
+        Self { context, pool, ends, control, traffic, known: Mutex::default() }
     }
 
     /// Joins the shards that each new configuration names, until the node has stopped.
@@ -91,7 +99,8 @@
         let decision = Decision::new(Component::Rollout, "regional_shard", "configured", &id);
         let decision = decision.with("regions", regions).with("takes_part", takes_part);
         self.context.decisions.record(decision);
-        let shard = JobShard::start(scope, self.pool.clone(), &self.control, self.traffic.clone());
+        let (pool, ends) = (self.pool.clone(), self.ends.clone());
+        let shard = JobShard::start(scope, pool, ends, &self.control, self.traffic.clone());
         known.shards.insert(id, shard.clone());
         Some(shard)
     }
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -96,6 +96,10 @@
         self.batch.ends().hold_copy(request);
     }
 
+    async fn pending_ends(self, _: tarpc::context::Context) -> Vec<HoldEnd> {
+        self.batch.ends().pending()
+    }
+
     async fn replica_subset(
         self,
         _: tarpc::context::Context,
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -216,6 +216,21 @@
         call.finish(call.client().hold_end(call.context(), request)).await
     }
 
+    /// Reads the ends of batch jobs that a node holds. A node of an earlier release can't decode the request, so it is
+    /// sent through [`Self::separate`] connections.
+    ///
+    /// # Errors
+    /// When no answer arrives within `timeout`.
+    pub(crate) async fn pending_ends(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Vec<HoldEnd>, PeerError> {
+        let deadline = Instant::now() + timeout;
+        let call = self.connection(address).start_call(deadline).await?;
+        call.finish(call.client().pending_ends(call.context())).await
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         let connections = self.shared.connections.load();
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -175,3 +175,26 @@
     end_and_leave(&system, 1 - owner, "job").await;
     wait_for(&mut decisions, "batch_ended", "job").await;
 }
+
+#[tokio::test]
+async fn a_successor_starts_no_item_of_a_job_whose_end_a_gateway_holds() {
+    let mut system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    let owner = system.owner();
+    let other = 1 - owner;
+    // Without a majority of stores nothing is kept, and nobody owns the job.
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    end_and_leave(&system, other, "job").await;
+    kill(system.gateways[owner].take()).await;
+    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
+    let before = runs(&system);
+    let mut decisions = watch(&system, other);
+    for number in 0..2 {
+        system.start_store(number).await;
+    }
+    wait_for(&mut decisions, "end_kept", "job").await;
+    assert_eq!(runs(&system), before);
+}
--- a/crates/protocol/src/internal/mod.rs
+++ b/crates/protocol/src/internal/mod.rs
@@ -40,4 +40,6 @@
     async fn hold_end(request: HoldEnd);
     /// Reads the replicas that one gateway uses from this node's copy; served by nodes that hold all replicas.
     async fn replica_subset(request: ReplicaSubsetRequest) -> ReplicaSubsetResponse;
+    /// Reads the ends of batch jobs that this node holds; served by every node.
+    async fn pending_ends() -> Vec<HoldEnd>;
 }
