--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -198,3 +198,20 @@
     wait_for(&mut decisions, "end_kept", "job").await;
     assert_eq!(runs(&system), before);
 }
+
+#[tokio::test]
+async fn an_end_whose_caller_resets_its_connection_at_once_is_held() {
+    let system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    for number in 0..20 {
+        let job = format!("job-{number}");
+        system.submit(0, &job, 1, 1).await;
+        let mut decisions = watch(&system, system.owner());
+        let caller = std::net::TcpStream::connect(system.gateway(number % 2)).expect("a connection");
+        let head = format!("DELETE /-/lots/{job} HTTP/1.1\r\nhost: shop.example\r\n\r\n");
+        std::io::Write::write_all(&mut &caller, head.as_bytes()).expect("a request");
+        socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO)).expect("a linger time");
+        drop(caller);
+        wait_for(&mut decisions, "end_kept", &job).await;
+    }
+}
