Ask only the likely holders of ends at a takeover

A takeover asked every gateway for the ends that it holds: on a deployment of some hundred gateways that is as many new connections of one node, at the moment in which it has most to do.

The copies of an end go to the gateways that come first in an order which follows from the job. A new owner therefore asks the first four of each region for each open job, two more than get copies; without an open job, it asks nobody.

`a_successor_starts_no_item_of_a_job_whose_end_only_other_gateways_hold` has five gateways, of which the new owner holds nothing.

--- a/crates/daemon/src/batch/candidate.rs
+++ b/crates/daemon/src/batch/candidate.rs
@@ -288,7 +288,7 @@
         self.record_recovery(reason, followed_bytes, read_bytes, began);
         let held_bytes = followed_bytes + read_bytes;
         let (last_epoch, offer) = (recovered.latest_origin, self.offer.take());
-        let held_ends = held_ends::collect(Arc::clone(&self.scope.context), self.ends.clone());
+        let held_ends = held_ends::collect(Arc::clone(&self.scope.context), self.ends.clone(), &ledger);
         let takeover = Takeover { log, ledger, held_bytes, last_epoch, idle, offer, missing, held_ends };
         self.run_owner(takeover).await;
     }
--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -13,7 +13,7 @@
 use futures::stream::FuturesUnordered;
 use lichenpulley_core::batch::pending_ends::{EndAnswer, EndKey, EndSource, PendingEnds, SettledEnd};
 use lichenpulley_core::decision::{Component, Decision};
-use lichenpulley_core::identity::ShardId;
+use lichenpulley_core::identity::{BatchId, ShardId};
 use lichenpulley_core::time::{Timestamp, whole_millis};
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, HoldEnd};
 use lichenpulley_protocol::operator::PendingEndStatus;
@@ -25,7 +25,7 @@
 use crate::context::Context;
 
 /// Number of other nodes that get a copy of an end; with this node's own, two nodes may be lost.
-const COPIES: usize = 2;
+pub(super) const COPIES: usize = 2;
 /// Timeout of one request to another node to hold an end.
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a caller waits for the owner's answer; longer than the search for the owner. The end stays
@@ -236,8 +236,7 @@
             member.node != context.node && member.roles.gateway && region(member.zone.as_str()) == own_region
         });
         let mut others: Vec<Arc<Member>> = others.cloned().collect();
-        let order = ShardId::new(key.batch.as_str());
-        others.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
+        sort_copy_holders(&mut others, &key.batch);
         others
     }
 
@@ -250,6 +249,12 @@
     }
 }
 
+/// Sorts gateways into the order in which they get copies of a job's end.
+pub(super) fn sort_copy_holders(gateways: &mut [Arc<Member>], batch: &BatchId) {
+    let order = ShardId::new(batch.as_str());
+    gateways.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
+}
+
 async fn ask(jobs: &BatchJobs, key: EndKey) -> (EndKey, BatchResponse) {
     let request = BatchRequest::End { batch: key.batch.clone(), caller: key.caller.clone() };
     let response = jobs.ask_about(&key.batch, request).await;
--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -1,23 +1,31 @@
-//! Collects the ends of jobs that gateways hold, for a node that has taken a shard over.
+//! Collects the ends of open jobs that gateways hold, for a node that has taken a shard over.
 //!
 //! A job may have been ended while its shard had no owner, or one that could not commit. The log has the job open
-//! then, and the gateways would ask the new owner only after it has started the job's items.
+//! then, and the gateways would ask the new owner only after it has started the job's items. The gateways that hold a
+//! copy of an end follow from the job, so that a large deployment needs few requests.
 
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join_all;
+use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::pending_ends::EndKey;
+use lichenpulley_core::identity::{BatchId, NodeId};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::EndHolder;
+use super::end_holder::{COPIES, sort_copy_holders};
 use crate::cluster::Member;
 use crate::context::Context;
 
 /// Timeout of the request to one gateway. A gateway that has failed and is still listed delays the first items this
 /// long.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of gateways in each region that are asked for the end of a job. Those that hold a copy are the first ones
+/// that could be reached when the end was read.
+const ASKED_GATEWAYS: usize = COPIES + 2;
 
 /// The ends that gateways hold.
 pub(super) struct HeldEnds {
@@ -31,20 +39,22 @@
     pub(super) took: Duration,
 }
 
-/// Starts collecting the ends, and returns the channel on which they arrive, once.
-pub(super) fn collect(context: Context, own: EndHolder) -> mpsc::Receiver<HeldEnds> {
+/// Starts collecting the ends of the ledger's open jobs, and returns the channel on which they arrive, once.
+pub(super) fn collect(context: Context, own: EndHolder, ledger: &Ledger) -> mpsc::Receiver<HeldEnds> {
+    let open = ledger.jobs().iter().filter(|(_, state)| !state.is_ended);
+    let open: Vec<BatchId> = open.map(|(batch, _)| batch.clone()).collect();
     let (sender, held) = mpsc::channel(1);
     tokio::spawn(async move {
         // Sending fails only once the owner has ended.
-        let _ = sender.send(ask_gateways(&context, &own).await).await;
+        let _ = sender.send(ask_gateways(&context, &own, &open).await).await;
     });
     held
 }
 
-async fn ask_gateways(context: &Context, own: &EndHolder) -> HeldEnds {
+async fn ask_gateways(context: &Context, own: &EndHolder, open: &[BatchId]) -> HeldEnds {
     let began = Instant::now();
     let peers = context.peers.separate();
-    let others = other_gateways(context);
+    let others = likely_holders(context, open);
     let calls = others.iter().map(|member| peers.pending_ends(member.peer_address, COLLECT_TIMEOUT));
     // A gateway that does not answer sends its ends to the owner later.
     let answers: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
@@ -54,8 +64,22 @@
     HeldEnds { ends, asked, answered, took: began.elapsed() }
 }
 
-fn other_gateways(context: &Context) -> Vec<Arc<Member>> {
+/// Returns the other gateways that hold the ends of these jobs, if there are any.
+fn likely_holders(context: &Context, jobs: &[BatchId]) -> Vec<Arc<Member>> {
+    let zones = &context.settings.places.zones;
     let cluster = context.cluster.load();
-    let gateways = cluster.members.iter().filter(|member| member.roles.gateway);
-    gateways.filter(|member| member.node != context.node).cloned().collect()
+    let mut regions: HashMap<_, Vec<Arc<Member>>> = HashMap::new();
+    for member in cluster.members.iter().filter(|member| member.roles.gateway) {
+        regions.entry(zones.region(member.zone.as_str())).or_default().push(Arc::clone(member));
+    }
+    let mut holders: BTreeMap<NodeId, Arc<Member>> = BTreeMap::new();
+    for gateways in regions.values_mut() {
+        for job in jobs {
+            sort_copy_holders(gateways, job);
+            let first = gateways.iter().take(ASKED_GATEWAYS);
+            holders.extend(first.map(|member| (member.node.clone(), Arc::clone(member))));
+        }
+    }
+    holders.remove(&context.node);
+    holders.into_values().collect()
 }
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -9,6 +9,8 @@
 
 use hyper::{Method, StatusCode};
 use lichenpulley_core::decision::Decision;
+use lichenpulley_core::identity::{NodeId, ShardId};
+use lichenpulley_daemon::cluster::{Roles, rendezvous_weight};
 use lichenpulley_daemon::node::Node;
 use lichenpulley_platform::objects;
 use lichenpulley_protocol::operator::{DecisionEvent, PendingEndStatus};
@@ -16,7 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::Receiver;
 
-use crate::platform_system::{PATIENCE, System};
+use crate::platform_system::{PATIENCE, System, until};
 
 /// Events of streams that last longer than any test.
 const ENDLESS: u64 = 1_000_000;
@@ -215,3 +217,52 @@
         wait_for(&mut decisions, "end_kept", &job).await;
     }
 }
+
+/// Starts gateways that can't own jobs, and returns a job whose end they hold if gateway 2 reads it.
+async fn add_holders(system: &mut System) -> String {
+    for number in 2..5 {
+        let mut settings = system.settings(&format!("gateway-{number}"), number);
+        settings.roles = Roles { gateway: true, coordinator: false, store: false };
+        system.gateways.push(Some(Node::start(settings).await.expect("a gateway")));
+    }
+    let gateways = system.gateways.len();
+    let knows_all = |node: &Node| {
+        let cluster = node.context().cluster.load();
+        cluster.members.iter().filter(|member| member.roles.gateway).count() == gateways
+    };
+    until(|| system.gateways.iter().flatten().all(knows_all)).await;
+    let nodes: Vec<NodeId> =
+        system.gateways.iter().flatten().map(|node| node.context().node.clone()).collect();
+    let are_first = |job: &String| {
+        let shard = ShardId::new(job);
+        let weight = |node: &NodeId| rendezvous_weight(node, &shard);
+        // Copies go to the gateways with the lowest weights.
+        nodes[2..].iter().map(weight).max() < nodes[..2].iter().map(weight).min()
+    };
+    (0..).map(|number| format!("job-{number}")).find(are_first).expect("a job")
+}
+
+#[tokio::test]
+async fn a_successor_starts_no_item_of_a_job_whose_end_only_other_gateways_hold() {
+    let mut system = System::start(2, ENDLESS).await;
+    let job = add_holders(&mut system).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, &job, 4, 1).await;
+    let owner = system.owner();
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    end_and_leave(&system, 2, &job).await;
+    for holder in 3..5 {
+        wait_for_pending(&system, holder, 1).await;
+    }
+    kill(system.gateways[owner].take()).await;
+    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
+    let before = runs(&system);
+    let mut decisions = watch(&system, 1 - owner);
+    for number in 0..2 {
+        system.start_store(number).await;
+    }
+    wait_for(&mut decisions, "end_kept", &job).await;
+    assert_eq!(runs(&system), before);
+}
