Record ends that are not held because of their key

A gateway that doesn't know the key of an end answers 401 and holds nothing, as for any call; one without a configuration drops an early end whose key the first configuration lacks. Neither was told apart from an end that no gateway read: `end_refused` names the job and the reason.

--- a/crates/daemon/src/ingress/end_trace.rs
+++ b/crates/daemon/src/ingress/end_trace.rs
@@ -1,5 +1,5 @@
 //! Records decisions about a caller's request to end a batch job: when it was read, and how it was answered
-//! or that the caller disconnected first.
+//! or that the caller disconnected first; or that it is not held, and why.
 
 use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::BatchId;
@@ -9,6 +9,12 @@
 
 use crate::context::Context;
 
+/// Records that an end is not held, because its caller's key is not in the configuration or no configuration came in
+/// time.
+pub(super) fn record_refused(context: &Context, batch: &BatchId, reason: &str) {
+    context.decisions.record(Decision::new(Component::Rollout, "end_refused", reason, batch));
+}
+
 /// Traces one request to end a batch job. Dropping it unanswered records that the caller disconnected.
 pub(super) struct EndTrace {
     context: Context,
--- a/crates/daemon/src/ingress/ends.rs
+++ b/crates/daemon/src/ingress/ends.rs
@@ -20,13 +20,17 @@
 use super::Ingress;
 use super::batch_calls::{empty_response, refuse};
 use super::callers::Caller;
-use super::end_trace::EndTrace;
+use super::end_trace::{self, EndTrace};
 use crate::http::Body;
 
 /// Maximum number of ends that wait for the node's first configuration.
 pub(super) const MAX_EARLY_ENDS: usize = 256;
 /// How long an end waits for the first configuration.
 const EARLY_END_TIMEOUT: Duration = Duration::from_secs(120);
+/// Reason of an end that is not held because its caller's key is not in the configuration.
+const UNKNOWN_KEY: &str = "unknown_key";
+/// Reason of an end that is not held because the node got no configuration in time.
+const NO_CONFIGURATION: &str = "no_configuration";
 
 /// A held end and the pending response to its caller.
 pub(super) struct HeldEnd {
@@ -59,7 +63,10 @@
         hold_early(ingress, batch, request.headers());
         return None;
     };
-    let key = end_key(&table, batch.clone(), request.headers())?;
+    let Some(key) = end_key(&table, batch.clone(), request.headers()) else {
+        end_trace::record_refused(&ingress.context, &batch, UNKNOWN_KEY);
+        return None;
+    };
     let trace = EndTrace::begin(&ingress.context, &batch);
     let response = Box::pin(ingress.batch.ends().end(key));
     Some(HeldEnd { ingress: ingress.clone(), batch, trace, response })
@@ -87,11 +94,16 @@
     tokio::spawn(async move {
         let table = tokio::time::timeout(EARLY_END_TIMEOUT, first_configuration(&ingress)).await;
         drop((permit, trace));
-        // Without a configuration in time, or with an unknown key, the end is discarded. The caller was
-        // refused, and the trace has recorded that the end was not answered.
-        let Some(key) = table.ok().and_then(|table| end_key(&table, batch, &authorization)) else { return };
-        // The caller was already asked to retry, so the response is not awaited.
-        drop(ingress.batch.ends().end(key));
+        // The caller was already asked to retry, so the response is not awaited, and an end without a
+        // configuration in time or with an unknown key is discarded.
+        let key = match table {
+            Ok(table) => end_key(&table, batch.clone(), &authorization).ok_or(UNKNOWN_KEY),
+            Err(_) => Err(NO_CONFIGURATION),
+        };
+        match key {
+            Ok(key) => drop(ingress.batch.ends().end(key)),
+            Err(reason) => end_trace::record_refused(&ingress.context, &batch, reason),
+        }
     });
 }
 
--- a/crates/lab/tests/platform_tenants/mod.rs
+++ b/crates/lab/tests/platform_tenants/mod.rs
@@ -143,6 +143,24 @@
     );
 }
 
+#[tokio::test]
+async fn an_end_with_an_unknown_key_is_recorded_as_refused() {
+    let system = start(1).await;
+    let mut decisions = system.gateways[1].as_ref().expect("a gateway").context().decisions.watch();
+    let answer = ask(&system, Method::DELETE, "/-/lots/job", "Bearer unknown").await;
+    assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    let refused = async {
+        loop {
+            let decision = decisions.recv().await.expect("a decision").decision;
+            if decision.action == "end_refused" {
+                return (decision.subject.clone(), decision.reason.clone());
+            }
+        }
+    };
+    let refused = tokio::time::timeout(PATIENCE, refused).await.expect("the decision in time");
+    assert_eq!(refused, ("job".to_owned(), "unknown_key".to_owned()));
+}
+
 /// Fails if the operators' list of tenants is not the one in force, or if it shows a key.
 #[tokio::test]
 async fn operators_see_the_tenants_in_force_without_their_keys() {
