--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -1,25 +1,30 @@
 //! Handles requests of callers and other nodes at the owner.
 //!
-//! Invariants: requests are answered only while the owner's authority is confirmed. `Unknown` for a job that
-//! is absent, and a page without results, are returned only after a confirmation that began after the request
-//! arrived, since a later owner may have accepted the job, or listed results, while the previous confirmation
-//! is still valid.
+//! Invariants: requests other than ends are answered only while the owner's authority is confirmed. `Unknown` for
+//! a job that is absent, and a page without results, are returned only after a confirmation that began after the
+//! request arrived, since a later owner may have accepted the job, or listed results, while the previous
+//! confirmation is still valid.
 //! [`WaitingCallers`](super::waiting::WaitingCallers) holds the requests that have to wait.
 
 use std::time::Duration;
 
 use lichenpulley_core::batch::controller::Submission;
 use lichenpulley_core::batch::job::BatchJob;
+use lichenpulley_core::decision::{Component, Decision};
 use lichenpulley_core::identity::{BatchId, TenantName};
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse};
 
 use super::Owner;
 use crate::batch::Command;
+use crate::batch::held_ends::HeldEnds;
 
 impl Owner {
     /// Answers a command, or queues it until its response is available.
     pub(super) fn handle_command(&mut self, command: Command) {
-        if !self.stores.is_confirmed() {
+        // An end is answered once it is committed, which needs no confirmation, and the owner must not start the
+        // job's items when it is confirmed again.
+        let is_end = matches!(command.request, BatchRequest::End { .. });
+        if !is_end && !self.stores.is_confirmed() {
             return command.answer(BatchResponse::Unavailable);
         }
         if self.lacks_job_of(&command.request) {
@@ -86,10 +91,23 @@
         match self.controller.end(self.now(), &batch) {
             Some(true) => command.answer(BatchResponse::Ended),
             Some(false) => self.callers.add_end(batch, command),
-            None => self.callers.add_lookup(self.stores.clock().now(), command),
+            None if self.stores.is_confirmed() => {
+                self.callers.add_lookup(self.stores.clock().now(), command);
+            }
+            None => command.answer(BatchResponse::Unavailable),
         }
     }
 
+    /// Ends the jobs whose ends gateways held while the shard was taken over.
+    pub(super) fn end_held_jobs(&mut self, held: &HeldEnds) {
+        let decision =
+            Decision::new(Component::Rollout, "ends_collected", "taken_over", self.scope.shard.as_str());
+        let decision = decision.with("asked", held.asked).with("answered", held.answered);
+        let decision = decision.with("held", held.ends.len()).with("milliseconds", held.took.as_millis());
+        self.context.decisions.record(decision);
+        self.controller.end_held(self.now(), &held.ends);
+    }
+
     /// Returns whether a request reads a job that is not in the ledger.
     fn lacks_job_of(&self, request: &BatchRequest) -> bool {
         let reads = matches!(request, BatchRequest::Read { .. } | BatchRequest::ItemBody { .. });
