Cut answers of replicas within their heads at each byte in tests

Operators of like systems saw 200 with an empty or short body, framed as whole, where a replica stopped in its answer's head and closed. Whether it can happen here was untested.

Tests: stand-in replicas send the first n bytes of their first answer to each request and close or reset, for each n: with a length, chunked with a trailer, without a length, after an interim answer, and with line feeds alone. Plain requests (also on kept connections), requests that may not be repeated, resumable streams and others, items and scores; and streams of engines on the product's own interface, through a proxy.

--- a/crates/lab/tests/gateway.rs
+++ b/crates/lab/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway over the stand-in engine: whole answers, streams, refusals, and broken connections.
 
+mod gateway_cut_heads;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/lab/tests/platform_cut_heads/mod.rs
@@ -0,0 +1,218 @@
+//! Answers that end within their heads, at each byte: no caller and no job takes one for whole.
+
+mod replica;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use hyper::{Method, StatusCode};
+use lichenpulley_platform::objects;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::platform_system::{PATIENCE, System, configuration, until};
+use replica::{CutEnd, FORMS, Form, PLAIN_BODY, Sends, events};
+
+const REPLICAS: usize = 3;
+/// Requests at a time; each replica has more slots.
+const CONCURRENCY: usize = 8;
+
+/// Text of each item.
+const TEXT: &str = "piece 0\npiece 1\npiece 2";
+
+/// What a caller read.
+#[derive(Debug, PartialEq, Eq)]
+struct Read {
+    status: StatusCode,
+    body: String,
+    is_whole: bool,
+}
+
+/// One request whose first answer is cut.
+#[derive(Clone, Debug)]
+struct Case {
+    form: Form,
+    bytes: usize,
+    end: CutEnd,
+}
+
+impl Case {
+    fn path(&self, route: &str) -> String {
+        format!("/{route}/{:?}/{}/{:?}", self.form, self.bytes, self.end)
+    }
+}
+
+/// All cuts of the answers to requests with ids as long as this one, within the head; of a body that tells its end
+/// or is reset, up to its last byte.
+fn cases(id: &str, body: &str) -> Vec<Case> {
+    let mut cases = Vec::new();
+    for form in FORMS {
+        for end in [CutEnd::Closed, CutEnd::Reset] {
+            cases.extend((0..=last_cut(form, end, id, body)).map(|bytes| Case { form, bytes, end }));
+        }
+    }
+    cases
+}
+
+/// The cuts where a part of an answer begins or ends, and all cuts of one form if wanted. Runs and scores that break off are
+/// repeated after a pause.
+fn job_cases(id: &str, body: &str, is_every_byte: bool) -> Vec<Case> {
+    let mut cases = cases(id, body);
+    cases.retain(|case| {
+        let head = case.form.answer(id, body).head;
+        let edges = [0, head - 1, head, last_cut(case.form, case.end, id, body)];
+        let is_wanted = is_every_byte && (case.form, case.end) == (Form::Sized, CutEnd::Closed);
+        is_wanted || edges.contains(&case.bytes)
+    });
+    cases
+}
+
+fn last_cut(form: Form, end: CutEnd, id: &str, body: &str) -> usize {
+    let answer = form.answer(id, body);
+    let tells_end = form.has_length() || end == CutEnd::Reset;
+    if tells_end { answer.bytes.len() - 1 } else { answer.head - 1 }
+}
+
+/// An id of a fixed length.
+fn request_id(number: usize) -> String {
+    format!("r-{number:05}")
+}
+
+fn number_of(result: &serde_json::Value) -> usize {
+    let number = result["id"].as_str().and_then(|id| id.strip_prefix("r-")?.parse().ok());
+    number.expect("an id with a number")
+}
+
+fn score_id(number: usize) -> String {
+    format!("s-{number:05}")
+}
+
+/// A system whose replicas cut their first answers.
+async fn start() -> (System, Arc<Sends>) {
+    let system = System::start(0, 0).await;
+    let mut document = configuration(2);
+    let mut once = document["routes"][2].clone();
+    once["name"] = json!("once");
+    once["path_prefix"] = json!("/chat/");
+    once["resumable"] = json!(false);
+    document["routes"].as_array_mut().expect("routes").push(once);
+    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, document);
+    let sends = Arc::new(Sends::default());
+    for number in 0..REPLICAS {
+        let address = replica::start(Arc::clone(&sends)).await;
+        let record = json!({"service": "engines", "address": address.to_string(), "zone": "kajang", "version": "v1",
+            "slots": 64, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+            "models": [{"name": "pricing", "version": 1, "adapters": []}]});
+        system.platform.put(objects::REPLICAS, &format!("cutting-{number}"), record);
+    }
+    let metadata = &system.gateways[0].as_ref().expect("a gateway").context().metadata;
+    until(|| metadata.replicas.load().records.len() == REPLICAS).await;
+    until(|| metadata.routes.load().as_ref().is_some_and(|table| table.version == 2)).await;
+    (system, sends)
+}
+
+async fn read(system: &System, path: &str, id: &str) -> Read {
+    let request = system.request(0, Method::POST, path, &[("attempt-id", id)], Bytes::from("x"));
+    let response = system.http.send(system.gateway(0), request, Instant::now() + PATIENCE).await;
+    let (head, mut body) = response.expect("an answer").into_parts();
+    let mut text = Vec::new();
+    let is_whole = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => text.extend_from_slice(frame.data_ref().expect("data")),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    Read { status: head.status, body: String::from_utf8(text).expect("text"), is_whole }
+}
+
+/// Sends a request for each cut and returns the cases with what their callers read and how often each was sent.
+async fn read_all((system, sends): &(System, Arc<Sends>), route: &str, body: &str) -> Vec<(Case, Read, u32)> {
+    let cases = cases(&request_id(0), body).into_iter().enumerate();
+    let read = |(number, case): (usize, Case)| async move {
+        let id = request_id(number);
+        let read = read(system, &case.path(route), &id).await;
+        (case, read, sends.of(&id))
+    };
+    futures::stream::iter(cases).map(read).buffer_unordered(CONCURRENCY).collect().await
+}
+
+fn whole(body: &str) -> Read {
+    Read { status: StatusCode::OK, body: body.to_owned(), is_whole: true }
+}
+
+/// Fails with the cases for which `is_right` doesn't hold. Returns what was sent.
+async fn assert_all(route: &str, body: &str, is_right: impl Fn(&Read, u32) -> bool) -> Arc<Sends> {
+    let system = start().await;
+    let mut all = read_all(&system, route, body).await;
+    assert!(!all.is_empty());
+    all.retain(|(_, read, sends)| !is_right(read, *sends));
+    assert!(all.is_empty(), "{} cases: {all:?}", all.len());
+    system.1
+}
+
+#[tokio::test]
+async fn a_plain_request_whose_answer_ends_within_its_head_is_answered_whole_by_another_replica() {
+    let expected = whole(PLAIN_BODY);
+    let sends = assert_all("read", PLAIN_BODY, |read, sends| *read == expected && sends == 2).await;
+    assert!(sends.cut_on_kept() > 0);
+}
+
+#[tokio::test]
+async fn a_request_that_may_not_be_repeated_and_whose_answer_ends_within_its_head_runs_once_and_is_no_success()
+ {
+    assert_all("write", PLAIN_BODY, |read, sends| read.status == StatusCode::BAD_GATEWAY && sends == 1).await;
+}
+
+#[tokio::test]
+async fn a_resumable_stream_whose_answer_ends_within_its_head_brings_all_its_events() {
+    let expected = whole(&events(None));
+    assert_all("stream", &events(None), |read, sends| *read == expected && sends >= 2).await;
+}
+
+#[tokio::test]
+async fn a_stream_that_is_not_resumable_and_whose_answer_ends_within_its_head_runs_once_and_does_not_end_as_complete()
+ {
+    let is_right = |read: &Read, sends| !(read.status.is_success() && read.is_whole) && sends == 1;
+    assert_all("chat", &events(None), is_right).await;
+}
+
+#[tokio::test]
+async fn an_item_whose_answer_ends_within_its_head_is_run_again_and_its_text_is_whole() {
+    let (system, sends) = start().await;
+    let cases = job_cases(&request_id(0), &events(None), true);
+    let item = |(number, case): (usize, &Case)| {
+        json!({"id": request_id(number), "path": case.path("stream"), "headers": {"Model": "pricing"},
+            "body": "Ym9keQ==", "tokens": 100, "group": format!("g{number}")})
+    };
+    system.submit_items(0, "job", 1, cases.iter().enumerate().map(item).collect()).await;
+    let mut results = system.results(0, "job").await;
+    assert_eq!(results.len(), cases.len());
+    results.retain(|result| result["state"] != "complete" || result["text"] != TEXT);
+    let broken = results.iter().map(|result| (&cases[number_of(result)], result)).collect::<Vec<_>>();
+    assert!(broken.is_empty(), "{} cases: {broken:?}", broken.len());
+    for (number, case) in cases.iter().enumerate() {
+        assert!(sends.of(&request_id(number)) >= 2, "{case:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_score_request_whose_answer_ends_within_its_head_is_sent_again() {
+    let (system, sends) = start().await;
+    let cases = job_cases(&score_id(0), PLAIN_BODY, false);
+    let item = |(number, case): (usize, &Case)| {
+        let scorer = json!({"id": score_id(number), "host": "Shop.Example", "path": case.path("read"), "body": "c2NvcmU="});
+        json!({"id": request_id(number), "path": "/stream/Sized/1000/Closed", "headers": {"Model": "pricing"},
+            "body": "Ym9keQ==", "tokens": 100, "group": format!("g{number}"), "scorer": scorer})
+    };
+    system.submit_items(0, "job", 1, cases.iter().enumerate().map(item).collect()).await;
+    for result in system.results(0, "job").await {
+        assert_eq!((&result["state"], &result["text"]), (&json!("complete"), &json!(TEXT)), "{result}");
+        assert_eq!(result["score"], format!("seal of {}", score_id(number_of(&result))));
+    }
+    let unproven: Vec<_> = (0..cases.len()).filter(|number| sends.of(&score_id(*number)) != 2).collect();
+    let unproven: Vec<_> = unproven.into_iter().map(|number| &cases[number]).collect();
+    assert!(unproven.is_empty(), "{} cases: {unproven:?}", unproven.len());
+}
--- a/crates/lab/tests/platform_path.rs
+++ b/crates/lab/tests/platform_path.rs
@@ -4,6 +4,7 @@
 mod platform_changes;
 mod platform_cold;
 mod platform_cut;
+mod platform_cut_heads;
 mod platform_duties;
 mod platform_ends;
 mod platform_entries;
