Take an answer whose last transfer coding isn't chunked for one without a length

A resumable stream ended as complete with no event, and an item was listed as complete with no text, where the replica's head named a transfer coding other than chunked and its connection closed right after it.

Cause: any Transfer-Encoding or Content-Length field counted as framing. A body whose last coding isn't chunked ends with its connection (RFC 9112, 6.3), also beside a length, so a crash looks like its end.

Change: a response is framed if its body's length is known or chunked is its last coding. Streams and items treat all others as those without a length: they are resumed.

--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -115,6 +115,7 @@
     if let Some(end) = end_by_head(&response, &start.item.id) {
         return end;
     }
+    let is_framed = response::is_framed(&response);
     let (head, mut body) = response.into_parts();
     // The owner uses only the pace, so that replicas without one cost no event.
     if let Some(load) = reported_load(&head.headers).filter(|load| load.pace_percent.is_some()) {
@@ -126,7 +127,7 @@
     if let Err(end) = reader.read_all(&mut body).await {
         return end;
     }
-    if reader.splitter.has_partial_event() || !response::is_framed(&head.headers) {
+    if reader.splitter.has_partial_event() || !is_framed {
         return RunEnd::Broken;
     }
     pool.give_back(connection, &head.headers);
--- a/crates/daemon/src/http/response.rs
+++ b/crates/daemon/src/http/response.rs
@@ -3,7 +3,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::body::Body as HttpBody;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use lichenpulley_protocol::error::ErrorBody;
 use serde::Serialize;
@@ -77,7 +78,14 @@
 }
 
 /// Returns whether the end of a response's body can be told from a connection that closed early: the body has a length or
-/// ends with a last chunk.
-pub fn is_framed(fields: &HeaderMap) -> bool {
-    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
+/// ends with a last chunk. Takes the response before its body is read.
+pub fn is_framed<B: HttpBody>(response: &Response<B>) -> bool {
+    response.body().size_hint().exact().is_some() || is_chunked(response.headers())
+}
+
+/// Whether `chunked` is the last transfer coding (RFC 9112, 6.3).
+fn is_chunked(fields: &HeaderMap) -> bool {
+    let last = fields.get_all(TRANSFER_ENCODING).iter().next_back().and_then(|codings| codings.to_str().ok());
+    let last = last.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -215,12 +215,11 @@
     /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing.
     async fn end_between_events(
         &self,
-        exchange: &HttpExchange,
+        is_framed: bool,
         began_after: Option<u64>,
         last_event: Option<u64>,
     ) -> StreamEnd {
-        let is_certain = response::is_framed(exchange.response.headers());
-        if is_certain || !self.is_resumable || self.has_unnumbered {
+        if is_framed || !self.is_resumable || self.has_unnumbered {
             return StreamEnd::Complete;
         }
         let brought_nothing = began_after.is_some() && began_after == last_event;
@@ -285,6 +284,7 @@
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
     let began_after = *last_event;
+    let is_framed = response::is_framed(&exchange.response);
     let mut stalls_at = stream.stall_deadline();
     loop {
         let body = exchange.response.body_mut();
@@ -295,7 +295,7 @@
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !splitter.has_partial_event() => {
-                return stream.end_between_events(exchange, began_after, *last_event).await;
+                return stream.end_between_events(is_framed, began_after, *last_event).await;
             }
             Ok(None | Some(Err(_))) => {
                 stream.in_flight.record_no_answer();
