Take a success without a length whose connection ends right after its head for broken

Callers got 200 with an empty body, framed as whole (plain answers), or a stream that ended as complete with no event, where a replica's head named no length and its connection closed right after the head. A score was accepted in the same way.

Cause: the end of the connection is the end of a body without a length, so that of a replica that stops after its head looked like that of an empty body.

Change: such a success has to bring at least a byte, or a stream that can't be resumed an event. Otherwise it counts as broken off: sent to another replica where it may be repeated, 502 or a stream that breaks off elsewhere. An empty body with a length, in chunks, of a 204 or of a failure counts as whole as before. A body without a length that closes after some of its bytes still counts as whole, since nothing tells it from one; a reset doesn't.

A replica that means an empty body and names no length now costs its callers a 502; the log names the remedy.

--- a/crates/daemon/src/batch/score.rs
+++ b/crates/daemon/src/batch/score.rs
@@ -17,7 +17,7 @@
 
 use crate::context::Context;
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
-use crate::ingress::{callers, headers as fields};
+use crate::ingress::{answer_body, callers, headers as fields};
 use crate::metrics::Latency;
 use crate::quarantine::TracedRun;
 
@@ -73,13 +73,14 @@
             return if error == SendError::Withheld { ScoreEnd::Rejected } else { ScoreEnd::Broken };
         }
     };
+    let needs_body = answer_body::needs_body(&response);
     let (head, body) = response.into_parts();
     *load = fields::reported_load(&head.headers);
     if !fields::echoes_request_id(&head.headers, Some(&start.request.id)) {
         return ScoreEnd::Broken;
     }
     // An incomplete answer does not prove that the request was scored.
-    if !is_complete(body).await {
+    if !is_complete(body, needs_body).await {
         drop(connection);
         traced.record_broken().await;
         return ScoreEnd::Broken;
@@ -94,14 +95,14 @@
 }
 
 /// Reads a body to its end without keeping it. Returns whether it is complete and not too long.
-async fn is_complete(body: Incoming) -> bool {
+async fn is_complete(body: Incoming, needs_body: bool) -> bool {
     let mut body = Limited::new(body, MAX_SCORE_ANSWER_BYTES);
+    let mut is_empty = true;
     while let Some(frame) = body.frame().await {
-        if frame.is_err() {
-            return false;
-        }
+        let Ok(frame) = frame else { return false };
+        is_empty &= frame.data_ref().is_none_or(Bytes::is_empty);
     }
-    true
+    !(needs_body && is_empty)
 }
 
 fn build(start: &ScoreStart) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
--- a/crates/daemon/src/ingress/answer_body.rs
+++ b/crates/daemon/src/ingress/answer_body.rs
@@ -4,9 +4,13 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::{Body as _, Incoming};
+use hyper::http::response::Parts;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::http::response;
+
 /// Maximum size of a plain answer's body whose length is declared, in bytes. The body is buffered in memory before it is
 /// returned.
 pub const MAX_PLAIN_ANSWER_BYTES: usize = 32 << 20;
@@ -27,6 +31,11 @@
     /// The connection closed or the framing is invalid.
     #[error("it broke off: {0}; check the replica")]
     Broken(hyper::Error),
+    /// The connection closed after the head of a success without a length.
+    #[error(
+        "its connection closed right after its head, which names no length; check the replica, or let it send `content-length: 0`"
+    )]
+    Missing,
     /// The body is too long.
     #[error(
         "it has more than {limit_bytes} bytes; check the replica, or let it declare a length or send less at a time"
@@ -52,6 +61,17 @@
         Self(Arc::new(Semaphore::new(permits.min(Semaphore::MAX_PERMITS))))
     }
 
+    /// Reads a response to its end.
+    ///
+    /// # Errors
+    /// When its body breaks off, exceeds a bound or may be missing.
+    pub(super) async fn read_whole(&self, response: Response<Incoming>) -> Result<(Parts, Bytes), BodyError> {
+        let needs_body = needs_body(&response);
+        let (head, body) = response.into_parts();
+        let body = self.read(body).await?;
+        if needs_body && body.is_empty() { Err(BodyError::Missing) } else { Ok((head, body)) }
+    }
+
     /// Reads a body to its end.
     ///
     /// # Errors
@@ -85,3 +105,9 @@
         Ok(first.unwrap_or_else(|| buffer.freeze()))
     }
 }
+
+/// Whether a response without a body can't be told from one that broke off right after its head: it is a success, and only
+/// the end of the connection would end its body.
+pub(crate) fn needs_body(response: &Response<Incoming>) -> bool {
+    response.status().is_success() && !response::is_framed(response)
+}
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -115,10 +115,9 @@
         deadline: Instant,
     ) -> (SendOutcome, Option<BufferedAnswer>) {
         let HttpExchange { response, connection } = exchange;
-        let (head, body) = response.into_parts();
-        let body = self.ingress.answer_memory.read(body);
-        let body = match tokio::time::timeout_at(deadline, body).await {
-            Ok(Ok(body)) => body,
+        let read = tokio::time::timeout_at(deadline, self.ingress.answer_memory.read_whole(response));
+        let (head, body) = match read.await {
+            Ok(Ok(whole)) => whole,
             Ok(Err(error)) => {
                 ::log::debug!(target: "ingress", "The answer of replica {} was not read: {error}.", in_flight.replica.id);
                 // Closed before the probe, so that a replica that sends without end stops.
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -212,18 +212,22 @@
     }
 
     /// Returns how a stream ended whose body ended between two events. A response without a length ends in the
-    /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing.
+    /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing. One
+    /// that can't be resumed is complete if it has brought an event.
     async fn end_between_events(
         &self,
         is_framed: bool,
         began_after: Option<u64>,
         last_event: Option<u64>,
     ) -> StreamEnd {
-        if is_framed || !self.is_resumable || self.has_unnumbered {
+        if is_framed {
             return StreamEnd::Complete;
         }
-        let brought_nothing = began_after.is_some() && began_after == last_event;
-        if brought_nothing && !self.in_flight.run.has_replica_ended().await {
+        let brought_nothing = began_after == last_event && !self.has_unnumbered;
+        if !self.is_resumable || self.has_unnumbered {
+            return if brought_nothing { StreamEnd::Broken } else { StreamEnd::Complete };
+        }
+        if brought_nothing && began_after.is_some() && !self.in_flight.run.has_replica_ended().await {
             return StreamEnd::Complete;
         }
         StreamEnd::Unframed
--- a/crates/lab/tests/platform_cut_heads/mod.rs
+++ b/crates/lab/tests/platform_cut_heads/mod.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// All cuts of the answers to requests with ids as long as this one, within the head; of a body that tells its end
+/// All cuts of the answers to requests with ids as long as this one, up to the end of the head; of a body that tells its end
 /// or is reset, up to its last byte.
 fn cases(id: &str, body: &str) -> Vec<Case> {
     let mut cases = Vec::new();
@@ -72,7 +72,7 @@
 fn last_cut(form: Form, end: CutEnd, id: &str, body: &str) -> usize {
     let answer = form.answer(id, body);
     let tells_end = form.has_length() || end == CutEnd::Reset;
-    if tells_end { answer.bytes.len() - 1 } else { answer.head - 1 }
+    if tells_end { answer.bytes.len() - 1 } else { answer.head }
 }
 
 /// An id of a fixed length.
@@ -216,3 +216,17 @@
     let unproven: Vec<_> = unproven.into_iter().map(|number| &cases[number]).collect();
     assert!(unproven.is_empty(), "{} cases: {unproven:?}", unproven.len());
 }
+
+#[tokio::test]
+async fn a_whole_plain_answer_of_any_form_is_returned_after_one_run() {
+    let (system, sends) = start().await;
+    for (number, form) in FORMS.into_iter().enumerate() {
+        for route in ["read", "write"] {
+            let id = format!("{route}-{number}");
+            let bytes = form.answer(&id, PLAIN_BODY).bytes.len();
+            let case = Case { form, bytes, end: CutEnd::Closed };
+            let read = read(&system, &case.path(route), &id).await;
+            assert_eq!((read, sends.of(&id)), (whole(PLAIN_BODY), 1), "{case:?}");
+        }
+    }
+}
--- a/crates/lab/tests/platform_cut_heads/replica.rs
+++ b/crates/lab/tests/platform_cut_heads/replica.rs
@@ -25,14 +25,16 @@
     Chunked,
     /// Without a length; it ends with its connection.
     Unframed,
+    /// Without a length, with a transfer coding that doesn't delimit it.
+    Identity,
     /// An interim answer comes before it.
     Interim,
     /// Its lines end with a line feed alone.
     LineFeeds,
 }
 
-pub(super) const FORMS: [Form; 5] =
-    [Form::Sized, Form::Chunked, Form::Unframed, Form::Interim, Form::LineFeeds];
+pub(super) const FORMS: [Form; 6] =
+    [Form::Sized, Form::Chunked, Form::Unframed, Form::Identity, Form::Interim, Form::LineFeeds];
 
 /// How the connection goes on after an answer that is cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +52,7 @@
 
 impl Form {
     pub(super) fn has_length(self) -> bool {
-        self != Self::Unframed
+        !matches!(self, Self::Unframed | Self::Identity)
     }
 
     /// Returns the answer of this form to a request with this id.
@@ -62,6 +64,9 @@
             }
             Self::Chunked => ("transfer-encoding: chunked\r\n".to_owned(), chunks(body)),
             Self::Unframed => ("connection: close\r\n".to_owned(), body.to_owned()),
+            Self::Identity => {
+                ("transfer-encoding: identity\r\nconnection: close\r\n".to_owned(), body.to_owned())
+            }
         };
         let interim =
             if self == Self::Interim { "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n" } else { "" };
