Don't return a failure in place of a stream as whole when it broke off

Callers of streams got a replica's 4xx or 5xx with an empty body, framed as whole, where its body broke off, was too long or was late; an answer that ends early must not look complete. Plain requests count such an answer as broken.

Cause: the body was left out when it could not be read, since the status alone reports the failure.

Change: a failure is read like a plain answer, within the same bounds of memory, and one that isn't complete gives 502, as the request may have run. What both share moves to InFlightRequest::read and BufferedAnswer.

--- a/crates/daemon/src/ingress/answer_body.rs
+++ b/crates/daemon/src/ingress/answer_body.rs
@@ -1,4 +1,4 @@
-//! Reads the bodies of replicas' plain answers within bounds, for each answer and for all that are being read.
+//! Reads replicas' plain answers and failures within bounds, for each answer and for all that are being read.
 
 use std::sync::Arc;
 
@@ -9,7 +9,8 @@
 use hyper::http::response::Parts;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::http::response;
+use super::headers;
+use crate::http::{Body, response};
 
 /// Maximum size of a plain answer's body whose length is declared, in bytes. The body is buffered in memory before it is
 /// returned.
@@ -49,6 +50,22 @@
     NoMemory,
 }
 
+/// A replica's response with its complete body.
+pub(super) struct BufferedAnswer {
+    pub(super) head: Parts,
+    body: Bytes,
+}
+
+impl BufferedAnswer {
+    /// Returns the response to the caller.
+    pub(super) fn into_response(self) -> Response<Body> {
+        let mut passed = Response::new(response::full(self.body));
+        *passed.status_mut() = self.head.status;
+        *passed.headers_mut() = headers::end_to_end(&self.head.headers);
+        passed
+    }
+}
+
 /// The memory for answers that are being read. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct AnswerMemory(Arc<Semaphore>);
@@ -65,11 +82,14 @@
     ///
     /// # Errors
     /// When its body breaks off, exceeds a bound or may be missing.
-    pub(super) async fn read_whole(&self, response: Response<Incoming>) -> Result<(Parts, Bytes), BodyError> {
+    pub(super) async fn read_whole(&self, response: Response<Incoming>) -> Result<BufferedAnswer, BodyError> {
         let needs_body = needs_body(&response);
         let (head, body) = response.into_parts();
         let body = self.read(body).await?;
-        if needs_body && body.is_empty() { Err(BodyError::Missing) } else { Ok((head, body)) }
+        if needs_body && body.is_empty() {
+            return Err(BodyError::Missing);
+        }
+        Ok(BufferedAnswer { head, body })
     }
 
     /// Reads a body to its end.
--- a/crates/daemon/src/ingress/forward.rs
+++ b/crates/daemon/src/ingress/forward.rs
@@ -2,14 +2,14 @@
 //!
 //! [`AttemptLoop`] selects replicas and retries.
 
-use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
 use lichenpulley_core::retry::early_moves::EarlyMoveResult;
 use tokio::time::Instant;
 
+use super::answer_body::BufferedAnswer;
 use super::attempt_loop::{AttemptLoop, ReplicaAttempt};
 use super::caller_request::CallerRequest;
 use super::callers::Caller;
@@ -18,14 +18,7 @@
 use super::refusal::Refusal;
 use super::{Ingress, headers};
 use crate::duties::RunCount;
-use crate::http::{Body, response};
-
-/// A replica's response with its complete body.
-struct BufferedAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
+use crate::http::Body;
 
 /// Answers one plain request.
 pub(super) async fn handle(
@@ -51,8 +44,8 @@
     }
     match ended {
         Ok((in_flight, answer)) => {
-            request.record(ingress, &in_flight, "answered", answer.status.as_str(), attempts.sends());
-            build_response(answer)
+            request.record(ingress, &in_flight, "answered", answer.head.status.as_str(), attempts.sends());
+            answer.into_response()
         }
         Err(refused) => refused,
     }
@@ -114,23 +107,11 @@
         exchange: HttpExchange,
         deadline: Instant,
     ) -> (SendOutcome, Option<BufferedAnswer>) {
-        let HttpExchange { response, connection } = exchange;
-        let read = tokio::time::timeout_at(deadline, self.ingress.answer_memory.read_whole(response));
-        let (head, body) = match read.await {
-            Ok(Ok(whole)) => whole,
-            Ok(Err(error)) => {
-                ::log::debug!(target: "ingress", "The answer of replica {} was not read: {error}.", in_flight.replica.id);
-                // Closed before the probe, so that a replica that sends without end stops.
-                drop(connection);
-                in_flight.record_no_answer();
-                in_flight.run.record_broken().await;
-                return (SendOutcome::Broken, None);
-            }
-            Err(_) => {
-                in_flight.record_no_answer();
-                return (SendOutcome::TimedOut, None);
-            }
+        let (answer, connection) = match in_flight.read(exchange, deadline).await {
+            Ok(read) => read,
+            Err(outcome) => return (outcome, None),
         };
+        let head = &answer.head;
         if !headers::echoes_request_id(&head.headers, request.request_id.as_deref()) {
             return (SendOutcome::Broken, None);
         }
@@ -142,14 +123,6 @@
             in_flight.record_answered();
             in_flight.run.record_complete();
         }
-        let answer = BufferedAnswer { status: head.status, headers: head.headers, body };
         (outcome, Some(answer))
     }
 }
-
-fn build_response(answer: BufferedAnswer) -> Response<Body> {
-    let mut passed = Response::new(response::full(answer.body));
-    *passed.status_mut() = answer.status;
-    *passed.headers_mut() = headers::end_to_end(&answer.headers);
-    passed
-}
--- a/crates/daemon/src/ingress/in_flight.rs
+++ b/crates/daemon/src/ingress/in_flight.rs
@@ -15,8 +15,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::answer_body::BufferedAnswer;
 use super::caller_request::CallerRequest;
-use super::pool::{HttpExchange, SendError};
+use super::pool::{Connection, HttpExchange, SendError};
 use super::{Ingress, headers};
 use crate::quarantine::TracedRun;
 
@@ -130,6 +131,34 @@
         Ok(exchange)
     }
 
+    /// Reads the complete response. Its connection may carry another request afterwards.
+    ///
+    /// # Errors
+    /// Returns the outcome of the send if the response broke off or was not complete by the deadline.
+    pub(super) async fn read(
+        &mut self,
+        exchange: HttpExchange,
+        deadline: Instant,
+    ) -> Result<(BufferedAnswer, Connection), SendOutcome> {
+        let HttpExchange { response, connection } = exchange;
+        let read = self.ingress.answer_memory.read_whole(response);
+        match tokio::time::timeout_at(deadline, read).await {
+            Ok(Ok(answer)) => Ok((answer, connection)),
+            Ok(Err(error)) => {
+                ::log::debug!(target: "ingress", "The answer of replica {} was not read: {error}.", self.replica.id);
+                // Closed before the probe, so that a replica that sends without end stops.
+                drop(connection);
+                self.record_no_answer();
+                self.run.record_broken().await;
+                Err(SendOutcome::Broken)
+            }
+            Err(_) => {
+                self.record_no_answer();
+                Err(SendOutcome::TimedOut)
+            }
+        }
+    }
+
     /// Records that the replica answered.
     pub(super) fn record_answered(&mut self) {
         let took = self.started_at.elapsed();
--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Collected, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
@@ -30,8 +30,6 @@
 
 /// Maximum number of events buffered for a slow caller before reading from the replica pauses.
 const CALLER_EVENT_BACKLOG: usize = 64;
-/// Maximum size of an error response body that is forwarded, in bytes.
-const MAX_ERROR_BODY_BYTES: usize = 4 << 20;
 /// A resumable stream without a new event for this time is resumed at another replica, if one is available.
 const EVENT_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -91,13 +89,12 @@
     let max_sends = request.sends_allowed(ingress, route).await;
     let mut attempts = AttemptLoop::new(route, max_sends);
     let attempt = StreamAttempt { ingress, last_event: last_event.as_deref() };
-    let (mut in_flight, exchange) = match attempts.run(ingress, &request, &attempt).await {
+    let (in_flight, exchange) = match attempts.run(ingress, &request, &attempt).await {
         Ok(begun) => begun,
         Err(refused) => return refused,
     };
     if !exchange.response.status().is_success() {
-        in_flight.run.record_complete();
-        return forward_error_response(exchange, &request).await;
+        return forward_failure(ingress, &request, in_flight, exchange).await;
     }
     request.record(ingress, &in_flight, "stream_begun", "answered", attempts.sends());
     let stream =
@@ -165,17 +162,20 @@
     }
 }
 
-/// Forwards an unsuccessful response of a replica.
-async fn forward_error_response(exchange: HttpExchange, request: &CallerRequest) -> Response<Body> {
-    let (head, body) = exchange.response.into_parts();
-    let body = Limited::new(body, MAX_ERROR_BODY_BYTES).collect();
-    let body = tokio::time::timeout_at(request.deadline, body).await;
-    // The status alone reports the failure, so a body that is not complete in time is left out.
-    let body = body.ok().and_then(Result::ok).map(Collected::to_bytes).unwrap_or_default();
-    let mut passed = Response::new(response::full(body));
-    *passed.status_mut() = head.status;
-    *passed.headers_mut() = headers::end_to_end(&head.headers);
-    passed
+/// Forwards an unsuccessful response of a replica. One that is not complete is not forwarded, since it would look so.
+async fn forward_failure(
+    ingress: &Ingress,
+    request: &CallerRequest,
+    mut in_flight: InFlightRequest,
+    exchange: HttpExchange,
+) -> Response<Body> {
+    match in_flight.read(exchange, request.deadline).await {
+        Ok((answer, _connection)) => {
+            in_flight.run.record_complete();
+            answer.into_response()
+        }
+        Err(_) => request.refuse(ingress, Refusal::Unknown),
+    }
 }
 
 /// Spawns the task that forwards the stream, and returns the response with the head of the first replica.
--- a/crates/lab/tests/platform_cut_heads/mod.rs
+++ b/crates/lab/tests/platform_cut_heads/mod.rs
@@ -33,6 +33,7 @@
 /// One request whose first answer is cut.
 #[derive(Clone, Debug)]
 struct Case {
+    status: u16,
     form: Form,
     bytes: usize,
     end: CutEnd,
@@ -40,7 +41,7 @@
 
 impl Case {
     fn path(&self, route: &str) -> String {
-        format!("/{route}/{:?}/{}/{:?}", self.form, self.bytes, self.end)
+        format!("/{route}/{}/{:?}/{}/{:?}", self.status, self.form, self.bytes, self.end)
     }
 }
 
@@ -50,7 +51,12 @@
     let mut cases = Vec::new();
     for form in FORMS {
         for end in [CutEnd::Closed, CutEnd::Reset] {
-            cases.extend((0..=last_cut(form, end, id, body)).map(|bytes| Case { form, bytes, end }));
+            cases.extend((0..=last_cut(form, end, id, body)).map(|bytes| Case {
+                status: 200,
+                form,
+                bytes,
+                end,
+            }));
         }
     }
     cases
@@ -61,7 +67,7 @@
 fn job_cases(id: &str, body: &str, is_every_byte: bool) -> Vec<Case> {
     let mut cases = cases(id, body);
     cases.retain(|case| {
-        let head = case.form.answer(id, body).head;
+        let head = case.form.answer(200, id, body).head;
         let edges = [0, head - 1, head, last_cut(case.form, case.end, id, body)];
         let is_wanted = is_every_byte && (case.form, case.end) == (Form::Sized, CutEnd::Closed);
         is_wanted || edges.contains(&case.bytes)
@@ -70,7 +76,7 @@
 }
 
 fn last_cut(form: Form, end: CutEnd, id: &str, body: &str) -> usize {
-    let answer = form.answer(id, body);
+    let answer = form.answer(200, id, body);
     let tells_end = form.has_length() || end == CutEnd::Reset;
     if tells_end { answer.bytes.len() - 1 } else { answer.head }
 }
@@ -129,14 +135,21 @@
 }
 
 /// Sends a request for each cut and returns the cases with what their callers read and how often each was sent.
-async fn read_all((system, sends): &(System, Arc<Sends>), route: &str, body: &str) -> Vec<(Case, Read, u32)> {
-    let cases = cases(&request_id(0), body).into_iter().enumerate();
+async fn read_all(
+    (system, sends): &(System, Arc<Sends>),
+    route: &str,
+    cases: Vec<Case>,
+) -> Vec<(Case, Read, u32)> {
     let read = |(number, case): (usize, Case)| async move {
         let id = request_id(number);
         let read = read(system, &case.path(route), &id).await;
         (case, read, sends.of(&id))
     };
-    futures::stream::iter(cases).map(read).buffer_unordered(CONCURRENCY).collect().await
+    futures::stream::iter(cases.into_iter().enumerate())
+        .map(read)
+        .buffer_unordered(CONCURRENCY)
+        .collect()
+        .await
 }
 
 fn whole(body: &str) -> Read {
@@ -145,8 +158,12 @@
 
 /// Fails with the cases for which `is_right` doesn't hold. Returns what was sent.
 async fn assert_all(route: &str, body: &str, is_right: impl Fn(&Read, u32) -> bool) -> Arc<Sends> {
+    assert_cases(route, cases(&request_id(0), body), is_right).await
+}
+
+async fn assert_cases(route: &str, cases: Vec<Case>, is_right: impl Fn(&Read, u32) -> bool) -> Arc<Sends> {
     let system = start().await;
-    let mut all = read_all(&system, route, body).await;
+    let mut all = read_all(&system, route, cases).await;
     assert!(!all.is_empty());
     all.retain(|(_, read, sends)| !is_right(read, *sends));
     assert!(all.is_empty(), "{} cases: {all:?}", all.len());
@@ -179,6 +196,23 @@
     assert_all("chat", &events(None), is_right).await;
 }
 
+/// The failure of a request on the route of streams was returned with an empty body, framed as whole.
+#[tokio::test]
+async fn a_failure_in_place_of_a_stream_that_breaks_off_is_not_returned_as_whole() {
+    let mut cases = cases(&request_id(0), PLAIN_BODY);
+    // Nothing tells that a failure without a length has no body.
+    cases.retain(|case| case.form.has_length() || case.end == CutEnd::Reset);
+    cases.iter_mut().for_each(|case| case.status = 422);
+    let failed = Read { status: StatusCode::UNPROCESSABLE_ENTITY, ..whole(PLAIN_BODY) };
+    for route in ["stream", "chat"] {
+        let is_right = |read: &Read, sends| {
+            let is_retried = sends == 2 && *read == failed;
+            (sends == 1 && read.status == StatusCode::BAD_GATEWAY) || (route == "stream" && is_retried)
+        };
+        assert_cases(route, cases.clone(), is_right).await;
+    }
+}
+
 #[tokio::test]
 async fn an_item_whose_answer_ends_within_its_head_is_run_again_and_its_text_is_whole() {
     let (system, sends) = start().await;
@@ -204,7 +238,7 @@
     let cases = job_cases(&score_id(0), PLAIN_BODY, false);
     let item = |(number, case): (usize, &Case)| {
         let scorer = json!({"id": score_id(number), "host": "Shop.Example", "path": case.path("read"), "body": "c2NvcmU="});
-        json!({"id": request_id(number), "path": "/stream/Sized/1000/Closed", "headers": {"Model": "pricing"},
+        json!({"id": request_id(number), "path": "/stream/200/Sized/1000/Closed", "headers": {"Model": "pricing"},
             "body": "Ym9keQ==", "tokens": 100, "group": format!("g{number}"), "scorer": scorer})
     };
     system.submit_items(0, "job", 1, cases.iter().enumerate().map(item).collect()).await;
@@ -218,15 +252,17 @@
 }
 
 #[tokio::test]
-async fn a_whole_plain_answer_of_any_form_is_returned_after_one_run() {
+async fn a_whole_answer_of_any_form_is_returned_after_one_run() {
     let (system, sends) = start().await;
     for (number, form) in FORMS.into_iter().enumerate() {
-        for route in ["read", "write"] {
+        for (route, status) in [("read", 200), ("write", 200), ("stream", 422), ("chat", 422)] {
             let id = format!("{route}-{number}");
-            let bytes = form.answer(&id, PLAIN_BODY).bytes.len();
-            let case = Case { form, bytes, end: CutEnd::Closed };
+            let bytes = form.answer(status, &id, PLAIN_BODY).bytes.len();
+            let case = Case { status, form, bytes, end: CutEnd::Closed };
             let read = read(&system, &case.path(route), &id).await;
-            assert_eq!((read, sends.of(&id)), (whole(PLAIN_BODY), 1), "{case:?}");
+            let expected =
+                Read { status: StatusCode::from_u16(status).expect("a status"), ..whole(PLAIN_BODY) };
+            assert_eq!((read, sends.of(&id)), (expected, 1), "{case:?}");
         }
     }
 }
--- a/crates/lab/tests/platform_cut_heads/replica.rs
+++ b/crates/lab/tests/platform_cut_heads/replica.rs
@@ -1,6 +1,6 @@
 //! A replica that sends only the first bytes of its first answer to each request, and whole answers afterwards.
 //!
-//! The path of a request tells which: `/ROUTE/FORM/BYTES/END`.
+//! The path of a request tells which: `/ROUTE/STATUS/FORM/BYTES/END`.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -55,8 +55,8 @@
         !matches!(self, Self::Unframed | Self::Identity)
     }
 
-    /// Returns the answer of this form to a request with this id.
-    pub(super) fn answer(self, id: &str, body: &str) -> AnswerBytes {
+    /// Returns the answer of this form and status to a request with this id.
+    pub(super) fn answer(self, status: u16, id: &str, body: &str) -> AnswerBytes {
         let length = body.len();
         let (framing, body) = match self {
             Self::Sized | Self::Interim | Self::LineFeeds => {
@@ -71,7 +71,7 @@
         let interim =
             if self == Self::Interim { "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n" } else { "" };
         let head = format!(
-            "{interim}HTTP/1.1 200 OK\r\nattempt-id: {id}\r\n{framing}weight-versions: 1\r\nserver-seal: seal of {id}\r\n\r\n"
+            "{interim}HTTP/1.1 {status} Status\r\nattempt-id: {id}\r\n{framing}weight-versions: 1\r\nserver-seal: seal of {id}\r\n\r\n"
         );
         let head = if self == Self::LineFeeds { head.replace('\r', "") } else { head };
         AnswerBytes { bytes: format!("{head}{body}"), head: head.len() }
@@ -169,20 +169,22 @@
     let id = field(head, "attempt-id").unwrap_or_default();
     let path = head.split(' ').nth(1)?;
     let parts: Vec<&str> = path.split('/').skip(1).collect();
-    let [route, form, bytes, end] = parts[..] else {
+    let [route, status, form, bytes, end] = parts[..] else {
         // Reports and checks of other kinds.
         let _ = connection.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
         return Some(());
     };
     let form = FORMS.into_iter().find(|known| format!("{known:?}") == form)?;
     let last = field(head, "last-event-id").and_then(|last| last.parse().ok());
-    let body = if matches!(route, "stream" | "chat") { events(last) } else { PLAIN_BODY.to_owned() };
+    let status: u16 = status.parse().ok()?;
+    let has_events = matches!(route, "stream" | "chat") && status == 200;
+    let body = if has_events { events(last) } else { PLAIN_BODY.to_owned() };
     if sends.record(id) == 1 {
         let sent: usize = bytes.parse().ok()?;
-        let answer = form.answer(id, &body).bytes;
+        let answer = form.answer(status, id, &body).bytes;
         return cut(connection, &answer[..sent.min(answer.len())], end).await;
     }
-    let answer = Form::Sized.answer(id, &body).bytes;
+    let answer = Form::Sized.answer(status, id, &body).bytes;
     connection.write_all(answer.as_bytes()).await.ok()
 }
 
