Let replicas of the soak cut their answers within the heads

A replica that stops in the head of its answer and closes wasn't among the faults of the soak.

Change: a simulated replica with this behaviour closes the connection of every second request within the head of its answer, each at another byte, and the soak draws it beside the other behaviours.

--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -1,5 +1,7 @@
 //! The small HTTP server that every stand-in is built on.
 
+mod cut_stream;
+
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -19,6 +21,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::error::LabError;
+use cut_stream::CutStream;
 
 /// Bodies longer than this are refused.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -42,6 +45,8 @@
 pub enum Reply {
     /// Send this.
     Send(Response<Body>),
+    /// Send the first bytes of this, as many as named, and close the connection.
+    Cut(Response<Body>, usize),
     /// Close the connection without an answer, as when a reply is lost.
     Hang,
 }
@@ -106,11 +111,17 @@
 {
     // Small answers must not wait for acknowledgements of earlier ones.
     let _ = stream.set_nodelay(true);
+    let (stream, limit) = CutStream::new(stream);
     let service = service_fn(move |request| {
         let answer = handler(request);
+        let limit = limit.clone();
         async move {
             match answer.await {
                 Reply::Send(response) => Ok(response),
+                Reply::Cut(response, bytes) => {
+                    limit.cut_after(bytes);
+                    Ok(response)
+                }
                 Reply::Hang => Err(LostReply),
             }
         }
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -26,7 +26,20 @@
             lock(&state).health_checks += 1;
             with_load(&state, http::empty(StatusCode::OK).into())
         }
-        _ => with_load(&state, run(&state, request).await),
+        _ => cut_head(&state, with_load(&state, run(&state, request).await)),
+    }
+}
+
+/// Size of the part of each head at some byte of which it is cut; no head is shorter.
+const CUT_RANGE_BYTES: usize = 96;
+
+/// Cuts the head of every second answer if that is the replica's behaviour, each at another byte.
+fn cut_head(state: &Mutex<State>, reply: Reply) -> Reply {
+    let state = lock(state);
+    let is_cut = state.behaviour == ReplicaBehaviour::CutsHeads && state.seen.len().is_multiple_of(2);
+    match reply {
+        Reply::Send(answer) if is_cut => Reply::Cut(answer, state.seen.len() / 2 % CUT_RANGE_BYTES),
+        other => other,
     }
 }
 
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -46,6 +46,8 @@
     BreaksAfter(u64),
     /// Responds with the id of another request.
     AnswersForAnother,
+    /// Closes the connection of every second request within the head of its response.
+    CutsHeads,
 }
 
 /// A request that a replica began to run.
--- a/crates/lab/src/soak/fault.rs
+++ b/crates/lab/src/soak/fault.rs
@@ -124,6 +124,7 @@
             ReplicaBehaviour::LosesAnswers,
             ReplicaBehaviour::BreaksAfter(2),
             ReplicaBehaviour::AnswersForAnother,
+            ReplicaBehaviour::CutsHeads,
         ];
         let behaviour = behaviours[random.random_range(0..behaviours.len())];
         let fault = match random.random_range(0..10) {
--- a/crates/lab/tests/platform_cut_heads/mod.rs
+++ b/crates/lab/tests/platform_cut_heads/mod.rs
@@ -8,6 +8,7 @@
 use futures::StreamExt;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
+use lichenpulley_lab::platform_replica::ReplicaBehaviour;
 use lichenpulley_platform::objects;
 use serde_json::json;
 use tokio::time::Instant;
@@ -19,6 +20,8 @@
 /// Requests at a time; each replica has more slots.
 const CONCURRENCY: usize = 8;
 
+/// Requests to a system whose replicas cut every second answer.
+const REQUESTS_TO_CUTTING: usize = 200;
 /// Text of each item.
 const TEXT: &str = "piece 0\npiece 1\npiece 2";
 
@@ -266,3 +269,17 @@
         }
     }
 }
+
+#[tokio::test]
+async fn no_answer_is_cut_short_while_all_simulated_replicas_cut_the_heads_of_theirs() {
+    let system = System::start(2, 3).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    let seen = || system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
+    let before = seen();
+    system.replicas.iter().for_each(|replica| replica.set_behaviour(ReplicaBehaviour::CutsHeads));
+    for number in 0..REQUESTS_TO_CUTTING {
+        let answer = read(&system, "/read/x", &request_id(number)).await;
+        assert!(answer == whole("x") || answer.status == StatusCode::BAD_GATEWAY, "{answer:?}");
+    }
+    assert!(seen() - before > REQUESTS_TO_CUTTING, "no answer was cut");
+}
