--- a/crates/daemon/src/ingress/stream.rs
+++ b/crates/daemon/src/ingress/stream.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Collected, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lichenpulley_core::ingress::attempts::{NextStep, SendOutcome};
@@ -30,8 +30,6 @@
 
 /// Maximum number of events buffered for a slow caller before reading from the replica pauses.
 const CALLER_EVENT_BACKLOG: usize = 64;
-/// Maximum size of an error response body that is forwarded, in bytes.
-const MAX_ERROR_BODY_BYTES: usize = 4 << 20;
 /// A resumable stream without a new event for this time is resumed at another replica, if one is available.
 const EVENT_STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -91,13 +89,12 @@
     let max_sends = request.sends_allowed(ingress, route).await;
     let mut attempts = AttemptLoop::new(route, max_sends);
     let attempt = StreamAttempt { ingress, last_event: last_event.as_deref() };
-    let (mut in_flight, exchange) = match attempts.run(ingress, &request, &attempt).await {
+    let (in_flight, exchange) = match attempts.run(ingress, &request, &attempt).await {
         Ok(begun) => begun,
         Err(refused) => return refused,
     };
     if !exchange.response.status().is_success() {
-        in_flight.run.record_complete();
-        return forward_error_response(exchange, &request).await;
+        return forward_failure(ingress, &request, in_flight, exchange).await;
     }
     request.record(ingress, &in_flight, "stream_begun", "answered", attempts.sends());
     let stream =
@@ -165,17 +162,20 @@
     }
 }
 
-/// Forwards an unsuccessful response of a replica.
-async fn forward_error_response(exchange: HttpExchange, request: &CallerRequest) -> Response<Body> {
-    let (head, body) = exchange.response.into_parts();
-    let body = Limited::new(body, MAX_ERROR_BODY_BYTES).collect();
-    let body = tokio::time::timeout_at(request.deadline, body).await;
-    // The status alone reports the failure, so a body that is not complete in time is left out.
-    let body = body.ok().and_then(Result::ok).map(Collected::to_bytes).unwrap_or_default();
-    let mut passed = Response::new(response::full(body));
-    *passed.status_mut() = head.status;
-    *passed.headers_mut() = headers::end_to_end(&head.headers);
-    passed
+/// Forwards an unsuccessful response of a replica. One that is not complete is not forwarded, since it would look so.
+async fn forward_failure(
+    ingress: &Ingress,
+    request: &CallerRequest,
+    mut in_flight: InFlightRequest,
+    exchange: HttpExchange,
+) -> Response<Body> {
+    match in_flight.read(exchange, request.deadline).await {
+        Ok((answer, _connection)) => {
+            in_flight.run.record_complete();
+            answer.into_response()
+        }
+        Err(_) => request.refuse(ingress, Refusal::Unknown),
+    }
 }
 
 /// Spawns the task that forwards the stream, and returns the response with the head of the first replica.
@@ -212,19 +212,22 @@
     }
 
     /// Returns how a stream ended whose body ended between two events. A response without a length ends in the
-    /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing.
+    /// same way when its replica crashes, so it is resumed until a replica that is still alive brings nothing. One
+    /// that can't be resumed is complete if it has brought an event.
     async fn end_between_events(
         &self,
-        exchange: &HttpExchange,
+        is_framed: bool,
         began_after: Option<u64>,
         last_event: Option<u64>,
     ) -> StreamEnd {
-        let is_certain = response::is_framed(exchange.response.headers());
-        if is_certain || !self.is_resumable || self.has_unnumbered {
+        if is_framed {
             return StreamEnd::Complete;
         }
-        let brought_nothing = began_after.is_some() && began_after == last_event;
-        if brought_nothing && !self.in_flight.run.has_replica_ended().await {
+        let brought_nothing = began_after == last_event && !self.has_unnumbered;
+        if !self.is_resumable || self.has_unnumbered {
+            return if brought_nothing { StreamEnd::Broken } else { StreamEnd::Complete };
+        }
+        if brought_nothing && began_after.is_some() && !self.in_flight.run.has_replica_ended().await {
             return StreamEnd::Complete;
         }
         StreamEnd::Unframed
@@ -285,6 +288,7 @@
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
     let began_after = *last_event;
+    let is_framed = response::is_framed(&exchange.response);
     let mut stalls_at = stream.stall_deadline();
     loop {
         let body = exchange.response.body_mut();
@@ -295,7 +299,7 @@
         let frame = match frame {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) if !splitter.has_partial_event() => {
-                return stream.end_between_events(exchange, began_after, *last_event).await;
+                return stream.end_between_events(is_framed, began_after, *last_event).await;
             }
             Ok(None | Some(Err(_))) => {
                 stream.in_flight.record_no_answer();
