Wait for slow gateways, and not for a single lost one, when ends are collected

A gateway on a busy machine may need more than 0.3 s for a new connection and an answer, and a single gateway that is lost and still listed delayed the first items of each takeover by the whole time. The answers are now awaited for 0.5 s, and all but one are enough: each end has two copies, and the node that read it. Where no more gateways are asked than get copies, all are awaited.

--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::pending_ends::EndKey;
 use lichenpulley_core::identity::{BatchId, NodeId};
@@ -20,9 +21,9 @@
 use crate::cluster::Member;
 use crate::context::Context;
 
-/// Timeout of the request to one gateway. A gateway that has failed and is still listed delays the first items this
-/// long.
-const COLLECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of the request to one gateway. Gateways that have failed and are still listed delay the first items this
+/// long, unless it is only one.
+const COLLECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of gateways in each region that are asked for the end of a job. Those that hold a copy are the first ones
 /// that could be reached when the end was read.
 const ASKED_GATEWAYS: usize = COPIES + 2;
@@ -56,14 +57,26 @@
     let peers = context.peers.separate();
     let others = likely_holders(context, open);
     let calls = others.iter().map(|member| peers.pending_ends(member.peer_address, COLLECT_TIMEOUT));
+    let mut calls: FuturesUnordered<_> = calls.collect();
+    let asked = calls.len();
+    let (mut ends, mut answered) = (own.pending(), 0);
     // A gateway that does not answer sends its ends to the owner later.
-    let answers: Vec<_> = join_all(calls).await.into_iter().flatten().collect();
-    let (asked, answered) = (others.len(), answers.len());
-    let ends = answers.into_iter().flatten().chain(own.pending());
-    let ends = ends.map(|end| EndKey { batch: end.batch, caller: end.caller }).collect();
+    while asked - answered > dispensable_answers(asked)
+        && let Some(answer) = calls.next().await
+    {
+        answered += usize::from(answer.is_ok());
+        ends.extend(answer.into_iter().flatten());
+    }
+    let ends = ends.into_iter().map(|end| EndKey { batch: end.batch, caller: end.caller }).collect();
     HeldEnds { ends, asked, answered, took: began.elapsed() }
 }
 
+/// Returns how many of the gateways need not answer: of those that hold the copies of one end, another one does. Few
+/// gateways may hold fewer copies.
+const fn dispensable_answers(asked: usize) -> usize {
+    if asked > COPIES { COPIES - 1 } else { 0 }
+}
+
 /// Returns the other gateways that hold the ends of these jobs, if there are any.
 fn likely_holders(context: &Context, jobs: &[BatchId]) -> Vec<Arc<Member>> {
     let zones = &context.settings.places.zones;
