Play outages, repeated items and ends that overtake their jobs in the soak

Six callers end jobs in place of three.

Jobs that go on after an end that may be lost stand in the report as `ends_lost`. The main faults of a seed stay as they were; outages are drawn by a generator of their own.

The callers moved from `job_ends` to `job_enders`; `job_ends` keeps the record and the check.

--- a/crates/lab/src/soak/fault.rs
+++ b/crates/lab/src/soak/fault.rs
@@ -26,6 +26,10 @@
     FreezeStores,
     /// Stops a gateway gracefully with SIGTERM and restarts it.
     StopGateway(usize),
+    /// Kills all gateways at once and restarts them.
+    KillGateways,
+    /// Kills all stores and gateways at once and restarts them.
+    KillNodes,
     /// Makes the platform's metadata store fail for all nodes.
     Platform(ResponseMode),
     /// Disturbs the connections of one gateway to the platform's metadata store.
@@ -162,4 +166,17 @@
         let lasts = Duration::from_millis(random.random_range(200..2_500));
         Self { fault, lasts, pause: Duration::ZERO, evacuated: None }
     }
+
+    /// Draws the loss of a store's disk, to be injected at the same moment as another fault.
+    pub fn draw_disk_loss<R: Rng>(size: SystemSize, random: &mut R) -> Self {
+        let fault = Fault::WipeStore(random.random_range(0..size.stores));
+        Self { fault, lasts: Duration::ZERO, pause: Duration::ZERO, evacuated: None }
+    }
+
+    /// Draws an outage: all gateways, or all nodes, are killed at once. It may overlap any other fault.
+    pub fn draw_outage<R: Rng>(random: &mut R) -> Self {
+        let fault = if random.random_bool(0.5) { Fault::KillGateways } else { Fault::KillNodes };
+        let lasts = Duration::from_millis(random.random_range(200..2_000));
+        Self { fault, lasts, pause: Duration::ZERO, evacuated: None }
+    }
 }
--- a/crates/lab/src/soak/job_ends.rs
+++ b/crates/lab/src/soak/job_ends.rs
@@ -1,18 +1,12 @@
-//! Callers that end jobs while they are open, and the check that replicas receive no request of a job after its end.
+//! Records the ends of jobs that callers requested, and checks that replicas receive no request of a job after its end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
-use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-
-use super::caller::{Callers, HOST, RETRY_PAUSE};
-use super::history::{SoakHistory, score_id};
+
+use super::history::SoakHistory;
 use crate::platform_replica::SeenRequest;
 
 /// Time after the acknowledgement of an end from which no request of the job may arrive (`cancel_ms` of the platform's pages).
@@ -23,65 +17,47 @@
 const CONTACT_WITHIN: Duration = Duration::from_secs(3);
 /// An end that was sent within this time before the gateway was killed may be lost.
 const KILL_LOSS_WINDOW: Duration = Duration::from_secs(1);
-/// Items in a job that stays open because its engines can't finish it soon.
-const LONG_JOB_ITEMS: usize = 150;
-/// Items in a job that stays open because its scorer's responses are lost.
-const SCORED_JOB_ITEMS: usize = 4;
-/// Time limit for a caller that retries until its end is acknowledged.
-const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time limit of one attempt of a caller that retries.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One request to end a job that was written whole to a gateway.
 #[derive(Clone, Copy, Debug)]
-struct SentEnd {
-    gateway: SocketAddr,
-    at: Instant,
-    is_acknowledged: bool,
+pub(super) struct SentEnd {
+    pub(super) gateway: SocketAddr,
+    pub(super) at: Instant,
+    /// Status of the response, or `None` if there was none.
+    pub(super) status: Option<StatusCode>,
 }
 
 /// The end of one job, as its caller observed it.
 #[derive(Clone, Debug)]
-struct JobEnd {
-    /// Id of the job, which is the prefix of its items' ids.
-    job: String,
-    /// Attempts that were written whole to a gateway.
-    sent: Vec<SentEnd>,
-    acknowledged_at: Option<Instant>,
+pub(super) struct JobEnd {
+    /// Id of the job.
+    pub(super) job: String,
+    /// Prefix of the ids of its items, which several jobs may have in common.
+    pub(super) items: String,
+    /// When the job was first sent.
+    pub(super) submitted_at: Instant,
+    /// Attempts that were written whole to a gateway. Without any, the job is open.
+    pub(super) sent: Vec<SentEnd>,
+    pub(super) acknowledged_at: Option<Instant>,
 }
 
 /// All ends of jobs, and the times at which gateways were killed, suspended or resumed.
 #[derive(Debug, Default)]
 pub struct EndHistory {
     ends: Vec<JobEnd>,
+    /// Jobs whose end a gateway has logged as read.
+    read: BTreeSet<String>,
     kills: Vec<(SocketAddr, Instant)>,
     freezes: Vec<Instant>,
 }
 
-/// How long a caller tries to end a job.
-#[derive(Clone, Copy, Debug)]
-enum EndStrategy {
-    /// Retries until the end is acknowledged.
-    RetryUntilAcknowledged,
-    /// Sends the request once and closes the connection after this time.
-    AbandonAfter(Duration),
-}
-
-impl EndStrategy {
-    fn draw(random: &mut Pcg64Mcg) -> Self {
-        match random.random_range(0..3) {
-            0 => Self::RetryUntilAcknowledged,
-            1 => Self::AbandonAfter(Duration::from_millis(random.random_range(0..50))),
-            _ => Self::AbandonAfter(Duration::from_millis(random.random_range(50..2_500))),
-        }
-    }
-
-    const fn timeout(self) -> Duration {
-        match self {
-            Self::RetryUntilAcknowledged => ATTEMPT_TIMEOUT,
-            Self::AbandonAfter(timeout) => timeout,
-        }
-    }
+/// A job of which requests arrived too late after its end.
+struct LateJob<'a> {
+    end: &'a JobEnd,
+    /// Whether the end, or that of another job with the same items, may have been lost with a gateway.
+    may_be_lost: bool,
+    arrivals: usize,
+    first: &'a SeenRequest,
 }
 
 impl EndHistory {
@@ -95,156 +71,101 @@
         self.freezes.push(Instant::now());
     }
 
-    /// Returns the number of jobs that were ended.
-    pub const fn count(&self) -> usize {
-        self.ends.len()
-    }
-
-    /// Returns, for each job of which a request arrived too late after its end, the job and a description. `healthy_since` is when
-    /// the last fault was undone.
-    fn late_arrivals(&self, seen: &[SeenRequest], healthy_since: Instant) -> Vec<(String, String)> {
-        let mut late: BTreeMap<&str, (usize, String)> = BTreeMap::new();
-        for request in seen {
-            let item = request.id.strip_prefix("score-").unwrap_or(&request.id);
-            let Some(end) = self.ends.iter().find(|end| item.starts_with(&end.job)) else { continue };
-            let Some(deadline) = self.arrival_deadline(end, healthy_since) else { continue };
-            if request.at <= deadline || self.was_after_freeze(request.at) {
-                continue;
-            }
-            let first = || {
-                let evidence = if end.acknowledged_at.is_some() { "acknowledged" } else { "read" };
-                let since = request.at - end.sent[0].at;
-                (
-                    0,
-                    format!(
-                        "first {} {} {since:?} after its end was sent ({evidence})",
-                        request.id, request.line
-                    ),
-                )
-            };
-            late.entry(&end.job).or_insert_with(first).0 += 1;
-        }
-        late.into_iter()
-            .map(|(job, (count, first))| (job.to_owned(), format!("{count} arrivals, {first}")))
-            .collect()
+    /// Records the jobs whose end a gateway has read.
+    pub fn record_reads(&mut self, jobs: BTreeSet<String>) {
+        self.read.extend(jobs);
     }
 
-    /// Returns the time until which requests of the job may arrive, or `None` if its end may be lost.
-    fn arrival_deadline(&self, end: &JobEnd, healthy_since: Instant) -> Option<Instant> {
-        if let Some(at) = end.acknowledged_at {
-            return Some(at + CANCELLED_WITHIN);
-        }
-        if end.sent.iter().all(|sent| self.may_be_lost(sent)) {
-            return None;
-        }
-        let first = end.sent.first()?.at;
-        Some(healthy_since.max(first) + ACKNOWLEDGED_WITHIN + CANCELLED_WITHIN)
+    pub(super) fn record(&mut self, end: JobEnd) {
+        self.ends.push(end);
     }
 
-    /// Returns whether the gateway was killed within [`KILL_LOSS_WINDOW`] after it was sent an end.
-    fn may_be_lost(&self, sent: &SentEnd) -> bool {
-        let mut kills = self.kills.iter().filter(|(gateway, _)| *gateway == sent.gateway);
-        kills.any(|(_, at)| at.checked_duration_since(sent.at).is_some_and(|after| after < KILL_LOSS_WINDOW))
+    /// Returns the number of jobs that were ended.
+    pub fn count(&self) -> usize {
+        self.ends.iter().filter(|end| !end.sent.is_empty()).count()
     }
 
-    fn was_after_freeze(&self, at: Instant) -> bool {
-        self.freezes
-            .iter()
-            .any(|freeze| at.checked_duration_since(*freeze).is_some_and(|after| after < CONTACT_WITHIN))
+    /// Describes the jobs that went on after an end that may have been lost with a gateway.
+    pub fn lost(&self, seen: &[SeenRequest], healthy_since: Instant) -> Vec<String> {
+        let late = self.late_jobs(seen, healthy_since);
+        let lost = late.iter().filter(|late| late.may_be_lost);
+        lost.map(|late| format!("{}: {}", late.end.job, self.describe(late))).collect()
     }
-}
 
-impl Callers {
-    /// Submits jobs and ends them while they are open, one after the other, until `until`.
-    pub async fn end_jobs(self, index: usize, seed: u64, until: tokio::time::Instant) {
-        let mut random = Pcg64Mcg::seed_from_u64(seed.wrapping_add(index as u64));
-        let mut number = 0;
-        while tokio::time::Instant::now() < until {
-            number += 1;
-            let job = format!("x{index}-{number}-");
-            let body = open_job(&job, random.random_bool(0.5));
-            let open_for = Duration::from_millis(random.random_range(0..2_000));
-            let strategy = EndStrategy::draw(&mut random);
-            if self.submit_body(&job, "/ended/x", &body, until).await {
-                tokio::time::sleep(open_for).await;
-                self.end_job(&job, strategy).await;
+    /// Returns the jobs of which a request arrived too late after their ends. `healthy_since` is when the last fault was undone.
+    fn late_jobs<'a>(&'a self, seen: &'a [SeenRequest], healthy_since: Instant) -> Vec<LateJob<'a>> {
+        let mut late: BTreeMap<&str, LateJob<'a>> = BTreeMap::new();
+        for request in seen.iter().filter(|request| !self.was_after_freeze(request.at)) {
+            let jobs = self.jobs_of(request);
+            let Some(end) = jobs.iter().copied().max_by_key(|end| end.submitted_at) else { continue };
+            let is_due = |end: &&JobEnd| {
+                arrival_deadline(end, healthy_since).is_some_and(|deadline| request.at > deadline)
+            };
+            if !jobs.iter().all(is_due) {
+                continue;
             }
+            let may_be_lost = jobs.iter().any(|end| self.may_be_lost(end));
+            let first = LateJob { end, may_be_lost, arrivals: 0, first: request };
+            late.entry(&end.job).or_insert(first).arrivals += 1;
         }
+        late.into_values().collect()
     }
 
-    /// Ends a job whose items appear again in a later one, so that requests of them may still arrive.
-    pub(super) async fn end_until_acknowledged(&self, job: &str) {
-        let strategy = EndStrategy::RetryUntilAcknowledged;
-        let _ = self.request_end(job, strategy).await;
+    /// Returns the jobs that were submitted before a request arrived and have its item.
+    fn jobs_of(&self, request: &SeenRequest) -> Vec<&JobEnd> {
+        let item = request.id.strip_prefix("score-").unwrap_or(&request.id);
+        let jobs = self.ends.iter().filter(|end| end.submitted_at <= request.at);
+        jobs.filter(|end| item.starts_with(&end.items)).collect()
     }
 
-    async fn end_job(&self, job: &str, strategy: EndStrategy) {
-        let end = self.request_end(job, strategy).await;
-        self.history().ends.ends.push(end);
+    /// Returns whether an end may be lost: it has no acknowledgement, and no gateway read it, or each gateway that it was sent to
+    /// was killed within [`KILL_LOSS_WINDOW`].
+    fn may_be_lost(&self, end: &JobEnd) -> bool {
+        let is_killed = |sent: &SentEnd| {
+            let mut kills = self.kills.iter().filter(|(gateway, _)| *gateway == sent.gateway);
+            kills.any(|(_, at)| {
+                at.checked_duration_since(sent.at).is_some_and(|after| after < KILL_LOSS_WINDOW)
+            })
+        };
+        end.acknowledged_at.is_none() && (!self.read.contains(&end.job) || end.sent.iter().all(is_killed))
     }
 
-    /// Sends the end of a job. With either strategy, a request that could not be written to a gateway is retried.
-    async fn request_end(&self, job: &str, strategy: EndStrategy) -> JobEnd {
-        let deadline = Instant::now() + ACKNOWLEDGEMENT_TIMEOUT;
-        let mut end = JobEnd { job: job.to_owned(), sent: Vec::new(), acknowledged_at: None };
-        let mut turn = job.len();
-        while Instant::now() < deadline {
-            turn += 1;
-            if let Some(sent) = self.send_end(turn, job, strategy.timeout()).await {
-                end.sent.push(sent);
-                end.acknowledged_at = sent.is_acknowledged.then(Instant::now);
-                if sent.is_acknowledged || matches!(strategy, EndStrategy::AbandonAfter(_)) {
-                    break;
-                }
-            }
-            tokio::time::sleep(RETRY_PAUSE).await;
-        }
-        if end.acknowledged_at.is_none() && matches!(strategy, EndStrategy::RetryUntilAcknowledged) {
-            let seen = format!("not after {ACKNOWLEDGEMENT_TIMEOUT:?}");
-            self.history().record_violation(self.now_ms(), "an end is acknowledged", job, seen);
-        }
-        end
+    fn describe(&self, late: &LateJob<'_>) -> String {
+        let evidence = match (late.end.acknowledged_at, self.read.contains(&late.end.job)) {
+            (Some(_), _) => "acknowledged",
+            (None, true) => "read",
+            (None, false) => "not read",
+        };
+        let since = late.end.sent.first().map(|sent| late.first.at.saturating_duration_since(sent.at));
+        let (count, id, line) = (late.arrivals, &late.first.id, &late.first.line);
+        format!(
+            "{count} arrivals, first {id} {line} {:?} after its end was sent ({evidence})",
+            since.unwrap_or_default()
+        )
     }
 
-    /// Sends an end on a new connection and closes it after `timeout`, with or without a response. Returns `None` if the request
-    /// could not be written.
-    async fn send_end(&self, turn: usize, job: &str, timeout: Duration) -> Option<SentEnd> {
-        let gateway = self.gateway(turn)?;
-        let mut stream = TcpStream::connect(gateway).await.ok()?;
-        let head = format!("DELETE /-/lots/{job} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {job}\r\n\r\n");
-        stream.write_all(head.as_bytes()).await.ok()?;
-        let at = Instant::now();
-        let mut answer = [0; 64];
-        let read = tokio::time::timeout(timeout, stream.read(&mut answer)).await;
-        let count = read.ok().and_then(Result::ok).unwrap_or(0);
-        let text = String::from_utf8_lossy(&answer[..count]);
-        let status = text.split(' ').nth(1).and_then(|status| status.parse::<StatusCode>().ok());
-        Some(SentEnd { gateway, at, is_acknowledged: status == Some(StatusCode::OK) })
+    fn was_after_freeze(&self, at: Instant) -> bool {
+        self.freezes
+            .iter()
+            .any(|freeze| at.checked_duration_since(*freeze).is_some_and(|after| after < CONTACT_WITHIN))
     }
 }
 
-/// Returns the body of a job that stays open: it has more items than its engines finish soon or, if `is_scored`, a scorer
-/// whose responses are lost.
-fn open_job(job: &str, is_scored: bool) -> String {
-    let count = if is_scored { SCORED_JOB_ITEMS } else { LONG_JOB_ITEMS };
-    let item = |number: usize| {
-        let id = format!("{job}{number}");
-        let mut item = json!({"id": id, "path": "/stream/x", "headers": {"Model": "m"}, "body": "Ym9keQ==",
-            "tokens": 100, "group": "g"});
-        if is_scored {
-            item["scorer"] =
-                json!({"id": score_id(&id), "host": HOST, "path": "/lossy/score", "body": "c2NvcmU="});
-        }
-        item
-    };
-    let items: Vec<Value> = (0..count).map(item).collect();
-    json!({"step": 0, "model": "m", "min_version": 1, "desired": 1, "items": items}).to_string()
+/// Returns the time until which requests of the job may arrive, or `None` if it is open.
+fn arrival_deadline(end: &JobEnd, healthy_since: Instant) -> Option<Instant> {
+    let first = end.sent.first()?.at;
+    let acknowledged_at = end.acknowledged_at.unwrap_or(healthy_since.max(first) + ACKNOWLEDGED_WITHIN);
+    Some(acknowledged_at + CANCELLED_WITHIN)
 }
 
 impl SoakHistory {
     /// Records a violation for each job of which replicas received a request too late after its end.
     pub fn check_ends(&mut self, at_ms: u64, seen: &[SeenRequest], healthy_since: Instant) {
-        for (job, seen) in self.ends.late_arrivals(seen, healthy_since) {
+        let late = self.ends.late_jobs(seen, healthy_since);
+        let late = late.iter().filter(|late| !late.may_be_lost);
+        let late: Vec<(String, String)> =
+            late.map(|late| (late.end.job.clone(), self.ends.describe(late))).collect();
+        for (job, seen) in late {
             self.record_violation(at_ms, "nothing of a job arrives after its end", &job, seen);
         }
     }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod fault;
 pub mod history;
+mod job_enders;
 pub mod job_ends;
 pub mod node;
 pub mod proxy;
@@ -35,8 +36,12 @@
 const REPLICA_END_PROBABILITY: f64 = 0.3;
 /// Probability that a second fault is drawn to overlap a fault.
 const OVERLAP_PROBABILITY: f64 = 0.6;
-/// Number of callers that end jobs, one for each gateway.
-const JOB_ENDERS: usize = 3;
+/// Probability that an outage overlaps a fault.
+const OUTAGE_PROBABILITY: f64 = 0.35;
+/// Number of callers that end jobs, two for each gateway.
+const JOB_ENDERS: usize = 6;
+/// How long jobs are ended after the other callers have stopped, so that some ends coincide with the final outage.
+const END_OVERRUN: Duration = Duration::from_secs(4);
 /// Number of callers that run jobs to their end, one for each gateway.
 const JOB_RUNNERS: usize = 3;
 /// Number of callers that send non-idempotent requests; enough for some to coincide with a fault in a short soak.
@@ -85,6 +90,8 @@
     pub jobs_ended: usize,
     /// Number of jobs with items of a job that was ended early.
     pub jobs_repeated: usize,
+    /// Jobs that went on after an end that may have been lost with the gateway that it was sent to.
+    pub ends_lost: Vec<String>,
     /// Guarantees that did not hold.
     pub violations: Vec<Violation>,
 }
@@ -111,7 +118,8 @@
     system.check_quarantine().await?;
     system.recheck_all_jobs().await;
     if config.overlaps_faults {
-        let observed_until = healthy_since + ACKNOWLEDGED_WITHIN + CANCELLED_WITHIN + OBSERVATION_PERIOD;
+        let observed_until =
+            std::time::Instant::now() + ACKNOWLEDGED_WITHIN + CANCELLED_WITHIN + OBSERVATION_PERIOD;
         tokio::time::sleep_until(observed_until.into()).await;
     }
     Ok(build_report(config.seed, faults, &system, &callers, healthy_since))
@@ -121,7 +129,10 @@
 fn spawn_callers(callers: &Callers, config: &SoakConfig, until: Instant) -> Vec<JoinHandle<()>> {
     let enders = if config.overlaps_faults { JOB_ENDERS } else { 0 };
     let mut calls = Vec::new();
-    calls.extend((0..enders).map(|index| tokio::spawn(callers.clone().end_jobs(index, config.seed, until))));
+    calls.extend(
+        (0..enders)
+            .map(|index| tokio::spawn(callers.clone().end_jobs(index, config.seed, until + END_OVERRUN))),
+    );
     calls.extend(
         (0..JOB_RUNNERS).map(|index| tokio::spawn(callers.clone().run_jobs(index, config.seed, until))),
     );
@@ -141,6 +152,7 @@
     // Separate generators, so that draws of replica ends and overlapping faults don't change the sequence of main faults.
     let mut end_random = Pcg64Mcg::seed_from_u64(!config.seed);
     let mut overlap_random = Pcg64Mcg::seed_from_u64(config.seed.rotate_left(32));
+    let mut outage_random = Pcg64Mcg::seed_from_u64((!config.seed).rotate_left(32));
     let mut faults = Vec::new();
     while Instant::now() < until {
         system.restart_ended_replicas().await?;
@@ -151,27 +163,37 @@
         let overlapping = (config.overlaps_faults && overlap_random.random_bool(OVERLAP_PROBABILITY))
             .then(|| PlannedFault::draw_overlapping(system.size(), &mut overlap_random))
             .filter(|overlapping| !overlapping.fault.conflicts_with(&planned.fault));
-        let at_ms = callers.now_ms();
-        let fault = inject(system, planned, overlapping).await?;
-        let lasted_ms = callers.now_ms() - at_ms;
-        faults.push(FaultRecord { at_ms, lasted_ms, fault });
+        let outage = (config.overlaps_faults && outage_random.random_bool(OUTAGE_PROBABILITY))
+            .then(|| PlannedFault::draw_outage(&mut outage_random));
+        let overlapping: Vec<PlannedFault> = overlapping.into_iter().chain(outage).collect();
+        faults.push(inject(system, callers, planned, &overlapping).await?);
         tokio::time::sleep(planned.pause).await;
     }
+    if config.overlaps_faults {
+        let disk_loss = PlannedFault::draw_disk_loss(system.size(), &mut outage_random);
+        let outage = PlannedFault::draw_outage(&mut outage_random);
+        faults.push(inject(system, callers, disk_loss, &[outage]).await?);
+    }
     Ok(faults)
 }
 
-/// Injects a fault and, if given, an overlapping one. Returns their description.
+/// Injects a fault and the faults that overlap it.
 async fn inject(
     system: &mut SoakSystem,
+    callers: &Callers,
     planned: PlannedFault,
-    overlapping: Option<PlannedFault>,
-) -> Result<String, LabError> {
-    let Some(overlapping) = overlapping else {
+    overlapping: &[PlannedFault],
+) -> Result<FaultRecord, LabError> {
+    let at_ms = callers.now_ms();
+    let mut fault = planned.to_string();
+    if overlapping.is_empty() {
         system.inject(planned).await?;
-        return Ok(planned.to_string());
-    };
-    system.inject_overlapping(&[planned, overlapping]).await?;
-    Ok(format!("{:?}, then {:?}", planned.fault, overlapping.fault))
+    } else {
+        fault = format!("{:?}", planned.fault);
+        fault.extend(overlapping.iter().map(|overlapping| format!(", then {:?}", overlapping.fault)));
+        system.inject_overlapping(&[&[planned], overlapping].concat()).await?;
+    }
+    Ok(FaultRecord { at_ms, lasted_ms: callers.now_ms() - at_ms, fault })
 }
 
 /// Runs the final checks against the requests that replicas received and builds the report.
@@ -183,6 +205,7 @@
     healthy_since: std::time::Instant,
 ) -> SoakReport {
     let mut history = callers.history();
+    history.ends.record_reads(system.jobs_with_read_end());
     history.check_ends(callers.now_ms(), &system.seen(), healthy_since);
     history.check_executions(callers.now_ms(), &system.seen());
     let writes_answered = history.writes.iter().filter(|write| write.status.is_some_and(|s| s.is_success()));
@@ -194,6 +217,7 @@
         writes_answered: writes_answered.count(),
         jobs_ended: history.ends.count(),
         jobs_repeated: history.jobs_repeated,
+        ends_lost: history.ends.lost(&system.seen(), healthy_since),
         violations: history.violations.clone(),
     }
 }
--- a/crates/lab/src/soak/proxy.rs
+++ b/crates/lab/src/soak/proxy.rs
@@ -105,7 +105,7 @@
 }
 
 /// Sets a zero linger time, so that closing the connection sends a reset.
-fn reset(stream: &TcpStream) {
+pub(super) fn reset(stream: &TcpStream) {
     let _ = stream.set_zero_linger();
 }
 
--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -2,7 +2,7 @@
 
 mod injection;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -206,16 +206,24 @@
         running.filter_map(|node| node.address("peers")).take(3).collect()
     }
 
+    /// Starts a store unless it runs.
     async fn start_store(&mut self, number: usize) -> Result<(), LabError> {
-        let (name, zone) = (format!("store-{number}"), ZONES[number].to_owned());
+        if self.stores[number].is_some() {
+            return Ok(());
+        }
+        let (name, zone) = (format!("store-{number}"), ZONES[number % ZONES.len()].to_owned());
         let plan = NodePlan { name, zone, is_store: true, platform: self.platform.address };
         let node = self.start_node(plan).await?;
         self.stores[number] = Some(node);
         Ok(())
     }
 
+    /// Starts a gateway unless it runs.
     async fn start_gateway(&mut self, number: usize) -> Result<(), LabError> {
-        let (name, zone) = (format!("gateway-{number}"), ZONES[number].to_owned());
+        if self.gateways[number].is_some() {
+            return Ok(());
+        }
+        let (name, zone) = (format!("gateway-{number}"), ZONES[number % ZONES.len()].to_owned());
         let platform = self.platform_proxies[number].address;
         let plan = NodePlan { name, zone, is_store: false, platform };
         let node = self.start_node(plan).await?;
@@ -231,6 +239,12 @@
         NodeProcess::spawn(binary, &self.folder, plan, &self.seeds()).await
     }
 
+    /// Returns the jobs whose end a gateway has read, according to the gateways' logs.
+    pub(super) fn jobs_with_read_end(&self) -> BTreeSet<String> {
+        let logs = (0..SIZE.gateways).map(|number| self.folder.join(format!("gateway-{number}.log")));
+        logs.filter_map(|log| std::fs::read_to_string(log).ok()).flat_map(|log| read_ends(&log)).collect()
+    }
+
     /// Returns the callers of this system's gateways.
     pub(super) fn callers(&self) -> Callers {
         self.callers.clone()
@@ -252,7 +266,7 @@
             if service == "lossy" {
                 replica.set_behaviour(ReplicaBehaviour::LosesAnswers);
             }
-            self.platform.put(objects::REPLICAS, &id, replica.record(service, ZONES[number]));
+            self.platform.put(objects::REPLICAS, &id, replica.record(service, ZONES[number % ZONES.len()]));
             self.fault_free_replicas.push(replica);
         }
         Ok(())
@@ -316,6 +330,14 @@
     }
 }
 
+/// Returns the jobs whose end was read according to a node's log.
+fn read_ends(log: &str) -> Vec<String> {
+    let decisions = log.lines().filter(|line| line.contains("end_read"));
+    let decisions = decisions.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let reads = decisions.filter(|decision| decision["message"] == "end_read");
+    reads.filter_map(|decision| decision["id"].as_str().map(str::to_owned)).collect()
+}
+
 fn replica_plan(id: &str) -> ReplicaPlan {
     let models = BTreeMap::from([("m".to_owned(), 1)]);
     let crash_on_body = Some(Bytes::from_static(CRASHING_BODY));
--- a/crates/lab/src/soak/system/injection.rs
+++ b/crates/lab/src/soak/system/injection.rs
@@ -49,6 +49,11 @@
             Fault::FreezeStore(number) => signal(self.stores[number].as_ref(), Signal::STOP),
             Fault::FreezeStores => self.stores.iter().for_each(|store| signal(store.as_ref(), Signal::STOP)),
             Fault::StopGateway(number) => signal(self.gateways[number].as_ref(), Signal::TERM),
+            Fault::KillGateways => self.kill_gateways(),
+            Fault::KillNodes => {
+                self.kill_gateways();
+                self.stores.iter_mut().for_each(|store| *store = None);
+            }
             Fault::Platform(response_mode) => self.platform.set_response_mode(response_mode),
             Fault::PlatformCut(number, mode) => self.platform_proxies[number].set_mode(mode),
             Fault::ReplicaCut(number, mode) => self.replica_proxies[number].set_mode(mode),
@@ -67,6 +72,7 @@
             Fault::FreezeStore(number) => signal(self.stores[number].as_ref(), Signal::CONT),
             Fault::FreezeStores => self.stores.iter().for_each(|store| signal(store.as_ref(), Signal::CONT)),
             Fault::StopGateway(number) => return self.replace_stopping(number).await,
+            Fault::KillGateways | Fault::KillNodes => return self.start_ended_nodes().await,
             Fault::Platform(_) => self.platform.set_response_mode(ResponseMode::Normal),
             Fault::PlatformCut(number, _) => self.platform_proxies[number].set_mode(ProxyMode::Open),
             Fault::ReplicaCut(number, _) => self.replica_proxies[number].set_mode(ProxyMode::Open),
@@ -83,6 +89,20 @@
         self.gateways[number] = None;
     }
 
+    fn kill_gateways(&mut self) {
+        (0..self.gateways.len()).for_each(|number| self.kill_gateway(number));
+    }
+
+    async fn start_ended_nodes(&mut self) -> Result<(), LabError> {
+        for number in 0..self.stores.len() {
+            self.start_store(number).await?;
+        }
+        for number in 0..self.gateways.len() {
+            self.start_gateway(number).await?;
+        }
+        Ok(())
+    }
+
     fn wipe_store(&mut self, number: usize) {
         let Some(store) = self.stores[number].take() else { return };
         let name = store.plan.name.clone();
