Show that an end is lost with all gateways

Its logs: `batch_taken` at gateway-2 (the owner) at 07:58:01.658; gateway-0 and gateway-2 stand still from 01.549 and 01.998; `end_read` at gateway-1 at 02.096, `end_unanswered caller_left` at 02.150, both copies fail at 02.398 (no answer by the deadline); all gateways are killed between 03.1 and 04.3; the successor takes over at 06.386 and has the job open. No `batch_ended`, `end_kept` or `end_settled` of it anywhere. The stores were well all the time.

The two tests lose the gateways, and all nodes, while a majority of stores is down and the owner is lost.

--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -159,3 +159,55 @@
         wait_for_pending(&system, number, 0).await;
     }
 }
+
+/// Ends a job while it has no owner and a majority of stores is down, and kills all gateways once the store that is left had
+/// time to get a copy.
+async fn end_and_lose_gateways(system: &mut System) {
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    let owner = system.owner();
+    for number in 0..2 {
+        kill(system.stores[number].take()).await;
+    }
+    kill(system.gateways[owner].take()).await;
+    end_and_leave(system, 1 - owner, "job").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    kill(system.gateways[1 - owner].take()).await;
+    system.gateways.clear();
+}
+
+/// Waits until one of two gateways has committed the end of a job.
+async fn wait_for_commit(system: &System, batch: &str) {
+    let (mut first, mut second) = (watch(system, 0), watch(system, 1));
+    tokio::select! {
+        _ = wait_for(&mut first, "end_kept", batch) => {}
+        _ = wait_for(&mut second, "end_kept", batch) => {}
+    }
+}
+
+#[tokio::test]
+async fn an_end_outlasts_all_gateways() {
+    let mut system = System::start(2, ENDLESS).await;
+    end_and_lose_gateways(&mut system).await;
+    for number in 0..2 {
+        system.start_store(number).await;
+    }
+    for number in 0..2 {
+        system.start_gateway(number).await;
+    }
+    wait_for_commit(&system, "job").await;
+}
+
+#[tokio::test]
+async fn an_end_outlasts_a_power_loss_of_all_nodes() {
+    let mut system = System::start(2, ENDLESS).await;
+    end_and_lose_gateways(&mut system).await;
+    kill(system.stores[2].take()).await;
+    for number in 0..3 {
+        system.start_store(number).await;
+    }
+    for number in 0..2 {
+        system.start_gateway(number).await;
+    }
+    wait_for_commit(&system, "job").await;
+}
