Keep copies of pending ends on the stores' disks

Cause: until a majority of stores had committed it, an end lived in the memory of gateways alone; where the owner and the third gateway stood still, in that of one. With the gateways it was gone, and the next owner had the job open.

An end that isn't committed after 0.1 s is now copied to a majority of as many stores as a log has, which write it to a file before they answer, read it again when they start, and ask the owner as other holders do. Ends that are committed at once, nearly all, cost nothing more.

--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -1,10 +1,12 @@
 //! Delivers ends of jobs to the shards' owners, independently of the callers that requested them.
 //!
 //! An end is stored here before the owner is first asked, and copied to other nodes at once, so that it
-//! survives its caller's connection, an owner that fails before the end is committed, and this node.
+//! survives its caller's connection, an owner that fails before the end is committed, and this node. One that
+//! is not committed soon is copied to stores too, which write it to disk.
 //! `core::batch::pending_ends` decides when the owner is asked.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -21,11 +23,14 @@
 use tokio::time::Instant;
 
 use super::BatchJobs;
-use crate::cluster::{Member, rendezvous_weight};
+use super::end_file::EndFile;
+use crate::cluster::{Member, Roles, rendezvous_weight};
 use crate::context::Context;
 
-/// Number of other nodes that get a copy of an end; with this node's own, two nodes may be lost.
-const COPIES: usize = 2;
+/// Number of other gateways that get a copy of an end; with this node's own, two nodes may be lost.
+const GATEWAY_COPIES: usize = 2;
+/// Age from which a pending end is copied to stores. Most ends are committed before.
+const STORE_COPY_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of one request to another node to hold an end.
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a caller waits for the owner's answer; longer than the search for the owner. The end stays
@@ -39,6 +44,8 @@
     held: Arc<Mutex<HeldEnds>>,
     changed: Arc<Notify>,
     origin: Instant,
+    /// Where a store keeps its ends; locked while it is written.
+    file: Option<Arc<tokio::sync::Mutex<EndFile>>>,
 }
 
 #[derive(Default)]
@@ -53,7 +60,18 @@
 impl EndHolder {
     pub(super) fn new(context: &Context) -> Self {
         let (context, origin) = (Arc::clone(context), Instant::now());
-        Self { context, held: Arc::default(), changed: Arc::default(), origin }
+        let folder = context.settings.data_folder.as_deref().filter(|_| context.settings.roles.store);
+        let mut file = folder.map(EndFile::in_folder);
+        let kept = file.as_mut().map_or(Ok(Vec::new()), |file| file.read().map(<[HoldEnd]>::to_vec));
+        let file = file.map(|file| Arc::new(tokio::sync::Mutex::new(file)));
+        let holder = Self { context, held: Arc::default(), changed: Arc::default(), origin, file };
+        match kept {
+            Ok(kept) => kept.into_iter().for_each(|end| holder.hold(key_of(end), EndSource::Peer)),
+            Err(error) => {
+                ::log::error!(target: "batch", "Failed to read the pending ends of jobs: {error}. Jobs that were ended may go on; end them again.");
+            }
+        }
+        holder
     }
 
     /// Holds an end that a caller requests, and returns a future that waits for the owner's answer. The end
@@ -77,9 +95,25 @@
         }
     }
 
-    /// Holds the copy of an end that another node sent.
-    pub(crate) fn hold_copy(&self, request: HoldEnd) {
-        self.hold(EndKey { batch: request.batch, caller: request.caller }, EndSource::Peer);
+    /// Holds the copy of an end that another node sent. On a store, it is on disk when this returns.
+    pub(crate) async fn hold_copy(&self, request: HoldEnd) {
+        self.hold(key_of(request.clone()), EndSource::Peer);
+        if let Err(error) = self.write(&request).await {
+            ::log::warn!(target: "batch", "Failed to write the end of job {}: {error}; check the disk. The end is lost if this store fails.", request.batch);
+        }
+    }
+
+    /// Writes an end to the file, together with all others that are pending, if this node is a store.
+    async fn write(&self, end: &HoldEnd) -> io::Result<()> {
+        let Some(file) = &self.file else { return Ok(()) };
+        let mut file = Arc::clone(file).lock_owned().await;
+        if file.holds(end) {
+            return Ok(());
+        }
+        let pending = |(key, ..): (&EndKey, EndSource, Duration, u32)| hold_request(key);
+        let ends: Vec<HoldEnd> = self.lock().ends.list(self.now()).map(pending).collect();
+        let written = tokio::task::spawn_blocking(move || file.write(ends));
+        written.await.map_err(io::Error::other)?
     }
 
     fn hold(&self, key: EndKey, source: EndSource) {
@@ -116,7 +150,7 @@
 
     async fn deliver_ends(&self, jobs: BatchJobs) {
         let mut requests = FuturesUnordered::new();
-        let mut copied: FuturesUnordered<BoxFuture<'_, (EndKey, usize)>> = FuturesUnordered::new();
+        let mut copied: FuturesUnordered<BoxFuture<'_, (EndKey, bool)>> = FuturesUnordered::new();
         loop {
             let (due, uncopied, deadline) = self.take_due();
             requests.extend(due.into_iter().map(|key| ask(&jobs, key)));
@@ -132,7 +166,7 @@
             tokio::select! {
                 () = self.changed.notified() => {}
                 Some((key, response)) = requests.next() => self.handle_answer(&key, response),
-                Some((key, copies)) = copied.next() => self.copy_finished(key, copies),
+                Some((key, is_copied)) = copied.next() => self.copy_finished(key, is_copied),
                 () = wait => {}
             }
             self.context.metrics.set_pending_ends(self.lock().ends.count());
@@ -176,56 +210,70 @@
         self.context.decisions.record(decision.with("questions", settled.attempts));
     }
 
-    /// Schedules another copy of an end that too few nodes hold, while it is still pending here.
-    fn copy_finished(&self, key: EndKey, copies: usize) {
+    /// Schedules more copies of an end that too few nodes hold, while it is still pending here.
+    fn copy_finished(&self, key: EndKey, is_copied: bool) {
         let mut held = self.lock();
-        if copies < COPIES && held.ends.holds(&key) {
+        if !is_copied && held.ends.holds(&key) {
             held.uncopied.push(key);
         }
     }
 
-    /// Copies an end to other nodes; returns how many of them hold it.
-    async fn copy_to_peers(&self, key: EndKey) -> (EndKey, usize) {
-        let others = self.copy_holders(&key);
-        if others.is_empty() {
-            // No other node is known.
+    /// Copies an end to other nodes; returns whether enough of them hold it.
+    async fn copy_to_peers(&self, key: EndKey) -> (EndKey, bool) {
+        let to_gateways =
+            self.copy_to_some(self.copy_holders(&key, |roles| roles.gateway), GATEWAY_COPIES, &key);
+        let (at_gateways, at_stores) = tokio::join!(to_gateways, self.copy_to_stores(&key));
+        let is_copied = at_gateways && at_stores;
+        if !is_copied {
             tokio::time::sleep(COPY_TIMEOUT).await;
-            return (key, 0);
         }
+        (key, is_copied)
+    }
+
+    /// Copies an end that stays pending to so many stores that one is left after the tolerated losses.
+    async fn copy_to_stores(&self, key: &EndKey) -> bool {
+        tokio::time::sleep(STORE_COPY_DELAY).await;
+        if !self.lock().ends.holds(key) {
+            return true;
+        }
+        let copies = self.context.settings.store.set_size.members() / 2 + 1;
+        self.copy_to_some(self.copy_holders(key, |roles| roles.store), copies, key).await
+    }
+
+    /// Copies an end to the first of these nodes that answer; returns whether `wanted` of them hold it.
+    async fn copy_to_some(&self, others: Vec<Arc<Member>>, wanted: usize, key: &EndKey) -> bool {
         let mut copies = 0;
         let mut others = others.into_iter();
-        while copies < COPIES {
-            let next: Vec<Arc<Member>> = others.by_ref().take(COPIES - copies).collect();
+        while copies < wanted {
+            let next: Vec<Arc<Member>> = others.by_ref().take(wanted - copies).collect();
             if next.is_empty() {
-                break;
+                return false;
             }
-            let calls = next.iter().map(|member| self.copy_to(member, &key));
+            let calls = next.iter().map(|member| self.copy_to(member, key));
             copies += futures::future::join_all(calls).await.into_iter().filter(|is_held| *is_held).count();
         }
-        if copies < COPIES {
-            tokio::time::sleep(COPY_TIMEOUT).await;
-        }
-        (key, copies)
+        true
     }
 
     async fn copy_to(&self, member: &Member, key: &EndKey) -> bool {
-        let request = HoldEnd { batch: key.batch.clone(), caller: key.caller.clone() };
-        let copied = self.context.peers.hold_end(member.peer_address, request, COPY_TIMEOUT).await;
+        let copied = self.context.peers.hold_end(member.peer_address, hold_request(key), COPY_TIMEOUT).await;
         if let Err(error) = &copied {
             ::log::info!(target: "batch", "Failed to copy the end of job {1} to node {0}: {error}.", member.node, key.batch);
         }
         copied.is_ok()
     }
 
-    /// Returns the other nodes that may hold an end: the gateways of this region, in an order that depends on
+    /// Returns the other nodes of this region whose roles allow them to hold an end, in an order that depends on
     /// the job.
-    fn copy_holders(&self, key: &EndKey) -> Vec<Arc<Member>> {
+    fn copy_holders(&self, key: &EndKey, may_hold: fn(&Roles) -> bool) -> Vec<Arc<Member>> {
         let context = &self.context;
         let region = |zone: &str| context.settings.places.zones.region(zone).cloned();
         let own_region = region(context.zone.as_str());
         let cluster = context.cluster.load();
         let others = cluster.members.iter().filter(|member| {
-            member.node != context.node && member.roles.gateway && region(member.zone.as_str()) == own_region
+            member.node != context.node
+                && may_hold(&member.roles)
+                && region(member.zone.as_str()) == own_region
         });
         let mut others: Vec<Arc<Member>> = others.cloned().collect();
         let order = ShardId::new(key.batch.as_str());
@@ -247,3 +295,11 @@
     let response = jobs.ask_about(&key.batch, request).await;
     (key, response)
 }
+
+fn key_of(request: HoldEnd) -> EndKey {
+    EndKey { batch: request.batch, caller: request.caller }
+}
+
+fn hold_request(key: &EndKey) -> HoldEnd {
+    HoldEnd { batch: key.batch.clone(), caller: key.caller.clone() }
+}
--- a/crates/daemon/src/batch/mod.rs
+++ b/crates/daemon/src/batch/mod.rs
@@ -6,6 +6,7 @@
 //! ownership poll the stores to detect an owner that no longer appends.
 
 pub(crate) mod candidate;
+mod end_file;
 mod end_holder;
 mod follower;
 mod job_shard;
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -93,7 +93,7 @@
     }
 
     async fn hold_end(self, _: tarpc::context::Context, request: HoldEnd) {
-        self.batch.ends().hold_copy(request);
+        self.batch.ends().hold_copy(request).await;
     }
 
     async fn replica_subset(
