--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::EndHolder;
-use super::end_holder::{COPIES, sort_copy_holders};
+use super::end_holder::{GATEWAY_COPIES, sort_copy_holders};
 use crate::cluster::Member;
 use crate::context::Context;
 
@@ -26,7 +26,7 @@
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Number of gateways in each region that are asked for the end of a job. Those that hold a copy are the first ones
 /// that could be reached when the end was read.
-const ASKED_GATEWAYS: usize = COPIES + 2;
+const ASKED_GATEWAYS: usize = GATEWAY_COPIES + 2;
 
 /// The ends that gateways hold.
 pub(super) struct HeldEnds {
@@ -74,7 +74,7 @@
 /// Returns how many of the gateways need not answer: of those that hold the copies of one end, another one does. Few
 /// gateways may hold fewer copies.
 const fn dispensable_answers(asked: usize) -> usize {
-    if asked > COPIES { COPIES - 1 } else { 0 }
+    if asked > GATEWAY_COPIES { GATEWAY_COPIES - 1 } else { 0 }
 }
 
 /// Returns the other gateways that hold the ends of these jobs, if there are any.
