Collect the ends that stores hold at a takeover as well

After a power loss of all nodes the stores alone hold the ends that were pending. A new owner asked gateways, so that it started items of such jobs before the stores asked it. It asks the first stores of each job's order too.

--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -1,8 +1,8 @@
-//! Collects the ends of open jobs that gateways hold, for a node that has taken a shard over.
+//! Collects the ends of open jobs that other nodes hold, for a node that has taken a shard over.
 //!
 //! A job may have been ended while its shard had no owner, or one that could not commit. The log has the job open
-//! then, and the gateways would ask the new owner only after it has started the job's items. The gateways that hold a
-//! copy of an end follow from the job, so that a large deployment needs few requests.
+//! then, and the holders would ask the new owner only after it has started the job's items. The gateways and stores
+//! that hold a copy of an end follow from the job, so that a large deployment needs few requests.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,23 +18,24 @@
 
 use super::EndHolder;
 use super::end_holder::{GATEWAY_COPIES, sort_copy_holders};
-use crate::cluster::Member;
+use crate::cluster::{Member, Roles};
 use crate::context::Context;
 
-/// Timeout of the request to one gateway. Gateways that have failed and are still listed delay the first items this
-/// long, unless it is only one.
+/// Timeout of the request to one node. Nodes that have failed and are still listed delay the first items this long,
+/// unless it is only one.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of gateways in each region that are asked for the end of a job. Those that hold a copy are the first ones
-/// that could be reached when the end was read.
-const ASKED_GATEWAYS: usize = GATEWAY_COPIES + 2;
+/// Number of gateways, and of stores, in each region that are asked for the end of a job. Those that hold a copy are
+/// the first ones that could be reached when the end was read.
+const ASKED_NODES: usize = GATEWAY_COPIES + 2;
 
-/// The ends that gateways hold.
+/// The ends that other nodes hold.
+#[derive(Default)]
 pub(super) struct HeldEnds {
     /// The ends, some of them several times.
     pub(super) ends: Vec<EndKey>,
-    /// Number of other gateways that were asked.
+    /// Number of other nodes that were asked.
     pub(super) asked: usize,
-    /// Number of other gateways that answered in time.
+    /// Number of other nodes that answered in time.
     pub(super) answered: usize,
     /// How long that took.
     pub(super) took: Duration,
@@ -47,12 +48,12 @@
     let (sender, held) = mpsc::channel(1);
     tokio::spawn(async move {
         // Sending fails only once the owner has ended.
-        let _ = sender.send(ask_gateways(&context, &own, &open).await).await;
+        let _ = sender.send(ask_holders(&context, &own, &open).await).await;
     });
     held
 }
 
-async fn ask_gateways(context: &Context, own: &EndHolder, open: &[BatchId]) -> HeldEnds {
+async fn ask_holders(context: &Context, own: &EndHolder, open: &[BatchId]) -> HeldEnds {
     let began = Instant::now();
     let peers = context.peers.separate();
     let others = likely_holders(context, open);
@@ -60,7 +61,7 @@
     let mut calls: FuturesUnordered<_> = calls.collect();
     let asked = calls.len();
     let (mut ends, mut answered) = (own.pending(), 0);
-    // A gateway that does not answer sends its ends to the owner later.
+    // A node that does not answer sends its ends to the owner later.
     while asked - answered > dispensable_answers(asked)
         && let Some(answer) = calls.next().await
     {
@@ -71,28 +72,35 @@
     HeldEnds { ends, asked, answered, took: began.elapsed() }
 }
 
-/// Returns how many of the gateways need not answer: of those that hold the copies of one end, another one does. Few
-/// gateways may hold fewer copies.
+/// Returns how many of the nodes need not answer: of those that hold the copies of one end, another one does. Few
+/// nodes may hold fewer copies.
 const fn dispensable_answers(asked: usize) -> usize {
     if asked > GATEWAY_COPIES { GATEWAY_COPIES - 1 } else { 0 }
 }
 
-/// Returns the other gateways that hold the ends of these jobs, if there are any.
+/// Returns the other nodes that hold copies of the ends of these jobs, if there are any.
 fn likely_holders(context: &Context, jobs: &[BatchId]) -> Vec<Arc<Member>> {
-    let zones = &context.settings.places.zones;
-    let cluster = context.cluster.load();
-    let mut regions: HashMap<_, Vec<Arc<Member>>> = HashMap::new();
-    for member in cluster.members.iter().filter(|member| member.roles.gateway) {
-        regions.entry(zones.region(member.zone.as_str())).or_default().push(Arc::clone(member));
-    }
     let mut holders: BTreeMap<NodeId, Arc<Member>> = BTreeMap::new();
-    for gateways in regions.values_mut() {
+    let gateways = by_region(context, |roles| roles.gateway);
+    let stores = by_region(context, |roles| roles.store);
+    for mut group in gateways.into_iter().chain(stores) {
         for job in jobs {
-            sort_copy_holders(gateways, job);
-            let first = gateways.iter().take(ASKED_GATEWAYS);
+            sort_copy_holders(&mut group, job);
+            let first = group.iter().take(ASKED_NODES);
             holders.extend(first.map(|member| (member.node.clone(), Arc::clone(member))));
         }
     }
     holders.remove(&context.node);
     holders.into_values().collect()
 }
+
+/// Returns the members with certain roles, grouped by region.
+fn by_region(context: &Context, has_role: fn(&Roles) -> bool) -> Vec<Vec<Arc<Member>>> {
+    let zones = &context.settings.places.zones;
+    let cluster = context.cluster.load();
+    let mut regions: HashMap<_, Vec<Arc<Member>>> = HashMap::new();
+    for member in cluster.members.iter().filter(|member| has_role(&member.roles)) {
+        regions.entry(zones.region(member.zone.as_str())).or_default().push(Arc::clone(member));
+    }
+    regions.into_values().collect()
+}
