Start items also where the collection of held ends fails

An owner that awaits the ends which others hold starts nothing until they come. If the task that collects them ended without a message, it would wait for as long as it owns the shard. A closed channel now counts as no ends.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -102,6 +102,11 @@
         self.awaits_ends = true;
     }
 
+    /// Returns whether no item is started until [`Self::end_held`].
+    pub const fn awaits_ends(&self) -> bool {
+        self.awaits_ends
+    }
+
     /// Ends the jobs whose ends gateways hold, and lets the items of the others start.
     pub fn end_held(&mut self, now: Timestamp, ends: &[EndKey]) {
         self.awaits_ends = false;
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -198,7 +198,10 @@
             Some(ended) = self.calls.load_ends.recv() => self.handle_load(&ended),
             Some(ended) = self.calls.duty_ends.recv() => self.handle_duty(&ended),
             Some(read) = self.texts.recv() => self.fill_texts(read),
-            Some(held) = self.held_ends.recv() => self.end_held_jobs(&held),
+            held = self.held_ends.recv(), if self.controller.awaits_ends() => {
+                // Without a message the collection failed, and holders send their ends themselves.
+                self.end_held_jobs(&held.unwrap_or_default());
+            }
             // Nothing is committed while the replica set changes, and reading missing texts at the same
             // time would make the change slow.
             replacement = self.stores.maintainer.next(), if !self.controller.ledger().is_outline() => {
