Bound what a long outage makes of pending ends

Found by review. While an owner waits for its stores, holders send an end again every 0.8 s; the owner kept each of these calls until the end was committed, and drops those whose caller has left now. A question to an owner on the same node had no time limit, so that 32 of them kept all other ends of the node waiting; it has one of 3 s. Choosing the ends that are due copied the names of all that were due, for each answer; it copies those that it chooses.

--- a/crates/core/src/batch/pending_ends.rs
+++ b/crates/core/src/batch/pending_ends.rs
@@ -198,42 +198,28 @@
     /// Returns the ends to send to the owner now and marks them as in flight.
     pub fn due(&mut self, now: Timestamp) -> Vec<EndKey> {
         let available = MAX_IN_FLIGHT.saturating_sub(self.in_flight());
-        let is_due = |held: &PendingEnd| !held.is_in_flight && held.next_at <= now;
-        let mut due: Vec<(Timestamp, EndKey)> = self
-            .pending
-            .iter()
-            .filter(|(_, held)| is_due(held))
-            .map(|(key, held)| (held.next_at, key.clone()))
-            .collect();
-        due.sort();
-        due.truncate(available);
-        for (_, key) in &due {
+        let due_at = |held: &PendingEnd| (!held.is_in_flight).then_some(held.next_at);
+        let due = self.earliest(now, available, due_at);
+        for key in &due {
             if let Some(held) = self.pending.get_mut(key) {
                 held.is_in_flight = true;
                 held.attempts += 1;
             }
         }
-        due.into_iter().map(|(_, key)| key).collect()
+        due
     }
 
     /// Returns the ends to copy to other nodes now and marks them as being copied.
     pub fn copies_due(&mut self, now: Timestamp) -> Vec<EndKey> {
         let available = MAX_IN_FLIGHT.saturating_sub(self.copying());
-        let is_due = |held: &PendingEnd| held.needs_copies() && held.copy_at <= now;
-        let mut due: Vec<(Timestamp, EndKey)> = self
-            .pending
-            .iter()
-            .filter(|(_, held)| is_due(held))
-            .map(|(key, held)| (held.copy_at, key.clone()))
-            .collect();
-        due.sort();
-        due.truncate(available);
-        for (_, key) in &due {
+        let due_at = |held: &PendingEnd| held.needs_copies().then_some(held.copy_at);
+        let due = self.earliest(now, available, due_at);
+        for key in &due {
             if let Some(held) = self.pending.get_mut(key) {
                 held.is_copying = true;
             }
         }
-        due.into_iter().map(|(_, key)| key).collect()
+        due
     }
 
     /// Handles the end of copying. `is_complete` tells whether enough nodes hold a copy.
@@ -286,6 +272,22 @@
         self.settle(now, key, outcome)
     }
 
+    /// Returns up to `count` ends that are due by `due_at` now, the earliest first.
+    fn earliest(
+        &self,
+        now: Timestamp,
+        count: usize,
+        due_at: impl Fn(&PendingEnd) -> Option<Timestamp>,
+    ) -> Vec<EndKey> {
+        if count == 0 {
+            return Vec::new();
+        }
+        let due = self.pending.iter().filter_map(|(key, held)| due_at(held).map(|at| (at, key)));
+        let mut due: Vec<(Timestamp, &EndKey)> = due.filter(|(at, _)| *at <= now).collect();
+        due.sort();
+        due.into_iter().take(count).map(|(_, key)| key.clone()).collect()
+    }
+
     /// Returns the number of ends in flight.
     fn in_flight(&self) -> usize {
         self.pending.values().filter(|held| held.is_in_flight).count()
--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -33,6 +33,9 @@
 const STORE_COPY_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of one request to another node to hold an end.
 const COPY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of sending an end to its owner, which answers once the end is committed. As long as the search for the owner
+/// and its answer may take; an owner on this node has no other limit.
+const ASK_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a caller waits for the owner's answer; longer than the search for the owner. The end stays
 /// pending afterwards.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -290,8 +293,9 @@
 
 async fn ask(jobs: &BatchJobs, key: EndKey) -> (EndKey, BatchResponse) {
     let request = BatchRequest::End { batch: key.batch.clone(), caller: key.caller.clone() };
-    let response = jobs.ask_about(&key.batch, request).await;
-    (key, response)
+    let response = tokio::time::timeout(ASK_TIMEOUT, jobs.ask_about(&key.batch, request)).await;
+    // Without an answer in time the end stays pending and is sent again.
+    (key, response.unwrap_or(BatchResponse::Unavailable))
 }
 
 fn key_of(request: HoldEnd) -> EndKey {
--- a/crates/daemon/src/batch/owner/waiting.rs
+++ b/crates/daemon/src/batch/owner/waiting.rs
@@ -61,6 +61,8 @@
 
     /// Adds a caller that ends a job and whose record is being appended.
     pub(super) fn add_end(&mut self, batch: BatchId, command: Command) {
+        // Holders send an end again after a timeout, for as long as it is not committed.
+        self.ends.retain(|(_, earlier)| !earlier.reply.is_closed());
         self.ends.push((batch, command));
     }
 
