Complete items whose replicas answer without a length

An item whose replicas send no length was run again and again until it was given up: 25 runs in 40 s, then listed as faulted.

Cause: a run whose answer ends with its connection counted as broken, also when it resumed after the last event and brought nothing, and each such run kept its replica from items for 600 ms.

Change: as for streams, such a run is resumed until a replica that still accepts connections brings nothing, which completes the item. A run that brought events ends as unframed, after which the item avoids its replica and nothing else is held back. A run that brings no event at all, or only events that the item has, is broken as before.

--- a/crates/core/src/batch/controller/action.rs
+++ b/crates/core/src/batch/controller/action.rs
@@ -46,6 +46,8 @@
     Failed,
     /// The replica reported that the item can never succeed.
     Unprocessable,
+    /// The answer brought events and ended with its connection, which a crash of the replica looks like.
+    Unframed,
     /// The request was not sent, or the answer was truncated.
     Broken,
 }
@@ -59,6 +61,7 @@
             Self::OtherReplica => "other_replica",
             Self::Failed => "failed",
             Self::Unprocessable => "never",
+            Self::Unframed => "unframed",
             Self::Broken => "broken",
         }
     }
--- a/crates/core/src/batch/controller/runs.rs
+++ b/crates/core/src/batch/controller/runs.rs
@@ -110,7 +110,7 @@
                 RunEnd::Rejected => state.avoid_until = state.avoid_until.max(now + REJECTION_COOLDOWN),
                 // The replica is gone, but the list of replicas does not show it yet.
                 RunEnd::OtherReplica => state.avoid_until = now + BROKEN_RUN_COOLDOWN * 5,
-                RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable => {}
+                RunEnd::Complete | RunEnd::Failed | RunEnd::Unprocessable | RunEnd::Unframed => {}
             }
         }
         let subject = self.item(&batch, item).map_or_else(String::new, |item| item.id.clone());
@@ -136,7 +136,7 @@
                 }
             }
             RunEnd::Broken => live.record_broken_run(replica, now.saturating_since(started_at), now),
-            RunEnd::Rejected | RunEnd::OtherReplica => live.avoid = Some(replica),
+            RunEnd::Rejected | RunEnd::OtherReplica | RunEnd::Unframed => live.avoid = Some(replica),
         }
         self.mark_items_due(now);
     }
--- a/crates/daemon/src/batch/run.rs
+++ b/crates/daemon/src/batch/run.rs
@@ -24,6 +24,7 @@
 use crate::ingress::pool::{HttpExchange, ReplicaPool, SendError};
 use crate::ingress::sse::EventSplitter;
 use crate::metrics::Latency;
+use crate::quarantine::refuses_connections;
 
 /// Timeout for connecting to a replica.
 const RUN_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -123,23 +124,43 @@
         let _ = events.send((start.run, RunEvent::Load(load))).await;
     }
     let version = version_of_head(&head.headers, start);
-    let mut reader = EventReader { start, events, version, splitter: EventSplitter::default() };
+    let mut reader =
+        EventReader { start, events, version, newest_event: None, splitter: EventSplitter::default() };
     if let Err(end) = reader.read_all(&mut body).await {
         return end;
     }
-    if reader.splitter.has_partial_event() || !is_framed {
+    if reader.splitter.has_partial_event() {
         return RunEnd::Broken;
     }
+    if !is_framed {
+        return unframed_end(start, reader.newest_event).await;
+    }
     pool.give_back(connection, &head.headers);
     RunEnd::Complete
 }
 
+/// Returns how a run ended whose answer has no length and ended between two events. It ends in the same way when its
+/// replica crashes, so the item is resumed until a replica that is still alive brings nothing.
+async fn unframed_end(start: &RunStart, newest_event: Option<u64>) -> RunEnd {
+    if newest_event > start.last_event {
+        return RunEnd::Unframed;
+    }
+    let is_confirmed = newest_event.is_none() && start.last_event.is_some();
+    if is_confirmed && !refuses_connections(start.replica.address).await {
+        RunEnd::Complete
+    } else {
+        RunEnd::Broken
+    }
+}
+
 /// Forwards the events of one answer to the owner.
 struct EventReader<'a> {
     start: &'a RunStart,
     events: &'a mpsc::Sender<(RunId, RunEvent)>,
     /// Weight version named by the newest event, or else by the response head.
     version: u64,
+    /// Number of the newest event that was forwarded.
+    newest_event: Option<u64>,
     splitter: EventSplitter,
 }
 
@@ -176,6 +197,7 @@
             if self.events.send((self.start.run, RunEvent::Event(output))).await.is_err() {
                 return Err(RunEnd::Broken);
             }
+            self.newest_event = self.newest_event.max(Some(number));
         }
     }
 }
--- a/crates/daemon/src/quarantine/mod.rs
+++ b/crates/daemon/src/quarantine/mod.rs
@@ -22,7 +22,7 @@
 use crate::context::Context;
 pub(crate) use reporter::begin_trial;
 pub use reporter::start;
-pub(crate) use traced_run::TracedRun;
+pub(crate) use traced_run::{TracedRun, refuses_connections};
 
 impl QuarantineHandle {
     /// Applies a change to the crash monitor and publishes the resulting quarantine. `apply` returns whether
--- a/crates/daemon/src/quarantine/traced_run.rs
+++ b/crates/daemon/src/quarantine/traced_run.rs
@@ -2,6 +2,7 @@
 //! whether a replica at which it broke refuses connections.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,7 +99,7 @@
     /// Returns whether the replica has ended, after probing whether it refuses connections.
     pub(crate) async fn has_replica_ended(&self) -> bool {
         let probe = self.context.quarantine.probe_for(&self.run.replica);
-        *probe.get_or_init(|| refuses_connections(&self.run)).await
+        *probe.get_or_init(|| refuses_connections(self.run.address)).await
     }
 
     fn report_broken(&mut self, cause: BreakCause) {
@@ -131,8 +132,8 @@
 
 /// Whether the replica's port refuses connections. A running process accepts them, even if it is overloaded
 /// and resets them afterwards.
-async fn refuses_connections(run: &SentRun) -> bool {
-    match tokio::time::timeout(PORT_PROBE_TIMEOUT, TcpStream::connect(run.address)).await {
+pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
+    match tokio::time::timeout(PORT_PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     }
--- a/crates/lab/tests/platform_unframed/mod.rs
+++ b/crates/lab/tests/platform_unframed/mod.rs
@@ -1,4 +1,4 @@
-//! Streams of replicas whose answers have no length and end with their connection, also where the replica crashes.
+//! Streams and items of replicas whose answers have no length and end with their connection, also where the replica crashes.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::platform_system::{PATIENCE, System, configuration, until};
+use crate::whole_text;
 
 /// Pieces of each stream.
 const PIECES: u64 = 6;
@@ -78,7 +79,7 @@
     };
     let id = field(&head, "attempt-id").unwrap_or_default();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: seal\r\ncontent-type: text/event-stream\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: seal\r\nweight-versions: 1\r\ncontent-type: text/event-stream\r\n\r\n"
     );
     connection.write_all(head.as_bytes()).await.ok()?;
     if begun == 2 && shared.first_end == FirstEnd::ClosedTwice {
@@ -129,7 +130,8 @@
     for number in 0..replicas {
         let address = start_replica(Arc::clone(&shared)).await;
         let record = json!({"service": "engines", "address": address.to_string(), "zone": "kajang", "version": "v1",
-            "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1});
+            "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+            "models": [{"name": "pricing", "version": 1, "adapters": []}]});
         system.platform.put(objects::REPLICAS, &format!("unframed-{number}"), record);
     }
     let metadata = &system.gateways[0].as_ref().expect("a gateway").context().metadata;
@@ -220,3 +222,25 @@
     let (system, _) = start(2, FirstEnd::Reset).await;
     assert!(!read(&system, "/chat/x", &[("attempt-id", "s-1")]).await.1);
 }
+
+/// An item was run again and again until it was given up.
+#[tokio::test]
+async fn an_item_whose_answers_have_no_length_is_complete_with_its_whole_text() {
+    let half = Some(PIECES / 2 - 1);
+    let cases = [
+        (1, FirstEnd::Whole, vec![None, Some(PIECES - 1)]),
+        (3, FirstEnd::Closed, vec![None, half, Some(PIECES - 1)]),
+        (3, FirstEnd::Reset, vec![None, half, Some(PIECES - 1)]),
+        (3, FirstEnd::ClosedTwice, vec![None, half, half, Some(PIECES - 1)]),
+    ];
+    for (replicas, first_end, begins) in cases {
+        let (system, shared) = start(replicas, first_end).await;
+        system.submit(0, "job", 1, 1).await;
+        let results = system.results(0, "job").await;
+        assert_eq!(
+            (&results[0]["state"], &results[0]["text"]),
+            (&json!("complete"), &json!(whole_text(PIECES)))
+        );
+        assert_eq!(*shared.begins.lock().expect("no panic"), begins);
+    }
+}
