Don't let another tenant end a job that is being accepted

What callers could see: an end with the key of another tenant ended a job whose record wasn't committed yet.

Cause: the tenant was compared with that of the jobs in the ledger alone.

Change: jobs whose records are being appended are compared too.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -75,6 +75,19 @@
         Submission::Pending
     }
 
+    /// Returns a job that is committed or whose record is being appended.
+    pub fn job(&self, batch: &BatchId) -> Option<&BatchJob> {
+        let pending = || {
+            let records = self.pending_appends.iter().flatten();
+            let mut jobs = records.filter_map(|record| match record {
+                Record::Accepted(job) => Some(job),
+                _ => None,
+            });
+            jobs.find(|job| job.id == *batch)
+        };
+        self.ledger.job(batch).map(|state| &state.job).or_else(pending)
+    }
+
     /// Ends a job. Its runs stop at once, and the end is visible once it is committed. Returns whether it is
     /// committed already, or `None` when there is no such job.
     pub fn end(&mut self, now: Timestamp, batch: &BatchId) -> Option<bool> {
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -84,7 +84,7 @@
 
     /// Returns whether a job belongs to another tenant; the caller is then told that it is unknown.
     fn is_hidden(&self, batch: &BatchId, caller: Option<&TenantName>) -> bool {
-        self.controller.ledger().job(batch).is_some_and(|state| !state.job.is_open_to(caller))
+        self.controller.job(batch).is_some_and(|job| !job.is_open_to(caller))
     }
 
     fn end(&mut self, batch: BatchId, command: Command) {
--- a/crates/lab/tests/platform_tenants/mod.rs
+++ b/crates/lab/tests/platform_tenants/mod.rs
@@ -1,6 +1,7 @@
 //! Tenants with keys over real nodes and sockets: who is served, what replicas see, and whose jobs are whose.
 
 use hyper::{Method, StatusCode};
+use lichenpulley_daemon::node::Node;
 use lichenpulley_lab::platform_replica::Replica;
 use lichenpulley_platform::objects;
 use lichenpulley_protocol::operator::TenantsDocument;
@@ -175,3 +176,24 @@
     let text = serde_json::to_string(&document).expect("JSON");
     assert!(!text.contains("key-of") && !text.contains("second-key"), "{text}");
 }
+
+#[tokio::test]
+async fn a_job_that_is_being_accepted_is_not_ended_by_another_tenant() {
+    let system = start(1).await;
+    assert_eq!(submit(&system, "first", ANNA).await, StatusCode::ACCEPTED);
+    let owner = system.owner();
+    let node = system.gateways[owner].as_ref().expect("the owner");
+    let mut decisions = node.context().decisions.watch();
+    // Without stores the job's record stays pending.
+    system.stores.iter().flatten().for_each(Node::kill);
+    let end = async {
+        while decisions.recv().await.expect("a decision").decision.action != "batch_taken" {}
+        let fields = [("attempt-id", "end"), ("authorization", BERT)];
+        system.call(owner, Method::DELETE, "/-/lots/job", &fields, "").await
+    };
+    let (answer, _) = tokio::join!(end, submit(&system, "job", ANNA));
+    assert_ne!(answer.status, StatusCode::OK);
+    while let Ok(event) = decisions.try_recv() {
+        assert_ne!(event.decision.action, "batch_ended");
+    }
+}
