Excuse an unread end in the soak only where its gateway was killed or its caller reset

The taught check took each end without an acknowledgement for lost if no gateway had logged it as read, so that an end which a living gateway drops unread would have gone unseen. It is excused now only where each gateway that it was sent to was killed afterwards, or the caller reset the connection; what is read counts as before.

--- a/crates/lab/src/soak/job_enders.rs
+++ b/crates/lab/src/soak/job_enders.rs
@@ -201,7 +201,8 @@
         let head = format!("DELETE /-/lots/{job} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {job}\r\n\r\n");
         stream.write_all(head.as_bytes()).await.ok()?;
         let at = Instant::now();
-        if matches!(strategy, EndStrategy::Reset) {
+        let was_reset = matches!(strategy, EndStrategy::Reset);
+        if was_reset {
             reset(&stream);
         }
         let mut answer = [0; 64];
@@ -209,7 +210,7 @@
         let count = read.ok().and_then(Result::ok).unwrap_or(0);
         let text = String::from_utf8_lossy(&answer[..count]);
         let status = text.split(' ').nth(1).and_then(|status| status.parse::<StatusCode>().ok());
-        Some(SentEnd { gateway, at, status })
+        Some(SentEnd { gateway, at, was_reset, status })
     }
 }
 
--- a/crates/lab/src/soak/job_ends.rs
+++ b/crates/lab/src/soak/job_ends.rs
@@ -23,6 +23,8 @@
 pub(super) struct SentEnd {
     pub(super) gateway: SocketAddr,
     pub(super) at: Instant,
+    /// Whether the connection was reset after the request was written, so that it may not have been delivered.
+    pub(super) was_reset: bool,
     /// Status of the response, or `None` if there was none.
     pub(super) status: Option<StatusCode>,
 }
@@ -118,16 +120,22 @@
         jobs.filter(|end| item.starts_with(&end.items)).collect()
     }
 
-    /// Returns whether an end may be lost: it has no acknowledgement, and no gateway read it, or each gateway that it was sent to
-    /// was killed within [`KILL_LOSS_WINDOW`].
+    /// Returns whether an end may be lost: it has no acknowledgement, and each gateway that it was sent to was killed within
+    /// [`KILL_LOSS_WINDOW`], or, if no gateway read it, later, unless the caller reset the connection.
     fn may_be_lost(&self, end: &JobEnd) -> bool {
-        let is_killed = |sent: &SentEnd| {
-            let mut kills = self.kills.iter().filter(|(gateway, _)| *gateway == sent.gateway);
-            kills.any(|(_, at)| {
-                at.checked_duration_since(sent.at).is_some_and(|after| after < KILL_LOSS_WINDOW)
-            })
+        let is_read = self.read.contains(&end.job);
+        let is_lost = |sent: &SentEnd| {
+            let killed_after = self.killed_after(sent);
+            let is_unread = !is_read && (sent.was_reset || killed_after.is_some());
+            is_unread || killed_after.is_some_and(|after| after < KILL_LOSS_WINDOW)
         };
-        end.acknowledged_at.is_none() && (!self.read.contains(&end.job) || end.sent.iter().all(is_killed))
+        end.acknowledged_at.is_none() && end.sent.iter().all(is_lost)
+    }
+
+    /// Returns how long after a request its gateway was killed.
+    fn killed_after(&self, sent: &SentEnd) -> Option<Duration> {
+        let kills = self.kills.iter().filter(|(gateway, _)| *gateway == sent.gateway);
+        kills.filter_map(|(_, at)| at.checked_duration_since(sent.at)).min()
     }
 
     fn describe(&self, late: &LateJob<'_>) -> String {
