--- a/crates/daemon/src/batch/end_holder.rs
+++ b/crates/daemon/src/batch/end_holder.rs
@@ -108,18 +108,15 @@
         if file.holds(end) {
             return Ok(());
         }
-        let pending = |(key, ..): (&EndKey, EndSource, Duration, u32)| hold_request(key);
-        let ends: Vec<HoldEnd> = self.lock().ends.list(self.now()).map(pending).collect();
+        let ends = self.pending();
         let written = tokio::task::spawn_blocking(move || file.write(ends));
         written.await.map_err(io::Error::other)?
     }
 
     /// Returns the ends that this node holds.
     pub(crate) fn pending(&self) -> Vec<HoldEnd> {
-        let now = self.now();
         let held = self.lock();
-        let ends = held.ends.list(now).map(|(key, ..)| key);
-        ends.map(|key| HoldEnd { batch: key.batch.clone(), caller: key.caller.clone() }).collect()
+        held.ends.list(self.now()).map(|(key, ..)| hold_request(key)).collect()
     }
 
     fn hold(&self, key: EndKey, source: EndSource) {
@@ -285,10 +282,10 @@
     }
 }
 
-/// Sorts gateways into the order in which they get copies of a job's end.
-pub(super) fn sort_copy_holders(gateways: &mut [Arc<Member>], batch: &BatchId) {
+/// Sorts nodes into the order in which they get copies of a job's end.
+pub(super) fn sort_copy_holders(nodes: &mut [Arc<Member>], batch: &BatchId) {
     let order = ShardId::new(batch.as_str());
-    gateways.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
+    nodes.sort_by_cached_key(|member| rendezvous_weight(&member.node, &order));
 }
 
 async fn ask(jobs: &BatchJobs, key: EndKey) -> (EndKey, BatchResponse) {
@@ -298,7 +295,8 @@
     (key, response.unwrap_or(BatchResponse::Unavailable))
 }
 
-fn key_of(request: HoldEnd) -> EndKey {
+/// Returns the end that a request names.
+pub(super) fn key_of(request: HoldEnd) -> EndKey {
     EndKey { batch: request.batch, caller: request.caller }
 }
 
--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use super::EndHolder;
-use super::end_holder::{GATEWAY_COPIES, sort_copy_holders};
+use super::end_holder::{GATEWAY_COPIES, key_of, sort_copy_holders};
 use crate::cluster::{Member, Roles};
 use crate::context::Context;
 
@@ -68,7 +68,7 @@
         answered += usize::from(answer.is_ok());
         ends.extend(answer.into_iter().flatten());
     }
-    let ends = ends.into_iter().map(|end| EndKey { batch: end.batch, caller: end.caller }).collect();
+    let ends = ends.into_iter().map(key_of).collect();
     HeldEnds { ends, asked, answered, took: began.elapsed() }
 }
 
