Start nothing while an owner flushes its progress to leave

Found by reading the change again. An owner that leaves told the controller that it isn't confirmed, so that nothing begins while its progress is committed. The check before each pass over the items took that back in the next line, and the end of an append did so before as well: items and score requests could start and be broken off within 0.3 s.

Whether anything may start is now decided in one place, from the stores' confirmation and from leaving. It is told to the controller before it looks: at a tick and before actions are polled. Six other calls, at the ends of runs, scores, loads, duties and appends, told it what nothing read before the next poll, and are gone.

--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -96,6 +96,8 @@
     held_ends: mpsc::Receiver<HeldEnds>,
     leave_monitor: LeaveMonitor,
     queue_reporter: QueueReporter,
+    /// Whether the owner flushes its progress before it leaves; nothing is started meanwhile.
+    is_leaving: bool,
     /// The error after which the log can't be written any more.
     failure: Option<ShardLogError>,
 }
@@ -158,6 +160,7 @@
             stores: OwnedStores::new(scope.clone(), log, held_bytes),
             leave_monitor: LeaveMonitor::default(),
             queue_reporter: QueueReporter::default(),
+            is_leaving: false,
             failure: None,
             scope,
             context,
@@ -263,7 +266,7 @@
 
     fn tick(&mut self) {
         self.stores.log.set_state_bytes(self.controller.held_bytes());
-        self.controller.set_confirmed(self.stores.is_confirmed());
+        self.update_confirmation();
         self.controller.tick(self.now());
         self.controller.tick_duties(self.now(), duties::wall_time());
         let (running, waiting) = self.controller.item_counts();
@@ -273,8 +276,12 @@
         self.answer_readers();
     }
 
+    /// Tells the controller whether it may start anything.
+    fn update_confirmation(&mut self) {
+        self.controller.set_confirmed(!self.is_leaving && self.stores.is_confirmed());
+    }
+
     fn handle_run(&mut self, run: RunId, event: RunEvent) {
-        self.controller.set_confirmed(self.stores.is_confirmed());
         let now = self.now();
         self.controller.run_event(now, run, event);
         // Handles all queued events before the actions that they cause.
@@ -289,19 +296,16 @@
     fn handle_score(&mut self, ended: &ScoreEnded) {
         self.running.forget_score(ended.id);
         let now = self.now();
-        self.controller.set_confirmed(self.stores.is_confirmed());
         self.controller.score_ended(now, ended.id, &ended.end, ended.load);
     }
 
     fn handle_load(&mut self, ended: &LoadEnded) {
         let now = self.now();
-        self.controller.set_confirmed(self.stores.is_confirmed());
         self.controller.load_ended(now, &ended.replica, &ended.end);
     }
 
     fn handle_duty(&mut self, ended: &DutyEnded) {
         let now = self.now();
-        self.controller.set_confirmed(self.stores.is_confirmed());
         self.controller.duty_ended(now, &ended.call, ended.end);
     }
 
@@ -310,7 +314,6 @@
             AppendOutcome::Appended { appends, began, state_limit } => {
                 self.context.metrics.observe(Latency::Append, "decided", self.stores.clock().since(began));
                 self.stores.confirm(began);
-                self.controller.set_confirmed(self.stores.is_confirmed());
                 self.limit_state(state_limit);
                 let now = self.now();
                 for _ in 0..appends {
@@ -321,7 +324,6 @@
             }
             AppendOutcome::Confirmed { began } => {
                 self.stores.confirm(began);
-                self.controller.set_confirmed(self.stores.is_confirmed());
                 self.answer_confirmed();
             }
             AppendOutcome::Refused { appends } => {
--- a/crates/daemon/src/batch/owner/actions.rs
+++ b/crates/daemon/src/batch/owner/actions.rs
@@ -8,7 +8,7 @@
     /// Executes all pending actions of the controller.
     pub(super) fn execute_actions(&mut self) {
         // The confirmation may have lapsed since the last tick, for instance while the process was suspended.
-        self.controller.set_confirmed(self.stores.is_confirmed());
+        self.update_confirmation();
         while let Some(action) = self.controller.poll_action() {
             match action {
                 Action::Append(records) => self.stores.log.append(records),
--- a/crates/daemon/src/batch/owner/leaving.rs
+++ b/crates/daemon/src/batch/owner/leaving.rs
@@ -17,7 +17,7 @@
 impl Owner {
     /// Appends all progress and waits until it is committed, up to [`FLUSH_TIMEOUT`].
     pub(super) async fn flush(&mut self) {
-        self.controller.set_confirmed(false);
+        self.is_leaving = true;
         self.controller.flush_progress(self.now());
         self.execute_actions();
         let limit = Instant::now() + FLUSH_TIMEOUT;
