Write to cut connections without vectored writes

The stand-ins' stream that cuts answers forwarded vectored writes and, where it is limited, fell back to the first slice.

--- a/crates/lab/src/http/cut_stream.rs
+++ b/crates/lab/src/http/cut_stream.rs
@@ -1,6 +1,6 @@
 //! A connection that closes after the first bytes of an answer.
 
-use std::io::{self, IoSlice};
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -71,22 +71,6 @@
         Poll::Ready(Ok(written))
     }
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        if self.limit.left()? == usize::MAX {
-            return Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        }
-        let first = slices.iter().find(|slice| !slice.is_empty()).map_or(&[][..], |slice| slice);
-        self.poll_write(context, first)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
