--- a/crates/lab/src/soak/system.rs
+++ b/crates/lab/src/soak/system.rs
@@ -211,7 +211,7 @@
         if self.stores[number].is_some() {
             return Ok(());
         }
-        let (name, zone) = (format!("store-{number}"), ZONES[number % ZONES.len()].to_owned());
+        let (name, zone) = (format!("store-{number}"), ZONES[number].to_owned());
         let plan = NodePlan { name, zone, is_store: true, platform: self.platform.address };
         let node = self.start_node(plan).await?;
         self.stores[number] = Some(node);
@@ -223,7 +223,7 @@
         if self.gateways[number].is_some() {
             return Ok(());
         }
-        let (name, zone) = (format!("gateway-{number}"), ZONES[number % ZONES.len()].to_owned());
+        let (name, zone) = (format!("gateway-{number}"), ZONES[number].to_owned());
         let platform = self.platform_proxies[number].address;
         let plan = NodePlan { name, zone, is_store: false, platform };
         let node = self.start_node(plan).await?;
@@ -266,7 +266,7 @@
             if service == "lossy" {
                 replica.set_behaviour(ReplicaBehaviour::LosesAnswers);
             }
-            self.platform.put(objects::REPLICAS, &id, replica.record(service, ZONES[number % ZONES.len()]));
+            self.platform.put(objects::REPLICAS, &id, replica.record(service, ZONES[number]));
             self.fault_free_replicas.push(replica);
         }
         Ok(())
