Tell the collected ends of a takeover from the ends that a node holds

Two types of neighbouring modules were called HeldEnds. The one that a takeover collects is CollectedEnds. Comments that named gateways alone say other nodes, since stores hold ends too.

--- a/crates/core/src/batch/controller/jobs.rs
+++ b/crates/core/src/batch/controller/jobs.rs
@@ -120,7 +120,7 @@
         self.awaits_ends
     }
 
-    /// Ends the jobs whose ends gateways hold, and lets the items of the others start.
+    /// Ends the jobs whose ends other nodes hold, and lets the items of the others start.
     pub fn end_held(&mut self, now: Timestamp, ends: &[EndKey]) {
         self.awaits_ends = false;
         for EndKey { batch, caller } in ends {
--- a/crates/core/src/batch/controller/mod.rs
+++ b/crates/core/src/batch/controller/mod.rs
@@ -109,7 +109,7 @@
     /// Whether the rule for reusing earlier texts is to be applied to all open jobs.
     is_reuse_due: bool,
     reuse_counts: ReuseCounts,
-    /// Whether ends that gateways hold are still to be collected; no item is started until then.
+    /// Whether ends that other nodes hold are still to be collected; no item is started until then.
     awaits_ends: bool,
     /// Whether the stores confirmed this owner's authority recently; otherwise nothing is started or ordered.
     is_confirmed: bool,
--- a/crates/daemon/src/batch/held_ends.rs
+++ b/crates/daemon/src/batch/held_ends.rs
@@ -28,9 +28,9 @@
 /// the first ones that could be reached when the end was read.
 const ASKED_NODES: usize = GATEWAY_COPIES + 2;
 
-/// The ends that other nodes hold.
+/// The ends that this node and others hold.
 #[derive(Default)]
-pub(super) struct HeldEnds {
+pub(super) struct CollectedEnds {
     /// The ends, some of them several times.
     pub(super) ends: Vec<EndKey>,
     /// Number of other nodes that were asked.
@@ -42,7 +42,7 @@
 }
 
 /// Starts collecting the ends of the ledger's open jobs, and returns the channel on which they arrive, once.
-pub(super) fn collect(context: Context, own: EndHolder, ledger: &Ledger) -> mpsc::Receiver<HeldEnds> {
+pub(super) fn collect(context: Context, own: EndHolder, ledger: &Ledger) -> mpsc::Receiver<CollectedEnds> {
     let open = ledger.jobs().iter().filter(|(_, state)| !state.is_ended);
     let open: Vec<BatchId> = open.map(|(batch, _)| batch.clone()).collect();
     let (sender, held) = mpsc::channel(1);
@@ -53,7 +53,7 @@
     held
 }
 
-async fn ask_holders(context: &Context, own: &EndHolder, open: &[BatchId]) -> HeldEnds {
+async fn ask_holders(context: &Context, own: &EndHolder, open: &[BatchId]) -> CollectedEnds {
     let began = Instant::now();
     let peers = context.peers.separate();
     let others = likely_holders(context, open);
@@ -69,7 +69,7 @@
         ends.extend(answer.into_iter().flatten());
     }
     let ends = ends.into_iter().map(key_of).collect();
-    HeldEnds { ends, asked, answered, took: began.elapsed() }
+    CollectedEnds { ends, asked, answered, took: began.elapsed() }
 }
 
 /// Returns how many of the nodes need not answer: of those that hold the copies of one end, another one does. Few
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -37,7 +37,7 @@
 use waiting::WaitingCallers;
 
 use super::Command;
-use super::held_ends::HeldEnds;
+use super::held_ends::CollectedEnds;
 use super::load::LoadEnded;
 use super::outline::{self, MissingTexts, ReadTexts};
 use super::score::ScoreEnded;
@@ -75,8 +75,8 @@
     pub(super) offer: Option<ProgressOffer>,
     /// Range of the log whose texts are still to be read; `None` if the log was read completely.
     pub(super) missing: Option<MissingTexts>,
-    /// Receives the ends that gateways hold.
-    pub(super) held_ends: mpsc::Receiver<HeldEnds>,
+    /// Receives the ends that other nodes hold, once.
+    pub(super) held_ends: mpsc::Receiver<CollectedEnds>,
 }
 
 /// The owner of a shard of batch jobs.
@@ -93,7 +93,7 @@
     callers: WaitingCallers,
     /// Receives ledgers with the texts that were missing at the takeover.
     texts: mpsc::Receiver<ReadTexts>,
-    held_ends: mpsc::Receiver<HeldEnds>,
+    held_ends: mpsc::Receiver<CollectedEnds>,
     leave_monitor: LeaveMonitor,
     queue_reporter: QueueReporter,
     /// Whether the owner flushes its progress before it leaves; nothing is started meanwhile.
--- a/crates/daemon/src/batch/owner/callers.rs
+++ b/crates/daemon/src/batch/owner/callers.rs
@@ -16,7 +16,7 @@
 
 use super::Owner;
 use crate::batch::Command;
-use crate::batch::held_ends::HeldEnds;
+use crate::batch::held_ends::CollectedEnds;
 
 impl Owner {
     /// Answers a command, or queues it until its response is available.
@@ -98,14 +98,15 @@
         }
     }
 
-    /// Ends the jobs whose ends gateways held while the shard was taken over.
-    pub(super) fn end_held_jobs(&mut self, held: &HeldEnds) {
+    /// Ends the jobs whose ends were collected after the shard was taken over.
+    pub(super) fn end_held_jobs(&mut self, collected: &CollectedEnds) {
         let decision =
             Decision::new(Component::Rollout, "ends_collected", "taken_over", self.scope.shard.as_str());
-        let decision = decision.with("asked", held.asked).with("answered", held.answered);
-        let decision = decision.with("held", held.ends.len()).with("milliseconds", held.took.as_millis());
+        let decision = decision.with("asked", collected.asked).with("answered", collected.answered);
+        let decision =
+            decision.with("held", collected.ends.len()).with("milliseconds", collected.took.as_millis());
         self.context.decisions.record(decision);
-        self.controller.end_held(self.now(), &held.ends);
+        self.controller.end_held(self.now(), &collected.ends);
     }
 
     /// Returns whether a request reads a job that is not in the ledger.
