Share what tests of replicas and of ended jobs had written several times

The record of a replica stood in three test files of the daemon. Replicas without the simulated ones, with a route of streams that can't be resumed, were listed twice in the same words; killing and restarting a majority of stores, counting runs, and starting with an open job stood in most tests of ends. Each is one piece now, in platform_system/nodes, platform_system/plan, platform_ends and replica_record. All assertions stay.

--- a/crates/daemon/tests/answer_framing.rs
+++ b/crates/daemon/tests/answer_framing.rs
@@ -1,19 +1,20 @@
 //! Answers that count as framed: one that ends before its body is an error.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+mod replica_record;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_daemon::boot_clock::BootClock;
 use lichenpulley_daemon::http::response;
 use lichenpulley_daemon::ingress::pool::{HttpExchange, ReplicaPool};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+use replica_record::replica;
+
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How an answer counts that ends right after its head.
@@ -29,20 +30,6 @@
     WithConnection,
 }
 
-fn replica(address: SocketAddr) -> ReplicaRecord {
-    ReplicaRecord {
-        id: "replica".to_owned(),
-        name: "replica".to_owned(),
-        service: "engines".to_owned(),
-        address,
-        zone: "a".to_owned(),
-        slots: 4,
-        is_draining: false,
-        models: BTreeMap::new(),
-        cold_left: Duration::ZERO,
-    }
-}
-
 /// Reads an answer that ends after these bytes.
 async fn read(answer: String) -> Ends {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -54,7 +41,7 @@
     });
     let pool = ReplicaPool::new(BootClock::default());
     let request = Request::new(Full::new(Bytes::new()));
-    let sent = pool.send(&replica(address), request, false, TIMEOUT, || true).await;
+    let sent = pool.send(&replica(address, "replica"), request, false, TIMEOUT, || true).await;
     let Ok(HttpExchange { response, connection: _connection }) = sent else { return Ends::AsBrokenHead };
     let is_framed = response::is_framed(&response);
     match (is_framed, response.into_body().collect().await) {
--- a/crates/daemon/tests/endless_answers.rs
+++ b/crates/daemon/tests/endless_answers.rs
@@ -1,14 +1,14 @@
 //! Bytes without end from a replica, in each part of an answer: reading stops after a bounded number of them, and the
 //! connection is closed.
 
-use std::collections::BTreeMap;
+mod replica_record;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_daemon::boot_clock::BootClock;
 use lichenpulley_daemon::ingress::answer_body::{AnswerMemory, BodyError, MAX_PLAIN_ANSWER_BYTES};
 use lichenpulley_daemon::ingress::counted_stream::{MAX_HEAD_BYTES, MAX_UNDECLARED_BYTES};
@@ -17,6 +17,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+use replica_record::replica;
+
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// Bytes that the sockets' buffers of both ends may hold beyond those that were read.
 const SOCKET_BYTES: u64 = 16 << 20;
@@ -24,20 +26,6 @@
 const HYPER_BYTES: u64 = 1 << 20;
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
-fn replica(address: SocketAddr) -> ReplicaRecord {
-    ReplicaRecord {
-        id: "replica".to_owned(),
-        name: "replica".to_owned(),
-        service: "engines".to_owned(),
-        address,
-        zone: "a".to_owned(),
-        slots: 4,
-        is_draining: false,
-        models: BTreeMap::new(),
-        cold_left: Duration::ZERO,
-    }
-}
-
 async fn read_request(connection: &mut TcpStream) {
     let mut head = [0; 1_024];
     assert!(connection.read(&mut head).await.expect("a request") > 0);
@@ -70,7 +58,7 @@
 
 async fn send(pool: &ReplicaPool, address: SocketAddr) -> Result<HttpExchange, SendError> {
     let request = Request::new(Full::new(Bytes::new()));
-    pool.send(&replica(address), request, false, TIMEOUT, || true).await
+    pool.send(&replica(address, "replica"), request, false, TIMEOUT, || true).await
 }
 
 /// Sends a request to such a replica and reads its answer without keeping it. It must fail, and the replica must not be
--- a/crates/daemon/tests/replica_pool.rs
+++ b/crates/daemon/tests/replica_pool.rs
@@ -1,31 +1,18 @@
 //! Tests of the replica connection pool: withheld requests, and idle connections that must not be reused.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+mod replica_record;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use lichenpulley_core::ingress::replicas::ReplicaRecord;
 use lichenpulley_daemon::boot_clock::BootClock;
 use lichenpulley_daemon::ingress::pool::{ReplicaPool, SendError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-fn replica(address: SocketAddr, incarnation: &str) -> ReplicaRecord {
-    ReplicaRecord {
-        id: incarnation.to_owned(),
-        name: "replica".to_owned(),
-        service: "engines".to_owned(),
-        address,
-        zone: "a".to_owned(),
-        slots: 4,
-        is_draining: false,
-        models: BTreeMap::new(),
-        cold_left: Duration::ZERO,
-    }
-}
+use replica_record::replica;
 
 #[tokio::test]
 async fn withheld_request_writes_no_byte() {
--- a/crates/lab/tests/platform_cut_heads/mod.rs
+++ b/crates/lab/tests/platform_cut_heads/mod.rs
@@ -10,14 +10,16 @@
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
 use lichenpulley_lab::platform_replica::ReplicaBehaviour;
-use lichenpulley_platform::objects;
 use serde_json::json;
 use tokio::time::Instant;
 
-use crate::platform_system::{PATIENCE, System, configuration, until};
+use crate::platform_system::plan::add_stream_without_resumption;
+use crate::platform_system::{PATIENCE, System, configuration};
 use replica::{CutEnd, FORMS, Form, PLAIN_BODY, Sends, events};
 
 const REPLICAS: usize = 3;
+/// Slots of each replica.
+const SLOTS: u32 = 64;
 /// Requests at a time; each replica has more slots.
 const CONCURRENCY: usize = 8;
 
@@ -104,23 +106,13 @@
 async fn start() -> (System, Arc<Sends>) {
     let system = System::start(0, 0).await;
     let mut document = configuration(2);
-    let mut once = document["routes"][2].clone();
-    once["name"] = json!("once");
-    once["path_prefix"] = json!("/chat/");
-    once["resumable"] = json!(false);
-    document["routes"].as_array_mut().expect("routes").push(once);
-    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, document);
+    add_stream_without_resumption(&mut document);
     let sends = Arc::new(Sends::default());
-    for number in 0..REPLICAS {
-        let address = replica::start(Arc::clone(&sends)).await;
-        let record = json!({"service": "engines", "address": address.to_string(), "zone": "kajang", "version": "v1",
-            "slots": 64, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
-            "models": [{"name": "pricing", "version": 1, "adapters": []}]});
-        system.platform.put(objects::REPLICAS, &format!("cutting-{number}"), record);
+    let mut addresses = Vec::new();
+    for _ in 0..REPLICAS {
+        addresses.push(replica::start(Arc::clone(&sends)).await);
     }
-    let metadata = &system.gateways[0].as_ref().expect("a gateway").context().metadata;
-    until(|| metadata.replicas.load().records.len() == REPLICAS).await;
-    until(|| metadata.routes.load().as_ref().is_some_and(|table| table.version == 2)).await;
+    system.serve_from(document, &addresses, SLOTS).await;
     (system, sends)
 }
 
@@ -276,12 +268,11 @@
 async fn no_answer_is_cut_short_while_all_simulated_replicas_cut_the_heads_of_theirs() {
     let system = System::start(2, 3).await;
     system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    let seen = || system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
-    let before = seen();
+    let before = system.runs();
     system.replicas.iter().for_each(|replica| replica.set_behaviour(ReplicaBehaviour::CutsHeads));
     for number in 0..REQUESTS_TO_CUTTING {
         let answer = read(&system, "/read/x", &request_id(number)).await;
         assert!(answer == whole("x") || answer.status == StatusCode::BAD_GATEWAY, "{answer:?}");
     }
-    assert!(seen() - before > REQUESTS_TO_CUTTING, "no answer was cut");
+    assert!(system.runs() - before > REQUESTS_TO_CUTTING, "no answer was cut");
 }
--- a/crates/lab/tests/platform_ends/mod.rs
+++ b/crates/lab/tests/platform_ends/mod.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::Receiver;
 
+use crate::platform_system::nodes::kill;
 use crate::platform_system::{PATIENCE, System, until};
 
 /// Events of streams that last longer than any test.
@@ -64,17 +65,17 @@
     tokio::time::timeout(PATIENCE, told).await.expect("so many in time");
 }
 
-async fn kill(node: Option<Node>) {
-    let node = node.expect("a living node");
-    node.kill();
-    node.stopped().await;
+/// Starts a system whose gateways have a job of four items that last.
+async fn start_with_job() -> System {
+    let system = System::start(2, ENDLESS).await;
+    system.call_until(StatusCode::OK, 0, "/read/warm").await;
+    system.submit(0, "job", 4, 1).await;
+    system
 }
 
 #[tokio::test]
 async fn an_end_that_was_read_while_the_owner_was_lost_ends_the_job_at_its_successor() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     let owner = system.owner();
     let other = 1 - owner;
     kill(system.gateways[owner].take()).await;
@@ -82,10 +83,9 @@
     end_and_leave(&system, other, "job").await;
     wait_for(&mut decisions, "end_kept", "job").await;
     // Whoever runs an item now would show it: the replicas are idle.
-    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
-    let before = runs(&system);
+    let before = system.runs();
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(runs(&system), before);
+    assert_eq!(system.runs(), before);
 }
 
 async fn read_by(system: &System, gateway: usize, batch: &str) -> Receiver<DecisionEvent> {
@@ -96,22 +96,16 @@
 
 #[tokio::test]
 async fn an_end_outlasts_the_gateway_that_read_it() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     let owner = system.owner();
     let other = 1 - owner;
     // Without a majority of stores nothing is kept.
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     let mut told = watch(&system, owner);
     end_and_leave(&system, other, "job").await;
     wait_for_pending(&system, owner, 1).await;
     kill(system.gateways[other].take()).await;
-    for number in 0..2 {
-        system.start_store(number).await;
-    }
+    system.restart_majority_of_stores().await;
     // The end may be in the log that a takeover reads, where no record of it is decided anew; its holder learns either way.
     let settled = wait_for(&mut told, "end_settled", "job").await;
     assert_eq!(settled.reason, "kept");
@@ -120,13 +114,9 @@
 
 #[tokio::test]
 async fn an_end_outlasts_all_nodes_that_held_it_at_first() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     // Without a majority of stores nothing is kept.
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     end_and_leave(&system, 0, "job").await;
     wait_for_pending(&system, 1, 1).await;
     kill(system.gateways[0].take()).await;
@@ -134,18 +124,14 @@
     wait_for_pending(&system, 2, 1).await;
     kill(system.gateways[1].take()).await;
     let mut held = watch(&system, 2);
-    for number in 0..2 {
-        system.start_store(number).await;
-    }
+    system.restart_majority_of_stores().await;
     let settled = wait_for(&mut held, "end_settled", "job").await;
     assert_eq!(settled.reason, "kept");
 }
 
 #[tokio::test]
 async fn an_end_that_a_gateway_reads_before_it_has_a_configuration_is_held() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     for number in 0..2 {
         kill(system.gateways[number].take()).await;
     }
@@ -187,14 +173,10 @@
 
 #[tokio::test]
 async fn an_owner_that_waits_for_its_stores_stops_the_items_of_an_ended_job() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     let owner = system.owner();
     let mut decisions = watch(&system, owner);
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     // Longer than a confirmation by the stores is valid.
     tokio::time::sleep(Duration::from_millis(800)).await;
     end_and_leave(&system, 1 - owner, "job").await;
@@ -203,25 +185,18 @@
 
 #[tokio::test]
 async fn a_successor_starts_no_item_of_a_job_whose_end_a_gateway_holds() {
-    let mut system = System::start(2, ENDLESS).await;
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+    let mut system = start_with_job().await;
     let owner = system.owner();
     let other = 1 - owner;
     // Without a majority of stores nothing is kept, and nobody owns the job.
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     end_and_leave(&system, other, "job").await;
     kill(system.gateways[owner].take()).await;
-    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
-    let before = runs(&system);
+    let before = system.runs();
     let mut decisions = watch(&system, other);
-    for number in 0..2 {
-        system.start_store(number).await;
-    }
+    system.restart_majority_of_stores().await;
     wait_for(&mut decisions, "end_kept", "job").await;
-    assert_eq!(runs(&system), before);
+    assert_eq!(system.runs(), before);
 }
 
 #[tokio::test]
@@ -272,38 +247,31 @@
     system.call_until(StatusCode::OK, 0, "/read/warm").await;
     system.submit(0, &job, 4, 1).await;
     let owner = system.owner();
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     end_and_leave(&system, 2, &job).await;
     for holder in 3..5 {
         wait_for_pending(&system, holder, 1).await;
     }
     kill(system.gateways[owner].take()).await;
-    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
-    let before = runs(&system);
+    let before = system.runs();
     let mut decisions = watch(&system, 1 - owner);
-    for number in 0..2 {
-        system.start_store(number).await;
-    }
+    system.restart_majority_of_stores().await;
     wait_for(&mut decisions, "end_kept", &job).await;
-    assert_eq!(runs(&system), before);
+    assert_eq!(system.runs(), before);
 }
 
 /// Ends a job while it has no owner and a majority of stores is down, and kills all gateways once the store that is left had
 /// time to get a copy.
-async fn end_and_lose_gateways(system: &mut System) {
-    system.call_until(StatusCode::OK, 0, "/read/warm").await;
-    system.submit(0, "job", 4, 1).await;
+async fn end_and_lose_gateways() -> System {
+    let mut system = start_with_job().await;
     let owner = system.owner();
-    for number in 0..2 {
-        kill(system.stores[number].take()).await;
-    }
+    system.kill_majority_of_stores().await;
     kill(system.gateways[owner].take()).await;
-    end_and_leave(system, 1 - owner, "job").await;
+    end_and_leave(&system, 1 - owner, "job").await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     kill(system.gateways[1 - owner].take()).await;
     system.gateways.clear();
+    system
 }
 
 /// Waits until one of two gateways has committed the end of a job.
@@ -317,11 +285,8 @@
 
 #[tokio::test]
 async fn an_end_outlasts_all_gateways() {
-    let mut system = System::start(2, ENDLESS).await;
-    end_and_lose_gateways(&mut system).await;
-    for number in 0..2 {
-        system.start_store(number).await;
-    }
+    let mut system = end_and_lose_gateways().await;
+    system.restart_majority_of_stores().await;
     for number in 0..2 {
         system.start_gateway(number).await;
     }
@@ -330,8 +295,7 @@
 
 #[tokio::test]
 async fn an_end_outlasts_a_power_loss_of_all_nodes() {
-    let mut system = System::start(2, ENDLESS).await;
-    end_and_lose_gateways(&mut system).await;
+    let mut system = end_and_lose_gateways().await;
     kill(system.stores[2].take()).await;
     for number in 0..3 {
         system.start_store(number).await;
--- a/crates/lab/tests/platform_suspension/mod.rs
+++ b/crates/lab/tests/platform_suspension/mod.rs
@@ -55,15 +55,14 @@
     system.call_until(StatusCode::OK, 0, "/read/warm").await;
     system.submit(0, "running", 200, 1).await;
     system.submit(0, "waiting", 4, 1).await;
-    let runs = |system: &System| system.replicas.iter().map(|replica| replica.seen().len()).sum::<usize>();
     tokio::time::sleep(Duration::from_millis(500)).await;
     let owner = system.owner();
     // Confirmations stay in force for a while after the stores are gone.
     system.stores.iter().flatten().for_each(Node::kill);
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let before = runs(&system);
+    let before = system.runs();
     suspend(system.gateways[owner].as_ref().expect("the owner"));
     let answer = system.call(owner, Method::DELETE, "/-/lots/running", &[("attempt-id", "end")], "").await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
-    assert_eq!(runs(&system), before);
+    assert_eq!(system.runs(), before);
 }
--- a/crates/lab/tests/platform_system/mod.rs
+++ b/crates/lab/tests/platform_system/mod.rs
@@ -1,6 +1,7 @@
 //! A whole system on the users' platform in one process: stand-ins of the platform, stores and gateways.
 
-mod plan;
+pub(crate) mod nodes;
+pub(crate) mod plan;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/crates/lab/tests/platform_system/plan.rs
+++ b/crates/lab/tests/platform_system/plan.rs
@@ -62,3 +62,13 @@
             "idle_timeout_ms": 15_000},
     })
 }
+
+/// Adds a route like that of streams, below `/chat/`, whose streams can't be resumed.
+pub(crate) fn add_stream_without_resumption(configuration: &mut Value) {
+    let routes = configuration["routes"].as_array_mut().expect("routes");
+    let mut once = routes[2].clone();
+    once["name"] = json!("once");
+    once["path_prefix"] = json!("/chat/");
+    once["resumable"] = json!(false);
+    routes.push(once);
+}
--- a/crates/lab/tests/platform_unframed/mod.rs
+++ b/crates/lab/tests/platform_unframed/mod.rs
@@ -7,18 +7,20 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
-use lichenpulley_platform::objects;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::platform_system::{PATIENCE, System, configuration, until};
+use crate::platform_system::plan::add_stream_without_resumption;
+use crate::platform_system::{PATIENCE, System, configuration};
 use crate::whole_text;
 
 /// Pieces of each stream.
 const PIECES: u64 = 6;
+/// Slots of each replica.
+const SLOTS: u32 = 4;
 
 /// How a replica ends the first stream that it begins, after half of the pieces.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -120,23 +122,13 @@
     let system = System::start(0, PIECES).await;
     let mut document = configuration(2);
     document["routes"][2]["max_attempts"] = json!(4);
-    let mut once = document["routes"][2].clone();
-    once["name"] = json!("once");
-    once["path_prefix"] = json!("/chat/");
-    once["resumable"] = json!(false);
-    document["routes"].as_array_mut().expect("routes").push(once);
-    system.platform.put(objects::CONFIGURATION, objects::CONFIGURATION_NAME, document);
+    add_stream_without_resumption(&mut document);
     let shared = Arc::new(Shared { first_end, begins: Mutex::default() });
-    for number in 0..replicas {
-        let address = start_replica(Arc::clone(&shared)).await;
-        let record = json!({"service": "engines", "address": address.to_string(), "zone": "kajang", "version": "v1",
-            "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
-            "models": [{"name": "pricing", "version": 1, "adapters": []}]});
-        system.platform.put(objects::REPLICAS, &format!("unframed-{number}"), record);
+    let mut addresses = Vec::new();
+    for _ in 0..replicas {
+        addresses.push(start_replica(Arc::clone(&shared)).await);
     }
-    let metadata = &system.gateways[0].as_ref().expect("a gateway").context().metadata;
-    until(|| metadata.replicas.load().records.len() == replicas).await;
-    until(|| metadata.routes.load().as_ref().is_some_and(|table| table.version == 2)).await;
+    system.serve_from(document, &addresses, SLOTS).await;
     (system, shared)
 }
 
