Refuse a body that announces a length over the limit without reading it

Callers that announced a body over the configuration's limit and sent it had the part up to the limit kept in the gateway's memory until the limit was passed; then up to 16 MiB more were read before the 413. A crowd of them took the gateway over the memory of its machine.

Cause: `read_body` looked at the length of what had arrived, never at the announced one, and discarded the rest of the body before it answered so that the close of the connection did not reset the answer.

The announced length is now compared first and the refusal sent at once. What still arrives is discarded by the close of the connection, which already did so for a second: that time begins anew with each byte, for 4 s at most, so that a caller which writes its whole body before it reads still gets the answer. The refusals that leave a body unread announce that the connection closes.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -41,10 +41,13 @@
 /// Time for which idle connections stay open after the port has closed, so that requests already on their way
 /// are served. The answer closes the connection.
 const IDLE_LINGER: Duration = Duration::from_secs(1);
-/// Time for a caller to read what was sent last and to close its side of the connection.
+/// Time for a caller to read what was sent last and to close its side of the connection. Begins anew with what still
+/// arrives, such as the rest of a body that was refused.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a connection is closed although its caller still sends.
+const MAX_CLOSE_TIME: Duration = Duration::from_secs(4);
 /// Size of the buffer for discarded data, in bytes.
-const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
 
 /// Signals of the server to its connections.
 #[derive(Clone)]
@@ -95,7 +98,7 @@
     let may_reuse = reuse.0.load(Ordering::Relaxed) && socket.is_between_responses();
     let final_status = final_status(&result).filter(|_| may_reuse);
     let closing = close(socket.into_stream(), final_status);
-    if let Ok(Err(error)) = tokio::time::timeout(CLOSE_TIMEOUT, closing).await {
+    if let Ok(Err(error)) = tokio::time::timeout(MAX_CLOSE_TIME, closing).await {
         log::debug!(target: "http", "A connection broke while it was closed: {error}.");
     }
 }
@@ -196,7 +199,8 @@
     (head + &body).into_bytes()
 }
 
-/// Sends the final response, if any, ends the sending side, and discards what arrives until the caller ends its side.
+/// Sends the final response, if any, ends the sending side, and discards what arrives until the caller ends its side or
+/// pauses for [`CLOSE_TIMEOUT`].
 async fn close(mut stream: TcpStream, final_status: Option<StatusCode>) -> io::Result<()> {
     if let Some(status) = final_status {
         stream.write_all(&final_response(status)).await?;
@@ -204,7 +208,10 @@
     stream.shutdown().await?;
     let mut is_crossed = false;
     loop {
-        stream.readable().await?;
+        let Ok(readable) = tokio::time::timeout(CLOSE_TIMEOUT, stream.readable()).await else {
+            return Ok(());
+        };
+        readable?;
         // A peer that never stops sending must not keep the thread from other tasks, nor from the timeout.
         tokio::task::coop::consume_budget().await;
         match discard_available(&stream)? {
--- a/crates/daemon/src/http/response.rs
+++ b/crates/daemon/src/http/response.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body as HttpBody;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use lichenpulley_protocol::error::ErrorBody;
 use serde::Serialize;
@@ -54,6 +54,11 @@
     response
 }
 
+/// Announces that the connection closes after this response.
+pub(crate) fn announce_close(response: &mut Response<Body>) {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Builds the response to a request whose method and path match no route.
 pub fn not_found(path: &str) -> Response<Body> {
     let body = ErrorBody::new(
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// Whether the rest of the request's body is not read, so that the connection can't be used again.
+    const fn leaves_body_unread(self) -> bool {
+        matches!(self, Self::BodyTooLong | Self::BodyTooSlow)
+    }
+
     /// Builds the error response to `request` and records the decision.
     pub(super) fn respond<B>(self, context: &Context, request: &Request<B>) -> Response<Body> {
         let id = request.headers().get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
@@ -280,6 +285,9 @@
         });
         let body = ErrorBody::new(self.kind(), format!("the request was refused: {cause}"), self.remedy());
         let mut answer = response::json(self.status(), &body);
+        if self.leaves_body_unread() {
+            response::announce_close(&mut answer);
+        }
         if let Some(id) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
             answer.headers_mut().insert(headers::REQUEST_ID, id);
         }
--- a/crates/daemon/src/ingress/request_body.rs
+++ b/crates/daemon/src/ingress/request_body.rs
@@ -1,17 +1,16 @@
 //! Reads request bodies of callers within limits of size and time.
+//!
+//! The rest of a body that is refused is discarded by the connection before it closes, so that its caller reads the
+//! response.
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
 
 use super::refusal::Refusal;
 
-/// Maximum number of bytes of an oversized body that are read and discarded before the refusal.
-const MAX_DISCARDED_BYTES: usize = 16 << 20;
-
-/// Reads a complete body. The rest of an oversized body is read and discarded up to a limit: a connection
-/// closed with unread bytes is reset, and the caller would lose the response with the reason.
+/// Reads a complete body. One that announces a length over the limit is refused unread.
 ///
 /// # Errors
 /// Returns a refusal if the body is longer than `limit_bytes`, ends early, or is not complete by `deadline`.
@@ -20,26 +19,21 @@
     limit_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(Refusal::BodyTooLong);
+    }
     let mut buffer = BytesMut::new();
-    let mut discarded_bytes = 0;
     loop {
         let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(Refusal::BadBody),
-            Ok(None) if discarded_bytes > 0 => return Err(Refusal::BodyTooLong),
             Ok(None) => return Ok(buffer.freeze()),
-            Err(_) if discarded_bytes > 0 => return Err(Refusal::BodyTooLong),
             Err(_) => return Err(Refusal::BodyTooSlow),
         };
         let Ok(bytes) = frame.into_data() else { continue };
-        if discarded_bytes > 0 || buffer.len() + bytes.len() > limit_bytes {
-            discarded_bytes += bytes.len();
-            buffer = BytesMut::new();
-        } else {
-            buffer.extend_from_slice(&bytes);
-        }
-        if discarded_bytes > MAX_DISCARDED_BYTES {
+        if buffer.len() + bytes.len() > limit_bytes {
             return Err(Refusal::BodyTooLong);
         }
+        buffer.extend_from_slice(&bytes);
     }
 }
--- a/crates/lab/src/platform_replica/answers.rs
+++ b/crates/lab/src/platform_replica/answers.rs
@@ -117,6 +117,7 @@
     }
     match behaviour {
         ReplicaBehaviour::LosesAnswers => Reply::Hang,
+        ReplicaBehaviour::AnswersBriefly if !is_stream => signed(StatusCode::OK, &seen.id, &[]).into(),
         ReplicaBehaviour::Fails => signed(StatusCode::INTERNAL_SERVER_ERROR, &seen.id, &[]).into(),
         ReplicaBehaviour::AnswersForAnother => signed(StatusCode::OK, "another", &[]).into(),
         _ if is_stream => {
--- a/crates/lab/src/platform_replica/mod.rs
+++ b/crates/lab/src/platform_replica/mod.rs
@@ -40,6 +40,8 @@
     Takes(Duration),
     /// Sends the head of each plain response at once and its body after this time.
     DelaysBody(Duration),
+    /// Responds without the body of the request.
+    AnswersBriefly,
     /// Responds that each request failed.
     Fails,
     /// Breaks each stream after this many events.
--- a/crates/lab/tests/processes/mod.rs
+++ b/crates/lab/tests/processes/mod.rs
@@ -93,6 +93,16 @@
         *found.unwrap_or_else(|| panic!("{} has no address `{name}`: {:?}", self.name, self.addresses))
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the state of a child").is_none()
+    }
+
     /// Kills it as a power cut would, and waits until it is gone.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
