Bound the memory of request bodies on the users' interface

Callers that sent many bodies of the allowed size at once ended a gateway: it kept each body from its first byte until its request was answered, and nothing bounded their sum. So it went for bodies that stop a byte short, arrive piece by piece, in large or small chunks, or are whole and wait for a replica.

Bodies now share a part of the machine's memory (core `intake::bodies`): an eighth for those of up to 256 KiB, two fifths for longer ones, 62 % for a longer one alone, so that a body of 32 MiB is served in calm on a machine of 88 MB. Memory is taken as bytes arrive; an announced length holds nothing. A body that finds none takes that of bodies which are still arriving and are further behind a caller that sends 1 MB/s, or is refused if it is the furthest behind itself. Nothing waits for memory, so that unfinished bodies keep neither each other nor ordinary callers out for as long as they stay. The refusal is 503 `no_body_memory` with `Retry-After`; nothing of the request was sent, so that "not run" is true. A whole body is never evicted.

An ordinary request is answered in each while the crowd stays and after it has left. The core's eleven tests of the division, 136 of `platform_path` and all of the daemon's pass.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod duties;
 pub mod identity;
 pub mod ingress;
+pub mod intake;
 pub mod membership;
 pub mod quarantine;
 pub mod relay;
--- /dev/null
+++ b/crates/core/tests/intake_bodies.rs
@@ -0,0 +1,154 @@
+//! The division of the memory for request bodies among bodies that arrive, stall, wait and end.
+
+use std::time::Duration;
+
+use lichenpulley_core::intake::bodies::{BodyBudget, BodyLimit, BodyNumber, Growth, SHORT_BODY_BYTES};
+use lichenpulley_core::time::Timestamp;
+use proptest::prelude::*;
+
+const MB: u64 = 1_000_000;
+const LIMIT: BodyLimit = BodyLimit { short: 2 * MB, long: 20 * MB, single_long: 30 * MB };
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::ORIGIN + Duration::from_secs(seconds)
+}
+
+/// A budget with bodies of this size that began to arrive a second apart and then stopped.
+fn with_stalled(sizes: &[u64]) -> (BodyBudget, Vec<BodyNumber>) {
+    let mut budget = BodyBudget::new(LIMIT);
+    let bodies = sizes
+        .iter()
+        .zip(0..)
+        .map(|(size, second)| {
+            let body = budget.begin(at(second));
+            assert_eq!(budget.grow(body, *size, *size), Growth::Granted);
+            body
+        })
+        .collect();
+    (budget, bodies)
+}
+
+#[test]
+fn bodies_are_granted_memory_up_to_the_limit() {
+    let (mut budget, _) = with_stalled(&[15 * MB]);
+    let body = budget.begin(at(100));
+    assert_eq!(budget.grow(body, 5 * MB, 5 * MB), Growth::Granted);
+    assert_eq!(budget.held_bytes(), LIMIT.long);
+}
+
+#[test]
+fn a_body_that_keeps_sending_takes_the_memory_of_the_one_that_stalled_first() {
+    let (mut budget, stalled) = with_stalled(&[8 * MB, 8 * MB]);
+    let body = budget.begin(at(100));
+    assert_eq!(budget.grow(body, 4 * MB, 4 * MB), Growth::Granted);
+    assert_eq!(budget.grow(body, 5 * MB, 5 * MB), Growth::AfterEviction(vec![stalled[0]]));
+    // Granted only once the evicted body has returned its memory.
+    assert_eq!(budget.grow(body, 5 * MB, 5 * MB), Growth::AfterEviction(Vec::new()));
+    budget.release(stalled[0]);
+    assert_eq!(budget.grow(body, 5 * MB, 5 * MB), Growth::Granted);
+}
+
+#[test]
+fn an_evicted_body_gets_no_more_memory_and_does_not_become_whole() {
+    let (mut budget, stalled) = with_stalled(&[20 * MB]);
+    let body = budget.begin(at(100));
+    assert_eq!(budget.grow(body, MB, MB), Growth::AfterEviction(stalled.clone()));
+    assert_eq!(budget.grow(stalled[0], 20 * MB + 1, 20 * MB + 1), Growth::Refused);
+    assert!(!budget.complete(stalled[0]));
+}
+
+#[test]
+fn a_body_that_sends_now_and_then_is_behind_one_that_keeps_sending() {
+    let mut budget = BodyBudget::new(LIMIT);
+    let slow = budget.begin(at(0));
+    assert_eq!(budget.grow(slow, 10 * MB, 10 * MB), Growth::Granted);
+    let steady = budget.begin(at(60));
+    assert_eq!(budget.grow(steady, 10 * MB, 10 * MB), Growth::Granted);
+    assert_eq!(budget.grow(slow, 10 * MB + 1, 10 * MB + 1), Growth::Refused);
+    assert_eq!(budget.grow(steady, 11 * MB, 11 * MB), Growth::AfterEviction(vec![slow]));
+}
+
+#[test]
+fn a_long_upload_at_an_ordinary_rate_is_not_behind_a_new_body_that_stalls() {
+    let mut budget = BodyBudget::new(LIMIT);
+    let upload = budget.begin(at(0));
+    assert_eq!(budget.grow(upload, 14 * MB, 14 * MB), Growth::Granted);
+    // After 14 s at 1 MB/s.
+    let stalled = budget.begin(at(1));
+    assert_eq!(budget.grow(stalled, 6 * MB, MB), Growth::Granted);
+    assert_eq!(budget.grow(upload, 15 * MB, 15 * MB), Growth::AfterEviction(vec![stalled]));
+}
+
+#[test]
+fn whole_bodies_are_never_evicted() {
+    let (mut budget, bodies) = with_stalled(&[10 * MB, 10 * MB]);
+    assert!(bodies.iter().all(|body| budget.complete(*body)));
+    let body = budget.begin(at(100));
+    assert_eq!(budget.grow(body, MB, MB), Growth::Refused);
+}
+
+#[test]
+fn nothing_is_evicted_where_that_does_not_make_enough_room() {
+    let (mut budget, bodies) = with_stalled(&[15 * MB, 5 * MB]);
+    assert!(budget.complete(bodies[0]));
+    let body = budget.begin(at(100));
+    assert_eq!(budget.grow(body, 6 * MB, 6 * MB), Growth::Refused);
+    assert_eq!(budget.grow(body, 5 * MB, 5 * MB), Growth::AfterEviction(vec![bodies[1]]));
+}
+
+#[test]
+fn long_bodies_leave_memory_to_short_ones() {
+    let (mut budget, bodies) = with_stalled(&[20 * MB]);
+    assert!(budget.complete(bodies[0]));
+    let short = budget.begin(at(100));
+    assert_eq!(budget.grow(short, SHORT_BODY_BYTES, SHORT_BODY_BYTES), Growth::Granted);
+    assert_eq!(budget.grow(short, SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES + 1), Growth::Refused);
+}
+
+#[test]
+fn a_long_body_has_more_memory_while_there_is_no_other() {
+    let (mut budget, bodies) = with_stalled(&[30 * MB]);
+    let other = budget.begin(at(100));
+    assert_eq!(budget.grow(other, MB, MB), Growth::AfterEviction(bodies));
+    let mut budget = BodyBudget::new(LIMIT);
+    let body = budget.begin(at(0));
+    assert_eq!(budget.grow(body, 30 * MB + 1, 30 * MB + 1), Growth::Refused);
+}
+
+#[test]
+fn a_machine_of_88_mb_has_room_for_a_body_of_32_mib() {
+    let limit = BodyLimit::for_memory(88 * MB);
+    assert!(limit.long > 32 << 20);
+    assert!(limit.short + limit.single_long < 88 * MB / 4 * 3);
+}
+
+proptest! {
+    /// Memory returned twice or counted in the wrong pool would exhaust the budget, or exceed it.
+    #[test]
+    fn the_sum_stays_within_the_limit_and_returns_to_zero(
+        steps in prop::collection::vec((0..12_usize, 0..4_u8, 0..12 * MB), 1..200),
+    ) {
+        let mut budget = BodyBudget::new(LIMIT);
+        let mut bodies: Vec<Option<BodyNumber>> = vec![None; 12];
+        for (second, (slot, action, bytes)) in (0..).zip(steps) {
+            let body = *bodies[slot].get_or_insert_with(|| budget.begin(at(second)));
+            match action {
+                0 => {
+                    budget.complete(body);
+                }
+                1 => {
+                    budget.release(body);
+                    bodies[slot] = None;
+                }
+                _ => {
+                    if let Growth::AfterEviction(evicted) = budget.grow(body, bytes, bytes) {
+                        prop_assert!(!evicted.contains(&body));
+                    }
+                }
+            }
+            prop_assert!(budget.held_bytes() <= LIMIT.short + LIMIT.single_long);
+        }
+        bodies.into_iter().flatten().for_each(|body| budget.release(body));
+        prop_assert_eq!(budget.held_bytes(), 0);
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -29,6 +29,7 @@
 use crate::decisions::DecisionLog;
 use crate::directory::ReplicaDirectory;
 use crate::duties::node_usage::NodeUsage;
+use crate::http::body_memory::BodyMemory;
 use crate::membership::handle::MembershipHandle;
 use crate::metadata::handle::MetadataHandle;
 use crate::metrics::Metrics;
@@ -69,6 +70,8 @@
     pub quarantine: QuarantineHandle,
     /// The last known owner of the batch jobs that are not bound to regions.
     pub batch_owner: Arc<ArcSwapOption<NodeId>>,
+    /// The memory for request bodies.
+    pub body_memory: BodyMemory,
     /// Usage counted by this node for the usage report.
     pub usage: NodeUsage,
     /// Clients for requests to other nodes.
@@ -102,6 +105,7 @@
             documents: ConfigurationHandle::new(),
             replica_sets: ReplicaSetCache::default(),
             batch_owner: Arc::default(),
+            body_memory: BodyMemory::for_machine(settings.machine.memory_bytes as u64),
             usage: NodeUsage::new(settings.node.as_str(), settings.duties.usage().is_some()),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -45,12 +45,13 @@
     };
     let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, Some(&id));
     let deadline = Instant::now() + JOB_BODY_TIMEOUT;
-    let body = match read_body(request.into_body(), table.limits.body_bytes, deadline).await {
+    let memory = &ingress.context.body_memory;
+    let body = match read_body(request.into_body(), table.limits.body_bytes, deadline, memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
     let tenant = caller.tenant().cloned();
-    let job = batch::read_job(BatchId::new(id.clone()), host, &route.name, tenant, &body);
+    let job = batch::read_job(BatchId::new(id.clone()), host, &route.name, tenant, body.as_slice());
     let job = match job.map_err(|error| error.to_string()).and_then(|job| check_scorers(table, job)) {
         Ok(job) => job,
         Err(cause) => {
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -75,7 +75,10 @@
         let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, request_id.as_deref());
         let wanted = headers::requested_timeout(&parts.headers).unwrap_or(DEFAULT_DEADLINE);
         let deadline = started_at + route.timeout.map_or(wanted, |timeout| timeout.min(wanted));
-        let body = read_body(body, table.limits.body_bytes, deadline).await.map_err(refuse)?;
+        let body = read_body(body, table.limits.body_bytes, deadline, &ingress.context.body_memory)
+            .await
+            .map_err(refuse)?
+            .into_bytes();
         let Some(service) = route.service_at(rand::random()).map(str::to_owned) else {
             return Err(refuse(Refusal::NoReplica));
         };
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -60,6 +60,8 @@
     BodyTooLong,
     /// The body was not complete in time.
     BodyTooSlow,
+    /// Other bodies hold the memory for bodies.
+    NoBodyMemory,
     /// The body can't be read or parsed.
     BadBody,
     /// A required header field or query parameter is missing or invalid.
@@ -109,6 +111,7 @@
             | Self::Rejected(_)
             | Self::NoTime(_)
             | Self::NoOwner
+            | Self::NoBodyMemory
             | Self::UnreadAnswers => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::IdTaken => StatusCode::CONFLICT,
@@ -143,6 +146,7 @@
             Self::TimedOut => "timed_out",
             Self::BodyTooLong => "body_too_long",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoBodyMemory => "no_body_memory",
             Self::BadBody => "bad_body",
             Self::Incomplete => "incomplete",
             Self::UnknownBatch => "unknown_batch",
@@ -173,6 +177,7 @@
             | Self::NotRun
             | Self::Rejected(_)
             | Self::NoOwner
+            | Self::NoBodyMemory
             | Self::Full => "send it again, it has not run",
             Self::NoTime(_) => "send it again after `Retry-After`, or with a longer deadline; it has not run",
             Self::UnreadAnswers => "read the answers that you asked for, and send it again; it has not run",
@@ -200,6 +205,7 @@
             | Self::ReplicasUnknown
             | Self::NoOwner
             | Self::Full
+            | Self::NoBodyMemory
             | Self::UnreadAnswers
             | Self::Evacuated
             | Self::OutsideRegions
@@ -221,7 +227,7 @@
 
     /// Whether the rest of the request's body is not read, so that the connection can't be used again.
     const fn leaves_body_unread(self) -> bool {
-        matches!(self, Self::BodyTooLong | Self::BodyTooSlow)
+        matches!(self, Self::BodyTooLong | Self::BodyTooSlow | Self::NoBodyMemory)
     }
 
     /// Builds the error response to `request` and records the decision.
--- a/crates/daemon/src/ingress/request_body.rs
+++ b/crates/daemon/src/ingress/request_body.rs
@@ -1,39 +1,28 @@
-//! Reads request bodies of callers within limits of size and time.
-//!
-//! The rest of a body that is refused is discarded by the connection before it closes, so that its caller reads the
-//! response.
+//! Reads request bodies of callers, and translates why one was not read into its refusal.
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::refusal::Refusal;
+use crate::http::body_memory::BodyMemory;
+use crate::http::request_body::{BodyBounds, BodyError, RequestBody};
 
-/// Reads a complete body. One that announces a length over the limit is refused unread.
+/// Reads a complete body.
 ///
 /// # Errors
-/// Returns a refusal if the body is longer than `limit_bytes`, ends early, or is not complete by `deadline`.
+/// Returns a refusal if the body is longer than `limit_bytes`, ends early, is not complete by `deadline` or finds no
+/// memory.
 pub(super) async fn read_body(
-    mut body: Incoming,
+    body: Incoming,
     limit_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit_bytes as u64 {
-        return Err(Refusal::BodyTooLong);
-    }
-    let mut buffer = BytesMut::new();
-    loop {
-        let frame = match tokio::time::timeout_at(deadline, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(Refusal::BadBody),
-            Ok(None) => return Ok(buffer.freeze()),
-            Err(_) => return Err(Refusal::BodyTooSlow),
-        };
-        let Ok(bytes) = frame.into_data() else { continue };
-        if buffer.len() + bytes.len() > limit_bytes {
-            return Err(Refusal::BodyTooLong);
-        }
-        buffer.extend_from_slice(&bytes);
-    }
+    memory: &BodyMemory,
+) -> Result<RequestBody, Refusal> {
+    let read = RequestBody::read(body, BodyBounds { bytes: limit_bytes, deadline }, memory).await;
+    read.map_err(|error| match error {
+        BodyError::TooLong => Refusal::BodyTooLong,
+        BodyError::TooSlow => Refusal::BodyTooSlow,
+        BodyError::Broken(_) => Refusal::BadBody,
+        BodyError::NoMemory(_) => Refusal::NoBodyMemory,
+    })
 }
--- a/crates/daemon/src/metrics/ingress.rs
+++ b/crates/daemon/src/metrics/ingress.rs
@@ -15,6 +15,7 @@
     evacuated_zones: IntGauge,
     quarantined_requests: IntGauge,
     unread_answer_bytes: IntGauge,
+    request_body_bytes: IntGauge,
     region_refusals: IntCounterVec,
     refusals: IntCounterVec,
     early_moves: IntCounterVec,
@@ -47,6 +48,11 @@
                 "lichenpulley_unread_answer_bytes",
                 "Bytes kept for callers that have not read them yet",
             ),
+            request_body_bytes: registration::gauge(
+                registry,
+                "lichenpulley_request_body_bytes",
+                "Memory that request bodies hold, and what was made of them",
+            ),
             region_refusals: registration::counter_vec(
                 registry,
                 "lichenpulley_region_refusals_total",
@@ -102,6 +108,10 @@
         self.quarantined_requests.set(to_gauge(requests));
     }
 
+    pub(super) fn set_request_body_bytes(&self, bytes: u64) {
+        self.request_body_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn set_unread_answer_bytes(&self, bytes: u64) {
         self.unread_answer_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -133,6 +133,11 @@
         self.ingress.set_quarantined_requests(requests);
     }
 
+    /// Sets the memory that request bodies hold, in bytes.
+    pub fn set_request_body_bytes(&self, bytes: u64) {
+        self.ingress.set_request_body_bytes(bytes);
+    }
+
     /// Sets the number of bytes kept for callers that have not read them.
     pub fn set_unread_answer_bytes(&self, bytes: u64) {
         self.ingress.set_unread_answer_bytes(bytes);
--- a/crates/daemon/src/operators/health.rs
+++ b/crates/daemon/src/operators/health.rs
@@ -34,6 +34,7 @@
 
 /// Returns the metrics in the Prometheus text format.
 pub(super) fn metrics(context: &Context) -> Response<Body> {
+    context.metrics.set_request_body_bytes(context.body_memory.held_bytes());
     match context.metrics.encode() {
         Ok(text) => response::text(StatusCode::OK, text),
         Err(error) => {
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -5,7 +5,9 @@
 mod processes;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use hyper::StatusCode;
 use tokio::sync::{Mutex, MutexGuard};
 
 use clients::crowd::{Crowd, Upload};
@@ -13,6 +15,12 @@
 
 /// Callers of a crowd. Their bodies are twice what the machine holds.
 const CROWD: usize = 24;
+/// Nine tenths of the longest body.
+const BODY_BYTES: usize = BODY_LIMIT_BYTES / 10 * 9;
+/// Longest body that an operator allows where none is named.
+const LONGEST_BODY_BYTES: usize = 32 << 20;
+const SMALL_CHUNK_BYTES: usize = 256;
+
 /// Tests that measure memory run one at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
@@ -39,8 +47,68 @@
     bear(&mut edge, (0..CROWD).map(|_| upload()).collect()).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_that_wait_for_an_answer_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    bear_crowd(|| Upload::announced(&head("/silent/x"), &body, 0)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_a_byte_short_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    bear_crowd(|| Upload::announced(&head("/read/x"), &body, 1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_sent_piece_by_piece_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    let pause = Duration::from_millis(10);
+    bear_crowd(|| Upload::announced(&head("/read/x"), &body, 1).with_pause(pause)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_streams_a_byte_short_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    bear_crowd(|| Upload::announced(&head("/stream/x"), &body, 1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_in_large_chunks_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    bear_crowd(|| Upload::chunked(&head("/read/x"), &body, 1 << 20)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_in_small_chunks_stay_within_the_machine() {
+    let body = body(BODY_BYTES);
+    bear_crowd(|| Upload::chunked(&head("/read/x"), &body, SMALL_CHUNK_BYTES)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_announced_over_the_limit_stay_within_the_machine() {
     let body = body(BODY_LIMIT_BYTES * 3 / 2);
     bear_crowd(|| Upload::announced(&head("/read/x"), &body, 1)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_bodies_over_the_limit_stay_within_the_machine() {
+    let body = body(BODY_LIMIT_BYTES * 3 / 2);
+    bear_crowd(|| Upload::chunked(&head("/read/x"), &body, 64 << 10)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_longest_bodies_a_byte_short_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_plan(LONGEST_BODY_BYTES, false).await;
+    let body = body(LONGEST_BODY_BYTES);
+    let upload = || Upload::announced(&head("/read/x"), &body, 1);
+    bear(&mut edge, (0..CROWD / 4).map(|_| upload()).collect()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_single_longest_body_is_served_in_calm() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_plan(LONGEST_BODY_BYTES, false).await;
+    assert_eq!(edge.ordinary_request(LONGEST_BODY_BYTES).await, StatusCode::OK);
+    edge.assert_within_machine("after a body of the longest size");
+}
