Count what is made of a body when a batch job is read from it

A crowd of jobs ended the gateway that took them: what a job takes until it is accepted is several times the length of its body, and nothing counted it. Three jobs of 7.2 MB with tiny items took 750 MB, two dozen of ordinary shape 339 MB; three in a row, in calm, already took 104 MB.

Cause: all items were parsed into owned texts before any was decoded, and the job is then held by the request to its owner, a copy for another try, the owner's state, the log's record, and a frame with its buffer for each of three stores. The bookkeeping of tiny items takes some 40 times their text.

What accepted jobs hold at their owner is taken off the 62 % that a single long body may have. Without memory the job gets 503 `no_body_memory`; nothing of it was submitted, so that "not run" is true.

--- a/crates/core/src/intake/bodies.rs
+++ b/crates/core/src/intake/bodies.rs
@@ -20,7 +20,8 @@
 const SHORT_DIVISOR: u64 = 8;
 /// Percentage of the machine's memory for long bodies. The rest is for the process itself, answers and batch jobs.
 const LONG_PERCENT: u64 = 40;
-/// Percentage of the machine's memory for a long body while there is no other: a job takes more while it is read.
+/// Percentage of the machine's memory for a long body while there is no other, less what accepted jobs hold: a job takes
+/// several times its length until it is accepted.
 const SINGLE_LONG_PERCENT: u64 = 62;
 
 /// The memory for bodies, in bytes.
@@ -30,7 +31,7 @@
     pub short: u64,
     /// Memory for longer ones.
     pub long: u64,
-    /// Memory for a longer one while there is no other.
+    /// Memory for a longer one while there is no other, together with accepted jobs.
     pub single_long: u64,
 }
 
@@ -109,6 +110,8 @@
     bodies: BTreeMap<BodyNumber, Body>,
     short: PoolUse,
     long: PoolUse,
+    /// Bytes of accepted jobs.
+    job_bytes: u64,
     next_number: u64,
 }
 
@@ -116,7 +119,7 @@
     /// Creates a budget with this limit.
     pub fn new(limit: BodyLimit) -> Self {
         let (short, long) = (PoolUse::default(), PoolUse::default());
-        Self { limit, bodies: BTreeMap::new(), short, long, next_number: 0 }
+        Self { limit, bodies: BTreeMap::new(), short, long, job_bytes: 0, next_number: 0 }
     }
 
     /// Adds a body that begins to arrive and holds nothing yet.
@@ -129,6 +132,11 @@
         number
     }
 
+    /// Changes the bytes of accepted jobs.
+    pub const fn replace_job_bytes(&mut self, old_bytes: u64, new_bytes: u64) {
+        self.job_bytes = self.job_bytes.saturating_sub(old_bytes) + new_bytes;
+    }
+
     /// Returns the memory that all bodies hold, in bytes.
     pub const fn held_bytes(&self) -> u64 {
         self.short.held + self.long.held
@@ -196,10 +204,12 @@
         }
     }
 
-    const fn limit(&self, pool: Pool, others: u64) -> u64 {
+    fn limit(&self, pool: Pool, others: u64) -> u64 {
         match pool {
             Pool::Short => self.limit.short,
-            Pool::Long if others == 0 => self.limit.single_long,
+            Pool::Long if others == 0 => {
+                self.limit.long.max(self.limit.single_long.saturating_sub(self.job_bytes))
+            }
             Pool::Long => self.limit.long,
         }
     }
--- a/crates/core/tests/intake_bodies.rs
+++ b/crates/core/tests/intake_bodies.rs
@@ -115,6 +115,19 @@
     assert_eq!(budget.grow(body, 30 * MB + 1, 30 * MB + 1), Growth::Refused);
 }
 
+#[test]
+fn accepted_jobs_leave_less_memory_to_a_single_long_body() {
+    let mut budget = BodyBudget::new(LIMIT);
+    budget.replace_job_bytes(0, 4 * MB);
+    let body = budget.begin(at(0));
+    assert_eq!(budget.grow(body, 26 * MB + 1, MB), Growth::Refused);
+    assert_eq!(budget.grow(body, 26 * MB, MB), Growth::Granted);
+    budget.release(body);
+    budget.replace_job_bytes(4 * MB, 25 * MB);
+    let body = budget.begin(at(0));
+    assert_eq!(budget.grow(body, LIMIT.long, MB), Growth::Granted);
+}
+
 #[test]
 fn a_machine_of_88_mb_has_room_for_a_body_of_32_mib() {
     let limit = BodyLimit::for_memory(88 * MB);
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -43,6 +43,7 @@
 use super::score::ScoreEnded;
 use crate::context::Context;
 use crate::duties::{self, DutyEnded};
+use crate::http::body_memory::JobBytes;
 use crate::ingress::pool::ReplicaPool;
 use crate::metrics::Latency;
 use crate::ownership::scope::Scope;
@@ -88,6 +89,8 @@
     origin: Instant,
     epoch: Epoch,
     stores: OwnedStores,
+    /// What the state leaves less of the memory for request bodies.
+    job_bytes: JobBytes,
     running: RunningWork,
     calls: FencedCalls,
     callers: WaitingCallers,
@@ -158,6 +161,7 @@
             texts: read_missing(&scope, missing),
             held_ends,
             stores: OwnedStores::new(scope.clone(), log, held_bytes),
+            job_bytes: context.body_memory.count_jobs(),
             leave_monitor: LeaveMonitor::default(),
             queue_reporter: QueueReporter::default(),
             is_leaving: false,
@@ -173,7 +177,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (metadata, draining) = (self.context.metadata.watch(), self.context.draining.clone());
         let mut inputs = OwnerInputs { commands, metadata, ticks, draining };
-        self.stores.log.set_state_bytes(self.controller.held_bytes());
+        self.report_state_size();
         self.limit_state(self.stores.log.first_state_limit());
         self.update();
         let mut stop = None;
@@ -264,8 +268,15 @@
         self.controller.update(now, routes, &replicas, &versions);
     }
 
+    /// Tells those that share the machine's memory and the stores' room how large the state is.
+    fn report_state_size(&mut self) {
+        let bytes = self.controller.held_bytes();
+        self.stores.log.set_state_bytes(bytes);
+        self.job_bytes.set(bytes);
+    }
+
     fn tick(&mut self) {
-        self.stores.log.set_state_bytes(self.controller.held_bytes());
+        self.report_state_size();
         self.update_confirmation();
         self.controller.tick(self.now());
         self.controller.tick_duties(self.now(), duties::wall_time());
--- a/crates/daemon/src/http/body_memory.rs
+++ b/crates/daemon/src/http/body_memory.rs
@@ -61,6 +61,11 @@
         BodyHold { memory: self.clone(), number, evicted, held_bytes: 0 }
     }
 
+    /// Begins to count the accepted jobs of a shard that this node owns.
+    pub(crate) fn count_jobs(&self) -> JobBytes {
+        JobBytes { memory: self.clone(), bytes: 0 }
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         self.0.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -77,6 +82,26 @@
     }
 }
 
+/// Bytes of the accepted jobs of one shard, until this value is dropped.
+pub(crate) struct JobBytes {
+    memory: BodyMemory,
+    bytes: u64,
+}
+
+impl JobBytes {
+    pub(crate) fn set(&mut self, bytes: usize) {
+        let bytes = bytes as u64;
+        self.memory.table().budget.replace_job_bytes(self.bytes, bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for JobBytes {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 /// The memory that one body holds, which is returned when this value is dropped.
 pub struct BodyHold {
     memory: BodyMemory,
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -9,6 +9,7 @@
 use lichenpulley_core::batch::job::BatchJob;
 use lichenpulley_core::identity::BatchId;
 use lichenpulley_core::ingress::routes::{Route, RouteTable};
+use lichenpulley_core::intake::json;
 use lichenpulley_platform::{batch, headers as names};
 use lichenpulley_protocol::internal::{BatchRequest, BatchResponse, ListedResult};
 use std::time::Duration;
@@ -23,6 +24,9 @@
 
 /// Time limit for receiving the body of a job.
 const JOB_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Copies of a job's text while it is taken: decoded, for another try at its owner, in the owner's state, in the log's record,
+/// and in frames to the stores and their buffers.
+const JOB_COPIES: u64 = 6;
 /// Longest wait for new results in one read, in milliseconds.
 const MAX_READ_WAIT_MS: u64 = 5_000;
 
@@ -46,12 +50,17 @@
     let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, Some(&id));
     let deadline = Instant::now() + JOB_BODY_TIMEOUT;
     let memory = &ingress.context.body_memory;
-    let body = match read_body(request.into_body(), table.limits.body_bytes, deadline, memory).await {
+    let mut body = match read_body(request.into_body(), table.limits.body_bytes, deadline, memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
+    if body.cover_more(json::memory_bytes(body.as_slice(), JOB_COPIES)).await.is_err() {
+        return refuse(Refusal::NoBodyMemory);
+    }
     let tenant = caller.tenant().cloned();
     let job = batch::read_job(BatchId::new(id.clone()), host, &route.name, tenant, body.as_slice());
+    // The memory is held until the owner has the job, which is encoded for it.
+    let _hold = body.into_hold();
     let job = match job.map_err(|error| error.to_string()).and_then(|job| check_scorers(table, job)) {
         Ok(job) => job,
         Err(cause) => {
--- a/crates/lab/tests/clients/edge.rs
+++ b/crates/lab/tests/clients/edge.rs
@@ -9,6 +9,7 @@
 use lichenpulley_lab::metadata_store::{self, MetadataStore};
 use lichenpulley_lab::platform_replica::{self, Replica, ReplicaBehaviour, ReplicaPlan};
 use lichenpulley_platform::objects;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::time::Instant;
@@ -44,6 +45,17 @@
         Self::with_plan(BODY_LIMIT_BYTES, false).await
     }
 
+    /// Starts a gateway that may have so many descriptors.
+    pub async fn with_descriptors(descriptors: u64) -> Self {
+        let own = getrlimit(Resource::Nofile);
+        let lowered = Rlimit { current: Some(descriptors), maximum: own.maximum };
+        // Processes take over the limit of the one that starts them.
+        setrlimit(Resource::Nofile, lowered).expect("the limit is lowered");
+        let edge = Self::start().await;
+        setrlimit(Resource::Nofile, own).expect("the limit is raised");
+        edge
+    }
+
     /// Starts a gateway, and stores that keep batch jobs.
     pub async fn with_stores() -> Self {
         Self::with_plan(BODY_LIMIT_BYTES, true).await
@@ -88,7 +100,7 @@
     }
 
     /// Sends a request once; `None` if the connection failed.
-    async fn post(&self, path: &str, body: &[u8]) -> Option<StatusCode> {
+    pub async fn post(&self, path: &str, body: &[u8]) -> Option<StatusCode> {
         let http = HttpClient::new(DEADLINE);
         let mut request = build(Method::POST, self.callers(), path, body.to_vec().into()).expect("a request");
         let headers = request.headers_mut();
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Mutex, MutexGuard};
 
 use clients::crowd::{Crowd, Upload};
-use clients::edge::{BODY_LIMIT_BYTES, Edge, head};
+use clients::edge::{BODY_LIMIT_BYTES, Edge, head, job};
 
 /// Callers of a crowd. Their bodies are twice what the machine holds.
 const CROWD: usize = 24;
@@ -112,3 +112,41 @@
     assert_eq!(edge.ordinary_request(LONGEST_BODY_BYTES).await, StatusCode::OK);
     edge.assert_within_machine("after a body of the longest size");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_a_byte_short_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_stores().await;
+    let job = Arc::new(job(1, BODY_BYTES / 4 * 3));
+    bear(&mut edge, (0..CROWD).map(|_| Upload::announced(&head("/rollouts/x"), &job, 1)).collect()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_jobs_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_stores().await;
+    let job = |_| Arc::new(job(4, BODY_BYTES / 16 * 3));
+    let uploads = (0..CROWD).map(job).map(|job| Upload::announced(&head("/rollouts/x"), &job, 0)).collect();
+    bear(&mut edge, uploads).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_single_long_job_is_taken_in_calm() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_stores().await;
+    assert_eq!(edge.post("/rollouts/x", &job(4, BODY_BYTES / 16 * 3)).await, Some(StatusCode::ACCEPTED));
+    edge.assert_within_machine("after a long job");
+}
+
+/// A job of the allowed length may have so many items that what is read from it takes many times that length.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_tiny_items_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_stores().await;
+    let item = br#"{"id":"","path":""},"#;
+    let mut job = br#"{"items":["#.to_vec();
+    job.extend(item.repeat(BODY_BYTES / item.len()));
+    job.extend(br#"{"id":"","path":""}]}"#);
+    let job = Arc::new(job);
+    bear(&mut edge, (0..CROWD / 8).map(|_| Upload::announced(&head("/rollouts/x"), &job, 0)).collect()).await;
+}
