Bound the connections that callers keep open

With more connections open than the process may have descriptors, each within an unfinished body, an ordinary caller got no answer for as long as they stayed: `accept` failed until one of them reached its deadline, and no replica could be connected to either.

Beyond that each new connection closes the one that has waited for its caller for the longest time (core `intake::connections`): between two requests, within a head or within a body, where received bytes put the wait off. A request in progress is never closed. Connections that are only being closed are counted too, and ended early if they take up the room. The kernel's receive buffer of a caller's connection is bounded at 64 KiB, since it grew to megabytes of bytes that nothing reads while a request is in progress.

--- a/crates/daemon/src/http/accept.rs
+++ b/crates/daemon/src/http/accept.rs
@@ -11,16 +11,22 @@
 /// spinning.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until `stop` completes.
-pub(crate) async fn accept_until(
+/// Accepts connections until `stop` completes, each once `room` allows it.
+pub(crate) async fn accept_until<Room: Future<Output = ()>>(
     listener: &TcpListener,
     stop: impl Future<Output = ()>,
+    room: impl Fn() -> Room,
     start_connection: impl Fn(TcpStream),
 ) {
     let mut stop = pin!(stop);
     loop {
+        let room = room();
+        let accept = async {
+            room.await;
+            listener.accept().await
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept => accepted,
             () = &mut stop => return,
         };
         match accepted {
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -17,7 +17,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -29,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Body;
+use super::connections::{CallerConnection, ServedConnection};
 use super::server::HeadLimits;
 use super::server_socket::ServerSocket;
 use super::socket;
@@ -62,9 +64,16 @@
 #[derive(Clone)]
 struct ReuseFlag(Arc<AtomicBool>);
 
+/// What each request of a connection gets as extensions.
+struct RequestExtensions {
+    connection: CallerConnection,
+    meter: Option<ConnectionMeter>,
+}
+
 /// Serves a connection until the caller or the server closes it.
 pub(super) async fn serve<Handler, Answer>(
     stream: TcpStream,
+    connection: ServedConnection,
     stop: ConnectionStop,
     head_limits: HeadLimits,
     unread: Option<UnreadMeter>,
@@ -78,16 +87,26 @@
     if meter.is_some() && socket::prepare_metered(&stream).is_err() {
         return;
     }
-    let mut socket = ServerSocket::new(stream, meter.clone());
+    socket::bound_unread_input(&stream);
+    let caller = connection.handle();
+    let mut socket = ServerSocket::new(stream, caller.clone(), meter.clone());
     let reuse = ReuseFlag(Arc::new(AtomicBool::new(true)));
-    let serving = serve_requests(&mut socket, stop, head_limits, reuse.clone(), meter.clone(), handler);
-    let result = match &meter {
-        None => serving.await,
-        Some(meter) => tokio::select! {
-            result = serving => result,
-            () = meter.aborted() => Ok(()),
-        },
+    let extensions = RequestExtensions { connection: caller.clone(), meter: meter.clone() };
+    let serving = serve_requests(&mut socket, stop, head_limits, reuse.clone(), extensions, handler);
+    let aborted = async {
+        match &meter {
+            Some(meter) => meter.aborted().await,
+            None => std::future::pending().await,
+        }
     };
+    let result = tokio::select! {
+        // The connection first: a request that has arrived by now is served.
+        biased;
+        result = serving => result,
+        () = aborted => Ok(()),
+        () = caller.evicted_between_requests() => Ok(()),
+    };
+    connection.begin_closing();
     if meter.is_some_and(|meter| meter.is_aborted()) {
         // A caller that does not read would not read a final response either.
         return socket::set_reset_on_drop(&socket.into_stream());
@@ -97,9 +116,13 @@
     }
     let may_reuse = reuse.0.load(Ordering::Relaxed) && socket.is_between_responses();
     let final_status = final_status(&result).filter(|_| may_reuse);
-    let closing = close(socket.into_stream(), final_status);
-    if let Ok(Err(error)) = tokio::time::timeout(MAX_CLOSE_TIME, closing).await {
-        log::debug!(target: "http", "A connection broke while it was closed: {error}.");
+    let closing = tokio::time::timeout(MAX_CLOSE_TIME, close(socket.into_stream(), final_status));
+    tokio::select! {
+        biased;
+        closed = closing => if let Ok(Err(error)) = closed {
+            log::debug!(target: "http", "A connection broke while it was closed: {error}.");
+        },
+        () = connection.dropped() => {}
     }
 }
 
@@ -109,7 +132,7 @@
     stop: ConnectionStop,
     head_limits: HeadLimits,
     reuse: ReuseFlag,
-    meter: Option<ConnectionMeter>,
+    extensions: RequestExtensions,
     handler: Handler,
 ) -> hyper::Result<()>
 where
@@ -118,11 +141,14 @@
 {
     let ConnectionStop { draining, port_closed } = stop;
     let service = service_fn(move |mut request: Request<Incoming>| {
-        if let Some(meter) = &meter {
+        let connection = extensions.connection.clone();
+        connection.begin_request(!request.body().is_end_stream());
+        request.extensions_mut().insert(connection.clone());
+        if let Some(meter) = &extensions.meter {
             request.extensions_mut().insert(meter.clone());
         }
         let keeps_alive = request.version() == Version::HTTP_11 && !announces_close(request.headers());
-        finish_response(handler(request), keeps_alive, draining.clone(), reuse.clone())
+        finish_response(handler(request), keeps_alive, draining.clone(), connection, reuse.clone())
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -152,14 +178,40 @@
     answer: impl Future<Output = Response<Body>>,
     keeps_alive: bool,
     draining: CancellationToken,
+    connection: CallerConnection,
     reuse: ReuseFlag,
 ) -> Result<Response<Body>, Infallible> {
     let mut response = answer.await;
-    if draining.is_cancelled() {
+    if draining.is_cancelled() || connection.is_evicted() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reuse.0.store(keeps_alive && !announces_close(response.headers()), Ordering::Relaxed);
-    Ok(response)
+    Ok(end_request_with(response, connection))
+}
+
+/// Ends the request of a connection with its response. A stream lasts until its body is dropped.
+fn end_request_with(response: Response<Body>, connection: CallerConnection) -> Response<Body> {
+    if response.body().size_hint().exact().is_some() {
+        connection.end_request();
+        return response;
+    }
+    let ended = EndOnDrop(connection);
+    response.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &ended;
+            frame
+        })
+        .boxed_unsync()
+    })
+}
+
+/// Ends the request of a connection when it is dropped.
+struct EndOnDrop(CallerConnection);
+
+impl Drop for EndOnDrop {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
 }
 
 fn announces_close(headers: &HeaderMap) -> bool {
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 server and client, based on `hyper`, for all interfaces of the node.
 //!
-//! [`server`] accepts connections; [`request_body`] reads bodies within [`body_memory`]; [`request`], [`response`] and
+//! [`server`] accepts [`connections`]; [`request_body`] reads bodies within [`body_memory`]; [`request`], [`response`] and
 //! [`events`] decode requests and build responses; [`unread`] bounds what is kept for callers that do not read; [`client`] calls engines and the
 //! platform's store. Routes are defined by the users of this module.
 
@@ -9,6 +9,7 @@
 pub mod client;
 mod closing_port;
 mod connection;
+pub mod connections;
 pub mod events;
 pub mod request;
 pub mod request_body;
--- a/crates/daemon/src/http/request_body.rs
+++ b/crates/daemon/src/http/request_body.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::body_memory::{BodyHold, BodyMemory, NoBodyMemory};
+use super::connections::CallerConnection;
 
 /// Longest body that is kept on the heap. A longer one has pages of its own, which the operating system has back as soon
 /// as the body is dropped; the allocator would keep some for each of its arenas.
@@ -37,6 +38,9 @@
     /// There was no memory for it.
     #[error(transparent)]
     NoMemory(#[from] NoBodyMemory),
+    /// Its connection had to make room for others.
+    #[error("there are too many connections; send it again later, or raise the limit of descriptors")]
+    ConnectionEvicted,
 }
 
 /// A complete body, which holds memory until it is dropped.
@@ -50,7 +54,12 @@
     ///
     /// # Errors
     /// When the body exceeds a bound, breaks off or finds no memory.
-    pub async fn read(body: Incoming, bounds: BodyBounds, memory: &BodyMemory) -> Result<Self, BodyError> {
+    pub async fn read(
+        body: Incoming,
+        bounds: BodyBounds,
+        memory: &BodyMemory,
+        connection: Option<&CallerConnection>,
+    ) -> Result<Self, BodyError> {
         if body.is_end_stream() {
             return Ok(Self { bytes: BodyBytes::Heap(Vec::new()), hold: None });
         }
@@ -60,12 +69,30 @@
         }
         let longest_bytes =
             announced.exact().and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(bounds.bytes);
-        let mut reading =
-            Reading { body, bytes: BodyBytes::Heap(Vec::new()), hold: memory.begin(), longest_bytes };
-        let read = tokio::time::timeout_at(bounds.deadline, reading.read_to_end());
-        read.await.map_err(|_| BodyError::TooSlow)??;
+        let mut reading = Reading {
+            body,
+            bytes: BodyBytes::Heap(Vec::new()),
+            hold: memory.begin(),
+            longest_bytes,
+            connection: connection.cloned(),
+        };
+        let connection_evicted = async {
+            match connection {
+                Some(connection) => connection.evicted().await,
+                None => std::future::pending().await,
+            }
+        };
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout_at(bounds.deadline, reading.read_to_end()) => read,
+            () = connection_evicted => return Err(BodyError::ConnectionEvicted),
+        };
+        read.map_err(|_| BodyError::TooSlow)??;
         let Reading { bytes, mut hold, .. } = reading;
         hold.complete()?;
+        if let Some(connection) = connection {
+            connection.complete_body();
+        }
         Ok(Self { bytes, hold: Some(hold) })
     }
 
@@ -110,6 +137,7 @@
     hold: BodyHold,
     /// The announced length, or the greatest that is allowed.
     longest_bytes: usize,
+    connection: Option<CallerConnection>,
 }
 
 impl Reading {
@@ -126,6 +154,9 @@
             if length > self.longest_bytes {
                 return Err(BodyError::TooLong);
             }
+            if let Some(connection) = &self.connection {
+                connection.record_received(data.len());
+            }
             self.hold.cover(length as u64, length as u64).await?;
             self.bytes.append(&data, self.longest_bytes)?;
         }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,6 +8,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use lichenpulley_core::intake::connections::ConnectionLimit;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -15,6 +16,7 @@
 use super::Body;
 use super::accept::accept_until;
 use super::connection::ConnectionStop;
+use super::connections::CallerConnections;
 use super::socket::{self, SocketLimits};
 use super::unread::UnreadMeter;
 use super::{closing_port, connection};
@@ -73,8 +75,22 @@
     serve_metered(listener, stop, limits, head_limits, None, handler).await;
 }
 
+/// Serves like [`serve`], with at most so many connections.
+pub async fn serve_limited<Handler, Answer>(
+    listener: TcpListener,
+    stop: ServerStop,
+    connections: ConnectionLimit,
+    handler: Handler,
+) where
+    Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    Answer: Future<Output = Response<Body>> + Send + 'static,
+{
+    let limits = SocketLimits { connections, ..SocketLimits::default() };
+    serve_with_limits(listener, stop, limits, HeadLimits::default, handler).await;
+}
+
 /// Serves like [`serve_with_limits`] and counts unread responses with `unread`. Each request then has the extension
-/// [`ConnectionMeter`](super::unread::ConnectionMeter).
+/// [`ConnectionMeter`](super::unread::ConnectionMeter) beside [`CallerConnection`](super::connections::CallerConnection).
 pub async fn serve_metered<Heads, Handler, Answer>(
     listener: TcpListener,
     stop: ServerStop,
@@ -88,17 +104,23 @@
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
+    let registry = CallerConnections::new(limits.connections);
     let port_closed = CancellationToken::new();
     let connection_stop = ConnectionStop { draining: stop.draining, port_closed: port_closed.clone() };
     let start_connection = |stream: TcpStream| match socket::prepare(&stream, limits) {
         Ok(()) => {
             let (stop, handler) = (connection_stop.clone(), handler.clone());
-            let serving = connection::serve(stream, stop, head_limits(), unread.clone(), handler);
+            let connection = registry.open();
+            let serving = connection::serve(stream, connection, stop, head_limits(), unread.clone(), handler);
             drop(connections.spawn(serving));
         }
         Err(error) => log::debug!(target: "http", "A connection was closed before it was served: {error}."),
     };
-    accept_until(&listener, stop.closing.cancelled(), &start_connection).await;
+    let room = || {
+        let registry = registry.clone();
+        async move { registry.until_room().await }
+    };
+    accept_until(&listener, stop.closing.cancelled(), room, &start_connection).await;
     closing_port::close(listener, start_connection).await;
     port_closed.cancel();
     log::info!(target: "http", "A port is closed, {} connections are open.", connections.len());
--- a/crates/daemon/src/http/server_socket.rs
+++ b/crates/daemon/src/http/server_socket.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::connections::CallerConnection;
 use super::unread::ConnectionMeter;
 
 /// A socket that stays open when the HTTP library shuts it down.
@@ -17,13 +18,26 @@
     /// Whether all that the library had to write is written: it flushes the socket only then.
     is_flushed: bool,
     has_peer_ended: bool,
+    /// Learns when all is written.
+    connection: CallerConnection,
     /// Learns of the caller's progress, if unread responses are counted.
     meter: Option<ConnectionMeter>,
 }
 
 impl ServerSocket {
-    pub(super) const fn new(stream: TcpStream, meter: Option<ConnectionMeter>) -> Self {
-        Self { stream, is_flushed: true, has_peer_ended: false, meter }
+    pub(super) const fn new(
+        stream: TcpStream,
+        connection: CallerConnection,
+        meter: Option<ConnectionMeter>,
+    ) -> Self {
+        Self { stream, is_flushed: true, has_peer_ended: false, connection, meter }
+    }
+
+    fn set_flushed(&mut self, is_flushed: bool) {
+        if self.is_flushed != is_flushed {
+            self.is_flushed = is_flushed;
+            self.connection.set_flushed(is_flushed);
+        }
     }
 
     /// Returns whether no response is written in part and the peer can still send a request. Valid once the HTTP
@@ -62,7 +76,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.is_flushed = false;
+        self.set_flushed(false);
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.record_progress(&written);
         written
@@ -73,7 +87,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.is_flushed = false;
+        self.set_flushed(false);
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.record_progress(&written);
         written
@@ -85,7 +99,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.is_flushed = true;
+        self.set_flushed(true);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::time::Duration;
 
+use lichenpulley_core::intake::connections::ConnectionLimit;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
@@ -17,6 +18,10 @@
 #[cfg(target_os = "linux")]
 const METERED_UNSENT_BYTES: u32 = 48 << 10;
 
+/// Receive buffer of a caller's connection. The kernel would let it grow to megabytes, which a caller can fill with bytes
+/// that follow a whole request, while that is in progress.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Default stall timeout; within the time of a planned stop (docs/decisions/planned-stop.md).
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -26,11 +31,13 @@
     /// A connection whose peer acknowledges or accepts no data for this time is closed. Without this limit a
     /// caller that stopped reading could delay a planned stop forever.
     pub stall_timeout: Duration,
+    /// Maximum number of connections; beyond it those are closed that wait for their callers.
+    pub connections: ConnectionLimit,
 }
 
 impl Default for SocketLimits {
     fn default() -> Self {
-        Self { stall_timeout: DEFAULT_STALL_TIMEOUT }
+        Self { stall_timeout: DEFAULT_STALL_TIMEOUT, connections: ConnectionLimit::default() }
     }
 }
 
@@ -44,6 +51,12 @@
     Ok(())
 }
 
+/// Bounds what the kernel keeps of bytes that a caller has sent and that are not read yet.
+pub(crate) fn bound_unread_input(stream: &TcpStream) {
+    // Without the bound, memory is bounded less tightly.
+    let _ = SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+}
+
 /// Resets a connection when it is dropped, so that the kernel frees what the caller has not read.
 pub(crate) fn set_reset_on_drop(stream: &TcpStream) {
     // Fails only if the connection is already closed.
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -20,6 +20,7 @@
 use super::request_body::read_body;
 use super::{Ingress, headers, job_placement, metadata_wait};
 use crate::batch::JobShard;
+use crate::http::connections::CallerConnection;
 use crate::http::{Body, request, response};
 
 /// Time limit for receiving the body of a job.
@@ -50,7 +51,9 @@
     let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, Some(&id));
     let deadline = Instant::now() + JOB_BODY_TIMEOUT;
     let memory = &ingress.context.body_memory;
-    let mut body = match read_body(request.into_body(), table.limits.body_bytes, deadline, memory).await {
+    let (parts, body) = request.into_parts();
+    let connection = parts.extensions.get::<CallerConnection>();
+    let mut body = match read_body(body, table.limits.body_bytes, deadline, memory, connection).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
--- a/crates/daemon/src/ingress/refusal.rs
+++ b/crates/daemon/src/ingress/refusal.rs
@@ -62,6 +62,8 @@
     BodyTooSlow,
     /// Other bodies hold the memory for bodies.
     NoBodyMemory,
+    /// The connection has to make room for others before the body is complete.
+    TooManyConnections,
     /// The body can't be read or parsed.
     BadBody,
     /// A required header field or query parameter is missing or invalid.
@@ -112,6 +114,7 @@
             | Self::NoTime(_)
             | Self::NoOwner
             | Self::NoBodyMemory
+            | Self::TooManyConnections
             | Self::UnreadAnswers => StatusCode::SERVICE_UNAVAILABLE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::IdTaken => StatusCode::CONFLICT,
@@ -147,6 +150,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::BodyTooSlow => "body_too_slow",
             Self::NoBodyMemory => "no_body_memory",
+            Self::TooManyConnections => "too_many_connections",
             Self::BadBody => "bad_body",
             Self::Incomplete => "incomplete",
             Self::UnknownBatch => "unknown_batch",
@@ -178,6 +182,7 @@
             | Self::Rejected(_)
             | Self::NoOwner
             | Self::NoBodyMemory
+            | Self::TooManyConnections
             | Self::Full => "send it again, it has not run",
             Self::NoTime(_) => "send it again after `Retry-After`, or with a longer deadline; it has not run",
             Self::UnreadAnswers => "read the answers that you asked for, and send it again; it has not run",
@@ -206,6 +211,7 @@
             | Self::NoOwner
             | Self::Full
             | Self::NoBodyMemory
+            | Self::TooManyConnections
             | Self::UnreadAnswers
             | Self::Evacuated
             | Self::OutsideRegions
@@ -227,7 +233,7 @@
 
     /// Whether the rest of the request's body is not read, so that the connection can't be used again.
     const fn leaves_body_unread(self) -> bool {
-        matches!(self, Self::BodyTooLong | Self::BodyTooSlow | Self::NoBodyMemory)
+        matches!(self, Self::BodyTooLong | Self::BodyTooSlow | Self::NoBodyMemory | Self::TooManyConnections)
     }
 
     /// Builds the error response to `request` and records the decision.
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -3,6 +3,8 @@
 //! Dispatches each request to the subsystem that handles it. `protocol::transport` implements the framing. Counts frames,
 //! bytes, and connections closed because of invalid input.
 
+use std::future::ready;
+
 use futures::StreamExt;
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
@@ -120,9 +122,14 @@
 
 /// Serves peers until `closing` is cancelled.
 pub(super) async fn serve(listener: TcpListener, service: PeerService, closing: CancellationToken) {
-    accept_until(&listener, closing.cancelled(), |stream| {
-        tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
-    })
+    accept_until(
+        &listener,
+        closing.cancelled(),
+        || ready(()),
+        |stream| {
+            tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
+        },
+    )
     .await;
 }
 
@@ -130,7 +137,10 @@
 async fn serve_connection(stream: TcpStream, service: PeerService, closing: CancellationToken) {
     let peer =
         stream.peer_addr().map_or_else(|_| "an unknown peer".to_owned(), |address| address.to_string());
-    let limits = SocketLimits { stall_timeout: service.context.settings.peers.stall_timeout };
+    let limits = SocketLimits {
+        stall_timeout: service.context.settings.peers.stall_timeout,
+        ..SocketLimits::default()
+    };
     if let Err(error) = socket::prepare(&stream, limits) {
         log::debug!(target: "peers", "Failed to set up the connection from {peer}: {error}.");
         return;
--- a/crates/daemon/src/node/servers.rs
+++ b/crates/daemon/src/node/servers.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use hyper::{Response, StatusCode};
+use lichenpulley_core::intake::connections::ConnectionLimit;
 use lichenpulley_protocol::error::ErrorBody;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -56,7 +57,8 @@
         let api = api.clone();
         async move { api.handle(request).await }
     };
-    Ok(tokio::spawn(server::serve(listener, stop.operators.clone(), answer)))
+    let connections = operator_connections(context);
+    Ok(tokio::spawn(server::serve_limited(listener, stop.operators.clone(), connections, answer)))
 }
 
 /// Starts the server for callers: the platform API if the node has an `ingress`, else the native API.
@@ -68,7 +70,9 @@
     ingress: Option<Ingress>,
     stop: &StopSignals,
 ) -> Result<JoinHandle<()>, StartError> {
-    let limits = SocketLimits { stall_timeout: context.settings.gateway.stall_timeout };
+    let machine = &context.settings.machine;
+    let connections = ConnectionLimit::for_callers(machine.memory_bytes as u64, machine.descriptors());
+    let limits = SocketLimits { stall_timeout: context.settings.gateway.stall_timeout, connections };
     let stop = stop.callers.clone();
     if let Some(ingress) = ingress {
         return serve_platform_api(listener, traffic, stop, limits, ingress);
@@ -133,15 +137,21 @@
     stop: ServerStop,
 ) -> Result<(), StartError> {
     let listener = TcpListener::from_std(listener).map_err(StartError::Socket)?;
+    let connections = operator_connections(context);
     let context = Arc::clone(context);
     let answer = move |_| {
         let answer = readiness::answer(&context);
         async move { answer }
     };
-    tokio::spawn(server::serve(listener, stop, answer));
+    tokio::spawn(server::serve_limited(listener, stop, connections, answer));
     Ok(())
 }
 
+fn operator_connections(context: &Context) -> ConnectionLimit {
+    let machine = &context.settings.machine;
+    ConnectionLimit::for_operators(machine.memory_bytes as u64, machine.descriptors())
+}
+
 fn no_gateway_response() -> Response<Body> {
     let body = ErrorBody::new(
         "no_gateway",
--- a/crates/daemon/src/settings/machine.rs
+++ b/crates/daemon/src/settings/machine.rs
@@ -2,6 +2,8 @@
 
 use std::ops::RangeInclusive;
 
+use rustix::process::{Resource, getrlimit};
+
 use super::reader::SettingsReader;
 use crate::cluster::NodeCapacity;
 
@@ -19,6 +21,8 @@
     pub processor_speed: f64,
     /// Memory, in bytes.
     pub memory_bytes: usize,
+    /// Number of descriptors that the process may have open; `None` for the operating system's limit.
+    pub max_descriptors: Option<u64>,
 }
 
 impl MachineSettings {
@@ -26,7 +30,19 @@
         let processor_share = reader.float("machine.processor_share", 1.0, PROCESSOR_BOUNDS);
         let processor_speed = reader.float("machine.processor_speed", 1.0, PROCESSOR_BOUNDS);
         let memory_mb = reader.float("machine.memory_mb", 1_024.0, 16.0..=1_048_576.0);
-        Self { processor_share, processor_speed, memory_bytes: (memory_mb * MEGABYTE) as usize }
+        let max_descriptors = reader.count("machine.max_descriptors", 0, 0..=(1 << 30)) as u64;
+        Self {
+            processor_share,
+            processor_speed,
+            memory_bytes: (memory_mb * MEGABYTE) as usize,
+            max_descriptors: Some(max_descriptors).filter(|descriptors| *descriptors > 0),
+        }
+    }
+
+    /// Returns the number of descriptors that the process may have open.
+    pub fn descriptors(&self) -> u64 {
+        let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+        self.max_descriptors.unwrap_or(u64::MAX).min(allowed)
     }
 
     /// Returns the capacity that membership announces for this node.
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -20,6 +20,9 @@
 /// Longest body that an operator allows where none is named.
 const LONGEST_BODY_BYTES: usize = 32 << 20;
 const SMALL_CHUNK_BYTES: usize = 256;
+const DESCRIPTOR_LIMIT: usize = 160;
+/// More than the process may have descriptors.
+const DESCRIPTOR_CROWD: usize = 240;
 
 /// Tests that measure memory run one at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
@@ -150,3 +153,18 @@
     let job = Arc::new(job);
     bear(&mut edge, (0..CROWD / 8).map(|_| Upload::announced(&head("/rollouts/x"), &job, 0)).collect()).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_leave_descriptors_to_ordinary_callers() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_descriptors(DESCRIPTOR_LIMIT as u64).await;
+    let body = body(1_000);
+    let upload = || Upload::announced(&head("/read/x"), &body, 1);
+    let crowd = Crowd::start(edge.callers(), (0..DESCRIPTOR_CROWD).map(|_| upload()));
+    crowd.settled().await;
+    edge.assert_bears("while the crowd stays").await;
+    let descriptors = edge.descriptors();
+    assert!(descriptors < DESCRIPTOR_LIMIT, "{descriptors} of {DESCRIPTOR_LIMIT} descriptors are taken");
+    drop(crowd);
+    edge.assert_bears("after the crowd has left").await;
+}
