Bound the memory of request bodies on the project's own interface

`read_json` now reads through the same memory as the users' interface, and takes three times the length and the bookkeeping of values (`intake::json`) before it parses: what was read, its copy for an attempt or an owner, and its encoded form. That is held until the request is answered, or its stream has ended. A body that finds no memory is answered 503 `no_body_memory`, one whose connection makes room `too_many_connections`; both say that the request has not run and when to come back. A length over the limit that is announced is refused unread. `read_json` takes the memory as a parameter; the daemon's test server has one of its own.

--- a/crates/daemon/src/coordinator/http.rs
+++ b/crates/daemon/src/coordinator/http.rs
@@ -15,7 +15,7 @@
 use super::{Coordinator, ask_owner};
 use crate::context::Context;
 use crate::http::Body;
-use crate::http::request::{BadRequest, percent_decode, read_json};
+use crate::http::request::{BadRequest, Held, percent_decode, read_json};
 use crate::http::response;
 
 /// Returns whether this module handles a path of the callers' interface.
@@ -30,8 +30,8 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let path = request.uri().path().to_owned();
-    let coordinator_request = match read_request(context, request, &path).await {
-        Ok(Some(coordinator_request)) => coordinator_request,
+    let Held { value: coordinator_request, hold: _hold } = match read_request(context, request, &path).await {
+        Ok(Some(read)) => read,
         Ok(None) => return response::not_found(&path),
         Err(bad_request) => return bad_request.into(),
     };
@@ -47,29 +47,32 @@
     context: &Context,
     request: Request<Incoming>,
     path: &str,
-) -> Result<Option<CoordinatorRequest>, BadRequest> {
+) -> Result<Option<Held<CoordinatorRequest>>, BadRequest> {
     let limit = context.settings.gateway.body_limit_bytes;
+    let memory = &context.body_memory;
     let method = request.method().clone();
     let segments: Vec<String> = path.split('/').skip(2).map(percent_decode).collect();
     let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
-    let coordinator_request = match (method, segments.as_slice()) {
+    let without_body = |value| Held { value, hold: None };
+    let read = match (method, segments.as_slice()) {
         (Method::POST, ["jobs"]) => {
-            let specification: JobSpecification = read_json(request, limit).await?;
-            CoordinatorRequest::SubmitJob(specification)
+            read_json::<JobSpecification>(request, limit, memory).await?.map(CoordinatorRequest::SubmitJob)
         }
-        (Method::GET, ["jobs", job]) => CoordinatorRequest::JobStatus(JobId::new(*job)),
+        (Method::GET, ["jobs", job]) => without_body(CoordinatorRequest::JobStatus(JobId::new(*job))),
         (Method::POST, ["jobs", job, "pull"]) => {
-            let pull: PullRequest = read_json(request, limit).await?;
-            CoordinatorRequest::Pull(JobId::new(*job), pull)
+            let pull = read_json::<PullRequest>(request, limit, memory).await?;
+            pull.map(|pull| CoordinatorRequest::Pull(JobId::new(*job), pull))
         }
         (Method::POST, ["pools", pool, "weights"]) => {
-            let publish: PublishWeights = read_json(request, limit).await?;
-            CoordinatorRequest::PublishWeights(PoolName::new(*pool), publish)
+            let publish = read_json::<PublishWeights>(request, limit, memory).await?;
+            publish.map(|publish| CoordinatorRequest::PublishWeights(PoolName::new(*pool), publish))
+        }
+        (Method::GET, ["pools", pool, "weights"]) => {
+            without_body(CoordinatorRequest::WeightsStatus(PoolName::new(*pool)))
         }
-        (Method::GET, ["pools", pool, "weights"]) => CoordinatorRequest::WeightsStatus(PoolName::new(*pool)),
         _ => return Ok(None),
     };
-    Ok(Some(coordinator_request))
+    Ok(Some(read))
 }
 
 /// Validates a submission before it is sent to the owner; returns the error of an invalid one.
--- a/crates/daemon/src/gateway/completions.rs
+++ b/crates/daemon/src/gateway/completions.rs
@@ -20,8 +20,9 @@
 
 use super::dispatcher::{Dispatcher, Generation, Repetition};
 use super::refusal;
+use crate::http::body_memory::BodyHold;
 use crate::http::events::{EventSender, event_stream};
-use crate::http::request::read_json;
+use crate::http::request::{Held, read_json};
 use crate::http::{Body, response};
 
 /// Maximum number of tokens that a request may ask for; bounds the memory of one answer.
@@ -33,10 +34,12 @@
 
 /// Handles one request.
 pub async fn handle(dispatcher: &Dispatcher, request: Request<Incoming>) -> Response<Body> {
-    let settings = &dispatcher.shared.context.settings.gateway;
+    let context = &dispatcher.shared.context;
     let headers = request.headers().clone();
-    let completion = match read_json::<CompletionRequest>(request, settings.body_limit_bytes).await {
-        Ok(completion) => completion,
+    let limit_bytes = context.settings.gateway.body_limit_bytes;
+    let read = read_json::<CompletionRequest>(request, limit_bytes, &context.body_memory).await;
+    let Held { value: completion, hold } = match read {
+        Ok(read) => read,
         Err(bad_request) => return bad_request.into(),
     };
     let stream = completion.stream;
@@ -48,9 +51,11 @@
         return error_response(&dispatcher.refuse(&generation, RefusalReason::NodeDraining));
     }
     if stream {
-        answer_stream(dispatcher, generation).await
+        answer_stream(dispatcher, generation, hold).await
     } else {
-        answer_json(dispatcher, generation).await
+        let response = answer_json(dispatcher, generation).await;
+        drop(hold);
+        response
     }
 }
 
@@ -172,12 +177,20 @@
 }
 
 /// Answers with server-sent events. Waits for the first tokens before it sends the response head, so that a
-/// refusal is answered with its own status.
-async fn answer_stream(dispatcher: &Dispatcher, generation: Generation) -> Response<Body> {
+/// refusal is answered with its own status. Holds the memory of the request until its run has ended.
+async fn answer_stream(
+    dispatcher: &Dispatcher,
+    generation: Generation,
+    hold: Option<BodyHold>,
+) -> Response<Body> {
     let request_id = generation.request.clone();
     let (sender, mut chunks) = mpsc::channel(STREAM_BACKLOG);
     let dispatcher = dispatcher.clone();
-    let mut run = Box::pin(async move { dispatcher.generate_stream(generation, sender).await });
+    let mut run = Box::pin(async move {
+        let outcome = dispatcher.generate_stream(generation, sender).await;
+        drop(hold);
+        outcome
+    });
     let first = tokio::select! {
         biased;
         first = chunks.recv() => first,
--- a/crates/daemon/src/http/response.rs
+++ b/crates/daemon/src/http/response.rs
@@ -71,7 +71,11 @@
 
 impl From<BadRequest> for Response<Body> {
     fn from(bad_request: BadRequest) -> Self {
-        error(bad_request.status, &bad_request.body)
+        let mut response = error(bad_request.status, &bad_request.body);
+        if bad_request.leaves_body_unread() {
+            announce_close(&mut response);
+        }
+        response
     }
 }
 
--- a/crates/daemon/src/operators/config.rs
+++ b/crates/daemon/src/operators/config.rs
@@ -16,7 +16,7 @@
 
 use crate::configuration::change::{self, ChangeError};
 use crate::context::Context;
-use crate::http::request::{query_parameter, read_json};
+use crate::http::request::{Held, query_parameter, read_json};
 use crate::http::{Body, response};
 
 /// Maximum size of the body of a change, in bytes.
@@ -49,8 +49,9 @@
 
 /// Changes a value.
 pub(super) async fn change(context: &Context, request: Request<Incoming>) -> Response<Body> {
-    let requested = match read_json::<ChangeConfiguration>(request, MAX_CHANGE_BYTES).await {
-        Ok(requested) => requested,
+    let read = read_json::<ChangeConfiguration>(request, MAX_CHANGE_BYTES, &context.body_memory).await;
+    let Held { value: requested, hold: _hold } = match read {
+        Ok(read) => read,
         Err(error) => return error.into(),
     };
     let ChangeConfiguration { base_revision, change_id, path, key, value } = requested;
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -8,6 +8,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use lichenpulley_daemon::http::body_memory::BodyMemory;
 use lichenpulley_daemon::http::client::{ClientError, HttpClient};
 use lichenpulley_daemon::http::events::{EventStreamError, event_stream};
 use lichenpulley_daemon::http::request::{percent_decode, percent_encode, read_json};
@@ -20,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+const MEMORY_BYTES: u64 = 1 << 30;
 const BODY_LIMIT_BYTES: usize = 64;
 /// How often a port is closed under load.
 const CLOSING_ROUNDS: u64 = 8;
@@ -48,8 +50,8 @@
 }
 
 async fn echo(request: Request<Incoming>) -> Response<Body> {
-    match read_json::<Vec<u32>>(request, BODY_LIMIT_BYTES).await {
-        Ok(numbers) => response::json(StatusCode::OK, &numbers),
+    match read_json::<Vec<u32>>(request, BODY_LIMIT_BYTES, &BodyMemory::for_machine(MEMORY_BYTES)).await {
+        Ok(numbers) => response::json(StatusCode::OK, &numbers.value),
         Err(bad_request) => bad_request.into(),
     }
 }
--- a/crates/lab/tests/clients/mod.rs
+++ b/crates/lab/tests/clients/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crowd;
 pub mod edge;
+pub mod native;
 pub mod usage;
 
 use std::time::Duration;
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -12,6 +12,7 @@
 
 use clients::crowd::{Crowd, Upload};
 use clients::edge::{BODY_LIMIT_BYTES, Edge, head, job};
+use clients::native::NativeNode;
 
 /// Callers of a crowd. Their bodies are twice what the machine holds.
 const CROWD: usize = 24;
@@ -19,6 +20,9 @@
 const BODY_BYTES: usize = BODY_LIMIT_BYTES / 10 * 9;
 /// Longest body that an operator allows where none is named.
 const LONGEST_BODY_BYTES: usize = 32 << 20;
+/// Longest body of the project's own interface.
+const NATIVE_BODY_BYTES: usize = 4 << 20;
+const NATIVE_CROWD: usize = 40;
 const SMALL_CHUNK_BYTES: usize = 256;
 const DESCRIPTOR_LIMIT: usize = 160;
 /// More than the process may have descriptors.
@@ -168,3 +172,57 @@
     drop(crowd);
     edge.assert_bears("after the crowd has left").await;
 }
+
+async fn bear_native(uploads: Vec<Upload>) {
+    let mut native = NativeNode::start().await;
+    let crowd = Crowd::start(native.callers(), uploads);
+    crowd.settled().await;
+    native.assert_bears("while the crowd stays").await;
+    drop(crowd);
+    native.assert_bears("after the crowd has left").await;
+}
+
+fn native_head(path: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: node\r\ncontent-type: application/json")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn completions_a_byte_short_stay_within_the_machine() {
+    let _turn = turn().await;
+    let body = body(NATIVE_BODY_BYTES);
+    let upload = || Upload::announced(&native_head("/v1/completions"), &body, 1);
+    bear_native((0..NATIVE_CROWD).map(|_| upload()).collect()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_long_completions_stay_within_the_machine() {
+    let _turn = turn().await;
+    let prompt = "a".repeat(NATIVE_BODY_BYTES / 10 * 9);
+    let completion = serde_json::json!({"pool": "bench", "prompt": prompt, "max_tokens": 20_000,
+        "priority": "rollout", "repeatable": true, "seed": 1, "deadline_ms": 600_000});
+    let body = Arc::new(serde_json::to_vec(&completion).expect("JSON"));
+    let upload = || Upload::announced(&native_head("/v1/completions"), &body, 0);
+    bear_native((0..NATIVE_CROWD).map(|_| upload()).collect()).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn submissions_of_rollout_jobs_a_byte_short_stay_within_the_machine() {
+    let _turn = turn().await;
+    let body = body(NATIVE_BODY_BYTES);
+    let upload = || Upload::chunked(&native_head("/v1/jobs"), &body, 1 << 16);
+    bear_native((0..NATIVE_CROWD).map(|_| upload()).collect()).await;
+}
+
+/// Guards the operators' address, which is to stay reachable beside a crowd of unfinished bodies.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_at_the_operators_address_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::start().await;
+    let body = body(64 << 10);
+    let head = "PUT /v1/config HTTP/1.1\r\nhost: node";
+    let uploads = (0..DESCRIPTOR_CROWD).map(|_| Upload::announced(head, &body, 1));
+    let crowd = Crowd::start(edge.gateway.address("operators"), uploads);
+    crowd.settled().await;
+    edge.assert_bears("while the crowd stays").await;
+    drop(crowd);
+}
