Bound the memory of frames that other nodes have sent in part

The peers' address took frames of up to 16 MiB, and kept what had arrived of each for as long as its connection stayed open: a dozen connections that stop within a frame of 12 MiB took a gateway of 88 MB to 171 MB.

Incomplete frames of more than 64 KiB now share memory as request bodies do, apart from these, by the same rules (core `intake::bodies`): the connection that is the furthest behind is closed, and counted as `no_memory`. Its client makes it anew. Frames that arrive whole are not counted, so that usual calls cost nothing.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -72,6 +72,8 @@
     pub batch_owner: Arc<ArcSwapOption<NodeId>>,
     /// The memory for request bodies.
     pub body_memory: BodyMemory,
+    /// The memory for frames of other nodes that are not complete.
+    pub frame_memory: BodyMemory,
     /// Usage counted by this node for the usage report.
     pub usage: NodeUsage,
     /// Clients for requests to other nodes.
@@ -106,6 +108,7 @@
             replica_sets: ReplicaSetCache::default(),
             batch_owner: Arc::default(),
             body_memory: BodyMemory::for_machine(settings.machine.memory_bytes as u64),
+            frame_memory: BodyMemory::for_machine(settings.machine.memory_bytes as u64),
             usage: NodeUsage::new(settings.node.as_str(), settings.duties.usage().is_some()),
             peers: PeerClients::new(control, settings.peers.clone()),
             draining: CancellationToken::new(),
--- a/crates/daemon/src/http/body_memory.rs
+++ b/crates/daemon/src/http/body_memory.rs
@@ -53,7 +53,11 @@
 
     /// Begins to count a body, which holds nothing yet.
     pub(super) fn begin(&self) -> BodyHold {
-        let evicted = CancellationToken::new();
+        self.begin_for(CancellationToken::new())
+    }
+
+    /// Begins to count a body, which holds nothing yet. Cancels `evicted` when it has to return its memory.
+    pub(crate) fn begin_for(&self, evicted: CancellationToken) -> BodyHold {
         let mut table = self.table();
         let number = table.budget.begin(self.now());
         table.evictions.insert(number, evicted.clone());
@@ -139,6 +143,13 @@
         }
     }
 
+    /// Takes memory like [`Self::cover`] and doesn't wait: until evicted bodies have returned theirs, it holds less than it covers.
+    /// Returns whether more may arrive.
+    pub(crate) fn cover_now(&mut self, bytes: u64) -> bool {
+        let wanted_bytes = rounded(bytes) + BODY_OVERHEAD_BYTES;
+        wanted_bytes <= self.held_bytes || self.try_grow(wanted_bytes, bytes).is_ok()
+    }
+
     /// Returns whether the memory was granted; otherwise it may be once other bodies have returned theirs.
     fn try_grow(&mut self, bytes: u64, received_bytes: u64) -> Result<bool, NoBodyMemory> {
         let mut table = self.memory.table();
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,10 +1,12 @@
 //! Assembles and runs a node: one thread for control state, others for traffic.
 //!
 //! `listeners` binds the sockets, `control` starts the subsystems, `servers` starts the servers, `peer_service` handles
-//! requests of other nodes and `stop` performs the planned stop. Only this module and `operators` depend on all subsystems.
+//! requests of other nodes, within the memory that `partial_frame` counts, and `stop` performs the planned stop. Only this
+//! module and `operators` depend on all subsystems.
 
 mod control;
 mod listeners;
+mod partial_frame;
 mod peer_service;
 mod servers;
 mod stop;
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::partial_frame::PartialFrame;
 use crate::batch::BatchJobs;
 use crate::configuration;
 use crate::context::Context;
@@ -145,14 +146,25 @@
         log::debug!(target: "peers", "Failed to set up the connection from {peer}: {error}.");
         return;
     }
-    let channel =
-        BaseChannel::with_defaults(transport::metered_server(stream, service.context.metrics.frame_meter()));
+    let evicted = CancellationToken::new();
+    let mut partial_frame = PartialFrame::new(service.context.frame_memory.clone(), evicted.clone());
+    let transport = transport::metered_server(
+        stream,
+        service.context.metrics.frame_meter(),
+        Box::new(move |bytes| partial_frame.admit(bytes)),
+    );
+    let channel = BaseChannel::with_defaults(transport);
     let requests = channel.requests();
     tokio::pin!(requests);
     loop {
         let next = tokio::select! {
             next = requests.next() => next,
             () = closing.cancelled() => return,
+            () = evicted.cancelled() => {
+                let error = TransportError::NoMemory;
+                log::warn!(target: "peers", "Closing the connection from {peer}: {error}.");
+                return service.context.metrics.count_closed_connection(error.label());
+            }
         };
         match next {
             Some(Ok(request)) => {
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -226,3 +226,18 @@
     edge.assert_bears("while the crowd stays").await;
     drop(crowd);
 }
+
+/// Guards the peers' address: a frame is announced with its length and has up to 16 MiB.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_frames_at_the_peers_address_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::start().await;
+    let frame_bytes: u32 = 12 << 20;
+    let mut frame = frame_bytes.to_be_bytes().to_vec();
+    frame.resize(frame_bytes as usize, 0);
+    let frame = Arc::new(frame);
+    let crowd = Crowd::start_raw(edge.gateway.address("peers"), (0..CROWD / 2).map(|_| Arc::clone(&frame)));
+    crowd.settled().await;
+    edge.assert_bears("while the crowd stays").await;
+    drop(crowd);
+}
--- a/crates/protocol/src/transport.rs
+++ b/crates/protocol/src/transport.rs
@@ -26,6 +26,9 @@
     /// A frame exceeds the length limit.
     #[error("a frame is longer than {FRAME_LIMIT_BYTES} bytes; ask for fewer items at once")]
     FrameTooLong,
+    /// There is no memory for the rest of a frame.
+    #[error("frames that arrive hold all memory for them; send it again, or give the machine more memory")]
+    NoMemory,
     /// A frame does not contain a valid message.
     #[error("a frame can't be decoded: {0}; check that all nodes run the same release")]
     Undecodable(speedy::Error),
@@ -42,6 +45,7 @@
     pub const fn label(&self) -> &'static str {
         match self {
             Self::FrameTooLong => "frame_too_long",
+            Self::NoMemory => "no_memory",
             Self::Undecodable(_) => "undecodable",
             Self::Unencodable(_) => "unencodable",
             Self::Socket(_) => "socket",
@@ -71,9 +75,15 @@
     Framed::new(stream, MessageCodec::new())
 }
 
-/// Wraps a stream in the server side of the transport and calls `meter` for each frame.
-pub fn metered_server<S: AsyncRead + AsyncWrite>(stream: S, meter: FrameMeter) -> ServerTransport<S> {
-    Framed::new(stream, MessageCodec { meter: Some(meter), ..MessageCodec::new() })
+/// Wraps a stream in the server side of the transport. Calls `meter` for each frame and `admit_partial` for each part of one.
+pub fn metered_server<S: AsyncRead + AsyncWrite>(
+    stream: S,
+    meter: FrameMeter,
+    admit_partial: PartialFrameCheck,
+) -> ServerTransport<S> {
+    let codec =
+        MessageCodec { meter: Some(meter), admit_partial: Some(admit_partial), ..MessageCodec::new() };
+    Framed::new(stream, codec)
 }
 
 /// Direction of a frame.
@@ -88,6 +98,10 @@
 /// Callback that receives each frame's direction and its length in bytes, including the length field.
 pub type FrameMeter = Arc<dyn Fn(Direction, usize) + Send + Sync>;
 
+/// Callback that receives the bytes of a frame that has arrived in part, and 0 once it is complete. Returns whether more of it
+/// may arrive.
+pub type PartialFrameCheck = Box<dyn FnMut(usize) -> bool + Send>;
+
 /// Size in bytes of the length field before each frame.
 const LENGTH_FIELD_BYTES: usize = 4;
 
@@ -95,6 +109,7 @@
 pub struct MessageCodec<Incoming, Outgoing> {
     frames: LengthDelimitedCodec,
     meter: Option<FrameMeter>,
+    admit_partial: Option<PartialFrameCheck>,
     message_types: PhantomData<fn(Outgoing) -> Incoming>,
 }
 
@@ -105,7 +120,12 @@
             .length_field_type::<u32>()
             .max_frame_length(FRAME_LIMIT_BYTES)
             .new_codec();
-        Self { frames, meter: None, message_types: PhantomData }
+        Self { frames, meter: None, admit_partial: None, message_types: PhantomData }
+    }
+
+    fn check_partial(&mut self, bytes: usize) -> Result<(), TransportError> {
+        let is_admitted = self.admit_partial.as_mut().is_none_or(|admit| admit(bytes));
+        if is_admitted { Ok(()) } else { Err(TransportError::NoMemory) }
     }
 
     fn report_frame(&self, direction: Direction, body_bytes: usize) {
@@ -128,10 +148,11 @@
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Incoming>, TransportError> {
         match self.frames.decode(buffer)? {
             Some(frame) => {
+                self.check_partial(0)?;
                 self.report_frame(Direction::Received, frame.len());
                 Incoming::from_frame(&frame).map(Some)
             }
-            None => Ok(None),
+            None => self.check_partial(buffer.len()).map(|()| None),
         }
     }
 }
