Count the bookkeeping of a batch job's items at its owner

Jobs of many tiny items ended their owner although each was short enough: the bound on accepted jobs counts the bytes of items and fields, and an item without any counts as nothing, while it takes about a kilobyte. Two dozen jobs of 180 KB took a gateway of 88 MB to 260 MB.

The owner now also bounds the bookkeeping of items and their fields, at the same part of the machine's memory as their bytes, and refuses jobs beyond it as before (429, `batch_refused no_room`). What counts as bytes is unchanged: the compaction of the log goes by it.

`many_jobs_of_tiny_items_stay_within_the_machine` fails on with 260 MB; now 53 MB. The core's test of the bound refuses pending and committed jobs alike.

--- a/crates/core/src/batch/controller/config.rs
+++ b/crates/core/src/batch/controller/config.rs
@@ -34,6 +34,8 @@
     pub retention: Duration,
     /// Bytes of items and results held at a time; jobs beyond this are refused.
     pub capacity_bytes: usize,
+    /// Memory for the bookkeeping of items and their fields beside these bytes; jobs beyond this are refused.
+    pub bookkeeping_bytes: usize,
     /// Time without an append after which the shard's clock is appended as a heartbeat.
     pub heartbeat_interval: Duration,
     /// Settings of the duties towards the platform.
@@ -54,6 +56,7 @@
             progress_interval: PROGRESS_INTERVAL,
             retention: JOB_RETENTION,
             capacity_bytes: CAPACITY_BYTES,
+            bookkeeping_bytes: usize::MAX,
             heartbeat_interval: OWNER_HEARTBEAT_INTERVAL,
             duties: DutyConfig::default(),
             zones: ZoneMap::default(),
--- a/crates/core/src/batch/controller/refusal.rs
+++ b/crates/core/src/batch/controller/refusal.rs
@@ -7,6 +7,7 @@
 use super::Controller;
 use super::backlog::{OpenJob, Pool, priority, trainer_of};
 use crate::batch::job::BatchJob;
+use crate::batch::record::Record;
 use crate::decision::{Component, Decision};
 use crate::time::{Timestamp, whole_millis};
 
@@ -15,7 +16,8 @@
     /// within the stores' room, and returns whether it did.
     pub(super) fn refuse_for_space(&mut self, job: &BatchJob, bytes: usize) -> bool {
         let needed = self.held_bytes + bytes;
-        let reason = if needed > self.config.capacity_bytes {
+        let has_memory = self.bookkeeping_bytes() + job.bookkeeping_bytes() <= self.config.bookkeeping_bytes;
+        let reason = if needed > self.config.capacity_bytes || !has_memory {
             "no_room"
         } else if self.state_limit.is_some_and(|limit| needed > limit) {
             "no_store_room"
@@ -28,6 +30,16 @@
         true
     }
 
+    /// Returns the memory that the items of all jobs take beside their bytes.
+    fn bookkeeping_bytes(&self) -> usize {
+        let kept = self.ledger.jobs().values().map(|state| state.job.bookkeeping_bytes());
+        let pending = self.pending_appends.iter().flatten().map(|record| match record {
+            Record::Accepted(job) => job.bookkeeping_bytes(),
+            _ => 0,
+        });
+        kept.chain(pending).sum()
+    }
+
     /// Refuses a job if the work accepted before it takes its trainer's share of the slots until it is due, and returns
     /// whether it did.
     pub(super) fn refuse_for_time(&mut self, now: Timestamp, job: &BatchJob) -> bool {
--- a/crates/core/src/batch/job.rs
+++ b/crates/core/src/batch/job.rs
@@ -5,6 +5,11 @@
 use crate::identity::{BatchId, TenantName};
 use crate::quarantine::{Fingerprint, RequestContent};
 
+/// Memory of an item beside its bytes, with its state and its place among those that wait or run.
+const ITEM_OVERHEAD_BYTES: usize = 1 << 10;
+/// Memory of a header field of an item beside its bytes.
+const FIELD_OVERHEAD_BYTES: usize = 112;
+
 /// A request that scores an item's text once it is complete. The signature of the successful answer is the
 /// score.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -100,6 +105,11 @@
         self.id.as_str().len() + self.route.len() + self.host.len() + tenant + items
     }
 
+    /// Returns the memory that the job's items and their fields take beside their bytes.
+    pub(super) fn bookkeeping_bytes(&self) -> usize {
+        self.items.iter().map(|item| ITEM_OVERHEAD_BYTES + item.headers.len() * FIELD_OVERHEAD_BYTES).sum()
+    }
+
     /// Returns whether a caller of this tenant may see and end the job. Where callers need no key, everyone
     /// may.
     pub fn is_open_to(&self, caller: Option<&TenantName>) -> bool {
--- a/crates/core/tests/batch_capacity.rs
+++ b/crates/core/tests/batch_capacity.rs
@@ -31,6 +31,23 @@
     assert!(outcomes[3..].iter().all(|outcome| *outcome == Submission::Full));
 }
 
+/// Guards against accepting jobs whose many short items take more memory than their bytes say.
+#[test]
+fn jobs_of_many_items_are_refused_beyond_the_memory_for_their_bookkeeping() {
+    const ITEMS: usize = 100;
+    let config = ControllerConfig { bookkeeping_bytes: 512 << 10, ..ControllerConfig::default() };
+    let mut harness = OwnerHarness::with_config(config, Ledger::default(), false, &[replica("a", 1)]);
+    let outcomes: Vec<Submission> = (0..10)
+        .map(|number| harness.controller.submit(at(1), job(&format!("j{number}"), ITEMS, 0)))
+        .collect();
+    let accepted = outcomes.iter().filter(|outcome| **outcome == Submission::Pending).count();
+    assert!((1..10).contains(&accepted), "{accepted} of 10");
+    assert!(outcomes[accepted..].iter().all(|outcome| *outcome == Submission::Full));
+    // Jobs that are committed count like those that are pending.
+    harness.controller.appended(at(2));
+    assert_eq!(harness.controller.submit(at(2), job("later", ITEMS, 0)), Submission::Full);
+}
+
 /// Guards against scores that are kept but not counted: with them the state is larger than the capacity.
 #[test]
 fn scores_and_versions_of_results_count_towards_the_capacity() {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -376,10 +376,11 @@
     let config = ControllerConfig::default();
     let memory_percent = if scope.is_main() { MAIN_MEMORY_PERCENT } else { REGIONAL_MEMORY_PERCENT };
     let capacity_bytes = config.capacity_bytes.min(settings.machine.memory_bytes / 100 * memory_percent);
+    let bookkeeping_bytes = settings.machine.memory_bytes / 100 * memory_percent;
     let duties = DutyConfig { usage: settings.duties.usage(), scaling: settings.duties.scaling() };
     let duties = if scope.is_main() { duties } else { DutyConfig::default() };
     let (zones, regions) = (settings.places.zones.clone(), scope.regions.clone());
-    ControllerConfig { capacity_bytes, duties, zones, regions, ..config }
+    ControllerConfig { capacity_bytes, bookkeeping_bytes, duties, zones, regions, ..config }
 }
 
 /// Starts reading the missing texts, if any, and returns the channel on which they arrive.
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -145,16 +145,33 @@
     edge.assert_within_machine("after a long job");
 }
 
+/// A job whose items have neither names nor bodies, of about this length.
+fn job_of_tiny_items(bytes: usize) -> Vec<u8> {
+    let item = br#"{"id":"","path":""},"#;
+    let mut job = br#"{"items":["#.to_vec();
+    job.extend(item.repeat(bytes / item.len()));
+    job.extend(br#"{"id":"","path":""}]}"#);
+    job
+}
+
+/// Jobs that are short enough one by one stay at their owner once they are accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_jobs_of_tiny_items_stay_within_the_machine() {
+    let _turn = turn().await;
+    let mut edge = Edge::with_stores().await;
+    let job = Arc::new(job_of_tiny_items(BODY_BYTES / 40));
+    for _ in 0..CROWD {
+        edge.post("/rollouts/x", &job).await;
+    }
+    edge.assert_bears("after the jobs").await;
+}
+
 /// A job of the allowed length may have so many items that what is read from it takes many times that length.
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_of_tiny_items_stay_within_the_machine() {
     let _turn = turn().await;
     let mut edge = Edge::with_stores().await;
-    let item = br#"{"id":"","path":""},"#;
-    let mut job = br#"{"items":["#.to_vec();
-    job.extend(item.repeat(BODY_BYTES / item.len()));
-    job.extend(br#"{"id":"","path":""}]}"#);
-    let job = Arc::new(job);
+    let job = Arc::new(job_of_tiny_items(BODY_BYTES));
     bear(&mut edge, (0..CROWD / 8).map(|_| Upload::announced(&head("/rollouts/x"), &job, 0)).collect()).await;
 }
 
