--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -65,11 +65,35 @@
 struct ReuseFlag(Arc<AtomicBool>);
 
 /// What each request of a connection gets as extensions.
+#[derive(Clone)]
 struct RequestExtensions {
     connection: CallerConnection,
     meter: Option<ConnectionMeter>,
 }
 
+impl RequestExtensions {
+    fn add_to(&self, request: &mut Request<Incoming>) {
+        request.extensions_mut().insert(self.connection.clone());
+        if let Some(meter) = &self.meter {
+            request.extensions_mut().insert(meter.clone());
+        }
+    }
+
+    /// Waits until the connection is to be closed although its caller has not asked for it.
+    async fn cut_off(&self) {
+        let aborted = async {
+            match &self.meter {
+                Some(meter) => meter.aborted().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = aborted => {}
+            () = self.connection.evicted_between_requests() => {}
+        }
+    }
+}
+
 /// Serves a connection until the caller or the server closes it.
 pub(super) async fn serve<Handler, Answer>(
     stream: TcpStream,
@@ -88,23 +112,15 @@
         return;
     }
     socket::bound_unread_input(&stream);
-    let caller = connection.handle();
-    let mut socket = ServerSocket::new(stream, caller.clone(), meter.clone());
+    let extensions = RequestExtensions { connection: connection.handle(), meter: meter.clone() };
+    let mut socket = ServerSocket::new(stream, connection.handle(), meter.clone());
     let reuse = ReuseFlag(Arc::new(AtomicBool::new(true)));
-    let extensions = RequestExtensions { connection: caller.clone(), meter: meter.clone() };
-    let serving = serve_requests(&mut socket, stop, head_limits, reuse.clone(), extensions, handler);
-    let aborted = async {
-        match &meter {
-            Some(meter) => meter.aborted().await,
-            None => std::future::pending().await,
-        }
-    };
+    let serving = serve_requests(&mut socket, stop, head_limits, reuse.clone(), extensions.clone(), handler);
     let result = tokio::select! {
         // The connection first: a request that has arrived by now is served.
         biased;
         result = serving => result,
-        () = aborted => Ok(()),
-        () = caller.evicted_between_requests() => Ok(()),
+        () = extensions.cut_off() => Ok(()),
     };
     connection.begin_closing();
     if meter.is_some_and(|meter| meter.is_aborted()) {
@@ -143,10 +159,7 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         let connection = extensions.connection.clone();
         connection.begin_request(!request.body().is_end_stream());
-        request.extensions_mut().insert(connection.clone());
-        if let Some(meter) = &extensions.meter {
-            request.extensions_mut().insert(meter.clone());
-        }
+        extensions.add_to(&mut request);
         let keeps_alive = request.version() == Version::HTTP_11 && !announces_close(request.headers());
         finish_response(handler(request), keeps_alive, draining.clone(), connection, reuse.clone())
     });
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,8 +1,8 @@
 //! HTTP/1 server and client, based on `hyper`, for all interfaces of the node.
 //!
-//! [`server`] accepts [`connections`]; [`request_body`] reads bodies within [`body_memory`]; [`request`], [`response`] and
-//! [`events`] decode requests and build responses; [`unread`] bounds what is kept for callers that do not read; [`client`] calls engines and the
-//! platform's store. Routes are defined by the users of this module.
+//! [`server`] accepts [`connections`]; [`request_body`] reads bodies within [`body_memory`]; [`request`], [`response`]
+//! and [`events`] decode requests and build responses; [`unread`] bounds what is kept for callers that do not read;
+//! [`client`] calls engines and the platform's store. Routes are defined by the users of this module.
 
 pub(crate) mod accept;
 pub mod body_memory;
--- a/crates/daemon/src/http/request_body.rs
+++ b/crates/daemon/src/http/request_body.rs
@@ -4,7 +4,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use lichenpulley_core::intake::bodies::SHORT_BODY_BYTES;
-use memmap2::{Advice, MmapMut};
+use memmap2::MmapMut;
 use tokio::time::Instant;
 
 use super::body_memory::{BodyHold, BodyMemory, NoBodyMemory};
@@ -76,16 +76,10 @@
             longest_bytes,
             connection: connection.cloned(),
         };
-        let connection_evicted = async {
-            match connection {
-                Some(connection) => connection.evicted().await,
-                None => std::future::pending().await,
-            }
-        };
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout_at(bounds.deadline, reading.read_to_end()) => read,
-            () = connection_evicted => return Err(BodyError::ConnectionEvicted),
+            () = evicted(connection) => return Err(BodyError::ConnectionEvicted),
         };
         read.map_err(|_| BodyError::TooSlow)??;
         let Reading { bytes, mut hold, .. } = reading;
@@ -130,6 +124,14 @@
     }
 }
 
+/// Waits until the connection has to make room for others.
+async fn evicted(connection: Option<&CallerConnection>) {
+    match connection {
+        Some(connection) => connection.evicted().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// A body that is being read.
 struct Reading {
     body: Incoming,
@@ -211,6 +213,6 @@
     let pages = MmapMut::map_anon(bytes).map_err(no_memory)?;
     // Huge pages would take memory that was not written to. Without the advice the system's own setting holds.
     #[cfg(target_os = "linux")]
-    let _ = pages.advise(Advice::NoHugePage);
+    let _ = pages.advise(memmap2::Advice::NoHugePage);
     Ok(pages)
 }
