Let a body that stalls fall behind at once, whatever it sent before

A crowd that sent its bodies fast and then stopped kept others out for as long as those bodies would have taken at the moderate rate by which lag is measured: 7 s for 7.2 MB, 33 s for 32 MiB. Bodies that came meanwhile counted as further behind and were refused.

Cause: bytes put off the moment until which a caller is on time without a bound. They now do so up to the present at most, so that nobody is ahead. Bodies that are less than half a second behind count as being sent, and are not evicted: without that, uploads in progress would have taken memory from each other by the order of their last packets.

--- a/crates/core/src/intake/bodies.rs
+++ b/crates/core/src/intake/bodies.rs
@@ -4,9 +4,9 @@
 //! Load pattern: callers outside the operator's control send many bodies of the allowed size at once, whole or most of
 //! each, and keep their connections open; together they exceed the machine's memory many times.
 //!
-//! Memory is taken as bytes arrive, so that an announced length holds nothing. A body that finds no memory is refused, or
-//! takes that of bodies that are further behind ([`super::lag`]): those are evicted, and their callers told that their
-//! requests did not run. Nothing waits for memory, save for that of an evicted body. A whole body is never evicted, since
+//! Memory is taken as bytes arrive, so that an announced length holds nothing. A body that finds no memory takes that of
+//! bodies that are behind ([`super::lag`]) and more so than itself: those are evicted, and their callers told that their
+//! requests did not run. Otherwise it is refused itself. Nothing waits for memory, save for that of an evicted body. A whole body is never evicted, since
 //! its request may be running. Short bodies have memory of their own, which long ones can't take.
 
 use std::collections::BTreeMap;
@@ -80,7 +80,7 @@
     /// Memory that it holds.
     held_bytes: u64,
     received_bytes: u64,
-    began_at: Timestamp,
+    on_time_until: Timestamp,
     is_arriving: bool,
     is_evicted: bool,
 }
@@ -90,9 +90,10 @@
         pool_of(self.held_bytes)
     }
 
-    /// The later, the less it is behind.
-    fn on_time_until(&self) -> Timestamp {
-        self.began_at + lag::time_of(self.received_bytes)
+    fn record_received(&mut self, received_bytes: u64, now: Timestamp) {
+        let new_bytes = received_bytes.saturating_sub(self.received_bytes);
+        self.on_time_until = lag::advance(self.on_time_until, new_bytes, now);
+        self.received_bytes = received_bytes;
     }
 }
 
@@ -102,8 +103,8 @@
 
 /// The memory for bodies and who holds it.
 ///
-/// Invariants: the bodies hold no more than the limit; only bodies that are arriving are evicted, and only if another
-/// body that is less behind, or whole, gets the memory.
+/// Invariants: the bodies hold no more than the limit; only bodies that are arriving and behind are evicted, and only if
+/// another body that is less behind, or whole, gets the memory.
 #[derive(Clone, Debug)]
 pub struct BodyBudget {
     limit: BodyLimit,
@@ -126,8 +127,13 @@
     pub fn begin(&mut self, now: Timestamp) -> BodyNumber {
         let number = BodyNumber(self.next_number);
         self.next_number += 1;
-        let body =
-            Body { held_bytes: 0, received_bytes: 0, began_at: now, is_arriving: true, is_evicted: false };
+        let body = Body {
+            held_bytes: 0,
+            received_bytes: 0,
+            on_time_until: now,
+            is_arriving: true,
+            is_evicted: false,
+        };
         self.bodies.insert(number, body);
         number
     }
@@ -142,12 +148,12 @@
         self.short.held + self.long.held
     }
 
-    /// Raises the memory of a body to `bytes`, of which `received_bytes` have arrived.
-    pub fn grow(&mut self, number: BodyNumber, bytes: u64, received_bytes: u64) -> Growth {
+    /// Raises the memory of a body to `bytes`. By now `received_bytes` of it have arrived.
+    pub fn grow(&mut self, number: BodyNumber, bytes: u64, received_bytes: u64, now: Timestamp) -> Growth {
         let Some(body) = self.bodies.get_mut(&number).filter(|body| !body.is_evicted) else {
             return Growth::Refused;
         };
-        body.received_bytes = received_bytes;
+        body.record_received(received_bytes, now);
         let (held_bytes, held_in) = (body.held_bytes, body.pool());
         let pool = pool_of(bytes);
         let others = self.pool(pool).held - if held_in == pool { held_bytes } else { 0 };
@@ -158,7 +164,7 @@
             self.set_held(number, bytes);
             return Growth::Granted;
         }
-        self.evict_for(number, bytes, others - self.pool(pool).leaving)
+        self.evict_for(number, bytes, others - self.pool(pool).leaving, now)
     }
 
     /// Records that a body is whole: it is not evicted from now on. Returns whether it has not been evicted before.
@@ -216,11 +222,11 @@
 
     /// Evicts the bodies that are the furthest behind, if that makes room for this one. `others` is what the others hold
     /// without what is about to be returned.
-    fn evict_for(&mut self, number: BodyNumber, bytes: u64, mut others: u64) -> Growth {
+    fn evict_for(&mut self, number: BodyNumber, bytes: u64, mut others: u64, now: Timestamp) -> Growth {
         let pool = pool_of(bytes);
         let has_room = |others: u64| others + bytes <= self.limit(pool, others);
         let mut evicted = Vec::new();
-        for candidate in self.candidates(number, pool) {
+        for candidate in self.candidates(number, pool, now) {
             if has_room(others) || candidate == number {
                 break;
             }
@@ -240,15 +246,16 @@
         Growth::AfterEviction(evicted)
     }
 
-    /// Returns the bodies of a pool that may be evicted and, if it is arriving, the one that needs memory; those first that
+    /// Returns the bodies of a pool that may be evicted and, if it is behind itself, the one that needs memory; those first that
     /// are the furthest behind.
-    fn candidates(&self, number: BodyNumber, pool: Pool) -> Vec<BodyNumber> {
+    fn candidates(&self, number: BodyNumber, pool: Pool, now: Timestamp) -> Vec<BodyNumber> {
         let is_candidate = |(other, body): &(&BodyNumber, &Body)| {
             let holds_some = body.held_bytes > 0 && body.pool() == pool;
-            body.is_arriving && !body.is_evicted && (**other == number || holds_some)
+            let is_behind = body.is_arriving && lag::is_behind(body.on_time_until, now);
+            is_behind && !body.is_evicted && (**other == number || holds_some)
         };
         let mut candidates: Vec<_> = self.bodies.iter().filter(is_candidate).collect();
-        candidates.sort_by_key(|(number, body)| (body.on_time_until(), **number));
+        candidates.sort_by_key(|(number, body)| (body.on_time_until, **number));
         candidates.into_iter().map(|(number, _)| *number).collect()
     }
 }
--- a/crates/core/src/intake/connections.rs
+++ b/crates/core/src/intake/connections.rs
@@ -72,7 +72,7 @@
 pub struct WaitingConnection {
     /// Number of the connection.
     pub number: u64,
-    /// When the wait began, put off by [`super::lag::time_of`] what the caller has sent since.
+    /// When the wait began, or until when the caller is on time with what it has sent since ([`super::lag`]).
     pub waiting_since: Timestamp,
 }
 
--- a/crates/daemon/src/http/body_memory.rs
+++ b/crates/daemon/src/http/body_memory.rs
@@ -152,8 +152,9 @@
 
     /// Returns whether the memory was granted; otherwise it may be once other bodies have returned theirs.
     fn try_grow(&mut self, bytes: u64, received_bytes: u64) -> Result<bool, NoBodyMemory> {
+        let now = self.memory.now();
         let mut table = self.memory.table();
-        match table.budget.grow(self.number, bytes, received_bytes) {
+        match table.budget.grow(self.number, bytes, received_bytes, now) {
             Growth::Granted => {
                 self.held_bytes = bytes;
                 Ok(true)
--- a/crates/daemon/src/http/connections.rs
+++ b/crates/daemon/src/http/connections.rs
@@ -220,9 +220,10 @@
 
     /// Records that bytes of a body were read.
     pub(super) fn record_received(&self, bytes: usize) {
-        let time = lag::time_of(bytes as u64);
-        let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        self.state.waiting_since_us.fetch_add(time_us, Ordering::Relaxed);
+        let since = Timestamp::from_micros(self.state.waiting_since_us.load(Ordering::Relaxed));
+        let now = Timestamp::from_micros(self.connections.now_us());
+        let since = lag::advance(since, bytes as u64, now);
+        self.state.waiting_since_us.store(since.as_micros(), Ordering::Relaxed);
     }
 
     /// Records that the body was read to its end.
