--- a/crates/core/src/intake/bodies.rs
+++ b/crates/core/src/intake/bodies.rs
@@ -23,6 +23,8 @@
 /// Percentage of the machine's memory for a long body while there is no other, less what accepted jobs hold: a job takes
 /// several times its length until it is accepted.
 const SINGLE_LONG_PERCENT: u64 = 62;
+/// Least memory for a long body while there is no other: that of the smallest machine that the settings allow.
+const MIN_SINGLE_LONG_BYTES: u64 = 16_000_000 / 100 * SINGLE_LONG_PERCENT;
 
 /// The memory for bodies, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,11 +39,11 @@
 
 impl BodyLimit {
     /// Returns the limit for a machine with this memory.
-    pub const fn for_memory(memory_bytes: u64) -> Self {
+    pub fn for_memory(memory_bytes: u64) -> Self {
         Self {
             short: memory_bytes / SHORT_DIVISOR,
             long: memory_bytes / 100 * LONG_PERCENT,
-            single_long: memory_bytes / 100 * SINGLE_LONG_PERCENT,
+            single_long: (memory_bytes / 100 * SINGLE_LONG_PERCENT).max(MIN_SINGLE_LONG_BYTES),
         }
     }
 }
--- a/crates/core/tests/intake_bodies.rs
+++ b/crates/core/tests/intake_bodies.rs
@@ -160,6 +160,12 @@
     assert!(limit.short + limit.single_long < 88 * MB / 4 * 3);
 }
 
+/// Guards against refusing each job at a machine that is given less memory than the settings allow, as in a test.
+#[test]
+fn a_machine_below_the_smallest_has_the_memory_of_the_smallest_for_a_single_long_body() {
+    assert_eq!(BodyLimit::for_memory(6 * MB).single_long, BodyLimit::for_memory(16 * MB).single_long);
+}
+
 proptest! {
     /// Memory returned twice or counted in the wrong pool would exhaust the budget, or exceed it.
     #[test]
