Simplify what bounds callers, without a change of behaviour

- `RequestBody::read` finds the connection in the head of its request; three callers looked it up each for itself.
Evictions of a body are waited for once for the whole body, no longer for each frame and again while it waits for memory, so that a hold on memory needs no token of its own.
- `BodyHold::cover` and `cover_now` computed what is taken in two ways.
One predicate says whether a hold covers a length, and `try_cover` serves both.
- The limit of connections is one of a server, not of a socket: `ServerLimits` holds it, and `SocketLimits`, its users between nodes and the test's literal are as they were.
`accept_until` takes the registry in place of a closure that did nothing for two of its three callers.
- `open` compared the connections with their limit before `to_close` did.
The shares of descriptors are named numbers in place of a type for two fractions.
- Tests: `NativeNode` starts its processes through `processes::system`, which it repeated; a raw text is an `Upload`, so that a crowd starts in one way; callers share a body in place of a copy each; what is never sent whole in chunks has no flag for it; one place asserts the peak.
Assertions, crowds and bounds stay.

--- a/crates/core/src/intake/bodies.rs
+++ b/crates/core/src/intake/bodies.rs
@@ -6,8 +6,9 @@
 //!
 //! Memory is taken as bytes arrive, so that an announced length holds nothing. A body that finds no memory takes that of
 //! bodies that are behind ([`super::lag`]) and more so than itself: those are evicted, and their callers told that their
-//! requests did not run. Otherwise it is refused itself. Nothing waits for memory, save for that of an evicted body. A whole body is never evicted, since
-//! its request may be running. Short bodies have memory of their own, which long ones can't take.
+//! requests did not run. Otherwise it is refused itself. Nothing waits for memory, save for that of an evicted body. A
+//! whole body is never evicted, since its request may be running. Short bodies have memory of their own, which long ones
+//! can't take.
 
 use std::collections::BTreeMap;
 
--- a/crates/core/src/intake/connections.rs
+++ b/crates/core/src/intake/connections.rs
@@ -9,30 +9,20 @@
 
 use crate::time::Timestamp;
 
-/// Connections of callers, as a fraction of the process's descriptors. Each request in progress may take another
-/// descriptor for its replica; files, other nodes and the other addresses take the rest.
-const DESCRIPTOR_SHARE: Share = Share { numerator: 3, denominator: 8 };
-/// Connections of an address that few callers use, as a fraction of the process's descriptors.
-const SMALL_DESCRIPTOR_SHARE: Share = Share { numerator: 1, denominator: 16 };
-/// Memory for one connection: its buffers, and what the kernel keeps of bytes that are not read yet.
-const CONNECTION_BYTES: u64 = 128 << 10;
+/// Connections of callers, in eighths of the process's descriptors. Each request in progress may take another descriptor
+/// for its replica; files, other nodes and the other addresses take the rest.
+const CALLER_DESCRIPTOR_EIGHTHS: u64 = 3;
+/// Divisor of the process's descriptors for the connections of an address that few callers use.
+const OPERATOR_DESCRIPTOR_DIVISOR: u64 = 16;
+/// Memory for one connection of a caller: its buffers, and what the kernel keeps of bytes that are not read yet.
+const CALLER_CONNECTION_BYTES: u64 = 128 << 10;
+/// Part of the machine's memory for which an address that few callers use has one connection.
+const OPERATOR_CONNECTION_BYTES: u64 = 512 << 10;
 /// Fewest connections of an address.
 const MIN_CONNECTIONS: usize = 8;
 /// Divisor of the limit for connections that are being closed beside those that are served.
 const CLOSING_DIVISOR: usize = 8;
 
-#[derive(Clone, Copy)]
-struct Share {
-    numerator: u64,
-    denominator: u64,
-}
-
-impl Share {
-    const fn of(self, whole: u64) -> u64 {
-        whole / self.denominator * self.numerator
-    }
-}
-
 /// The number of connections that an address serves.
 ///
 /// The default is no limit.
@@ -53,12 +43,12 @@
 impl ConnectionLimit {
     /// Returns the limit for callers on a machine with this memory, for a process with so many descriptors.
     pub fn for_callers(memory_bytes: u64, descriptors: u64) -> Self {
-        Self::new((memory_bytes / CONNECTION_BYTES).min(DESCRIPTOR_SHARE.of(descriptors)))
+        Self::new((memory_bytes / CALLER_CONNECTION_BYTES).min(descriptors / 8 * CALLER_DESCRIPTOR_EIGHTHS))
     }
 
     /// Returns the limit for an address of operators or load balancers.
     pub fn for_operators(memory_bytes: u64, descriptors: u64) -> Self {
-        Self::new((memory_bytes / CONNECTION_BYTES / 4).min(SMALL_DESCRIPTOR_SHARE.of(descriptors)))
+        Self::new((memory_bytes / OPERATOR_CONNECTION_BYTES).min(descriptors / OPERATOR_DESCRIPTOR_DIVISOR))
     }
 
     fn new(served: u64) -> Self {
--- a/crates/daemon/src/batch/owner.rs
+++ b/crates/daemon/src/batch/owner.rs
@@ -6,6 +6,7 @@
 
 mod actions;
 mod callers;
+mod configuration;
 mod fenced_calls;
 mod leaving;
 mod queue;
@@ -16,12 +17,11 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
-use lichenpulley_core::batch::controller::{Controller, ControllerConfig, RunEvent, RunId};
+use lichenpulley_core::batch::controller::{Controller, RunEvent, RunId};
 use lichenpulley_core::batch::leaving::LeaveMonitor;
 use lichenpulley_core::batch::ledger::Ledger;
 use lichenpulley_core::batch::order_lease::OrderLease;
 use lichenpulley_core::batch::progress_offer::ProgressOffer;
-use lichenpulley_core::duties::DutyConfig;
 use lichenpulley_core::identity::Epoch;
 use lichenpulley_core::time::Timestamp;
 use tokio::runtime::Handle;
@@ -29,6 +29,7 @@
 use tokio::time::{Instant, Interval, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
 
+use configuration::controller_config;
 use fenced_calls::FencedCalls;
 use queue::QueueReporter;
 use running::RunningWork;
@@ -50,13 +51,6 @@
 use crate::store::log_writer::{AppendOutcome, SnapshotRequest};
 use crate::store::shard_log::{ShardLog, ShardLogError};
 
-/// Share of the machine's memory for items and results of the main shard, in percent. Leaves room for a
-/// followed log of nearly the same size on the same machine. With more, a machine that also follows a log
-/// runs out of memory; with less, jobs are refused early.
-const MAIN_MEMORY_PERCENT: usize = 35;
-/// Share of the machine's memory for items and results of a regional shard, in percent. A machine may own
-/// regional shards in addition to the main shard.
-const REGIONAL_MEMORY_PERCENT: usize = 20;
 /// Margin added to the order lease and to [`CONFIRMED_FOR`], for clocks that run at different rates.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -370,19 +364,6 @@
     }
 }
 
-/// Builds the controller's configuration for a shard on this machine. Only the main shard has duties.
-fn controller_config(scope: &Scope) -> ControllerConfig {
-    let settings = &scope.context.settings;
-    let config = ControllerConfig::default();
-    let memory_percent = if scope.is_main() { MAIN_MEMORY_PERCENT } else { REGIONAL_MEMORY_PERCENT };
-    let capacity_bytes = config.capacity_bytes.min(settings.machine.memory_bytes / 100 * memory_percent);
-    let bookkeeping_bytes = settings.machine.memory_bytes / 100 * memory_percent;
-    let duties = DutyConfig { usage: settings.duties.usage(), scaling: settings.duties.scaling() };
-    let duties = if scope.is_main() { duties } else { DutyConfig::default() };
-    let (zones, regions) = (settings.places.zones.clone(), scope.regions.clone());
-    ControllerConfig { capacity_bytes, bookkeeping_bytes, duties, zones, regions, ..config }
-}
-
 /// Starts reading the missing texts, if any, and returns the channel on which they arrive.
 fn read_missing(scope: &Scope, missing: Option<MissingTexts>) -> mpsc::Receiver<ReadTexts> {
     let (sender, texts) = mpsc::channel(1);
--- a/crates/daemon/src/http/accept.rs
+++ b/crates/daemon/src/http/accept.rs
@@ -7,22 +7,25 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
+use super::connections::CallerConnections;
+
 /// Delay after a failed `accept`, for instance because no file descriptor is free; keeps the accept loop from
 /// spinning.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts connections until `stop` completes, each once `room` allows it.
-pub(crate) async fn accept_until<Room: Future<Output = ()>>(
+/// Accepts connections until `stop` completes, each once there is room among `connections`, if these are limited.
+pub(crate) async fn accept_until(
     listener: &TcpListener,
     stop: impl Future<Output = ()>,
-    room: impl Fn() -> Room,
+    connections: Option<&CallerConnections>,
     start_connection: impl Fn(TcpStream),
 ) {
     let mut stop = pin!(stop);
     loop {
-        let room = room();
         let accept = async {
-            room.await;
+            if let Some(connections) = connections {
+                connections.until_room().await;
+            }
             listener.accept().await
         };
         let accepted = tokio::select! {
--- a/crates/daemon/src/http/body_memory.rs
+++ b/crates/daemon/src/http/body_memory.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use lichenpulley_core::intake::bodies::{BodyBudget, BodyLimit, BodyNumber, Growth};
 use lichenpulley_core::time::Timestamp;
@@ -51,18 +50,13 @@
         self.table().budget.held_bytes()
     }
 
-    /// Begins to count a body, which holds nothing yet.
-    pub(super) fn begin(&self) -> BodyHold {
-        self.begin_for(CancellationToken::new())
-    }
-
     /// Begins to count a body, which holds nothing yet. Cancels `evicted` when it has to return its memory.
-    pub(crate) fn begin_for(&self, evicted: CancellationToken) -> BodyHold {
+    pub(crate) fn begin(&self, evicted: CancellationToken) -> BodyHold {
         let mut table = self.table();
         let number = table.budget.begin(self.now());
-        table.evictions.insert(number, evicted.clone());
+        table.evictions.insert(number, evicted);
         drop(table);
-        BodyHold { memory: self.clone(), number, evicted, held_bytes: 0 }
+        BodyHold { memory: self.clone(), number, held_bytes: 0 }
     }
 
     /// Begins to count the accepted jobs of a shard that this node owns.
@@ -75,8 +69,7 @@
     }
 
     fn now(&self) -> Timestamp {
-        let elapsed: Duration = self.0.origin.elapsed();
-        Timestamp::ORIGIN + elapsed
+        Timestamp::ORIGIN + self.0.origin.elapsed()
     }
 }
 
@@ -110,53 +103,41 @@
 pub struct BodyHold {
     memory: BodyMemory,
     number: BodyNumber,
-    evicted: CancellationToken,
     held_bytes: u64,
 }
 
 impl BodyHold {
-    /// Waits until the body has to return its memory.
-    pub(super) async fn evicted(&self) {
-        self.evicted.cancelled().await;
-    }
-
     /// Takes memory until this hold covers `bytes`, of which `received_bytes` have arrived. Waits for bodies that are evicted for
     /// it.
     ///
     /// # Errors
     /// When there is no memory, or this body is evicted itself.
     pub(super) async fn cover(&mut self, bytes: u64, received_bytes: u64) -> Result<(), NoBodyMemory> {
-        if bytes + BODY_OVERHEAD_BYTES <= self.held_bytes {
-            return Ok(());
-        }
-        let wanted_bytes = rounded(bytes) + BODY_OVERHEAD_BYTES;
-        loop {
+        while !self.covers(bytes) {
             let memory = self.memory.clone();
             let released = memory.0.released.notified();
-            if self.try_grow(wanted_bytes, received_bytes)? {
-                return Ok(());
-            }
-            tokio::select! {
-                () = released => {}
-                () = self.evicted() => return Err(NoBodyMemory),
+            if !self.try_cover(bytes, received_bytes)? {
+                released.await;
             }
         }
+        Ok(())
     }
 
-    /// Takes memory like [`Self::cover`] and doesn't wait: until evicted bodies have returned theirs, it holds less than it covers.
-    /// Returns whether more may arrive.
-    pub(crate) fn cover_now(&mut self, bytes: u64) -> bool {
-        let wanted_bytes = rounded(bytes) + BODY_OVERHEAD_BYTES;
-        wanted_bytes <= self.held_bytes || self.try_grow(wanted_bytes, bytes).is_ok()
-    }
-
-    /// Returns whether the memory was granted; otherwise it may be once other bodies have returned theirs.
-    fn try_grow(&mut self, bytes: u64, received_bytes: u64) -> Result<bool, NoBodyMemory> {
+    /// Takes memory like [`Self::cover`] and doesn't wait. Returns whether it is covered; otherwise it may be once evicted bodies
+    /// have returned their memory.
+    ///
+    /// # Errors
+    /// When there is no memory, or this body is evicted itself.
+    pub(crate) fn try_cover(&mut self, bytes: u64, received_bytes: u64) -> Result<bool, NoBodyMemory> {
+        if self.covers(bytes) {
+            return Ok(true);
+        }
+        let wanted_bytes = taken_for(bytes);
         let now = self.memory.now();
         let mut table = self.memory.table();
-        match table.budget.grow(self.number, bytes, received_bytes, now) {
+        match table.budget.grow(self.number, wanted_bytes, received_bytes, now) {
             Growth::Granted => {
-                self.held_bytes = bytes;
+                self.held_bytes = wanted_bytes;
                 Ok(true)
             }
             Growth::AfterEviction(evicted) => {
@@ -167,6 +148,10 @@
         }
     }
 
+    const fn covers(&self, bytes: u64) -> bool {
+        taken_for(bytes) <= self.held_bytes
+    }
+
     /// Records that the body is whole, after which it is not evicted.
     ///
     /// # Errors
@@ -188,6 +173,9 @@
     }
 }
 
-fn rounded(bytes: u64) -> u64 {
-    if bytes < BLOCK_BYTES { bytes.next_power_of_two() } else { bytes.next_multiple_of(BLOCK_BYTES) }
+/// Returns the memory that is taken for a body of this length.
+const fn taken_for(bytes: u64) -> u64 {
+    let rounded =
+        if bytes < BLOCK_BYTES { bytes.next_power_of_two() } else { bytes.next_multiple_of(BLOCK_BYTES) };
+    rounded + BODY_OVERHEAD_BYTES
 }
--- a/crates/daemon/src/http/closing_port.rs
+++ b/crates/daemon/src/http/closing_port.rs
@@ -4,7 +4,6 @@
 //! already. [`close`] first keeps further connections out of the queue and then empties it. Only a handshake that
 //! takes longer than [`HANDSHAKE_TIME`] may still end in a reset.
 
-use std::future::ready;
 use std::io;
 use std::time::Duration;
 
@@ -29,7 +28,7 @@
     if let Err(error) = ignore_new_handshakes(&listener) {
         log::warn!(target: "http", "A connection that arrives while its port closes may be reset: {error}.");
     }
-    accept_until(&listener, tokio::time::sleep(HANDSHAKE_TIME), || ready(()), &start_connection).await;
+    accept_until(&listener, tokio::time::sleep(HANDSHAKE_TIME), None, &start_connection).await;
     if let Err(error) = accept_queued(listener, start_connection).await {
         log::warn!(target: "http", "Connections in the queue of a closing port were reset: {error}.");
     }
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -202,7 +202,7 @@
     Ok(end_request_with(response, connection))
 }
 
-/// Ends the request of a connection with its response. A stream lasts until its body is dropped.
+/// Ends the request of a connection with its response. A stream lasts until its body is dropped, and `ended` with it.
 fn end_request_with(response: Response<Body>, connection: CallerConnection) -> Response<Body> {
     if response.body().size_hint().exact().is_some() {
         connection.end_request();
--- a/crates/daemon/src/http/connections.rs
+++ b/crates/daemon/src/http/connections.rs
@@ -92,9 +92,7 @@
         });
         table.connections.insert(number, Entry { state: Arc::clone(&state), is_leaving: false });
         table.served += 1;
-        if table.served > self.0.limit.served
-            && let Some(chosen) = to_close(self.0.limit, table.served, table.waiting())
-        {
+        if let Some(chosen) = to_close(self.0.limit, table.served, table.waiting()) {
             table.leave(chosen).inspect(|state| state.evicted.cancel());
         }
         ServedConnection(CallerConnection { connections: self.clone(), state })
--- a/crates/daemon/src/http/request.rs
+++ b/crates/daemon/src/http/request.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 
 use super::body_memory::{BodyHold, BodyMemory};
-use super::connections::CallerConnection;
 use super::request_body::{BodyBounds, BodyError, RequestBody};
 
 /// Time within which a body must be complete. Keeps a caller that never finishes its body from delaying a
@@ -69,8 +68,7 @@
 ) -> Result<Held<T>, BadRequest> {
     let (parts, body) = request.into_parts();
     let bounds = BodyBounds { bytes: limit_bytes, deadline: Instant::now() + BODY_READ_TIMEOUT };
-    let connection = parts.extensions.get::<CallerConnection>();
-    let read = RequestBody::read(body, bounds, memory, connection).await;
+    let read = RequestBody::read(&parts, body, bounds, memory).await;
     let mut body = read.map_err(|error| bad_body(&error, limit_bytes))?;
     let parsed_bytes = json::memory_bytes(body.as_slice(), JSON_COPIES);
     body.cover_more(parsed_bytes).await.map_err(|error| not_run("no_body_memory", &error))?;
--- a/crates/daemon/src/http/request_body.rs
+++ b/crates/daemon/src/http/request_body.rs
@@ -3,9 +3,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use hyper::http::request::Parts;
 use lichenpulley_core::intake::bodies::SHORT_BODY_BYTES;
 use memmap2::MmapMut;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::body_memory::{BodyHold, BodyMemory, NoBodyMemory};
 use super::connections::CallerConnection;
@@ -50,15 +52,15 @@
 }
 
 impl RequestBody {
-    /// Reads a body to its end. One that announces a length over the bound is refused unread.
+    /// Reads the body of the request with this head to its end. One that announces a length over the bound is refused unread.
     ///
     /// # Errors
     /// When the body exceeds a bound, breaks off or finds no memory.
     pub async fn read(
+        parts: &Parts,
         body: Incoming,
         bounds: BodyBounds,
         memory: &BodyMemory,
-        connection: Option<&CallerConnection>,
     ) -> Result<Self, BodyError> {
         if body.is_end_stream() {
             return Ok(Self { bytes: BodyBytes::Heap(Vec::new()), hold: None });
@@ -69,17 +71,16 @@
         }
         let longest_bytes =
             announced.exact().and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(bounds.bytes);
-        let mut reading = Reading {
-            body,
-            bytes: BodyBytes::Heap(Vec::new()),
-            hold: memory.begin(),
-            longest_bytes,
-            connection: connection.cloned(),
-        };
+        let connection = parts.extensions.get::<CallerConnection>();
+        let body_evicted = CancellationToken::new();
+        let hold = memory.begin(body_evicted.clone());
+        let mut reading =
+            Reading { body, bytes: BodyBytes::Heap(Vec::new()), hold, longest_bytes, connection };
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout_at(bounds.deadline, reading.read_to_end()) => read,
-            () = evicted(connection) => return Err(BodyError::ConnectionEvicted),
+            () = body_evicted.cancelled() => return Err(NoBodyMemory.into()),
+            () = connection_evicted(connection) => return Err(BodyError::ConnectionEvicted),
         };
         read.map_err(|_| BodyError::TooSlow)??;
         let Reading { bytes, mut hold, .. } = reading;
@@ -125,7 +126,7 @@
 }
 
 /// Waits until the connection has to make room for others.
-async fn evicted(connection: Option<&CallerConnection>) {
+async fn connection_evicted(connection: Option<&CallerConnection>) {
     match connection {
         Some(connection) => connection.evicted().await,
         None => std::future::pending().await,
@@ -133,35 +134,30 @@
 }
 
 /// A body that is being read.
-struct Reading {
+struct Reading<'a> {
     body: Incoming,
     bytes: BodyBytes,
     hold: BodyHold,
     /// The announced length, or the greatest that is allowed.
     longest_bytes: usize,
-    connection: Option<CallerConnection>,
+    connection: Option<&'a CallerConnection>,
 }
 
-impl Reading {
+impl Reading<'_> {
     async fn read_to_end(&mut self) -> Result<(), BodyError> {
-        loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.hold.evicted() => return Err(NoBodyMemory.into()),
-                frame = self.body.frame() => frame,
-            };
-            let Some(frame) = frame else { return Ok(()) };
+        while let Some(frame) = self.body.frame().await {
             let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
             let length = self.bytes.as_ref().len() + data.len();
             if length > self.longest_bytes {
                 return Err(BodyError::TooLong);
             }
-            if let Some(connection) = &self.connection {
+            if let Some(connection) = self.connection {
                 connection.record_received(data.len());
             }
             self.hold.cover(length as u64, length as u64).await?;
             self.bytes.append(&data, self.longest_bytes)?;
         }
+        Ok(())
     }
 }
 
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -50,6 +50,21 @@
     }
 }
 
+/// Limits on the connections of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Limits of each connection.
+    pub socket: SocketLimits,
+    /// Maximum number of connections; beyond it those are closed that wait for their callers.
+    pub connections: ConnectionLimit,
+}
+
+impl From<SocketLimits> for ServerLimits {
+    fn from(socket: SocketLimits) -> Self {
+        Self { socket, ..Self::default() }
+    }
+}
+
 /// Answers each request with `handler`, each connection in its own task. Returns when `closing` is cancelled
 /// and every response that had begun has been written completely, however long that takes.
 pub async fn serve<Handler, Answer>(listener: TcpListener, stop: ServerStop, handler: Handler)
@@ -64,7 +79,7 @@
 pub async fn serve_with_limits<Heads, Handler, Answer>(
     listener: TcpListener,
     stop: ServerStop,
-    limits: SocketLimits,
+    limits: impl Into<ServerLimits>,
     head_limits: Heads,
     handler: Handler,
 ) where
@@ -85,7 +100,7 @@
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
-    let limits = SocketLimits { connections, ..SocketLimits::default() };
+    let limits = ServerLimits { connections, ..ServerLimits::default() };
     serve_with_limits(listener, stop, limits, HeadLimits::default, handler).await;
 }
 
@@ -94,7 +109,7 @@
 pub async fn serve_metered<Heads, Handler, Answer>(
     listener: TcpListener,
     stop: ServerStop,
-    limits: SocketLimits,
+    limits: impl Into<ServerLimits>,
     head_limits: Heads,
     unread: Option<UnreadMeter>,
     handler: Handler,
@@ -103,11 +118,12 @@
     Handler: Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
     Answer: Future<Output = Response<Body>> + Send + 'static,
 {
+    let limits = limits.into();
     let connections = TaskTracker::new();
     let registry = CallerConnections::new(limits.connections);
     let port_closed = CancellationToken::new();
     let connection_stop = ConnectionStop { draining: stop.draining, port_closed: port_closed.clone() };
-    let start_connection = |stream: TcpStream| match socket::prepare(&stream, limits) {
+    let start_connection = |stream: TcpStream| match socket::prepare(&stream, limits.socket) {
         Ok(()) => {
             let (stop, handler) = (connection_stop.clone(), handler.clone());
             let connection = registry.open();
@@ -116,11 +132,7 @@
         }
         Err(error) => log::debug!(target: "http", "A connection was closed before it was served: {error}."),
     };
-    let room = || {
-        let registry = registry.clone();
-        async move { registry.until_room().await }
-    };
-    accept_until(&listener, stop.closing.cancelled(), room, &start_connection).await;
+    accept_until(&listener, stop.closing.cancelled(), Some(&registry), &start_connection).await;
     closing_port::close(listener, start_connection).await;
     port_closed.cancel();
     log::info!(target: "http", "A port is closed, {} connections are open.", connections.len());
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::time::Duration;
 
-use lichenpulley_core::intake::connections::ConnectionLimit;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
@@ -31,13 +30,11 @@
     /// A connection whose peer acknowledges or accepts no data for this time is closed. Without this limit a
     /// caller that stopped reading could delay a planned stop forever.
     pub stall_timeout: Duration,
-    /// Maximum number of connections; beyond it those are closed that wait for their callers.
-    pub connections: ConnectionLimit,
 }
 
 impl Default for SocketLimits {
     fn default() -> Self {
-        Self { stall_timeout: DEFAULT_STALL_TIMEOUT, connections: ConnectionLimit::default() }
+        Self { stall_timeout: DEFAULT_STALL_TIMEOUT }
     }
 }
 
--- a/crates/daemon/src/ingress/batch_calls.rs
+++ b/crates/daemon/src/ingress/batch_calls.rs
@@ -20,7 +20,7 @@
 use super::request_body::read_body;
 use super::{Ingress, headers, job_placement, metadata_wait};
 use crate::batch::JobShard;
-use crate::http::connections::CallerConnection;
+use crate::http::request_body::BodyBounds;
 use crate::http::{Body, request, response};
 
 /// Time limit for receiving the body of a job.
@@ -50,10 +50,9 @@
     };
     let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, Some(&id));
     let deadline = Instant::now() + JOB_BODY_TIMEOUT;
-    let memory = &ingress.context.body_memory;
     let (parts, body) = request.into_parts();
-    let connection = parts.extensions.get::<CallerConnection>();
-    let mut body = match read_body(body, table.limits.body_bytes, deadline, memory, connection).await {
+    let bounds = BodyBounds { bytes: table.limits.body_bytes, deadline };
+    let mut body = match read_body(&parts, body, bounds, &ingress.context.body_memory).await {
         Ok(body) => body,
         Err(refusal) => return refuse(refusal),
     };
--- a/crates/daemon/src/ingress/caller_request.rs
+++ b/crates/daemon/src/ingress/caller_request.rs
@@ -26,7 +26,7 @@
 use super::request_body::read_body;
 use super::{Ingress, headers, metadata_wait};
 use crate::http::Body;
-use crate::http::connections::CallerConnection;
+use crate::http::request_body::BodyBounds;
 use crate::metrics::Latency;
 use crate::quarantine::begin_trial;
 
@@ -76,12 +76,9 @@
         let refuse = |refusal: Refusal| refusal.respond_to(&ingress.context, request_id.as_deref());
         let wanted = headers::requested_timeout(&parts.headers).unwrap_or(DEFAULT_DEADLINE);
         let deadline = started_at + route.timeout.map_or(wanted, |timeout| timeout.min(wanted));
-        let connection = parts.extensions.get::<CallerConnection>();
-        let body =
-            read_body(body, table.limits.body_bytes, deadline, &ingress.context.body_memory, connection)
-                .await
-                .map_err(refuse)?
-                .into_bytes();
+        let bounds = BodyBounds { bytes: table.limits.body_bytes, deadline };
+        let body = read_body(&parts, body, bounds, &ingress.context.body_memory).await.map_err(refuse)?;
+        let body = body.into_bytes();
         let Some(service) = route.service_at(rand::random()).map(str::to_owned) else {
             return Err(refuse(Refusal::NoReplica));
         };
--- a/crates/daemon/src/node/partial_frame.rs
+++ b/crates/daemon/src/node/partial_frame.rs
@@ -29,7 +29,8 @@
             self.hold = None;
             return true;
         }
-        let hold = self.hold.get_or_insert_with(|| self.memory.begin_for(self.evicted.clone()));
-        hold.cover_now(bytes as u64)
+        let hold = self.hold.get_or_insert_with(|| self.memory.begin(self.evicted.clone()));
+        // While evicted frames return their memory, this one goes on and asks again with its next bytes.
+        hold.try_cover(bytes as u64, bytes as u64).is_ok()
     }
 }
--- a/crates/daemon/src/node/peer_service.rs
+++ b/crates/daemon/src/node/peer_service.rs
@@ -3,8 +3,6 @@
 //! Dispatches each request to the subsystem that handles it. `protocol::transport` implements the framing. Counts frames,
 //! bytes, and connections closed because of invalid input.
 
-use std::future::ready;
-
 use futures::StreamExt;
 use lichenpulley_core::identity::ShardId;
 use lichenpulley_protocol::internal::{
@@ -123,14 +121,9 @@
 
 /// Serves peers until `closing` is cancelled.
 pub(super) async fn serve(listener: TcpListener, service: PeerService, closing: CancellationToken) {
-    accept_until(
-        &listener,
-        closing.cancelled(),
-        || ready(()),
-        |stream| {
-            tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
-        },
-    )
+    accept_until(&listener, closing.cancelled(), None, |stream| {
+        tokio::spawn(serve_connection(stream, service.clone(), closing.clone()));
+    })
     .await;
 }
 
@@ -138,10 +131,7 @@
 async fn serve_connection(stream: TcpStream, service: PeerService, closing: CancellationToken) {
     let peer =
         stream.peer_addr().map_or_else(|_| "an unknown peer".to_owned(), |address| address.to_string());
-    let limits = SocketLimits {
-        stall_timeout: service.context.settings.peers.stall_timeout,
-        ..SocketLimits::default()
-    };
+    let limits = SocketLimits { stall_timeout: service.context.settings.peers.stall_timeout };
     if let Err(error) = socket::prepare(&stream, limits) {
         log::debug!(target: "peers", "Failed to set up the connection from {peer}: {error}.");
         return;
--- a/crates/daemon/src/node/servers.rs
+++ b/crates/daemon/src/node/servers.rs
@@ -18,7 +18,7 @@
 use super::stop::StopSignals;
 use crate::context::Context;
 use crate::gateway::Gateway;
-use crate::http::server::{self, HeadLimits, ServerStop};
+use crate::http::server::{self, HeadLimits, ServerLimits, ServerStop};
 use crate::http::socket::SocketLimits;
 use crate::http::{Body, response};
 use crate::ingress::{Ingress, readiness};
@@ -72,7 +72,8 @@
 ) -> Result<JoinHandle<()>, StartError> {
     let machine = &context.settings.machine;
     let connections = ConnectionLimit::for_callers(machine.memory_bytes as u64, machine.descriptors());
-    let limits = SocketLimits { stall_timeout: context.settings.gateway.stall_timeout, connections };
+    let socket = SocketLimits { stall_timeout: context.settings.gateway.stall_timeout };
+    let limits = ServerLimits { socket, connections };
     let stop = stop.callers.clone();
     if let Some(ingress) = ingress {
         return serve_platform_api(listener, traffic, stop, limits, ingress);
@@ -87,7 +88,7 @@
     listener: std::net::TcpListener,
     traffic: &Handle,
     stop: ServerStop,
-    limits: SocketLimits,
+    limits: ServerLimits,
     gateway: Option<Gateway>,
 ) -> Result<JoinHandle<()>, StartError> {
     let entered = traffic.enter();
@@ -110,7 +111,7 @@
     listener: std::net::TcpListener,
     traffic: &Handle,
     stop: ServerStop,
-    limits: SocketLimits,
+    limits: ServerLimits,
     ingress: Ingress,
 ) -> Result<JoinHandle<()>, StartError> {
     let entered = traffic.enter();
--- a/crates/daemon/src/peers/connection.rs
+++ b/crates/daemon/src/peers/connection.rs
@@ -118,7 +118,7 @@
 
     async fn connect(&self) -> Result<Arc<PeerClient>, String> {
         let (address, timeout) = (self.address, self.settings.connect_timeout);
-        let limits = SocketLimits { stall_timeout: self.settings.stall_timeout, ..SocketLimits::default() };
+        let limits = SocketLimits { stall_timeout: self.settings.stall_timeout };
         // The control runtime drives the connection, so the stream is created there.
         let connecting = self.runtime.spawn(async move {
             let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
--- a/crates/daemon/tests/http.rs
+++ b/crates/daemon/tests/http.rs
@@ -407,7 +407,7 @@
     let server = tokio::spawn(serve_with_limits(
         listener,
         stop.clone(),
-        SocketLimits { stall_timeout, ..SocketLimits::default() },
+        SocketLimits { stall_timeout },
         HeadLimits::default,
         answer,
     ));
--- a/crates/lab/tests/clients/crowd.rs
+++ b/crates/lab/tests/clients/crowd.rs
@@ -22,8 +22,10 @@
 pub enum Framing {
     /// Announced in the head.
     Length(usize),
-    /// In chunks of this size.
+    /// In chunks of this size, the last of which is not sent.
     Chunks(usize),
+    /// Not at all: the body is sent as it is, without a head.
+    None,
 }
 
 /// One upload.
@@ -32,36 +34,32 @@
     /// Request line and headers that the framing doesn't add, without the line end of the last.
     pub head: String,
     pub framing: Framing,
-    /// What is sent of the body.
     pub body: Arc<Vec<u8>>,
-    /// Whether the last chunk is sent.
-    pub is_whole: bool,
+    /// How much of the body is sent.
+    pub sent_bytes: usize,
     /// Pause between two writes.
     pub pause: Duration,
 }
 
 impl Upload {
+    fn new(head: &str, framing: Framing, body: &Arc<Vec<u8>>) -> Self {
+        let (head, body) = (head.to_owned(), Arc::clone(body));
+        Self { head, framing, sent_bytes: body.len(), body, pause: Duration::ZERO }
+    }
+
     /// A body with its length, of which the last `missing` bytes are not sent.
     pub fn announced(head: &str, body: &Arc<Vec<u8>>, missing: usize) -> Self {
-        let sent = Arc::new(body[..body.len() - missing].to_vec());
-        Self {
-            head: head.to_owned(),
-            framing: Framing::Length(body.len()),
-            body: sent,
-            is_whole: missing == 0,
-            pause: Duration::ZERO,
-        }
+        Self { sent_bytes: body.len() - missing, ..Self::new(head, Framing::Length(body.len()), body) }
     }
 
     /// A body in chunks whose last one is not sent.
     pub fn chunked(head: &str, body: &Arc<Vec<u8>>, chunk_bytes: usize) -> Self {
-        Self {
-            head: head.to_owned(),
-            framing: Framing::Chunks(chunk_bytes),
-            body: Arc::clone(body),
-            is_whole: false,
-            pause: Duration::ZERO,
-        }
+        Self::new(head, Framing::Chunks(chunk_bytes), body)
+    }
+
+    /// A text that is sent as it is.
+    pub fn raw(text: &Arc<Vec<u8>>) -> Self {
+        Self::new("", Framing::None, text)
     }
 
     pub fn with_pause(self, pause: Duration) -> Self {
@@ -70,15 +68,18 @@
 
     async fn send(&self, stream: &mut TcpStream, sent: &AtomicU64) -> io::Result<()> {
         let framing = match self.framing {
-            Framing::Length(length) => format!("content-length: {length}"),
-            Framing::Chunks(_) => "transfer-encoding: chunked".to_owned(),
+            Framing::Length(length) => Some(format!("content-length: {length}")),
+            Framing::Chunks(_) => Some("transfer-encoding: chunked".to_owned()),
+            Framing::None => None,
         };
-        stream.write_all(format!("{}\r\n{framing}\r\n\r\n", self.head).as_bytes()).await?;
-        let payload = match self.framing {
-            Framing::Length(_) => Arc::clone(&self.body),
-            Framing::Chunks(size) => Arc::new(chunks(&self.body, size, self.is_whole)),
-        };
-        send_pieces(&payload, stream, self.pause, sent).await
+        if let Some(framing) = framing {
+            stream.write_all(format!("{}\r\n{framing}\r\n\r\n", self.head).as_bytes()).await?;
+        }
+        let body = &self.body[..self.sent_bytes];
+        match self.framing {
+            Framing::Chunks(size) => send_pieces(&chunks(body, size), stream, self.pause, sent).await,
+            Framing::Length(_) | Framing::None => send_pieces(body, stream, self.pause, sent).await,
+        }
     }
 }
 
@@ -98,16 +99,13 @@
     Ok(())
 }
 
-fn chunks(body: &[u8], chunk_bytes: usize, is_whole: bool) -> Vec<u8> {
+fn chunks(body: &[u8], chunk_bytes: usize) -> Vec<u8> {
     let mut framed = Vec::with_capacity(body.len() + body.len() / chunk_bytes * 8);
     for chunk in body.chunks(chunk_bytes) {
         framed.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
         framed.extend_from_slice(chunk);
         framed.extend_from_slice(b"\r\n");
     }
-    if is_whole {
-        framed.extend_from_slice(b"0\r\n\r\n");
-    }
     framed
 }
 
@@ -137,24 +135,6 @@
         Self { callers, sent }
     }
 
-    /// Starts one caller for each text, which is sent as it is.
-    pub fn start_raw(address: SocketAddr, texts: impl IntoIterator<Item = Arc<Vec<u8>>>) -> Self {
-        let sent = Arc::new(AtomicU64::new(0));
-        let callers = texts
-            .into_iter()
-            .map(|text| {
-                let sent = Arc::clone(&sent);
-                tokio::spawn(async move {
-                    let Ok(mut stream) = TcpStream::connect(address).await else { return };
-                    // The server may close the connection.
-                    let _ = send_pieces(&text, &mut stream, Duration::ZERO, &sent).await;
-                    std::future::pending::<()>().await;
-                })
-            })
-            .collect();
-        Self { callers, sent }
-    }
-
     /// Waits until the callers send nothing more: they are done, or the server doesn't read.
     pub async fn settled(&self) {
         let settled = async {
--- a/crates/lab/tests/clients/edge.rs
+++ b/crates/lab/tests/clients/edge.rs
@@ -14,8 +14,8 @@
 use tempfile::TempDir;
 use tokio::time::Instant;
 
+use super::MEMORY_MB;
 use super::usage::{MemoryWatch, open_descriptors};
-use super::{MEMORY_BYTES, MEMORY_MB};
 use crate::processes::{Process, wait_for};
 
 pub const HOST: &str = "shop.example";
@@ -138,11 +138,9 @@
     }
 
     pub fn assert_within_machine(&mut self, when: &str) {
-        let peak = self.memory.peak_bytes();
-        println!("{when}: a peak of {} MB, {} descriptors", peak / 1_000_000, self.descriptors());
         assert!(self.gateway.is_running(), "{when}: the gateway has ended");
         assert!(self.stores.iter_mut().all(Process::is_running), "{when}: a store has ended");
-        assert!(peak <= MEMORY_BYTES, "{when}: {peak} bytes on a machine of {MEMORY_BYTES}");
+        self.memory.assert_within_machine(when);
     }
 
     pub fn descriptors(&self) -> usize {
--- a/crates/lab/tests/clients/native.rs
+++ b/crates/lab/tests/clients/native.rs
@@ -3,78 +3,56 @@
 use std::net::SocketAddr;
 
 use lichenpulley_protocol::caller::CompletionRequest;
-use tempfile::TempDir;
 
+use super::MEMORY_MB;
 use super::usage::MemoryWatch;
-use super::{MEMORY_BYTES, MEMORY_MB};
-use crate::processes::system::{POOL, complete, completion};
-use crate::processes::{Process, wait_for};
+use crate::processes::Process;
+use crate::processes::system::{System, complete, completion};
 
-const ANY_PORT: &str = "127.0.0.1:0";
+/// Tries of an ordinary caller.
+const TRIES: usize = 3;
 
 pub struct NativeNode {
-    pub node: Process,
+    system: System,
     memory: MemoryWatch,
-    _others: Vec<Process>,
-    _folder: TempDir,
 }
 
 impl NativeNode {
+    /// Starts a node on the smallest machine, with an engine that runs more streams than a crowd asks for.
     pub async fn start() -> Self {
-        let folder = TempDir::new().expect("a folder");
-        let at = folder.path();
-        let words = |line: &str| -> Vec<String> { line.split_whitespace().map(str::to_owned).collect() };
-        let mut others = Vec::new();
-        for part in ["object-api", "machine-list", "weight-store", "scorer"] {
-            others.push(Process::start(at, part, "lichenpulley-lab", &words(part)).await);
-        }
-        let [object_api, machine_list, weight_store, scorer] = [0, 1, 2, 3].map(|part| {
-            let part: &Process = &others[part];
-            part.address("http")
-        });
-        let engine = format!(
-            "engine --replica {POOL}-0 --pool {POOL} --zone zone-a --weight-version 1 --capacity 64 \
-             --weight-store {weight_store} --machine-list {machine_list}"
-        );
-        others.push(Process::start(at, "engine", "lichenpulley-lab", &words(&engine)).await);
-        let node = format!(
-            "--node node-0 --zone zone-a --role gateway --role coordinator --role store --data-folder {} \
-             --callers {ANY_PORT} --operators {ANY_PORT} --peers {ANY_PORT} --object-api {object_api} \
-             --machine-list {machine_list} --weight-store {weight_store} --scorer {scorer} \
-             --set machine.memory_mb={MEMORY_MB} --set gateway.traffic_threads=1",
-            at.join("node.data").display()
-        );
-        let node = Process::start(at, "node", "lichenpulleyd", &words(&node)).await;
+        let mut system = System::without_nodes().await;
+        let engine = system.start_engine_with(0, 1, "--capacity 64").await;
+        system.engines.push(engine);
+        let flags = format!("--set machine.memory_mb={MEMORY_MB} --set gateway.traffic_threads=1");
+        let node = system.start_node_with(0, &flags).await;
         let memory = MemoryWatch::start(node.id(), node.address("callers"));
-        let native = Self { node, memory, _others: others, _folder: folder };
-        wait_for("the node serves", || async { native.ordinary_request().await }).await;
-        native
+        system.nodes.push(node);
+        system.wait_until_answered().await;
+        Self { system, memory }
     }
 
     pub fn callers(&self) -> SocketAddr {
-        self.node.address("callers")
+        self.system.nodes[0].address("callers")
     }
 
-    pub async fn ordinary_request(&self) -> Option<()> {
+    async fn is_answered(&self) -> bool {
         let request = CompletionRequest { max_tokens: 4, ..completion(1) };
-        complete(self.callers(), &request).await.ok().map(|_| ())
+        complete(self.callers(), &request).await.is_ok()
     }
 
     /// Asserts that the node lives within its machine, and that ordinary callers are served.
     pub async fn assert_bears(&mut self, when: &str) {
         self.assert_within_machine(when);
         let mut is_answered = false;
-        for _ in 0..3 {
-            is_answered = is_answered || self.ordinary_request().await.is_some();
+        for _ in 0..TRIES {
+            is_answered = is_answered || self.is_answered().await;
         }
         assert!(is_answered, "{when}: an ordinary request got no answer");
         self.assert_within_machine(when);
     }
 
     fn assert_within_machine(&mut self, when: &str) {
-        let peak = self.memory.peak_bytes();
-        println!("{when}: a peak of {} MB", peak / 1_000_000);
-        assert!(self.node.is_running(), "{when}: the node has ended");
-        assert!(peak <= MEMORY_BYTES, "{when}: {peak} bytes on a machine of {MEMORY_BYTES}");
+        assert!(self.system.nodes.iter_mut().all(Process::is_running), "{when}: the node has ended");
+        self.memory.assert_within_machine(when);
     }
 }
--- a/crates/lab/tests/clients/usage.rs
+++ b/crates/lab/tests/clients/usage.rs
@@ -6,6 +6,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use super::MEMORY_BYTES;
+
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 const KILOBYTE: u64 = 1_024;
 
@@ -36,8 +38,15 @@
         Self { process, shared, thread: Some(thread) }
     }
 
+    /// Asserts that the process has stayed within the memory of its machine.
+    pub fn assert_within_machine(&self, when: &str) {
+        let peak = self.peak_bytes();
+        println!("{when}: a peak of {} MB, {} descriptors", peak / 1_000_000, open_descriptors(self.process));
+        assert!(peak <= MEMORY_BYTES, "{when}: {peak} bytes on a machine of {MEMORY_BYTES}");
+    }
+
     /// The greatest memory that was seen, in bytes. At least the greatest resident memory of the process's life.
-    pub fn peak_bytes(&self) -> u64 {
+    fn peak_bytes(&self) -> u64 {
         let resident = status_bytes(self.process, "VmHWM:").unwrap_or(0);
         self.shared.peak.load(Ordering::Relaxed).max(resident)
     }
--- a/crates/lab/tests/misbehaving_clients.rs
+++ b/crates/lab/tests/misbehaving_clients.rs
@@ -253,7 +253,7 @@
     let mut frame = frame_bytes.to_be_bytes().to_vec();
     frame.resize(frame_bytes as usize, 0);
     let frame = Arc::new(frame);
-    let crowd = Crowd::start_raw(edge.gateway.address("peers"), (0..CROWD / 2).map(|_| Arc::clone(&frame)));
+    let crowd = Crowd::start(edge.gateway.address("peers"), (0..CROWD / 2).map(|_| Upload::raw(&frame)));
     crowd.settled().await;
     edge.assert_bears("while the crowd stays").await;
     drop(crowd);
--- a/crates/lab/tests/processes/system.rs
+++ b/crates/lab/tests/processes/system.rs
@@ -42,6 +42,21 @@
 impl System {
     /// Starts everything, and waits until each node answers a completion.
     pub async fn start() -> Self {
+        let mut system = Self::without_nodes().await;
+        for number in 0..ZONES.len() {
+            let engine = system.start_engine(number, 1).await;
+            system.engines.push(engine);
+        }
+        for number in 0..ZONES.len() {
+            let node = system.start_node(number).await;
+            system.nodes.push(node);
+        }
+        system.wait_until_answered().await;
+        system
+    }
+
+    /// Starts the platform alone.
+    pub async fn without_nodes() -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let at = folder.path();
         let object_api = Process::start(at, "object-api", "lichenpulley-lab", &words("object-api")).await;
@@ -50,7 +65,7 @@
         let weight_store =
             Process::start(at, "weight-store", "lichenpulley-lab", &words("weight-store")).await;
         let scorer = Process::start(at, "scorer", "lichenpulley-lab", &words("scorer")).await;
-        let mut system = Self {
+        Self {
             nodes: Vec::new(),
             engines: Vec::new(),
             object_api,
@@ -58,25 +73,20 @@
             weight_store,
             scorer,
             folder,
-        };
-        for number in 0..ZONES.len() {
-            let engine = system.start_engine(number, 1).await;
-            system.engines.push(engine);
-        }
-        for number in 0..ZONES.len() {
-            let node = system.start_node(number).await;
-            system.nodes.push(node);
         }
-        system.wait_until_answered().await;
-        system
     }
 
     /// Starts the engine of a zone with these weights.
     pub async fn start_engine(&self, number: usize, weight_version: u64) -> Process {
+        self.start_engine_with(number, weight_version, "").await
+    }
+
+    /// Starts the engine of a zone with these weights and further flags.
+    pub async fn start_engine_with(&self, number: usize, weight_version: u64, flags: &str) -> Process {
         let zone = ZONES[number];
         let line = format!(
             "engine --replica {} --pool {POOL} --zone {zone} --weight-version {weight_version} \
-             --weight-store {} --machine-list {}",
+             --weight-store {} --machine-list {} {flags}",
             replica(number),
             self.weight_store.address("http"),
             self.machine_list.address("http")
@@ -86,11 +96,16 @@
 
     /// Starts the node of a zone on free ports, with the data that an earlier one of its name has left.
     pub async fn start_node(&self, number: usize) -> Process {
+        self.start_node_with(number, "").await
+    }
+
+    /// Starts the node of a zone like [`Self::start_node`], with further flags.
+    pub async fn start_node_with(&self, number: usize, flags: &str) -> Process {
         let name = format!("node-{number}");
         let mut line = format!(
             "--node {name} --zone {} --role gateway --role coordinator --role store --data-folder {} \
              --callers {ANY_PORT} --operators {ANY_PORT} --peers {ANY_PORT} \
-             --object-api {} --machine-list {} --weight-store {} --scorer {}",
+             --object-api {} --machine-list {} --weight-store {} --scorer {} {flags}",
             ZONES[number],
             self.folder.path().join(format!("{name}.data")).display(),
             self.object_api.address("http"),
@@ -172,7 +187,8 @@
         .await;
     }
 
-    async fn wait_until_answered(&self) {
+    /// Waits until each node answers a completion.
+    pub async fn wait_until_answered(&self) {
         for (number, node) in self.nodes.iter().enumerate() {
             wait_for(&format!("node {number} answers a completion"), || async {
                 complete(node.address("callers"), &completion(0)).await.ok()
